--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+VENV ?= .venv
+BIN = $(VENV)/bin
+SEED ?= 1
+RUNS ?= 50
+
+$(VENV)/.installed: pyproject.toml constraints.txt
+	python3 -m venv $(VENV)
+	$(BIN)/python -m pip install -q -c constraints.txt -e '.[dev]'
+	touch $@
+
+.PHONY: demo test lint format soak bench proto
+demo: $(VENV)/.installed
+	$(BIN)/tulippin demo
+
+test: $(VENV)/.installed
+	$(BIN)/python -m pytest -q
+
+lint: $(VENV)/.installed
+	$(BIN)/ruff format --check src tests bench examples
+	$(BIN)/ruff check src tests bench examples
+	$(BIN)/flake8 src
+
+format: $(VENV)/.installed
+	$(BIN)/ruff format src tests bench examples
+	$(BIN)/ruff check --fix src tests bench examples
+
+soak: $(VENV)/.installed
+	$(BIN)/python bench/soak.py --seed $(SEED) --runs $(RUNS)
+
+bench: $(VENV)/.installed
+	$(BIN)/python bench/hops.py
+	$(BIN)/python bench/recovery.py
+	$(BIN)/python bench/placement.py
+
+proto: $(VENV)/.installed
+	$(BIN)/python -m grpc_tools.protoc -I proto --python_out=src/tulippin \
+	    --grpc_python_out=src/tulippin proto/peers.proto
+	sed -i 's/^import peers_pb2/from tulippin import peers_pb2/' \
+	    src/tulippin/peers_pb2_grpc.py
--- /dev/null
+++ b/src/tulippin/_calls.py
@@ -0,0 +1,145 @@
+"""Calls that wait for other instances: job operations and reports."""
+
+from __future__ import annotations
+
+from tulippin import _homes
+from tulippin import effects as fx
+from tulippin._context import Context
+from tulippin._dispatch import handle, receive
+from tulippin.codec_json import encode
+from tulippin.dump import dump_state
+from tulippin.events import CallExpired, JobRequested, ReportRequested
+from tulippin.messages import (
+    JobForwarded,
+    JobReply,
+    JobReturned,
+    ReportReturned,
+    ReportWanted,
+)
+from tulippin.state import JobCall, ReportCall
+
+_JOB_DEADLINE_MS = 10000
+_JOB_RESEND_MS = 1000
+_REPORT_DEADLINE_MS = 2000
+_RETRY_AFTER_MS = 2000
+_LIST_LIMIT = 1000
+
+
+@handle.register
+def _(event: JobRequested, context: Context) -> None:
+    message = JobForwarded(
+        event.call_id,
+        _homes.get_home(context, event.job_id),
+        event.action,
+        event.job_id,
+        event.spec,
+        event.digest,
+    )
+    call = JobCall(
+        event.call_id,
+        message,
+        context.now_ms + _JOB_DEADLINE_MS,
+        context.now_ms,
+    )
+    context.state.job_calls[event.call_id] = call
+    _send(context, call)
+
+
+def _send(context: Context, call: JobCall) -> None:
+    call.next_send_ms = context.now_ms + _JOB_RESEND_MS
+    context.send_owner(call.message.unit, call.message)
+
+
+@receive.register
+def _(message: JobReturned, sender: str, context: Context) -> None:
+    call = context.state.job_calls.pop(message.call_id, None)
+    if call is not None:
+        context.emit(fx.AnswerJob(message.call_id, message.reply))
+
+
+@handle.register
+def _(event: CallExpired, context: Context) -> None:
+    context.state.job_calls.pop(event.call_id, None)
+    context.state.report_calls.pop(event.call_id, None)
+
+
+@handle.register
+def _(event: ReportRequested, context: Context) -> None:
+    state = context.state
+    call = ReportCall(
+        event.call_id,
+        set(state.peers),
+        [make_body(context, event.kind)],
+        context.now_ms + _REPORT_DEADLINE_MS,
+    )
+    if event.kind.startswith('dump'):
+        call.waiting = set()
+    state.report_calls[event.call_id] = call
+    for session_id in call.waiting:
+        context.send(session_id, ReportWanted(event.call_id, event.kind))
+    _finish_report(context, call)
+
+
+def _finish_report(context: Context, call: ReportCall) -> None:
+    if call.waiting and context.now_ms < call.deadline_ms:
+        return
+    context.state.report_calls.pop(call.call_id, None)
+    missing = tuple(
+        context.state.peers[session_id].lease.instance_id
+        for session_id in sorted(call.waiting)
+        if session_id in context.state.peers
+    )
+    context.emit(fx.AnswerReport(call.call_id, tuple(call.bodies), missing))
+
+
+def make_body(context: Context, kind: str) -> str:
+    """Return this instance's part of a report, as JSON.
+
+    Parameters
+    ----------
+    kind : str
+        ``trial``, ``dump``, ``workers``, or ``jobs:TEAM``.
+    """
+    state = context.state
+    name, _, argument = kind.partition(':')
+    if name == 'trial':
+        return encode(state.stats.make_report()).decode()
+    if name == 'dump':
+        return encode(dump_state(state)).decode()
+    if name == 'workers':
+        return encode(dump_state(state)['cells']).decode()
+    jobs = [
+        _homes.describe_job(job)
+        for home in state.ranges.values()
+        for job in home.ledger.jobs.values()
+        if not argument or job.spec.team == argument
+    ]
+    return encode(jobs[:_LIST_LIMIT]).decode()
+
+
+@receive.register
+def _(message: ReportWanted, sender: str, context: Context) -> None:
+    body = make_body(context, message.kind)
+    context.send(sender, ReportReturned(message.call_id, body))
+
+
+@receive.register
+def _(message: ReportReturned, sender: str, context: Context) -> None:
+    call = context.state.report_calls.get(message.call_id)
+    if call is not None and sender in call.waiting:
+        call.waiting.discard(sender)
+        call.bodies.append(message.body)
+        _finish_report(context, call)
+
+
+def tick(context: Context) -> None:
+    """Repeat job operations without a reply and end those out of time."""
+    for call in list(context.state.job_calls.values()):
+        if context.now_ms >= call.deadline_ms:
+            del context.state.job_calls[call.call_id]
+            reply = JobReply('unknown', None, _RETRY_AFTER_MS)
+            context.emit(fx.AnswerJob(call.call_id, reply))
+        elif context.now_ms >= call.next_send_ms:
+            _send(context, call)
+    for report in list(context.state.report_calls.values()):
+        _finish_report(context, report)
--- /dev/null
+++ b/src/tulippin/_fleet.py
@@ -0,0 +1,638 @@
+"""A whole fleet in one process: real shells over in-memory stand-ins."""
+
+from __future__ import annotations
+
+import random
+import typing as t
+
+import attrs
+import trio
+
+from tulippin._fake_platform import FakeDirectory, FakeObjects, FakeTable
+from tulippin._fake_worker import FakeWorker
+from tulippin.bundles import compute_digest, make_key, sign
+from tulippin.bundle_store import BundleStore
+from tulippin.events import BundleLearned, Event
+from tulippin.exceptions import (
+    AnswerLostError,
+    FencedError,
+    UnavailableError,
+)
+from tulippin.history import History
+from tulippin.messages import RequestOutcome, ServiceRequest
+from tulippin.ports import (
+    Condition,
+    EndpointReply,
+    Envelope,
+    InstanceList,
+    Ports,
+    Row,
+    Write,
+)
+from tulippin.shell import Shell
+from tulippin.state import Config
+from tulippin.types import JobSpec, OutcomeKind, Resources, WorkerInfo
+from tulippin.worker_types import WorkerReport, WorkerSync
+
+_MS: t.Final = 1000
+_HOP_S: t.Final = 0.0005
+_LOST_S: t.Final = 30.0
+
+
+@attrs.define
+class Gate:
+    """Holds everything that a paused process would send or take in."""
+
+    opened: trio.Event | None = None
+
+    def close(self) -> None:
+        """Pause the process."""
+        if self.opened is None:
+            self.opened = trio.Event()
+
+    def open(self) -> None:
+        """Let the process go on."""
+        if self.opened is not None:
+            self.opened.set()
+            self.opened = None
+
+    async def wait(self) -> None:
+        """Wait until the process runs."""
+        while self.opened is not None:
+            await self.opened.wait()
+
+
+@attrs.define
+class NetworkFaults:
+    """What the network does to messages.
+
+    ``cut`` holds pairs of names that cannot reach each other; a name
+    is an instance's, a worker's or a failure domain's.
+    """
+
+    cut: set[frozenset[str]] = attrs.field(factory=set)
+    lost_share: float = 0.0
+    duplicate_share: float = 0.0
+    late_share: float = 0.0
+    late_s: float = 3.0
+
+
+@attrs.define
+class FakeNetwork:
+    """Carries envelopes, syncs and requests, late, twice or never."""
+
+    source: random.Random
+    faults: NetworkFaults = attrs.field(factory=NetworkFaults)
+    domains: dict[str, str] = attrs.field(factory=dict)
+
+    def is_cut(self, one: str, other: str) -> bool:
+        """Tell whether two names cannot reach each other."""
+        ones = {one, self.domains.get(one, one)}
+        others = {other, self.domains.get(other, other)}
+        return any(
+            frozenset((left, right)) in self.faults.cut
+            for left in ones
+            for right in others
+        )
+
+    async def travel(self, one: str, other: str) -> None:
+        """Take the way from one name to another, or fail on it."""
+        await trio.sleep(_HOP_S)
+        if self.source.random() < self.faults.late_share:
+            await trio.sleep(self.source.random() * self.faults.late_s)
+        lost = self.source.random() < self.faults.lost_share
+        if lost or self.is_cut(one, other):
+            await trio.sleep(_LOST_S)
+            raise UnavailableError('lost on the way')
+
+
+@attrs.define
+class Process:
+    """One instance's process: its shell and its ports."""
+
+    name: str
+    instance_id: str
+    fleet: Fleet
+    gate: Gate = attrs.field(factory=Gate)
+    shell: Shell | None = None
+    scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    ended: trio.Event = attrs.field(factory=trio.Event)
+    calls: int = 0
+
+    # -- table and objects ---------------------------------------------------
+
+    async def get(self, key: str) -> Row | None:
+        """Return a row by way of this process's connection."""
+        await self.gate.wait()
+        found = await self.fleet.table.get(key, self.instance_id)
+        await self.gate.wait()
+        return found
+
+    async def scan(self, prefix: str) -> list[tuple[str, Row]]:
+        """Return rows by way of this process's connection."""
+        await self.gate.wait()
+        found = await self.fleet.table.scan(prefix, self.instance_id)
+        await self.gate.wait()
+        return found
+
+    async def commit(
+        self, conditions: t.Sequence[Condition], writes: t.Sequence[Write]
+    ) -> int:
+        """Commit by way of this process's connection."""
+        await self.gate.wait()
+        version = await self.fleet.table.commit(
+            conditions, writes, self.instance_id
+        )
+        await self.gate.wait()
+        return version
+
+    async def list_instances(self) -> InstanceList:
+        """Return the platform's list."""
+        await self.gate.wait()
+        return await self.fleet.directory.list_instances()
+
+    async def sync(self, address: str, message: WorkerSync) -> WorkerReport:
+        """Send a sync to a worker, which may take it in late or twice."""
+        await self.gate.wait()
+        worker = self.fleet.workers[address]
+        network = self.fleet.network
+        await network.travel(self.instance_id, address)
+        report = worker.sync(message)
+        if network.source.random() < network.faults.duplicate_share:
+            self.fleet.repeat_sync(worker, message)
+        await network.travel(address, self.instance_id)
+        await self.gate.wait()
+        return report
+
+    async def call(
+        self, address: str, request: ServiceRequest, epoch: int
+    ) -> EndpointReply:
+        """Send a request to a worker's service."""
+        await self.gate.wait()
+        worker = self.fleet.workers[address]
+        if not worker.alive or self.fleet.network.is_cut(
+            self.instance_id, address
+        ):
+            return EndpointReply(RequestOutcome(OutcomeKind.NOT_RUN, 'refused'))
+        try:
+            await self.fleet.network.travel(self.instance_id, address)
+            reply = await self.fleet.serve(worker, request, epoch)
+            await self.fleet.network.travel(address, self.instance_id)
+        except UnavailableError:
+            reply = EndpointReply(RequestOutcome(OutcomeKind.UNKNOWN, 'broken'))
+        await self.gate.wait()
+        return reply
+
+    async def deliver(self, address: str, envelope: Envelope) -> None:
+        """Deliver an envelope to the process at an address."""
+        await self.gate.wait()
+        network = self.fleet.network
+        await network.travel(self.instance_id, address)
+        target = self.fleet.find_process(address)
+        if target is None or target.shell is None:
+            raise UnavailableError('nobody listens there')
+        await target.gate.wait()
+        target.shell.receive(envelope)
+        if network.source.random() < network.faults.duplicate_share:
+            self.fleet.repeat_envelope(address, envelope)
+        await network.travel(address, self.instance_id)
+        await self.gate.wait()
+
+
+@attrs.define
+class ObjectsClient:
+    """One process's connection to the object store."""
+
+    process: Process
+
+    async def put(self, key: str, body: bytes) -> None:
+        """Write an object."""
+        await self.process.gate.wait()
+        fleet = self.process.fleet
+        await fleet.objects.put(key, body, self.process.instance_id)
+        await self.process.gate.wait()
+
+    async def get(self, key: str) -> bytes | None:
+        """Return an object."""
+        await self.process.gate.wait()
+        fleet = self.process.fleet
+        body = await fleet.objects.get(key, self.process.instance_id)
+        await self.process.gate.wait()
+        return body
+
+    async def delete(self, key: str) -> None:
+        """Delete an object."""
+        await self.process.gate.wait()
+        fleet = self.process.fleet
+        await fleet.objects.delete(key, self.process.instance_id)
+
+
+class GatedShell(Shell):
+    """A shell whose loop stands still while its process is paused."""
+
+    gate: Gate
+
+    async def _run(self) -> None:
+        while True:
+            if not self._inbox:
+                self._wake = trio.Event()
+                await self._wake.wait()
+            await self.gate.wait()
+            if self._inbox:
+                self.step(self._inbox.popleft())
+            await trio.lowlevel.checkpoint()
+
+
+@attrs.frozen
+class FleetSize:
+    """How large a fleet is."""
+
+    instance_count: int = 3
+    cell_count: int = 3
+    workers_per_cell: int = 3
+    capacity: Resources = Resources(8000, 32768)
+    slot_count: int = 8
+    domain_count: int = 3
+
+
+class Fleet:
+    """Instances, workers and platform; an asynchronous context manager.
+
+    Parameters
+    ----------
+    size : FleetSize
+        How many of each.
+    seed : int
+        For every random choice.
+    overrides : dict
+        Fields of ``Config`` to set on each instance.
+    """
+
+    def __init__(
+        self,
+        size: FleetSize | None = None,
+        seed: int = 1,
+        overrides: t.Mapping[str, t.Any] | None = None,
+    ) -> None:
+        self.size = size or FleetSize()
+        self.source = random.Random(seed)
+        self.overrides = dict(overrides or {})
+        self.overrides.setdefault('range_count', 6)
+        self.history = History(self.get_now_ms)
+        self.table = FakeTable(source=self._fork())
+        self.objects = FakeObjects(source=self._fork())
+        self.directory = FakeDirectory()
+        self.network = FakeNetwork(self._fork())
+        self.workers: dict[str, FakeWorker] = {}
+        self.processes: dict[str, Process] = {}
+        self.operators: dict[str, str] = {}
+        self.keys: dict[str, str] = {}
+        self.event_count = 0
+        self.request_count = 0
+        self._manager: t.Any = None
+        self.nursery: trio.Nursery | None = None
+        for operator in ('alice', 'bob'):
+            self.operators[operator], self.keys[operator] = make_key()
+
+    def _fork(self) -> random.Random:
+        return random.Random(self.source.getrandbits(32))
+
+    @staticmethod
+    def get_now_ms() -> int:
+        """Return the outside's clock."""
+        return int(trio.current_time() * _MS)
+
+    async def __aenter__(self) -> t.Self:
+        """Start workers and instances."""
+        self._manager = trio.open_nursery()
+        self.nursery = await self._manager.__aenter__()
+        self._add_workers()
+        for number in range(self.size.instance_count):
+            self.start_instance(f'instance-{number}')
+        return self
+
+    async def __aexit__(self, *details: t.Any) -> None:
+        """Stop everything at once and close the history."""
+        for worker in self.workers.values():
+            worker.advance()
+        self.history.note('end')
+        self.nursery.cancel_scope.cancel()
+        await self._manager.__aexit__(*details)
+
+    def _add_workers(self) -> None:
+        for cell in range(self.size.cell_count):
+            for place in range(self.size.workers_per_cell):
+                self.add_worker(f'worker-{cell}-{place}', cell)
+        self.directory.publish()
+
+    def add_worker(self, worker_id: str, cell: int) -> FakeWorker:
+        """Add one worker to a cell."""
+        domain = f'domain-{cell % self.size.domain_count}'
+        info = WorkerInfo(
+            worker_id,
+            worker_id,
+            f'cell-{cell}',
+            domain,
+            self.size.capacity,
+            self.size.slot_count,
+        )
+        worker = FakeWorker(
+            info,
+            self.history.note,
+            self._fork(),
+            self.source.randrange(100000),
+        )
+        self.workers[worker_id] = worker
+        self.directory.workers[worker_id] = info
+        self.network.domains[worker_id] = domain
+        self.history.note(
+            'worker',
+            worker_id=worker_id,
+            capacity=info.capacity,
+            slot_count=info.slot_count,
+        )
+        return worker
+
+    # -- instances -------------------------------------------------------------
+
+    def start_instance(self, instance_id: str) -> Process:
+        """Start a process of an instance."""
+        starts = sum(
+            process.instance_id == instance_id
+            for process in self.processes.values()
+        )
+        name = f'{instance_id}#{starts}'
+        process = Process(name, instance_id, self)
+        number = int(instance_id.rpartition('-')[2])
+        domain = f'domain-{number % self.size.domain_count}'
+        self.network.domains[instance_id] = domain
+        config = Config(instance_id, domain, instance_id, **self.overrides)
+        shell = GatedShell(
+            config,
+            Ports(
+                process,
+                ObjectsClient(process),
+                process,
+                process,
+                process,
+                process,
+            ),
+            self.keys,
+            clock=self.get_now_ms,
+            wall=self.get_now_ms,
+            seed=self.source.getrandbits(32),
+            recorder=self._make_recorder(name),
+        )
+        shell.gate = process.gate
+        process.shell = shell
+        self.processes[name] = process
+        self.directory.instances.add(instance_id)
+        self.directory.publish()
+        self.history.note('instance_up', process=name)
+        self.nursery.start_soon(self._run_process, process)
+        return process
+
+    def _make_recorder(self, name: str) -> t.Callable[..., None]:
+        def record(event: Event, effects: t.Any) -> None:
+            self.event_count += 1
+            if isinstance(event, BundleLearned) and event.bundle is not None:
+                shell = self.processes[name].shell
+                self.history.note(
+                    'bundle_taken',
+                    process=name,
+                    number=shell.state.bundle_number,
+                )
+
+        return record
+
+    async def _run_process(self, process: Process) -> None:
+        with process.scope:
+            async with process.shell:
+                await process.shell.left.wait()
+        process.ended.set()
+        process.shell = None
+        self.history.note('instance_down', process=process.name)
+
+    def find_process(self, instance_id: str) -> Process | None:
+        """Return the live process of an instance."""
+        for process in self.processes.values():
+            if process.instance_id == instance_id and process.shell:
+                return process
+        return None
+
+    def iter_live(self) -> list[Process]:
+        """Return the processes that run."""
+        return [one for one in self.processes.values() if one.shell]
+
+    def crash(self, instance_id: str) -> None:
+        """Kill an instance's process."""
+        process = self.find_process(instance_id)
+        if process is not None:
+            process.scope.cancel()
+            process.gate.open()
+
+    async def pause(self, instance_id: str, pause_s: float) -> None:
+        """Suspend an instance's process for a while."""
+        process = self.find_process(instance_id)
+        if process is None:
+            return
+        self.history.note(
+            'disturbed', until_ms=self.get_now_ms() + int(pause_s * _MS)
+        )
+        process.gate.close()
+        await trio.sleep(pause_s)
+        process.gate.open()
+
+    async def stop(self, instance_id: str) -> None:
+        """Stop an instance in a planned way."""
+        process = self.find_process(instance_id)
+        if process is None or process.shell is None:
+            return
+        self.history.note('stop_began', instance_id=process.name)
+        process.shell.stop()
+        await process.ended.wait()
+
+    # -- the network's tricks ----------------------------------------------------
+
+    def repeat_sync(self, worker: FakeWorker, message: WorkerSync) -> None:
+        """Deliver a sync again, later."""
+
+        async def again() -> None:
+            await trio.sleep(self.source.random() * 5)
+            try:
+                worker.sync(message)
+            except (UnavailableError, FencedError):
+                return
+
+        self.nursery.start_soon(again)
+
+    def repeat_envelope(self, address: str, envelope: Envelope) -> None:
+        """Deliver an envelope again, later."""
+
+        async def again() -> None:
+            await trio.sleep(self.source.random() * 5)
+            target = self.find_process(address)
+            if target is not None and target.shell is not None:
+                target.shell.receive(envelope)
+
+        self.nursery.start_soon(again)
+
+    async def serve(
+        self, worker: FakeWorker, request: ServiceRequest, epoch: int
+    ) -> EndpointReply:
+        """Run a request on a worker, which goes on if nobody waits."""
+        done = trio.Event()
+        replies: list[EndpointReply] = []
+
+        async def run() -> None:
+            try:
+                replies.append(await worker.call(request, epoch))
+            except UnavailableError:
+                pass
+            done.set()
+
+        self.nursery.start_soon(run)
+        await done.wait()
+        if not replies:
+            raise UnavailableError('the connection broke')
+        return replies[0]
+
+    # -- callers and operators ---------------------------------------------------
+
+    async def request(
+        self,
+        service: str,
+        *,
+        request_id: str = '',
+        repeatable: bool = True,
+        deadline_ms: int = 2000,
+        body: str = 'hello',
+    ) -> RequestOutcome:
+        """Send one caller's request to a live instance."""
+        self.request_count += 1
+        request_id = request_id or f'request-{self.request_count}'
+        process = self.source.choice(self.iter_live())
+        digest = compute_digest(body)
+        request = ServiceRequest(
+            request_id, 'team', service, repeatable, body, deadline_ms, digest
+        )
+        self.history.note(
+            'caller_sent', request_id=request_id, repeatable=repeatable
+        )
+        outcome = RequestOutcome(OutcomeKind.UNKNOWN, 'connection_lost')
+        word = 'cut'
+        finished, result = await self._ask(process, request)
+        if finished:
+            outcome = result
+            word = outcome.kind.value
+        self.history.note(
+            'caller_answered',
+            request_id=request_id,
+            instance_id=process.name,
+            outcome=word,
+            code=outcome.code,
+            body=outcome.body,
+            expected=f'{service}:{request_id}:{body}',
+        )
+        return outcome
+
+    async def _ask(
+        self, process: Process, request: ServiceRequest
+    ) -> tuple[bool, t.Any]:
+        """Wait for an answer as long as the process lives."""
+        answers: list[t.Any] = []
+
+        async def ask(shell: Shell) -> None:
+            answers.append(await shell.request(request))
+            nursery.cancel_scope.cancel()
+
+        async def watch() -> None:
+            await process.ended.wait()
+            nursery.cancel_scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            if process.shell is not None:
+                nursery.start_soon(ask, process.shell)
+            nursery.start_soon(watch)
+        return bool(answers), answers[0] if answers else None
+
+    async def submit(self, spec: JobSpec) -> str:
+        """Submit a job through some live instance; return the code."""
+        process = self.source.choice(self.iter_live())
+        digest = compute_digest(repr(spec))
+        code = 'unknown'
+        answers: list[str] = []
+
+        async def ask(shell: Shell) -> None:
+            reply = await shell.operate_job('submit', spec.job_id, spec, digest)
+            answers.append(reply.code)
+            nursery.cancel_scope.cancel()
+
+        async def watch() -> None:
+            await process.ended.wait()
+            nursery.cancel_scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask, process.shell)
+            nursery.start_soon(watch)
+        if answers:
+            code = answers[0]
+        words = {'ok': 'accepted', 'unknown': 'unknown'}
+        self.history.note(
+            'job_answered',
+            job_id=spec.job_id,
+            outcome=words.get(code, 'not_run'),
+            code=code,
+        )
+        return code
+
+    async def submit_surely(self, spec: JobSpec) -> None:
+        """Submit a job again and again until it is accepted."""
+        while await self.submit(spec) != 'ok':
+            await trio.sleep(0.5)
+
+    async def roll_bundle(self, text: str) -> int:
+        """Take a bundle through its life; return its number."""
+        store = BundleStore(self.table, self.keys)
+        digest = compute_digest(text)
+        alice, bob = self.operators['alice'], self.operators['bob']
+        row = await store.propose(
+            text, sign(alice, 'alice', 'propose', 0, digest)
+        )
+        number = row.number
+        await store.approve(number, sign(bob, 'bob', 'approve', number, digest))
+        await store.roll(number, sign(alice, 'alice', 'roll', number, digest))
+        self.history.note('bundle_accepted', number=number)
+        return number
+
+    async def wait_for(
+        self, condition: t.Callable[[], bool], limit_s: float = 120.0
+    ) -> bool:
+        """Wait until a condition holds; false if it did not in time."""
+        with trio.move_on_after(limit_s):
+            while not condition():
+                await trio.sleep(0.05)
+            return True
+        return False
+
+    def count_active(self) -> int:
+        """Return the number of units that some live process acts for."""
+        return sum(
+            unit.phase.value == 'active'
+            for process in self.iter_live()
+            for unit in process.shell.state.iter_units()
+        )
+
+    async def wait_ready(self, limit_s: float = 60.0) -> bool:
+        """Wait until every unit has an active owner."""
+        total = self.size.cell_count + self.overrides['range_count']
+        return await self.wait_for(
+            lambda: self.count_active() >= total, limit_s
+        )
+
+
+__all__ = (
+    'AnswerLostError',
+    'Fleet',
+    'FleetSize',
+)
--- /dev/null
+++ b/src/tulippin/_journal.py
@@ -0,0 +1,117 @@
+"""Group commit: records gather and leave as one row at a time.
+
+The interval between rows grows with the number of instances, so that
+all together stay within their share of the table's writes.
+"""
+
+from __future__ import annotations
+
+from tulippin import codec
+from tulippin import effects as fx
+from tulippin._context import Context, count_instances
+from tulippin._dispatch import handle, settle
+from tulippin.events import (
+    JournalCommitted,
+    SnapshotFailed,
+    SnapshotPublished,
+)
+from tulippin.ledger import apply
+from tulippin.state import Phase
+
+_SNAPSHOT_RETRY_MS = 2000
+
+
+def flush(context: Context) -> None:
+    """Send the gathered records as one row, if one may be sent now."""
+    _start_snapshot(context)
+    journal = context.state.journal
+    config = context.state.config
+    waiting = journal.in_flight or not journal.pending
+    if waiting or not context.may_act:
+        return
+    if context.now_ms < journal.next_commit_ms:
+        return
+    used = journal.sequence - journal.snapshot_sequence
+    if used >= config.journal_ring - 1:
+        return
+    batch = tuple(journal.pending[: config.journal_row_records])
+    del journal.pending[: len(batch)]
+    journal.in_flight = batch
+    journal.next_commit_ms = context.now_ms + get_commit_interval_ms(context)
+    context.state.counters['journal_rows'] += 1
+    context.state.counters['journal_records'] += len(batch)
+    context.emit(
+        fx.CommitJournal(
+            context.state.session.session_id, journal.sequence + 1, batch
+        )
+    )
+
+
+def get_commit_interval_ms(context: Context) -> int:
+    """Return the time between two rows of this instance."""
+    instances = count_instances(context.state)
+    return int(1000 * instances / context.state.config.journal_writes_per_s)
+
+
+def _start_snapshot(context: Context) -> None:
+    journal = context.state.journal
+    due = journal.sequence - journal.snapshot_sequence
+    if (
+        journal.snapshot_running
+        or not context.may_act
+        or due < context.state.config.snapshot_every_rows
+        or context.now_ms < journal.next_snapshot_ms
+    ):
+        return
+    journal.snapshot_running = True
+    units = [
+        (unit.unit, unit.epoch, unit.ledger)
+        for unit in context.state.iter_units()
+        if unit.phase is not Phase.LOADING
+    ]
+    context.emit(
+        fx.PublishSnapshot(
+            context.state.session.session_id,
+            journal.sequence,
+            codec.encode_ledgers(units),
+            tuple((unit, epoch) for unit, epoch, _ in units),
+        )
+    )
+
+
+@handle.register
+def _(event: JournalCommitted, context: Context) -> None:
+    state = context.state
+    journal = state.journal
+    if event.session_id != state.session.session_id:
+        return
+    if event.sequence != journal.sequence + 1:
+        return
+    batch = journal.in_flight
+    journal.sequence = event.sequence
+    journal.in_flight = ()
+    for entry in batch:
+        journal.unit_counts[entry.unit] -= 1
+        unit = state.get_unit(entry.unit)
+        if unit is None or unit.epoch != entry.epoch:
+            continue
+        apply(entry.record, unit.ledger)
+        settle(entry.record, unit, context)
+
+
+@handle.register
+def _(event: SnapshotPublished, context: Context) -> None:
+    if event.session_id != context.state.session.session_id:
+        return
+    journal = context.state.journal
+    journal.snapshot_running = False
+    journal.snapshot_sequence = max(journal.snapshot_sequence, event.sequence)
+
+
+@handle.register
+def _(event: SnapshotFailed, context: Context) -> None:
+    if event.session_id != context.state.session.session_id:
+        return
+    journal = context.state.journal
+    journal.snapshot_running = False
+    journal.next_snapshot_ms = context.now_ms + _SNAPSHOT_RETRY_MS
--- /dev/null
+++ b/src/tulippin/_pressure.py
@@ -0,0 +1,191 @@
+"""Interference on a worker: learn it, then throttle, then evict.
+
+Fast signals are the latencies that this instance sees itself; slow ones
+are the workers' lagging reports, credited to what ran when measured.
+"""
+
+from __future__ import annotations
+
+import collections
+
+from tulippin import _workers
+from tulippin._context import Context
+from tulippin._placing import iter_evictable, make_candidate
+from tulippin.ledger import AttemptEntry
+from tulippin.policies import InterferencePolicy
+from tulippin.state import CellState, WorkerState
+from tulippin.trial import get_policy
+from tulippin.types import URGENT_PRIORITY, JobKind, TaskOutcome
+from tulippin.worker_types import WorkerReport
+
+_SMOOTHING = 0.1
+_RELIEF_WAIT_MS = 5000
+_EVICT_WAIT_MS = 10000
+_RELEASE_RATIO = 0.8
+
+
+def learn(
+    context: Context,
+    cell: CellState,
+    worker: WorkerState,
+    report: WorkerReport,
+) -> None:
+    """Learn sizes and slowdowns from one report, and what ran then."""
+    measured_ms = context.now_ms - report.usage_age_ms
+    batch = _get_residents(worker, measured_ms)
+    for sample in report.usage:
+        entry = cell.ledger.attempts.get(sample.task_id)
+        if entry is None or entry.task.attempt != sample.attempt:
+            continue
+        context.state.sizes.learn(entry.spec.job_class, sample.used)
+        if entry.spec.kind is JobKind.SERVICE:
+            context.state.model.learn(
+                entry.spec.job_class, batch, sample.slowdown
+            )
+    for run in report.runs:
+        worker.unsaved_ms[run.task_id] = run.progress_ms
+    for task_id in set(worker.unsaved_ms) - worker.attempts:
+        del worker.unsaved_ms[task_id]
+    current = dict(make_candidate(cell, worker).batch)
+    if not worker.residents or worker.residents[-1][1] != current:
+        worker.residents.append((context.now_ms, current))
+
+
+def _get_residents(worker: WorkerState, at_ms: int) -> dict[str, int]:
+    """Return the batch classes that ran on a worker at a past time."""
+    for since_ms, batch in reversed(worker.residents):
+        if since_ms <= at_ms:
+            return batch
+    return {}
+
+
+def note_latency(
+    context: Context, worker: WorkerState, service: str, latency_ms: float
+) -> None:
+    """Take one request's latency into the worker's pressure."""
+    bundle = context.state.bundle
+    target_ms = bundle.get_target_ms(service) if bundle else 0.0
+    if target_ms:
+        ratio = min(latency_ms / target_ms, 10.0)
+        worker.pressure += _SMOOTHING * (ratio - worker.pressure)
+
+
+def tick_cell(context: Context, cell: CellState) -> None:
+    """Throttle, evict or release batch work, by the cell's policy."""
+    state = context.state
+    name = cell.unit.partition('/')[2]
+    _, policy, _ = get_policy(
+        state.bundle, name, state.wall_ms, state.stats.stopped
+    )
+    if not isinstance(policy, InterferencePolicy):
+        return
+    for worker in cell.workers.values():
+        _relieve(context, cell, worker, policy)
+
+
+def _relieve(
+    context: Context,
+    cell: CellState,
+    worker: WorkerState,
+    policy: InterferencePolicy,
+) -> None:
+    """Act on one worker; waits keep waves from causing a storm."""
+    if context.now_ms < worker.relief_after_ms:
+        return
+    if worker.pressure < policy.throttle_ratio * _RELEASE_RATIO:
+        if worker.throttled:
+            worker.throttled.clear()
+            worker.dirty = True
+            worker.relief_after_ms = context.now_ms + _RELIEF_WAIT_MS
+        return
+    if worker.pressure < policy.throttle_ratio:
+        return
+    victims = iter_evictable(cell, worker, URGENT_PRIORITY)
+    if not victims:
+        return
+    unthrottled = set(victims) - worker.throttled
+    if unthrottled:
+        worker.throttled |= unthrottled
+        worker.dirty = True
+        worker.relief_after_ms = context.now_ms + _RELIEF_WAIT_MS
+    elif worker.pressure >= policy.evict_ratio:
+        harmful = max(
+            victims,
+            key=lambda task_id: _get_harm(context, cell, worker, task_id),
+        )
+        _workers.evict(context, cell, worker, harmful)
+        worker.relief_after_ms = context.now_ms + _EVICT_WAIT_MS
+
+
+def _get_harm(
+    context: Context, cell: CellState, worker: WorkerState, task_id: str
+) -> tuple[float, int]:
+    entry = cell.ledger.attempts[task_id]
+    services = make_candidate(cell, worker).services
+    harm = sum(
+        context.state.model.get_weight(service, entry.spec.job_class)
+        for service in services
+    )
+    return harm, -worker.unsaved_ms.get(task_id, 0)
+
+
+def count_end(
+    context: Context,
+    cell: CellState,
+    entry: AttemptEntry,
+    outcome: TaskOutcome,
+) -> None:
+    """Count an attempt's end for the trial, and judge its worker."""
+    state = context.state
+    stats = state.stats.get_policy(entry.policy)
+    name = cell.unit.partition('/')[2]
+    _, _, window = get_policy(state.bundle, name, state.wall_ms)
+    counts = state.stats.get_window(name, window.index, entry.policy)
+    if outcome is TaskOutcome.DONE:
+        stats.done_count += 1
+        counts.done_count += 1
+    elif outcome in {TaskOutcome.EVICTED, TaskOutcome.LOST}:
+        worker = cell.workers.get(entry.worker_id)
+        lost_ms = 0
+        if worker is not None:
+            lost_ms = worker.unsaved_ms.get(entry.task.task_id, 0)
+        stats.evicted_count += 1
+        stats.wasted_ms += lost_ms
+        counts.evicted_count += 1
+    worker = cell.workers.get(entry.worker_id)
+    if worker is not None:
+        judge_worker(context, worker, entry, outcome)
+
+
+_QUARANTINE_JOBS = 3
+_QUARANTINE_MS = 30000
+_QUARANTINE_LIMIT = 6
+
+
+def judge_worker(
+    context: Context,
+    worker: WorkerState,
+    entry: AttemptEntry,
+    outcome: TaskOutcome,
+) -> None:
+    """Quarantine a worker that fails tasks of several jobs in a row.
+
+    One poison job fails everywhere and quarantines nobody, because its
+    failures count once for each worker.
+    """
+    if outcome is TaskOutcome.DONE:
+        worker.failed_jobs.clear()
+        worker.quarantine_count = 0
+        return
+    if outcome is not TaskOutcome.FAILED:
+        return
+    failed = collections.Counter(worker.failed_jobs)
+    failed[entry.spec.job_id] += 1
+    worker.failed_jobs = dict(failed)
+    needed = 1 if worker.quarantine_count else _QUARANTINE_JOBS
+    if len(worker.failed_jobs) >= needed:
+        worker.failed_jobs.clear()
+        power = min(worker.quarantine_count, _QUARANTINE_LIMIT)
+        worker.quarantined_until_ms = context.now_ms + _QUARANTINE_MS * 2**power
+        worker.quarantine_count += 1
+        context.state.counters['workers_quarantined'] += 1
--- /dev/null
+++ b/src/tulippin/_workers.py
@@ -0,0 +1,429 @@
+"""Workers of owned cells: syncs, reports, leases and lost workers."""
+
+from __future__ import annotations
+
+import typing as t
+
+from tulippin import _pressure, _requests
+from tulippin import effects as fx
+from tulippin._context import Context
+from tulippin._dispatch import handle
+from tulippin.events import WorkerFailed, WorkerSynced
+from tulippin.ledger import AttemptEntry
+from tulippin.records import AttemptEnded
+from tulippin.state import CellState, Phase, Standing, WorkerState
+from tulippin.types import JobKind, Resources, TaskOutcome, WorkerStanding
+from tulippin.worker_types import (
+    AttemptKey,
+    RunReport,
+    RunState,
+    StartTask,
+    WorkerReport,
+    WorkerSync,
+)
+
+_RETRY_SYNC_MS = 500
+_DRIFT_DIVISOR = 50
+
+_OUTCOMES: t.Final = {
+    RunState.DONE: TaskOutcome.DONE,
+    RunState.FAILED: TaskOutcome.FAILED,
+    RunState.STOPPED: TaskOutcome.EVICTED,
+    RunState.LAPSED: TaskOutcome.LOST,
+}
+
+
+def get_first_lapse_ms(context: Context, cell: CellState) -> int:
+    """Return when every lease given by former owners has surely lapsed.
+
+    A predecessor that lost the store may have kept its workers' leases
+    alive for as long as ``detached_limit_ms``.
+    """
+    config = context.state.config
+    bound_ms = context.now_ms + get_lease_bound_ms(context)
+    if cell.predecessor and not cell.predecessor_gone:
+        bound_ms += config.detached_limit_ms
+    return bound_ms
+
+
+def get_lease_bound_ms(context: Context) -> int:
+    """Return how long a lease may last, drift of clocks included."""
+    config = context.state.config
+    lease_ms = config.worker_lease_ms
+    return lease_ms + lease_ms // _DRIFT_DIVISOR + config.lease_margin_ms
+
+
+def hold(worker: WorkerState, task_id: str, reserved: Resources) -> None:
+    """Reserve room for an attempt."""
+    worker.attempts.add(task_id)
+    worker.reserved = worker.reserved.add(reserved)
+
+
+def release(worker: WorkerState, task_id: str, reserved: Resources) -> None:
+    """Give back the room of an attempt."""
+    if task_id in worker.attempts:
+        worker.attempts.discard(task_id)
+        worker.reserved = worker.reserved.subtract(reserved)
+    worker.started.discard(task_id)
+    worker.throttled.discard(task_id)
+    worker.stopping.pop(task_id, None)
+
+
+def is_leaving(worker: WorkerState) -> bool:
+    """Tell whether a worker is to get nothing new."""
+    listed = worker.info.standing is WorkerStanding.LEAVING
+    return worker.leaving or worker.absent or listed
+
+
+def is_fresh(context: Context, worker: WorkerState) -> bool:
+    """Tell whether a worker has replied lately."""
+    silent_ms = context.now_ms - worker.last_reply_ms
+    return (
+        worker.last_reply_ms >= 0
+        and silent_ms < context.state.config.worker_suspect_ms
+    )
+
+
+def is_placeable(context: Context, worker: WorkerState) -> bool:
+    """Tell whether a worker may get new attempts."""
+    return (
+        is_fresh(context, worker)
+        and not worker.lost
+        and not is_leaving(worker)
+        and context.now_ms >= worker.quarantined_until_ms
+    )
+
+
+def is_serving(context: Context, worker: WorkerState) -> bool:
+    """Tell whether a worker may get new requests."""
+    if not context.state.config.seams.drain:
+        return is_fresh(context, worker)
+    return (
+        is_fresh(context, worker) and not worker.lost and not is_leaving(worker)
+    )
+
+
+def remove_endpoint(cell: CellState, service: str, task_id: str) -> None:
+    """Take a service's task out of the endpoints."""
+    endpoints = cell.endpoints.get(service)
+    if endpoints is not None:
+        endpoints.pop(task_id, None)
+        if not endpoints:
+            del cell.endpoints[service]
+
+
+def evict(
+    context: Context, cell: CellState, worker: WorkerState, task_id: str
+) -> None:
+    """Have an attempt checkpointed and stopped."""
+    if worker.stopping.setdefault(task_id, 'evicted') == 'evicted':
+        worker.dirty = True
+
+
+def tick_cell(context: Context, cell: CellState) -> None:
+    """Sync the workers that are due, and give up those surely lost."""
+    for worker in cell.workers.values():
+        if worker.dirty or context.now_ms >= worker.next_sync_ms:
+            send_sync(context, cell, worker)
+        if _is_lapsed(context, worker):
+            _give_up(context, cell, worker)
+        elif is_leaving(worker) and context.may_act:
+            _drain(context, cell, worker)
+
+
+def _is_lapsed(context: Context, worker: WorkerState) -> bool:
+    if worker.lost or is_fresh(context, worker):
+        return False
+    if not context.state.config.seams.lease_wait:
+        return context.may_act
+    return context.may_act and context.now_ms >= worker.lapse_ms
+
+
+def _give_up(context: Context, cell: CellState, worker: WorkerState) -> None:
+    """End the attempts of a worker whose leases have surely lapsed."""
+    worker.lost = True
+    context.state.counters['workers_lost'] += 1
+    for task_id in sorted(worker.attempts):
+        entry = cell.ledger.attempts.get(task_id)
+        if entry is not None and entry.outcome is None:
+            propose_end(context, cell, entry, TaskOutcome.LOST)
+    if worker.absent and not worker.attempts:
+        worker.next_sync_ms = context.now_ms
+
+
+def _drain(context: Context, cell: CellState, worker: WorkerState) -> None:
+    """Evict batch work of a leaving worker, and services that idle."""
+    busy = bool(worker.dispatched)
+    for task_id in worker.started - set(worker.stopping):
+        entry = cell.ledger.attempts.get(task_id)
+        if entry is None or entry.outcome is not None:
+            continue
+        if entry.spec.kind is JobKind.BATCH or not busy:
+            evict(context, cell, worker, task_id)
+
+
+def send_sync(context: Context, cell: CellState, worker: WorkerState) -> None:
+    """Send a worker its leases, starts and stops, one sync at a time."""
+    config = context.state.config
+    if worker.sync_in_flight or not worker.info.address:
+        return
+    if not context.may_serve:
+        return
+    worker.dirty = False
+    worker.sequence += 1
+    worker.sync_in_flight = worker.sequence
+    worker.sync_sent_ms = context.now_ms
+    worker.next_sync_ms = context.now_ms + config.sync_every_ms
+    context.emit(
+        fx.SyncWorker(worker.info.address, _make_sync(context, cell, worker))
+    )
+
+
+def _make_sync(
+    context: Context, cell: CellState, worker: WorkerState
+) -> WorkerSync:
+    config = context.state.config
+    lease_until_ms = 0
+    if worker.last_reply_ms >= 0:
+        lease_until_ms = worker.clock_ms + config.worker_lease_ms
+    renew: list[AttemptKey] = []
+    start: list[StartTask] = []
+    stop = [AttemptKey(*key) for key in sorted(worker.orphans)]
+    for task_id in sorted(worker.attempts):
+        entry = cell.ledger.attempts.get(task_id)
+        if entry is None or entry.outcome is not None:
+            continue
+        key = AttemptKey(task_id, entry.task.attempt)
+        if task_id in worker.stopping and len(stop) < config.stops_per_sync:
+            stop.append(key)
+        elif task_id in worker.started or worker.last_reply_ms < 0:
+            renew.append(key)
+        elif task_id not in worker.stopping:
+            start.append(_make_start(entry))
+    if not context.may_act:
+        # Detached: keep alive what runs, begin and end nothing.
+        start, stop = [], []
+    return WorkerSync(
+        worker.worker_id,
+        cell.epoch,
+        worker.sequence,
+        lease_until_ms,
+        tuple(renew),
+        tuple(start),
+        tuple(stop),
+        tuple(_make_throttles(cell, worker)),
+        tuple(AttemptKey(*key) for key in sorted(worker.forgotten)),
+    )
+
+
+def _make_throttles(
+    cell: CellState, worker: WorkerState
+) -> t.Iterator[AttemptKey]:
+    for task_id in sorted(worker.throttled):
+        entry = cell.ledger.attempts.get(task_id)
+        if entry is not None:
+            yield AttemptKey(task_id, entry.task.attempt)
+
+
+def _make_start(entry: AttemptEntry) -> StartTask:
+    return StartTask(
+        entry.task.task_id,
+        entry.task.attempt,
+        entry.spec.job_class,
+        entry.spec.kind is JobKind.SERVICE,
+        entry.reserved,
+        entry.spec.run_ms,
+        entry.checkpoint,
+    )
+
+
+def find_worker(
+    context: Context, worker_id: str
+) -> tuple[CellState, WorkerState] | None:
+    """Return an owned worker with its cell."""
+    info = context.state.workers.get(worker_id)
+    if info is not None:
+        cell = context.state.cells.get(f'cell/{info.cell}')
+        if cell is not None and worker_id in cell.workers:
+            return cell, cell.workers[worker_id]
+    for cell in context.state.cells.values():
+        if worker_id in cell.workers:
+            return cell, cell.workers[worker_id]
+    return None
+
+
+@handle.register
+def _(event: WorkerFailed, context: Context) -> None:
+    found = find_worker(context, event.worker_id)
+    if found is None:
+        return
+    cell, worker = found
+    if event.refused and event.epoch == cell.epoch:
+        from tulippin import _units  # noqa: PLC0415
+
+        # A higher epoch is at work: this instance was fenced here.
+        if context.state.config.seams.fencing:
+            context.state.counters['cells_fenced'] += 1
+            _units.drop_unit(context, cell)
+            context.state.session.next_poll_ms = context.now_ms
+        return
+    if event.epoch == cell.epoch and event.sequence == worker.sync_in_flight:
+        worker.sync_in_flight = 0
+        worker.next_sync_ms = context.now_ms + _RETRY_SYNC_MS
+
+
+@handle.register
+def _(event: WorkerSynced, context: Context) -> None:
+    found = find_worker(context, event.worker_id)
+    if found is None:
+        return
+    cell, worker = found
+    if event.epoch != cell.epoch or event.sequence != worker.sync_in_flight:
+        return
+    worker.sync_in_flight = 0
+    _note_reply(context, worker, event.report)
+    _count_foreign(worker, event.report)
+    if cell.phase is Phase.ACTIVE and context.may_act:
+        _reconcile(context, cell, worker, event.report)
+    elif context.state.session.standing is Standing.DETACHED:
+        _keep_endpoints(cell, worker, event.report)
+    _requests.pump_worker(context, cell, worker)
+    if worker.dirty:
+        send_sync(context, cell, worker)
+
+
+def _note_reply(
+    context: Context, worker: WorkerState, report: WorkerReport
+) -> None:
+    first = worker.last_reply_ms < 0
+    worker.last_reply_ms = context.now_ms
+    worker.lapse_ms = context.now_ms + get_lease_bound_ms(context)
+    worker.clock_ms = report.clock_ms
+    worker.leaving = report.leaving
+    worker.lost = False
+    if first:
+        worker.foreign_busy = report.busy_slots
+        worker.dirty = True
+
+
+def _count_foreign(worker: WorkerState, report: WorkerReport) -> None:
+    """Reckon slots that requests of others, or lost ones, still hold."""
+    certain = sum(
+        sent_ms < worker.sync_sent_ms for sent_ms in worker.dispatched.values()
+    )
+    bound = max(0, report.busy_slots - certain)
+    worker.foreign_busy = min(worker.foreign_busy, bound)
+
+
+def _reconcile(
+    context: Context,
+    cell: CellState,
+    worker: WorkerState,
+    report: WorkerReport,
+) -> None:
+    """Compare what a worker reports with what the cell's ledger says."""
+    worker.incarnation = report.incarnation
+    worker.orphans.clear()
+    worker.forgotten.clear()
+    reported = set()
+    for run in report.runs:
+        reported.add(run.task_id)
+        _reconcile_run(context, cell, worker, run)
+    for task_id in sorted(worker.attempts - reported):
+        _reconcile_missing(context, cell, worker, task_id)
+    _pressure.learn(context, cell, worker, report)
+
+
+def _reconcile_run(
+    context: Context, cell: CellState, worker: WorkerState, run: RunReport
+) -> None:
+    entry = cell.ledger.attempts.get(run.task_id)
+    key = (run.task_id, run.attempt)
+    ours = (
+        entry is not None
+        and entry.task.attempt == run.attempt
+        and entry.worker_id == worker.worker_id
+    )
+    if entry is None or not ours or entry.outcome is not None:
+        if run.state is RunState.RUNNING:
+            worker.orphans.add(key)
+        else:
+            worker.forgotten.add(key)
+        worker.dirty = True
+        return
+    if run.state is RunState.RUNNING:
+        _note_running(context, cell, worker, entry)
+        return
+    outcome = _OUTCOMES[run.state]
+    if worker.stopping.get(run.task_id) == 'cancelled' and (
+        outcome is TaskOutcome.EVICTED
+    ):
+        outcome = TaskOutcome.CANCELLED
+    propose_end(context, cell, entry, outcome, run.checkpoint)
+
+
+def _note_running(
+    context: Context,
+    cell: CellState,
+    worker: WorkerState,
+    entry: AttemptEntry,
+) -> None:
+    task_id = entry.task.task_id
+    if task_id in worker.stopping:
+        worker.dirty = True
+    if task_id in worker.started:
+        return
+    worker.started.add(task_id)
+    if entry.spec.kind is JobKind.SERVICE:
+        endpoints = cell.endpoints.setdefault(entry.spec.job_class, {})
+        endpoints[task_id] = worker.worker_id
+
+
+def _reconcile_missing(
+    context: Context, cell: CellState, worker: WorkerState, task_id: str
+) -> None:
+    entry = cell.ledger.attempts.get(task_id)
+    if entry is None or entry.outcome is not None:
+        return
+    restarted = entry.incarnation != worker.incarnation
+    if restarted or task_id in worker.started:
+        propose_end(context, cell, entry, TaskOutcome.LOST)
+    elif worker.stopping.get(task_id) == 'cancelled':
+        propose_end(context, cell, entry, TaskOutcome.CANCELLED)
+    elif task_id in worker.stopping:
+        propose_end(context, cell, entry, TaskOutcome.EVICTED)
+    else:
+        worker.dirty = True
+
+
+def _keep_endpoints(
+    cell: CellState, worker: WorkerState, report: WorkerReport
+) -> None:
+    """While detached, drop endpoints that no longer run; end nothing."""
+    running = {
+        run.task_id for run in report.runs if run.state is RunState.RUNNING
+    }
+    for service, endpoints in list(cell.endpoints.items()):
+        for task_id, worker_id in list(endpoints.items()):
+            if worker_id == worker.worker_id and task_id not in running:
+                remove_endpoint(cell, service, task_id)
+
+
+def propose_end(
+    context: Context,
+    cell: CellState,
+    entry: AttemptEntry,
+    outcome: TaskOutcome,
+    checkpoint: str = '',
+) -> None:
+    """Record how an attempt ended, once."""
+    task = entry.task
+    if cell.phase is not Phase.ACTIVE:
+        return
+    if cell.ending.get(task.task_id) == task.attempt:
+        return
+    cell.ending[task.task_id] = task.attempt
+    context.record(
+        cell,
+        AttemptEnded(task.task_id, task.attempt, outcome, checkpoint),
+    )
--- /dev/null
+++ b/src/tulippin/codec_json.py
@@ -0,0 +1,35 @@
+"""JSON of attrs values by msgspec, with errors of the family."""
+
+from __future__ import annotations
+
+import typing as t
+
+import msgspec
+
+from tulippin.exceptions import InputError
+
+Decoded = t.TypeVar('Decoded')
+
+_decoders: dict[t.Any, msgspec.json.Decoder[t.Any]] = {}
+
+
+def encode(value: t.Any) -> bytes:
+    """Return a value as JSON."""
+    return msgspec.json.encode(value)
+
+
+def decode(body: bytes | str, kind: type[Decoded]) -> Decoded:
+    """Return JSON as a value of the given type.
+
+    Raises
+    ------
+    InputError
+        If the JSON is malformed or a part has the wrong type.
+    """
+    decoder = _decoders.get(kind)
+    if decoder is None:
+        decoder = _decoders[kind] = msgspec.json.Decoder(kind)
+    try:
+        return t.cast(Decoded, decoder.decode(body))
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise InputError(str(error), code='bad_json') from error
--- /dev/null
+++ b/src/tulippin/exceptions.py
@@ -0,0 +1,124 @@
+"""The exception family: every error carries a code and an exit code."""
+
+from __future__ import annotations
+
+import sys
+import typing as t
+
+import attrs
+
+
+@attrs.frozen
+class Finding:
+    """One fault in an input, with its place and what to do about it.
+
+    Parameters
+    ----------
+    place : str
+        File, section and key (or JSON path) where the fault stands.
+    message : str
+        What is wrong.
+    advice : str
+        What to do next.
+    """
+
+    place: str
+    message: str
+    advice: str = ''
+
+    def render(self) -> str:
+        """Return the finding as one line of text."""
+        tail = f' ({self.advice})' if self.advice else ''
+        return f'{self.place}: {self.message}{tail}'
+
+
+class TulippinError(Exception):
+    """Base of every error that the product raises on purpose.
+
+    Parameters
+    ----------
+    message : str
+        What went wrong, and what to do next.
+    code : str, optional
+        A stable word for programs; defaults to the class's own.
+    """
+
+    code = 'internal'
+    exit_code = 1
+
+    def __init__(self, message: str, code: str | None = None) -> None:
+        super().__init__(message)
+        self.message = message
+        if code is not None:
+            self.code = code
+
+    def format_message(self) -> str:
+        """Return the text shown to a person."""
+        return f'{self.code}: {self.message}'
+
+    def show(self, stream: t.TextIO | None = None) -> None:
+        """Write the error to a stream, standard error unless given."""
+        print(self.format_message(), file=stream or sys.stderr)
+
+
+class InputError(TulippinError):
+    """An input was refused; all its findings are reported together."""
+
+    code = 'bad_input'
+    exit_code = 2
+
+    def __init__(
+        self,
+        message: str,
+        findings: t.Sequence[Finding] = (),
+        code: str | None = None,
+    ) -> None:
+        super().__init__(message, code)
+        self.findings = tuple(findings)
+
+    def format_message(self) -> str:
+        """Return the message, then one line for each finding."""
+        lines = [super().format_message()]
+        lines.extend(f'  {finding.render()}' for finding in self.findings)
+        return '\n'.join(lines)
+
+
+class ConflictError(TulippinError):
+    """Another operator, or another instance, was first."""
+
+    code = 'conflict'
+    exit_code = 3
+
+
+class NotFoundError(TulippinError):
+    """The named thing is not known here."""
+
+    code = 'not_found'
+    exit_code = 4
+
+
+class UnavailableError(TulippinError):
+    """A service that is needed does not answer; nothing was done."""
+
+    code = 'unavailable'
+    exit_code = 5
+
+
+class AnswerLostError(UnavailableError):
+    """A call was sent and its answer is lost; it may have taken effect."""
+
+    code = 'unknown'
+
+
+class DeniedError(TulippinError):
+    """The operator or the signature does not permit the action."""
+
+    code = 'denied'
+    exit_code = 6
+
+
+class FencedError(TulippinError):
+    """The session was revoked: its holder must step down."""
+
+    code = 'fenced'
+    exit_code = 7
--- /dev/null
+++ b/src/tulippin/history.py
@@ -0,0 +1,392 @@
+"""Recorded histories, and the nine promises as predicates over them.
+
+A history is a list of what was seen from outside: callers, workers and
+instances. Each checker returns the violations that it finds.
+"""
+
+from __future__ import annotations
+
+import collections
+import typing as t
+
+import attrs
+
+from tulippin.types import Resources
+
+Details = t.Mapping[str, t.Any]
+
+LEAVING_LIMIT_MS: t.Final = 3000
+BUNDLE_LIMIT_MS: t.Final = 12000
+
+
+@attrs.frozen
+class Entry:
+    """One thing that happened, at a time of the outside's clock."""
+
+    at_ms: int
+    kind: str
+    details: dict[str, t.Any]
+
+
+@attrs.frozen
+class Violation:
+    """A promise that a history breaks."""
+
+    promise: str
+    at_ms: int
+    message: str
+
+    def render(self) -> str:
+        """Return the violation as one line."""
+        return f'{self.at_ms} ms: {self.promise}: {self.message}'
+
+
+@attrs.define
+class History:
+    """A growing record; ``clock`` returns milliseconds."""
+
+    clock: t.Callable[[], int]
+    entries: list[Entry] = attrs.field(factory=list)
+
+    def note(self, kind: str, *, at_ms: int | None = None, **details) -> None:
+        """Record what happened, now or at a given time."""
+        moment = self.clock() if at_ms is None else at_ms
+        self.entries.append(Entry(moment, kind, details))
+
+    def iter_kind(self, *kinds: str) -> t.Iterator[Entry]:
+        """Iterate over entries of some kinds in order of time."""
+        order = {kind: place for place, kind in enumerate(kinds)}
+        found = [entry for entry in self.entries if entry.kind in order]
+        return iter(
+            sorted(found, key=lambda entry: (entry.at_ms, order[entry.kind]))
+        )
+
+
+Checker = t.Callable[[History], list[Violation]]
+
+
+def check_capacity(history: History) -> list[Violation]:
+    """Check that no worker holds more than its capacity."""
+    capacity = {
+        entry.details['worker_id']: entry.details['capacity']
+        for entry in history.iter_kind('worker')
+    }
+    slots = {
+        entry.details['worker_id']: entry.details['slot_count']
+        for entry in history.iter_kind('worker')
+    }
+    held: dict[str, dict[tuple[str, int], Resources]] = {}
+    found = []
+    for entry in history.iter_kind('task_ended', 'task_began', 'request_ran'):
+        details = entry.details
+        worker_id = details['worker_id']
+        if entry.kind == 'request_ran':
+            if details['busy_slots'] > slots[worker_id]:
+                found.append(
+                    Violation(
+                        'capacity',
+                        entry.at_ms,
+                        f'{worker_id} runs {details["busy_slots"]} requests',
+                    )
+                )
+            continue
+        key = (details['task_id'], details['attempt'])
+        running = held.setdefault(worker_id, {})
+        if entry.kind == 'task_ended':
+            running.pop(key, None)
+            continue
+        running[key] = details['size']
+        total = Resources()
+        for size in running.values():
+            total = total.add(size)
+        if not capacity[worker_id].fits(total):
+            found.append(
+                Violation('capacity', entry.at_ms, f'{worker_id} holds {total}')
+            )
+    return found
+
+
+def check_single_place(history: History) -> list[Violation]:
+    """Check that no task runs in two places at once."""
+    running: dict[str, dict[tuple[str, int], int]] = {}
+    found = []
+    for entry in history.iter_kind('task_ended', 'task_began'):
+        details = entry.details
+        task_id = details['task_id']
+        place = (details['worker_id'], details['attempt'])
+        places = running.setdefault(task_id, {})
+        if entry.kind == 'task_ended':
+            places.pop(place, None)
+            continue
+        if places:
+            found.append(
+                Violation(
+                    'single_place',
+                    entry.at_ms,
+                    f'{task_id} begins on {place} and runs on {list(places)}',
+                )
+            )
+        places[place] = entry.at_ms
+    return found
+
+
+def check_resume_once(history: History) -> list[Violation]:
+    """Check that evicted work goes on once, from its checkpoint.
+
+    Of each task only one attempt ends as done, no attempt begins twice,
+    and the attempt after an eviction resumes where that one stopped.
+    """
+    found = []
+    done: collections.Counter[str] = collections.Counter()
+    begun: set[tuple[str, int, str]] = set()
+    stopped: dict[str, tuple[int, int]] = {}
+    for entry in history.iter_kind('task_ended', 'task_began'):
+        details = entry.details
+        task_id = details['task_id']
+        if entry.kind == 'task_ended':
+            if details['state'] == 'done':
+                done[task_id] += 1
+            if details['state'] == 'stopped':
+                stopped[task_id] = (
+                    details['attempt'],
+                    details['checkpoint_ms'],
+                )
+            continue
+        key = (task_id, details['attempt'], details['worker_id'])
+        if (task_id, details['attempt']) in {one[:2] for one in begun}:
+            found.append(
+                Violation('resume_once', entry.at_ms, f'{key} begins again')
+            )
+        begun.add(key)
+        last = stopped.pop(task_id, None)
+        if last is not None and details['resumed_ms'] != last[1]:
+            found.append(
+                Violation(
+                    'resume_once',
+                    entry.at_ms,
+                    f'{task_id} resumes at {details["resumed_ms"]} ms of work'
+                    f' and was stopped at {last[1]}',
+                )
+            )
+    for task_id, count in done.items():
+        if count > 1:
+            found.append(
+                Violation('resume_once', 0, f'{task_id} was done {count} times')
+            )
+    return found
+
+
+def check_whole_answers(history: History) -> list[Violation]:
+    """Check that each caller got the whole answer to its own request."""
+    found = []
+    for entry in history.iter_kind('caller_answered'):
+        details = entry.details
+        if details['outcome'] != 'answered':
+            continue
+        if details['body'] != details['expected']:
+            found.append(
+                Violation(
+                    'whole_answer',
+                    entry.at_ms,
+                    f'{details["request_id"]} got {details["body"]!r}',
+                )
+            )
+    return found
+
+
+def check_not_run(history: History) -> list[Violation]:
+    """Check that what was refused as "not run" did not run.
+
+    Runs count from the caller's sending until its answer, and after.
+    """
+    runs: dict[str, list[int]] = {}
+    for entry in history.iter_kind('request_ran'):
+        runs.setdefault(entry.details['request_id'], []).append(entry.at_ms)
+    jobs = {
+        entry.details['task_id'].partition('/')[0]
+        for entry in history.iter_kind('task_began')
+    }
+    found = []
+    others = _find_other_calls(history)
+    for entry in history.iter_kind('caller_answered', 'job_answered'):
+        details = entry.details
+        if details['outcome'] != 'not_run':
+            continue
+        if entry.kind == 'job_answered':
+            if details['job_id'] in jobs and not details.get('retried'):
+                found.append(
+                    Violation('not_run', entry.at_ms, details['job_id'])
+                )
+            continue
+        request_id = details['request_id']
+        if request_id in runs and request_id not in others:
+            found.append(
+                Violation(
+                    'not_run',
+                    entry.at_ms,
+                    f'{request_id} ran at {runs[request_id]}',
+                )
+            )
+    return found
+
+
+def _find_other_calls(history: History) -> set[str]:
+    """Return ids with a call that was not refused: its run may be that."""
+    return {
+        entry.details['request_id']
+        for entry in history.iter_kind('caller_answered')
+        if entry.details['outcome'] != 'not_run'
+    }
+
+
+def check_at_most_once(history: History) -> list[Violation]:
+    """Check that no non-repeatable request ran twice."""
+    once = {
+        entry.details['request_id']
+        for entry in history.iter_kind('caller_sent')
+        if not entry.details['repeatable']
+    }
+    counts: collections.Counter[str] = collections.Counter()
+    found = []
+    for entry in history.iter_kind('request_ran'):
+        request_id = entry.details['request_id']
+        counts[request_id] += 1
+        if request_id in once and counts[request_id] > 1:
+            found.append(
+                Violation('at_most_once', entry.at_ms, f'{request_id} again')
+            )
+    return found
+
+
+def check_leaving(history: History) -> list[Violation]:
+    """Check that a leaving endpoint gets nothing new after a while."""
+    left: dict[str, int] = {}
+    found = []
+    for entry in history.iter_kind(
+        'endpoint_leaving', 'request_ran', 'task_began'
+    ):
+        worker_id = entry.details['worker_id']
+        if entry.kind == 'endpoint_leaving':
+            left.setdefault(worker_id, entry.at_ms)
+            continue
+        since_ms = left.get(worker_id)
+        if since_ms is None:
+            continue
+        if entry.at_ms > since_ms + LEAVING_LIMIT_MS:
+            found.append(
+                Violation(
+                    'leaving',
+                    entry.at_ms,
+                    f'{worker_id} leaves since {since_ms}, got {entry.kind}',
+                )
+            )
+    return found
+
+
+def check_planned_stop(history: History) -> list[Violation]:
+    """Check that a planned stop cut no request in progress.
+
+    A call that an instance had when its stop began, or took in after,
+    ends with an answer or a proved refusal.
+    """
+    stops = {
+        entry.details['instance_id']: entry.at_ms
+        for entry in history.iter_kind('stop_began')
+    }
+    found = []
+    for entry in history.iter_kind('caller_answered'):
+        details = entry.details
+        stop_ms = stops.get(details['instance_id'])
+        if stop_ms is None or entry.at_ms < stop_ms:
+            continue
+        if details['outcome'] == 'cut':
+            found.append(
+                Violation('planned_stop', entry.at_ms, details['request_id'])
+            )
+    return found
+
+
+def check_bundles(history: History) -> list[Violation]:
+    """Check that bundles come into force in time and never go back."""
+    found = []
+    held: dict[str, int] = {}
+    accepted: dict[int, int] = {}
+    taken: dict[tuple[str, int], int] = {}
+    spans: dict[str, tuple[int, int]] = {}
+    for entry in history.iter_kind(
+        'instance_up', 'bundle_accepted', 'bundle_taken', 'instance_down', 'end'
+    ):
+        details = entry.details
+        if entry.kind == 'bundle_accepted':
+            accepted[details['number']] = entry.at_ms
+        elif entry.kind == 'instance_up':
+            spans[details['process']] = (entry.at_ms, -1)
+        elif entry.kind == 'instance_down':
+            began_ms, _ = spans[details['process']]
+            spans[details['process']] = (began_ms, entry.at_ms)
+        elif entry.kind == 'bundle_taken':
+            process, number = details['process'], details['number']
+            if number < held.get(process, 0):
+                found.append(
+                    Violation(
+                        'bundle', entry.at_ms, f'{process} went to {number}'
+                    )
+                )
+            held[process] = number
+            taken[process, number] = entry.at_ms
+    found.extend(_check_in_time(history, accepted, taken, spans))
+    return found
+
+
+def _check_in_time(
+    history: History,
+    accepted: t.Mapping[int, int],
+    taken: t.Mapping[tuple[str, int], int],
+    spans: t.Mapping[str, tuple[int, int]],
+) -> t.Iterator[Violation]:
+    ends = [entry.at_ms for entry in history.iter_kind('end')]
+    end_ms = max(ends, default=0)
+    outages = [
+        (entry.at_ms, entry.details['until_ms'])
+        for entry in history.iter_kind('disturbed')
+    ]
+    for number, since_ms in accepted.items():
+        for process, (began_ms, down_ms) in spans.items():
+            due_ms = max(since_ms, began_ms) + BUNDLE_LIMIT_MS
+            for from_ms, until_ms in outages:
+                if from_ms <= due_ms and until_ms >= since_ms:
+                    due_ms = max(due_ms, until_ms + BUNDLE_LIMIT_MS)
+            last_ms = down_ms if down_ms >= 0 else end_ms
+            if due_ms > last_ms:
+                continue
+            got = [
+                at_ms
+                for (name, higher), at_ms in taken.items()
+                if name == process and higher >= number
+            ]
+            if not got or min(got) > due_ms:
+                yield Violation(
+                    'bundle', due_ms, f'{process} lacks bundle {number}'
+                )
+
+
+CHECKERS: t.Final[dict[str, Checker]] = {
+    'capacity': check_capacity,
+    'single_place': check_single_place,
+    'resume_once': check_resume_once,
+    'whole_answer': check_whole_answers,
+    'not_run': check_not_run,
+    'at_most_once': check_at_most_once,
+    'leaving': check_leaving,
+    'planned_stop': check_planned_stop,
+    'bundle': check_bundles,
+}
+
+
+def check_history(history: History) -> list[Violation]:
+    """Check all nine promises and return every violation."""
+    return [
+        violation
+        for checker in CHECKERS.values()
+        for violation in checker(history)
+    ]
--- /dev/null
+++ b/src/tulippin/ini.py
@@ -0,0 +1,159 @@
+"""Checked reading of INI files: every finding with its place."""
+
+from __future__ import annotations
+
+import configparser
+import math
+import typing as t
+
+from tulippin.exceptions import Finding, InputError
+
+_TRUE: t.Final = frozenset(('yes', 'true', 'on', '1'))
+_FALSE: t.Final = frozenset(('no', 'false', 'off', '0'))
+
+
+def read_ini(text: str, source: str) -> configparser.ConfigParser:
+    """Parse INI text.
+
+    Raises
+    ------
+    InputError
+        If the text is not INI; the finding names the line.
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    parser.optionxform = str  # type: ignore[assignment,method-assign]
+    try:
+        parser.read_string(text, source)
+    except configparser.Error as error:
+        finding = Finding(source, str(error).replace('\n', ' '))
+        raise InputError(
+            f'{source} is not INI', [finding], code='bad_ini'
+        ) from error
+    return parser
+
+
+class SectionReader:
+    """Reads the keys of one section and reports what is wrong.
+
+    Parameters
+    ----------
+    parser : configparser.ConfigParser
+        The parsed file.
+    section : str
+        The section to read; it may be absent.
+    source : str
+        The file's name, for findings.
+    findings : list of Finding
+        Where findings are collected.
+    """
+
+    def __init__(
+        self,
+        parser: configparser.ConfigParser,
+        section: str,
+        source: str,
+        findings: list[Finding],
+    ) -> None:
+        self._section = section
+        self._source = source
+        self._findings = findings
+        self._used: set[str] = set()
+        present = parser.has_section(section)
+        self._values = dict(parser.items(section)) if present else {}
+
+    def report(self, key: str, message: str, advice: str = '') -> None:
+        """Collect one finding about a key."""
+        place = f'{self._source}: [{self._section}] {key}'
+        self._findings.append(Finding(place, message, advice))
+
+    def get_text(self, key: str, default: str | None = None) -> str:
+        """Return a text; without a default the key is required."""
+        self._used.add(key)
+        text = self._values.get(key, '').strip()
+        if text:
+            return text
+        if default is None:
+            self.report(key, 'is missing', f'add {key} = ...')
+            return ''
+        return default
+
+    def get_list(
+        self, key: str, default: t.Sequence[str] | None = None
+    ) -> tuple[str, ...]:
+        """Return the comma-separated items of a key."""
+        fallback = None if default is None else ','.join(default)
+        text = self.get_text(key, fallback)
+        return tuple(part.strip() for part in text.split(',') if part.strip())
+
+    def get_choice(
+        self,
+        key: str,
+        choices: t.Sequence[str],
+        default: str | None = None,
+    ) -> str:
+        """Return one of the allowed words."""
+        text = self.get_text(key, default)
+        if text in choices:
+            return text
+        if text:
+            allowed = ', '.join(choices)
+            self.report(key, f'{text!r} is not known', f'one of: {allowed}')
+        return choices[0]
+
+    def get_flag(self, key: str, *, default: bool) -> bool:
+        """Return a yes or no."""
+        text = self.get_text(key, 'yes' if default else 'no').lower()
+        if text not in _TRUE | _FALSE:
+            self.report(key, f'{text!r} is not yes or no', 'write yes or no')
+        return text in _TRUE
+
+    def get_int(
+        self,
+        key: str,
+        default: int | None = None,
+        least: int | None = None,
+        most: int | None = None,
+    ) -> int:
+        """Return a whole number within bounds."""
+        return int(self._get_number(key, int, default, least, most))
+
+    def get_float(
+        self,
+        key: str,
+        default: float | None = None,
+        least: float | None = None,
+        most: float | None = None,
+    ) -> float:
+        """Return a number within bounds."""
+        return float(self._get_number(key, float, default, least, most))
+
+    def close(self) -> None:
+        """Report the keys that nobody asked for."""
+        for key in self._values:
+            if key not in self._used:
+                known = ', '.join(sorted(self._used))
+                self.report(key, 'unknown key', f'known here: {known}')
+
+    def _get_number(
+        self,
+        key: str,
+        kind: t.Callable[[str], float],
+        default: float | None,
+        least: float | None,
+        most: float | None,
+    ) -> float:
+        text = self.get_text(key, None if default is None else str(default))
+        fallback = default if default is not None else least or 0
+        if not text:
+            return fallback
+        try:
+            number = kind(text)
+        except ValueError:
+            self.report(key, f'{text!r} is not a number', 'write a number')
+            return fallback
+        below = least is not None and number < least
+        above = most is not None and number > most
+        if below or above or not math.isfinite(number):
+            self.report(key, f'{text} is out of bounds', f'{least} to {most}')
+            return fallback
+        return number
--- /dev/null
+++ b/src/tulippin/stats.py
@@ -0,0 +1,304 @@
+"""How each policy fared: merged histograms, throughput and evictions."""
+
+from __future__ import annotations
+
+import math
+import statistics
+import typing as t
+
+import attrs
+from hdrh.histogram import HdrHistogram
+
+from tulippin import codec_json
+from tulippin.bundles import Bundle
+
+_LOWEST_US: t.Final = 1
+_HIGHEST_US: t.Final = 600_000_000
+_DIGITS: t.Final = 3
+_MAX_WINDOWS: t.Final = 5000
+_MIN_PAIRS: t.Final = 6
+_CONFIDENCE_Z: t.Final = 1.96
+
+
+def make_histogram() -> HdrHistogram:
+    """Return an empty histogram of microseconds."""
+    return HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS)
+
+
+@attrs.define
+class WindowStats:
+    """One window of one cell under one policy."""
+
+    cell: str
+    index: int
+    policy: str
+    request_count: int = 0
+    over_target_count: int = 0
+    latency_sum_ms: float = 0.0
+    done_count: int = 0
+    evicted_count: int = 0
+
+
+@attrs.define
+class PolicyStats:
+    """Counts of one policy; the histogram is encoded when sent."""
+
+    request_count: int = 0
+    over_target_count: int = 0
+    over_target_ms: float = 0.0
+    failed_count: int = 0
+    done_count: int = 0
+    evicted_count: int = 0
+    wasted_ms: int = 0
+    latency: t.Any = attrs.field(factory=make_histogram)
+
+
+@attrs.frozen
+class PolicyReport:
+    """One instance's figures of one policy, as sent to a peer."""
+
+    policy: str
+    request_count: int
+    over_target_count: int
+    over_target_ms: float
+    failed_count: int
+    done_count: int
+    evicted_count: int
+    wasted_ms: int
+    histogram: str
+
+
+@attrs.frozen
+class TrialReport:
+    """One instance's part of a comparison."""
+
+    policies: tuple[PolicyReport, ...]
+    windows: tuple[WindowStats, ...]
+    stopped: tuple[str, ...] = ()
+
+
+@attrs.define
+class TrialStats:
+    """What one instance counted, by policy and by window."""
+
+    policies: dict[str, PolicyStats] = attrs.field(factory=dict)
+    windows: dict[str, WindowStats] = attrs.field(factory=dict)
+    stopped: set[str] = attrs.field(factory=set)
+
+    def get_policy(self, policy: str) -> PolicyStats:
+        """Return the counts of a policy, made at its first use."""
+        if policy not in self.policies:
+            self.policies[policy] = PolicyStats()
+        return self.policies[policy]
+
+    def get_window(self, cell: str, index: int, policy: str) -> WindowStats:
+        """Return the counts of a window, made at its first use."""
+        key = f'{cell}|{index}|{policy}'
+        if key not in self.windows:
+            if len(self.windows) >= _MAX_WINDOWS:
+                self.windows.pop(next(iter(self.windows)))
+            self.windows[key] = WindowStats(cell, index, policy)
+        return self.windows[key]
+
+    def make_report(self) -> TrialReport:
+        """Return the counts in the form that peers exchange."""
+        reports = tuple(
+            PolicyReport(
+                name,
+                counts.request_count,
+                counts.over_target_count,
+                counts.over_target_ms,
+                counts.failed_count,
+                counts.done_count,
+                counts.evicted_count,
+                counts.wasted_ms,
+                counts.latency.encode().decode(),
+            )
+            for name, counts in self.policies.items()
+        )
+        return TrialReport(
+            reports, tuple(self.windows.values()), tuple(sorted(self.stopped))
+        )
+
+
+@attrs.frozen
+class PolicyRow:
+    """One policy's line of the comparison."""
+
+    policy: str
+    request_count: int
+    p50_ms: float
+    p99_ms: float
+    p999_ms: float
+    over_target_count: int
+    over_target_ms: float
+    done_count: int
+    evicted_count: int
+    wasted_ms: int
+
+
+@attrs.frozen
+class PairedDifference:
+    """The difference of two policies over paired windows of one cell.
+
+    ``mean`` is first minus second, with a 95% interval; ``decided``
+    says whether the interval leaves out zero.
+    """
+
+    measure: str
+    first: str
+    second: str
+    pair_count: int
+    mean: float
+    low: float
+    high: float
+    decided: bool
+
+
+@attrs.frozen
+class Comparison:
+    """What ``compare`` shows."""
+
+    rows: tuple[PolicyRow, ...]
+    differences: tuple[PairedDifference, ...]
+    verdict: str
+    missing: tuple[str, ...] = ()
+
+
+def merge_reports(
+    bodies: t.Iterable[str], missing: t.Sequence[str], bundle: Bundle | None
+) -> Comparison:
+    """Merge the parts of all instances into one comparison."""
+    reports = [codec_json.decode(body, TrialReport) for body in bodies]
+    names = sorted(
+        {part.policy for report in reports for part in report.policies}
+    )
+    rows = tuple(_merge_policy(name, reports) for name in names)
+    windows = _merge_windows(reports)
+    order = list(bundle.trial.policies) if bundle else names
+    differences = _compare_pairs(windows, order)
+    stopped = {name for report in reports for name in report.stopped}
+    verdict = _make_verdict(differences, stopped)
+    return Comparison(rows, differences, verdict, tuple(missing))
+
+
+def _merge_policy(name: str, reports: t.Sequence[TrialReport]) -> PolicyRow:
+    merged = make_histogram()
+    parts = [
+        part
+        for report in reports
+        for part in report.policies
+        if part.policy == name
+    ]
+    for part in parts:
+        merged.decode_and_add(part.histogram.encode())
+    return PolicyRow(
+        policy=name,
+        request_count=sum(part.request_count for part in parts),
+        p50_ms=merged.get_value_at_percentile(50) / 1000,
+        p99_ms=merged.get_value_at_percentile(99) / 1000,
+        p999_ms=merged.get_value_at_percentile(99.9) / 1000,
+        over_target_count=sum(part.over_target_count for part in parts),
+        over_target_ms=round(sum(part.over_target_ms for part in parts), 3),
+        done_count=sum(part.done_count for part in parts),
+        evicted_count=sum(part.evicted_count for part in parts),
+        wasted_ms=sum(part.wasted_ms for part in parts),
+    )
+
+
+def _merge_windows(reports: t.Sequence[TrialReport]) -> list[WindowStats]:
+    merged: dict[tuple[str, int, str], WindowStats] = {}
+    for report in reports:
+        for window in report.windows:
+            key = (window.cell, window.index, window.policy)
+            if key not in merged:
+                merged[key] = attrs.evolve(window)
+                continue
+            total = merged[key]
+            total.request_count += window.request_count
+            total.over_target_count += window.over_target_count
+            total.latency_sum_ms += window.latency_sum_ms
+            total.done_count += window.done_count
+            total.evicted_count += window.evicted_count
+    return list(merged.values())
+
+
+def _get_mean_latency(window: WindowStats) -> float | None:
+    if not window.request_count:
+        return None
+    return window.latency_sum_ms / window.request_count
+
+
+def _get_over_target(window: WindowStats) -> float | None:
+    if not window.request_count:
+        return None
+    return window.over_target_count / window.request_count
+
+
+def _get_done(window: WindowStats) -> float | None:
+    return float(window.done_count)
+
+
+_MEASURES: t.Final = (
+    ('service_latency_ms', _get_mean_latency),
+    ('over_target_share', _get_over_target),
+    ('batch_done', _get_done),
+)
+
+
+def _compare_pairs(
+    windows: t.Sequence[WindowStats], order: t.Sequence[str]
+) -> tuple[PairedDifference, ...]:
+    if len(order) < 2:
+        return ()
+    blocks: dict[tuple[str, int], dict[str, WindowStats]] = {}
+    for window in windows:
+        block = (window.cell, window.index // len(order))
+        blocks.setdefault(block, {})[window.policy] = window
+    return tuple(
+        _compare_measure(measure, getter, blocks, order[0], other)
+        for other in order[1:]
+        for measure, getter in _MEASURES
+    )
+
+
+def _compare_measure(
+    measure: str,
+    getter: t.Callable[[WindowStats], float | None],
+    blocks: t.Mapping[tuple[str, int], t.Mapping[str, WindowStats]],
+    first: str,
+    second: str,
+) -> PairedDifference:
+    gaps = []
+    for block in blocks.values():
+        if first not in block or second not in block:
+            continue
+        left, right = getter(block[first]), getter(block[second])
+        if left is not None and right is not None:
+            gaps.append(left - right)
+    mean = statistics.fmean(gaps) if gaps else 0.0
+    half = math.inf
+    if len(gaps) > 1:
+        half = _CONFIDENCE_Z * statistics.stdev(gaps) / math.sqrt(len(gaps))
+    decided = len(gaps) >= _MIN_PAIRS and abs(mean) > half
+    low, high = (mean - half, mean + half) if gaps else (0.0, 0.0)
+    if math.isinf(half):
+        low = high = mean
+    return PairedDifference(
+        measure, first, second, len(gaps), mean, low, high, decided
+    )
+
+
+def _make_verdict(
+    differences: t.Sequence[PairedDifference], stopped: t.Collection[str]
+) -> str:
+    if stopped:
+        return f'guard-rail tripped: {", ".join(sorted(stopped))}'
+    decided = [one for one in differences if one.decided]
+    if not decided:
+        return 'not yet decided'
+    parts = []
+    for one in decided:
+        word = 'lower' if one.mean < 0 else 'higher'
+        parts.append(f'{one.measure}: {one.first} {word} than {one.second}')
+    return f'decided: {"; ".join(parts)}'
--- /dev/null
+++ b/src/tulippin/store.py
@@ -0,0 +1,485 @@
+"""What lasts: sessions, leases, ownership, journals and snapshots.
+
+All of it lies in the platform's table and object store. A write whose
+answer is lost is read back by its key before anything builds on it.
+"""
+
+from __future__ import annotations
+
+import typing as t
+
+import attrs
+import trio
+
+from tulippin import codec
+from tulippin.exceptions import (
+    AnswerLostError,
+    FencedError,
+    UnavailableError,
+)
+from tulippin.ledger import CellLedger, Ledger, RangeLedger, apply
+from tulippin.ports import Condition, Objects, Row, Table, Write
+from tulippin.records import UnitRecord
+from tulippin.types import Holder, LeaseRow, Ownership, Source, is_cell
+
+_FIRST_PAUSE_S: t.Final = 0.05
+_LONGEST_PAUSE_S: t.Final = 1.0
+_LIVE: t.Final = 'live'
+_OWNERSHIP_KEY: t.Final = 'ownership'
+_CLOSED_KEPT: t.Final = 8
+
+
+def session_key(session_id: str) -> str:
+    """Return the key of a session's row."""
+    return f'session/{session_id}'
+
+
+def lease_key(session_id: str) -> str:
+    """Return the key of a session's lease row."""
+    return f'lease/{session_id}'
+
+
+def slot_key(session_id: str, slot: int) -> str:
+    """Return the key of one slot of a session's journal."""
+    return f'journal/{session_id}/{slot:04d}'
+
+
+def snapshot_key(session_id: str) -> str:
+    """Return the key of the row that names a session's snapshot."""
+    return f'snapshot/{session_id}'
+
+
+@attrs.define
+class Backoff:
+    """Pauses that grow, so that an outage's end meets no herd."""
+
+    pause_s: float = _FIRST_PAUSE_S
+
+    async def wait(self) -> None:
+        """Wait, twice as long each time up to a bound."""
+        await trio.sleep(self.pause_s)
+        self.pause_s = min(_LONGEST_PAUSE_S, self.pause_s * 2)
+
+
+@attrs.frozen
+class Resolved:
+    """A commit whose effect is known; ``version`` 0 is a conflict."""
+
+    version: int
+
+
+async def commit_resolved(
+    table: Table,
+    conditions: t.Sequence[Condition],
+    writes: t.Sequence[Write],
+    *,
+    read_back: bool = True,
+) -> Resolved:
+    """Commit until the effect is known, whatever answers are lost.
+
+    The first write is the marker: its value must be unique to this
+    commit, so that reading the row back tells whether it took effect.
+    """
+    backoff = Backoff()
+    uncertain = False
+    while True:
+        try:
+            version = await table.commit(conditions, writes)
+        except AnswerLostError:
+            uncertain = True
+            if not read_back:
+                return Resolved(0)
+        except UnavailableError:
+            await backoff.wait()
+            continue
+        else:
+            if version or not uncertain:
+                return Resolved(version)
+        row = await read_row(table, writes[0].key)
+        if row is not None and row.value == writes[0].value:
+            return Resolved(row.version)
+        if _is_refuted(row, conditions, writes[0].key):
+            return Resolved(0)
+
+
+def _is_refuted(
+    row: Row | None, conditions: t.Sequence[Condition], key: str
+) -> bool:
+    """Tell whether the marker's row can no longer be as demanded."""
+    version = row.version if row is not None else 0
+    return any(
+        condition.key == key and condition.version != version
+        for condition in conditions
+    )
+
+
+async def read_row(table: Table, key: str) -> Row | None:
+    """Return a row, however long the table does not answer."""
+    backoff = Backoff()
+    while True:
+        try:
+            return await table.get(key)
+        except UnavailableError:
+            await backoff.wait()
+
+
+async def read_object(objects: Objects, key: str) -> bytes | None:
+    """Return an object, however long the store does not answer."""
+    backoff = Backoff()
+    while True:
+        try:
+            return await objects.get(key)
+        except UnavailableError:
+            await backoff.wait()
+
+
+async def put_object(objects: Objects, key: str, body: bytes) -> None:
+    """Write an object, however long the store does not answer."""
+    backoff = Backoff()
+    while True:
+        try:
+            await objects.put(key, body)
+        except UnavailableError:
+            await backoff.wait()
+        else:
+            return
+
+
+async def scan_rows(table: Table, prefix: str) -> list[tuple[str, Row]]:
+    """Return the rows of a prefix, however long it takes."""
+    backoff = Backoff()
+    while True:
+        try:
+            return await table.scan(prefix)
+        except UnavailableError:
+            await backoff.wait()
+
+
+def make_ledger(unit: str) -> Ledger:
+    """Return the state of a unit for which nothing is recorded."""
+    return CellLedger() if is_cell(unit) else RangeLedger()
+
+
+@attrs.frozen
+class ClosedJournal:
+    """What a fenced session has left."""
+
+    units: dict[str, tuple[int, bytes]]
+    snapshot_sequence: int
+    rows: tuple[tuple[int, tuple[UnitRecord, ...]], ...]
+
+
+@attrs.define
+class SessionStore:
+    """One session's dealings with the table and the object store.
+
+    Parameters
+    ----------
+    table, objects : Table, Objects
+        The platform's services.
+    session_id : str
+        The session.
+    ring : int
+        Number of journal slots; a slot is used again only once a
+        snapshot covers its row.
+    read_back : bool
+        Whether lost answers are resolved; only tests switch it off.
+    """
+
+    table: Table
+    objects: Objects
+    session_id: str
+    ring: int
+    read_back: bool = True
+    session_version: int = 0
+    slot_versions: dict[int, int] = attrs.field(factory=dict)
+    snapshot_version: int = 0
+    last_snapshot: str = ''
+    closed: dict[str, ClosedJournal] = attrs.field(factory=dict)
+    reading: trio.Lock = attrs.field(factory=trio.Lock)
+    start_keys: dict[tuple[str, int], str] = attrs.field(factory=dict)
+
+    async def open(self, lease: LeaseRow) -> None:
+        """Put the session and its first lease into the table.
+
+        Raises
+        ------
+        UnavailableError
+            If the table does not answer.
+        """
+        value = f'{_LIVE} {self.session_id}'
+        resolved = await commit_resolved(
+            self.table,
+            [Condition(session_key(self.session_id), 0)],
+            [
+                Write(session_key(self.session_id), value),
+                _make_lease_write(lease),
+            ],
+        )
+        if not resolved.version:
+            raise FencedError('the session id is taken already')
+        self.session_version = resolved.version
+
+    async def renew(self, lease: LeaseRow) -> None:
+        """Renew the lease, once.
+
+        Raises
+        ------
+        FencedError
+            If the session was revoked.
+        UnavailableError
+            If it is not known whether the renewal took effect.
+        """
+        version = await self.table.commit(
+            [self._live()], [_make_lease_write(lease)]
+        )
+        if not version:
+            raise FencedError('the session was revoked')
+
+    async def commit_row(
+        self, sequence: int, records: t.Sequence[UnitRecord]
+    ) -> None:
+        """Make one journal row durable; resolved whatever happens.
+
+        Raises
+        ------
+        FencedError
+            If the session was revoked; the row is surely not there.
+        """
+        slot = sequence % self.ring
+        key = slot_key(self.session_id, slot)
+        value = f'{sequence}\n{codec.encode_records(records)}'
+        resolved = await commit_resolved(
+            self.table,
+            [Condition(key, self.slot_versions.get(slot, 0)), self._live()],
+            [Write(key, value)],
+            read_back=self.read_back,
+        )
+        if not resolved.version:
+            raise FencedError('the session was revoked')
+        self.slot_versions[slot] = resolved.version
+
+    async def publish(
+        self, sequence: int, body: bytes, units: t.Iterable[tuple[str, int]]
+    ) -> None:
+        """Publish a snapshot that covers all rows up to a sequence.
+
+        Objects that a snapshot replaces are deleted after it.
+        """
+        key = f'snapshot/{self.session_id}/{sequence}'
+        await put_object(self.objects, key, body)
+        row_key = snapshot_key(self.session_id)
+        resolved = await commit_resolved(
+            self.table,
+            [Condition(row_key, self.snapshot_version), self._live()],
+            [Write(row_key, f'{sequence}\n{key}')],
+        )
+        if not resolved.version:
+            raise FencedError('the session was revoked')
+        self.snapshot_version = resolved.version
+        replaced = [self.last_snapshot] if self.last_snapshot else []
+        replaced.extend(
+            self.start_keys.pop(unit)
+            for unit in units
+            if unit in self.start_keys
+        )
+        self.last_snapshot = key
+        await self._delete(replaced)
+
+    async def _delete(self, keys: t.Iterable[str]) -> None:
+        """Delete objects; one that cannot be deleted now stays behind."""
+        for key in keys:
+            try:
+                await self.objects.delete(key)
+            except UnavailableError:
+                continue
+
+    async def write_ownership(
+        self,
+        ownership: Ownership,
+        expected_version: int,
+        revoke: t.Sequence[LeaseRow],
+    ) -> Resolved:
+        """Replace the ownership row, revoking sessions with it."""
+        conditions = [
+            Condition(_OWNERSHIP_KEY, expected_version),
+            self._live(),
+        ]
+        writes = [Write(_OWNERSHIP_KEY, codec.encode(ownership).decode())]
+        for lease in revoke:
+            key = lease_key(lease.session_id)
+            conditions.append(Condition(key, lease.version))
+            writes.append(Write(session_key(lease.session_id), 'revoked'))
+            writes.append(Write(key, None))
+        return await commit_resolved(self.table, conditions, writes)
+
+    async def close(self) -> None:
+        """Close the session: its units may be taken at once."""
+        await self.table.commit(
+            [self._live()],
+            [
+                Write(session_key(self.session_id), 'closed'),
+                Write(lease_key(self.session_id), None),
+            ],
+        )
+
+    async def load_unit(self, unit: str, holder: Holder) -> Ledger:
+        """Read a unit's state from its last owner and publish it."""
+        if holder.base:
+            self.start_keys[unit, holder.epoch] = holder.base
+            return await self._load_base(unit, holder.base)
+        ledger = make_ledger(unit)
+        for source in holder.previous:
+            found = await self._load_from(unit, source)
+            if found is not None:
+                ledger = found
+                break
+        if holder.previous:
+            key = activation_key(unit, holder.epoch, self.session_id)
+            body = codec.encode_ledgers([(unit, holder.epoch, ledger)])
+            await put_object(self.objects, key, body)
+            self.start_keys[unit, holder.epoch] = key
+        return ledger
+
+    async def _load_base(self, unit: str, key: str) -> Ledger:
+        body = await read_object(self.objects, key)
+        if body is None:
+            raise FencedError(f'the object {key} is gone')
+        _, raw = codec.split_ledgers(body)[unit]
+        return codec.decode_ledger(unit, raw)
+
+    async def _load_from(self, unit: str, source: Source) -> Ledger | None:
+        """Return the unit's state as one former owner left it.
+
+        Nothing if that owner never got so far as to act for it.
+        """
+        journal = await self._read_closed(source.session_id)
+        epoch, body = journal.units.get(unit, (0, b''))
+        if epoch == source.epoch:
+            ledger: Ledger | None = codec.decode_ledger(unit, body)
+        else:
+            ledger = await self._load_start(unit, source)
+        if ledger is None:
+            return None
+        for sequence, records in journal.rows:
+            if sequence <= journal.snapshot_sequence:
+                continue
+            for entry in records:
+                if entry.unit == unit and entry.epoch == source.epoch:
+                    apply(entry.record, ledger)
+        return ledger
+
+    async def _load_start(self, unit: str, source: Source) -> Ledger | None:
+        if source.base:
+            return await self._load_base(unit, source.base)
+        key = activation_key(unit, source.epoch, source.session_id)
+        body = await read_object(self.objects, key)
+        if body is not None:
+            _, raw = codec.split_ledgers(body)[unit]
+            return codec.decode_ledger(unit, raw)
+        return make_ledger(unit) if source.epoch == 1 else None
+
+    async def _read_closed(self, session_id: str) -> ClosedJournal:
+        """Read a fenced session's snapshot and rows, once for all units."""
+        async with self.reading:
+            if session_id not in self.closed:
+                if len(self.closed) >= _CLOSED_KEPT:
+                    self.closed.pop(next(iter(self.closed)))
+                self.closed[session_id] = await self._read_session(session_id)
+            return self.closed[session_id]
+
+    async def _read_session(self, session_id: str) -> ClosedJournal:
+        units: dict[str, tuple[int, bytes]] = {}
+        covered = 0
+        row = await read_row(self.table, snapshot_key(session_id))
+        if row is not None:
+            number, _, key = row.value.partition('\n')
+            covered = int(number)
+            body = await read_object(self.objects, key)
+            if body is not None:
+                units = codec.split_ledgers(body)
+        rows = sorted(
+            _parse_journal_row(found)
+            for _, found in await scan_rows(
+                self.table, f'journal/{session_id}/'
+            )
+        )
+        return ClosedJournal(
+            units,
+            covered,
+            tuple(
+                (sequence, codec.decode_records(body))
+                for sequence, body in rows
+                if sequence > covered
+            ),
+        )
+
+    def _live(self) -> Condition:
+        return Condition(session_key(self.session_id), self.session_version)
+
+
+def activation_key(unit: str, epoch: int, session_id: str) -> str:
+    """Return the key of the state from which a takeover began."""
+    return f'unit/{unit}/{epoch}/{session_id}'
+
+
+def _make_lease_write(lease: LeaseRow) -> Write:
+    return Write(lease_key(lease.session_id), codec.encode(lease).decode())
+
+
+def _parse_journal_row(row: Row) -> tuple[int, str]:
+    sequence, _, body = row.value.partition('\n')
+    return int(sequence), body
+
+
+@attrs.frozen
+class Membership:
+    """What the table holds about sessions and units."""
+
+    ownership: Ownership
+    ownership_version: int
+    leases: tuple[LeaseRow, ...]
+
+
+async def read_membership(table: Table) -> Membership:
+    """Return ownership and leases; the ownership is read first."""
+    row = await table.get(_OWNERSHIP_KEY)
+    ownership = codec.decode(row.value, Ownership) if row else Ownership()
+    leases = tuple(
+        attrs.evolve(codec.decode(found.value, LeaseRow), version=found.version)
+        for _, found in await table.scan('lease/')
+    )
+    return Membership(ownership, row.version if row else 0, leases)
+
+
+async def collect_garbage(table: Table, objects: Objects) -> int:
+    """Delete what ended sessions left and nobody may need any more.
+
+    Returns the number of sessions cleared.
+    """
+    membership = await read_membership(table)
+    needed = {lease.session_id for lease in membership.leases}
+    for holder in membership.ownership.units.values():
+        needed.add(holder.session_id)
+        needed.update(source.session_id for source in holder.previous)
+    cleared = 0
+    for key, row in await table.scan('session/'):
+        session_id = key.partition('/')[2]
+        if session_id in needed or row.value.startswith(_LIVE):
+            continue
+        await _clear_session(table, objects, session_id)
+        cleared += 1
+    return cleared
+
+
+async def _clear_session(
+    table: Table, objects: Objects, session_id: str
+) -> None:
+    snapshot = await table.get(snapshot_key(session_id))
+    if snapshot is not None:
+        await objects.delete(snapshot.value.partition('\n')[2])
+    rows = await table.scan(f'journal/{session_id}/')
+    writes = [Write(key, None) for key, _ in rows]
+    writes.append(Write(snapshot_key(session_id), None))
+    writes.append(Write(session_key(session_id), None))
+    await table.commit([], writes)
