Add the daemon, its APIs, the command line and the demo

Cause: the path ran only in memory. Change: tulippind with callers' and operators' HTTP (hypercorn, starlette), peers by gRPC, endpoints by httpcore; INI settings with collected findings; tulippin by cleo; stand-ins behind HTTP; the comparison as table, SVG and one HTML file. Conclusion: the thin path runs over real sockets; the proof comes next.

--- a/src/tulippin/_bundling.py
+++ b/src/tulippin/_bundling.py
@@ -6,7 +6,7 @@
 from tulippin._context import Context
 from tulippin._dispatch import handle, receive
 from tulippin.bundles import BundleState
-from tulippin.events import BundleLearned
+from tulippin.events import BundleFetched, BundleLearned
 from tulippin.messages import BundleSent, BundleWanted
 from tulippin.stats import TrialStats
 
@@ -74,6 +74,9 @@
     state = context.state
     if context.now_ms < state.next_bundle_ask_ms:
         return
+    if not state.session.session_id and not state.session.store_reachable:
+        _ask_seed(context)
+        return
     ahead = [
         (peer.bundle_number, session_id)
         for session_id, peer in state.peers.items()
@@ -85,6 +88,24 @@
         context.send(session_id, BundleWanted(state.bundle_number))
 
 
+def _ask_seed(context: Context) -> None:
+    """Without the table, ask one of the addresses in the settings."""
+    state = context.state
+    seeds = [
+        seed
+        for seed in state.config.peer_seeds
+        if seed != state.config.peer_address
+    ]
+    if seeds:
+        state.next_bundle_ask_ms = context.now_ms + _ASK_EVERY_MS
+        context.emit(fx.FetchBundle(state.random.choice(seeds)))
+
+
+@handle.register
+def _(event: BundleFetched, context: Context) -> None:
+    _consider(context, event.number, event.approved)
+
+
 @receive.register
 def _(message: BundleWanted, sender: str, context: Context) -> None:
     state = context.state
--- a/src/tulippin/_calls.py
+++ b/src/tulippin/_calls.py
@@ -16,7 +16,7 @@
     ReportReturned,
     ReportWanted,
 )
-from tulippin.state import JobCall, ReportCall
+from tulippin.state import JobCall, ReportCall, Standing
 
 _JOB_DEADLINE_MS = 10000
 _JOB_RESEND_MS = 1000
@@ -27,6 +27,10 @@
 
 @handle.register
 def _(event: JobRequested, context: Context) -> None:
+    if context.state.session.standing is Standing.LEFT:
+        reply = JobReply('stopping', None, _RETRY_AFTER_MS)
+        context.emit(fx.AnswerJob(event.call_id, reply))
+        return
     message = JobForwarded(
         event.call_id,
         _homes.get_home(context, event.job_id),
--- a/src/tulippin/_fleet.py
+++ b/src/tulippin/_fleet.py
@@ -13,13 +13,9 @@
 from tulippin.bundles import compute_digest, make_key, sign
 from tulippin.bundle_store import BundleStore
 from tulippin.events import BundleLearned, Event
-from tulippin.exceptions import (
-    AnswerLostError,
-    FencedError,
-    UnavailableError,
-)
+from tulippin.exceptions import FencedError, UnavailableError
 from tulippin.history import History
-from tulippin.messages import RequestOutcome, ServiceRequest
+from tulippin.messages import BundleSent, RequestOutcome, ServiceRequest
 from tulippin.ports import (
     Condition,
     EndpointReply,
@@ -183,6 +179,18 @@
         await self.gate.wait()
         return reply
 
+    async def fetch_bundle(self, address: str) -> BundleSent | None:
+        """Return the bundle that the process at an address holds."""
+        await self.gate.wait()
+        await self.fleet.network.travel(self.instance_id, address)
+        target = self.fleet.find_process(address)
+        if target is None or target.shell is None:
+            raise UnavailableError('nobody listens there')
+        state = target.shell.state
+        if not state.bundle_number:
+            return None
+        return BundleSent(state.bundle_number, state.bundle_approved)
+
     async def deliver(self, address: str, envelope: Envelope) -> None:
         """Deliver an envelope to the process at an address."""
         await self.gate.wait()
@@ -278,6 +286,13 @@
         self.source = random.Random(seed)
         self.overrides = dict(overrides or {})
         self.overrides.setdefault('range_count', 6)
+        self.overrides.setdefault(
+            'peer_seeds',
+            tuple(
+                f'instance-{number}'
+                for number in range(self.size.instance_count)
+            ),
+        )
         self.history = History(self.get_now_ms)
         self.table = FakeTable(source=self._fork())
         self.objects = FakeObjects(source=self._fork())
@@ -629,10 +644,3 @@
         return await self.wait_for(
             lambda: self.count_active() >= total, limit_s
         )
-
-
-__all__ = (
-    'AnswerLostError',
-    'Fleet',
-    'FleetSize',
-)
--- a/src/tulippin/_homes.py
+++ b/src/tulippin/_homes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import heapq
 import typing as t
 
@@ -33,7 +34,13 @@
     TaskReturned,
 )
 from tulippin.state import OfferState, Phase, QueuedTask, RangeState
-from tulippin.types import URGENT_PRIORITY, JobSpec, Resources, TaskOutcome
+from tulippin.types import (
+    URGENT_PRIORITY,
+    JobKind,
+    JobSpec,
+    Resources,
+    TaskOutcome,
+)
 
 _PRIORITY_HEAD_START_MS = 60000
 _SAMPLE_SIZE = 4
@@ -183,7 +190,7 @@
         return -1
     if not _quotas.has_room(context, job.spec):
         return -1
-    cell = pick_cell(context, job.spec, views)
+    cell = pick_cell(context, job.spec, _spread(job, views))
     if cell is None:
         full.add(key)
         return -1
@@ -207,6 +214,26 @@
     return index if index < job.spec.task_count else None
 
 
+def _spread(
+    job: JobEntry, views: dict[str, CellView]
+) -> dict[str, CellView]:
+    """Keep, for a service, the cells with room and the fewest of its tasks."""
+    if job.spec.kind is not JobKind.SERVICE:
+        return views
+    counts = collections.Counter(
+        task.cell for task in job.tasks.values() if task.assigned
+    )
+    fitting = {
+        unit: view
+        for unit, view in views.items()
+        if view.free.fits(job.spec.size)
+    }
+    least = min((counts[unit] for unit in fitting), default=0)
+    return {
+        unit: view for unit, view in fitting.items() if counts[unit] == least
+    } or views
+
+
 def _give(
     context: Context,
     home: RangeState,
--- /dev/null
+++ b/src/tulippin/_http_app.py
@@ -0,0 +1,166 @@
+"""What the callers' and the operators' HTTP have in common."""
+
+from __future__ import annotations
+
+import typing as t
+
+import attrs
+from starlette.applications import Starlette
+from starlette.exceptions import HTTPException
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from tulippin import codec
+from tulippin.exceptions import (
+    ConflictError,
+    DeniedError,
+    InputError,
+    NotFoundError,
+    TulippinError,
+    UnavailableError,
+)
+
+Decoded = t.TypeVar('Decoded')
+
+_STATUSES: t.Final[tuple[tuple[type[TulippinError], int], ...]] = (
+    (InputError, 400),
+    (DeniedError, 403),
+    (NotFoundError, 404),
+    (ConflictError, 409),
+    (UnavailableError, 503),
+)
+_TOO_LARGE: t.Final = 413
+_INTERNAL: t.Final = 500
+_MS: t.Final = 1000
+
+
+@attrs.frozen
+class FindingBody:
+    """One finding, as sent."""
+
+    place: str
+    message: str
+    advice: str = ''
+
+
+@attrs.frozen
+class ErrorBody:
+    """An error, as sent.
+
+    ``outcome`` is ``not_run`` if nothing was done, else ``unknown`` or
+    ``failed``; ``retry_after_ms`` tells when to come back, 0 for never.
+    """
+
+    code: str
+    message: str
+    outcome: str = 'not_run'
+    retry_after_ms: int = 0
+    findings: tuple[FindingBody, ...] = ()
+
+
+def make_json(
+    value: t.Any, status: int = 200, retry_after_ms: int = 0
+) -> Response:
+    """Return a value as a JSON response."""
+    headers = {}
+    if retry_after_ms:
+        headers['Retry-After'] = str(-(-retry_after_ms // _MS))
+    return Response(
+        codec.encode(value), status, headers, media_type='application/json'
+    )
+
+
+def make_error(error: TulippinError) -> Response:
+    """Return an error of the family as a response."""
+    status = _INTERNAL
+    for kind, number in _STATUSES:
+        if isinstance(error, kind):
+            status = number
+            break
+    if error.code == 'too_large':
+        status = _TOO_LARGE
+    findings = tuple(
+        FindingBody(one.place, one.message, one.advice)
+        for one in getattr(error, 'findings', ())
+    )
+    outcome = 'unknown' if error.code == 'unknown' else 'not_run'
+    retry_ms = 2000 if isinstance(error, UnavailableError) else 0
+    body = ErrorBody(error.code, error.message, outcome, retry_ms, findings)
+    return make_json(body, status, retry_ms)
+
+
+async def read_body(request: Request, limit: int) -> bytes:
+    """Return the whole body of a request.
+
+    Raises
+    ------
+    InputError
+        If it is longer than ``limit`` bytes; no more of it is read.
+    """
+    parts = []
+    size = 0
+    async for part in request.stream():
+        size += len(part)
+        if size > limit:
+            raise InputError(
+                f'the body is over {limit} bytes; send less',
+                code='too_large',
+            )
+        parts.append(part)
+    return b''.join(parts)
+
+
+async def read_json(
+    request: Request, kind: type[Decoded], limit: int
+) -> Decoded:
+    """Return the body of a request as a value of a type."""
+    return codec.decode(await read_body(request, limit), kind)
+
+
+async def _handle_error(_: Request, error: Exception) -> Response:
+    if isinstance(error, TulippinError):
+        return make_error(error)
+    if isinstance(error, HTTPException):
+        code = {404: 'no_such_path', 405: 'no_such_method'}.get(
+            error.status_code, 'http_error'
+        )
+        body = ErrorBody(code, f'{error.detail}; see /openapi.json')
+        return make_json(body, error.status_code)
+    return make_json(
+        ErrorBody('internal', 'a fault of ours; see the log', 'unknown'),
+        _INTERNAL,
+    )
+
+
+def make_app(routes: t.Sequence[Route]) -> Starlette:
+    """Return an application whose errors all have one shape."""
+    return Starlette(
+        routes=list(routes),
+        exception_handlers={
+            TulippinError: _handle_error,
+            HTTPException: _handle_error,
+            Exception: _handle_error,
+        },
+    )
+
+
+def make_health_routes(is_ready: t.Callable[[], str]) -> list[Route]:
+    """Return the routes that the balancer asks.
+
+    Parameters
+    ----------
+    is_ready : callable
+        Returns an empty text if ready, else the reason why not.
+    """
+
+    async def get_health(_: Request) -> Response:
+        return JSONResponse({'status': 'alive'})
+
+    async def get_ready(_: Request) -> Response:
+        reason = is_ready()
+        if reason:
+            return JSONResponse({'status': reason}, 503)
+        return JSONResponse({'status': 'ready'})
+
+    return [Route('/healthz', get_health), Route('/readyz', get_ready)]
--- a/src/tulippin/_observing.py
+++ b/src/tulippin/_observing.py
@@ -33,7 +33,12 @@
     _pressure.note_latency(context, worker, service, latency_ms)
     context.emit(
         fx.ObserveLatency(
-            service, policy, name, latency_ms, event.outcome.kind.value
+            service,
+            policy,
+            name,
+            latency_ms,
+            queued_ms,
+            event.outcome.kind.value,
         )
     )
     if window.washing_out:
--- a/src/tulippin/_placing.py
+++ b/src/tulippin/_placing.py
@@ -29,6 +29,8 @@
         for worker in cell.workers.values()
         if _is_feasible(context, worker, reserved)
     ]
+    if spec.kind is JobKind.SERVICE:
+        candidates = _spread(spec, candidates)
     name = cell.unit.partition('/')[2]
     policy_name, policy, _ = get_policy(
         state.bundle, name, state.wall_ms, state.stats.stopped
@@ -39,6 +41,21 @@
     return cell.workers[chosen.worker_id], reserved, policy_name
 
 
+def _spread(
+    spec: JobSpec, candidates: list[Candidate]
+) -> list[Candidate]:
+    """Keep the workers with the fewest tasks of the same service."""
+    counts = [
+        candidate.services.get(spec.job_class, 0) for candidate in candidates
+    ]
+    least = min(counts, default=0)
+    return [
+        candidate
+        for candidate, count in zip(candidates, counts, strict=True)
+        if count == least
+    ]
+
+
 def get_reservation(context: Context, spec: JobSpec) -> Resources:
     """Return the larger of what a job declares and what is learned."""
     learned = context.state.sizes.get_size(spec.job_class)
--- a/src/tulippin/_requests.py
+++ b/src/tulippin/_requests.py
@@ -33,6 +33,7 @@
     Phase,
     RangeState,
     Stage,
+    Standing,
     Ticket,
     TicketOrigin,
     UnitState,
@@ -80,6 +81,9 @@
 def _(event: RequestArrived, context: Context) -> None:
     state = context.state
     state.counters['requests'] += 1
+    if state.session.standing is Standing.LEFT:
+        context.emit(fx.AnswerRequest(event.call_id, _not_run('stopping')))
+        return
     state.retry_tokens = min(
         _MAX_TOKENS, state.retry_tokens + state.config.retry_budget_ratio
     )
--- /dev/null
+++ b/src/tulippin/daemon.py
@@ -0,0 +1,280 @@
+"""The one daemon, the same on every entry instance."""
+
+from __future__ import annotations
+
+import contextlib
+import pathlib
+import signal
+import sys
+import time
+import typing as t
+
+import attrs
+import trio
+
+from tulippin._http_client import HttpClient
+from tulippin._http_server import HttpServer
+from tulippin.exceptions import InputError, TulippinError
+from tulippin.http_callers import CallersApi
+from tulippin.http_operators import OperatorsApi
+from tulippin.logs import LogSetup, logger
+from tulippin.metrics import ShellMetrics
+from tulippin.peers_grpc import GrpcPeers, PeerCredentials, PeerServer
+from tulippin.platform_http import HttpDirectory, HttpObjects, HttpTable
+from tulippin.ports import Envelope, Ports
+from tulippin.settings import Settings, load_settings
+from tulippin.shell import Shell
+from tulippin.state import Standing
+from tulippin.workers_http import HttpEndpoints, HttpWorkers
+
+_NS_IN_MS: t.Final = 1_000_000
+_MS: t.Final = 1000
+_STOP_EXTRA_S: t.Final = 5.0
+_REQUEST_TIMEOUT_S: t.Final = 660.0
+_WORKER_CONNECTIONS: t.Final = 512
+_USAGE: t.Final = 'usage: tulippind SETTINGS.ini'
+
+
+def read_clock_ms() -> int:
+    """Return monotonic milliseconds that count suspension."""
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // _NS_IN_MS
+
+
+def read_wall_ms() -> int:
+    """Return the time of day in milliseconds."""
+    return time.time_ns() // _NS_IN_MS
+
+
+def load_credentials(settings: Settings) -> PeerCredentials | None:
+    """Read the PEM files for TLS between peers, if any are given."""
+    tls = settings.tls
+    if not tls.peers_certificate:
+        return None
+    return PeerCredentials(
+        pathlib.Path(tls.peers_certificate).read_bytes(),
+        pathlib.Path(tls.peers_key).read_bytes(),
+        pathlib.Path(tls.peers_authority).read_bytes(),
+        tls.peers_name,
+    )
+
+
+class Daemon:
+    """One instance with all its listeners.
+
+    Parameters
+    ----------
+    settings : Settings
+        As read from the file.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.shell: Shell | None = None
+        self.callers_port = 0
+        self.operators_port = 0
+        self.peers_port = 0
+        self._stopping = trio.Event()
+
+    def stop(self) -> None:
+        """Begin the planned stop, as SIGTERM does."""
+        self._stopping.set()
+
+    def get_unready(self) -> str:
+        """Return the reason why the instance is not ready, or nothing."""
+        if self._stopping.is_set():
+            return 'stopping'
+        if self.shell is None:
+            return 'starting'
+        session = self.shell.state.session
+        if session.standing in {Standing.OPENING, Standing.LEFT}:
+            return 'no session: the table does not answer'
+        if not self.shell.state.ownership.units:
+            return 'no units are known yet'
+        return ''
+
+    async def run(
+        self, task_status: t.Any = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Run until a planned stop is complete."""
+        async with contextlib.AsyncExitStack() as stack:
+            await self._open(stack)
+            nursery = await stack.enter_async_context(trio.open_nursery())
+            servers = self._make_servers(stack)
+            for server in servers:
+                await nursery.start(server.serve)
+            task_status.started()
+            logger.info(
+                'listening',
+                callers=self.callers_port,
+                operators=self.operators_port,
+                peers=self.peers_port,
+            )
+            await self._stopping.wait()
+            await self._leave()
+            for server in servers:
+                server.shut_down()
+            for server in servers:
+                await server.stopped.wait()
+            nursery.cancel_scope.cancel()
+
+    async def _open(self, stack: contextlib.AsyncExitStack) -> None:
+        """Open clients, the peers' listener and the shell."""
+        credentials = load_credentials(self.settings)
+        peers = stack.enter_context(GrpcPeers(credentials))
+        listener = stack.enter_context(
+            PeerServer(
+                self.settings.listen.peers,
+                self._receive,
+                self._get_bundle,
+                credentials,
+            )
+        )
+        self.peers_port = listener.port
+        ports = await self._make_ports(stack, peers)
+        shell = Shell(
+            self._make_config(listener.port),
+            ports,
+            self.settings.operators,
+            clock=read_clock_ms,
+            wall=read_wall_ms,
+            seed=time.time_ns(),
+        )
+        self.shell = await stack.enter_async_context(shell)
+
+    def _make_config(self, port: int) -> t.Any:
+        config = self.settings.config
+        host, _, given = config.peer_address.rpartition(':')
+        if given != '0':
+            return config
+        return attrs.evolve(config, peer_address=f'{host}:{port}')
+
+    async def _make_ports(
+        self, stack: contextlib.AsyncExitStack, peers: GrpcPeers
+    ) -> Ports:
+        platform = await stack.enter_async_context(HttpClient())
+        workers = await stack.enter_async_context(
+            HttpClient(connections=_WORKER_CONNECTIONS)
+        )
+        services = await stack.enter_async_context(
+            HttpClient(_REQUEST_TIMEOUT_S, _WORKER_CONNECTIONS)
+        )
+        url = self.settings.platform_url
+        return Ports(
+            HttpTable(url, platform),
+            HttpObjects(url, platform),
+            HttpDirectory(url, platform),
+            HttpWorkers(workers),
+            HttpEndpoints(services),
+            peers,
+        )
+
+    def _make_servers(
+        self, stack: contextlib.AsyncExitStack
+    ) -> list[HttpServer]:
+        shell = self._get_shell()
+        tls = self.settings.tls
+        callers = CallersApi(shell, self.settings.limits, self.get_unready)
+        operators = OperatorsApi(
+            shell, callers, ShellMetrics(shell), self.get_unready
+        )
+        callers_server = stack.enter_context(
+            HttpServer(callers.make_app(), self.settings.listen.callers)
+        )
+        operators_server = stack.enter_context(
+            HttpServer(
+                operators.make_app(),
+                self.settings.listen.operators,
+                tls.operators_certificate,
+                tls.operators_key,
+                tls.operators_authority,
+            )
+        )
+        self.callers_port = callers_server.port
+        self.operators_port = operators_server.port
+        return [callers_server, operators_server]
+
+    async def _leave(self) -> None:
+        """Finish what is in progress and hand over what is owned."""
+        logger.info('stopping')
+        grace_ms = self.settings.limits.balancer_grace_ms
+        await trio.sleep(grace_ms / _MS)
+        shell = self._get_shell()
+        shell.stop()
+        limit_s = self.settings.config.drain_limit_ms / _MS + _STOP_EXTRA_S
+        with trio.move_on_after(limit_s) as scope:
+            await shell.left.wait()
+        if scope.cancelled_caught:
+            logger.warning('left before all was handed over')
+        else:
+            logger.info('all is handed over')
+
+    def _get_shell(self) -> Shell:
+        if self.shell is None:
+            raise TulippinError('the instance has not started')
+        return self.shell
+
+    def _receive(self, envelope: Envelope) -> None:
+        if self.shell is not None:
+            self.shell.receive(envelope)
+
+    def _get_bundle(self) -> tuple[int, str]:
+        if self.shell is None:
+            return 0, ''
+        state = self.shell.state
+        return state.bundle_number, state.bundle_approved
+
+
+async def _run_with_signals(daemon: Daemon) -> None:
+    async with trio.open_nursery() as nursery:
+        with trio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT
+        ) as signals:
+
+            async def watch() -> None:
+                async for _ in signals:
+                    daemon.stop()
+
+            nursery.start_soon(watch)
+            await daemon.run()
+            nursery.cancel_scope.cancel()
+
+
+def run_settings(path: str) -> None:
+    """Run a daemon from a settings file until it is stopped."""
+    settings = load_settings(path)
+    config = settings.config
+    with LogSetup(settings.log, config.instance_id, config.failure_domain):
+        trio.run(_run_with_signals, Daemon(settings))
+
+
+def main(arguments: t.Sequence[str] | None = None) -> int:
+    """Run ``tulippind``; return its exit code."""
+    given = list(sys.argv[1:] if arguments is None else arguments)
+    try:
+        if len(given) != 1 or given[0].startswith('-'):
+            raise InputError(_USAGE, code='usage')
+        run_settings(given[0])
+    except TulippinError as error:
+        error.show()
+        return error.exit_code
+    except BaseExceptionGroup as group:
+        errors, rest = group.split(TulippinError)
+        if errors is None or rest is not None:
+            raise
+        return _show_group(errors)
+    return 0
+
+
+def _show_group(group: BaseExceptionGroup[t.Any]) -> int:
+    code = 1
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            code = _show_group(error)
+        elif isinstance(error, TulippinError):
+            error.show()
+            code = error.exit_code
+    return code
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/src/tulippin/effects.py
+++ b/src/tulippin/effects.py
@@ -156,6 +156,13 @@
     approved: str
 
 
+@attrs.frozen
+class FetchBundle(Effect):
+    """Ask the instance at an address for the bundle that it holds."""
+
+    address: str
+
+
 @attrs.frozen
 class MarkInForce(Effect):
     """Record that every live instance holds the bundle."""
@@ -171,6 +178,7 @@
     policy: str
     cell: str
     latency_ms: float
+    queued_ms: float
     outcome: str
 
 
--- a/src/tulippin/events.py
+++ b/src/tulippin/events.py
@@ -240,3 +240,11 @@
     number: int
     approved: str
     bundle: t.Any
+
+
+@attrs.frozen
+class BundleFetched(Event):
+    """A peer's bundle, not yet verified."""
+
+    number: int
+    approved: str
--- /dev/null
+++ b/src/tulippin/peers_grpc.py
@@ -0,0 +1,251 @@
+"""Peers over gRPC: the adapter between shells of different processes.
+
+The server's threads hand envelopes to the trio loop and answer at
+once; the client's calls wake the loop from gRPC's own threads.
+"""
+
+from __future__ import annotations
+
+import concurrent.futures
+import typing as t
+
+import attrs
+import grpc
+import trio
+
+from tulippin import codec, peers_pb2, peers_pb2_grpc
+from tulippin.exceptions import InputError, UnavailableError
+from tulippin.messages import BundleSent
+from tulippin.ports import Envelope
+
+_THREADS: t.Final = 4
+_MAX_BYTES: t.Final = 64 * 1024 * 1024
+_OPTIONS: t.Final = (
+    ('grpc.max_receive_message_length', _MAX_BYTES),
+    ('grpc.max_send_message_length', _MAX_BYTES),
+    ('grpc.so_reuseport', 0),
+)
+_CALL_TIMEOUT_S: t.Final = 5.0
+
+
+@attrs.frozen
+class PeerCredentials:
+    """PEM files for mutual TLS between peers.
+
+    Parameters
+    ----------
+    certificate, key, authority : bytes
+        This instance's certificate chain and key, and the authority
+        that signed all instances' certificates.
+    name : str
+        The name in every instance's certificate.
+    """
+
+    certificate: bytes
+    key: bytes
+    authority: bytes
+    name: str
+
+
+def encode_envelope(envelope: Envelope) -> peers_pb2.Envelope:
+    """Return an envelope as its protobuf message."""
+    messages = [
+        peers_pb2.PeerMessage(kind=kind, body=body)
+        for kind, body in map(codec.encode_message, envelope.messages)
+    ]
+    return peers_pb2.Envelope(
+        session_id=envelope.session_id,
+        instance_id=envelope.instance_id,
+        sequence=envelope.sequence,
+        messages=messages,
+    )
+
+
+def decode_envelope(message: peers_pb2.Envelope) -> Envelope:
+    """Return an envelope from its protobuf message.
+
+    Raises ``InputError`` if a part is of no known kind.
+    """
+    return Envelope(
+        message.session_id,
+        message.instance_id,
+        message.sequence,
+        tuple(
+            codec.decode_message(part.kind, part.body)
+            for part in message.messages
+        ),
+    )
+
+
+class GrpcPeers:
+    """Client side: implements the ``Peers`` port; a context manager."""
+
+    def __init__(self, credentials: PeerCredentials | None = None) -> None:
+        self._credentials = credentials
+        self._channels: dict[str, grpc.Channel] = {}
+
+    def __enter__(self) -> t.Self:
+        """Return itself; channels open at their first use."""
+        return self
+
+    def __exit__(self, *details: object) -> None:
+        """Close all channels."""
+        for channel in self._channels.values():
+            channel.close()
+        self._channels.clear()
+
+    async def deliver(self, address: str, envelope: Envelope) -> None:
+        """Deliver an envelope; an error means that it may be lost."""
+        stub = peers_pb2_grpc.PeersStub(self._get_channel(address))
+        await _call(stub.Deliver, encode_envelope(envelope))
+
+    async def fetch_bundle(self, address: str) -> BundleSent | None:
+        """Return the bundle that the instance at an address holds."""
+        stub = peers_pb2_grpc.PeersStub(self._get_channel(address))
+        reply = await _call(stub.FetchBundle, peers_pb2.BundleRequest())
+        if not reply.number:
+            return None
+        return BundleSent(reply.number, reply.approved)
+
+    def _get_channel(self, address: str) -> grpc.Channel:
+        channel = self._channels.get(address)
+        if channel is None:
+            channel = self._open_channel(address)
+            self._channels[address] = channel
+        return channel
+
+    def _open_channel(self, address: str) -> grpc.Channel:
+        if self._credentials is None:
+            return grpc.insecure_channel(address, _OPTIONS)
+        return grpc.secure_channel(
+            address,
+            grpc.ssl_channel_credentials(
+                self._credentials.authority,
+                self._credentials.key,
+                self._credentials.certificate,
+            ),
+            (
+                *_OPTIONS,
+                ('grpc.ssl_target_name_override', self._credentials.name),
+            ),
+        )
+
+
+async def _call(method: t.Any, message: t.Any) -> t.Any:
+    """Call a unary method and wait for it without blocking the loop."""
+    token = trio.lowlevel.current_trio_token()
+    done = trio.Event()
+    future = method.future(message, timeout=_CALL_TIMEOUT_S)
+
+    def wake(_: object) -> None:
+        try:
+            token.run_sync_soon(done.set)
+        except trio.RunFinishedError:
+            return
+
+    future.add_done_callback(wake)
+    try:
+        await done.wait()
+    except trio.Cancelled:
+        future.cancel()
+        raise
+    try:
+        return future.result()
+    except (grpc.RpcError, grpc.FutureCancelledError) as error:
+        raise UnavailableError('the peer does not answer') from error
+
+
+class _Servicer(peers_pb2_grpc.PeersServicer):
+    """Hands what arrives on gRPC's threads to the trio loop."""
+
+    def __init__(
+        self,
+        receive: t.Callable[[Envelope], None],
+        get_bundle: t.Callable[[], tuple[int, str]],
+        token: trio.lowlevel.TrioToken,
+    ) -> None:
+        self._receive = receive
+        self._get_bundle = get_bundle
+        self._token = token
+
+    def Deliver(self, request, context):  # noqa: N802
+        """Take in an envelope."""
+        try:
+            envelope = decode_envelope(request)
+        except InputError as error:
+            context.abort(grpc.StatusCode.INVALID_ARGUMENT, error.message)
+        try:
+            self._token.run_sync_soon(self._receive, envelope)
+        except trio.RunFinishedError:
+            context.abort(grpc.StatusCode.UNAVAILABLE, 'stopped')
+        return peers_pb2.Receipt()
+
+    def FetchBundle(self, request, context):  # noqa: N802
+        """Return the bundle held here."""
+        number, approved = self._get_bundle()
+        return peers_pb2.BundleReply(number=number, approved=approved)
+
+
+class PeerServer:
+    """Server side; a context manager that listens while it is open.
+
+    Parameters
+    ----------
+    address : str
+        IP and port; port 0 takes a free one, see ``port``.
+    receive : callable
+        Called in the trio loop with each envelope.
+    get_bundle : callable
+        Returns the number and approved row of the bundle held.
+    credentials : PeerCredentials, optional
+        For mutual TLS.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        receive: t.Callable[[Envelope], None],
+        get_bundle: t.Callable[[], tuple[int, str]],
+        credentials: PeerCredentials | None = None,
+    ) -> None:
+        self._address = address
+        self._receive = receive
+        self._get_bundle = get_bundle
+        self._credentials = credentials
+        self._server: t.Any = None
+        self.port = 0
+
+    def __enter__(self) -> t.Self:
+        """Begin to listen; must be called in the trio loop."""
+        pool = concurrent.futures.ThreadPoolExecutor(_THREADS)
+        self._server = grpc.server(pool, options=_OPTIONS)
+        peers_pb2_grpc.add_PeersServicer_to_server(
+            _Servicer(
+                self._receive,
+                self._get_bundle,
+                trio.lowlevel.current_trio_token(),
+            ),
+            self._server,
+        )
+        try:
+            self.port = self._bind()
+        except RuntimeError as error:
+            raise UnavailableError(
+                f'cannot listen on {self._address}; is it in use?',
+                code='address_in_use',
+            ) from error
+        self._server.start()
+        return self
+
+    def __exit__(self, *details: object) -> None:
+        """Stop listening."""
+        self._server.stop(0)
+
+    def _bind(self) -> int:
+        if self._credentials is None:
+            return int(self._server.add_insecure_port(self._address))
+        pair = (self._credentials.key, self._credentials.certificate)
+        secure = grpc.ssl_server_credentials(
+            [pair], self._credentials.authority, require_client_auth=True
+        )
+        return int(self._server.add_secure_port(self._address, secure))
--- a/src/tulippin/ports.py
+++ b/src/tulippin/ports.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from tulippin.messages import RequestOutcome, ServiceRequest
+from tulippin.messages import BundleSent, RequestOutcome, ServiceRequest
 from tulippin.types import WorkerInfo
 from tulippin.worker_types import WorkerReport, WorkerSync
 
@@ -129,6 +129,9 @@
     async def deliver(self, address: str, envelope: Envelope) -> None:
         """Deliver an envelope; an error means that it may be lost."""
 
+    async def fetch_bundle(self, address: str) -> BundleSent | None:
+        """Return the bundle that the instance at an address holds."""
+
 
 @attrs.frozen
 class Ports:
--- a/src/tulippin/shell.py
+++ b/src/tulippin/shell.py
@@ -114,6 +114,7 @@
         self.bundles = BundleStore(ports.table, keys)
         self.left = trio.Event()
         self.observers: list[t.Callable[[fx.ObserveLatency], None]] = []
+        self.effect_observers: list[t.Callable[[fx.Effect, float], None]] = []
         self._recorder = recorder
         self._random = random.Random(seed)
         self._inbox: collections.deque[ev.Event] = collections.deque()
@@ -260,7 +261,20 @@
     def start(self, task: t.Callable[..., t.Awaitable[None]], *args) -> None:
         """Run an effect's task beside the loop."""
         if self._nursery is not None:
-            self._nursery.start_soon(task, *args)
+            self._nursery.start_soon(self._time, task, args)
+
+    async def _time(
+        self,
+        task: t.Callable[..., t.Awaitable[None]],
+        args: tuple[t.Any, ...],
+    ) -> None:
+        """Run a task and tell how long its effect took."""
+        began = trio.current_time()
+        await task(*args)
+        elapsed_ms = (trio.current_time() - began) * _MS
+        if args and isinstance(args[0], fx.Effect):
+            for observer in self.effect_observers:
+                observer(args[0], elapsed_ms)
 
     # -- sessions and leases -------------------------------------------------
 
@@ -537,6 +551,16 @@
             bundle = None
         self.post(ev.BundleLearned(0, effect.number, effect.approved, bundle))
 
+    async def fetch_bundle(self, effect: fx.FetchBundle) -> None:
+        """Ask one instance for its bundle."""
+        with trio.move_on_after(_PEER_TIMEOUT_S):
+            try:
+                sent = await self.ports.peers.fetch_bundle(effect.address)
+            except UnavailableError:
+                return
+            if sent is not None:
+                self.post(ev.BundleFetched(0, sent.number, sent.approved))
+
     async def mark_in_force(self, effect: fx.MarkInForce) -> None:
         """Note in the table that all hold a bundle; a failure is retried."""
         with trio.move_on_after(_TABLE_TIMEOUT_S):
@@ -637,6 +661,11 @@
     shell.verify_bundle(effect)
 
 
+@perform.register
+def _(effect: fx.FetchBundle, shell: Shell) -> None:
+    shell.start(shell.fetch_bundle, effect)
+
+
 @perform.register
 def _(effect: fx.MarkInForce, shell: Shell) -> None:
     shell.start(shell.mark_in_force, effect)
--- a/src/tulippin/state.py
+++ b/src/tulippin/state.py
@@ -46,6 +46,7 @@
     instance_id: str
     failure_domain: str
     peer_address: str
+    peer_seeds: tuple[str, ...] = ()
     lease_ms: int = 5000
     lease_margin_ms: int = 500
     renew_every_ms: int = 1250
--- /dev/null
+++ b/src/tulippin/workers_http.py
@@ -0,0 +1,102 @@
+"""Workers and the services on them over HTTP: the one adapter."""
+
+from __future__ import annotations
+
+import typing as t
+import urllib.parse
+
+import attrs
+
+from tulippin import codec
+from tulippin._http_client import HttpAnswer, HttpClient
+from tulippin.exceptions import (
+    AnswerLostError,
+    FencedError,
+    UnavailableError,
+)
+from tulippin.messages import RequestOutcome, ServiceRequest
+from tulippin.ports import EndpointReply
+from tulippin.types import OutcomeKind
+from tulippin.worker_types import WorkerReport, WorkerSync
+
+REQUEST_ID_HEADER: t.Final = 'x-request-id'
+EPOCH_HEADER: t.Final = 'x-owner-epoch'
+NOT_RUN_HEADER: t.Final = 'x-not-run'
+LEAVING_HEADER: t.Final = 'x-leaving'
+_OK: t.Final = 200
+_CONFLICT: t.Final = 409
+_FIRST_ERROR: t.Final = 400
+
+
+@attrs.frozen
+class HttpWorkers:
+    """The platform's agents on the workers."""
+
+    client: HttpClient
+
+    async def sync(self, address: str, message: WorkerSync) -> WorkerReport:
+        """Send a sync and return the report."""
+        answer = await self.client.send(
+            'POST', f'http://{address}/sync', codec.encode(message)
+        )
+        if answer.status == _CONFLICT:
+            raise FencedError('a higher epoch is at work')
+        if answer.status != _OK:
+            raise UnavailableError(f'the worker answers {answer.status}')
+        return codec.decode(answer.body, WorkerReport)
+
+
+@attrs.frozen
+class HttpEndpoints:
+    """The services' tasks, by their worker's address."""
+
+    client: HttpClient
+
+    async def call(
+        self, address: str, request: ServiceRequest, epoch: int
+    ) -> EndpointReply:
+        """Send one request, once; a broken answer is never whole."""
+        service = urllib.parse.quote(request.service, safe='')
+        headers = {
+            REQUEST_ID_HEADER: request.request_id,
+            EPOCH_HEADER: str(epoch),
+        }
+        try:
+            answer = await self.client.send(
+                'POST',
+                f'http://{address}/services/{service}',
+                request.body.encode(),
+                headers,
+            )
+        except AnswerLostError:
+            outcome = RequestOutcome(OutcomeKind.UNKNOWN, 'broken')
+            return EndpointReply(outcome)
+        except UnavailableError:
+            outcome = RequestOutcome(OutcomeKind.NOT_RUN, 'refused')
+            return EndpointReply(outcome)
+        return _read_reply(answer, request)
+
+
+def _read_reply(answer: HttpAnswer, request: ServiceRequest) -> EndpointReply:
+    leaving = LEAVING_HEADER in answer.headers
+    refusal = answer.headers.get(NOT_RUN_HEADER)
+    if refusal is not None:
+        outcome = RequestOutcome(OutcomeKind.NOT_RUN, refusal)
+    elif answer.headers.get(REQUEST_ID_HEADER) != request.request_id:
+        # Not the answer to this request: what became of it is not known.
+        outcome = RequestOutcome(OutcomeKind.UNKNOWN, 'mismatched')
+    elif answer.status >= _FIRST_ERROR:
+        outcome = RequestOutcome(
+            OutcomeKind.FAILED,
+            'endpoint_error',
+            answer.status,
+            answer.body.decode(errors='replace'),
+        )
+    else:
+        outcome = RequestOutcome(
+            OutcomeKind.ANSWERED,
+            '',
+            answer.status,
+            answer.body.decode(errors='replace'),
+        )
+    return EndpointReply(outcome, leaving)
