--- a/src/tulippin/_fake_platform.py
+++ b/src/tulippin/_fake_platform.py
@@ -52,6 +52,8 @@
         Time that each call takes, half before and half after its effect.
     lost_answer_share : float
         Share of writes that take effect and lose their answer.
+    lost_call_share : float
+        Share of writes that are lost on the way, which looks the same.
     cut_off : set of str
         Clients that cannot reach the store.
     """
@@ -59,6 +61,7 @@
     down: bool = False
     delay_s: float = 0.002
     lost_answer_share: float = 0.0
+    lost_call_share: float = 0.0
     cut_off: set[str] = attrs.field(factory=set)
 
 
@@ -74,6 +77,11 @@
         if self.faults.down or client in self.faults.cut_off:
             raise UnavailableError('the store does not answer')
 
+    def lose_call(self) -> None:
+        """Lose a write on its way, by chance."""
+        if self.source.random() < self.faults.lost_call_share:
+            raise AnswerLostError('the call is lost')
+
     async def leave(self, client: str, *, wrote: bool) -> None:
         """Pass an answer out, or lose it."""
         await trio.sleep(self.faults.delay_s / 2)
@@ -122,6 +130,7 @@
     ) -> int:
         """Apply all writes if all conditions hold."""
         await self.enter(client)
+        self.lose_call()
         self.meter.count_write(len(writes))
         version = self.apply(conditions, writes)
         await self.leave(client, wrote=True)
--- a/src/tulippin/_fake_worker.py
+++ b/src/tulippin/_fake_worker.py
@@ -36,8 +36,9 @@
     ----------
     fails_everything : bool
         Every task that starts here fails at once.
-    truncate_share, late_share : float
-        Share of answers that are cut short, and that come too late.
+    truncate_share, swap_share, late_share : float
+        Share of answers that are cut short, that are another request's,
+        and that come too late.
     use_ratio : float
         What tasks really use, over what they declare.
     report_lag_ms : int
@@ -48,6 +49,8 @@
 
     fails_everything: bool = False
     truncate_share: float = 0.0
+    swap_share: float = 0.0
+    break_share: float = 0.0
     late_share: float = 0.0
     late_s: float = 5.0
     use_ratio: float = 1.0
@@ -94,6 +97,7 @@
     sequence: int = 0
     runs: dict[tuple[str, int], Run] = attrs.field(factory=dict)
     busy_slots: int = 0
+    last_reply: EndpointReply | None = None
     usage_history: list[tuple[int, tuple[UsageSample, ...]]] = attrs.field(
         factory=list
     )
@@ -352,12 +356,25 @@
             self.busy_slots = max(0, self.busy_slots - 1)
         if not self.alive:
             raise UnavailableError('the worker died')
-        if self.source.random() < self.faults.truncate_share:
-            raise UnavailableError('the answer was cut short')
+        if self.source.random() < self.faults.break_share:
+            raise UnavailableError('the connection broke')
+        return self._make_reply(request)
+
+    def _make_reply(self, request: ServiceRequest) -> EndpointReply:
         body = f'{request.service}:{request.request_id}:{request.body}'
-        return EndpointReply(
-            RequestOutcome(OutcomeKind.ANSWERED, '', _OK, body)
+        reply = EndpointReply(
+            RequestOutcome(OutcomeKind.ANSWERED, '', _OK, body),
+            self.leaving,
+            request.request_id,
+            len(body.encode()),
         )
+        last, self.last_reply = self.last_reply, reply
+        if self.source.random() < self.faults.swap_share and last:
+            return last
+        if self.source.random() < self.faults.truncate_share:
+            short = attrs.evolve(reply.outcome, body=body[: len(body) // 2])
+            return attrs.evolve(reply, outcome=short)
+        return reply
 
     def _find_refusal(self, request: ServiceRequest, epoch: int) -> str:
         if epoch < self.epoch:
--- a/src/tulippin/_homes.py
+++ b/src/tulippin/_homes.py
@@ -315,6 +315,7 @@
         if epoch == offer.cell_epoch:
             context.send_owner(offer.cell, message)
             return
+    keeps = context.state.config.seams.checkpoints
     if epoch == offer.cell_epoch:
         message = TaskOffered(
             offer.cell,
@@ -322,7 +323,7 @@
             offer.task,
             job.spec,
             home.epoch,
-            task.checkpoint,
+            task.checkpoint if keeps else '',
         )
     else:
         message = TaskAsked(offer.cell, offer.task, home.epoch)
--- a/src/tulippin/_membership.py
+++ b/src/tulippin/_membership.py
@@ -272,7 +272,8 @@
 def _(event: PeerReceived, context: Context) -> None:
     state = context.state
     last = state.heard_sequences.get(event.session_id, 0)
-    if event.sequence <= last or event.session_id in state.ended_sessions:
+    ended = event.session_id in state.ended_sessions
+    if event.sequence <= last or (ended and state.config.seams.fencing):
         return
     state.heard_sequences[event.session_id] = event.sequence
     peer = state.peers.get(event.session_id)
--- a/src/tulippin/_requests.py
+++ b/src/tulippin/_requests.py
@@ -426,11 +426,12 @@
     ticket = context.state.tickets.get(event.dispatch_id)
     if ticket is None or ticket.stage is not Stage.SENT:
         return
+    outcome = _check_answer(context, ticket, event)
     found = _workers.find_worker(context, ticket.worker_id)
     if found is not None:
         cell, worker = found
         sent = worker.dispatched.pop(ticket.ticket, None)
-        if event.outcome.kind is OutcomeKind.UNKNOWN and sent is not None:
+        if outcome.kind is OutcomeKind.UNKNOWN and sent is not None:
             # The endpoint may still hold the slot; the next report tells.
             worker.foreign_busy += 1
             worker.dirty = True
@@ -438,11 +439,28 @@
             worker.leaving = True
             worker.dirty = True
         observe_request(context, cell, worker, ticket, event)
-    _finish(context, ticket, event.outcome)
+    _finish(context, ticket, outcome)
     if found is not None:
         pump_worker(context, cell, worker)
 
 
+def _check_answer(
+    context: Context, ticket: Ticket, event: EndpointReplied
+) -> RequestOutcome:
+    """Return the outcome, unknown if the answer is not whole or not ours."""
+    outcome = event.outcome
+    seams = context.state.config.seams
+    if outcome.kind is OutcomeKind.UNKNOWN and not seams.not_run_proof:
+        return _not_run('broken')
+    if outcome.kind is not OutcomeKind.ANSWERED or not seams.answer_match:
+        return outcome
+    if event.request_id != ticket.request.request_id:
+        return _unknown('mismatched')
+    if event.body_bytes != len(outcome.body.encode()):
+        return _unknown('truncated')
+    return outcome
+
+
 # --- outcomes ---------------------------------------------------------------
 
 
--- a/src/tulippin/_units.py
+++ b/src/tulippin/_units.py
@@ -49,7 +49,8 @@
             own,
             unit.epoch,
         ):
-            drop_unit(context, unit)
+            if state.config.seams.fencing:
+                drop_unit(context, unit)
     if not context.may_act:
         return
     for name, holder in ownership.units.items():
@@ -429,7 +430,8 @@
     unwritten = bool(journal.pending or journal.in_flight)
     peers = [peer for peer in state.peers.values() if not peer.leaving]
     owned = bool(peers) and any(True for _ in state.iter_units())
-    if (busy or unwritten or owned) and not expired:
+    waits = state.config.seams.stop_drain and not expired
+    if (busy or unwritten or owned) and waits:
         return
     state.session.standing = Standing.LEFT
     context.emit(fx.CloseSession(state.session.session_id))
--- a/src/tulippin/_workers.py
+++ b/src/tulippin/_workers.py
@@ -11,7 +11,13 @@
 from tulippin.events import WorkerFailed, WorkerSynced
 from tulippin.ledger import AttemptEntry
 from tulippin.records import AttemptEnded
-from tulippin.state import CellState, Phase, Standing, WorkerState
+from tulippin.state import (
+    CellState,
+    Phase,
+    Seams,
+    Standing,
+    WorkerState,
+)
 from tulippin.types import JobKind, Resources, TaskOutcome, WorkerStanding
 from tulippin.worker_types import (
     AttemptKey,
@@ -69,8 +75,10 @@
     worker.stopping.pop(task_id, None)
 
 
-def is_leaving(worker: WorkerState) -> bool:
+def is_leaving(worker: WorkerState, seams: Seams) -> bool:
     """Tell whether a worker is to get nothing new."""
+    if not seams.drain:
+        return False
     listed = worker.info.standing is WorkerStanding.LEAVING
     return worker.leaving or worker.absent or listed
 
@@ -89,17 +97,15 @@
     return (
         is_fresh(context, worker)
         and not worker.lost
-        and not is_leaving(worker)
+        and not is_leaving(worker, context.state.config.seams)
         and context.now_ms >= worker.quarantined_until_ms
     )
 
 
 def is_serving(context: Context, worker: WorkerState) -> bool:
     """Tell whether a worker may get new requests."""
-    if not context.state.config.seams.drain:
-        return is_fresh(context, worker)
     return (
-        is_fresh(context, worker) and not worker.lost and not is_leaving(worker)
+        is_fresh(context, worker) and not worker.lost and not is_leaving(worker, context.state.config.seams)
     )
 
 
@@ -127,7 +133,7 @@
             send_sync(context, cell, worker)
         if _is_lapsed(context, worker):
             _give_up(context, cell, worker)
-        elif is_leaving(worker) and context.may_act:
+        elif is_leaving(worker, context.state.config.seams) and context.may_act:
             _drain(context, cell, worker)
 
 
--- a/src/tulippin/events.py
+++ b/src/tulippin/events.py
@@ -196,6 +196,8 @@
     outcome: RequestOutcome
     elapsed_ms: float = 0.0
     endpoint_leaving: bool = False
+    request_id: str = ''
+    body_bytes: int = 0
 
 
 @attrs.frozen
--- a/src/tulippin/ports.py
+++ b/src/tulippin/ports.py
@@ -98,10 +98,24 @@
 
 @attrs.frozen
 class EndpointReply:
-    """What came of one request sent to an endpoint."""
+    """What came of one request sent to an endpoint.
+
+    Parameters
+    ----------
+    outcome : RequestOutcome
+        The outcome, with the body as far as it came.
+    leaving : bool
+        The endpoint says that it is leaving.
+    request_id : str
+        The request that the answer names as its own.
+    body_bytes : int
+        The length that the answer gives for its body.
+    """
 
     outcome: RequestOutcome
     leaving: bool = False
+    request_id: str = ''
+    body_bytes: int = 0
 
 
 class Endpoints(t.Protocol):
--- a/src/tulippin/shell.py
+++ b/src/tulippin/shell.py
@@ -28,7 +28,7 @@
     RequestOutcome,
     ServiceRequest,
 )
-from tulippin.ports import Envelope, Ports
+from tulippin.ports import EndpointReply, Envelope, Ports
 from tulippin.state import Config, State
 from tulippin.store import (
     SessionStore,
@@ -300,7 +300,7 @@
             self.ports.objects,
             session_id,
             self.config.journal_ring,
-            self.config.seams.read_back,
+            self.config.seams,
         )
         sent_ms = self.clock()
         lease = self._make_lease(
@@ -523,17 +523,21 @@
     async def call_endpoint(self, effect: fx.CallEndpoint) -> None:
         """Send one request to an endpoint, once."""
         began = trio.current_time()
-        outcome = RequestOutcome(OutcomeKind.UNKNOWN, 'timeout')
-        leaving = False
+        reply = EndpointReply(RequestOutcome(OutcomeKind.UNKNOWN, 'timeout'))
         with trio.move_on_after(effect.timeout_ms / _MS):
             reply = await self.ports.endpoints.call(
                 effect.address, effect.request, effect.epoch
             )
-            outcome, leaving = reply.outcome, reply.leaving
         elapsed_ms = (trio.current_time() - began) * _MS
         self.post(
             ev.EndpointReplied(
-                0, effect.dispatch_id, outcome, elapsed_ms, leaving
+                0,
+                effect.dispatch_id,
+                reply.outcome,
+                elapsed_ms,
+                reply.leaving,
+                reply.request_id,
+                reply.body_bytes,
             )
         )
 
--- a/src/tulippin/standins.py
+++ b/src/tulippin/standins.py
@@ -166,6 +166,7 @@
         if outcome.kind is OutcomeKind.NOT_RUN:
             headers[NOT_RUN_HEADER] = outcome.code
             return Response(b'', _UNAVAILABLE, headers)
+        headers[REQUEST_ID_HEADER] = reply.request_id
         return Response(outcome.body.encode(), outcome.status, headers)
 
 
--- a/src/tulippin/state.py
+++ b/src/tulippin/state.py
@@ -26,17 +26,45 @@
 
 @attrs.frozen
 class Seams:
-    """Safeguards that only tests switch off, to see the checker object."""
+    """Safeguards that only tests switch off, to see the checker object.
+
+    Parameters
+    ----------
+    fencing : bool
+        A session that is revoked or lapsed stops acting.
+    read_back : bool
+        A write whose answer is lost is read back; off: taken for done.
+    lease_wait : bool
+        A silent worker's tasks wait until its leases surely lapsed.
+    deduplication : bool
+        The id of a non-repeatable request runs once.
+    drain : bool
+        A leaving worker gets nothing new.
+    stop_drain : bool
+        A planned stop waits for what is in progress.
+    capacity : bool
+        Only workers with room get an attempt.
+    bundle_order : bool
+        A lower bundle is never taken.
+    not_run_proof : bool
+        A broken call is unknown; off: it is told as not run.
+    answer_match : bool
+        An answer is held against its request and its length.
+    checkpoints : bool
+        The next attempt begins from the last one's checkpoint.
+    """
 
     fencing: bool = True
     read_back: bool = True
     lease_wait: bool = True
     deduplication: bool = True
     drain: bool = True
+    stop_drain: bool = True
     capacity: bool = True
     bundle_order: bool = True
     not_run_proof: bool = True
-    attempt_match: bool = True
+    answer_match: bool = True
+    checkpoints: bool = True
 
 
 @attrs.frozen
--- a/src/tulippin/store.py
+++ b/src/tulippin/store.py
@@ -20,6 +20,7 @@
 from tulippin.ledger import CellLedger, Ledger, RangeLedger, apply
 from tulippin.ports import Condition, Objects, Row, Table, Write
 from tulippin.records import UnitRecord
+from tulippin.state import Seams
 from tulippin.types import Holder, LeaseRow, Ownership, Source, is_cell
 
 _FIRST_PAUSE_S: t.Final = 0.05
@@ -88,7 +89,7 @@
         except AnswerLostError:
             uncertain = True
             if not read_back:
-                return Resolved(0)
+                return Resolved(1)
         except UnavailableError:
             await backoff.wait()
             continue
@@ -182,15 +183,15 @@
     ring : int
         Number of journal slots; a slot is used again only once a
         snapshot covers its row.
-    read_back : bool
-        Whether lost answers are resolved; only tests switch it off.
+    seams : Seams
+        Safeguards that only tests switch off.
     """
 
     table: Table
     objects: Objects
     session_id: str
     ring: int
-    read_back: bool = True
+    seams: Seams = Seams()
     session_version: int = 0
     slot_versions: dict[int, int] = attrs.field(factory=dict)
     snapshot_version: int = 0
@@ -249,11 +250,14 @@
         slot = sequence % self.ring
         key = slot_key(self.session_id, slot)
         value = f'{sequence}\n{codec.encode_records(records)}'
+        conditions = [Condition(key, self.slot_versions.get(slot, 0))]
+        if self.seams.fencing:
+            conditions.append(self._live())
         resolved = await commit_resolved(
             self.table,
-            [Condition(key, self.slot_versions.get(slot, 0)), self._live()],
+            conditions,
             [Write(key, value)],
-            read_back=self.read_back,
+            read_back=self.seams.read_back,
         )
         if not resolved.version:
             raise FencedError('the session was revoked')
--- a/src/tulippin/workers_http.py
+++ b/src/tulippin/workers_http.py
@@ -74,17 +74,14 @@
         except UnavailableError:
             outcome = RequestOutcome(OutcomeKind.NOT_RUN, 'refused')
             return EndpointReply(outcome)
-        return _read_reply(answer, request)
+        return _read_reply(answer)
 
 
-def _read_reply(answer: HttpAnswer, request: ServiceRequest) -> EndpointReply:
+def _read_reply(answer: HttpAnswer) -> EndpointReply:
     leaving = LEAVING_HEADER in answer.headers
     refusal = answer.headers.get(NOT_RUN_HEADER)
     if refusal is not None:
         outcome = RequestOutcome(OutcomeKind.NOT_RUN, refusal)
-    elif answer.headers.get(REQUEST_ID_HEADER) != request.request_id:
-        # Not the answer to this request: what became of it is not known.
-        outcome = RequestOutcome(OutcomeKind.UNKNOWN, 'mismatched')
     elif answer.status >= _FIRST_ERROR:
         outcome = RequestOutcome(
             OutcomeKind.FAILED,
@@ -99,4 +96,15 @@
             answer.status,
             answer.body.decode(errors='replace'),
         )
-    return EndpointReply(outcome, leaving)
+    return EndpointReply(
+        outcome,
+        leaving,
+        answer.headers.get(REQUEST_ID_HEADER, ''),
+        len(outcome.body.encode()) + _count_missing(answer),
+    )
+
+
+def _count_missing(answer: HttpAnswer) -> int:
+    """Return how many bytes the answer promised and did not bring."""
+    size = len(answer.body)
+    return int(answer.headers.get('content-length', size)) - size
