Send a non-repeatable request only for the opening that it made

Ruled out: duplicate delivery (sequences) and takeover (none happened). Change: an opening names its ticket.

--- a/src/tulippin/_fleet.py
+++ b/src/tulippin/_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import random
 import typing as t
 
@@ -10,8 +11,8 @@
 
 from tulippin._fake_platform import FakeDirectory, FakeObjects, FakeTable
 from tulippin._fake_worker import FakeWorker
-from tulippin.bundles import compute_digest, make_key, sign
 from tulippin.bundle_store import BundleStore
+from tulippin.bundles import compute_digest, make_key, sign
 from tulippin.events import BundleLearned, Event
 from tulippin.exceptions import FencedError, UnavailableError
 from tulippin.history import History
@@ -115,7 +116,7 @@
     ended: trio.Event = attrs.field(factory=trio.Event)
     calls: int = 0
 
-    # -- table and objects ---------------------------------------------------
+    # table and objects
 
     async def get(self, key: str) -> Row | None:
         """Return a row by way of this process's connection."""
@@ -368,7 +369,7 @@
         )
         return worker
 
-    # -- instances -------------------------------------------------------------
+    # instances
 
     def start_instance(self, instance_id: str) -> Process:
         """Start a process of an instance."""
@@ -467,7 +468,15 @@
         process.shell.stop()
         await process.ended.wait()
 
-    # -- the network's tricks ----------------------------------------------------
+    def note_hidden(self, worker_id: str, for_s: float) -> None:
+        """Note that some instances will not see a worker for a while."""
+        self.history.note(
+            'worker_hidden',
+            worker_id=worker_id,
+            until_ms=self.get_now_ms() + int(for_s * _MS),
+        )
+
+    # the network's tricks
 
     def repeat_sync(self, worker: FakeWorker, message: WorkerSync) -> None:
         """Deliver a sync again, later."""
@@ -500,10 +509,8 @@
         replies: list[EndpointReply] = []
 
         async def run() -> None:
-            try:
+            with contextlib.suppress(UnavailableError):
                 replies.append(await worker.call(request, epoch))
-            except UnavailableError:
-                pass
             done.set()
 
         self.nursery.start_soon(run)
@@ -512,7 +519,7 @@
             raise UnavailableError('the connection broke')
         return replies[0]
 
-    # -- callers and operators ---------------------------------------------------
+    # callers and operators
 
     async def request(
         self,
--- a/src/tulippin/_homes.py
+++ b/src/tulippin/_homes.py
@@ -214,9 +214,7 @@
     return index if index < job.spec.task_count else None
 
 
-def _spread(
-    job: JobEntry, views: dict[str, CellView]
-) -> dict[str, CellView]:
+def _spread(job: JobEntry, views: dict[str, CellView]) -> dict[str, CellView]:
     """Keep, for a service, the cells with room and the fewest of its tasks."""
     if job.spec.kind is not JobKind.SERVICE:
         return views
--- /dev/null
+++ b/src/tulippin/_network_effects.py
@@ -0,0 +1,139 @@
+"""Effects on peers, workers and endpoints, for one instance."""
+
+from __future__ import annotations
+
+import collections
+import typing as t
+
+import attrs
+import trio
+
+from tulippin import effects as fx
+from tulippin import events as ev
+from tulippin.exceptions import FencedError, UnavailableError
+from tulippin.messages import RequestOutcome
+from tulippin.ports import EndpointReply, Envelope
+from tulippin.types import OutcomeKind
+
+if t.TYPE_CHECKING:
+    from tulippin.shell import Shell
+
+_PEER_TIMEOUT_S: t.Final = 2.0
+_SYNC_TIMEOUT_S: t.Final = 2.0
+_PEER_PAUSE_S: t.Final = 0.2
+_PEER_BATCH: t.Final = 2000
+_PEER_QUEUE: t.Final = 50000
+_LINK_IDLE_S: t.Final = 60.0
+_MS: t.Final = 1000
+
+
+@attrs.define
+class PeerLink:
+    """Messages that wait for one peer, one envelope in flight."""
+
+    session_id: str
+    address: str
+    queue: collections.deque[t.Any] = attrs.field(factory=collections.deque)
+    sequence: int = 0
+    ready: trio.Event = attrs.field(factory=trio.Event)
+
+
+class NetworkEffects:
+    """Messages and calls of a shell.
+
+    Parameters
+    ----------
+    shell : Shell
+        Whose effects these are.
+    """
+
+    def __init__(self, shell: Shell) -> None:
+        self._shell = shell
+        self._links: dict[str, PeerLink] = {}
+
+    def send_peer(self, effect: fx.SendPeer) -> None:
+        """Queue messages for a peer."""
+        link = self._links.get(effect.session_id)
+        if link is None:
+            link = PeerLink(effect.session_id, effect.address)
+            self._links[effect.session_id] = link
+            self._shell.start(self._run_link, link)
+        if len(link.queue) < _PEER_QUEUE:
+            link.queue.extend(effect.messages)
+        link.ready.set()
+
+    async def _run_link(self, link: PeerLink) -> None:
+        idle_s = _LINK_IDLE_S
+        while True:
+            with trio.move_on_after(idle_s) as scope:
+                await link.ready.wait()
+            if scope.cancelled_caught and not link.queue:
+                self._links.pop(link.session_id, None)
+                return
+            link.ready = trio.Event()
+            while link.queue:
+                await self._send_batch(link)
+
+    async def _send_batch(self, link: PeerLink) -> None:
+        count = min(_PEER_BATCH, len(link.queue))
+        messages = tuple(link.queue.popleft() for _ in range(count))
+        link.sequence = max(link.sequence + 1, self._shell.clock())
+        envelope = Envelope(
+            self._shell.state.session.session_id,
+            self._shell.config.instance_id,
+            link.sequence,
+            messages,
+        )
+        delivered = False
+        with trio.move_on_after(_PEER_TIMEOUT_S):
+            try:
+                await self._shell.ports.peers.deliver(link.address, envelope)
+            except UnavailableError:
+                pass
+            else:
+                delivered = True
+        if not delivered:
+            self._shell.post(ev.PeerFailed(0, link.session_id, messages))
+            await trio.sleep(_PEER_PAUSE_S)
+
+    async def sync_worker(self, effect: fx.SyncWorker) -> None:
+        """Send a worker its sync and take its report."""
+        sync = effect.sync
+        event: ev.Event = ev.WorkerFailed(
+            0, sync.worker_id, sync.epoch, sync.sequence
+        )
+        with trio.move_on_after(_SYNC_TIMEOUT_S):
+            try:
+                report = await self._shell.ports.workers.sync(
+                    effect.address, sync
+                )
+            except FencedError:
+                event = attrs.evolve(event, refused=True)
+            except UnavailableError:
+                pass
+            else:
+                event = ev.WorkerSynced(
+                    0, sync.worker_id, sync.epoch, sync.sequence, report
+                )
+        self._shell.post(event)
+
+    async def call_endpoint(self, effect: fx.CallEndpoint) -> None:
+        """Send one request to an endpoint, once."""
+        began = trio.current_time()
+        reply = EndpointReply(RequestOutcome(OutcomeKind.UNKNOWN, 'timeout'))
+        with trio.move_on_after(effect.timeout_ms / _MS):
+            reply = await self._shell.ports.endpoints.call(
+                effect.address, effect.request, effect.epoch
+            )
+        elapsed_ms = (trio.current_time() - began) * _MS
+        self._shell.post(
+            ev.EndpointReplied(
+                0,
+                effect.dispatch_id,
+                reply.outcome,
+                elapsed_ms,
+                reply.leaving,
+                reply.request_id,
+                reply.body_bytes,
+            )
+        )
--- a/src/tulippin/_placing.py
+++ b/src/tulippin/_placing.py
@@ -41,9 +41,7 @@
     return cell.workers[chosen.worker_id], reserved, policy_name
 
 
-def _spread(
-    spec: JobSpec, candidates: list[Candidate]
-) -> list[Candidate]:
+def _spread(spec: JobSpec, candidates: list[Candidate]) -> list[Candidate]:
     """Keep the workers with the fewest tasks of the same service."""
     counts = [
         candidate.services.get(spec.job_class, 0) for candidate in candidates
--- a/src/tulippin/_requests.py
+++ b/src/tulippin/_requests.py
@@ -250,7 +250,10 @@
         context.record(
             home,
             RequestOpened(
-                request_id, ticket.request.digest, context.state.wall_ms
+                request_id,
+                ticket.request.digest,
+                ticket.ticket,
+                context.state.wall_ms,
             ),
         )
 
@@ -293,8 +296,8 @@
 def _(record: RequestOpened, unit: RangeState, context: Context) -> None:
     number = unit.request_tickets.get(record.request_id, 0)
     ticket = context.state.tickets.get(number)
-    if ticket is None:
-        unit.request_tickets.pop(record.request_id, None)
+    if ticket is None or number != record.ticket:
+        # Given up before it was durable; its closing follows.
         return
     ticket.durable = True
     _route(context, ticket)
@@ -618,9 +621,7 @@
 def _expire(context: Context, ticket: Ticket) -> None:
     if ticket.stage is Stage.QUEUED:
         _finish(context, ticket, _not_run('deadline'))
-    elif ticket.stage is Stage.FORWARDED:
-        _finish(context, ticket, _unknown('deadline'))
-    elif ticket.stage is Stage.JOINED:
+    elif ticket.stage is Stage.FORWARDED or ticket.stage is Stage.JOINED:
         _finish(context, ticket, _unknown('deadline'))
     elif ticket.stage is Stage.OPENING:
         # It is not sent before its opening is durable: it did not run.
--- /dev/null
+++ b/src/tulippin/_soak.py
@@ -0,0 +1,526 @@
+"""Random faults over a whole fleet, with its history checked."""
+
+from __future__ import annotations
+
+import collections
+import enum
+import random
+import typing as t
+
+import attrs
+import trio
+
+from tulippin import codec
+from tulippin._fleet import Fleet, FleetSize, Process
+from tulippin.history import Violation, check_history
+from tulippin.messages import JobStatus
+from tulippin.types import (
+    SERVICE_PRIORITY,
+    URGENT_PRIORITY,
+    JobKind,
+    JobSpec,
+    Resources,
+    WorkerStanding,
+)
+
+_SERVICE: t.Final = 'alerts'
+_SETTLE_LIMIT_S: t.Final = 400.0
+_ANSWER_SLACK_MS: t.Final = 1000
+_CALL_DEADLINE_MS: t.Final = 2000
+_JOB_DEADLINE_MS: t.Final = 10000
+_BUNDLE: t.Final = (
+    '[bundle]\nname = {name}\n[trial]\npolicies = a, b\nwindow_s = 5\n'
+    'wash_out_s = 1\n[policy a]\nkind = interference\n'
+    '[policy b]\nkind = least_loaded\n[service alerts]\ntarget_ms = 20\n'
+)
+
+
+class FaultKind(enum.Enum):
+    """What goes wrong."""
+
+    CRASH = 'crash'
+    PAUSE = 'pause'
+    STOP = 'stop'
+    PEERS_CUT = 'peers_cut'
+    WORKER_CUT = 'worker_cut'
+    DOMAIN_CUT = 'domain_cut'
+    STORE_DOWN = 'store_down'
+    STORE_SLOW = 'store_slow'
+    STORE_CUT = 'store_cut'
+    LOST_ANSWERS = 'lost_answers'
+    NETWORK_NOISE = 'network_noise'
+    WORKER_CRASH = 'worker_crash'
+    WORKER_FAILS = 'worker_fails'
+    WORKER_LEAVES = 'worker_leaves'
+    BAD_ANSWERS = 'bad_answers'
+    CANCEL = 'cancel'
+    URGENT = 'urgent'
+    BUNDLE_RACE = 'bundle_race'
+
+
+@attrs.frozen
+class FaultStep:
+    """One fault: when, for how long, and to which of the candidates."""
+
+    kind: FaultKind
+    at_s: float
+    for_s: float
+    target: int
+
+
+@attrs.frozen
+class Scenario:
+    """A run: its seed, its faults and its size."""
+
+    seed: int
+    steps: tuple[FaultStep, ...]
+    run_s: float = 60.0
+    size: FleetSize = FleetSize(4, 3, 2)
+    caller_count: int = 3
+
+
+@attrs.define
+class SoakResult:
+    """What came of a run."""
+
+    violations: list[Violation]
+    event_count: int
+    entry_count: int
+    outcomes: collections.Counter[str]
+    unsettled: list[str]
+    hung: list[str]
+
+    @property
+    def clean(self) -> bool:
+        """Tell whether nothing is wrong."""
+        return not (self.violations or self.unsettled or self.hung)
+
+    def render(self) -> str:
+        """Return what is wrong, a line each."""
+        lines = [violation.render() for violation in self.violations]
+        lines.extend(f'not settled: {name}' for name in self.unsettled)
+        lines.extend(f'answered late: {name}' for name in self.hung)
+        return '\n'.join(lines)
+
+
+def make_scenario(seed: int, step_count: int = 6) -> Scenario:
+    """Return a scenario drawn from a seed, without hypothesis."""
+    source = random.Random(seed)
+    kinds = list(FaultKind)
+    steps = tuple(
+        FaultStep(
+            source.choice(kinds),
+            round(source.uniform(3, 50), 2),
+            round(
+                source.choice((0.5, 2, 6, 12, 25)) * source.uniform(0.5, 1.5), 2
+            ),
+            source.randrange(1000),
+        )
+        for _ in range(step_count)
+    )
+    return Scenario(seed, steps)
+
+
+@attrs.define
+class _Soak:
+    """One run in progress."""
+
+    fleet: Fleet
+    scenario: Scenario
+    source: random.Random
+    stopped: bool = False
+    outcomes: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
+    accepted: set[str] = attrs.field(factory=set)
+    cancelled: set[str] = attrs.field(factory=set)
+    hung: list[str] = attrs.field(factory=list)
+    job_count: int = 0
+
+    # load
+
+    async def call(self, caller: int) -> None:
+        """Send requests, some of them again under the same id."""
+        number = 0
+        while not self.stopped:
+            number += 1
+            request_id = f'request-{caller}-{number}'
+            repeatable = self.source.random() < 0.5
+            again = 1 + (not repeatable and self.source.random() < 0.3)
+            for _ in range(again):
+                await self._call_once(request_id, repeatable)
+            await trio.sleep(self.source.random() * 0.2)
+
+    async def _call_once(self, request_id: str, repeatable: bool) -> None:
+        if not self.fleet.iter_live():
+            await trio.sleep(0.1)
+            return
+        began_ms = self.fleet.get_now_ms()
+        outcome = await self.fleet.request(
+            _SERVICE,
+            request_id=request_id,
+            repeatable=repeatable,
+            deadline_ms=_CALL_DEADLINE_MS,
+        )
+        took_ms = self.fleet.get_now_ms() - began_ms
+        if took_ms > _CALL_DEADLINE_MS + _ANSWER_SLACK_MS and not _was_paused(
+            self.fleet, began_ms
+        ):
+            self.hung.append(f'{request_id} after {took_ms} ms')
+        self.outcomes[outcome.kind.value] += 1
+
+    async def submit(self) -> None:
+        """Submit batch jobs of mixed sizes."""
+        while not self.stopped:
+            await self.submit_one(priority=0)
+            await trio.sleep(1 + self.source.random() * 3)
+
+    async def submit_one(self, priority: int) -> None:
+        """Submit one job and note whether it was accepted."""
+        self.job_count += 1
+        spec = JobSpec(
+            f'job-{self.job_count}',
+            'team',
+            JobKind.BATCH,
+            self.source.choice(('calm', 'noisy')),
+            self.source.randrange(1, 12),
+            Resources(self.source.choice((500, 1000, 3000)), 1024),
+            self.source.randrange(300, 9000),
+            priority,
+            50,
+        )
+        if not self.fleet.iter_live():
+            return
+        code = await self.fleet.submit(spec)
+        if code == 'ok':
+            self.accepted.add(spec.job_id)
+
+    # faults
+
+    async def play(self, step: FaultStep) -> None:
+        """Cause one fault at its time and end it."""
+        await trio.sleep(step.at_s)
+        await cause(step.kind, self, step)
+
+    def pick_process(self, step: FaultStep) -> Process | None:
+        """Return the process that a step is about."""
+        live = self.fleet.iter_live()
+        return live[step.target % len(live)] if live else None
+
+    def pick_worker(self, step: FaultStep) -> str:
+        """Return the worker that a step is about."""
+        names = sorted(self.fleet.workers)
+        return names[step.target % len(names)]
+
+    async def cut(self, one: str, other: str, for_s: float) -> None:
+        """Cut two names off from each other for a while."""
+        pair = frozenset((one, other))
+        for worker_id in self.fleet.workers:
+            domain = self.fleet.network.domains[worker_id]
+            if {worker_id, domain} & pair:
+                self.fleet.note_hidden(worker_id, for_s)
+        self.fleet.network.faults.cut.add(pair)
+        await trio.sleep(for_s)
+        self.fleet.network.faults.cut.discard(pair)
+
+    # the end
+
+    async def settle(self) -> list[str]:
+        """End all faults and wait until all accepted work is done."""
+        fleet = self.fleet
+        for store in (fleet.table, fleet.objects):
+            store.faults = attrs.evolve(
+                store.faults,
+                down=False,
+                delay_s=0.002,
+                lost_answer_share=0.0,
+                lost_call_share=0.0,
+                cut_off=set(),
+            )
+        fleet.network.faults = type(fleet.network.faults)()
+        for number in range(self.scenario.size.instance_count):
+            process = fleet.find_process(f'instance-{number}')
+            if process is None:
+                fleet.start_instance(f'instance-{number}')
+            else:
+                process.gate.open()
+        for worker in fleet.workers.values():
+            worker.faults = type(worker.faults)()
+            worker.leaving = False
+            if not worker.alive:
+                worker.restart(f'end-{self.source.random()}')
+        unsettled: list[str] = ['not asked']
+        with trio.move_on_after(_SETTLE_LIMIT_S):
+            while unsettled:
+                await trio.sleep(1)
+                unsettled = await self._find_unsettled()
+        return unsettled
+
+    async def _find_unsettled(self) -> list[str]:
+        shells = [process.shell for process in self.fleet.iter_live()]
+        if not shells:
+            return ['nobody is live']
+        answer = await shells[0].report('jobs:')
+        jobs = {
+            job.spec.job_id: job
+            for body in answer.bodies
+            for job in codec.decode(body, list[JobStatus])
+        }
+        found = [
+            f'{name} is lost' for name in sorted(self.accepted - set(jobs))
+        ]
+        for name, job in sorted(jobs.items()):
+            if job.spec.kind is JobKind.SERVICE:
+                continue
+            if job.state not in {'done', 'cancelled'}:
+                found.append(f'{name} is {job.state}')
+            elif job.state == 'done' and job.done_count < job.spec.task_count:
+                found.append(f'{name} did {job.done_count} tasks')
+        return found
+
+
+def _was_paused(fleet: Fleet, since_ms: int) -> bool:
+    return any(
+        entry.details['until_ms'] >= since_ms
+        for entry in fleet.history.iter_kind('disturbed')
+    )
+
+
+Cause = t.Callable[[_Soak, FaultStep], t.Awaitable[None]]
+
+_CAUSES: dict[FaultKind, Cause] = {}
+
+
+def _causes(kind: FaultKind) -> t.Callable[[Cause], Cause]:
+    def register(function: Cause) -> Cause:
+        _CAUSES[kind] = function
+        return function
+
+    return register
+
+
+async def cause(kind: FaultKind, soak: _Soak, step: FaultStep) -> None:
+    """Cause one fault."""
+    await _CAUSES[kind](soak, step)
+
+
+@_causes(FaultKind.CRASH)
+async def _crash(soak: _Soak, step: FaultStep) -> None:
+    process = soak.pick_process(step)
+    if process is None:
+        return
+    soak.fleet.crash(process.instance_id)
+    await process.ended.wait()
+    await trio.sleep(step.for_s)
+    if soak.fleet.find_process(process.instance_id) is None:
+        soak.fleet.start_instance(process.instance_id)
+
+
+@_causes(FaultKind.STOP)
+async def _stop(soak: _Soak, step: FaultStep) -> None:
+    process = soak.pick_process(step)
+    if process is None:
+        return
+    await soak.fleet.stop(process.instance_id)
+    await trio.sleep(step.for_s)
+    if soak.fleet.find_process(process.instance_id) is None:
+        soak.fleet.start_instance(process.instance_id)
+
+
+@_causes(FaultKind.PAUSE)
+async def _pause(soak: _Soak, step: FaultStep) -> None:
+    process = soak.pick_process(step)
+    if process is not None:
+        await soak.fleet.pause(process.instance_id, step.for_s)
+
+
+@_causes(FaultKind.PEERS_CUT)
+async def _cut_peers(soak: _Soak, step: FaultStep) -> None:
+    count = soak.scenario.size.instance_count
+    one, other = step.target % count, (step.target // count) % count
+    await soak.cut(f'instance-{one}', f'instance-{other}', step.for_s)
+
+
+@_causes(FaultKind.WORKER_CUT)
+async def _cut_worker(soak: _Soak, step: FaultStep) -> None:
+    worker_id = soak.pick_worker(step)
+    async with trio.open_nursery() as nursery:
+        for number in range(soak.scenario.size.instance_count):
+            if step.target % 2 or number != step.target % 3:
+                nursery.start_soon(
+                    soak.cut, f'instance-{number}', worker_id, step.for_s
+                )
+
+
+@_causes(FaultKind.DOMAIN_CUT)
+async def _cut_domain(soak: _Soak, step: FaultStep) -> None:
+    one = f'domain-{step.target % 3}'
+    other = f'domain-{(step.target + 1) % 3}'
+    await soak.cut(one, other, step.for_s)
+
+
+async def _set_stores(soak: _Soak, step: FaultStep, **changes: t.Any) -> None:
+    stores = (soak.fleet.table, soak.fleet.objects)
+    soak.fleet.history.note(
+        'disturbed',
+        until_ms=soak.fleet.get_now_ms() + int(step.for_s * 1000),
+    )
+    olds = []
+    for store in stores:
+        olds.append({name: getattr(store.faults, name) for name in changes})
+        for name, value in changes.items():
+            setattr(store.faults, name, value)
+    await trio.sleep(step.for_s)
+    for store, old in zip(stores, olds, strict=True):
+        for name, value in old.items():
+            setattr(store.faults, name, value)
+
+
+@_causes(FaultKind.STORE_DOWN)
+async def _down_store(soak: _Soak, step: FaultStep) -> None:
+    await _set_stores(soak, step, down=True)
+
+
+@_causes(FaultKind.STORE_SLOW)
+async def _slow_store(soak: _Soak, step: FaultStep) -> None:
+    await _set_stores(soak, step, delay_s=0.2 + step.target % 30 / 10)
+
+
+@_causes(FaultKind.LOST_ANSWERS)
+async def _lose_answers(soak: _Soak, step: FaultStep) -> None:
+    await _set_stores(soak, step, lost_answer_share=0.2, lost_call_share=0.2)
+
+
+@_causes(FaultKind.STORE_CUT)
+async def _cut_store(soak: _Soak, step: FaultStep) -> None:
+    process = soak.pick_process(step)
+    if process is None:
+        return
+    name = process.instance_id
+    soak.fleet.history.note(
+        'disturbed',
+        until_ms=soak.fleet.get_now_ms() + int(step.for_s * 1000),
+    )
+    for store in (soak.fleet.table, soak.fleet.objects):
+        store.faults.cut_off.add(name)
+    await trio.sleep(step.for_s)
+    for store in (soak.fleet.table, soak.fleet.objects):
+        store.faults.cut_off.discard(name)
+
+
+@_causes(FaultKind.NETWORK_NOISE)
+async def _make_noise(soak: _Soak, step: FaultStep) -> None:
+    faults = soak.fleet.network.faults
+    faults.duplicate_share, faults.late_share = 0.2, 0.05
+    faults.lost_share = 0.03
+    await trio.sleep(step.for_s)
+    faults.duplicate_share = faults.late_share = faults.lost_share = 0
+
+
+@_causes(FaultKind.WORKER_CRASH)
+async def _crash_worker(soak: _Soak, step: FaultStep) -> None:
+    worker = soak.fleet.workers[soak.pick_worker(step)]
+    if worker.alive:
+        worker.crash()
+        await trio.sleep(step.for_s)
+        worker.restart(f'after-{step.at_s}')
+
+
+@_causes(FaultKind.WORKER_FAILS)
+async def _fail_worker(soak: _Soak, step: FaultStep) -> None:
+    worker = soak.fleet.workers[soak.pick_worker(step)]
+    worker.faults.fails_everything = True
+    await trio.sleep(step.for_s)
+    worker.faults.fails_everything = False
+
+
+@_causes(FaultKind.WORKER_LEAVES)
+async def _leave_worker(soak: _Soak, step: FaultStep) -> None:
+    fleet = soak.fleet
+    worker_id = soak.pick_worker(step)
+    fleet.directory.set_standing(worker_id, WorkerStanding.LEAVING)
+    await trio.sleep(step.for_s)
+    fleet.directory.set_standing(worker_id, WorkerStanding.LIVE)
+
+
+@_causes(FaultKind.BAD_ANSWERS)
+async def _spoil_answers(soak: _Soak, step: FaultStep) -> None:
+    worker = soak.fleet.workers[soak.pick_worker(step)]
+    faults = worker.faults
+    faults.swap_share = faults.truncate_share = faults.break_share = 0.1
+    faults.late_share = 0.05
+    await trio.sleep(step.for_s)
+    faults.swap_share = faults.truncate_share = faults.break_share = 0
+    faults.late_share = 0
+
+
+@_causes(FaultKind.CANCEL)
+async def _cancel(soak: _Soak, step: FaultStep) -> None:
+    process = soak.pick_process(step)
+    names = sorted(soak.accepted - soak.cancelled)
+    if process is None or not names:
+        return
+    for name in names[-3:]:
+        soak.cancelled.add(name)
+        with trio.move_on_after(_JOB_DEADLINE_MS / 1000):
+            if process.shell is not None:
+                await process.shell.operate_job('cancel', name)
+
+
+@_causes(FaultKind.URGENT)
+async def _submit_urgent(soak: _Soak, step: FaultStep) -> None:
+    await soak.submit_one(URGENT_PRIORITY)
+
+
+@_causes(FaultKind.BUNDLE_RACE)
+async def _race_bundles(soak: _Soak, step: FaultStep) -> None:
+    async def roll(name: str) -> None:
+        try:
+            await soak.fleet.roll_bundle(_BUNDLE.format(name=name))
+        except Exception as error:
+            soak.outcomes[f'bundle {type(error).__name__}'] += 1
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(roll, f'one-{step.at_s}')
+        nursery.start_soon(roll, f'two-{step.at_s}')
+
+
+async def run_scenario(
+    scenario: Scenario, overrides: t.Mapping[str, t.Any] | None = None
+) -> SoakResult:
+    """Run a scenario under whatever clock trio has, and check it."""
+    source = random.Random(scenario.seed)
+    fleet = Fleet(scenario.size, scenario.seed, overrides)
+    async with fleet:
+        soak = _Soak(fleet, scenario, source)
+        await fleet.wait_ready()
+        await fleet.submit_surely(
+            JobSpec(
+                'service',
+                'team',
+                JobKind.SERVICE,
+                _SERVICE,
+                4,
+                Resources(500, 512),
+                0,
+                SERVICE_PRIORITY,
+            )
+        )
+        async with trio.open_nursery() as nursery:
+            for caller in range(scenario.caller_count):
+                nursery.start_soon(soak.call, caller)
+            nursery.start_soon(soak.submit)
+            for step in scenario.steps:
+                nursery.start_soon(soak.play, step)
+            await trio.sleep(scenario.run_s)
+            soak.stopped = True
+        unsettled = await soak.settle()
+        await trio.sleep(1)
+    return SoakResult(
+        check_history(fleet.history),
+        fleet.event_count,
+        len(fleet.history.entries),
+        soak.outcomes,
+        unsettled,
+        soak.hung,
+    )
--- a/src/tulippin/_units.py
+++ b/src/tulippin/_units.py
@@ -45,12 +45,11 @@
     own = state.session.session_id
     for unit in list(state.iter_units()):
         holder = ownership.units.get(unit.unit)
-        if holder is None or (holder.session_id, holder.epoch) != (
-            own,
-            unit.epoch,
-        ):
-            if state.config.seams.fencing:
-                drop_unit(context, unit)
+        held = holder is not None and (
+            (holder.session_id, holder.epoch) == (own, unit.epoch)
+        )
+        if not held and state.config.seams.fencing:
+            drop_unit(context, unit)
     if not context.may_act:
         return
     for name, holder in ownership.units.items():
--- a/src/tulippin/_workers.py
+++ b/src/tulippin/_workers.py
@@ -105,7 +105,9 @@
 def is_serving(context: Context, worker: WorkerState) -> bool:
     """Tell whether a worker may get new requests."""
     return (
-        is_fresh(context, worker) and not worker.lost and not is_leaving(worker, context.state.config.seams)
+        is_fresh(context, worker)
+        and not worker.lost
+        and not is_leaving(worker, context.state.config.seams)
     )
 
 
@@ -265,7 +267,7 @@
         return
     cell, worker = found
     if event.refused and event.epoch == cell.epoch:
-        from tulippin import _units  # noqa: PLC0415
+        from tulippin import _units
 
         # A higher epoch is at work: this instance was fenced here.
         if context.state.config.seams.fencing:
--- a/src/tulippin/cli.py
+++ b/src/tulippin/cli.py
@@ -86,9 +86,7 @@
 
     def open_client(self) -> ApiClient:
         """Return a client of the instance asked for."""
-        url = self.option('url') or os.environ.get(
-            'TULIPPIN_URL', _DEFAULT_URL
-        )
+        url = self.option('url') or os.environ.get('TULIPPIN_URL', _DEFAULT_URL)
         tls = make_tls_context(
             self.option('authority') or '',
             self.option('certificate') or '',
@@ -282,7 +280,9 @@
         *_API_OPTIONS,
         option('team', 't', 'The team that runs it.', flag=False),
         option('kind', 'k', 'batch or service.', flag=False, default='batch'),
-        option('job-class', 'c', 'Names jobs alike.', flag=False, default='batch'),
+        option(
+            'job-class', 'c', 'Names jobs alike.', flag=False, default='batch'
+        ),
         option('tasks', 'n', 'How many tasks.', flag=False, default='1'),
         option('cpu', None, 'Millicores a task.', flag=False, default='1000'),
         option('memory', None, 'MiB a task.', flag=False, default='1024'),
@@ -465,7 +465,7 @@
     def run_checked(self) -> None:
         """Run the demonstration and show the comparison."""
         # Loaded late: it brings every server with it.
-        from tulippin.demo import run_demo  # noqa: PLC0415
+        from tulippin.demo import run_demo
 
         seconds = get_number(str(self.option('seconds')), '--seconds')
         result = trio.run(run_demo, seconds, self.line)
@@ -519,9 +519,7 @@
     command.show_rows(('job', 'team', 'state', *counts), rows)
 
 
-def show_comparison(
-    command: BaseCommand, found: t.Mapping[str, t.Any]
-) -> None:
+def show_comparison(command: BaseCommand, found: t.Mapping[str, t.Any]) -> None:
     """Print a comparison."""
     heads = (
         'policy',
--- a/src/tulippin/client.py
+++ b/src/tulippin/client.py
@@ -112,8 +112,7 @@
     kind = _KINDS.get(status, TulippinError)
     if kind is InputError:
         findings = [
-            Finding(one.place, one.message, one.advice)
-            for one in body.findings
+            Finding(one.place, one.message, one.advice) for one in body.findings
         ]
         return InputError(body.message, findings, body.code)
     return kind(body.message, body.code)
--- a/src/tulippin/daemon.py
+++ b/src/tulippin/daemon.py
@@ -92,9 +92,7 @@
             return 'no units are known yet'
         return ''
 
-    async def run(
-        self, task_status: t.Any = trio.TASK_STATUS_IGNORED
-    ) -> None:
+    async def run(self, task_status: t.Any = trio.TASK_STATUS_IGNORED) -> None:
         """Run until a planned stop is complete."""
         async with contextlib.AsyncExitStack() as stack:
             await self._open(stack)
--- a/src/tulippin/demo.py
+++ b/src/tulippin/demo.py
@@ -155,9 +155,7 @@
             if not path:
                 body['text'] = text
             port = self.daemons[place % len(self.daemons)].operators_port
-            await self.send_checked(
-                port, 'POST', f'/v1/bundles{path}', body
-            )
+            await self.send_checked(port, 'POST', f'/v1/bundles{path}', body)
         self.standins.history.note('bundle_accepted', number=1)
         with trio.fail_after(_READY_LIMIT_S):
             for daemon in self.daemons:
@@ -268,8 +266,10 @@
         for second in range(seconds):
             await trio.sleep(1)
             if second % 5 == 4:
-                demo.say(f'  {second + 1} s: {sum(demo.statuses.values())}'
-                         f' requests, statuses {dict(demo.statuses)}')
+                demo.say(
+                    f'  {second + 1} s: {sum(demo.statuses.values())}'
+                    f' requests, statuses {dict(demo.statuses)}'
+                )
         demo.stopped = True
     port = demo.daemons[0].operators_port
     body = await demo.send_checked(port, 'GET', '/v1/compare')
--- a/src/tulippin/http_callers.py
+++ b/src/tulippin/http_callers.py
@@ -91,13 +91,17 @@
 
     def make_app(self) -> Starlette:
         """Return the application for the callers' listener."""
-        return make_app([
-            Route(
-                '/v1/services/{service}', self._call_service, methods=['POST']
-            ),
-            *self.make_job_routes(),
-            *make_health_routes(self._is_ready),
-        ])
+        return make_app(
+            [
+                Route(
+                    '/v1/services/{service}',
+                    self._call_service,
+                    methods=['POST'],
+                ),
+                *self.make_job_routes(),
+                *make_health_routes(self._is_ready),
+            ]
+        )
 
     def make_job_routes(self) -> list[Route]:
         """Return the routes for jobs, which operators have too."""
@@ -212,7 +216,11 @@
             high = _MAX_TASK_MILLICORES if most is None else most
             if not least <= number <= high:
                 findings.append(
-                    Finding(place, f'{number} is out of bounds', f'{least} to {high}')
+                    Finding(
+                        place,
+                        f'{number} is out of bounds',
+                        f'{least} to {high}',
+                    )
                 )
         if body.kind is JobKind.BATCH and body.run_ms == 0:
             findings.append(
--- a/src/tulippin/http_operators.py
+++ b/src/tulippin/http_operators.py
@@ -61,21 +61,27 @@
     def make_app(self) -> Starlette:
         """Return the application for the operators' listener."""
         number = '/v1/bundles/{number:int}'
-        return make_app([
-            Route('/v1/bundles', self._propose, methods=['POST']),
-            Route('/v1/bundles', self._list_bundles, methods=['GET']),
-            Route(number, self._show_bundle, methods=['GET']),
-            Route(f'{number}/{{action}}', self._step_bundle, methods=['POST']),
-            Route('/v1/workers', self._list_workers, methods=['GET']),
-            Route('/v1/instances', self._list_instances, methods=['GET']),
-            Route('/v1/compare', self._compare, methods=['GET']),
-            Route('/v1/compare.html', self._render_compare, methods=['GET']),
-            Route('/v1/dump', self._dump, methods=['GET']),
-            Route('/metrics', self._get_metrics, methods=['GET']),
-            Route('/openapi.json', self._get_openapi, methods=['GET']),
-            *self._callers.make_job_routes(),
-            *make_health_routes(self._is_ready),
-        ])
+        return make_app(
+            [
+                Route('/v1/bundles', self._propose, methods=['POST']),
+                Route('/v1/bundles', self._list_bundles, methods=['GET']),
+                Route(number, self._show_bundle, methods=['GET']),
+                Route(
+                    f'{number}/{{action}}', self._step_bundle, methods=['POST']
+                ),
+                Route('/v1/workers', self._list_workers, methods=['GET']),
+                Route('/v1/instances', self._list_instances, methods=['GET']),
+                Route('/v1/compare', self._compare, methods=['GET']),
+                Route(
+                    '/v1/compare.html', self._render_compare, methods=['GET']
+                ),
+                Route('/v1/dump', self._dump, methods=['GET']),
+                Route('/metrics', self._get_metrics, methods=['GET']),
+                Route('/openapi.json', self._get_openapi, methods=['GET']),
+                *self._callers.make_job_routes(),
+                *make_health_routes(self._is_ready),
+            ]
+        )
 
     # -- bundles -------------------------------------------------------------
 
@@ -182,4 +188,3 @@
     """Return the committed OpenAPI document."""
     place = importlib.resources.files('tulippin') / 'openapi.json'
     return place.read_bytes()
-
--- a/src/tulippin/logs.py
+++ b/src/tulippin/logs.py
@@ -20,15 +20,17 @@
 
 
 def _format_json(record: logbook.LogRecord, _: object) -> str:
-    return encode({
-        'time': f'{record.time.isoformat()}Z',
-        'level': record.level_name.lower(),
-        'instance': record.extra['instance'],
-        'failure_domain': record.extra['failure_domain'],
-        'channel': record.channel,
-        'message': record.message,
-        **record.kwargs,
-    }).decode()
+    return encode(
+        {
+            'time': f'{record.time.isoformat()}Z',
+            'level': record.level_name.lower(),
+            'instance': record.extra['instance'],
+            'failure_domain': record.extra['failure_domain'],
+            'channel': record.channel,
+            'message': record.message,
+            **record.kwargs,
+        }
+    ).decode()
 
 
 class LogSetup:
@@ -58,11 +60,13 @@
                 f' {name}={value}' for name, value in record.kwargs.items()
             )
 
-        self._setup = logbook.NestedSetup([
-            logbook.NullHandler(),
-            handler,
-            logbook.Processor(inject),
-        ])
+        self._setup = logbook.NestedSetup(
+            [
+                logbook.NullHandler(),
+                handler,
+                logbook.Processor(inject),
+            ]
+        )
 
     def __enter__(self) -> t.Self:
         """Begin to log."""
--- a/src/tulippin/plots.py
+++ b/src/tulippin/plots.py
@@ -20,7 +20,7 @@
 def render_svg(comparison: Comparison) -> str:
     """Return service tails, throughput and evictions as an SVG picture."""
     # Loaded late: it takes a second that only a report should pay.
-    from matplotlib.figure import Figure  # noqa: PLC0415
+    from matplotlib.figure import Figure
 
     figure = Figure(figsize=(9, 3.2), layout='constrained')
     axes = figure.subplots(1, 3)
--- a/src/tulippin/records.py
+++ b/src/tulippin/records.py
@@ -100,10 +100,15 @@
 
 @attrs.frozen
 class RequestOpened:
-    """A non-repeatable request is about to be sent, once ever."""
+    """A non-repeatable request is about to be sent, once ever.
+
+    ``ticket`` tells one opening of an id from another in the same
+    session: only the ticket that opened it may send it.
+    """
 
     request_id: str
     digest: str
+    ticket: int
     opened_ms: int = 0
 
 
--- a/src/tulippin/settings.py
+++ b/src/tulippin/settings.py
@@ -16,17 +16,19 @@
 
 _HEX_KEY: t.Final = re.compile('[0-9a-f]{64}')
 _MAX_PORT: t.Final = 65535
-_SECTIONS: t.Final = frozenset((
-    'instance',
-    'listen',
-    'platform',
-    'peers',
-    'operators',
-    'tls',
-    'log',
-    'limits',
-    'timing',
-))
+_SECTIONS: t.Final = frozenset(
+    (
+        'instance',
+        'listen',
+        'platform',
+        'peers',
+        'operators',
+        'tls',
+        'log',
+        'limits',
+        'timing',
+    )
+)
 
 
 @attrs.frozen
@@ -280,10 +282,12 @@
 
     def _read_limits(self) -> LimitSettings:
         reader = self._open('limits')
-        limits = LimitSettings(**{
-            field.name: reader.get_int(field.name, field.default, 1)
-            for field in attrs.fields(LimitSettings)
-        })
+        limits = LimitSettings(
+            **{
+                field.name: reader.get_int(field.name, field.default, 1)
+                for field in attrs.fields(LimitSettings)
+            }
+        )
         reader.close()
         return limits
 
--- a/src/tulippin/state.py
+++ b/src/tulippin/state.py
@@ -130,7 +130,7 @@
 
 @attrs.define
 class SessionState:
-    """This instance's session and lease."""
+    """The instance's own session and lease."""
 
     session_id: str = ''
     standing: Standing = Standing.OPENING
--- a/src/tulippin/store.py
+++ b/src/tulippin/store.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import typing as t
 
 import attrs
@@ -87,20 +88,30 @@
         try:
             version = await table.commit(conditions, writes)
         except AnswerLostError:
-            uncertain = True
             if not read_back:
                 return Resolved(1)
+            uncertain = True
+            version = 0
         except UnavailableError:
             await backoff.wait()
             continue
-        else:
-            if version or not uncertain:
-                return Resolved(version)
-        row = await read_row(table, writes[0].key)
-        if row is not None and row.value == writes[0].value:
-            return Resolved(row.version)
-        if _is_refuted(row, conditions, writes[0].key):
-            return Resolved(0)
+        if version or not uncertain:
+            return Resolved(version)
+        found = await _read_marker(table, conditions, writes[0])
+        if found is not None:
+            return found
+
+
+async def _read_marker(
+    table: Table, conditions: t.Sequence[Condition], marker: Write
+) -> Resolved | None:
+    """Read a marker back; nothing if the commit may yet take effect."""
+    row = await read_row(table, marker.key)
+    if row is not None and row.value == marker.value:
+        return Resolved(row.version)
+    if _is_refuted(row, conditions, marker.key):
+        return Resolved(0)
+    return None
 
 
 def _is_refuted(
@@ -293,10 +304,8 @@
     async def _delete(self, keys: t.Iterable[str]) -> None:
         """Delete objects; one that cannot be deleted now stays behind."""
         for key in keys:
-            try:
+            with contextlib.suppress(UnavailableError):
                 await self.objects.delete(key)
-            except UnavailableError:
-                continue
 
     async def write_ownership(
         self,
