Close three holes that the soak found in starts, refusals and cancels

Changes: a sync names the incarnation that its starts are for and leaves out attempts that are ending; tries are numbered and only the latest's refusal counts; the fold ignores what a cancellation overtook.

--- a/src/tulippin/_calls.py
+++ b/src/tulippin/_calls.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import attrs
+
 from tulippin import _homes
 from tulippin import effects as fx
 from tulippin._context import Context
@@ -51,13 +53,21 @@
 
 def _send(context: Context, call: JobCall) -> None:
     call.next_send_ms = context.now_ms + _JOB_RESEND_MS
+    call.message = attrs.evolve(
+        call.message, try_count=call.message.try_count + 1
+    )
     context.send_owner(call.message.unit, call.message)
 
 
 @receive.register
 def _(message: JobReturned, sender: str, context: Context) -> None:
-    call = context.state.job_calls.pop(message.call_id, None)
-    if call is not None:
+    call = context.state.job_calls.get(message.call_id)
+    if call is None:
+        return
+    latest = message.try_count == call.message.try_count
+    if message.reply.code == 'ok' or latest:
+        # An earlier try's refusal says nothing of the later ones.
+        del context.state.job_calls[message.call_id]
         context.emit(fx.AnswerJob(message.call_id, message.reply))
 
 
--- a/src/tulippin/_fake_platform.py
+++ b/src/tulippin/_fake_platform.py
@@ -136,13 +136,17 @@
         await self.leave(client, wrote=True)
         return version
 
+    def get_version(self, key: str) -> int:
+        """Return the version of a row, 0 if it is absent."""
+        row = self.rows.get(key)
+        return row.version if row is not None else 0
+
     def apply(
         self, conditions: t.Sequence[Condition], writes: t.Sequence[Write]
     ) -> int:
         """Apply a transaction at once; return its version or 0."""
         for condition in conditions:
-            row = self.rows.get(condition.key)
-            if (row.version if row else 0) != condition.version:
+            if self.get_version(condition.key) != condition.version:
                 return 0
         self.revision += 1
         for write in writes:
--- a/src/tulippin/_fake_worker.py
+++ b/src/tulippin/_fake_worker.py
@@ -149,8 +149,9 @@
         self._renew(message)
         for key in message.stop:
             self._stop(key)
-        for task in message.start:
-            self._start(task, message.lease_until_ms)
+        if message.incarnation == self.incarnation:
+            for task in message.start:
+                self._start(task, message.lease_until_ms)
         self._throttle(message.throttle)
         for key in message.forget:
             run = self.runs.get((key.task_id, key.attempt))
--- a/src/tulippin/_homes.py
+++ b/src/tulippin/_homes.py
@@ -46,6 +46,7 @@
 _SAMPLE_SIZE = 4
 _RETRY_MS = 1000
 _FAILED_RETRY_MS = 2000
+_STORE_RETRY_MS = 5000
 _DISPATCH_EVERY_MS = 100
 _EXPIRY_EVERY_MS = 60000
 _FRESH = -1
@@ -331,6 +332,9 @@
 @settle.register
 def _(record: TaskAssigned, unit: RangeState, context: Context) -> None:
     ref = TaskRef(record.job_id, record.index, record.attempt, unit.unit)
+    job = unit.ledger.jobs.get(record.job_id)
+    if job is None or record.index not in job.tasks:
+        return
     offer = OfferState(ref, record.cell, record.cell_epoch)
     unit.offers[ref.task_id] = offer
     holder = context.get_holder(record.cell)
@@ -425,13 +429,13 @@
 def _reply(
     context: Context,
     sender: str,
-    call_id: int,
+    message: JobForwarded,
     code: str,
     job: JobStatus | None = None,
-    retry_after_ms: int = 0,
 ) -> None:
-    reply = JobReply(code, job, retry_after_ms)
-    context.send(sender, JobReturned(call_id, reply))
+    retry_ms = _STORE_RETRY_MS if code == 'store_unavailable' else 0
+    reply = JobReply(code, job, retry_ms)
+    context.send(sender, JobReturned(message.call_id, reply, message.try_count))
 
 
 def _submit(
@@ -442,20 +446,18 @@
     job = home.ledger.jobs.get(message.job_id)
     if job is not None:
         code = 'ok' if job.digest == message.digest else 'job_id_reused'
-        _reply(context, sender, message.call_id, code, describe_job(job))
+        _reply(context, sender, message, code, describe_job(job))
         return
     waiters = home.job_waiters.get(message.job_id)
     if waiters is not None:
         waiters.append((sender, message))
         return
     if not context.store_ready:
-        _reply(
-            context, sender, message.call_id, 'store_unavailable', None, 5000
-        )
+        _reply(context, sender, message, 'store_unavailable')
         return
     code = _quotas.check_job(context, message.spec)
     if code:
-        _reply(context, sender, message.call_id, code)
+        _reply(context, sender, message, code)
         return
     home.job_waiters[message.job_id] = [(sender, message)]
     context.record(
@@ -477,7 +479,7 @@
     for sender, message in home.job_waiters.pop(job_id, ()):
         reused = message.action == 'submit' and message.digest != job.digest
         code = 'job_id_reused' if reused else 'ok'
-        _reply(context, sender, message.call_id, code, describe_job(job))
+        _reply(context, sender, message, code, describe_job(job))
 
 
 def _cancel(
@@ -485,15 +487,13 @@
 ) -> None:
     job = home.ledger.jobs.get(message.job_id)
     if job is None:
-        _reply(context, sender, message.call_id, 'unknown_job')
+        _reply(context, sender, message, 'unknown_job')
     elif job.cancelled or job.finished:
-        _reply(context, sender, message.call_id, 'ok', describe_job(job))
+        _reply(context, sender, message, 'ok', describe_job(job))
     elif message.job_id in home.job_waiters:
         home.job_waiters[message.job_id].append((sender, message))
     elif not context.store_ready:
-        _reply(
-            context, sender, message.call_id, 'store_unavailable', None, 5000
-        )
+        _reply(context, sender, message, 'store_unavailable')
     else:
         home.job_waiters[message.job_id] = [(sender, message)]
         context.record(home, JobCancelled(message.job_id))
@@ -534,9 +534,9 @@
 ) -> None:
     job = home.ledger.jobs.get(message.job_id)
     if job is None:
-        _reply(context, sender, message.call_id, 'unknown_job')
+        _reply(context, sender, message, 'unknown_job')
     else:
-        _reply(context, sender, message.call_id, 'ok', describe_job(job))
+        _reply(context, sender, message, 'ok', describe_job(job))
 
 
 def describe_job(job: JobEntry) -> JobStatus:
--- a/src/tulippin/_observing.py
+++ b/src/tulippin/_observing.py
@@ -80,8 +80,9 @@
     shares = [
         other.over_target_count / other.request_count
         for name, other in context.state.stats.policies.items()
-        if name != policy and name in trial.policies
-        if other.request_count >= least
+        if name != policy
+        and name in trial.policies
+        and other.request_count >= least
     ]
     if not shares or len(stopped) + 1 >= len(trial.policies):
         return
--- a/src/tulippin/_soak.py
+++ b/src/tulippin/_soak.py
@@ -345,8 +345,9 @@
 async def _cut_worker(soak: _Soak, step: FaultStep) -> None:
     worker_id = soak.pick_worker(step)
     async with trio.open_nursery() as nursery:
+        spared = None if step.target % 2 else step.target % 3
         for number in range(soak.scenario.size.instance_count):
-            if step.target % 2 or number != step.target % 3:
+            if number != spared:
                 nursery.start_soon(
                     soak.cut, f'instance-{number}', worker_id, step.for_s
                 )
@@ -421,6 +422,7 @@
 async def _crash_worker(soak: _Soak, step: FaultStep) -> None:
     worker = soak.fleet.workers[soak.pick_worker(step)]
     if worker.alive:
+        soak.fleet.note_hidden(worker.info.worker_id, step.for_s)
         worker.crash()
         await trio.sleep(step.for_s)
         worker.restart(f'after-{step.at_s}')
--- a/src/tulippin/_workers.py
+++ b/src/tulippin/_workers.py
@@ -197,10 +197,8 @@
     renew: list[AttemptKey] = []
     start: list[StartTask] = []
     stop = [AttemptKey(*key) for key in sorted(worker.orphans)]
-    for task_id in sorted(worker.attempts):
-        entry = cell.ledger.attempts.get(task_id)
-        if entry is None or entry.outcome is not None:
-            continue
+    for entry in _iter_kept(cell, worker):
+        task_id = entry.task.task_id
         key = AttemptKey(task_id, entry.task.attempt)
         if task_id in worker.stopping and len(stop) < config.stops_per_sync:
             stop.append(key)
@@ -216,6 +214,7 @@
         cell.epoch,
         worker.sequence,
         lease_until_ms,
+        worker.incarnation,
         tuple(renew),
         tuple(start),
         tuple(stop),
@@ -224,6 +223,18 @@
     )
 
 
+def _iter_kept(
+    cell: CellState, worker: WorkerState
+) -> t.Iterator[AttemptEntry]:
+    """Iterate over attempts that are to run here, none that is ending."""
+    for task_id in sorted(worker.attempts):
+        entry = cell.ledger.attempts.get(task_id)
+        if entry is None or entry.outcome is not None:
+            continue
+        if cell.ending.get(task_id) != entry.task.attempt:
+            yield entry
+
+
 def _make_throttles(
     cell: CellState, worker: WorkerState
 ) -> t.Iterator[AttemptKey]:
--- a/src/tulippin/http_operators.py
+++ b/src/tulippin/http_operators.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-import importlib.resources
 import typing as t
+from importlib import resources
 
 from starlette.applications import Starlette
 from starlette.requests import Request
@@ -186,5 +186,5 @@
 
 def read_openapi() -> bytes:
     """Return the committed OpenAPI document."""
-    place = importlib.resources.files('tulippin') / 'openapi.json'
+    place = resources.files('tulippin') / 'openapi.json'
     return place.read_bytes()
--- a/src/tulippin/ini.py
+++ b/src/tulippin/ini.py
@@ -8,8 +8,8 @@
 
 from tulippin.exceptions import Finding, InputError
 
-_TRUE: t.Final = frozenset(('yes', 'true', 'on', '1'))
-_FALSE: t.Final = frozenset(('no', 'false', 'off', '0'))
+_YES_WORDS: t.Final = frozenset(('yes', 'true', 'on', '1'))
+_NO_WORDS: t.Final = frozenset(('no', 'false', 'off', '0'))
 
 
 def read_ini(text: str, source: str) -> configparser.ConfigParser:
@@ -103,9 +103,9 @@
     def get_flag(self, key: str, *, default: bool) -> bool:
         """Return a yes or no."""
         text = self.get_text(key, 'yes' if default else 'no').lower()
-        if text not in _TRUE | _FALSE:
+        if text not in _YES_WORDS | _NO_WORDS:
             self.report(key, f'{text!r} is not yes or no', 'write yes or no')
-        return text in _TRUE
+        return text in _YES_WORDS
 
     def get_int(
         self,
--- a/src/tulippin/ledger.py
+++ b/src/tulippin/ledger.py
@@ -11,7 +11,6 @@
 import attrs
 
 from tulippin import records
-from tulippin.records import TaskRef
 from tulippin.types import JobSpec, OutcomeKind, Resources, TaskOutcome
 
 
@@ -19,7 +18,7 @@
 class AttemptEntry:
     """An attempt that a cell has placed and not yet forgotten."""
 
-    task: TaskRef
+    task: records.TaskRef
     spec: JobSpec
     worker_id: str
     incarnation: str
@@ -120,9 +119,9 @@
     job.cancelled = True
     job.cancelled_count += job.spec.task_count - job.fresh_index
     job.fresh_index = job.spec.task_count
-    for index in [key for key, task in job.tasks.items() if not task.assigned]:
-        del job.tasks[index]
-        job.cancelled_count += 1
+    kept = {key: task for key, task in job.tasks.items() if task.assigned}
+    job.cancelled_count += len(job.tasks) - len(kept)
+    job.tasks = kept
 
 
 @apply.register
@@ -132,11 +131,16 @@
 
 @apply.register
 def _(record: records.TaskAssigned, ledger: RangeLedger) -> None:
-    job = ledger.jobs[record.job_id]
+    job = ledger.jobs.get(record.job_id)
+    if job is None:
+        return
     if record.index >= job.fresh_index:
         job.fresh_index = record.index + 1
         job.tasks[record.index] = TaskEntry()
-    task = job.tasks[record.index]
+    task = job.tasks.get(record.index)
+    if task is None:
+        # A cancellation was recorded before this assignment.
+        return
     task.attempt = record.attempt
     task.cell = record.cell
     task.cell_epoch = record.cell_epoch
--- a/src/tulippin/messages.py
+++ b/src/tulippin/messages.py
@@ -152,7 +152,10 @@
 
 @attrs.frozen
 class JobForwarded:
-    """A caller's job operation on its way to the job's home."""
+    """A caller's job operation on its way to the job's home.
+
+    ``try_count`` rises each time that it is sent again.
+    """
 
     call_id: int
     unit: str
@@ -160,6 +163,7 @@
     job_id: str
     spec: JobSpec | None = None
     digest: str = ''
+    try_count: int = 0
 
 
 @attrs.frozen
@@ -187,10 +191,11 @@
 
 @attrs.frozen
 class JobReturned:
-    """The reply to a forwarded job operation."""
+    """The reply to one try of a forwarded job operation."""
 
     call_id: int
     reply: JobReply
+    try_count: int = 0
 
 
 @attrs.frozen
--- a/src/tulippin/peers_grpc.py
+++ b/src/tulippin/peers_grpc.py
@@ -6,8 +6,8 @@
 
 from __future__ import annotations
 
-import concurrent.futures
 import typing as t
+from concurrent import futures
 
 import attrs
 import grpc
@@ -217,7 +217,7 @@
 
     def __enter__(self) -> t.Self:
         """Begin to listen; must be called in the trio loop."""
-        pool = concurrent.futures.ThreadPoolExecutor(_THREADS)
+        pool = futures.ThreadPoolExecutor(_THREADS)
         self._server = grpc.server(pool, options=_OPTIONS)
         peers_pb2_grpc.add_PeersServicer_to_server(
             _Servicer(
--- a/src/tulippin/platform_http.py
+++ b/src/tulippin/platform_http.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import typing as t
-import urllib.parse
+from urllib.parse import quote
 
 import attrs
 
@@ -109,7 +109,7 @@
         _check(await self.client.send('DELETE', self._locate(key)))
 
     def _locate(self, key: str) -> str:
-        return f'{self.url}/objects/{urllib.parse.quote(key, safe="/")}'
+        return f'{self.url}/objects/{quote(key, safe="/")}'
 
 
 @attrs.frozen
--- a/src/tulippin/worker_types.py
+++ b/src/tulippin/worker_types.py
@@ -47,13 +47,16 @@
     A worker refuses a lower epoch, and within one epoch a sequence that
     is not above the last. ``lease_until_ms`` is a time of the worker's
     own clock, taken from its last report, so that a delayed sync never
-    extends a lease beyond what its sender reckons with.
+    extends a lease beyond what its sender reckons with. Starts are for
+    the worker's ``incarnation`` only: one that has restarted refuses
+    them, for it may have run them before.
     """
 
     worker_id: str
     epoch: int
     sequence: int
     lease_until_ms: int
+    incarnation: str = ''
     renew: tuple[AttemptKey, ...] = ()
     start: tuple[StartTask, ...] = ()
     stop: tuple[AttemptKey, ...] = ()
--- a/src/tulippin/workers_http.py
+++ b/src/tulippin/workers_http.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import typing as t
-import urllib.parse
+from urllib.parse import quote
 
 import attrs
 
@@ -56,7 +56,7 @@
         self, address: str, request: ServiceRequest, epoch: int
     ) -> EndpointReply:
         """Send one request, once; a broken answer is never whole."""
-        service = urllib.parse.quote(request.service, safe='')
+        service = quote(request.service, safe='')
         headers = {
             REQUEST_ID_HEADER: request.request_id,
             EPOCH_HEADER: str(epoch),
