--- a/src/tulippin/history.py
+++ b/src/tulippin/history.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import collections
+import functools
 import typing as t
 
 import attrs
@@ -66,47 +67,47 @@
 
 
 def check_capacity(history: History) -> list[Violation]:
-    """Check that no worker holds more than its capacity."""
-    capacity = {
-        entry.details['worker_id']: entry.details['capacity']
-        for entry in history.iter_kind('worker')
-    }
-    slots = {
-        entry.details['worker_id']: entry.details['slot_count']
+    """Check that no worker holds more than its capacity or slots."""
+    workers = {
+        entry.details['worker_id']: entry.details
         for entry in history.iter_kind('worker')
     }
+    return [
+        *_check_slots(history, workers),
+        *_check_sizes(history, workers),
+    ]
+
+
+def _check_slots(
+    history: History, workers: t.Mapping[str, Details]
+) -> t.Iterator[Violation]:
+    for entry in history.iter_kind('request_ran'):
+        worker = workers.get(entry.details['worker_id'])
+        busy = entry.details['busy_slots']
+        if worker is not None and busy > worker['slot_count']:
+            message = f'{worker["worker_id"]} runs {busy} requests'
+            yield Violation('capacity', entry.at_ms, message)
+
+
+def _check_sizes(
+    history: History, workers: t.Mapping[str, Details]
+) -> t.Iterator[Violation]:
     held: dict[str, dict[tuple[str, int], Resources]] = {}
     brief = _find_brief_runs(history)
-    found = []
-    for entry in history.iter_kind('task_ended', 'task_began', 'request_ran'):
-        details = entry.details
-        worker_id = details['worker_id']
-        if entry.kind == 'request_ran':
-            if details['busy_slots'] > slots[worker_id]:
-                found.append(
-                    Violation(
-                        'capacity',
-                        entry.at_ms,
-                        f'{worker_id} runs {details["busy_slots"]} requests',
-                    )
-                )
-            continue
-        key = (details['task_id'], details['attempt'])
-        if (worker_id, *key) in brief:
+    for entry in history.iter_kind('task_ended', 'task_began'):
+        run = _get_run_key(entry)
+        worker = workers.get(run[0])
+        if worker is None or run in brief:
             continue
-        running = held.setdefault(worker_id, {})
+        running = held.setdefault(run[0], {})
         if entry.kind == 'task_ended':
-            running.pop(key, None)
+            running.pop(run[1:], None)
             continue
-        running[key] = details['size']
-        total = Resources()
-        for size in running.values():
-            total = total.add(size)
-        if not capacity[worker_id].fits(total):
-            found.append(
-                Violation('capacity', entry.at_ms, f'{worker_id} holds {total}')
-            )
-    return found
+        running[run[1:]] = entry.details['size']
+        total = functools.reduce(Resources.add, running.values())
+        if not worker['capacity'].fits(total):
+            message = f'{run[0]} holds {total}'
+            yield Violation('capacity', entry.at_ms, message)
 
 
 def _find_brief_runs(history: History) -> set[tuple[str, str, int]]:
@@ -164,46 +165,42 @@
     """
     found = []
     done: dict[str, Entry] = {}
+    begun: set[tuple[str, int]] = set()
+    stopped: dict[str, int] = {}
     hidden = list(history.iter_kind('worker_hidden'))
-    begun: set[tuple[str, int, str]] = set()
-    stopped: dict[str, tuple[int, int]] = {}
     for entry in history.iter_kind('task_ended', 'task_began'):
-        details = entry.details
-        task_id = details['task_id']
+        worker_id, task_id, attempt = _get_run_key(entry)
         if entry.kind == 'task_ended':
-            if details['state'] == 'done':
-                done.setdefault(task_id, entry)
-            if details['state'] == 'stopped':
-                stopped[task_id] = (
-                    details['attempt'],
-                    details['checkpoint_ms'],
-                )
+            _note_end(entry, done, stopped)
             continue
-        key = (task_id, details['attempt'], details['worker_id'])
-        if (task_id, details['attempt']) in {one[:2] for one in begun}:
-            found.append(
-                Violation('resume_once', entry.at_ms, f'{key} begins again')
-            )
-        begun.add(key)
+        name = f'{task_id} attempt {attempt} on {worker_id}'
+        faults = []
+        if (task_id, attempt) in begun:
+            faults.append('begins again')
         if task_id in done and not _was_hidden(hidden, done[task_id], entry):
-            found.append(
-                Violation(
-                    'resume_once', entry.at_ms, f'{key} begins after it is done'
-                )
-            )
-        last = stopped.pop(task_id, None)
-        if last is not None and details['resumed_ms'] != last[1]:
-            found.append(
-                Violation(
-                    'resume_once',
-                    entry.at_ms,
-                    f'{task_id} resumes at {details["resumed_ms"]} ms of work'
-                    f' and was stopped at {last[1]}',
-                )
-            )
+            faults.append('begins after it is done')
+        resumed_ms = entry.details['resumed_ms']
+        expected_ms = stopped.pop(task_id, resumed_ms)
+        if resumed_ms != expected_ms:
+            faults.append(f'resumes at {resumed_ms} ms, not {expected_ms}')
+        begun.add((task_id, attempt))
+        found.extend(
+            Violation('resume_once', entry.at_ms, f'{name} {fault}')
+            for fault in faults
+        )
     return found
 
 
+def _note_end(
+    entry: Entry, done: dict[str, Entry], stopped: dict[str, int]
+) -> None:
+    details = entry.details
+    if details['state'] == 'done':
+        done.setdefault(details['task_id'], entry)
+    if details['state'] == 'stopped':
+        stopped[details['task_id']] = details['checkpoint_ms']
+
+
 def _was_hidden(hidden: t.Sequence[Entry], done: Entry, begun: Entry) -> bool:
     """Tell whether a worker was out of sight when its work was done."""
     return any(
@@ -233,10 +230,7 @@
 
 
 def check_not_run(history: History) -> list[Violation]:
-    """Check that what was refused as "not run" did not run.
-
-    Runs count from the caller's sending until its answer, and after.
-    """
+    """Check that what was refused as "not run" did not run."""
     runs: dict[str, list[int]] = {}
     for entry in history.iter_kind('request_ran'):
         runs.setdefault(entry.details['request_id'], []).append(entry.at_ms)
@@ -244,35 +238,28 @@
         entry.details['task_id'].partition('/')[0]
         for entry in history.iter_kind('task_began')
     }
-    found = []
     others = _find_other_calls(history)
+    found = []
     for entry in history.iter_kind('caller_answered', 'job_answered'):
-        details = entry.details
-        if details['outcome'] != 'not_run':
+        if entry.details['outcome'] != 'not_run':
             continue
         if entry.kind == 'job_answered':
-            if details['job_id'] in jobs and not details.get('retried'):
-                found.append(
-                    Violation('not_run', entry.at_ms, details['job_id'])
-                )
-            continue
-        request_id = details['request_id']
-        if request_id in runs and request_id not in others:
-            found.append(
-                Violation(
-                    'not_run',
-                    entry.at_ms,
-                    f'{request_id} ran at {runs[request_id]}',
-                )
-            )
+            name = entry.details['job_id']
+            ran = name in jobs
+        else:
+            name = entry.details['request_id']
+            ran = name in runs
+        if ran and name not in others:
+            found.append(Violation('not_run', entry.at_ms, f'{name} ran'))
     return found
 
 
 def _find_other_calls(history: History) -> set[str]:
     """Return ids with a call that was not refused: its run may be that."""
+    answers = history.iter_kind('caller_answered', 'job_answered')
     return {
-        entry.details['request_id']
-        for entry in history.iter_kind('caller_answered')
+        entry.details.get('request_id') or entry.details['job_id']
+        for entry in answers
         if entry.details['outcome'] != 'not_run'
     }
 
@@ -346,66 +333,66 @@
 
 def check_bundles(history: History) -> list[Violation]:
     """Check that bundles come into force in time and never go back."""
-    found = []
+    return [*_check_order(history), *_check_in_time(history)]
+
+
+def _check_order(history: History) -> t.Iterator[Violation]:
     held: dict[str, int] = {}
-    accepted: dict[int, int] = {}
-    taken: dict[tuple[str, int], int] = {}
-    spans: dict[str, tuple[int, int]] = {}
-    for entry in history.iter_kind(
-        'instance_up', 'bundle_accepted', 'bundle_taken', 'instance_down', 'end'
-    ):
-        details = entry.details
-        if entry.kind == 'bundle_accepted':
-            accepted[details['number']] = entry.at_ms
-        elif entry.kind == 'instance_up':
-            spans[details['process']] = (entry.at_ms, -1)
-        elif entry.kind == 'instance_down':
-            began_ms, _ = spans[details['process']]
-            spans[details['process']] = (began_ms, entry.at_ms)
-        elif entry.kind == 'bundle_taken':
-            process, number = details['process'], details['number']
-            if number < held.get(process, 0):
-                found.append(
-                    Violation(
-                        'bundle', entry.at_ms, f'{process} went to {number}'
-                    )
-                )
-            held[process] = number
-            taken[process, number] = entry.at_ms
-    found.extend(_check_in_time(history, accepted, taken, spans))
-    return found
+    for entry in history.iter_kind('bundle_taken'):
+        process, number = entry.details['process'], entry.details['number']
+        if number < held.get(process, 0):
+            yield Violation(
+                'bundle', entry.at_ms, f'{process} went back to {number}'
+            )
+        held[process] = number
 
 
-def _check_in_time(
-    history: History,
-    accepted: t.Mapping[int, int],
-    taken: t.Mapping[tuple[str, int], int],
-    spans: t.Mapping[str, tuple[int, int]],
-) -> t.Iterator[Violation]:
-    ends = [entry.at_ms for entry in history.iter_kind('end')]
-    end_ms = max(ends, default=0)
-    outages = [
-        (entry.at_ms, entry.details['until_ms'])
-        for entry in history.iter_kind('disturbed')
+def _check_in_time(history: History) -> t.Iterator[Violation]:
+    spans = _find_spans(history)
+    taken = [
+        (entry.details['process'], entry.details['number'], entry.at_ms)
+        for entry in history.iter_kind('bundle_taken')
     ]
-    for number, since_ms in accepted.items():
-        for process, (began_ms, down_ms) in spans.items():
-            due_ms = max(since_ms, began_ms) + BUNDLE_LIMIT_MS
-            for from_ms, until_ms in outages:
-                if from_ms <= due_ms and until_ms >= since_ms:
-                    due_ms = max(due_ms, until_ms + BUNDLE_LIMIT_MS)
-            last_ms = down_ms if down_ms >= 0 else end_ms
-            if due_ms > last_ms:
-                continue
+    for entry in history.iter_kind('bundle_accepted'):
+        number = entry.details['number']
+        for process, (began_ms, ended_ms) in spans.items():
+            due_ms = _get_due_ms(history, entry.at_ms, began_ms)
             got = [
                 at_ms
-                for (name, higher), at_ms in taken.items()
+                for name, higher, at_ms in taken
                 if name == process and higher >= number
             ]
-            if not got or min(got) > due_ms:
-                yield Violation(
-                    'bundle', due_ms, f'{process} lacks bundle {number}'
-                )
+            late = not got or min(got) > due_ms
+            if late and due_ms <= ended_ms:
+                message = f'{process} lacks bundle {number}'
+                yield Violation('bundle', due_ms, message)
+
+
+def _find_spans(history: History) -> dict[str, tuple[int, int]]:
+    """Return when each process began and ended."""
+    ends = [entry.at_ms for entry in history.iter_kind('end')]
+    downs = {
+        entry.details['process']: entry.at_ms
+        for entry in history.iter_kind('instance_down')
+    }
+    last_ms = max(ends, default=0)
+    return {
+        entry.details['process']: (
+            entry.at_ms,
+            downs.get(entry.details['process'], last_ms),
+        )
+        for entry in history.iter_kind('instance_up')
+    }
+
+
+def _get_due_ms(history: History, accepted_ms: int, began_ms: int) -> int:
+    """Return when a process must hold a bundle; disturbances put it off."""
+    due_ms = max(accepted_ms, began_ms) + BUNDLE_LIMIT_MS
+    for entry in history.iter_kind('disturbed'):
+        until_ms = entry.details['until_ms']
+        if entry.at_ms <= due_ms and until_ms >= accepted_ms:
+            due_ms = max(due_ms, until_ms + BUNDLE_LIMIT_MS)
+    return due_ms
 
 
 CHECKERS: t.Final[dict[str, Checker]] = {
--- a/src/tulippin/shell.py
+++ b/src/tulippin/shell.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import collections
+import contextlib
 import random
 import typing as t
 
@@ -227,11 +228,11 @@
         """Clear ended sessions, one instance at a time by chance."""
         while True:
             await trio.sleep(_GARBAGE_EVERY_S * (1 + self.random.random()))
-            with trio.move_on_after(_GARBAGE_EVERY_S):
-                try:
-                    await collect_garbage(self.ports.table, self.ports.objects)
-                except UnavailableError:
-                    continue
+            with (
+                trio.move_on_after(_GARBAGE_EVERY_S),
+                contextlib.suppress(UnavailableError),
+            ):
+                await collect_garbage(self.ports.table, self.ports.objects)
 
     def start(self, task: t.Callable[..., t.Awaitable[None]], *args) -> None:
         """Run an effect's task beside the loop."""
