--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 	$(BIN)/python -m pip install -q -c constraints.txt -e '.[dev]'
 	touch $@
 
-.PHONY: demo test lint format soak bench proto
+.PHONY: demo test lint format soak bench openapi proto
 demo: $(VENV)/.installed
 	$(BIN)/tulippin demo
 
@@ -32,6 +32,10 @@
 	$(BIN)/python bench/recovery.py
 	$(BIN)/python bench/placement.py
 
+openapi: $(VENV)/.installed
+	$(BIN)/python -m tulippin.openapi > openapi.tmp
+	mv openapi.tmp src/tulippin/openapi.json
+
 proto: $(VENV)/.installed
 	$(BIN)/python -m grpc_tools.protoc -I proto --python_out=src/tulippin \
 	    --grpc_python_out=src/tulippin proto/peers.proto
--- a/src/tulippin/_requests.py
+++ b/src/tulippin/_requests.py
@@ -126,6 +126,7 @@
     if not unit:
         _child_done(context, ticket, _not_run('no_endpoint'))
         return
+    ticket.try_unit = unit
     cell = context.state.cells.get(unit)
     if cell is None:
         _forward(context, ticket, unit)
@@ -547,7 +548,7 @@
     if outcome.kind is OutcomeKind.NOT_RUN:
         if outcome.code in _WAIT_CODES:
             return True
-        if outcome.code not in {'overloaded', 'peer_lost', 'refused'}:
+        if not _has_other_cell(context, parent, outcome):
             return False
     elif not _is_safe_again(parent, outcome):
         return False
@@ -559,6 +560,21 @@
     return True
 
 
+def _has_other_cell(
+    context: Context, parent: Ticket, outcome: RequestOutcome
+) -> bool:
+    """Tell whether a refused request may find room elsewhere."""
+    if outcome.code == 'refused':
+        return True
+    if outcome.code != 'overloaded':
+        return False
+    parent.full_cells.add(parent.try_unit)
+    return any(
+        unit not in parent.full_cells
+        for unit, _ in _iter_serving(context, parent.request.service)
+    )
+
+
 def _is_safe_again(parent: Ticket, outcome: RequestOutcome) -> bool:
     """Tell whether a request whose last try may have run may run again.
 
--- a/src/tulippin/_units.py
+++ b/src/tulippin/_units.py
@@ -50,9 +50,22 @@
         )
         if not held and state.config.seams.fencing:
             drop_unit(context, unit)
-    if not context.may_act:
+    _gain_units(context)
+
+
+def _gain_units(context: Context) -> None:
+    """Take up the units that the ownership row gives to this session.
+
+    A row that was adopted while the lease was in doubt is looked at
+    again on a later tick.
+    """
+    state = context.state
+    version = state.ownership_version
+    if not context.may_act or state.session.gained_version == version:
         return
-    for name, holder in ownership.units.items():
+    state.session.gained_version = version
+    own = state.session.session_id
+    for name, holder in state.ownership.units.items():
         if holder.session_id == own and state.get_unit(name) is None:
             _gain_unit(context, name, holder)
 
@@ -111,12 +124,14 @@
     state.session.writing_ownership = False
     # The row must be read anew: the next session owns none of it.
     state.ownership_version = 0
+    state.session.gained_version = 0
 
 
 def tick(context: Context) -> None:
     """Create missing units, even out, and go on with hand-overs."""
     if not context.may_act:
         return
+    _gain_units(context)
     _finish_stop(context)
     _finish_hand_over(context)
     session = context.state.session
--- a/src/tulippin/state.py
+++ b/src/tulippin/state.py
@@ -149,6 +149,7 @@
     next_rebalance_ms: int = 0
     next_dispatch_ms: int = 0
     writing_ownership: bool = False
+    gained_version: int = 0
     stopping_since_ms: int | None = None
     wall_offset_ms: int = 0
 
@@ -358,6 +359,7 @@
     target_session: str = ''
     policy: str = ''
     retry_at_ms: int | None = None
+    try_unit: str = ''
     try_count: int = 0
     full_cells: set[str] = attrs.field(factory=set)
     waiters: list[Origin] = attrs.field(factory=list)
--- a/src/tulippin/testing.py
+++ b/src/tulippin/testing.py
@@ -15,20 +15,39 @@
 )
 from tulippin._fake_worker import FakeWorker, WorkerFaults
 from tulippin._fleet import FakeNetwork, Fleet, FleetSize, NetworkFaults
+from tulippin._single import PEER, SESSION, SingleInstance, make_worker
+from tulippin._soak import (
+    FaultKind,
+    FaultStep,
+    Scenario,
+    SoakResult,
+    make_scenario,
+    run_scenario,
+)
 from tulippin.history import History, check_history
 
 __all__ = (
+    'PEER',
+    'SESSION',
     'FakeDirectory',
     'FakeNetwork',
     'FakeObjects',
     'FakeTable',
     'FakeWorker',
+    'FaultKind',
+    'FaultStep',
     'Fleet',
     'FleetSize',
     'History',
     'NetworkFaults',
     'RateMeter',
+    'Scenario',
+    'SingleInstance',
+    'SoakResult',
     'StoreFaults',
     'WorkerFaults',
     'check_history',
+    'make_scenario',
+    'make_worker',
+    'run_scenario',
 )
