--- a/src/tulippin/_cells.py
+++ b/src/tulippin/_cells.py
@@ -328,8 +328,9 @@
         return
     entry = cell.ledger.attempts.get(task_id)
     if entry is None or entry.task.attempt != task.attempt:
-        if task_id not in cell.placing:
-            _answer_known(context, cell, task)
+        if not _answer_known(context, cell, task):
+            # Its offer was lost, or comes later: it is refused for good.
+            _refuse(context, cell, task)
         return
     if entry.outcome is not None:
         return
--- a/src/tulippin/cli.py
+++ b/src/tulippin/cli.py
@@ -279,16 +279,16 @@
     options = [
         *_API_OPTIONS,
         option('team', 't', 'The team that runs it.', flag=False),
-        option('kind', 'k', 'batch or service.', flag=False, default='batch'),
+        option('kind', None, 'batch or service.', flag=False, default='batch'),
         option(
-            'job-class', 'c', 'Names jobs alike.', flag=False, default='batch'
+            'job-class', None, 'Names jobs alike.', flag=False, default='batch'
         ),
-        option('tasks', 'n', 'How many tasks.', flag=False, default='1'),
+        option('tasks', None, 'How many tasks.', flag=False, default='1'),
         option('cpu', None, 'Millicores a task.', flag=False, default='1000'),
         option('memory', None, 'MiB a task.', flag=False, default='1024'),
         option('accelerators', None, 'A task.', flag=False, default='0'),
-        option('run-s', 'r', 'Seconds a task runs.', flag=False, default='60'),
-        option('priority', 'p', '100 is urgent.', flag=False, default='0'),
+        option('run-s', None, 'Seconds a task runs.', flag=False, default='60'),
+        option('priority', None, '100 is urgent.', flag=False, default='0'),
     ]
 
     def run_checked(self) -> None:
--- a/src/tulippin/openapi.py
+++ b/src/tulippin/openapi.py
@@ -279,7 +279,7 @@
 def render_document() -> bytes:
     """Return the document as formatted JSON."""
     body = msgspec.json.encode(build_document(), order='sorted')
-    return msgspec.json.format(body, indent=2) + b'\n'
+    return b'%b\n' % msgspec.json.format(body, indent=2)
 
 
 if __name__ == '__main__':
--- a/tests/tulippin/test_workers.py
+++ b/tests/tulippin/test_workers.py
@@ -4,7 +4,7 @@
 
 from tulippin import effects as fx
 from tulippin import events as ev
-from tulippin.messages import TaskOffered
+from tulippin.messages import TaskOffered, TasksCancelled
 from tulippin.records import TaskRef
 from tulippin.testing import PEER, SESSION, SingleInstance, make_worker
 from tulippin.types import (
@@ -135,10 +135,7 @@
     assert sync.forget == (AttemptKey('ghost/1', 1),)
 
 
-def test_refused_offer_stays_refused(instance):
-    big = JobSpec('big', 'team', size=Resources(9000, 10))
-    task = TaskRef('big', 0, 1, 'range/09')
-    offer = TaskOffered(CELL, 1, task, big, 1)
+def give_home_to_peer(instance):
     instance.adopt(
         {
             **instance.state.ownership.units,
@@ -146,6 +143,13 @@
         },
         (LeaseRow(PEER, 'instance-1', 'd', 'instance-1', 1, version=1),),
     )
+
+
+def test_refused_offer_stays_refused(instance):
+    big = JobSpec('big', 'team', size=Resources(9000, 10))
+    task = TaskRef('big', 0, 1, 'range/09')
+    offer = TaskOffered(CELL, 1, task, big, 1)
+    give_home_to_peer(instance)
     instance.feed(ev.PeerReceived, PEER, 'instance-1', 1, (offer,))
     refused = instance.take(fx.SendPeer)[-1].messages[-1]
     assert refused.outcome is TaskOutcome.REFUSED
@@ -158,6 +162,17 @@
     assert again.outcome is TaskOutcome.REFUSED
 
 
+def test_cancelled_offer_that_never_came_is_refused_for_good(instance):
+    give_home_to_peer(instance)
+    task = TaskRef('job', 0, 1, 'range/09')
+    cancel = TasksCancelled(CELL, 'range/09', (task,), 1)
+    instance.feed(ev.PeerReceived, PEER, 'instance-1', 1, (cancel,))
+    assert instance.state.cells[CELL].refused['job/0'] == task
+    offer = TaskOffered(CELL, 1, task, SPEC, 1)
+    instance.feed(ev.PeerReceived, PEER, 'instance-1', 2, (offer,))
+    assert not instance.state.cells[CELL].placing
+
+
 def test_offer_of_an_older_epoch_is_refused(instance):
     instance.own(CELL, 'range/00', epoch=2)
     instance.greet_workers()
