Ask a silent worker once more, and let a late stop finish its requests

Causes: (1) soak seed 23034: an owner that stood still 19 s, while the store was too slow for a takeover, woke and gave its workers up by its own silence; work that was done ran again. (2) seeds 22022 and 25039: a planned stop that could not hand over in a store outage left at its drain limit with requests in progress. Changes: a worker is given up only if a sync sent after its leases lapsed fails; a stop past its limit takes nothing new and waits for the rest.

--- a/src/tulippin/_calls.py
+++ b/src/tulippin/_calls.py
@@ -29,7 +29,8 @@
 
 @handle.register
 def _(event: JobRequested, context: Context) -> None:
-    if context.state.session.standing is Standing.LEFT:
+    session = context.state.session
+    if session.refusing or session.standing is Standing.LEFT:
         reply = JobReply('stopping', None, _RETRY_AFTER_MS)
         context.emit(fx.AnswerJob(event.call_id, reply))
         return
--- a/src/tulippin/_requests.py
+++ b/src/tulippin/_requests.py
@@ -81,7 +81,7 @@
 def _(event: RequestArrived, context: Context) -> None:
     state = context.state
     state.counters['requests'] += 1
-    if state.session.standing is Standing.LEFT:
+    if state.session.refusing or state.session.standing is Standing.LEFT:
         context.emit(fx.AnswerRequest(event.call_id, _not_run('stopping')))
         return
     state.retry_tokens = min(
--- a/src/tulippin/_units.py
+++ b/src/tulippin/_units.py
@@ -129,10 +129,10 @@
 
 def tick(context: Context) -> None:
     """Create missing units, even out, and go on with hand-overs."""
+    _finish_stop(context)
     if not context.may_act:
         return
     _gain_units(context)
-    _finish_stop(context)
     _finish_hand_over(context)
     session = context.state.session
     if context.now_ms < session.next_rebalance_ms:
@@ -432,21 +432,33 @@
 
 
 def _finish_stop(context: Context) -> None:
-    """Leave once nothing is owned and nobody waits here."""
+    """Leave step by step: hand over, take nothing new, finish, go.
+
+    Requests in progress are never cut: past the drain limit nothing new
+    is taken, and each request in progress ends by its own deadline.
+    """
     state = context.state
-    since_ms = state.session.stopping_since_ms
-    if since_ms is None or state.session.standing is not Standing.ACTIVE:
+    session = state.session
+    since_ms = session.stopping_since_ms
+    if since_ms is None or session.standing is Standing.LEFT:
         return
-    waited_ms = context.now_ms - since_ms
-    expired = waited_ms >= state.config.drain_limit_ms
+    drained = not state.config.seams.stop_drain or (
+        context.now_ms - since_ms >= state.config.drain_limit_ms
+    )
+    session.refusing = session.refusing or drained or _is_drained(context)
     busy = bool(state.tickets or state.job_calls or state.report_calls)
-    journal = state.journal
-    unwritten = bool(journal.pending or journal.in_flight)
-    peers = [peer for peer in state.peers.values() if not peer.leaving]
-    owned = bool(peers) and any(True for _ in state.iter_units())
-    waits = state.config.seams.stop_drain and not expired
-    if (busy or unwritten or owned) and waits:
+    if not session.refusing or (busy and state.config.seams.stop_drain):
         return
-    state.session.standing = Standing.LEFT
-    context.emit(fx.CloseSession(state.session.session_id))
+    session.standing = Standing.LEFT
+    context.emit(fx.CloseSession(session.session_id))
     context.emit(fx.Leave())
+
+
+def _is_drained(context: Context) -> bool:
+    """Tell whether nothing is owned, or nobody is there to take it."""
+    state = context.state
+    journal = state.journal
+    if journal.pending or journal.in_flight:
+        return False
+    heirs = [peer for peer in state.peers.values() if not peer.leaving]
+    return not heirs or not (state.cells or state.ranges)
--- a/src/tulippin/_workers.py
+++ b/src/tulippin/_workers.py
@@ -144,7 +144,11 @@
         return False
     if not context.state.config.seams.lease_wait:
         return context.may_act
-    return context.may_act and context.now_ms >= worker.lapse_ms
+    if not context.may_act or context.now_ms < worker.lapse_ms:
+        return False
+    # The silence may have been this instance's own: ask once more first.
+    asked = worker.failed_sent_ms >= worker.lapse_ms
+    return asked or not worker.info.address
 
 
 def _give_up(context: Context, cell: CellState, worker: WorkerState) -> None:
@@ -288,6 +292,7 @@
         return
     if event.epoch == cell.epoch and event.sequence == worker.sync_in_flight:
         worker.sync_in_flight = 0
+        worker.failed_sent_ms = worker.sync_sent_ms
         worker.next_sync_ms = context.now_ms + _RETRY_SYNC_MS
 
 
--- a/src/tulippin/daemon.py
+++ b/src/tulippin/daemon.py
@@ -198,7 +198,9 @@
         await trio.sleep(grace_ms / _MS)
         shell = self._get_shell()
         shell.stop()
-        limit_s = self.settings.config.drain_limit_ms / _MS + _STOP_EXTRA_S
+        limits = self.settings.limits
+        limit_ms = self.settings.config.drain_limit_ms + limits.max_deadline_ms
+        limit_s = limit_ms / _MS + _STOP_EXTRA_S
         with trio.move_on_after(limit_s) as scope:
             await shell.left.wait()
         if scope.cancelled_caught:
--- a/src/tulippin/state.py
+++ b/src/tulippin/state.py
@@ -151,6 +151,7 @@
     writing_ownership: bool = False
     gained_version: int = 0
     stopping_since_ms: int | None = None
+    refusing: bool = False
     wall_offset_ms: int = 0
 
 
@@ -194,6 +195,7 @@
     sequence: int = 0
     sync_in_flight: int = 0
     sync_sent_ms: int = 0
+    failed_sent_ms: int = -1
     next_sync_ms: int = 0
     dirty: bool = False
     last_reply_ms: int = -1
--- a/tests/tulippin/test_requests.py
+++ b/tests/tulippin/test_requests.py
@@ -233,6 +233,22 @@
     assert len(instance.take(fx.CallEndpoint)) == 1
 
 
+def test_stop_past_its_limit_refuses_new_and_finishes_the_rest(instance):
+    ask(instance, 5, repeatable=True, wait_ms=60000)
+    call = instance.take(fx.CallEndpoint)[0]
+    instance.feed(ev.StopRequested)
+    instance.state.session.writing_ownership = True
+    for _ in range(25):
+        instance.tick(1000)
+    ask(instance, 6, repeatable=True)
+    assert get_answers(instance) == [(6, 'not_run', 'stopping')]
+    assert not instance.take(fx.Leave)
+    reply(instance, call)
+    assert get_answers(instance) == [(5, 'answered', '')]
+    instance.tick()
+    assert instance.take(fx.Leave)
+
+
 def test_paused_instance_does_nothing_until_the_table_speaks(instance):
     instance.effects.clear()
     instance.tick(8000, renew=False)
