Keep cells with owners of their region, and spread services over cells

Cause: with two regions apart, 26 of 90 requests were answered: a service's 12 tasks had been assigned in one round to the one cell whose summary was known, and owners were chosen without regard to place. An instance kept forwarding to peers that it had not heard for minutes and let callers wait. Change: owners are chosen by number plus distance (region, then failure domain); a cell gets one task of a service in a round; a peer that is silent for 3 s gets no forwards: refused at once as not run.

--- a/src/tulippin/_context.py
+++ b/src/tulippin/_context.py
@@ -93,6 +93,14 @@
         """Tell whether a unit is owned, loaded and not being given away."""
         return unit is not None and unit.phase is Phase.ACTIVE
 
+    def is_heard(self, session_id: str) -> bool:
+        """Tell whether a peer has been heard lately, or is quite new."""
+        peer = self.state.peers.get(session_id)
+        if peer is None:
+            return session_id == self.state.session.session_id
+        since_ms = max(peer.last_heard_ms, peer.first_seen_ms)
+        return self.now_ms - since_ms < self.state.config.silence_limit_ms
+
     def flush_outbox(self) -> None:
         """Turn the messages gathered into effects."""
         for session_id, messages in self.outbox.items():
--- a/src/tulippin/_fleet.py
+++ b/src/tulippin/_fleet.py
@@ -262,6 +262,7 @@
     capacity: Resources = Resources(8000, 32768)
     slot_count: int = 8
     domain_count: int = 3
+    region_count: int = 1
 
 
 class Fleet:
@@ -296,7 +297,8 @@
         )
         self.history = History(self.get_now_ms)
         self.table = FakeTable(source=self._fork())
-        self.objects = FakeObjects(source=self._fork())
+        # One budget covers both stores, so one meter counts both.
+        self.objects = FakeObjects(source=self._fork(), meter=self.table.meter)
         self.directory = FakeDirectory()
         self.network = FakeNetwork(self._fork())
         self.workers: dict[str, FakeWorker] = {}
@@ -351,6 +353,7 @@
             domain,
             self.size.capacity,
             self.size.slot_count,
+            region=self.get_region(domain),
         )
         worker = FakeWorker(
             info,
@@ -369,6 +372,12 @@
         )
         return worker
 
+    def get_region(self, domain: str) -> str:
+        """Return the region of a failure domain."""
+        number = int(domain.rpartition('-')[2])
+        per_region = -(-self.size.domain_count // self.size.region_count)
+        return f'region-{number // per_region}'
+
     # instances
 
     def start_instance(self, instance_id: str) -> Process:
@@ -382,7 +391,13 @@
         number = int(instance_id.rpartition('-')[2])
         domain = f'domain-{number % self.size.domain_count}'
         self.network.domains[instance_id] = domain
-        config = Config(instance_id, domain, instance_id, **self.overrides)
+        config = Config(
+            instance_id,
+            domain,
+            instance_id,
+            self.get_region(domain),
+            **self.overrides,
+        )
         shell = GatedShell(
             config,
             Ports(
@@ -444,6 +459,7 @@
         """Kill an instance's process."""
         process = self.find_process(instance_id)
         if process is not None:
+            self.history.note('instance_crashed', instance_id=process.name)
             process.scope.cancel()
             process.gate.open()
 
--- a/src/tulippin/_homes.py
+++ b/src/tulippin/_homes.py
@@ -59,6 +59,7 @@
     summary: CellSummary
     free: Resources
     largest_free: Resources
+    taken_by: set[str] = attrs.field(factory=set)
 
 
 def activate(context: Context, home: RangeState) -> None:
@@ -71,6 +72,11 @@
                 home.offers[ref.task_id] = OfferState(
                     ref, task.cell, task.cell_epoch
                 )
+                if job.spec.kind is JobKind.SERVICE:
+                    counts = home.spread.setdefault(
+                        job.spec.job_id, collections.Counter()
+                    )
+                    counts[task.cell] += 1
             else:
                 enqueue_task(home, job, index)
 
@@ -162,8 +168,9 @@
 
 def _iter_summaries(context: Context) -> t.Iterator[CellSummary]:
     yield from _cells.make_summaries(context)
-    for peer in context.state.peers.values():
-        yield from peer.summaries.values()
+    for session_id, peer in context.state.peers.items():
+        if context.is_heard(session_id):
+            yield from peer.summaries.values()
 
 
 def _assign(
@@ -191,9 +198,14 @@
         return -1
     if not _quotas.has_room(context, job.spec):
         return -1
-    cell = pick_cell(context, job.spec, _spread(job, views))
+    if job.spec.kind is JobKind.SERVICE:
+        spread = _spread(home, job, views)
+        cell = pick_cell(context, job.spec, spread) if spread else None
+    else:
+        cell = pick_cell(context, job.spec, views)
+        if cell is None:
+            full.add(key)
     if cell is None:
-        full.add(key)
         return -1
     _give(context, home, job, index, cell)
     if queued.index == _FRESH:
@@ -215,22 +227,29 @@
     return index if index < job.spec.task_count else None
 
 
-def _spread(job: JobEntry, views: dict[str, CellView]) -> dict[str, CellView]:
-    """Keep, for a service, the cells with room and the fewest of its tasks."""
-    if job.spec.kind is not JobKind.SERVICE:
-        return views
-    counts = collections.Counter(
-        task.cell for task in job.tasks.values() if task.assigned
-    )
-    fitting = {
+def _spread(
+    home: RangeState, job: JobEntry, views: dict[str, CellView]
+) -> dict[str, CellView]:
+    """Keep the cells with the fewest of a service's tasks, room first.
+
+    A cell gets one of them in a round, so that a service submitted while
+    few cells are known yet does not crowd into those.
+    """
+    counts = home.spread.setdefault(job.spec.job_id, collections.Counter())
+    open_views = {
         unit: view
         for unit, view in views.items()
+        if job.spec.job_id not in view.taken_by
+    }
+    fitting = {
+        unit: view
+        for unit, view in open_views.items()
         if view.free.fits(job.spec.size)
     }
     least = min((counts[unit] for unit in fitting), default=0)
     return {
         unit: view for unit, view in fitting.items() if counts[unit] == least
-    } or views
+    } or open_views
 
 
 def _give(
@@ -242,6 +261,9 @@
 ) -> None:
     task = job.tasks.get(index, TaskEntry())
     cell.free = cell.free.subtract(job.spec.size)
+    if job.spec.kind is JobKind.SERVICE:
+        home.spread[job.spec.job_id][cell.summary.unit] += 1
+        cell.taken_by.add(job.spec.job_id)
     context.record(
         home,
         TaskAssigned(
@@ -394,6 +416,8 @@
     unit.returning.pop(task_id, None)
     offer = unit.offers.pop(task_id, None)
     if offer is not None:
+        if record.job_id in unit.spread:
+            unit.spread[record.job_id][offer.cell] -= 1
         context.send_owner(offer.cell, TaskRecorded(offer.cell, offer.task))
     job = unit.ledger.jobs.get(record.job_id)
     if job is None:
--- a/src/tulippin/_journal.py
+++ b/src/tulippin/_journal.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import zlib
+
 from tulippin import codec
 from tulippin import effects as fx
 from tulippin._context import Context, count_instances
@@ -59,7 +61,7 @@
     if (
         journal.snapshot_running
         or not context.may_act
-        or due < context.state.config.snapshot_every_rows
+        or due < _get_snapshot_rows(context)
         or context.now_ms < journal.next_snapshot_ms
     ):
         return
@@ -79,6 +81,13 @@
     )
 
 
+def _get_snapshot_rows(context: Context) -> int:
+    """Return after how many rows to publish; not all instances at once."""
+    rows = context.state.config.snapshot_every_rows
+    session_id = context.state.session.session_id
+    return rows + zlib.crc32(session_id.encode()) % rows
+
+
 @handle.register
 def _(event: JournalCommitted, context: Context) -> None:
     state = context.state
--- a/src/tulippin/_membership.py
+++ b/src/tulippin/_membership.py
@@ -23,7 +23,7 @@
 )
 from tulippin.messages import Gossip
 from tulippin.state import PeerState, Standing
-from tulippin.types import LeaseRow
+from tulippin.types import LeaseRow, cell_unit
 
 _ENDED_KEPT = 1000
 
@@ -219,7 +219,9 @@
         seen.add(lease.session_id)
         peer = state.peers.get(lease.session_id)
         if peer is None:
-            state.peers[lease.session_id] = PeerState(lease, context.now_ms)
+            state.peers[lease.session_id] = PeerState(
+                lease, context.now_ms, context.now_ms
+            )
             continue
         if peer.lease.version != lease.version:
             peer.changed_ms = context.now_ms
@@ -261,6 +263,9 @@
     state.workers = {worker.worker_id: worker for worker in event.workers}
     state.listed_instances = frozenset(event.instances)
     state.list_known = True
+    for worker in event.workers:
+        place = (worker.failure_domain, worker.region)
+        state.cell_places[cell_unit(worker.cell)] = place
     _units.update_workers(context)
     for cell in state.cells.values():
         instance = cell.predecessor_instance
--- a/src/tulippin/_requests.py
+++ b/src/tulippin/_requests.py
@@ -161,7 +161,9 @@
 def _iter_serving(
     context: Context, service: str
 ) -> t.Iterator[tuple[str, int]]:
-    for peer in context.state.peers.values():
+    for session_id, peer in context.state.peers.items():
+        if not context.is_heard(session_id):
+            continue
         for summary in peer.summaries.values():
             holder = context.get_holder(summary.unit)
             current = holder is not None and holder.epoch == summary.epoch
@@ -185,6 +187,9 @@
     if holder is None or not reachable or not state.session.session_id:
         _child_done(context, ticket, _not_run('no_owner'))
         return
+    if not context.is_heard(holder.session_id):
+        _child_done(context, ticket, _not_run('owner_unreachable'))
+        return
     child = _open_ticket(
         context,
         TicketOrigin(ticket.ticket),
--- a/src/tulippin/_session_effects.py
+++ b/src/tulippin/_session_effects.py
@@ -55,6 +55,7 @@
             count,
             bundle_number,
             leaving,
+            self._shell.config.region,
         )
 
     async def open_session(self) -> None:
--- a/src/tulippin/_units.py
+++ b/src/tulippin/_units.py
@@ -10,6 +10,7 @@
 from tulippin import effects as fx
 from tulippin._context import Context
 from tulippin._dispatch import handle
+from tulippin._spreading import choose_surplus, count_units, pick_owner
 from tulippin.events import OwnershipRefused, UnitLoaded
 from tulippin.ledger import CellLedger, RangeLedger
 from tulippin.state import (
@@ -159,38 +160,15 @@
     missing = sorted(wanted - set(state.ownership.units))
     if not missing or _get_rank(context) > 0:
         return
-    counts = _count_units(context)
+    counts = count_units(context)
     units = dict(state.ownership.units)
     for name in missing:
-        target = _pick_least(counts, name)
+        target = pick_owner(context, counts, name)
         units[name] = Holder(target, 1)
         counts[target][is_cell(name)] += 1
     _write_ownership(context, units)
 
 
-def _count_units(context: Context) -> dict[str, list[int]]:
-    """Return, for each live session, its number of ranges and cells."""
-    state = context.state
-    counts = {
-        session_id: [0, 0]
-        for session_id, peer in state.peers.items()
-        if not peer.leaving and not _is_expired(context, session_id)
-    }
-    if state.session.stopping_since_ms is None:
-        counts[state.session.session_id] = [0, 0]
-    for name, holder in state.ownership.units.items():
-        if holder.session_id in counts:
-            counts[holder.session_id][is_cell(name)] += 1
-    return counts
-
-
-def _pick_least(counts: dict[str, list[int]], name: str) -> str:
-    kind = is_cell(name)
-    return min(
-        counts, key=lambda session_id: (counts[session_id][kind], session_id)
-    )
-
-
 def _write_ownership(
     context: Context,
     units: dict[str, Holder],
@@ -227,16 +205,6 @@
     return trimmed
 
 
-def _is_expired(context: Context, session_id: str) -> bool:
-    state = context.state
-    peer = state.peers.get(session_id)
-    if peer is None:
-        return True
-    config = state.config
-    limit_ms = config.lease_ms + config.lease_margin_ms
-    return context.now_ms - peer.changed_ms > limit_ms
-
-
 def plan_takeover(context: Context) -> None:
     """Revoke lapsed sessions and spread their units over the live.
 
@@ -252,11 +220,11 @@
     orphaned = _find_orphaned(context, dead)
     if not dead and not orphaned:
         return
-    counts = _count_units(context)
+    counts = count_units(context)
     units = dict(state.ownership.units)
     for name in orphaned:
         old = units[name]
-        target = _pick_least(counts, name)
+        target = pick_owner(context, counts, name)
         source = Source(old.session_id, old.epoch, old.base)
         units[name] = Holder(target, old.epoch + 1, '', (source, *old.previous))
         counts[target][is_cell(name)] += 1
@@ -352,33 +320,13 @@
         return
     if any(unit.phase is Phase.HANDING_OVER for unit in state.iter_units()):
         return
-    for name in _choose_surplus(context)[:_HAND_OVER_BATCH]:
+    for name in choose_surplus(context)[:_HAND_OVER_BATCH]:
         unit = state.get_unit(name)
         if unit is not None and unit.phase is Phase.ACTIVE:
             unit.phase = Phase.HANDING_OVER
             unit.owned_since_ms = context.now_ms
 
 
-def _choose_surplus(context: Context) -> list[str]:
-    state = context.state
-    counts = _count_units(context)
-    own = state.session.session_id
-    if not counts:
-        return []
-    if state.session.stopping_since_ms is not None:
-        return [unit.unit for unit in state.iter_units()]
-    surplus: list[str] = []
-    for kind, owned in ((1, state.cells), (0, state.ranges)):
-        total = sum(pair[kind] for pair in counts.values())
-        floor, rest = divmod(total, len(counts))
-        least = min(pair[kind] for pair in counts.values())
-        excess = counts[own][kind] - floor - bool(rest)
-        if excess <= 0 and least < floor and counts[own][kind] > floor:
-            excess = 1
-        surplus.extend(sorted(owned)[: max(0, excess)])
-    return surplus
-
-
 def _finish_hand_over(context: Context) -> None:
     """Give away the units whose records are all durable."""
     state = context.state
@@ -389,7 +337,7 @@
     ]
     if not leaving or not all(_is_quiet(context, unit) for unit in leaving):
         return
-    counts = _count_units(context)
+    counts = count_units(context)
     counts.pop(state.session.session_id, None)
     if not counts:
         for unit in leaving:
@@ -418,7 +366,7 @@
     bases = []
     for unit in leaving:
         holder = units[unit.unit]
-        target = _pick_least(counts, unit.unit)
+        target = pick_owner(context, counts, unit.unit)
         counts[target][is_cell(unit.unit)] += 1
         key = (
             f'unit/{unit.unit}/{holder.epoch + 1}'
--- a/src/tulippin/history.py
+++ b/src/tulippin/history.py
@@ -312,11 +312,17 @@
     """Check that a planned stop cut no request in progress.
 
     A call that an instance had when its stop began, or took in after,
-    ends with an answer or a proved refusal.
+    ends with an answer or a proved refusal, unless the instance crashes
+    on the way.
     """
+    crashed = {
+        entry.details['instance_id']
+        for entry in history.iter_kind('instance_crashed')
+    }
     stops = {
         entry.details['instance_id']: entry.at_ms
         for entry in history.iter_kind('stop_began')
+        if entry.details['instance_id'] not in crashed
     }
     found = []
     for entry in history.iter_kind('caller_answered'):
--- a/src/tulippin/http_callers.py
+++ b/src/tulippin/http_callers.py
@@ -60,6 +60,8 @@
     'overloaded': 'too many requests wait already; come back later',
     'no_endpoint': 'no task of the service runs; submit it as a job of kind'
     ' service, or come back later',
+    'owner_unreachable': 'the instance that keeps this id is out of reach;'
+    ' come back later',
     'deadline': 'the time ran out before it was sent',
     'outcome_not_known': 'it was sent once and how it ended is not known',
 }
--- a/src/tulippin/settings.py
+++ b/src/tulippin/settings.py
@@ -184,6 +184,7 @@
         reader = self._open('instance')
         instance_id = reader.get_text('id')
         domain = reader.get_text('failure_domain')
+        region = reader.get_text('region', '-')
         advertised = listen.peers
         if reader.get_text('peer_address', '-') != '-':
             advertised = _get_address(reader, 'peer_address')
@@ -197,6 +198,7 @@
             instance_id,
             domain,
             advertised,
+            region='' if region == '-' else region,
             peer_seeds=seeds,
             **self._read_timing(),
         )
--- a/src/tulippin/state.py
+++ b/src/tulippin/state.py
@@ -74,6 +74,7 @@
     instance_id: str
     failure_domain: str
     peer_address: str
+    region: str = ''
     peer_seeds: tuple[str, ...] = ()
     lease_ms: int = 5000
     lease_margin_ms: int = 500
@@ -84,13 +85,14 @@
     rebalance_every_ms: int = 2000
     resend_every_ms: int = 2000
     stall_limit_ms: int = 2000
+    silence_limit_ms: int = 3000
     worker_lease_ms: int = 10000
     worker_suspect_ms: int = 5000
     sync_every_ms: int = 2000
     detached_limit_ms: int = 4500000
-    journal_writes_per_s: float = 36.0
+    journal_writes_per_s: float = 30.0
     journal_ring: int = 256
-    snapshot_every_rows: int = 64
+    snapshot_every_rows: int = 80
     journal_row_records: int = 1500
     range_count: int = 32
     drain_limit_ms: int = 20000
@@ -161,6 +163,7 @@
 
     lease: LeaseRow
     changed_ms: int
+    first_seen_ms: int = 0
     last_heard_ms: int = -1
     last_sequence: int = 0
     bundle_number: int = 0
@@ -301,6 +304,7 @@
     request_tickets: dict[str, int] = attrs.field(factory=dict)
     closing: dict[str, RequestEntry] = attrs.field(factory=dict)
     not_before_ms: dict[str, int] = attrs.field(factory=dict)
+    spread: dict[str, collections.Counter[str]] = attrs.field(factory=dict)
     next_expiry_ms: int = 0
 
 
@@ -406,6 +410,7 @@
     workers: dict[str, WorkerInfo] = attrs.field(factory=dict)
     listed_instances: frozenset[str] = frozenset()
     list_known: bool = False
+    cell_places: dict[str, tuple[str, str]] = attrs.field(factory=dict)
     cells: dict[str, CellState] = attrs.field(factory=dict)
     ranges: dict[str, RangeState] = attrs.field(factory=dict)
     bundle: Bundle | None = None
--- a/src/tulippin/types.py
+++ b/src/tulippin/types.py
@@ -153,6 +153,7 @@
     capacity: Resources
     slot_count: int = 8
     connection_count: int = 64
+    region: str = ''
     standing: WorkerStanding = WorkerStanding.LIVE
 
 
@@ -215,6 +216,7 @@
     renewal_count: int
     bundle_number: int = 0
     leaving: bool = False
+    region: str = ''
     version: int = 0
 
 
