--- /dev/null
+++ b/bench/policies.py
@@ -0,0 +1,350 @@
+"""Policies under the same load: tails, throughput, evictions, waste.
+
+Whole fleets in virtual time over a fake at the worker interface, which
+slows a service by a table drawn from the seed. Ratios to least loaded over
+the report seeds; the tuning seeds are others.
+"""
+
+import argparse
+import concurrent.futures
+import random
+import statistics
+import time
+
+import attrs
+import trio
+import trio._core._run as trio_run
+import trio.testing
+
+from tulippin.stats import make_histogram
+from tulippin.testing import Fleet, FleetSize, check_history
+from tulippin.types import SERVICE_PRIORITY, JobKind, JobSpec, Resources
+
+TUNING_SEEDS = (101, 102, 103)
+REPORT_SEEDS = (1, 2, 3, 4, 5)
+POLICIES = ('least_loaded', 'random', 'best_fit', 'interference', 'oracle')
+CLASSES = ('ingest', 'report', 'merge', 'index', 'backup', 'train')
+WARM_S = 40
+
+
+@attrs.frozen
+class Deployment:
+    """A user's fleet, its services and its batch work."""
+
+    size: FleetSize
+    services: tuple
+    tasks_per_service: int
+    target_ms: float
+    service_ms: float
+    calls_per_s: float
+    batch_cpu: int
+    batch_run_ms: int
+    jobs_per_s: float
+    job_tasks: int
+
+
+DEPLOYMENTS = {
+    'peltosilta': Deployment(
+        FleetSize(6, 5, 7, Resources(16000, 64000), domain_count=4),
+        ('alerts', 'reports', 'warranty'),
+        6,
+        20.0,
+        8.0,
+        40,
+        2000,
+        8000,
+        0.45,
+        20,
+    ),
+    'catalogue': Deployment(
+        FleetSize(6, 4, 6, Resources(64000, 250000), domain_count=3),
+        ('lookup', 'watch'),
+        8,
+        25.0,
+        10.0,
+        30,
+        6000,
+        10000,
+        0.5,
+        24,
+    ),
+}
+
+
+@attrs.frozen
+class Scenario:
+    """What befalls a deployment."""
+
+    name: str
+    load: float = 1.0
+    waves: bool = False
+    use_ratios: tuple = (1.0, 1.0)
+    lag_ms: int = 5000
+    failing: int = 0
+    outage_s: float = 0.0
+
+
+SCENARIOS = (
+    Scenario('quiet', 0.5),
+    Scenario('peak'),
+    Scenario('waves', waves=True),
+    Scenario('wrong sizes', use_ratios=(0.25, 4.0)),
+    Scenario('lag 60 s', lag_ms=60000),
+    Scenario('failing workers', failing=2),
+    Scenario('store outage', outage_s=20),
+)
+
+
+def make_table(source, services):
+    """Draw how much one neighbour of a class slows a service."""
+    return {
+        (service, name): source.choice((0.0, 0.02, 0.05, 0.3, 0.8))
+        for service in services
+        for name in CLASSES
+    }
+
+
+def make_bundle(policy, deployment, extra):
+    kind = 'interference' if policy == 'oracle' else policy
+    lines = ['[bundle]', 'name = x', '[policy p]', f'kind = {kind}']
+    if kind == 'interference':
+        lines.extend(extra)
+    for service in deployment.services:
+        lines.extend(
+            (
+                f'[service {service}]',
+                f'target_ms = {deployment.target_ms}',
+            )
+        )
+    return '\n'.join(lines)
+
+
+@attrs.define
+class Run:
+    """One policy, scenario and seed in progress."""
+
+    fleet: Fleet
+    deployment: Deployment
+    scenario: Scenario
+    call_source: random.Random
+    job_source: random.Random
+    histogram: object = attrs.field(factory=make_histogram)
+    over_ms: float = 0.0
+    calls: int = 0
+    counting: bool = False
+    stopped: bool = False
+
+    async def call(self, service):
+        began = trio.current_time()
+        outcome = await self.fleet.request(service, deadline_ms=3000)
+        latency_ms = (trio.current_time() - began) * 1000
+        if not self.counting or outcome.kind.value != 'answered':
+            return
+        self.calls += 1
+        self.histogram.record_value(int(latency_ms * 1000))
+        self.over_ms += max(0.0, latency_ms - self.deployment.target_ms)
+
+    async def send_calls(self, nursery):
+        rate = self.deployment.calls_per_s * self.scenario.load
+        while not self.stopped:
+            await trio.sleep(self.call_source.expovariate(rate))
+            service = self.call_source.choice(self.deployment.services)
+            nursery.start_soon(self.call, service)
+
+    async def submit_jobs(self):
+        number = 0
+        while not self.stopped:
+            number += 1
+            rate = self.deployment.jobs_per_s * self.scenario.load
+            wave = self.scenario.waves and int(trio.current_time()) % 30 < 8
+            await trio.sleep(self.job_source.expovariate(rate * (1 + 3 * wave)))
+            name = self.job_source.choice(CLASSES[:2] if wave else CLASSES)
+            await self.fleet.submit(
+                JobSpec(
+                    f'job-{number}',
+                    'team',
+                    JobKind.BATCH,
+                    name,
+                    self.deployment.job_tasks,
+                    Resources(self.deployment.batch_cpu, 1000),
+                    int(
+                        self.deployment.batch_run_ms
+                        * self.job_source.uniform(0.5, 1.5)
+                    ),
+                )
+            )
+
+    async def cause_faults(self):
+        await trio.sleep(WARM_S / 2)
+        for name in sorted(self.fleet.workers)[: self.scenario.failing]:
+            self.fleet.workers[name].faults.fails_everything = True
+        if self.scenario.outage_s:
+            await trio.sleep(WARM_S)
+            self.fleet.table.faults.down = True
+            await trio.sleep(self.scenario.outage_s)
+            self.fleet.table.faults.down = False
+
+
+async def play(policy, deployment, scenario, seed, run_s, extra):
+    source = random.Random(seed)
+    table = make_table(source, deployment.services)
+    async with Fleet(deployment.size, seed) as fleet:
+        for worker in fleet.workers.values():
+            worker.slowdowns.update(table)
+            worker.service_ms = deployment.service_ms
+            worker.faults.report_lag_ms = scenario.lag_ms
+            worker.faults.use_ratio = source.choice(scenario.use_ratios)
+        await fleet.wait_ready()
+        await fleet.roll_bundle(make_bundle(policy, deployment, extra))
+        await trio.sleep(3)
+        if policy == 'oracle':
+            for process in fleet.iter_live():
+                teach(process.shell.state.model, table)
+        for service in deployment.services:
+            await fleet.submit_surely(
+                JobSpec(
+                    service,
+                    'team',
+                    JobKind.SERVICE,
+                    service,
+                    deployment.tasks_per_service,
+                    Resources(1000, 1000),
+                    0,
+                    SERVICE_PRIORITY,
+                )
+            )
+        await trio.sleep(3)
+        # Each stream has its own source: the same load for every policy.
+        run = Run(
+            fleet,
+            deployment,
+            scenario,
+            random.Random(f'calls {seed}'),
+            random.Random(f'jobs {seed}'),
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(run.send_calls, nursery)
+            nursery.start_soon(run.submit_jobs)
+            nursery.start_soon(run.cause_faults)
+            await trio.sleep(WARM_S)
+            run.counting = True
+            before = count(fleet)
+            await trio.sleep(run_s)
+            run.counting = False
+            run.stopped = True
+            after = count(fleet)
+            nursery.cancel_scope.deadline = trio.current_time() + 4
+    done, evicted, wasted = (
+        new - old for new, old in zip(after, before, strict=True)
+    )
+    return {
+        'p99': run.histogram.get_value_at_percentile(99) / 1000,
+        'p999': run.histogram.get_value_at_percentile(99.9) / 1000,
+        'over': run.over_ms / max(1, run.calls),
+        'done': done,
+        'evicted': evicted,
+        'wasted': wasted / 1000,
+        'broken': len(check_history(fleet.history)),
+    }
+
+
+def teach(model, table):
+    """Give a model the true table, and keep it from learning."""
+    model.step = 0.0
+    for (service, name), slowdown in table.items():
+        model.weights[f'{service}|{name}'] = slowdown
+        model.sample_counts[f'{service}|{name}'] = 1e9
+
+
+def count(fleet):
+    done = evicted = wasted = 0
+    for process in fleet.iter_live():
+        state = process.shell.state
+        done += state.counters['attempts_done']
+        evicted += state.counters['attempts_evicted']
+        wasted += sum(one.wasted_ms for one in state.stats.policies.values())
+    return done, evicted, wasted
+
+
+def work(task):
+    policy, name, scenario, seed, run_s, extra = task
+    trio_run._ALLOW_DETERMINISTIC_SCHEDULING = True
+    trio_run._r = random.Random(seed)
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return trio.run(
+        play,
+        policy,
+        DEPLOYMENTS[name],
+        scenario,
+        seed,
+        run_s,
+        extra,
+        clock=clock,
+    )
+
+
+def ratio(value, base):
+    return value / base if base else (1.0 if not value else float('inf'))
+
+
+def show(name, scenario, results, seeds):
+    print(f'\n{name}, {scenario.name}, seeds {list(seeds)}')
+    print(
+        f'{"policy":13} {"p99":>7} {"p999":>7} {"over ms":>8} {"done":>6}'
+        f' {"evict":>6} {"waste s":>8}   ratios to least_loaded (spread)'
+    )
+    for policy in POLICIES:
+        rows = [results[policy, seed] for seed in seeds]
+        base = [results['least_loaded', seed] for seed in seeds]
+        means = {
+            key: statistics.fmean(row[key] for row in rows) for key in rows[0]
+        }
+        ratios = {
+            key: [
+                ratio(row[key], low[key])
+                for row, low in zip(rows, base, strict=True)
+            ]
+            for key in ('p99', 'over', 'done')
+        }
+        text = ' '.join(
+            f'{key} {statistics.fmean(found):.2f}'
+            f' ({min(found):.2f}-{max(found):.2f})'
+            for key, found in ratios.items()
+        )
+        broken = int(sum(row['broken'] for row in rows))
+        print(
+            f'{policy:13} {means["p99"]:7.1f} {means["p999"]:7.1f}'
+            f' {means["over"]:8.2f} {means["done"]:6.0f}'
+            f' {means["evicted"]:6.1f} {means["wasted"]:8.1f}   {text}'
+            + (f'  PROMISES BROKEN {broken}' if broken else '')
+        )
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--tuning', action='store_true')
+    parser.add_argument('--seconds', type=float, default=60)
+    parser.add_argument('--processes', type=int, default=6)
+    parser.add_argument('--only', default='')
+    parser.add_argument('--set', action='append', default=[])
+    options = parser.parse_args()
+    seeds = TUNING_SEEDS if options.tuning else REPORT_SEEDS
+    began = time.monotonic()
+    with concurrent.futures.ProcessPoolExecutor(options.processes) as pool:
+        for name in DEPLOYMENTS:
+            for scenario in SCENARIOS:
+                label = f'{name}, {scenario.name}'
+                if options.only not in label:
+                    continue
+                keys = [(one, seed) for one in POLICIES for seed in seeds]
+                tasks = [
+                    (one, name, scenario, seed, options.seconds, options.set)
+                    for one, seed in keys
+                ]
+                results = dict(zip(keys, pool.map(work, tasks), strict=True))
+                show(name, scenario, results, seeds)
+    print(f'\nwall {time.monotonic() - began:.0f} s')
+
+
+if __name__ == '__main__':
+    main()
