Share what instances learn of interference

Cause: each instance learned alone from its own cells; with six instances a pair's samples were spread over six models, each shrunk to the prior. Change: every 5 s an instance sends its weights and counts to its peers; each source's part is kept apart and replaced, and dropped with its session.

--- a/src/tulippin/_membership.py
+++ b/src/tulippin/_membership.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from tulippin import _bundling, _requests, _units
+from tulippin import _bundling, _pressure, _requests, _units
 from tulippin import effects as fx
 from tulippin._cells import make_summaries
 from tulippin._context import Context
@@ -26,6 +26,7 @@
 from tulippin.types import LeaseRow, cell_unit
 
 _ENDED_KEPT = 1000
+_SHARE_EVERY_MS = 5000
 
 
 def update_standing(context: Context) -> None:
@@ -105,6 +106,9 @@
     message = make_gossip(context)
     for session_id in context.state.peers:
         context.send(session_id, message)
+    if context.now_ms >= session.next_share_ms:
+        session.next_share_ms = context.now_ms + _SHARE_EVERY_MS
+        _pressure.share_model(context)
 
 
 def make_gossip(context: Context) -> Gossip:
@@ -237,6 +241,7 @@
     state = context.state
     state.peers.pop(session_id, None)
     state.heard_sequences.pop(session_id, None)
+    state.model.drop_shared(session_id)
     state.ended_sessions[session_id] = context.now_ms
     if len(state.ended_sessions) > _ENDED_KEPT:
         state.ended_sessions.pop(next(iter(state.ended_sessions)))
--- a/src/tulippin/_pressure.py
+++ b/src/tulippin/_pressure.py
@@ -10,8 +10,10 @@
 
 from tulippin import _workers
 from tulippin._context import Context
+from tulippin._dispatch import receive
 from tulippin._placing import iter_evictable
 from tulippin.ledger import AttemptEntry
+from tulippin.messages import ModelShared
 from tulippin.policies import InterferencePolicy
 from tulippin.state import CellState, WorkerState
 from tulippin.trial import get_policy
@@ -19,6 +21,7 @@
 from tulippin.worker_types import WorkerReport
 
 _SMOOTHING = 0.1
+_SHARED_LIMIT = 500
 _RELIEF_WAIT_MS = 5000
 _EVICT_WAIT_MS = 10000
 _RELEASE_RATIO = 0.8
@@ -51,6 +54,26 @@
         worker.residents.append((context.now_ms, current))
 
 
+def share_model(context: Context) -> None:
+    """Tell the peers the weights with the most samples."""
+    entries = sorted(
+        context.state.model.iter_learned(), key=lambda entry: -entry[2]
+    )[:_SHARED_LIMIT]
+    if not entries:
+        return
+    rounded = tuple(
+        (key, round(weight, 4), round(number, 1))
+        for key, weight, number in entries
+    )
+    for session_id in context.state.peers:
+        context.send(session_id, ModelShared(rounded))
+
+
+@receive.register
+def _(message: ModelShared, sender: str, context: Context) -> None:
+    context.state.model.take_shared(sender, message.entries)
+
+
 def _get_residents(worker: WorkerState, at_ms: int) -> dict[str, int]:
     """Return the batch classes that ran on a worker at a past time."""
     for since_ms, batch in reversed(worker.residents):
--- a/src/tulippin/messages.py
+++ b/src/tulippin/messages.py
@@ -31,6 +31,13 @@
     leaving: bool = False
 
 
+@attrs.frozen
+class ModelShared:
+    """What an instance has learned: key, weight and number of samples."""
+
+    entries: tuple[tuple[str, float, float], ...]
+
+
 @attrs.frozen
 class BundleWanted:
     """A peer asks for the bundle that the receiver holds."""
@@ -216,6 +223,7 @@
 
 PEER_MESSAGES = (
     Gossip,
+    ModelShared,
     BundleWanted,
     BundleSent,
     TaskOffered,
--- a/src/tulippin/policies.py
+++ b/src/tulippin/policies.py
@@ -18,6 +18,9 @@
     from tulippin.ini import SectionReader
 
 
+_PRIOR_COUNT: t.Final = 4.0
+
+
 @attrs.frozen
 class Policy:
     """Base of all policies."""
@@ -115,13 +118,45 @@
     forget: float = 0.999
     weights: dict[str, float] = attrs.field(factory=dict)
     sample_counts: dict[str, float] = attrs.field(factory=dict)
+    shared: dict[str, dict[str, tuple[float, float]]] = attrs.field(
+        factory=dict
+    )
+    shared_sums: dict[str, tuple[float, float]] = attrs.field(factory=dict)
 
     def get_weight(self, service: str, batch_class: str) -> float:
         """Return the slowdown, shrunk to the prior where data is thin."""
         key = f'{service}|{batch_class}'
         count = self.sample_counts.get(key, 0.0)
         learned = self.weights.get(key, self.prior)
-        return (learned * count + self.prior * 4) / (count + 4)
+        shared_sum, shared_count = self.shared_sums.get(key, (0.0, 0.0))
+        total = learned * count + shared_sum + self.prior * _PRIOR_COUNT
+        return total / (count + shared_count + _PRIOR_COUNT)
+
+    def take_shared(
+        self, source: str, entries: t.Iterable[tuple[str, float, float]]
+    ) -> None:
+        """Take what another instance has learned, in place of its last."""
+        known = self.shared.setdefault(source, {})
+        for key, weight, count in entries:
+            old_weight, old_count = known.get(key, (0.0, 0.0))
+            total, counted = self.shared_sums.get(key, (0.0, 0.0))
+            self.shared_sums[key] = (
+                total - old_weight * old_count + weight * count,
+                counted - old_count + count,
+            )
+            known[key] = (weight, count)
+
+    def drop_shared(self, source: str) -> None:
+        """Forget what an instance that has ended had learned."""
+        known = self.shared.pop(source, {})
+        for key, (weight, count) in known.items():
+            total, counted = self.shared_sums[key]
+            self.shared_sums[key] = (total - weight * count, counted - count)
+
+    def iter_learned(self) -> t.Iterator[tuple[str, float, float]]:
+        """Iterate over this instance's own weights and their counts."""
+        for key, count in self.sample_counts.items():
+            yield key, self.weights[key], count
 
     def predict(self, service: str, batch: t.Mapping[str, int]) -> float:
         """Return the expected slowdown, 1.0 meaning none."""
--- a/src/tulippin/state.py
+++ b/src/tulippin/state.py
@@ -148,6 +148,7 @@
     next_poll_ms: int = 0
     next_list_ms: int = 0
     next_gossip_ms: int = 0
+    next_share_ms: int = 0
     next_rebalance_ms: int = 0
     next_dispatch_ms: int = 0
     writing_ownership: bool = False
