Choose among cells by the harm a task would do, under a single policy

Cause: a home gave tasks to the cell with the most room whatever served there; the policy could choose only among the workers of that cell. Change: a cell's summary tells, for each batch class, the least slowdown that one more task adds on a worker with room for it. Not while several policies are on trial: steering between cells would favour one of them. Failed try: without the condition of room the least was 0 nearly always and nothing changed.

--- a/src/tulippin/_cells.py
+++ b/src/tulippin/_cells.py
@@ -110,8 +110,9 @@
         if slots:
             queued = len(cell.queues.get(service, ()))
             services[service] = sum(slots) - queued
+    harm = _pressure.summarize_harm(context, usable)
     return CellSummary(
-        cell.unit, cell.epoch, free, largest, evictable, services
+        cell.unit, cell.epoch, free, largest, evictable, services, harm
     )
 
 
--- a/src/tulippin/_homes.py
+++ b/src/tulippin/_homes.py
@@ -309,7 +309,13 @@
         for view in views
         if view.free.fits(spec.size) and view.largest_free.fits(spec.size)
     ]
-    return max(fitting, key=lambda view: view.free.cpu_millicores, default=None)
+    return min(fitting, key=lambda view: _get_cost(spec, view), default=None)
+
+
+def _get_cost(spec: JobSpec, view: CellView) -> tuple[float, int]:
+    """Order cells by the harm that the task would do, then by room."""
+    harm = view.summary.harm.get(spec.job_class, 0.0)
+    return round(harm, 1), -view.free.cpu_millicores
 
 
 def _repeat_offers(context: Context, home: RangeState) -> None:
--- a/src/tulippin/_pressure.py
+++ b/src/tulippin/_pressure.py
@@ -14,7 +14,7 @@
 from tulippin._placing import iter_evictable
 from tulippin.ledger import AttemptEntry
 from tulippin.messages import ModelShared
-from tulippin.policies import InterferencePolicy
+from tulippin.policies import InterferenceModel, InterferencePolicy
 from tulippin.state import CellState, WorkerState
 from tulippin.trial import get_policy
 from tulippin.types import URGENT_PRIORITY, JobKind, TaskOutcome
@@ -54,6 +54,42 @@
         worker.residents.append((context.now_ms, current))
 
 
+def summarize_harm(
+    context: Context, workers: list[WorkerState]
+) -> dict[str, float]:
+    """Return the least harm that a task of each class would do here.
+
+    Only under a bundle with one policy: while several are on trial, a
+    home's choice among cells must not favour one of them.
+    """
+    bundle = context.state.bundle
+    if bundle is None or len(bundle.policies) > 1 or not workers:
+        return {}
+    (policy,) = bundle.policies.values()
+    if not isinstance(policy, InterferencePolicy):
+        return {}
+    found = {}
+    for name in context.state.model.iter_classes():
+        size = context.state.sizes.get_size(name)
+        harms = [
+            _get_class_harm(context.state.model, worker, name)
+            for worker in workers
+            if worker.free.fits(size)
+        ]
+        if harms:
+            found[name] = round(min(harms), 3)
+    return found
+
+
+def _get_class_harm(
+    model: InterferenceModel, worker: WorkerState, batch_class: str
+) -> float:
+    return sum(
+        model.get_weight(service, batch_class) * number
+        for service, number in worker.service_counts.items()
+    )
+
+
 def share_model(context: Context) -> None:
     """Tell the peers the weights with the most samples."""
     entries = sorted(
@@ -144,10 +180,7 @@
     context: Context, cell: CellState, worker: WorkerState, task_id: str
 ) -> tuple[float, int]:
     entry = cell.ledger.attempts[task_id]
-    harm = sum(
-        context.state.model.get_weight(service, entry.spec.job_class)
-        for service in worker.service_counts
-    )
+    harm = _get_class_harm(context.state.model, worker, entry.spec.job_class)
     return harm, -worker.unsaved_ms.get(task_id, 0)
 
 
--- a/src/tulippin/messages.py
+++ b/src/tulippin/messages.py
@@ -10,7 +10,12 @@
 
 @attrs.frozen
 class CellSummary:
-    """What a cell could still take, as of its owner's last look."""
+    """What a cell could still take, as of its owner's last look.
+
+    ``harm`` is, for a batch class, the slowdown that one more task of it
+    would add on the cell's best worker; empty unless the bundle has but
+    one policy and that learns interference.
+    """
 
     unit: str
     epoch: int
@@ -18,6 +23,7 @@
     largest_free: Resources
     evictable: Resources
     services: dict[str, int] = attrs.field(factory=dict)
+    harm: dict[str, float] = attrs.field(factory=dict)
 
 
 @attrs.frozen
--- a/src/tulippin/policies.py
+++ b/src/tulippin/policies.py
@@ -19,6 +19,7 @@
 
 
 _PRIOR_COUNT: t.Final = 4.0
+_CLASS_LIMIT: t.Final = 32
 
 
 @attrs.frozen
@@ -153,6 +154,11 @@
             total, counted = self.shared_sums[key]
             self.shared_sums[key] = (total - weight * count, counted - count)
 
+    def iter_classes(self) -> list[str]:
+        """Return the batch classes that anything is known of."""
+        keys = {*self.weights, *self.shared_sums}
+        return sorted({key.partition('|')[2] for key in keys})[:_CLASS_LIMIT]
+
     def iter_learned(self) -> t.Iterator[tuple[str, float, float]]:
         """Iterate over this instance's own weights and their counts."""
         for key, count in self.sample_counts.items():
