--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,9 @@
 	$(BIN)/python bench/hops.py
 	$(BIN)/python bench/recovery.py
 	$(BIN)/python bench/placement.py
+	$(BIN)/python bench/slopes.py
+	$(BIN)/python bench/scale.py --share 0.1
+	$(BIN)/python bench/policies.py
 
 openapi: $(VENV)/.installed
 	$(BIN)/python -m tulippin.openapi > openapi.tmp
--- a/src/tulippin/_homes.py
+++ b/src/tulippin/_homes.py
@@ -125,6 +125,7 @@
 def _dispatch(context: Context, homes: list[RangeState]) -> None:
     """Assign queued tasks, the first in rank over all homes first."""
     views = make_views(context)
+    use = _quotas.count_use(context)
     budget = context.state.config.starts_per_tick
     full: set[tuple[Resources, bool]] = set()
     heads = [
@@ -135,7 +136,7 @@
     while heads and budget > 0:
         _, unit, home = heapq.heappop(heads)
         queued = home.queue[0]
-        count = _assign(context, home, queued, views, full)
+        count = _assign(context, home, queued, views, full, use)
         budget -= max(count, 0)
         if count < 0:
             aside.append((home, heapq.heappop(home.queue)))
@@ -179,6 +180,7 @@
     queued: QueuedTask,
     views: dict[str, CellView],
     full: set[tuple[Resources, bool]],
+    use: _quotas.TeamUse,
 ) -> int:
     """Assign one queued entry's next task.
 
@@ -196,7 +198,7 @@
     task_id = f'{queued.job_id}/{index}'
     if key in full or context.now_ms < home.not_before_ms.get(task_id, 0):
         return -1
-    if not _quotas.has_room(context, job.spec):
+    if not use.has_room(job.spec):
         return -1
     if job.spec.kind is JobKind.SERVICE:
         spread = _spread(home, job, views)
@@ -208,6 +210,7 @@
     if cell is None:
         return -1
     _give(context, home, job, index, cell)
+    use.add(job.spec)
     if queued.index == _FRESH:
         home.fresh_jobs[queued.job_id] = index + 1
     else:
--- a/src/tulippin/_pressure.py
+++ b/src/tulippin/_pressure.py
@@ -65,7 +65,7 @@
     bundle = context.state.bundle
     if bundle is None or len(bundle.policies) > 1 or not workers:
         return {}
-    (policy,) = bundle.policies.values()
+    policy = next(iter(bundle.policies.values()))
     if not isinstance(policy, InterferencePolicy):
         return {}
     found = {}
--- a/src/tulippin/_quotas.py
+++ b/src/tulippin/_quotas.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+import collections
+
+import attrs
+
 from tulippin._context import Context
-from tulippin.types import JobSpec, Resources
+from tulippin.state import RangeState
+from tulippin.types import JobSpec
 
 
 def check_job(context: Context, spec: JobSpec) -> str:
@@ -26,27 +31,50 @@
     return ''
 
 
-def has_room(context: Context, spec: JobSpec) -> bool:
-    """Tell whether a team's share held here has room for one task.
+@attrs.define
+class TeamUse:
+    """What each team holds of the shares kept here, for one round."""
+
+    shares: dict[str, int]
+    used: collections.Counter[str]
+
+    def has_room(self, spec: JobSpec) -> bool:
+        """Tell whether a team's share has room for one more task."""
+        share = self.shares.get(spec.team)
+        if share is None:
+            return True
+        return self.used[spec.team] + spec.size.cpu_millicores <= share
+
+    def add(self, spec: JobSpec) -> None:
+        """Count one more task."""
+        self.used[spec.team] += spec.size.cpu_millicores
 
-    Every range holds an equal share of each team's quota; the shares'
-    sum never exceeds it.
+
+def count_use(context: Context) -> TeamUse:
+    """Return each team's share and use over the ranges owned here.
+
+    Every range holds an equal share of each team's quota, so the
+    shares' sum never exceeds it.
     """
-    bundle = context.state.bundle
-    limit = bundle.teams.get(spec.team) if bundle else None
-    if limit is None or not limit.cpu_millicores:
-        return True
-    share = limit.cpu_millicores * len(context.state.ranges)
-    share //= context.state.config.range_count
-    used = _get_used(context, spec.team)
-    return used.cpu_millicores + spec.size.cpu_millicores <= share
-
-
-def _get_used(context: Context, team: str) -> Resources:
-    used = Resources()
-    for home in context.state.ranges.values():
-        for offer in home.offers.values():
-            job = home.ledger.jobs.get(offer.task.job_id)
-            if job is not None and job.spec.team == team:
-                used = used.add(job.spec.size)
-    return used
+    state = context.state
+    bundle = state.bundle
+    limits = bundle.teams.values() if bundle is not None else ()
+    shares = {
+        limit.team: limit.cpu_millicores
+        * len(state.ranges)
+        // state.config.range_count
+        for limit in limits
+        if limit.cpu_millicores
+    }
+    use = TeamUse(shares, collections.Counter())
+    if shares:
+        for home in state.ranges.values():
+            _count_home(home, use)
+    return use
+
+
+def _count_home(home: RangeState, use: TeamUse) -> None:
+    for offer in home.offers.values():
+        job = home.ledger.jobs.get(offer.task.job_id)
+        if job is not None:
+            use.add(job.spec)
--- a/tests/tulippin/conftest.py
+++ b/tests/tulippin/conftest.py
@@ -31,6 +31,7 @@
 [limits]
 balancer_grace_ms = 50
 max_body_bytes = 20000
+{more}
 """
 
 
@@ -44,7 +45,7 @@
     keys: dict
     daemons: list = attrs.field(factory=list)
 
-    def make_settings(self, number, url=None):
+    def make_settings(self, number, url=None, more=''):
         seeds = [f'127.0.0.1:{one.peers_port}' for one in self.daemons]
         return SETTINGS.format(
             number=number,
@@ -52,11 +53,12 @@
             seeds=', '.join(seeds),
             alice=self.keys['alice'][1],
             bob=self.keys['bob'][1],
+            more=more,
         )
 
-    async def start(self, url=None):
+    async def start(self, url=None, more=''):
         daemon = Daemon(
-            parse_settings(self.make_settings(len(self.daemons), url))
+            parse_settings(self.make_settings(len(self.daemons), url, more))
         )
         self.daemons.append(daemon)
         instance_id = daemon.settings.config.instance_id
@@ -93,7 +95,7 @@
 
 
 @contextlib.asynccontextmanager
-async def open_site(count=1, size=None):
+async def open_site(count=1, size=None, more=''):
     """Open stand-ins and a number of ready daemons."""
     size = size or StandinSize(cell_count=1, workers_per_cell=2)
     keys = {name: make_key() for name in ('alice', 'bob')}
@@ -104,7 +106,7 @@
     ):
         site = Site(standins, client, nursery, keys)
         for _ in range(count):
-            await site.start()
+            await site.start(more=more)
         await site.wait_ready()
         yield site
         nursery.cancel_scope.cancel()
--- a/tests/tulippin/test_peers_grpc.py
+++ b/tests/tulippin/test_peers_grpc.py
@@ -1,15 +1,10 @@
 """Peers over gRPC, plain and with mutual TLS."""
 
-import datetime
-import ipaddress
-
 import pytest
 import trio
-from cryptography import x509
-from cryptography.hazmat.primitives import hashes, serialization
-from cryptography.hazmat.primitives.asymmetric import ec
-from cryptography.x509.oid import NameOID
+import trio.testing
 
+from tests_certificates import NAME, make_certificate, to_pem
 from tulippin.exceptions import InputError, UnavailableError
 from tulippin.messages import BundleWanted
 from tulippin.peers_grpc import (
@@ -23,49 +18,6 @@
 
 ENVELOPE = Envelope('i:1', 'i', 3, (BundleWanted(7), BundleWanted(8)))
 ANY = '127.0.0.1:0'
-NAME = 'tulippin-peer'
-
-
-def make_certificate(issuer=None):
-    """Return a certificate and key, signed by an issuer or by itself."""
-    key = ec.generate_private_key(ec.SECP256R1())
-    name = NAME if issuer else 'authority'
-    subject = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, name)])
-    now = datetime.datetime.now(datetime.UTC)
-    builder = (
-        x509.CertificateBuilder()
-        .subject_name(subject)
-        .issuer_name(issuer[0].subject if issuer else subject)
-        .public_key(key.public_key())
-        .serial_number(x509.random_serial_number())
-        .not_valid_before(now - datetime.timedelta(days=1))
-        .not_valid_after(now + datetime.timedelta(days=1))
-        .add_extension(
-            x509.BasicConstraints(ca=issuer is None, path_length=None), True
-        )
-        .add_extension(
-            x509.SubjectAlternativeName(
-                [
-                    x509.DNSName(NAME),
-                    x509.IPAddress(ipaddress.ip_address('127.0.0.1')),
-                ]
-            ),
-            False,
-        )
-    )
-    signer = issuer[1] if issuer else key
-    return builder.sign(signer, hashes.SHA256()), key
-
-
-def to_pem(certificate, key):
-    return (
-        certificate.public_bytes(serialization.Encoding.PEM),
-        key.private_bytes(
-            serialization.Encoding.PEM,
-            serialization.PrivateFormat.PKCS8,
-            serialization.NoEncryption(),
-        ),
-    )
 
 
 def make_credentials(authority):
