Explore less; one settings text and one job type instead of several

Cause: with 2% of placements at random, harm was done on purpose more often than learning needs. Change: explore_share 0.005. Clean-up: JobBody was JobSpec again; the daemons' settings stood four times.

--- a/bench/hops.py
+++ b/bench/hops.py
@@ -16,23 +16,11 @@
 
 from tulippin._http_client import HttpClient
 from tulippin.codec import decode, encode
-from tulippin.standins import Standins, StandinSize
+from tulippin.standins import Standins, StandinSize, render_settings
 from tulippin.workers_http import EPOCH_HEADER, REQUEST_ID_HEADER
 
 COUNT = 400
-SETTINGS = """
-[instance]
-id = instance-{number}
-failure_domain = domain-{number}
-[listen]
-callers = 127.0.0.1:0
-operators = 127.0.0.1:0
-peers = 127.0.0.1:0
-[platform]
-url = {url}
-[log]
-style = json
-"""
+JSON_LOG = '[log]\nstyle = json\n'
 SERVICE = {
     'job_id': 'service',
     'team': 'team',
@@ -53,7 +41,7 @@
 
 async def start(folder, number, url):
     path = pathlib.Path(folder) / f'{number}.ini'
-    path.write_text(SETTINGS.format(number=number, url=url))
+    path.write_text(render_settings(number, url, more=JSON_LOG))
     handle = await trio.lowlevel.open_process(
         [sys.executable, '-m', 'tulippin.daemon', str(path)],
         stderr=subprocess.PIPE,
--- a/src/tulippin/api_types.py
+++ b/src/tulippin/api_types.py
@@ -4,8 +4,6 @@
 
 import attrs
 
-from tulippin.types import JobKind, Resources
-
 
 @attrs.frozen
 class ServiceCall:
@@ -47,21 +45,6 @@
     code: str = ''
 
 
-@attrs.frozen
-class JobBody:
-    """A job as a caller submits it."""
-
-    job_id: str
-    team: str
-    kind: JobKind = JobKind.BATCH
-    job_class: str = 'batch'
-    task_count: int = 1
-    size: Resources = Resources(1000, 1024)
-    run_ms: int = 0
-    priority: int = 0
-    max_failures: int = 3
-
-
 @attrs.frozen
 class SignatureBody:
     """An operator's signature."""
--- a/src/tulippin/cli.py
+++ b/src/tulippin/cli.py
@@ -14,13 +14,12 @@
 from cleo.helpers import argument, option
 from cleo.io.inputs.string_input import StringInput
 
-from tulippin.api_types import JobBody
 from tulippin.bundles import compute_digest, make_key, parse_bundle, sign
 from tulippin.client import ApiClient, make_tls_context
 from tulippin.codec_json import decode, encode
 from tulippin.exceptions import InputError, TulippinError
 from tulippin.settings import load_settings
-from tulippin.types import JobKind, Resources
+from tulippin.types import JobKind, JobSpec, Resources
 
 _VERSION: t.Final = '0.1.0'
 _DEFAULT_URL: t.Final = 'http://127.0.0.1:8081'
@@ -295,7 +294,7 @@
         """Submit the job."""
         kind = JobKind(self._get_kind())
         run_s = self._get_int('run-s') if kind is JobKind.BATCH else 0
-        body = JobBody(
+        body = JobSpec(
             self.argument('job_id'),
             self.require('team'),
             kind,
--- a/src/tulippin/demo.py
+++ b/src/tulippin/demo.py
@@ -11,16 +11,16 @@
 
 from tulippin import codec
 from tulippin._http_client import HttpClient
-from tulippin.api_types import JobBody, ServiceCall
+from tulippin.api_types import ServiceCall
 from tulippin.bundles import compute_digest, make_key, sign
 from tulippin.daemon import Daemon
 from tulippin.exceptions import TulippinError
 from tulippin.history import Violation, check_history
 from tulippin.plots import render_report
 from tulippin.settings import parse_settings
-from tulippin.standins import Standins
+from tulippin.standins import Standins, render_settings
 from tulippin.stats import Comparison
-from tulippin.types import SERVICE_PRIORITY, JobKind, Resources
+from tulippin.types import SERVICE_PRIORITY, JobKind, JobSpec, Resources
 
 _INSTANCES: t.Final = 3
 _CALLERS: t.Final = 4
@@ -51,26 +51,7 @@
 target_ms = 60
 """
 
-_SETTINGS: t.Final = """\
-[instance]
-id = instance-{number}
-failure_domain = domain-{number}
-
-[listen]
-callers = 127.0.0.1:0
-operators = 127.0.0.1:0
-peers = 127.0.0.1:0
-
-[platform]
-url = {url}
-
-[operators]
-alice = {alice}
-bob = {bob}
-
-[limits]
-balancer_grace_ms = 200
-"""
+_LIMITS: t.Final = '[limits]\nbalancer_grace_ms = 200\n'
 
 
 @attrs.frozen
@@ -102,11 +83,11 @@
         """Start the instances and wait until they are ready."""
         self.keys = {name: make_key() for name in ('alice', 'bob')}
         for number in range(_INSTANCES):
-            text = _SETTINGS.format(
-                number=number,
-                url=self.standins.url,
-                alice=self.keys['alice'][1],
-                bob=self.keys['bob'][1],
+            text = render_settings(
+                number,
+                self.standins.url,
+                {name: pair[1] for name, pair in self.keys.items()},
+                _LIMITS,
             )
             daemon = Daemon(parse_settings(text))
             self.daemons.append(daemon)
@@ -168,7 +149,7 @@
                 )
         self.say('bundle 1 is approved, rolled and held by all')
 
-    async def submit(self, body: JobBody) -> None:
+    async def submit(self, body: JobSpec) -> None:
         """Submit a job to some instance."""
         port = random.choice(self.daemons).callers_port
         await self.send_checked(port, 'POST', '/v1/jobs', body)
@@ -208,7 +189,7 @@
             number += 1
             noisy = number % 2
             await self.submit(
-                JobBody(
+                JobSpec(
                     f'batch-{number}',
                     'demo',
                     job_class='noisy' if noisy else 'calm',
@@ -247,7 +228,7 @@
 async def _run_load(demo: _Demo, seconds: int) -> DemoResult:
     await demo.roll(_BUNDLE)
     await demo.submit(
-        JobBody(
+        JobSpec(
             'alerts',
             'demo',
             JobKind.SERVICE,
--- a/src/tulippin/http_callers.py
+++ b/src/tulippin/http_callers.py
@@ -17,7 +17,7 @@
     make_json,
     read_json,
 )
-from tulippin.api_types import JobBody, ServiceAnswer, ServiceCall
+from tulippin.api_types import ServiceAnswer, ServiceCall
 from tulippin.bundles import compute_digest
 from tulippin.codec import decode, encode
 from tulippin.exceptions import Finding, InputError, NotFoundError
@@ -174,26 +174,15 @@
     # -- jobs ----------------------------------------------------------------
 
     async def _submit_job(self, request: Request) -> Response:
-        body = await read_json(request, JobBody, self._limits.max_body_bytes)
-        self._check_job(body)
-        spec = JobSpec(
-            body.job_id,
-            body.team,
-            body.kind,
-            body.job_class,
-            body.task_count,
-            body.size,
-            body.run_ms,
-            body.priority,
-            body.max_failures,
-        )
+        spec = await read_json(request, JobSpec, self._limits.max_body_bytes)
+        self._check_job(spec)
         digest = compute_digest(encode(spec).decode())
         reply = await self._shell.operate_job(
-            'submit', body.job_id, spec, digest
+            'submit', spec.job_id, spec, digest
         )
         return _render_reply(reply, 201)
 
-    def _check_job(self, body: JobBody) -> None:
+    def _check_job(self, body: JobSpec) -> None:
         findings = []
         for place, name in (
             ('$.job_id', body.job_id),
--- a/src/tulippin/openapi.py
+++ b/src/tulippin/openapi.py
@@ -14,7 +14,6 @@
 from tulippin._http_app import ErrorBody
 from tulippin.api_types import (
     InstanceBody,
-    JobBody,
     ProposalBody,
     ServiceAnswer,
     ServiceCall,
@@ -23,6 +22,7 @@
 from tulippin.bundles import BundleRow
 from tulippin.messages import JobStatus
 from tulippin.stats import Comparison
+from tulippin.types import JobSpec
 
 _VERSION: t.Final = '0.1.0'
 _PREFIX: t.Final = '#/components/schemas/{name}'
@@ -115,7 +115,7 @@
         'Submit a job',
         JobStatus,
         '201',
-        JobBody,
+        JobSpec,
         ('400', '403', '409', '413', '422', '503', '504'),
     ),
     Operation('both', 'get', '/v1/jobs', 'List jobs', JobList),
--- a/src/tulippin/policies.py
+++ b/src/tulippin/policies.py
@@ -59,7 +59,7 @@
     """
 
     load_weight: float = 0.2
-    explore_share: float = 0.02
+    explore_share: float = 0.005
     throttle_ratio: float = 1.2
     evict_ratio: float = 2.5
 
--- a/src/tulippin/standins.py
+++ b/src/tulippin/standins.py
@@ -39,6 +39,22 @@
     REQUEST_ID_HEADER,
 )
 
+_SETTINGS: t.Final = """\
+[instance]
+id = instance-{number}
+failure_domain = domain-{number}
+
+[listen]
+callers = 127.0.0.1:0
+operators = 127.0.0.1:0
+peers = 127.0.0.1:0
+
+[platform]
+url = {url}
+
+[operators]
+{operators}
+"""
 _UNAVAILABLE: t.Final = 503
 _LOST: t.Final = 500
 _NOT_FOUND: t.Final = 404
@@ -47,6 +63,30 @@
 _MS: t.Final = 1000
 
 
+def render_settings(
+    number: int,
+    url: str,
+    operators: t.Mapping[str, str] | None = None,
+    more: str = '',
+) -> str:
+    """Return the settings of one daemon on loopback, on free ports.
+
+    Parameters
+    ----------
+    number : int
+        Of the instance and its failure domain.
+    url : str
+        Of the platform's stand-in.
+    operators : mapping of str to str, optional
+        Public keys by name.
+    more : str
+        Further sections.
+    """
+    keys = [f'{name} = {key}' for name, key in (operators or {}).items()]
+    text = _SETTINGS.format(number=number, url=url, operators='\n'.join(keys))
+    return f'{text}\n{more}'
+
+
 class PlatformApp:
     """The table, the object store and the list as one application."""
 
--- a/tests/tulippin/conftest.py
+++ b/tests/tulippin/conftest.py
@@ -11,27 +11,14 @@
 from tulippin.codec import decode, encode
 from tulippin.daemon import Daemon
 from tulippin.settings import parse_settings
-from tulippin.standins import Standins, StandinSize
-
-SETTINGS = """
-[instance]
-id = instance-{number}
-failure_domain = domain-{number}
-[listen]
-callers = 127.0.0.1:0
-operators = 127.0.0.1:0
-peers = 127.0.0.1:0
-[platform]
-url = {url}
+from tulippin.standins import Standins, StandinSize, render_settings
+
+MORE = """
 [peers]
 addresses = {seeds}
-[operators]
-alice = {alice}
-bob = {bob}
 [limits]
 balancer_grace_ms = 50
 max_body_bytes = 20000
-{more}
 """
 
 
@@ -47,13 +34,11 @@
 
     def make_settings(self, number, url=None, more=''):
         seeds = [f'127.0.0.1:{one.peers_port}' for one in self.daemons]
-        return SETTINGS.format(
-            number=number,
-            url=url or self.standins.url,
-            seeds=', '.join(seeds),
-            alice=self.keys['alice'][1],
-            bob=self.keys['bob'][1],
-            more=more,
+        return render_settings(
+            number,
+            url or self.standins.url,
+            {name: pair[1] for name, pair in self.keys.items()},
+            MORE.format(seeds=', '.join(seeds)) + more,
         )
 
     async def start(self, url=None, more=''):
--- a/tests/tulippin/test_processes.py
+++ b/tests/tulippin/test_processes.py
@@ -15,21 +15,9 @@
 from tulippin.codec import decode, encode
 from tulippin.exceptions import UnavailableError
 from tulippin.history import check_history
-from tulippin.standins import Standins, StandinSize
-
-SETTINGS = """
-[instance]
-id = instance-{number}
-failure_domain = domain-{number}
-[listen]
-callers = 127.0.0.1:0
-operators = 127.0.0.1:0
-peers = 127.0.0.1:0
-[platform]
-url = {url}
-[operators]
-alice = {alice}
-bob = {bob}
+from tulippin.standins import Standins, StandinSize, render_settings
+
+MORE = """
 [limits]
 balancer_grace_ms = 300
 [log]
@@ -90,11 +78,11 @@
     async def start(self, number):
         path = self.folder / f'{number}.ini'
         path.write_text(
-            SETTINGS.format(
-                number=number,
-                url=self.standins.url,
-                alice=self.keys['alice'][1],
-                bob=self.keys['bob'][1],
+            render_settings(
+                number,
+                self.standins.url,
+                {name: pair[1] for name, pair in self.keys.items()},
+                MORE,
             )
         )
         handle = await trio.lowlevel.open_process(
