--- a/src/tulippin/_homes.py
+++ b/src/tulippin/_homes.py
@@ -29,6 +29,7 @@
     JobAccepted,
     JobCancelled,
     JobForgotten,
+    RequestForgotten,
     TaskAssigned,
     TaskRef,
     TaskReturned,
@@ -49,6 +50,7 @@
 _STORE_RETRY_MS = 5000
 _DISPATCH_EVERY_MS = 100
 _EXPIRY_EVERY_MS = 60000
+_EXPIRY_LIMIT = 5000
 _FRESH = -1
 
 
@@ -263,6 +265,7 @@
     cell: CellView,
 ) -> None:
     task = job.tasks.get(index, TaskEntry())
+    home.assigning[f'{job.spec.job_id}/{index}'] = job.spec
     cell.free = cell.free.subtract(job.spec.size)
     if job.spec.kind is JobKind.SERVICE:
         home.spread[job.spec.job_id][cell.summary.unit] += 1
@@ -363,6 +366,7 @@
 @settle.register
 def _(record: TaskAssigned, unit: RangeState, context: Context) -> None:
     ref = TaskRef(record.job_id, record.index, record.attempt, unit.unit)
+    unit.assigning.pop(ref.task_id, None)
     job = unit.ledger.jobs.get(record.job_id)
     if job is None or record.index not in job.tasks:
         return
@@ -600,9 +604,21 @@
         return
     home.next_expiry_ms = context.now_ms + _EXPIRY_EVERY_MS
     before_ms = context.state.wall_ms - context.state.config.retention_ms
-    for job_id, job in home.ledger.jobs.items():
-        if job.finished and job.accepted_ms < before_ms:
-            context.record(home, JobForgotten(job_id))
+    old_jobs = [
+        job_id
+        for job_id, job in home.ledger.jobs.items()
+        if job.finished and job.accepted_ms < before_ms
+    ]
+    old_requests = [
+        request_id
+        for request_id, entry in home.ledger.requests.items()
+        if entry.opened_ms < before_ms
+        and request_id not in home.request_tickets
+    ]
+    for job_id in old_jobs[:_EXPIRY_LIMIT]:
+        context.record(home, JobForgotten(job_id))
+    for request_id in old_requests[:_EXPIRY_LIMIT]:
+        context.record(home, RequestForgotten(request_id))
 
 
 def get_home(context: Context, job_id: str) -> str:
--- a/src/tulippin/_quotas.py
+++ b/src/tulippin/_quotas.py
@@ -7,7 +7,7 @@
 import attrs
 
 from tulippin._context import Context
-from tulippin.state import RangeState
+from tulippin.state import Phase, RangeState
 from tulippin.types import JobSpec
 
 
@@ -54,26 +54,33 @@
     """Return each team's share and use over the ranges owned here.
 
     Every range holds an equal share of each team's quota, so the
-    shares' sum never exceeds it.
+    shares' sum never exceeds it. A range that is still being loaded
+    counts on neither side.
     """
     state = context.state
     bundle = state.bundle
     limits = bundle.teams.values() if bundle is not None else ()
+    homes = [
+        home for home in state.ranges.values() if home.phase is Phase.ACTIVE
+    ]
     shares = {
         limit.team: limit.cpu_millicores
-        * len(state.ranges)
+        * len(homes)
         // state.config.range_count
         for limit in limits
         if limit.cpu_millicores
     }
     use = TeamUse(shares, collections.Counter())
     if shares:
-        for home in state.ranges.values():
+        for home in homes:
             _count_home(home, use)
     return use
 
 
 def _count_home(home: RangeState, use: TeamUse) -> None:
+    """Count what is assigned, and what is about to be."""
+    for spec in home.assigning.values():
+        use.add(spec)
     for offer in home.offers.values():
         job = home.ledger.jobs.get(offer.task.job_id)
         if job is not None:
--- a/src/tulippin/state.py
+++ b/src/tulippin/state.py
@@ -21,7 +21,13 @@
 from tulippin.records import TaskRef, UnitRecord
 from tulippin.sizes import SizeModel
 from tulippin.stats import TrialStats
-from tulippin.types import LeaseRow, Ownership, Resources, WorkerInfo
+from tulippin.types import (
+    JobSpec,
+    LeaseRow,
+    Ownership,
+    Resources,
+    WorkerInfo,
+)
 
 
 @attrs.frozen
@@ -308,6 +314,7 @@
     fresh_jobs: dict[str, int] = attrs.field(factory=dict)
     offers: dict[str, OfferState] = attrs.field(factory=dict)
     returning: dict[str, int] = attrs.field(factory=dict)
+    assigning: dict[str, JobSpec] = attrs.field(factory=dict)
     job_waiters: dict[str, list[t.Any]] = attrs.field(factory=dict)
     request_tickets: dict[str, int] = attrs.field(factory=dict)
     closing: dict[str, RequestEntry] = attrs.field(factory=dict)
--- a/tests/tulippin/test_requests.py
+++ b/tests/tulippin/test_requests.py
@@ -249,6 +249,22 @@
     assert instance.take(fx.Leave)
 
 
+def test_ids_are_forgotten_after_their_retention(instance):
+    ask(instance, 5)
+    instance.commit_all()
+    reply(instance, instance.take(fx.CallEndpoint)[0])
+    instance.commit_all()
+    requests = instance.state.ranges['range/00'].ledger.requests
+    assert 'r' in requests
+    instance.now_ms += instance.state.config.retention_ms + 1000
+    instance.feed(ev.LeaseRenewed, SESSION, instance.now_ms)
+    for _ in range(5):
+        instance.tick(20000)
+        instance.feed(ev.LeaseRenewed, SESSION, instance.now_ms)
+        instance.commit_all()
+    assert not requests
+
+
 def test_paused_instance_does_nothing_until_the_table_speaks(instance):
     instance.effects.clear()
     instance.tick(8000, renew=False)
