Split workers' state from their handlers, and jobs from homes

Change: _worker_state, _jobs and _dropping; the circle over eight modules is gone but for cells and pressure.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from tulippin import _homes, _placing, _workers
+from tulippin import _homes, _placing, _worker_state
 from tulippin._context import Context
 from tulippin.bundles import parse_bundle
 from tulippin.ledger import AttemptEntry
@@ -47,7 +47,7 @@
             cell.ledger.attempts[task.task_id] = AttemptEntry(
                 task, spec, worker.worker_id, 'one', SPEC.size
             )
-            _workers.hold(worker, task.task_id, spec, SPEC.size)
+            _worker_state.hold(worker, task.task_id, spec, SPEC.size)
     return instance, cell
 
 
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -14,7 +14,8 @@
 from tulippin._cells import make_summaries
 from tulippin._context import Context
 from tulippin._http_client import HttpClient
-from tulippin._workers import _make_sync, hold
+from tulippin._worker_state import hold
+from tulippin._workers import _make_sync
 from tulippin.ledger import AttemptEntry, RequestEntry
 from tulippin.messages import Gossip, TaskHeld, TaskOffered, TaskReported
 from tulippin.peers_grpc import decode_envelope, encode_envelope
--- a/src/tulippin/_calls.py
+++ b/src/tulippin/_calls.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from tulippin import _homes
+from tulippin import _jobs
 from tulippin import effects as fx
 from tulippin._context import Context
 from tulippin._dispatch import handle, receive
@@ -36,7 +36,7 @@
         return
     message = JobForwarded(
         event.call_id,
-        _homes.get_home(context, event.job_id),
+        _jobs.get_home(context, event.job_id),
         event.action,
         event.job_id,
         event.spec,
@@ -124,7 +124,7 @@
     if name == 'workers':
         return encode(dump_state(state)['cells']).decode()
     jobs = [
-        _homes.describe_job(job)
+        _jobs.describe_job(job)
         for home in state.ranges.values()
         for job in home.ledger.jobs.values()
         if not argument or job.spec.team == argument
--- a/src/tulippin/_cells.py
+++ b/src/tulippin/_cells.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from tulippin import _pressure, _workers
+from tulippin import _pressure, _worker_state, _workers
 from tulippin._context import Context
 from tulippin._dispatch import receive, settle
 from tulippin._placing import choose_victims, choose_worker
@@ -21,7 +21,7 @@
     AttemptPlaced,
     TaskRef,
 )
-from tulippin.state import CellState, Phase
+from tulippin.state import CellState, Phase, WorkerState
 from tulippin.types import (
     URGENT_PRIORITY,
     JobKind,
@@ -39,7 +39,7 @@
     for task_id, entry in cell.ledger.attempts.items():
         if entry.outcome is None:
             worker = _get_or_add_worker(context, cell, entry.worker_id)
-            _workers.hold(worker, task_id, entry.spec, entry.reserved)
+            _worker_state.hold(worker, task_id, entry.spec, entry.reserved)
         else:
             cell.report_due[task_id] = context.now_ms
 
@@ -65,16 +65,14 @@
 
 def _get_or_add_worker(
     context: Context, cell: CellState, worker_id: str
-) -> _workers.WorkerState:
+) -> WorkerState:
     worker = cell.workers.get(worker_id)
     if worker is None:
         info = context.state.workers.get(worker_id) or WorkerInfo(
             worker_id, '', '', '', Resources()
         )
-        lapse_ms = _workers.get_first_lapse_ms(context, cell)
-        worker = _workers.WorkerState(
-            info, lapse_ms=lapse_ms, absent=not info.address
-        )
+        lapse_ms = _worker_state.get_first_lapse_ms(context, cell)
+        worker = WorkerState(info, lapse_ms=lapse_ms, absent=not info.address)
         cell.workers[worker_id] = worker
     return worker
 
@@ -95,7 +93,7 @@
     usable = [
         worker
         for worker in cell.workers.values()
-        if _workers.is_placeable(context, worker)
+        if _worker_state.is_placeable(context, worker)
     ]
     for worker in usable:
         free = free.add(worker.free)
@@ -105,7 +103,7 @@
         slots = [
             cell.workers[worker_id].free_slots
             for worker_id in set(endpoints.values())
-            if _workers.is_serving(context, cell.workers[worker_id])
+            if _worker_state.is_serving(context, cell.workers[worker_id])
         ]
         if slots:
             queued = len(cell.queues.get(service, ()))
@@ -219,7 +217,7 @@
     worker, reserved, policy = choice
     cell.refused.pop(task.task_id, None)
     cell.placing[task.task_id] = task
-    _workers.hold(worker, task.task_id, offer.spec, reserved)
+    _worker_state.hold(worker, task.task_id, offer.spec, reserved)
     context.record(
         cell,
         AttemptPlaced(
@@ -251,7 +249,7 @@
         return False
     worker, evicted = victims
     for victim in evicted:
-        _workers.evict(context, cell, worker, victim)
+        _worker_state.evict(context, cell, worker, victim)
     cell.waiting[task_id] = (
         context.now_ms + _WAIT_FOR_ROOM_MS,
         offer,
@@ -360,10 +358,14 @@
         return
     worker = unit.workers.get(entry.worker_id)
     if worker is not None:
-        _workers.release(worker, record.task_id, entry.spec, entry.reserved)
+        _worker_state.release(
+            worker, record.task_id, entry.spec, entry.reserved
+        )
         worker.dirty = True
     if entry.spec.kind is JobKind.SERVICE:
-        _workers.remove_endpoint(unit, entry.spec.job_class, record.task_id)
+        _worker_state.remove_endpoint(
+            unit, entry.spec.job_class, record.task_id
+        )
     unit.report_due[record.task_id] = (
         context.now_ms + context.state.config.resend_every_ms
     )
--- /dev/null
+++ b/src/tulippin/_dropping.py
@@ -0,0 +1,24 @@
+"""Giving up a unit that another session owns, or will."""
+
+from __future__ import annotations
+
+from tulippin import _requests
+from tulippin._context import Context
+from tulippin.state import CellState, UnitState
+
+
+def drop_unit(context: Context, unit: UnitState) -> None:
+    """Stop acting for a unit that another session owns, or will."""
+    state = context.state
+    _requests.leave_unit(context, unit)
+    if isinstance(unit, CellState):
+        state.cells.pop(unit.unit, None)
+    else:
+        state.ranges.pop(unit.unit, None)
+    journal = state.journal
+    journal.pending = [
+        entry for entry in journal.pending if entry.unit != unit.unit
+    ]
+    journal.unit_counts[unit.unit] = sum(
+        entry.unit == unit.unit for entry in journal.in_flight
+    )
--- a/src/tulippin/_placing.py
+++ b/src/tulippin/_placing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from tulippin import _workers
+from tulippin import _worker_state
 from tulippin._context import Context
 from tulippin.policies import Candidate, rank
 from tulippin.state import CellState, WorkerState
@@ -61,7 +61,7 @@
 def _is_feasible(
     context: Context, worker: WorkerState, reserved: Resources
 ) -> bool:
-    if not _workers.is_placeable(context, worker):
+    if not _worker_state.is_placeable(context, worker):
         return False
     if not context.state.config.seams.capacity:
         return True
@@ -86,7 +86,7 @@
     need = get_reservation(context, spec)
     best: tuple[int, str, list[str]] | None = None
     for worker in cell.workers.values():
-        if not _workers.is_placeable(context, worker):
+        if not _worker_state.is_placeable(context, worker):
             continue
         victims = _find_victims(cell, worker, spec, need)
         if victims is None:
--- a/src/tulippin/_pressure.py
+++ b/src/tulippin/_pressure.py
@@ -8,7 +8,7 @@
 
 import collections
 
-from tulippin import _workers
+from tulippin import _worker_state
 from tulippin._context import Context
 from tulippin._dispatch import receive
 from tulippin._placing import iter_evictable
@@ -172,7 +172,7 @@
             victims,
             key=lambda task_id: _get_harm(context, cell, worker, task_id),
         )
-        _workers.evict(context, cell, worker, harmful)
+        _worker_state.evict(context, cell, worker, harmful)
         worker.relief_after_ms = context.now_ms + _EVICT_WAIT_MS
 
 
--- a/src/tulippin/_requests.py
+++ b/src/tulippin/_requests.py
@@ -11,7 +11,7 @@
 import functools
 import typing as t
 
-from tulippin import _workers
+from tulippin import _worker_state
 from tulippin import effects as fx
 from tulippin._context import Context, get_range
 from tulippin._dispatch import handle, receive, settle
@@ -175,7 +175,7 @@
             free = sum(
                 cell.workers[worker_id].free_slots
                 for worker_id in set(cell.endpoints[service].values())
-                if _workers.is_serving(context, cell.workers[worker_id])
+                if _worker_state.is_serving(context, cell.workers[worker_id])
             )
             yield cell.unit, free - len(cell.queues.get(service, ()))
 
@@ -402,7 +402,7 @@
     free = [
         worker
         for worker in workers
-        if _workers.is_serving(context, worker)
+        if _worker_state.is_serving(context, worker)
         and worker.free_slots > 0
         and context.now_ms >= worker.avoid_until_ms
     ]
@@ -439,7 +439,7 @@
     if ticket is None or ticket.stage is not Stage.SENT:
         return
     outcome = _check_answer(context, ticket, event)
-    found = _workers.find_worker(context, ticket.worker_id)
+    found = _worker_state.find_worker(context, ticket.worker_id)
     if found is not None:
         cell, worker = found
         sent = worker.dispatched.pop(ticket.ticket, None)
--- a/src/tulippin/_units.py
+++ b/src/tulippin/_units.py
@@ -6,10 +6,11 @@
 
 import attrs
 
-from tulippin import _cells, _homes, _requests, codec
+from tulippin import _cells, _homes, codec
 from tulippin import effects as fx
 from tulippin._context import Context
 from tulippin._dispatch import handle
+from tulippin._dropping import drop_unit
 from tulippin._spreading import choose_surplus, count_units, pick_owner
 from tulippin.events import OwnershipRefused, UnitLoaded
 from tulippin.ledger import CellLedger, RangeLedger
@@ -91,23 +92,6 @@
     return session_id.rpartition(':')[0]
 
 
-def drop_unit(context: Context, unit: UnitState) -> None:
-    """Stop acting for a unit that another session owns, or will."""
-    state = context.state
-    _requests.leave_unit(context, unit)
-    if isinstance(unit, CellState):
-        state.cells.pop(unit.unit, None)
-    else:
-        state.ranges.pop(unit.unit, None)
-    journal = state.journal
-    journal.pending = [
-        entry for entry in journal.pending if entry.unit != unit.unit
-    ]
-    journal.unit_counts[unit.unit] = sum(
-        entry.unit == unit.unit for entry in journal.in_flight
-    )
-
-
 def step_down(context: Context) -> None:
     """Forget everything that belonged to a revoked session."""
     state = context.state
--- a/src/tulippin/_workers.py
+++ b/src/tulippin/_workers.py
@@ -2,29 +2,25 @@
 
 from __future__ import annotations
 
-import collections
 import typing as t
 
-from tulippin import _pressure, _requests
+from tulippin import _pressure, _requests, _worker_state
 from tulippin import effects as fx
 from tulippin._context import Context
 from tulippin._dispatch import handle
+from tulippin._dropping import drop_unit
 from tulippin.events import WorkerFailed, WorkerSynced
 from tulippin.ledger import AttemptEntry
 from tulippin.records import AttemptEnded
 from tulippin.state import (
     CellState,
     Phase,
-    Seams,
     Standing,
     WorkerState,
 )
 from tulippin.types import (
     JobKind,
-    JobSpec,
-    Resources,
     TaskOutcome,
-    WorkerStanding,
 )
 from tulippin.worker_types import (
     AttemptKey,
@@ -36,7 +32,6 @@
 )
 
 _RETRY_SYNC_MS = 500
-_DRIFT_DIVISOR = 50
 
 _OUTCOMES: t.Final = {
     RunState.DONE: TaskOutcome.DONE,
@@ -46,112 +41,6 @@
 }
 
 
-def get_first_lapse_ms(context: Context, cell: CellState) -> int:
-    """Return when every lease given by former owners has surely lapsed.
-
-    A predecessor that lost the store may have kept its workers' leases
-    alive for as long as ``detached_limit_ms``.
-    """
-    config = context.state.config
-    bound_ms = context.now_ms + get_lease_bound_ms(context)
-    if cell.predecessor and not cell.predecessor_gone:
-        bound_ms += config.detached_limit_ms
-    return bound_ms
-
-
-def get_lease_bound_ms(context: Context) -> int:
-    """Return how long a lease may last, drift of clocks included."""
-    config = context.state.config
-    lease_ms = config.worker_lease_ms
-    return lease_ms + lease_ms // _DRIFT_DIVISOR + config.lease_margin_ms
-
-
-def hold(
-    worker: WorkerState, task_id: str, spec: JobSpec, reserved: Resources
-) -> None:
-    """Reserve room for an attempt, and count it by its class."""
-    worker.attempts.add(task_id)
-    worker.reserved = worker.reserved.add(reserved)
-    get_class_counts(worker, spec)[spec.job_class] += 1
-
-
-def release(
-    worker: WorkerState, task_id: str, spec: JobSpec, reserved: Resources
-) -> None:
-    """Give back the room of an attempt."""
-    if task_id in worker.attempts:
-        worker.attempts.discard(task_id)
-        worker.reserved = worker.reserved.subtract(reserved)
-        counts = get_class_counts(worker, spec)
-        counts[spec.job_class] -= 1
-        if not counts[spec.job_class]:
-            del counts[spec.job_class]
-    worker.started.discard(task_id)
-    worker.throttled.discard(task_id)
-    worker.stopping.pop(task_id, None)
-
-
-def get_class_counts(
-    worker: WorkerState, spec: JobSpec
-) -> collections.Counter[str]:
-    """Return the counts that a job's attempts on a worker belong to."""
-    service = spec.kind is JobKind.SERVICE
-    return worker.service_counts if service else worker.batch_counts
-
-
-def is_leaving(worker: WorkerState, seams: Seams) -> bool:
-    """Tell whether a worker is to get nothing new."""
-    if not seams.drain:
-        return False
-    listed = worker.info.standing is WorkerStanding.LEAVING
-    return worker.leaving or worker.absent or listed
-
-
-def is_fresh(context: Context, worker: WorkerState) -> bool:
-    """Tell whether a worker has replied lately."""
-    silent_ms = context.now_ms - worker.last_reply_ms
-    return (
-        worker.last_reply_ms >= 0
-        and silent_ms < context.state.config.worker_suspect_ms
-    )
-
-
-def is_placeable(context: Context, worker: WorkerState) -> bool:
-    """Tell whether a worker may get new attempts."""
-    return (
-        is_fresh(context, worker)
-        and not worker.lost
-        and not is_leaving(worker, context.state.config.seams)
-        and context.now_ms >= worker.quarantined_until_ms
-    )
-
-
-def is_serving(context: Context, worker: WorkerState) -> bool:
-    """Tell whether a worker may get new requests."""
-    return (
-        is_fresh(context, worker)
-        and not worker.lost
-        and not is_leaving(worker, context.state.config.seams)
-    )
-
-
-def remove_endpoint(cell: CellState, service: str, task_id: str) -> None:
-    """Take a service's task out of the endpoints."""
-    endpoints = cell.endpoints.get(service)
-    if endpoints is not None:
-        endpoints.pop(task_id, None)
-        if not endpoints:
-            del cell.endpoints[service]
-
-
-def evict(
-    context: Context, cell: CellState, worker: WorkerState, task_id: str
-) -> None:
-    """Have an attempt checkpointed and stopped."""
-    if worker.stopping.setdefault(task_id, 'evicted') == 'evicted':
-        worker.dirty = True
-
-
 def tick_cell(context: Context, cell: CellState) -> None:
     """Sync the workers that are due, and give up those surely lost."""
     for worker in cell.workers.values():
@@ -159,12 +48,15 @@
             send_sync(context, cell, worker)
         if _is_lapsed(context, worker):
             _give_up(context, cell, worker)
-        elif is_leaving(worker, context.state.config.seams) and context.may_act:
+        elif (
+            _worker_state.is_leaving(worker, context.state.config.seams)
+            and context.may_act
+        ):
             _drain(context, cell, worker)
 
 
 def _is_lapsed(context: Context, worker: WorkerState) -> bool:
-    if worker.lost or is_fresh(context, worker):
+    if worker.lost or _worker_state.is_fresh(context, worker):
         return False
     if not context.state.config.seams.lease_wait:
         return context.may_act
@@ -195,7 +87,7 @@
         if entry is None or entry.outcome is not None:
             continue
         if entry.spec.kind is JobKind.BATCH or not busy:
-            evict(context, cell, worker, task_id)
+            _worker_state.evict(context, cell, worker, task_id)
 
 
 def send_sync(context: Context, cell: CellState, worker: WorkerState) -> None:
@@ -284,34 +176,17 @@
     )
 
 
-def find_worker(
-    context: Context, worker_id: str
-) -> tuple[CellState, WorkerState] | None:
-    """Return an owned worker with its cell."""
-    info = context.state.workers.get(worker_id)
-    if info is not None:
-        cell = context.state.cells.get(f'cell/{info.cell}')
-        if cell is not None and worker_id in cell.workers:
-            return cell, cell.workers[worker_id]
-    for cell in context.state.cells.values():
-        if worker_id in cell.workers:
-            return cell, cell.workers[worker_id]
-    return None
-
-
 @handle.register
 def _(event: WorkerFailed, context: Context) -> None:
-    found = find_worker(context, event.worker_id)
+    found = _worker_state.find_worker(context, event.worker_id)
     if found is None:
         return
     cell, worker = found
     if event.refused and event.epoch == cell.epoch:
-        from tulippin import _units
-
         # A higher epoch is at work: this instance was fenced here.
         if context.state.config.seams.fencing:
             context.state.counters['cells_fenced'] += 1
-            _units.drop_unit(context, cell)
+            drop_unit(context, cell)
             context.state.session.next_poll_ms = context.now_ms
         return
     if event.epoch == cell.epoch and event.sequence == worker.sync_in_flight:
@@ -322,7 +197,7 @@
 
 @handle.register
 def _(event: WorkerSynced, context: Context) -> None:
-    found = find_worker(context, event.worker_id)
+    found = _worker_state.find_worker(context, event.worker_id)
     if found is None:
         return
     cell, worker = found
@@ -345,7 +220,7 @@
 ) -> None:
     first = worker.last_reply_ms < 0
     worker.last_reply_ms = context.now_ms
-    worker.lapse_ms = context.now_ms + get_lease_bound_ms(context)
+    worker.lapse_ms = context.now_ms + _worker_state.get_lease_bound_ms(context)
     worker.clock_ms = report.clock_ms
     worker.leaving = report.leaving
     worker.lost = False
@@ -454,7 +329,7 @@
     for service, endpoints in list(cell.endpoints.items()):
         for task_id, worker_id in list(endpoints.items()):
             if worker_id == worker.worker_id and task_id not in running:
-                remove_endpoint(cell, service, task_id)
+                _worker_state.remove_endpoint(cell, service, task_id)
 
 
 def propose_end(
