Gather the starts of ordinary work into a sync a second

Change: urgent starts, stops and throttles sync at once; other starts wait for the gap of a second; what is to be forgotten rides on the next sync.

--- a/src/tulippin/_cells.py
+++ b/src/tulippin/_cells.py
@@ -346,6 +346,8 @@
     worker = unit.workers.get(record.worker_id)
     if worker is not None:
         worker.dirty = True
+        if record.spec.priority >= URGENT_PRIORITY:
+            worker.hurry = True
     context.state.counters['attempts_placed'] += 1
     context.send_owner(task.home, TaskHeld(unit.unit, unit.epoch, task))
 
@@ -361,7 +363,6 @@
         _worker_state.release(
             worker, record.task_id, entry.spec, entry.reserved
         )
-        worker.dirty = True
     if entry.spec.kind is JobKind.SERVICE:
         _worker_state.remove_endpoint(
             unit, entry.spec.job_class, record.task_id
--- a/src/tulippin/_pressure.py
+++ b/src/tulippin/_pressure.py
@@ -154,7 +154,7 @@
     if worker.pressure < policy.throttle_ratio * _RELEASE_RATIO:
         if worker.throttled:
             worker.throttled.clear()
-            worker.dirty = True
+            worker.hurry = True
             worker.relief_after_ms = context.now_ms + _RELIEF_WAIT_MS
         return
     if worker.pressure < policy.throttle_ratio:
@@ -165,7 +165,7 @@
     unthrottled = set(victims) - worker.throttled
     if unthrottled:
         worker.throttled |= unthrottled
-        worker.dirty = True
+        worker.hurry = True
         worker.relief_after_ms = context.now_ms + _RELIEF_WAIT_MS
     elif worker.pressure >= policy.evict_ratio:
         harmful = max(
--- a/src/tulippin/_requests.py
+++ b/src/tulippin/_requests.py
@@ -449,10 +449,10 @@
             worker.dirty = True
         if outcome.code == 'refused':
             worker.avoid_until_ms = context.now_ms + _AVOID_MS
-            worker.dirty = True
+            worker.hurry = True
         if event.endpoint_leaving:
             worker.leaving = True
-            worker.dirty = True
+            worker.hurry = True
         observe_request(context, cell, worker, ticket, event)
     _finish(context, ticket, outcome)
     if found is not None:
--- a/src/tulippin/_single.py
+++ b/src/tulippin/_single.py
@@ -68,7 +68,7 @@
             'instance-0',
             'domain-0',
             'instance-0',
-            **{'range_count': 1, **self.overrides},
+            **{'range_count': 1, 'sync_gap_ms': 0, **self.overrides},
         )
         self.state = core.make_state(config)
         self.feed(ev.Ticked)
--- a/src/tulippin/_worker_state.py
+++ b/src/tulippin/_worker_state.py
@@ -114,7 +114,7 @@
 ) -> None:
     """Have an attempt checkpointed and stopped."""
     if worker.stopping.setdefault(task_id, 'evicted') == 'evicted':
-        worker.dirty = True
+        worker.hurry = True
 
 
 def find_worker(
--- a/src/tulippin/_workers.py
+++ b/src/tulippin/_workers.py
@@ -44,7 +44,7 @@
 def tick_cell(context: Context, cell: CellState) -> None:
     """Sync the workers that are due, and give up those surely lost."""
     for worker in cell.workers.values():
-        if worker.dirty or context.now_ms >= worker.next_sync_ms:
+        if _is_due(context, worker):
             send_sync(context, cell, worker)
         if _is_lapsed(context, worker):
             _give_up(context, cell, worker)
@@ -55,6 +55,18 @@
             _drain(context, cell, worker)
 
 
+def _is_due(context: Context, worker: WorkerState) -> bool:
+    """Tell whether a worker is to be synced now.
+
+    Starts of ordinary work gather for ``sync_gap_ms``, so that a report
+    of all that a worker holds is not paid for each start.
+    """
+    if worker.hurry or context.now_ms >= worker.next_sync_ms:
+        return True
+    gap_ms = context.state.config.sync_gap_ms
+    return worker.dirty and context.now_ms >= worker.sync_sent_ms + gap_ms
+
+
 def _is_lapsed(context: Context, worker: WorkerState) -> bool:
     if worker.lost or _worker_state.is_fresh(context, worker):
         return False
@@ -97,7 +109,7 @@
         return
     if not context.may_serve:
         return
-    worker.dirty = False
+    worker.dirty = worker.hurry = False
     worker.sequence += 1
     worker.sync_in_flight = worker.sequence
     worker.sync_sent_ms = context.now_ms
@@ -211,7 +223,7 @@
     elif context.state.session.standing is Standing.DETACHED:
         _keep_endpoints(cell, worker, event.report)
     _requests.pump_worker(context, cell, worker)
-    if worker.dirty:
+    if worker.hurry:
         send_sync(context, cell, worker)
 
 
@@ -226,7 +238,7 @@
     worker.lost = False
     if first:
         worker.foreign_busy = report.busy_slots
-        worker.dirty = True
+        worker.hurry = True
 
 
 def _count_foreign(worker: WorkerState, report: WorkerReport) -> None:
@@ -270,9 +282,9 @@
     if entry is None or not ours or entry.outcome is not None:
         if run.state is RunState.RUNNING:
             worker.orphans.add(key)
+            worker.hurry = True
         else:
             worker.forgotten.add(key)
-        worker.dirty = True
         return
     if run.state is RunState.RUNNING:
         _note_running(context, cell, worker, entry)
--- a/src/tulippin/settings.py
+++ b/src/tulippin/settings.py
@@ -213,6 +213,7 @@
             'poll_every_ms': (100, 10000),
             'worker_lease_ms': (2000, 120000),
             'sync_every_ms': (200, 30000),
+            'sync_gap_ms': (0, 30000),
             'detached_limit_ms': (10000, 86400000),
             'range_count': (1, 1024),
             'drain_limit_ms': (1000, 600000),
--- a/src/tulippin/state.py
+++ b/src/tulippin/state.py
@@ -95,6 +95,7 @@
     worker_lease_ms: int = 10000
     worker_suspect_ms: int = 5000
     sync_every_ms: int = 2000
+    sync_gap_ms: int = 1000
     detached_limit_ms: int = 4500000
     journal_writes_per_s: float = 30.0
     journal_ring: int = 256
@@ -208,6 +209,7 @@
     failed_sent_ms: int = -1
     next_sync_ms: int = 0
     dirty: bool = False
+    hurry: bool = False
     last_reply_ms: int = -1
     lapse_ms: int = 0
     lost: bool = False
