Weigh the policies by what each deployment cares for

Cause: a bundle's tail and throughput weights were read and not used. Change: compare gives each policy a weighted cost: its p99 over the best's and the best's batch over its own.

--- a/src/tulippin/cli.py
+++ b/src/tulippin/cli.py
@@ -530,6 +530,7 @@
         'done_count',
         'evicted_count',
         'wasted_ms',
+        'weighted_cost',
     )
     rows = [[row[head] for head in heads] for row in found['rows']]
     command.show_rows(heads, rows)
--- a/src/tulippin/plots.py
+++ b/src/tulippin/plots.py
@@ -77,6 +77,7 @@
         'batch done',
         'evictions',
         'wasted s',
+        'weighted cost',
     )
     rows = [
         (
@@ -89,6 +90,7 @@
             row.done_count,
             row.evicted_count,
             f'{row.wasted_ms / 1000:.1f}',
+            f'{row.weighted_cost:.2f}',
         )
         for row in comparison.rows
     ]
--- a/src/tulippin/stats.py
+++ b/src/tulippin/stats.py
@@ -123,7 +123,11 @@
 
 @attrs.frozen
 class PolicyRow:
-    """One policy's line of the comparison."""
+    """One policy's line of the comparison.
+
+    ``weighted_cost`` is its p99 over the best one's and the best one's
+    batch done over its own, by the bundle's weights: 1 is best in both.
+    """
 
     policy: str
     request_count: int
@@ -135,6 +139,7 @@
     done_count: int
     evicted_count: int
     wasted_ms: int
+    weighted_cost: float = 0.0
 
 
 @attrs.frozen
@@ -174,6 +179,8 @@
         {part.policy for report in reports for part in report.policies}
     )
     rows = tuple(_merge_policy(name, reports) for name in names)
+    if bundle is not None:
+        rows = _weigh(rows, bundle)
     windows = _merge_windows(reports)
     order = list(bundle.trial.policies) if bundle else names
     differences = _compare_pairs(windows, order)
@@ -206,6 +213,21 @@
     )
 
 
+def _weigh(
+    rows: t.Sequence[PolicyRow], bundle: Bundle
+) -> tuple[PolicyRow, ...]:
+    """Set each policy's cost by what the users weigh."""
+    best_p99_ms = min((row.p99_ms for row in rows if row.p99_ms), default=0.0)
+    most_done = max((row.done_count for row in rows), default=0)
+    weighed = []
+    for row in rows:
+        tail = row.p99_ms / best_p99_ms if best_p99_ms else 1.0
+        work = most_done / max(1, row.done_count) if most_done else 1.0
+        cost = bundle.tail_weight * tail + bundle.throughput_weight * work
+        weighed.append(attrs.evolve(row, weighted_cost=round(cost, 3)))
+    return tuple(weighed)
+
+
 def _merge_windows(reports: t.Sequence[TrialReport]) -> list[WindowStats]:
     merged: dict[tuple[str, int, str], WindowStats] = {}
     for report in reports:
--- a/tests/tulippin/test_policies.py
+++ b/tests/tulippin/test_policies.py
@@ -2,6 +2,7 @@
 
 import random
 
+import attrs
 import pytest
 
 from tulippin.bundles import parse_bundle
@@ -176,6 +177,22 @@
     assert not few.decided
 
 
+def test_weights_of_the_bundle_order_the_policies():
+    tail = attrs.evolve(BUNDLE, tail_weight=1.0, throughput_weight=0.0)
+    rows = merge_reports([make_stats(5, 30)], (), tail).rows
+    costs = {row.policy: row.weighted_cost for row in rows}
+    assert costs['a'] == 1.0
+    assert costs['b'] > 1.2
+    work = attrs.evolve(BUNDLE, tail_weight=0.0, throughput_weight=1.0)
+    stats = TrialStats()
+    stats.get_policy('a').done_count = 10
+    stats.get_policy('b').done_count = 40
+    body = encode(stats.make_report()).decode()
+    rows = merge_reports([body], (), work).rows
+    costs = {row.policy: row.weighted_cost for row in rows}
+    assert costs == {'a': 4.0, 'b': 1.0}
+
+
 def test_parts_of_instances_are_merged():
     part = make_stats(5, 10)
     one = merge_reports([part], (), BUNDLE)
