--- a/src/tulippin/http_callers.py
+++ b/src/tulippin/http_callers.py
@@ -34,6 +34,7 @@
 _NAME: t.Final = re.compile(r'[A-Za-z0-9][A-Za-z0-9._:-]{0,127}')
 _CLOCK_SKEW_MS: t.Final = 5000
 _STATUSES: t.Final = {
+    OutcomeKind.ANSWERED: 200,
     OutcomeKind.NOT_RUN: 503,
     OutcomeKind.UNKNOWN: 504,
     OutcomeKind.FAILED: 502,
@@ -241,30 +242,18 @@
 
 
 def _render_outcome(request_id: str, outcome: RequestOutcome) -> Response:
-    if outcome.kind is OutcomeKind.ANSWERED:
-        return make_json(
-            ServiceAnswer(
-                request_id,
-                outcome.kind.value,
-                outcome.status,
-                outcome.body,
-                outcome.code,
-            )
+    if outcome.kind in {OutcomeKind.ANSWERED, OutcomeKind.FAILED}:
+        answer = ServiceAnswer(
+            request_id,
+            outcome.kind.value,
+            outcome.status,
+            outcome.body,
+            outcome.code,
         )
+        return make_json(answer, _STATUSES[outcome.kind])
     status = _STATUSES[outcome.kind]
     if outcome.kind is OutcomeKind.NOT_RUN:
         status = _CODE_STATUSES.get(outcome.code, status)
-    if outcome.kind is OutcomeKind.FAILED:
-        return make_json(
-            ServiceAnswer(
-                request_id,
-                outcome.kind.value,
-                outcome.status,
-                outcome.body,
-                outcome.code,
-            ),
-            status,
-        )
     message = _MESSAGES.get(outcome.code, outcome.code.replace('_', ' '))
     body = ErrorBody(
         outcome.code or 'unknown',
