Take callers only once the peers know the session; flush before leaving

Ruled out: the hand-over itself. Change: readiness asks that each peer has been heard once; a leaving instance sends what waits for its peers before it goes.

--- a/src/tulippin/_fleet.py
+++ b/src/tulippin/_fleet.py
@@ -455,6 +455,10 @@
         """Return the processes that run."""
         return [one for one in self.processes.values() if one.shell]
 
+    def iter_ready(self) -> list[Process]:
+        """Return the processes that a balancer would send callers to."""
+        return [one for one in self.iter_live() if not one.shell.get_unready()]
+
     def crash(self, instance_id: str) -> None:
         """Kill an instance's process."""
         process = self.find_process(instance_id)
@@ -545,11 +549,12 @@
         repeatable: bool = True,
         deadline_ms: int = 2000,
         body: str = 'hello',
+        process: Process | None = None,
     ) -> RequestOutcome:
-        """Send one caller's request to a live instance."""
+        """Send one caller's request to a live instance, or a given one."""
         self.request_count += 1
         request_id = request_id or f'request-{self.request_count}'
-        process = self.source.choice(self.iter_live())
+        process = process or self.source.choice(self.iter_live())
         digest = compute_digest(body)
         request = ServiceRequest(
             request_id, 'team', service, repeatable, body, deadline_ms, digest
--- a/src/tulippin/_network_effects.py
+++ b/src/tulippin/_network_effects.py
@@ -24,6 +24,7 @@
 _PEER_BATCH: t.Final = 2000
 _PEER_QUEUE: t.Final = 50000
 _LINK_IDLE_S: t.Final = 60.0
+_FLUSH_PAUSE_S: t.Final = 0.02
 _MS: t.Final = 1000
 
 
@@ -35,6 +36,7 @@
     address: str
     queue: collections.deque[t.Any] = attrs.field(factory=collections.deque)
     sequence: int = 0
+    sending: bool = False
     ready: trio.Event = attrs.field(factory=trio.Event)
 
 
@@ -62,6 +64,11 @@
             link.queue.extend(effect.messages)
         link.ready.set()
 
+    async def flush(self) -> None:
+        """Wait until every message has been sent, or is lost."""
+        while any(one.queue or one.sending for one in self._links.values()):
+            await trio.sleep(_FLUSH_PAUSE_S)
+
     async def _run_link(self, link: PeerLink) -> None:
         idle_s = _LINK_IDLE_S
         while True:
@@ -72,7 +79,9 @@
                 return
             link.ready = trio.Event()
             while link.queue:
+                link.sending = True
                 await self._send_batch(link)
+                link.sending = False
 
     async def _send_batch(self, link: PeerLink) -> None:
         count = min(_PEER_BATCH, len(link.queue))
--- a/src/tulippin/_session_effects.py
+++ b/src/tulippin/_session_effects.py
@@ -97,6 +97,9 @@
             contextlib.suppress(TulippinError),
         ):
             await self._get_store(effect.session_id).close()
+        # Peers may still wait for the outcome of what they forwarded.
+        with trio.move_on_after(_TABLE_TIMEOUT_S):
+            await self._shell.network.flush()
         self._shell.left.set()
 
     def _get_store(self, session_id: str) -> SessionStore:
--- a/src/tulippin/daemon.py
+++ b/src/tulippin/daemon.py
@@ -24,7 +24,6 @@
 from tulippin.ports import Envelope, Ports
 from tulippin.settings import Settings, load_settings
 from tulippin.shell import Shell
-from tulippin.state import Standing
 from tulippin.workers_http import HttpEndpoints, HttpWorkers
 
 _NS_IN_MS: t.Final = 1_000_000
@@ -85,12 +84,7 @@
             return 'stopping'
         if self.shell is None:
             return 'starting'
-        session = self.shell.state.session
-        if session.standing in {Standing.OPENING, Standing.LEFT}:
-            return 'no session: the table does not answer'
-        if not self.shell.state.ownership.units:
-            return 'no units are known yet'
-        return ''
+        return self.shell.get_unready()
 
     async def run(self, task_status: t.Any = trio.TASK_STATUS_IGNORED) -> None:
         """Run until a planned stop is complete."""
--- a/src/tulippin/shell.py
+++ b/src/tulippin/shell.py
@@ -28,7 +28,7 @@
     ServiceRequest,
 )
 from tulippin.ports import Envelope, Ports
-from tulippin.state import Config, State
+from tulippin.state import Config, Standing, State
 from tulippin.store import collect_garbage
 from tulippin.types import JobSpec
 
@@ -99,6 +99,7 @@
         self._wake = trio.Event()
         self._waiters: dict[int, Waiter] = {}
         self._next_call = 1
+        self._greeted = ''
         self._nursery: trio.Nursery | None = None
         self._manager: t.Any = None
 
@@ -165,6 +166,31 @@
             )
         )
 
+    def get_unready(self) -> str:
+        """Return why callers should go elsewhere, or an empty text.
+
+        A peer that has been heard knows this session, and so can reply;
+        a session asks that once, not at each newcomer.
+        """
+        state = self.state
+        standing = state.session.standing
+        if standing in {Standing.OPENING, Standing.LEFT}:
+            return 'no session: the table does not answer'
+        if not state.ownership.units:
+            return 'no units are known yet'
+        if self._greeted == state.session.session_id:
+            return ''
+        limit_ms = state.config.silence_limit_ms
+        unheard = any(
+            peer.last_heard_ms < 0
+            and state.now_ms - peer.first_seen_ms < limit_ms
+            for peer in state.peers.values()
+        )
+        if unheard:
+            return 'peers are not heard yet'
+        self._greeted = state.session.session_id
+        return ''
+
     def stop(self) -> None:
         """Begin a planned stop; ``left`` is set at its end."""
         self.post(ev.StopRequested(self.clock()))
--- a/tests/tulippin/test_soak.py
+++ b/tests/tulippin/test_soak.py
@@ -294,3 +294,44 @@
         assert not check_history(fleet.history)
 
     run_virtual(run)
+
+
+def test_units_move_without_a_gap_in_service(run_virtual):
+    """Instances join, leave and come back under load: all is answered."""
+
+    async def run():
+        outcomes = collections.Counter()
+        async with Fleet(FleetSize(3, 4, 2), seed=4) as fleet:
+            assert await fleet.wait_ready()
+            await fleet.submit_surely(make_service(8))
+            await trio.sleep(4)
+
+            async def call(number):
+                process = fleet.source.choice(fleet.iter_ready())
+                answer = await fleet.request(
+                    'alerts', repeatable=number % 3 != 0, process=process
+                )
+                outcomes[answer.kind.value] += 1
+
+            async def move():
+                await trio.sleep(3)
+                fleet.start_instance('instance-3')
+                await trio.sleep(8)
+                await fleet.stop('instance-0')
+                await trio.sleep(3)
+                fleet.start_instance('instance-0')
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(move)
+                for number in range(2500):
+                    nursery.start_soon(call, number)
+                    await trio.sleep(0.01)
+            moved = sum(
+                process.shell.state.counters['units_handed_over']
+                for process in fleet.iter_live()
+            )
+            assert moved > 2
+        assert outcomes == {'answered': 2500}
+        assert not check_history(fleet.history)
+
+    run_virtual(run)
