Hold nine instances' table traffic under its budget by a test

Cause: the budget was asserted for three instances only. Change: nine instances, 72 workers, 60 starts a second and a lost instance: the worst second stays under 50 writes and 1,000 reads of both stores.

--- a/tests/tulippin/test_soak.py
+++ b/tests/tulippin/test_soak.py
@@ -335,3 +335,35 @@
         assert not check_history(fleet.history)
 
     run_virtual(run)
+
+
+def test_table_traffic_of_nine_instances_keeps_its_budget(run_virtual):
+    """The rows' rate hangs on the instances, not on workers or tasks."""
+
+    async def run():
+        size = FleetSize(9, 9, 8, Resources(64000, 256000), domain_count=6)
+        async with Fleet(size, seed=2) as fleet:
+            assert await fleet.wait_ready()
+            await fleet.submit_surely(make_service(9))
+            await trio.sleep(5)
+            for second in range(12):
+                await fleet.submit_surely(
+                    JobSpec(
+                        f'job-{second}',
+                        'team',
+                        task_count=60,
+                        size=Resources(500, 500),
+                        run_ms=1500,
+                    )
+                )
+                await fleet.request('alerts', repeatable=False)
+                if second == 4:
+                    fleet.crash('instance-3')
+                await trio.sleep(1)
+            await wait_state(fleet, 'job-11', 'done')
+            meter = fleet.table.meter
+            assert 0 < meter.get_peak_writes() < 50
+            assert 0 < meter.get_peak_reads() < 1000
+        assert not check_history(fleet.history)
+
+    run_virtual(run)
