Remove what nothing calls

Cause: a read of the whole change found a message, a reader of flags, two fields of state and one of the stand-in worker that no code uses. Change: they are gone; behaviour as before.

--- a/src/tulippin/_fake_worker.py
+++ b/src/tulippin/_fake_worker.py
@@ -64,7 +64,6 @@
 
     task: StartTask
     began_ms: int
-    done_before_ms: int = 0
     state: RunState = RunState.RUNNING
     lease_until_ms: int = 0
     ended_ms: int = 0
@@ -182,7 +181,6 @@
         run = Run(
             task,
             now_ms,
-            done_ms,
             lease_until_ms=lease_until_ms,
             progress_ms=done_ms,
             progressed_at_ms=now_ms,
--- a/src/tulippin/ini.py
+++ b/src/tulippin/ini.py
@@ -8,9 +8,6 @@
 
 from tulippin.exceptions import Finding, InputError
 
-_YES_WORDS: t.Final = frozenset(('yes', 'true', 'on', '1'))
-_NO_WORDS: t.Final = frozenset(('no', 'false', 'off', '0'))
-
 
 def read_ini(text: str, source: str) -> configparser.ConfigParser:
     """Parse INI text.
@@ -100,13 +97,6 @@
             self.report(key, f'{text!r} is not known', f'one of: {allowed}')
         return choices[0]
 
-    def get_flag(self, key: str, *, default: bool) -> bool:
-        """Return a yes or no."""
-        text = self.get_text(key, 'yes' if default else 'no').lower()
-        if text not in _YES_WORDS | _NO_WORDS:
-            self.report(key, f'{text!r} is not yes or no', 'write yes or no')
-        return text in _YES_WORDS
-
     def get_int(
         self,
         key: str,
--- a/src/tulippin/state.py
+++ b/src/tulippin/state.py
@@ -173,7 +173,6 @@
     changed_ms: int
     first_seen_ms: int = 0
     last_heard_ms: int = -1
-    last_sequence: int = 0
     bundle_number: int = 0
     store_reachable: bool = True
     leaving: bool = False
@@ -438,7 +437,6 @@
     next_bundle_ask_ms: int = 0
     tickets: dict[int, Ticket] = attrs.field(factory=dict)
     next_ticket: int = 1
-    dispatches: dict[int, int] = attrs.field(factory=dict)
     job_calls: dict[int, JobCall] = attrs.field(factory=dict)
     report_calls: dict[int, ReportCall] = attrs.field(factory=dict)
     retry_tokens: float = 10.0
--- a/src/tulippin/worker_types.py
+++ b/src/tulippin/worker_types.py
@@ -98,11 +98,3 @@
     leaving: bool = False
     usage: tuple[UsageSample, ...] = ()
     usage_age_ms: int = 0
-
-
-@attrs.frozen
-class SyncRefused:
-    """A worker saw a higher epoch or a later sequence."""
-
-    worker_id: str
-    epoch: int
