--- a/src/tulippin/state.py
+++ b/src/tulippin/state.py
@@ -215,7 +215,6 @@
     absent: bool = False
     leaving: bool = False
     reserved: Resources = Resources()
-    used: Resources = Resources()
     attempts: set[str] = attrs.field(factory=set)
     service_counts: collections.Counter[str] = attrs.field(
         factory=collections.Counter
