--- /dev/null
+++ b/deploy/tulippin_instance.py
@@ -0,0 +1,11 @@
+"""Start a scheduler instance from the checkout, without installing it."""
+
+import pathlib
+import sys
+
+SOURCES = pathlib.Path(__file__).resolve().parents[1] / 'src'
+sys.path.insert(0, str(SOURCES))
+
+from tulippin.scheduler_daemon import main  # noqa: E402
+
+sys.exit(main())
--- a/src/tulippin/__init__.py
+++ b/src/tulippin/__init__.py
@@ -7,64 +7,60 @@
 
 from __future__ import annotations
 
-from tulippin.bundles import Bundle, compute_digest, parse_bundle, sign, verify
-from tulippin.core import make_state, reduce
-from tulippin.exceptions import (
-    ConflictError,
-    DeniedError,
-    Finding,
-    InputError,
-    NotFoundError,
-    TulippinError,
-    UnavailableError,
-)
-from tulippin.policies import (
-    BestFitPolicy,
-    InterferencePolicy,
-    LeastLoadedPolicy,
-    Policy,
-    RandomPolicy,
-)
-from tulippin.ports import Ports
-from tulippin.settings import Settings, load_settings, parse_settings
-from tulippin.shell import Shell
-from tulippin.state import Config, State
-from tulippin.stats import Comparison, merge_reports
-from tulippin.types import JobKind, JobSpec, Resources, WorkerInfo
+import importlib
+import typing as t
 
-__version__ = '0.1.0'
+__version__ = '0.2.0'
 
-__all__ = (
-    'BestFitPolicy',
-    'Bundle',
-    'Comparison',
-    'Config',
-    'ConflictError',
-    'DeniedError',
-    'Finding',
-    'InputError',
-    'InterferencePolicy',
-    'JobKind',
-    'JobSpec',
-    'LeastLoadedPolicy',
-    'NotFoundError',
-    'Policy',
-    'Ports',
-    'RandomPolicy',
-    'Resources',
-    'Settings',
-    'Shell',
-    'State',
-    'TulippinError',
-    'UnavailableError',
-    'WorkerInfo',
-    'compute_digest',
-    'load_settings',
-    'make_state',
-    'merge_reports',
-    'parse_bundle',
-    'parse_settings',
-    'reduce',
-    'sign',
-    'verify',
-)
+# A name's module is imported at its first use: a daemon that needs few
+# of them starts sooner and stays smaller.
+_MODULES: t.Final = {
+    'BestFitPolicy': 'tulippin.policies',
+    'Bundle': 'tulippin.bundles',
+    'Comparison': 'tulippin.stats',
+    'Config': 'tulippin.state',
+    'ConflictError': 'tulippin.exceptions',
+    'DeniedError': 'tulippin.exceptions',
+    'Finding': 'tulippin.exceptions',
+    'InputError': 'tulippin.exceptions',
+    'InterferencePolicy': 'tulippin.policies',
+    'JobKind': 'tulippin.types',
+    'JobSpec': 'tulippin.types',
+    'LeastLoadedPolicy': 'tulippin.policies',
+    'NotFoundError': 'tulippin.exceptions',
+    'Policy': 'tulippin.policies',
+    'Ports': 'tulippin.ports',
+    'RandomPolicy': 'tulippin.policies',
+    'Resources': 'tulippin.types',
+    'Settings': 'tulippin.settings',
+    'Shell': 'tulippin.shell',
+    'State': 'tulippin.state',
+    'TulippinError': 'tulippin.exceptions',
+    'UnavailableError': 'tulippin.exceptions',
+    'WorkerInfo': 'tulippin.types',
+    'compute_digest': 'tulippin.bundles',
+    'load_settings': 'tulippin.settings',
+    'make_state': 'tulippin.core',
+    'merge_reports': 'tulippin.stats',
+    'parse_bundle': 'tulippin.bundles',
+    'parse_settings': 'tulippin.settings',
+    'reduce': 'tulippin.core',
+    'sign': 'tulippin.bundles',
+    'verify': 'tulippin.bundles',
+}
+
+__all__ = tuple(_MODULES)
+
+
+def __getattr__(name: str) -> t.Any:
+    """Import a public name at its first use."""
+    if name not in _MODULES:
+        raise AttributeError(f'module {__name__!r} has no {name!r}')
+    value = getattr(importlib.import_module(_MODULES[name]), name)
+    globals()[name] = value
+    return value
+
+
+def __dir__() -> list[str]:
+    """Return all public names."""
+    return sorted((*__all__, '__version__'))
--- a/src/tulippin/_http_client.py
+++ b/src/tulippin/_http_client.py
@@ -22,6 +22,7 @@
     httpcore.TimeoutException,
 )
 _MAX_CONNECTIONS: t.Final = 64
+_MS: t.Final = 1000
 
 
 @attrs.frozen
@@ -57,6 +58,10 @@
         return self
 
     async def __aexit__(self, *details: object) -> None:
+        """Close all connections."""
+        await self.close()
+
+    async def close(self) -> None:
         """Close all connections."""
         await self._pool.aclose()
 
@@ -66,9 +71,21 @@
         url: str,
         body: bytes = b'',
         headers: t.Mapping[str, str] | None = None,
+        extra_wait_ms: int = 0,
     ) -> HttpAnswer:
         """Send a request, once, and return the whole answer.
 
+        Parameters
+        ----------
+        method, url : str
+            What to ask of whom.
+        body : bytes
+            What to send, as JSON.
+        headers : mapping of str to str, optional
+            Fields beside the type of the body.
+        extra_wait_ms : int
+            How long the other side may wait before it answers.
+
         Raises
         ------
         AnswerLostError
@@ -82,6 +99,7 @@
         timeouts = dict.fromkeys(
             ('connect', 'read', 'write', 'pool'), self._timeout_s
         )
+        timeouts['read'] += extra_wait_ms / _MS
         try:
             answer = await self._pool.request(
                 method,
--- a/src/tulippin/_http_server.py
+++ b/src/tulippin/_http_server.py
@@ -9,8 +9,6 @@
 import trio
 from hypercorn.config import Config as HypercornConfig
 from hypercorn.trio import serve
-from starlette.applications import Starlette
-
 from tulippin.exceptions import UnavailableError
 
 _BACKLOG: t.Final = 512
@@ -22,8 +20,8 @@
 
     Parameters
     ----------
-    app : Starlette
-        The application.
+    app : ASGI application
+        What answers.
     address : str
         IP and port; port 0 takes a free one, see ``port``.
     certificate, key, authority : str
@@ -32,7 +30,7 @@
 
     def __init__(
         self,
-        app: Starlette,
+        app: t.Any,
         address: str,
         certificate: str = '',
         key: str = '',
--- /dev/null
+++ b/src/tulippin/jobs/_attempts.py
@@ -0,0 +1,206 @@
+"""Runs of tasks: their ends, their loss, and stopping them."""
+
+from __future__ import annotations
+
+import typing as t
+
+from tulippin.jobs import _lifecycle
+from tulippin.jobs._dispatch import Context
+from tulippin.jobs.effects import StopRun
+from tulippin.jobs.state import Attempt, AttemptState, Job, Task, Worker
+from tulippin.jobs.types import (
+    FINAL_STATES,
+    EndedRun,
+    JobState,
+    RunOutcome,
+    TaskKey,
+)
+
+# So many different jobs failing in a row on a worker mean that the worker
+# itself is at fault; each further one doubles its quarantine.
+_FAULTY_JOBS: t.Final = 3
+_QUARANTINE_MS: t.Final = 1500
+_QUARANTINE_LIMIT_MS: t.Final = 12000
+# How long an order to stop may go unanswered before it is sent again.
+_STOP_AGAIN_MS: t.Final = 700
+
+
+def find_task(key: TaskKey, context: Context) -> tuple[Job, Task] | None:
+    """Return a known task with its job."""
+    job = context.state.jobs.get(key.job_id)
+    if job is None or key.step >= len(job.request.steps):
+        return None
+    return job, _lifecycle.get_task(job, key)
+
+
+def add_attempt(attempt: Attempt, task: Task, worker: Worker) -> None:
+    """Count a run to its task and to its worker's room."""
+    task.attempts[attempt.run] = attempt
+    worker.attempts[attempt.key, attempt.run] = attempt
+    worker.reserved = worker.reserved.add(attempt.step.reserved)
+
+
+def drop_attempt(attempt: Attempt, context: Context) -> None:
+    """Take a run off its worker and its task."""
+    worker = context.state.workers.get(attempt.worker_id)
+    if worker is not None:
+        found = worker.attempts.pop((attempt.key, attempt.run), None)
+        if found is not None:
+            worker.reserved = worker.reserved.subtract(attempt.step.reserved)
+    job = context.state.jobs.get(attempt.key.job_id)
+    if job is not None and attempt.key in job.tasks:
+        job.tasks[attempt.key].attempts.pop(attempt.run, None)
+
+
+def release(attempt: Attempt, context: Context, why: str) -> None:
+    """A run is over without an end that counts: its task is ready again."""
+    drop_attempt(attempt, context)
+    context.log(
+        'run over',
+        task=attempt.key.format(),
+        run=attempt.run,
+        worker=attempt.worker_id,
+        why=why,
+        age_ms=context.state.now_ms - attempt.sent_ms,
+    )
+    found = find_task(attempt.key, context)
+    if found is not None:
+        make_ready(*found, context)
+
+
+def make_ready(job: Job, task: Task, context: Context) -> None:
+    """Have a task started again, unless it is over or still runs."""
+    is_over = task.is_done or job.is_cancelled or job.state in FINAL_STATES
+    if not is_over and not task.attempts:
+        context.state.ready[task.key] = task
+
+
+def take_end(worker: Worker, ended: EndedRun, context: Context) -> None:
+    """Take note of a run's end as its worker lists it."""
+    attempt = worker.attempts.get((ended.key, ended.run))
+    if attempt is not None:
+        drop_attempt(attempt, context)
+    found = find_task(ended.key, context)
+    context.state.count(f'ends_{ended.outcome.value}')
+    context.log(
+        'run ended',
+        task=ended.key.format(),
+        run=ended.run,
+        worker=worker.worker_id,
+        outcome=ended.outcome.value,
+        number=ended.number,
+        is_known=attempt is not None,
+    )
+    if found is None:
+        return
+    job, task = found
+    if ended.checkpoint:
+        task.checkpoint = ended.checkpoint
+    _judge_worker(worker, ended, context)
+    if ended.outcome is RunOutcome.DONE:
+        _lifecycle.note_done(job, task, context)
+        stop_task(task, context, 'task is done')
+        if job.state in FINAL_STATES:
+            stop_job(job, context, 'job is finished')
+        return
+    if ended.outcome is RunOutcome.FAILED:
+        _count_failure(job, task, ended, worker, context)
+    make_ready(job, task, context)
+
+
+def _count_failure(
+    job: Job,
+    task: Task,
+    ended: EndedRun,
+    worker: Worker,
+    context: Context,
+) -> None:
+    task.avoided.add(worker.worker_id)
+    if job.request.steps[task.key.step].long_running:
+        return
+    if task.is_done or job.state in FINAL_STATES or job.is_cancelled:
+        return
+    task.failed_runs.add(ended.run)
+    _lifecycle.mark_dirty(job, context.state)
+    if len(task.failed_runs) >= job.queue.max_attempts:
+        _lifecycle.finish(job, JobState.FAILED, context)
+        stop_job(job, context, 'job has failed')
+
+
+def _judge_worker(worker: Worker, ended: EndedRun, context: Context) -> None:
+    """Tell a faulty worker by failures in a row of different jobs."""
+    if ended.outcome is RunOutcome.DONE:
+        worker.failed_jobs.clear()
+        return
+    if ended.outcome is not RunOutcome.FAILED:
+        return
+    worker.failed_jobs.add(ended.key.job_id)
+    excess = len(worker.failed_jobs) - _FAULTY_JOBS
+    if excess < 0:
+        return
+    pause_ms = min(_QUARANTINE_MS << excess, _QUARANTINE_LIMIT_MS)
+    worker.quarantined_until_ms = context.state.now_ms + pause_ms
+    context.state.count('quarantines')
+    context.log(
+        'worker quarantined',
+        worker=worker.worker_id,
+        failed_jobs=len(worker.failed_jobs),
+        pause_ms=pause_ms,
+    )
+
+
+def stop_job(job: Job, context: Context, why: str) -> None:
+    """Stop all that runs of a job."""
+    for task in job.tasks.values():
+        stop_task(task, context, why)
+
+
+def stop_task(task: Task, context: Context, why: str) -> None:
+    """Stop all runs of a task."""
+    for attempt in task.attempts.values():
+        stop_attempt(attempt, context, why)
+
+
+def stop_attempt(attempt: Attempt, context: Context, why: str) -> None:
+    """Order a run to stop; its room is free once its end is listed."""
+    if attempt.state is AttemptState.STOPPING:
+        return
+    attempt.state = AttemptState.STOPPING
+    attempt.stop_reason = why
+    context.log(
+        'stop run',
+        task=attempt.key.format(),
+        run=attempt.run,
+        worker=attempt.worker_id,
+        why=why,
+    )
+    send_stop(attempt, context)
+
+
+def send_stop(attempt: Attempt, context: Context) -> None:
+    """Send the order to stop, unless the worker is not known."""
+    worker = context.state.workers.get(attempt.worker_id)
+    if worker is None:
+        return
+    attempt.stop_sent_ms = context.state.now_ms
+    context.emit(
+        StopRun(
+            worker.worker_id,
+            worker.entry.address,
+            attempt.key,
+            attempt.run,
+            context.fencing_token,
+        )
+    )
+
+
+def stop_again(worker: Worker, context: Context) -> None:
+    """Repeat orders to stop that brought no answer."""
+    limit_ms = context.state.now_ms - _STOP_AGAIN_MS
+    for attempt in worker.attempts.values():
+        is_open = (
+            attempt.state is AttemptState.STOPPING
+            and not attempt.stop_is_settled
+        )
+        if is_open and attempt.stop_sent_ms < limit_ms:
+            send_stop(attempt, context)
--- /dev/null
+++ b/src/tulippin/jobs/_committing.py
@@ -0,0 +1,273 @@
+"""Loading the unit, and making progress durable by group commit."""
+
+from __future__ import annotations
+
+import typing as t
+
+from tulippin.jobs import _attempts, _lifecycle, _ownership, _workers
+from tulippin.jobs._dispatch import Context, handle
+from tulippin.jobs.effects import (
+    CommitProgress,
+    CommitRoster,
+    ProgressWrite,
+    RemoveJobs,
+)
+from tulippin.jobs.events import (
+    JobsChanged,
+    ProgressCommitted,
+    RosterCommitted,
+    UnitLoaded,
+)
+from tulippin.jobs.records import RosterRecord
+from tulippin.jobs.state import Job, Phase, SchedulerState, Worker
+from tulippin.jobs.types import FINAL_STATES, JobState, WorkerEntry
+from tulippin.types import Resources
+
+# A transaction takes 100 entries: a job's progress is a condition and a
+# write, and the epoch one condition more.
+_JOBS_PER_COMMIT: t.Final = 45
+# Ends that finish no job wait so long for others to share their commit.
+_GATHER_MS: t.Final = 120
+_REMOVE_PER_CALL: t.Final = 30
+
+
+@handle.register
+def _load(event: UnitLoaded, context: Context) -> None:
+    state = context.state
+    if state.ownership.phase is not Phase.LOADING:
+        return
+    state.ownership.phase = Phase.ACTIVE
+    state.roster = dict(event.roster.addresses)
+    state.roster_version = event.roster_version
+    for entry in event.workers:
+        _workers.note_entry(entry, context)
+    _add_rostered(context)
+    jobs = _lifecycle.add_rows(event.jobs, context)
+    for row in event.progress:
+        if row.key in state.jobs:
+            _lifecycle.restore(state.jobs[row.key], row, context)
+    for job in jobs:
+        # Until every worker has answered or lapsed, a task that is not
+        # seen anywhere may still run.
+        job.awaits_workers = True
+        _take_up(job, context)
+    context.log(
+        'unit loaded',
+        epoch=context.fencing_token,
+        jobs=len(jobs),
+        workers=len(state.workers),
+        rostered=len(state.roster),
+    )
+
+
+def _add_rostered(context: Context) -> None:
+    """Earlier owners' orders may have effect on every rostered worker."""
+    state = context.state
+    limit_ms = state.config.worker_lease_limit_ms
+    for worker_id, address in state.roster.items():
+        worker = state.workers.get(worker_id)
+        if worker is None:
+            entry = WorkerEntry(worker_id, '', address, '', Resources())
+            worker = state.workers[worker_id] = Worker(entry, is_listed=False)
+        worker.is_rostered = True
+        worker.was_rostered = True
+        _workers.extend_lapse(worker, limit_ms, state)
+
+
+@handle.register
+def _change_jobs(event: JobsChanged, context: Context) -> None:
+    state = context.state
+    if state.ownership.phase is not Phase.ACTIVE:
+        return
+    before = {job_id for job_id, job in state.jobs.items() if job.is_cancelled}
+    added = _lifecycle.add_rows(event.rows, context)
+    for job in added:
+        context.log(
+            'job taken up',
+            job=job.job_id,
+            queue=job.queue.name,
+            steps=len(job.request.steps),
+            version=job.row_version,
+        )
+        _take_up(job, context)
+    for row in event.rows:
+        job_id = row.key.partition('/')[0]
+        job = state.jobs.get(job_id)
+        if job and job.is_cancelled and job_id not in before:
+            _cancel(job, context)
+
+
+def _take_up(job: Job, context: Context) -> None:
+    if job.is_cancelled:
+        _cancel(job, context)
+    elif job.state not in FINAL_STATES:
+        _lifecycle.open_steps(job, context.state)
+
+
+def _cancel(job: Job, context: Context) -> None:
+    if job.state in FINAL_STATES:
+        return
+    _lifecycle.finish(job, JobState.CANCELLED, context)
+    _attempts.stop_job(job, context, 'job is cancelled')
+
+
+# -- commits ------------------------------------------------------------------
+
+
+def tick(context: Context) -> None:
+    """Begin a commit if one is due, and keep the roster."""
+    state = context.state
+    if state.ownership.phase is not Phase.ACTIVE:
+        return
+    commit_if_due(context)
+    _keep_roster(context)
+    _remove_old(context)
+
+
+def commit_if_due(context: Context) -> None:
+    """Begin a commit: at once for a final state, else in a group."""
+    state = context.state
+    if state.is_committing or state.ownership.phase is not Phase.ACTIVE:
+        return
+    is_urgent = any(
+        state.jobs[job_id].state in FINAL_STATES
+        for job_id in state.dirty_jobs
+        if job_id in state.jobs
+    )
+    if not state.dirty_jobs:
+        _note_seen(context)
+        return
+    waited_ms = state.now_ms - state.dirty_since_ms
+    if not is_urgent and waited_ms < _GATHER_MS:
+        return
+    _commit(context)
+
+
+def _commit(context: Context) -> None:
+    state = context.state
+    chosen = sorted(
+        state.dirty_jobs,
+        key=lambda job_id: state.jobs[job_id].state not in FINAL_STATES,
+    )[:_JOBS_PER_COMMIT]
+    writes = []
+    for job_id in chosen:
+        job = state.jobs[job_id]
+        del state.dirty_jobs[job_id]
+        record = _lifecycle.make_progress(job)
+        if record != job.durable:
+            writes.append(ProgressWrite(job_id, record, job.progress_version))
+    ends = {}
+    if not state.dirty_jobs:
+        ends = _collect_ends(state)
+    if not writes:
+        _settle_ends(ends, state)
+        return
+    state.is_committing = True
+    state.dirty_since_ms = state.now_ms
+    context.emit(
+        CommitProgress(tuple(writes), ends, state.ownership.epoch_version)
+    )
+
+
+def _collect_ends(state: SchedulerState) -> dict[str, int]:
+    return {
+        worker.worker_id: worker.ends_read
+        for worker in state.workers.values()
+        if worker.ends_read > worker.last_seen
+    }
+
+
+def _note_seen(context: Context) -> None:
+    """Nothing waits to become durable: all ends read may be forgotten."""
+    _settle_ends(_collect_ends(context.state), context.state)
+
+
+def _settle_ends(ends: dict[str, int], state: SchedulerState) -> None:
+    for worker_id, number in ends.items():
+        worker = state.workers.get(worker_id)
+        if worker is not None and number > worker.last_seen:
+            worker.last_seen = number
+            worker.needs_ack = True
+            worker.hold_after_ms = min(worker.hold_after_ms, state.now_ms)
+
+
+@handle.register
+def _committed(event: ProgressCommitted, context: Context) -> None:
+    state = context.state
+    if event.commit.epoch_version != state.ownership.epoch_version:
+        return
+    state.is_committing = False
+    if event.is_fenced:
+        _ownership.step_down(context, 'a commit found another owner')
+        return
+    for write in event.commit.writes:
+        job = state.jobs.get(write.job_id)
+        if job is not None:
+            job.progress_version = event.version
+            job.durable = write.record
+    _settle_ends(event.commit.ends, state)
+
+
+# -- the roster ---------------------------------------------------------------
+
+
+def _keep_roster(context: Context) -> None:
+    """Keep the workers known that orders of ours may reach.
+
+    A worker is written down before its first order, and struck out once
+    it is gone and nothing can run there.
+    """
+    state = context.state
+    if state.is_roster_committing:
+        return
+    wanted = {
+        worker.worker_id: worker.entry.address
+        for worker in state.workers.values()
+    }
+    if wanted == state.roster:
+        return
+    state.is_roster_committing = True
+    context.emit(
+        CommitRoster(
+            RosterRecord(wanted),
+            state.roster_version,
+            state.ownership.epoch_version,
+        )
+    )
+
+
+@handle.register
+def _roster_committed(event: RosterCommitted, context: Context) -> None:
+    state = context.state
+    state.is_roster_committing = False
+    if state.ownership.phase is not Phase.ACTIVE:
+        return
+    if event.is_fenced:
+        _ownership.step_down(context, 'the roster has another owner')
+        return
+    if not event.version:
+        return
+    state.roster = dict(event.roster.addresses)
+    state.roster_version = event.version
+    for worker_id in state.roster:
+        if worker_id in state.workers:
+            state.workers[worker_id].is_rostered = True
+
+
+def _remove_old(context: Context) -> None:
+    """Forget jobs whose final state has been kept long enough."""
+    state = context.state
+    limit_ms = state.now_ms - state.config.finished_kept_ms
+    old = [
+        job.job_id
+        for job in state.jobs.values()
+        if job.state in FINAL_STATES
+        and job.finished_ms < limit_ms
+        and job.job_id not in state.dirty_jobs
+        and not any(task.attempts for task in job.tasks.values())
+    ][:_REMOVE_PER_CALL]
+    if not old or state.is_committing:
+        return
+    for job_id in old:
+        del state.jobs[job_id]
+    context.emit(RemoveJobs(tuple(old), state.ownership.epoch_version))
--- /dev/null
+++ b/src/tulippin/jobs/_lifecycle.py
@@ -0,0 +1,197 @@
+"""A job's life: accepted, steps opened in order, and its final state."""
+
+from __future__ import annotations
+
+import typing as t
+
+from tulippin.codec_json import decode
+from tulippin.exceptions import InputError
+from tulippin.jobs._dispatch import Context
+from tulippin.jobs.ports import StoredRow
+from tulippin.jobs.records import (
+    CANCEL_SUFFIX,
+    JobRecord,
+    ProgressRecord,
+)
+from tulippin.jobs.state import Job, SchedulerState, Task
+from tulippin.jobs.types import FINAL_STATES, JobState, TaskKey
+
+_HEX: t.Final = 16
+
+
+def add_rows(rows: t.Iterable[StoredRow], context: Context) -> list[Job]:
+    """Take in rows of the jobs' table; return the jobs that are new."""
+    state = context.state
+    added = []
+    cancelled = []
+    for row in rows:
+        if row.value is None:
+            continue
+        if row.key.endswith(CANCEL_SUFFIX):
+            cancelled.append(row.key.removesuffix(CANCEL_SUFFIX))
+        elif row.key not in state.jobs:
+            job = _make_job(row, context)
+            if job is not None:
+                state.jobs[row.key] = job
+                added.append(job)
+    for job_id in cancelled:
+        if job_id in state.jobs:
+            state.jobs[job_id].is_cancelled = True
+    return added
+
+
+def _make_job(row: StoredRow, context: Context) -> Job | None:
+    try:
+        record = decode(row.value or b'', JobRecord)
+    except InputError as error:
+        context.log('job row unreadable', job=row.key, reason=error.message)
+        return None
+    job = Job(
+        row.key,
+        record.queue,
+        record.request,
+        row.version,
+        arrived_ms=context.state.now_ms,
+    )
+    for occurrence in range(record.request.occurrence_count):
+        for number, step in enumerate(record.request.steps):
+            job.remaining[occurrence, number] = step.task_count
+    return job
+
+
+def restore(job: Job, row: StoredRow, context: Context) -> None:
+    """Apply what is durable of a job's progress."""
+    record = decode(row.value or b'', ProgressRecord)
+    job.progress_version = row.version
+    job.durable = record
+    job.state = record.state
+    job.has_begun = record.state is not JobState.PENDING
+    if record.state in FINAL_STATES:
+        job.finished_ms = context.state.now_ms
+        return
+    for name, bits in record.done.items():
+        occurrence, _, number = name.partition('.')
+        _restore_done(job, int(occurrence), int(number), int(bits, _HEX))
+    for name, runs in record.failures.items():
+        parts = [int(part) for part in name.split('.')]
+        key = TaskKey(job.job_id, parts[0], parts[1], parts[2])
+        get_task(job, key).failed_runs = set(runs)
+
+
+def _restore_done(job: Job, occurrence: int, number: int, bits: int) -> None:
+    for index in range(job.request.steps[number].task_count):
+        if bits >> index & 1:
+            key = TaskKey(job.job_id, occurrence, number, index)
+            get_task(job, key).is_done = True
+            job.remaining[occurrence, number] -= 1
+
+
+def get_task(job: Job, key: TaskKey) -> Task:
+    """Return a task of a job, made at its first use."""
+    task = job.tasks.get(key)
+    if task is None:
+        task = job.tasks[key] = Task(key)
+    return task
+
+
+def make_progress(job: Job) -> ProgressRecord:
+    """Return what is to be kept of a job as it is now."""
+    if job.state in FINAL_STATES:
+        return ProgressRecord(job.state)
+    done: dict[str, int] = {}
+    failures: dict[str, list[int]] = {}
+    for key, task in job.tasks.items():
+        if task.is_done:
+            name = f'{key.occurrence}.{key.step}'
+            done[name] = done.get(name, 0) | 1 << key.index
+        if task.failed_runs:
+            name = f'{key.occurrence}.{key.step}.{key.index}'
+            failures[name] = sorted(task.failed_runs)
+    return ProgressRecord(
+        job.state,
+        {name: f'{bits:x}' for name, bits in done.items()},
+        failures,
+    )
+
+
+def mark_dirty(job: Job, state: SchedulerState) -> None:
+    """Have a job's progress made durable with the next commit."""
+    if not state.dirty_jobs:
+        state.dirty_since_ms = state.now_ms
+    state.dirty_jobs[job.job_id] = None
+
+
+def open_steps(job: Job, state: SchedulerState) -> None:
+    """Make ready the tasks of each step whose turn has come."""
+    if job.state in FINAL_STATES or job.is_cancelled:
+        return
+    for occurrence in range(job.request.occurrence_count):
+        if not _is_due(job, occurrence, state):
+            break
+        for number, step in enumerate(job.request.steps):
+            place = (occurrence, number)
+            if place in job.opened:
+                continue
+            if any(job.remaining[occurrence, one] for one in step.after):
+                continue
+            job.opened.add(place)
+            _open_step(job, occurrence, number, state)
+
+
+def _is_due(job: Job, occurrence: int, state: SchedulerState) -> bool:
+    schedule = job.request.schedule
+    if not schedule.count:
+        return True
+    due_ms = schedule.first_at_ms + occurrence * schedule.interval_ms
+    return state.now_ms + state.wall_offset_ms >= due_ms
+
+
+def _open_step(
+    job: Job, occurrence: int, number: int, state: SchedulerState
+) -> None:
+    for index in range(job.request.steps[number].task_count):
+        key = TaskKey(job.job_id, occurrence, number, index)
+        task = get_task(job, key)
+        if not task.is_done and not task.attempts:
+            state.ready[key] = task
+
+
+def mark_begun(job: Job, state: SchedulerState) -> None:
+    """Note that a task of the job has been started."""
+    if not job.has_begun:
+        job.has_begun = True
+        job.state = JobState.RUNNING
+        mark_dirty(job, state)
+
+
+def note_done(job: Job, task: Task, context: Context) -> None:
+    """Count a task that ended done; open what follows it."""
+    if task.is_done or job.state in FINAL_STATES:
+        return
+    state = context.state
+    task.is_done = True
+    state.ready.pop(task.key, None)
+    place = (task.key.occurrence, task.key.step)
+    job.remaining[place] -= 1
+    mark_dirty(job, state)
+    if not any(job.remaining.values()):
+        finish(job, JobState.COMPLETED, context)
+    elif not job.remaining[place]:
+        open_steps(job, state)
+
+
+def finish(job: Job, final: JobState, context: Context) -> None:
+    """Give a job its final state; the caller stops what still runs."""
+    state = context.state
+    job.state = final
+    job.finished_ms = state.now_ms
+    for key in job.tasks:
+        state.ready.pop(key, None)
+    mark_dirty(job, state)
+    state.count(f'jobs_{final.value}')
+    context.log(
+        'job finished',
+        job=job.job_id,
+        state=final.value,
+        age_ms=state.now_ms - job.arrived_ms,
+    )
--- /dev/null
+++ b/src/tulippin/jobs/_ownership.py
@@ -0,0 +1,227 @@
+"""Who owns the unit: watching the lease, taking it, keeping it."""
+
+from __future__ import annotations
+
+import typing as t
+import zlib
+
+from tulippin.jobs._dispatch import Context, handle
+from tulippin.jobs.effects import (
+    ForgetUnit,
+    LoadUnit,
+    ReleaseLease,
+    RenewLease,
+    TakeUnit,
+)
+from tulippin.jobs.events import (
+    LeaseReleased,
+    LeaseRenewed,
+    LeaseSeen,
+    StopRequested,
+    UnitTaken,
+)
+from tulippin.jobs.records import EpochRecord, LeaseRecord
+from tulippin.jobs.state import Ownership, Phase, SchedulerState
+from tulippin.jobs.types import JobState
+
+# Spreads the takers of a lapsed lease, so that most see the first one's
+# success before their own try; a transaction takes some 5 ms.
+_SPREAD_MS: t.Final = 200
+# A gap between two events that means that the process stood still: the
+# tick comes twenty times in it.
+PAUSE_LIMIT_MS: t.Final = 1000
+
+_OWNING: t.Final = frozenset((Phase.LOADING, Phase.ACTIVE))
+
+
+@handle.register
+def _see_lease(event: LeaseSeen, context: Context) -> None:
+    ownership = context.state.ownership
+    if ownership.phase is not Phase.STANDING_BY:
+        return
+    is_new = (event.lease_version, event.epoch_version) != (
+        ownership.lease_version,
+        ownership.epoch_version,
+    )
+    ownership.lease = event.lease
+    ownership.lease_version = event.lease_version
+    ownership.epoch = event.epoch
+    ownership.epoch_version = event.epoch_version
+    if is_new or ownership.changed_ms < 0:
+        ownership.changed_ms = event.at_ms
+    _take_if_free(context)
+
+
+def _take_if_free(context: Context) -> None:
+    """Take the unit if nobody has it, or its holder surely is gone."""
+    state = context.state
+    ownership = state.ownership
+    lease = ownership.lease
+    if ownership.changed_ms < 0:
+        return
+    silent_ms = state.now_ms - ownership.changed_ms
+    if lease is None or lease.released:
+        why = 'released' if lease else 'never owned'
+        wait_ms = _get_spread_ms(state) // 4
+    elif lease.instance_id == state.config.instance_id:
+        # One process runs at a time, so our own earlier life is over.
+        why = 'earlier life'
+        wait_ms = 0
+    else:
+        why = 'lapsed'
+        wait_ms = state.config.lease_ms + _get_spread_ms(state)
+    if silent_ms < wait_ms + ownership.wait_extra_ms:
+        return
+    _take(context, why, silent_ms)
+
+
+def _get_spread_ms(state: SchedulerState) -> int:
+    return zlib.crc32(state.config.instance_id.encode()) % _SPREAD_MS
+
+
+def _take(context: Context, why: str, silent_ms: int) -> None:
+    state = context.state
+    ownership = state.ownership
+    last = ownership.epoch.epoch if ownership.epoch else 0
+    ownership.phase = Phase.TAKING
+    context.log(
+        'take unit', why=why, silent_ms=silent_ms, epoch=last + 1
+    )
+    config = state.config
+    context.emit(
+        TakeUnit(
+            LeaseRecord(config.session_id, config.instance_id),
+            ownership.lease_version,
+            EpochRecord(last + 1, config.session_id),
+            ownership.epoch_version,
+        )
+    )
+
+
+@handle.register
+def _end_taking(event: UnitTaken, context: Context) -> None:
+    state = context.state
+    ownership = state.ownership
+    if not event.version:
+        ownership.phase = Phase.STANDING_BY
+        ownership.changed_ms = event.at_ms
+        context.log('unit not taken', epoch=event.epoch)
+        return
+    ownership.phase = Phase.LOADING
+    ownership.epoch = EpochRecord(event.epoch, state.config.session_id)
+    ownership.epoch_version = event.version
+    ownership.taken_ms = event.at_ms
+    ownership.renewed_ms = event.at_ms
+    ownership.must_confirm = False
+    ownership.is_renewing = False
+    context.log('unit taken', epoch=event.epoch, version=event.version)
+    context.emit(LoadUnit())
+
+
+@handle.register
+def _renewed(event: LeaseRenewed, context: Context) -> None:
+    ownership = context.state.ownership
+    ownership.is_renewing = False
+    if ownership.phase not in _OWNING:
+        return
+    if event.is_fenced:
+        step_down(context, 'the lease row has another owner')
+        return
+    if event.is_done:
+        ownership.renewed_ms = max(ownership.renewed_ms, event.sent_ms)
+        if ownership.must_confirm:
+            context.log('ownership confirmed', epoch=context.fencing_token)
+        ownership.must_confirm = False
+
+
+def step_down(context: Context, reason: str) -> None:
+    """Give up the unit: another instance owns it."""
+    state = context.state
+    context.log(
+        'step down', reason=reason, epoch=context.fencing_token
+    )
+    clear_unit(state)
+    state.ownership = Ownership(changed_ms=state.now_ms)
+    state.ownership.wait_extra_ms = state.config.lease_ms
+    context.emit(ForgetUnit())
+
+
+def clear_unit(state: SchedulerState) -> None:
+    """Forget all that only the owner holds."""
+    state.jobs.clear()
+    state.workers.clear()
+    state.ready.clear()
+    state.dirty_jobs.clear()
+    state.roster = {}
+    state.roster_version = 0
+    state.is_committing = False
+    state.is_roster_committing = False
+
+
+def note_pause(context: Context, gap_ms: int) -> None:
+    """After standing still, order nothing until the store confirms."""
+    ownership = context.state.ownership
+    if ownership.phase in _OWNING and gap_ms > PAUSE_LIMIT_MS:
+        ownership.must_confirm = True
+        context.log('paused', gap_ms=gap_ms, epoch=context.fencing_token)
+
+
+def tick(context: Context) -> None:
+    """Take a lapsed unit; renew the lease of an owned one."""
+    state = context.state
+    ownership = state.ownership
+    if ownership.phase is Phase.STANDING_BY:
+        _take_if_free(context)
+        return
+    if ownership.phase not in _OWNING or ownership.is_renewing:
+        return
+    if state.now_ms < ownership.renewed_ms + state.config.renew_every_ms:
+        return
+    ownership.is_renewing = True
+    ownership.renewal_count += 1
+    context.emit(
+        RenewLease(_make_lease(state), ownership.epoch_version)
+    )
+
+
+def _make_lease(state: SchedulerState, *, released: bool = False) -> LeaseRecord:
+    return LeaseRecord(
+        state.config.session_id,
+        state.config.instance_id,
+        state.ownership.renewal_count,
+        released,
+        count_waiting(state),
+    )
+
+
+def count_waiting(state: SchedulerState) -> dict[str, int]:
+    """Return how many jobs of each queue have no task begun."""
+    waiting: dict[str, int] = {}
+    for job in state.jobs.values():
+        if job.state is JobState.PENDING and not job.is_cancelled:
+            name = job.queue.name
+            waiting[name] = waiting.get(name, 0) + 1
+    return waiting
+
+
+@handle.register
+def _stop(event: StopRequested, context: Context) -> None:
+    state = context.state
+    ownership = state.ownership
+    if ownership.phase in _OWNING:
+        ownership.phase = Phase.RELEASING
+        context.log('release unit', epoch=context.fencing_token)
+        context.emit(
+            ReleaseLease(
+                _make_lease(state, released=True), ownership.epoch_version
+            )
+        )
+    elif ownership.phase is not Phase.RELEASING:
+        ownership.phase = Phase.LEFT
+
+
+@handle.register
+def _released(event: LeaseReleased, context: Context) -> None:
+    context.state.ownership.phase = Phase.LEFT
+    clear_unit(context.state)
+    context.emit(ForgetUnit())
--- /dev/null
+++ b/src/tulippin/jobs/_workers.py
@@ -0,0 +1,392 @@
+"""The unit's workers: their leases, their reports, and their loss."""
+
+from __future__ import annotations
+
+import typing as t
+
+from tulippin.jobs import _attempts, _ownership
+from tulippin.jobs._dispatch import Context, handle
+from tulippin.jobs.effects import ForgetWorker, HoldWorker, StopRun
+from tulippin.jobs.events import (
+    StartAnswered,
+    StopAnswered,
+    WorkerAnswered,
+    WorkersChanged,
+    WorkerSilent,
+)
+from tulippin.jobs.state import (
+    Attempt,
+    AttemptState,
+    SchedulerState,
+    Worker,
+)
+from tulippin.jobs.types import (
+    FINAL_STATES,
+    RunningTask,
+    StartOutcome,
+    WorkerEntry,
+)
+
+# How long a hold waits at the worker for an end: with nothing special,
+# where tasks share processors (the tail is looked at), and where an
+# order's fate is open.
+_CALM_WAIT_MS: t.Final = 1000
+_SHARED_WAIT_MS: t.Final = 400
+_OPEN_WAIT_MS: t.Final = 150
+# Between two holds, if ends that were read are not yet durable: a hold
+# would return at once, with the same ends.
+_UNSETTLED_PAUSE_MS: t.Final = 250
+# Between two tries at a silent worker.
+_SILENT_PAUSE_MS: t.Final = 250
+# Added to the end of a lease for the time that messages take.
+_LAPSE_SLACK_MS: t.Final = 400
+# A worker that refused for want of room is left alone so long.
+_NO_ROOM_PAUSE_MS: t.Final = 300
+_UNHEALTHY_PAUSE_MS: t.Final = 1000
+
+
+@handle.register
+def _change_workers(event: WorkersChanged, context: Context) -> None:
+    for entry in event.changed:
+        note_entry(entry, context)
+    for worker_id in event.gone:
+        worker = context.state.workers.get(worker_id)
+        if worker is not None and worker.is_listed:
+            worker.is_listed = False
+            context.log('worker gone', worker=worker_id)
+
+
+def note_entry(entry: WorkerEntry, context: Context) -> None:
+    """Take in a worker's entry on the platform's list."""
+    state = context.state
+    worker = state.workers.get(entry.worker_id)
+    if worker is None:
+        worker = state.workers[entry.worker_id] = Worker(entry)
+        context.log(
+            'worker listed', worker=entry.worker_id, address=entry.address
+        )
+        return
+    if entry.draining and not worker.entry.draining:
+        context.log(
+            'worker draining',
+            worker=entry.worker_id,
+            leaves_in_ms=entry.leaves_in_ms,
+        )
+    worker.entry = entry
+    worker.is_listed = True
+
+
+# -- leases -----------------------------------------------------------------
+
+
+def get_clock_ms(worker: Worker, state: SchedulerState) -> int:
+    """Return the worker's clock by now, or less."""
+    return state.now_ms + (worker.clock_offset_ms or 0)
+
+
+def extend_lapse(worker: Worker, lasting_ms: int, state: SchedulerState) -> None:
+    """Note that an order may let runs go on for so long."""
+    drift = state.config.clock_drift_ratio
+    at_ms = state.now_ms + int(lasting_ms * drift) + _LAPSE_SLACK_MS
+    worker.lapse_at_ms = max(worker.lapse_at_ms, at_ms)
+
+
+def hold_all(context: Context) -> None:
+    """Ask every worker whose turn it is."""
+    if not context.may_order:
+        return
+    for worker in context.state.workers.values():
+        _hold_if_due(worker, context)
+
+
+def _hold_if_due(worker: Worker, context: Context) -> None:
+    state = context.state
+    if worker.is_holding or state.now_ms < worker.hold_after_ms:
+        return
+    is_needed = (
+        worker.attempts
+        or not worker.is_reconciled
+        or worker.ends_read > worker.last_seen
+        or worker.needs_ack
+    )
+    if not is_needed or not worker.is_rostered:
+        return
+    deadline_ms = None
+    # A probe of a silent worker must not prolong what it runs.
+    if worker.clock_offset_ms is not None and not worker.failed_count:
+        lasting_ms = state.config.worker_lease_ms
+        deadline_ms = get_clock_ms(worker, state) + lasting_ms
+        extend_lapse(worker, lasting_ms, state)
+    worker.is_holding = True
+    worker.needs_ack = False
+    context.emit(
+        HoldWorker(
+            worker.worker_id,
+            worker.entry.address,
+            context.fencing_token,
+            worker.last_seen,
+            deadline_ms,
+            _choose_wait_ms(worker),
+        )
+    )
+
+
+def _choose_wait_ms(worker: Worker) -> int:
+    if not worker.is_reconciled or worker.failed_count:
+        return 0
+    serves = False
+    fills = False
+    for attempt in worker.attempts.values():
+        if attempt.state is not AttemptState.RUNNING:
+            return _OPEN_WAIT_MS
+        serves = serves or attempt.step.target_ms > 0
+        fills = fills or attempt.step.opportunistic
+    return _SHARED_WAIT_MS if serves and fills else _CALM_WAIT_MS
+
+
+# -- reports ----------------------------------------------------------------
+
+
+@handle.register
+def _take_report(event: WorkerAnswered, context: Context) -> None:
+    state = context.state
+    worker = state.workers.get(event.worker_id)
+    if worker is None:
+        return
+    worker.is_holding = False
+    worker.answered_ms = state.now_ms
+    if worker.failed_count:
+        context.log('worker answers again', worker=worker.worker_id)
+    worker.failed_count = 0
+    worker.clock_offset_ms = event.report.clock_ms - state.now_ms
+    for ended in event.report.ended:
+        if ended.number > worker.ends_read:
+            worker.ends_read = ended.number
+            _attempts.take_end(worker, ended, context)
+    present = set()
+    for row in event.report.running:
+        present.add((row.key, row.run))
+        _take_running(worker, row, context)
+    worker.is_reconciled = True
+    for attempt in list(worker.attempts.values()):
+        if (attempt.key, attempt.run) not in present:
+            _judge_missing(attempt, event, context)
+    if worker.ends_read > worker.last_seen:
+        worker.hold_after_ms = state.now_ms + _UNSETTLED_PAUSE_MS
+
+
+def _take_running(worker: Worker, row: RunningTask, context: Context) -> None:
+    state = context.state
+    attempt = worker.attempts.get((row.key, row.run))
+    if attempt is None:
+        attempt = _adopt(worker, row, context)
+        if attempt is None:
+            return
+    if attempt.state in {AttemptState.STARTING, AttemptState.DOUBTFUL}:
+        attempt.state = AttemptState.RUNNING
+        attempt.seen_ms = state.now_ms
+    if row.checkpoint:
+        attempt.checkpoint = row.checkpoint
+        found = _attempts.find_task(row.key, context)
+        if found is not None:
+            found[1].checkpoint = row.checkpoint
+    attempt.pace_percent = row.pace_percent
+    attempt.load = row.load
+    if row.load > 0:
+        attempt.worked_ms = state.now_ms
+
+
+def _adopt(
+    worker: Worker, row: RunningTask, context: Context
+) -> Attempt | None:
+    """Take over a run that an earlier owner started, or stop it."""
+    state = context.state
+    found = _attempts.find_task(row.key, context)
+    if found is None:
+        _stop_stray(worker, row, context, 'job is not known')
+        return None
+    job, task = found
+    step = job.request.steps[row.key.step]
+    attempt = Attempt(
+        row.key,
+        row.run,
+        worker.worker_id,
+        step,
+        job.queue.priority,
+        AttemptState.RUNNING,
+        state.now_ms,
+        seen_ms=state.now_ms,
+    )
+    is_over = task.is_done or job.is_cancelled or job.state in FINAL_STATES
+    is_second = bool(task.attempts) and not step.allow_duplicates
+    _attempts.add_attempt(attempt, task, worker)
+    state.ready.pop(row.key, None)
+    context.log(
+        'run adopted',
+        task=row.key.format(),
+        run=row.run,
+        worker=worker.worker_id,
+    )
+    if is_over or is_second:
+        why = 'task is over' if is_over else 'another run is there'
+        _attempts.stop_attempt(attempt, context, why)
+    return attempt
+
+
+def _stop_stray(
+    worker: Worker, row: RunningTask, context: Context, why: str
+) -> None:
+    context.log(
+        'stop stray run',
+        task=row.key.format(),
+        run=row.run,
+        worker=worker.worker_id,
+        why=why,
+    )
+    context.emit(
+        StopRun(
+            worker.worker_id,
+            worker.entry.address,
+            row.key,
+            row.run,
+            context.fencing_token,
+        )
+    )
+
+
+def _judge_missing(
+    attempt: Attempt, event: WorkerAnswered, context: Context
+) -> None:
+    """A run is not on the report: is it over, or not there yet?"""
+    clock_ms = event.report.clock_ms
+    if attempt.state is AttemptState.STARTING:
+        return
+    if attempt.state is AttemptState.DOUBTFUL:
+        if clock_ms > attempt.start_deadline_ms:
+            _attempts.release(attempt, context, 'never started')
+        return
+    if attempt.state is AttemptState.STOPPING:
+        is_settled = (
+            attempt.stop_is_settled and attempt.seen_ms < event.sent_ms
+        ) or (
+            attempt.start_deadline_ms
+            and clock_ms > attempt.start_deadline_ms
+            and attempt.sent_ms < event.sent_ms
+        )
+        if is_settled:
+            _attempts.release(attempt, context, 'stopped unseen')
+        return
+    if attempt.seen_ms < event.sent_ms:
+        _attempts.release(attempt, context, 'vanished')
+
+
+@handle.register
+def _note_silence(event: WorkerSilent, context: Context) -> None:
+    state = context.state
+    worker = state.workers.get(event.worker_id)
+    if worker is None:
+        return
+    worker.is_holding = False
+    if event.is_fenced:
+        _ownership.step_down(context, f'{event.worker_id} has a newer owner')
+        return
+    if event.is_replaced:
+        context.log('worker replaced', worker=event.worker_id)
+        _lose(worker, context, 'its worker has a new life')
+        worker.is_listed = False
+        worker.is_reconciled = True
+        return
+    worker.failed_count += 1
+    worker.hold_after_ms = state.now_ms + _SILENT_PAUSE_MS
+    if worker.failed_count == 1:
+        state.count('workers_silent')
+        context.log(
+            'worker silent', worker=worker.worker_id, reason=event.reason
+        )
+
+
+def _lose(worker: Worker, context: Context, why: str) -> None:
+    for attempt in list(worker.attempts.values()):
+        _attempts.release(attempt, context, why)
+
+
+# -- answers to orders --------------------------------------------------------
+
+
+@handle.register
+def _take_start(event: StartAnswered, context: Context) -> None:
+    state = context.state
+    worker = state.workers.get(event.worker_id)
+    if worker is None:
+        return
+    outcome = event.answer.outcome
+    if outcome is StartOutcome.FENCED:
+        _ownership.step_down(context, f'{event.worker_id} has a newer owner')
+        return
+    attempt = worker.attempts.get((event.key, event.run))
+    if attempt is None or attempt.state is not AttemptState.STARTING:
+        return
+    if outcome is StartOutcome.STARTED:
+        attempt.state = AttemptState.RUNNING
+        attempt.seen_ms = state.now_ms
+        attempt.worked_ms = state.now_ms
+        return
+    state.count(f'starts_{outcome.value}')
+    if outcome is StartOutcome.UNKNOWN:
+        attempt.state = AttemptState.DOUBTFUL
+        context.log(
+            'start unanswered',
+            task=event.key.format(),
+            run=event.run,
+            worker=event.worker_id,
+        )
+        return
+    if outcome is StartOutcome.NO_ROOM:
+        worker.paused_until_ms = state.now_ms + _NO_ROOM_PAUSE_MS
+    elif outcome is StartOutcome.OTHER_LIFE:
+        worker.is_listed = False
+    else:
+        worker.paused_until_ms = state.now_ms + _UNHEALTHY_PAUSE_MS
+    _attempts.release(attempt, context, f'start refused: {outcome.value}')
+
+
+@handle.register
+def _take_stop(event: StopAnswered, context: Context) -> None:
+    state = context.state
+    worker = state.workers.get(event.worker_id)
+    if worker is None:
+        return
+    if event.answer.outcome is StartOutcome.FENCED:
+        _ownership.step_down(context, f'{event.worker_id} has a newer owner')
+        return
+    attempt = worker.attempts.get((event.key, event.run))
+    if attempt is not None and event.answer.outcome is StartOutcome.STARTED:
+        attempt.stop_is_settled = True
+        attempt.seen_ms = state.now_ms
+
+
+# -- time ---------------------------------------------------------------------
+
+
+def tick(context: Context) -> None:
+    """Give up what lapsed; repeat stops; forget workers that are gone."""
+    if not context.may_order:
+        return
+    state = context.state
+    for worker in list(state.workers.values()):
+        if worker.failed_count and state.now_ms > worker.lapse_at_ms:
+            _lose(worker, context, 'its lease lapsed')
+        _attempts.stop_again(worker, context)
+        if _is_forgettable(worker, state):
+            context.log('worker forgotten', worker=worker.worker_id)
+            del state.workers[worker.worker_id]
+            context.emit(ForgetWorker(worker.worker_id))
+
+
+def _is_forgettable(worker: Worker, state: SchedulerState) -> bool:
+    return not (
+        worker.is_listed
+        or worker.attempts
+        or worker.is_holding
+        or state.now_ms <= worker.lapse_at_ms
+    )
--- /dev/null
+++ b/src/tulippin/jobs/core.py
@@ -0,0 +1,86 @@
+"""The reducer of the job scheduler: events in, effects out.
+
+``reduce`` reads no clock, no random source and no socket.
+"""
+
+from __future__ import annotations
+
+from tulippin.jobs import (
+    _committing,
+    _lifecycle,
+    _ownership,
+    _pacing,
+    _placing,
+    _workers,
+)
+from tulippin.jobs._dispatch import Context, handle
+from tulippin.jobs.effects import JobEffect
+from tulippin.jobs.events import (
+    ConfigurationChanged,
+    JobEvent,
+    Ticked,
+    WorkerAnswered,
+)
+from tulippin.jobs.state import SchedulerConfig, SchedulerState
+
+__all__ = ('make_state', 'reduce')
+
+
+def make_state(config: SchedulerConfig) -> SchedulerState:
+    """Return the state of an instance that has just started."""
+    return SchedulerState(config)
+
+
+def reduce(state: SchedulerState, event: JobEvent) -> tuple[JobEffect, ...]:
+    """Take one event, change the state, and return the effects.
+
+    Parameters
+    ----------
+    state : SchedulerState
+        Changed in place.
+    event : JobEvent
+        What happened, with the time of its handling.
+
+    Returns
+    -------
+    tuple of JobEffect
+        What the shell is to do, in this order.
+    """
+    context = Context(state)
+    gap_ms = event.at_ms - state.now_ms
+    if state.now_ms:
+        _ownership.note_pause(context, gap_ms)
+    state.now_ms = max(state.now_ms, event.at_ms)
+    handle(event, context)
+    if isinstance(event, WorkerAnswered) and context.may_order:
+        worker = state.workers.get(event.worker_id)
+        if worker is not None:
+            _pacing.adjust(worker, context)
+    _placing.place(context)
+    _committing.commit_if_due(context)
+    _workers.hold_all(context)
+    return tuple(context.effects)
+
+
+@handle.register
+def _tick(event: Ticked, context: Context) -> None:
+    state = context.state
+    state.wall_offset_ms = event.wall_ms - event.at_ms
+    _ownership.tick(context)
+    _workers.tick(context)
+    _committing.tick(context)
+    for job in state.jobs.values():
+        if job.request.schedule.count:
+            _lifecycle.open_steps(job, state)
+
+
+@handle.register
+def _configure(event: ConfigurationChanged, context: Context) -> None:
+    state = context.state
+    known = state.configuration
+    if known is not None and event.configuration.version <= known.version:
+        return
+    state.configuration = event.configuration
+    context.log(
+        'configuration in force', version=event.configuration.version
+    )
--- /dev/null
+++ b/src/tulippin/jobs/events.py
@@ -0,0 +1,176 @@
+"""Events of the job scheduler; each carries the time of its handling."""
+
+from __future__ import annotations
+
+import attrs
+
+from tulippin.jobs.effects import CommitProgress
+from tulippin.jobs.ports import StoredRow
+from tulippin.jobs.records import EpochRecord, LeaseRecord, RosterRecord
+from tulippin.jobs.types import (
+    Configuration,
+    OrderAnswer,
+    TaskKey,
+    WorkerEntry,
+    WorkerReport,
+)
+
+
+@attrs.frozen
+class JobEvent:
+    """Base of all events; ``at_ms`` is monotonic and counts suspension."""
+
+    at_ms: int
+
+
+@attrs.frozen
+class Ticked(JobEvent):
+    """Time has passed; ``wall_ms`` is the time of day."""
+
+    wall_ms: int
+
+
+@attrs.frozen
+class ConfigurationChanged(JobEvent):
+    """The operators' configuration, at least as new as any before."""
+
+    configuration: Configuration
+
+
+@attrs.frozen
+class LeaseSeen(JobEvent):
+    """The owner's rows as they stand; absent ones have version 0."""
+
+    lease: LeaseRecord | None
+    lease_version: int
+    epoch: EpochRecord | None
+    epoch_version: int
+
+
+@attrs.frozen
+class UnitTaken(JobEvent):
+    """The unit is ours, or another was first (no version)."""
+
+    epoch: int
+    version: int
+
+
+@attrs.frozen
+class LeaseRenewed(JobEvent):
+    """Whether the lease, as sent at a time, was renewed.
+
+    ``is_fenced`` says that another owns the unit; neither flag means
+    that the store did not answer.
+    """
+
+    sent_ms: int
+    is_done: bool
+    is_fenced: bool
+
+
+@attrs.frozen
+class UnitLoaded(JobEvent):
+    """All that is durable of the unit, as of a version."""
+
+    jobs: tuple[StoredRow, ...]
+    progress: tuple[StoredRow, ...]
+    roster: RosterRecord
+    roster_version: int
+    workers: tuple[WorkerEntry, ...]
+
+
+@attrs.frozen
+class JobsChanged(JobEvent):
+    """Jobs were accepted or cancelled."""
+
+    rows: tuple[StoredRow, ...]
+
+
+@attrs.frozen
+class WorkersChanged(JobEvent):
+    """The platform's list of workers has changed."""
+
+    changed: tuple[WorkerEntry, ...]
+    gone: tuple[str, ...]
+
+
+@attrs.frozen
+class WorkerAnswered(JobEvent):
+    """A worker's report, to a hold sent at a time."""
+
+    worker_id: str
+    sent_ms: int
+    report: WorkerReport
+
+
+@attrs.frozen
+class WorkerSilent(JobEvent):
+    """A hold brought no report.
+
+    ``is_fenced``: a newer owner was there. ``is_replaced``: another life
+    of the worker answers.
+    """
+
+    worker_id: str
+    reason: str
+    is_fenced: bool = False
+    is_replaced: bool = False
+
+
+@attrs.frozen
+class StartAnswered(JobEvent):
+    """What came of an order to start a run."""
+
+    worker_id: str
+    key: TaskKey
+    run: int
+    answer: OrderAnswer
+
+
+@attrs.frozen
+class StopAnswered(JobEvent):
+    """What came of an order to stop a run."""
+
+    worker_id: str
+    key: TaskKey
+    run: int
+    answer: OrderAnswer
+
+
+@attrs.frozen
+class PaceAnswered(JobEvent):
+    """What came of an order to pace a run."""
+
+    worker_id: str
+    key: TaskKey
+    run: int
+    percent: int
+    answer: OrderAnswer
+
+
+@attrs.frozen
+class ProgressCommitted(JobEvent):
+    """A commit is durable, or the unit has another owner."""
+
+    commit: CommitProgress
+    version: int
+    is_fenced: bool = False
+
+
+@attrs.frozen
+class RosterCommitted(JobEvent):
+    """The roster is durable, or the unit has another owner."""
+
+    roster: RosterRecord
+    version: int
+    is_fenced: bool = False
+
+
+@attrs.frozen
+class StopRequested(JobEvent):
+    """The instance is to stop in a planned way."""
+
+
+@attrs.frozen
+class LeaseReleased(JobEvent):
+    """The unit is free for another instance."""
--- /dev/null
+++ b/src/tulippin/jobs/state.py
@@ -0,0 +1,244 @@
+"""All that the job scheduler of one instance holds in memory."""
+
+from __future__ import annotations
+
+import enum
+import typing as t
+
+import attrs
+
+from tulippin.jobs.records import (
+    EpochRecord,
+    LeaseRecord,
+    ProgressRecord,
+    Unit,
+)
+from tulippin.jobs.types import (
+    Configuration,
+    JobRequest,
+    JobState,
+    Queue,
+    Step,
+    TaskKey,
+    WorkerEntry,
+)
+from tulippin.types import Resources
+
+# Runs of one task in one epoch are numbered below this, so that a new
+# owner's runs are above all earlier ones without a record of each.
+RUNS_PER_EPOCH: t.Final = 65536
+
+
+@attrs.frozen
+class SchedulerConfig:
+    """What the scheduler knows from its settings.
+
+    Parameters
+    ----------
+    instance_id, session_id : str
+        The instance, and this life of its process.
+    unit : Unit
+        The unit that the instance owns or stands by for.
+    lease_ms : int
+        Silence after which others may take the unit: four renewals.
+    renew_every_ms : int
+        Time between renewals of the lease.
+    worker_lease_ms : int
+        How long a worker runs on when its owner is silent; longer than
+        ``lease_ms`` and a takeover together.
+    start_valid_ms : int
+        How long an order to start is valid, so that one that is carried
+        out late does nothing.
+    clock_drift_ratio : float
+        How slow a worker's clock may be.
+    stop_limit_ms : int
+        The longest that a worker takes to stop a run.
+    worker_lease_limit_ms : int
+        The longest lease that a worker grants: what another owner may
+        have given it.
+    cpu_idle_millicores : int
+        A task that uses less than this stands still.
+    finished_kept_ms : int
+        How long a finished job's state is kept.
+    """
+
+    instance_id: str
+    session_id: str
+    unit: Unit = Unit()
+    lease_ms: int = 2000
+    renew_every_ms: int = 500
+    worker_lease_ms: int = 4500
+    worker_lease_limit_ms: int = 6000
+    start_valid_ms: int = 1800
+    clock_drift_ratio: float = 1.02
+    stop_limit_ms: int = 900
+    cpu_idle_millicores: int = 50
+    finished_kept_ms: int = 180_000
+
+
+class Phase(enum.Enum):
+    """What the instance is to its unit."""
+
+    STANDING_BY = 'standing_by'
+    TAKING = 'taking'
+    LOADING = 'loading'
+    ACTIVE = 'active'
+    RELEASING = 'releasing'
+    LEFT = 'left'
+
+
+class AttemptState(enum.Enum):
+    """What is known of a run.
+
+    ``DOUBTFUL``: the order to start brought no answer, and may still be
+    carried out until its deadline.
+    """
+
+    STARTING = 'starting'
+    RUNNING = 'running'
+    DOUBTFUL = 'doubtful'
+    STOPPING = 'stopping'
+
+
+@attrs.define
+class Attempt:
+    """One run of a task on a worker."""
+
+    key: TaskKey
+    run: int
+    worker_id: str
+    step: Step
+    priority: int
+    state: AttemptState
+    sent_ms: int
+    start_deadline_ms: int = 0
+    seen_ms: int = 0
+    stop_sent_ms: int = 0
+    stop_is_settled: bool = False
+    checkpoint: str = ''
+    pace_percent: int = 100
+    paced_ms: int = 0
+    load: float = 0.0
+    worked_ms: int = 0
+    stop_reason: str = ''
+
+
+@attrs.define
+class Task:
+    """A task with its runs."""
+
+    key: TaskKey
+    is_done: bool = False
+    failed_runs: set[int] = attrs.field(factory=set)
+    run_count: int = 0
+    checkpoint: str = ''
+    attempts: dict[int, Attempt] = attrs.field(factory=dict)
+    avoided: set[str] = attrs.field(factory=set)
+    not_before_ms: int = 0
+
+
+@attrs.define
+class Job:
+    """A job with its tasks, as far as they may run."""
+
+    job_id: str
+    queue: Queue
+    request: JobRequest
+    row_version: int
+    state: JobState = JobState.PENDING
+    is_cancelled: bool = False
+    has_begun: bool = False
+    arrived_ms: int = 0
+    finished_ms: int = 0
+    tasks: dict[TaskKey, Task] = attrs.field(factory=dict)
+    remaining: dict[tuple[int, int], int] = attrs.field(factory=dict)
+    opened: set[tuple[int, int]] = attrs.field(factory=set)
+    progress_version: int = 0
+    durable: ProgressRecord | None = None
+    awaits_workers: bool = False
+
+
+@attrs.define
+class Worker:
+    """A worker with what runs there.
+
+    ``clock_offset_ms`` added to our clock gives the worker's clock or
+    less. At ``lapse_at_ms`` by our clock, the latest lease that any
+    order of ours may have given it has surely ended.
+    """
+
+    entry: WorkerEntry
+    is_listed: bool = True
+    clock_offset_ms: int | None = None
+    is_holding: bool = False
+    answered_ms: int = 0
+    failed_count: int = 0
+    hold_after_ms: int = 0
+    lapse_at_ms: int = 0
+    last_seen: int = 0
+    ends_read: int = 0
+    attempts: dict[tuple[TaskKey, int], Attempt] = attrs.field(factory=dict)
+    reserved: Resources = Resources()
+    failed_jobs: set[str] = attrs.field(factory=set)
+    quarantined_until_ms: int = 0
+    paused_until_ms: int = 0
+    needs_ack: bool = False
+    pace_percent: int = 100
+    pace_changed_ms: int = 0
+    over_since_ms: int = 0
+    is_rostered: bool = False
+    was_rostered: bool = False
+    is_reconciled: bool = False
+
+    @property
+    def worker_id(self) -> str:
+        """The worker's id: one life of it."""
+        return self.entry.worker_id
+
+    @property
+    def free(self) -> Resources:
+        """Room that nothing reserves."""
+        return self.entry.capacity.subtract(self.reserved)
+
+
+@attrs.define
+class Ownership:
+    """What is known of the unit's owner."""
+
+    phase: Phase = Phase.STANDING_BY
+    lease: LeaseRecord | None = None
+    lease_version: int = 0
+    epoch: EpochRecord | None = None
+    epoch_version: int = 0
+    changed_ms: int = -1
+    taken_ms: int = 0
+    renewed_ms: int = 0
+    renewal_count: int = 0
+    is_renewing: bool = False
+    must_confirm: bool = False
+    wait_extra_ms: int = 0
+
+
+@attrs.define
+class SchedulerState:
+    """Everything the reducer reads and changes."""
+
+    config: SchedulerConfig
+    now_ms: int = 0
+    configuration: Configuration | None = None
+    ownership: Ownership = attrs.field(factory=Ownership)
+    jobs: dict[str, Job] = attrs.field(factory=dict)
+    workers: dict[str, Worker] = attrs.field(factory=dict)
+    ready: dict[TaskKey, Task] = attrs.field(factory=dict)
+    dirty_jobs: dict[str, None] = attrs.field(factory=dict)
+    dirty_since_ms: int = 0
+    is_committing: bool = False
+    roster: dict[str, str] = attrs.field(factory=dict)
+    roster_version: int = 0
+    is_roster_committing: bool = False
+    wall_offset_ms: int = 0
+    counters: dict[str, int] = attrs.field(factory=dict)
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add to a counter."""
+        self.counters[name] = self.counters.get(name, 0) + amount
--- /dev/null
+++ b/src/tulippin/line_buffer.py
@@ -0,0 +1,91 @@
+"""Log lines that never block: a bounded buffer before a file."""
+
+from __future__ import annotations
+
+import collections
+import os
+import typing as t
+
+import logbook
+
+from tulippin.codec_json import encode
+
+# Lines kept while the reader is slow: some 2 MB, a burst of seconds.
+_LINE_LIMIT: t.Final = 8000
+# The most bytes handed to the file at once.
+_WRITE_BYTES: t.Final = 65536
+
+
+class LineBuffer(logbook.Handler):
+    """A log handler that writes JSON lines without ever waiting.
+
+    Lines go into a bounded buffer, which ``flush`` writes as far as the
+    file takes them. What finds the buffer full is dropped and counted,
+    and the count is told with the next line that has room.
+
+    Parameters
+    ----------
+    descriptor : int
+        Where to write; it is switched to non-blocking.
+    fields : mapping
+        Written on each line.
+    level : str
+        The least level to write.
+    """
+
+    def __init__(
+        self,
+        descriptor: int,
+        fields: t.Mapping[str, t.Any],
+        level: str = 'INFO',
+    ) -> None:
+        super().__init__(level=level, bubble=False)
+        self._descriptor = descriptor
+        self._fields = dict(fields)
+        self._lines: collections.deque[bytes] = collections.deque()
+        self._rest = b''
+        self.dropped_count = 0
+        self.written_bytes = 0
+        os.set_blocking(descriptor, False)
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Put a line into the buffer, or count it as dropped."""
+        if len(self._lines) >= _LINE_LIMIT:
+            self.dropped_count += 1
+            return
+        if self.dropped_count:
+            told = {'message': 'lines dropped', 'count': self.dropped_count}
+            self.dropped_count = 0
+            self._lines.append(encode({**self._fields, **told}) + b'\n')
+        self._lines.append(self._format(record))
+
+    def _format(self, record: logbook.LogRecord) -> bytes:
+        line = {
+            'time': record.time.isoformat(timespec='milliseconds'),
+            'level': record.level_name.lower(),
+            **self._fields,
+            'message': record.message,
+            **record.kwargs,
+        }
+        return encode(line) + b'\n'
+
+    def flush(self) -> None:
+        """Write as much as the file takes now."""
+        while self._rest or self._lines:
+            if not self._rest:
+                self._rest = self._gather()
+            try:
+                count = os.write(self._descriptor, self._rest)
+            except BlockingIOError:
+                return
+            self.written_bytes += count
+            self._rest = self._rest[count:]
+
+    def _gather(self) -> bytes:
+        chosen = []
+        total = 0
+        while self._lines and total < _WRITE_BYTES:
+            line = self._lines.popleft()
+            chosen.append(line)
+            total += len(line)
+        return b''.join(chosen)
--- a/src/tulippin/logs.py
+++ b/src/tulippin/logs.py
@@ -8,7 +8,9 @@
 import logbook
 
 from tulippin.codec_json import encode
-from tulippin.settings import LogSettings
+
+if t.TYPE_CHECKING:
+    from tulippin.settings import LogSettings
 
 _TEXT: t.Final = (
     '{record.time:%Y-%m-%dT%H:%M:%S.%f}Z {record.level_name:<7}'
--- /dev/null
+++ b/src/tulippin/platform/callers.py
@@ -0,0 +1,264 @@
+"""Callers' calls and the readiness question, as the platform sends them."""
+
+from __future__ import annotations
+
+import re
+import typing as t
+
+import msgspec
+import trio
+
+from tulippin.exceptions import (
+    AnswerLostError,
+    Finding,
+    InputError,
+    UnavailableError,
+)
+from tulippin.jobs.intake import JobIntake
+from tulippin.jobs.types import (
+    JobRequest,
+    JobState,
+    Queue,
+    Schedule,
+    Step,
+)
+from tulippin.logs import logger
+from tulippin.platform.wire import (
+    ErrorBody,
+    JobBody,
+    StateBody,
+    StepBody,
+    WaitingBody,
+)
+from tulippin.types import Resources
+
+_JOB_ID: t.Final = re.compile('[0-9a-fA-F]{16}')
+_READY_PATH: t.Final = '/v1/ready'
+_DEADLINE_HEADER: t.Final = b'deadline-ms'
+# A caller that gives no deadline is taken to wait so long: the shortest
+# deadline that the users' sheets give.
+_DEFAULT_DEADLINE_MS: t.Final = 3000
+# Kept back of a deadline for the answer's way to the caller: 3 ms each
+# way and a slow machine's scheduling.
+_ANSWER_MS: t.Final = 300
+_MS: t.Final = 1000
+_SPEC_LIMIT_BYTES: t.Final = 4000
+# When to come back after a refusal: a takeover takes about so long.
+_RETRY_AFTER_S: t.Final = '1'
+_STATES: t.Final = {state: state.value for state in JobState}
+
+_job_decoder = msgspec.json.Decoder(JobBody)
+
+Scope: t.TypeAlias = dict[str, t.Any]
+Receive: t.TypeAlias = t.Callable[[], t.Awaitable[dict[str, t.Any]]]
+Send: t.TypeAlias = t.Callable[[dict[str, t.Any]], t.Awaitable[None]]
+
+
+class BodyTooLargeError(InputError):
+    """A body is over the configured limit."""
+
+    code = 'body_too_large'
+
+
+class Reply(t.NamedTuple):
+    """An answer: its status, its body and whether to come back later."""
+
+    status: int
+    body: msgspec.Struct | None = None
+    retry: bool = False
+
+
+def decode_job(body: bytes) -> JobRequest:
+    """Return a job as a caller sent it.
+
+    Raises
+    ------
+    InputError
+        With all findings, if it is not a job that could ever run.
+    """
+    try:
+        wire = _job_decoder.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise InputError(str(error), code='bad_job') from error
+    findings = list(_check_job(wire))
+    if findings:
+        raise InputError('the job is refused', findings, code='bad_job')
+    return JobRequest(
+        wire.spec,
+        tuple(_decode_step(step) for step in wire.steps),
+        Schedule(wire.start_at_ms, wire.interval_ms, wire.repeat_count),
+    )
+
+
+def _check_job(wire: JobBody) -> t.Iterator[Finding]:
+    if len(wire.spec.encode()) > _SPEC_LIMIT_BYTES:
+        yield Finding('Spec', 'is too long', f'{_SPEC_LIMIT_BYTES} bytes')
+    if not wire.steps:
+        yield Finding('Steps', 'is empty', 'give at least one step')
+    for number, step in enumerate(wire.steps):
+        place = f'Steps[{number}]'
+        if step.count < 1:
+            yield Finding(f'{place}.Count', 'is below 1')
+        if any(not 0 <= one < number for one in step.after):
+            yield Finding(f'{place}.AfterRevision', 'names no earlier step')
+        if min(step.cpu, step.memory_mb, step.gpus) < 0:
+            yield Finding(place, 'asks for less than nothing')
+
+
+def _decode_step(step: StepBody) -> Step:
+    return Step(
+        task_count=step.count,
+        size=Resources(step.cpu, step.memory_mb, step.gpus),
+        estimated_ms=int(step.estimated_ms),
+        after=step.after,
+        checkpointing=step.checkpointing,
+        gang=step.gang,
+        same_rack=step.same_rack,
+        required_label=step.requirements,
+        preferred_rack=step.affinity,
+        max_per_worker=step.anti_affinity,
+        allow_duplicates=step.allow_duplicates,
+        long_running=step.long_running,
+        image=step.image,
+        target_ms=int(step.target_ms),
+        opportunistic=step.fills,
+        max_unavailable=step.may_miss,
+    )
+
+
+class CallersApp:
+    """An ASGI application: jobs for callers, readiness for the platform.
+
+    Parameters
+    ----------
+    intake : JobIntake
+        Takes the calls.
+    get_unready : callable
+        Returns why the instance is not ready, or an empty text.
+    """
+
+    def __init__(
+        self, intake: JobIntake, get_unready: t.Callable[[], str]
+    ) -> None:
+        self._intake = intake
+        self._get_unready = get_unready
+        self.is_closing = False
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Answer one call."""
+        if scope['type'] != 'http':
+            raise NotImplementedError(scope['type'])
+        if scope['path'] == _READY_PATH:
+            reply = Reply(503 if self._get_unready() else 200)
+        else:
+            reply = await self._answer(scope, receive)
+        await self._send(reply, send)
+
+    async def _send(self, reply: Reply, send: Send) -> None:
+        body = b'' if reply.body is None else msgspec.json.encode(reply.body)
+        headers = [
+            (b'content-type', b'application/json'),
+            (b'content-length', str(len(body)).encode()),
+        ]
+        if reply.retry:
+            headers.append((b'retry-after', _RETRY_AFTER_S.encode()))
+        if self.is_closing:
+            headers.append((b'connection', b'close'))
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': reply.status,
+                'headers': headers,
+            }
+        )
+        await send({'type': 'http.response.body', 'body': body})
+
+    async def _answer(self, scope: Scope, receive: Receive) -> Reply:
+        headers = dict(scope['headers'])
+        configuration = self._intake.shell.configuration
+        if configuration is None:
+            return Reply(503, ErrorBody('no configuration yet'), retry=True)
+        host = headers.get(b'host', b'').decode('latin-1').partition(':')[0]
+        queue = configuration.find_queue(host, scope['path'])
+        if queue is None:
+            return Reply(404, ErrorBody('no such queue'))
+        job_id = scope['path'].removeprefix(queue.path_prefix).strip('/')
+        limit_ms = _read_deadline_ms(headers) - _ANSWER_MS
+        try:
+            with trio.fail_after(max(limit_ms, _ANSWER_MS) / _MS):
+                body = await _read_body(receive, configuration.max_body_bytes)
+                return await self._dispatch(
+                    scope['method'], job_id, queue, body, limit_ms
+                )
+        except InputError as error:
+            return _refuse_input(job_id, error)
+        except AnswerLostError as error:
+            return _give_up(job_id, 504, error.message)
+        except UnavailableError as error:
+            return _give_up(job_id, 503, error.message)
+        except trio.TooSlowError:
+            return _give_up(job_id, 504, 'out of time')
+
+    async def _dispatch(
+        self,
+        method: str,
+        job_id: str,
+        queue: Queue,
+        body: bytes,
+        limit_ms: int,
+    ) -> Reply:
+        intake = self._intake
+        if not job_id:
+            if method != 'GET':
+                return Reply(405, ErrorBody('a queue can only be read'))
+            return Reply(200, WaitingBody(intake.count_waiting(queue)))
+        if not _JOB_ID.fullmatch(job_id):
+            raise InputError('an id is 16 hex digits', code='bad_id')
+        if method == 'POST':
+            request = decode_job(body)
+            await intake.submit(job_id, queue, request, limit_ms)
+            return Reply(200)
+        if method == 'DELETE':
+            found = await intake.cancel(job_id, queue, limit_ms)
+            return Reply(200 if found else 410)
+        if method != 'GET':
+            return Reply(405, ErrorBody('use POST, GET or DELETE'))
+        state = await intake.get_state(job_id)
+        if state is None:
+            logger.info('job not found', job=job_id, queue=queue.name)
+            return Reply(410, ErrorBody('no such job'))
+        return Reply(200, StateBody(_STATES[state]))
+
+
+def _refuse_input(job_id: str, error: InputError) -> Reply:
+    status = 413 if isinstance(error, BodyTooLargeError) else 400
+    text = '; '.join(
+        [error.message, *(finding.render() for finding in error.findings)]
+    )
+    logger.info('call refused', job=job_id, status=status, reason=text)
+    return Reply(status, ErrorBody(f'{error.code}: {text}'))
+
+
+def _give_up(job_id: str, status: int, reason: str) -> Reply:
+    logger.warning('call given up', job=job_id, status=status, reason=reason)
+    return Reply(status, ErrorBody(reason), retry=True)
+
+
+def _read_deadline_ms(headers: dict[bytes, bytes]) -> int:
+    text = headers.get(_DEADLINE_HEADER, b'')
+    return int(text) if text.isdigit() else _DEFAULT_DEADLINE_MS
+
+
+async def _read_body(receive: Receive, limit_bytes: int) -> bytes:
+    body = b''
+    while True:
+        message = await receive()
+        if message['type'] == 'http.disconnect':
+            raise InputError('the caller left', code='caller_left')
+        body += message.get('body', b'')
+        if len(body) > limit_bytes:
+            raise BodyTooLargeError(f'over {limit_bytes} bytes')
+        if not message.get('more_body', False):
+            return body
--- /dev/null
+++ b/src/tulippin/platform/workers.py
@@ -0,0 +1,209 @@
+"""Orders to the agents on the platform's workers."""
+
+from __future__ import annotations
+
+import typing as t
+
+import msgspec
+
+from tulippin._http_client import HttpAnswer, HttpClient
+from tulippin.exceptions import AnswerLostError, UnavailableError
+from tulippin.jobs.ports import (
+    FencedOrderError,
+    StartOrder,
+    WorkerChangedError,
+)
+from tulippin.jobs.types import (
+    EndedRun,
+    OrderAnswer,
+    RunningTask,
+    RunOutcome,
+    StartOutcome,
+    TaskKey,
+    WorkerReport,
+    parse_task,
+)
+from tulippin.platform.wire import (
+    EndedRow,
+    HoldBody,
+    PaceBody,
+    RunningRow,
+    StartBody,
+    StopBody,
+    WorkerAnswerBody,
+)
+
+_OK: t.Final = 200
+_CONFLICT: t.Final = 409
+_OTHER_LIFE: t.Final = 421
+_UNHEALTHY: t.Final = frozenset((429, 503))
+_FENCE: t.Final = 'fence'
+_REASONS: t.Final = {
+    _FENCE: StartOutcome.FENCED,
+    'old': StartOutcome.SUPERSEDED,
+    'late': StartOutcome.TOO_LATE,
+    'room': StartOutcome.NO_ROOM,
+    'ticket': StartOutcome.NO_TICKET,
+}
+_LIFE_HEADER: t.Final = 'Expected-Instance'
+# A running row has a fifth entry only where tasks share processors.
+_LOAD_COLUMN: t.Final = 4
+
+_answer_decoder = msgspec.json.Decoder(WorkerAnswerBody)
+
+
+class PlatformWorkers:
+    """Every worker's agent, each over a pool of its own.
+
+    Parameters
+    ----------
+    make_client : callable
+        Makes the pool for one worker; it lives as long as the worker.
+    """
+
+    def __init__(self, make_client: t.Callable[[], HttpClient]) -> None:
+        self._make_client = make_client
+        self._clients: dict[str, HttpClient] = {}
+
+    async def forget(self, worker_id: str) -> None:
+        """Close the connections to a worker that is gone."""
+        client = self._clients.pop(worker_id, None)
+        if client is not None:
+            await client.close()
+
+    async def start(self, order: StartOrder) -> OrderAnswer:
+        """Start a run."""
+        body = StartBody(
+            order.key.format(),
+            order.run,
+            order.spec,
+            order.deadline_ms,
+            order.fencing_token,
+            order.checkpoint,
+            order.ticket,
+        )
+        return await self._order(
+            order.worker_id, order.address, '/v1/run-start', body
+        )
+
+    async def stop(
+        self,
+        worker_id: str,
+        address: str,
+        key: TaskKey,
+        run: int,
+        fencing_token: int,
+    ) -> OrderAnswer:
+        """Stop a run; one that is not there yet will be refused."""
+        body = StopBody(key.format(), run, fencing_token)
+        return await self._order(worker_id, address, '/v1/run-stop', body)
+
+    async def pace(
+        self,
+        worker_id: str,
+        address: str,
+        key: TaskKey,
+        run: int,
+        percent: int,
+        fencing_token: int,
+    ) -> OrderAnswer:
+        """Let a run work at a share of its speed."""
+        body = PaceBody(key.format(), run, percent, fencing_token)
+        return await self._order(worker_id, address, '/v1/pace', body)
+
+    async def hold(
+        self,
+        worker_id: str,
+        address: str,
+        fencing_token: int,
+        last_seen: int,
+        deadline_ms: int | None,
+        wait_ms: int,
+    ) -> WorkerReport:
+        """Extend the worker's lease and return its report."""
+        body = HoldBody(fencing_token, last_seen, deadline_ms, wait_ms)
+        answer = await self._send(
+            worker_id, address, '/v1/hold', body, wait_ms
+        )
+        if answer.status == _OTHER_LIFE:
+            raise WorkerChangedError(f'{address} is another life now')
+        decoded = _decode(answer)
+        if answer.status == _CONFLICT and decoded.reason == _FENCE:
+            raise FencedOrderError(f'{worker_id} has a newer owner')
+        if answer.status != _OK or decoded.clock_ms is None:
+            raise UnavailableError(f'{worker_id} answers {answer.status}')
+        return WorkerReport(
+            decoded.clock_ms,
+            tuple(_decode_running(row) for row in decoded.running),
+            tuple(_decode_ended(row) for row in decoded.ended),
+        )
+
+    async def _order(
+        self, worker_id: str, address: str, path: str, body: msgspec.Struct
+    ) -> OrderAnswer:
+        try:
+            answer = await self._send(worker_id, address, path, body)
+        except AnswerLostError:
+            return OrderAnswer(StartOutcome.UNKNOWN)
+        except UnavailableError:
+            return OrderAnswer(StartOutcome.NOT_SENT)
+        return _decode_order(answer)
+
+    async def _send(
+        self,
+        worker_id: str,
+        address: str,
+        path: str,
+        body: msgspec.Struct,
+        wait_ms: int = 0,
+    ) -> HttpAnswer:
+        client = self._clients.get(worker_id)
+        if client is None:
+            client = self._clients[worker_id] = self._make_client()
+        return await client.send(
+            'POST',
+            f'http://{address}{path}',
+            msgspec.json.encode(body),
+            {_LIFE_HEADER: worker_id},
+            extra_wait_ms=wait_ms,
+        )
+
+
+def _decode(answer: HttpAnswer) -> WorkerAnswerBody:
+    if not answer.body:
+        return WorkerAnswerBody()
+    try:
+        return _answer_decoder.decode(answer.body)
+    except msgspec.DecodeError as error:
+        raise AnswerLostError(f'a worker answers nonsense: {error}') from error
+
+
+def _decode_order(answer: HttpAnswer) -> OrderAnswer:
+    if answer.status == _OTHER_LIFE:
+        return OrderAnswer(StartOutcome.OTHER_LIFE)
+    if answer.status in _UNHEALTHY:
+        return OrderAnswer(StartOutcome.UNHEALTHY)
+    try:
+        decoded = _decode(answer)
+    except AnswerLostError:
+        return OrderAnswer(StartOutcome.UNKNOWN)
+    if answer.status == _OK:
+        return OrderAnswer(StartOutcome.STARTED, decoded.clock_ms)
+    if answer.status == _CONFLICT:
+        outcome = _REASONS.get(decoded.reason, StartOutcome.REJECTED)
+        return OrderAnswer(outcome, decoded.clock_ms)
+    return OrderAnswer(StartOutcome.REJECTED, decoded.clock_ms)
+
+
+def _decode_running(row: RunningRow) -> RunningTask:
+    load = float(row[_LOAD_COLUMN]) if len(row) > _LOAD_COLUMN else 0.0
+    return RunningTask(
+        parse_task(row[0]), int(row[1]), str(row[2]), int(row[3]), load
+    )
+
+
+def _decode_ended(row: EndedRow) -> EndedRun:
+    number, task, run, outcome, checkpoint = row
+    return EndedRun(
+        number, parse_task(task), run, RunOutcome(outcome), checkpoint
+    )
--- /dev/null
+++ b/src/tulippin/scheduler_daemon.py
@@ -0,0 +1,211 @@
+"""The daemon of a scheduler instance on the users' platform."""
+
+from __future__ import annotations
+
+import contextlib
+import signal
+import sys
+import time
+import typing as t
+import uuid
+
+import trio
+
+from tulippin._http_client import HttpClient
+from tulippin._http_server import HttpServer
+from tulippin.exceptions import InputError, TulippinError
+from tulippin.jobs import (
+    JobIntake,
+    SchedulerConfig,
+    SchedulerPorts,
+    SchedulerShell,
+)
+from tulippin.line_buffer import LineBuffer
+from tulippin.logs import logger
+from tulippin.platform.callers import CallersApp
+from tulippin.platform.feeds import PlatformFeeds
+from tulippin.platform.store import PlatformStore
+from tulippin.platform.workers import PlatformWorkers
+from tulippin.scheduler_settings import (
+    SchedulerSettings,
+    load_scheduler_settings,
+)
+
+_NS_IN_MS: t.Final = 1_000_000
+_MS: t.Final = 1000
+_FLUSH_EVERY_S: t.Final = 0.1
+# The store answers in 4 to 9 ms, and in 300 ms when it is slow.
+_STORE_TIMEOUT_S: t.Final = 1.0
+_STORE_CONNECTIONS: t.Final = 24
+# A worker answers in a few ms; a silent one is asked again.
+_WORKER_TIMEOUT_S: t.Final = 0.7
+_WORKER_CONNECTIONS: t.Final = 10
+# The balancer asks once a second and acts on the second miss.
+_BALANCER_S: t.Final = 2.6
+# Silence of the store after which callers do better elsewhere.
+_STORE_SILENCE_MS: t.Final = 4000
+_USAGE: t.Final = 'usage: tulippin-instance SETTINGS.ini'
+
+
+def read_clock_ms() -> int:
+    """Return monotonic milliseconds that count suspension."""
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // _NS_IN_MS
+
+
+def read_wall_ms() -> int:
+    """Return the time of day in milliseconds."""
+    return time.time_ns() // _NS_IN_MS
+
+
+class SchedulerDaemon:
+    """One instance with its listeners.
+
+    Parameters
+    ----------
+    settings : SchedulerSettings
+        As read from the file.
+    lines : LineBuffer
+        Where log lines gather.
+    """
+
+    def __init__(
+        self, settings: SchedulerSettings, lines: LineBuffer
+    ) -> None:
+        self.settings = settings
+        self._lines = lines
+        self._shell: SchedulerShell | None = None
+        self._stopping = trio.Event()
+
+    def stop(self) -> None:
+        """Begin the planned stop."""
+        self._stopping.set()
+
+    def get_unready(self) -> str:
+        """Return why callers should go elsewhere, or an empty text."""
+        shell = self._shell
+        if self._stopping.is_set():
+            return 'stopping'
+        if shell is None or shell.configuration is None:
+            return 'no configuration yet'
+        return ''
+
+    async def run(self) -> None:
+        """Run until a planned stop is complete."""
+        async with contextlib.AsyncExitStack() as stack:
+            shell = await self._open(stack)
+            nursery = await stack.enter_async_context(trio.open_nursery())
+            nursery.start_soon(self._flush)
+            app = CallersApp(JobIntake(shell), self.get_unready)
+            servers = [
+                stack.enter_context(HttpServer(app, address))
+                for address in (self.settings.callers, self.settings.readiness)
+            ]
+            for server in servers:
+                await nursery.start(server.serve)
+            logger.info('started', session=shell.config.session_id)
+            await self._stopping.wait()
+            await self._leave(app, servers)
+            nursery.cancel_scope.cancel()
+        self._lines.flush()
+
+    async def _open(self, stack: contextlib.AsyncExitStack) -> SchedulerShell:
+        settings = self.settings
+        client = await stack.enter_async_context(
+            HttpClient(_STORE_TIMEOUT_S, _STORE_CONNECTIONS)
+        )
+        store = PlatformStore(settings.store_address, client)
+        workers = PlatformWorkers(
+            lambda: HttpClient(_WORKER_TIMEOUT_S, _WORKER_CONNECTIONS)
+        )
+        limit_ms = settings.worker_lease_limit_ms
+        config = SchedulerConfig(
+            settings.instance_id,
+            f'{settings.instance_id}:{uuid.uuid4().hex[:8]}',
+            worker_lease_limit_ms=limit_ms,
+            worker_lease_ms=min(
+                SchedulerConfig.__attrs_attrs__.worker_lease_ms.default,
+                limit_ms,
+            ),
+            stop_limit_ms=settings.worker_stop_ms,
+        )
+        shell = SchedulerShell(
+            config,
+            SchedulerPorts(
+                store, PlatformFeeds(store), workers, workers.forget
+            ),
+            clock=read_clock_ms,
+            wall=read_wall_ms,
+        )
+        self._shell = await stack.enter_async_context(shell)
+        return shell
+
+    async def _leave(
+        self, app: CallersApp, servers: list[HttpServer]
+    ) -> None:
+        """Release the unit, answer what comes, then close."""
+        logger.info('stopping')
+        app.is_closing = True
+        grace_s = self.settings.grace_ms / _MS
+        with trio.move_on_after(grace_s - 1):
+            async with trio.open_nursery() as nursery:
+                if self._shell is not None:
+                    nursery.start_soon(self._shell.leave)
+                nursery.start_soon(trio.sleep, min(_BALANCER_S, grace_s / 2))
+            for server in servers:
+                server.shut_down()
+            for server in servers:
+                await server.stopped.wait()
+        logger.info('stopped')
+
+    async def _flush(self) -> None:
+        while True:
+            self._lines.flush()
+            await trio.sleep(_FLUSH_EVERY_S)
+
+
+async def _run_with_signals(daemon: SchedulerDaemon) -> None:
+    async with trio.open_nursery() as nursery:
+        with trio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+        ) as signals:
+
+            async def watch() -> None:
+                async for number in signals:
+                    if number != signal.SIGHUP:
+                        daemon.stop()
+
+            nursery.start_soon(watch)
+            await daemon.run()
+            nursery.cancel_scope.cancel()
+
+
+def run_settings(path: str) -> None:
+    """Run an instance from a settings file until it is stopped."""
+    settings = load_scheduler_settings(path)
+    lines = LineBuffer(
+        sys.stdout.fileno(),
+        {
+            'instance': settings.instance_id,
+            'failure_domain': settings.failure_domain,
+        },
+        settings.log_level.upper(),
+    )
+    with lines.applicationbound():
+        trio.run(_run_with_signals, SchedulerDaemon(settings, lines))
+
+
+def main(arguments: t.Sequence[str] | None = None) -> int:
+    """Run an instance; return its exit code."""
+    given = list(sys.argv[1:] if arguments is None else arguments)
+    try:
+        if len(given) != 1 or given[0].startswith('-'):
+            raise InputError(_USAGE, code='usage')
+        run_settings(given[0])
+    except TulippinError as error:
+        error.show()
+        return error.exit_code
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/src/tulippin/scheduler_settings.py
@@ -0,0 +1,138 @@
+"""Settings of a scheduler instance: INI, all findings together."""
+
+from __future__ import annotations
+
+import pathlib
+import typing as t
+
+import attrs
+
+from tulippin.exceptions import Finding, InputError
+from tulippin.ini import SectionReader, read_ini
+
+_SECTIONS: t.Final = frozenset(
+    ('instance', 'listen', 'store', 'workers', 'stop', 'log')
+)
+
+
+@attrs.frozen
+class SchedulerSettings:
+    """Everything that a scheduler instance learns from its file.
+
+    Parameters
+    ----------
+    instance_id, failure_domain, region : str
+        Who and where the instance is.
+    callers, readiness : str
+        Addresses to listen on, each an IP and a port.
+    internal_ip : str
+        Where peers and operators reach the instance.
+    internal_first_port, internal_last_port : int
+        Ports free for that.
+    store_address : str
+        IP and port of the platform's store.
+    worker_lease_limit_ms : int
+        The longest lease that a worker grants.
+    worker_stop_ms : int
+        The longest that a worker takes to stop a run.
+    grace_ms : int
+        Time between a planned stop and the kill.
+    log_level : str
+        The least level of log lines.
+    """
+
+    instance_id: str
+    failure_domain: str
+    region: str
+    callers: str
+    readiness: str
+    internal_ip: str
+    internal_first_port: int
+    internal_last_port: int
+    store_address: str
+    worker_lease_limit_ms: int
+    worker_stop_ms: int
+    grace_ms: int
+    log_level: str = 'info'
+
+
+def load_scheduler_settings(path: str | pathlib.Path) -> SchedulerSettings:
+    """Read and check a settings file.
+
+    Raises
+    ------
+    InputError
+        With every finding, each with file, section and key.
+    """
+    source = str(path)
+    try:
+        text = pathlib.Path(path).read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        raise InputError(
+            f'cannot read {source}: {error}', code='no_settings'
+        ) from error
+    return parse_scheduler_settings(text, source)
+
+
+def parse_scheduler_settings(
+    text: str, source: str = 'settings'
+) -> SchedulerSettings:
+    """Check settings given as text."""
+    parser = read_ini(text, source)
+    findings: list[Finding] = []
+    for section in parser.sections():
+        if section not in _SECTIONS:
+            known = ', '.join(sorted(_SECTIONS))
+            findings.append(
+                Finding(f'{source}: [{section}]', 'unknown section', known)
+            )
+    readers = {
+        name: SectionReader(parser, name, source, findings)
+        for name in _SECTIONS
+    }
+    settings = _read(readers)
+    for reader in readers.values():
+        reader.close()
+    if findings:
+        raise InputError(
+            f'{source} has {len(findings)} finding(s)',
+            findings,
+            code='bad_settings',
+        )
+    return settings
+
+
+def _read(readers: dict[str, SectionReader]) -> SchedulerSettings:
+    instance = readers['instance']
+    listen = readers['listen']
+    ports = listen.get_list('internal_ports')
+    first, last = _read_ports(listen, ports)
+    workers = readers['workers']
+    return SchedulerSettings(
+        instance_id=instance.get_text('id'),
+        failure_domain=instance.get_text('failure_domain'),
+        region=instance.get_text('region', '-'),
+        callers=listen.get_text('callers'),
+        readiness=listen.get_text('readiness'),
+        internal_ip=listen.get_text('internal_ip'),
+        internal_first_port=first,
+        internal_last_port=last,
+        store_address=readers['store'].get_text('address'),
+        worker_lease_limit_ms=workers.get_int('lease_limit_ms', 6000, 1000),
+        worker_stop_ms=workers.get_int('stop_limit_ms', 900, 1),
+        grace_ms=int(
+            readers['stop'].get_float('grace_s', 6.0, 1.0) * 1000
+        ),
+        log_level=readers['log'].get_choice(
+            'level', ('debug', 'info', 'warning', 'error'), 'info'
+        ),
+    )
+
+
+def _read_ports(
+    listen: SectionReader, ports: tuple[str, ...]
+) -> tuple[int, int]:
+    if len(ports) == 2 and all(port.isdigit() for port in ports):
+        return int(ports[0]), int(ports[1])
+    listen.report('internal_ports', 'is no range', 'write FIRST,LAST')
+    return 0, 0
