--- a/src/tulippin/jobs/_attempts.py
+++ b/src/tulippin/jobs/_attempts.py
@@ -4,7 +4,7 @@
 
 import typing as t
 
-from tulippin.jobs import _lifecycle
+from tulippin.jobs import _interference, _lifecycle, _ready
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs.effects import StopRun
 from tulippin.jobs.state import Attempt, AttemptState, Job, Task, Worker
@@ -38,6 +38,8 @@
     task.attempts[attempt.run] = attempt
     worker.attempts[attempt.key, attempt.run] = attempt
     worker.reserved = worker.reserved.add(attempt.step.reserved)
+    worker.used_millicores += _interference.get_use(attempt.step)
+    _interference.add_attempt(attempt, worker)
 
 
 def drop_attempt(attempt: Attempt, context: Context) -> None:
@@ -47,6 +49,9 @@
         found = worker.attempts.pop((attempt.key, attempt.run), None)
         if found is not None:
             worker.reserved = worker.reserved.subtract(attempt.step.reserved)
+            worker.used_millicores -= _interference.get_use(attempt.step)
+            _interference.drop_attempt(attempt, worker)
+            context.state.is_placing_due = True
     job = context.state.jobs.get(attempt.key.job_id)
     if job is not None and attempt.key in job.tasks:
         job.tasks[attempt.key].attempts.pop(attempt.run, None)
@@ -72,7 +77,8 @@
     """Have a task started again, unless it is over or still runs."""
     is_over = task.is_done or job.is_cancelled or job.state in FINAL_STATES
     if not is_over and not task.attempts:
-        context.state.ready[task.key] = task
+        step = job.request.steps[task.key.step]
+        _ready.add(task, step, context.state)
 
 
 def take_end(worker: Worker, ended: EndedRun, context: Context) -> None:
--- a/src/tulippin/jobs/_committing.py
+++ b/src/tulippin/jobs/_committing.py
@@ -4,6 +4,8 @@
 
 import typing as t
 
+import attrs
+
 from tulippin.jobs import _attempts, _lifecycle, _ownership, _workers
 from tulippin.jobs._dispatch import Context, handle
 from tulippin.jobs.effects import (
@@ -20,7 +22,7 @@
 )
 from tulippin.jobs.records import RosterRecord
 from tulippin.jobs.state import Job, Phase, SchedulerState, Worker
-from tulippin.jobs.types import FINAL_STATES, JobState, WorkerEntry
+from tulippin.jobs.types import FINAL_STATES, JobState, Step, WorkerEntry
 from tulippin.types import Resources
 
 # A transaction takes 100 entries: a job's progress is a condition and a
@@ -29,6 +31,8 @@
 # Ends that finish no job wait so long for others to share their commit.
 _GATHER_MS: t.Final = 120
 _REMOVE_PER_CALL: t.Final = 30
+# How often finished jobs are looked through.
+_SWEEP_EVERY_MS: t.Final = 2000
 
 
 @handle.register
@@ -86,7 +90,7 @@
             'job taken up',
             job=job.job_id,
             queue=job.queue.name,
-            steps=len(job.request.steps),
+            steps=[_describe(step) for step in job.request.steps],
             version=job.row_version,
         )
         _take_up(job, context)
@@ -97,6 +101,13 @@
             _cancel(job, context)
 
 
+def _describe(step: Step) -> dict[str, t.Any]:
+    """Return what a step asks for, without what it leaves at zero."""
+    return attrs.asdict(
+        step, filter=lambda field, value: value not in {field.default, None}
+    )
+
+
 def _take_up(job: Job, context: Context) -> None:
     if job.is_cancelled:
         _cancel(job, context)
@@ -257,6 +268,9 @@
 def _remove_old(context: Context) -> None:
     """Forget jobs whose final state has been kept long enough."""
     state = context.state
+    if state.now_ms - state.swept_ms < _SWEEP_EVERY_MS:
+        return
+    state.swept_ms = state.now_ms
     limit_ms = state.now_ms - state.config.finished_kept_ms
     old = [
         job.job_id
@@ -270,4 +284,6 @@
         return
     for job_id in old:
         del state.jobs[job_id]
+        state.tails.pop(job_id, None)
+        state.scheduled.discard(job_id)
     context.emit(RemoveJobs(tuple(old), state.ownership.epoch_version))
--- a/src/tulippin/jobs/_interference.py
+++ b/src/tulippin/jobs/_interference.py
@@ -28,20 +28,34 @@
 _SIBLING_AGE_MS: t.Final = 1300
 # Exposure below this teaches nothing.
 _LEAST_EXPOSURE: t.Final = 0.1
+_PERCENT: t.Final = 100
+# What a task with a latency target uses of the processors that it asks
+# for; measured on a quiet day, its own load swings by half around this.
+_SERVING_USE: t.Final = 0.5
 
 
-def iter_serving(worker: Worker) -> t.Iterator[Attempt]:
-    """Iterate over the worker's runs that have a latency target."""
-    for attempt in worker.attempts.values():
-        if attempt.step.target_ms:
-            yield attempt
+def add_attempt(attempt: Attempt, worker: Worker) -> None:
+    """Count a run to those that disturb, or are disturbed."""
+    place = (attempt.key, attempt.run)
+    if attempt.step.target_ms:
+        worker.serving[place] = attempt
+    elif attempt.step.opportunistic:
+        worker.fillers[place] = attempt
+    worker.excess = None
 
 
-def iter_opportunistic(worker: Worker) -> t.Iterator[Attempt]:
-    """Iterate over the worker's runs that use idle processors."""
-    for attempt in worker.attempts.values():
-        if attempt.step.opportunistic:
-            yield attempt
+def drop_attempt(attempt: Attempt, worker: Worker) -> None:
+    """Take a run out of them."""
+    place = (attempt.key, attempt.run)
+    worker.serving.pop(place, None)
+    worker.fillers.pop(place, None)
+    worker.excess = None
+
+
+def get_use(step: Step) -> float:
+    """Return the millicores that a task is thought to use."""
+    weight = _SERVING_USE if step.target_ms else 1.0
+    return step.size.cpu_millicores * weight
 
 
 def get_share(step: Step, worker: Worker) -> float:
@@ -53,7 +67,7 @@
 def _get_exposure(worker: Worker) -> dict[str, float]:
     capacity = max(1, worker.entry.capacity.cpu_millicores)
     exposure: dict[str, float] = {}
-    for attempt in iter_opportunistic(worker):
+    for attempt in worker.fillers.values():
         used = attempt.load * _TENTHS / capacity
         image = attempt.step.image
         exposure[image] = exposure.get(image, 0.0) + used
@@ -70,7 +84,7 @@
 
 def learn(worker: Worker, state: SchedulerState) -> None:
     """Take a worker's newest report into the model."""
-    serving = [attempt for attempt in iter_serving(worker) if attempt.load > 0]
+    serving = [one for one in worker.serving.values() if one.load > 0]
     for attempt in serving:
         tails = state.tails.setdefault(attempt.key.job_id, {})
         tails[attempt.key] = (attempt.load, state.now_ms)
@@ -83,47 +97,53 @@
             continue
         excess = max(0.0, math.log(attempt.load / undisturbed_ms))
         state.model.learn(attempt.step.image, exposure, 1 + excess)
+        worker.excess = None
 
 
-def predict_excess(
-    serving: Attempt, worker: Worker, state: SchedulerState
-) -> float:
-    """Return the expected excess, as a logarithm, with all that runs."""
-    return sum(
-        get_contribution(serving, attempt, worker, state)
-        for attempt in iter_opportunistic(worker)
-        if attempt.state is not AttemptState.STOPPING
-    )
+def get_excess(worker: Worker, state: SchedulerState) -> dict[str, float]:
+    """Return the expected excess of each serving image on a worker."""
+    if worker.excess is None:
+        worker.excess = {
+            image: sum(
+                get_contribution(image, attempt, worker, state)
+                for attempt in worker.fillers.values()
+                if attempt.state is not AttemptState.STOPPING
+            )
+            for image in {
+                one.step.image for one in worker.serving.values()
+            }
+        }
+    return worker.excess
 
 
 def get_contribution(
-    serving: Attempt, attempt: Attempt, worker: Worker, state: SchedulerState
+    serving_image: str,
+    attempt: Attempt,
+    worker: Worker,
+    state: SchedulerState,
 ) -> float:
-    """Return one neighbour's part in a task's excess at its pace."""
-    pace = 100 if attempt.pace_percent is None else attempt.pace_percent
-    weight = state.model.get_weight(serving.step.image, attempt.step.image)
-    return weight * get_share(attempt.step, worker) * pace / 100
+    """Return one neighbour's part in an image's excess at its pace."""
+    weight = state.model.get_weight(serving_image, attempt.step.image)
+    share = get_share(attempt.step, worker)
+    return weight * share * attempt.wanted_percent / _PERCENT
 
 
-def get_harm(step: Step, worker: Worker, state: SchedulerState) -> float:
-    """Return what an opportunistic task would add to those it disturbs."""
-    share = get_share(step, worker)
-    return sum(
-        state.model.get_weight(serving.step.image, step.image) * share
-        for serving in iter_serving(worker)
-    )
-
-
-def get_worst_excess(
+def get_harm(
     step: Step, worker: Worker, state: SchedulerState
-) -> float:
-    """Return the largest excess that any would have with the task added."""
+) -> tuple[float, float]:
+    """Return what an opportunistic task would do beside what runs.
+
+    Returns
+    -------
+    tuple of float
+        What it would add to all serving images there together, and the
+        largest excess that any of them would then have.
+    """
     share = get_share(step, worker)
-    return max(
-        (
-            predict_excess(serving, worker, state)
-            + state.model.get_weight(serving.step.image, step.image) * share
-            for serving in iter_serving(worker)
-        ),
-        default=0.0,
-    )
+    added = 0.0
+    worst = 0.0
+    for image, excess in get_excess(worker, state).items():
+        part = state.model.get_weight(image, step.image) * share
+        added += part
+        worst = max(worst, excess + part)
+    return added, worst
--- a/src/tulippin/jobs/_lifecycle.py
+++ b/src/tulippin/jobs/_lifecycle.py
@@ -6,6 +6,7 @@
 
 from tulippin.codec_json import decode
 from tulippin.exceptions import InputError
+from tulippin.jobs import _ready
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs.ports import StoredRow
 from tulippin.jobs.records import (
@@ -56,6 +57,8 @@
     for occurrence in range(record.request.occurrence_count):
         for number, step in enumerate(record.request.steps):
             job.remaining[occurrence, number] = step.task_count
+    if record.request.schedule.count:
+        context.state.scheduled.add(row.key)
     return job
 
 
@@ -153,7 +156,7 @@
         key = TaskKey(job.job_id, occurrence, number, index)
         task = get_task(job, key)
         if not task.is_done and not task.attempts:
-            state.ready[key] = task
+            _ready.add(task, job.request.steps[number], state)
 
 
 def mark_begun(job: Job, state: SchedulerState) -> None:
@@ -170,7 +173,7 @@
         return
     state = context.state
     task.is_done = True
-    state.ready.pop(task.key, None)
+    _ready.remove(task.key, job.request.steps[task.key.step], state)
     place = (task.key.occurrence, task.key.step)
     job.remaining[place] -= 1
     mark_dirty(job, state)
@@ -186,7 +189,7 @@
     job.state = final
     job.finished_ms = state.now_ms
     for key in job.tasks:
-        state.ready.pop(key, None)
+        _ready.remove(key, job.request.steps[key.step], state)
     mark_dirty(job, state)
     state.count(f'jobs_{final.value}')
     context.log(
--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -151,6 +151,9 @@
     state.jobs.clear()
     state.workers.clear()
     state.ready.clear()
+    state.ready_idle.clear()
+    state.scheduled.clear()
+    state.tails.clear()
     state.dirty_jobs.clear()
     state.roster = {}
     state.roster_version = 0
--- a/src/tulippin/jobs/_pacing.py
+++ b/src/tulippin/jobs/_pacing.py
@@ -41,7 +41,7 @@
     state = context.state
     fillers = [
         attempt
-        for attempt in _interference.iter_opportunistic(worker)
+        for attempt in worker.fillers.values()
         if attempt.state is AttemptState.RUNNING
     ]
     if not fillers:
@@ -56,9 +56,7 @@
 def _choose(
     worker: Worker, fillers: list[Attempt], context: Context
 ) -> None:
-    worst = max(
-        _interference.iter_serving(worker), key=_get_ratio, default=None
-    )
+    worst = max(worker.serving.values(), key=_get_ratio, default=None)
     ratio = 0.0 if worst is None else _get_ratio(worst)
     before = [attempt.wanted_percent for attempt in fillers]
     if worst is not None and ratio > _SLOW_RATIO:
@@ -72,6 +70,7 @@
     if before == after:
         return
     worker.pace_changed_ms = context.state.now_ms
+    worker.excess = None
     context.log(
         'pace worker',
         worker=worker.worker_id,
@@ -97,7 +96,9 @@
     missing = math.log(ratio / _GOAL_RATIO)
     parts = [
         (
-            _interference.get_contribution(worst, attempt, worker, state),
+            _interference.get_contribution(
+                worst.step.image, attempt, worker, state
+            ),
             number,
             attempt,
         )
--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -4,8 +4,16 @@
 
 import typing as t
 
-from tulippin.jobs import _attempts, _interference, _lifecycle, _workers
+from tulippin.jobs import (
+    _attempts,
+    _interference,
+    _lifecycle,
+    _preempting,
+    _ready,
+    _workers,
+)
 from tulippin.jobs._dispatch import Context
+from tulippin.jobs._ready import StepKey
 from tulippin.jobs.effects import StartRun
 from tulippin.jobs.ports import StartOrder
 from tulippin.jobs.state import (
@@ -17,7 +25,7 @@
     Task,
     Worker,
 )
-from tulippin.jobs.types import Step
+from tulippin.jobs.types import Step, TaskKey
 
 # The most starts decided in one go, so that answers are read in between.
 _STARTS_PER_PASS: t.Final = 40
@@ -27,59 +35,134 @@
 # placed beside it; targets are five times an idle tail, and a job's own
 # load takes up to four of these.
 _EXCESS_LIMIT: t.Final = 0.3
-# What each further image served on one worker counts beside its load.
-_MIX_WEIGHT: t.Final = 0.4
-# Share of a worker's processors up to which its image attracts more of
-# the same; the rest is for urgent tasks.
-_SERVING_SHARE: t.Final = 0.75
-# What a task with a latency target uses of the processors that it asks
-# for; measured on a quiet day, its own load swings by half around this.
-_SERVING_USE: t.Final = 0.5
-# A worker where a task failed is taken again only if no other fits.
+# Share of a worker's memory that opportunistic tasks leave to urgent ones,
+# which are then started without stopping any.
+_MEMORY_KEPT_SHARE: t.Final = 0.15
+# What each further image served on one worker counts, what taking a
+# worker that serves nothing yet does, and what it does to leave a piece
+# that is neither nothing nor enough for a large task, all beside the room
+# left in pieces for one large task.
+_MIX_WEIGHT: t.Final = 1.0
+_EMPTY_WEIGHT: t.Final = 1.0
+_PIECE_WEIGHT: t.Final = 1.0
+_SMALL_PIECE_MILLICORES: t.Final = 500
+_LARGE_PIECE_MILLICORES: t.Final = 4800
+# Long-running tasks of jobs that came within this are placed together.
+_BATCH_MS: t.Final = 1000
+# A worker where a task failed is taken again only if no other fits, and
+# one far from its data likewise.
 _AVOIDED_WEIGHT: t.Final = 10.0
 _FAR_WEIGHT: t.Final = 2.0
+# Between two passes over the tasks for idle processors.
+_IDLE_EVERY_MS: t.Final = 100
+
 
+def place(context: Context, *, is_tick: bool) -> None:
+    """Start ready tasks, the most urgent first, wherever they fit.
 
-def place(context: Context) -> None:
-    """Start ready tasks, the most urgent first, wherever they fit."""
+    Tasks on idle processors wait for a tick: what they may take changes
+    with tails and paces, not with single events.
+    """
     state = context.state
-    if not state.ready or not context.may_order:
+    if not context.may_order:
         return
+    if state.is_placing_due or is_tick:
+        state.is_placing_due = False
+        _place_queue(state.ready, context)
+    is_due = state.now_ms - state.idle_placed_ms >= _IDLE_EVERY_MS
+    if is_tick and is_due and state.ready_idle:
+        state.idle_placed_ms = state.now_ms
+        _place_queue(state.ready_idle, context)
+
+
+def _place_queue(
+    queue: dict[StepKey, dict[TaskKey, Task]], context: Context
+) -> None:
+    state = context.state
     settled = is_settled(state)
-    started = 0
-    refused: set[tuple[str, int]] = set()
-    for key in _sort_ready(state):
-        task = state.ready.get(key)
-        if task is None:
-            continue
-        job = state.jobs[key.job_id]
-        kind = (key.job_id, key.step)
-        is_held = job.awaits_workers and not settled
-        if is_held or kind in refused or task.not_before_ms > state.now_ms:
+    budget = _STARTS_PER_PASS
+    refused: dict[str, int] = {}
+    for kind in _sort_kinds(queue, state):
+        job = state.jobs[kind[0]]
+        step = job.request.steps[kind[2]]
+        if job.awaits_workers and not settled:
             continue
-        worker = _choose(job, task, state)
-        if worker is None:
-            if not task.avoided:
-                refused.add(kind)
+        least = refused.get(step.image, 0) if step.opportunistic else 0
+        if least and step.size.cpu_millicores >= least:
             continue
-        _start(job, task, worker, context)
-        started += 1
-        if started >= _STARTS_PER_PASS:
+        started = _place_step(job, step, queue[kind], budget, context)
+        budget -= started
+        if step.opportunistic and kind in queue:
+            refused[step.image] = max(1, step.size.cpu_millicores)
+        if budget <= 0:
+            state.is_placing_due = True
             return
 
 
-def _sort_ready(state: SchedulerState) -> list[t.Any]:
+def _place_step(
+    job: Job,
+    step: Step,
+    tasks: dict[TaskKey, Task],
+    budget: int,
+    context: Context,
+) -> int:
+    """Start tasks of one step until one fits nowhere."""
+    state = context.state
+    started = 0
+    for task in list(tasks.values()):
+        if started >= budget:
+            return started
+        if task.not_before_ms > state.now_ms:
+            continue
+        worker = _choose(job, task, step, state)
+        if worker is not None:
+            _start(job, task, worker, context)
+            started += 1
+            continue
+        _preempt(job, task, context)
+        if not task.avoided:
+            # The step's other tasks are no smaller.
+            return started
+    return started
+
+
+def _preempt(job: Job, task: Task, context: Context) -> None:
+    step = job.request.steps[task.key.step]
+    if job.queue.priority != 0 or step.opportunistic:
+        return
+    _preempting.make_room(
+        job,
+        task,
+        lambda worker: _is_open(worker, job, task, step, context.state),
+        context,
+    )
+
+
+def _sort_kinds(
+    queue: dict[StepKey, dict[TaskKey, Task]], state: SchedulerState
+) -> list[StepKey]:
     jobs = state.jobs
     return sorted(
-        state.ready,
-        key=lambda key: (
-            jobs[key.job_id].queue.priority,
-            jobs[key.job_id].arrived_ms,
-            key,
-        ),
+        queue,
+        key=lambda kind: _get_rank(jobs[kind[0]], kind),
     )
 
 
+def _get_rank(job: Job, kind: StepKey) -> tuple[t.Any, ...]:
+    """Order steps: the urgent, the short, then as they came.
+
+    Long-running tasks that came together are placed the largest first,
+    which leaves the least room in pieces too small for anything.
+    """
+    step = job.request.steps[kind[2]]
+    batch = job.arrived_ms
+    size = 0
+    if step.long_running:
+        batch //= _BATCH_MS
+        size = -step.size.cpu_millicores
+    return job.queue.priority, step.long_running, batch, size, kind
+
+
 def is_settled(state: SchedulerState) -> bool:
     """Whether nothing can run that an earlier owner started unseen."""
     return all(
@@ -89,14 +172,17 @@
     )
 
 
-def _choose(job: Job, task: Task, state: SchedulerState) -> Worker | None:
-    step = job.request.steps[task.key.step]
+def _choose(
+    job: Job, task: Task, step: Step, state: SchedulerState
+) -> Worker | None:
     best = None
     best_score = 0.0
     for worker in state.workers.values():
         if not _is_feasible(worker, job, task, step, state):
             continue
         score = _score(worker, task, step, state)
+        if score is None:
+            continue
         if best is None or score < best_score:
             best = worker
             best_score = score
@@ -107,6 +193,17 @@
     worker: Worker, job: Job, task: Task, step: Step, state: SchedulerState
 ) -> bool:
     """Hard conditions, which no policy can switch off."""
+    if not worker.free.fits(step.reserved):
+        return False
+    if step.opportunistic and not _fits_idle(worker, step):
+        return False
+    return _is_open(worker, job, task, step, state)
+
+
+def _is_open(
+    worker: Worker, job: Job, task: Task, step: Step, state: SchedulerState
+) -> bool:
+    """Whether a worker may take a task, if it had the room."""
     entry = worker.entry
     is_open = (
         worker.is_listed
@@ -118,12 +215,10 @@
         and worker.quarantined_until_ms <= state.now_ms
         and worker.paused_until_ms <= state.now_ms
     )
-    if not is_open or not worker.free.fits(step.reserved):
+    if not is_open:
         return False
     if step.required_label and step.required_label not in entry.labels:
         return False
-    if step.opportunistic and not _fits_idle(worker, step, state):
-        return False
     if not step.max_per_worker:
         return True
     beside = sum(
@@ -134,39 +229,36 @@
     return beside < step.max_per_worker
 
 
-def _fits_idle(worker: Worker, step: Step, state: SchedulerState) -> bool:
-    """Idle processors are there, and nobody would suffer too much."""
-    own = step.size.cpu_millicores / _get_cpu(worker)
-    if get_pressure(worker) + own > 1:
+def _fits_idle(worker: Worker, step: Step) -> bool:
+    """Idle processors are there, and memory is left for urgent tasks."""
+    capacity = worker.entry.capacity
+    used = worker.used_millicores + step.size.cpu_millicores
+    if used > capacity.cpu_millicores:
         return False
-    excess = _interference.get_worst_excess(step, worker, state)
-    return excess <= _EXCESS_LIMIT
-
-
-def _get_cpu(worker: Worker) -> int:
-    return max(1, worker.entry.capacity.cpu_millicores)
-
-
-def get_pressure(worker: Worker) -> float:
-    """Return the share of the processors that tasks are thought to use."""
-    used = 0.0
-    for attempt in worker.attempts.values():
-        weight = _SERVING_USE if attempt.step.target_ms else 1.0
-        used += attempt.step.size.cpu_millicores * weight
-    return used / _get_cpu(worker)
+    memory_mb = worker.free.memory_mb - step.reserved.memory_mb
+    return memory_mb >= capacity.memory_mb * _MEMORY_KEPT_SHARE
 
 
 def _score(
     worker: Worker, task: Task, step: Step, state: SchedulerState
-) -> float:
-    """Return how little a worker is liked; the lowest wins."""
+) -> float | None:
+    """Return how little a worker is liked; the lowest wins.
+
+    Nothing says that the worker is out of the question.
+    """
     capacity = worker.entry.capacity
-    memory = worker.reserved.memory_mb / max(1, capacity.memory_mb)
-    score = max(get_pressure(worker), memory)
+    cpu_millicores = max(1, capacity.cpu_millicores)
+    pressure = worker.used_millicores / cpu_millicores
     if step.opportunistic:
-        score += _HARM_WEIGHT * _interference.get_harm(step, worker, state)
+        added, worst = _interference.get_harm(step, worker, state)
+        if worst > _EXCESS_LIMIT:
+            return None
+        score = pressure + _HARM_WEIGHT * added
     elif step.target_ms:
-        score += _get_mixing(worker, step)
+        score = _score_serving(worker, step)
+    else:
+        # The tightest place, so that larger tasks find room too.
+        score = worker.free.cpu_millicores / cpu_millicores
     if worker.worker_id in task.avoided:
         score += _AVOIDED_WEIGHT
     if step.preferred_rack and step.preferred_rack not in worker.entry.labels:
@@ -174,19 +266,22 @@
     return score
 
 
-def _get_mixing(worker: Worker, step: Step) -> float:
-    """Prefer workers that serve the same image, up to a share.
+def _score_serving(worker: Worker, step: Step) -> float:
+    """Fill workers one after the other, with one image if possible.
 
     An opportunistic image disturbs some serving images and not others:
-    the fewer kinds a worker serves, the more may run beside them.
+    the fewer kinds a worker serves, the more may run beside them. And
+    what full workers leave is room in one piece for urgent tasks.
     """
-    images = {
-        attempt.step.image for attempt in _interference.iter_serving(worker)
-    }
+    images = {one.step.image for one in worker.serving.values()}
     others = len(images - {step.image})
-    share = worker.reserved.cpu_millicores / _get_cpu(worker)
-    is_full = share > _SERVING_SHARE
-    return _MIX_WEIGHT * others + (_MIX_WEIGHT if is_full else 0.0)
+    left = worker.free.cpu_millicores - step.size.cpu_millicores
+    score = _MIX_WEIGHT * others + left / _LARGE_PIECE_MILLICORES
+    if not images:
+        score += _EMPTY_WEIGHT
+    if _SMALL_PIECE_MILLICORES < left < _LARGE_PIECE_MILLICORES:
+        score += _PIECE_WEIGHT
+    return score
 
 
 def _start(job: Job, task: Task, worker: Worker, context: Context) -> None:
@@ -208,7 +303,7 @@
         checkpoint=task.checkpoint,
     )
     _attempts.add_attempt(attempt, task, worker)
-    del state.ready[task.key]
+    _ready.remove(task.key, step, state)
     _workers.extend_lapse(worker, valid_ms, state)
     _lifecycle.mark_begun(job, state)
     state.count('starts')
--- a/src/tulippin/jobs/_workers.py
+++ b/src/tulippin/jobs/_workers.py
@@ -4,7 +4,7 @@
 
 import typing as t
 
-from tulippin.jobs import _attempts, _ownership
+from tulippin.jobs import _attempts, _ownership, _ready
 from tulippin.jobs._dispatch import Context, handle
 from tulippin.jobs.effects import ForgetWorker, HoldWorker, StopRun
 from tulippin.jobs.events import (
@@ -33,6 +33,9 @@
 _CALM_WAIT_MS: t.Final = 1000
 _SHARED_WAIT_MS: t.Final = 400
 _OPEN_WAIT_MS: t.Final = 150
+_OPEN_STATES: t.Final = frozenset(
+    (AttemptState.DOUBTFUL, AttemptState.STOPPING)
+)
 # Between two holds, if ends that were read are not yet durable: a hold
 # would return at once, with the same ends.
 _UNSETTLED_PAUSE_MS: t.Final = 250
@@ -134,14 +137,11 @@
 def _choose_wait_ms(worker: Worker) -> int:
     if not worker.is_reconciled or worker.failed_count:
         return 0
-    serves = False
-    fills = False
     for attempt in worker.attempts.values():
-        if attempt.state is not AttemptState.RUNNING:
+        if attempt.state in _OPEN_STATES:
             return _OPEN_WAIT_MS
-        serves = serves or attempt.step.target_ms > 0
-        fills = fills or attempt.step.opportunistic
-    return _SHARED_WAIT_MS if serves and fills else _CALM_WAIT_MS
+    is_shared = worker.serving and worker.fillers
+    return _SHARED_WAIT_MS if is_shared else _CALM_WAIT_MS
 
 
 # -- reports ----------------------------------------------------------------
@@ -221,7 +221,7 @@
     is_over = task.is_done or job.is_cancelled or job.state in FINAL_STATES
     is_second = bool(task.attempts) and not step.allow_duplicates
     _attempts.add_attempt(attempt, task, worker)
-    state.ready.pop(row.key, None)
+    _ready.remove(row.key, step, state)
     context.log(
         'run adopted',
         task=row.key.format(),
--- a/src/tulippin/jobs/core.py
+++ b/src/tulippin/jobs/core.py
@@ -58,7 +58,7 @@
         if worker is not None:
             _interference.learn(worker, state)
             _pacing.adjust(worker, context)
-    _placing.place(context)
+    _placing.place(context, is_tick=isinstance(event, Ticked))
     _committing.commit_if_due(context)
     _workers.hold_all(context)
     return tuple(context.effects)
@@ -71,9 +71,9 @@
     _ownership.tick(context)
     _workers.tick(context)
     _committing.tick(context)
-    for job in state.jobs.values():
-        if job.request.schedule.count:
-            _lifecycle.open_steps(job, state)
+    for job_id in state.scheduled:
+        if job_id in state.jobs:
+            _lifecycle.open_steps(state.jobs[job_id], state)
 
 
 @handle.register
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -142,6 +142,7 @@
     attempts: dict[int, Attempt] = attrs.field(factory=dict)
     avoided: set[str] = attrs.field(factory=set)
     not_before_ms: int = 0
+    preempted_ms: int = 0
 
 
 @attrs.define
@@ -171,7 +172,9 @@
 
     ``clock_offset_ms`` added to our clock gives the worker's clock or
     less. At ``lapse_at_ms`` by our clock, the latest lease that any
-    order of ours may have given it has surely ended.
+    order of ours may have given it has surely ended. ``excess`` is what
+    the neighbours are expected to add to the tails of each serving image
+    there, as a logarithm; nothing where it must be worked out anew.
     """
 
     entry: WorkerEntry
@@ -186,6 +189,10 @@
     ends_read: int = 0
     attempts: dict[tuple[TaskKey, int], Attempt] = attrs.field(factory=dict)
     reserved: Resources = Resources()
+    used_millicores: float = 0.0
+    serving: dict[tuple[TaskKey, int], Attempt] = attrs.field(factory=dict)
+    fillers: dict[tuple[TaskKey, int], Attempt] = attrs.field(factory=dict)
+    excess: dict[str, float] | None = None
     failed_jobs: set[str] = attrs.field(factory=set)
     quarantined_until_ms: int = 0
     paused_until_ms: int = 0
@@ -234,7 +241,16 @@
     ownership: Ownership = attrs.field(factory=Ownership)
     jobs: dict[str, Job] = attrs.field(factory=dict)
     workers: dict[str, Worker] = attrs.field(factory=dict)
-    ready: dict[TaskKey, Task] = attrs.field(factory=dict)
+    ready: dict[tuple[str, int, int], dict[TaskKey, Task]] = attrs.field(
+        factory=dict
+    )
+    ready_idle: dict[tuple[str, int, int], dict[TaskKey, Task]] = attrs.field(
+        factory=dict
+    )
+    is_placing_due: bool = False
+    idle_placed_ms: int = 0
+    swept_ms: int = 0
+    scheduled: set[str] = attrs.field(factory=set)
     dirty_jobs: dict[str, None] = attrs.field(factory=dict)
     dirty_since_ms: int = 0
     is_committing: bool = False
