--- a/src/tulippin/_http_server.py
+++ b/src/tulippin/_http_server.py
@@ -9,6 +9,7 @@
 import trio
 from hypercorn.config import Config as HypercornConfig
 from hypercorn.trio import serve
+
 from tulippin.exceptions import UnavailableError
 
 _BACKLOG: t.Final = 512
--- a/src/tulippin/jobs/_dispatch.py
+++ b/src/tulippin/jobs/_dispatch.py
@@ -37,9 +37,7 @@
     def may_order(self) -> bool:
         """Whether orders to workers may be given now."""
         ownership = self.state.ownership
-        return (
-            ownership.phase is Phase.ACTIVE and not ownership.must_confirm
-        )
+        return ownership.phase is Phase.ACTIVE and not ownership.must_confirm
 
 
 @functools.singledispatch
--- a/src/tulippin/jobs/_interference.py
+++ b/src/tulippin/jobs/_interference.py
@@ -109,9 +109,7 @@
                 for attempt in worker.fillers.values()
                 if attempt.state is not AttemptState.STOPPING
             )
-            for image in {
-                one.step.image for one in worker.serving.values()
-            }
+            for image in {one.step.image for one in worker.serving.values()}
         }
     return worker.excess
 
--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -84,9 +84,7 @@
     ownership = state.ownership
     last = ownership.epoch.epoch if ownership.epoch else 0
     ownership.phase = Phase.TAKING
-    context.log(
-        'take unit', why=why, silent_ms=silent_ms, epoch=last + 1
-    )
+    context.log('take unit', why=why, silent_ms=silent_ms, epoch=last + 1)
     config = state.config
     context.emit(
         TakeUnit(
@@ -137,9 +135,7 @@
 def step_down(context: Context, reason: str) -> None:
     """Give up the unit: another instance owns it."""
     state = context.state
-    context.log(
-        'step down', reason=reason, epoch=context.fencing_token
-    )
+    context.log('step down', reason=reason, epoch=context.fencing_token)
     clear_unit(state)
     state.ownership = Ownership(changed_ms=state.now_ms)
     state.ownership.wait_extra_ms = state.config.lease_ms
@@ -182,12 +178,12 @@
         return
     ownership.is_renewing = True
     ownership.renewal_count += 1
-    context.emit(
-        RenewLease(_make_lease(state), ownership.epoch_version)
-    )
+    context.emit(RenewLease(_make_lease(state), ownership.epoch_version))
 
 
-def _make_lease(state: SchedulerState, *, released: bool = False) -> LeaseRecord:
+def _make_lease(
+    state: SchedulerState, *, released: bool = False
+) -> LeaseRecord:
     return LeaseRecord(
         state.config.session_id,
         state.config.instance_id,
--- a/src/tulippin/jobs/_pacing.py
+++ b/src/tulippin/jobs/_pacing.py
@@ -53,9 +53,7 @@
             _send(attempt, worker, context)
 
 
-def _choose(
-    worker: Worker, fillers: list[Attempt], context: Context
-) -> None:
+def _choose(worker: Worker, fillers: list[Attempt], context: Context) -> None:
     worst = max(worker.serving.values(), key=_get_ratio, default=None)
     ratio = 0.0 if worst is None else _get_ratio(worst)
     before = [attempt.wanted_percent for attempt in fillers]
--- a/src/tulippin/jobs/_preempting.py
+++ b/src/tulippin/jobs/_preempting.py
@@ -79,9 +79,7 @@
     return age_ms * attempt.step.size.cpu_millicores
 
 
-def _choose_victims(
-    worker: Worker, step: Step, priority: int
-) -> list[Attempt]:
+def _choose_victims(worker: Worker, step: Step, priority: int) -> list[Attempt]:
     """Return runs that free enough room, or nothing if none do."""
     free = worker.free
     for attempt in worker.attempts.values():
--- a/src/tulippin/jobs/_workers.py
+++ b/src/tulippin/jobs/_workers.py
@@ -87,7 +87,9 @@
     return state.now_ms + (worker.clock_offset_ms or 0)
 
 
-def extend_lapse(worker: Worker, lasting_ms: int, state: SchedulerState) -> None:
+def extend_lapse(
+    worker: Worker, lasting_ms: int, state: SchedulerState
+) -> None:
     """Note that an order may let runs go on for so long."""
     drift = state.config.clock_drift_ratio
     at_ms = state.now_ms + int(lasting_ms * drift) + _LAPSE_SLACK_MS
--- a/src/tulippin/jobs/core.py
+++ b/src/tulippin/jobs/core.py
@@ -83,6 +83,4 @@
     if known is not None and event.configuration.version <= known.version:
         return
     state.configuration = event.configuration
-    context.log(
-        'configuration in force', version=event.configuration.version
-    )
+    context.log('configuration in force', version=event.configuration.version)
--- a/src/tulippin/jobs/intake.py
+++ b/src/tulippin/jobs/intake.py
@@ -64,9 +64,7 @@
             (RowWrite(unit.jobs_table, job_id, value),),
         )
         began_ms = self.shell.clock()
-        result = await transact_surely(
-            self._store, transaction, limit_ms / _MS
-        )
+        result = await transact_surely(self._store, transaction, limit_ms / _MS)
         logger.info(
             'job accepted',
             job=job_id,
@@ -117,9 +115,7 @@
             (RowWrite(unit.jobs_table, key, encode(CancelRecord(queue.name))),),
         )
         began_ms = self.shell.clock()
-        result = await transact_surely(
-            self._store, transaction, limit_ms / _MS
-        )
+        result = await transact_surely(self._store, transaction, limit_ms / _MS)
         if not result.is_done:
             raise AnswerLostError('the store refused a cancel')
         logger.info(
--- a/src/tulippin/jobs/shell.py
+++ b/src/tulippin/jobs/shell.py
@@ -32,11 +32,11 @@
     WorkerChangedError,
 )
 from tulippin.jobs.records import (
+    CANCEL_SUFFIX,
     EPOCH_KEY,
     LEASE_KEY,
     ROSTER_KEY,
     UNITS_TABLE,
-    CANCEL_SUFFIX,
     EpochRecord,
     LeaseRecord,
     RosterRecord,
@@ -290,9 +290,7 @@
         while True:
             try:
                 jobs = await store.get_rows(unit.jobs_table, unit.part)
-                progress = await store.get_rows(
-                    unit.progress_table, unit.part
-                )
+                progress = await store.get_rows(unit.progress_table, unit.part)
                 owned = await store.get_rows(UNITS_TABLE, unit.part)
                 workers, version = await self.ports.feeds.read_workers()
             except UnavailableError as error:
@@ -490,9 +488,7 @@
     shell.start(_run_commit, effect, shell)
 
 
-async def _run_commit(
-    effect: fx.CommitProgress, shell: SchedulerShell
-) -> None:
+async def _run_commit(effect: fx.CommitProgress, shell: SchedulerShell) -> None:
     unit = shell.config.unit
     table = unit.progress_table
     transaction = Transaction(
@@ -609,9 +605,7 @@
     except (UnavailableError, AnswerLostError) as error:
         shell.post(ev.WorkerSilent(shell.clock(), worker_id, error.message))
     else:
-        shell.post(
-            ev.WorkerAnswered(shell.clock(), worker_id, sent_ms, report)
-        )
+        shell.post(ev.WorkerAnswered(shell.clock(), worker_id, sent_ms, report))
 
 
 @perform.register
--- a/src/tulippin/platform/workers.py
+++ b/src/tulippin/platform/workers.py
@@ -122,9 +122,7 @@
     ) -> WorkerReport:
         """Extend the worker's lease and return its report."""
         body = HoldBody(fencing_token, last_seen, deadline_ms, wait_ms)
-        answer = await self._send(
-            worker_id, address, '/v1/hold', body, wait_ms
-        )
+        answer = await self._send(worker_id, address, '/v1/hold', body, wait_ms)
         if answer.status == _OTHER_LIFE:
             raise WorkerChangedError(f'{address} is another life now')
         decoded = _decode(answer)
--- a/src/tulippin/scheduler_daemon.py
+++ b/src/tulippin/scheduler_daemon.py
@@ -68,9 +68,7 @@
         Where log lines gather.
     """
 
-    def __init__(
-        self, settings: SchedulerSettings, lines: LineBuffer
-    ) -> None:
+    def __init__(self, settings: SchedulerSettings, lines: LineBuffer) -> None:
         self.settings = settings
         self._lines = lines
         self._shell: SchedulerShell | None = None
@@ -139,9 +137,7 @@
         self._shell = await stack.enter_async_context(shell)
         return shell
 
-    async def _leave(
-        self, app: CallersApp, servers: list[HttpServer]
-    ) -> None:
+    async def _leave(self, app: CallersApp, servers: list[HttpServer]) -> None:
         """Release the unit, answer what comes, then close."""
         logger.info('stopping')
         app.is_closing = True
--- a/src/tulippin/scheduler_settings.py
+++ b/src/tulippin/scheduler_settings.py
@@ -120,9 +120,7 @@
         store_address=readers['store'].get_text('address'),
         worker_lease_limit_ms=workers.get_int('lease_limit_ms', 6000, 1000),
         worker_stop_ms=workers.get_int('stop_limit_ms', 900, 1),
-        grace_ms=int(
-            readers['stop'].get_float('grace_s', 6.0, 1.0) * 1000
-        ),
+        grace_ms=int(readers['stop'].get_float('grace_s', 6.0, 1.0) * 1000),
         log_level=readers['log'].get_choice(
             'level', ('debug', 'info', 'warning', 'error'), 'info'
         ),
