Place beside a service by the slack of its tail now; move what is slowed

Cause: a fixed limit on the expected excess held billing back while tails were low, and let too much in while the services' own load was high. Tasks paced to nothing stayed where they were for many seconds.

--- a/src/tulippin/jobs/_interference.py
+++ b/src/tulippin/jobs/_interference.py
@@ -14,7 +14,6 @@
 
 from tulippin.jobs.state import (
     Attempt,
-    AttemptState,
     SchedulerState,
     Worker,
 )
@@ -29,6 +28,13 @@
 # Exposure below this teaches nothing.
 _LEAST_EXPOSURE: t.Final = 0.1
 _PERCENT: t.Final = 100
+# The part of a target that neighbours may use up; the rest is for the
+# rise of the job's own load while they run.
+_GOAL_RATIO: t.Final = 0.85
+# A report covers half a second; what started since then is not in it.
+_UNSEEN_MS: t.Final = 700
+# Keeps a share of nearly no slack finite.
+_LEAST_SLACK: t.Final = 0.05
 # What a task with a latency target uses of the processors that it asks
 # for; measured on a quiet day, its own load swings by half around this.
 _SERVING_USE: t.Final = 0.5
@@ -41,7 +47,7 @@
         worker.serving[place] = attempt
     elif attempt.step.opportunistic:
         worker.fillers[place] = attempt
-    worker.excess = None
+    worker.slack = None
 
 
 def drop_attempt(attempt: Attempt, worker: Worker) -> None:
@@ -49,7 +55,7 @@
     place = (attempt.key, attempt.run)
     worker.serving.pop(place, None)
     worker.fillers.pop(place, None)
-    worker.excess = None
+    worker.slack = None
 
 
 def get_use(step: Step) -> float:
@@ -84,6 +90,7 @@
 
 def learn(worker: Worker, state: SchedulerState) -> None:
     """Take a worker's newest report into the model."""
+    worker.slack = None
     serving = [one for one in worker.serving.values() if one.load > 0]
     for attempt in serving:
         tails = state.tails.setdefault(attempt.key.job_id, {})
@@ -97,21 +104,7 @@
             continue
         excess = max(0.0, math.log(attempt.load / undisturbed_ms))
         state.model.learn(attempt.step.image, exposure, 1 + excess)
-        worker.excess = None
-
-
-def get_excess(worker: Worker, state: SchedulerState) -> dict[str, float]:
-    """Return the expected excess of each serving image on a worker."""
-    if worker.excess is None:
-        worker.excess = {
-            image: sum(
-                get_contribution(image, attempt, worker, state)
-                for attempt in worker.fillers.values()
-                if attempt.state is not AttemptState.STOPPING
-            )
-            for image in {one.step.image for one in worker.serving.values()}
-        }
-    return worker.excess
+        worker.slack = None
 
 
 def get_contribution(
@@ -126,22 +119,48 @@
     return weight * share * attempt.wanted_percent / _PERCENT
 
 
+def get_slack(worker: Worker, state: SchedulerState) -> dict[str, float]:
+    """Return by how much the tails of each image there may still rise.
+
+    The slack is a logarithm. It counts the newest reports, and what
+    neighbours will add that those do not show yet.
+    """
+    if worker.slack is None:
+        worker.slack = {}
+        for one in worker.serving.values():
+            image = one.step.image
+            tail_ms = max(one.load, 1.0)
+            slack = math.log(_GOAL_RATIO * one.step.target_ms / tail_ms)
+            known = worker.slack.get(image, slack)
+            worker.slack[image] = min(known, slack)
+    unseen = [
+        attempt
+        for attempt in worker.fillers.values()
+        if state.now_ms - attempt.sent_ms < _UNSEEN_MS
+    ]
+    return {
+        image: slack
+        - sum(
+            get_contribution(image, attempt, worker, state)
+            for attempt in unseen
+        )
+        for image, slack in worker.slack.items()
+    }
+
+
 def get_harm(
     step: Step, worker: Worker, state: SchedulerState
-) -> tuple[float, float]:
+) -> float | None:
     """Return what an opportunistic task would do beside what runs.
 
-    Returns
-    -------
-    tuple of float
-        What it would add to all serving images there together, and the
-        largest excess that any of them would then have.
+    The least value is 0, for no harm; 1 would use up all slack that some
+    image has. Nothing says that the slack does not suffice.
     """
     share = get_share(step, worker)
-    added = 0.0
-    worst = 0.0
-    for image, excess in get_excess(worker, state).items():
+    harm = 0.0
+    for image, slack in get_slack(worker, state).items():
         part = state.model.get_weight(image, step.image) * share
-        added += part
-        worst = max(worst, excess + part)
-    return added, worst
+        if part > slack:
+            return None
+        harm += part / max(slack, _LEAST_SLACK)
+    return harm
--- a/src/tulippin/jobs/_pacing.py
+++ b/src/tulippin/jobs/_pacing.py
@@ -10,7 +10,7 @@
 import math
 import typing as t
 
-from tulippin.jobs import _interference, _ownership
+from tulippin.jobs import _attempts, _interference, _ownership
 from tulippin.jobs._dispatch import Context, handle
 from tulippin.jobs.effects import PaceRun
 from tulippin.jobs.events import PaceAnswered
@@ -34,6 +34,12 @@
 # What the neighbours are sure to take off a tail, where all together are
 # blamed for too little: a stop within three reports.
 _UNEXPLAINED_PERCENT: t.Final = 40
+# A task kept at or below this pace for so long goes elsewhere: a stop and
+# a new start take about a second.
+_MOVE_PERCENT: t.Final = 35
+_MOVE_AFTER_MS: t.Final = 1200
+# Work that may be done again, where there is no checkpoint.
+_CHEAP_PROGRESS_PERCENT: t.Final = 25
 
 
 def adjust(worker: Worker, context: Context) -> None:
@@ -64,11 +70,11 @@
             attempt.wanted_percent = min(
                 _FULL_PERCENT, attempt.wanted_percent + _STEP_PERCENT
             )
+    _move_slowed(fillers, context)
     after = [attempt.wanted_percent for attempt in fillers]
     if before == after:
         return
     worker.pace_changed_ms = context.state.now_ms
-    worker.excess = None
     context.log(
         'pace worker',
         worker=worker.worker_id,
@@ -79,6 +85,25 @@
     )
 
 
+def _move_slowed(fillers: list[Attempt], context: Context) -> None:
+    """Stop what has been slow for long, to go on from there elsewhere."""
+    now_ms = context.state.now_ms
+    for attempt in fillers:
+        if attempt.wanted_percent > _MOVE_PERCENT:
+            attempt.slowed_ms = 0
+            continue
+        attempt.slowed_ms = attempt.slowed_ms or now_ms
+        is_cheap = (
+            attempt.step.checkpointing
+            or attempt.progress_percent < _CHEAP_PROGRESS_PERCENT
+        )
+        if is_cheap and now_ms - attempt.slowed_ms >= _MOVE_AFTER_MS:
+            found = _attempts.find_task(attempt.key, context)
+            if found is not None:
+                found[1].avoided.add(attempt.worker_id)
+            _attempts.stop_attempt(attempt, context, 'slowed for long')
+
+
 def _get_ratio(attempt: Attempt) -> float:
     return attempt.load / attempt.step.target_ms
 
--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -30,11 +30,7 @@
 # The most starts decided in one go, so that answers are read in between.
 _STARTS_PER_PASS: t.Final = 40
 # What expected harm counts beside a whole worker's load.
-_HARM_WEIGHT: t.Final = 2.0
-# The most that a tail may be raised by, as a logarithm, for a task to be
-# placed beside it; targets are five times an idle tail, and a job's own
-# load takes up to four of these.
-_EXCESS_LIMIT: t.Final = 0.3
+_HARM_WEIGHT: t.Final = 1.0
 # Share of a worker's memory that opportunistic tasks leave to urgent ones,
 # which are then started without stopping any.
 _MEMORY_KEPT_SHARE: t.Final = 0.15
@@ -250,10 +246,10 @@
     cpu_millicores = max(1, capacity.cpu_millicores)
     pressure = worker.used_millicores / cpu_millicores
     if step.opportunistic:
-        added, worst = _interference.get_harm(step, worker, state)
-        if worst > _EXCESS_LIMIT:
+        harm = _interference.get_harm(step, worker, state)
+        if harm is None:
             return None
-        score = pressure + _HARM_WEIGHT * added
+        score = pressure + _HARM_WEIGHT * harm
     elif step.target_ms:
         score = _score_serving(worker, step)
     else:
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -125,6 +125,7 @@
     pace_percent: int | None = 100
     wanted_percent: int = 100
     paced_ms: int = 0
+    slowed_ms: int = 0
     load: float = 0.0
     worked_ms: int = 0
     stop_reason: str = ''
@@ -172,9 +173,9 @@
 
     ``clock_offset_ms`` added to our clock gives the worker's clock or
     less. At ``lapse_at_ms`` by our clock, the latest lease that any
-    order of ours may have given it has surely ended. ``excess`` is what
-    the neighbours are expected to add to the tails of each serving image
-    there, as a logarithm; nothing where it must be worked out anew.
+    order of ours may have given it has surely ended. ``slack`` is by
+    how much the tails of each serving image there may rise, as a logarithm;
+    nothing where it must be worked out anew.
     """
 
     entry: WorkerEntry
@@ -192,7 +193,7 @@
     used_millicores: float = 0.0
     serving: dict[tuple[TaskKey, int], Attempt] = attrs.field(factory=dict)
     fillers: dict[tuple[TaskKey, int], Attempt] = attrs.field(factory=dict)
-    excess: dict[str, float] | None = None
+    slack: dict[str, float] | None = None
     failed_jobs: set[str] = attrs.field(factory=set)
     quarantined_until_ms: int = 0
     paused_until_ms: int = 0
