--- a/src/tulippin/_http_client.py
+++ b/src/tulippin/_http_client.py
@@ -6,6 +6,7 @@
 
 import attrs
 import httpcore
+import trio
 
 from tulippin.exceptions import AnswerLostError, UnavailableError
 
@@ -19,9 +20,10 @@
 _BROKEN: t.Final = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
-    httpcore.TimeoutException,
 )
 _MAX_CONNECTIONS: t.Final = 64
+# Shorter than any server's own idle limit that the users name (15 s).
+_KEEPALIVE_S: t.Final = 12.0
 _MS: t.Final = 1000
 
 
@@ -34,23 +36,45 @@
     body: bytes
 
 
+@attrs.define
+class _Pool:
+    """Connections of one age, with the calls in progress on them."""
+
+    connections: httpcore.AsyncConnectionPool
+    call_count: int = 0
+    is_retired: bool = False
+
+
 class HttpClient:
     """A pool of connections; an asynchronous context manager.
 
+    A call that times out retires the whole pool: what silenced one
+    connection has most likely silenced the idle ones beside it, and each
+    would cost the next caller a timeout of its own.
+
     Parameters
     ----------
     timeout_s : float
         For connecting, and for each read and write.
+    connections : int
+        The most connections at one time.
     """
 
     def __init__(
         self, timeout_s: float = 5.0, connections: int = _MAX_CONNECTIONS
     ) -> None:
         self._timeout_s = timeout_s
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=connections,
-            max_keepalive_connections=connections,
-            keepalive_expiry=30.0,
+        self._connection_count = connections
+        self._pool = self._make_pool()
+        self._retired: list[_Pool] = []
+
+    def _make_pool(self) -> _Pool:
+        return _Pool(
+            httpcore.AsyncConnectionPool(
+                max_connections=self._connection_count,
+                max_keepalive_connections=self._connection_count,
+                keepalive_expiry=_KEEPALIVE_S,
+            )
         )
 
     async def __aenter__(self) -> t.Self:
@@ -63,7 +87,22 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._pool.aclose()
+        for pool in (self._pool, *self._retired):
+            await pool.connections.aclose()
+
+    def _retire(self, pool: _Pool) -> None:
+        if not pool.is_retired:
+            pool.is_retired = True
+            self._retired.append(pool)
+            self._pool = self._make_pool()
+
+    async def _leave(self, pool: _Pool) -> None:
+        pool.call_count -= 1
+        if pool.is_retired and not pool.call_count:
+            if pool in self._retired:
+                self._retired.remove(pool)
+            with trio.CancelScope(shield=True):
+                await pool.connections.aclose()
 
     async def send(
         self,
@@ -100,8 +139,10 @@
             ('connect', 'read', 'write', 'pool'), self._timeout_s
         )
         timeouts['read'] += extra_wait_ms / _MS
+        pool = self._pool
+        pool.call_count += 1
         try:
-            answer = await self._pool.request(
+            answer = await pool.connections.request(
                 method,
                 url,
                 headers=fields,
@@ -110,8 +151,13 @@
             )
         except _REFUSED as error:
             raise UnavailableError(f'{url} does not answer') from error
+        except httpcore.TimeoutException as error:
+            self._retire(pool)
+            raise AnswerLostError(f'{url} is silent: {error!r}') from error
         except _BROKEN as error:
             raise AnswerLostError(f'{url} broke off: {error!r}') from error
+        finally:
+            await self._leave(pool)
         return HttpAnswer(
             answer.status,
             {
--- a/src/tulippin/jobs/shell.py
+++ b/src/tulippin/jobs/shell.py
@@ -47,9 +47,12 @@
 
 _MS: t.Final = 1000
 _TICK_S: t.Final = 0.05
-# How long a feed's call waits at the store for a change.
-_FEED_WAIT_MS: t.Final = 20_000
-_LEASE_FEED_WAIT_MS: t.Final = 2000
+# How long a feed's call waits at the store for a change. A call whose
+# path was cut meanwhile is found out only when it should have returned, so
+# with the store's timeout this stays below the 3 s that the users allow
+# an instance after a cut.
+_FEED_WAIT_MS: t.Final = 1500
+_LEASE_FEED_WAIT_MS: t.Final = 1500
 # The list of workers changes with every heartbeat, so it is read at a
 # pace: the bound on new work for a leaving worker is 2 s.
 _WORKERS_EVERY_S: t.Final = 0.35
--- a/src/tulippin/scheduler_daemon.py
+++ b/src/tulippin/scheduler_daemon.py
@@ -35,7 +35,7 @@
 _MS: t.Final = 1000
 _FLUSH_EVERY_S: t.Final = 0.1
 # The store answers in 4 to 9 ms, and in 300 ms when it is slow.
-_STORE_TIMEOUT_S: t.Final = 1.0
+_STORE_TIMEOUT_S: t.Final = 0.9
 _STORE_CONNECTIONS: t.Final = 24
 # A worker answers in a few ms; a silent one is asked again.
 _WORKER_TIMEOUT_S: t.Final = 0.7
