Place first the jobs that can still make their objective

Cause: with more work than room, first come first served made every job late. Steps are ranked by whether their job can still be on time, or at least within three times that, by the run times learned for its queue. Memory is kept free for urgent tasks with the processors that are free.

--- a/src/tulippin/jobs/_attempts.py
+++ b/src/tulippin/jobs/_attempts.py
@@ -4,7 +4,7 @@
 
 import typing as t
 
-from tulippin.jobs import _interference, _lifecycle, _ready
+from tulippin.jobs import _interference, _lifecycle, _ranking, _ready
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs.effects import StopRun
 from tulippin.jobs.state import Attempt, AttemptState, Job, Task, Worker
@@ -104,6 +104,9 @@
         task.checkpoint = ended.checkpoint
     _judge_worker(worker, ended, context)
     if ended.outcome is RunOutcome.DONE:
+        if attempt is not None:
+            run_ms = context.state.now_ms - attempt.sent_ms
+            _ranking.learn_run_time(job, run_ms, context.state)
         _lifecycle.note_done(job, task, context)
         stop_task(task, context, 'task is done')
         if job.state in FINAL_STATES:
--- a/src/tulippin/jobs/_lifecycle.py
+++ b/src/tulippin/jobs/_lifecycle.py
@@ -6,7 +6,7 @@
 
 from tulippin.codec_json import decode
 from tulippin.exceptions import InputError
-from tulippin.jobs import _ready
+from tulippin.jobs import _ranking, _ready
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs.ports import StoredRow
 from tulippin.jobs.records import (
@@ -53,6 +53,7 @@
         record.request,
         row.version,
         arrived_ms=context.state.now_ms,
+        depths=_ranking.compute_depths(record.request),
     )
     for occurrence in range(record.request.occurrence_count):
         for number, step in enumerate(record.request.steps):
--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -9,6 +9,7 @@
     _interference,
     _lifecycle,
     _preempting,
+    _ranking,
     _ready,
     _workers,
 )
@@ -32,8 +33,11 @@
 # What expected harm counts beside a whole worker's load.
 _HARM_WEIGHT: t.Final = 1.0
 # Share of a worker's memory that opportunistic tasks leave to urgent ones,
-# which are then started without stopping any.
-_MEMORY_KEPT_SHARE: t.Final = 0.15
+# which are then started without stopping any: a little everywhere, and
+# more with the share of free processors. Urgent tasks of the users' sheets
+# take half as much memory for each processor as the workers have.
+_MEMORY_KEPT_SHARE: t.Final = 0.05
+_MEMORY_PER_CPU: t.Final = 0.6
 # What each further image served on one worker counts, what taking a
 # worker that serves nothing yet does, and what it does to leave a piece
 # that is neither nothing nor enough for a large task, all beside the room
@@ -43,8 +47,6 @@
 _PIECE_WEIGHT: t.Final = 1.0
 _SMALL_PIECE_MILLICORES: t.Final = 500
 _LARGE_PIECE_MILLICORES: t.Final = 4800
-# Long-running tasks of jobs that came within this are placed together.
-_BATCH_MS: t.Final = 1000
 # A worker where a task failed is taken again only if no other fits, and
 # one far from its data likewise.
 _AVOIDED_WEIGHT: t.Final = 10.0
@@ -78,7 +80,7 @@
     settled = is_settled(state)
     budget = _STARTS_PER_PASS
     refused: dict[str, int] = {}
-    for kind in _sort_kinds(queue, state):
+    for kind in _ranking.sort_kinds(queue, state):
         job = state.jobs[kind[0]]
         step = job.request.steps[kind[2]]
         if job.awaits_workers and not settled:
@@ -134,31 +136,6 @@
     )
 
 
-def _sort_kinds(
-    queue: dict[StepKey, dict[TaskKey, Task]], state: SchedulerState
-) -> list[StepKey]:
-    jobs = state.jobs
-    return sorted(
-        queue,
-        key=lambda kind: _get_rank(jobs[kind[0]], kind),
-    )
-
-
-def _get_rank(job: Job, kind: StepKey) -> tuple[t.Any, ...]:
-    """Order steps: the urgent, the short, then as they came.
-
-    Long-running tasks that came together are placed the largest first,
-    which leaves the least room in pieces too small for anything.
-    """
-    step = job.request.steps[kind[2]]
-    batch = job.arrived_ms
-    size = 0
-    if step.long_running:
-        batch //= _BATCH_MS
-        size = -step.size.cpu_millicores
-    return job.queue.priority, step.long_running, batch, size, kind
-
-
 def is_settled(state: SchedulerState) -> bool:
     """Whether nothing can run that an earlier owner started unseen."""
     return all(
@@ -231,8 +208,11 @@
     used = worker.used_millicores + step.size.cpu_millicores
     if used > capacity.cpu_millicores:
         return False
-    memory_mb = worker.free.memory_mb - step.reserved.memory_mb
-    return memory_mb >= capacity.memory_mb * _MEMORY_KEPT_SHARE
+    free = worker.free
+    memory_mb = free.memory_mb - step.reserved.memory_mb
+    free_share = free.cpu_millicores / max(1, capacity.cpu_millicores)
+    kept_share = _MEMORY_KEPT_SHARE + _MEMORY_PER_CPU * free_share
+    return memory_mb >= capacity.memory_mb * kept_share
 
 
 def _score(
--- /dev/null
+++ b/src/tulippin/jobs/_ranking.py
@@ -0,0 +1,80 @@
+"""In which order ready steps are looked at for placement.
+
+A job earns most if it is completed within its objective, a little up to
+three times that, and nothing later. Under overload, first come first
+served would make all jobs late; so those that can still make it go first.
+"""
+
+from __future__ import annotations
+
+import typing as t
+
+from tulippin.jobs._ready import StepKey
+from tulippin.jobs.state import Job, SchedulerState, Task
+from tulippin.jobs.types import JobRequest
+
+# Weight of a new run time in the mean of its queue.
+_LEARN: t.Final = 0.05
+# A job is worth something up to so many times its objective.
+_LATE_LIMIT: t.Final = 3
+# Long-running tasks of jobs that came within this are placed together.
+_BATCH_MS: t.Final = 1000
+
+
+def learn_run_time(job: Job, run_ms: int, state: SchedulerState) -> None:
+    """Take the time of a run that ended done into its queue's mean."""
+    name = job.queue.name
+    known_ms = state.run_times_ms.get(name, float(run_ms))
+    state.run_times_ms[name] = known_ms + _LEARN * (run_ms - known_ms)
+
+
+def compute_depths(request: JobRequest) -> tuple[int, ...]:
+    """Return for each step how many steps its longest chain still has."""
+    depths = [1] * len(request.steps)
+    for number in reversed(range(len(request.steps))):
+        for before in request.steps[number].after:
+            depths[before] = max(depths[before], depths[number] + 1)
+    return tuple(depths)
+
+
+def sort_kinds(
+    queue: dict[StepKey, dict[t.Any, Task]], state: SchedulerState
+) -> list[StepKey]:
+    """Return the keys of ready steps, the first to be placed first."""
+    jobs = state.jobs
+    return sorted(
+        queue, key=lambda kind: _get_rank(jobs[kind[0]], kind, state)
+    )
+
+
+def _get_rank(
+    job: Job, kind: StepKey, state: SchedulerState
+) -> tuple[t.Any, ...]:
+    """Order steps: the urgent, the short, the hopeful, the earliest due.
+
+    Long-running tasks that came together are placed the largest first,
+    which leaves the least room in pieces too small for anything.
+    """
+    step = job.request.steps[kind[2]]
+    if step.long_running:
+        batch = job.arrived_ms // _BATCH_MS
+        size = -step.size.cpu_millicores
+        return job.queue.priority, 1, 0, batch, size, kind
+    hope, due_ms = _judge(job, kind, state)
+    return job.queue.priority, 0, hope, due_ms, 0, kind
+
+
+def _judge(
+    job: Job, kind: StepKey, state: SchedulerState
+) -> tuple[int, float]:
+    """Return how late the job must be at best, and when it is due."""
+    mean_ms = state.run_times_ms.get(job.queue.name, 0.0)
+    total_ms = max(job.depths, default=1) * mean_ms
+    objective_ms = job.queue.stretch * total_ms + job.queue.target_latency_ms
+    due_ms = job.arrived_ms + objective_ms
+    at_best_ms = state.now_ms + job.depths[kind[2]] * mean_ms
+    if at_best_ms <= due_ms:
+        return 0, due_ms
+    if at_best_ms <= job.arrived_ms + _LATE_LIMIT * objective_ms:
+        return 1, due_ms
+    return 2, due_ms
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -165,6 +165,7 @@
     progress_version: int = 0
     durable: ProgressRecord | None = None
     awaits_workers: bool = False
+    depths: tuple[int, ...] = (1,)
 
 
 @attrs.define
@@ -260,6 +261,7 @@
     is_roster_committing: bool = False
     wall_offset_ms: int = 0
     model: InterferenceModel = attrs.field(factory=InterferenceModel)
+    run_times_ms: dict[str, float] = attrs.field(factory=dict)
     tails: dict[str, dict[TaskKey, tuple[float, int]]] = attrs.field(
         factory=dict
     )
