--- a/src/tulippin/jobs/_interference.py
+++ b/src/tulippin/jobs/_interference.py
@@ -25,6 +25,8 @@
 # Siblings' tails are compared while they are no older than this; a report
 # covers half a second, and calm workers report once a second.
 _SIBLING_AGE_MS: t.Final = 1300
+# The undisturbed tail is that of the best of at least so many.
+_LEAST_SIBLINGS: t.Final = 2
 # Exposure below this teaches nothing.
 _LEAST_EXPOSURE: t.Final = 0.1
 _PERCENT: t.Final = 100
@@ -85,7 +87,9 @@
     since_ms = state.now_ms - _SIBLING_AGE_MS
     tails = state.tails.get(attempt.key.job_id, {})
     fresh = [tail for tail, at_ms in tails.values() if at_ms >= since_ms]
-    return min(fresh, default=0.0) if len(fresh) > 1 else 0.0
+    if len(fresh) < _LEAST_SIBLINGS:
+        return 0.0
+    return min(fresh)
 
 
 def learn(worker: Worker, state: SchedulerState) -> None:
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -30,6 +30,17 @@
 RUNS_PER_EPOCH: t.Final = 65536
 
 
+# A report of half a second is one sample for each serving task beside a
+# neighbour, and a pair may ruin a tail within that: learn from few.
+_PRIOR_COUNT: t.Final = 1.0
+_LEARN_STEP: t.Final = 0.5
+
+
+def make_model() -> InterferenceModel:
+    """Return a model that knows nothing yet."""
+    return InterferenceModel(prior_count=_PRIOR_COUNT, step=_LEARN_STEP)
+
+
 @attrs.frozen
 class SchedulerConfig:
     """What the scheduler knows from its settings.
@@ -260,7 +271,7 @@
     roster_version: int = 0
     is_roster_committing: bool = False
     wall_offset_ms: int = 0
-    model: InterferenceModel = attrs.field(factory=InterferenceModel)
+    model: InterferenceModel = attrs.field(factory=make_model)
     run_times_ms: dict[str, float] = attrs.field(factory=dict)
     tails: dict[str, dict[TaskKey, tuple[float, int]]] = attrs.field(
         factory=dict
--- a/src/tulippin/policies.py
+++ b/src/tulippin/policies.py
@@ -18,7 +18,7 @@
     from tulippin.ini import SectionReader
 
 
-_PRIOR_COUNT: t.Final = 4.0
+
 _CLASS_LIMIT: t.Final = 32
 
 
@@ -115,6 +115,7 @@
     """
 
     prior: float = 0.05
+    prior_count: float = 4.0
     step: float = 0.25
     forget: float = 0.999
     weights: dict[str, float] = attrs.field(factory=dict)
@@ -130,8 +131,10 @@
         count = self.sample_counts.get(key, 0.0)
         learned = self.weights.get(key, self.prior)
         shared_sum, shared_count = self.shared_sums.get(key, (0.0, 0.0))
-        total = learned * count + shared_sum + self.prior * _PRIOR_COUNT
-        return total / (count + shared_count + _PRIOR_COUNT)
+        total = learned * count + shared_sum + self.prior * self.prior_count
+        return total / (
+            count + shared_count + self.prior_count
+        )
 
     def take_shared(
         self, source: str, entries: t.Iterable[tuple[str, float, float]]
