Ask a worker again after all that ran there has lapsed

Ruled out: quarantine (0), refused starts (0), room held by stuck runs (no run over). Also: a taker that came second waits for the rows to be seen anew; it had tried again at every tick (30 transactions in 300 ms at the first start).

--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -39,6 +39,9 @@
     ownership = context.state.ownership
     if ownership.phase is not Phase.STANDING_BY:
         return
+    if event.lease_version < ownership.lease_version:
+        # An older reading that came late.
+        return
     is_new = (event.lease_version, event.epoch_version) != (
         ownership.lease_version,
         ownership.epoch_version,
@@ -101,8 +104,10 @@
     state = context.state
     ownership = state.ownership
     if not event.version:
+        # Another was first, or the store is away: the rows must be seen
+        # anew before the next try.
         ownership.phase = Phase.STANDING_BY
-        ownership.changed_ms = event.at_ms
+        ownership.changed_ms = -1
         context.log('unit not taken', epoch=event.epoch)
         return
     ownership.phase = Phase.LOADING
--- a/src/tulippin/jobs/_workers.py
+++ b/src/tulippin/jobs/_workers.py
@@ -111,6 +111,7 @@
     is_needed = (
         worker.attempts
         or not worker.is_reconciled
+        or worker.failed_count
         or worker.ends_read > worker.last_seen
         or worker.needs_ack
     )
--- a/src/tulippin/jobs/shell.py
+++ b/src/tulippin/jobs/shell.py
@@ -238,7 +238,10 @@
             phase = self.state.ownership.phase
             if phase is Phase.LEFT:
                 return
-            if phase is not Phase.STANDING_BY:
+            if phase is Phase.TAKING:
+                await trio.sleep(_FEED_PAUSE_S)
+                after = -1
+            elif phase is not Phase.STANDING_BY:
                 await trio.sleep(_LEASE_FEED_WAIT_MS / _MS)
                 after = -1
 
