Test whole scheduler instances over an in-memory platform

The stand-in keeps a history of runs that is checked for a second run at one time and for starts after an end that was taken note of. Each safeguard is also switched off by a planted fault, and the checker objects. An instance that the store has not answered for 2.5 s calls itself unready.

--- a/src/tulippin/jobs/shell.py
+++ b/src/tulippin/jobs/shell.py
@@ -106,6 +106,7 @@
         self.configured = trio.Event()
         self.lease: LeaseRecord | None = None
         self.store_answered_ms = 0
+        self._store_answers = False
         self.observers: list[t.Callable[[str, float], None]] = []
         self.recorder: t.Callable[..., None] | None = None
         self._inbox: collections.deque[ev.JobEvent] = collections.deque()
@@ -262,15 +263,16 @@
     def note_store(self, error: UnavailableError | None = None) -> None:
         """Note whether the store answers; log when that changes."""
         if error is None:
-            if not self.store_answered_ms:
+            if not self._store_answers:
                 logger.info('store answers')
+            self._store_answers = True
             self.store_answered_ms = self.clock()
-        elif self.store_answered_ms:
+        elif self._store_answers:
             age_ms = self.clock() - self.store_answered_ms
             logger.warning(
                 'store lost', reason=error.message, answered_ago_ms=age_ms
             )
-            self.store_answered_ms = 0
+            self._store_answers = False
 
     # -- the owned unit ------------------------------------------------------
 
--- a/src/tulippin/scheduler_daemon.py
+++ b/src/tulippin/scheduler_daemon.py
@@ -42,8 +42,9 @@
 _WORKER_CONNECTIONS: t.Final = 10
 # The balancer asks once a second and acts on the second miss.
 _BALANCER_S: t.Final = 2.6
-# Silence of the store after which callers do better elsewhere.
-_STORE_SILENCE_MS: t.Final = 4000
+# Silence of the store after which callers do better elsewhere: a feed
+# returns every 1.5 s, and a slow store answers in 0.3 s.
+_STORE_SILENCE_MS: t.Final = 2500
 _USAGE: t.Final = 'usage: tulippin-instance SETTINGS.ini'
 
 
@@ -85,6 +86,9 @@
             return 'stopping'
         if shell is None or shell.configuration is None:
             return 'no configuration yet'
+        silent_ms = read_clock_ms() - shell.store_answered_ms
+        if silent_ms > _STORE_SILENCE_MS:
+            return f'the store has been silent for {silent_ms} ms'
         return ''
 
     async def run(self) -> None:
--- /dev/null
+++ b/tests/fleet_of_schedulers.py
@@ -0,0 +1,151 @@
+"""Scheduler instances over the platform's stand-in, in virtual time."""
+
+import contextlib
+
+import attrs
+import msgspec
+import trio
+
+from tulippin.jobs import (
+    JobIntake,
+    SchedulerConfig,
+    SchedulerPorts,
+    SchedulerShell,
+)
+from tulippin.jobs.state import Phase
+from tulippin.jobs.types import JobRequest, JobState, Queue, Step
+from tulippin.platform.feeds import PlatformFeeds
+from tulippin.platform.standin import (
+    StandinPlatform,
+    TaskPlan,
+    check_history,
+    get_now_ms,
+)
+from tulippin.platform.wire import ConfigBody, RouteBody, ServiceBody
+from tulippin.types import Resources
+
+WALL_OFFSET_MS = 1_700_000_000_000
+QUEUE = Queue('q', 'host', '/q/', 'catalogue', 0, 3, 2.0, 500)
+URGENT = QUEUE
+PATIENT = Queue('p', 'host', '/p/', 'catalogue', 2, 3, 2.0, 500)
+
+
+def make_config_body(version=1):
+    return ConfigBody(
+        version,
+        (
+            RouteBody('q', 'host', '/q/', 'catalogue', 0, 3, 2.0, 500),
+            RouteBody('p', 'host', '/p/', 'catalogue', 2, 3, 2.0, 500),
+        ),
+        (ServiceBody('catalogue', enforces_capacity=True),),
+    )
+
+
+def make_request(*steps, **plan):
+    text = msgspec.json.encode(TaskPlan(**plan)).decode()
+    return JobRequest(text, steps or (make_step(),))
+
+
+def make_step(count=1, cpu=1000, **options):
+    return Step(count, Resources(cpu, 1000), **options)
+
+
+@attrs.define
+class Instance:
+    shell: SchedulerShell
+    intake: JobIntake
+    scope: trio.CancelScope
+    paused_ms: int = 0
+
+    @property
+    def is_owner(self):
+        return self.shell.state.ownership.phase is Phase.ACTIVE
+
+
+@attrs.define
+class SchedulerFleet:
+    nursery: trio.Nursery
+    platform: StandinPlatform = attrs.field(factory=StandinPlatform)
+    instances: dict = attrs.field(factory=dict)
+    life_count: int = 0
+
+    async def start(self, name):
+        """Start an instance; wait until it runs."""
+        self.life_count += 1
+        config = SchedulerConfig(name, f'{name}:{self.life_count}')
+        agents = self.platform.get_agents(name)
+        view = self.platform.store.get_view(name)
+        shell = SchedulerShell(
+            config,
+            SchedulerPorts(view, PlatformFeeds(view), agents, agents.forget),
+            clock=get_now_ms,
+            wall=lambda: get_now_ms() + WALL_OFFSET_MS,
+        )
+        scope = trio.CancelScope()
+        self.instances[name] = Instance(shell, JobIntake(shell), scope)
+        await self.nursery.start(self._run, shell, scope)
+        return self.instances[name]
+
+    async def _run(self, shell, scope, task_status):
+        with scope:
+            async with shell:
+                task_status.started()
+                await trio.sleep_forever()
+
+    def kill(self, name):
+        self.instances.pop(name).scope.cancel()
+
+    def get_owner(self):
+        for name, instance in self.instances.items():
+            if instance.is_owner:
+                return name
+        return ''
+
+    async def wait_owner(self, limit_s=12):
+        with trio.fail_after(limit_s):
+            while not self.get_owner():
+                await trio.sleep(0.02)
+        return self.get_owner()
+
+    async def wait_state(self, job_id, wanted, limit_s=20, by=None):
+        name = by or next(iter(self.instances))
+        intake = self.instances[name].intake
+        with trio.fail_after(limit_s):
+            while True:
+                state = await intake.get_state(job_id)
+                if state is wanted:
+                    return
+                await trio.sleep(0.05)
+
+    async def wait_done(self, job_id, limit_s=20):
+        await self.wait_state(job_id, JobState.COMPLETED, limit_s)
+
+    async def wait_running(self, count=1, limit_s=15):
+        with trio.fail_after(limit_s):
+            while self.count_running() < count:
+                await trio.sleep(0.02)
+
+    def count_running(self):
+        return sum(
+            len(worker.runs)
+            for worker in self.platform.workers.values()
+            if worker.is_up
+        )
+
+    def check(self):
+        assert check_history(self.platform.history) == []
+
+
+@contextlib.asynccontextmanager
+async def open_fleet(instances=2, workers=2):
+    async with trio.open_nursery() as nursery:
+        fleet = SchedulerFleet(nursery)
+        fleet.platform.configure(make_config_body())
+        for number in range(workers):
+            fleet.platform.add_worker(f'w{number}')
+        nursery.start_soon(fleet.platform.serve)
+        for number in range(instances):
+            await fleet.start(f'i{number}')
+        await fleet.wait_owner()
+        yield fleet
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/tulippin/jobs/test_scheduler_fleet.py
@@ -0,0 +1,462 @@
+"""Whole instances over the stand-in: promises under failures."""
+
+import pytest
+import trio
+from fleet_of_schedulers import (
+    PATIENT,
+    QUEUE,
+    make_request,
+    make_step,
+    open_fleet,
+)
+
+from tulippin.jobs import _attempts, _ownership, _workers
+from tulippin.jobs.state import AttemptState
+from tulippin.jobs.types import JobState
+from tulippin.platform.standin import check_history
+
+LIMIT_MS = 3000
+JOB = '00000000000000aa'
+OTHER = '00000000000000bb'
+
+
+async def submit(fleet, job_id=JOB, queue=QUEUE, request=None, by=None):
+    name = by or next(iter(fleet.instances))
+    await fleet.instances[name].intake.submit(
+        job_id, queue, request or make_request(), LIMIT_MS
+    )
+
+
+def test_steps_run_in_order_and_complete(run_virtual):
+    async def run():
+        async with open_fleet() as fleet:
+            steps = make_step(3), make_step(2, after=(0,))
+            await submit(fleet, request=make_request(*steps))
+            await fleet.wait_done(JOB)
+            first_end = max(
+                event.at_ms
+                for event in fleet.platform.history
+                if event.kind == 'ended' and event.key.step == 0
+            )
+            second = [
+                event.at_ms
+                for event in fleet.platform.history
+                if event.kind == 'started' and event.key.step == 1
+            ]
+            assert len(second) == 2
+            assert min(second) >= first_end
+            fleet.check()
+
+    run_virtual(run)
+
+
+def test_same_id_anywhere_is_one_job(run_virtual):
+    async def run():
+        async with open_fleet(instances=3) as fleet:
+            async with trio.open_nursery() as nursery:
+                for name in list(fleet.instances):
+                    nursery.start_soon(
+                        submit, fleet, JOB, QUEUE, make_request(), name
+                    )
+            await fleet.wait_done(JOB)
+            started = [
+                event
+                for event in fleet.platform.history
+                if event.kind == 'started'
+            ]
+            assert len(started) == 1
+
+    run_virtual(run)
+
+
+def test_unknown_job_has_no_state(run_virtual):
+    async def run():
+        async with open_fleet() as fleet:
+            intake = fleet.instances['i0'].intake
+            assert await intake.get_state(JOB) is None
+            assert not await intake.cancel(JOB, QUEUE, LIMIT_MS)
+
+    run_virtual(run)
+
+
+def test_killed_owner_is_succeeded_without_a_second_run(run_virtual):
+    async def run():
+        async with open_fleet(instances=3) as fleet:
+            await submit(
+                fleet, request=make_request(make_step(4), run_ms=6000)
+            )
+            await fleet.wait_running(4)
+            killed = fleet.get_owner()
+            fleet.kill(killed)
+            await fleet.wait_owner(limit_s=4)
+            await fleet.wait_done(JOB)
+            assert fleet.get_owner() != killed
+            started = sum(
+                worker.started_count
+                for worker in fleet.platform.workers.values()
+            )
+            assert started == 4
+            fleet.check()
+
+    run_virtual(run)
+
+
+def test_all_killed_at_once_start_again_from_the_store(run_virtual):
+    async def run():
+        async with open_fleet(instances=3) as fleet:
+            steps = make_step(4), make_step(2, after=(0,))
+            await submit(fleet, request=make_request(*steps, run_ms=3000))
+            await fleet.wait_running(4)
+            for name in list(fleet.instances):
+                fleet.kill(name)
+            await trio.sleep(1)
+            for number in range(3):
+                await fleet.start(f'i{number}')
+            await fleet.wait_done(JOB)
+            fleet.check()
+
+    run_virtual(run)
+
+
+def test_planned_stop_hands_over_within_a_second(run_virtual):
+    async def run():
+        async with open_fleet(instances=2) as fleet:
+            await submit(
+                fleet, request=make_request(make_step(2), run_ms=4000)
+            )
+            await fleet.wait_running(2)
+            leaving = fleet.get_owner()
+            shell = fleet.instances[leaving].shell
+            await shell.leave()
+            began = trio.current_time()
+            while fleet.get_owner() in {'', leaving}:
+                await trio.sleep(0.01)
+            assert trio.current_time() - began < 1
+            fleet.kill(leaving)
+            await fleet.wait_done(JOB)
+            fleet.check()
+
+    run_virtual(run)
+
+
+async def run_pause(fleet):
+    """The owner stands still past its lease, and wakes beside another."""
+    await submit(fleet, request=make_request(make_step(3), run_ms=9000))
+    await fleet.wait_running(3)
+    frozen = fleet.instances[fleet.get_owner()].shell
+    frozen.state.now_ms -= 9000
+    frozen.state.ownership.renewed_ms = frozen.clock() + 60_000
+    return frozen
+
+
+def test_paused_owner_orders_nothing_until_confirmed(run_virtual):
+    async def run():
+        async with open_fleet(instances=2) as fleet:
+            frozen = await run_pause(fleet)
+            await trio.sleep(0.3)
+            assert frozen.state.ownership.must_confirm
+            await submit(fleet, OTHER)
+            await trio.sleep(1)
+            started = {event.key.job_id for event in fleet.platform.history}
+            assert OTHER not in started
+
+    run_virtual(run)
+
+
+def test_pause_check_is_what_holds_orders_back(run_virtual, monkeypatch):
+    monkeypatch.setattr(_ownership, 'note_pause', lambda *_: None)
+
+    async def run():
+        async with open_fleet(instances=2) as fleet:
+            await run_pause(fleet)
+            await submit(fleet, OTHER)
+            await trio.sleep(1)
+            started = {event.key.job_id for event in fleet.platform.history}
+            assert OTHER in started
+
+    run_virtual(run)
+
+
+def test_late_orders_never_run_a_task_twice(run_virtual):
+    async def run():
+        async with open_fleet(workers=3) as fleet:
+            fleet.platform.workers['w0'].late_orders_s = 4.0
+            await submit(fleet, request=make_request(make_step(9)))
+            await trio.sleep(3)
+            fleet.platform.workers['w0'].late_orders_s = 0
+            await fleet.wait_done(JOB)
+            await trio.sleep(5)
+            fleet.check()
+
+    run_virtual(run)
+
+
+def test_giving_up_a_doubtful_start_at_once_would_run_twice(
+    run_virtual, monkeypatch
+):
+    def release(attempt, event, context):
+        if attempt.state is AttemptState.DOUBTFUL:
+            _attempts.release(attempt, context, 'planted')
+
+    monkeypatch.setattr(_workers, '_judge_missing', release)
+
+    async def run():
+        async with open_fleet(workers=3) as fleet:
+            fleet.platform.workers['w0'].late_orders_s = 0.5
+            await submit(
+                fleet, request=make_request(make_step(9), run_ms=8000)
+            )
+            await trio.sleep(5)
+            return check_history(fleet.platform.history)
+
+    assert run_virtual(run)
+
+
+def test_silent_worker_is_waited_out_before_its_tasks_run_again(run_virtual):
+    async def run():
+        async with open_fleet(workers=2) as fleet:
+            await submit(
+                fleet, request=make_request(make_step(6), run_ms=12_000)
+            )
+            await fleet.wait_running(6)
+            fleet.platform.workers['w0'].cut_off.add('*')
+            await fleet.wait_done(JOB, limit_s=60)
+            fleet.check()
+
+    run_virtual(run)
+
+
+def test_tasks_given_up_at_once_would_run_twice(run_virtual, monkeypatch):
+    monkeypatch.setattr(_workers, 'extend_lapse', lambda *_: None)
+
+    async def run():
+        async with open_fleet(workers=2) as fleet:
+            await submit(
+                fleet, request=make_request(make_step(6), run_ms=12_000)
+            )
+            await fleet.wait_running(6)
+            fleet.platform.workers['w0'].cut_off.add('*')
+            await trio.sleep(10)
+            return check_history(fleet.platform.history)
+
+    assert run_virtual(run)
+
+
+def test_worker_silent_past_its_lease_is_used_again(run_virtual):
+    async def run():
+        async with open_fleet(workers=1) as fleet:
+            await submit(fleet, request=make_request(run_ms=600_000))
+            await fleet.wait_running(1)
+            worker = fleet.platform.workers['w0']
+            worker.cut_off.add('*')
+            await trio.sleep(8)
+            worker.cut_off.clear()
+            await submit(fleet, OTHER)
+            await fleet.wait_done(OTHER, limit_s=4)
+            fleet.check()
+
+    run_virtual(run)
+
+
+def test_worker_lost_while_ownership_changes_stays_one_run(run_virtual):
+    async def run():
+        async with open_fleet(instances=2, workers=2) as fleet:
+            await submit(
+                fleet, request=make_request(make_step(6), run_ms=12_000)
+            )
+            await fleet.wait_running(6)
+            fleet.platform.workers['w0'].cut_off.add('*')
+            fleet.platform.remove('w0')
+            fleet.kill(fleet.get_owner())
+            await fleet.wait_done(JOB, limit_s=60)
+            fleet.check()
+
+    run_virtual(run)
+
+
+def test_new_life_at_the_same_address_frees_tasks_at_once(run_virtual):
+    async def run():
+        async with open_fleet(workers=1) as fleet:
+            await submit(fleet, request=make_request(run_ms=3000))
+            await fleet.wait_running(1)
+            old = fleet.platform.workers.pop('w0')
+            old.crash()
+            fleet.platform.remove('w0')
+            fleet.platform.add_worker('w9', address=old.address)
+            await fleet.wait_done(JOB, limit_s=6)
+            fleet.check()
+
+    run_virtual(run)
+
+
+def test_cancel_is_kept_and_stops_what_runs(run_virtual):
+    async def run():
+        async with open_fleet() as fleet:
+            await submit(
+                fleet, request=make_request(make_step(3), run_ms=60_000)
+            )
+            await fleet.wait_running(3)
+            intake = fleet.instances['i1'].intake
+            assert await intake.cancel(JOB, QUEUE, LIMIT_MS)
+            await trio.sleep(1)
+            assert not fleet.count_running()
+            await fleet.wait_state(JOB, JobState.CANCELLED)
+
+    run_virtual(run)
+
+
+def test_cancel_reaches_an_owner_whose_feed_was_silenced(run_virtual):
+    async def run():
+        async with open_fleet() as fleet:
+            await submit(
+                fleet, request=make_request(make_step(3), run_ms=60_000)
+            )
+            await fleet.wait_running(3)
+            fleet.platform.store.trouble.deaf_feeds = True
+            intake = fleet.instances['i1'].intake
+            assert await intake.cancel(JOB, QUEUE, LIMIT_MS)
+            await trio.sleep(1)
+            fleet.platform.store.trouble.deaf_feeds = False
+            fleet.platform.store.forget_history()
+            await trio.sleep(3)
+            assert not fleet.count_running()
+
+    run_virtual(run)
+
+
+def test_progress_survives_lost_answers_of_the_store(run_virtual):
+    async def run():
+        async with open_fleet(instances=3) as fleet:
+            fleet.platform.store.trouble.lost_answer_share = 0.4
+            steps = make_step(4), make_step(2, after=(0,))
+            await submit(fleet, request=make_request(*steps))
+            await fleet.wait_done(JOB, limit_s=60)
+            fleet.check()
+
+    run_virtual(run)
+
+
+def test_store_outage_lets_running_work_and_next_steps_go_on(run_virtual):
+    async def run():
+        async with open_fleet() as fleet:
+            steps = make_step(2), make_step(2, after=(0,))
+            await submit(fleet, request=make_request(*steps, run_ms=3000))
+            await fleet.wait_running(2)
+            fleet.platform.store.trouble.refused.add('*')
+            await trio.sleep(9)
+            ended = [
+                event
+                for event in fleet.platform.history
+                if event.kind == 'ended'
+            ]
+            assert {event.key.step for event in ended} == {0, 1}
+            fleet.platform.store.trouble.refused.clear()
+            await fleet.wait_done(JOB)
+            fleet.check()
+
+    run_virtual(run)
+
+
+def test_failed_runs_count_once_over_a_takeover(run_virtual):
+    async def run():
+        async with open_fleet(instances=2, workers=3) as fleet:
+            request = make_request(failing_workers=('w0', 'w1'))
+            fleet.platform.store.trouble.refused.add('never')
+            await submit(fleet, request=request)
+            await trio.sleep(0.5)
+            fleet.kill(fleet.get_owner())
+            await fleet.wait_done(JOB, limit_s=15)
+            fleet.check()
+
+    run_virtual(run)
+
+
+def test_hopeless_job_fails_after_its_attempts(run_virtual):
+    async def run():
+        async with open_fleet(workers=4) as fleet:
+            await submit(fleet, request=make_request(fails_always=True))
+            await fleet.wait_state(JOB, JobState.FAILED)
+            started = sum(
+                worker.started_count
+                for worker in fleet.platform.workers.values()
+            )
+            assert started == QUEUE.max_attempts
+
+    run_virtual(run)
+
+
+def test_draining_worker_gets_nothing_new(run_virtual):
+    async def run():
+        async with open_fleet(workers=2) as fleet:
+            worker = fleet.platform.workers['w0']
+            worker.is_draining = True
+            fleet.platform._beat(worker)
+            await trio.sleep(2)
+            before = worker.started_count
+            await submit(fleet, request=make_request(make_step(8)))
+            await fleet.wait_done(JOB)
+            assert worker.started_count == before
+
+    run_virtual(run)
+
+
+def test_lasting_task_is_back_soon_after_its_worker_crashed(run_virtual):
+    async def run():
+        async with open_fleet(workers=2) as fleet:
+            step = make_step(2, long_running=True, target_ms=50, image='a')
+            await submit(fleet, request=make_request(step, lasts=True))
+            await fleet.wait_running(2)
+            victim = next(
+                worker
+                for worker in fleet.platform.workers.values()
+                if worker.runs
+            )
+            victim.crash()
+            await trio.sleep(8)
+            assert fleet.count_running() == 2
+            fleet.check()
+
+    run_virtual(run)
+
+
+@pytest.mark.parametrize('seed', range(6))
+def test_random_kills_and_cuts_break_no_promise(run_virtual, seed):
+    async def run():
+        async with open_fleet(instances=3, workers=4) as fleet:
+            await disturb(fleet, seed)
+            for worker in fleet.platform.workers.values():
+                worker.cut_off.clear()
+            for number in range(12):
+                await fleet.wait_done(f'{number:016x}', limit_s=90)
+            fleet.check()
+
+    run_virtual(run, seed=seed)
+
+
+async def disturb(fleet, seed):
+    source = fleet.platform.store.source
+    source.seed(seed)
+    for number in range(12):
+        steps = make_step(3), make_step(2, after=(0,))
+        queue = source.choice((QUEUE, PATIENT))
+        request = make_request(*steps, run_ms=source.randrange(200, 4000))
+        await submit(fleet, f'{number:016x}', queue, request)
+        kind = source.choice(('kill', 'cut', 'lost', 'late', 'none'))
+        worker = source.choice(list(fleet.platform.workers.values()))
+        if kind == 'kill' and len(fleet.instances) > 1:
+            name = fleet.get_owner() or next(iter(fleet.instances))
+            fleet.kill(name)
+            await trio.sleep(0.7)
+            await fleet.start(name)
+        elif kind == 'cut':
+            worker.cut_off = {'*'}
+        elif kind == 'lost':
+            share = source.choice((0, 0.3))
+            fleet.platform.store.trouble.lost_answer_share = share
+        elif kind == 'late':
+            worker.late_orders_s = source.choice((0, 3.0))
+        await trio.sleep(source.random() * 2)
+        worker.cut_off = set()
+    fleet.platform.store.trouble.lost_answer_share = 0
+    for worker in fleet.platform.workers.values():
+        worker.late_orders_s = 0
