--- a/src/tulippin/jobs/_attempts.py
+++ b/src/tulippin/jobs/_attempts.py
@@ -73,6 +73,13 @@
         make_ready(*found, context)
 
 
+def avoid(attempt: Attempt, context: Context) -> None:
+    """Have the task go to another worker next time, if one fits."""
+    found = find_task(attempt.key, context)
+    if found is not None:
+        found[1].avoided.add(attempt.worker_id)
+
+
 def make_ready(job: Job, task: Task, context: Context) -> None:
     """Have a task started again, unless it is over or still runs."""
     is_over = task.is_done or job.is_cancelled or job.state in FINAL_STATES
--- a/src/tulippin/jobs/_pacing.py
+++ b/src/tulippin/jobs/_pacing.py
@@ -98,9 +98,7 @@
             or attempt.progress_percent < _CHEAP_PROGRESS_PERCENT
         )
         if is_cheap and now_ms - attempt.slowed_ms >= _MOVE_AFTER_MS:
-            found = _attempts.find_task(attempt.key, context)
-            if found is not None:
-                found[1].avoided.add(attempt.worker_id)
+            _attempts.avoid(attempt, context)
             _attempts.stop_attempt(attempt, context, 'slowed for long')
 
 
--- a/src/tulippin/jobs/_workers.py
+++ b/src/tulippin/jobs/_workers.py
@@ -267,6 +267,7 @@
         return
     if attempt.state is AttemptState.DOUBTFUL:
         if clock_ms > attempt.start_deadline_ms:
+            _attempts.avoid(attempt, context)
             _attempts.release(attempt, context, 'never started')
         return
     if attempt.state is AttemptState.STOPPING:
--- a/tests/tulippin/jobs/test_scheduler_fleet.py
+++ b/tests/tulippin/jobs/test_scheduler_fleet.py
@@ -196,6 +196,7 @@
 ):
     def release(attempt, event, context):
         if attempt.state is AttemptState.DOUBTFUL:
+            _attempts.avoid(attempt, context)
             _attempts.release(attempt, context, 'planted')
 
     monkeypatch.setattr(_workers, '_judge_missing', release)
