Serve operators, bundles and metrics beside the scheduler; reload settings

The rolled bundle's policy ranks workers for opportunistic tasks; without a bundle the interference-aware one is in force.

--- a/src/tulippin/_http_app.py
+++ b/src/tulippin/_http_app.py
@@ -11,7 +11,7 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from tulippin import codec
+from tulippin import codec_json as codec
 from tulippin.exceptions import (
     ConflictError,
     DeniedError,
--- a/src/tulippin/http_operators.py
+++ b/src/tulippin/http_operators.py
@@ -10,26 +10,21 @@
 from starlette.responses import HTMLResponse, Response
 from starlette.routing import Route
 
+from tulippin._bundle_routes import BundleRoutes
 from tulippin._http_app import (
     make_app,
     make_health_routes,
     make_json,
-    read_json,
 )
-from tulippin.api_types import InstanceBody, ProposalBody, SignatureBody
-from tulippin.bundles import BUNDLE_LIMIT_BYTES, BundleRow, Signature
+from tulippin.api_types import InstanceBody
 from tulippin.codec import decode
 from tulippin.dump import dump_state
-from tulippin.exceptions import InputError
 from tulippin.http_callers import CallersApi
-from tulippin.logs import logger
 from tulippin.metrics import ShellMetrics
 from tulippin.plots import render_report
 from tulippin.shell import Shell
 from tulippin.stats import Comparison, merge_reports
 
-_CREATED: t.Final = 201
-
 
 class OperatorsApi:
     """Answers operators by way of a shell.
@@ -60,15 +55,10 @@
 
     def make_app(self) -> Starlette:
         """Return the application for the operators' listener."""
-        number = '/v1/bundles/{number:int}'
+        bundles = BundleRoutes(self._shell.bundles)
         return make_app(
             [
-                Route('/v1/bundles', self._propose, methods=['POST']),
-                Route('/v1/bundles', self._list_bundles, methods=['GET']),
-                Route(number, self._show_bundle, methods=['GET']),
-                Route(
-                    f'{number}/{{action}}', self._step_bundle, methods=['POST']
-                ),
+                *bundles.make_routes(),
                 Route('/v1/workers', self._list_workers, methods=['GET']),
                 Route('/v1/instances', self._list_instances, methods=['GET']),
                 Route('/v1/compare', self._compare, methods=['GET']),
@@ -83,48 +73,6 @@
             ]
         )
 
-    # -- bundles -------------------------------------------------------------
-
-    async def _propose(self, request: Request) -> Response:
-        body = await read_json(request, ProposalBody, BUNDLE_LIMIT_BYTES * 2)
-        signature = Signature(body.operator, body.signature)
-        row = await self._shell.bundles.propose(body.text, signature)
-        return self._reply(row, 'proposed', _CREATED)
-
-    async def _step_bundle(self, request: Request) -> Response:
-        store = self._shell.bundles
-        steps: dict[str, t.Any] = {
-            'approve': store.approve,
-            'roll': store.roll,
-            'retire': store.retire,
-        }
-        action = request.path_params['action']
-        if action not in steps:
-            known = ', '.join(steps)
-            raise InputError(f'unknown action {action!r}; one of: {known}')
-        body = await read_json(request, SignatureBody, BUNDLE_LIMIT_BYTES)
-        signature = Signature(body.operator, body.signature)
-        row = await steps[action](request.path_params['number'], signature)
-        return self._reply(row, action, 200)
-
-    def _reply(self, row: BundleRow, action: str, status: int) -> Response:
-        logger.info(
-            'bundle step',
-            action=action,
-            number=row.number,
-            state=row.state.value,
-        )
-        return make_json(row, status)
-
-    async def _list_bundles(self, _: Request) -> Response:
-        rows = await self._shell.bundles.iter_all()
-        return make_json({'bundles': rows})
-
-    async def _show_bundle(self, request: Request) -> Response:
-        number = request.path_params['number']
-        row, _ = await self._shell.bundles.get(number)
-        return make_json(row)
-
     # -- views ---------------------------------------------------------------
 
     async def _list_workers(self, _: Request) -> Response:
--- a/src/tulippin/ini.py
+++ b/src/tulippin/ini.py
@@ -4,10 +4,13 @@
 
 import configparser
 import math
+import re
 import typing as t
 
 from tulippin.exceptions import Finding, InputError
 
+_HEX_KEY: t.Final = re.compile('[0-9a-f]{64}')
+
 
 def read_ini(text: str, source: str) -> configparser.ConfigParser:
     """Parse INI text.
@@ -147,3 +150,22 @@
             self.report(key, f'{text} is out of bounds', f'{least} to {most}')
             return fallback
         return number
+
+
+def read_operators(
+    parser: configparser.ConfigParser, reader: SectionReader
+) -> dict[str, str]:
+    """Return operators' public keys by name, from their section."""
+    found: dict[str, str] = {}
+    if not parser.has_section('operators'):
+        return found
+    for name in parser.options('operators'):
+        key = reader.get_text(name)
+        found[name] = key
+        if key and not _HEX_KEY.fullmatch(key):
+            reader.report(
+                name,
+                'is no Ed25519 public key of 64 hex digits',
+                'make one with "tulippin key make"',
+            )
+    return found
--- a/src/tulippin/jobs/_attempts.py
+++ b/src/tulippin/jobs/_attempts.py
@@ -58,7 +58,7 @@
 
 
 def release(attempt: Attempt, context: Context, why: str) -> None:
-    """A run is over without an end that counts: its task is ready again."""
+    """Take a run as over, without an end that counts."""
     drop_attempt(attempt, context)
     context.log(
         'run over',
--- a/src/tulippin/jobs/_interference.py
+++ b/src/tulippin/jobs/_interference.py
@@ -152,9 +152,7 @@
     }
 
 
-def get_harm(
-    step: Step, worker: Worker, state: SchedulerState
-) -> float | None:
+def get_harm(step: Step, worker: Worker, state: SchedulerState) -> float | None:
     """Return what an opportunistic task would do beside what runs.
 
     The least value is 0, for no harm; 1 would use up all slack that some
--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -6,11 +6,11 @@
 
 from tulippin.jobs import (
     _attempts,
-    _interference,
     _lifecycle,
     _preempting,
     _ranking,
     _ready,
+    _scoring,
     _workers,
 )
 from tulippin.jobs._dispatch import Context
@@ -30,8 +30,6 @@
 
 # The most starts decided in one go, so that answers are read in between.
 _STARTS_PER_PASS: t.Final = 40
-# What expected harm counts beside a whole worker's load.
-_HARM_WEIGHT: t.Final = 1.0
 # Share of a worker's memory that opportunistic tasks leave to urgent ones,
 # which are then started without stopping any: a little everywhere, and
 # more with the share of free processors. Urgent tasks of the users' sheets
@@ -224,12 +222,11 @@
     """
     capacity = worker.entry.capacity
     cpu_millicores = max(1, capacity.cpu_millicores)
-    pressure = worker.used_millicores / cpu_millicores
     if step.opportunistic:
-        harm = _interference.get_harm(step, worker, state)
-        if harm is None:
+        idle = _scoring.score_idle(state.policy, worker, task, step, state)
+        if idle is None:
             return None
-        score = pressure + _HARM_WEIGHT * harm
+        score = idle
     elif step.target_ms:
         score = _score_serving(worker, step)
     else:
--- a/src/tulippin/jobs/_ranking.py
+++ b/src/tulippin/jobs/_ranking.py
@@ -42,9 +42,7 @@
 ) -> list[StepKey]:
     """Return the keys of ready steps, the first to be placed first."""
     jobs = state.jobs
-    return sorted(
-        queue, key=lambda kind: _get_rank(jobs[kind[0]], kind, state)
-    )
+    return sorted(queue, key=lambda kind: _get_rank(jobs[kind[0]], kind, state))
 
 
 def _get_rank(
@@ -64,9 +62,7 @@
     return job.queue.priority, 0, hope, due_ms, 0, kind
 
 
-def _judge(
-    job: Job, kind: StepKey, state: SchedulerState
-) -> tuple[int, float]:
+def _judge(job: Job, kind: StepKey, state: SchedulerState) -> tuple[int, float]:
     """Return how late the job must be at best, and when it is due."""
     mean_ms = state.run_times_ms.get(job.queue.name, 0.0)
     total_ms = max(job.depths, default=1) * mean_ms
--- /dev/null
+++ b/src/tulippin/jobs/_scoring.py
@@ -0,0 +1,90 @@
+"""How the product's policies rank workers that are feasible already."""
+
+from __future__ import annotations
+
+import functools
+import typing as t
+import zlib
+
+from tulippin.jobs import _interference
+from tulippin.jobs.state import SchedulerState, Task, Worker
+from tulippin.jobs.types import Step
+from tulippin.policies import (
+    BestFitPolicy,
+    InterferencePolicy,
+    LeastLoadedPolicy,
+    Policy,
+    RandomPolicy,
+)
+
+# What expected harm counts beside a whole worker's load.
+_HARM_WEIGHT: t.Final = 1.0
+_RANDOM_RANGE: t.Final = 0xFFFFFFFF
+
+
+def _get_pressure(worker: Worker) -> float:
+    capacity = max(1, worker.entry.capacity.cpu_millicores)
+    return worker.used_millicores / capacity
+
+
+@functools.singledispatch
+def score_idle(
+    policy: Policy,
+    worker: Worker,
+    task: Task,
+    step: Step,
+    state: SchedulerState,
+) -> float | None:
+    """Return how little a policy likes a worker for an idle-time task.
+
+    The lowest wins; nothing says that the worker is out of the question.
+    """
+    raise NotImplementedError(type(policy))
+
+
+@score_idle.register
+def _(
+    policy: RandomPolicy,
+    worker: Worker,
+    task: Task,
+    step: Step,
+    state: SchedulerState,
+) -> float:
+    drawn = f'{worker.worker_id}{task.key.format()}{task.run_count}'
+    return zlib.crc32(drawn.encode()) / _RANDOM_RANGE
+
+
+@score_idle.register
+def _(
+    policy: LeastLoadedPolicy,
+    worker: Worker,
+    task: Task,
+    step: Step,
+    state: SchedulerState,
+) -> float:
+    return _get_pressure(worker)
+
+
+@score_idle.register
+def _(
+    policy: BestFitPolicy,
+    worker: Worker,
+    task: Task,
+    step: Step,
+    state: SchedulerState,
+) -> float:
+    return -_get_pressure(worker)
+
+
+@score_idle.register
+def _(
+    policy: InterferencePolicy,
+    worker: Worker,
+    task: Task,
+    step: Step,
+    state: SchedulerState,
+) -> float | None:
+    harm = _interference.get_harm(step, worker, state)
+    if harm is None:
+        return None
+    return _get_pressure(worker) + _HARM_WEIGHT * harm
--- a/src/tulippin/jobs/_workers.py
+++ b/src/tulippin/jobs/_workers.py
@@ -261,7 +261,7 @@
 def _judge_missing(
     attempt: Attempt, event: WorkerAnswered, context: Context
 ) -> None:
-    """A run is not on the report: is it over, or not there yet?"""
+    """Tell whether a run that the report lacks is over or still to come."""
     clock_ms = event.report.clock_ms
     if attempt.state is AttemptState.STARTING:
         return
--- a/src/tulippin/jobs/core.py
+++ b/src/tulippin/jobs/core.py
@@ -19,6 +19,7 @@
 from tulippin.jobs.events import (
     ConfigurationChanged,
     JobEvent,
+    PolicyChanged,
     Ticked,
     WorkerAnswered,
 )
@@ -76,6 +77,20 @@
             _lifecycle.open_steps(state.jobs[job_id], state)
 
 
+@handle.register
+def _change_policy(event: PolicyChanged, context: Context) -> None:
+    state = context.state
+    if event.number <= state.policy_number:
+        return
+    state.policy = event.policy
+    state.policy_number = event.number
+    context.log(
+        'policy in force',
+        bundle=event.number,
+        policy=type(event.policy).__name__,
+    )
+
+
 @handle.register
 def _configure(event: ConfigurationChanged, context: Context) -> None:
     state = context.state
--- a/src/tulippin/jobs/events.py
+++ b/src/tulippin/jobs/events.py
@@ -14,6 +14,7 @@
     WorkerEntry,
     WorkerReport,
 )
+from tulippin.policies import Policy
 
 
 @attrs.frozen
@@ -37,6 +38,14 @@
     configuration: Configuration
 
 
+@attrs.frozen
+class PolicyChanged(JobEvent):
+    """A bundle was rolled; its policy is in force from now on."""
+
+    number: int
+    policy: Policy
+
+
 @attrs.frozen
 class LeaseSeen(JobEvent):
     """The owner's rows as they stand; absent ones have version 0."""
--- a/src/tulippin/jobs/intake.py
+++ b/src/tulippin/jobs/intake.py
@@ -65,6 +65,7 @@
         )
         began_ms = self.shell.clock()
         result = await transact_surely(self._store, transaction, limit_ms / _MS)
+        self.shell.observe('tulippin_call_seconds', 'submit', began_ms)
         logger.info(
             'job accepted',
             job=job_id,
@@ -118,6 +119,7 @@
         result = await transact_surely(self._store, transaction, limit_ms / _MS)
         if not result.is_done:
             raise AnswerLostError('the store refused a cancel')
+        self.shell.observe('tulippin_call_seconds', 'cancel', began_ms)
         logger.info(
             'cancel accepted',
             job=job_id,
--- a/src/tulippin/jobs/shell.py
+++ b/src/tulippin/jobs/shell.py
@@ -43,6 +43,7 @@
 )
 from tulippin.jobs.state import Phase, SchedulerConfig, SchedulerState
 from tulippin.jobs.types import Configuration
+from tulippin.latencies import LatencyTable
 from tulippin.logs import logger
 
 _MS: t.Final = 1000
@@ -107,7 +108,7 @@
         self.lease: LeaseRecord | None = None
         self.store_answered_ms = 0
         self._store_answers = False
-        self.observers: list[t.Callable[[str, float], None]] = []
+        self.latencies = LatencyTable()
         self.recorder: t.Callable[..., None] | None = None
         self._inbox: collections.deque[ev.JobEvent] = collections.deque()
         self._wake = trio.Event()
@@ -179,7 +180,24 @@
     def start(self, task: t.Callable[..., t.Awaitable[None]], *args) -> None:
         """Run an effect's task beside the loop."""
         if self._nursery is not None:
-            self._nursery.start_soon(task, *args)
+            self._nursery.start_soon(self._time, task, args)
+
+    async def _time(
+        self,
+        task: t.Callable[..., t.Awaitable[None]],
+        args: tuple[t.Any, ...],
+    ) -> None:
+        """Run a task and keep how long its effect took."""
+        began_ms = self.clock()
+        await task(*args)
+        if args and isinstance(args[0], fx.JobEffect):
+            self.observe(
+                'tulippin_effect_seconds', type(args[0]).__name__, began_ms
+            )
+
+    def observe(self, name: str, label: str, began_ms: int) -> None:
+        """Keep a latency that began at a time and ends now."""
+        self.latencies.record(name, label, self.clock() - began_ms)
 
     # -- feeds -------------------------------------------------------------
 
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -22,7 +22,11 @@
     TaskKey,
     WorkerEntry,
 )
-from tulippin.policies import InterferenceModel
+from tulippin.policies import (
+    InterferenceModel,
+    InterferencePolicy,
+    Policy,
+)
 from tulippin.types import Resources
 
 # Runs of one task in one epoch are numbered below this, so that a new
@@ -272,6 +276,8 @@
     is_roster_committing: bool = False
     wall_offset_ms: int = 0
     model: InterferenceModel = attrs.field(factory=make_model)
+    policy: Policy = InterferencePolicy()
+    policy_number: int = 0
     run_times_ms: dict[str, float] = attrs.field(factory=dict)
     tails: dict[str, dict[TaskKey, tuple[float, int]]] = attrs.field(
         factory=dict
--- a/src/tulippin/jobs/types.py
+++ b/src/tulippin/jobs/types.py
@@ -245,8 +245,9 @@
     """A run that a worker reports as present.
 
     ``progress_percent`` is the share of its work that is done, and for a
-    long-running task the share at which it is at work. ``load`` is the tail in ms for a task with a latency target, and
-    otherwise the millicores in use over the last half second.
+    long-running task the share at which it is at work. ``load`` is the
+    tail in ms for a task with a latency target, and otherwise the
+    millicores in use over the last half second.
     """
 
     key: TaskKey
--- a/src/tulippin/line_buffer.py
+++ b/src/tulippin/line_buffer.py
@@ -49,6 +49,10 @@
         self.written_bytes = 0
         os.set_blocking(descriptor, False)
 
+    def set_level(self, level: str) -> None:
+        """Change the least level to write."""
+        self.level = logbook.lookup_level(level)
+
     def emit(self, record: logbook.LogRecord) -> None:
         """Put a line into the buffer, or count it as dropped."""
         if len(self._lines) >= _LINE_LIMIT:
--- a/src/tulippin/metrics.py
+++ b/src/tulippin/metrics.py
@@ -9,40 +9,13 @@
     CounterMetricFamily,
     GaugeMetricFamily,
     Metric,
-    SummaryMetricFamily,
 )
 from prometheus_client.registry import Collector
 
 from tulippin.effects import Effect, ObserveLatency
+from tulippin.latencies import LatencyTable
+from tulippin.latency_metrics import iter_latency_metrics
 from tulippin.shell import Shell
-from tulippin.stats import make_histogram
-
-_QUANTILES: t.Final = (50.0, 90.0, 99.0, 99.9)
-_US: t.Final = 1_000_000
-_MS_IN_US: t.Final = 1000
-
-
-class LatencyTable:
-    """hdrhistograms by name and label, in microseconds."""
-
-    def __init__(self) -> None:
-        self._histograms: dict[tuple[str, str], t.Any] = {}
-        self._sums: dict[tuple[str, str], float] = {}
-
-    def record(self, name: str, label: str, latency_ms: float) -> None:
-        """Record one latency."""
-        key = (name, label)
-        if key not in self._histograms:
-            self._histograms[key] = make_histogram()
-            self._sums[key] = 0.0
-        micros = max(1, int(latency_ms * _MS_IN_US))
-        self._histograms[key].record_value(micros)
-        self._sums[key] += latency_ms / _MS_IN_US
-
-    def iter_rows(self) -> t.Iterator[tuple[str, str, t.Any, float]]:
-        """Iterate over name, label, histogram and sum in seconds."""
-        for (name, label), histogram in self._histograms.items():
-            yield name, label, histogram, self._sums[name, label]
 
 
 class ShellMetrics(Collector):
@@ -101,23 +74,4 @@
             gauge = GaugeMetricFamily(name, name.replace('_', ' '))
             gauge.add_metric([], value)
             yield gauge
-        yield from self._collect_latencies()
-
-    def _collect_latencies(self) -> t.Iterator[Metric]:
-        families: dict[str, tuple[SummaryMetricFamily, GaugeMetricFamily]] = {}
-        for name, label, histogram, total in self._latencies.iter_rows():
-            if name not in families:
-                families[name] = (
-                    SummaryMetricFamily(name, name, labels=['name']),
-                    GaugeMetricFamily(
-                        f'{name}_quantile', name, labels=['name', 'quantile']
-                    ),
-                )
-            summary, quantiles = families[name]
-            count = histogram.get_total_count()
-            summary.add_metric([label], count_value=count, sum_value=total)
-            for quantile in _QUANTILES:
-                value = histogram.get_value_at_percentile(quantile) / _US
-                quantiles.add_metric([label, f'{quantile / 100:g}'], value)
-        for pair in families.values():
-            yield from pair
+        yield from iter_latency_metrics(self._latencies)
--- a/src/tulippin/platform/store.py
+++ b/src/tulippin/platform/store.py
@@ -69,7 +69,7 @@
     )
 
 
-@attrs.frozen
+@attrs.define
 class PlatformStore:
     """The store at an address; see ``RowStore``."""
 
--- a/src/tulippin/policies.py
+++ b/src/tulippin/policies.py
@@ -18,7 +18,6 @@
     from tulippin.ini import SectionReader
 
 
-
 _CLASS_LIMIT: t.Final = 32
 
 
@@ -132,9 +131,7 @@
         learned = self.weights.get(key, self.prior)
         shared_sum, shared_count = self.shared_sums.get(key, (0.0, 0.0))
         total = learned * count + shared_sum + self.prior * self.prior_count
-        return total / (
-            count + shared_count + self.prior_count
-        )
+        return total / (count + shared_count + self.prior_count)
 
     def take_shared(
         self, source: str, entries: t.Iterable[tuple[str, float, float]]
--- /dev/null
+++ b/src/tulippin/row_table.py
@@ -0,0 +1,70 @@
+"""The product's table over the platform's rows, for bundles."""
+
+from __future__ import annotations
+
+import typing as t
+
+import attrs
+
+from tulippin.exceptions import AnswerLostError
+from tulippin.jobs._resolving import transact_surely
+from tulippin.jobs.ports import (
+    RowCondition,
+    RowStore,
+    RowWrite,
+    StoredRow,
+    Transaction,
+)
+from tulippin.ports import Condition, Row, Write
+
+_TABLE: t.Final = 'tulippin'
+_PART: t.Final = 'product'
+# An operator waits for a step at most so long.
+_COMMIT_LIMIT_S: t.Final = 3.0
+
+
+def _convert(row: StoredRow) -> Row:
+    return Row((row.value or b'').decode(), row.version)
+
+
+@attrs.frozen
+class RowTable:
+    """Keeps the product's rows in one table and part; see ``Table``."""
+
+    store: RowStore
+
+    async def get(self, key: str) -> Row | None:
+        """Return a row."""
+        page = await self.store.get_rows(_TABLE, _PART, key, f'{key}\0')
+        for row in page.rows:
+            return _convert(row)
+        return None
+
+    async def scan(self, prefix: str) -> list[tuple[str, Row]]:
+        """Return the rows whose key begins with a prefix."""
+        end = prefix[:-1] + chr(ord(prefix[-1]) + 1)
+        page = await self.store.get_rows(_TABLE, _PART, prefix, end)
+        return [(row.key, _convert(row)) for row in page.rows]
+
+    async def commit(
+        self, conditions: t.Sequence[Condition], writes: t.Sequence[Write]
+    ) -> int:
+        """Apply all writes if all conditions hold."""
+        transaction = Transaction(
+            _PART,
+            tuple(
+                RowCondition(_TABLE, one.key, one.version) for one in conditions
+            ),
+            tuple(
+                RowWrite(
+                    _TABLE,
+                    one.key,
+                    None if one.value is None else one.value.encode(),
+                )
+                for one in writes
+            ),
+        )
+        result = await transact_surely(self.store, transaction, _COMMIT_LIMIT_S)
+        if not result.is_done and not conditions:
+            raise AnswerLostError('the store refused a write')
+        return result.version if result.is_done else 0
--- /dev/null
+++ b/src/tulippin/scheduler_bundles.py
@@ -0,0 +1,71 @@
+"""Which bundle is in force on a scheduler instance."""
+
+from __future__ import annotations
+
+import importlib
+import typing as t
+
+import trio
+
+from tulippin.exceptions import TulippinError, UnavailableError
+from tulippin.jobs.events import PolicyChanged
+from tulippin.jobs.shell import SchedulerShell
+from tulippin.logs import logger
+from tulippin.row_table import RowTable
+
+# A change is to be in force within 12 s; a reading takes some 5 ms.
+_LOOK_EVERY_S: t.Final = 4.0
+_HEAD_KEY: t.Final = 'bundle-head'
+
+
+async def follow_bundles(
+    shell: SchedulerShell, keys: t.Mapping[str, str]
+) -> None:
+    """Put the rolled bundle's first policy in force, ever a newer one.
+
+    Parameters
+    ----------
+    shell : SchedulerShell
+        Told of each new policy.
+    keys : mapping of str to str
+        Operators' public keys; a bundle whose signatures they do not
+        confirm is not put in force.
+    """
+    table = RowTable(shell.ports.store)
+    head_version = 0
+    number = 0
+    while True:
+        await trio.sleep(_LOOK_EVERY_S)
+        try:
+            head = await table.get(_HEAD_KEY)
+            if head is None or head.version == head_version:
+                continue
+            number = await _apply_newest(shell, table, keys, number)
+        except UnavailableError as error:
+            shell.note_store(error)
+        except TulippinError as error:
+            logger.error('bundle refused', reason=error.format_message())
+        else:
+            head_version = head.version
+
+
+async def _apply_newest(
+    shell: SchedulerShell,
+    table: RowTable,
+    keys: t.Mapping[str, str],
+    number: int,
+) -> int:
+    # Signatures need a library of 11 MB, which an instance without any
+    # bundle never loads.
+    store_module = importlib.import_module('tulippin.bundle_store')
+    bundles = importlib.import_module('tulippin.bundles')
+    store = store_module.BundleStore(table, keys)
+    head, _ = await store.read_head()
+    if head.rolled_number <= number:
+        return number
+    row, _ = await store.get(head.rolled_number)
+    bundles.verify_row(keys, row)
+    bundle = bundles.parse_bundle(row.text)
+    policy = bundle.policies[bundle.trial.policies[0]]
+    shell.post(PolicyChanged(shell.clock(), row.number, policy))
+    return row.number
--- a/src/tulippin/scheduler_daemon.py
+++ b/src/tulippin/scheduler_daemon.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import contextlib
+import importlib
+import pathlib
 import signal
 import sys
 import time
 import typing as t
 import uuid
 
+import attrs
 import trio
 
 from tulippin._http_client import HttpClient
@@ -26,6 +29,7 @@
 from tulippin.platform.feeds import PlatformFeeds
 from tulippin.platform.store import PlatformStore
 from tulippin.platform.workers import PlatformWorkers
+from tulippin.scheduler_bundles import follow_bundles
 from tulippin.scheduler_settings import (
     SchedulerSettings,
     load_scheduler_settings,
@@ -45,6 +49,12 @@
 # Silence of the store after which callers do better elsewhere: a feed
 # returns every 1.5 s, and a slow store answers in 0.3 s.
 _STORE_SILENCE_MS: t.Final = 2500
+# How often the settings file is looked at.
+_WATCH_EVERY_S: t.Final = 1.0
+# What a reload puts in force; the rest is read at the next start.
+_RELOADED: t.Final = frozenset(
+    ('store_address', 'grace_ms', 'operators', 'log_level')
+)
 _USAGE: t.Final = 'usage: tulippin-instance SETTINGS.ini'
 
 
@@ -58,6 +68,34 @@
     return time.time_ns() // _NS_IN_MS
 
 
+def _get_changed_at(path: str) -> float:
+    """Return when a file was last changed; 0 if it is not there."""
+    try:
+        return pathlib.Path(path).stat().st_mtime
+    except OSError:
+        return 0
+
+
+class LazyApp:
+    """An ASGI application that is made at its first call.
+
+    What operators and scrapes need takes 15 MB, which an instance that
+    nobody looks at does not spend.
+    """
+
+    def __init__(self, make: t.Callable[[], t.Any]) -> None:
+        self._make = make
+        self._app: t.Any = None
+
+    async def __call__(self, scope: t.Any, receive: t.Any, send: t.Any) -> None:
+        """Answer one call."""
+        if scope['type'] != 'http':
+            raise NotImplementedError(scope['type'])
+        if self._app is None:
+            self._app = self._make()
+        await self._app(scope, receive, send)
+
+
 class SchedulerDaemon:
     """One instance with its listeners.
 
@@ -69,9 +107,16 @@
         Where log lines gather.
     """
 
-    def __init__(self, settings: SchedulerSettings, lines: LineBuffer) -> None:
+    def __init__(
+        self,
+        settings: SchedulerSettings,
+        lines: LineBuffer,
+        path: str = '',
+    ) -> None:
         self.settings = settings
+        self._path = path
         self._lines = lines
+        self._store: PlatformStore | None = None
         self._shell: SchedulerShell | None = None
         self._stopping = trio.Event()
 
@@ -79,6 +124,50 @@
         """Begin the planned stop."""
         self._stopping.set()
 
+    def take_signal(self, number: int) -> None:
+        """Reload at SIGHUP; begin the planned stop at any other signal."""
+        if number == signal.SIGHUP:
+            self.reload()
+        else:
+            self.stop()
+
+    def reload(self) -> None:
+        """Read the settings file again; a faulty one changes nothing."""
+        try:
+            settings = load_scheduler_settings(self._path)
+        except InputError as error:
+            logger.error(
+                'settings refused',
+                findings=[one.render() for one in error.findings],
+                reason=error.message,
+            )
+            return
+        changed = [
+            field.name
+            for field in attrs.fields(SchedulerSettings)
+            if getattr(settings, field.name)
+            != getattr(self.settings, field.name)
+        ]
+        self.settings = settings
+        if self._store is not None:
+            self._store.address = settings.store_address
+        self._lines.set_level(settings.log_level.upper())
+        logger.info(
+            'settings read again',
+            changed=changed,
+            needs_restart=sorted(set(changed) - _RELOADED),
+        )
+
+    async def _watch_settings(self) -> None:
+        """Notice a changed file that no signal told of."""
+        known = _get_changed_at(self._path)
+        while True:
+            await trio.sleep(_WATCH_EVERY_S)
+            found = _get_changed_at(self._path)
+            if found != known:
+                known = found
+                self.reload()
+
     def get_unready(self) -> str:
         """Return why callers should go elsewhere, or an empty text."""
         shell = self._shell
@@ -97,11 +186,18 @@
             shell = await self._open(stack)
             nursery = await stack.enter_async_context(trio.open_nursery())
             nursery.start_soon(self._flush)
+            nursery.start_soon(self._watch_settings)
             app = CallersApp(JobIntake(shell), self.get_unready)
+            internal = LazyApp(self._make_operators)
             servers = [
-                stack.enter_context(HttpServer(app, address))
-                for address in (self.settings.callers, self.settings.readiness)
+                stack.enter_context(HttpServer(served, address))
+                for served, address in (
+                    (app, self.settings.callers),
+                    (app, self.settings.readiness),
+                    (internal, self.settings.operators_address),
+                )
             ]
+            nursery.start_soon(follow_bundles, shell, self.settings.operators)
             for server in servers:
                 await nursery.start(server.serve)
             logger.info('started', session=shell.config.session_id)
@@ -110,12 +206,19 @@
             nursery.cancel_scope.cancel()
         self._lines.flush()
 
+    def _make_operators(self) -> t.Any:
+        module = importlib.import_module('tulippin.scheduler_operators')
+        api = module.SchedulerOperatorsApi(
+            self._shell, self.settings.operators, self.get_unready
+        )
+        return api.make_app()
+
     async def _open(self, stack: contextlib.AsyncExitStack) -> SchedulerShell:
         settings = self.settings
         client = await stack.enter_async_context(
             HttpClient(_STORE_TIMEOUT_S, _STORE_CONNECTIONS)
         )
-        store = PlatformStore(settings.store_address, client)
+        store = self._store = PlatformStore(settings.store_address, client)
         workers = PlatformWorkers(
             lambda: HttpClient(_WORKER_TIMEOUT_S, _WORKER_CONNECTIONS)
         )
@@ -171,8 +274,7 @@
 
             async def watch() -> None:
                 async for number in signals:
-                    if number != signal.SIGHUP:
-                        daemon.stop()
+                    daemon.take_signal(number)
 
             nursery.start_soon(watch)
             await daemon.run()
@@ -191,7 +293,8 @@
         settings.log_level.upper(),
     )
     with lines.applicationbound():
-        trio.run(_run_with_signals, SchedulerDaemon(settings, lines))
+        daemon = SchedulerDaemon(settings, lines, path)
+        trio.run(_run_with_signals, daemon)
 
 
 def main(arguments: t.Sequence[str] | None = None) -> int:
--- a/src/tulippin/scheduler_settings.py
+++ b/src/tulippin/scheduler_settings.py
@@ -2,16 +2,25 @@
 
 from __future__ import annotations
 
+import configparser
 import pathlib
 import typing as t
 
 import attrs
 
 from tulippin.exceptions import Finding, InputError
-from tulippin.ini import SectionReader, read_ini
+from tulippin.ini import SectionReader, read_ini, read_operators
 
 _SECTIONS: t.Final = frozenset(
-    ('instance', 'listen', 'store', 'workers', 'stop', 'log')
+    (
+        'instance',
+        'listen',
+        'store',
+        'workers',
+        'stop',
+        'operators',
+        'log',
+    )
 )
 
 
@@ -37,6 +46,8 @@
         The longest that a worker takes to stop a run.
     grace_ms : int
         Time between a planned stop and the kill.
+    operators : dict
+        Names and Ed25519 public keys of those who sign bundles.
     log_level : str
         The least level of log lines.
     """
@@ -53,8 +64,14 @@
     worker_lease_limit_ms: int
     worker_stop_ms: int
     grace_ms: int
+    operators: dict[str, str] = attrs.field(factory=dict)
     log_level: str = 'info'
 
+    @property
+    def operators_address(self) -> str:
+        """Where operators and scrapes reach the instance."""
+        return f'{self.internal_ip}:{self.internal_first_port}'
+
 
 def load_scheduler_settings(path: str | pathlib.Path) -> SchedulerSettings:
     """Read and check a settings file.
@@ -90,7 +107,7 @@
         name: SectionReader(parser, name, source, findings)
         for name in _SECTIONS
     }
-    settings = _read(readers)
+    settings = _read(parser, readers)
     for reader in readers.values():
         reader.close()
     if findings:
@@ -102,7 +119,9 @@
     return settings
 
 
-def _read(readers: dict[str, SectionReader]) -> SchedulerSettings:
+def _read(
+    parser: configparser.ConfigParser, readers: dict[str, SectionReader]
+) -> SchedulerSettings:
     instance = readers['instance']
     listen = readers['listen']
     ports = listen.get_list('internal_ports')
@@ -121,6 +140,7 @@
         worker_lease_limit_ms=workers.get_int('lease_limit_ms', 6000, 1000),
         worker_stop_ms=workers.get_int('stop_limit_ms', 900, 1),
         grace_ms=int(readers['stop'].get_float('grace_s', 6.0, 1.0) * 1000),
+        operators=read_operators(parser, readers['operators']),
         log_level=readers['log'].get_choice(
             'level', ('debug', 'info', 'warning', 'error'), 'info'
         ),
--- a/src/tulippin/settings.py
+++ b/src/tulippin/settings.py
@@ -5,16 +5,14 @@
 import configparser
 import ipaddress
 import pathlib
-import re
 import typing as t
 
 import attrs
 
 from tulippin.exceptions import Finding, InputError
-from tulippin.ini import SectionReader, read_ini
+from tulippin.ini import SectionReader, read_ini, read_operators
 from tulippin.state import Config
 
-_HEX_KEY: t.Final = re.compile('[0-9a-f]{64}')
 _MAX_PORT: t.Final = 65535
 _SECTIONS: t.Final = frozenset(
     (
@@ -241,17 +239,7 @@
 
     def _read_operators(self) -> dict[str, str]:
         reader = self._open('operators')
-        found = {}
-        if self._parser.has_section('operators'):
-            for name in self._parser.options('operators'):
-                key = reader.get_text(name)
-                found[name] = key
-                if key and not _HEX_KEY.fullmatch(key):
-                    reader.report(
-                        name,
-                        'is no Ed25519 public key of 64 hex digits',
-                        'make one with "tulippin key make"',
-                    )
+        found = read_operators(self._parser, reader)
         reader.close()
         return found
 
--- a/src/tulippin/stats.py
+++ b/src/tulippin/stats.py
@@ -7,24 +7,16 @@
 import typing as t
 
 import attrs
-from hdrh.histogram import HdrHistogram
 
 from tulippin import codec_json
 from tulippin.bundles import Bundle
+from tulippin.latencies import make_histogram
 
-_LOWEST_US: t.Final = 1
-_HIGHEST_US: t.Final = 600_000_000
-_DIGITS: t.Final = 3
 _MAX_WINDOWS: t.Final = 5000
 _MIN_PAIRS: t.Final = 6
 _CONFIDENCE_Z: t.Final = 1.96
 
 
-def make_histogram() -> HdrHistogram:
-    """Return an empty histogram of microseconds."""
-    return HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS)
-
-
 @attrs.define
 class WindowStats:
     """One window of one cell under one policy."""
--- a/tests/tulippin/jobs/test_scheduler_fleet.py
+++ b/tests/tulippin/jobs/test_scheduler_fleet.py
@@ -2,6 +2,7 @@
 
 import pytest
 import trio
+
 from fleet_of_schedulers import (
     PATIENT,
     QUEUE,
@@ -9,7 +10,6 @@
     make_step,
     open_fleet,
 )
-
 from tulippin.jobs import _attempts, _ownership, _workers
 from tulippin.jobs.state import AttemptState
 from tulippin.jobs.types import JobState
@@ -82,9 +82,7 @@
 def test_killed_owner_is_succeeded_without_a_second_run(run_virtual):
     async def run():
         async with open_fleet(instances=3) as fleet:
-            await submit(
-                fleet, request=make_request(make_step(4), run_ms=6000)
-            )
+            await submit(fleet, request=make_request(make_step(4), run_ms=6000))
             await fleet.wait_running(4)
             killed = fleet.get_owner()
             fleet.kill(killed)
@@ -121,9 +119,7 @@
 def test_planned_stop_hands_over_within_a_second(run_virtual):
     async def run():
         async with open_fleet(instances=2) as fleet:
-            await submit(
-                fleet, request=make_request(make_step(2), run_ms=4000)
-            )
+            await submit(fleet, request=make_request(make_step(2), run_ms=4000))
             await fleet.wait_running(2)
             leaving = fleet.get_owner()
             shell = fleet.instances[leaving].shell
@@ -204,9 +200,7 @@
     async def run():
         async with open_fleet(workers=3) as fleet:
             fleet.platform.workers['w0'].late_orders_s = 0.5
-            await submit(
-                fleet, request=make_request(make_step(9), run_ms=8000)
-            )
+            await submit(fleet, request=make_request(make_step(9), run_ms=8000))
             await trio.sleep(5)
             return check_history(fleet.platform.history)
 
