--- a/src/tulippin/jobs/_attempts.py
+++ b/src/tulippin/jobs/_attempts.py
@@ -69,8 +69,14 @@
         age_ms=context.state.now_ms - attempt.sent_ms,
     )
     found = find_task(attempt.key, context)
-    if found is not None:
-        make_ready(*found, context)
+    if found is None:
+        return
+    job, task = found
+    make_ready(job, task, context)
+    if attempt.step.gang:
+        # The others would wait for this one in vain.
+        for one in _iter_members(job, task):
+            stop_task(one, context, 'a member did not start')
 
 
 def avoid(attempt: Attempt, context: Context) -> None:
@@ -114,16 +120,32 @@
         if attempt is not None:
             run_ms = context.state.now_ms - attempt.sent_ms
             _ranking.learn_run_time(job, run_ms, context.state)
-        _lifecycle.note_done(job, task, context)
-        stop_task(task, context, 'task is done')
-        if job.state in FINAL_STATES:
-            stop_job(job, context, 'job is finished')
+        _end_done(job, task, context)
         return
     if ended.outcome is RunOutcome.FAILED:
         _count_failure(job, task, ended, worker, context)
     make_ready(job, task, context)
 
 
+def _end_done(job: Job, task: Task, context: Context) -> None:
+    """One member's end stands for its whole gang."""
+    for one in _iter_members(job, task):
+        _lifecycle.note_done(job, one, context)
+        stop_task(one, context, 'task is done')
+    if job.state in FINAL_STATES:
+        stop_job(job, context, 'job is finished')
+
+
+def _iter_members(job: Job, task: Task) -> t.Iterator[Task]:
+    """Iterate over the tasks that end with a task: its gang, or itself."""
+    step = job.request.steps[task.key.step]
+    if not step.gang:
+        yield task
+        return
+    for index in range(step.task_count):
+        yield _lifecycle.get_task(job, task.key._replace(index=index))
+
+
 def _count_failure(
     job: Job,
     task: Task,
@@ -136,9 +158,11 @@
         return
     if task.is_done or job.state in FINAL_STATES or job.is_cancelled:
         return
-    task.failed_runs.add(ended.run)
+    # A gang's run fails once, whichever of its members did.
+    counted = next(_iter_members(job, task))
+    counted.failed_runs.add(ended.run)
     _lifecycle.mark_dirty(job, context.state)
-    if len(task.failed_runs) >= job.queue.max_attempts:
+    if len(counted.failed_runs) >= job.queue.max_attempts:
         _lifecycle.finish(job, JobState.FAILED, context)
         stop_job(job, context, 'job has failed')
 
--- /dev/null
+++ b/src/tulippin/jobs/_feasibility.py
@@ -0,0 +1,78 @@
+"""Which workers may take a task at all; no policy can switch this off."""
+
+from __future__ import annotations
+
+import typing as t
+
+from tulippin.jobs import _advice
+from tulippin.jobs.state import Job, SchedulerState, Task, Worker
+from tulippin.jobs.types import Step
+
+# Share of a worker's memory that opportunistic tasks leave to urgent ones,
+# which are then started without stopping any: a little everywhere, and
+# more with the share of free processors. Urgent tasks of the users' sheets
+# take half as much memory for each processor as the workers have.
+_MEMORY_KEPT_SHARE: t.Final = 0.05
+_MEMORY_PER_CPU: t.Final = 0.6
+
+
+def is_feasible(
+    worker: Worker, job: Job, task: Task, step: Step, state: SchedulerState
+) -> bool:
+    """Hard conditions, which no policy can switch off."""
+    if not worker.free.fits(step.reserved):
+        return False
+    if step.opportunistic and not _fits_idle(worker, step):
+        return False
+    return is_open(worker, job, task, step, state)
+
+
+def is_open(
+    worker: Worker, job: Job, task: Task, step: Step, state: SchedulerState
+) -> bool:
+    """Whether a worker may take a task, if it had the room."""
+    if not _takes_work(worker, state):
+        return False
+    entry = worker.entry
+    if entry.service != job.queue.service:
+        return False
+    if step.required_label and step.required_label not in entry.labels:
+        return False
+    if job.queue.advised and not _advice.get_ticket(worker, job, task, state):
+        return False
+    return _has_fewer(worker, task, step)
+
+
+def _takes_work(worker: Worker, state: SchedulerState) -> bool:
+    """Whether a worker is known, answers, stays, and is not at fault."""
+    if not (worker.is_listed and worker.is_rostered and worker.is_reconciled):
+        return False
+    if worker.failed_count or worker.entry.draining:
+        return False
+    closed_until_ms = max(worker.quarantined_until_ms, worker.paused_until_ms)
+    return closed_until_ms <= state.now_ms
+
+
+def _has_fewer(worker: Worker, task: Task, step: Step) -> bool:
+    """Whether the worker has fewer of the step's tasks than it may."""
+    if not step.max_per_worker:
+        return True
+    beside = sum(
+        1
+        for attempt in worker.attempts.values()
+        if attempt.key[:3] == task.key[:3]
+    )
+    return beside < step.max_per_worker
+
+
+def _fits_idle(worker: Worker, step: Step) -> bool:
+    """Idle processors are there, and memory is left for urgent tasks."""
+    capacity = worker.entry.capacity
+    used = worker.used_millicores + step.size.cpu_millicores
+    if used > capacity.cpu_millicores:
+        return False
+    free = worker.free
+    memory_mb = free.memory_mb - step.reserved.memory_mb
+    free_share = free.cpu_millicores / max(1, capacity.cpu_millicores)
+    kept_share = _MEMORY_KEPT_SHARE + _MEMORY_PER_CPU * free_share
+    return memory_mb >= capacity.memory_mb * kept_share
--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -154,6 +154,7 @@
     state.ready.clear()
     state.ready_idle.clear()
     state.scheduled.clear()
+    state.advice_asked.clear()
     state.tails.clear()
     state.dirty_jobs.clear()
     state.roster = {}
--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -4,8 +4,12 @@
 
 import typing as t
 
+import attrs
+
 from tulippin.jobs import (
+    _advice,
     _attempts,
+    _feasibility,
     _lifecycle,
     _preempting,
     _ranking,
@@ -14,7 +18,6 @@
     _workers,
 )
 from tulippin.jobs._dispatch import Context
-from tulippin.jobs._ready import StepKey
 from tulippin.jobs.effects import StartRun
 from tulippin.jobs.ports import StartOrder
 from tulippin.jobs.state import (
@@ -30,12 +33,6 @@
 
 # The most starts decided in one go, so that answers are read in between.
 _STARTS_PER_PASS: t.Final = 40
-# Share of a worker's memory that opportunistic tasks leave to urgent ones,
-# which are then started without stopping any: a little everywhere, and
-# more with the share of free processors. Urgent tasks of the users' sheets
-# take half as much memory for each processor as the workers have.
-_MEMORY_KEPT_SHARE: t.Final = 0.05
-_MEMORY_PER_CPU: t.Final = 0.6
 # What each further image served on one worker counts, what taking a
 # worker that serves nothing yet does, and what it does to leave a piece
 # that is neither nothing nor enough for a large task, all beside the room
@@ -64,62 +61,121 @@
         return
     if state.is_placing_due or is_tick:
         state.is_placing_due = False
-        _place_queue(state.ready, context)
+        _Pass(context, state.ready).run()
     is_due = state.now_ms - state.idle_placed_ms >= _IDLE_EVERY_MS
     if is_tick and is_due and state.ready_idle:
         state.idle_placed_ms = state.now_ms
-        _place_queue(state.ready_idle, context)
+        _Pass(context, state.ready_idle).run()
 
 
-def _place_queue(
-    queue: dict[StepKey, dict[TaskKey, Task]], context: Context
-) -> None:
-    state = context.state
-    settled = is_settled(state)
-    budget = _STARTS_PER_PASS
-    refused: dict[str, int] = {}
-    for kind in _ranking.sort_kinds(queue, state):
-        job = state.jobs[kind[0]]
+@attrs.define
+class _Pass:
+    """One look through a queue of ready steps."""
+
+    context: Context
+    queue: dict[_ready.StepKey, dict[TaskKey, Task]]
+    budget: int = _STARTS_PER_PASS
+    # The least processors, by image, that were refused in this pass.
+    refused: dict[str, int] = attrs.field(factory=dict)
+
+    def run(self) -> None:
+        """Place step by step, as far as the budget goes."""
+        state = self.context.state
+        settled = is_settled(state)
+        for kind in _ranking.sort_kinds(self.queue, state):
+            job = state.jobs[kind[0]]
+            if settled or not job.awaits_workers:
+                self._place(job, kind)
+            if self.budget <= 0:
+                state.is_placing_due = True
+                return
+
+    def _place(self, job: Job, kind: _ready.StepKey) -> None:
         step = job.request.steps[kind[2]]
-        if job.awaits_workers and not settled:
-            continue
-        least = refused.get(step.image, 0) if step.opportunistic else 0
-        if least and step.size.cpu_millicores >= least:
-            continue
-        started = _place_step(job, step, queue[kind], budget, context)
-        budget -= started
-        if step.opportunistic and kind in queue:
-            refused[step.image] = max(1, step.size.cpu_millicores)
-        if budget <= 0:
-            state.is_placing_due = True
+        if self._is_hopeless(step):
+            return
+        if job.queue.advised:
+            _advice.ask_if_due(job, kind, self.context)
+        tasks = list(self.queue[kind].values())
+        if step.gang:
+            self.budget -= place_gang(job, step, tasks, self.context)
             return
+        for task in tasks[: self.budget]:
+            if not self._place_task(job, step, task):
+                break
+        if step.opportunistic and kind in self.queue:
+            self.refused[step.image] = max(1, step.size.cpu_millicores)
 
+    def _is_hopeless(self, step: Step) -> bool:
+        """Whether a smaller task of the same image found no place."""
+        least = self.refused.get(step.image, 0) if step.opportunistic else 0
+        return bool(least) and step.size.cpu_millicores >= least
 
-def _place_step(
-    job: Job,
-    step: Step,
-    tasks: dict[TaskKey, Task],
-    budget: int,
-    context: Context,
-) -> int:
-    """Start tasks of one step until one fits nowhere."""
-    state = context.state
-    started = 0
-    for task in list(tasks.values()):
-        if started >= budget:
-            return started
+    def _place_task(self, job: Job, step: Step, task: Task) -> bool:
+        """Start a task; false if the step's others fit nowhere either."""
+        state = self.context.state
         if task.not_before_ms > state.now_ms:
-            continue
+            return True
         worker = _choose(job, task, step, state)
-        if worker is not None:
-            _start(job, task, worker, context)
-            started += 1
-            continue
-        _preempt(job, task, context)
-        if not task.avoided:
-            # The step's other tasks are no smaller.
-            return started
-    return started
+        if worker is None:
+            _preempt(job, task, self.context)
+            return bool(task.avoided)
+        task.run_count += 1
+        attempt = _add(job, step, task, worker, self.context)
+        _send(attempt, job, self.context)
+        self.budget -= 1
+        return True
+
+
+def place_gang(
+    job: Job, step: Step, tasks: list[Task], context: Context
+) -> int:
+    """Start all tasks of a gang under one run, or none of them.
+
+    Returns
+    -------
+    int
+        How many runs were started.
+    """
+    if len(tasks) < step.task_count:
+        # Members of the last run are still to end.
+        return 0
+    for labels in _iter_racks(step, context.state):
+        attempts = _add_all(job, step, tasks, labels, context)
+        for attempt in attempts:
+            _send(attempt, job, context)
+        if attempts:
+            return len(attempts)
+    return 0
+
+
+def _iter_racks(step: Step, state: SchedulerState) -> t.Iterator[str]:
+    """Iterate over racks to try, then any place at all."""
+    if step.same_rack:
+        racks = {worker.entry.rack for worker in state.workers.values()}
+        yield from sorted(racks - {''})
+    yield ''
+
+
+def _add_all(
+    job: Job, step: Step, tasks: list[Task], rack: str, context: Context
+) -> list[Attempt]:
+    """Reserve a place for each member; reserve nothing if one has none."""
+    state = context.state
+    run_count = max(task.run_count for task in tasks) + 1
+    checkpoint = max(task.checkpoint for task in tasks)
+    added: list[Attempt] = []
+    for task in tasks:
+        worker = _choose(job, task, step, state, rack)
+        if worker is None:
+            for attempt in added:
+                _attempts.drop_attempt(attempt, context)
+                _ready.add(job.tasks[attempt.key], step, state)
+            return []
+        task.run_count = run_count
+        task.checkpoint = checkpoint
+        added.append(_add(job, step, task, worker, context))
+    return added
 
 
 def _preempt(job: Job, task: Task, context: Context) -> None:
@@ -129,7 +185,9 @@
     _preempting.make_room(
         job,
         task,
-        lambda worker: _is_open(worker, job, task, step, context.state),
+        lambda worker: _feasibility.is_open(
+            worker, job, task, step, context.state
+        ),
         context,
     )
 
@@ -144,12 +202,18 @@
 
 
 def _choose(
-    job: Job, task: Task, step: Step, state: SchedulerState
+    job: Job,
+    task: Task,
+    step: Step,
+    state: SchedulerState,
+    rack: str = '',
 ) -> Worker | None:
     best = None
     best_score = 0.0
     for worker in state.workers.values():
-        if not _is_feasible(worker, job, task, step, state):
+        if rack and worker.entry.rack != rack:
+            continue
+        if not _feasibility.is_feasible(worker, job, task, step, state):
             continue
         score = _score(worker, task, step, state)
         if score is None:
@@ -160,59 +224,6 @@
     return best
 
 
-def _is_feasible(
-    worker: Worker, job: Job, task: Task, step: Step, state: SchedulerState
-) -> bool:
-    """Hard conditions, which no policy can switch off."""
-    if not worker.free.fits(step.reserved):
-        return False
-    if step.opportunistic and not _fits_idle(worker, step):
-        return False
-    return _is_open(worker, job, task, step, state)
-
-
-def _is_open(
-    worker: Worker, job: Job, task: Task, step: Step, state: SchedulerState
-) -> bool:
-    """Whether a worker may take a task, if it had the room."""
-    entry = worker.entry
-    is_open = (
-        worker.is_listed
-        and worker.is_rostered
-        and worker.is_reconciled
-        and not worker.failed_count
-        and not entry.draining
-        and entry.service == job.queue.service
-        and worker.quarantined_until_ms <= state.now_ms
-        and worker.paused_until_ms <= state.now_ms
-    )
-    if not is_open:
-        return False
-    if step.required_label and step.required_label not in entry.labels:
-        return False
-    if not step.max_per_worker:
-        return True
-    beside = sum(
-        1
-        for attempt in worker.attempts.values()
-        if attempt.key[:3] == task.key[:3]
-    )
-    return beside < step.max_per_worker
-
-
-def _fits_idle(worker: Worker, step: Step) -> bool:
-    """Idle processors are there, and memory is left for urgent tasks."""
-    capacity = worker.entry.capacity
-    used = worker.used_millicores + step.size.cpu_millicores
-    if used > capacity.cpu_millicores:
-        return False
-    free = worker.free
-    memory_mb = free.memory_mb - step.reserved.memory_mb
-    free_share = free.cpu_millicores / max(1, capacity.cpu_millicores)
-    kept_share = _MEMORY_KEPT_SHARE + _MEMORY_PER_CPU * free_share
-    return memory_mb >= capacity.memory_mb * kept_share
-
-
 def _score(
     worker: Worker, task: Task, step: Step, state: SchedulerState
 ) -> float | None:
@@ -257,13 +268,13 @@
     return score
 
 
-def _start(job: Job, task: Task, worker: Worker, context: Context) -> None:
+def _add(
+    job: Job, step: Step, task: Task, worker: Worker, context: Context
+) -> Attempt:
+    """Reserve the place of a new run."""
     state = context.state
-    step = job.request.steps[task.key.step]
-    task.run_count += 1
     run = context.fencing_token * RUNS_PER_EPOCH + task.run_count
     valid_ms = state.config.start_valid_ms
-    deadline_ms = _workers.get_clock_ms(worker, state) + valid_ms
     attempt = Attempt(
         task.key,
         run,
@@ -272,18 +283,26 @@
         job.queue.priority,
         AttemptState.STARTING,
         state.now_ms,
-        start_deadline_ms=deadline_ms,
+        start_deadline_ms=_workers.get_clock_ms(worker, state) + valid_ms,
         checkpoint=task.checkpoint,
     )
     _attempts.add_attempt(attempt, task, worker)
     _ready.remove(task.key, step, state)
-    _workers.extend_lapse(worker, valid_ms, state)
+    return attempt
+
+
+def _send(attempt: Attempt, job: Job, context: Context) -> None:
+    """Order a run whose place is reserved to start."""
+    state = context.state
+    worker = state.workers[attempt.worker_id]
+    task = job.tasks[attempt.key]
+    _workers.extend_lapse(worker, state.config.start_valid_ms, state)
     _lifecycle.mark_begun(job, state)
     state.count('starts')
     context.log(
         'start run',
-        task=task.key.format(),
-        run=run,
+        task=attempt.key.format(),
+        run=attempt.run,
         worker=worker.worker_id,
         waited_ms=state.now_ms - job.arrived_ms,
         reserved_millicores=worker.reserved.cpu_millicores,
@@ -294,12 +313,13 @@
             StartOrder(
                 worker.worker_id,
                 worker.entry.address,
-                task.key,
-                run,
+                attempt.key,
+                attempt.run,
                 job.request.spec,
-                deadline_ms,
+                attempt.start_deadline_ms,
                 context.fencing_token,
-                task.checkpoint if step.checkpointing else '',
+                task.checkpoint if attempt.step.checkpointing else '',
+                _advice.get_ticket(worker, job, task, state),
             )
         )
     )
--- a/src/tulippin/jobs/_ranking.py
+++ b/src/tulippin/jobs/_ranking.py
@@ -9,6 +9,8 @@
 
 import typing as t
 
+import attrs
+
 from tulippin.jobs._ready import StepKey
 from tulippin.jobs.state import Job, SchedulerState, Task
 from tulippin.jobs.types import JobRequest
@@ -30,7 +32,7 @@
 
 def compute_depths(request: JobRequest) -> tuple[int, ...]:
     """Return for each step how many steps its longest chain still has."""
-    depths = [1] * len(request.steps)
+    depths = [1 for _ in request.steps]
     for number in reversed(range(len(request.steps))):
         for before in request.steps[number].after:
             depths[before] = max(depths[before], depths[number] + 1)
@@ -45,9 +47,19 @@
     return sorted(queue, key=lambda kind: _get_rank(jobs[kind[0]], kind, state))
 
 
-def _get_rank(
-    job: Job, kind: StepKey, state: SchedulerState
-) -> tuple[t.Any, ...]:
+@attrs.frozen(order=True)
+class _Rank:
+    """Compared field by field, in this order; the least goes first."""
+
+    priority: int
+    is_lasting: bool
+    hope: int
+    due_ms: float
+    largest_first: int
+    kind: StepKey
+
+
+def _get_rank(job: Job, kind: StepKey, state: SchedulerState) -> _Rank:
     """Order steps: the urgent, the short, the hopeful, the earliest due.
 
     Long-running tasks that came together are placed the largest first,
@@ -57,9 +69,9 @@
     if step.long_running:
         batch = job.arrived_ms // _BATCH_MS
         size = -step.size.cpu_millicores
-        return job.queue.priority, 1, 0, batch, size, kind
+        return _Rank(job.queue.priority, True, 0, batch, size, kind)
     hope, due_ms = _judge(job, kind, state)
-    return job.queue.priority, 0, hope, due_ms, 0, kind
+    return _Rank(job.queue.priority, False, hope, due_ms, 0, kind)
 
 
 def _judge(job: Job, kind: StepKey, state: SchedulerState) -> tuple[int, float]:
--- a/src/tulippin/jobs/effects.py
+++ b/src/tulippin/jobs/effects.py
@@ -138,6 +138,14 @@
     fencing_token: int
 
 
+@attrs.frozen
+class AskAdvice(JobEffect):
+    """Ask which of some workers may run a step."""
+
+    step: tuple[str, int, int]
+    worker_ids: tuple[str, ...]
+
+
 @attrs.frozen
 class ForgetWorker(JobEffect):
     """Close the connections to a worker."""
--- a/src/tulippin/jobs/events.py
+++ b/src/tulippin/jobs/events.py
@@ -157,6 +157,15 @@
     answer: OrderAnswer
 
 
+@attrs.frozen
+class AdviceAnswered(JobEvent):
+    """Which workers may run a step; ``valid_ms`` 0 is no answer."""
+
+    step: tuple[str, int, int]
+    tickets: dict[str, str]
+    valid_ms: int
+
+
 @attrs.frozen
 class ProgressCommitted(JobEvent):
     """A commit is durable, or the unit has another owner."""
--- a/src/tulippin/jobs/ports.py
+++ b/src/tulippin/jobs/ports.py
@@ -149,6 +149,23 @@
     ticket: str = ''
 
 
+@attrs.frozen
+class Advice:
+    """Tickets by worker, for those that may run a step, and for how long."""
+
+    tickets: dict[str, str]
+    valid_ms: int
+
+
+class Advisor(t.Protocol):
+    """The service that knows which workers may run a step."""
+
+    async def ask(
+        self, step: tuple[str, int, int], worker_ids: t.Sequence[str]
+    ) -> Advice:
+        """Ask about workers; may raise ``UnavailableError``."""
+
+
 class WorkerAgents(t.Protocol):
     """The agents on the workers, each at its address."""
 
--- a/src/tulippin/jobs/shell.py
+++ b/src/tulippin/jobs/shell.py
@@ -20,6 +20,8 @@
 from tulippin.jobs import events as ev
 from tulippin.jobs._resolving import transact_surely
 from tulippin.jobs.ports import (
+    Advice,
+    Advisor,
     Feeds,
     FencedOrderError,
     HistoryLostError,
@@ -75,6 +77,7 @@
     feeds: Feeds
     workers: WorkerAgents
     forget_worker: t.Callable[[str], t.Awaitable[None]]
+    advisor: Advisor
 
 
 class SchedulerShell:
@@ -649,6 +652,24 @@
     )
 
 
+@perform.register
+def _ask_advice(effect: fx.AskAdvice, shell: SchedulerShell) -> None:
+    shell.start(_run_advice, effect, shell)
+
+
+async def _run_advice(effect: fx.AskAdvice, shell: SchedulerShell) -> None:
+    advice = Advice({}, 0)
+    try:
+        advice = await shell.ports.advisor.ask(effect.step, effect.worker_ids)
+    except UnavailableError as error:
+        logger.warning('no advice', job=effect.step[0], reason=error.message)
+    shell.post(
+        ev.AdviceAnswered(
+            shell.clock(), effect.step, advice.tickets, advice.valid_ms
+        )
+    )
+
+
 @perform.register
 def _stop_run(effect: fx.StopRun, shell: SchedulerShell) -> None:
     shell.start(_run_stop, effect, shell)
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -181,6 +181,13 @@
     durable: ProgressRecord | None = None
     awaits_workers: bool = False
     depths: tuple[int, ...] = (1,)
+    tickets: dict[tuple[str, int, int], dict[str, tuple[str, int]]] = (
+        attrs.field(factory=dict)
+    )
+    advised_workers: dict[tuple[str, int, int], set[str]] = attrs.field(
+        factory=dict
+    )
+    advice_after_ms: dict[tuple[str, int, int], int] = attrs.field(factory=dict)
 
 
 @attrs.define
@@ -268,6 +275,7 @@
     idle_placed_ms: int = 0
     swept_ms: int = 0
     scheduled: set[str] = attrs.field(factory=set)
+    advice_asked: set[tuple[str, int, int]] = attrs.field(factory=set)
     dirty_jobs: dict[str, None] = attrs.field(factory=dict)
     dirty_since_ms: int = 0
     is_committing: bool = False
--- a/src/tulippin/jobs/types.py
+++ b/src/tulippin/jobs/types.py
@@ -238,6 +238,7 @@
     leaves_in_ms: int = 0
     clock_ms: int = 0
     machine: str = ''
+    rack: str = ''
 
 
 @attrs.frozen
--- a/src/tulippin/line_buffer.py
+++ b/src/tulippin/line_buffer.py
@@ -17,6 +17,10 @@
 _WRITE_BYTES: t.Final = select.PIPE_BUF
 
 
+def _make_line(fields: t.Mapping[str, t.Any]) -> bytes:
+    return b'%s\n' % encode(fields)
+
+
 class LineBuffer(logbook.Handler):
     """A log handler that writes JSON lines without ever waiting.
 
@@ -61,7 +65,7 @@
         if self.dropped_count:
             told = {'message': 'lines dropped', 'count': self.dropped_count}
             self.dropped_count = 0
-            self._lines.append(encode({**self._fields, **told}) + b'\n')
+            self._lines.append(_make_line({**self._fields, **told}))
         self._lines.append(self._format(record))
 
     def _format(self, record: logbook.LogRecord) -> bytes:
@@ -72,7 +76,7 @@
             'message': record.message,
             **record.kwargs,
         }
-        return encode(line) + b'\n'
+        return _make_line(line)
 
     def flush(self) -> None:
         """Write as much as the file takes now."""
--- a/src/tulippin/platform/feeds.py
+++ b/src/tulippin/platform/feeds.py
@@ -23,6 +23,8 @@
 _CONFIG_KEY_FULL: t.Final = 'op/config'
 _WORKERS_TABLE: t.Final = 'servers'
 _READY: t.Final = 'ready'
+# A worker's labels are its kind, then its rack.
+_RACK_LABEL: t.Final = 1
 
 _config_decoder = msgspec.json.Decoder(ConfigBody)
 _worker_decoder = msgspec.json.Decoder(WorkerBody)
@@ -75,6 +77,7 @@
         leaves_in_ms=int(body.remaining_ms),
         clock_ms=body.clock_ms,
         machine=body.machine,
+        rack=body.labels[_RACK_LABEL] if len(body.labels) > 1 else '',
     )
 
 
--- a/src/tulippin/platform/standin.py
+++ b/src/tulippin/platform/standin.py
@@ -17,6 +17,7 @@
 
 from tulippin.exceptions import AnswerLostError, UnavailableError
 from tulippin.jobs.ports import (
+    Advice,
     FencedOrderError,
     HistoryLostError,
     RowPage,
@@ -42,6 +43,7 @@
 _WORKER_S: t.Final = 0.001
 _SILENCE_S: t.Final = 0.9
 _HEARTBEAT_S: t.Final = 1.1
+_ADVICE_S: t.Final = 0.03
 
 
 def get_now_ms() -> int:
@@ -549,6 +551,25 @@
         return report
 
 
+@attrs.define
+class StandinAdvisor:
+    """Lets a step run only on some workers; counts its questions."""
+
+    allowed: set[str] = attrs.field(factory=set)
+    valid_ms: int = 3000
+    question_count: int = 0
+
+    async def ask(
+        self, step: tuple[str, int, int], worker_ids: t.Sequence[str]
+    ) -> Advice:
+        """Answer with a ticket for each worker that may."""
+        self.question_count += 1
+        await trio.sleep(_ADVICE_S)
+        good = self.allowed.intersection(worker_ids)
+        tickets = {one: f'{step[0]}-{one}' for one in good}
+        return Advice(tickets, self.valid_ms)
+
+
 async def _start_late(worker: StandinWorker, order: StartOrder) -> None:
     await trio.sleep(worker.late_orders_s)
     if worker.is_up:
--- a/src/tulippin/platform/wire.py
+++ b/src/tulippin/platform/wire.py
@@ -204,6 +204,21 @@
     wait_ms: int = msgspec.field(name='WaitMs', default=0)
 
 
+class QuestionBody(msgspec.Struct, frozen=True):
+    """Asks which of some workers may run a step."""
+
+    step: str = msgspec.field(name='Step')
+    # Ids of workers.
+    workers: t.Sequence[str] = msgspec.field(name='Workers')
+
+
+class AdviceBody(msgspec.Struct, frozen=True):
+    """Rows of worker and ticket, for those that may."""
+
+    good: tuple[tuple[str, str], ...] = ()
+    valid_ms: int = 0
+
+
 class WorkerAnswerBody(msgspec.Struct, frozen=True):
     """A worker's answer to any order."""
 
--- a/src/tulippin/row_table.py
+++ b/src/tulippin/row_table.py
@@ -36,9 +36,7 @@
     async def get(self, key: str) -> Row | None:
         """Return a row."""
         page = await self.store.get_rows(_TABLE, _PART, key, f'{key}\0')
-        for row in page.rows:
-            return _convert(row)
-        return None
+        return _convert(page.rows[0]) if page.rows else None
 
     async def scan(self, prefix: str) -> list[tuple[str, Row]]:
         """Return the rows whose key begins with a prefix."""
--- a/src/tulippin/scheduler_daemon.py
+++ b/src/tulippin/scheduler_daemon.py
@@ -25,6 +25,7 @@
 )
 from tulippin.line_buffer import LineBuffer
 from tulippin.logs import logger
+from tulippin.platform.advisor import PlatformAdvisor
 from tulippin.platform.callers import CallersApp
 from tulippin.platform.feeds import PlatformFeeds
 from tulippin.platform.store import PlatformStore
@@ -236,7 +237,11 @@
         shell = SchedulerShell(
             config,
             SchedulerPorts(
-                store, PlatformFeeds(store), workers, workers.forget
+                store,
+                PlatformFeeds(store),
+                workers,
+                workers.forget,
+                PlatformAdvisor(settings.advice_address, client),
             ),
             clock=read_clock_ms,
             wall=read_wall_ms,
--- a/src/tulippin/scheduler_settings.py
+++ b/src/tulippin/scheduler_settings.py
@@ -16,6 +16,7 @@
         'instance',
         'listen',
         'store',
+        'advice',
         'workers',
         'stop',
         'operators',
@@ -40,6 +41,8 @@
         Ports free for that.
     store_address : str
         IP and port of the platform's store.
+    advice_address : str
+        IP and port of the service that knows which workers may run what.
     worker_lease_limit_ms : int
         The longest lease that a worker grants.
     worker_stop_ms : int
@@ -61,6 +64,7 @@
     internal_first_port: int
     internal_last_port: int
     store_address: str
+    advice_address: str
     worker_lease_limit_ms: int
     worker_stop_ms: int
     grace_ms: int
@@ -137,6 +141,7 @@
         internal_first_port=first,
         internal_last_port=last,
         store_address=readers['store'].get_text('address'),
+        advice_address=readers['advice'].get_text('address', ''),
         worker_lease_limit_ms=workers.get_int('lease_limit_ms', 6000, 1000),
         worker_stop_ms=workers.get_int('stop_limit_ms', 900, 1),
         grace_ms=int(readers['stop'].get_float('grace_s', 6.0, 1.0) * 1000),
--- a/tests/fleet_of_schedulers.py
+++ b/tests/fleet_of_schedulers.py
@@ -16,6 +16,7 @@
 from tulippin.jobs.types import JobRequest, JobState, Queue, Step
 from tulippin.platform.feeds import PlatformFeeds
 from tulippin.platform.standin import (
+    StandinAdvisor,
     StandinPlatform,
     TaskPlan,
     check_history,
@@ -67,6 +68,7 @@
     nursery: trio.Nursery
     platform: StandinPlatform = attrs.field(factory=StandinPlatform)
     instances: dict = attrs.field(factory=dict)
+    advisor: StandinAdvisor = attrs.field(factory=StandinAdvisor)
     life_count: int = 0
 
     async def start(self, name):
@@ -77,7 +79,13 @@
         view = self.platform.store.get_view(name)
         shell = SchedulerShell(
             config,
-            SchedulerPorts(view, PlatformFeeds(view), agents, agents.forget),
+            SchedulerPorts(
+                view,
+                PlatformFeeds(view),
+                agents,
+                agents.forget,
+                self.advisor,
+            ),
             clock=get_now_ms,
             wall=lambda: get_now_ms() + WALL_OFFSET_MS,
         )
--- a/tests/tulippin/jobs/test_scheduler_fleet.py
+++ b/tests/tulippin/jobs/test_scheduler_fleet.py
@@ -1,5 +1,6 @@
 """Whole instances over the stand-in: promises under failures."""
 
+import attrs
 import pytest
 import trio
 
@@ -12,7 +13,7 @@
 )
 from tulippin.jobs import _attempts, _ownership, _workers
 from tulippin.jobs.state import AttemptState
-from tulippin.jobs.types import JobState
+from tulippin.jobs.types import JobState, RunOutcome, Schedule
 from tulippin.platform.standin import check_history
 
 LIMIT_MS = 3000
@@ -455,3 +456,117 @@
     fleet.platform.store.trouble.lost_answer_share = 0
     for worker in fleet.platform.workers.values():
         worker.late_orders_s = 0
+
+
+def iter_started(fleet, job_id=JOB):
+    for event in fleet.platform.history:
+        if event.kind == 'started' and event.key.job_id == job_id:
+            yield event
+
+
+def test_gang_starts_whole_under_one_run_or_waits(run_virtual):
+    async def run():
+        async with open_fleet(workers=2) as fleet:
+            blocker = make_request(make_step(2, 12_000), run_ms=2000)
+            await submit(fleet, OTHER, request=blocker)
+            await fleet.wait_running(2)
+            gang = make_step(4, 4000, gang=True)
+            await submit(fleet, request=make_request(gang))
+            await trio.sleep(1)
+            assert not list(iter_started(fleet))
+            await fleet.wait_done(JOB)
+            members = list(iter_started(fleet))
+            assert len(members) == 4
+            assert len({event.run for event in members}) == 1
+            fleet.check()
+
+    run_virtual(run)
+
+
+def test_gang_of_one_rack_stays_in_it(run_virtual):
+    async def run():
+        async with open_fleet(workers=0) as fleet:
+            for number in range(4):
+                labels = ('a', f'r{number % 2}')
+                fleet.platform.add_worker(f'w{number}', labels=labels)
+            await trio.sleep(1)
+            gang = make_step(4, 7000, gang=True, same_rack=True)
+            await submit(fleet, request=make_request(gang))
+            await fleet.wait_done(JOB)
+            workers = {event.worker_id for event in iter_started(fleet)}
+            assert workers in ({'w0', 'w2'}, {'w1', 'w3'})
+
+    run_virtual(run)
+
+
+def test_gang_fails_as_one(run_virtual):
+    async def run():
+        async with open_fleet(workers=3) as fleet:
+            gang = make_step(3, gang=True)
+            request = make_request(gang, fails_always=True)
+            await submit(fleet, request=request)
+            await fleet.wait_state(JOB, JobState.FAILED)
+            runs = {event.run for event in iter_started(fleet)}
+            assert len(runs) == QUEUE.max_attempts
+
+    run_virtual(run)
+
+
+def test_advised_queue_starts_only_where_a_ticket_allows(run_virtual):
+    async def run():
+        async with open_fleet(workers=4) as fleet:
+            fleet.advisor.allowed = {'w2'}
+            queue = attrs.evolve(QUEUE, advised=True)
+            await submit(fleet, queue=queue, request=make_request(make_step(3)))
+            await fleet.wait_done(JOB)
+            workers = {event.worker_id for event in iter_started(fleet)}
+            assert workers == {'w2'}
+            assert fleet.advisor.question_count == 1
+
+    run_virtual(run)
+
+
+def test_scheduled_job_is_never_early(run_virtual):
+    async def run():
+        async with open_fleet() as fleet:
+            shell = fleet.instances['i0'].shell
+            first_ms = shell.wall() + 2000
+            request = attrs.evolve(
+                make_request(run_ms=100), schedule=Schedule(first_ms, 1500, 3)
+            )
+            await submit(fleet, request=request)
+            await fleet.wait_done(JOB)
+            offset_ms = shell.wall() - shell.clock()
+            late_ms = [
+                event.at_ms + offset_ms - first_ms - 1500 * event.key.occurrence
+                for event in iter_started(fleet)
+            ]
+            assert len(late_ms) == 3
+            assert min(late_ms) >= 0
+            assert max(late_ms) < 200
+
+    run_virtual(run)
+
+
+def test_urgent_task_stops_the_least_work_for_its_room(run_virtual):
+    async def run():
+        async with open_fleet(workers=1) as fleet:
+            patient = make_request(
+                make_step(15, 1000, checkpointing=True), run_ms=20_000
+            )
+            await submit(fleet, OTHER, PATIENT, patient)
+            await fleet.wait_running(15)
+            await submit(
+                fleet, request=make_request(make_step(1, 4000), run_ms=300)
+            )
+            await fleet.wait_done(JOB, limit_s=3)
+            stopped = [
+                event
+                for event in fleet.platform.history
+                if event.outcome is RunOutcome.STOPPED
+            ]
+            assert {event.key.job_id for event in stopped} == {OTHER}
+            assert len({event.key for event in stopped}) == 3
+            fleet.check()
+
+    run_virtual(run)
