--- a/src/tulippin/platform/standin.py
+++ b/src/tulippin/platform/standin.py
@@ -433,14 +433,15 @@
         address = options.pop('address', f'10.9.0.{len(self.workers)}:80')
         worker = StandinWorker(worker_id, address, self.history, **options)
         self.workers[worker_id] = worker
-        self._beat(worker)
+        self.beat(worker)
         return worker
 
     def configure(self, body: ConfigBody) -> None:
         """Write the operators' configuration."""
         self.store.write('op', '', 'config', msgspec.json.encode(body))
 
-    def _beat(self, worker: StandinWorker) -> None:
+    def beat(self, worker: StandinWorker) -> None:
+        """Write a worker's entry on the list anew."""
         self.sequence += 1
         body = worker.make_body(self.sequence)
         self.store.write('servers', '', worker.worker_id, body)
@@ -458,7 +459,7 @@
                 if worker.is_up:
                     worker.tick()
                     if is_beat:
-                        self._beat(worker)
+                        self.beat(worker)
             if is_beat:
                 beat_at = trio.current_time() + _HEARTBEAT_S
             await trio.sleep(0.01)
--- /dev/null
+++ b/src/tulippin/platform/standin_http.py
@@ -0,0 +1,281 @@
+"""The platform's stand-in over HTTP, in the platform's own words."""
+
+from __future__ import annotations
+
+import base64
+import contextlib
+import typing as t
+
+import attrs
+import msgspec
+import trio
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from tulippin._http_server import HttpServer
+from tulippin.jobs.ports import (
+    FencedOrderError,
+    HistoryLostError,
+    RowCondition,
+    RowWrite,
+    StartOrder,
+    StoredRow,
+    Transaction,
+    WorkerChangedError,
+)
+from tulippin.jobs.types import (
+    EndedRun,
+    OrderAnswer,
+    RunningTask,
+    StartOutcome,
+    parse_task,
+)
+from tulippin.platform.standin import StandinPlatform, StandinWorker
+from tulippin.platform.wire import (
+    HoldBody,
+    PaceBody,
+    RowBody,
+    RowsBody,
+    StartBody,
+    StopBody,
+    TransactionBody,
+    WorkerAnswerBody,
+)
+
+_REASONS: t.Final = {
+    StartOutcome.FENCED: 'fence',
+    StartOutcome.SUPERSEDED: 'old',
+    StartOutcome.TOO_LATE: 'late',
+    StartOutcome.NO_ROOM: 'room',
+}
+
+
+def _answer(body: msgspec.Struct, status: int = 200) -> Response:
+    return Response(msgspec.json.encode(body), status)
+
+
+def _encode_row(row: StoredRow) -> RowBody:
+    value = base64.b64encode(row.value or b'').decode()
+    return RowBody(
+        row.table, row.part, row.key, value, row.version, row.value is None
+    )
+
+
+def _encode_rows(rows: t.Iterable[StoredRow], version: int) -> RowsBody:
+    return RowsBody(tuple(_encode_row(row) for row in rows), False, version)
+
+
+@attrs.frozen
+class StoreApi:
+    """The store's calls, for one client named by a query's absence."""
+
+    platform: StandinPlatform
+
+    def make_app(self) -> Starlette:
+        """Return the application."""
+        return Starlette(
+            routes=[
+                Route('/v1/rows-tx', self._transact, methods=['POST']),
+                Route('/v1/rows-get', self._get_rows),
+                Route('/v1/rows-feed', self._follow),
+            ]
+        )
+
+    async def _transact(self, request: Request) -> Response:
+        body = msgspec.json.decode(await request.body(), type=TransactionBody)
+        entries = (*body.expected, *body.put, *body.remove)
+        transaction = Transaction(
+            entries[0]['part'],
+            tuple(
+                RowCondition(one['table'], one['Key'], one['ver'])
+                for one in body.expected
+            ),
+            (
+                *(
+                    RowWrite(
+                        one['table'],
+                        one['Key'],
+                        base64.b64decode(one['Value']),
+                    )
+                    for one in body.put
+                ),
+                *(
+                    RowWrite(one['table'], one['Key'], None)
+                    for one in body.remove
+                ),
+            ),
+        )
+        result = self.platform.store.apply(transaction)
+        status = 200 if result.is_done else 412
+        return _answer(_encode_rows(result.rows, result.version), status)
+
+    async def _get_rows(self, request: Request) -> Response:
+        query = request.query_params
+        view = self.platform.store.get_view('http')
+        page = await view.get_rows(
+            query['table'],
+            query['part'],
+            query.get('From', ''),
+            query.get('TargetVersion', ''),
+        )
+        return _answer(_encode_rows(page.rows, page.version))
+
+    async def _follow(self, request: Request) -> Response:
+        query = request.query_params
+        view = self.platform.store.get_view('http')
+        try:
+            page = await view.follow(
+                query['table'],
+                int(query['AfterRevision']),
+                int(query['WaitMs']),
+            )
+        except HistoryLostError:
+            return Response(status_code=410)
+        return _answer(_encode_rows(page.rows, page.version))
+
+
+@attrs.frozen
+class WorkerApi:
+    """One worker's calls."""
+
+    worker: StandinWorker
+
+    def make_app(self) -> Starlette:
+        """Return the application."""
+        return Starlette(
+            routes=[
+                Route('/v1/run-start', self._start, methods=['POST']),
+                Route('/v1/run-stop', self._stop, methods=['POST']),
+                Route('/v1/pace', self._pace, methods=['POST']),
+                Route('/v1/hold', self._hold, methods=['POST']),
+            ]
+        )
+
+    async def _start(self, request: Request) -> Response:
+        body = msgspec.json.decode(await request.body(), type=StartBody)
+        order = StartOrder(
+            request.headers['Expected-Instance'],
+            self.worker.address,
+            parse_task(body.task),
+            body.run,
+            body.spec,
+            body.deadline_ms,
+            body.fencing_token,
+            body.checkpoint,
+            body.ticket,
+        )
+        return _answer_order(self.worker.take_start(order))
+
+    async def _stop(self, request: Request) -> Response:
+        body = msgspec.json.decode(await request.body(), type=StopBody)
+        answer = self.worker.take_stop(
+            request.headers['Expected-Instance'],
+            parse_task(body.task),
+            body.run,
+            body.fencing_token,
+        )
+        return _answer_order(answer)
+
+    async def _pace(self, request: Request) -> Response:
+        body = msgspec.json.decode(await request.body(), type=PaceBody)
+        run = self.worker.runs.get((parse_task(body.task), body.run))
+        if run is not None:
+            run.pace_percent = body.percent
+        return _answer(WorkerAnswerBody(self.worker.clock_ms))
+
+    async def _hold(self, request: Request) -> Response:
+        body = msgspec.json.decode(await request.body(), type=HoldBody)
+        try:
+            report = await self.worker.take_hold(
+                request.headers['Expected-Instance'],
+                body.fencing_token,
+                body.last_seen,
+                body.deadline_ms,
+                body.wait_ms,
+            )
+        except WorkerChangedError:
+            return Response(status_code=421)
+        except FencedOrderError:
+            fenced = WorkerAnswerBody(self.worker.clock_ms, 'fence')
+            return _answer(fenced, 409)
+        return _answer(
+            WorkerAnswerBody(
+                report.clock_ms,
+                '',
+                tuple(_encode_running(one) for one in report.running),
+                tuple(_encode_ended(one) for one in report.ended),
+            )
+        )
+
+
+def _encode_running(one: RunningTask) -> tuple[t.Any, ...]:
+    return (
+        one.key.format(),
+        one.run,
+        one.checkpoint,
+        one.progress_percent,
+        one.load,
+    )
+
+
+def _encode_ended(one: EndedRun) -> tuple[int, str, int, str, str]:
+    return (
+        one.number,
+        one.key.format(),
+        one.run,
+        one.outcome.value,
+        one.checkpoint,
+    )
+
+
+def _answer_order(answer: OrderAnswer) -> Response:
+    if answer.outcome is StartOutcome.OTHER_LIFE:
+        return Response(status_code=421)
+    if answer.outcome is StartOutcome.STARTED:
+        return _answer(WorkerAnswerBody(answer.clock_ms))
+    reason = _REASONS.get(answer.outcome, '')
+    return _answer(WorkerAnswerBody(answer.clock_ms, reason), 409)
+
+
+class StandinServers:
+    """Store and workers on loopback; an asynchronous context manager.
+
+    Parameters
+    ----------
+    worker_count : int
+        Workers to serve, each on a port of its own.
+    """
+
+    def __init__(self, worker_count: int = 2) -> None:
+        self.platform = StandinPlatform()
+        self.store_address = ''
+        self._worker_count = worker_count
+        self._stack = contextlib.AsyncExitStack()
+        self._nursery: trio.Nursery | None = None
+
+    async def __aenter__(self) -> t.Self:
+        """Serve everything."""
+        self._nursery = await self._stack.enter_async_context(
+            trio.open_nursery()
+        )
+        self.store_address = await self._serve(
+            StoreApi(self.platform).make_app()
+        )
+        for number in range(self._worker_count):
+            worker = self.platform.add_worker(f'w{number}')
+            worker.address = await self._serve(WorkerApi(worker).make_app())
+            self.platform.beat(worker)
+        self._nursery.start_soon(self.platform.serve)
+        return self
+
+    async def __aexit__(self, *details: t.Any) -> None:
+        """Stop serving."""
+        self._nursery.cancel_scope.cancel()
+        await self._stack.__aexit__(*details)
+
+    async def _serve(self, app: Starlette) -> str:
+        server = self._stack.enter_context(HttpServer(app, '127.0.0.1:0'))
+        await self._nursery.start(server.serve)
+        return f'127.0.0.1:{server.port}'
--- a/src/tulippin/scheduler_daemon.py
+++ b/src/tulippin/scheduler_daemon.py
@@ -118,6 +118,7 @@
         self._path = path
         self._lines = lines
         self._store: PlatformStore | None = None
+        self.ports: dict[str, int] = {}
         self._shell: SchedulerShell | None = None
         self._stopping = trio.Event()
 
@@ -181,7 +182,7 @@
             return f'the store has been silent for {silent_ms} ms'
         return ''
 
-    async def run(self) -> None:
+    async def run(self, task_status: t.Any = trio.TASK_STATUS_IGNORED) -> None:
         """Run until a planned stop is complete."""
         async with contextlib.AsyncExitStack() as stack:
             shell = await self._open(stack)
@@ -191,22 +192,36 @@
             app = CallersApp(JobIntake(shell), self.get_unready)
             internal = LazyApp(self._make_operators)
             servers = [
-                stack.enter_context(HttpServer(served, address))
-                for served, address in (
-                    (app, self.settings.callers),
-                    (app, self.settings.readiness),
-                    (internal, self.settings.operators_address),
-                )
+                self._listen(stack, 'callers', app, self.settings.callers),
+                self._listen(stack, 'readiness', app, self.settings.readiness),
+                self._listen(
+                    stack,
+                    'internal',
+                    internal,
+                    self.settings.operators_address,
+                ),
             ]
             nursery.start_soon(follow_bundles, shell, self.settings.operators)
             for server in servers:
                 await nursery.start(server.serve)
+            task_status.started()
             logger.info('started', session=shell.config.session_id)
             await self._stopping.wait()
             await self._leave(app, servers)
             nursery.cancel_scope.cancel()
         self._lines.flush()
 
+    def _listen(
+        self,
+        stack: contextlib.AsyncExitStack,
+        name: str,
+        app: t.Any,
+        address: str,
+    ) -> HttpServer:
+        server = stack.enter_context(HttpServer(app, address))
+        self.ports[name] = server.port
+        return server
+
     def _make_operators(self) -> t.Any:
         module = importlib.import_module('tulippin.scheduler_operators')
         api = module.SchedulerOperatorsApi(
--- a/tests/tulippin/jobs/test_scheduler_fleet.py
+++ b/tests/tulippin/jobs/test_scheduler_fleet.py
@@ -386,7 +386,7 @@
         async with open_fleet(workers=2) as fleet:
             worker = fleet.platform.workers['w0']
             worker.is_draining = True
-            fleet.platform._beat(worker)
+            fleet.platform.beat(worker)
             await trio.sleep(2)
             before = worker.started_count
             await submit(fleet, request=make_request(make_step(8)))
--- /dev/null
+++ b/tests/tulippin/platform/test_platform_daemon.py
@@ -0,0 +1,221 @@
+"""The daemon over the stand-in on loopback, in the platform's words."""
+
+import contextlib
+import json
+import os
+
+import attrs
+import pytest
+import trio
+
+from fleet_of_schedulers import make_config_body
+from tulippin._http_client import HttpClient
+from tulippin.line_buffer import LineBuffer
+from tulippin.platform.standin_http import StandinServers
+from tulippin.scheduler_daemon import SchedulerDaemon
+from tulippin.scheduler_settings import parse_scheduler_settings
+
+SETTINGS = """
+[instance]
+id = edge-1
+failure_domain = hall
+[listen]
+callers = 127.0.0.1:0
+readiness = 127.0.0.1:0
+internal_ip = 127.0.0.1
+internal_ports = 0,0
+[store]
+address = {store}
+[workers]
+lease_limit_ms = 6000
+[stop]
+grace_s = 3
+"""
+JOB = '00112233445566aa'
+BODY = {
+    'Spec': '{"run_ms":100}',
+    'Steps': [
+        {'Count': 2, 'Cpu': 1000, 'MemMb': 100},
+        {'Count': 1, 'Cpu': 500, 'MemMb': 100, 'AfterRevision': [0]},
+    ],
+}
+
+
+@attrs.define
+class Served:
+    daemon: SchedulerDaemon
+    client: HttpClient
+    servers: StandinServers
+    lines: LineBuffer
+    path: object
+
+    async def call(self, method, path, body=None, host='host', port=None):
+        port = port or self.daemon.ports['callers']
+        return await self.client.send(
+            method,
+            f'http://127.0.0.1:{port}{path}',
+            b'' if body is None else json.dumps(body).encode(),
+            {'Host': host, 'Deadline-Ms': '3000'},
+        )
+
+    async def wait_ready(self, configure):
+        with trio.fail_after(10):
+            while configure and self.daemon.get_unready():
+                await trio.sleep(0.02)
+
+    async def wait_state(self, wanted):
+        with trio.fail_after(10):
+            while True:
+                answer = await self.call('GET', f'/q/{JOB}')
+                if json.loads(answer.body).get('State') == wanted:
+                    return
+                await trio.sleep(0.02)
+
+
+@contextlib.asynccontextmanager
+async def serve(tmp_path, configure=True):
+    async with StandinServers() as servers:
+        if configure:
+            servers.platform.configure(make_config_body())
+        path = tmp_path / 'instance.ini'
+        path.write_text(SETTINGS.format(store=servers.store_address))
+        reader, writer = os.pipe()
+        lines = LineBuffer(writer, {'instance': 'edge-1'})
+        settings = parse_scheduler_settings(path.read_text())
+        daemon = SchedulerDaemon(settings, lines, str(path))
+        with lines.applicationbound():
+            async with trio.open_nursery() as nursery, HttpClient() as client:
+                await nursery.start(daemon.run)
+                site = Served(daemon, client, servers, lines, path)
+                await site.wait_ready(configure)
+                yield site
+                nursery.cancel_scope.cancel()
+        os.close(reader)
+        os.close(writer)
+
+
+async def test_job_goes_from_submission_to_completed(tmp_path):
+    async with serve(tmp_path) as site:
+        answer = await site.call('POST', f'/q/{JOB}', BODY)
+        assert answer.status == 200
+        await site.wait_state('completed')
+        again = await site.call('POST', f'/q/{JOB}', BODY)
+        assert again.status == 200
+        waiting = await site.call('GET', '/q/')
+        assert json.loads(waiting.body) == {'WaitingCount': 0}
+
+
+async def test_unknown_host_path_and_job(tmp_path):
+    async with serve(tmp_path) as site:
+        for host, path, status in (
+            ('elsewhere', f'/q/{JOB}', 404),
+            ('host', f'/none/{JOB}', 404),
+            ('host', f'/q/{JOB}', 410),
+            ('host', '/q/short', 400),
+        ):
+            answer = await site.call('GET', path, host=host)
+            assert answer.status == status
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        {},
+        {'Spec': 'x', 'Steps': []},
+        {'Spec': 'x', 'Steps': [{'Count': 0}]},
+        {'Spec': 'x', 'Steps': [{'Count': 1, 'AfterRevision': [0]}]},
+        {'Spec': 'x', 'Steps': [{'Count': 1, 'Cpu': -5}]},
+        {'Spec': 'x', 'Steps': [{'Count': 'many'}]},
+        {'Spec': 'x' * 5000, 'Steps': [{'Count': 1}]},
+    ],
+)
+async def test_faulty_job_is_refused_and_not_kept(tmp_path, body):
+    async with serve(tmp_path) as site:
+        answer = await site.call('POST', f'/q/{JOB}', body)
+        assert answer.status == 400
+        assert b'bad_job' in answer.body
+        state = await site.call('GET', f'/q/{JOB}')
+        assert state.status == 410
+
+
+async def test_oversize_body_is_refused(tmp_path):
+    async with serve(tmp_path) as site:
+        body = {'Spec': 'x' * 300_000, 'Steps': [{'Count': 1}]}
+        answer = await site.call('POST', f'/q/{JOB}', body)
+        assert answer.status == 413
+
+
+async def test_no_configuration_yet_is_503_and_unready(tmp_path):
+    async with serve(tmp_path, configure=False) as site:
+        answer = await site.call('POST', f'/q/{JOB}', BODY)
+        assert answer.status == 503
+        assert answer.headers['retry-after'] == '1'
+        port = site.daemon.ports['readiness']
+        ready = await site.call('GET', '/v1/ready', port=port)
+        assert ready.status == 503
+
+
+async def test_refusing_store_means_not_taken(tmp_path):
+    async with serve(tmp_path) as site:
+        site.servers.platform.store.trouble.refused.add('http')
+        # A transaction goes past the stand-in's view, so reads refuse only.
+        answer = await site.call('GET', f'/q/{JOB}')
+        assert answer.status in {503, 504}
+        assert answer.headers['retry-after'] == '1'
+
+
+async def test_cancel_is_acknowledged_once_kept(tmp_path):
+    async with serve(tmp_path) as site:
+        body = {**BODY, 'Spec': '{"run_ms":60000}'}
+        await site.call('POST', f'/q/{JOB}', body)
+        answer = await site.call('DELETE', f'/q/{JOB}')
+        assert answer.status == 200
+        await site.wait_state('cancelled')
+        unknown = await site.call('DELETE', '/q/ffffffffffffffff')
+        assert unknown.status == 410
+
+
+async def test_operators_see_jobs_workers_and_metrics(tmp_path):
+    async with serve(tmp_path) as site:
+        await site.call('POST', f'/q/{JOB}', BODY)
+        await site.wait_state('completed')
+        port = site.daemon.ports['internal']
+        dump = await site.call('GET', '/v1/dump', port=port)
+        found = json.loads(dump.body)
+        assert found['unit']['phase'] == 'active'
+        assert len(found['workers']) == 2
+        assert found['jobs'][0]['state'] == 'completed'
+        metrics = await site.call('GET', '/metrics', port=port)
+        assert b'tulippin_call_seconds' in metrics.body
+        jobs = await site.call('GET', f'/v1/jobs/{JOB}', port=port)
+        assert json.loads(jobs.body)['queue'] == 'q'
+        bundles = await site.call('GET', '/v1/bundles', port=port)
+        assert json.loads(bundles.body) == {'bundles': []}
+
+
+async def test_faulty_settings_change_nothing(tmp_path):
+    async with serve(tmp_path) as site:
+        before = site.daemon.settings
+        site.path.write_text('[instance]\nid = x\n[nonsense]\n')
+        site.daemon.reload()
+        assert site.daemon.settings is before
+
+
+async def test_changed_settings_are_put_in_force(tmp_path):
+    async with serve(tmp_path) as site:
+        text = site.path.read_text().replace('grace_s = 3', 'grace_s = 2')
+        site.path.write_text(text)
+        site.daemon.reload()
+        assert site.daemon.settings.grace_ms == 2000
+
+
+async def test_planned_stop_answers_what_comes_meanwhile(tmp_path):
+    async with serve(tmp_path) as site:
+        site.daemon.stop()
+        await trio.sleep(0.1)
+        answer = await site.call('POST', f'/q/{JOB}', BODY)
+        assert answer.status == 200
+        assert answer.headers['connection'] == 'close'
+        port = site.daemon.ports['readiness']
+        ready = await site.call('GET', '/v1/ready', port=port)
+        assert ready.status == 503
