--- a/src/tulippin/cli.py
+++ b/src/tulippin/cli.py
@@ -20,6 +20,7 @@
     KeyMake,
 )
 from tulippin.cli_jobs import JobCancel, JobList, JobShow, JobSubmit
+from tulippin.cli_scheduler import SchedulerJob, SchedulerShow
 from tulippin.cli_views import (
     Compare,
     Demo,
@@ -29,7 +30,7 @@
     Workers,
 )
 
-_VERSION: t.Final = '0.1.0'
+_VERSION: t.Final = '0.2.0'
 
 COMMANDS: t.Final = (
     SettingsCheck,
@@ -49,6 +50,8 @@
     Dump,
     Instances,
     Workers,
+    SchedulerShow,
+    SchedulerJob,
     Demo,
     CompletionsCommand,
 )
--- a/src/tulippin/cli_views.py
+++ b/src/tulippin/cli_views.py
@@ -17,6 +17,10 @@
 )
 from tulippin.codec_json import decode, encode
 from tulippin.exceptions import TulippinError
+from tulippin.scheduler_settings import (
+    is_scheduler_settings,
+    parse_scheduler_settings,
+)
 from tulippin.settings import load_settings
 
 
@@ -29,9 +33,14 @@
 
     def run_checked(self) -> None:
         """Check the file."""
-        settings = load_settings(self.argument('file'))
-        self.line(f'{self.argument("file")}: no findings')
-        self.line(f'instance {settings.config.instance_id}')
+        path = self.argument('file')
+        text = self.read_file(path)
+        if is_scheduler_settings(text):
+            instance_id = parse_scheduler_settings(text, path).instance_id
+        else:
+            instance_id = load_settings(path).config.instance_id
+        self.line(f'{path}: no findings')
+        self.line(f'instance {instance_id}')
 
 
 class Compare(ApiCommand):
--- a/src/tulippin/jobs/_lifecycle.py
+++ b/src/tulippin/jobs/_lifecycle.py
@@ -131,17 +131,21 @@
         return
     for occurrence in range(job.request.occurrence_count):
         if not _is_due(job, occurrence, state):
-            break
-        for number, step in enumerate(job.request.steps):
-            place = (occurrence, number)
-            if place in job.opened:
-                continue
-            if any(job.remaining[occurrence, one] for one in step.after):
-                continue
-            job.opened.add(place)
+            return
+        for number in _iter_openable(job, occurrence):
+            job.opened.add((occurrence, number))
             _open_step(job, occurrence, number, state)
 
 
+def _iter_openable(job: Job, occurrence: int) -> t.Iterator[int]:
+    """Iterate over the steps whose earlier ones are all done."""
+    for number, step in enumerate(job.request.steps):
+        if (occurrence, number) in job.opened:
+            continue
+        if not any(job.remaining[occurrence, one] for one in step.after):
+            yield number
+
+
 def _is_due(job: Job, occurrence: int, state: SchedulerState) -> bool:
     schedule = job.request.schedule
     if not schedule.count:
--- a/src/tulippin/jobs/_workers.py
+++ b/src/tulippin/jobs/_workers.py
@@ -108,14 +108,7 @@
     state = context.state
     if worker.is_holding or state.now_ms < worker.hold_after_ms:
         return
-    is_needed = (
-        worker.attempts
-        or not worker.is_reconciled
-        or worker.failed_count
-        or worker.ends_read > worker.last_seen
-        or worker.needs_ack
-    )
-    if not is_needed or not worker.is_rostered:
+    if not worker.is_rostered or not _is_hold_needed(worker):
         return
     deadline_ms = None
     # A probe of a silent worker must not prolong what it runs.
@@ -137,6 +130,13 @@
     )
 
 
+def _is_hold_needed(worker: Worker) -> bool:
+    """Whether anything runs there, or is to be learned or told."""
+    is_unknown = not worker.is_reconciled or worker.failed_count > 0
+    has_ends = worker.ends_read > worker.last_seen or worker.needs_ack
+    return bool(worker.attempts) or is_unknown or has_ends
+
+
 def _choose_wait_ms(worker: Worker) -> int:
     if not worker.is_reconciled or worker.failed_count:
         return 0
--- a/src/tulippin/jobs/intake.py
+++ b/src/tulippin/jobs/intake.py
@@ -84,13 +84,13 @@
                 return job.durable.state
         unit = self.shell.config.unit
         end = f'{job_id}/'
-        page = await self._store.get_rows(
+        page = await self._store.read_rows(
             unit.progress_table, unit.part, job_id, end
         )
         for row in page.rows:
             if row.value is not None:
                 return decode(row.value, ProgressRecord).state
-        page = await self._store.get_rows(
+        page = await self._store.read_rows(
             unit.jobs_table, unit.part, job_id, end
         )
         return JobState.PENDING if page.rows else None
@@ -98,7 +98,7 @@
     async def cancel(self, job_id: str, queue: Queue, limit_ms: int) -> bool:
         """Cancel a job for good; false if there is no such job."""
         unit = self.shell.config.unit
-        page = await self._store.get_rows(
+        page = await self._store.read_rows(
             unit.jobs_table,
             unit.part,
             job_id,
--- a/src/tulippin/jobs/ports.py
+++ b/src/tulippin/jobs/ports.py
@@ -96,7 +96,7 @@
     and ``AnswerLostError`` if it may have taken effect, or still may.
     """
 
-    async def get_rows(
+    async def read_rows(
         self, table: str, part: str, first: str = '', end: str = ''
     ) -> RowPage:
         """Return all rows from ``first`` on, up to but without ``end``."""
--- a/src/tulippin/jobs/shell.py
+++ b/src/tulippin/jobs/shell.py
@@ -236,7 +236,7 @@
             try:
                 if after < 0:
                     part = self.config.unit.part
-                    page = await self.ports.store.get_rows(UNITS_TABLE, part)
+                    page = await self.ports.store.read_rows(UNITS_TABLE, part)
                     rows = {row.key: row for row in page.rows}
                 else:
                     page = await self.ports.store.follow(
@@ -318,9 +318,9 @@
         store = self.ports.store
         while True:
             try:
-                jobs = await store.get_rows(unit.jobs_table, unit.part)
-                progress = await store.get_rows(unit.progress_table, unit.part)
-                owned = await store.get_rows(UNITS_TABLE, unit.part)
+                jobs = await store.read_rows(unit.jobs_table, unit.part)
+                progress = await store.read_rows(unit.progress_table, unit.part)
+                owned = await store.read_rows(UNITS_TABLE, unit.part)
                 workers, version = await self.ports.feeds.read_workers()
             except UnavailableError as error:
                 self.note_store(error)
@@ -343,7 +343,7 @@
         while True:
             try:
                 if after < 0:
-                    page = await store.get_rows(unit.jobs_table, unit.part)
+                    page = await store.read_rows(unit.jobs_table, unit.part)
                 else:
                     page = await store.follow(
                         unit.jobs_table, after, _FEED_WAIT_MS
--- a/src/tulippin/line_buffer.py
+++ b/src/tulippin/line_buffer.py
@@ -53,7 +53,7 @@
         self.written_bytes = 0
         os.set_blocking(descriptor, False)
 
-    def set_level(self, level: str) -> None:
+    def change_level(self, level: str) -> None:
         """Change the least level to write."""
         self.level = logbook.lookup_level(level)
 
--- a/src/tulippin/platform/callers.py
+++ b/src/tulippin/platform/callers.py
@@ -194,10 +194,10 @@
                 )
         except InputError as error:
             return _refuse_input(job_id, error)
-        except AnswerLostError as error:
-            return _give_up(job_id, 504, error.message)
         except UnavailableError as error:
-            return _give_up(job_id, 503, error.message)
+            # Only what surely was not done may be refused.
+            is_open = isinstance(error, AnswerLostError)
+            return _give_up(job_id, 504 if is_open else 503, error.message)
         except trio.TooSlowError:
             return _give_up(job_id, 504, 'out of time')
 
--- a/src/tulippin/platform/feeds.py
+++ b/src/tulippin/platform/feeds.py
@@ -89,7 +89,7 @@
 
     async def read_configuration(self) -> tuple[Configuration | None, int]:
         """Return the configuration, if any, and the store's version."""
-        page = await self.store.get_rows(_OPERATOR_TABLE, '')
+        page = await self.store.read_rows(_OPERATOR_TABLE, '')
         return _find_configuration(page.rows), page.version
 
     async def follow_configuration(
@@ -101,7 +101,7 @@
 
     async def read_workers(self) -> tuple[tuple[WorkerEntry, ...], int]:
         """Return every worker on the list and the store's version."""
-        page = await self.store.get_rows(_WORKERS_TABLE, '')
+        page = await self.store.read_rows(_WORKERS_TABLE, '')
         changed, _ = _split_workers(page.rows)
         return changed, page.version
 
--- a/src/tulippin/platform/standin.py
+++ b/src/tulippin/platform/standin.py
@@ -124,7 +124,8 @@
             row = self.rows.get((condition.table, part, condition.key))
             if row is not None:
                 met.append(row)
-            is_open &= condition.version == (row.version if row else 0)
+            version = row.version if row else 0
+            is_open &= condition.version == version
         if not is_open:
             return TransactionResult(False, self.version, tuple(met))
         self.version += 1
@@ -156,7 +157,7 @@
         if trouble.refused & {self.client, '*'}:
             raise UnavailableError('the store refuses')
 
-    async def get_rows(
+    async def read_rows(
         self, table: str, part: str, first: str = '', end: str = ''
     ) -> RowPage:
         """Return rows in key order."""
@@ -454,16 +455,19 @@
         """Let time pass for workers and their list."""
         beat_at = 0.0
         while True:
-            is_beat = trio.current_time() >= beat_at
             for worker in list(self.workers.values()):
                 if worker.is_up:
                     worker.tick()
-                    if is_beat:
-                        self.beat(worker)
-            if is_beat:
+            if trio.current_time() >= beat_at:
+                self._beat_all()
                 beat_at = trio.current_time() + _HEARTBEAT_S
             await trio.sleep(0.01)
 
+    def _beat_all(self) -> None:
+        for worker in self.workers.values():
+            if worker.is_up:
+                self.beat(worker)
+
     def get_agents(self, client: str) -> StandinAgents:
         """Return the workers as one client reaches them."""
         return StandinAgents(self, client)
--- a/src/tulippin/platform/standin_http.py
+++ b/src/tulippin/platform/standin_http.py
@@ -78,7 +78,7 @@
         return Starlette(
             routes=[
                 Route('/v1/rows-tx', self._transact, methods=['POST']),
-                Route('/v1/rows-get', self._get_rows),
+                Route('/v1/rows-get', self._read_rows),
                 Route('/v1/rows-feed', self._follow),
             ]
         )
@@ -111,10 +111,10 @@
         status = 200 if result.is_done else 412
         return _answer(_encode_rows(result.rows, result.version), status)
 
-    async def _get_rows(self, request: Request) -> Response:
+    async def _read_rows(self, request: Request) -> Response:
         query = request.query_params
         view = self.platform.store.get_view('http')
-        page = await view.get_rows(
+        page = await view.read_rows(
             query['table'],
             query['part'],
             query.get('From', ''),
--- a/src/tulippin/platform/store.py
+++ b/src/tulippin/platform/store.py
@@ -76,7 +76,7 @@
     address: str
     client: HttpClient
 
-    async def get_rows(
+    async def read_rows(
         self, table: str, part: str, first: str = '', end: str = ''
     ) -> RowPage:
         """Return the rows from ``first`` on, page by page."""
--- a/src/tulippin/platform/workers.py
+++ b/src/tulippin/platform/workers.py
@@ -45,9 +45,9 @@
     'room': StartOutcome.NO_ROOM,
     'ticket': StartOutcome.NO_TICKET,
 }
-_LIFE_HEADER: t.Final = 'Expected-Instance'
 # A running row has a fifth entry only where tasks share processors.
 _LOAD_COLUMN: t.Final = 4
+_LIFE_HEADER: t.Final = 'Expected-Instance'
 
 _answer_decoder = msgspec.json.Decoder(WorkerAnswerBody)
 
@@ -194,14 +194,16 @@
 
 
 def _decode_running(row: RunningRow) -> RunningTask:
-    load = float(row[_LOAD_COLUMN]) if len(row) > _LOAD_COLUMN else 0.0
-    return RunningTask(
-        parse_task(row[0]), int(row[1]), str(row[2]), int(row[3]), load
-    )
+    *rest, load = row if len(row) > _LOAD_COLUMN else (*row, 0)
+    task, run, checkpoint, percent = rest
+    return RunningTask(parse_task(task), run, checkpoint, percent, float(load))
 
 
 def _decode_ended(row: EndedRow) -> EndedRun:
-    number, task, run, outcome, checkpoint = row
     return EndedRun(
-        number, parse_task(task), run, RunOutcome(outcome), checkpoint
+        number=row[0],
+        key=parse_task(row[1]),
+        run=row[2],
+        outcome=RunOutcome(row[3]),
+        checkpoint=row[4],
     )
--- a/src/tulippin/row_table.py
+++ b/src/tulippin/row_table.py
@@ -35,13 +35,13 @@
 
     async def get(self, key: str) -> Row | None:
         """Return a row."""
-        page = await self.store.get_rows(_TABLE, _PART, key, f'{key}\0')
+        page = await self.store.read_rows(_TABLE, _PART, key, f'{key}\0')
         return _convert(page.rows[0]) if page.rows else None
 
     async def scan(self, prefix: str) -> list[tuple[str, Row]]:
         """Return the rows whose key begins with a prefix."""
         end = prefix[:-1] + chr(ord(prefix[-1]) + 1)
-        page = await self.store.get_rows(_TABLE, _PART, prefix, end)
+        page = await self.store.read_rows(_TABLE, _PART, prefix, end)
         return [(row.key, _convert(row)) for row in page.rows]
 
     async def commit(
--- a/src/tulippin/scheduler_daemon.py
+++ b/src/tulippin/scheduler_daemon.py
@@ -153,7 +153,7 @@
         self.settings = settings
         if self._store is not None:
             self._store.address = settings.store_address
-        self._lines.set_level(settings.log_level.upper())
+        self._lines.change_level(settings.log_level.upper())
         logger.info(
             'settings read again',
             changed=changed,
@@ -187,23 +187,13 @@
         async with contextlib.AsyncExitStack() as stack:
             shell = await self._open(stack)
             nursery = await stack.enter_async_context(trio.open_nursery())
-            nursery.start_soon(self._flush)
-            nursery.start_soon(self._watch_settings)
+            for task in (self._flush, self._watch_settings):
+                nursery.start_soon(task)
             app = CallersApp(JobIntake(shell), self.get_unready)
-            internal = LazyApp(self._make_operators)
-            servers = [
-                self._listen(stack, 'callers', app, self.settings.callers),
-                self._listen(stack, 'readiness', app, self.settings.readiness),
-                self._listen(
-                    stack,
-                    'internal',
-                    internal,
-                    self.settings.operators_address,
-                ),
-            ]
-            nursery.start_soon(follow_bundles, shell, self.settings.operators)
+            servers = self._make_servers(stack, app)
             for server in servers:
                 await nursery.start(server.serve)
+            nursery.start_soon(follow_bundles, shell, self.settings.operators)
             task_status.started()
             logger.info('started', session=shell.config.session_id)
             await self._stopping.wait()
@@ -211,16 +201,25 @@
             nursery.cancel_scope.cancel()
         self._lines.flush()
 
-    def _listen(
-        self,
-        stack: contextlib.AsyncExitStack,
-        name: str,
-        app: t.Any,
-        address: str,
-    ) -> HttpServer:
-        server = stack.enter_context(HttpServer(app, address))
-        self.ports[name] = server.port
-        return server
+    def _make_servers(
+        self, stack: contextlib.AsyncExitStack, app: CallersApp
+    ) -> list[HttpServer]:
+        """Bind the listeners of callers, readiness and operators."""
+        settings = self.settings
+        served = {
+            'callers': (app, settings.callers),
+            'readiness': (app, settings.readiness),
+            'internal': (
+                LazyApp(self._make_operators),
+                settings.operators_address,
+            ),
+        }
+        servers = []
+        for name, (one, address) in served.items():
+            server = stack.enter_context(HttpServer(one, address))
+            self.ports[name] = server.port
+            servers.append(server)
+        return servers
 
     def _make_operators(self) -> t.Any:
         module = importlib.import_module('tulippin.scheduler_operators')
--- a/src/tulippin/scheduler_settings.py
+++ b/src/tulippin/scheduler_settings.py
@@ -95,6 +95,11 @@
     return parse_scheduler_settings(text, source)
 
 
+def is_scheduler_settings(text: str) -> bool:
+    """Tell the settings of a scheduler instance by their [store]."""
+    return any(line.strip() == '[store]' for line in text.splitlines())
+
+
 def parse_scheduler_settings(
     text: str, source: str = 'settings'
 ) -> SchedulerSettings:
--- a/tests/tulippin/test_cli.py
+++ b/tests/tulippin/test_cli.py
@@ -50,6 +50,20 @@
     assert 'callers' in capsys.readouterr().err
 
 
+def test_settings_check_of_a_scheduler_finds_all(tmp_path, capsys):
+    path = tmp_path / 'settings.ini'
+    path.write_text('[store]\nadress = x\n[listen]\ninternal_ports = 1\n')
+    assert run(f'settings check {path}')[0] == 2
+    told = capsys.readouterr().err
+    for key in ('callers', 'readiness', 'adress', 'internal_ports', 'id'):
+        assert key in told
+
+
+def test_scheduler_show_refuses_an_unknown_view(capsys):
+    assert run('scheduler show nothing')[0] == 2
+    assert 'workers' in capsys.readouterr().err
+
+
 def test_unreachable_instance_has_its_exit_code(capsys):
     code, _ = run('instances --url http://127.0.0.1:9')
     assert code == 5
--- a/tests/tulippin/test_line_buffer.py
+++ b/tests/tulippin/test_line_buffer.py
@@ -77,7 +77,7 @@
     lines = LineBuffer(pipe[1], {}, 'WARNING')
     with lines.applicationbound():
         logger.info('quiet')
-        lines.set_level('INFO')
+        lines.change_level('INFO')
         logger.info('told')
     lines.flush()
     assert [line['message'] for line in read_lines(pipe[0])] == ['told']
