--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -37,7 +37,7 @@
 # worker that serves nothing yet does, and what it does to leave a piece
 # that is neither nothing nor enough for a large task, all beside the room
 # left in pieces for one large task.
-_MIX_WEIGHT: t.Final = 3.0
+_MIX_WEIGHT: t.Final = 6.0
 _EMPTY_WEIGHT: t.Final = 1.0
 _PIECE_WEIGHT: t.Final = 1.0
 _SMALL_PIECE_MILLICORES: t.Final = 500
