Tell a worker that stands still from one that is busy

Ruled out: pacing (all neighbours had been stopped for 4 s). A tail beyond what neighbours can do teaches nothing; the worker is left alone and emptied where there is room; a task that used no processor for 1.5 s goes elsewhere.

--- a/src/tulippin/jobs/_interference.py
+++ b/src/tulippin/jobs/_interference.py
@@ -27,6 +27,12 @@
 _SIBLING_AGE_MS: t.Final = 1300
 # The undisturbed tail is that of the best of at least so many.
 _LEAST_SIBLINGS: t.Final = 2
+# The most that one tenth of a worker's processors in neighbours adds to
+# the logarithm of a tail, and what is left to chance. The heaviest pair
+# measured adds 0.78 on a whole day, but a worker that stands still shows
+# tails a thousand times too long: the bound need not be tight.
+_WORST_WEIGHT: t.Final = 2.5
+_CHANCE: t.Final = 1.5
 # Exposure below this teaches nothing.
 _LEAST_EXPOSURE: t.Final = 0.1
 _PERCENT: t.Final = 100
@@ -72,7 +78,8 @@
     return step.size.cpu_millicores * _TENTHS / capacity
 
 
-def _get_exposure(worker: Worker) -> dict[str, float]:
+def get_exposure(worker: Worker) -> dict[str, float]:
+    """Return the processors that neighbours use, in tenths, by image."""
     capacity = max(1, worker.entry.capacity.cpu_millicores)
     exposure: dict[str, float] = {}
     for attempt in worker.fillers.values():
@@ -92,6 +99,11 @@
     return min(fresh)
 
 
+def is_own_doing(excess: float, exposure: float) -> bool:
+    """Whether a tail's excess is the worker's own: neighbours do less."""
+    return excess > _WORST_WEIGHT * exposure + _CHANCE
+
+
 def learn(worker: Worker, state: SchedulerState) -> None:
     """Take a worker's newest report into the model."""
     worker.slack = None
@@ -99,14 +111,17 @@
     for attempt in serving:
         tails = state.tails.setdefault(attempt.key.job_id, {})
         tails[attempt.key] = (attempt.load, state.now_ms)
-    exposure = _get_exposure(worker)
-    if sum(exposure.values()) < _LEAST_EXPOSURE:
+    exposure = get_exposure(worker)
+    total = sum(exposure.values())
+    if total < _LEAST_EXPOSURE:
         return
     for attempt in serving:
         undisturbed_ms = get_undisturbed_ms(attempt, state)
         if undisturbed_ms <= 0:
             continue
         excess = max(0.0, math.log(attempt.load / undisturbed_ms))
+        if is_own_doing(excess, total):
+            continue
         state.model.learn(attempt.step.image, exposure, 1 + excess)
         worker.slack = None
 
--- a/src/tulippin/jobs/core.py
+++ b/src/tulippin/jobs/core.py
@@ -12,6 +12,7 @@
     _ownership,
     _pacing,
     _placing,
+    _soundness,
     _workers,
 )
 from tulippin.jobs._dispatch import Context, handle
@@ -58,6 +59,7 @@
         worker = state.workers.get(event.worker_id)
         if worker is not None:
             _interference.learn(worker, state)
+            _soundness.judge(worker, context)
             _pacing.adjust(worker, context)
     _placing.place(context, is_tick=isinstance(event, Ticked))
     _committing.commit_if_due(context)
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -220,6 +220,7 @@
     failed_jobs: set[str] = attrs.field(factory=set)
     quarantined_until_ms: int = 0
     paused_until_ms: int = 0
+    unwell_since_ms: int = 0
     needs_ack: bool = False
     pace_changed_ms: int = 0
     is_rostered: bool = False
--- a/tests/tulippin/jobs/test_scheduler_decisions.py
+++ b/tests/tulippin/jobs/test_scheduler_decisions.py
@@ -1,8 +1,15 @@
 """Single decisions of the scheduler, without clocks or sockets."""
 
+import attrs
 import pytest
 
-from tulippin.jobs import _interference, _pacing, _placing, _ranking
+from tulippin.jobs import (
+    _interference,
+    _pacing,
+    _placing,
+    _ranking,
+    _soundness,
+)
 from tulippin.jobs._attempts import add_attempt
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs._scoring import score_idle
@@ -231,3 +238,76 @@
     first = score_idle(RandomPolicy(), worker, task, make_filler(), state)
     again = score_idle(RandomPolicy(), worker, task, make_filler(), state)
     assert first == again
+
+
+def test_tail_that_no_neighbour_can_cause_teaches_nothing():
+    state = make_state()
+    worker = state.workers['w0']
+    make_attempt(worker, make_serving())
+    make_attempt(worker, make_filler(), 'b', load=1000.0)
+    teach(state, worker, 33_000.0)
+    assert state.model.weights == {}
+
+
+def judge(state, worker, at_ms=(NOW_MS, NOW_MS + 800)):
+    context = Context(state)
+    for now_ms in at_ms:
+        state.now_ms = now_ms
+        state.tails['a'] = {
+            TaskKey('a', 0, 0, 7): (10.0, now_ms),
+            TaskKey('a', 0, 0, 8): (11.0, now_ms),
+        }
+        _soundness.judge(worker, context)
+    return context.effects
+
+
+def add_job(state, step, task_count=9):
+    steps = (attrs.evolve(step, task_count=task_count),)
+    return make_job(state, 'a', NOW_MS, steps)
+
+
+def test_worker_whose_tails_are_absurd_is_left_and_emptied():
+    state = make_state(2)
+    worker = state.workers['w0']
+    job = add_job(state, make_serving())
+    attempt = make_attempt(worker, make_serving(), load=33_000.0)
+    job.tasks[attempt.key] = Task(attempt.key)
+    judge(state, worker)
+    assert worker.quarantined_until_ms > state.now_ms
+    assert attempt.state is AttemptState.STOPPING
+
+
+def test_serving_task_stays_where_no_other_worker_has_room():
+    state = make_state(1)
+    worker = state.workers['w0']
+    job = add_job(state, make_serving())
+    attempt = make_attempt(worker, make_serving(), load=33_000.0)
+    job.tasks[attempt.key] = Task(attempt.key)
+    judge(state, worker)
+    assert attempt.state is AttemptState.RUNNING
+
+
+def test_busy_worker_is_not_left():
+    state = make_state()
+    worker = state.workers['w0']
+    make_attempt(worker, make_serving(), load=18.0)
+    judge(state, worker)
+    assert worker.quarantined_until_ms == 0
+
+
+def test_task_that_uses_no_processor_is_moved():
+    state = make_state()
+    worker = state.workers['w0']
+    attempt = make_attempt(worker, Step(1, Resources(1000, 100)), 'b')
+    judge(state, worker)
+    assert attempt.state is AttemptState.STOPPING
+
+
+def test_slowed_task_does_not_count_as_still():
+    state = make_state()
+    worker = state.workers['w0']
+    attempt = make_attempt(worker, make_filler(), 'b')
+    attempt.wanted_percent = 0
+    attempt.pace_percent = 0
+    judge(state, worker)
+    assert attempt.state is AttemptState.RUNNING
