--- a/src/tulippin/jobs/_workers.py
+++ b/src/tulippin/jobs/_workers.py
@@ -194,8 +194,9 @@
         if found is not None:
             found[1].checkpoint = row.checkpoint
     attempt.progress_percent = row.progress_percent
-    attempt.load = row.load
-    if row.load > 0:
+    attempt.load = row.load or 0.0
+    # A worker that does not tell loads is taken to be at work.
+    if row.load is None or row.load > 0:
         attempt.worked_ms = state.now_ms
 
 
--- a/src/tulippin/jobs/types.py
+++ b/src/tulippin/jobs/types.py
@@ -248,14 +248,15 @@
     ``progress_percent`` is the share of its work that is done, and for a
     long-running task the share at which it is at work. ``load`` is the
     tail in ms for a task with a latency target, and otherwise the
-    millicores in use over the last half second.
+    millicores in use over the last half second; nothing where the worker
+    does not tell it.
     """
 
     key: TaskKey
     run: int
     checkpoint: str
     progress_percent: int
-    load: float
+    load: float | None
 
 
 @attrs.frozen
--- a/src/tulippin/platform/standin.py
+++ b/src/tulippin/platform/standin.py
@@ -44,6 +44,8 @@
 _SILENCE_S: t.Final = 0.9
 _HEARTBEAT_S: t.Final = 1.1
 _ADVICE_S: t.Final = 0.03
+_LOAD_MILLICORES: t.Final = 1000.0
+_PERCENT: t.Final = 100
 
 
 def get_now_ms() -> int:
@@ -243,6 +245,14 @@
     pace_percent: int = 100
 
 
+def _get_progress(run: _Run) -> int:
+    """Return the share of the work done; tasks that last are at work."""
+    if run.plan.lasts:
+        return _PERCENT
+    left_ms = max(0, run.ends_at_ms - get_now_ms())
+    return _PERCENT - left_ms * _PERCENT // max(1, run.plan.run_ms)
+
+
 @attrs.define
 class StandinWorker:
     """One life of a worker; leases run on its own clock.
@@ -268,6 +278,7 @@
     is_draining: bool = False
     cut_off: set[str] = attrs.field(factory=set)
     late_orders_s: float = 0.0
+    tells_load: bool = True
     runs: dict[tuple[TaskKey, int], _Run] = attrs.field(factory=dict)
     ended: list[EndedRun] = attrs.field(factory=list)
     highest_runs: dict[TaskKey, int] = attrs.field(factory=dict)
@@ -403,14 +414,19 @@
                 await self._changed.wait()
         return self._report()
 
+    def _get_load(self, plan: TaskPlan) -> float | None:
+        if not self.tells_load:
+            return None
+        return plan.tail_ms if plan.lasts else _LOAD_MILLICORES
+
     def _report(self) -> WorkerReport:
         running = tuple(
             RunningTask(
                 key,
                 run,
                 one.checkpoint,
-                100,
-                one.plan.tail_ms if one.plan.lasts else 1000.0,
+                _get_progress(one),
+                self._get_load(one.plan),
             )
             for (key, run), one in self.runs.items()
         )
--- a/src/tulippin/platform/workers.py
+++ b/src/tulippin/platform/workers.py
@@ -194,9 +194,9 @@
 
 
 def _decode_running(row: RunningRow) -> RunningTask:
-    *rest, load = row if len(row) > _LOAD_COLUMN else (*row, 0)
+    *rest, load = row if len(row) > _LOAD_COLUMN else (*row, None)
     task, run, checkpoint, percent = rest
-    return RunningTask(parse_task(task), run, checkpoint, percent, float(load))
+    return RunningTask(parse_task(task), run, checkpoint, percent, load)
 
 
 def _decode_ended(row: EndedRow) -> EndedRun:
--- a/tests/tulippin/jobs/test_scheduler_fleet.py
+++ b/tests/tulippin/jobs/test_scheduler_fleet.py
@@ -570,3 +570,14 @@
             fleet.check()
 
     run_virtual(run)
+
+
+def test_worker_that_tells_no_load_keeps_its_tasks(run_virtual):
+    async def run():
+        async with open_fleet(workers=1) as fleet:
+            fleet.platform.workers['w0'].tells_load = False
+            await submit(fleet, request=make_request(run_ms=6000))
+            await fleet.wait_done(JOB)
+            assert len(list(iter_started(fleet))) == 1
+
+    run_virtual(run)
--- a/tests/tulippin/platform/test_platform_names.py
+++ b/tests/tulippin/platform/test_platform_names.py
@@ -117,6 +117,8 @@
     assert running.key.index == 17
     assert running.progress_percent == 41
     assert running.load == 12
+    without = workers._decode_running(['aa.0.1.17', 2, '0bb8', 41])
+    assert without.load is None
     ended = workers._decode_ended((58, 'aa.0.1.9', 1, 'done', ''))
     assert ended.outcome is RunOutcome.DONE
 
