--- /dev/null
+++ b/src/tulippin/jobs/_row_effects.py
@@ -0,0 +1,203 @@
+"""Effects on the unit's rows: lease, epoch, progress and roster."""
+
+from __future__ import annotations
+
+import typing as t
+
+from tulippin.codec_json import encode
+from tulippin.exceptions import UnavailableError
+from tulippin.jobs import effects as fx
+from tulippin.jobs import events as ev
+from tulippin.jobs._perform import perform
+from tulippin.jobs._resolving import transact_surely
+from tulippin.jobs.ports import RowCondition, RowWrite, Transaction
+from tulippin.jobs.records import (
+    CANCEL_SUFFIX,
+    EPOCH_KEY,
+    LEASE_KEY,
+    ROSTER_KEY,
+    UNITS_TABLE,
+    LeaseRecord,
+)
+from tulippin.logs import logger
+
+if t.TYPE_CHECKING:
+    from tulippin.jobs.shell import SchedulerShell
+
+# How long each is tried: a commit until the unit is lost, the others until
+# a new try with newer rows does better.
+_COMMIT_LIMIT_S: t.Final = 3600.0
+_TAKE_LIMIT_S: t.Final = 2.0
+_RENEW_LIMIT_S: t.Final = 1.0
+_RELEASE_LIMIT_S: t.Final = 1.5
+
+
+@perform.register(fx.TakeUnit)
+def _take_unit(effect: fx.TakeUnit, shell: SchedulerShell) -> None:
+    shell.start(_run_take, effect, shell)
+
+
+async def _run_take(effect: fx.TakeUnit, shell: SchedulerShell) -> None:
+    transaction = Transaction(
+        shell.config.unit.part,
+        (
+            RowCondition(UNITS_TABLE, LEASE_KEY, effect.lease_version),
+            RowCondition(UNITS_TABLE, EPOCH_KEY, effect.epoch_version),
+        ),
+        (
+            RowWrite(UNITS_TABLE, LEASE_KEY, encode(effect.lease)),
+            RowWrite(UNITS_TABLE, EPOCH_KEY, encode(effect.epoch)),
+        ),
+    )
+    version = 0
+    try:
+        result = await transact_surely(
+            shell.ports.store, transaction, _TAKE_LIMIT_S
+        )
+    except UnavailableError as error:
+        shell.note_store(error)
+    else:
+        version = result.version if result.is_done else 0
+    shell.post(ev.UnitTaken(shell.clock(), effect.epoch.epoch, version))
+
+
+def _make_lease_transaction(
+    lease: LeaseRecord, epoch_version: int, shell: SchedulerShell
+) -> Transaction:
+    return Transaction(
+        shell.config.unit.part,
+        (RowCondition(UNITS_TABLE, EPOCH_KEY, epoch_version),),
+        (RowWrite(UNITS_TABLE, LEASE_KEY, encode(lease)),),
+    )
+
+
+@perform.register(fx.RenewLease)
+def _renew_lease(effect: fx.RenewLease, shell: SchedulerShell) -> None:
+    shell.start(_run_renew, effect, shell)
+
+
+async def _run_renew(effect: fx.RenewLease, shell: SchedulerShell) -> None:
+    transaction = _make_lease_transaction(
+        effect.lease, effect.epoch_version, shell
+    )
+    sent_ms = shell.clock()
+    is_done = False
+    is_fenced = False
+    try:
+        result = await transact_surely(
+            shell.ports.store, transaction, _RENEW_LIMIT_S
+        )
+    except UnavailableError as error:
+        shell.note_store(error)
+    else:
+        shell.note_store()
+        is_done = result.is_done
+        is_fenced = not result.is_done
+        shell.lease = effect.lease
+    shell.post(ev.LeaseRenewed(shell.clock(), sent_ms, is_done, is_fenced))
+
+
+@perform.register(fx.ReleaseLease)
+def _release_lease(effect: fx.ReleaseLease, shell: SchedulerShell) -> None:
+    shell.start(_run_release, effect, shell)
+
+
+async def _run_release(effect: fx.ReleaseLease, shell: SchedulerShell) -> None:
+    transaction = _make_lease_transaction(
+        effect.lease, effect.epoch_version, shell
+    )
+    try:
+        await transact_surely(shell.ports.store, transaction, _RELEASE_LIMIT_S)
+    except UnavailableError as error:
+        logger.warning('unit not released', reason=error.message)
+    shell.post(ev.LeaseReleased(shell.clock()))
+
+
+@perform.register(fx.CommitProgress)
+def _commit_progress(effect: fx.CommitProgress, shell: SchedulerShell) -> None:
+    shell.start(_run_commit, effect, shell)
+
+
+async def _run_commit(effect: fx.CommitProgress, shell: SchedulerShell) -> None:
+    unit = shell.config.unit
+    table = unit.progress_table
+    transaction = Transaction(
+        unit.part,
+        (
+            RowCondition(UNITS_TABLE, EPOCH_KEY, effect.epoch_version),
+            *(
+                RowCondition(table, write.job_id, write.version)
+                for write in effect.writes
+            ),
+        ),
+        tuple(
+            RowWrite(table, write.job_id, encode(write.record))
+            for write in effect.writes
+        ),
+    )
+    try:
+        result = await transact_surely(
+            shell.ports.store, transaction, _COMMIT_LIMIT_S
+        )
+    except UnavailableError as error:
+        logger.error('commit given up', reason=error.message)
+        return
+    shell.post(
+        ev.ProgressCommitted(
+            shell.clock(), effect, result.version, not result.is_done
+        )
+    )
+
+
+@perform.register(fx.CommitRoster)
+def _commit_roster(effect: fx.CommitRoster, shell: SchedulerShell) -> None:
+    shell.start(_run_roster, effect, shell)
+
+
+async def _run_roster(effect: fx.CommitRoster, shell: SchedulerShell) -> None:
+    transaction = Transaction(
+        shell.config.unit.part,
+        (
+            RowCondition(UNITS_TABLE, EPOCH_KEY, effect.epoch_version),
+            RowCondition(UNITS_TABLE, ROSTER_KEY, effect.roster_version),
+        ),
+        (RowWrite(UNITS_TABLE, ROSTER_KEY, encode(effect.roster)),),
+    )
+    try:
+        result = await transact_surely(
+            shell.ports.store, transaction, _COMMIT_LIMIT_S
+        )
+    except UnavailableError as error:
+        logger.error('roster given up', reason=error.message)
+        return
+    shell.post(
+        ev.RosterCommitted(
+            shell.clock(), effect.roster, result.version, not result.is_done
+        )
+    )
+
+
+@perform.register(fx.RemoveJobs)
+def _remove_jobs(effect: fx.RemoveJobs, shell: SchedulerShell) -> None:
+    shell.start(_run_remove, effect, shell)
+
+
+async def _run_remove(effect: fx.RemoveJobs, shell: SchedulerShell) -> None:
+    unit = shell.config.unit
+    writes = []
+    for job_id in effect.job_ids:
+        writes.append(RowWrite(unit.progress_table, job_id, None))
+        writes.append(RowWrite(unit.jobs_table, job_id, None))
+        writes.append(
+            RowWrite(unit.jobs_table, f'{job_id}{CANCEL_SUFFIX}', None)
+        )
+    transaction = Transaction(
+        unit.part,
+        (RowCondition(UNITS_TABLE, EPOCH_KEY, effect.epoch_version),),
+        tuple(writes),
+    )
+    try:
+        await shell.ports.store.transact(transaction)
+    except UnavailableError as error:
+        # They stay in the store until another owner removes them.
+        logger.warning('jobs not removed', reason=error.message)
--- /dev/null
+++ b/src/tulippin/jobs/_unit_feeds.py
@@ -0,0 +1,116 @@
+"""An owned unit's rows: loaded once, then followed."""
+
+from __future__ import annotations
+
+import typing as t
+
+import attrs
+import trio
+
+from tulippin.exceptions import UnavailableError
+from tulippin.jobs import events as ev
+from tulippin.jobs._rows import get_version, read_record
+from tulippin.jobs.ports import HistoryLostError
+from tulippin.jobs.records import ROSTER_KEY, UNITS_TABLE, RosterRecord
+from tulippin.logs import logger
+
+if t.TYPE_CHECKING:
+    from tulippin.jobs.shell import SchedulerShell
+
+# How long a feed's call waits at the store for a change. A call whose
+# path was cut meanwhile is found out only when it should have returned, so
+# with the store's timeout this stays below the 3 s that the users allow
+# an instance after a cut.
+FEED_WAIT_MS: t.Final = 1500
+FEED_PAUSE_S: t.Final = 0.1
+# The list of workers changes with every heartbeat, so it is read at a
+# pace: the bound on new work for a leaving worker is 2 s.
+_WORKERS_EVERY_S: t.Final = 0.35
+
+
+@attrs.define
+class UnitFeeds:
+    """Follows a unit for as long as it is owned; ``scope`` ends it."""
+
+    shell: SchedulerShell
+    scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+
+    async def run(self) -> None:
+        """Load the unit, then follow its jobs and workers."""
+        with self.scope:
+            loaded, jobs_after, workers_after = await self._load()
+            self.shell.post(loaded)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._follow_jobs, jobs_after)
+                nursery.start_soon(self._follow_workers, workers_after)
+
+    async def _load(self) -> tuple[ev.UnitLoaded, int, int]:
+        unit = self.shell.config.unit
+        store = self.shell.ports.store
+        while True:
+            try:
+                jobs = await store.read_rows(unit.jobs_table, unit.part)
+                progress = await store.read_rows(unit.progress_table, unit.part)
+                owned = await store.read_rows(UNITS_TABLE, unit.part)
+                workers, version = await self.shell.ports.feeds.read_workers()
+            except UnavailableError as error:
+                self.shell.note_store(error)
+                await trio.sleep(FEED_PAUSE_S)
+                continue
+            roster = {row.key: row for row in owned.rows}.get(ROSTER_KEY)
+            loaded = ev.UnitLoaded(
+                self.shell.clock(),
+                jobs.rows,
+                progress.rows,
+                read_record(roster, RosterRecord) or RosterRecord(),
+                get_version(roster),
+                workers,
+            )
+            return loaded, jobs.version, version
+
+    async def _follow_jobs(self, after: int) -> None:
+        unit = self.shell.config.unit
+        store = self.shell.ports.store
+        while True:
+            try:
+                if after < 0:
+                    page = await store.read_rows(unit.jobs_table, unit.part)
+                else:
+                    page = await store.follow(
+                        unit.jobs_table, after, FEED_WAIT_MS
+                    )
+            except HistoryLostError:
+                logger.info('feed restarts', feed='jobs')
+                after = -1
+                continue
+            except UnavailableError as error:
+                self.shell.note_store(error)
+                await trio.sleep(FEED_PAUSE_S)
+                continue
+            self.shell.note_store()
+            after = page.version
+            if page.rows:
+                self.shell.post(ev.JobsChanged(self.shell.clock(), page.rows))
+
+    async def _follow_workers(self, after: int) -> None:
+        feeds = self.shell.ports.feeds
+        while True:
+            await trio.sleep(_WORKERS_EVERY_S)
+            try:
+                if after < 0:
+                    changed, after = await feeds.read_workers()
+                    listed = {entry.worker_id for entry in changed}
+                    gone = tuple(set(self.shell.state.workers) - listed)
+                else:
+                    changed, gone, after = await feeds.follow_workers(after)
+            except HistoryLostError:
+                logger.info('feed restarts', feed='workers')
+                after = -1
+                continue
+            except UnavailableError as error:
+                self.shell.note_store(error)
+                continue
+            if changed or gone:
+                self.shell.post(
+                    ev.WorkersChanged(self.shell.clock(), changed, gone)
+                )
