--- /dev/null
+++ b/tests/tulippin/jobs/test_scheduler_logs.py
@@ -0,0 +1,118 @@
+"""The log leads from a job's id to its cause: each decision has a line."""
+
+import contextlib
+
+import logbook
+import pytest
+import trio
+
+from fleet_of_schedulers import QUEUE, make_request, make_step, open_fleet
+
+JOB = '00000000000000aa'
+LIMIT_MS = 3000
+# Configuration, lease, and the owned unit's jobs.
+WAITING_FEEDS = 3
+WAY_OF_A_JOB = {
+    'job accepted': {'job', 'queue', 'is_new', 'version', 'took_ms'},
+    'job taken up': {'job', 'queue', 'steps', 'version'},
+    'start run': {'task', 'run', 'worker', 'waited_ms', 'list_age_ms'},
+    'run ended': {'task', 'run', 'worker', 'outcome', 'number'},
+    'job finished': {'job', 'state', 'age_ms'},
+}
+WAY_OF_A_LOST_ATTEMPT = {
+    'worker silent': {'worker', 'reason'},
+    'run over': {'task', 'run', 'worker', 'why', 'age_ms'},
+}
+WAY_OF_A_CANCEL = {
+    'cancel accepted': {'job', 'queue', 'version', 'took_ms'},
+    'stop run': {'task', 'run', 'worker', 'why'},
+}
+WAY_OF_THE_UNIT = {
+    'take unit': {'why', 'silent_ms', 'epoch'},
+    'unit taken': {'epoch', 'version'},
+    'unit loaded': {'epoch', 'jobs', 'workers', 'rostered'},
+    'configuration in force': {'version'},
+}
+
+
+@contextlib.contextmanager
+def capture():
+    handler = logbook.TestHandler()
+    with handler.applicationbound():
+        yield handler
+
+
+def find_missing(handler, wanted):
+    """Return which lines, or fields of lines, the log lacks."""
+    seen = {}
+    for record in handler.records:
+        seen.setdefault(record.message, set(record.kwargs))
+    return {
+        message: fields - seen.get(message, set())
+        for message, fields in wanted.items()
+        if fields - seen.get(message, set())
+    }
+
+
+async def submit(fleet, run_ms):
+    request = make_request(make_step(2), run_ms=run_ms)
+    intake = fleet.instances['i0'].intake
+    await intake.submit(JOB, QUEUE, request, LIMIT_MS)
+
+
+@pytest.mark.parametrize('wanted', [WAY_OF_A_JOB, WAY_OF_THE_UNIT])
+def test_completed_job_is_told_whole(run_virtual, wanted):
+    async def run():
+        async with open_fleet() as fleet:
+            await submit(fleet, 300)
+            await fleet.wait_done(JOB)
+
+    with capture() as handler:
+        run_virtual(run)
+    assert find_missing(handler, wanted) == {}
+
+
+def test_lost_attempt_is_told(run_virtual):
+    async def run():
+        async with open_fleet() as fleet:
+            await submit(fleet, 9000)
+            await fleet.wait_running(2)
+            for worker in fleet.platform.workers.values():
+                worker.cut_off.add('*')
+            await trio.sleep(8)
+
+    with capture() as handler:
+        run_virtual(run)
+    assert find_missing(handler, WAY_OF_A_LOST_ATTEMPT) == {}
+
+
+def test_cancel_is_told_to_the_stop(run_virtual):
+    async def run():
+        async with open_fleet() as fleet:
+            await submit(fleet, 60_000)
+            await fleet.wait_running(2)
+            intake = fleet.instances['i1'].intake
+            await intake.cancel(JOB, QUEUE, LIMIT_MS)
+            await trio.sleep(1)
+
+    with capture() as handler:
+        run_virtual(run)
+    assert find_missing(handler, WAY_OF_A_CANCEL) == {}
+
+
+def test_lost_store_and_its_return_are_told_not_each_call(run_virtual):
+    async def run():
+        async with open_fleet(instances=1) as fleet:
+            fleet.platform.store.trouble.refused.add('*')
+            await trio.sleep(4)
+            fleet.platform.store.trouble.refused.clear()
+            await trio.sleep(1)
+
+    with capture() as handler:
+        run_virtual(run)
+    told = [record.message for record in handler.records]
+    lost = told.index('store lost')
+    # Some 100 calls fail; a feed that waited as the trouble began may still
+    # answer, and its next call is lost anew.
+    assert told.count('store lost') <= WAITING_FEEDS
+    assert 'store answers' in told[lost:]
