Make two tests able to fail: dead feeds and retired connections

The stand-in can now cut the calls that a client has open, and the server stays silent on connections that saw the cut.

--- a/src/tulippin/platform/standin_store.py
+++ b/src/tulippin/platform/standin_store.py
@@ -51,6 +51,7 @@
     rows: dict[tuple[str, str, str], StoredRow] = attrs.field(factory=dict)
     changes: list[StoredRow] = attrs.field(factory=list)
     forgotten_version: int = 0
+    cut_counts: dict[str, int] = attrs.field(factory=dict)
     call_count: int = 0
     source: random.Random = attrs.field(factory=lambda: random.Random(0))
     _changed: trio.Event = attrs.field(factory=trio.Event)
@@ -65,6 +66,10 @@
         self._store(table, part, key, value)
         self._wake()
 
+    def cut_connections(self, client: str) -> None:
+        """Let the calls that a client has open now never be answered."""
+        self.cut_counts[client] = self.cut_counts.get(client, 0) + 1
+
     def forget_history(self) -> None:
         """Drop all changes so far."""
         self.forgotten_version = self.version
@@ -145,6 +150,7 @@
         """Return the changes of a table after a version."""
         await self._enter()
         store = self.store
+        cut_count = store.cut_counts.get(self.client, 0)
         give_up_at = trio.current_time() + wait_ms / _MS
         while True:
             if after < store.forgotten_version:
@@ -155,6 +161,9 @@
                 if row.table == table and row.version > after
             ]
             left_s = give_up_at - trio.current_time()
+            if store.cut_counts.get(self.client, 0) != cut_count:
+                await trio.sleep(max(0, left_s) + SILENCE_S)
+                raise AnswerLostError('the connection was cut')
             if store.trouble.deaf_feeds:
                 found = []
             if found or left_s <= 0:
--- a/tests/tulippin/jobs/test_scheduler_fleet.py
+++ b/tests/tulippin/jobs/test_scheduler_fleet.py
@@ -321,6 +321,27 @@
     run_virtual(run)
 
 
+def test_cancel_reaches_an_owner_whose_feeds_hang_on_dead_connections(
+    run_virtual,
+):
+    async def run():
+        async with open_fleet() as fleet:
+            await submit(
+                fleet, request=make_request(make_step(3), run_ms=60_000)
+            )
+            await fleet.wait_running(3)
+            owner = fleet.get_owner()
+            other = next(name for name in fleet.instances if name != owner)
+            await trio.sleep(0.5)
+            fleet.platform.store.cut_connections(owner)
+            intake = fleet.instances[other].intake
+            assert await intake.cancel(JOB, QUEUE, LIMIT_MS)
+            await trio.sleep(3)
+            assert not fleet.count_running()
+
+    run_virtual(run)
+
+
 def test_progress_survives_lost_answers_of_the_store(run_virtual):
     async def run():
         async with open_fleet(instances=3) as fleet:
--- a/tests/tulippin/test_http_client.py
+++ b/tests/tulippin/test_http_client.py
@@ -9,7 +9,9 @@
 ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 
 
-async def serve(stream, silent):
+async def serve(stream, cuts):
+    """Answer, until the cut that this connection lives to see."""
+    born = cuts['count']
     with trio.move_on_after(5):
         while True:
             request = await stream.receive_some(65536)
@@ -17,16 +19,16 @@
                 return
             if b'/slow' in request:
                 await trio.sleep(0.5)
-            elif b'/silent' in request or silent['all']:
-                silent['all'] = True
+            elif b'/silent' in request or cuts['count'] != born:
+                cuts['count'] += 1
                 await trio.sleep_forever()
             await stream.send_all(ANSWER)
 
 
-async def open_server(nursery, silent):
+async def open_server(nursery, cuts):
     listeners = await nursery.start(
         trio.serve_tcp,
-        lambda stream: serve(stream, silent),
+        lambda stream: serve(stream, cuts),
         0,
     )
     port = listeners[0].socket.getsockname()[1]
@@ -34,16 +36,15 @@
 
 
 async def test_timeout_retires_idle_connections():
-    silent = {'all': False}
+    cuts = {'count': 0}
     async with trio.open_nursery() as nursery, HttpClient(0.2) as client:
-        url = await open_server(nursery, silent)
+        url = await open_server(nursery, cuts)
         async with trio.open_nursery() as calls:
             for _ in range(4):
                 calls.start_soon(client.send, 'GET', f'{url}/')
         with pytest.raises(AnswerLostError):
             await client.send('GET', f'{url}/silent')
-        silent['all'] = False
-        # The three idle ones would each have cost a timeout.
+        # The three idle ones, cut too, would each cost a timeout.
         began = trio.current_time()
         answer = await client.send('GET', f'{url}/')
         assert answer.body == b'ok'
@@ -52,9 +53,9 @@
 
 
 async def test_other_calls_of_a_retired_pool_still_end():
-    silent = {'all': False}
+    cuts = {'count': 0}
     async with trio.open_nursery() as nursery, HttpClient(0.2) as client:
-        url = await open_server(nursery, silent)
+        url = await open_server(nursery, cuts)
         answers = []
 
         async def wait_long():
