--- /dev/null
+++ b/tests/tulippin/jobs/test_scheduler_resolving.py
@@ -0,0 +1,87 @@
+"""What is listed, or answered, a second time counts once."""
+
+import attrs
+import trio
+
+from tulippin.exceptions import AnswerLostError
+from tulippin.jobs import _attempts
+from tulippin.jobs._dispatch import Context
+from tulippin.jobs._resolving import transact_surely
+from tulippin.jobs.ports import RowCondition, RowWrite, Transaction
+from tulippin.jobs.state import Job, SchedulerConfig, SchedulerState, Worker
+from tulippin.jobs.types import (
+    EndedRun,
+    JobRequest,
+    JobState,
+    Queue,
+    RunOutcome,
+    Step,
+    TaskKey,
+    WorkerEntry,
+)
+from tulippin.platform.standin_store import StandinStore
+from tulippin.types import Resources
+
+TRANSACTION = Transaction(
+    'p', (RowCondition('t', 'k', 0),), (RowWrite('t', 'k', b'ours'),)
+)
+
+
+@attrs.define
+class FirstAnswerLost:
+    """Carries out the first transaction and loses its answer."""
+
+    store: StandinStore
+    call_count: int = 0
+
+    async def transact(self, transaction):
+        self.call_count += 1
+        result = self.store.apply(transaction)
+        if self.call_count == 1:
+            raise AnswerLostError('lost')
+        return result
+
+
+def test_own_write_is_recognized_after_a_lost_answer(run_virtual):
+    store = StandinStore()
+
+    async def run():
+        view = FirstAnswerLost(store)
+        return await transact_surely(view, TRANSACTION, 5.0)
+
+    result = run_virtual(run)
+    assert result.is_done
+    assert result.version == store.rows['t', 'p', 'k'].version
+
+
+def test_write_of_another_is_not_taken_for_ours(run_virtual):
+    store = StandinStore()
+
+    async def run():
+        view = FirstAnswerLost(store)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(write_other)
+            return await transact_surely(view, TRANSACTION, 5.0)
+
+    async def write_other():
+        await trio.sleep(0.01)
+        store.write('t', 'p', 'k', b'theirs')
+
+    assert not run_virtual(run).is_done
+
+
+def test_failed_end_listed_again_counts_once():
+    state = SchedulerState(SchedulerConfig('i', 'i:1'), now_ms=1000)
+    queue = Queue('q', 'h', '/q/', 's', max_attempts=2)
+    job = Job('a', queue, JobRequest('', (Step(1),)), 1)
+    job.remaining[0, 0] = 1
+    state.jobs['a'] = job
+    worker = Worker(WorkerEntry('w', 's', 'x', 'z', Resources(1000, 1000)))
+    key = TaskKey('a', 0, 0, 0)
+    for number in (4, 5):
+        ended = EndedRun(number, key, 7, RunOutcome.FAILED, '')
+        _attempts.take_end(worker, ended, Context(state))
+    assert job.state is not JobState.FAILED
+    other = EndedRun(6, key, 8, RunOutcome.FAILED, '')
+    _attempts.take_end(worker, other, Context(state))
+    assert job.state is JobState.FAILED
