--- a/src/tulippin/daemon.py
+++ b/src/tulippin/daemon.py
@@ -14,6 +14,7 @@
 
 from tulippin._http_client import HttpClient
 from tulippin._http_server import HttpServer
+from tulippin.clocks import read_clock_ms, read_wall_ms
 from tulippin.exceptions import InputError, TulippinError
 from tulippin.http_callers import CallersApi
 from tulippin.http_operators import OperatorsApi
@@ -26,7 +27,6 @@
 from tulippin.shell import Shell
 from tulippin.workers_http import HttpEndpoints, HttpWorkers
 
-_NS_IN_MS: t.Final = 1_000_000
 _MS: t.Final = 1000
 _STOP_EXTRA_S: t.Final = 5.0
 _REQUEST_TIMEOUT_S: t.Final = 660.0
@@ -34,16 +34,6 @@
 _USAGE: t.Final = 'usage: tulippind SETTINGS.ini'
 
 
-def read_clock_ms() -> int:
-    """Return monotonic milliseconds that count suspension."""
-    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // _NS_IN_MS
-
-
-def read_wall_ms() -> int:
-    """Return the time of day in milliseconds."""
-    return time.time_ns() // _NS_IN_MS
-
-
 def load_credentials(settings: Settings) -> PeerCredentials | None:
     """Read the PEM files for TLS between peers, if any are given."""
     tls = settings.tls
--- a/src/tulippin/jobs/_attempts.py
+++ b/src/tulippin/jobs/_attempts.py
@@ -206,7 +206,6 @@
     if attempt.state is AttemptState.STOPPING:
         return
     attempt.state = AttemptState.STOPPING
-    attempt.stop_reason = why
     context.log(
         'stop run',
         task=attempt.key.format(),
--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -114,8 +114,6 @@
     def _place_task(self, job: Job, step: Step, task: Task) -> bool:
         """Start a task; false if the step's others fit nowhere either."""
         state = self.context.state
-        if task.not_before_ms > state.now_ms:
-            return True
         worker = _choose(job, task, step, state)
         if worker is None:
             _preempt(job, task, self.context)
--- a/src/tulippin/jobs/effects.py
+++ b/src/tulippin/jobs/effects.py
@@ -94,10 +94,7 @@
 
 @attrs.frozen
 class HoldWorker(JobEffect):
-    """Extend a worker's lease and ask for its report.
-
-    ``pause_ms`` is how long to wait before asking.
-    """
+    """Extend a worker's lease and ask for its report."""
 
     worker_id: str
     address: str
@@ -105,7 +102,6 @@
     last_seen: int
     deadline_ms: int | None
     wait_ms: int
-    pause_ms: int = 0
 
 
 @attrs.frozen
--- a/src/tulippin/jobs/shell.py
+++ b/src/tulippin/jobs/shell.py
@@ -95,7 +95,6 @@
         self.store_answered_ms = 0
         self._store_answers = False
         self.latencies = LatencyTable()
-        self.recorder: t.Callable[..., None] | None = None
         self._inbox: collections.deque[ev.JobEvent] = collections.deque()
         self._wake = trio.Event()
         self._nursery: trio.Nursery | None = None
@@ -151,8 +150,6 @@
         """Reduce one event and begin its effects."""
         event = attrs.evolve(event, at_ms=self.clock())
         effects = core.reduce(self.state, event)
-        if self.recorder is not None:
-            self.recorder(event, effects)
         for effect in effects:
             perform(effect, self)
         if self.state.ownership.phase is Phase.LEFT:
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -67,13 +67,9 @@
         out late does nothing.
     clock_drift_ratio : float
         How slow a worker's clock may be.
-    stop_limit_ms : int
-        The longest that a worker takes to stop a run.
     worker_lease_limit_ms : int
         The longest lease that a worker grants: what another owner may
         have given it.
-    cpu_idle_millicores : int
-        A task that uses less than this stands still.
     finished_kept_ms : int
         How long a finished job's state is kept.
     """
@@ -87,8 +83,6 @@
     worker_lease_limit_ms: int = 6000
     start_valid_ms: int = 1800
     clock_drift_ratio: float = 1.02
-    stop_limit_ms: int = 900
-    cpu_idle_millicores: int = 50
     finished_kept_ms: int = 180_000
 
 
@@ -143,7 +137,6 @@
     slowed_ms: int = 0
     load: float = 0.0
     worked_ms: int = 0
-    stop_reason: str = ''
 
 
 @attrs.define
@@ -157,7 +150,6 @@
     checkpoint: str = ''
     attempts: dict[int, Attempt] = attrs.field(factory=dict)
     avoided: set[str] = attrs.field(factory=set)
-    not_before_ms: int = 0
     preempted_ms: int = 0
 
 
--- a/src/tulippin/line_buffer.py
+++ b/src/tulippin/line_buffer.py
@@ -50,7 +50,6 @@
         self._lines: collections.deque[bytes] = collections.deque()
         self._rest = b''
         self.dropped_count = 0
-        self.written_bytes = 0
         os.set_blocking(descriptor, False)
 
     def change_level(self, level: str) -> None:
@@ -87,7 +86,6 @@
                 count = os.write(self._descriptor, self._rest)
             except BlockingIOError:
                 return
-            self.written_bytes += count
             self._rest = self._rest[count:]
 
     def _gather(self) -> bytes:
--- a/src/tulippin/scheduler_daemon.py
+++ b/src/tulippin/scheduler_daemon.py
@@ -7,7 +7,6 @@
 import pathlib
 import signal
 import sys
-import time
 import typing as t
 import uuid
 
@@ -16,6 +15,7 @@
 
 from tulippin._http_client import HttpClient
 from tulippin._http_server import HttpServer
+from tulippin.clocks import read_clock_ms, read_wall_ms
 from tulippin.exceptions import InputError, TulippinError
 from tulippin.jobs import (
     JobIntake,
@@ -36,7 +36,6 @@
     load_scheduler_settings,
 )
 
-_NS_IN_MS: t.Final = 1_000_000
 _MS: t.Final = 1000
 _FLUSH_EVERY_S: t.Final = 0.1
 # The store answers in 4 to 9 ms, and in 300 ms when it is slow.
@@ -59,16 +58,6 @@
 _USAGE: t.Final = 'usage: tulippin-instance SETTINGS.ini'
 
 
-def read_clock_ms() -> int:
-    """Return monotonic milliseconds that count suspension."""
-    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // _NS_IN_MS
-
-
-def read_wall_ms() -> int:
-    """Return the time of day in milliseconds."""
-    return time.time_ns() // _NS_IN_MS
-
-
 def _get_changed_at(path: str) -> float:
     """Return when a file was last changed; 0 if it is not there."""
     try:
@@ -246,7 +235,6 @@
                 SchedulerConfig.__attrs_attrs__.worker_lease_ms.default,
                 limit_ms,
             ),
-            stop_limit_ms=settings.worker_stop_ms,
         )
         shell = SchedulerShell(
             config,
--- a/src/tulippin/scheduler_settings.py
+++ b/src/tulippin/scheduler_settings.py
@@ -45,8 +45,6 @@
         IP and port of the service that knows which workers may run what.
     worker_lease_limit_ms : int
         The longest lease that a worker grants.
-    worker_stop_ms : int
-        The longest that a worker takes to stop a run.
     grace_ms : int
         Time between a planned stop and the kill.
     operators : dict
@@ -66,7 +64,6 @@
     store_address: str
     advice_address: str
     worker_lease_limit_ms: int
-    worker_stop_ms: int
     grace_ms: int
     operators: dict[str, str] = attrs.field(factory=dict)
     log_level: str = 'info'
@@ -148,7 +145,6 @@
         store_address=readers['store'].get_text('address'),
         advice_address=readers['advice'].get_text('address', ''),
         worker_lease_limit_ms=workers.get_int('lease_limit_ms', 6000, 1000),
-        worker_stop_ms=workers.get_int('stop_limit_ms', 900, 1),
         grace_ms=int(readers['stop'].get_float('grace_s', 6.0, 1.0) * 1000),
         operators=read_operators(parser, readers['operators']),
         log_level=readers['log'].get_choice(
