Learn slowdowns by recursive least squares, and pace by what they tell

The excess of a tail was taken as a constant of the pair, but one neighbour that doubles a tail at the ebb of a job's load multiplies it by ten at the flood. And a tail is told smoothed (242, 134, 80, 54 ms after neighbours were stopped), so tails that were falling already slowed innocent neighbours.

Change: a tail is turned into a slowdown as in a queue, where it fits with a spread of 0.05 to 0.09 at any load; pairs are learned by recursive least squares; the tail by now is made out of two readings; a task's part in its job's load is learned; paces are the highest that the model allows; a miss that it does not expect slows the least known, and all if it lasts. Tasks that last are gathered for 150 ms and placed image by image.

--- a/src/tulippin/jobs/_attempts.py
+++ b/src/tulippin/jobs/_attempts.py
@@ -38,7 +38,6 @@
     task.attempts[attempt.run] = attempt
     worker.attempts[attempt.key, attempt.run] = attempt
     worker.reserved = worker.reserved.add(attempt.step.reserved)
-    worker.used_millicores += _interference.get_use(attempt.step)
     _interference.add_attempt(attempt, worker)
 
 
@@ -49,7 +48,6 @@
         found = worker.attempts.pop((attempt.key, attempt.run), None)
         if found is not None:
             worker.reserved = worker.reserved.subtract(attempt.step.reserved)
-            worker.used_millicores -= _interference.get_use(attempt.step)
             _interference.drop_attempt(attempt, worker)
             context.state.is_placing_due = True
     job = context.state.jobs.get(attempt.key.job_id)
--- a/src/tulippin/jobs/_feasibility.py
+++ b/src/tulippin/jobs/_feasibility.py
@@ -4,7 +4,7 @@
 
 import typing as t
 
-from tulippin.jobs import _advice
+from tulippin.jobs import _advice, _interference
 from tulippin.jobs.state import Job, SchedulerState, Task, Worker
 from tulippin.jobs.types import Step
 
@@ -68,7 +68,7 @@
 def _fits_idle(worker: Worker, step: Step) -> bool:
     """Idle processors are there, and memory is left for urgent tasks."""
     capacity = worker.entry.capacity
-    used = worker.used_millicores + step.size.cpu_millicores
+    used = _interference.get_used(worker) + step.size.cpu_millicores
     if used > capacity.cpu_millicores:
         return False
     free = worker.free
--- a/src/tulippin/jobs/_interference.py
+++ b/src/tulippin/jobs/_interference.py
@@ -3,8 +3,7 @@
 The load of a long-running job rises and falls for all its tasks alike, so
 a task's tail is held against those of its siblings at the same time: what
 it has above the least disturbed of them is its neighbours' doing. That
-excess is credited, by image, to the processors that the neighbours used
-over the same half second.
+slowdown is credited, by image, to the processors that the neighbours used.
 """
 
 from __future__ import annotations
@@ -12,8 +11,10 @@
 import math
 import typing as t
 
+from tulippin.jobs import _tails
 from tulippin.jobs.state import (
     Attempt,
+    AttemptState,
     SchedulerState,
     Worker,
 )
@@ -22,29 +23,35 @@
 # Exposure is counted in tenths of the worker's processors: about what one
 # opportunistic task of the users' sheets uses.
 _TENTHS: t.Final = 10
-# Siblings' tails are compared while they are no older than this; a report
-# covers half a second, and calm workers report once a second.
-_SIBLING_AGE_MS: t.Final = 1300
-# The undisturbed tail is that of the best of at least so many.
-_LEAST_SIBLINGS: t.Final = 2
-# The most that one tenth of a worker's processors in neighbours adds to
-# the logarithm of a tail, and what is left to chance. The heaviest pair
-# measured adds 0.78 on a whole day, but a worker that stands still shows
-# tails a thousand times too long: the bound need not be tight.
-_WORST_WEIGHT: t.Final = 2.5
-_CHANCE: t.Final = 1.5
+_PERCENT: t.Final = 100
 # Exposure below this teaches nothing.
 _LEAST_EXPOSURE: t.Final = 0.1
-_PERCENT: t.Final = 100
-# The part of a target that neighbours may use up; the rest is for the
-# rise of the job's own load while they run.
-_GOAL_RATIO: t.Final = 0.85
-# A report covers half a second; what started since then is not in it.
-_UNSEEN_MS: t.Final = 700
+# How much of the exposure, and of a tenth, may have changed between two
+# reports that are taken for a steady state.
+_STEADY_RATIO: t.Final = 0.2
+# The most that neighbours of a calm task may add to its slowdown.
+_CALM: t.Final = 0.06
+# The least tail among siblings lies below the undisturbed one by this part
+# of a slowdown: measured where no neighbour ran.
+_SIBLING_BIAS: t.Final = 0.04
+# A tail so many times the undisturbed one comes from a queue that still
+# grows: the slowdown is at least what it tells.
+_GROWING_RATIO: t.Final = 3.0
+# The part of a target that a task is to reach with its neighbours.
+_GOAL_RATIO: t.Final = 0.9
+# By how much the load of a job may rise while an opportunistic task of
+# two seconds runs: half of a swing of 0.45 within seven seconds is 0.13.
+_RISE: t.Final = 0.08
+# A slowdown that is no harm at any load: a pair that does not disturb is
+# learned to within 0.02 a tenth.
+HARMLESS: t.Final = 0.035
 # Keeps a share of nearly no slack finite.
-_LEAST_SLACK: t.Final = 0.05
-# What a task with a latency target uses of the processors that it asks
-# for; measured on a quiet day, its own load swings by half around this.
+_LEAST_SLACK: t.Final = 0.02
+# What a tail may show above the expected slowdown by chance.
+_CHANCE: t.Final = 0.12
+# What a task with a latency target uses of the processors that it asks for;
+# measured, it swings by half around this. Trials: 0.4 and 0.65 in its place,
+# or the load that the tails tell by now, cost 0.02 to 0.06 of worth.
 _SERVING_USE: t.Final = 0.5
 
 
@@ -55,7 +62,7 @@
         worker.serving[place] = attempt
     elif attempt.step.opportunistic:
         worker.fillers[place] = attempt
-    worker.slack = None
+    forget_view(worker)
 
 
 def drop_attempt(attempt: Attempt, worker: Worker) -> None:
@@ -63,10 +70,25 @@
     place = (attempt.key, attempt.run)
     worker.serving.pop(place, None)
     worker.fillers.pop(place, None)
+    forget_view(worker)
+
+
+def forget_view(worker: Worker) -> None:
+    """Have slack and use worked out anew at their next reading."""
     worker.slack = None
+    worker.used_millicores = None
 
 
-def get_use(step: Step) -> float:
+def get_used(worker: Worker) -> float:
+    """Return the millicores thought to be in use on a worker."""
+    if worker.used_millicores is None:
+        worker.used_millicores = sum(
+            _get_use(attempt.step) for attempt in worker.attempts.values()
+        )
+    return worker.used_millicores
+
+
+def _get_use(step: Step) -> float:
     """Return the millicores that a task is thought to use."""
     weight = _SERVING_USE if step.target_ms else 1.0
     return step.size.cpu_millicores * weight
@@ -85,98 +107,169 @@
     for attempt in worker.fillers.values():
         used = attempt.load * _TENTHS / capacity
         image = attempt.step.image
-        exposure[image] = exposure.get(image, 0.0) + used
+        if used > 0:
+            exposure[image] = exposure.get(image, 0.0) + used
     return exposure
 
 
-def get_undisturbed_ms(attempt: Attempt, state: SchedulerState) -> float:
-    """Return the tail that the task would have alone, as far as known."""
-    since_ms = state.now_ms - _SIBLING_AGE_MS
-    tails = state.tails.get(attempt.key.job_id, {})
-    fresh = [tail for tail, at_ms in tails.values() if at_ms >= since_ms]
-    if len(fresh) < _LEAST_SIBLINGS:
-        return 0.0
-    return min(fresh)
-
-
-def is_own_doing(excess: float, exposure: float) -> bool:
-    """Whether a tail's excess is the worker's own: neighbours do less."""
-    return excess > _WORST_WEIGHT * exposure + _CHANCE
+# -- learning ---------------------------------------------------------------
 
 
 def learn(worker: Worker, state: SchedulerState) -> None:
     """Take a worker's newest report into the model."""
-    worker.slack = None
+    forget_view(worker)
     serving = [one for one in worker.serving.values() if one.load > 0]
     for attempt in serving:
-        tails = state.tails.setdefault(attempt.key.job_id, {})
-        tails[attempt.key] = (attempt.load, state.now_ms)
+        _tails.note_sibling(attempt, state)
+    if state.now_ms - worker.exposure_ms < _tails.SHORTEST_INTERVAL_MS:
+        return
+    past = worker.exposure
     exposure = get_exposure(worker)
+    worker.exposure = exposure
+    worker.exposure_ms = state.now_ms
     total = sum(exposure.values())
-    if total < _LEAST_EXPOSURE:
+    if not _is_steady(exposure, past, total):
         return
     for attempt in serving:
-        undisturbed_ms = get_undisturbed_ms(attempt, state)
-        if undisturbed_ms <= 0:
-            continue
-        excess = max(0.0, math.log(attempt.load / undisturbed_ms))
-        if is_own_doing(excess, total):
-            continue
-        state.model.learn(attempt.step.image, exposure, 1 + excess)
-        worker.slack = None
+        if _is_calm(attempt, exposure, state):
+            _tails.learn_part(attempt, state, 0.0)
+        if total >= _LEAST_EXPOSURE:
+            _learn_one(attempt, exposure, state)
+
+
+def _is_calm(
+    attempt: Attempt, exposure: dict[str, float], state: SchedulerState
+) -> bool:
+    """Whether all that runs beside a task is known to leave it alone."""
+    image = attempt.step.image
+    worst = sum(
+        state.model.get_bound(image, other) * used
+        for other, used in exposure.items()
+    )
+    return worst <= _CALM
+
+
+def _is_steady(
+    exposure: dict[str, float], past: dict[str, float], total: float
+) -> bool:
+    """Whether a tail has had the time to follow what runs beside it."""
+    images = set(exposure) | set(past)
+    changed = sum(
+        abs(exposure.get(image, 0.0) - past.get(image, 0.0)) for image in images
+    )
+    return changed <= _STEADY_RATIO * (1 + total)
+
+
+def _learn_one(
+    attempt: Attempt, exposure: dict[str, float], state: SchedulerState
+) -> None:
+    undisturbed_ms = _tails.get_undisturbed_ms(attempt, state)
+    if undisturbed_ms <= 0 and attempt.tail_ms <= attempt.step.target_ms:
+        return
+    idle_ms = _tails.get_idle_ms(attempt, state)
+    load = _tails.get_load(attempt, state, 0.0)
+    alone_ms = _tails.compute_tail_ms(1.0, idle_ms, load)
+    height = math.log(max(1.0, attempt.tail_ms / alone_ms))
+    if _tails.is_own_doing(height, sum(exposure.values())):
+        return
+    slowdown = _tails.compute_slowdown(attempt.tail_ms, idle_ms, load)
+    state.model.learn(
+        attempt.step.image,
+        exposure,
+        max(0.0, slowdown - 1 - _SIBLING_BIAS),
+        is_bound=attempt.tail_ms > _GROWING_RATIO * alone_ms,
+    )
+
+
+# -- expecting ----------------------------------------------------------------
 
 
 def get_contribution(
-    serving_image: str,
-    attempt: Attempt,
-    worker: Worker,
-    state: SchedulerState,
+    serving_image: str, attempt: Attempt, worker: Worker, state: SchedulerState
 ) -> float:
-    """Return one neighbour's part in an image's excess at its pace."""
+    """Return what a neighbour at full pace adds to an image's slowdown."""
     weight = state.model.get_weight(serving_image, attempt.step.image)
-    share = get_share(attempt.step, worker)
-    return weight * share * attempt.wanted_percent / _PERCENT
+    return weight * get_share(attempt.step, worker)
 
 
-def get_slack(worker: Worker, state: SchedulerState) -> dict[str, float]:
-    """Return by how much the tails of each image there may still rise.
+def get_expected(
+    serving_image: str, worker: Worker, state: SchedulerState
+) -> float:
+    """Return what all neighbours add to an image's slowdown at their pace."""
+    return sum(
+        get_contribution(serving_image, attempt, worker, state)
+        * attempt.wanted_percent
+        / _PERCENT
+        for attempt in worker.fillers.values()
+        if attempt.state is not AttemptState.STOPPING
+    )
+
+
+def get_allowance(
+    attempt: Attempt, state: SchedulerState, expected: float, rise: float
+) -> float:
+    """Return by what a task may be slowed with its target kept.
 
-    The slack is a logarithm. It counts the newest reports, and what
-    neighbours will add that those do not show yet.
+    Parameters
+    ----------
+    attempt : Attempt
+        A run with a latency target.
+    state : SchedulerState
+        Holds the tails.
+    expected : float
+        What neighbours are thought to add to its slowdown.
+    rise : float
+        By how much its load may be higher than it is now.
     """
+    idle_ms = _tails.get_idle_ms(attempt, state)
+    load = _tails.get_load(attempt, state, expected)
+    goal_ms = _GOAL_RATIO * attempt.step.target_ms
+    return max(0.0, 1 / (idle_ms / goal_ms + load + rise) - 1)
+
+
+def get_shown(
+    attempt: Attempt, state: SchedulerState, expected: float
+) -> float:
+    """Return by what a task's tail shows it to be slowed, beyond chance."""
+    if attempt.tail_ms <= 0:
+        return 0.0
+    idle_ms = _tails.get_idle_ms(attempt, state)
+    load = _tails.get_load(attempt, state, expected)
+    slowdown = _tails.compute_slowdown(attempt.tail_ms, idle_ms, load)
+    return max(0.0, slowdown - 1 - _CHANCE)
+
+
+def get_slack(worker: Worker, state: SchedulerState) -> dict[str, float]:
+    """Return by how much more each image there may be slowed."""
     if worker.slack is None:
+        images = {one.step.image for one in worker.serving.values()}
+        expected = {
+            image: get_expected(image, worker, state) for image in images
+        }
         worker.slack = {}
         for one in worker.serving.values():
             image = one.step.image
-            tail_ms = max(one.load, 1.0)
-            slack = math.log(_GOAL_RATIO * one.step.target_ms / tail_ms)
-            known = worker.slack.get(image, slack)
-            worker.slack[image] = min(known, slack)
-    unseen = [
-        attempt
-        for attempt in worker.fillers.values()
-        if state.now_ms - attempt.sent_ms < _UNSEEN_MS
-    ]
-    return {
-        image: slack
-        - sum(
-            get_contribution(image, attempt, worker, state)
-            for attempt in unseen
-        )
-        for image, slack in worker.slack.items()
-    }
+            part = expected[image]
+            used = max(part, get_shown(one, state, part))
+            slack = get_allowance(one, state, part, _RISE) - used
+            worker.slack[image] = min(worker.slack.get(image, slack), slack)
+    return worker.slack
 
 
 def get_harm(step: Step, worker: Worker, state: SchedulerState) -> float | None:
     """Return what an opportunistic task would do beside what runs.
 
     The least value is 0, for no harm; 1 would use up all slack that some
-    image has. Nothing says that the slack does not suffice.
+    image has. Nothing says that the slack does not suffice. A pair of
+    which little is known is tried only where the tails are low enough to
+    bear the worse case.
     """
     share = get_share(step, worker)
     harm = 0.0
     for image, slack in get_slack(worker, state).items():
-        part = state.model.get_weight(image, step.image) * share
+        part = state.model.get_bound(image, step.image) * share
+        if part <= HARMLESS:
+            continue
         if part > slack:
             return None
         harm += part / max(slack, _LEAST_SLACK)
--- a/src/tulippin/jobs/_pacing.py
+++ b/src/tulippin/jobs/_pacing.py
@@ -1,39 +1,45 @@
 """Keeping latency targets: tasks on idle processors are slowed in time.
 
-While a task is near or over its target, the neighbours that the model
-blames most are slowed; if the model blames none, all are. They go faster
-again as the model and the tails allow it.
+At each report of a worker, the paces are chosen anew: the highest at which
+the model expects every task with a target to keep it, where those to blame
+most are slowed first. A miss that the model does not expect slows the
+neighbours of which least is known, and if it lasts, all of them.
 """
 
 from __future__ import annotations
 
-import math
 import typing as t
 
-from tulippin.jobs import _attempts, _interference, _ownership
+import attrs
+
+from tulippin.jobs import (
+    _attempts,
+    _feasibility,
+    _interference,
+    _ownership,
+    _scoring,
+)
 from tulippin.jobs._dispatch import Context, handle
 from tulippin.jobs.effects import PaceRun
 from tulippin.jobs.events import PaceAnswered
 from tulippin.jobs.state import Attempt, AttemptState, SchedulerState, Worker
 from tulippin.jobs.types import StartOutcome
 
-# A report covers the last half second, and a new pace works after 100 ms:
-# a change is judged only once the report can show it.
-_JUDGE_AFTER_MS: t.Final = 600
-_SEND_AGAIN_MS: t.Final = 400
-# Tail over target above which neighbours are slowed, to which they are
-# slowed, and below which they may go faster.
-_SLOW_RATIO: t.Final = 0.92
-_GOAL_RATIO: t.Final = 0.85
-_FAST_RATIO: t.Final = 0.75
-_STEP_PERCENT: t.Final = 34
 _FULL_PERCENT: t.Final = 100
-# A neighbour whose part in the excess is below this is not slowed while
-# others are to blame.
-_BLAME: t.Final = 0.02
-# What the neighbours are sure to take off a tail, where all together are
-# blamed for too little: a stop within three reports.
-_UNEXPLAINED_PERCENT: t.Final = 40
+# Paces are multiples of this, so that noise in the tails sends no orders.
+_GRAIN_PERCENT: t.Final = 10
+# A pace is raised no sooner after its last change: a report covers half a
+# second, and a new pace works after 100 ms.
+_RAISE_AFTER_MS: t.Final = 600
+_SEND_AGAIN_MS: t.Final = 400
+# By how much a job's load may rise until the next report.
+_RISE: t.Final = 0.03
+# A neighbour whose part may be this much above its mean is not well known.
+_UNSURE: t.Final = 0.05
+# A miss that lasted so long is not left to the model: two more reports.
+_ALL_AFTER_MS: t.Final = 750
+# Tail over target that counts as a miss.
+_MISS_RATIO: t.Final = 0.97
 # A task kept at or below this pace for so long goes elsewhere: a stop and
 # a new start take about a second.
 _MOVE_PERCENT: t.Final = 35
@@ -44,37 +50,43 @@
 
 def adjust(worker: Worker, context: Context) -> None:
     """Choose the pace of a worker's opportunistic tasks, and send it."""
-    state = context.state
     fillers = [
         attempt
         for attempt in worker.fillers.values()
         if attempt.state is AttemptState.RUNNING
     ]
     if not fillers:
+        worker.missed_since_ms = 0
         return
-    if state.now_ms - worker.pace_changed_ms >= _JUDGE_AFTER_MS:
-        _choose(worker, fillers, context)
+    _choose(worker, fillers, context)
     for attempt in fillers:
         if attempt.pace_percent != attempt.wanted_percent:
             _send(attempt, worker, context)
 
 
 def _choose(worker: Worker, fillers: list[Attempt], context: Context) -> None:
+    state = context.state
+    paces = _Paces(worker, fillers, state)
+    paces.fit()
     worst = max(worker.serving.values(), key=_get_ratio, default=None)
     ratio = 0.0 if worst is None else _get_ratio(worst)
+    if worst is not None and ratio > _MISS_RATIO:
+        worker.missed_since_ms = worker.missed_since_ms or state.now_ms
+        paces.brake(worst)
+    else:
+        worker.missed_since_ms = 0
     before = [attempt.wanted_percent for attempt in fillers]
-    if worst is not None and ratio > _SLOW_RATIO:
-        _slow(worst, ratio, worker, fillers, context.state)
-    elif ratio < _FAST_RATIO:
-        for attempt in fillers:
-            attempt.wanted_percent = min(
-                _FULL_PERCENT, attempt.wanted_percent + _STEP_PERCENT
-            )
+    may_raise = state.now_ms - worker.pace_changed_ms >= _RAISE_AFTER_MS
+    for attempt, share in zip(fillers, paces.shares, strict=True):
+        percent = int(share * _FULL_PERCENT) // _GRAIN_PERCENT * _GRAIN_PERCENT
+        if percent < attempt.wanted_percent or may_raise:
+            attempt.wanted_percent = percent
     _move_slowed(fillers, context)
     after = [attempt.wanted_percent for attempt in fillers]
     if before == after:
         return
-    worker.pace_changed_ms = context.state.now_ms
+    _interference.forget_view(worker)
+    worker.pace_changed_ms = state.now_ms
     context.log(
         'pace worker',
         worker=worker.worker_id,
@@ -85,6 +97,81 @@
     )
 
 
+def _get_ratio(attempt: Attempt) -> float:
+    return attempt.tail_ms / attempt.step.target_ms
+
+
+@attrs.define
+class _Paces:
+    """Shares of their speed for a worker's neighbours, from 0 to 1."""
+
+    worker: Worker
+    fillers: list[Attempt]
+    state: SchedulerState
+    shares: list[float] = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Begin with all of them at full speed."""
+        self.shares = [1.0 for _ in self.fillers]
+
+    def fit(self) -> None:
+        """Slow those to blame until every target should be kept."""
+        for image, allowance in self._get_allowances().items():
+            parts = [
+                _interference.get_contribution(
+                    image, attempt, self.worker, self.state
+                )
+                for attempt in self.fillers
+            ]
+            parts = [
+                part if part > _interference.HARMLESS else 0.0 for part in parts
+            ]
+            self._reduce(parts, allowance)
+
+    def _get_allowances(self) -> dict[str, float]:
+        """Return by what each image there may be slowed."""
+        allowances: dict[str, float] = {}
+        for one in self.worker.serving.values():
+            image = one.step.image
+            expected = _interference.get_expected(
+                image, self.worker, self.state
+            )
+            allowance = _interference.get_allowance(
+                one, self.state, expected, _RISE
+            )
+            known = allowances.get(image, allowance)
+            allowances[image] = min(known, allowance)
+        return allowances
+
+    def _reduce(self, parts: list[float], allowance: float) -> None:
+        """Slow the largest parts first until their sum is allowed."""
+        excess = (
+            sum(
+                part * share
+                for part, share in zip(parts, self.shares, strict=True)
+            )
+            - allowance
+        )
+        order = sorted(range(len(parts)), key=lambda place: -parts[place])
+        for place in order:
+            if excess <= 0 or parts[place] <= 0:
+                return
+            part = parts[place] * self.shares[place]
+            taken = min(part, excess)
+            self.shares[place] -= taken / parts[place]
+            excess -= taken
+
+    def brake(self, worst: Attempt) -> None:
+        """Act on a miss: slow the least known, and all if it lasts."""
+        lasted_ms = self.state.now_ms - self.worker.missed_since_ms
+        image = worst.step.image
+        for place, attempt in enumerate(self.fillers):
+            spread = self.state.model.get_spread(image, attempt.step.image)
+            share = _interference.get_share(attempt.step, self.worker)
+            if spread * share > _UNSURE or lasted_ms >= _ALL_AFTER_MS:
+                self.shares[place] = 0.0
+
+
 def _move_slowed(fillers: list[Attempt], context: Context) -> None:
     """Stop what has been slow for long, to go on from there elsewhere."""
     now_ms = context.state.now_ms
@@ -97,46 +184,30 @@
             attempt.step.checkpointing
             or attempt.progress_percent < _CHEAP_PROGRESS_PERCENT
         )
-        if is_cheap and now_ms - attempt.slowed_ms >= _MOVE_AFTER_MS:
+        is_long = now_ms - attempt.slowed_ms >= _MOVE_AFTER_MS
+        if is_cheap and is_long and _fits_elsewhere(attempt, context):
             _attempts.avoid(attempt, context)
             _attempts.stop_attempt(attempt, context, 'slowed for long')
 
 
-def _get_ratio(attempt: Attempt) -> float:
-    return attempt.load / attempt.step.target_ms
-
-
-def _slow(
-    worst: Attempt,
-    ratio: float,
-    worker: Worker,
-    fillers: list[Attempt],
-    state: SchedulerState,
-) -> None:
-    """Slow the most to blame first, until the tail should fit."""
-    missing = math.log(ratio / _GOAL_RATIO)
-    parts = [
-        (
-            _interference.get_contribution(
-                worst.step.image, attempt, worker, state
-            ),
-            number,
-            attempt,
+def _fits_elsewhere(attempt: Attempt, context: Context) -> bool:
+    """Whether another worker would take the task now, at full pace."""
+    found = _attempts.find_task(attempt.key, context)
+    if found is None:
+        return False
+    job, task = found
+    state = context.state
+    for worker in state.workers.values():
+        if worker.worker_id == attempt.worker_id:
+            continue
+        if not _feasibility.is_feasible(worker, job, task, attempt.step, state):
+            continue
+        score = _scoring.score_idle(
+            state.policy, worker, task, attempt.step, state
         )
-        for number, attempt in enumerate(fillers)
-    ]
-    parts.sort(reverse=True)
-    for part, _, attempt in parts:
-        if part < _BLAME or missing <= 0:
-            break
-        kept = max(0.0, 1 - missing / part)
-        attempt.wanted_percent = int(attempt.wanted_percent * kept)
-        missing -= part * (1 - kept)
-    if missing > 0:
-        for attempt in fillers:
-            attempt.wanted_percent = max(
-                0, attempt.wanted_percent - _UNEXPLAINED_PERCENT
-            )
+        if score is not None:
+            return True
+    return False
 
 
 def _send(attempt: Attempt, worker: Worker, context: Context) -> None:
--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -46,6 +46,9 @@
 # one far from its data likewise.
 _AVOIDED_WEIGHT: t.Final = 10.0
 _FAR_WEIGHT: t.Final = 2.0
+# How long long-running tasks wait for others, to be placed image by image:
+# the jobs that stood before a start come within 100 ms.
+_GATHER_MS: t.Final = 150
 # Between two passes over the tasks for idle processors.
 _IDLE_EVERY_MS: t.Final = 100
 
@@ -92,7 +95,7 @@
 
     def _place(self, job: Job, kind: _ready.StepKey) -> None:
         step = job.request.steps[kind[2]]
-        if self._is_hopeless(step):
+        if self._is_hopeless(step) or self._is_gathering(job, step):
             return
         if job.queue.advised:
             _advice.ask_if_due(job, kind, self.context)
@@ -111,6 +114,11 @@
         least = self.refused.get(step.image, 0) if step.opportunistic else 0
         return bool(least) and step.size.cpu_millicores >= least
 
+    def _is_gathering(self, job: Job, step: Step) -> bool:
+        """Whether others that come together with the job are awaited."""
+        age_ms = self.context.state.now_ms - job.arrived_ms
+        return step.long_running and age_ms < _GATHER_MS
+
     def _place_task(self, job: Job, step: Step, task: Task) -> bool:
         """Start a task; false if the step's others fit nowhere either."""
         state = self.context.state
--- a/src/tulippin/jobs/_ranking.py
+++ b/src/tulippin/jobs/_ranking.py
@@ -21,6 +21,8 @@
 _LATE_LIMIT: t.Final = 3
 # Long-running tasks of jobs that came within this are placed together.
 _BATCH_MS: t.Final = 1000
+# Stands for "as many as fit" where the least must come first.
+_UNLIMITED: t.Final = 1_000_000
 
 
 def learn_run_time(job: Job, run_ms: int, state: SchedulerState) -> None:
@@ -44,7 +46,24 @@
 ) -> list[StepKey]:
     """Return the keys of ready steps, the first to be placed first."""
     jobs = state.jobs
-    return sorted(queue, key=lambda kind: _get_rank(jobs[kind[0]], kind, state))
+    demand = _sum_lasting(queue, state)
+    return sorted(
+        queue,
+        key=lambda kind: _get_rank(jobs[kind[0]], kind, state, demand),
+    )
+
+
+def _sum_lasting(
+    queue: dict[StepKey, dict[t.Any, Task]], state: SchedulerState
+) -> dict[str, int]:
+    """Return the millicores that long-running tasks wait for, by image."""
+    demand: dict[str, int] = {}
+    for kind, tasks in queue.items():
+        step = state.jobs[kind[0]].request.steps[kind[2]]
+        if step.long_running:
+            asked = step.size.cpu_millicores * len(tasks)
+            demand[step.image] = demand.get(step.image, 0) + asked
+    return demand
 
 
 @attrs.frozen(order=True)
@@ -55,23 +74,33 @@
     is_lasting: bool
     hope: int
     due_ms: float
-    largest_first: int
+    largest_first: tuple[int, str, int, int]
     kind: StepKey
 
 
-def _get_rank(job: Job, kind: StepKey, state: SchedulerState) -> _Rank:
+def _get_rank(
+    job: Job, kind: StepKey, state: SchedulerState, demand: dict[str, int]
+) -> _Rank:
     """Order steps: the urgent, the short, the hopeful, the earliest due.
 
-    Long-running tasks that came together are placed the largest first,
-    which leaves the least room in pieces too small for anything.
+    Long-running tasks that came together are placed image by image, so
+    that few workers serve several; of one image first those that must be
+    spread, then the largest, which leaves the least room in pieces too
+    small for anything.
     """
     step = job.request.steps[kind[2]]
     if step.long_running:
         batch = job.arrived_ms // _BATCH_MS
-        size = -step.size.cpu_millicores
-        return _Rank(job.queue.priority, True, 0, batch, size, kind)
+        order = (
+            -demand[step.image],
+            step.image,
+            step.max_per_worker or _UNLIMITED,
+            -step.size.cpu_millicores,
+        )
+        return _Rank(job.queue.priority, True, 0, batch, order, kind)
     hope, due_ms = _judge(job, kind, state)
-    return _Rank(job.queue.priority, False, hope, due_ms, 0, kind)
+    none = (0, '', 0, 0)
+    return _Rank(job.queue.priority, False, hope, due_ms, none, kind)
 
 
 def _judge(job: Job, kind: StepKey, state: SchedulerState) -> tuple[int, float]:
--- a/src/tulippin/jobs/_scoring.py
+++ b/src/tulippin/jobs/_scoring.py
@@ -24,7 +24,7 @@
 
 def _get_pressure(worker: Worker) -> float:
     capacity = max(1, worker.entry.capacity.cpu_millicores)
-    return worker.used_millicores / capacity
+    return _interference.get_used(worker) / capacity
 
 
 @functools.singledispatch
--- a/src/tulippin/jobs/_soundness.py
+++ b/src/tulippin/jobs/_soundness.py
@@ -10,7 +10,7 @@
 import math
 import typing as t
 
-from tulippin.jobs import _attempts, _feasibility, _interference
+from tulippin.jobs import _attempts, _feasibility, _interference, _tails
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs.state import Attempt, AttemptState, Worker
 from tulippin.jobs.types import Step
@@ -58,12 +58,12 @@
     known = 0
     beyond = 0
     for attempt in worker.serving.values():
-        alone_ms = _interference.get_undisturbed_ms(attempt, context.state)
+        alone_ms = _tails.get_undisturbed_ms(attempt, context.state)
         if alone_ms <= 0 or attempt.load <= 0:
             continue
         known += 1
         excess = math.log(attempt.load / alone_ms)
-        beyond += _interference.is_own_doing(excess, exposure)
+        beyond += _tails.is_own_doing(excess, exposure)
     return known > 0 and beyond * 2 > known
 
 
--- a/src/tulippin/jobs/_workers.py
+++ b/src/tulippin/jobs/_workers.py
@@ -4,7 +4,7 @@
 
 import typing as t
 
-from tulippin.jobs import _attempts, _ownership, _ready
+from tulippin.jobs import _attempts, _ownership, _ready, _tails
 from tulippin.jobs._dispatch import Context, handle
 from tulippin.jobs.effects import ForgetWorker, HoldWorker, StopRun
 from tulippin.jobs.events import (
@@ -194,7 +194,7 @@
         if found is not None:
             found[1].checkpoint = row.checkpoint
     attempt.progress_percent = row.progress_percent
-    attempt.load = row.load or 0.0
+    _tails.note_load(attempt, row.load or 0.0, state.now_ms)
     # A worker that does not tell loads is taken to be at work.
     if row.load is None or row.load > 0:
         attempt.worked_ms = state.now_ms
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from tulippin.jobs.pair_model import PairModel
 from tulippin.jobs.records import (
     EpochRecord,
     LeaseRecord,
@@ -22,11 +23,7 @@
     TaskKey,
     WorkerEntry,
 )
-from tulippin.policies import (
-    InterferenceModel,
-    InterferencePolicy,
-    Policy,
-)
+from tulippin.policies import InterferencePolicy, Policy
 from tulippin.types import Resources
 
 # Runs of one task in one epoch are numbered below this, so that a new
@@ -34,17 +31,6 @@
 RUNS_PER_EPOCH: t.Final = 65536
 
 
-# A report of half a second is one sample for each serving task beside a
-# neighbour, and a pair may ruin a tail within that: learn from few.
-_PRIOR_COUNT: t.Final = 1.0
-_LEARN_STEP: t.Final = 0.5
-
-
-def make_model() -> InterferenceModel:
-    """Return a model that knows nothing yet."""
-    return InterferenceModel(prior_count=_PRIOR_COUNT, step=_LEARN_STEP)
-
-
 @attrs.frozen
 class SchedulerConfig:
     """What the scheduler knows from its settings.
@@ -115,7 +101,10 @@
     """One run of a task on a worker.
 
     ``pace_percent`` is the pace that the worker has confirmed; nothing
-    where an earlier owner may have set another.
+    where an earlier owner may have set another. ``load`` is as the worker
+    tells it, smoothed over time; ``tail_ms`` is the tail by now, made out
+    from ``load`` and an earlier reading of it, ``past_load``.
+    ``load_part`` is the task's load beside the least of its siblings'.
     """
 
     key: TaskKey
@@ -136,6 +125,10 @@
     paced_ms: int = 0
     slowed_ms: int = 0
     load: float = 0.0
+    tail_ms: float = 0.0
+    past_load: float = 0.0
+    past_load_ms: int = 0
+    load_part: float = 1.0
     worked_ms: int = 0
 
 
@@ -189,8 +182,9 @@
     ``clock_offset_ms`` added to our clock gives the worker's clock or
     less. At ``lapse_at_ms`` by our clock, the latest lease that any
     order of ours may have given it has surely ended. ``slack`` is by
-    how much the tails of each serving image there may rise, as a logarithm;
-    nothing where it must be worked out anew.
+    how much more the serving tasks of each image there may be slowed;
+    nothing where it must be worked out anew. ``exposure`` is what its
+    opportunistic tasks used at an earlier report.
     """
 
     entry: WorkerEntry
@@ -205,16 +199,19 @@
     ends_read: int = 0
     attempts: dict[tuple[TaskKey, int], Attempt] = attrs.field(factory=dict)
     reserved: Resources = Resources()
-    used_millicores: float = 0.0
+    used_millicores: float | None = None
     serving: dict[tuple[TaskKey, int], Attempt] = attrs.field(factory=dict)
     fillers: dict[tuple[TaskKey, int], Attempt] = attrs.field(factory=dict)
     slack: dict[str, float] | None = None
+    exposure: dict[str, float] = attrs.field(factory=dict)
+    exposure_ms: int = 0
     failed_jobs: set[str] = attrs.field(factory=set)
     quarantined_until_ms: int = 0
     paused_until_ms: int = 0
     unwell_since_ms: int = 0
     needs_ack: bool = False
     pace_changed_ms: int = 0
+    missed_since_ms: int = 0
     is_rostered: bool = False
     was_rostered: bool = False
     is_reconciled: bool = False
@@ -276,13 +273,14 @@
     roster_version: int = 0
     is_roster_committing: bool = False
     wall_offset_ms: int = 0
-    model: InterferenceModel = attrs.field(factory=make_model)
+    model: PairModel = attrs.field(factory=PairModel)
     policy: Policy = InterferencePolicy()
     policy_number: int = 0
     run_times_ms: dict[str, float] = attrs.field(factory=dict)
     tails: dict[str, dict[TaskKey, tuple[float, int]]] = attrs.field(
         factory=dict
     )
+    lowest_tails_ms: dict[str, float] = attrs.field(factory=dict)
     counters: dict[str, int] = attrs.field(factory=dict)
 
     def count(self, name: str, amount: int = 1) -> None:
--- a/src/tulippin/jobs/views.py
+++ b/src/tulippin/jobs/views.py
@@ -103,14 +103,14 @@
 def show_model(state: SchedulerState) -> list[dict[str, t.Any]]:
     """Return what is learned of images that disturb each other."""
     rows = []
-    for pair, weight, count in state.model.iter_learned():
-        serving, _, beside = pair.partition('|')
+    for serving, beside, mean, spread, count in state.model.iter_learned():
         rows.append(
             {
                 'serving_image': serving,
                 'image_beside': beside,
-                'excess_per_tenth': round(weight, 4),
-                'samples': round(count, 1),
+                'excess_per_tenth': round(mean, 4),
+                'spread': round(spread, 4),
+                'samples': count,
             }
         )
     return sorted(rows, key=lambda row: -row['excess_per_tenth'])
