--- a/src/tulippin/jobs/_feasibility.py
+++ b/src/tulippin/jobs/_feasibility.py
@@ -7,6 +7,7 @@
 from tulippin.jobs import _advice, _interference
 from tulippin.jobs.state import Job, SchedulerState, Task, Worker
 from tulippin.jobs.types import Step
+from tulippin.types import Resources
 
 # Share of a worker's memory that opportunistic tasks leave to urgent ones,
 # which are then started without stopping any: a little everywhere, and
@@ -20,9 +21,10 @@
     worker: Worker, job: Job, task: Task, step: Step, state: SchedulerState
 ) -> bool:
     """Hard conditions, which no policy can switch off."""
-    if not worker.free.fits(step.reserved):
+    free = worker.free
+    if not free.fits(step.reserved):
         return False
-    if step.opportunistic and not _fits_idle(worker, step):
+    if step.opportunistic and not _fits_idle(worker, step, free):
         return False
     return is_open(worker, job, task, step, state)
 
@@ -65,13 +67,12 @@
     return beside < step.max_per_worker
 
 
-def _fits_idle(worker: Worker, step: Step) -> bool:
+def _fits_idle(worker: Worker, step: Step, free: Resources) -> bool:
     """Idle processors are there, and memory is left for urgent tasks."""
     capacity = worker.entry.capacity
     used = _interference.get_used(worker) + step.size.cpu_millicores
     if used > capacity.cpu_millicores:
         return False
-    free = worker.free
     memory_mb = free.memory_mb - step.reserved.memory_mb
     free_share = free.cpu_millicores / max(1, capacity.cpu_millicores)
     kept_share = _MEMORY_KEPT_SHARE + _MEMORY_PER_CPU * free_share
--- a/src/tulippin/jobs/_ranking.py
+++ b/src/tulippin/jobs/_ranking.py
@@ -9,8 +9,6 @@
 
 import typing as t
 
-import attrs
-
 from tulippin.jobs._ready import StepKey
 from tulippin.jobs.state import Job, SchedulerState, Task
 from tulippin.jobs.types import JobRequest
@@ -66,8 +64,7 @@
     return demand
 
 
-@attrs.frozen(order=True)
-class _Rank:
+class _Rank(t.NamedTuple):
     """Compared field by field, in this order; the least goes first."""
 
     priority: int
--- a/src/tulippin/jobs/types.py
+++ b/src/tulippin/jobs/types.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import functools
 import typing as t
 
 import attrs
@@ -123,7 +124,7 @@
     opportunistic: bool = False
     max_unavailable: int = 0
 
-    @property
+    @functools.cached_property
     def reserved(self) -> Resources:
         """What a task takes from its worker's room."""
         if self.opportunistic:
