Refuse calls whose headers exceed the configured limit

The adapter reads it, and the callers' side answers 431 with a code and keeps nothing. Shown by a test over loopback and one on decoding; both fail without the change (200 in place of 431; no such field).

--- a/src/tulippin/jobs/types.py
+++ b/src/tulippin/jobs/types.py
@@ -202,12 +202,17 @@
 
 @attrs.frozen
 class Configuration:
-    """The operators' configuration as of one version."""
+    """The operators' configuration as of one version.
+
+    The limits are of one call, in bytes; the defaults are those of the
+    users' sheets and of the HTTP library.
+    """
 
     version: int
     queues: tuple[Queue, ...] = ()
     services: tuple[Service, ...] = ()
     max_body_bytes: int = 262144
+    max_header_bytes: int = 65536
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue of a host with the longest matching prefix."""
--- a/src/tulippin/platform/callers.py
+++ b/src/tulippin/platform/callers.py
@@ -43,6 +43,9 @@
 _ANSWER_MS: t.Final = 300
 _MS: t.Final = 1000
 _SPEC_LIMIT_BYTES: t.Final = 4000
+_BAD_REQUEST: t.Final = 400
+# A colon, a blank and a line's end around each header.
+_HEADER_SIGNS: t.Final = 4
 # When to come back after a refusal: a takeover takes about so long.
 _RETRY_AFTER_S: t.Final = '1'
 _STATES: t.Final = {state: state.value for state in JobState}
@@ -60,6 +63,19 @@
     code = 'body_too_large'
 
 
+class HeadersTooLargeError(InputError):
+    """A call's headers are over the configured limit."""
+
+    code = 'headers_too_large'
+
+
+# The status of a refusal by what was wrong; anything else is a 400.
+_REFUSAL_STATUSES: t.Final = {
+    BodyTooLargeError: 413,
+    HeadersTooLargeError: 431,
+}
+
+
 class Reply(t.NamedTuple):
     """An answer: its status, its body and whether to come back later."""
 
@@ -188,6 +204,7 @@
         limit_ms = _read_deadline_ms(headers) - _ANSWER_MS
         try:
             with trio.fail_after(max(limit_ms, _ANSWER_MS) / _MS):
+                _check_headers(scope, configuration.max_header_bytes)
                 body = await _read_body(receive, configuration.max_body_bytes)
                 return await self._dispatch(
                     scope['method'], job_id, queue, body, limit_ms
@@ -233,7 +250,7 @@
 
 
 def _refuse_input(job_id: str, error: InputError) -> Reply:
-    status = 413 if isinstance(error, BodyTooLargeError) else 400
+    status = _REFUSAL_STATUSES.get(type(error), _BAD_REQUEST)
     text = '; '.join(
         [error.message, *(finding.render() for finding in error.findings)]
     )
@@ -246,6 +263,18 @@
     return Reply(status, ErrorBody(reason), retry=True)
 
 
+def _check_headers(scope: Scope, limit_bytes: int) -> None:
+    """Refuse a call whose headers, as they are sent, exceed a limit."""
+    sent_bytes = sum(
+        len(name) + len(value) + _HEADER_SIGNS
+        for name, value in scope['headers']
+    )
+    if sent_bytes > limit_bytes:
+        raise HeadersTooLargeError(
+            f'{sent_bytes} bytes of headers, {limit_bytes} are allowed'
+        )
+
+
 def _read_deadline_ms(headers: dict[bytes, bytes]) -> int:
     text = headers.get(_DEADLINE_HEADER, b'')
     return int(text) if text.isdigit() else _DEFAULT_DEADLINE_MS
--- a/src/tulippin/platform/feeds.py
+++ b/src/tulippin/platform/feeds.py
@@ -60,6 +60,7 @@
             for service in body.services
         ),
         max_body_bytes=body.limits.body_bytes,
+        max_header_bytes=body.limits.header_bytes,
     )
 
 
--- a/src/tulippin/platform/wire.py
+++ b/src/tulippin/platform/wire.py
@@ -103,6 +103,7 @@
     """Limits on what callers send."""
 
     body_bytes: int = msgspec.field(name='MaxBodyBytes', default=262144)
+    header_bytes: int = msgspec.field(name='MaxHeaderBytes', default=65536)
 
 
 class ConfigBody(msgspec.Struct, frozen=True):
--- a/tests/tulippin/platform/test_platform_daemon.py
+++ b/tests/tulippin/platform/test_platform_daemon.py
@@ -5,6 +5,7 @@
 import os
 
 import attrs
+import msgspec
 import pytest
 import trio
 
@@ -49,13 +50,15 @@
     lines: LineBuffer
     path: object
 
-    async def call(self, method, path, body=None, host='host', port=None):
+    async def call(
+        self, method, path, body=None, host='host', port=None, headers=()
+    ):
         port = port or self.daemon.ports['callers']
         return await self.client.send(
             method,
             f'http://127.0.0.1:{port}{path}',
             b'' if body is None else json.dumps(body).encode(),
-            {'Host': host, 'Deadline-Ms': '3000'},
+            {'Host': host, 'Deadline-Ms': '3000', **dict(headers)},
         )
 
     async def wait_ready(self, configure):
@@ -138,6 +141,23 @@
         assert state.status == 410
 
 
+async def test_oversize_headers_are_refused_and_nothing_is_kept(tmp_path):
+    async with serve(tmp_path) as site:
+        body = make_config_body(version=2)
+        limits = msgspec.structs.replace(body.limits, header_bytes=200)
+        small = msgspec.structs.replace(body, limits=limits)
+        site.servers.platform.configure(small)
+        long = {'X-Long': 'x' * 300}
+        with trio.fail_after(5):
+            while (await site.call('GET', '/q/', headers=long)).status == 200:
+                await trio.sleep(0.02)
+        answer = await site.call('POST', f'/q/{JOB}', BODY, headers=long)
+        assert answer.status == 431
+        assert b'headers_too_large' in answer.body
+        answer = await site.call('GET', f'/q/{JOB}')
+        assert answer.status == 410
+
+
 async def test_oversize_body_is_refused(tmp_path):
     async with serve(tmp_path) as site:
         body = {'Spec': 'x' * 300_000, 'Steps': [{'Count': 1}]}
--- a/tests/tulippin/platform/test_platform_names.py
+++ b/tests/tulippin/platform/test_platform_names.py
@@ -78,12 +78,13 @@
         b'"Priority":2,"Service":"s","MaxAttempts":2,"Stretch":2.2,'
         b'"advice":{"decide_ms":1,"each_ms":1,"valid_ms":9}}],"Services":'
         b'[{"Name":"s","EnforcesCapacity":true,"Spare":false}],'
-        b'"Limits":{"MaxBodyBytes":10}}'
+        b'"Limits":{"MaxBodyBytes":10,"MaxHeaderBytes":20}}'
     )
     queue = configuration.find_queue('h', '/a/0011')
     assert queue.advised
     assert queue.priority == 2
     assert configuration.max_body_bytes == 10
+    assert configuration.max_header_bytes == 20
     assert configuration.services[0].enforces_capacity
 
 
