Spread accepted jobs over parts of their own; read pages as of the first

The store was 60 times slower; its writes to one part come in turn, 0.3 s each, and over a second of waiting is refused. All rows of the unit stood in one part, so accepting jobs queued behind the owner's renewals and commits. Ruled out: the owner (idle) and the store as a whole (its readings answered).

Change: accepted and cancelled jobs lie in eight parts by their id. A new owner reads them side by side and follows the feed from the earliest of their versions. Removal of old jobs takes the job first and its progress last, as they can no longer go in one transaction: a job without progress would run again.

Seen while reading: rows read in several pages (over 500) carried the version of the last page, so a row added before that, on an earlier page, was never told by the feed. They carry the first page's now.

Tests: the stand-in's writes come in turn; 16 jobs at once are accepted from a slow store, fewer than 12 with one part; a removal cut short leads to no second run; the version of a reading in pages (fails without the change).

--- a/src/tulippin/jobs/_row_effects.py
+++ b/src/tulippin/jobs/_row_effects.py
@@ -183,21 +183,34 @@
 
 
 async def _run_remove(effect: fx.RemoveJobs, shell: SchedulerShell) -> None:
+    """Remove jobs first, and their progress only once they are gone.
+
+    A job without progress would be run again by the next owner, while
+    progress without its job does nothing.
+    """
     unit = shell.config.unit
-    writes = []
+    removals: dict[str, list[RowWrite]] = {}
     for job_id in effect.job_ids:
-        writes.append(RowWrite(unit.progress_table, job_id, None))
-        writes.append(RowWrite(unit.jobs_table, job_id, None))
-        writes.append(
-            RowWrite(unit.jobs_table, f'{job_id}{CANCEL_SUFFIX}', None)
+        writes = removals.setdefault(unit.get_jobs_part(job_id), [])
+        for key in (job_id, f'{job_id}{CANCEL_SUFFIX}'):
+            writes.append(RowWrite(unit.jobs_table, key, None))
+    transactions = [
+        Transaction(part, (), tuple(writes))
+        for part, writes in removals.items()
+    ]
+    transactions.append(
+        Transaction(
+            unit.part,
+            (RowCondition(UNITS_TABLE, EPOCH_KEY, effect.epoch_version),),
+            tuple(
+                RowWrite(unit.progress_table, job_id, None)
+                for job_id in effect.job_ids
+            ),
         )
-    transaction = Transaction(
-        unit.part,
-        (RowCondition(UNITS_TABLE, EPOCH_KEY, effect.epoch_version),),
-        tuple(writes),
     )
     try:
-        await shell.ports.store.transact(transaction)
+        for transaction in transactions:
+            await shell.ports.store.transact(transaction)
     except UnavailableError as error:
         # They stay in the store until another owner removes them.
         logger.warning('jobs not removed', reason=error.message)
--- a/src/tulippin/jobs/_unit_feeds.py
+++ b/src/tulippin/jobs/_unit_feeds.py
@@ -5,13 +5,19 @@
 import typing as t
 
 import attrs
+import outcome
 import trio
 
 from tulippin.exceptions import UnavailableError
 from tulippin.jobs import events as ev
 from tulippin.jobs._rows import get_version, read_record
-from tulippin.jobs.ports import HistoryLostError
-from tulippin.jobs.records import ROSTER_KEY, UNITS_TABLE, RosterRecord
+from tulippin.jobs.ports import HistoryLostError, RowPage, RowStore
+from tulippin.jobs.records import (
+    ROSTER_KEY,
+    UNITS_TABLE,
+    RosterRecord,
+    Unit,
+)
 from tulippin.logs import logger
 
 if t.TYPE_CHECKING:
@@ -28,6 +34,32 @@
 _WORKERS_EVERY_S: t.Final = 0.35
 
 
+async def read_jobs(store: RowStore, unit: Unit) -> RowPage:
+    """Return all accepted and cancelled jobs of a unit.
+
+    The parts are read side by side, each as of a moment of its own; the
+    version returned is that of the earliest, so that a feed from there on
+    tells all that a reading missed.
+
+    Raises
+    ------
+    UnavailableError
+        If a part could not be read.
+    """
+    found: list[outcome.Outcome] = []
+
+    async def read(part: str) -> None:
+        read_rows = store.read_rows
+        found.append(await outcome.acapture(read_rows, unit.jobs_table, part))
+
+    async with trio.open_nursery() as nursery:
+        for part in unit.jobs_parts:
+            nursery.start_soon(read, part)
+    pages = [one.unwrap() for one in found]
+    rows = tuple(row for page in pages for row in page.rows)
+    return RowPage(rows, min(page.version for page in pages))
+
+
 @attrs.define
 class UnitFeeds:
     """Follows a unit for as long as it is owned; ``scope`` ends it."""
@@ -49,7 +81,7 @@
         store = self.shell.ports.store
         while True:
             try:
-                jobs = await store.read_rows(unit.jobs_table, unit.part)
+                jobs = await read_jobs(store, unit)
                 progress = await store.read_rows(unit.progress_table, unit.part)
                 owned = await store.read_rows(UNITS_TABLE, unit.part)
                 workers, version = await self.shell.ports.feeds.read_workers()
@@ -74,7 +106,7 @@
         while True:
             try:
                 if after < 0:
-                    page = await store.read_rows(unit.jobs_table, unit.part)
+                    page = await read_jobs(store, unit)
                 else:
                     page = await store.follow(
                         unit.jobs_table, after, FEED_WAIT_MS
--- a/src/tulippin/jobs/intake.py
+++ b/src/tulippin/jobs/intake.py
@@ -50,9 +50,10 @@
     def _store(self) -> RowStore:
         return self.shell.ports.store
 
-    async def _read(self, table: str, first: str, end: str) -> RowPage:
-        """Read rows of the unit; a reading that fails has done nothing."""
-        part = self.shell.config.unit.part
+    async def _read(
+        self, table: str, part: str, first: str, end: str
+    ) -> RowPage:
+        """Read rows; a reading that fails has done nothing."""
         try:
             return await self._store.read_rows(table, part, first, end)
         except AnswerLostError as error:
@@ -68,7 +69,7 @@
         unit = self.shell.config.unit
         value = encode(JobRecord(queue, request))
         transaction = Transaction(
-            unit.part,
+            unit.get_jobs_part(job_id),
             (RowCondition(unit.jobs_table, job_id, 0),),
             (RowWrite(unit.jobs_table, job_id, value),),
         )
@@ -93,18 +94,20 @@
                 return job.durable.state
         unit = self.shell.config.unit
         end = f'{job_id}/'
-        page = await self._read(unit.progress_table, job_id, end)
+        page = await self._read(unit.progress_table, unit.part, job_id, end)
         for row in page.rows:
             if row.value is not None:
                 return decode(row.value, ProgressRecord).state
-        page = await self._read(unit.jobs_table, job_id, end)
+        part = unit.get_jobs_part(job_id)
+        page = await self._read(unit.jobs_table, part, job_id, end)
         return JobState.PENDING if page.rows else None
 
     async def cancel(self, job_id: str, queue: Queue, limit_ms: int) -> bool:
         """Cancel a job for good; false if there is no such job."""
         unit = self.shell.config.unit
         end = f'{job_id}{_AFTER_SLASH}'
-        page = await self._read(unit.jobs_table, job_id, end)
+        part = unit.get_jobs_part(job_id)
+        page = await self._read(unit.jobs_table, part, job_id, end)
         keys = {row.key for row in page.rows}
         if job_id not in keys:
             return False
@@ -112,7 +115,7 @@
         if key in keys:
             return True
         transaction = Transaction(
-            unit.part,
+            part,
             (),
             (RowWrite(unit.jobs_table, key, encode(CancelRecord(queue.name))),),
         )
--- a/src/tulippin/jobs/records.py
+++ b/src/tulippin/jobs/records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import typing as t
+import zlib
 
 import attrs
 
@@ -13,6 +14,10 @@
 EPOCH_KEY: t.Final = 'epoch'
 ROSTER_KEY: t.Final = 'roster'
 CANCEL_SUFFIX: t.Final = '/cancel'
+# The store carries out a part's writes one after the other, and a write of
+# a store that is slow takes 0.3 s. Accepted and cancelled jobs are spread
+# over so many parts, away from the owner's own writes.
+_JOBS_PARTS: t.Final = 8
 
 
 @attrs.frozen
@@ -23,9 +28,18 @@
 
     @property
     def part(self) -> str:
-        """The part of every table that holds the unit's rows."""
+        """The part that holds the rows which only the owner writes."""
         return f'u{self.number}'
 
+    @property
+    def jobs_parts(self) -> tuple[str, ...]:
+        """The parts that hold accepted and cancelled jobs."""
+        return tuple(f'{self.part}.{number}' for number in range(_JOBS_PARTS))
+
+    def get_jobs_part(self, job_id: str) -> str:
+        """Return the part that holds a job's row and that of its cancel."""
+        return self.jobs_parts[zlib.crc32(job_id.encode()) % _JOBS_PARTS]
+
     @property
     def jobs_table(self) -> str:
         """The table of accepted and of cancelled jobs."""
--- a/src/tulippin/platform/standin_store.py
+++ b/src/tulippin/platform/standin_store.py
@@ -20,6 +20,7 @@
 _MS: t.Final = 1000
 _STORE_S: t.Final = 0.004
 SILENCE_S: t.Final = 0.9
+_LONGEST_QUEUE_S: t.Final = 1.0
 
 
 @attrs.define
@@ -34,12 +35,16 @@
         Share of transactions that are done and not answered.
     deaf_feeds : bool
         Feeds return no change.
+    write_s : float
+        How long a transaction takes; those of one part come in turn, and
+        are refused while more than a second of them waits.
     """
 
     refused: set[str] = attrs.field(factory=set)
     silenced: set[str] = attrs.field(factory=set)
     lost_answer_share: float = 0.0
     deaf_feeds: bool = False
+    write_s: float = 0.0
 
 
 @attrs.define
@@ -53,6 +58,7 @@
     forgotten_version: int = 0
     cut_counts: dict[str, int] = attrs.field(factory=dict)
     call_count: int = 0
+    busy_until_s: dict[str, float] = attrs.field(factory=dict)
     source: random.Random = attrs.field(factory=lambda: random.Random(0))
     _changed: trio.Event = attrs.field(factory=trio.Event)
 
@@ -130,6 +136,16 @@
         if trouble.refused & {self.client, '*'}:
             raise UnavailableError('the store refuses')
 
+    async def _wait_turn(self, part: str) -> None:
+        """Wait until the writes of a part that came before are done."""
+        now_s = trio.current_time()
+        begins_s = max(now_s, self.store.busy_until_s.get(part, now_s))
+        if begins_s - now_s > _LONGEST_QUEUE_S:
+            raise UnavailableError('the part is busy')
+        ends_s = begins_s + self.store.trouble.write_s
+        self.store.busy_until_s[part] = ends_s
+        await trio.sleep(ends_s - now_s)
+
     async def read_rows(
         self, table: str, part: str, first: str = '', end: str = ''
     ) -> RowPage:
@@ -174,6 +190,7 @@
     async def transact(self, transaction: Transaction) -> TransactionResult:
         """Carry out a transaction; its answer may be lost."""
         await self._enter()
+        await self._wait_turn(transaction.part)
         result = self.store.apply(transaction)
         trouble = self.store.trouble
         if self.store.source.random() < trouble.lost_answer_share:
--- a/src/tulippin/platform/store.py
+++ b/src/tulippin/platform/store.py
@@ -81,11 +81,15 @@
     ) -> RowPage:
         """Return the rows from ``first`` on, page by page."""
         rows: list[StoredRow] = []
+        version: int | None = None
         while True:
             page = await self._get_page(table, part, first, end)
             rows.extend(decode_row(body) for body in page.rows)
+            if version is None:
+                # Later pages do not tell what came on the first one since.
+                version = page.version
             if not page.more:
-                return RowPage(tuple(rows), page.version)
+                return RowPage(tuple(rows), version)
             # The smallest key above the last one.
             first = f'{page.rows[-1].key}\0'
 
--- a/tests/tulippin/jobs/test_scheduler_fleet.py
+++ b/tests/tulippin/jobs/test_scheduler_fleet.py
@@ -13,9 +13,13 @@
 )
 from tulippin.exceptions import AnswerLostError, UnavailableError
 from tulippin.jobs import _attempts, _ownership, _workers
+from tulippin.jobs._perform import perform
+from tulippin.jobs.effects import RemoveJobs
+from tulippin.jobs.records import Unit
 from tulippin.jobs.state import AttemptState
 from tulippin.jobs.types import JobState, RunOutcome, Schedule
 from tulippin.platform.standin import check_history
+from tulippin.platform.standin_store import StoreView
 
 LIMIT_MS = 3000
 JOB = '00000000000000aa'
@@ -71,6 +75,82 @@
     run_virtual(run)
 
 
+def submit_many_to_a_slow_store(run_virtual, count=16):
+    """Return how many of as many jobs at once are accepted in time."""
+    accepted = []
+
+    async def run():
+        async with open_fleet() as fleet:
+
+            async def try_one(number):
+                try:
+                    await submit(fleet, f'{number:016x}')
+                except UnavailableError:
+                    return
+                accepted.append(number)
+
+            fleet.platform.store.trouble.write_s = 0.3
+            with trio.move_on_after(LIMIT_MS / 1000):
+                async with trio.open_nursery() as nursery:
+                    for number in range(count):
+                        nursery.start_soon(try_one, number)
+            fleet.platform.store.trouble.write_s = 0
+            for number in accepted:
+                await fleet.wait_done(f'{number:016x}')
+            fleet.check()
+
+    run_virtual(run)
+    return len(accepted)
+
+
+def test_slow_store_takes_many_jobs_at_once(run_virtual):
+    assert submit_many_to_a_slow_store(run_virtual) == 16
+
+
+def test_one_part_for_all_rows_would_refuse_some(run_virtual, monkeypatch):
+    monkeypatch.setattr(Unit, 'get_jobs_part', lambda unit, job_id: unit.part)
+    monkeypatch.setattr(Unit, 'jobs_parts', property(lambda one: (one.part,)))
+    assert submit_many_to_a_slow_store(run_virtual) < 12
+
+
+def test_job_whose_removal_was_cut_short_is_not_run_again(
+    run_virtual, monkeypatch
+):
+    async def run():
+        async with open_fleet(instances=1) as fleet:
+            await submit(fleet)
+            await fleet.wait_done(JOB)
+            shell = fleet.instances['i0'].shell
+            allowed = StoreView.transact
+            calls = []
+
+            async def transact(view, transaction):
+                calls.append(transaction)
+                if len(calls) > 1:
+                    raise UnavailableError('the store refuses')
+                return await allowed(view, transaction)
+
+            monkeypatch.setattr(StoreView, 'transact', transact)
+            perform(
+                RemoveJobs((JOB,), shell.state.ownership.epoch_version), shell
+            )
+            await trio.sleep(0.1)
+            monkeypatch.undo()
+            assert len(calls) > 1
+            fleet.kill('i0')
+            await fleet.start('i1')
+            await fleet.wait_owner()
+            await trio.sleep(3)
+            started = [
+                event
+                for event in fleet.platform.history
+                if event.kind == 'started'
+            ]
+            assert len(started) == 1
+
+    run_virtual(run)
+
+
 def test_unknown_job_has_no_state(run_virtual):
     async def run():
         async with open_fleet() as fleet:
--- a/tests/tulippin/platform/test_platform_names.py
+++ b/tests/tulippin/platform/test_platform_names.py
@@ -8,6 +8,8 @@
 from tulippin.jobs.types import RunOutcome
 from tulippin.platform import feeds, wire, workers
 from tulippin.platform.callers import decode_job
+from tulippin.platform.store import PlatformStore
+from tulippin.platform.wire import RowBody, RowsBody
 
 SOURCES = pathlib.Path(feeds.__file__).parents[1]
 NAMES = (
@@ -135,3 +137,15 @@
 def test_unreadable_configuration_is_an_error(value):
     with pytest.raises(wire.msgspec.DecodeError):
         feeds.decode_configuration(value)
+
+
+async def test_reading_of_several_pages_is_as_of_the_first():
+    class Paged(PlatformStore):
+        async def _get_page(self, table, part, first, end):
+            if first:
+                return RowsBody(version=9, rows=(RowBody(key='b'),))
+            return RowsBody(version=5, more=True, rows=(RowBody(key='a'),))
+
+    page = await Paged('', None).read_rows('jobs', 'p')
+    assert [row.key for row in page.rows] == ['a', 'b']
+    assert page.version == 5
