Slow a neighbour of which nothing is known after a miss only

Cause: a pair without samples was paced by what is thought of it before any (0.06 a tenth); four such neighbours near the flood of a job's load were put to rest, and at rest nothing is learned. The reverse also held: a neighbour put to rest at the first report of a miss never came to a steady state, so the miss taught nothing.

Change: pairs count for the pace once known to within 0.08; a miss slows those that are not. While tails still rise, a sample tells the least that a pair does; while they fall, nothing.

Tests: four, of which the two on unknown neighbours and the one on rising tails fail without the change.

--- a/src/tulippin/jobs/_interference.py
+++ b/src/tulippin/jobs/_interference.py
@@ -128,13 +128,14 @@
     worker.exposure = exposure
     worker.exposure_ms = state.now_ms
     total = sum(exposure.values())
-    if not _is_steady(exposure, past, total):
+    is_steady = _is_steady(exposure, past, total)
+    if not is_steady and not _has_grown(exposure, past):
         return
     for attempt in serving:
-        if _is_calm(attempt, exposure, state):
+        if is_steady and _is_calm(attempt, exposure, state):
             _tails.learn_part(attempt, state, 0.0)
         if total >= _LEAST_EXPOSURE:
-            _learn_one(attempt, exposure, state)
+            _learn_one(attempt, exposure, state, is_steady=is_steady)
 
 
 def _is_calm(
@@ -160,9 +161,22 @@
     return changed <= _STEADY_RATIO * (1 + total)
 
 
+def _has_grown(exposure: dict[str, float], past: dict[str, float]) -> bool:
+    """Whether no image uses less than before: tails are still to rise."""
+    return all(
+        exposure.get(image, 0.0) >= used - _LEAST_EXPOSURE
+        for image, used in past.items()
+    )
+
+
 def _learn_one(
-    attempt: Attempt, exposure: dict[str, float], state: SchedulerState
+    attempt: Attempt,
+    exposure: dict[str, float],
+    state: SchedulerState,
+    *,
+    is_steady: bool,
 ) -> None:
+    """Learn from one task; before a steady state, only the least there is."""
     undisturbed_ms = _tails.get_undisturbed_ms(attempt, state)
     if undisturbed_ms <= 0 and attempt.tail_ms <= attempt.step.target_ms:
         return
@@ -177,7 +191,7 @@
         attempt.step.image,
         exposure,
         max(0.0, slowdown - 1 - _SIBLING_BIAS),
-        is_bound=attempt.tail_ms > _GROWING_RATIO * alone_ms,
+        is_bound=not is_steady or attempt.tail_ms > _GROWING_RATIO * alone_ms,
     )
 
 
--- a/src/tulippin/jobs/_pacing.py
+++ b/src/tulippin/jobs/_pacing.py
@@ -34,6 +34,9 @@
 _SEND_AGAIN_MS: t.Final = 400
 # By how much a job's load may rise until the next report.
 _RISE: t.Final = 0.03
+# A pair is known from its first sample beside one task of a tenth, which
+# leaves a spread of 0.07 of the 0.12 that there is before.
+_UNKNOWN_SPREAD: t.Final = 0.08
 # A neighbour whose part may be this much above its mean is not well known.
 _UNSURE: t.Final = 0.05
 # A miss that lasted so long is not left to the model: two more reports.
@@ -117,17 +120,23 @@
     def fit(self) -> None:
         """Slow those to blame until every target should be kept."""
         for image, allowance in self._get_allowances().items():
-            parts = [
-                _interference.get_contribution(
-                    image, attempt, self.worker, self.state
-                )
-                for attempt in self.fillers
-            ]
-            parts = [
-                part if part > _interference.HARMLESS else 0.0 for part in parts
-            ]
+            parts = [self._get_part(image, one) for one in self.fillers]
             self._reduce(parts, allowance)
 
+    def _get_part(self, image: str, attempt: Attempt) -> float:
+        """Return what a neighbour is known to add to an image's slowdown.
+
+        One of which nothing is known is not slowed for a suspicion: at
+        rest it would never be known.
+        """
+        model = self.state.model
+        if model.get_spread(image, attempt.step.image) > _UNKNOWN_SPREAD:
+            return 0.0
+        part = _interference.get_contribution(
+            image, attempt, self.worker, self.state
+        )
+        return part if part > _interference.HARMLESS else 0.0
+
     def _get_allowances(self) -> dict[str, float]:
         """Return by what each image there may be slowed."""
         allowances: dict[str, float] = {}
--- a/tests/tulippin/jobs/test_scheduler_decisions.py
+++ b/tests/tulippin/jobs/test_scheduler_decisions.py
@@ -221,6 +221,51 @@
     assert innocent.wanted_percent == 100
 
 
+def test_unknown_neighbour_is_not_slowed_before_a_miss():
+    state = make_state()
+    worker = state.workers['w0']
+    make_attempt(worker, make_serving(), load=40.0)
+    filler = make_attempt(worker, make_filler(), 'b')
+    show_siblings(state, 40.0)
+    pace(state, worker)
+    assert filler.wanted_percent == 100
+
+
+def test_unknown_neighbour_is_slowed_at_once_by_a_miss():
+    state = make_state()
+    worker = state.workers['w0']
+    make_attempt(worker, make_serving(), load=60.0)
+    filler = make_attempt(worker, make_filler(), 'b')
+    show_siblings(state, 40.0)
+    pace(state, worker)
+    assert filler.wanted_percent == 0
+
+
+def test_tail_that_still_rises_tells_the_least_that_a_pair_does():
+    state = make_state()
+    worker = state.workers['w0']
+    attempt = make_attempt(worker, make_serving(), load=20.0)
+    make_attempt(worker, make_filler(), 'b', load=1000.0)
+    state.now_ms += 400
+    show_siblings(state, 20.0)
+    _tails.note_load(attempt, 60.0, state.now_ms)
+    _interference.learn(worker, state)
+    assert state.model.get_weight('web', 'batch') > 0.1
+
+
+def test_tail_that_still_falls_blames_nobody():
+    state = make_state()
+    worker = state.workers['w0']
+    attempt = make_attempt(worker, make_serving(), load=80.0)
+    make_attempt(worker, make_filler(), 'b', load=500.0)
+    worker.exposure = {'batch': 3.0}
+    state.now_ms += 400
+    show_siblings(state, 20.0)
+    _tails.note_load(attempt, 60.0, state.now_ms)
+    _interference.learn(worker, state)
+    assert not state.model.images
+
+
 def test_all_are_slowed_where_none_is_to_blame_and_it_lasts():
     state = make_state()
     worker = state.workers['w0']
