Keep the count of waiting jobs over a takeover; give a rested task time

A taker's lease row began with no count, and all others answer from that row until the first renewal 0.5 s later. It begins with the last owner's count now.

The pace's answer now counts as a sign of work.

Tests: one each, both fail without the change.

--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -91,7 +91,13 @@
     config = state.config
     context.emit(
         TakeUnit(
-            LeaseRecord(config.session_id, config.instance_id),
+            LeaseRecord(
+                config.session_id,
+                config.instance_id,
+                # Until the jobs are loaded, the last owner's count is the
+                # newest there is.
+                waiting=ownership.lease.waiting if ownership.lease else {},
+            ),
             ownership.lease_version,
             EpochRecord(last + 1, config.session_id),
             ownership.epoch_version,
--- a/src/tulippin/jobs/_pacing.py
+++ b/src/tulippin/jobs/_pacing.py
@@ -251,3 +251,5 @@
     attempt.paced_ms = 0
     if event.answer.outcome is StartOutcome.STARTED:
         attempt.pace_percent = event.percent
+        # A task that rested has had no chance to work until now.
+        attempt.worked_ms = state.now_ms
--- a/tests/tulippin/jobs/test_scheduler_decisions.py
+++ b/tests/tulippin/jobs/test_scheduler_decisions.py
@@ -10,10 +10,12 @@
     _ranking,
     _soundness,
     _tails,
+    core,
 )
 from tulippin.jobs._attempts import add_attempt
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs._scoring import score_idle
+from tulippin.jobs.events import PaceAnswered
 from tulippin.jobs.pair_model import ImageModel
 from tulippin.jobs.state import (
     Attempt,
@@ -27,7 +29,9 @@
 )
 from tulippin.jobs.types import (
     JobRequest,
+    OrderAnswer,
     Queue,
+    StartOutcome,
     Step,
     TaskKey,
     WorkerEntry,
@@ -437,6 +441,28 @@
     assert attempt.state is AttemptState.STOPPING
 
 
+def test_task_set_to_work_again_has_time_before_it_counts_as_still():
+    state = make_state()
+    worker = state.workers['w0']
+    attempt = make_attempt(worker, make_filler(), 'b')
+    attempt.wanted_percent = 100
+    attempt.pace_percent = 0
+    core.reduce(
+        state,
+        PaceAnswered(
+            NOW_MS,
+            worker.worker_id,
+            attempt.key,
+            attempt.run,
+            100,
+            OrderAnswer(StartOutcome.STARTED),
+        ),
+    )
+    judge(state, worker)
+    assert attempt.state is AttemptState.RUNNING
+    assert worker.quarantined_until_ms == 0
+
+
 def test_slowed_task_does_not_count_as_still():
     state = make_state()
     worker = state.workers['w0']
--- a/tests/tulippin/jobs/test_scheduler_fleet.py
+++ b/tests/tulippin/jobs/test_scheduler_fleet.py
@@ -227,6 +227,27 @@
     return frozen
 
 
+def test_waiting_jobs_are_counted_everywhere_while_the_unit_changes_hands(
+    run_virtual,
+):
+    async def run():
+        async with open_fleet(instances=3, workers=1) as fleet:
+            large = make_request(make_step(cpu=1_000_000))
+            for number in range(4):
+                await submit(fleet, f'{number:016x}', request=large)
+            await trio.sleep(2)
+            owner = fleet.get_owner()
+            instance = fleet.instances.pop(owner)
+            with trio.fail_after(4):
+                await instance.shell.leave()
+            for _ in range(100):
+                await trio.sleep(0.02)
+                for one in fleet.instances.values():
+                    assert one.intake.count_waiting(QUEUE) == 4
+
+    run_virtual(run)
+
+
 def test_paused_owner_orders_nothing_until_confirmed(run_virtual):
     async def run():
         async with open_fleet(instances=2) as fleet:
