Wait until each instance knows the service, not for 0.7 s

Played twelve times at once with the answers printed, one failed the same way: three calls were refused with 503 `no_endpoint`, as gossip had not yet told the second instance of the service. The tests' set-up slept 0.7 s for that. It now waits until every instance knows of a task that serves; the assertions are as they were.

--- a/tests/tulippin/test_http.py
+++ b/tests/tulippin/test_http.py
@@ -46,7 +46,21 @@
             for cell in owned.values()
         )
     )
-    await trio.sleep(0.7)
+    # Peers learn of it by gossip, later on a busy machine.
+    await site.wait_for(
+        lambda: all(knows_service(one.shell.state) for one in site.daemons)
+    )
+
+
+def knows_service(state):
+    """Tell whether an instance knows of a task that serves."""
+    told = (
+        summary.services
+        for peer in state.peers.values()
+        for summary in peer.summaries.values()
+    )
+    own = (cell.endpoints for cell in state.cells.values())
+    return any('alerts' in services for services in (*told, *own))
 
 
 async def ask(site, body, **options):
