Ask in one place whether a run fits elsewhere; drop a dead parameter

Read over: pacing had a second copy of soundness's search for another worker, with the policy's view added. One function serves both; tasks that reserve processors are not put to the policy, as before. learn_part took a slowdown that was always none.

--- a/src/tulippin/jobs/_interference.py
+++ b/src/tulippin/jobs/_interference.py
@@ -133,7 +133,7 @@
         return
     for attempt in serving:
         if is_steady and _is_calm(attempt, exposure, state):
-            _tails.learn_part(attempt, state, 0.0)
+            _tails.learn_part(attempt, state)
         if total >= _LEAST_EXPOSURE:
             _learn_one(attempt, exposure, state, is_steady=is_steady)
 
--- a/src/tulippin/jobs/_pacing.py
+++ b/src/tulippin/jobs/_pacing.py
@@ -14,7 +14,6 @@
 
 from tulippin.jobs import (
     _attempts,
-    _feasibility,
     _interference,
     _ownership,
     _scoring,
@@ -194,31 +193,11 @@
             or attempt.progress_percent < _CHEAP_PROGRESS_PERCENT
         )
         is_long = now_ms - attempt.slowed_ms >= _MOVE_AFTER_MS
-        if is_cheap and is_long and _fits_elsewhere(attempt, context):
+        if is_cheap and is_long and _scoring.fits_elsewhere(attempt, context):
             _attempts.avoid(attempt, context)
             _attempts.stop_attempt(attempt, context, 'slowed for long')
 
 
-def _fits_elsewhere(attempt: Attempt, context: Context) -> bool:
-    """Whether another worker would take the task now, at full pace."""
-    found = _attempts.find_task(attempt.key, context)
-    if found is None:
-        return False
-    job, task = found
-    state = context.state
-    for worker in state.workers.values():
-        if worker.worker_id == attempt.worker_id:
-            continue
-        if not _feasibility.is_feasible(worker, job, task, attempt.step, state):
-            continue
-        score = _scoring.score_idle(
-            state.policy, worker, task, attempt.step, state
-        )
-        if score is not None:
-            return True
-    return False
-
-
 def _send(attempt: Attempt, worker: Worker, context: Context) -> None:
     state = context.state
     if state.now_ms - attempt.paced_ms < _SEND_AGAIN_MS:
--- a/src/tulippin/jobs/_scoring.py
+++ b/src/tulippin/jobs/_scoring.py
@@ -6,8 +6,9 @@
 import typing as t
 import zlib
 
-from tulippin.jobs import _interference
-from tulippin.jobs.state import SchedulerState, Task, Worker
+from tulippin.jobs import _attempts, _feasibility, _interference
+from tulippin.jobs._dispatch import Context
+from tulippin.jobs.state import Attempt, SchedulerState, Task, Worker
 from tulippin.jobs.types import Step
 from tulippin.policies import (
     BestFitPolicy,
@@ -88,3 +89,23 @@
     if harm is None:
         return None
     return _get_pressure(worker) + _HARM_WEIGHT * harm
+
+
+def fits_elsewhere(attempt: Attempt, context: Context) -> bool:
+    """Whether another worker would take a run's task now."""
+    found = _attempts.find_task(attempt.key, context)
+    if found is None:
+        return False
+    job, task = found
+    state = context.state
+    step = attempt.step
+    for worker in state.workers.values():
+        if worker.worker_id == attempt.worker_id:
+            continue
+        if not _feasibility.is_feasible(worker, job, task, step, state):
+            continue
+        if not step.opportunistic:
+            return True
+        if score_idle(state.policy, worker, task, step, state) is not None:
+            return True
+    return False
--- a/src/tulippin/jobs/_soundness.py
+++ b/src/tulippin/jobs/_soundness.py
@@ -10,10 +10,9 @@
 import math
 import typing as t
 
-from tulippin.jobs import _attempts, _feasibility, _interference, _tails
+from tulippin.jobs import _attempts, _interference, _scoring, _tails
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs.state import Attempt, AttemptState, Worker
-from tulippin.jobs.types import Step
 
 # Two reports in a row, beside neighbours 400 ms apart.
 _SICK_AFTER_MS: t.Final = 700
@@ -90,19 +89,6 @@
         if attempt.state is AttemptState.STOPPING:
             return
     for attempt in worker.serving.values():
-        if _fits_elsewhere(attempt, context):
+        if _scoring.fits_elsewhere(attempt, context):
             _move(attempt, 'its worker is unwell', context)
             return
-
-
-def _fits_elsewhere(attempt: Attempt, context: Context) -> bool:
-    found = _attempts.find_task(attempt.key, context)
-    if found is None:
-        return False
-    job, task = found
-    step: Step = attempt.step
-    return any(
-        _feasibility.is_feasible(worker, job, task, step, context.state)
-        for worker in context.state.workers.values()
-        if worker.worker_id != attempt.worker_id
-    )
--- a/src/tulippin/jobs/_tails.py
+++ b/src/tulippin/jobs/_tails.py
@@ -90,26 +90,14 @@
     return min(idle_ms, state.lowest_tails_ms.get(attempt.step.image, idle_ms))
 
 
-def learn_part(
-    attempt: Attempt, state: SchedulerState, expected: float
-) -> None:
-    """Learn a task's part in its job's load while little disturbs it.
-
-    Parameters
-    ----------
-    attempt : Attempt
-        The task's run.
-    state : SchedulerState
-        Holds the tails of its siblings.
-    expected : float
-        What its neighbours are thought to add to its slowdown.
-    """
+def learn_part(attempt: Attempt, state: SchedulerState) -> None:
+    """Learn a task's part in its job's load while nothing disturbs it."""
     alone_ms = get_undisturbed_ms(attempt, state)
     idle_ms = get_idle_ms(attempt, state)
     job_load = 1 - idle_ms / max(alone_ms, idle_ms)
     if job_load < _LEAST_JOB_LOAD:
         return
-    own_load = 1 / (1 + expected) - idle_ms / max(attempt.tail_ms, idle_ms)
+    own_load = 1 - idle_ms / max(attempt.tail_ms, idle_ms)
     part = min(max(own_load / job_load, 1.0), _MOST_PART)
     attempt.load_part += _PART_STEP * (part - attempt.load_part)
 
