--- a/src/tulippin/jobs/_committing.py
+++ b/src/tulippin/jobs/_committing.py
@@ -9,6 +9,7 @@
 from tulippin.jobs import (
     _attempts,
     _lifecycle,
+    _memory,
     _ownership,
     _passing,
     _workers,
@@ -22,6 +23,7 @@
 )
 from tulippin.jobs.events import (
     JobsChanged,
+    ModelKept,
     ProgressCommitted,
     RosterCommitted,
     UnitLoaded,
@@ -52,6 +54,8 @@
     for entry in event.workers:
         _workers.note_entry(entry, context)
     _add_rostered(context)
+    if event.model is not None:
+        _memory.restore(event.model, state)
     jobs = _lifecycle.add_rows(event.jobs, context)
     for row in event.progress:
         if row.key in state.jobs:
@@ -68,6 +72,9 @@
         jobs=len(jobs),
         workers=len(state.workers),
         rostered=len(state.roster),
+        pairs_known=sum(
+            len(model.means) for model in state.model.images.values()
+        ),
     )
 
 
@@ -143,6 +150,7 @@
         return
     commit_if_due(context)
     _keep_roster(context)
+    _memory.tick(context)
     _remove_old(context)
 
 
@@ -277,6 +285,11 @@
             state.workers[worker_id].is_rostered = True
 
 
+@handle.register
+def _model_kept(event: ModelKept, context: Context) -> None:
+    context.state.is_model_committing = False
+
+
 def _remove_old(context: Context) -> None:
     """Forget jobs whose final state has been kept long enough."""
     state = context.state
--- a/src/tulippin/jobs/_feasibility.py
+++ b/src/tulippin/jobs/_feasibility.py
@@ -21,10 +21,9 @@
     worker: Worker, job: Job, task: Task, step: Step, state: SchedulerState
 ) -> bool:
     """Hard conditions, which no policy can switch off."""
-    free = worker.free
-    if not free.fits(step.reserved):
+    if not worker.has_room(step.reserved):
         return False
-    if step.opportunistic and not _fits_idle(worker, step, free):
+    if step.opportunistic and not _fits_idle(worker, step, worker.free):
         return False
     return is_open(worker, job, task, step, state)
 
--- /dev/null
+++ b/src/tulippin/jobs/_memory.py
@@ -0,0 +1,83 @@
+"""What an owner has learned, kept for the next one.
+
+Without it each change of owner begins with the prior for all pairs of
+images, and pays for them again: an owner learns some 30 pairs in its first
+ten seconds, by slowing tasks with a target.
+"""
+
+from __future__ import annotations
+
+import typing as t
+
+from tulippin.jobs._dispatch import Context
+from tulippin.jobs.effects import KeepModel
+from tulippin.jobs.pair_model import ImageModel, PairModel
+from tulippin.jobs.records import ModelRecord, PairRecord
+from tulippin.jobs.state import Phase, SchedulerState
+
+_EVERY_MS: t.Final = 2000
+# A mean is told to so many digits; the spread of a sample is 0.09.
+_DIGITS: t.Final = 5
+
+
+def make_record(state: SchedulerState) -> ModelRecord:
+    """Return what is worth keeping."""
+    return ModelRecord(
+        {
+            image: _make_pair(model)
+            for image, model in state.model.images.items()
+        },
+        _round_all(state.lowest_tails_ms),
+        _round_all(state.run_times_ms),
+    )
+
+
+def _round_all(values: t.Mapping[str, float]) -> dict[str, float]:
+    return {name: round(value, _DIGITS) for name, value in values.items()}
+
+
+def _make_pair(model: ImageModel) -> PairRecord:
+    images = list(model.means)
+    rows = [
+        [
+            round(model.get_covariance(one, other), _DIGITS)
+            for other in images[place:]
+        ]
+        for place, one in enumerate(images)
+    ]
+    return PairRecord(_round_all(model.means), rows, dict(model.sample_counts))
+
+
+def restore(record: ModelRecord, state: SchedulerState) -> None:
+    """Begin with what an earlier owner has learned."""
+    state.model = PairModel(
+        {image: _restore_pair(pair) for image, pair in record.pairs.items()}
+    )
+    state.lowest_tails_ms = dict(record.lowest_tails_ms)
+    state.run_times_ms = dict(record.run_times_ms)
+
+
+def _restore_pair(pair: PairRecord) -> ImageModel:
+    images = list(pair.means)
+    covariances = {}
+    for place, row in enumerate(pair.covariances):
+        for other, value in zip(images[place:], row, strict=True):
+            covariances[images[place], other] = value
+            covariances[other, images[place]] = value
+    return ImageModel(dict(pair.means), covariances, dict(pair.sample_counts))
+
+
+def tick(context: Context) -> None:
+    """Keep what is new from time to time."""
+    state = context.state
+    if state.ownership.phase is not Phase.ACTIVE or state.is_model_committing:
+        return
+    if state.now_ms - state.model_kept_ms < _EVERY_MS:
+        return
+    state.model_kept_ms = state.now_ms
+    samples = state.model.count_samples()
+    if samples == state.samples_kept:
+        return
+    state.samples_kept = samples
+    state.is_model_committing = True
+    context.emit(KeepModel(make_record(state), state.ownership.epoch_version))
--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -5,7 +5,7 @@
 import typing as t
 import zlib
 
-from tulippin.jobs import _rooms
+from tulippin.jobs import _memory, _rooms
 from tulippin.jobs._dispatch import Context, handle
 from tulippin.jobs.effects import (
     ForgetUnit,
@@ -189,6 +189,7 @@
     state.roster_version = 0
     state.is_committing = False
     state.is_roster_committing = False
+    state.is_model_committing = False
 
 
 def note_pause(context: Context, gap_ms: int) -> None:
@@ -236,7 +237,9 @@
     context.log('release unit', epoch=context.fencing_token, why=why)
     context.emit(
         ReleaseLease(
-            _make_lease(state, released=True), state.ownership.epoch_version
+            _make_lease(state, released=True),
+            _memory.make_record(state),
+            state.ownership.epoch_version,
         )
     )
 
--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -30,6 +30,7 @@
     Worker,
 )
 from tulippin.jobs.types import Step, TaskKey
+from tulippin.types import Resources
 
 # The most starts decided in one go, so that answers are read in between.
 _STARTS_PER_PASS: t.Final = 40
@@ -51,6 +52,9 @@
 _GATHER_MS: t.Final = 150
 # Between two passes over the tasks for idle processors.
 _IDLE_EVERY_MS: t.Final = 100
+# Between two passes over the other tasks, but at a tick: events come in
+# bursts, and each would look at the same workers again.
+_EVERY_MS: t.Final = 15
 
 
 def place(context: Context, *, is_tick: bool) -> None:
@@ -62,8 +66,10 @@
     state = context.state
     if not context.may_order:
         return
-    if state.is_placing_due or is_tick:
+    is_soon = state.now_ms - state.placed_ms < _EVERY_MS
+    if is_tick or (state.is_placing_due and not is_soon):
         state.is_placing_due = False
+        state.placed_ms = state.now_ms
         _Pass(context, state.ready).run()
     is_due = state.now_ms - state.idle_placed_ms >= _IDLE_EVERY_MS
     if is_tick and is_due and state.ready_idle:
@@ -80,6 +86,8 @@
     budget: int = _STARTS_PER_PASS
     # The least processors, by image, that were refused in this pass.
     refused: dict[str, int] = attrs.field(factory=dict)
+    # Sizes of plain tasks, by service, for which no worker has room.
+    too_large: dict[str, list[Resources]] = attrs.field(factory=dict)
 
     def run(self) -> None:
         """Place step by step, as far as the budget goes."""
@@ -114,6 +122,15 @@
         least = self.refused.get(step.image, 0) if step.opportunistic else 0
         return bool(least) and step.size.cpu_millicores >= least
 
+    def _is_too_large(self, job: Job, step: Step) -> bool:
+        """Whether no larger task of the service found room in this pass."""
+        if step.opportunistic:
+            return False
+        return any(
+            step.reserved.fits(size)
+            for size in self.too_large.get(job.queue.service, ())
+        )
+
     def _is_gathering(self, job: Job, step: Step) -> bool:
         """Whether others that come together with the job are awaited."""
         age_ms = self.context.state.now_ms - job.arrived_ms
@@ -122,8 +139,13 @@
     def _place_task(self, job: Job, step: Step, task: Task) -> bool:
         """Start a task; false if the step's others fit nowhere either."""
         state = self.context.state
-        worker = _choose(job, task, step, state)
+        worker = None
+        if not self._is_too_large(job, step):
+            worker = _choose(job, task, step, state)
         if worker is None:
+            if _is_plain(step, job):
+                sizes = self.too_large.setdefault(job.queue.service, [])
+                sizes.append(step.reserved)
             _preempt(job, task, self.context)
             return bool(task.avoided)
         task.run_count += 1
@@ -133,6 +155,12 @@
         return True
 
 
+def _is_plain(step: Step, job: Job) -> bool:
+    """Whether only its size keeps a step's task from a worker."""
+    is_free = not (step.required_label or step.max_per_worker)
+    return is_free and not step.opportunistic and not job.queue.advised
+
+
 def place_gang(
     job: Job, step: Step, tasks: list[Task], context: Context
 ) -> int:
--- a/src/tulippin/jobs/_preempting.py
+++ b/src/tulippin/jobs/_preempting.py
@@ -15,12 +15,17 @@
     Worker,
 )
 from tulippin.jobs.types import Step
+from tulippin.types import Resources
 
 # How long a task that had others stopped waits before it has more
 # stopped: a stop takes up to 900 ms, and its end is read soon after.
 _AGAIN_MS: t.Final = 1300
 # The most stops decided in one go.
 _STOPS_PER_PASS: t.Final = 12
+# A task for which no stop makes room looks again after so long: what runs
+# where changes slowly beside the passes over ready tasks, and looking at
+# the runs of all workers took half of an overloaded owner's time.
+_LOOK_AGAIN_MS: t.Final = 200
 
 
 def make_room(
@@ -46,8 +51,9 @@
         How many runs were told to stop.
     """
     state = context.state
-    if task.preempted_ms + _AGAIN_MS > state.now_ms and task.preempted_ms:
+    if state.now_ms < task.preempt_after_ms:
         return 0
+    task.preempt_after_ms = state.now_ms + _LOOK_AGAIN_MS
     step = job.request.steps[task.key.step]
     best: list[Attempt] = []
     best_cost = 0
@@ -61,7 +67,7 @@
             best_cost = cost
     if not best or len(best) > _STOPS_PER_PASS:
         return 0
-    task.preempted_ms = state.now_ms
+    task.preempt_after_ms = state.now_ms + _AGAIN_MS
     for attempt in best:
         state.count('preemptions')
         _attempts.stop_attempt(
@@ -79,6 +85,31 @@
     return age_ms * attempt.step.size.cpu_millicores
 
 
+def _is_victim(attempt: Attempt, priority: int) -> bool:
+    return (
+        attempt.priority > priority
+        and attempt.state is AttemptState.RUNNING
+        and not attempt.step.long_running
+    )
+
+
+def _would_fit(
+    free: Resources, worker: Worker, step: Step, priority: int
+) -> bool:
+    """Whether a task would fit if all that may be stopped were."""
+    wanted = step.reserved
+    cpu_millicores = free.cpu_millicores
+    memory_mb = free.memory_mb
+    for attempt in worker.attempts.values():
+        if _is_victim(attempt, priority):
+            cpu_millicores += attempt.step.reserved.cpu_millicores
+            memory_mb += attempt.step.reserved.memory_mb
+    return (
+        wanted.cpu_millicores <= cpu_millicores
+        and wanted.memory_mb <= memory_mb
+    )
+
+
 def _choose_victims(worker: Worker, step: Step, priority: int) -> list[Attempt]:
     """Return runs that free enough room, or nothing if none do."""
     free = worker.free
@@ -88,12 +119,12 @@
     if free.fits(step.reserved):
         # Room is coming already.
         return []
+    if not _would_fit(free, worker, step, priority):
+        return []
     candidates = [
         attempt
         for attempt in worker.attempts.values()
-        if attempt.priority > priority
-        and attempt.state is AttemptState.RUNNING
-        and not attempt.step.long_running
+        if _is_victim(attempt, priority)
     ]
     candidates.sort(
         key=lambda attempt: (
--- a/src/tulippin/jobs/_row_effects.py
+++ b/src/tulippin/jobs/_row_effects.py
@@ -26,6 +26,8 @@
     GUEST_SUFFIX,
     HOMES_TABLE,
     LEASE_KEY,
+    MODEL_KEY,
+    MODELS_TABLE,
     ROSTER_KEY,
     UNITS_TABLE,
     GuestRecord,
@@ -123,6 +125,8 @@
     transaction = _make_lease_transaction(
         effect.lease, effect.epoch_version, shell
     )
+    model = RowWrite(MODELS_TABLE, MODEL_KEY, encode(effect.model))
+    transaction = attrs.evolve(transaction, writes=(*transaction.writes, model))
     try:
         await transact_surely(shell.ports.store, transaction, _RELEASE_LIMIT_S)
     except UnavailableError as error:
@@ -130,6 +134,25 @@
     shell.post(ev.LeaseReleased(shell.clock()))
 
 
+@perform.register(fx.KeepModel)
+def _keep_model(effect: fx.KeepModel, shell: UnitShell) -> None:
+    shell.start(_run_keep, effect, shell)
+
+
+async def _run_keep(effect: fx.KeepModel, shell: UnitShell) -> None:
+    transaction = Transaction(
+        shell.config.unit.part,
+        (RowCondition(UNITS_TABLE, EPOCH_KEY, effect.epoch_version),),
+        (RowWrite(MODELS_TABLE, MODEL_KEY, encode(effect.model)),),
+    )
+    try:
+        await shell.ports.store.transact(transaction)
+    except UnavailableError as error:
+        # A newer one is kept some seconds later.
+        logger.info('model not kept', reason=error.message)
+    shell.post(ev.ModelKept(shell.clock()))
+
+
 @perform.register(fx.CommitProgress)
 def _commit_progress(effect: fx.CommitProgress, shell: UnitShell) -> None:
     shell.start(_run_commit, effect, shell)
--- a/src/tulippin/jobs/_unit_feeds.py
+++ b/src/tulippin/jobs/_unit_feeds.py
@@ -13,8 +13,10 @@
 from tulippin.jobs._rows import get_version, read_record
 from tulippin.jobs.ports import HistoryLostError, RowPage, RowStore
 from tulippin.jobs.records import (
+    MODELS_TABLE,
     ROSTER_KEY,
     UNITS_TABLE,
+    ModelRecord,
     RosterRecord,
     Unit,
     get_jobs_parts,
@@ -87,6 +89,7 @@
                 jobs = await read_jobs(store, unit)
                 progress = await store.read_rows(unit.progress_table, unit.part)
                 owned = await store.read_rows(UNITS_TABLE, unit.part)
+                learned = await store.read_rows(MODELS_TABLE, unit.part)
                 workers, version = await self.shell.ports.feeds.read_workers()
             except UnavailableError as error:
                 self.shell.note_store(error)
@@ -101,6 +104,7 @@
                 read_record(roster, RosterRecord) or RosterRecord(),
                 get_version(roster),
                 tuple(filter(self.shell.has_worker, workers)),
+                read_record(next(iter(learned.rows), None), ModelRecord),
             )
             return loaded, jobs.version, version
 
--- a/src/tulippin/jobs/effects.py
+++ b/src/tulippin/jobs/effects.py
@@ -11,6 +11,7 @@
     EpochRecord,
     GuestRecord,
     LeaseRecord,
+    ModelRecord,
     ProgressRecord,
     RosterRecord,
 )
@@ -42,9 +43,18 @@
 
 @attrs.frozen
 class ReleaseLease(JobEffect):
-    """Give the unit up, in a planned way."""
+    """Give the unit up, in a planned way, with what was learned."""
 
     lease: LeaseRecord
+    model: ModelRecord
+    epoch_version: int
+
+
+@attrs.frozen
+class KeepModel(JobEffect):
+    """Keep what was learned for the next owner."""
+
+    model: ModelRecord
     epoch_version: int
 
 
--- a/src/tulippin/jobs/events.py
+++ b/src/tulippin/jobs/events.py
@@ -11,6 +11,7 @@
 from tulippin.jobs.records import (
     EpochRecord,
     LeaseRecord,
+    ModelRecord,
     RosterRecord,
     UnitRoom,
 )
@@ -97,6 +98,7 @@
     roster: RosterRecord
     roster_version: int
     workers: tuple[WorkerEntry, ...]
+    model: ModelRecord | None = None
 
 
 @attrs.frozen
@@ -202,6 +204,11 @@
     rooms: dict[int, UnitRoom]
 
 
+@attrs.frozen
+class ModelKept(JobEvent):
+    """What was learned is kept, or could not be now."""
+
+
 @attrs.frozen
 class StopRequested(JobEvent):
     """The instance is to stop in a planned way."""
--- a/src/tulippin/jobs/pair_model.py
+++ b/src/tulippin/jobs/pair_model.py
@@ -49,9 +49,10 @@
 
     def get_spread(self, image: str) -> float:
         """Return how far the truth may be from the mean."""
-        return math.sqrt(self._get_covariance(image, image))
+        return math.sqrt(self.get_covariance(image, image))
 
-    def _get_covariance(self, one: str, other: str) -> float:
+    def get_covariance(self, one: str, other: str) -> float:
+        """Return what the errors of two means have in common."""
         prior = _PRIOR_VARIANCE if one == other else 0.0
         return self.covariances.get((one, other), prior)
 
@@ -67,7 +68,7 @@
             return
         for image in exposure:
             self.means.setdefault(image, _PRIOR_MEAN)
-            known = self._get_covariance(image, image)
+            known = self.get_covariance(image, image)
             self.covariances[image, image] = known + _FORGET_VARIANCE
             self.sample_counts[image] = self.sample_counts.get(image, 0) + 1
         spread = _BOUND_SPREAD if is_bound else _SAMPLE_SPREAD
@@ -76,7 +77,7 @@
                 self.covariances[image, image] += _SURPRISE_VARIANCE
         shared = {
             one: sum(
-                self._get_covariance(one, other) * used
+                self.get_covariance(one, other) * used
                 for other, used in exposure.items()
             )
             for one in self.means
@@ -88,7 +89,7 @@
         for one, part in shared.items():
             self.means[one] += part * surprise
             for other, other_part in shared.items():
-                known = self._get_covariance(one, other)
+                known = self.get_covariance(one, other)
                 self.covariances[one, other] = (
                     known - part * other_part / variance
                 )
@@ -142,6 +143,12 @@
     def _get(self, serving_image: str) -> ImageModel:
         return self.images.get(serving_image, _UNKNOWN)
 
+    def count_samples(self) -> int:
+        """Return how many times a pair was in a sample."""
+        return sum(
+            sum(model.sample_counts.values()) for model in self.images.values()
+        )
+
     def iter_learned(self) -> t.Iterator[tuple[str, str, float, float, int]]:
         """Iterate over pairs: both images, mean, spread, samples."""
         for serving_image, model in self.images.items():
--- a/src/tulippin/jobs/records.py
+++ b/src/tulippin/jobs/records.py
@@ -13,6 +13,9 @@
 UNITS_TABLE: t.Final = 'units'
 LAYOUT_PART: t.Final = 'layout'
 LAYOUT_KEY: t.Final = 'layout'
+# What each owner has learned, so that the next one begins with it.
+MODELS_TABLE: t.Final = 'models'
+MODEL_KEY: t.Final = 'model'
 # Which unit keeps a job: one row each, in the job's part.
 HOMES_TABLE: t.Final = 'homes'
 LEASE_KEY: t.Final = 'lease'
@@ -137,6 +140,29 @@
     session_id: str
 
 
+@attrs.frozen
+class PairRecord:
+    """What is learned of one serving image.
+
+    ``means`` tells for each image beside it the excess for each tenth of
+    a worker's processors, ``covariances`` how well that is known, for
+    each image and those after it in the order of ``means``.
+    """
+
+    means: dict[str, float] = attrs.field(factory=dict)
+    covariances: list[list[float]] = attrs.field(factory=list)
+    sample_counts: dict[str, int] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class ModelRecord:
+    """What an owner has learned of images and of queues."""
+
+    pairs: dict[str, PairRecord] = attrs.field(factory=dict)
+    lowest_tails_ms: dict[str, float] = attrs.field(factory=dict)
+    run_times_ms: dict[str, float] = attrs.field(factory=dict)
+
+
 @attrs.frozen
 class RosterRecord:
     """Workers, by id, on which the owner's orders may still have effect."""
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -147,7 +147,7 @@
     checkpoint: str = ''
     attempts: dict[int, Attempt] = attrs.field(factory=dict)
     avoided: set[str] = attrs.field(factory=set)
-    preempted_ms: int = 0
+    preempt_after_ms: int = 0
     ready_ms: int = 0
     least_run: int = 0
 
@@ -246,6 +246,21 @@
         """The worker's id: one life of it."""
         return self.entry.worker_id
 
+    def has_room(self, wanted: Resources) -> bool:
+        """Whether so much is free; ``free`` without making an object.
+
+        Asked for each worker by each waiting step: 0.7 us in place of 2.2.
+        """
+        capacity = self.entry.capacity
+        reserved = self.reserved
+        return (
+            wanted.cpu_millicores
+            <= capacity.cpu_millicores - reserved.cpu_millicores
+            and wanted.memory_mb <= capacity.memory_mb - reserved.memory_mb
+            and wanted.accelerator_count
+            <= capacity.accelerator_count - reserved.accelerator_count
+        )
+
     @property
     def free(self) -> Resources:
         """Room that nothing reserves."""
@@ -287,6 +302,7 @@
         factory=dict
     )
     is_placing_due: bool = False
+    placed_ms: int = 0
     idle_placed_ms: int = 0
     swept_ms: int = 0
     scheduled: set[str] = attrs.field(factory=set)
@@ -309,6 +325,9 @@
     tails: dict[str, dict[TaskKey, tuple[float, int]]] = attrs.field(
         factory=dict
     )
+    samples_kept: int = 0
+    model_kept_ms: int = 0
+    is_model_committing: bool = False
     lowest_tails_ms: dict[str, float] = attrs.field(factory=dict)
     counters: dict[str, int] = attrs.field(factory=dict)
 
