--- /dev/null
+++ b/src/tulippin/jobs/_refusals.py
@@ -0,0 +1,86 @@
+"""Why tasks that use idle processors wait: one line a second.
+
+A line for each refusal would be thousands a second. This one says, for
+each image that is waited for, how many tasks wait and on how many workers
+the smallest of them is refused for which reason, so that idle processors
+beside a backlog are explained from the log.
+"""
+
+from __future__ import annotations
+
+import collections
+import typing as t
+
+from tulippin.jobs import _feasibility, _interference, _scoring
+from tulippin.jobs._dispatch import Context
+from tulippin.jobs.state import Job, SchedulerState, Task, Worker
+from tulippin.jobs.types import Step
+
+_EVERY_MS: t.Final = 1000
+
+
+def tell(context: Context) -> None:
+    """Write the line if something has waited since the last one."""
+    state = context.state
+    if not (context.may_order and state.ready_idle):
+        return
+    if state.now_ms - state.refusals_told_ms < _EVERY_MS:
+        return
+    state.refusals_told_ms = state.now_ms
+    waiting: dict[str, int] = {}
+    smallest: dict[str, tuple[Job, Step, Task]] = {}
+    for kind, tasks in state.ready_idle.items():
+        job = state.jobs[kind[0]]
+        step = job.request.steps[kind[2]]
+        waiting[step.image] = waiting.get(step.image, 0) + len(tasks)
+        known = smallest.get(step.image)
+        if known is None or (
+            step.size.cpu_millicores < known[1].size.cpu_millicores
+        ):
+            smallest[step.image] = job, step, next(iter(tasks.values()))
+    context.log(
+        'work waits',
+        tasks=waiting,
+        refused={
+            image: _count_reasons(*found, state)
+            for image, found in smallest.items()
+        },
+        idle_millicores=sum(
+            max(0, int(_get_idle(worker))) for worker in state.workers.values()
+        ),
+        used_millicores=sum(
+            attempt.step.size.cpu_millicores
+            for worker in state.workers.values()
+            for attempt in worker.fillers.values()
+        ),
+    )
+
+
+def _get_idle(worker: Worker) -> float:
+    capacity = worker.entry.capacity.cpu_millicores
+    return capacity - _interference.get_used(worker)
+
+
+def _count_reasons(
+    job: Job, step: Step, task: Task, state: SchedulerState
+) -> dict[str, int]:
+    reasons: collections.Counter[str] = collections.Counter()
+    for worker in state.workers.values():
+        reasons[_get_reason(worker, job, step, task, state)] += 1
+    return dict(reasons)
+
+
+def _get_reason(
+    worker: Worker, job: Job, step: Step, task: Task, state: SchedulerState
+) -> str:
+    """Return what keeps a task from a worker."""
+    if not _feasibility.is_open(worker, job, task, step, state):
+        return 'closed'
+    if _get_idle(worker) < step.size.cpu_millicores:
+        return 'busy'
+    if not _feasibility.is_feasible(worker, job, task, step, state):
+        return 'memory'
+    if _scoring.score_idle(state.policy, worker, task, step, state) is None:
+        serving = {one.step.image for one in worker.serving.values()}
+        return f'harms_one_of_{len(serving)}'
+    return 'takes_it'
--- a/src/tulippin/jobs/core.py
+++ b/src/tulippin/jobs/core.py
@@ -13,6 +13,7 @@
     _pacing,
     _passing,
     _placing,
+    _refusals,
     _soundness,
     _workers,
 )
@@ -65,6 +66,7 @@
     _placing.place(context, is_tick=isinstance(event, Ticked))
     if isinstance(event, Ticked):
         _passing.tick(context)
+        _refusals.tell(context)
     _committing.commit_if_due(context)
     _workers.hold_all(context)
     return tuple(context.effects)
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -304,6 +304,7 @@
     is_placing_due: bool = False
     placed_ms: int = 0
     idle_placed_ms: int = 0
+    refusals_told_ms: int = 0
     swept_ms: int = 0
     scheduled: set[str] = attrs.field(factory=set)
     advice_asked: set[tuple[str, int, int]] = attrs.field(factory=set)
