--- a/src/tulippin/jobs/_refusals.py
+++ b/src/tulippin/jobs/_refusals.py
@@ -17,6 +17,7 @@
 from tulippin.jobs.types import Step
 
 _EVERY_MS: t.Final = 1000
+_FULL_PERCENT: t.Final = 100
 
 
 def tell(context: Context) -> None:
@@ -48,14 +49,28 @@
         idle_millicores=sum(
             max(0, int(_get_idle(worker))) for worker in state.workers.values()
         ),
-        used_millicores=sum(
-            attempt.step.size.cpu_millicores
-            for worker in state.workers.values()
-            for attempt in worker.fillers.values()
-        ),
+        **_sum_use(state),
     )
 
 
+def _sum_use(state: SchedulerState) -> dict[str, int]:
+    """Return what opportunistic tasks ask for, and are seen to use."""
+    running = [
+        attempt
+        for worker in state.workers.values()
+        for attempt in worker.fillers.values()
+        if attempt.load > 0 and attempt.pace_percent == _FULL_PERCENT
+    ]
+    return {
+        'fillers': sum(len(one.fillers) for one in state.workers.values()),
+        'full_pace': len(running),
+        'asked_millicores': sum(
+            one.step.size.cpu_millicores for one in running
+        ),
+        'seen_millicores': int(sum(one.load for one in running)),
+    }
+
+
 def _get_idle(worker: Worker) -> float:
     capacity = worker.entry.capacity.cpu_millicores
     return capacity - _interference.get_used(worker)
--- a/src/tulippin/jobs/_unit_feeds.py
+++ b/src/tulippin/jobs/_unit_feeds.py
@@ -38,7 +38,7 @@
 _MODELS_EVERY_S: t.Final = 2.0
 # The list of workers changes with every heartbeat, so it is read at a
 # pace: the bound on new work for a leaving worker is 2 s.
-_WORKERS_EVERY_S: t.Final = 0.35
+_WORKERS_EVERY_S: t.Final = 0.5
 
 
 async def read_jobs(store: RowStore, unit: Unit) -> RowPage:
--- a/src/tulippin/jobs/_unit_watch.py
+++ b/src/tulippin/jobs/_unit_watch.py
@@ -37,7 +37,7 @@
 
 _MS: t.Final = 1000
 # Several owners renew twice a second each; their rows are read together.
-_PACE_S: t.Final = 0.3
+_PACE_S: t.Final = 0.45
 # The first layout is made once the list of workers has stood still for
 # so long, and after the limit in any case: workers write every 1.1 s, the
 # first time when they start.
