--- a/src/tulippin/jobs/_memory.py
+++ b/src/tulippin/jobs/_memory.py
@@ -9,12 +9,15 @@
 
 import typing as t
 
+import attrs
+
 from tulippin.jobs._dispatch import Context, handle
 from tulippin.jobs.effects import KeepModel
 from tulippin.jobs.events import ModelsSeen
 from tulippin.jobs.pair_model import ImageModel
-from tulippin.jobs.records import ModelRecord, PairRecord
+from tulippin.jobs.records import ModelRecord, PairRecord, SwingRecord
 from tulippin.jobs.state import Phase, SchedulerState
+from tulippin.jobs.swings import Wave
 
 _EVERY_MS: t.Final = 2000
 # A mean is told to so many digits; the spread of a sample is 0.09.
@@ -30,9 +33,35 @@
         },
         _round_all(state.lowest_tails_ms),
         _round_all(state.run_times_ms),
+        _make_swings(state),
+    )
+
+
+def _make_swings(state: SchedulerState) -> SwingRecord:
+    """Return the swings by the time of day: clocks of instances differ."""
+    swings = state.swings
+    angle = swings.get_angle(state.wall_offset_ms)
+    waves = {}
+    for job_id in swings.swings:
+        wave = swings.get_wave(job_id)
+        if wave is not None:
+            turned = attrs.astuple(wave.turn(angle))
+            waves[job_id] = tuple(round(one, _DIGITS) for one in turned)
+    return SwingRecord(
+        round(swings.period_ms, _DIGITS), round(swings.mean, _DIGITS), waves
     )
 
 
+def _restore_swings(record: SwingRecord, state: SchedulerState) -> None:
+    if record.period_ms <= 0:
+        return
+    swings = state.swings
+    swings.begin(record.period_ms, record.mean, state.now_ms)
+    angle = swings.get_angle(state.wall_offset_ms)
+    for job_id, parts in record.waves.items():
+        swings.restore(job_id, Wave(*parts).turn(-angle), state.now_ms)
+
+
 def _round_all(values: t.Mapping[str, float]) -> dict[str, float]:
     return {name: round(value, _DIGITS) for name, value in values.items()}
 
@@ -56,6 +85,7 @@
     }
     state.lowest_tails_ms = dict(record.lowest_tails_ms)
     state.run_times_ms = dict(record.run_times_ms)
+    _restore_swings(record.swings, state)
 
 
 def _restore_pair(pair: PairRecord) -> ImageModel:
--- a/src/tulippin/jobs/records.py
+++ b/src/tulippin/jobs/records.py
@@ -154,13 +154,26 @@
     sample_counts: dict[str, int] = attrs.field(factory=dict)
 
 
+@attrs.frozen
+class SwingRecord:
+    """How the loads of jobs swing, by the time of day.
+
+    ``waves`` tells for each job the mean and the parts of sine and cosine.
+    """
+
+    period_ms: float = 0.0
+    mean: float = 0.0
+    waves: dict[str, tuple[float, float, float]] = attrs.field(factory=dict)
+
+
 @attrs.frozen
 class ModelRecord:
-    """What an owner has learned of images and of queues."""
+    """What an owner has learned of images, queues and jobs."""
 
     pairs: dict[str, PairRecord] = attrs.field(factory=dict)
     lowest_tails_ms: dict[str, float] = attrs.field(factory=dict)
     run_times_ms: dict[str, float] = attrs.field(factory=dict)
+    swings: SwingRecord = SwingRecord()
 
 
 @attrs.frozen
--- a/src/tulippin/jobs/swings.py
+++ b/src/tulippin/jobs/swings.py
@@ -19,12 +19,14 @@
 
 import attrs
 
-# Periods that are tried: from 5 s to 31 s, each 5% longer than the last,
-# which is off by a tenth of a turn after two periods at most.
-_PERIODS_MS: t.Final = tuple(5000 * 1.05**power for power in range(38))
-# A sample keeps this part of its weight at the next one of its job; with
-# some eight samples a second that is a memory of 25 s.
-_KEPT: t.Final = 0.995
+# Periods that are tried: from 6 s to 31 s, each 3.5% longer than the last,
+# which is off by a fortieth of a turn for a sample 20 s old at most.
+_PERIODS_MS: t.Final = tuple(6000 * 1.035**power for power in range(48))
+# The age at which a sample has lost two thirds of its weight: at least one
+# period of a usual swing.
+_MEMORY_MS: t.Final = 20_000
+# Samples of one job closer together than this tell the same.
+_LEAST_INTERVAL_MS: t.Final = 120
 # Weight of what is thought of a job before its first sample: the mean of
 # all jobs, and no swing.
 _PRIOR_WEIGHT: t.Final = 0.5
@@ -33,6 +35,9 @@
 _LEAST_WEIGHT: t.Final = 5.0
 _LEAST_TURN: t.Final = 0.3
 _LEAST_COMMON_TURN: t.Final = 0.75
+# Samples that a swing taken over from an earlier owner counts as: enough
+# to be used, and soon outweighed where it has changed.
+_RESTORED_WEIGHT: t.Final = 20.0
 # What a fit may leave over, as a spread; the fits above left 0.17 at most.
 _MOST_LEFT: t.Final = 0.14
 # How often the common period is chosen anew.
@@ -55,23 +60,25 @@
     load_cosine: float = 0.0
     load_load: float = 0.0
 
-    def add(self, angle: float, load: float, weight: float) -> None:
-        """Take in one sample at an angle of the period."""
+    def add(
+        self, angle: float, load: float, weight: float, kept: float
+    ) -> None:
+        """Take in one sample at an angle; older ones keep a part."""
         sine = math.sin(angle)
         cosine = math.cos(angle)
-        self.weight = self.weight * _KEPT + weight
-        self.sine = self.sine * _KEPT + weight * sine
-        self.cosine = self.cosine * _KEPT + weight * cosine
+        self.weight = self.weight * kept + weight
+        self.sine = self.sine * kept + weight * sine
+        self.cosine = self.cosine * kept + weight * cosine
         weighted = weight * sine
-        self.sine_sine = self.sine_sine * _KEPT + weighted * sine
-        self.sine_cosine = self.sine_cosine * _KEPT + weighted * cosine
+        self.sine_sine = self.sine_sine * kept + weighted * sine
+        self.sine_cosine = self.sine_cosine * kept + weighted * cosine
         weighted = weight * cosine
-        self.cosine_cosine = self.cosine_cosine * _KEPT + weighted * cosine
+        self.cosine_cosine = self.cosine_cosine * kept + weighted * cosine
         weighted = weight * load
-        self.load = self.load * _KEPT + weighted
-        self.load_sine = self.load_sine * _KEPT + weighted * sine
-        self.load_cosine = self.load_cosine * _KEPT + weighted * cosine
-        self.load_load = self.load_load * _KEPT + weighted * load
+        self.load = self.load * kept + weighted
+        self.load_sine = self.load_sine * kept + weighted * sine
+        self.load_cosine = self.load_cosine * kept + weighted * cosine
+        self.load_load = self.load_load * kept + weighted * load
 
     def fit(self, mean: float) -> Wave:
         """Return the wave that leaves the least over.
@@ -124,6 +131,16 @@
     sine: float
     cosine: float
 
+    def turn(self, angle: float) -> Wave:
+        """Return the wave with its angles counted from further back."""
+        sine = math.sin(angle)
+        cosine = math.cos(angle)
+        return Wave(
+            self.mean,
+            self.sine * cosine + self.cosine * sine,
+            self.cosine * cosine - self.sine * sine,
+        )
+
     def get_load(self, angle: float) -> float:
         """Return the load at an angle."""
         swing = self.sine * math.sin(angle) + self.cosine * math.cos(angle)
@@ -143,11 +160,14 @@
 
     def learn(self, at_ms: int, load: float, weight: float) -> None:
         """Take in a load that was seen at a time."""
+        if self.last_ms and at_ms - self.last_ms < _LEAST_INTERVAL_MS:
+            return
+        kept = math.exp(min(0, self.last_ms - at_ms) / _MEMORY_MS)
         self.first_ms = self.first_ms or at_ms
         self.last_ms = at_ms
         self.wave = None
         for period_ms, moments in zip(_PERIODS_MS, self.moments, strict=True):
-            moments.add(_TURN * at_ms / period_ms, load, weight)
+            moments.add(_TURN * at_ms / period_ms, load, weight, kept)
 
 
 @attrs.define
@@ -158,6 +178,7 @@
     period: int = -1
     mean: float = 0.0
     chosen_ms: int = 0
+    kept_until_ms: int = 0
 
     @property
     def period_ms(self) -> float:
@@ -181,6 +202,8 @@
         """Choose the period that leaves the least over, now and then."""
         if now_ms - self.chosen_ms < _CHOOSE_EVERY_MS:
             return
+        if now_ms < self.kept_until_ms:
+            return
         self.chosen_ms = now_ms
         span_ms = max(
             (one.last_ms - one.first_ms for one in self.swings.values()),
@@ -217,14 +240,48 @@
 
     def foretell(self, job_id: str, at_ms: float) -> float | None:
         """Return a job's load at a time; nothing if it is not known."""
+        wave = self.get_wave(job_id)
+        return None if wave is None else wave.get_load(self.get_angle(at_ms))
+
+    def get_angle(self, at_ms: float) -> float:
+        """Return the angle of the common period at a time."""
+        return _TURN * at_ms / self.period_ms if self.period >= 0 else 0.0
+
+    def get_wave(self, job_id: str) -> Wave | None:
+        """Return how a job's load swings, if that is known."""
         swing = self.swings.get(job_id)
         if swing is None or self.period < 0:
             return None
-        period_ms = _PERIODS_MS[self.period]
         moments = swing.moments[self.period]
         span_ms = swing.last_ms - swing.first_ms
-        if moments.weight < _LEAST_WEIGHT or span_ms < _LEAST_TURN * period_ms:
+        least_ms = _LEAST_TURN * self.period_ms
+        if moments.weight < _LEAST_WEIGHT or span_ms < least_ms:
             return None
         if swing.wave is None:
             swing.wave = moments.fit(self.mean)
-        return swing.wave.get_load(_TURN * at_ms / period_ms)
+        return swing.wave
+
+    def begin(self, period_ms: float, mean: float, now_ms: int) -> None:
+        """Take over a period; others are tried once it was watched."""
+        distances = [abs(one - period_ms) for one in _PERIODS_MS]
+        self.period = distances.index(min(distances))
+        self.mean = mean
+        self.kept_until_ms = now_ms + int(self.period_ms)
+
+    def restore(self, job_id: str, wave: Wave, now_ms: int) -> None:
+        """Take over a job's swing, as if so many samples had shown it."""
+        swing = Swing(
+            first_ms=now_ms - int(self.period_ms), last_ms=now_ms, wave=wave
+        )
+        half = _RESTORED_WEIGHT / 2
+        swing.moments[self.period] = Moments(
+            _RESTORED_WEIGHT,
+            sine_sine=half,
+            cosine_cosine=half,
+            load=_RESTORED_WEIGHT * wave.mean,
+            load_sine=half * wave.sine,
+            load_cosine=half * wave.cosine,
+            load_load=_RESTORED_WEIGHT * wave.mean**2
+            + half * (wave.sine**2 + wave.cosine**2),
+        )
+        self.swings[job_id] = swing
--- a/tests/tulippin/jobs/test_swings.py
+++ b/tests/tulippin/jobs/test_swings.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from tulippin.jobs.swings import SwingModel
+from tulippin.jobs.swings import SwingModel, Wave
 
 PERIOD_MS = 14_000
 
@@ -81,3 +81,31 @@
     watch(model, 5, 30_000)
     watch(model, 5, 130_000, since_ms=30_000, period_ms=9000)
     assert max(get_errors(model, 5, 131_000, 9000)) < 0.1
+
+
+def test_swing_taken_over_is_foretold_at_once_by_another_clock():
+    model = SwingModel()
+    watch(model, 5, 40_000)
+    offset_ms = 1_700_000_003_217
+    angle = model.get_angle(offset_ms)
+    waves = {
+        job_id: model.get_wave(job_id).turn(angle) for job_id in model.swings
+    }
+    other = SwingModel()
+    # The successor's clock began 33 s later.
+    other_offset_ms = offset_ms + 33_000
+    other.begin(model.period_ms, model.mean, 7000)
+    back = other.get_angle(other_offset_ms)
+    for job_id, wave in waves.items():
+        other.restore(job_id, wave.turn(-back), 7000)
+    for phase in range(5):
+        told = other.foretell(f'job-{phase}', 8000)
+        assert told == pytest.approx(get_load(phase, 41_000), abs=0.08)
+
+
+def test_swing_taken_over_yields_to_what_is_seen():
+    model = SwingModel()
+    model.begin(PERIOD_MS, 0.45, 0)
+    model.restore('job-0', Wave(0.45, -0.2, 0.1), 0)
+    watch(model, 3, 60_000)
+    assert max(get_errors(model, 3, 61_000)) < 0.1
