--- a/src/tulippin/jobs/core.py
+++ b/src/tulippin/jobs/core.py
@@ -58,13 +58,10 @@
     state.now_ms = max(state.now_ms, event.at_ms)
     handle(event, context)
     if isinstance(event, WorkerAnswered) and context.may_order:
-        worker = state.workers.get(event.worker_id)
-        if worker is not None:
-            _interference.learn(worker, state)
-            _soundness.judge(worker, context)
-            _pacing.adjust(worker, context)
-    _placing.place(context, is_tick=isinstance(event, Ticked))
-    if isinstance(event, Ticked):
+        _judge_report(event, context)
+    is_tick = isinstance(event, Ticked)
+    _placing.place(context, is_tick=is_tick)
+    if is_tick:
         _passing.tick(context)
         _refusals.tell(context)
     _committing.commit_if_due(context)
@@ -72,6 +69,15 @@
     return tuple(context.effects)
 
 
+def _judge_report(event: WorkerAnswered, context: Context) -> None:
+    """Learn from a worker's report, and act on what it shows."""
+    worker = context.state.workers.get(event.worker_id)
+    if worker is not None:
+        _interference.learn(worker, context.state)
+        _soundness.judge(worker, context)
+        _pacing.adjust(worker, context)
+
+
 @handle.register
 def _tick(event: Ticked, context: Context) -> None:
     state = context.state
--- a/src/tulippin/jobs/swings.py
+++ b/src/tulippin/jobs/swings.py
@@ -227,10 +227,11 @@
         self._set_period(best if is_good else -1)
 
     def _sum_left(self, place: int) -> float:
-        return sum(
-            moments.get_left(moments.fit(self.mean))
-            for moments in (one.moments[place] for one in self.swings.values())
-        )
+        total = 0.0
+        for swing in self.swings.values():
+            moments = swing.moments[place]
+            total += moments.get_left(moments.fit(self.mean))
+        return total
 
     def _set_period(self, place: int) -> None:
         if place != self.period:
--- a/tests/tulippin/platform/test_platform_daemon.py
+++ b/tests/tulippin/platform/test_platform_daemon.py
@@ -76,12 +76,16 @@
 
 
 @contextlib.asynccontextmanager
-async def serve(tmp_path, configure=True):
+async def serve(tmp_path, configure=True, proxy=None):
     async with StandinServers() as servers:
+        store_address = servers.store_address
+        if proxy is not None:
+            proxy.target = store_address
+            store_address = proxy.address
         if configure:
             servers.platform.configure(make_config_body())
         path = tmp_path / 'instance.ini'
-        path.write_text(SETTINGS.format(store=servers.store_address))
+        path.write_text(SETTINGS.format(store=store_address))
         reader, writer = os.pipe()
         lines = LineBuffer(writer, {'instance': 'edge-1'})
         settings = parse_scheduler_settings(path.read_text())
