--- a/tests/tulippin/jobs/test_scheduler_units.py
+++ b/tests/tulippin/jobs/test_scheduler_units.py
@@ -14,8 +14,9 @@
     open_fleet,
 )
 from tulippin.exceptions import UnavailableError
-from tulippin.jobs import _passing, _row_effects
+from tulippin.jobs import _passing, _row_effects, events
 from tulippin.jobs.types import JobState
+from tulippin.jobs.unit_shell import UnitShell
 
 LIMIT_MS = 3000
 RACK = 12
@@ -299,3 +300,50 @@
             assert get_weight(fleet.instances[owners[other]], other) > 0.2
 
     run_virtual(run)
+
+
+# What each event costs the owner: more than it has time for.
+EVENT_S = 0.02
+
+
+async def run_slow_owner(fleet, monkeypatch, clock):
+    """Load an owner to which every event takes time; return its epoch."""
+    original = UnitShell.step
+
+    def step(unit, event):
+        original(unit, event)
+        if unit.is_held:
+            clock.jump(EVENT_S)
+
+    monkeypatch.setattr(UnitShell, 'step', step)
+    for number in range(60):
+        request = make_request(make_step(8), run_ms=300)
+        await submit(fleet, f'{number:016x}', request)
+    await trio.sleep(8)
+    epochs = [
+        unit.state.ownership.epoch.epoch
+        for instance in fleet.instances.values()
+        for unit in instance.shell.units.values()
+        if unit.state.ownership.epoch
+    ]
+    return max(epochs)
+
+
+def test_owner_that_falls_behind_keeps_its_unit(run_virtual, monkeypatch):
+    async def run():
+        clock = trio.lowlevel.current_clock()
+        async with open_fleet(instances=3, workers=20) as fleet:
+            assert await run_slow_owner(fleet, monkeypatch, clock) == 1
+
+    run_virtual(run)
+
+
+def test_renewals_behind_the_load_would_lose_it(run_virtual, monkeypatch):
+    monkeypatch.setattr(events, 'OWNERSHIP_EVENTS', ())
+
+    async def run():
+        clock = trio.lowlevel.current_clock()
+        async with open_fleet(instances=3, workers=20) as fleet:
+            assert await run_slow_owner(fleet, monkeypatch, clock) > 1
+
+    run_virtual(run)
