--- a/src/tulippin/__init__.py
+++ b/src/tulippin/__init__.py
@@ -10,7 +10,7 @@
 import importlib
 import typing as t
 
-__version__ = '0.2.0'
+__version__ = '0.3.0'
 
 # A name's module is imported at its first use: a daemon that needs few
 # of them starts sooner and stays smaller.
--- a/src/tulippin/cli.py
+++ b/src/tulippin/cli.py
@@ -9,6 +9,7 @@
 from cleo.commands.completions_command import CompletionsCommand
 from cleo.io.inputs.string_input import StringInput
 
+from tulippin import __version__
 from tulippin.cli_bundles import (
     BundleApprove,
     BundleCheck,
@@ -30,8 +31,6 @@
     Workers,
 )
 
-_VERSION: t.Final = '0.2.0'
-
 COMMANDS: t.Final = (
     SettingsCheck,
     KeyMake,
@@ -59,7 +58,7 @@
 
 def make_application() -> Application:
     """Return the command line with all its commands."""
-    application = Application('tulippin', _VERSION)
+    application = Application('tulippin', __version__)
     for command in COMMANDS:
         application.add(command())
     return application
