Reports of workers in a module of their own

The test that shows what giving up a doubtful start would do replaces the function where it lives now.

--- a/src/tulippin/jobs/_workers.py
+++ b/src/tulippin/jobs/_workers.py
@@ -1,37 +1,20 @@
-"""The unit's workers: their leases, their reports, and their loss."""
+"""The unit's workers: their leases, answers to orders, and their loss."""
 
 from __future__ import annotations
 
 import typing as t
 
-from tulippin.jobs import (
-    _attempts,
-    _lifecycle,
-    _ownership,
-    _ready,
-    _tails,
-)
+from tulippin.jobs import _attempts, _ownership
 from tulippin.jobs._dispatch import Context, handle
-from tulippin.jobs.effects import ForgetWorker, HoldWorker, StopRun
+from tulippin.jobs.effects import ForgetWorker, HoldWorker
 from tulippin.jobs.events import (
     StartAnswered,
     StopAnswered,
-    WorkerAnswered,
     WorkersChanged,
     WorkerSilent,
 )
-from tulippin.jobs.state import (
-    Attempt,
-    AttemptState,
-    SchedulerState,
-    Worker,
-)
-from tulippin.jobs.types import (
-    FINAL_STATES,
-    RunningTask,
-    StartOutcome,
-    WorkerEntry,
-)
+from tulippin.jobs.state import AttemptState, SchedulerState, Worker
+from tulippin.jobs.types import StartOutcome, WorkerEntry
 
 # How long a hold waits at the worker for an end: with nothing special,
 # where tasks share processors (the tail is looked at), and where an
@@ -42,9 +25,6 @@
 _OPEN_STATES: t.Final = frozenset(
     (AttemptState.DOUBTFUL, AttemptState.STOPPING)
 )
-# Between two holds, if ends that were read are not yet durable: a hold
-# would return at once, with the same ends.
-_UNSETTLED_PAUSE_MS: t.Final = 250
 # Between two tries at a silent worker.
 _SILENT_PAUSE_MS: t.Final = 250
 # Added to the end of a lease for the time that messages take.
@@ -153,144 +133,7 @@
     return _SHARED_WAIT_MS if is_shared else _CALM_WAIT_MS
 
 
-# -- reports ----------------------------------------------------------------
-
-
-@handle.register
-def _take_report(event: WorkerAnswered, context: Context) -> None:
-    state = context.state
-    worker = state.workers.get(event.worker_id)
-    if worker is None:
-        return
-    worker.is_holding = False
-    worker.answered_ms = state.now_ms
-    if worker.failed_count:
-        context.log('worker answers again', worker=worker.worker_id)
-    worker.failed_count = 0
-    worker.clock_offset_ms = event.report.clock_ms - state.now_ms
-    for ended in event.report.ended:
-        if ended.number > worker.ends_read:
-            worker.ends_read = ended.number
-            _attempts.take_end(worker, ended, context)
-    present = set()
-    for row in event.report.running:
-        present.add((row.key, row.run))
-        _take_running(worker, row, context)
-    worker.is_reconciled = True
-    for attempt in list(worker.attempts.values()):
-        if (attempt.key, attempt.run) not in present:
-            _judge_missing(attempt, event, context)
-    if worker.ends_read > worker.last_seen:
-        worker.hold_after_ms = state.now_ms + _UNSETTLED_PAUSE_MS
-
-
-def _take_running(worker: Worker, row: RunningTask, context: Context) -> None:
-    state = context.state
-    attempt = worker.attempts.get((row.key, row.run))
-    if attempt is None:
-        attempt = _adopt(worker, row, context)
-        if attempt is None:
-            return
-    if attempt.state in {AttemptState.STARTING, AttemptState.DOUBTFUL}:
-        attempt.state = AttemptState.RUNNING
-        attempt.seen_ms = state.now_ms
-    if row.checkpoint:
-        attempt.checkpoint = row.checkpoint
-        found = _attempts.find_task(row.key, context)
-        if found is not None:
-            found[1].checkpoint = row.checkpoint
-    attempt.progress_percent = row.progress_percent
-    _tails.note_load(attempt, row.load or 0.0, state.now_ms)
-    # A worker that does not tell loads is taken to be at work.
-    if row.load is None or row.load > 0:
-        attempt.worked_ms = state.now_ms
-
-
-def _adopt(
-    worker: Worker, row: RunningTask, context: Context
-) -> Attempt | None:
-    """Take over a run that an earlier owner started, or stop it."""
-    state = context.state
-    found = _attempts.find_task(row.key, context)
-    if found is None:
-        _stop_stray(worker, row, context, 'job is not known')
-        return None
-    job, task = found
-    step = job.request.steps[row.key.step]
-    attempt = Attempt(
-        row.key,
-        row.run,
-        worker.worker_id,
-        step,
-        job.queue.priority,
-        AttemptState.RUNNING,
-        state.now_ms,
-        seen_ms=state.now_ms,
-        pace_percent=None,
-    )
-    is_over = task.is_done or job.is_cancelled or job.state in FINAL_STATES
-    is_over = is_over or not _lifecycle.is_here(job, row.key)
-    is_second = bool(task.attempts) and not step.allow_duplicates
-    _attempts.add_attempt(attempt, task, worker)
-    _ready.remove(row.key, step, state)
-    context.log(
-        'run adopted',
-        task=row.key.format(),
-        run=row.run,
-        worker=worker.worker_id,
-    )
-    if is_over or is_second:
-        why = 'task is over' if is_over else 'another run is there'
-        _attempts.stop_attempt(attempt, context, why)
-    return attempt
-
-
-def _stop_stray(
-    worker: Worker, row: RunningTask, context: Context, why: str
-) -> None:
-    context.log(
-        'stop stray run',
-        task=row.key.format(),
-        run=row.run,
-        worker=worker.worker_id,
-        why=why,
-    )
-    context.emit(
-        StopRun(
-            worker.worker_id,
-            worker.entry.address,
-            row.key,
-            row.run,
-            context.fencing_token,
-        )
-    )
-
-
-def _judge_missing(
-    attempt: Attempt, event: WorkerAnswered, context: Context
-) -> None:
-    """Tell whether a run that the report lacks is over or still to come."""
-    clock_ms = event.report.clock_ms
-    if attempt.state is AttemptState.STARTING:
-        return
-    if attempt.state is AttemptState.DOUBTFUL:
-        if clock_ms > attempt.start_deadline_ms:
-            _attempts.avoid(attempt, context)
-            _attempts.release(attempt, context, 'never started')
-        return
-    if attempt.state is AttemptState.STOPPING:
-        is_settled = (
-            attempt.stop_is_settled and attempt.seen_ms < event.sent_ms
-        ) or (
-            attempt.start_deadline_ms
-            and clock_ms > attempt.start_deadline_ms
-            and attempt.sent_ms < event.sent_ms
-        )
-        if is_settled:
-            _attempts.release(attempt, context, 'stopped unseen')
-        return
-    if attempt.seen_ms < event.sent_ms:
-        _attempts.release(attempt, context, 'vanished')
+# -- silence ----------------------------------------------------------------
 
 
 @handle.register
--- a/src/tulippin/jobs/core.py
+++ b/src/tulippin/jobs/core.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import typing as t
+
 from tulippin.jobs import (
     _committing,
     _interference,
@@ -14,6 +16,7 @@
     _passing,
     _placing,
     _refusals,
+    _reports,
     _soundness,
     _workers,
 )
@@ -30,6 +33,9 @@
 
 __all__ = ('make_state', 'reduce')
 
+# Imported for the handlers that they register alone.
+HANDLER_MODULES: t.Final = (_reports,)
+
 
 def make_state(config: SchedulerConfig) -> SchedulerState:
     """Return the state of an instance that has just started."""
--- a/tests/tulippin/jobs/test_scheduler_fleet.py
+++ b/tests/tulippin/jobs/test_scheduler_fleet.py
@@ -15,6 +15,7 @@
 from tulippin.jobs import (
     _attempts,
     _ownership,
+    _reports,
     _unit_feeds,
     _workers,
     intake,
@@ -303,7 +304,7 @@
             _attempts.avoid(attempt, context)
             _attempts.release(attempt, context, 'planted')
 
-    monkeypatch.setattr(_workers, '_judge_missing', release)
+    monkeypatch.setattr(_reports, '_judge_missing', release)
 
     async def run():
         async with open_fleet(workers=3) as fleet:
