--- a/src/tulippin/platform/standin.py
+++ b/src/tulippin/platform/standin.py
@@ -78,6 +78,13 @@
         """Take a worker off the list."""
         self.store.write('servers', '', worker_id, None)
 
+    def drain(self, worker_id: str, leaves_in_ms: int) -> None:
+        """Let a worker say that it leaves, and leave after so long."""
+        worker = self.workers[worker_id]
+        worker.is_draining = True
+        worker.leaves_at_ms = get_now_ms() + leaves_in_ms
+        self.beat(worker)
+
     async def serve(self) -> None:
         """Let time pass for workers and their list."""
         beat_at = 0.0
@@ -85,11 +92,18 @@
             for worker in list(self.workers.values()):
                 if worker.is_up:
                     worker.tick()
+                    self._let_leave(worker)
             if trio.current_time() >= beat_at:
                 self._beat_all()
                 beat_at = trio.current_time() + _HEARTBEAT_S
             await trio.sleep(0.01)
 
+    def _let_leave(self, worker: StandinWorker) -> None:
+        leaves_at_ms = worker.leaves_at_ms
+        if leaves_at_ms is not None and get_now_ms() >= leaves_at_ms:
+            worker.crash()
+            self.remove(worker.worker_id)
+
     def _beat_all(self) -> None:
         for worker in self.workers.values():
             if worker.is_up:
--- a/src/tulippin/platform/standin_worker.py
+++ b/src/tulippin/platform/standin_worker.py
@@ -88,6 +88,8 @@
         Where all that happens to runs is written down.
     clock_offset_ms : int
         Its clock beside the virtual time.
+    leaves_at_ms : int, optional
+        When it ends in a planned way, with all that still runs there.
     """
 
     worker_id: str
@@ -99,6 +101,7 @@
     clock_offset_ms: int = 5000
     is_up: bool = True
     is_draining: bool = False
+    leaves_at_ms: int | None = None
     cut_off: set[str] = attrs.field(factory=set)
     late_orders_s: float = 0.0
     tells_load: bool = True
@@ -127,11 +130,16 @@
                 self.room,
                 self.labels,
                 self.clock_ms,
-                0,
+                self._get_remaining_ms(),
                 f'm{sequence}',
             )
         )
 
+    def _get_remaining_ms(self) -> int:
+        if self.leaves_at_ms is None:
+            return 0
+        return max(0, self.leaves_at_ms - get_now_ms())
+
     def _note(
         self,
         kind: str,
