Failing test: a unit that nobody takes any more

What users see: nothing of a unit runs any more, for good, though store, workers and instances are well.

Order of events: an owner is lost; 2 s later every other instance tries to take its unit, while the store is silent or refuses; each gives up after 2 s.

Cause: a try that failed sets `changed_ms` to -1 until the unit's rows are seen anew; they are told of by the feed only when they change, and with no owner nobody changes them.

--- a/tests/tulippin/jobs/test_scheduler_lasting.py
+++ b/tests/tulippin/jobs/test_scheduler_lasting.py
@@ -2,6 +2,7 @@
 
 import collections
 
+import pytest
 import trio
 
 from fleet_of_schedulers import QUEUE, make_request, make_step, open_fleet
@@ -217,3 +218,26 @@
             fleet.check()
 
     run_virtual(run)
+
+
+# What users see: nothing of a unit runs any more, for good, though store,
+# workers and instances are well. Order of events: an owner is lost; every
+# other instance tries to take its unit while the store is silent or refuses,
+# and gives up. Cause: after a try that failed each waits to see the unit's
+# rows change, and with no owner nobody changes them.
+@pytest.mark.parametrize('trouble', ['silenced', 'refused'])
+def test_unit_is_taken_though_all_tries_failed_in_an_outage(
+    run_virtual, trouble
+):
+    async def run():
+        async with open_fleet(instances=3, workers=2) as fleet:
+            await submit_lasting(fleet, 2)
+            fleet.kill(fleet.get_owner())
+            await trio.sleep(1.5)
+            clients = getattr(fleet.platform.store.trouble, trouble)
+            clients.add('*')
+            await trio.sleep(5)
+            clients.clear()
+            await fleet.wait_owner(limit_s=4)
+
+    run_virtual(run)
