Failing test: a release that a late renewal takes back

What users saw: a unit given up in a planned way had no owner for 3 s, and nothing of it was started.

Order of events, from a run with a store that leaves writes unanswered and does them 1 to 6 s later: the unit is released (18.909 s), others see that (19.044 s) and try; from 19.174 s on all tries find other rows; at 21.769 s the next try calls the unit lapsed, and at 21.998 s it is taken with the epoch after that of the owner who released it.

Cause: renewals ask for the epoch's row only, and a release leaves that as it is. A renewal sent before the release and done after it says that the unit is owned.

--- a/tests/tulippin/jobs/test_scheduler_lasting.py
+++ b/tests/tulippin/jobs/test_scheduler_lasting.py
@@ -6,7 +6,10 @@
 import trio
 
 from fleet_of_schedulers import QUEUE, make_request, make_step, open_fleet
+from tulippin.exceptions import AnswerLostError
+from tulippin.jobs.records import LEASE_KEY
 from tulippin.platform.standin import get_now_ms
+from tulippin.platform.standin_store import SILENCE_S, StoreView
 
 LIMIT_MS = 3000
 JOB = '00000000000000aa'
@@ -241,3 +244,55 @@
             await fleet.wait_owner(limit_s=4)
 
     run_virtual(run)
+
+
+def is_release(transaction):
+    return any(
+        write.key == LEASE_KEY and b'"released":true' in (write.value or b'')
+        for write in transaction.writes
+    )
+
+
+def hold_renewals_back(monkeypatch):
+    """Leave renewals unanswered, and do the last one after a release."""
+    held = []
+    original = StoreView.transact
+
+    async def transact(view, transaction):
+        keys = {write.key for write in transaction.writes}
+        if keys == {LEASE_KEY}:
+            held.append(transaction)
+            await trio.sleep(SILENCE_S)
+            raise AnswerLostError('held back')
+        result = await original(view, transaction)
+        if is_release(transaction):
+            view.store.apply(held.pop())
+        return result
+
+    monkeypatch.setattr(StoreView, 'transact', transact)
+    return held
+
+
+# What users saw: a unit given up in a planned way had no owner for 3 s, and
+# nothing of it was started. Order of events: a renewal of the lease is not
+# answered; the owner releases the unit, and others see that; the store does
+# the renewal now. Cause: a renewal asks for the epoch's row only, which a
+# release leaves as it is, so it takes the release back, and others wait for
+# the lease to lapse. Evidence: tries to take the unit as released failed,
+# the next ones called it lapsed, and the one that did succeed had the epoch
+# after the old owner's: none but that owner can have written in between.
+def test_renewal_done_late_does_not_take_a_release_back(
+    run_virtual, monkeypatch
+):
+    async def run():
+        async with open_fleet(instances=3) as fleet:
+            held = hold_renewals_back(monkeypatch)
+            while not held:
+                await trio.sleep(0.01)
+            leaving = fleet.get_owner()
+            await fleet.instances[leaving].shell.leave()
+            fleet.kill(leaving)
+            assert not held
+            await fleet.wait_owner(limit_s=1)
+
+    run_virtual(run)
