--- a/src/tulippin/platform/standin_store.py
+++ b/src/tulippin/platform/standin_store.py
@@ -21,6 +21,7 @@
 _STORE_S: t.Final = 0.004
 SILENCE_S: t.Final = 0.9
 _LONGEST_QUEUE_S: t.Final = 1.0
+_LATE_S: t.Final = (1.0, 6.0)
 
 
 @attrs.define
@@ -33,6 +34,11 @@
         Clients that get a refusal, or no answer at all; ``*`` is all.
     lost_answer_share : float
         Share of transactions that are done and not answered.
+    late_write_share : float
+        Share of transactions that are not answered, and are carried out
+        one to six seconds later, if their conditions hold then.
+    late_clients : set of str
+        Whose transactions may come late; ``*`` is all.
     deaf_feeds : bool
         Feeds return no change.
     write_s : float
@@ -43,6 +49,8 @@
     refused: set[str] = attrs.field(factory=set)
     silenced: set[str] = attrs.field(factory=set)
     lost_answer_share: float = 0.0
+    late_write_share: float = 0.0
+    late_clients: set[str] = attrs.field(factory=lambda: {'*'})
     deaf_feeds: bool = False
     write_s: float = 0.0
 
@@ -113,6 +121,11 @@
         self._wake()
         return TransactionResult(True, self.version)
 
+    async def apply_late(self, transaction: Transaction) -> None:
+        """Carry out a transaction that its sender has given up."""
+        await trio.sleep(self.source.uniform(*_LATE_S))
+        self.apply(transaction)
+
     async def wait_change(self, wait_ms: int) -> None:
         """Wait for any change, for so long at most."""
         with trio.move_on_after(wait_ms / _MS):
@@ -187,9 +200,23 @@
                 return RowPage(tuple(found), newest)
             await store.wait_change(int(left_s * _MS) + 1)
 
+    def _is_late(self) -> bool:
+        """Whether a transaction of this client comes late."""
+        trouble = self.store.trouble
+        # No draw without the trouble: runs without it stay as they are.
+        if not trouble.late_write_share:
+            return False
+        if not trouble.late_clients & {self.client, '*'}:
+            return False
+        return self.store.source.random() < trouble.late_write_share
+
     async def transact(self, transaction: Transaction) -> TransactionResult:
         """Carry out a transaction; its answer may be lost."""
         await self._enter()
+        if self._is_late():
+            trio.lowlevel.spawn_system_task(self.store.apply_late, transaction)
+            await trio.sleep(SILENCE_S)
+            raise AnswerLostError('the write comes late')
         await self._wait_turn(transaction.part)
         result = self.store.apply(transaction)
         trouble = self.store.trouble
--- a/tests/tulippin/jobs/test_scheduler_resolving.py
+++ b/tests/tulippin/jobs/test_scheduler_resolving.py
@@ -1,6 +1,7 @@
 """What is listed, or answered, a second time counts once."""
 
 import attrs
+import pytest
 import trio
 
 from tulippin.exceptions import AnswerLostError
@@ -70,6 +71,39 @@
     assert not run_virtual(run).is_done
 
 
+async def send_late(store):
+    store.trouble.late_write_share = 1.0
+    store.trouble.late_clients = {'a'}
+    with pytest.raises(AnswerLostError):
+        await store.get_view('a').transact(TRANSACTION)
+
+
+def test_late_write_is_done_seconds_after_it_was_given_up(run_virtual):
+    store = StandinStore()
+
+    async def run():
+        await send_late(store)
+        assert not store.rows
+        await trio.sleep(6)
+        assert store.rows['t', 'p', 'k'].value == b'ours'
+
+    run_virtual(run)
+
+
+def test_late_write_does_nothing_once_its_condition_fails(run_virtual):
+    store = StandinStore()
+    theirs = attrs.evolve(TRANSACTION, writes=(RowWrite('t', 'k', b'theirs'),))
+
+    async def run():
+        await send_late(store)
+        result = await store.get_view('b').transact(theirs)
+        assert result.is_done
+        await trio.sleep(6)
+        assert store.rows['t', 'p', 'k'].value == b'theirs'
+
+    run_virtual(run)
+
+
 def test_failed_end_listed_again_counts_once():
     state = SchedulerState(SchedulerConfig('i', 'i:1'), now_ms=1000)
     queue = Queue('q', 'h', '/q/', 's', max_attempts=2)
