Failing test: short tasks that keep a task that lasts away

What users saw: tasks that last were away for 27 s and more.

Cause: `_Rank` puts all short tasks of one priority before those that last, however long these have waited. In the test the task is not back 13 s after its worker's crash; 9 are borne.

--- a/tests/tulippin/jobs/test_scheduler_lasting.py
+++ b/tests/tulippin/jobs/test_scheduler_lasting.py
@@ -296,3 +296,35 @@
             await fleet.wait_owner(limit_s=1)
 
     run_virtual(run)
+
+
+async def keep_busy(fleet, **options):
+    """Let short tasks wait at all times, as urgent as those that last."""
+    number = 0
+    while True:
+        number += 1
+        request = make_request(make_step(4, **options), run_ms=400)
+        await submit(fleet, f'{number:016x}', request)
+        await trio.sleep(0.4)
+
+
+# What users saw: tasks that last were away for 27 s and more, 10 s of it
+# with a unit that waited for nobody. Order of events: their workers leave;
+# the unit's other workers are full; room comes free all the time, and
+# short tasks of the same urgency and size take it. Cause: of one urgency,
+# all short tasks go before those that last, however long these have waited.
+# Evidence: in those 10 s the owner started 88 short tasks of at least the
+# size of the one that waited.
+def test_short_tasks_do_not_keep_a_task_that_lasts_away(run_virtual):
+    async def run():
+        async with open_fleet(instances=2, workers=3) as fleet:
+            worker = await submit_lasting(fleet, 2, cpu=10_000)
+            fleet.nursery.start_soon(lambda: keep_busy(fleet, cpu=10_000))
+            await trio.sleep(1)
+            worker.crash()
+            fleet.platform.remove(worker.worker_id)
+            await trio.sleep(LOST_MS / 1000 + 4)
+            fleet.check()
+            return get_longest_gap_ms(fleet)
+
+    assert run_virtual(run) <= LOST_MS
