Test cancels beside late orders, lost starters and changes of owner

Cases that no test covered: a start or a stop carried out late or left unanswered, the starter killed before and after the cancel is accepted (come back or not), a draining worker, a cancel while the unit is taken, loaded, released or nobody's, while tasks are passed on and while the unit that took them changes hands, and while the owners' writes come late; and a taking of the unit whose answer is read after a freeze. Planted: without repeated stops a task runs on.

--- /dev/null
+++ b/tests/tulippin/jobs/test_scheduler_cancels.py
@@ -0,0 +1,638 @@
+"""Cancels, and what else an owner does on news younger than its proof.
+
+A cancel that was acknowledged ends every run of its job in bounded time,
+also if a worker carries orders out late, if the starter is gone, or while
+the unit changes hands. Beside that: acts of an owner whose unit another
+has taken, and of one that stood still.
+"""
+
+import contextlib
+
+import attrs
+import pytest
+import trio
+
+from fleet_of_schedulers import (
+    QUEUE,
+    make_request,
+    make_step,
+    open_fleet,
+)
+from tulippin.exceptions import AnswerLostError, UnavailableError
+from tulippin.jobs import events
+from tulippin.jobs.records import (
+    EPOCH_KEY,
+)
+from tulippin.jobs.shell import SchedulerShell
+from tulippin.jobs.state import Phase
+from tulippin.jobs.types import JobState, OrderAnswer, StartOutcome
+from tulippin.platform.standin import StandinAgents, get_now_ms
+from tulippin.platform.standin_store import SILENCE_S, StoreView
+
+LIMIT_MS = 3000
+JOB = '00000000000000aa'
+# The longest that a run may go on after its job's cancel, and how much
+# later the count begins for a run that a worker started late.
+GONE_MS = 3000 + 900
+CONTACT_MS = 3000
+# Longer than any lease, so that what is left then is never stopped.
+SETTLE_S = 12
+LONG_MS = 600_000
+CORE = 1000
+PART = 'u0'
+
+
+@contextlib.asynccontextmanager
+async def open_calm_fleet(instances=2, workers=2):
+    """Run a fleet in which everyone has seen the owner's renewals."""
+    async with open_fleet(instances, workers) as fleet:
+        await trio.sleep(1.2)
+        yield fleet
+
+
+async def submit(fleet, job_id=JOB, request=None, by=None):
+    name = by or next(iter(fleet.instances))
+    request = request or make_request(run_ms=LONG_MS)
+    await fleet.instances[name].intake.submit(job_id, QUEUE, request, LIMIT_MS)
+
+
+async def cancel(fleet, by, job_id=JOB):
+    """Cancel as callers do, until it is acknowledged; return when it was."""
+    while True:
+        try:
+            intake = fleet.instances[by].intake
+            assert await intake.cancel(job_id, QUEUE, LIMIT_MS)
+        except UnavailableError:
+            await trio.sleep(0.1)
+            continue
+        return get_now_ms()
+
+
+def find_overdue(fleet, acked_ms, job_id=JOB):
+    """Return runs of a cancelled job that went on for too long, by how much."""
+    began = {}
+    overdue = {}
+
+    def judge(place, until_ms):
+        since_ms = acked_ms
+        if began[place] > acked_ms:
+            since_ms = began[place] + CONTACT_MS
+        if until_ms > since_ms + GONE_MS:
+            overdue[place] = until_ms - since_ms - GONE_MS
+
+    for event in fleet.platform.history:
+        place = (event.worker_id, event.key.format(), event.run)
+        if event.key.job_id != job_id:
+            continue
+        if event.kind == 'started':
+            began[place] = event.at_ms
+        elif event.kind == 'ended':
+            judge(place, event.at_ms)
+            del began[place]
+    for place in began:
+        judge(place, get_now_ms())
+    return overdue
+
+
+def count_starts(fleet, job_id=JOB):
+    return sum(
+        event.kind == 'started' and event.key.job_id == job_id
+        for event in fleet.platform.history
+    )
+
+
+def get_other(fleet, name):
+    return next(one for one in fleet.instances if one != name)
+
+
+async def wait_until(condition, limit_s=10):
+    with trio.fail_after(limit_s):
+        while not condition():
+            await trio.sleep(0.001)
+
+
+def is_in(fleet, name, phase):
+    return fleet.instances[name].state.ownership.phase is phase
+
+
+# -- troubles ----------------------------------------------------------------
+
+
+@attrs.define
+class StopTrouble:
+    """Orders to stop get no answer until a time, and are done late if at all.
+
+    ``late_s`` below zero is never.
+    """
+
+    until_s: float = 0.0
+    late_s: float = -1.0
+
+
+@pytest.fixture
+def stop_trouble(monkeypatch):
+    trouble = StopTrouble()
+    original = StandinAgents.stop
+
+    async def stop_late(worker, order):
+        await trio.sleep(trouble.late_s)
+        if worker.is_up:
+            worker.take_stop(*order)
+
+    async def stop(agents, worker_id, address, key, run, token):
+        if trio.current_time() >= trouble.until_s:
+            return await original(agents, worker_id, address, key, run, token)
+        await trio.sleep(SILENCE_S)
+        if trouble.late_s >= 0:
+            worker = agents.platform.workers[worker_id]
+            order = (worker_id, key, run, token)
+            trio.lowlevel.spawn_system_task(stop_late, worker, order)
+        return OrderAnswer(StartOutcome.UNKNOWN)
+
+    monkeypatch.setattr(StandinAgents, 'stop', stop)
+    return trouble
+
+
+@pytest.fixture
+def start_late(monkeypatch):
+    """Return a list; while it holds a time, orders to start are done late.
+
+    They get no answer, and are done also if their sender is gone by then.
+    """
+    chosen = []
+    start_now = StandinAgents.start
+
+    async def start_some_time(worker, order, late_s):
+        await trio.sleep(late_s)
+        if worker.is_up:
+            worker.take_start(order)
+
+    async def start(agents, order):
+        if not chosen:
+            return await start_now(agents, order)
+        worker = agents.platform.workers[order.worker_id]
+        trio.lowlevel.spawn_system_task(
+            start_some_time, worker, order, chosen[-1]
+        )
+        await trio.sleep(SILENCE_S)
+        return OrderAnswer(StartOutcome.UNKNOWN)
+
+    monkeypatch.setattr(StandinAgents, 'start', start)
+    return chosen
+
+
+@attrs.define
+class StoreDelays:
+    """Single calls that the store carries out later.
+
+    ``transact`` and ``read`` are asked with the client and the transaction,
+    or the client and the table; what they return is awaited first.
+    """
+
+    transact: object = None
+    read: object = None
+
+
+@pytest.fixture
+def delays(monkeypatch):
+    chosen = StoreDelays()
+    transact_now = StoreView.transact
+    read_now = StoreView.read_rows
+
+    async def transact(view, transaction):
+        if chosen.transact is not None:
+            await chosen.transact(view.client, transaction)
+        return await transact_now(view, transaction)
+
+    async def read_rows(view, table, part, first='', end=''):
+        if chosen.read is not None:
+            await chosen.read(view.client, table)
+        return await read_now(view, table, part, first, end)
+
+    monkeypatch.setattr(StoreView, 'transact', transact)
+    monkeypatch.setattr(StoreView, 'read_rows', read_rows)
+    return chosen
+
+
+def get_keys(transaction):
+    return {write.key for write in transaction.writes}
+
+
+def load_slowly(delays, name, seconds):
+    """Let an instance's reading of progress take long: jobs come before."""
+
+    async def read(client, table):
+        if client == name and table == 'progress0':
+            await trio.sleep(seconds)
+
+    delays.read = read
+
+
+# -- late orders -------------------------------------------------------------
+
+
+@pytest.mark.parametrize('late_s', [0.3, 1.0, 1.7, 4.0])
+@pytest.mark.parametrize('after_s', [0.2, 0.95, 1.6])
+def test_start_carried_out_after_the_cancel(
+    run_virtual, start_late, late_s, after_s
+):
+    async def run():
+        async with open_calm_fleet(workers=1) as fleet:
+            start_late.append(late_s)
+            await submit(fleet)
+            await trio.sleep(after_s)
+            acked_ms = await cancel(fleet, get_other(fleet, fleet.get_owner()))
+            await trio.sleep(SETTLE_S)
+            assert find_overdue(fleet, acked_ms) == {}
+
+    run_virtual(run)
+
+
+@pytest.mark.parametrize('stop_late_s', [-1.0, 0.3, 2.0])
+@pytest.mark.parametrize('late_s', [0.0, 1.0, 1.7])
+def test_stop_unanswered_or_carried_out_late(
+    run_virtual, start_late, stop_trouble, late_s, stop_late_s
+):
+    async def run():
+        async with open_calm_fleet(workers=1) as fleet:
+            start_late.append(late_s)
+            await submit(fleet)
+            await trio.sleep(0.3)
+            stop_trouble.until_s = trio.current_time() + 2.0
+            stop_trouble.late_s = stop_late_s
+            acked_ms = await cancel(fleet, get_other(fleet, fleet.get_owner()))
+            await trio.sleep(SETTLE_S)
+            assert find_overdue(fleet, acked_ms) == {}
+
+    run_virtual(run)
+
+
+def test_without_repeated_stops_it_would_run_on(
+    run_virtual, stop_trouble, monkeypatch
+):
+    monkeypatch.setattr(
+        'tulippin.jobs._attempts.stop_again', lambda worker, context: None
+    )
+
+    async def run():
+        async with open_calm_fleet(workers=1) as fleet:
+            await submit(fleet)
+            await trio.sleep(0.3)
+            stop_trouble.until_s = trio.current_time() + 2.0
+            acked_ms = await cancel(fleet, get_other(fleet, fleet.get_owner()))
+            await trio.sleep(SETTLE_S)
+            assert find_overdue(fleet, acked_ms)
+
+    run_virtual(run)
+
+
+@pytest.mark.parametrize('is_listed', [True, False])
+def test_cancel_reaches_a_draining_worker(run_virtual, is_listed):
+    async def run():
+        async with open_calm_fleet(workers=2) as fleet:
+            await submit(
+                fleet, request=make_request(make_step(9), run_ms=LONG_MS)
+            )
+            await fleet.wait_running(9)
+            for worker in fleet.platform.workers.values():
+                worker.is_draining = True
+                fleet.platform.beat(worker)
+                if not is_listed:
+                    fleet.platform.remove(worker.worker_id)
+            await trio.sleep(0.7)
+            acked_ms = await cancel(fleet, 'i0')
+            await trio.sleep(SETTLE_S)
+            assert find_overdue(fleet, acked_ms) == {}
+
+    run_virtual(run)
+
+
+# -- the starter is gone -----------------------------------------------------
+
+
+@pytest.mark.parametrize('late_s', [0.0, 1.0, 1.7])
+@pytest.mark.parametrize('kill', ['before', 'after', 'beside'])
+@pytest.mark.parametrize('is_restarted', [True, False])
+def test_starter_killed_right_after_its_start(
+    run_virtual, start_late, stop_trouble, late_s, kill, is_restarted
+):
+    async def run():
+        async with open_calm_fleet(instances=3, workers=1) as fleet:
+            start_late.append(late_s)
+            # What the starter itself still orders does not count.
+            stop_trouble.until_s = trio.current_time() + 0.6
+            starter = fleet.get_owner()
+            other = get_other(fleet, starter)
+            await submit(fleet, by=other)
+            await wait_until(lambda: has_attempts(fleet, starter))
+            if kill == 'before':
+                fleet.kill(starter)
+                await trio.sleep(0.3)
+                acked_ms = await cancel(fleet, other)
+            elif kill == 'beside':
+                acked_ms = await cancel(fleet, other)
+                fleet.kill(starter)
+            else:
+                acked_ms = await cancel(fleet, other)
+                await trio.sleep(0.3)
+                fleet.kill(starter)
+            start_late.clear()
+            if is_restarted:
+                await trio.sleep(0.7)
+                await fleet.start(starter)
+            await trio.sleep(SETTLE_S)
+            assert find_overdue(fleet, acked_ms) == {}
+
+    run_virtual(run)
+
+
+def has_attempts(fleet, name, job_id=JOB):
+    job = fleet.instances[name].state.jobs.get(job_id)
+    return bool(job and any(task.attempts for task in job.tasks.values()))
+
+
+# -- the unit changes hands --------------------------------------------------
+
+
+@pytest.mark.parametrize('phase', [Phase.TAKING, Phase.LOADING])
+@pytest.mark.parametrize('at_s', [0.0, 0.15, 0.35])
+def test_cancel_while_a_successor_takes_up_the_unit(
+    run_virtual, delays, phase, at_s
+):
+    async def run():
+        async with open_calm_fleet(instances=2, workers=2) as fleet:
+            await submit(
+                fleet, request=make_request(make_step(6), run_ms=LONG_MS)
+            )
+            await fleet.wait_running(6)
+            starter = fleet.get_owner()
+            taker = get_other(fleet, starter)
+            load_slowly(delays, taker, 0.4)
+
+            async def take_slowly(client, transaction):
+                if client == taker and EPOCH_KEY in get_keys(transaction):
+                    await trio.sleep(0.4)
+
+            delays.transact = take_slowly
+            fleet.kill(starter)
+            await wait_until(lambda: is_in(fleet, taker, phase))
+            await trio.sleep(at_s)
+            assert is_in(fleet, taker, phase)
+            acked_ms = await cancel(fleet, taker)
+            await trio.sleep(SETTLE_S)
+            assert find_overdue(fleet, acked_ms) == {}
+            await fleet.wait_state(JOB, JobState.CANCELLED)
+
+    run_virtual(run)
+
+
+@pytest.mark.parametrize('at_s', [0.0, 0.3, 1.5, 2.1])
+def test_cancel_while_nobody_has_the_unit(run_virtual, at_s):
+    async def run():
+        async with open_calm_fleet(instances=3, workers=2) as fleet:
+            await submit(
+                fleet, request=make_request(make_step(6), run_ms=LONG_MS)
+            )
+            await fleet.wait_running(6)
+            fleet.kill(fleet.get_owner())
+            await trio.sleep(at_s)
+            acked_ms = await cancel(fleet, next(iter(fleet.instances)))
+            await trio.sleep(SETTLE_S)
+            assert find_overdue(fleet, acked_ms) == {}
+
+    run_virtual(run)
+
+
+@pytest.mark.parametrize('release_s', [0.2, 0.8])
+@pytest.mark.parametrize('at_s', [0.0, 0.1])
+def test_cancel_while_the_unit_is_released(
+    run_virtual, delays, release_s, at_s
+):
+    async def run():
+        async with open_calm_fleet(instances=2, workers=2) as fleet:
+            await submit(
+                fleet, request=make_request(make_step(6), run_ms=LONG_MS)
+            )
+            await fleet.wait_running(6)
+            starter = fleet.get_owner()
+
+            async def release_slowly(client, transaction):
+                if client == starter and transaction.part == PART:
+                    await trio.sleep(release_s)
+
+            delays.transact = release_slowly
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(fleet.instances[starter].shell.leave)
+                await wait_until(lambda: is_in(fleet, starter, Phase.RELEASING))
+                await trio.sleep(at_s)
+                acked_ms = await cancel(fleet, get_other(fleet, starter))
+            fleet.kill(starter)
+            await trio.sleep(SETTLE_S)
+            assert find_overdue(fleet, acked_ms) == {}
+
+    run_virtual(run)
+
+
+@pytest.mark.parametrize('seed', range(6))
+def test_cancels_while_the_store_writes_late(run_virtual, delays, seed):
+    """Most of the owners' writes are done seconds later, unanswered."""
+
+    async def write_late(store, transaction, late_s):
+        await trio.sleep(late_s)
+        store.apply(transaction)
+
+    async def run():
+        async with open_calm_fleet(instances=3, workers=3) as fleet:
+            store = fleet.platform.store
+            store.source.seed(seed)
+
+            async def transact(client, transaction):
+                is_owners = transaction.part == PART
+                if not is_owners or store.source.random() >= 0.75:
+                    return
+                late_s = store.source.uniform(1, 6)
+                trio.lowlevel.spawn_system_task(
+                    write_late, store, transaction, late_s
+                )
+                await trio.sleep(SILENCE_S)
+                raise AnswerLostError('the store writes late')
+
+            jobs = [f'{number:016x}' for number in range(8)]
+            for job_id in jobs:
+                request = make_request(make_step(2), run_ms=LONG_MS)
+                await submit(fleet, job_id, request)
+            await fleet.wait_running(2 * len(jobs))
+            acked = {}
+
+            async def cancel_one(job_id):
+                by = store.source.choice(list(fleet.instances))
+                acked[job_id] = await cancel(fleet, by, job_id)
+
+            delays.transact = transact
+            async with trio.open_nursery() as nursery:
+                for job_id in jobs:
+                    await trio.sleep(store.source.random())
+                    nursery.start_soon(cancel_one, job_id)
+            calm_ms = get_now_ms()
+            delays.transact = None
+            await trio.sleep(SETTLE_S)
+            for job_id, acked_ms in acked.items():
+                since_ms = max(acked_ms, calm_ms + CONTACT_MS)
+                assert find_overdue(fleet, since_ms, job_id) == {}
+            fleet.check()
+
+    run_virtual(run, seed=seed)
+
+
+@contextlib.asynccontextmanager
+async def open_units():
+    """Run a fleet of several units, with one job's tasks in all of them."""
+    async with open_fleet(6, 60, rack_size=12) as fleet:
+        await wait_until(lambda: len(get_owners(fleet)) > 1, 15)
+        await wait_until(lambda: '' not in get_owners(fleet).values(), 15)
+        await trio.sleep(1)
+        for instance in fleet.instances.values():
+            instance.shell.choose_unit = lambda request: 0
+        step = make_step(60, 10 * CORE, long_running=True)
+        await submit(fleet, request=make_request(step, lasts=True))
+        yield fleet
+
+
+def get_owners(fleet):
+    owners = {}
+    for name, instance in fleet.instances.items():
+        for number, unit in instance.shell.units.items():
+            owners.setdefault(number, '')
+            if unit.is_owner:
+                owners[number] = name
+    return owners
+
+
+@pytest.mark.parametrize('is_planned', [True, False])
+@pytest.mark.parametrize('at_s', [0.0, 1.0, 2.0])
+def test_cancel_while_a_unit_that_took_tasks_over_changes_hands(
+    run_virtual, is_planned, at_s
+):
+    async def run():
+        async with open_units() as fleet:
+            await fleet.wait_running(60)
+            owners = get_owners(fleet)
+            leaving = next(one for one in owners.values() if one != owners[0])
+            if is_planned:
+                await fleet.instances[leaving].shell.leave()
+            fleet.kill(leaving)
+            await trio.sleep(at_s)
+            acked_ms = await cancel(fleet, next(iter(fleet.instances)))
+            await trio.sleep(SETTLE_S)
+            assert find_overdue(fleet, acked_ms) == {}
+            assert not fleet.count_running()
+
+    run_virtual(run)
+
+
+@pytest.mark.parametrize('is_killed', [True, False])
+@pytest.mark.parametrize('write_s', [0.0, 0.2])
+@pytest.mark.parametrize('at_s', [0.7, 0.76, 0.82, 0.9, 1.2, 1.5])
+def test_cancel_while_tasks_are_passed_on(
+    run_virtual, is_killed, write_s, at_s
+):
+    async def run():
+        async with open_units() as fleet:
+            fleet.platform.store.trouble.write_s = write_s
+            await trio.sleep(at_s)
+            home = get_owners(fleet)[0]
+            acked_ms = await cancel(fleet, get_other(fleet, home))
+            if is_killed:
+                fleet.kill(home)
+            await trio.sleep(SETTLE_S)
+            assert find_overdue(fleet, acked_ms) == {}
+            assert not fleet.count_running()
+
+    run_virtual(run)
+
+
+# -- standing still ----------------------------------------------------------
+
+
+@attrs.define
+class Freezer:
+    """Holds back an instance's events, as one that stands still would."""
+
+    post_now: object
+    frozen: object = None
+    kept: list = attrs.field(factory=list)
+
+    def freeze(self, instance):
+        self.frozen = instance.shell
+
+    def thaw(self):
+        shell = self.frozen
+        self.frozen = None
+        # Of the clock's ticks one is left, as timers fire once.
+        ticked = set()
+        for unit, event in self.kept:
+            if isinstance(event, events.Ticked):
+                if unit in ticked:
+                    continue
+                ticked.add(unit)
+            self.post_now(shell, unit, event)
+
+
+@pytest.fixture
+def freezer(monkeypatch):
+    post_now = SchedulerShell.post_to
+    one = Freezer(post_now)
+
+    def post_to(shell, unit, event):
+        if one.frozen is shell:
+            one.kept.append((unit, event))
+        else:
+            post_now(shell, unit, event)
+
+    monkeypatch.setattr(SchedulerShell, 'post_to', post_to)
+    return one
+
+
+def note_orders(monkeypatch, client):
+    """Return the list to which a client's orders to start are added."""
+    orders = []
+    start_now = StandinAgents.start
+
+    async def start(agents, order):
+        if agents.client == client:
+            orders.append((get_now_ms(), order.key.job_id))
+        return await start_now(agents, order)
+
+    monkeypatch.setattr(StandinAgents, 'start', start)
+    return orders
+
+
+def test_unit_taken_before_a_freeze_is_not_owned_after_it(
+    run_virtual, freezer, monkeypatch
+):
+    async def run():
+        async with open_calm_fleet(instances=3, workers=2) as fleet:
+            fleet.kill(fleet.get_owner())
+            await wait_until(
+                lambda: any(
+                    is_in(fleet, one, Phase.TAKING) for one in fleet.instances
+                )
+            )
+            frozen = next(
+                one
+                for one in fleet.instances
+                if is_in(fleet, one, Phase.TAKING)
+            )
+            taker = get_other(fleet, frozen)
+            orders = note_orders(monkeypatch, frozen)
+            fleet.platform.workers['w0'].cut_off = {taker}
+            freezer.freeze(fleet.instances[frozen])
+            await wait_until(lambda: is_in(fleet, taker, Phase.ACTIVE))
+            await submit(fleet, request=make_request(run_ms=3000), by=taker)
+            await trio.sleep(0.3)
+            freezer.thaw()
+            await trio.sleep(1)
+            assert orders == []
+            fleet.check()
+
+    run_virtual(run)
