--- a/tests/tulippin/jobs/test_scheduler_cancels.py
+++ b/tests/tulippin/jobs/test_scheduler_cancels.py
@@ -657,6 +657,25 @@
     run_virtual(run)
 
 
+def test_failure_of_a_job_not_yet_known_counts_as_an_attempt(
+    run_virtual, delays
+):
+    """A task was started once more than it may fail.
+
+    As above, with a run that failed.
+    """
+
+    async def run():
+        async with open_calm_fleet(workers=2) as fleet:
+            request = make_request(run_ms=100, fails_always=True)
+            await find_stray(fleet, delays, request)
+            await trio.sleep(SETTLE_S)
+            await fleet.wait_state(JOB, JobState.FAILED)
+            assert count_starts(fleet) == QUEUE.max_attempts
+
+    run_virtual(run)
+
+
 def test_finished_job_whose_removal_failed_is_not_run_again(
     run_virtual, delays
 ):
@@ -736,6 +755,47 @@
     run_virtual(run)
 
 
+@pytest.mark.parametrize('take_s', [0.05, 0.4, 1.5])
+def test_instance_that_stops_while_it_takes_a_unit_gives_it_up(
+    run_virtual, delays, take_s
+):
+    """A planned stop did not end, and left its unit to lapse.
+
+    An instance is told to stop while its try to take a unit is under way.
+    The success comes after it has left: it owns the unit, and nothing
+    tells it to give the unit up any more.
+    """
+
+    async def run():
+        async with open_calm_fleet(instances=3) as fleet:
+
+            async def take_slowly(client, transaction):
+                if EPOCH_KEY in get_keys(transaction):
+                    await trio.sleep(take_s)
+
+            delays.transact = take_slowly
+            first = fleet.get_owner()
+            await fleet.instances[first].shell.leave()
+            fleet.kill(first)
+            await wait_until(lambda: get_takers(fleet))
+            stopping = get_takers(fleet)[0]
+            shell = fleet.instances[stopping].shell
+            with trio.move_on_after(5) as scope:
+                await shell.leave()
+            has_left = not scope.cancelled_caught
+            await trio.sleep(1)
+            assert fleet.get_owner() != stopping
+            assert has_left
+            fleet.kill(stopping)
+            await fleet.wait_owner(limit_s=1)
+
+    run_virtual(run)
+
+
+def get_takers(fleet):
+    return [one for one in fleet.instances if is_in(fleet, one, Phase.TAKING)]
+
+
 def write_lease(fleet, *, released):
     lease = LeaseRecord('other:1', 'other', released=released)
     row = encode(lease)
@@ -989,16 +1049,8 @@
     async def run():
         async with open_calm_fleet(instances=3, workers=2) as fleet:
             fleet.kill(fleet.get_owner())
-            await wait_until(
-                lambda: any(
-                    is_in(fleet, one, Phase.TAKING) for one in fleet.instances
-                )
-            )
-            frozen = next(
-                one
-                for one in fleet.instances
-                if is_in(fleet, one, Phase.TAKING)
-            )
+            await wait_until(lambda: get_takers(fleet))
+            frozen = get_takers(fleet)[0]
             taker = get_other(fleet, frozen)
             orders = note_orders(monkeypatch, frozen)
             fleet.platform.workers['w0'].cut_off = {taker}
