Adapt tests to what the mends change beside their cause

- Takings are counted by the epoch's own row: a taking is going to write a copy of it among the jobs.
- Stray runs of a deposed owner are planted by hiding the taking from its feed, as an owner that hears of it starts none.
- Two instances are made to own the units where a test needs that: which one is first is chance.
- extend_lapse moves to a module of its own; the planted fault goes there.
- A planted absence of passing takes any arguments.
- New: a task whose end is not durable at a planned release is not started again.

All of them assert what they did before.

--- a/tests/tulippin/jobs/test_scheduler_cancels.py
+++ b/tests/tulippin/jobs/test_scheduler_cancels.py
@@ -370,12 +370,27 @@
     return bool(job and any(task.attempts for task in job.tasks.values()))
 
 
+def hide_epochs(fleet, name):
+    """Let an instance's feed of jobs not tell that its unit was taken."""
+    unit = fleet.instances[name].shell.units[0]
+    post_now = unit.post
+
+    def post(event):
+        if isinstance(event, events.JobsChanged):
+            event = attrs.evolve(event, epoch_version=0)
+        post_now(event)
+
+    unit.post = post
+
+
 async def find_stray(fleet, delays, request, worker_id='w0'):
     """Let a taker find a run of a job that it has not heard of yet.
 
-    Returns the taker once the run is there, while it still loads.
+    Returns the taker once the run is there, while it still loads. An owner
+    that hears of its successor starts no such run: planted here.
     """
     starter = fleet.get_owner()
+    hide_epochs(fleet, starter)
     taker = get_other(fleet, starter)
     silence_own_writes(delays, starter)
     load_slowly(delays, taker, 0.4)
@@ -592,6 +607,17 @@
     return owners
 
 
+async def share_units(fleet):
+    """Have two instances own the units, whoever was first; return them."""
+    owners = get_owners(fleet)
+    if len(set(owners.values())) == 1:
+        unit = fleet.instances[owners[1]].shell.units[1]
+        unit.post(events.StopRequested(unit.clock()))
+        await wait_until(lambda: get_owners(fleet)[1] not in {'', owners[0]})
+        await trio.sleep(1)
+    return get_owners(fleet)
+
+
 @pytest.mark.parametrize('is_planned', [True, False])
 @pytest.mark.parametrize('at_s', [0.0, 1.0, 2.0])
 def test_cancel_while_a_unit_that_took_tasks_over_changes_hands(
@@ -600,7 +626,7 @@
     async def run():
         async with open_units() as fleet:
             await fleet.wait_running(60)
-            owners = get_owners(fleet)
+            owners = await share_units(fleet)
             leaving = next(one for one in owners.values() if one != owners[0])
             if is_planned:
                 await fleet.instances[leaving].shell.leave()
--- a/tests/tulippin/jobs/test_scheduler_fleet.py
+++ b/tests/tulippin/jobs/test_scheduler_fleet.py
@@ -17,7 +17,7 @@
     _ownership,
     _reports,
     _unit_feeds,
-    _workers,
+    _unseen,
     intake,
 )
 from tulippin.jobs._perform import perform
@@ -331,7 +331,7 @@
 
 
 def test_tasks_given_up_at_once_would_run_twice(run_virtual, monkeypatch):
-    monkeypatch.setattr(_workers, 'extend_lapse', lambda *_: None)
+    monkeypatch.setattr(_unseen, 'extend_lapse', lambda *_: None)
 
     async def run():
         async with open_fleet(workers=2) as fleet:
--- a/tests/tulippin/jobs/test_scheduler_takeovers.py
+++ b/tests/tulippin/jobs/test_scheduler_takeovers.py
@@ -481,7 +481,13 @@
 
 
 def count_epochs(fleet):
-    return sum(row.key == EPOCH_KEY for row in fleet.platform.store.changes)
+    """Return how often the unit was taken."""
+    epochs = {
+        row.value
+        for row in fleet.platform.store.changes
+        if (row.table, row.key) == (UNITS_TABLE, EPOCH_KEY)
+    }
+    return len(epochs)
 
 
 def test_owner_keeps_its_unit_while_writes_come_late(run_virtual):
@@ -557,3 +563,36 @@
     with trio.fail_after(limit_s):
         while fleet.get_owner() in {'', first}:
             await trio.sleep(0.01)
+
+
+# What users saw: a task that was done was started again. Order of events:
+# an owner reads the end of a run and tells what follows from it to a store
+# that does it late; it gives the unit up in a planned way; its successor
+# learns from it where tasks may run, and not that this one is done. Cause:
+# the account held runs, not ends that nobody but their worker keeps.
+# Evidence: the successor started the task 14 ms before it read the end.
+def test_task_that_ended_before_a_release_is_not_started_again(
+    run_virtual, wires
+):
+    async def run():
+        async with open_fleet(instances=2, workers=2) as fleet:
+            first = fleet.get_owner()
+            taker = next(name for name in fleet.instances if name != first)
+            await submit(fleet)
+            await fleet.wait_running(1)
+            wires.unanswered.add((first, Unit().part, JOB))
+            await trio.sleep(0.6)
+            assert not fleet.count_running()
+            worker = next(
+                worker
+                for worker in fleet.platform.workers.values()
+                if worker.started_count
+            )
+            wires.worker_s[taker, worker.address] = 0.5
+            await fleet.instances[first].shell.leave()
+            fleet.kill(first)
+            await fleet.wait_done(JOB)
+            await trio.sleep(1)
+            assert count_starts(fleet) == 1
+
+    run_virtual(run)
--- a/tests/tulippin/jobs/test_scheduler_units.py
+++ b/tests/tulippin/jobs/test_scheduler_units.py
@@ -160,7 +160,7 @@
 
 
 def test_without_passing_they_would_wait(run_virtual, monkeypatch):
-    monkeypatch.setattr(_passing, '_choose_unit', lambda step, state: None)
+    monkeypatch.setattr(_passing, '_choose_unit', lambda *_, **__: None)
 
     async def run():
         async with open_units() as fleet:
