Send a transaction again beside a try that has no answer

Cause: a lost answer cost the call's timeout of 0.9 s, and one renewal was in flight at a time. Where a store leaves 35% of the writes unanswered and does them late, two in a row used up the lease of 2 s though owner and store were well, and each takeover stops starts.

Ruled out: several renewals of different content in flight, which the reducer would have to tell apart. All tries of one transaction are the same, so that whichever is done first is recognized.

--- a/src/tulippin/jobs/_row_effects.py
+++ b/src/tulippin/jobs/_row_effects.py
@@ -44,7 +44,7 @@
 # a new try with newer rows does better.
 _COMMIT_LIMIT_S: t.Final = 3600.0
 _TAKE_LIMIT_S: t.Final = 2.0
-_RENEW_LIMIT_S: t.Final = 1.0
+_RENEW_LIMIT_S: t.Final = 1.4
 _RELEASE_LIMIT_S: t.Final = 1.5
 _PASS_LIMIT_S: t.Final = 1.0
 _PASS_PAUSE_S: t.Final = 0.3
@@ -70,7 +70,7 @@
     version = 0
     try:
         result = await transact_surely(
-            shell.ports.store, transaction, _TAKE_LIMIT_S
+            shell.ports.store, transaction, _TAKE_LIMIT_S, shell.answer_times
         )
     except UnavailableError as error:
         shell.note_store(error)
@@ -103,7 +103,7 @@
     is_fenced = False
     try:
         result = await transact_surely(
-            shell.ports.store, transaction, _RENEW_LIMIT_S
+            shell.ports.store, transaction, _RENEW_LIMIT_S, shell.answer_times
         )
     except UnavailableError as error:
         shell.note_store(error)
@@ -127,7 +127,12 @@
     model = RowWrite(MODELS_TABLE, MODEL_KEY, encode(effect.model))
     transaction = attrs.evolve(transaction, writes=(*transaction.writes, model))
     try:
-        await transact_surely(shell.ports.store, transaction, _RELEASE_LIMIT_S)
+        await transact_surely(
+            shell.ports.store,
+            transaction,
+            _RELEASE_LIMIT_S,
+            shell.answer_times,
+        )
     except UnavailableError as error:
         logger.warning('unit not released', reason=error.message)
     shell.post(ev.LeaseReleased(shell.clock()))
@@ -176,7 +181,7 @@
     )
     try:
         result = await transact_surely(
-            shell.ports.store, transaction, _COMMIT_LIMIT_S
+            shell.ports.store, transaction, _COMMIT_LIMIT_S, shell.answer_times
         )
     except UnavailableError as error:
         logger.error('commit given up', reason=error.message)
@@ -204,7 +209,7 @@
     )
     try:
         result = await transact_surely(
-            shell.ports.store, transaction, _COMMIT_LIMIT_S
+            shell.ports.store, transaction, _COMMIT_LIMIT_S, shell.answer_times
         )
     except UnavailableError as error:
         logger.error('roster given up', reason=error.message)
@@ -271,7 +276,10 @@
             if transaction is None:
                 return
             result = await transact_surely(
-                shell.ports.store, transaction, _PASS_LIMIT_S
+                shell.ports.store,
+                transaction,
+                _PASS_LIMIT_S,
+                shell.answer_times,
             )
         except UnavailableError as error:
             logger.warning(
--- a/src/tulippin/jobs/_unit_watch.py
+++ b/src/tulippin/jobs/_unit_watch.py
@@ -174,7 +174,10 @@
             (RowWrite(UNITS_TABLE, LAYOUT_KEY, encode(layout)),),
         )
         result = await transact_surely(
-            self.shell.ports.store, transaction, _WRITE_LIMIT_S
+            self.shell.ports.store,
+            transaction,
+            _WRITE_LIMIT_S,
+            self.shell.answer_times,
         )
         logger.info(
             'layout written',
--- a/src/tulippin/jobs/intake.py
+++ b/src/tulippin/jobs/intake.py
@@ -21,6 +21,7 @@
     RowWrite,
     StoredRow,
     Transaction,
+    TransactionResult,
 )
 from tulippin.jobs.records import (
     CANCEL_SUFFIX,
@@ -64,6 +65,14 @@
     def _store(self) -> RowStore:
         return self.shell.ports.store
 
+    async def _transact(
+        self, transaction: Transaction, limit_ms: int
+    ) -> TransactionResult:
+        times = self.shell.answer_times
+        return await transact_surely(
+            self._store, transaction, limit_ms / _MS, times
+        )
+
     async def _read(self, table: str, part: str, key: str) -> StoredRow | None:
         """Read a row; a reading that fails has done nothing."""
         try:
@@ -107,7 +116,7 @@
             ),
         )
         began_ms = self.shell.clock()
-        result = await transact_surely(self._store, transaction, limit_ms / _MS)
+        result = await self._transact(transaction, limit_ms)
         if result.is_done:
             self._keep_home(job_id, number)
         self.shell.observe('tulippin_call_seconds', 'submit', began_ms)
@@ -158,9 +167,7 @@
                 return True
             transaction = _make_cancel(job_id, queue, home, row)
             left_ms = limit_ms - (self.shell.clock() - began_ms)
-            result = await transact_surely(
-                self._store, transaction, left_ms / _MS
-            )
+            result = await self._transact(transaction, left_ms)
             if result.is_done:
                 self.shell.observe('tulippin_call_seconds', 'cancel', began_ms)
                 logger.info(
--- a/src/tulippin/jobs/shell.py
+++ b/src/tulippin/jobs/shell.py
@@ -13,6 +13,7 @@
 from tulippin.jobs import _balancing
 from tulippin.jobs import effects as fx
 from tulippin.jobs import events as ev
+from tulippin.jobs._resolving import AnswerTimes
 from tulippin.jobs._unit_feeds import FEED_PAUSE_S, FEED_WAIT_MS
 from tulippin.jobs._unit_watch import UnitWatch
 from tulippin.jobs.layout import get_rack
@@ -74,6 +75,7 @@
         self.store_answered_ms = 0
         self.event_age_ms = 0
         self.latencies = LatencyTable()
+        self.answer_times = AnswerTimes()
         self._policy: ev.PolicyChanged | None = None
         self._store_answers = False
         self._urgent: collections.deque[_Entry] = collections.deque()
--- a/src/tulippin/jobs/unit_shell.py
+++ b/src/tulippin/jobs/unit_shell.py
@@ -15,6 +15,7 @@
 from tulippin.jobs import effects as fx
 from tulippin.jobs import events as ev
 from tulippin.jobs._perform import perform
+from tulippin.jobs._resolving import AnswerTimes
 from tulippin.jobs._rows import get_version, read_record
 from tulippin.jobs._unit_feeds import UnitFeeds
 from tulippin.jobs.ports import SchedulerPorts, StoredRow
@@ -64,6 +65,11 @@
         """Everything outside."""
         return self._parent.ports
 
+    @property
+    def answer_times(self) -> AnswerTimes:
+        """How long the store takes to answer transactions."""
+        return self._parent.answer_times
+
     @property
     def unit_numbers(self) -> tuple[int, ...]:
         """The numbers of all units."""
