Start a task only where no other owner can have

Causes, of one class: an owner acts on news that is younger than its last proof of ownership, or knows too little of what the last one did.

- TWICE: a deposed owner that does not know it heard of a job by its feed and started it, on workers that the next owner had not spoken to.
A taking now writes the epoch among the jobs too, so that the feed shows it before any later job, at no call.
Loading checks the epoch after the jobs.
- LOST: a new owner held every task of older jobs back until all rostered workers had answered, or could have lapsed by the longest lease that a worker grants (10 s there) from its own taking.
Owners grant 4.5 s: that is counted, and from the worker's first answer.
A planned release keeps an account of where each task may run, so that a successor waits for just these, and goes on counting.
- A late renewal took a release back: the release gives the epoch's row a new version, and an older renewal is no sign of life.
- A unit whose takers all failed, or that was given up while it was not watched, had no owner for good: the rows known count anew.
- An answer on its way during a pause confirms nothing after it.
- A stop during a taking releases it.
Readings and roster writes of an earlier ownership do nothing in a later one.
Jobs read anew come with their progress.
- Runs and ends of a job that is not known yet are stopped until they end, and kept until it is.

Ruled out: a confirmation for each new job (a call each); waiting for all workers with each new job (silent ones would hold new work up for 6 s).

--- a/src/tulippin/jobs/_attempts.py
+++ b/src/tulippin/jobs/_attempts.py
@@ -98,6 +98,7 @@
     attempt = worker.attempts.get((ended.key, ended.run))
     if attempt is not None:
         drop_attempt(attempt, context)
+    worker.unsettled[ended.number] = ended.key
     found = find_task(ended.key, context)
     context.state.count(f'ends_{ended.outcome.value}')
     context.log(
--- a/src/tulippin/jobs/_committing.py
+++ b/src/tulippin/jobs/_committing.py
@@ -12,6 +12,8 @@
     _memory,
     _ownership,
     _passing,
+    _reports,
+    _unseen,
     _workers,
 )
 from tulippin.jobs._dispatch import Context, handle
@@ -28,10 +30,10 @@
     RosterCommitted,
     UnitLoaded,
 )
+from tulippin.jobs.ports import StoredRow
 from tulippin.jobs.records import GUEST_SUFFIX, RosterRecord
-from tulippin.jobs.state import Job, Phase, SchedulerState, Worker
-from tulippin.jobs.types import FINAL_STATES, JobState, Step, WorkerEntry
-from tulippin.types import Resources
+from tulippin.jobs.state import Job, Phase, SchedulerState
+from tulippin.jobs.types import FINAL_STATES, JobState, Step
 
 # A transaction takes 100 entries: a job's progress is a condition and a
 # write, and the epoch one condition more.
@@ -48,23 +50,32 @@
     state = context.state
     if state.ownership.phase is not Phase.LOADING:
         return
+    if event.epoch_version < state.ownership.epoch_version:
+        # Read for an earlier ownership: what changed since is in neither
+        # this reading nor the feed that goes on from the newer one.
+        return
+    if event.epoch_version > state.ownership.epoch_version:
+        # The jobs may be newer than our ownership, and the feed that goes
+        # on from them would not tell of the taking.
+        _ownership.step_down(context, 'another owner took it meanwhile')
+        return
     state.ownership.phase = Phase.ACTIVE
     state.roster = dict(event.roster.addresses)
     state.roster_version = event.roster_version
     for entry in event.workers:
         _workers.note_entry(entry, context)
-    _add_rostered(context)
+    _unseen.begin(event.account, context)
     if event.model is not None:
         _memory.restore(event.model, state)
     jobs = _lifecycle.add_rows(event.jobs, context)
-    for row in event.progress:
-        if row.key in state.jobs:
-            _lifecycle.restore(state.jobs[row.key], row, context)
-            _passing.send(state.jobs[row.key], context)
+    _restore(jobs, event.progress, context)
+    _unseen.place(event.account, context)
     for job in jobs:
         # Until every worker has answered or lapsed, a task that is not
-        # seen anywhere may still run.
-        job.awaits_workers = True
+        # seen anywhere may still run; but no earlier owner has started
+        # what was accepted after our taking.
+        is_new = job.row_version > state.ownership.epoch_version
+        job.awaits_workers = job.is_guest or not is_new
         _take_up(job, context)
     context.log(
         'unit loaded',
@@ -78,18 +89,16 @@
     )
 
 
-def _add_rostered(context: Context) -> None:
-    """Earlier owners' orders may have effect on every rostered worker."""
-    state = context.state
-    limit_ms = state.config.worker_lease_limit_ms
-    for worker_id, address in state.roster.items():
-        worker = state.workers.get(worker_id)
-        if worker is None:
-            entry = WorkerEntry(worker_id, '', address, '', Resources())
-            worker = state.workers[worker_id] = Worker(entry, is_listed=False)
-        worker.is_rostered = True
-        worker.was_rostered = True
-        _workers.extend_lapse(worker, limit_ms, state)
+def _restore(
+    jobs: list[Job], progress: tuple[StoredRow, ...], context: Context
+) -> None:
+    """Apply what is durable of jobs that were just read."""
+    by_id = {job.job_id: job for job in jobs}
+    for row in progress:
+        job = by_id.get(row.key)
+        if job is not None:
+            _lifecycle.restore(job, row, context)
+            _passing.send(job, context)
 
 
 @handle.register
@@ -97,8 +106,13 @@
     state = context.state
     if state.ownership.phase is not Phase.ACTIVE:
         return
+    if event.epoch_version > state.ownership.epoch_version:
+        # Whatever came with it, or later, is the next owner's to start.
+        _ownership.step_down(context, 'the feed of jobs shows another owner')
+        return
     before = {job_id for job_id, job in state.jobs.items() if job.is_cancelled}
     added = _lifecycle.add_rows(event.rows, context)
+    _restore(added, event.progress, context)
     for job in added:
         context.log(
             'job taken up',
@@ -107,6 +121,7 @@
             steps=[_describe(step) for step in job.request.steps],
             version=job.row_version,
         )
+        _reports.adopt_strays(job, context)
         _take_up(job, context)
     for row in event.rows:
         job_id = row.key.partition('/')[0]
@@ -217,6 +232,11 @@
         worker = state.workers.get(worker_id)
         if worker is not None and number > worker.last_seen:
             worker.last_seen = number
+            worker.unsettled = {
+                one: key
+                for one, key in worker.unsettled.items()
+                if one > number
+            }
             worker.needs_ack = True
             worker.hold_after_ms = min(worker.hold_after_ms, state.now_ms)
 
@@ -270,6 +290,8 @@
 @handle.register
 def _roster_committed(event: RosterCommitted, context: Context) -> None:
     state = context.state
+    if event.epoch_version != state.ownership.epoch_version:
+        return
     state.is_roster_committing = False
     if state.ownership.phase is not Phase.ACTIVE:
         return
--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -5,7 +5,7 @@
 import typing as t
 import zlib
 
-from tulippin.jobs import _memory, _rooms
+from tulippin.jobs import _memory, _rooms, _unseen
 from tulippin.jobs._dispatch import Context, handle
 from tulippin.jobs.effects import (
     ForgetUnit,
@@ -46,12 +46,16 @@
 PAUSE_LIMIT_MS: t.Final = 1000
 
 _OWNING: t.Final = frozenset((Phase.LOADING, Phase.ACTIVE))
+# What a stop waits for: a unit taken after it would be nobody's to release.
+_UNDER_WAY: t.Final = frozenset((Phase.TAKING, Phase.RELEASING))
+# Rows that come during a try are what the next one goes by.
+_WATCHING: t.Final = frozenset((Phase.STANDING_BY, Phase.TAKING))
 
 
 @handle.register
 def _see_lease(event: LeaseSeen, context: Context) -> None:
     ownership = context.state.ownership
-    if ownership.phase is not Phase.STANDING_BY:
+    if ownership.phase not in _WATCHING:
         return
     if event.lease_version < ownership.lease_version:
         # An older reading that came late.
@@ -60,13 +64,28 @@
         ownership.lease_version,
         ownership.epoch_version,
     )
-    ownership.lease = event.lease
+    is_outdated = _is_outdated(event.lease, ownership.lease)
+    if not is_outdated:
+        ownership.lease = event.lease
     ownership.lease_version = event.lease_version
     ownership.epoch = event.epoch
     ownership.epoch_version = event.epoch_version
-    if is_new or ownership.changed_ms < 0:
+    if (is_new and not is_outdated) or ownership.changed_ms < 0:
         ownership.changed_ms = event.at_ms
-    _take_if_free(context)
+    if ownership.phase is Phase.STANDING_BY:
+        _take_if_free(context)
+
+
+def _is_outdated(lease: LeaseRecord | None, known: LeaseRecord | None) -> bool:
+    """Whether a renewal is one that the store carried out late.
+
+    It is no sign of life: a store may do a write up to 6 s after its owner
+    has gone, and the unit would have nobody for so long.
+    """
+    if lease is None or known is None or lease.released != known.released:
+        return False
+    is_same = lease.session_id == known.session_id
+    return is_same and lease.renewal_count <= known.renewal_count
 
 
 def _take_if_free(context: Context) -> None:
@@ -111,6 +130,7 @@
     ownership = state.ownership
     last = ownership.epoch.epoch if ownership.epoch else 0
     ownership.phase = Phase.TAKING
+    ownership.tried_version = ownership.lease_version
     context.log('take unit', why=why, silent_ms=silent_ms, epoch=last + 1)
     config = state.config
     context.emit(
@@ -134,11 +154,15 @@
     state = context.state
     ownership = state.ownership
     if not event.version:
-        # Another was first, or the store is away: the rows must be seen
-        # anew before the next try.
-        ownership.phase = Phase.STANDING_BY
-        ownership.changed_ms = -1
-        context.log('unit not taken', epoch=event.epoch)
+        ownership.phase = Phase.LEFT if state.is_stopping else Phase.STANDING_BY
+        if ownership.lease_version == ownership.tried_version:
+            # Another was first: its rows must be seen before the next try.
+            # If the store was away, no row may ever change, so these count
+            # anew: a unit whose takers all failed would be nobody's.
+            ownership.changed_ms = event.at_ms if event.is_unsure else -1
+        context.log(
+            'unit not taken', epoch=event.epoch, is_unsure=event.is_unsure
+        )
         return
     ownership.phase = Phase.LOADING
     ownership.epoch = EpochRecord(event.epoch, state.config.session_id)
@@ -148,6 +172,9 @@
     ownership.must_confirm = False
     ownership.is_renewing = False
     context.log('unit taken', epoch=event.epoch, version=event.version)
+    if state.is_stopping:
+        _release(context, 'the instance stops')
+        return
     context.emit(LoadUnit())
 
 
@@ -162,9 +189,11 @@
         return
     if event.is_done:
         ownership.renewed_ms = max(ownership.renewed_ms, event.sent_ms)
-        if ownership.must_confirm:
+        # An answer that was on its way while the process stood still tells
+        # of the time before.
+        if ownership.must_confirm and event.sent_ms >= ownership.paused_ms:
             context.log('ownership confirmed', epoch=context.fencing_token)
-        ownership.must_confirm = False
+            ownership.must_confirm = False
 
 
 def step_down(context: Context, reason: str) -> None:
@@ -200,6 +229,7 @@
     ownership = context.state.ownership
     if ownership.phase in _OWNING and gap_ms > PAUSE_LIMIT_MS:
         ownership.must_confirm = True
+        ownership.paused_ms = context.state.now_ms + gap_ms
         context.log('paused', gap_ms=gap_ms, epoch=context.fencing_token)
 
 
@@ -245,6 +275,8 @@
         ReleaseLease(
             _make_lease(state, released=True),
             _memory.make_record(state),
+            _unseen.make_account(context),
+            state.ownership.epoch,
             state.ownership.epoch_version,
         )
     )
@@ -281,7 +313,7 @@
     state.is_stopping = True
     if ownership.phase in _OWNING:
         _release(context, 'the instance stops')
-    elif ownership.phase is not Phase.RELEASING:
+    elif ownership.phase not in _UNDER_WAY:
         ownership.phase = Phase.LEFT
 
 
--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -15,6 +15,7 @@
     _ranking,
     _ready,
     _scoring,
+    _unseen,
     _workers,
 )
 from tulippin.jobs._dispatch import Context
@@ -107,7 +108,12 @@
             return
         if job.queue.advised:
             _advice.ask_if_due(job, kind, self.context)
-        tasks = list(self.queue[kind].values())
+        state = self.context.state
+        tasks = [
+            task
+            for task in self.queue[kind].values()
+            if not _unseen.may_run(task, state)
+        ]
         if step.gang:
             self.budget -= place_gang(job, step, tasks, self.context)
             return
@@ -152,7 +158,6 @@
         attempt = _add(job, step, task, worker, self.context)
         _send(attempt, job, self.context)
         self.budget -= 1
-        return True
 
 
 def _is_plain(step: Step, job: Job) -> bool:
@@ -226,15 +231,6 @@
     )
 
 
-def is_settled(state: SchedulerState) -> bool:
-    """Whether nothing can run that an earlier owner started unseen."""
-    return all(
-        worker.is_reconciled or state.now_ms > worker.lapse_at_ms
-        for worker in state.workers.values()
-        if worker.was_rostered
-    )
-
-
 def _choose(
     job: Job,
     task: Task,
@@ -331,7 +327,7 @@
     state = context.state
     worker = state.workers[attempt.worker_id]
     task = job.tasks[attempt.key]
-    _workers.extend_lapse(worker, state.config.start_valid_ms, state)
+    _unseen.extend_lapse(worker, state.config.start_valid_ms, state)
     _lifecycle.mark_begun(job, state)
     state.count('starts')
     context.log(
--- a/src/tulippin/jobs/_reports.py
+++ b/src/tulippin/jobs/_reports.py
@@ -4,16 +4,21 @@
 
 import typing as t
 
-from tulippin.jobs import _attempts, _lifecycle, _ready, _tails
+from tulippin.jobs import _attempts, _lifecycle, _ready, _tails, _unseen
 from tulippin.jobs._dispatch import Context, handle
 from tulippin.jobs.effects import StopRun
 from tulippin.jobs.events import WorkerAnswered
-from tulippin.jobs.state import Attempt, AttemptState, Worker
+from tulippin.jobs.state import Attempt, AttemptState, Job, Worker
 from tulippin.jobs.types import FINAL_STATES, RunningTask
 
 # Between two holds, if ends that were read are not yet durable: a hold
 # would return at once, with the same ends.
 _UNSETTLED_PAUSE_MS: t.Final = 250
+# A job that a worker knows of comes by the feed so long after a taking at
+# the latest: a feed's call that hangs is given up after 2.4 s.
+_NEWS_MS: t.Final = 3000
+# How long an order to stop a stray run may go unanswered.
+_STOP_AGAIN_MS: t.Final = 700
 
 
 @handle.register
@@ -28,22 +33,60 @@
         context.log('worker answers again', worker=worker.worker_id)
     worker.failed_count = 0
     worker.clock_offset_ms = event.report.clock_ms - state.now_ms
-    for ended in event.report.ended:
-        if ended.number > worker.ends_read:
-            worker.ends_read = ended.number
-            _attempts.take_end(worker, ended, context)
+    _take_ends(worker, event, context)
     present = set()
     for row in event.report.running:
         present.add((row.key, row.run))
         _take_running(worker, row, context)
-    worker.is_reconciled = True
+    for place in worker.strays.keys() - present:
+        del worker.strays[place]
+    _unseen.note_answer(worker, state)
+    worker.is_reconciled = not worker.early_ends
     for attempt in list(worker.attempts.values()):
         if (attempt.key, attempt.run) not in present:
             _judge_missing(attempt, event, context)
-    if worker.ends_read > worker.last_seen:
+    if worker.ends_read > worker.last_seen or worker.early_ends:
         worker.hold_after_ms = state.now_ms + _UNSETTLED_PAUSE_MS
 
 
+def _take_ends(worker: Worker, event: WorkerAnswered, context: Context) -> None:
+    """Take note of ends in their order, up to one that comes too early.
+
+    An end is forgotten by its worker once it is acknowledged. One of a job
+    that is not known yet would change nothing here: the job would be run
+    again when it comes.
+    """
+    state = context.state
+    is_new_owner = state.now_ms - state.ownership.taken_ms < _NEWS_MS
+    worker.early_ends.clear()
+    for ended in event.report.ended:
+        if ended.number <= worker.ends_read:
+            continue
+        is_early = is_new_owner and ended.key.job_id not in state.jobs
+        if is_early or worker.early_ends:
+            worker.early_ends.add(ended.key)
+            continue
+        worker.ends_read = ended.number
+        _attempts.take_end(worker, ended, context)
+
+
+def adopt_strays(job: Job, context: Context) -> None:
+    """Take over runs of a job that were met, or have ended, before it came."""
+    for worker in context.state.workers.values():
+        for key in worker.early_ends:
+            if key.job_id == job.job_id:
+                task = _lifecycle.get_task(job, key)
+                task.unseen_on.add(worker.worker_id)
+        for key, run in list(worker.strays):
+            if key.job_id == job.job_id:
+                del worker.strays[key, run]
+                row = RunningTask(key, run, '', 0, None)
+                attempt = _adopt(worker, row, context)
+                if attempt is not None:
+                    why = 'it was met before its job'
+                    _attempts.stop_attempt(attempt, context, why)
+
+
 def _take_running(worker: Worker, row: RunningTask, context: Context) -> None:
     state = context.state
     attempt = worker.attempts.get((row.key, row.run))
@@ -73,7 +116,7 @@
     state = context.state
     found = _attempts.find_task(row.key, context)
     if found is None:
-        _stop_stray(worker, row, context, 'job is not known')
+        _stop_stray(worker, row, context)
         return None
     job, task = found
     step = job.request.steps[row.key.step]
@@ -105,15 +148,22 @@
     return attempt
 
 
-def _stop_stray(
-    worker: Worker, row: RunningTask, context: Context, why: str
-) -> None:
+def _stop_stray(worker: Worker, row: RunningTask, context: Context) -> None:
+    """Have a run of a job that is not known stop, until it has."""
+    state = context.state
+    place = (row.key, row.run)
+    if (
+        state.now_ms - worker.strays.get(place, -_STOP_AGAIN_MS)
+        < _STOP_AGAIN_MS
+    ):
+        return
+    worker.strays[place] = state.now_ms
     context.log(
         'stop stray run',
         task=row.key.format(),
         run=row.run,
         worker=worker.worker_id,
-        why=why,
+        why='job is not known',
     )
     context.emit(
         StopRun(
--- a/src/tulippin/jobs/_row_effects.py
+++ b/src/tulippin/jobs/_row_effects.py
@@ -20,6 +20,8 @@
     Transaction,
 )
 from tulippin.jobs.records import (
+    ACCOUNT_KEY,
+    ACCOUNTS_TABLE,
     CANCEL_SUFFIX,
     EPOCH_KEY,
     GUEST_SUFFIX,
@@ -47,6 +49,9 @@
 _RENEW_LIMIT_S: t.Final = 1.4
 _RELEASE_LIMIT_S: t.Final = 1.5
 _PASS_LIMIT_S: t.Final = 1.0
+# The users' stores keep 64 KiB in a row. A unit of 44 workers with 600
+# tasks takes 17 KB.
+_ACCOUNT_LIMIT_BYTES: t.Final = 60_000
 _PASS_PAUSE_S: t.Final = 0.3
 
 
@@ -56,6 +61,10 @@
 
 
 async def _run_take(effect: fx.TakeUnit, shell: UnitShell) -> None:
+    # The epoch stands among the jobs too: an owner that was succeeded and
+    # does not know it meets it in its feed before any job that came later,
+    # at the cost of no call. Without it two owners start such a job's
+    # tasks, on workers that only one of them has spoken to.
     transaction = Transaction(
         shell.config.unit.part,
         (
@@ -65,18 +74,25 @@
         (
             RowWrite(UNITS_TABLE, LEASE_KEY, encode(effect.lease)),
             RowWrite(UNITS_TABLE, EPOCH_KEY, encode(effect.epoch)),
+            RowWrite(
+                shell.config.unit.jobs_table, EPOCH_KEY, encode(effect.epoch)
+            ),
         ),
     )
     version = 0
+    is_unsure = False
     try:
         result = await transact_surely(
             shell.ports.store, transaction, _TAKE_LIMIT_S, shell.answer_times
         )
     except UnavailableError as error:
         shell.note_store(error)
+        is_unsure = True
     else:
         version = result.version if result.is_done else 0
-    shell.post(ev.UnitTaken(shell.clock(), effect.epoch.epoch, version))
+    shell.post(
+        ev.UnitTaken(shell.clock(), effect.epoch.epoch, version, is_unsure)
+    )
 
 
 def _make_lease_transaction(
@@ -120,12 +136,32 @@
     shell.start(_run_release, effect, shell)
 
 
+def _make_account_writes(effect: fx.ReleaseLease) -> tuple[RowWrite, ...]:
+    """Return what keeps an account, unless it is too large for a row."""
+    account = encode(effect.account)
+    if len(account) > _ACCOUNT_LIMIT_BYTES:
+        # The next owner does without: it waits for all workers.
+        logger.warning('account too large', bytes=len(account))
+        return ()
+    return (RowWrite(ACCOUNTS_TABLE, ACCOUNT_KEY, account),)
+
+
 async def _run_release(effect: fx.ReleaseLease, shell: UnitShell) -> None:
     transaction = _make_lease_transaction(
         effect.lease, effect.epoch_version, shell
     )
-    model = RowWrite(MODELS_TABLE, MODEL_KEY, encode(effect.model))
-    transaction = attrs.evolve(transaction, writes=(*transaction.writes, model))
+    # The epoch's row gets a new version: a renewal that the store carries
+    # out late would take the release back, and the unit would have nobody
+    # until that lease lapses too.
+    transaction = attrs.evolve(
+        transaction,
+        writes=(
+            *transaction.writes,
+            RowWrite(UNITS_TABLE, EPOCH_KEY, encode(effect.epoch)),
+            RowWrite(MODELS_TABLE, MODEL_KEY, encode(effect.model)),
+            *_make_account_writes(effect),
+        ),
+    )
     try:
         await transact_surely(
             shell.ports.store,
@@ -216,7 +252,11 @@
         return
     shell.post(
         ev.RosterCommitted(
-            shell.clock(), effect.roster, result.version, not result.is_done
+            shell.clock(),
+            effect.roster,
+            result.version,
+            effect.epoch_version,
+            not result.is_done,
         )
     )
 
--- a/src/tulippin/jobs/_unit_feeds.py
+++ b/src/tulippin/jobs/_unit_feeds.py
@@ -10,12 +10,19 @@
 
 from tulippin.exceptions import UnavailableError
 from tulippin.jobs import events as ev
-from tulippin.jobs._rows import get_version, read_record
-from tulippin.jobs.ports import HistoryLostError, RowPage, RowStore
+from tulippin.jobs._rows import get_version, read_record, read_row
+from tulippin.jobs.ports import (
+    HistoryLostError,
+    RowPage,
+    RowStore,
+)
 from tulippin.jobs.records import (
+    ACCOUNTS_TABLE,
+    EPOCH_KEY,
     MODELS_TABLE,
     ROSTER_KEY,
     UNITS_TABLE,
+    AccountRecord,
     ModelRecord,
     RosterRecord,
     Unit,
@@ -100,9 +107,11 @@
         progress = await store.read_rows(unit.progress_table, unit.part)
         owned = await store.read_rows(UNITS_TABLE, unit.part)
         learned = await store.read_rows(MODELS_TABLE, unit.part)
+        account = await store.read_rows(ACCOUNTS_TABLE, unit.part)
         workers, version = await self.shell.ports.feeds.read_workers()
         self._note_listed(workers, ())
-        roster = {row.key: row for row in owned.rows}.get(ROSTER_KEY)
+        own = {row.key: row for row in owned.rows}
+        roster = own.get(ROSTER_KEY)
         loaded = ev.UnitLoaded(
             self.shell.clock(),
             jobs.rows,
@@ -111,6 +120,8 @@
             get_version(roster),
             tuple(filter(self.shell.has_worker, workers)),
             read_record(next(iter(learned.rows), None), ModelRecord),
+            get_version(own.get(EPOCH_KEY)),
+            read_record(next(iter(account.rows), None), AccountRecord),
         )
         return loaded, jobs.version, version
 
@@ -120,11 +131,13 @@
         while True:
             try:
                 if after < 0:
-                    page = await read_jobs(store, unit)
+                    event, after = await self._read_jobs_again()
                 else:
                     page = await store.follow(
                         unit.jobs_table, after, FEED_WAIT_MS
                     )
+                    event = self._make_change(page)
+                    after = page.version
             except HistoryLostError:
                 logger.info('feed restarts', feed='jobs')
                 after = -1
@@ -134,9 +147,34 @@
                 await trio.sleep(FEED_PAUSE_S)
                 continue
             self.shell.note_store()
-            after = page.version
-            if page.rows:
-                self.shell.post(ev.JobsChanged(self.shell.clock(), page.rows))
+            if event.rows or event.epoch_version:
+                self.shell.post(event)
+
+    def _make_change(self, page: RowPage) -> ev.JobsChanged:
+        """Tell jobs apart from the epoch of a newer owner."""
+        own = (self.shell.config.unit.part, EPOCH_KEY)
+        epochs = [
+            row.version for row in page.rows if (row.part, row.key) == own
+        ]
+        rows = tuple(row for row in page.rows if (row.part, row.key) != own)
+        newest = max(epochs, default=0)
+        return ev.JobsChanged(self.shell.clock(), rows, newest)
+
+    async def _read_jobs_again(self) -> tuple[ev.JobsChanged, int]:
+        """Read all jobs, then the epoch: it is no older than they are.
+
+        Their progress comes along. A job whose removal failed is not known
+        any more, and would be run again as a new one.
+        """
+        unit = self.shell.config.unit
+        store = self.shell.ports.store
+        page = await read_jobs(store, unit)
+        progress = await store.read_rows(unit.progress_table, unit.part)
+        epoch = await read_row(store, UNITS_TABLE, unit.part, EPOCH_KEY)
+        event = ev.JobsChanged(
+            self.shell.clock(), page.rows, get_version(epoch), progress.rows
+        )
+        return event, page.version
 
     async def _follow_models(self) -> None:
         """Follow what the owners of other units learn."""
--- /dev/null
+++ b/src/tulippin/jobs/_unseen.py
@@ -0,0 +1,182 @@
+"""Runs of earlier owners that may go on where nobody sees them.
+
+A task is started only once no run of it can be left. After a planned
+release the last owner's account tells where each task may run, so that
+only tasks on a silent worker wait, and for no longer than the lease that
+they were given. After a crash nothing is known: every task of an older job
+waits for all workers that the last owner may have given orders to.
+"""
+
+from __future__ import annotations
+
+import typing as t
+
+from tulippin.jobs._dispatch import Context
+from tulippin.jobs.records import AccountRecord, WorkerAccount
+from tulippin.jobs.state import Job, SchedulerState, Task, Worker
+from tulippin.jobs.types import WorkerEntry, parse_task
+from tulippin.types import Resources
+
+# How long an owner that was succeeded may go on without knowing it: its
+# feed of jobs tells it at once, and any other worker at its next report,
+# a second later.
+_UNAWARE_MS: t.Final = 1500
+# Added to the end of a lease for the time that messages take.
+_LAPSE_SLACK_MS: t.Final = 400
+
+
+def extend_lapse(
+    worker: Worker, lasting_ms: int, state: SchedulerState
+) -> None:
+    """Note that an order may let runs go on for so long."""
+    drift = state.config.clock_drift_ratio
+    at_ms = state.now_ms + int(lasting_ms * drift) + _LAPSE_SLACK_MS
+    worker.lapse_at_ms = max(worker.lapse_at_ms, at_ms)
+
+
+def is_sure(worker: Worker, state: SchedulerState) -> bool:
+    """Whether all that an earlier owner started there is known, or over."""
+    return worker.is_reconciled or state.now_ms > worker.lapse_at_ms
+
+
+def is_settled(state: SchedulerState) -> bool:
+    """Whether no task at all can run that an earlier owner started unseen."""
+    return all(
+        is_sure(worker, state)
+        for worker in state.workers.values()
+        if worker.was_rostered
+    )
+
+
+def list_awaited(state: SchedulerState) -> list[str]:
+    """Return the workers where earlier owners' runs may go on unseen."""
+    return [
+        worker_id
+        for worker_id, worker in state.workers.items()
+        if worker.is_rostered and not is_sure(worker, state)
+    ]
+
+
+def may_run(task: Task, state: SchedulerState) -> bool:
+    """Whether a task may run on a silent worker by the last account."""
+    if not task.unseen_on:
+        return False
+    task.unseen_on = {
+        worker_id
+        for worker_id in task.unseen_on
+        if worker_id in state.workers
+        and not is_sure(state.workers[worker_id], state)
+    }
+    return bool(task.unseen_on)
+
+
+def note_answer(worker: Worker, state: SchedulerState) -> None:
+    """Take in that a worker knows us, and obeys no earlier owner any more.
+
+    What an earlier one has granted last was granted before that. Counting
+    from our taking by the longest lease that workers know held tasks of a
+    worker that left soon after back for 10.6 s, where owners grant 4.5 s.
+    """
+    if not worker.is_reconciled:
+        worker.lapse_at_ms = 0
+        extend_lapse(worker, state.config.worker_lease_ms, state)
+    worker.is_reconciled = True
+
+
+# -- beginning with what an earlier owner left --------------------------------
+
+
+def begin(account: AccountRecord | None, context: Context) -> None:
+    """Note on which workers the earlier owners' runs may go on."""
+    state = context.state
+    last_epoch = context.fencing_token - 1
+    known: dict[str, WorkerAccount] = {}
+    if account is not None and account.epoch == last_epoch:
+        known = account.workers
+    for worker_id, address in state.roster.items():
+        worker = state.workers.get(worker_id)
+        if worker is None:
+            entry = WorkerEntry(worker_id, '', address, '', Resources())
+            worker = state.workers[worker_id] = Worker(entry, is_listed=False)
+        worker.is_rostered = True
+        told = known.get(worker_id)
+        worker.was_rostered = told is None or told.tasks is None
+        if told is None:
+            extend_lapse(worker, _get_inherited_ms(state), state)
+        else:
+            # The account counts to the end, with all that is added to it.
+            worker.lapse_at_ms = state.now_ms + told.lasting_ms
+    context.log(
+        'account read',
+        is_known=bool(known),
+        silent=sum(one.is_silent for one in known.values()),
+        unknown=sum(one.was_rostered for one in state.workers.values()),
+    )
+
+
+def _get_inherited_ms(state: SchedulerState) -> int:
+    """Return the longest that another owner's orders may still last."""
+    config = state.config
+    granted_ms = config.worker_lease_ms + _UNAWARE_MS
+    return min(config.worker_lease_limit_ms, granted_ms)
+
+
+def place(account: AccountRecord | None, context: Context) -> None:
+    """Note which tasks may run on which workers, by the last account."""
+    state = context.state
+    if account is None or account.epoch != context.fencing_token - 1:
+        return
+    for worker_id, told in account.workers.items():
+        for name in told.tasks or ():
+            key = parse_task(name)
+            job = state.jobs.get(key.job_id)
+            if job is not None and worker_id in state.workers:
+                _get_task(job, name).unseen_on.add(worker_id)
+
+
+def _get_task(job: Job, name: str) -> Task:
+    key = parse_task(name)
+    return job.tasks.setdefault(key, Task(key))
+
+
+# -- the account for the next owner -------------------------------------------
+
+
+def make_account(context: Context) -> AccountRecord:
+    """Return where each task may run, for an owner that follows us."""
+    state = context.state
+    unseen = _collect_unseen(state)
+    workers = {
+        worker.worker_id: _make_worker(
+            worker, unseen.get(worker.worker_id, set()), state
+        )
+        for worker in state.workers.values()
+        if worker.is_rostered
+    }
+    return AccountRecord(context.fencing_token, workers)
+
+
+def _collect_unseen(state: SchedulerState) -> dict[str, set[str]]:
+    """Return by worker the tasks that may still run there unseen."""
+    found: dict[str, set[str]] = {}
+    for job in state.jobs.values():
+        for task in job.tasks.values():
+            if may_run(task, state):
+                for worker_id in task.unseen_on:
+                    found.setdefault(worker_id, set()).add(task.key.format())
+    return found
+
+
+def _make_worker(
+    worker: Worker, unseen: set[str], state: SchedulerState
+) -> WorkerAccount:
+    lasting_ms = max(0, worker.lapse_at_ms - state.now_ms)
+    is_silent = worker.failed_count > 0 or not worker.is_reconciled
+    if worker.was_rostered and not is_sure(worker, state):
+        return WorkerAccount(lasting_ms, None, is_silent)
+    # The end of a run that is not durable yet is known to the worker alone:
+    # without it a task that is done would be started again.
+    keys = {attempt.key for attempt in worker.attempts.values()}
+    keys.update(worker.unsettled.values())
+    names = {key.format() for key in keys}
+    return WorkerAccount(lasting_ms, tuple(sorted(names | unseen)), is_silent)
--- a/src/tulippin/jobs/_workers.py
+++ b/src/tulippin/jobs/_workers.py
@@ -4,7 +4,7 @@
 
 import typing as t
 
-from tulippin.jobs import _attempts, _ownership
+from tulippin.jobs import _attempts, _ownership, _unseen
 from tulippin.jobs._dispatch import Context, handle
 from tulippin.jobs.effects import ForgetWorker, HoldWorker
 from tulippin.jobs.events import (
@@ -27,8 +27,6 @@
 )
 # Between two tries at a silent worker.
 _SILENT_PAUSE_MS: t.Final = 250
-# Added to the end of a lease for the time that messages take.
-_LAPSE_SLACK_MS: t.Final = 400
 # A worker that refused for want of room is left alone so long.
 _NO_ROOM_PAUSE_MS: t.Final = 300
 _UNHEALTHY_PAUSE_MS: t.Final = 1000
@@ -73,15 +71,6 @@
     return state.now_ms + (worker.clock_offset_ms or 0)
 
 
-def extend_lapse(
-    worker: Worker, lasting_ms: int, state: SchedulerState
-) -> None:
-    """Note that an order may let runs go on for so long."""
-    drift = state.config.clock_drift_ratio
-    at_ms = state.now_ms + int(lasting_ms * drift) + _LAPSE_SLACK_MS
-    worker.lapse_at_ms = max(worker.lapse_at_ms, at_ms)
-
-
 def hold_all(context: Context) -> None:
     """Ask every worker whose turn it is."""
     if not context.may_order:
@@ -101,7 +90,7 @@
     if worker.clock_offset_ms is not None and not worker.failed_count:
         lasting_ms = state.config.worker_lease_ms
         deadline_ms = get_clock_ms(worker, state) + lasting_ms
-        extend_lapse(worker, lasting_ms, state)
+        _unseen.extend_lapse(worker, lasting_ms, state)
     worker.is_holding = True
     worker.needs_ack = False
     context.emit(
@@ -120,7 +109,8 @@
     """Whether anything runs there, or is to be learned or told."""
     is_unknown = not worker.is_reconciled or worker.failed_count > 0
     has_ends = worker.ends_read > worker.last_seen or worker.needs_ack
-    return bool(worker.attempts) or is_unknown or has_ends
+    has_runs = bool(worker.attempts or worker.strays)
+    return has_runs or is_unknown or has_ends
 
 
 def _choose_wait_ms(worker: Worker) -> int:
@@ -135,6 +125,8 @@
 
 # -- silence ----------------------------------------------------------------
 
+    if worker.strays:
+        return _OPEN_WAIT_MS
 
 @handle.register
 def _note_silence(event: WorkerSilent, context: Context) -> None:
--- a/src/tulippin/jobs/effects.py
+++ b/src/tulippin/jobs/effects.py
@@ -8,6 +8,7 @@
 
 from tulippin.jobs.ports import StartOrder
 from tulippin.jobs.records import (
+    AccountRecord,
     EpochRecord,
     GuestRecord,
     LeaseRecord,
@@ -43,10 +44,12 @@
 
 @attrs.frozen
 class ReleaseLease(JobEffect):
-    """Give the unit up, in a planned way, with what was learned."""
+    """Give the unit up, in a planned way, with what is known of it."""
 
     lease: LeaseRecord
     model: ModelRecord
+    account: AccountRecord
+    epoch: EpochRecord
     epoch_version: int
 
 
--- a/src/tulippin/jobs/events.py
+++ b/src/tulippin/jobs/events.py
@@ -9,6 +9,7 @@
 from tulippin.jobs.effects import CommitProgress
 from tulippin.jobs.ports import StoredRow
 from tulippin.jobs.records import (
+    AccountRecord,
     EpochRecord,
     LeaseRecord,
     ModelRecord,
@@ -66,10 +67,14 @@
 
 @attrs.frozen
 class UnitTaken(JobEvent):
-    """The unit is ours, or another was first (no version)."""
+    """The unit is ours, or another was first (no version).
+
+    ``is_unsure``: the store did not tell, or took nothing.
+    """
 
     epoch: int
     version: int
+    is_unsure: bool = False
 
 
 @attrs.frozen
@@ -91,7 +96,11 @@
 
 @attrs.frozen
 class UnitLoaded(JobEvent):
-    """All that is durable of the unit, as of a version."""
+    """All that is durable of the unit.
+
+    ``epoch_version`` is that of the owner's epoch, read after the jobs: if
+    it is still ours, no later owner knew these jobs when they were read.
+    """
 
     jobs: tuple[StoredRow, ...]
     progress: tuple[StoredRow, ...]
@@ -99,13 +108,22 @@
     roster_version: int
     workers: tuple[WorkerEntry, ...]
     model: ModelRecord | None = None
+    epoch_version: int = 0
+    account: AccountRecord | None = None
 
 
 @attrs.frozen
 class JobsChanged(JobEvent):
-    """Jobs were accepted or cancelled."""
+    """Jobs were accepted or cancelled.
+
+    ``epoch_version`` is the newest version at which an owner took the unit
+    among the changes up to these rows; 0 says that none did. ``progress``
+    comes along where all rows were read anew.
+    """
 
     rows: tuple[StoredRow, ...]
+    epoch_version: int = 0
+    progress: tuple[StoredRow, ...] = ()
 
 
 @attrs.frozen
@@ -194,6 +212,7 @@
 
     roster: RosterRecord
     version: int
+    epoch_version: int
     is_fenced: bool = False
 
 
--- a/src/tulippin/jobs/records.py
+++ b/src/tulippin/jobs/records.py
@@ -16,6 +16,9 @@
 # What each owner has learned, so that the next one begins with it.
 MODELS_TABLE: t.Final = 'models'
 MODEL_KEY: t.Final = 'model'
+# Where each task may run, told by an owner that gives its unit up.
+ACCOUNTS_TABLE: t.Final = 'accounts'
+ACCOUNT_KEY: t.Final = 'account'
 # Which unit keeps a job: one row each, in the job's part.
 HOMES_TABLE: t.Final = 'homes'
 LEASE_KEY: t.Final = 'lease'
@@ -183,6 +186,37 @@
     addresses: dict[str, str] = attrs.field(factory=dict)
 
 
+@attrs.frozen
+class WorkerAccount:
+    """What the last owner's orders may still have effect on, at one worker.
+
+    Parameters
+    ----------
+    lasting_ms : int
+        For how long after the release.
+    tasks : tuple of str, optional
+        The tasks that may run there; nothing where that is not known.
+    is_silent : bool
+        The worker did not answer when the unit was released.
+    """
+
+    lasting_ms: int
+    tasks: tuple[str, ...] | None = None
+    is_silent: bool = False
+
+
+@attrs.frozen
+class AccountRecord:
+    """Where tasks may run, by an owner that released the unit.
+
+    It counts for the next epoch alone: whoever came in between has given
+    orders that it does not know.
+    """
+
+    epoch: int
+    workers: dict[str, WorkerAccount] = attrs.field(factory=dict)
+
+
 @attrs.frozen
 class JobRecord:
     """An accepted job, with its queue as it was configured then."""
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -141,7 +141,10 @@
 
 @attrs.define
 class Task:
-    """A task with its runs."""
+    """A task with its runs.
+
+    ``unseen_on`` are workers where an earlier owner's run of it may go on.
+    """
 
     key: TaskKey
     is_done: bool = False
@@ -153,6 +156,7 @@
     preempt_after_ms: int = 0
     ready_ms: int = 0
     least_run: int = 0
+    unseen_on: set[str] = attrs.field(factory=set)
 
 
 @attrs.frozen
@@ -248,6 +252,9 @@
     @property
     def worker_id(self) -> str:
         """The worker's id: one life of it."""
+    unsettled: dict[int, TaskKey] = attrs.field(factory=dict)
+    early_ends: set[TaskKey] = attrs.field(factory=set)
+    strays: dict[tuple[TaskKey, int], int] = attrs.field(factory=dict)
         return self.entry.worker_id
 
     def has_room(self, wanted: Resources) -> bool:
@@ -273,7 +280,12 @@
 
 @attrs.define
 class Ownership:
-    """What is known of the unit's owner."""
+    """What is known of the unit's owner.
+
+    ``must_confirm``: a renewal sent after ``paused_ms`` has to be done
+    before any order is given. ``tried_version`` is the lease row's that
+    the last try to take the unit asked for.
+    """
 
     phase: Phase = Phase.STANDING_BY
     lease: LeaseRecord | None = None
@@ -293,6 +305,8 @@
 class SchedulerState:
     """Everything the reducer reads and changes."""
 
+    paused_ms: int = 0
+    tried_version: int = 0
     config: SchedulerConfig
     now_ms: int = 0
     configuration: Configuration | None = None
--- a/src/tulippin/jobs/unit_shell.py
+++ b/src/tulippin/jobs/unit_shell.py
@@ -164,3 +164,7 @@
 @perform.register
 def _forget_unit(effect: fx.ForgetUnit, shell: UnitShell) -> None:
     shell.forget_unit()
+    # What the rows told while the unit was ours was not heeded, and they are
+    # told again only when they change: a unit that was given up meanwhile
+    # would stay without an owner.
+    shell.see_rows(())
