Let neighbours rest where a worker is not heard, and in a miss that is found

Where reports are lost and orders get through the count stands still; a new owner counted from its own first report. Both let them work for 5 to 6 s.

Without a report for 1.6 s they rest, and none is started there; a miss that a new owner finds within 1.5 s of its taking is as old as it can be.

--- a/src/tulippin/jobs/_feasibility.py
+++ b/src/tulippin/jobs/_feasibility.py
@@ -15,6 +15,9 @@
 # take half as much memory for each processor as the workers have.
 _MEMORY_KEPT_SHARE: t.Final = 0.05
 _MEMORY_PER_CPU: t.Final = 0.6
+# A worker with tasks is read once a second; an answer that is lost makes
+# that 1.4 s.
+_UNHEARD_MS: t.Final = 1600
 
 
 def is_feasible(
@@ -23,8 +26,10 @@
     """Hard conditions, which no policy can switch off."""
     if not worker.has_room(step.reserved):
         return False
-    if step.opportunistic and not _fits_idle(worker, step, worker.free):
-        return False
+    if step.opportunistic:
+        is_known = not is_unheard(worker, state)
+        if not (is_known and _fits_idle(worker, step, worker.free)):
+            return False
     return is_open(worker, job, task, step, state)
 
 
@@ -54,6 +59,12 @@
     return closed_until_ms <= state.now_ms
 
 
+def is_unheard(worker: Worker, state: SchedulerState) -> bool:
+    """Whether the tails of tasks with a target there are not known now."""
+    is_old = state.now_ms - worker.answered_ms > _UNHEARD_MS
+    return is_old and bool(worker.serving)
+
+
 def _has_fewer(worker: Worker, task: Task, step: Step) -> bool:
     """Whether the worker has fewer of the step's tasks than it may."""
     if not step.max_per_worker:
--- a/src/tulippin/jobs/_pacing.py
+++ b/src/tulippin/jobs/_pacing.py
@@ -10,11 +10,22 @@
 
 import typing as t
 
-from tulippin.jobs import _attempts, _interference, _ownership, _scoring
+from tulippin.jobs import (
+    _attempts,
+    _feasibility,
+    _interference,
+    _ownership,
+    _scoring,
+)
 from tulippin.jobs._dispatch import Context, handle
 from tulippin.jobs.effects import PaceRun
 from tulippin.jobs.events import PaceAnswered
-from tulippin.jobs.state import Attempt, AttemptState, Worker
+from tulippin.jobs.state import (
+    Attempt,
+    AttemptState,
+    SchedulerState,
+    Worker,
+)
 from tulippin.jobs.types import StartOutcome
 
 _FULL_PERCENT: t.Final = 100
@@ -31,6 +42,8 @@
 # least: a tail that stays just above its target now and then reads as below
 # it, and a miss counted anew each time went on for 4 s.
 _CALM_MS: t.Final = 700
+# A miss seen so soon after a taking has begun before it.
+_FOUND_WITHIN_MS: t.Final = 1500
 # Tail over target that counts as a miss.
 _MISS_RATIO: t.Final = 0.97
 # A task that rests for so long goes elsewhere: a stop and a new start take
@@ -57,11 +70,45 @@
             _send(attempt, worker, context)
 
 
+def tick(context: Context) -> None:
+    """Let neighbours rest on workers that have not been heard for long.
+
+    A miss is counted from report to report, and without any they would
+    work on for as long as the worker's lease lasts.
+    """
+    if not context.may_order:
+        return
+    for worker in context.state.workers.values():
+        if worker.fillers and _feasibility.is_unheard(worker, context.state):
+            _rest_unheard(worker, context)
+
+
+def _rest_unheard(worker: Worker, context: Context) -> None:
+    fillers = [
+        attempt
+        for attempt in worker.fillers.values()
+        if attempt.state is AttemptState.RUNNING
+    ]
+    if any(attempt.wanted_percent for attempt in fillers):
+        worker.pace_changed_ms = context.state.now_ms
+        _interference.forget_view(worker)
+        context.log(
+            'pace unheard worker',
+            worker=worker.worker_id,
+            answered_ago_ms=context.state.now_ms - worker.answered_ms,
+            fillers=len(fillers),
+        )
+    for attempt in fillers:
+        attempt.wanted_percent = 0
+        if attempt.pace_percent != 0:
+            _send(attempt, worker, context)
+
+
 def _choose(worker: Worker, fillers: list[Attempt], context: Context) -> None:
     state = context.state
     worst = max(worker.serving.values(), key=_get_ratio, default=None)
     ratio = 0.0 if worst is None else _get_ratio(worst)
-    _note_miss(worker, ratio, state.now_ms)
+    _note_miss(worker, ratio, state)
     lasted_ms = state.now_ms - (worker.missed_since_ms or state.now_ms)
     percent = 0 if lasted_ms >= _REST_AFTER_MS else _FULL_PERCENT
     before = [attempt.wanted_percent for attempt in fillers]
@@ -86,10 +133,17 @@
     )
 
 
-def _note_miss(worker: Worker, ratio: float, now_ms: int) -> None:
-    """Note since when some target has been missed, or that it is over."""
+def _note_miss(worker: Worker, ratio: float, state: SchedulerState) -> None:
+    """Note since when some target has been missed, or that it is over.
+
+    A miss that a new owner finds at once may be as old as the last owner's
+    silence: with a count of its own, neighbours worked for up to 6 s.
+    """
+    now_ms = state.now_ms
     if ratio > _MISS_RATIO:
-        worker.missed_since_ms = worker.missed_since_ms or now_ms
+        is_found = now_ms - state.ownership.taken_ms < _FOUND_WITHIN_MS
+        since_ms = now_ms - _REST_AFTER_MS if is_found else now_ms
+        worker.missed_since_ms = worker.missed_since_ms or since_ms
         worker.calm_since_ms = 0
         return
     worker.calm_since_ms = worker.calm_since_ms or now_ms
