Start one overdue task that lasts before all others; tell why such tasks wait

A task that has waited for 2.5 s is started before all others, one each 0.3 s, and after 2 s it is passed to any unit with a place. Once a second a line tells how many wait, and why: no line told it before.

--- a/src/tulippin/jobs/_passing.py
+++ b/src/tulippin/jobs/_passing.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from tulippin.jobs import _lifecycle, _placing, _ready
+from tulippin.jobs import _lifecycle, _ready, _unseen
 from tulippin.jobs._dispatch import Context, handle
 from tulippin.jobs.effects import PassTasks
 from tulippin.jobs.events import RoomsSeen
@@ -34,6 +34,9 @@
 # Units that are fuller than this are left alone: what is free there lies
 # in pieces, and urgent tasks need some.
 _FULLEST: t.Final = 0.97
+# But for a task that has waited for so long: waiting short tasks make every
+# unit look full, and some tasks found no unit for 6 s beside free places.
+_LATE_MS: t.Final = 2000
 
 
 @handle.register
@@ -55,14 +58,15 @@
         if not _may_pass(job, step, state):
             continue
         for task in list(tasks.values()):
-            if budget and state.now_ms - task.ready_ms >= _WAIT_MS:
+            is_long = state.now_ms - task.ready_ms >= _WAIT_MS
+            if budget and is_long and not _unseen.may_run(task, state):
                 budget -= _pass(job, step, task, context)
 
 
 def _may_pass(job: Job, step: Step, state: SchedulerState) -> bool:
     if not step.long_running or step.gang:
         return False
-    return not job.awaits_workers or _placing.is_settled(state)
+    return not job.awaits_workers or _unseen.is_settled(state)
 
 
 def _pass(job: Job, step: Step, task: Task, context: Context) -> bool:
@@ -70,7 +74,8 @@
     state = context.state
     if task.attempts:
         return False
-    unit = _choose_unit(step, state)
+    is_late = state.now_ms - task.ready_ms >= _LATE_MS
+    unit = _choose_unit(step, state, is_late=is_late)
     if unit is None:
         return False
     number = max(job.passes.get(task.key, 0), _get_passed(job, task.key)) + 1
@@ -82,7 +87,13 @@
     _lifecycle.mark_dirty(job, state)
     room = state.rooms[unit]
     reserved = room.reserved_millicores + step.size.cpu_millicores
-    state.rooms[unit] = attrs.evolve(room, reserved_millicores=reserved)
+    largest_free = room.largest_free
+    if is_late:
+        # Its place is taken until the next row tells of another.
+        largest_free = largest_free.subtract(step.reserved)
+    state.rooms[unit] = attrs.evolve(
+        room, reserved_millicores=reserved, largest_free=largest_free
+    )
     state.count('tasks_passed')
     context.log(
         'pass task',
@@ -101,12 +112,23 @@
     return passed.pass_number if passed else 0
 
 
-def _choose_unit(step: Step, state: SchedulerState) -> int | None:
-    """Return the emptiest unit that has a place for a task."""
+def has_unit_for(step: Step, state: SchedulerState) -> bool:
+    """Whether another unit would take a task now."""
+    return _choose_unit(step, state) is not None
+
+
+def _choose_unit(
+    step: Step, state: SchedulerState, *, is_late: bool = False
+) -> int | None:
+    """Return the emptiest unit that has a place for a task.
+
+    A task that is late takes any place, also in a unit that has much more
+    to do: what waits there is short, and goes after it.
+    """
     fitting = [
         (_get_fullness(room), number)
         for number, room in state.rooms.items()
-        if _has_place(room, step)
+        if _has_place(room, step) and (is_late or _is_inviting(room))
     ]
     return min(fitting)[1] if fitting else None
 
@@ -114,8 +136,11 @@
 def _has_place(room: UnitRoom, step: Step) -> bool:
     if step.required_label and step.required_label not in room.labels:
         return False
-    is_free = _get_fullness(room) < _FULLEST
-    return is_free and room.largest_free.fits(step.reserved)
+    return room.largest_free.fits(step.reserved)
+
+
+def _is_inviting(room: UnitRoom) -> bool:
+    return _get_fullness(room) < _FULLEST
 
 
 def _get_fullness(room: UnitRoom) -> float:
--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -51,6 +51,12 @@
 # How long long-running tasks wait for others, to be placed image by image:
 # the jobs that stood before a start come within 100 ms.
 _GATHER_MS: t.Final = 150
+# Between two starts of overdue tasks ahead of all others, and how many of
+# them are tried. Without a pause between, tasks that last took all room of
+# an overloaded day: urgent work was served by 0.08 to 0.32 in place of 0.31
+# to 0.41 of its worth.
+_OVERDUE_EVERY_MS: t.Final = 300
+_OVERDUE_TRIES: t.Final = 3
 # Between two passes over the tasks for idle processors.
 _IDLE_EVERY_MS: t.Final = 100
 # Between two passes over the other tasks, but at a tick: events come in
@@ -93,7 +99,8 @@
     def run(self) -> None:
         """Place step by step, as far as the budget goes."""
         state = self.context.state
-        settled = is_settled(state)
+        settled = _unseen.is_settled(state)
+        self._place_overdue(settled=settled)
         for kind in _ranking.sort_kinds(self.queue, state):
             job = state.jobs[kind[0]]
             if settled or not job.awaits_workers:
@@ -102,6 +109,28 @@
                 state.is_placing_due = True
                 return
 
+    def _place_overdue(self, *, settled: bool) -> None:
+        """Start one long-running task that has waited long, before others.
+
+        Short tasks go first otherwise, and where they always wait they take
+        all room that comes free.
+        """
+        state = self.context.state
+        if state.now_ms - state.overdue_ms < _OVERDUE_EVERY_MS:
+            return
+        for job, task in _ready.list_overdue(self.queue, state)[
+            :_OVERDUE_TRIES
+        ]:
+            is_unseen = job.awaits_workers and not settled
+            if is_unseen or _unseen.may_run(task, state):
+                continue
+            step = job.request.steps[task.key.step]
+            worker = _choose(job, task, step, state)
+            if worker is not None:
+                state.overdue_ms = state.now_ms
+                self._start(job, step, task, worker)
+                return
+
     def _place(self, job: Job, kind: _ready.StepKey) -> None:
         step = job.request.steps[kind[2]]
         if self._is_hopeless(step) or self._is_gathering(job, step):
@@ -154,6 +183,10 @@
                 sizes.append(step.reserved)
             _preempt(job, task, self.context)
             return bool(task.avoided)
+        self._start(job, step, task, worker)
+        return True
+
+    def _start(self, job: Job, step: Step, task: Task, worker: Worker) -> None:
         task.run_count += 1
         attempt = _add(job, step, task, worker, self.context)
         _send(attempt, job, self.context)
--- a/src/tulippin/jobs/_ready.py
+++ b/src/tulippin/jobs/_ready.py
@@ -4,11 +4,15 @@
 
 import typing as t
 
-from tulippin.jobs.state import SchedulerState, Task
+from tulippin.jobs.state import Job, SchedulerState, Task
 from tulippin.jobs.types import Step, TaskKey
 
 StepKey: t.TypeAlias = tuple[str, int, int]
 
+# A long-running task is overdue after so long without a place: the users
+# allow 6 s without a run, of which a worker's lease takes up to 4.9 s.
+OVERDUE_MS: t.Final = 2500
+
 
 def get_step_key(key: TaskKey) -> StepKey:
     """Return the key of the step, in its occurrence, of a task."""
@@ -40,3 +44,21 @@
     tasks.pop(key, None)
     if not tasks:
         del queue[get_step_key(key)]
+
+
+def list_overdue(
+    queue: dict[StepKey, dict[TaskKey, Task]], state: SchedulerState
+) -> list[tuple[Job, Task]]:
+    """Return long-running tasks that have waited too long, oldest first."""
+    limit_ms = state.now_ms - OVERDUE_MS
+    found = []
+    for kind, tasks in queue.items():
+        job = state.jobs[kind[0]]
+        step = job.request.steps[kind[2]]
+        if not step.long_running or step.gang or job.queue.advised:
+            continue
+        found.extend(
+            (job, task) for task in tasks.values() if task.ready_ms <= limit_ms
+        )
+    found.sort(key=lambda pair: pair[1].ready_ms)
+    return found
--- a/src/tulippin/jobs/_refusals.py
+++ b/src/tulippin/jobs/_refusals.py
@@ -1,9 +1,10 @@
-"""Why tasks that use idle processors wait: one line a second.
+"""Why tasks wait: one line a second for each sort that does.
 
-A line for each refusal would be thousands a second. This one says, for
-each image that is waited for, how many tasks wait and on how many workers
-the smallest of them is refused for which reason, so that idle processors
-beside a backlog are explained from the log.
+A line for each refusal would be thousands a second. One line says, for
+each image that waits for idle processors, how many tasks wait and on how
+many workers the smallest of them is refused for which reason, so that idle
+processors beside a backlog are explained from the log. Another one says
+what keeps long-running tasks away that should be at work.
 """
 
 from __future__ import annotations
@@ -11,23 +12,66 @@
 import collections
 import typing as t
 
-from tulippin.jobs import _feasibility, _interference, _scoring
+from tulippin.jobs import _feasibility, _interference, _scoring, _unseen
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs.state import Job, SchedulerState, Task, Worker
 from tulippin.jobs.types import Step
 
 _EVERY_MS: t.Final = 1000
+_MOST_NAMED: t.Final = 5
 _FULL_PERCENT: t.Final = 100
 
 
 def tell(context: Context) -> None:
-    """Write the line if something has waited since the last one."""
+    """Write the lines if something has waited since the last ones."""
     state = context.state
-    if not (context.may_order and state.ready_idle):
+    if not (context.may_order and (state.ready_idle or state.ready)):
         return
     if state.now_ms - state.refusals_told_ms < _EVERY_MS:
         return
     state.refusals_told_ms = state.now_ms
+    _tell_lasting(context)
+    if state.ready_idle:
+        _tell_idle(context)
+
+
+def _tell_lasting(context: Context) -> None:
+    """Tell why long-running tasks have waited for a second or more."""
+    state = context.state
+    waiting = list(_iter_late(state))
+    if not waiting:
+        return
+    settled = _unseen.is_settled(state)
+    unseen = [
+        task
+        for job, task in waiting
+        if (job.awaits_workers and not settled) or _unseen.may_run(task, state)
+    ]
+    oldest = min((task for _, task in waiting), key=lambda task: task.ready_ms)
+    context.log(
+        'long-running tasks wait',
+        may_run_unseen=len(unseen),
+        no_place=len(waiting) - len(unseen),
+        oldest=oldest.key.format(),
+        waited_ms=state.now_ms - oldest.ready_ms,
+        silent_workers=_unseen.list_awaited(state)[:_MOST_NAMED],
+    )
+
+
+def _iter_late(state: SchedulerState) -> t.Iterator[tuple[Job, Task]]:
+    """Iterate over long-running tasks that have waited for a second."""
+    limit_ms = state.now_ms - _EVERY_MS
+    for kind, tasks in state.ready.items():
+        job = state.jobs[kind[0]]
+        if not job.request.steps[kind[2]].long_running:
+            continue
+        for task in tasks.values():
+            if task.ready_ms <= limit_ms:
+                yield job, task
+
+
+def _tell_idle(context: Context) -> None:
+    state = context.state
     waiting: dict[str, int] = {}
     smallest: dict[str, tuple[Job, Step, Task]] = {}
     for kind, tasks in state.ready_idle.items():
