Move tasks that last off workers that leave

Cause of LOST: workers say seconds ahead that they leave, and tasks that last were left there, died with them, and were waited out with their lease.

They are stopped, four each 0.2 s, where another worker or unit has a place, and all of them 1.5 s before the worker leaves. Tasks without a place stay.

--- /dev/null
+++ b/src/tulippin/jobs/_draining.py
@@ -0,0 +1,67 @@
+"""Moving long-running tasks off workers that leave.
+
+What runs on a worker when it ends dies unseen, and is started again only
+once its lease has surely lapsed: 4.9 s, in which the task's users are not
+served. A stop that is seen costs one. Tasks that end by themselves are
+left: they mostly do before the worker leaves.
+"""
+
+from __future__ import annotations
+
+import typing as t
+
+from tulippin.jobs import _attempts, _passing, _scoring
+from tulippin.jobs._dispatch import Context
+from tulippin.jobs.state import Attempt, AttemptState, SchedulerState
+
+_EVERY_MS: t.Final = 200
+# The most stops decided in one go: places for the tasks are looked for one
+# by one, while those of earlier ones are not taken yet.
+_STOPS_PER_PASS: t.Final = 4
+# A worker that leaves so soon is emptied without regard to the pace: a stop
+# takes up to 0.9 s.
+_LAST_MS: t.Final = 1500
+
+
+def tick(context: Context) -> None:
+    """Stop long-running tasks on workers that leave, some at a time."""
+    state = context.state
+    is_due = state.now_ms - state.drained_ms >= _EVERY_MS
+    if not (context.may_order and is_due):
+        return
+    state.drained_ms = state.now_ms
+    leaving = [
+        worker
+        for worker in state.workers.values()
+        if worker.entry.draining and worker.attempts
+    ]
+    leaving.sort(key=lambda worker: worker.leaves_at_ms)
+    budget = 0 if _are_others_waiting(state) else _STOPS_PER_PASS
+    for worker in leaving:
+        is_last = worker.leaves_at_ms - state.now_ms <= _LAST_MS
+        for attempt in list(filter(_is_movable, worker.attempts.values())):
+            if (budget or is_last) and _has_place(attempt, context):
+                budget = max(0, budget - 1)
+                _attempts.stop_attempt(attempt, context, 'its worker leaves')
+
+
+def _is_movable(attempt: Attempt) -> bool:
+    """Whether a task has to be moved, and others don't end with it."""
+    step = attempt.step
+    is_running = attempt.state is AttemptState.RUNNING
+    return is_running and step.long_running and not step.gang
+
+
+def _are_others_waiting(state: SchedulerState) -> bool:
+    """Whether long-running tasks that were stopped still look for a place."""
+    return any(
+        state.jobs[kind[0]].request.steps[kind[2]].long_running
+        for kind in state.ready
+    )
+
+
+def _has_place(attempt: Attempt, context: Context) -> bool:
+    """Whether this unit, or another one, would take the task."""
+    if _scoring.fits_elsewhere(attempt, context):
+        return True
+    return _passing.has_unit_for(attempt.step, context.state)
--- a/src/tulippin/jobs/_workers.py
+++ b/src/tulippin/jobs/_workers.py
@@ -52,17 +52,26 @@
         context.log(
             'worker listed', worker=entry.worker_id, address=entry.address
         )
-        return
-    if entry.draining and not worker.entry.draining:
-        context.log(
-            'worker draining',
-            worker=entry.worker_id,
-            leaves_in_ms=entry.leaves_in_ms,
-        )
+    if entry.draining:
+        _note_drain(worker, entry, context)
     worker.entry = entry
     worker.is_listed = True
 
 
+def _note_drain(worker: Worker, entry: WorkerEntry, context: Context) -> None:
+    """Note when a worker leaves: no later than any of its entries says."""
+    leaves_at_ms = context.state.now_ms + entry.leaves_in_ms
+    if worker.leaves_at_ms:
+        worker.leaves_at_ms = min(worker.leaves_at_ms, leaves_at_ms)
+        return
+    worker.leaves_at_ms = leaves_at_ms
+    context.log(
+        'worker draining',
+        worker=entry.worker_id,
+        leaves_in_ms=entry.leaves_in_ms,
+    )
+
+
 # -- leases -----------------------------------------------------------------
 
 
--- a/src/tulippin/jobs/core.py
+++ b/src/tulippin/jobs/core.py
@@ -9,6 +9,7 @@
 
 from tulippin.jobs import (
     _committing,
+    _draining,
     _interference,
     _lifecycle,
     _ownership,
@@ -68,13 +69,20 @@
     is_tick = isinstance(event, Ticked)
     _placing.place(context, is_tick=is_tick)
     if is_tick:
-        _passing.tick(context)
-        _refusals.tell(context)
+        _run_ticks(context)
     _committing.commit_if_due(context)
     _workers.hold_all(context)
     return tuple(context.effects)
 
 
+def _run_ticks(context: Context) -> None:
+    """Do what time alone makes due, after all that is due was placed."""
+    _pacing.tick(context)
+    _draining.tick(context)
+    _passing.tick(context)
+    _refusals.tell(context)
+
+
 def _judge_report(event: WorkerAnswered, context: Context) -> None:
     """Learn from a worker's report, and act on what it shows."""
     worker = context.state.workers.get(event.worker_id)
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -216,7 +216,13 @@
     order of ours may have given it has surely ended. ``slack`` is by
     how much more the serving tasks of each image there may be slowed;
     nothing where it must be worked out anew. ``exposure`` is what its
-    opportunistic tasks used at an earlier report.
+    opportunistic tasks used at an earlier report. ``was_rostered``: an
+    earlier owner's orders may have effect there, on any task.
+    ``leaves_at_ms`` is the earliest end of a worker that drains.
+    ``unsettled`` are tasks of ends that were read, by the end's number, and
+    whose effect is not durable yet; ``early_ends`` those of ends that wait
+    to be read until their job is known. ``strays`` are runs there of jobs
+    that are not known, each with the time of the last order to stop it.
     """
 
     entry: WorkerEntry
@@ -237,6 +243,7 @@
     slack: dict[str, float] | None = None
     exposure: dict[str, float] = attrs.field(factory=dict)
     exposure_ms: int = 0
+    leaves_at_ms: int = 0
     failed_jobs: set[str] = attrs.field(factory=set)
     quarantined_until_ms: int = 0
     paused_until_ms: int = 0
@@ -337,6 +344,8 @@
     is_stopping: bool = False
     rooms: dict[int, UnitRoom] = attrs.field(factory=dict)
     passing_ms: int = 0
+    drained_ms: int = 0
+    overdue_ms: int = 0
     wall_offset_ms: int = 0
     model: PairModel = attrs.field(factory=PairModel)
     swings: SwingModel = attrs.field(factory=SwingModel)
