--- a/src/tulippin/jobs/_workers.py
+++ b/src/tulippin/jobs/_workers.py
@@ -125,6 +125,8 @@
 def _choose_wait_ms(worker: Worker) -> int:
     if not worker.is_reconciled or worker.failed_count:
         return 0
+    if worker.strays:
+        return _OPEN_WAIT_MS
     for attempt in worker.attempts.values():
         if attempt.state in _OPEN_STATES:
             return _OPEN_WAIT_MS
@@ -134,8 +136,6 @@
 
 # -- silence ----------------------------------------------------------------
 
-    if worker.strays:
-        return _OPEN_WAIT_MS
 
 @handle.register
 def _note_silence(event: WorkerSilent, context: Context) -> None:
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -252,6 +252,9 @@
     pace_changed_ms: int = 0
     missed_since_ms: int = 0
     calm_since_ms: int = 0
+    unsettled: dict[int, TaskKey] = attrs.field(factory=dict)
+    early_ends: set[TaskKey] = attrs.field(factory=set)
+    strays: dict[tuple[TaskKey, int], int] = attrs.field(factory=dict)
     is_rostered: bool = False
     was_rostered: bool = False
     is_reconciled: bool = False
@@ -259,9 +262,6 @@
     @property
     def worker_id(self) -> str:
         """The worker's id: one life of it."""
-    unsettled: dict[int, TaskKey] = attrs.field(factory=dict)
-    early_ends: set[TaskKey] = attrs.field(factory=set)
-    strays: dict[tuple[TaskKey, int], int] = attrs.field(factory=dict)
         return self.entry.worker_id
 
     def has_room(self, wanted: Resources) -> bool:
@@ -305,6 +305,8 @@
     renewal_count: int = 0
     is_renewing: bool = False
     must_confirm: bool = False
+    paused_ms: int = 0
+    tried_version: int = 0
     wait_extra_ms: int = 0
 
 
@@ -312,8 +314,6 @@
 class SchedulerState:
     """Everything the reducer reads and changes."""
 
-    paused_ms: int = 0
-    tried_version: int = 0
     config: SchedulerConfig
     now_ms: int = 0
     configuration: Configuration | None = None
