Failing test: a worker that only the unaware owner reaches

It fails on this code; no mend is in this commit. Users see three tasks with two runs each, for as long as the first owner is cut off.

Order of events: the first owner is cut off the store and goes on prolonging the lease of a worker that the second cannot reach; the second takes the unit, waits 6.5 s for that worker, takes what ran there as lapsed and starts it elsewhere. Cause: an owner prolongs workers' leases (hold_all) with no regard to when its ownership was last confirmed, while a successor counts one worker's lease from its taking. An owner whose store is away for all must still keep work running (test_store_outage_lets_running_work_and_next_steps_go_on), so the mend is a choice.

--- a/tests/tulippin/jobs/test_scheduler_takeovers.py
+++ b/tests/tulippin/jobs/test_scheduler_takeovers.py
@@ -452,6 +452,26 @@
     run_virtual(run, seed=seed)
 
 
+def test_worker_that_only_an_unaware_owner_reaches_is_waited_out(run_virtual):
+    """The first owner is cut off the store, the second off the worker."""
+
+    async def run():
+        async with open_fleet(instances=2, workers=2) as fleet:
+            request = make_request(make_step(3), run_ms=60_000)
+            await submit(fleet, request=request)
+            await fleet.wait_running(3)
+            first = fleet.get_owner()
+            busy = [one for one in fleet.platform.workers.values() if one.runs]
+            fleet.platform.store.trouble.silenced.add(first)
+            for worker in busy:
+                worker.cut_off = set(fleet.instances) - {first}
+            await wait_taken(fleet)
+            await trio.sleep(12)
+            fleet.check()
+
+    run_virtual(run)
+
+
 async def take_unit_in_turn(fleet, wires):
     """Let one unaware owner after the other be succeeded."""
     while True:
