Ask all workers while the store does not confirm the ownership

Cause: an owner cut off the store asked only workers where its tasks ran. Where its successor reached none of these, it went on prolonging what the successor took for lapsed after 6.5 s, and started elsewhere: three tasks with two runs each.

Workers that run nothing are asked too once no renewal was done for a lease's time: one that the successor has spoken to tells of it. What is left is a successor that reaches no worker at all that the first owner reaches.

Ruled out: prolonging nothing without a confirmed ownership; the store may be away for all, and work must go on then.

--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -233,6 +233,17 @@
         context.log('paused', gap_ms=gap_ms, epoch=context.fencing_token)
 
 
+def is_unconfirmed(state: SchedulerState) -> bool:
+    """Whether another instance may have taken the unit by now.
+
+    The store tells nothing while it is away, but each worker that a
+    successor has spoken to does: all are asked, also those where nothing
+    runs. An owner that asked only where its tasks ran went on prolonging
+    what its successor could not reach, and took for lapsed.
+    """
+    return state.now_ms - state.ownership.renewed_ms > state.config.lease_ms
+
+
 def tick(context: Context) -> None:
     """Take a lapsed unit; renew the lease of an owned one."""
     state = context.state
--- a/src/tulippin/jobs/_workers.py
+++ b/src/tulippin/jobs/_workers.py
@@ -92,7 +92,9 @@
     state = context.state
     if worker.is_holding or state.now_ms < worker.hold_after_ms:
         return
-    if not worker.is_rostered or not _is_hold_needed(worker):
+    if not worker.is_rostered:
+        return
+    if not (_is_hold_needed(worker) or _ownership.is_unconfirmed(state)):
         return
     deadline_ms = None
     # A probe of a silent worker must not prolong what it runs.
