--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -37,6 +37,9 @@
 # take a unit sooner than it would itself. Half a core bears one unit.
 _MOST_BURDEN: t.Final = 2.5
 _SPARE_EVERY_MS: t.Final = 3000
+# Work that is prolonged later than this after the last renewal may outlast
+# a successor's wait: 2 s and 6.5 s, less a lease of 4.5 s and its slack.
+_UNCONFIRMED_LIMIT_MS: t.Final = 3500
 _TURNS: t.Final = 7
 _MOST_DOUBLINGS: t.Final = 6
 # A unit given up in a planned way is taken up this many times sooner.
@@ -64,7 +67,9 @@
         ownership.lease_version,
         ownership.epoch_version,
     )
-    is_outdated = _is_outdated(event.lease, ownership.lease)
+    # Each taking counts its renewals anew.
+    is_same_epoch = event.epoch_version == ownership.epoch_version
+    is_outdated = is_same_epoch and _is_outdated(event.lease, ownership.lease)
     if not is_outdated:
         ownership.lease = event.lease
     ownership.lease_version = event.lease_version
@@ -181,6 +186,9 @@
 @handle.register
 def _renewed(event: LeaseRenewed, context: Context) -> None:
     ownership = context.state.ownership
+    if event.epoch_version != ownership.epoch_version:
+        # Of an earlier ownership.
+        return
     ownership.is_renewing = False
     if ownership.phase not in _OWNING:
         return
@@ -244,6 +252,22 @@
     return state.now_ms - state.ownership.renewed_ms > state.config.lease_ms
 
 
+def may_prolong(state: SchedulerState) -> bool:
+    """Whether work may be kept going, or started, under our ownership.
+
+    A successor takes what a silent worker runs for lapsed 6.5 s after its
+    taking, which is 2 s or more after our last renewal. An owner that the
+    store does not confirm goes on, as the store may be away for all, while
+    it reaches most of its workers: a successor reaches one of them, and is
+    told of by it.
+    """
+    if state.now_ms - state.ownership.renewed_ms <= _UNCONFIRMED_LIMIT_MS:
+        return True
+    rostered = [one for one in state.workers.values() if one.is_rostered]
+    reached = sum(not one.failed_count for one in rostered)
+    return 2 * reached > len(rostered)
+
+
 def tick(context: Context) -> None:
     """Take a lapsed unit; renew the lease of an owned one."""
     state = context.state
@@ -280,13 +304,15 @@
 
 def _release(context: Context, why: str) -> None:
     state = context.state
+    is_loaded = state.ownership.phase is Phase.ACTIVE
     state.ownership.phase = Phase.RELEASING
     context.log('release unit', epoch=context.fencing_token, why=why)
     context.emit(
         ReleaseLease(
             _make_lease(state, released=True),
-            _memory.make_record(state),
-            _unseen.make_account(context),
+            # What is not loaded must not be written over.
+            _memory.make_record(state) if is_loaded else None,
+            _unseen.make_account(context) if is_loaded else None,
             state.ownership.epoch,
             state.ownership.epoch_version,
         )
--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -11,6 +11,7 @@
     _attempts,
     _feasibility,
     _lifecycle,
+    _ownership,
     _preempting,
     _ranking,
     _ready,
@@ -56,7 +57,7 @@
 # an overloaded day: urgent work was served by 0.08 to 0.32 in place of 0.31
 # to 0.41 of its worth.
 _OVERDUE_EVERY_MS: t.Final = 300
-_OVERDUE_TRIES: t.Final = 3
+_OVERDUE_TRIES: t.Final = 8
 # Between two passes over the tasks for idle processors.
 _IDLE_EVERY_MS: t.Final = 100
 # Between two passes over the other tasks, but at a tick: events come in
@@ -71,7 +72,7 @@
     with tails and paces, not with single events.
     """
     state = context.state
-    if not context.may_order:
+    if not (context.may_order and _ownership.may_prolong(state)):
         return
     is_soon = state.now_ms - state.placed_ms < _EVERY_MS
     if is_tick or (state.is_placing_due and not is_soon):
@@ -118,19 +119,34 @@
         state = self.context.state
         if state.now_ms - state.overdue_ms < _OVERDUE_EVERY_MS:
             return
-        for job, task in _ready.list_overdue(self.queue, state)[
-            :_OVERDUE_TRIES
-        ]:
+        tried: set[_ready.StepKey] = set()
+        for job, task in _ready.list_overdue(self.queue, state):
+            if len(tried) >= _OVERDUE_TRIES:
+                return
             is_unseen = job.awaits_workers and not settled
-            if is_unseen or _unseen.may_run(task, state):
-                continue
-            step = job.request.steps[task.key.step]
-            worker = _choose(job, task, step, state)
-            if worker is not None:
+            if not is_unseen and self._start_overdue(job, task, tried):
                 state.overdue_ms = state.now_ms
-                self._start(job, step, task, worker)
                 return
 
+    def _start_overdue(
+        self, job: Job, task: Task, tried: set[_ready.StepKey]
+    ) -> bool:
+        """Start a task, unless none of its step or size finds a place."""
+        state = self.context.state
+        step = job.request.steps[task.key.step]
+        kind = _ready.get_step_key(task.key)
+        if kind in tried or self._is_too_large(job, step):
+            return False
+        if _unseen.may_run(task, state):
+            return False
+        worker = _choose(job, task, step, state)
+        if worker is None:
+            tried.add(kind)
+            self._note_too_large(job, step)
+            return False
+        self._start(job, step, task, worker)
+        return True
+
     def _place(self, job: Job, kind: _ready.StepKey) -> None:
         step = job.request.steps[kind[2]]
         if self._is_hopeless(step) or self._is_gathering(job, step):
@@ -166,6 +182,12 @@
             for size in self.too_large.get(job.queue.service, ())
         )
 
+    def _note_too_large(self, job: Job, step: Step) -> None:
+        """Note that no worker has room for tasks of a size."""
+        if _is_plain(step, job):
+            sizes = self.too_large.setdefault(job.queue.service, [])
+            sizes.append(step.reserved)
+
     def _is_gathering(self, job: Job, step: Step) -> bool:
         """Whether others that come together with the job are awaited."""
         age_ms = self.context.state.now_ms - job.arrived_ms
@@ -178,9 +200,7 @@
         if not self._is_too_large(job, step):
             worker = _choose(job, task, step, state)
         if worker is None:
-            if _is_plain(step, job):
-                sizes = self.too_large.setdefault(job.queue.service, [])
-                sizes.append(step.reserved)
+            self._note_too_large(job, step)
             _preempt(job, task, self.context)
             return bool(task.avoided)
         self._start(job, step, task, worker)
--- a/src/tulippin/jobs/_reports.py
+++ b/src/tulippin/jobs/_reports.py
@@ -43,7 +43,9 @@
     _unseen.note_answer(worker, state)
     worker.is_reconciled = not worker.early_ends
     for attempt in list(worker.attempts.values()):
-        if (attempt.key, attempt.run) not in present:
+        # A run whose end waits to be read is over, and how is told there.
+        is_early = attempt.key in worker.early_ends
+        if not is_early and (attempt.key, attempt.run) not in present:
             _judge_missing(attempt, event, context)
     if worker.ends_read > worker.last_seen or worker.early_ends:
         worker.hold_after_ms = state.now_ms + _UNSETTLED_PAUSE_MS
--- a/src/tulippin/jobs/_row_effects.py
+++ b/src/tulippin/jobs/_row_effects.py
@@ -128,7 +128,11 @@
         is_done = result.is_done
         is_fenced = not result.is_done
         shell.lease = effect.lease
-    shell.post(ev.LeaseRenewed(shell.clock(), sent_ms, is_done, is_fenced))
+    shell.post(
+        ev.LeaseRenewed(
+            shell.clock(), effect.epoch_version, sent_ms, is_done, is_fenced
+        )
+    )
 
 
 @perform.register(fx.ReleaseLease)
@@ -136,14 +140,18 @@
     shell.start(_run_release, effect, shell)
 
 
-def _make_account_writes(effect: fx.ReleaseLease) -> tuple[RowWrite, ...]:
-    """Return what keeps an account, unless it is too large for a row."""
+def _make_known_writes(effect: fx.ReleaseLease) -> t.Iterator[RowWrite]:
+    """Iterate over what keeps the model, and the account if a row holds it."""
+    if effect.model is not None:
+        yield RowWrite(MODELS_TABLE, MODEL_KEY, encode(effect.model))
+    if effect.account is None:
+        return
     account = encode(effect.account)
     if len(account) > _ACCOUNT_LIMIT_BYTES:
         # The next owner does without: it waits for all workers.
         logger.warning('account too large', bytes=len(account))
-        return ()
-    return (RowWrite(ACCOUNTS_TABLE, ACCOUNT_KEY, account),)
+        return
+    yield RowWrite(ACCOUNTS_TABLE, ACCOUNT_KEY, account)
 
 
 async def _run_release(effect: fx.ReleaseLease, shell: UnitShell) -> None:
@@ -158,8 +166,7 @@
         writes=(
             *transaction.writes,
             RowWrite(UNITS_TABLE, EPOCH_KEY, encode(effect.epoch)),
-            RowWrite(MODELS_TABLE, MODEL_KEY, encode(effect.model)),
-            *_make_account_writes(effect),
+            *_make_known_writes(effect),
         ),
     )
     try:
--- a/src/tulippin/jobs/_unseen.py
+++ b/src/tulippin/jobs/_unseen.py
@@ -178,5 +178,7 @@
     # without it a task that is done would be started again.
     keys = {attempt.key for attempt in worker.attempts.values()}
     keys.update(worker.unsettled.values())
+    keys.update(worker.early_ends)
+    keys.update(key for key, _ in worker.strays)
     names = {key.format() for key in keys}
     return WorkerAccount(lasting_ms, tuple(sorted(names | unseen)), is_silent)
--- a/src/tulippin/jobs/_workers.py
+++ b/src/tulippin/jobs/_workers.py
@@ -98,7 +98,8 @@
         return
     deadline_ms = None
     # A probe of a silent worker must not prolong what it runs.
-    if worker.clock_offset_ms is not None and not worker.failed_count:
+    is_heard = worker.clock_offset_ms is not None and not worker.failed_count
+    if is_heard and _ownership.may_prolong(state):
         lasting_ms = state.config.worker_lease_ms
         deadline_ms = get_clock_ms(worker, state) + lasting_ms
         _unseen.extend_lapse(worker, lasting_ms, state)
--- a/src/tulippin/jobs/effects.py
+++ b/src/tulippin/jobs/effects.py
@@ -44,11 +44,14 @@
 
 @attrs.frozen
 class ReleaseLease(JobEffect):
-    """Give the unit up, in a planned way, with what is known of it."""
+    """Give the unit up, in a planned way, with what is known of it.
+
+    Model and account are absent where the unit had not been loaded.
+    """
 
     lease: LeaseRecord
-    model: ModelRecord
-    account: AccountRecord
+    model: ModelRecord | None
+    account: AccountRecord | None
     epoch: EpochRecord
     epoch_version: int
 
--- a/src/tulippin/jobs/events.py
+++ b/src/tulippin/jobs/events.py
@@ -82,9 +82,10 @@
     """Whether the lease, as sent at a time, was renewed.
 
     ``is_fenced`` says that another owns the unit; neither flag means
-    that the store did not answer.
+    that the store did not answer. ``epoch_version`` tells the ownership.
     """
 
+    epoch_version: int
     sent_ms: int
     is_done: bool
     is_fenced: bool
