Give a job with nothing running a start beside idle processors

Jobs that are late beyond hope had no share of the starts: most workers refused their image as harm to what they serve, and what the others would bear went to later jobs.

A job with nothing running for 2.5 s is tried before all others, one each 0.3 s; where most processors are idle it takes the idlest worker without a miss, whatever the model expects: a miss that follows is seen and lets the task rest.

Ruled out: aging all late jobs, which would take starts from those in time.

Measured: test_job_with_nothing_running_starts_beside_idle_processors, not started within 3.5 s before.

--- a/src/tulippin/jobs/_interference.py
+++ b/src/tulippin/jobs/_interference.py
@@ -92,6 +92,11 @@
     return worker.used_millicores
 
 
+def get_idle(worker: Worker) -> float:
+    """Return the millicores thought to be idle on a worker."""
+    return worker.entry.capacity.cpu_millicores - get_used(worker)
+
+
 def _get_use(step: Step) -> float:
     """Return the millicores that a task is thought to use.
 
--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -10,6 +10,7 @@
     _advice,
     _attempts,
     _feasibility,
+    _interference,
     _lifecycle,
     _ownership,
     _preempting,
@@ -111,13 +112,15 @@
                 return
 
     def _place_overdue(self, *, settled: bool) -> None:
-        """Start one long-running task that has waited long, before others.
+        """Start one task that has waited long, before others.
 
-        Short tasks go first otherwise, and where they always wait they take
-        all room that comes free.
+        Short tasks go before long-running ones otherwise, and where they
+        always wait they take all room that comes free. Likewise jobs that
+        can be in time, before one that has nothing running.
         """
         state = self.context.state
-        if state.now_ms - state.overdue_ms < _OVERDUE_EVERY_MS:
+        is_idle = self.queue is state.ready_idle
+        if state.now_ms - state.overdue_ms.get(is_idle, 0) < _OVERDUE_EVERY_MS:
             return
         tried: set[_ready.StepKey] = set()
         for job, task in _ready.list_overdue(self.queue, state):
@@ -125,7 +128,7 @@
                 return
             is_unseen = job.awaits_workers and not settled
             if not is_unseen and self._start_overdue(job, task, tried):
-                state.overdue_ms = state.now_ms
+                state.overdue_ms[is_idle] = state.now_ms
                 return
 
     def _start_overdue(
@@ -140,6 +143,8 @@
         if _unseen.may_run(task, state):
             return False
         worker = _choose(job, task, step, state)
+        if worker is None and step.opportunistic:
+            worker = _choose_idlest(job, task, step, state)
         if worker is None:
             tried.add(kind)
             self._note_too_large(job, step)
@@ -307,6 +312,32 @@
     return best
 
 
+def _choose_idlest(
+    job: Job, task: Task, step: Step, state: SchedulerState
+) -> Worker | None:
+    """Return the idlest worker where most processors of all are idle.
+
+    What the model expects there is set aside: a miss that follows is seen
+    within a second, and lets the task rest. Jobs of images that most
+    workers refuse had nothing running for 20 s otherwise.
+    """
+    opened = [
+        worker
+        for worker in state.workers.values()
+        if _feasibility.takes_work(worker, state)
+    ]
+    capacity = sum(one.entry.capacity.cpu_millicores for one in opened)
+    if 2 * sum(map(_interference.get_used, opened)) > capacity:
+        return None
+    calm = [
+        worker
+        for worker in opened
+        if not worker.missed_since_ms
+        and _feasibility.is_feasible(worker, job, task, step, state)
+    ]
+    return max(calm, key=_interference.get_idle, default=None)
+
+
 def _score(
     worker: Worker, task: Task, step: Step, state: SchedulerState
 ) -> float | None:
--- a/src/tulippin/jobs/_ready.py
+++ b/src/tulippin/jobs/_ready.py
@@ -9,8 +9,10 @@
 
 StepKey: t.TypeAlias = tuple[str, int, int]
 
-# A long-running task is overdue after so long without a place: the users
-# allow 6 s without a run, of which a worker's lease takes up to 4.9 s.
+# A long-running task is overdue after so long without a place, and so is an
+# opportunistic one of a job with nothing running: the users allow 6 s
+# without a run, of which a worker's lease takes up to 4.9 s, and 3 s without
+# any run of a job beside idle processors.
 OVERDUE_MS: t.Final = 2500
 
 
@@ -49,16 +51,23 @@
 def list_overdue(
     queue: dict[StepKey, dict[TaskKey, Task]], state: SchedulerState
 ) -> list[tuple[Job, Task]]:
-    """Return long-running tasks that have waited too long, oldest first."""
+    """Return tasks that have waited too long, the oldest first."""
     limit_ms = state.now_ms - OVERDUE_MS
     found = []
     for kind, tasks in queue.items():
         job = state.jobs[kind[0]]
         step = job.request.steps[kind[2]]
-        if not step.long_running or step.gang or job.queue.advised:
+        if step.gang or job.queue.advised:
+            continue
+        is_starved = step.opportunistic and not _has_runs(job)
+        if not (step.long_running or is_starved):
             continue
         found.extend(
             (job, task) for task in tasks.values() if task.ready_ms <= limit_ms
         )
     found.sort(key=lambda pair: pair[1].ready_ms)
     return found
+
+
+def _has_runs(job: Job) -> bool:
+    return any(task.attempts for task in job.tasks.values())
--- a/src/tulippin/jobs/_refusals.py
+++ b/src/tulippin/jobs/_refusals.py
@@ -91,7 +91,8 @@
             for image, found in smallest.items()
         },
         idle_millicores=sum(
-            max(0, int(_get_idle(worker))) for worker in state.workers.values()
+            max(0, int(_interference.get_idle(worker)))
+            for worker in state.workers.values()
         ),
         **_sum_use(state),
     )
@@ -115,11 +116,6 @@
     }
 
 
-def _get_idle(worker: Worker) -> float:
-    capacity = worker.entry.capacity.cpu_millicores
-    return capacity - _interference.get_used(worker)
-
-
 def _count_reasons(
     job: Job, step: Step, task: Task, state: SchedulerState
 ) -> dict[str, int]:
@@ -135,7 +131,7 @@
     """Return what keeps a task from a worker."""
     if not _feasibility.is_open(worker, job, task, step, state):
         return 'closed'
-    if _get_idle(worker) < step.size.cpu_millicores:
+    if _interference.get_idle(worker) < step.size.cpu_millicores:
         return 'busy'
     if not _feasibility.is_feasible(worker, job, task, step, state):
         return 'memory'
--- /dev/null
+++ b/tests/tulippin/jobs/test_scheduler_starving.py
@@ -0,0 +1,67 @@
+"""Jobs with nothing running beside idle processors get a share of them."""
+
+import pytest
+import trio
+
+from fleet_of_schedulers import (
+    PATIENT,
+    QUEUE,
+    make_request,
+    make_step,
+    open_fleet,
+)
+from tulippin.jobs.pair_model import ImageModel
+
+LIMIT_MS = 3000
+WORKERS = 4
+# What users bear without a run of a job beside processors that are mostly
+# idle.
+BORNE_S = 3.5
+
+
+async def submit(fleet, number, request, queue=QUEUE):
+    intake = next(iter(fleet.instances.values())).intake
+    await intake.submit(f'{number:016x}', queue, request, LIMIT_MS)
+
+
+def fear(fleet):
+    """Have the owner be sure that one image harms another by far."""
+    state = fleet.instances[fleet.get_owner()].state
+    model = state.model.images.setdefault('web', ImageModel())
+    model.means['batch'] = 5.0
+    model.covariances['batch', 'batch'] = 0.0001
+    model.sample_counts['batch'] = 50
+
+
+# What users saw: at the end of a day jobs that could run had nothing running
+# for 20 s, while over half of the processors were idle. Order of events: all
+# workers serve tasks with a target, and most are thought to bear no more of
+# an image; what they would bear goes to jobs that can still be in time. Cause:
+# a job that is late has no share of the starts, however idle the workers
+# are. Evidence: 18 of 24 workers refused its tasks, and 514 of 973 starts
+# meanwhile were of jobs accepted later.
+@pytest.mark.parametrize('serving_cpu', [2000, 4000])
+def test_job_with_nothing_running_starts_beside_idle_processors(
+    run_virtual, serving_cpu
+):
+    async def run():
+        async with open_fleet(instances=1, workers=WORKERS) as fleet:
+            serving = make_step(
+                WORKERS,
+                serving_cpu,
+                long_running=True,
+                target_ms=50,
+                image='web',
+                max_per_worker=1,
+            )
+            await submit(fleet, 1, make_request(serving, lasts=True))
+            await fleet.wait_running(WORKERS)
+            await trio.sleep(1)
+            fear(fleet)
+            batch = make_step(3, 4000, opportunistic=True, image='batch')
+            await submit(fleet, 2, make_request(batch), PATIENT)
+            await fleet.wait_running(WORKERS + 1, limit_s=BORNE_S)
+            await fleet.wait_done(f'{2:016x}', limit_s=20)
+            fleet.check()
+
+    run_virtual(run)
