Put tasks that have run before those that wait for their first run

All overdue tasks that last stood in one line, and a pass to another unit put a task at its end again: two whose runs had failed waited 28 s behind hundreds that had never run, which nobody misses.

Only tasks that have run, or were found begun at a taking, are overdue; a pass tells so, and what it waited counts. Others wait as any work does, so that a crowd of them takes nothing from short tasks.

--- a/src/tulippin/jobs/_attempts.py
+++ b/src/tulippin/jobs/_attempts.py
@@ -41,6 +41,13 @@
     _interference.add_attempt(attempt, worker)
 
 
+def note_running(attempt: Attempt, context: Context) -> None:
+    """Note that a task's run is there."""
+    found = find_task(attempt.key, context)
+    if found is not None:
+        found[1].has_run = True
+
+
 def drop_attempt(attempt: Attempt, context: Context) -> None:
     """Take a run off its worker and its task."""
     worker = context.state.workers.get(attempt.worker_id)
@@ -113,6 +120,7 @@
     if found is None:
         return
     job, task = found
+    task.has_run = True
     if ended.checkpoint:
         task.checkpoint = ended.checkpoint
     _judge_worker(worker, ended, context)
--- a/src/tulippin/jobs/_committing.py
+++ b/src/tulippin/jobs/_committing.py
@@ -69,13 +69,14 @@
         _memory.restore(event.model, state)
     jobs = _lifecycle.add_rows(event.jobs, context)
     _restore(jobs, event.progress, context)
-    _unseen.place(event.account, context)
+    _unseen.note_tasks(event.account, context)
     for job in jobs:
         # Until every worker has answered or lapsed, a task that is not
         # seen anywhere may still run; but no earlier owner has started
         # what was accepted after our taking.
         is_new = job.row_version > state.ownership.epoch_version
         job.awaits_workers = job.is_guest or not is_new
+        job.is_resumed = job.has_begun
         _take_up(job, context)
     context.log(
         'unit loaded',
--- a/src/tulippin/jobs/_lifecycle.py
+++ b/src/tulippin/jobs/_lifecycle.py
@@ -90,7 +90,9 @@
         key = parse_task(f'{job_id}.{name}')
         if number > job.passes.get(key, 0):
             job.passes[key] = number
-            get_task(job, key).least_run = record.runs.get(name, 0)
+            task = get_task(job, key)
+            task.least_run = record.runs.get(name, 0)
+            task.has_run = name in record.begun
     return job if is_new else None
 
 
--- a/src/tulippin/jobs/_passing.py
+++ b/src/tulippin/jobs/_passing.py
@@ -23,7 +23,7 @@
     SchedulerState,
     Task,
 )
-from tulippin.jobs.types import Step, TaskKey
+from tulippin.jobs.types import Step, TaskKey, parse_task
 
 # A task that found no room for so long goes elsewhere: a worker that ends
 # a run, or joins, is known within a second.
@@ -34,8 +34,8 @@
 # Units that are fuller than this are left alone: what is free there lies
 # in pieces, and urgent tasks need some.
 _FULLEST: t.Final = 0.97
-# But for a task that has waited for so long: waiting short tasks make every
-# unit look full, and some tasks found no unit for 6 s beside free places.
+# But for a task that has run and waited for so long: waiting short tasks make
+# every unit look full, and some found no unit for 6 s beside free places.
 _LATE_MS: t.Final = 2000
 
 
@@ -59,7 +59,7 @@
             continue
         for task in list(tasks.values()):
             is_long = state.now_ms - task.ready_ms >= _WAIT_MS
-            if budget and is_long and not _unseen.may_run(task, state):
+            if budget and is_long and not _unseen.is_awaited(task, state):
                 budget -= _pass(job, step, task, context)
 
 
@@ -74,7 +74,8 @@
     state = context.state
     if task.attempts:
         return False
-    is_late = state.now_ms - task.ready_ms >= _LATE_MS
+    is_back = _ready.is_back(job, task)
+    is_late = is_back and state.now_ms - task.ready_ms >= _LATE_MS
     unit = _choose_unit(step, state, is_late=is_late)
     if unit is None:
         return False
@@ -107,6 +108,11 @@
     return True
 
 
+def _has_run(job: Job, name: str) -> bool:
+    task = job.tasks.get(parse_task(f'{job.job_id}.{name}'))
+    return job.is_resumed or (task is not None and task.has_run)
+
+
 def _get_passed(job: Job, key: TaskKey) -> int:
     passed = job.passed.get(key)
     return passed.pass_number if passed else 0
@@ -160,5 +166,6 @@
             job.request,
             {name: number for name, (number, _) in tasks.items()},
             {name: run for name, (_, run) in tasks.items()},
+            tuple(name for name in tasks if _has_run(job, name)),
         )
         context.emit(PassTasks(job.job_id, unit, record))
--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -140,7 +140,7 @@
         kind = _ready.get_step_key(task.key)
         if kind in tried or self._is_too_large(job, step):
             return False
-        if _unseen.may_run(task, state):
+        if _unseen.is_awaited(task, state):
             return False
         worker = _choose(job, task, step, state)
         if worker is None and step.opportunistic:
@@ -162,7 +162,7 @@
         tasks = [
             task
             for task in self.queue[kind].values()
-            if not _unseen.may_run(task, state)
+            if not _unseen.is_awaited(task, state)
         ]
         if step.gang:
             self.budget -= place_gang(job, step, tasks, self.context)
--- a/src/tulippin/jobs/_ready.py
+++ b/src/tulippin/jobs/_ready.py
@@ -9,10 +9,10 @@
 
 StepKey: t.TypeAlias = tuple[str, int, int]
 
-# A long-running task is overdue after so long without a place, and so is an
-# opportunistic one of a job with nothing running: the users allow 6 s
-# without a run, of which a worker's lease takes up to 4.9 s, and 3 s without
-# any run of a job beside idle processors.
+# A long-running task that has run is overdue after so long without a place,
+# and so is an opportunistic one of a job with nothing running: the users
+# allow 6 s without a run, of which a worker's lease takes up to 4.9 s, and
+# 3 s without any run of a job beside idle processors.
 OVERDUE_MS: t.Final = 2500
 
 
@@ -33,6 +33,9 @@
     tasks = queue.setdefault(get_step_key(task.key), {})
     if task.key not in tasks:
         task.ready_ms = state.now_ms
+    if task.least_run and task.has_run:
+        # It has waited in the unit that passed it on.
+        task.ready_ms = min(task.ready_ms, state.now_ms - OVERDUE_MS)
     tasks[task.key] = task
     state.is_placing_due = True
 
@@ -60,14 +63,24 @@
         if step.gang or job.queue.advised:
             continue
         is_starved = step.opportunistic and not _has_runs(job)
-        if not (step.long_running or is_starved):
-            continue
         found.extend(
-            (job, task) for task in tasks.values() if task.ready_ms <= limit_ms
+            (job, task)
+            for task in tasks.values()
+            if task.ready_ms <= limit_ms
+            and (is_starved or (step.long_running and is_back(job, task)))
         )
     found.sort(key=lambda pair: pair[1].ready_ms)
     return found
 
 
+def is_back(job: Job, task: Task) -> bool:
+    """Whether a task waits that was at work before.
+
+    Its users were served and miss it now; those of one that has never run
+    wait as for any work.
+    """
+    return task.has_run or job.is_resumed
+
+
 def _has_runs(job: Job) -> bool:
     return any(task.attempts for task in job.tasks.values())
--- a/src/tulippin/jobs/_refusals.py
+++ b/src/tulippin/jobs/_refusals.py
@@ -45,7 +45,8 @@
     unseen = [
         task
         for job, task in waiting
-        if (job.awaits_workers and not settled) or _unseen.may_run(task, state)
+        if (job.awaits_workers and not settled)
+        or _unseen.is_awaited(task, state)
     ]
     oldest = min((task for _, task in waiting), key=lambda task: task.ready_ms)
     context.log(
--- a/src/tulippin/jobs/_reports.py
+++ b/src/tulippin/jobs/_reports.py
@@ -40,8 +40,7 @@
         _take_running(worker, row, context)
     for place in worker.strays.keys() - present:
         del worker.strays[place]
-    _unseen.note_answer(worker, state)
-    worker.is_reconciled = not worker.early_ends
+    _unseen.note_answer(worker, state, is_whole=not worker.early_ends)
     for attempt in list(worker.attempts.values()):
         # A run whose end waits to be read is over, and how is told there.
         is_early = attempt.key in worker.early_ends
@@ -99,6 +98,7 @@
     if attempt.state in {AttemptState.STARTING, AttemptState.DOUBTFUL}:
         attempt.state = AttemptState.RUNNING
         attempt.seen_ms = state.now_ms
+        _attempts.note_running(attempt, context)
     if row.checkpoint:
         attempt.checkpoint = row.checkpoint
         found = _attempts.find_task(row.key, context)
@@ -136,6 +136,7 @@
     is_over = task.is_done or job.is_cancelled or job.state in FINAL_STATES
     is_over = is_over or not _lifecycle.is_here(job, row.key)
     is_second = bool(task.attempts) and not step.allow_duplicates
+    task.has_run = True
     _attempts.add_attempt(attempt, task, worker)
     _ready.remove(row.key, step, state)
     context.log(
--- a/src/tulippin/jobs/_resolving.py
+++ b/src/tulippin/jobs/_resolving.py
@@ -24,7 +24,7 @@
 # the call's timeout of 0.9 s before, and a lease of 2 s bears two of them.
 _LATE_FACTOR: t.Final = 3.0
 _LEAST_WAIT_S: t.Final = 0.15
-_LONGEST_WAIT_S: t.Final = 0.6
+_LONGEST_WAIT_S: t.Final = 1.0
 # The most tries without an answer at one time.
 _MOST_OPEN: t.Final = 5
 # Weight of a new answer time in the usual one.
@@ -33,12 +33,16 @@
 
 @attrs.define
 class AnswerTimes:
-    """How long the store usually takes to answer a transaction."""
+    """How long the store usually takes to answer a transaction.
+
+    A try that is lost counts with its time, if no other one beside it was
+    answered meanwhile: then it is the store that is slow.
+    """
 
     usual_s: float = 0.0
 
     def note(self, took_s: float) -> None:
-        """Take in the time of an answer."""
+        """Take in the time of an answer, or of a try without one."""
         self.usual_s += _LEARN * (took_s - self.usual_s)
 
     @property
@@ -138,6 +142,8 @@
         try:
             result = await self.store.transact(self.transaction)
         except AnswerLostError as error:
+            # No other try had an answer in this time either.
+            self.times.note(trio.current_time() - began_s)
             self.is_lost = True
             self.reason = error
         except UnavailableError as error:
--- a/src/tulippin/jobs/_row_effects.py
+++ b/src/tulippin/jobs/_row_effects.py
@@ -376,6 +376,7 @@
             known,
             passes={**known.passes, **newer},
             runs={**known.runs, **runs},
+            begun=tuple(sorted({*known.begun, *record.begun})),
         )
     if effect.unit not in home.units:
         guests = (*home.guest_units, effect.unit)
--- a/src/tulippin/jobs/_unseen.py
+++ b/src/tulippin/jobs/_unseen.py
@@ -11,9 +11,10 @@
 
 import typing as t
 
+from tulippin.jobs import _lifecycle
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs.records import AccountRecord, WorkerAccount
-from tulippin.jobs.state import Job, SchedulerState, Task, Worker
+from tulippin.jobs.state import SchedulerState, Task, Worker
 from tulippin.jobs.types import WorkerEntry, parse_task
 from tulippin.types import Resources
 
@@ -44,7 +45,7 @@
     return all(
         is_sure(worker, state)
         for worker in state.workers.values()
-        if worker.was_rostered
+        if worker.may_run_anything
     )
 
 
@@ -57,8 +58,11 @@
     ]
 
 
-def may_run(task: Task, state: SchedulerState) -> bool:
-    """Whether a task may run on a silent worker by the last account."""
+def is_awaited(task: Task, state: SchedulerState) -> bool:
+    """Whether a task may run on a silent worker by the last account.
+
+    Workers that are sure by now are struck off the task.
+    """
     if not task.unseen_on:
         return False
     task.unseen_on = {
@@ -70,7 +74,9 @@
     return bool(task.unseen_on)
 
 
-def note_answer(worker: Worker, state: SchedulerState) -> None:
+def note_answer(
+    worker: Worker, state: SchedulerState, *, is_whole: bool
+) -> None:
     """Take in that a worker knows us, and obeys no earlier owner any more.
 
     What an earlier one has granted last was granted before that. Counting
@@ -80,7 +86,7 @@
     if not worker.is_reconciled:
         worker.lapse_at_ms = 0
         extend_lapse(worker, state.config.worker_lease_ms, state)
-    worker.is_reconciled = True
+    worker.is_reconciled = is_whole
 
 
 # -- beginning with what an earlier owner left --------------------------------
@@ -100,7 +106,7 @@
             worker = state.workers[worker_id] = Worker(entry, is_listed=False)
         worker.is_rostered = True
         told = known.get(worker_id)
-        worker.was_rostered = told is None or told.tasks is None
+        worker.may_run_anything = told is None or told.tasks is None
         if told is None:
             extend_lapse(worker, _get_inherited_ms(state), state)
         else:
@@ -110,7 +116,7 @@
         'account read',
         is_known=bool(known),
         silent=sum(one.is_silent for one in known.values()),
-        unknown=sum(one.was_rostered for one in state.workers.values()),
+        unknown=sum(one.may_run_anything for one in state.workers.values()),
     )
 
 
@@ -121,7 +127,7 @@
     return min(config.worker_lease_limit_ms, granted_ms)
 
 
-def place(account: AccountRecord | None, context: Context) -> None:
+def note_tasks(account: AccountRecord | None, context: Context) -> None:
     """Note which tasks may run on which workers, by the last account."""
     state = context.state
     if account is None or account.epoch != context.fencing_token - 1:
@@ -131,12 +137,8 @@
             key = parse_task(name)
             job = state.jobs.get(key.job_id)
             if job is not None and worker_id in state.workers:
-                _get_task(job, name).unseen_on.add(worker_id)
-
-
-def _get_task(job: Job, name: str) -> Task:
-    key = parse_task(name)
-    return job.tasks.setdefault(key, Task(key))
+                task = _lifecycle.get_task(job, key)
+                task.unseen_on.add(worker_id)
 
 
 # -- the account for the next owner -------------------------------------------
@@ -161,7 +163,7 @@
     found: dict[str, set[str]] = {}
     for job in state.jobs.values():
         for task in job.tasks.values():
-            if may_run(task, state):
+            if is_awaited(task, state):
                 for worker_id in task.unseen_on:
                     found.setdefault(worker_id, set()).add(task.key.format())
     return found
@@ -172,7 +174,7 @@
 ) -> WorkerAccount:
     lasting_ms = max(0, worker.lapse_at_ms - state.now_ms)
     is_silent = worker.failed_count > 0 or not worker.is_reconciled
-    if worker.was_rostered and not is_sure(worker, state):
+    if worker.may_run_anything and not is_sure(worker, state):
         return WorkerAccount(lasting_ms, None, is_silent)
     # The end of a run that is not durable yet is known to the worker alone:
     # without it a task that is done would be started again.
--- a/src/tulippin/jobs/_workers.py
+++ b/src/tulippin/jobs/_workers.py
@@ -190,6 +190,7 @@
         attempt.state = AttemptState.RUNNING
         attempt.seen_ms = state.now_ms
         attempt.worked_ms = state.now_ms
+        _attempts.note_running(attempt, context)
         return
     state.count(f'starts_{outcome.value}')
     if outcome is StartOutcome.UNKNOWN:
--- a/src/tulippin/jobs/records.py
+++ b/src/tulippin/jobs/records.py
@@ -231,13 +231,14 @@
 
     ``passes`` tells for each task, as ``K.STEP.INDEX``, how often it has
     changed its unit, this time included, and ``runs`` the highest run
-    that an earlier unit may have started.
+    that an earlier unit may have started. ``begun`` are those that have run.
     """
 
     queue: Queue
     request: JobRequest
     passes: dict[str, int] = attrs.field(factory=dict)
     runs: dict[str, int] = attrs.field(factory=dict)
+    begun: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -144,6 +144,7 @@
     """A task with its runs.
 
     ``unseen_on`` are workers where an earlier owner's run of it may go on.
+    ``has_run``: a run of it was there, as far as this owner knows.
     """
 
     key: TaskKey
@@ -157,6 +158,7 @@
     ready_ms: int = 0
     least_run: int = 0
     unseen_on: set[str] = attrs.field(factory=set)
+    has_run: bool = False
 
 
 @attrs.frozen
@@ -175,6 +177,7 @@
 class Job:
     """A job with its tasks, as far as they may run.
 
+    ``is_resumed``: it had begun before the owner took the unit.
     ``is_guest``: another unit is its home. ``passes`` are the numbers of
     the passes by which tasks came, ``passed`` those that went.
     """
@@ -194,6 +197,7 @@
     progress_version: int = 0
     durable: ProgressRecord | None = None
     awaits_workers: bool = False
+    is_resumed: bool = False
     is_guest: bool = False
     passes: dict[TaskKey, int] = attrs.field(factory=dict)
     passed: dict[TaskKey, PassedTask] = attrs.field(factory=dict)
@@ -216,7 +220,7 @@
     order of ours may have given it has surely ended. ``slack`` is by
     how much more the serving tasks of each image there may be slowed;
     nothing where it must be worked out anew. ``exposure`` is what its
-    opportunistic tasks used at an earlier report. ``was_rostered``: an
+    opportunistic tasks used at an earlier report. ``may_run_anything``: an
     earlier owner's orders may have effect there, on any task.
     ``leaves_at_ms`` is the earliest end of a worker that drains.
     ``unsettled`` are tasks of ends that were read, by the end's number, and
@@ -256,7 +260,7 @@
     early_ends: set[TaskKey] = attrs.field(factory=set)
     strays: dict[tuple[TaskKey, int], int] = attrs.field(factory=dict)
     is_rostered: bool = False
-    was_rostered: bool = False
+    may_run_anything: bool = False
     is_reconciled: bool = False
 
     @property
--- a/tests/tulippin/jobs/test_scheduler_review.py
+++ b/tests/tulippin/jobs/test_scheduler_review.py
@@ -194,13 +194,14 @@
 # A renewal of an earlier ownership that is answered late ends the next one.
 def test_answer_to_a_renewal_of_an_earlier_ownership_ends_no_later_one():
     state = make_owner()
-    late = ev.LeaseRenewed(NOW_MS + 50, NOW_MS - 2200, False, True)
+    earlier = state.ownership.epoch_version - 1
+    late = ev.LeaseRenewed(NOW_MS + 50, earlier, NOW_MS - 2200, False, True)
     core.reduce(state, late)
     assert state.ownership.phase is Phase.ACTIVE
 
 
-# Tasks that must wait for a silent worker, or have no place at all, use up the
-# tries, and one with a place is not put before the short tasks.
+# Tasks that have run and must wait for a silent worker, or have no place at
+# all, use up the tries, and one with a place is not put before the short tasks.
 @pytest.mark.parametrize('blocked', [0, _OVERDUE_TRIES])
 def test_overdue_tasks_without_a_place_do_not_keep_back_one_that_has(blocked):
     state = make_owner(workers=1)
@@ -212,6 +213,7 @@
         state.now_ms = NOW_MS + at_ms
         for task in state.jobs[job_id].tasks.values():
             step = state.jobs[job_id].request.steps[0]
+            task.has_run = True
             add_ready(task, step, state)
     state.now_ms = now_ms - 10
     state.ownership.renewed_ms = now_ms
