--- a/src/tulippin/jobs/_draining.py
+++ b/src/tulippin/jobs/_draining.py
@@ -10,7 +10,7 @@
 
 import typing as t
 
-from tulippin.jobs import _attempts, _passing, _scoring
+from tulippin.jobs import _attempts, _passing, _ready, _scoring
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs.state import Attempt, AttemptState, SchedulerState
 
@@ -53,10 +53,12 @@
 
 
 def _are_others_waiting(state: SchedulerState) -> bool:
-    """Whether long-running tasks that were stopped still look for a place."""
+    """Whether tasks that were stopped just now still look for a place."""
+    since_ms = state.now_ms - _LAST_MS
     return any(
-        state.jobs[kind[0]].request.steps[kind[2]].long_running
-        for kind in state.ready
+        task.ready_ms > since_ms and _ready.is_back(state.jobs[kind[0]], task)
+        for kind, tasks in state.ready.items()
+        for task in tasks.values()
     )
 
 
