--- a/src/tulippin/jobs/_committing.py
+++ b/src/tulippin/jobs/_committing.py
@@ -114,6 +114,8 @@
     before = {job_id for job_id, job in state.jobs.items() if job.is_cancelled}
     added = _lifecycle.add_rows(event.rows, context)
     _restore(added, event.progress, context)
+    if added:
+        state.arrived_ms = state.now_ms
     for job in added:
         context.log(
             'job taken up',
--- a/src/tulippin/jobs/_ready.py
+++ b/src/tulippin/jobs/_ready.py
@@ -16,6 +16,12 @@
 OVERDUE_MS: t.Final = 2500
 
 
+# Jobs with nothing running are helped once no job has come for so long. While
+# they come, those that can be in time go first: with late ones helped at all
+# times, one kind of request was worth 0.40 in place of 0.44 on a full day.
+_LULL_MS: t.Final = 2500
+
+
 def get_step_key(key: TaskKey) -> StepKey:
     """Return the key of the step, in its occurrence, of a task."""
     return key.job_id, key.occurrence, key.step
@@ -56,13 +62,14 @@
 ) -> list[tuple[Job, Task]]:
     """Return tasks that have waited too long, the oldest first."""
     limit_ms = state.now_ms - OVERDUE_MS
+    is_lull = state.arrived_ms <= state.now_ms - _LULL_MS
     found = []
     for kind, tasks in queue.items():
         job = state.jobs[kind[0]]
         step = job.request.steps[kind[2]]
         if step.gang or job.queue.advised:
             continue
-        is_starved = step.opportunistic and not _has_runs(job)
+        is_starved = is_lull and step.opportunistic and not _has_runs(job)
         found.extend(
             (job, task)
             for task in tasks.values()
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -349,6 +349,7 @@
     rooms: dict[int, UnitRoom] = attrs.field(factory=dict)
     passing_ms: int = 0
     drained_ms: int = 0
+    arrived_ms: int = 0
     overdue_ms: dict[bool, int] = attrs.field(factory=dict)
     wall_offset_ms: int = 0
     model: PairModel = attrs.field(factory=PairModel)
