--- a/src/tulippin/jobs/_ready.py
+++ b/src/tulippin/jobs/_ready.py
@@ -14,8 +14,6 @@
 # allow 6 s without a run, of which a worker's lease takes up to 4.9 s, and
 # 3 s without any run of a job beside idle processors.
 OVERDUE_MS: t.Final = 2500
-
-
 # Jobs with nothing running are helped once no job has come for so long. While
 # they come, those that can be in time go first: with late ones helped at all
 # times, one kind of request was worth 0.40 in place of 0.44 on a full day.
--- a/src/tulippin/jobs/_unit_feeds.py
+++ b/src/tulippin/jobs/_unit_feeds.py
@@ -11,11 +11,7 @@
 from tulippin.exceptions import UnavailableError
 from tulippin.jobs import events as ev
 from tulippin.jobs._rows import get_version, read_record, read_row
-from tulippin.jobs.ports import (
-    HistoryLostError,
-    RowPage,
-    RowStore,
-)
+from tulippin.jobs.ports import HistoryLostError, RowPage, RowStore
 from tulippin.jobs.records import (
     ACCOUNTS_TABLE,
     EPOCH_KEY,
