--- a/src/tulippin/_http_client.py
+++ b/src/tulippin/_http_client.py
@@ -8,6 +8,7 @@
 import httpcore
 import trio
 
+from tulippin._http_connections import ConnectionPool
 from tulippin.exceptions import AnswerLostError, UnavailableError
 
 _JSON: t.Final = (b'Content-Type', b'application/json')
@@ -40,7 +41,7 @@
 class _Pool:
     """Connections of one age, with the calls in progress on them."""
 
-    connections: httpcore.AsyncConnectionPool
+    connections: ConnectionPool
     call_count: int = 0
     is_retired: bool = False
 
@@ -69,13 +70,7 @@
         self._retired: list[_Pool] = []
 
     def _make_pool(self) -> _Pool:
-        return _Pool(
-            httpcore.AsyncConnectionPool(
-                max_connections=self._connection_count,
-                max_keepalive_connections=self._connection_count,
-                keepalive_expiry=_KEEPALIVE_S,
-            )
-        )
+        return _Pool(ConnectionPool(self._connection_count, _KEEPALIVE_S))
 
     async def __aenter__(self) -> t.Self:
         """Return itself."""
@@ -143,11 +138,7 @@
         pool.call_count += 1
         try:
             answer = await pool.connections.request(
-                method,
-                url,
-                headers=fields,
-                content=body,
-                extensions={'timeout': timeouts},
+                method, url, fields, body, timeouts
             )
         except _REFUSED as error:
             raise UnavailableError(f'{url} does not answer') from error
--- a/tests/tulippin/test_http_client.py
+++ b/tests/tulippin/test_http_client.py
@@ -1,5 +1,7 @@
 """A call that times out takes the connections beside it with it."""
 
+import contextlib
+
 import pytest
 import trio
 
@@ -75,3 +77,85 @@
         with pytest.raises(UnavailableError) as caught:
             await client.send('GET', 'http://127.0.0.1:1/')
         assert not isinstance(caught.value, AnswerLostError)
+
+
+async def count_reads(stream, reads):
+    """Answer, and keep what each reading brought."""
+    while True:
+        request = await stream.receive_some(65536)
+        if not request:
+            return
+        reads.append(request)
+        await stream.send_all(ANSWER)
+
+
+async def open_counting_server(nursery, reads, opened):
+    async def handle(stream):
+        opened.append(stream)
+        with contextlib.suppress(trio.ClosedResourceError):
+            await count_reads(stream, reads)
+
+    listeners = await nursery.start(trio.serve_tcp, handle, 0)
+    port = listeners[0].socket.getsockname()[1]
+    return f'http://127.0.0.1:{port}'
+
+
+async def test_request_goes_out_in_one_piece_on_the_same_connection():
+    reads = []
+    opened = []
+    async with trio.open_nursery() as nursery, HttpClient(1) as client:
+        url = await open_counting_server(nursery, reads, opened)
+        for number in range(5):
+            await client.send('POST', f'{url}/', b'%d' % number)
+        # Head and body in two pieces came as two readings.
+        assert [read[-1:] for read in reads] == [b'0', b'1', b'2', b'3', b'4']
+        assert len(opened) == 1
+        nursery.cancel_scope.cancel()
+
+
+async def test_connection_that_the_server_closed_is_not_used_again():
+    reads = []
+    opened = []
+    async with trio.open_nursery() as nursery, HttpClient(1) as client:
+        url = await open_counting_server(nursery, reads, opened)
+        await client.send('GET', f'{url}/')
+        await opened[0].aclose()
+        await trio.sleep(0.05)
+        answer = await client.send('GET', f'{url}/')
+        assert answer.body == b'ok'
+        assert len(opened) == 2
+        nursery.cancel_scope.cancel()
+
+
+async def test_no_more_connections_than_allowed_are_in_use():
+    cuts = {'count': 0}
+    async with (
+        trio.open_nursery() as nursery,
+        HttpClient(0.2, connections=1) as client,
+    ):
+        url = await open_server(nursery, cuts)
+        async with trio.open_nursery() as calls:
+
+            async def wait_long():
+                await client.send('GET', f'{url}/slow', extra_wait_ms=1000)
+
+            calls.start_soon(wait_long)
+            await trio.sleep(0.05)
+            with pytest.raises(UnavailableError) as caught:
+                await client.send('GET', f'{url}/')
+        assert not isinstance(caught.value, AnswerLostError)
+        assert (await client.send('GET', f'{url}/')).body == b'ok'
+        nursery.cancel_scope.cancel()
+
+
+async def test_cancelled_request_leaves_no_half_used_connection():
+    cuts = {'count': 0}
+    async with (
+        trio.open_nursery() as nursery,
+        HttpClient(1, connections=1) as client,
+    ):
+        url = await open_server(nursery, cuts)
+        with trio.move_on_after(0.1):
+            await client.send('GET', f'{url}/slow')
+        assert (await client.send('GET', f'{url}/')).body == b'ok'
+        nursery.cancel_scope.cancel()
