Make units even: try every number of units for a failure domain's racks

Cause: one unit for each 25 workers, of whole racks: racks of 20 gave two units of 18 or 19 workers and one of 37 in each failure domain of the large deployment. Now every number of units is rated by how uneven they are and how far from 37 workers; 12 units of 34 to 40 there.

--- a/src/tulippin/jobs/layout.py
+++ b/src/tulippin/jobs/layout.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import collections
+import math
 import typing as t
 
 from tulippin.jobs.records import LayoutRecord
@@ -16,9 +17,18 @@
 # Up to so many workers stay one unit: an owner on one core spends 0.4 of
 # it on 33 workers with 95 starts a second.
 SINGLE_UNIT_WORKERS: t.Final = 44
-# Workers of one unit where there are several: half a core carries so many
-# at 60 starts a second.
-UNIT_WORKERS: t.Final = 25
+# Workers of one unit where there are several. An owner spends 0.06 of a core
+# on the decisions for so many at 3 starts a second each (`bench/unit_load.py`),
+# and the larger a unit, the more rarely a task waits beside room that
+# another unit has.
+UNIT_WORKERS: t.Final = 37
+# No unit is made larger, unless one rack is: half a core is what most
+# instances have.
+MOST_UNIT_WORKERS: t.Final = 50
+# What a unit's distance from ``UNIT_WORKERS`` counts beside the units'
+# unevenness: whole racks of 20 in a failure domain of 75 are better two
+# units of 35 and 40 than three of 15, 20 and 40.
+_SIZE_WEIGHT: t.Final = 0.5
 
 
 def get_rack(entry: WorkerEntry) -> str:
@@ -45,17 +55,53 @@
             {get_rack(entry) for entry in members} - set(racks),
             key=_make_order(sizes),
         )
-        counts = dict.fromkeys(
-            range(first, first + max(1, round(len(members) / UNIT_WORKERS))), 0
-        )
-        for rack in own:
-            unit = min(counts, key=counts.__getitem__)
-            racks[rack] = unit
-            counts[unit] += sizes[rack]
-        first += len(counts)
+        units = _divide(own, sizes)
+        for number, unit in enumerate(units, first):
+            racks.update(dict.fromkeys(unit, number))
+        first += len(units)
     return LayoutRecord(racks, _name_domains(racks, workers))
 
 
+def _divide(racks: list[str], sizes: t.Mapping[str, int]) -> list[list[str]]:
+    """Return a failure domain's racks, divided into units.
+
+    Every number of units is tried: which one is even depends on how the
+    racks' sizes add up. A job finds less room in the smaller of two uneven
+    units, and its owner has less to do than the other's.
+    """
+    tried = [
+        _fill_units(racks, sizes, count) for count in range(1, len(racks) + 1)
+    ]
+    return min(tried, key=lambda units: _rate(units, sizes), default=[])
+
+
+def _fill_units(
+    racks: list[str], sizes: t.Mapping[str, int], count: int
+) -> list[list[str]]:
+    """Divide racks into a number of units, each rack into the smallest."""
+    units: list[list[str]] = [[] for _ in range(count)]
+    for rack in racks:
+        min(units, key=lambda unit: _count_workers(unit, sizes)).append(rack)
+    return units
+
+
+def _rate(
+    units: list[list[str]], sizes: t.Mapping[str, int]
+) -> tuple[bool, float]:
+    """Return how little a division is liked; the lowest wins."""
+    counts = [_count_workers(unit, sizes) for unit in units]
+    mean = sum(counts) / len(counts)
+    unevenness = math.log(max(counts) / min(counts))
+    distance = abs(math.log(mean / UNIT_WORKERS))
+    is_splittable = any(len(unit) > 1 for unit in units)
+    is_too_large = max(counts) > MOST_UNIT_WORKERS and is_splittable
+    return is_too_large, unevenness + _SIZE_WEIGHT * distance
+
+
+def _count_workers(unit: list[str], sizes: t.Mapping[str, int]) -> int:
+    return sum(sizes[rack] for rack in unit)
+
+
 def _make_order(
     sizes: t.Mapping[str, int],
 ) -> t.Callable[[str], tuple[int, str]]:
