Spend no ticks on units whose owner is alive; tell a configuration once

Cause: every instance has a shell for each unit, ticked five times a second whether its lease is fresh or not, and each told of every configuration: 97 instances with 16 units wrote 1,649 lines a change. A unit that another instance owns is now ticked only once its lease is older than the least wait of a taker; events of such a unit skip all that only an owner decides; the instance alone tells of the configuration.

--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -93,6 +93,23 @@
     return is_same and lease.renewal_count <= known.renewal_count
 
 
+def may_be_free(state: SchedulerState, now_ms: int) -> bool:
+    """Whether time alone may make the instance take its unit.
+
+    Where the owner's lease is younger than any taker's wait, a tick would
+    change nothing.
+    """
+    ownership = state.ownership
+    lease = ownership.lease
+    if ownership.phase is not Phase.STANDING_BY:
+        return True
+    if lease is None or lease.released:
+        return True
+    if lease.instance_id == state.config.instance_id:
+        return True
+    return now_ms - ownership.changed_ms >= state.config.lease_ms
+
+
 def _take_if_free(context: Context) -> None:
     """Take the unit if nobody has it, or its holder surely is gone."""
     state = context.state
--- a/src/tulippin/jobs/core.py
+++ b/src/tulippin/jobs/core.py
@@ -30,7 +30,7 @@
     Ticked,
     WorkerAnswered,
 )
-from tulippin.jobs.state import SchedulerConfig, SchedulerState
+from tulippin.jobs.state import Phase, SchedulerConfig, SchedulerState
 
 __all__ = ('make_state', 'reduce')
 
@@ -64,6 +64,9 @@
         _ownership.note_pause(context, gap_ms)
     state.now_ms = max(state.now_ms, event.at_ms)
     handle(event, context)
+    if state.ownership.phase is Phase.STANDING_BY:
+        # Most units of most instances: there is nothing to decide.
+        return tuple(context.effects)
     if isinstance(event, WorkerAnswered) and context.may_order:
         _judge_report(event, context)
     is_tick = isinstance(event, Ticked)
@@ -127,4 +130,3 @@
     if known is not None and event.configuration.version <= known.version:
         return
     state.configuration = event.configuration
-    context.log('configuration in force', version=event.configuration.version)
--- a/src/tulippin/jobs/shell.py
+++ b/src/tulippin/jobs/shell.py
@@ -26,8 +26,9 @@
 from tulippin.logs import logger
 
 _TICK_S: t.Final = 0.05
-# Units that another instance owns are looked at less often: a takeover
-# takes two seconds.
+# Units that another instance owns are looked at less often, as a takeover
+# takes two seconds, and not at all while their owner's lease is fresh: of
+# 97 instances with 12 to 16 units each, 87 own nothing.
 _STANDBY_TICKS: t.Final = 4
 # How long the loop handles events before calls go on: a renewal of the
 # lease takes some ten turns, which have to fit into its 0.5 s.
@@ -187,20 +188,17 @@
     def _handle_some(self) -> None:
         """Handle events for one slice of time."""
         until_ms = self.clock() + _SLICE_MS
+        held = sum(unit.is_held for unit in self.units.values())
         while self._urgent or self._inbox:
             inbox = self._urgent or self._inbox
             unit, event = inbox.popleft()
             self._note_age(event)
-            self._count_held(unit)
+            unit.state.other_units = held - unit.is_held
             unit.step(event)
+            held = unit.state.other_units + unit.is_held
             if self.clock() >= until_ms:
                 return
 
-    def _count_held(self, unit: UnitShell) -> None:
-        unit.state.other_units = sum(
-            one.is_held for one in self.units.values() if one is not unit
-        )
-
     def _note_age(self, event: ev.JobEvent) -> None:
         now_ms = self.clock()
         self.event_age_ms = now_ms - event.at_ms
@@ -216,8 +214,9 @@
     async def _tick(self) -> None:
         count = 0
         while True:
+            is_standby_turn = count % _STANDBY_TICKS == 0
             for unit in list(self.units.values()):
-                if unit.is_held or count % _STANDBY_TICKS == 0:
+                if unit.is_held or (is_standby_turn and unit.may_be_free):
                     unit.post(ev.Ticked(self.clock(), self.wall()))
             count += 1
             await trio.sleep(_TICK_S)
--- a/src/tulippin/jobs/unit_shell.py
+++ b/src/tulippin/jobs/unit_shell.py
@@ -11,7 +11,7 @@
 import attrs
 
 from tulippin.exceptions import UnavailableError
-from tulippin.jobs import _row_effects, _worker_effects, core
+from tulippin.jobs import _ownership, _row_effects, _worker_effects, core
 from tulippin.jobs import effects as fx
 from tulippin.jobs import events as ev
 from tulippin.jobs._perform import perform
@@ -85,6 +85,11 @@
         """Whether the instance has the unit, or is about to."""
         return self.state.ownership.phase in _HELD_PHASES
 
+    @property
+    def may_be_free(self) -> bool:
+        """Whether the instance may have to take the unit by now."""
+        return _ownership.may_be_free(self.state, self.clock())
+
     def clock(self) -> int:
         """Return monotonic milliseconds."""
         return self._parent.clock()
