Send opportunistic jobs where least of their image waits

Owners tell what waits by image; a home is one of the units where no more of it waits than the job itself asks for beyond the least. Of two alike the first is no longer always taken.

--- a/src/tulippin/jobs/_balancing.py
+++ b/src/tulippin/jobs/_balancing.py
@@ -9,10 +9,14 @@
 that have them all. Long-running tasks fill a unit for minutes, and of two
 units at random both were among six full ones of 16 in 13% of draws: as
 many of the urgent jobs never began on a quiet day of 446 workers.
+
+What waits for idle processors waits for want of a worker whose long-running
+tasks bear its image: it goes where least of its image waits.
 """
 
 from __future__ import annotations
 
+import collections
 import random
 import typing as t
 
@@ -43,6 +47,7 @@
     since_ms: dict[int, int] = attrs.field(factory=dict)
     reserved: dict[int, int] = attrs.field(factory=dict)
     idle: dict[int, int] = attrs.field(factory=dict)
+    images: dict[int, collections.Counter[str]] = attrs.field(factory=dict)
 
     def refresh(self, number: int, seen_ms: int) -> None:
         """Forget what a newer lease row counts already."""
@@ -50,6 +55,7 @@
             self.since_ms[number] = seen_ms
             self.reserved[number] = 0
             self.idle[number] = 0
+            self.images[number] = collections.Counter()
 
     def add(self, number: int, request: JobRequest) -> None:
         """Count a job that goes to a unit."""
@@ -59,13 +65,29 @@
         self.idle[number] = self.idle.get(number, 0) + _sum_cpu(
             request, is_idle=True
         )
+        images = self.images.setdefault(number, collections.Counter())
+        for step in _list_first(request, is_idle=True):
+            images[step.image] += _get_cpu(step)
+
+
+def _list_first(request: JobRequest, *, is_idle: bool) -> list[Step]:
+    """Return the steps of a sort that wait for no others."""
+    return [
+        step
+        for step in request.steps
+        if step.opportunistic is is_idle and not step.after
+    ]
+
+
+def _get_cpu(step: Step) -> int:
+    return step.task_count * step.size.cpu_millicores
 
 
 def _sum_cpu(request: JobRequest, *, is_idle: bool) -> int:
     """Return the processors of the widest step of a sort."""
     return max(
         (
-            step.task_count * step.size.cpu_millicores
+            _get_cpu(step)
             for step in request.steps
             if step.opportunistic is is_idle
         ),
@@ -99,8 +121,9 @@
     for number in numbers:
         demands.refresh(number, units[number].lease_seen_ms)
     numbers = _keep_fitting(request, numbers, units, demands)
-    if len(numbers) > _CHOICES:
-        numbers = demands.source.sample(numbers, _CHOICES)
+    numbers = _keep_bearing(request, numbers, units, demands)
+    # In random order, so that of two alike not always the first is taken.
+    numbers = demands.source.sample(numbers, min(_CHOICES, len(numbers)))
     is_idle = all(step.opportunistic for step in request.steps)
     chosen = min(
         numbers,
@@ -147,11 +170,7 @@
     Where none has a place for all of their tasks, those are left that
     have places for nearly as many as the best one.
     """
-    steps = [
-        step
-        for step in request.steps
-        if not (step.after or step.opportunistic)
-    ]
+    steps = _list_first(request, is_idle=False)
     if not steps or len(numbers) <= 1:
         return numbers
     shares = {
@@ -164,6 +183,37 @@
     return [number for number in numbers if shares[number] >= least]
 
 
+def _keep_bearing(
+    request: JobRequest,
+    numbers: list[int],
+    units: t.Mapping[int, UnitShell],
+    demands: Demands,
+) -> list[int]:
+    """Return the units where least of the job's images waits.
+
+    Those where no more waits than the job itself asks for count as alike:
+    rows are half a second old, and that much starts at once.
+    """
+    steps = _list_first(request, is_idle=True)
+    if not steps or len(numbers) <= 1:
+        return numbers
+    waiting = {
+        number: sum(
+            _get_waiting(step, units[number], demands) for step in steps
+        )
+        for number in numbers
+    }
+    most = min(waiting.values()) + sum(_get_cpu(step) for step in steps)
+    return [number for number in numbers if waiting[number] <= most]
+
+
+def _get_waiting(step: Step, unit: UnitShell, demands: Demands) -> int:
+    """Return what of a step's image waits in a unit, or was sent there."""
+    sent = demands.images.get(unit.config.unit.number, {})
+    told = _get_room(unit).waiting_millicores
+    return told.get(step.image, 0) + sent.get(step.image, 0)
+
+
 def _get_placed_share(step: Step, unit: UnitShell, demands: Demands) -> float:
     """Return the share of a step's tasks that find a place in a unit."""
     size = max(1, step.reserved.cpu_millicores)
--- a/src/tulippin/jobs/_rooms.py
+++ b/src/tulippin/jobs/_rooms.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import itertools
 
 from tulippin.jobs import _feasibility
@@ -27,6 +28,7 @@
         ),
         _get_labels(opened),
         _count_places(opened, _sum_waiting(state, is_idle=False)),
+        _sum_waiting_images(state),
     )
 
 
@@ -97,6 +99,15 @@
     return total
 
 
+def _sum_waiting_images(state: SchedulerState) -> dict[str, int]:
+    """Return the processors that opportunistic tasks wait for, by image."""
+    waiting: collections.Counter[str] = collections.Counter()
+    for kind, tasks in state.ready_idle.items():
+        step = state.jobs[kind[0]].request.steps[kind[2]]
+        waiting[step.image] += len(tasks) * step.size.cpu_millicores
+    return dict(waiting)
+
+
 def _get_labels(workers: list[Worker]) -> tuple[str, ...]:
     """Return the labels of workers, but for their racks."""
     labels = {label for one in workers for label in one.entry.labels}
--- a/src/tulippin/jobs/records.py
+++ b/src/tulippin/jobs/records.py
@@ -98,6 +98,8 @@
     places : tuple of int
         How many more tasks of each of ``PLACE_SIZES`` find a place, as far
         as there are any.
+    waiting_millicores : dict of str to int
+        What opportunistic tasks wait for, by image.
     """
 
     capacity_millicores: int = 0
@@ -106,6 +108,7 @@
     largest_free: Resources = Resources()
     labels: tuple[str, ...] = ()
     places: tuple[int, ...] = ()
+    waiting_millicores: dict[str, int] = attrs.field(factory=dict)
 
 
 @attrs.frozen
--- a/tests/tulippin/jobs/test_balancing.py
+++ b/tests/tulippin/jobs/test_balancing.py
@@ -111,3 +111,42 @@
     assert _rooms.count_places(room, 5300) == 11
     assert _rooms.count_places(room, 1000) == 90
     assert _rooms.count_places(room, 7000) == 0
+
+
+def let_wait(unit, **images):
+    room = attrs.evolve(unit.lease.room, waiting_millicores=images)
+    unit.lease = attrs.evolve(unit.lease, room=room)
+
+
+def make_idle_request(image='billing'):
+    return make_request(10, 2000, opportunistic=True, image=image)
+
+
+def test_opportunistic_job_avoids_units_where_its_image_waits():
+    units = make_units(9, 9, 9, 9)
+    let_wait(units[1], billing=90_000)
+    let_wait(units[2], other=90_000)
+    let_wait(units[3], billing=60_000)
+    chosen = choose(units, make_idle_request(), 200)
+    assert set(chosen) == {0, 2}
+    assert set(choose(units, make_idle_request('other'), 200)) == {0, 1, 3}
+
+
+def test_units_where_little_waits_count_as_alike():
+    units = make_units(9, 9, 9)
+    let_wait(units[1], billing=15_000)
+    let_wait(units[2], billing=25_000)
+    assert set(choose(units, make_idle_request(), 200)) == {0, 1}
+
+
+def test_jobs_sent_since_count_as_waiting():
+    units = make_units(9, 9, 9)
+    layout = LayoutRecord({f'r{number}': number for number in units})
+    demands = _balancing.Demands(random.Random(1))
+    chosen = collections.Counter(
+        _balancing.choose_unit(
+            make_idle_request(), units, layout, demands, NOW_MS
+        )
+        for _ in range(30)
+    )
+    assert max(chosen.values()) - min(chosen.values()) <= 3
