Tell why tasks that reserve processors wait

One line a second: how many, the oldest, and what each worker has too little of for the smallest. Test first seen to fail without it.

--- a/src/tulippin/jobs/_refusals.py
+++ b/src/tulippin/jobs/_refusals.py
@@ -4,7 +4,8 @@
 each image that waits for idle processors, how many tasks wait and on how
 many workers the smallest of them is refused for which reason, so that idle
 processors beside a backlog are explained from the log. Another one says
-what keeps long-running tasks away that should be at work.
+what keeps long-running tasks away that should be at work, and a third why
+tasks that reserve their processors find none.
 """
 
 from __future__ import annotations
@@ -31,6 +32,7 @@
         return
     state.refusals_told_ms = state.now_ms
     _tell_lasting(context)
+    _tell_reserving(context)
     if state.ready_idle:
         _tell_idle(context)
 
@@ -59,12 +61,41 @@
     )
 
 
-def _iter_late(state: SchedulerState) -> t.Iterator[tuple[Job, Task]]:
-    """Iterate over long-running tasks that have waited for a second."""
+def _tell_reserving(context: Context) -> None:
+    """Tell why tasks that reserve processors have waited for a second."""
+    state = context.state
+    waiting = list(_iter_late(state, is_lasting=False))
+    if not waiting:
+        return
+    oldest_job, oldest = min(waiting, key=lambda pair: pair[1].ready_ms)
+    job, task = min(waiting, key=_get_size)
+    step = job.request.steps[task.key.step]
+    context.log(
+        'tasks wait for room',
+        tasks=len(waiting),
+        jobs=len({one.job_id for one, _ in waiting}),
+        queue=oldest_job.queue.name,
+        oldest=oldest.key.format(),
+        waited_ms=state.now_ms - oldest.ready_ms,
+        smallest_millicores=step.size.cpu_millicores,
+        smallest_memory_mb=step.size.memory_mb,
+        refused=_count_reasons(job, step, task, state),
+    )
+
+
+def _get_size(pair: tuple[Job, Task]) -> int:
+    job, task = pair
+    return job.request.steps[task.key.step].size.cpu_millicores
+
+
+def _iter_late(
+    state: SchedulerState, *, is_lasting: bool = True
+) -> t.Iterator[tuple[Job, Task]]:
+    """Iterate over tasks of a sort that have waited for a second."""
     limit_ms = state.now_ms - _EVERY_MS
     for kind, tasks in state.ready.items():
         job = state.jobs[kind[0]]
-        if not job.request.steps[kind[2]].long_running:
+        if job.request.steps[kind[2]].long_running is not is_lasting:
             continue
         for task in tasks.values():
             if task.ready_ms <= limit_ms:
@@ -132,6 +163,8 @@
     """Return what keeps a task from a worker."""
     if not _feasibility.is_open(worker, job, task, step, state):
         return 'closed'
+    if not step.opportunistic:
+        return _get_missing_room(worker, step)
     if _interference.get_idle(worker) < step.size.cpu_millicores:
         return 'busy'
     if not _feasibility.is_feasible(worker, job, task, step, state):
@@ -140,3 +173,11 @@
         serving = {one.step.image for one in worker.serving.values()}
         return f'harms_one_of_{len(serving)}'
     return 'takes_it'
+
+
+def _get_missing_room(worker: Worker, step: Step) -> str:
+    """Return what a worker has too little of for a task that reserves it."""
+    free = worker.free
+    if free.cpu_millicores < step.reserved.cpu_millicores:
+        return 'processors'
+    return 'takes_it' if worker.has_room(step.reserved) else 'memory'
--- a/tests/tulippin/jobs/test_scheduler_logs.py
+++ b/tests/tulippin/jobs/test_scheduler_logs.py
@@ -116,3 +116,27 @@
     # answer, and its next call is lost anew.
     assert told.count('store lost') <= 1 + WAITING_FEEDS
     assert 'store answers' in told[lost:]
+
+
+def test_tasks_without_room_are_told_with_the_reason(run_virtual):
+    async def run():
+        async with open_fleet(instances=1, workers=2) as fleet:
+            # Workers hold 16 cores: the third task waits.
+            step = make_step(3, 12_000)
+            intake = fleet.instances['i0'].intake
+            request = make_request(step, run_ms=9000)
+            await intake.submit(JOB, QUEUE, request, LIMIT_MS)
+            await trio.sleep(3)
+
+    with capture() as handler:
+        run_virtual(run)
+    told = [
+        record.kwargs
+        for record in handler.records
+        if record.message == 'tasks wait for room'
+    ]
+    assert 1 <= len(told) <= 3
+    assert told[-1]['tasks'] == 1
+    assert told[-1]['queue'] == QUEUE.name
+    assert told[-1]['refused'] == {'processors': 2}
+    assert told[-1]['waited_ms'] > 1000
