--- a/src/tulippin/_http_connections.py
+++ b/src/tulippin/_http_connections.py
@@ -60,20 +60,18 @@
         """
         target = httpcore.URL(url)
         await self._take_turn(timeouts['pool'])
+        connection = await self._take(target.origin)
         try:
-            connection = await self._take(target.origin)
-            try:
-                return await connection.request(
-                    method,
-                    target,
-                    headers=headers,
-                    content=content,
-                    extensions={'timeout': timeouts},
-                )
-            finally:
-                await self._put_back(connection, target.origin)
+            return await connection.request(
+                method,
+                target,
+                headers=headers,
+                content=content,
+                extensions={'timeout': timeouts},
+            )
         finally:
             self._limiter.release()
+            await self._put_back(connection, target.origin)
 
     async def aclose(self) -> None:
         """Close all idle connections, and those in use once they are not."""
--- a/src/tulippin/jobs/_passing.py
+++ b/src/tulippin/jobs/_passing.py
@@ -56,19 +56,28 @@
     state.passing_ms = state.now_ms
     _even_out(context)
     budget = _TASKS_PER_PASS
+    for job, step, task in _list_late(state):
+        if budget and not _unseen.is_awaited(task, state):
+            budget -= _pass(job, step, task, context)
+
+
+def _list_late(state: SchedulerState) -> list[tuple[Job, Step, Task]]:
+    """Return the tasks that have waited for room too long."""
     is_overfull = _evening.is_overfull(state)
-    for kind, tasks in list(state.ready.items()):
+    limit_ms = state.now_ms - _WAIT_MS
+    found = []
+    for kind, tasks in state.ready.items():
         job = state.jobs[kind[0]]
         step = job.request.steps[kind[2]]
-        if not _may_pass(job, step, state):
-            continue
-        if is_overfull and _evening.is_new(job, step, state):
-            # They are held back, and go where more is lacking.
-            continue
-        for task in list(tasks.values()):
-            is_long = state.now_ms - task.ready_ms >= _WAIT_MS
-            if budget and is_long and not _unseen.is_awaited(task, state):
-                budget -= _pass(job, step, task, context)
+        # Those that are held back go where more is lacking.
+        is_held = is_overfull and _evening.is_new(job, step, state)
+        if _may_pass(job, step, state) and not is_held:
+            found.extend(
+                (job, step, task)
+                for task in tasks.values()
+                if task.ready_ms <= limit_ms
+            )
+    return found
 
 
 def _even_out(context: Context) -> None:
--- a/src/tulippin/jobs/layout.py
+++ b/src/tulippin/jobs/layout.py
@@ -80,8 +80,11 @@
 ) -> list[list[str]]:
     """Divide racks into a number of units, each rack into the smallest."""
     units: list[list[str]] = [[] for _ in range(count)]
+    counts = [0 for _ in units]
     for rack in racks:
-        min(units, key=lambda unit: _count_workers(unit, sizes)).append(rack)
+        smallest = counts.index(min(counts))
+        units[smallest].append(rack)
+        counts[smallest] += sizes[rack]
     return units
 
 
--- a/src/tulippin/jobs/records.py
+++ b/src/tulippin/jobs/records.py
@@ -21,6 +21,9 @@
 ACCOUNT_KEY: t.Final = 'account'
 # Which unit keeps a job: one row each, in the job's part.
 HOMES_TABLE: t.Final = 'homes'
+# What bundles are kept in.
+PRODUCT_TABLE: t.Final = 'tulippin'
+PRODUCT_PART: t.Final = 'product'
 LEASE_KEY: t.Final = 'lease'
 EPOCH_KEY: t.Final = 'epoch'
 ROSTER_KEY: t.Final = 'roster'
--- a/src/tulippin/row_table.py
+++ b/src/tulippin/row_table.py
@@ -15,10 +15,9 @@
     StoredRow,
     Transaction,
 )
+from tulippin.jobs.records import PRODUCT_PART, PRODUCT_TABLE
 from tulippin.ports import Condition, Row, Write
 
-_TABLE: t.Final = 'tulippin'
-_PART: t.Final = 'product'
 # An operator waits for a step at most so long.
 _COMMIT_LIMIT_S: t.Final = 3.0
 
@@ -35,13 +34,17 @@
 
     async def get(self, key: str) -> Row | None:
         """Return a row."""
-        page = await self.store.read_rows(_TABLE, _PART, key, f'{key}\0')
+        page = await self.store.read_rows(
+            PRODUCT_TABLE, PRODUCT_PART, key, f'{key}\0'
+        )
         return _convert(page.rows[0]) if page.rows else None
 
     async def scan(self, prefix: str) -> list[tuple[str, Row]]:
         """Return the rows whose key begins with a prefix."""
         end = prefix[:-1] + chr(ord(prefix[-1]) + 1)
-        page = await self.store.read_rows(_TABLE, _PART, prefix, end)
+        page = await self.store.read_rows(
+            PRODUCT_TABLE, PRODUCT_PART, prefix, end
+        )
         return [(row.key, _convert(row)) for row in page.rows]
 
     async def commit(
@@ -49,13 +52,14 @@
     ) -> int:
         """Apply all writes if all conditions hold."""
         transaction = Transaction(
-            _PART,
+            PRODUCT_PART,
             tuple(
-                RowCondition(_TABLE, one.key, one.version) for one in conditions
+                RowCondition(PRODUCT_TABLE, one.key, one.version)
+                for one in conditions
             ),
             tuple(
                 RowWrite(
-                    _TABLE,
+                    PRODUCT_TABLE,
                     one.key,
                     None if one.value is None else one.value.encode(),
                 )
--- a/src/tulippin/scheduler_bundles.py
+++ b/src/tulippin/scheduler_bundles.py
@@ -8,10 +8,11 @@
 import trio
 
 from tulippin.exceptions import TulippinError, UnavailableError
+from tulippin.jobs._rows import read_row
 from tulippin.jobs.events import PolicyChanged
+from tulippin.jobs.records import PRODUCT_PART, PRODUCT_TABLE
 from tulippin.jobs.shell import SchedulerShell
 from tulippin.logs import logger
-from tulippin.row_table import RowTable
 
 # A change is to be in force within 12 s; a reading takes some 5 ms.
 _LOOK_EVERY_S: t.Final = 4.0
@@ -31,16 +32,16 @@
         Operators' public keys; a bundle whose signatures they do not
         confirm is not put in force.
     """
-    table = RowTable(shell.ports.store)
+    store = shell.ports.store
     head_version = 0
     number = 0
     while True:
         await trio.sleep(_LOOK_EVERY_S)
         try:
-            head = await table.get(_HEAD_KEY)
+            head = await read_row(store, PRODUCT_TABLE, PRODUCT_PART, _HEAD_KEY)
             if head is None or head.version == head_version:
                 continue
-            number = await _apply_newest(shell, table, keys, number)
+            number = await _apply_newest(shell, keys, number)
         except UnavailableError as error:
             shell.note_store(error)
         except TulippinError as error:
@@ -50,13 +51,12 @@
 
 
 async def _apply_newest(
-    shell: SchedulerShell,
-    table: RowTable,
-    keys: t.Mapping[str, str],
-    number: int,
+    shell: SchedulerShell, keys: t.Mapping[str, str], number: int
 ) -> int:
-    # Signatures need a library of 11 MB, which an instance without any
-    # bundle never loads.
+    # Signatures need a library of 11 MB, and the product's own messages a
+    # tenth of an instance's time to start: one without any bundle loads none.
+    table_module = importlib.import_module('tulippin.row_table')
+    table = table_module.RowTable(shell.ports.store)
     store_module = importlib.import_module('tulippin.bundle_store')
     bundles = importlib.import_module('tulippin.bundles')
     store = store_module.BundleStore(table, keys)
--- a/tests/tulippin/jobs/test_evening.py
+++ b/tests/tulippin/jobs/test_evening.py
@@ -2,11 +2,11 @@
 
 import pytest
 import trio
+from test_scheduler_units import get_running, open_units
 
 from fleet_of_schedulers import QUEUE, make_request, make_step
 from tulippin.jobs import _evening
 from tulippin.jobs.types import JobState
-from test_scheduler_units import get_running, open_units, submit
 
 LIMIT_MS = 3000
 CORE = 1000
--- a/tests/tulippin/jobs/test_layout.py
+++ b/tests/tulippin/jobs/test_layout.py
@@ -63,7 +63,7 @@
 UNEVEN = {15: 1.5, 16: 1.35, 30: 1.5}
 
 
-@pytest.mark.parametrize('per_rack', (5, 8, 10, 12, 15, 16, 20, 25, 30, 40))
+@pytest.mark.parametrize('per_rack', [5, 8, 10, 12, 15, 16, 20, 25, 30, 40])
 def test_units_of_a_large_layout_are_even_at_any_size_of_rack(per_rack):
     """Six failure domains of 74 or 75 workers, the last rack of each short.
 
