--- a/src/tulippin/jobs/layout.py
+++ b/src/tulippin/jobs/layout.py
@@ -17,10 +17,10 @@
 # Up to so many workers stay one unit: an owner on one core spends 0.4 of
 # it on 33 workers with 95 starts a second.
 SINGLE_UNIT_WORKERS: t.Final = 44
-# Workers of one unit where there are several. An owner spends 0.06 of a core
-# on the decisions for so many at 3 starts a second each (`bench/unit_load.py`),
-# and the larger a unit, the more rarely a task waits beside room that
-# another unit has.
+# Workers of one unit where there are several. An owner spends 0.08 of a core
+# on the decisions for so many, 0.14 for 50, at 100 and 140 starts a second
+# (`bench/unit_load.py`), and the larger a unit, the more rarely a task waits
+# beside room that another unit has.
 UNIT_WORKERS: t.Final = 37
 # No unit is made larger, unless one rack is: half a core is what most
 # instances have.
