Pass long-running steps on whole, to units that serve their image

Cause: pieces of many jobs in each unit mean more images on a worker, and with three to five of them nearly everything that waits for idle processors is refused. A unit tells the images that it serves; a new long-running job goes to a unit of its image that is no fuller than the mean, and what a unit has too much leaves step by step, the loneliest image first.

--- a/src/tulippin/jobs/_balancing.py
+++ b/src/tulippin/jobs/_balancing.py
@@ -35,6 +35,9 @@
 _CHOICES: t.Final = 2
 # A unit counts as good as the best that has places for so much of its share.
 _NEARLY: t.Final = 0.9
+# How much fuller than the mean a unit may be that serves a job's image: what
+# makes it fuller is passed on.
+_FULLER: t.Final = 0.03
 # Of what tasks with a target reserve, the part that they leave idle.
 _IDLE_PART: t.Final = 0.5
 
@@ -180,7 +183,36 @@
         for number in numbers
     }
     least = _NEARLY * max(shares.values())
-    return [number for number in numbers if shares[number] >= least]
+    fitting = [number for number in numbers if shares[number] >= least]
+    return _keep_alike(steps, fitting, units, demands)
+
+
+def _keep_alike(
+    steps: list[Step],
+    numbers: list[int],
+    units: t.Mapping[int, UnitShell],
+    demands: Demands,
+) -> list[int]:
+    """Return the units that serve a long-running job's image, if any.
+
+    The fewer images a unit serves, the fewer a worker does, and the more
+    may run beside them. One that is fuller than the mean is left alone.
+    """
+    images = {step.image for step in steps if step.long_running}
+    if not images:
+        return numbers
+    loads = {
+        number: _get_load(units[number], demands, is_idle=False)
+        for number in numbers
+    }
+    most = sum(loads.values()) / max(1, len(loads)) + _FULLER
+    alike = [
+        number
+        for number in numbers
+        if images <= set(_get_room(units[number]).images)
+        and loads[number] <= most
+    ]
+    return alike or numbers
 
 
 def _keep_bearing(
--- a/src/tulippin/jobs/_evening.py
+++ b/src/tulippin/jobs/_evening.py
@@ -14,15 +14,17 @@
 
 from __future__ import annotations
 
+import collections
 import typing as t
 import zlib
 
 import attrs
 
 from tulippin.jobs import _rooms, _unseen
+from tulippin.jobs._ready import StepKey
 from tulippin.jobs.records import UnitRoom
 from tulippin.jobs.state import Job, SchedulerState
-from tulippin.jobs.types import Step, TaskKey
+from tulippin.jobs.types import Step
 
 # Owners tell their rooms every 0.5 s, and read the others' 0.45 s apart.
 _ROOMS_TOLD_MS: t.Final = 1000
@@ -31,6 +33,8 @@
 # How much fuller than the mean a unit may be: a job of the users' sheets
 # fills a unit by 0.06 to 0.11, and passing on costs two transactions.
 _MARGIN: t.Final = 0.06
+# Half a step more or less is as near to the mean as whole steps come.
+_LEAST_PART: t.Final = 0.5
 _RANDOM_RANGE: t.Final = 0xFFFFFFFF
 
 
@@ -57,45 +61,61 @@
     return _weigh(state).surplus > 0
 
 
-def choose_units(state: SchedulerState) -> dict[TaskKey, int]:
-    """Return the waiting tasks that leave, each with the unit it goes to.
+def choose_units(state: SchedulerState) -> dict[StepKey, int]:
+    """Return the waiting steps that leave, each with the unit it goes to.
 
-    Each goes to a unit drawn by what the emptier ones lack: if all went to
-    the emptiest, several owners would fill it in the same moment.
+    A step leaves whole: in pieces its image would be served in many units,
+    beside more others, and what disturbs any of them finds no place. Each
+    goes to a unit drawn by what the emptier ones lack: if all went to the
+    emptiest, several owners would fill it in the same moment.
     """
-    due = [
-        (job, step, key)
-        for job, step, key in _iter_waiting(state)
-        if state.now_ms - job.arrived_ms >= _ROOMS_TOLD_MS
-    ]
+    due = _list_due(state)
     if not due:
         return {}
     balance = _weigh(state)
     deficits = dict(balance.deficits)
     surplus = balance.surplus
     chosen = {}
-    for _, step, key in due:
-        size = step.size.cpu_millicores
-        if surplus < size:
-            break
-        unit = _draw(deficits, key, size, step, state)
+    for kind, step, size in due:
+        if surplus < _LEAST_PART * size:
+            continue
+        unit = _draw(deficits, kind, size, step, state)
         if unit is not None:
-            chosen[key] = unit
+            chosen[kind] = unit
             deficits[unit] -= size
             surplus -= size
     return chosen
 
 
-def _iter_waiting(
+def _list_due(
     state: SchedulerState,
-) -> t.Iterator[tuple[Job, Step, TaskKey]]:
+) -> list[tuple[StepKey, Step, int]]:
+    """Return waiting steps with their processors, the lonely ones first.
+
+    Those whose image the unit serves least lose nothing by going.
+    """
+    found = []
+    served = _count_images(state)
     for kind, tasks in state.ready.items():
         job = state.jobs[kind[0]]
         step = job.request.steps[kind[2]]
-        if _may_leave(job, step, state):
-            for task in tasks.values():
-                if not (task.has_run or task.attempts):
-                    yield job, step, task.key
+        is_told = state.now_ms - job.arrived_ms >= _ROOMS_TOLD_MS
+        if not (is_told and _may_leave(job, step, state)):
+            continue
+        if not any(task.has_run or task.attempts for task in tasks.values()):
+            size = len(tasks) * step.size.cpu_millicores
+            found.append((kind, step, size))
+    found.sort(key=lambda one: (served[one[1].image], one[0]))
+    return found
+
+
+def _count_images(state: SchedulerState) -> collections.Counter[str]:
+    """Return how many tasks of each image the unit serves."""
+    return collections.Counter(
+        attempt.step.image
+        for worker in state.workers.values()
+        for attempt in worker.serving.values()
+    )
 
 
 def _may_leave(job: Job, step: Step, state: SchedulerState) -> bool:
@@ -132,20 +152,28 @@
 
 def _draw(
     deficits: dict[int, float],
-    key: TaskKey,
+    kind: StepKey,
     size: int,
     step: Step,
     state: SchedulerState,
 ) -> int | None:
-    """Return a unit that lacks the task's size, by the task's name."""
+    """Return a unit that lacks a step's size, by the step's name.
+
+    One that serves the step's image already is preferred.
+    """
     able = [
         number
         for number, lacking in deficits.items()
-        if lacking >= size and _rooms.has_place(state.rooms[number], step)
+        if lacking >= _LEAST_PART * size
+        and _rooms.has_place(state.rooms[number], step)
+    ]
+    alike = [
+        number for number in able if step.image in state.rooms[number].images
     ]
+    able = alike or able
     if not able:
         return None
-    drawn = zlib.crc32(key.format().encode()) / _RANDOM_RANGE
+    drawn = zlib.crc32(repr(kind).encode()) / _RANDOM_RANGE
     left = drawn * sum(deficits[number] for number in able)
     for number in able:
         left -= deficits[number]
--- a/src/tulippin/jobs/_passing.py
+++ b/src/tulippin/jobs/_passing.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import itertools
 import typing as t
 
 import attrs
@@ -32,8 +31,6 @@
 _EVERY_MS: t.Final = 200
 # The most tasks passed on in one go: rooms are told twice a second.
 _TASKS_PER_PASS: t.Final = 12
-# The most that are passed on to even units out: two jobs of the users' sheets.
-_EVENED_PER_PASS: t.Final = 48
 # Units that are fuller than this are left alone: what is free there lies
 # in pieces, and urgent tasks need some.
 _FULLEST: t.Final = 0.97
@@ -81,13 +78,13 @@
 
 
 def _even_out(context: Context) -> None:
-    """Pass on new tasks of which the unit has more than others."""
+    """Pass on new steps of which the unit has more than others."""
     state = context.state
-    chosen = _evening.choose_units(state)
-    for key, unit in itertools.islice(chosen.items(), _EVENED_PER_PASS):
-        job = state.jobs[key.job_id]
-        step = job.request.steps[key.step]
-        _hand_over(job, step, job.tasks[key], unit, context)
+    for kind, unit in _evening.choose_units(state).items():
+        job = state.jobs[kind[0]]
+        step = job.request.steps[kind[2]]
+        for task in list(state.ready[kind].values()):
+            _hand_over(job, step, task, unit, context)
 
 
 def _may_pass(job: Job, step: Step, state: SchedulerState) -> bool:
--- a/src/tulippin/jobs/_rooms.py
+++ b/src/tulippin/jobs/_rooms.py
@@ -29,6 +29,7 @@
         _get_labels(opened),
         _count_places(opened, _sum_waiting(state, is_idle=False)),
         _sum_waiting_images(state),
+        _list_serving_images(opened, state),
     )
 
 
@@ -108,6 +109,20 @@
     return dict(waiting)
 
 
+def _list_serving_images(
+    opened: list[Worker], state: SchedulerState
+) -> tuple[str, ...]:
+    """Return the images of long-running tasks that run or wait."""
+    steps = [state.jobs[kind[0]].request.steps[kind[2]] for kind in state.ready]
+    images = {step.image for step in steps if step.long_running}
+    images.update(
+        attempt.step.image
+        for worker in opened
+        for attempt in worker.serving.values()
+    )
+    return tuple(sorted(images))
+
+
 def _get_labels(workers: list[Worker]) -> tuple[str, ...]:
     """Return the labels of workers, but for their racks."""
     labels = {label for one in workers for label in one.entry.labels}
--- a/src/tulippin/jobs/records.py
+++ b/src/tulippin/jobs/records.py
@@ -103,6 +103,8 @@
         as there are any.
     waiting_millicores : dict of str to int
         What opportunistic tasks wait for, by image.
+    images : tuple of str
+        Images of the long-running tasks that run or wait.
     """
 
     capacity_millicores: int = 0
@@ -112,6 +114,7 @@
     labels: tuple[str, ...] = ()
     places: tuple[int, ...] = ()
     waiting_millicores: dict[str, int] = attrs.field(factory=dict)
+    images: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/tests/tulippin/jobs/test_balancing.py
+++ b/tests/tulippin/jobs/test_balancing.py
@@ -150,3 +150,25 @@
         for _ in range(30)
     )
     assert max(chosen.values()) - min(chosen.values()) <= 3
+
+
+def let_serve(unit, *images):
+    room = attrs.evolve(unit.lease.room, images=images)
+    unit.lease = attrs.evolve(unit.lease, room=room)
+
+
+def test_long_running_job_joins_its_image():
+    units = make_units(50, 50, 50, 50)
+    let_serve(units[1], 'a', 'b')
+    let_serve(units[3], 'b')
+    request = make_request(9, long_running=True, image='b')
+    assert set(choose(units, request, 100)) == {1, 3}
+    request = make_request(9, long_running=True, image='c')
+    assert set(choose(units, request, 100)) == {0, 1, 2, 3}
+
+
+def test_long_running_job_does_not_join_its_image_in_a_fuller_unit():
+    units = make_units(50, 40, 50, 50)
+    let_serve(units[1], 'b')
+    request = make_request(9, long_running=True, image='b')
+    assert 1 not in choose(units, request, 100)
