--- /dev/null
+++ b/src/tulippin/jobs/_choosing.py
@@ -0,0 +1,127 @@
+"""Which worker a task is started on, of those that may take it."""
+
+from __future__ import annotations
+
+import typing as t
+
+from tulippin.jobs import _feasibility, _interference, _scoring
+from tulippin.jobs.state import Job, SchedulerState, Task, Worker
+from tulippin.jobs.types import Step
+
+# What each further image served on one worker counts, what taking a
+# worker that serves nothing yet does, and what it does to leave a piece
+# that is neither nothing nor enough for a large task, all beside the room
+# left in pieces for one large task.
+_MIX_WEIGHT: t.Final = 6.0
+_EMPTY_WEIGHT: t.Final = 1.0
+_PIECE_WEIGHT: t.Final = 1.0
+_SMALL_PIECE_MILLICORES: t.Final = 500
+_LARGE_PIECE_MILLICORES: t.Final = 4800
+# A worker where a task failed is taken again only if no other fits, and
+# one far from its data likewise.
+_AVOIDED_WEIGHT: t.Final = 10.0
+_FAR_WEIGHT: t.Final = 2.0
+
+
+def choose(
+    job: Job,
+    task: Task,
+    step: Step,
+    state: SchedulerState,
+    rack: str = '',
+) -> Worker | None:
+    """Return the worker where a task is best started, if any takes it.
+
+    Parameters
+    ----------
+    job, task, step : Job, Task, Step
+        What is to be started.
+    state : SchedulerState
+        Holds the workers and the policy.
+    rack : str, optional
+        The only rack to be looked at.
+    """
+    best = None
+    best_score = 0.0
+    for worker in state.workers.values():
+        if rack and worker.entry.rack != rack:
+            continue
+        if not _feasibility.is_feasible(worker, job, task, step, state):
+            continue
+        score = _score(worker, task, step, state)
+        if score is None:
+            continue
+        if best is None or score < best_score:
+            best = worker
+            best_score = score
+    return best
+
+
+def choose_idlest(
+    job: Job, task: Task, step: Step, state: SchedulerState
+) -> Worker | None:
+    """Return the idlest worker where most processors of all are idle.
+
+    What the model expects there is set aside: a miss that follows is seen
+    within a second, and lets the task rest. Jobs of images that most
+    workers refuse had nothing running for 20 s otherwise.
+    """
+    opened = [
+        worker
+        for worker in state.workers.values()
+        if _feasibility.takes_work(worker, state)
+    ]
+    capacity = sum(one.entry.capacity.cpu_millicores for one in opened)
+    if 2 * sum(map(_interference.get_used, opened)) > capacity:
+        return None
+    calm = [
+        worker
+        for worker in opened
+        if not worker.missed_since_ms
+        and _feasibility.is_feasible(worker, job, task, step, state)
+    ]
+    return max(calm, key=_interference.get_idle, default=None)
+
+
+def _score(
+    worker: Worker, task: Task, step: Step, state: SchedulerState
+) -> float | None:
+    """Return how little a worker is liked; the lowest wins.
+
+    Nothing says that the worker is out of the question.
+    """
+    capacity = worker.entry.capacity
+    cpu_millicores = max(1, capacity.cpu_millicores)
+    if step.opportunistic:
+        idle = _scoring.score_idle(state.policy, worker, task, step, state)
+        if idle is None:
+            return None
+        score = idle
+    elif step.target_ms:
+        score = _score_serving(worker, step)
+    else:
+        # The tightest place, so that larger tasks find room too.
+        score = worker.free.cpu_millicores / cpu_millicores
+    if worker.worker_id in task.avoided:
+        score += _AVOIDED_WEIGHT
+    if step.preferred_rack and step.preferred_rack not in worker.entry.labels:
+        score += _FAR_WEIGHT
+    return score
+
+
+def _score_serving(worker: Worker, step: Step) -> float:
+    """Fill workers one after the other, with one image if possible.
+
+    An opportunistic image disturbs some serving images and not others:
+    the fewer kinds a worker serves, the more may run beside them. And
+    what full workers leave is room in one piece for urgent tasks.
+    """
+    images = {one.step.image for one in worker.serving.values()}
+    others = len(images - {step.image})
+    left = worker.free.cpu_millicores - step.size.cpu_millicores
+    score = _MIX_WEIGHT * others + left / _LARGE_PIECE_MILLICORES
+    if not images:
+        score += _EMPTY_WEIGHT
+    if _SMALL_PIECE_MILLICORES < left < _LARGE_PIECE_MILLICORES:
+        score += _PIECE_WEIGHT
+    return score
--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -9,15 +9,14 @@
 from tulippin.jobs import (
     _advice,
     _attempts,
+    _choosing,
     _evening,
     _feasibility,
-    _interference,
     _lifecycle,
     _ownership,
     _preempting,
     _ranking,
     _ready,
-    _scoring,
     _unseen,
     _workers,
 )
@@ -38,19 +37,6 @@
 
 # The most starts decided in one go, so that answers are read in between.
 _STARTS_PER_PASS: t.Final = 40
-# What each further image served on one worker counts, what taking a
-# worker that serves nothing yet does, and what it does to leave a piece
-# that is neither nothing nor enough for a large task, all beside the room
-# left in pieces for one large task.
-_MIX_WEIGHT: t.Final = 6.0
-_EMPTY_WEIGHT: t.Final = 1.0
-_PIECE_WEIGHT: t.Final = 1.0
-_SMALL_PIECE_MILLICORES: t.Final = 500
-_LARGE_PIECE_MILLICORES: t.Final = 4800
-# A worker where a task failed is taken again only if no other fits, and
-# one far from its data likewise.
-_AVOIDED_WEIGHT: t.Final = 10.0
-_FAR_WEIGHT: t.Final = 2.0
 # How long long-running tasks wait for others, to be placed image by image:
 # the jobs that stood before a start come within 100 ms.
 _GATHER_MS: t.Final = 150
@@ -145,9 +131,9 @@
             return False
         if _unseen.is_awaited(task, state):
             return False
-        worker = _choose(job, task, step, state)
+        worker = _choosing.choose(job, task, step, state)
         if worker is None and step.opportunistic:
-            worker = _choose_idlest(job, task, step, state)
+            worker = _choosing.choose_idlest(job, task, step, state)
         if worker is None:
             tried.add(kind)
             self._note_too_large(job, step)
@@ -214,7 +200,7 @@
         state = self.context.state
         worker = None
         if not self._is_too_large(job, step):
-            worker = _choose(job, task, step, state)
+            worker = _choosing.choose(job, task, step, state)
         if worker is None:
             self._note_too_large(job, step)
             _preempt(job, task, self.context)
@@ -274,7 +260,7 @@
     checkpoint = max(task.checkpoint for task in tasks)
     added: list[Attempt] = []
     for task in tasks:
-        worker = _choose(job, task, step, state, rack)
+        worker = _choosing.choose(job, task, step, state, rack)
         if worker is None:
             for attempt in added:
                 _attempts.drop_attempt(attempt, context)
@@ -300,99 +286,6 @@
     )
 
 
-def _choose(
-    job: Job,
-    task: Task,
-    step: Step,
-    state: SchedulerState,
-    rack: str = '',
-) -> Worker | None:
-    best = None
-    best_score = 0.0
-    for worker in state.workers.values():
-        if rack and worker.entry.rack != rack:
-            continue
-        if not _feasibility.is_feasible(worker, job, task, step, state):
-            continue
-        score = _score(worker, task, step, state)
-        if score is None:
-            continue
-        if best is None or score < best_score:
-            best = worker
-            best_score = score
-    return best
-
-
-def _choose_idlest(
-    job: Job, task: Task, step: Step, state: SchedulerState
-) -> Worker | None:
-    """Return the idlest worker where most processors of all are idle.
-
-    What the model expects there is set aside: a miss that follows is seen
-    within a second, and lets the task rest. Jobs of images that most
-    workers refuse had nothing running for 20 s otherwise.
-    """
-    opened = [
-        worker
-        for worker in state.workers.values()
-        if _feasibility.takes_work(worker, state)
-    ]
-    capacity = sum(one.entry.capacity.cpu_millicores for one in opened)
-    if 2 * sum(map(_interference.get_used, opened)) > capacity:
-        return None
-    calm = [
-        worker
-        for worker in opened
-        if not worker.missed_since_ms
-        and _feasibility.is_feasible(worker, job, task, step, state)
-    ]
-    return max(calm, key=_interference.get_idle, default=None)
-
-
-def _score(
-    worker: Worker, task: Task, step: Step, state: SchedulerState
-) -> float | None:
-    """Return how little a worker is liked; the lowest wins.
-
-    Nothing says that the worker is out of the question.
-    """
-    capacity = worker.entry.capacity
-    cpu_millicores = max(1, capacity.cpu_millicores)
-    if step.opportunistic:
-        idle = _scoring.score_idle(state.policy, worker, task, step, state)
-        if idle is None:
-            return None
-        score = idle
-    elif step.target_ms:
-        score = _score_serving(worker, step)
-    else:
-        # The tightest place, so that larger tasks find room too.
-        score = worker.free.cpu_millicores / cpu_millicores
-    if worker.worker_id in task.avoided:
-        score += _AVOIDED_WEIGHT
-    if step.preferred_rack and step.preferred_rack not in worker.entry.labels:
-        score += _FAR_WEIGHT
-    return score
-
-
-def _score_serving(worker: Worker, step: Step) -> float:
-    """Fill workers one after the other, with one image if possible.
-
-    An opportunistic image disturbs some serving images and not others:
-    the fewer kinds a worker serves, the more may run beside them. And
-    what full workers leave is room in one piece for urgent tasks.
-    """
-    images = {one.step.image for one in worker.serving.values()}
-    others = len(images - {step.image})
-    left = worker.free.cpu_millicores - step.size.cpu_millicores
-    score = _MIX_WEIGHT * others + left / _LARGE_PIECE_MILLICORES
-    if not images:
-        score += _EMPTY_WEIGHT
-    if _SMALL_PIECE_MILLICORES < left < _LARGE_PIECE_MILLICORES:
-        score += _PIECE_WEIGHT
-    return score
-
-
 def _add(
     job: Job, step: Step, task: Task, worker: Worker, context: Context
 ) -> Attempt:
--- a/tests/tulippin/jobs/test_scheduler_decisions.py
+++ b/tests/tulippin/jobs/test_scheduler_decisions.py
@@ -4,9 +4,9 @@
 import pytest
 
 from tulippin.jobs import (
+    _choosing,
     _interference,
     _pacing,
-    _placing,
     _ranking,
     _soundness,
     _tails,
@@ -375,7 +375,7 @@
         step = make_serving()
         task = Task(TaskKey('a', 0, 0, index))
         job = make_job(state, 'a', NOW_MS, (step,))
-        worker = _placing._choose(job, task, step, state)
+        worker = _choosing.choose(job, task, step, state)
         make_attempt(worker, step, index=index)
     free = sorted(
         worker.free.cpu_millicores for worker in state.workers.values()
