Count a job that waits in the unit that has its first task

Cause: a job whose tasks were passed on counted as begun at its home, and a guest counted nowhere: 80 jobs that waited were told as 0. It was so for tasks that found no room; passing whole steps on made it common. The unit with the job's first task tells whether it has begun. The planted test of passing switches evening out off too: it passed the tasks on in its place.

--- a/src/tulippin/jobs/_lifecycle.py
+++ b/src/tulippin/jobs/_lifecycle.py
@@ -103,6 +103,27 @@
     return went is None or came > went.pass_number
 
 
+def get_first_task(job: Job) -> TaskKey:
+    """Return the task whose unit tells whether the job has begun."""
+    return TaskKey(job.job_id, 0, 0, 0)
+
+
+def is_waiting(job: Job) -> bool:
+    """Whether a job counts here as one with no task begun.
+
+    Its tasks may be in several units. The one that has the first of them
+    counts it, so that no job is left out or counted twice.
+    """
+    if job.is_cancelled or job.state is not JobState.PENDING:
+        return False
+    first = get_first_task(job)
+    if job.is_guest and first not in job.passes:
+        return False
+    task = job.tasks.get(first)
+    has_run = task is not None and task.has_run
+    return is_here(job, first) and not has_run
+
+
 def _make_job(row: StoredRow, context: Context) -> Job | None:
     try:
         record = decode(row.value or b'', JobRecord)
--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -5,7 +5,7 @@
 import typing as t
 import zlib
 
-from tulippin.jobs import _memory, _rooms, _unseen
+from tulippin.jobs import _lifecycle, _memory, _rooms, _unseen
 from tulippin.jobs._dispatch import Context, handle
 from tulippin.jobs.effects import (
     ForgetUnit,
@@ -24,7 +24,6 @@
 from tulippin.jobs.records import EpochRecord, LeaseRecord
 from tulippin.jobs.state import Ownership, Phase, SchedulerState
 from tulippin.jobs.swings import SwingModel
-from tulippin.jobs.types import JobState
 
 # Spreads the takers of a lapsed lease, so that most see the first one's
 # success before their own try; a transaction takes some 5 ms.
@@ -353,8 +352,7 @@
     """Return how many jobs of each queue have no task begun."""
     waiting: dict[str, int] = {}
     for job in state.jobs.values():
-        is_waiting = job.state is JobState.PENDING and not job.is_guest
-        if is_waiting and not job.is_cancelled:
+        if _lifecycle.is_waiting(job):
             name = job.queue.name
             waiting[name] = waiting.get(name, 0) + 1
     return waiting
--- a/src/tulippin/jobs/_passing.py
+++ b/src/tulippin/jobs/_passing.py
@@ -122,7 +122,9 @@
     least_run = task.least_run + (context.fencing_token + 1) * RUNS_PER_EPOCH
     job.passed[task.key] = PassedTask(unit, number, least_run)
     _ready.remove(task.key, step, state)
-    _lifecycle.mark_begun(job, state)
+    if not _lifecycle.is_here(job, _lifecycle.get_first_task(job)):
+        # Whether it has begun is the other unit's to tell.
+        _lifecycle.mark_begun(job, state)
     _lifecycle.mark_dirty(job, state)
     room = state.rooms[unit]
     reserved = room.reserved_millicores + step.size.cpu_millicores
--- a/tests/tulippin/jobs/test_evening.py
+++ b/tests/tulippin/jobs/test_evening.py
@@ -5,7 +5,7 @@
 from test_scheduler_units import get_running, open_units
 
 from fleet_of_schedulers import QUEUE, make_request, make_step
-from tulippin.jobs import _evening
+from tulippin.jobs import _choosing, _evening
 from tulippin.jobs.types import JobState
 
 LIMIT_MS = 3000
@@ -129,3 +129,29 @@
             fleet.check()
 
     run_virtual(run)
+
+
+def count_waiting(fleet):
+    """Return what each instance tells of jobs with no task begun."""
+    return [
+        instance.intake.count_waiting(QUEUE)
+        for instance in fleet.instances.values()
+    ]
+
+
+def test_jobs_that_were_passed_on_whole_still_count_as_waiting(
+    run_virtual, monkeypatch
+):
+    """Neither their home nor the unit that they went to counted them."""
+    monkeypatch.setattr(_choosing, 'choose', lambda *_: None)
+
+    async def run():
+        async with open_ten_units() as fleet:
+            await hand_in_at_once(fleet)
+            await trio.sleep(4)
+            # Those that are on their way between two units now are in none,
+            # or in both, until the next rows.
+            assert min(count_waiting(fleet)) >= 0.75 * JOBS
+            assert max(count_waiting(fleet)) <= 1.25 * JOBS
+
+    run_virtual(run)
--- a/tests/tulippin/jobs/test_scheduler_units.py
+++ b/tests/tulippin/jobs/test_scheduler_units.py
@@ -14,7 +14,7 @@
     open_fleet,
 )
 from tulippin.exceptions import UnavailableError
-from tulippin.jobs import _passing, _row_effects, events
+from tulippin.jobs import _evening, _passing, _row_effects, events
 from tulippin.jobs.types import JobState
 from tulippin.jobs.unit_shell import UnitShell
 
@@ -161,6 +161,7 @@
 
 def test_without_passing_they_would_wait(run_virtual, monkeypatch):
     monkeypatch.setattr(_passing, '_choose_unit', lambda *_, **__: None)
+    monkeypatch.setattr(_evening, 'choose_units', lambda state: {})
 
     async def run():
         async with open_units() as fleet:
