Say once which steps are held back, which workers are open, what waits

Cause: reading the change again. The rule for steps held back stood in placing and in passing, each with the unit's balance beside it, and passing weighed all workers at each turn also where no such step waited; images were counted before it was known that anything is due; what waits was summed twice for each lease row, and once more by image; the list of open workers stood in two modules. Ruled out: the pairs of tests and of imports that are alike by shape only. No change of behaviour meant.

Left: a loading owner's lease tells of no room, and homes work around that; carrying over the last owner's room in its row would be the deeper mend.

--- a/src/tulippin/jobs/_choosing.py
+++ b/src/tulippin/jobs/_choosing.py
@@ -66,11 +66,7 @@
     within a second, and lets the task rest. Jobs of images that most
     workers refuse had nothing running for 20 s otherwise.
     """
-    opened = [
-        worker
-        for worker in state.workers.values()
-        if _feasibility.takes_work(worker, state)
-    ]
+    opened = _feasibility.list_open(state)
     capacity = sum(one.entry.capacity.cpu_millicores for one in opened)
     if 2 * sum(map(_interference.get_used, opened)) > capacity:
         return None
--- a/src/tulippin/jobs/_evening.py
+++ b/src/tulippin/jobs/_evening.py
@@ -50,15 +50,19 @@
     deficits: dict[int, float]
 
 
-def is_new(job: Job, step: Step, state: SchedulerState) -> bool:
-    """Whether a job's tasks may yet be passed on to even units out."""
-    is_young = state.now_ms - job.arrived_ms < _KEPT_MS
-    return is_young and _may_leave(job, step, state)
+def list_held(state: SchedulerState) -> frozenset[StepKey]:
+    """Return the steps that wait to be passed on, if the unit is too full."""
+    held = frozenset(kind for kind in state.ready if _is_new(kind, state))
+    if held and _weigh(state).surplus > 0:
+        return held
+    return frozenset()
 
 
-def is_overfull(state: SchedulerState) -> bool:
-    """Whether the unit has more than its part of all that is asked."""
-    return _weigh(state).surplus > 0
+def _is_new(kind: StepKey, state: SchedulerState) -> bool:
+    """Whether a step's tasks may yet be passed on to even units out."""
+    job = state.jobs[kind[0]]
+    is_young = state.now_ms - job.arrived_ms < _KEPT_MS
+    return is_young and _may_leave(job, job.request.steps[kind[2]], state)
 
 
 def choose_units(state: SchedulerState) -> dict[StepKey, int]:
@@ -95,7 +99,6 @@
     Those whose image the unit serves least lose nothing by going.
     """
     found = []
-    served = _count_images(state)
     for kind, tasks in state.ready.items():
         job = state.jobs[kind[0]]
         step = job.request.steps[kind[2]]
@@ -105,7 +108,8 @@
         if not any(task.has_run or task.attempts for task in tasks.values()):
             size = len(tasks) * step.size.cpu_millicores
             found.append((kind, step, size))
-    found.sort(key=lambda one: (served[one[1].image], one[0]))
+    served = _count_images(state) if len(found) > 1 else {}
+    found.sort(key=lambda one: (served.get(one[1].image, 0), one[0]))
     return found
 
 
--- a/src/tulippin/jobs/_feasibility.py
+++ b/src/tulippin/jobs/_feasibility.py
@@ -59,6 +59,11 @@
     return closed_until_ms <= state.now_ms
 
 
+def list_open(state: SchedulerState) -> list[Worker]:
+    """Return the workers that take work now."""
+    return [one for one in state.workers.values() if takes_work(one, state)]
+
+
 def is_unheard(worker: Worker, state: SchedulerState) -> bool:
     """Whether the tails of tasks with a target there are not known now."""
     is_old = state.now_ms - worker.answered_ms > _UNHEARD_MS
--- a/src/tulippin/jobs/_passing.py
+++ b/src/tulippin/jobs/_passing.py
@@ -60,15 +60,14 @@
 
 def _list_late(state: SchedulerState) -> list[tuple[Job, Step, Task]]:
     """Return the tasks that have waited for room too long."""
-    is_overfull = _evening.is_overfull(state)
+    # Those that are held back go where more is lacking.
+    held = _evening.list_held(state)
     limit_ms = state.now_ms - _WAIT_MS
     found = []
     for kind, tasks in state.ready.items():
         job = state.jobs[kind[0]]
         step = job.request.steps[kind[2]]
-        # Those that are held back go where more is lacking.
-        is_held = is_overfull and _evening.is_new(job, step, state)
-        if _may_pass(job, step, state) and not is_held:
+        if kind not in held and _may_pass(job, step, state):
             found.extend(
                 (job, step, task)
                 for task in tasks.values()
--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -84,8 +84,8 @@
     refused: dict[str, int] = attrs.field(factory=dict)
     # Sizes of plain tasks, by service, for which no worker has room.
     too_large: dict[str, list[Resources]] = attrs.field(factory=dict)
-    # Whether the unit has too much, once that was asked.
-    is_overfull: bool | None = None
+    # Steps that wait for the others' rooms, once that was asked.
+    held: frozenset[_ready.StepKey] | None = None
 
     def run(self) -> None:
         """Place step by step, as far as the budget goes."""
@@ -143,7 +143,7 @@
 
     def _place(self, job: Job, kind: _ready.StepKey) -> None:
         step = job.request.steps[kind[2]]
-        if self._is_hopeless(step) or self._is_gathering(job, step):
+        if self._is_hopeless(step) or self._is_gathering(job, kind):
             return
         if job.queue.advised:
             _advice.ask_if_due(job, kind, self.context)
@@ -182,18 +182,16 @@
             sizes = self.too_large.setdefault(job.queue.service, [])
             sizes.append(step.reserved)
 
-    def _is_gathering(self, job: Job, step: Step) -> bool:
+    def _is_gathering(self, job: Job, kind: _ready.StepKey) -> bool:
         """Whether others that come together with the job are awaited."""
         state = self.context.state
-        if not step.long_running:
+        if not job.request.steps[kind[2]].long_running:
             return False
         if state.now_ms - job.arrived_ms < _GATHER_MS:
             return True
-        if not _evening.is_new(job, step, state):
-            return False
-        if self.is_overfull is None:
-            self.is_overfull = _evening.is_overfull(state)
-        return self.is_overfull
+        if self.held is None:
+            self.held = _evening.list_held(state)
+        return kind in self.held
 
     def _place_task(self, job: Job, step: Step, task: Task) -> bool:
         """Start a task; false if the step's others fit nowhere either."""
--- a/src/tulippin/jobs/_rooms.py
+++ b/src/tulippin/jobs/_rooms.py
@@ -6,52 +6,47 @@
 import itertools
 
 from tulippin.jobs import _feasibility
+from tulippin.jobs._ready import StepKey
 from tulippin.jobs.records import PLACE_SIZES, UnitRoom
-from tulippin.jobs.state import SchedulerState, Worker
-from tulippin.jobs.types import Step
+from tulippin.jobs.state import SchedulerState, Task, Worker
+from tulippin.jobs.types import Step, TaskKey
 from tulippin.types import Resources
 
 
 def measure(state: SchedulerState) -> UnitRoom:
     """Return what open workers hold and what is asked of them."""
-    opened = _list_open(state)
-    asked = _measure_asked(opened, state)
+    opened = _feasibility.list_open(state)
+    waiting = sum(_sum_waiting(state.ready, state).values())
+    waiting_idle = _sum_waiting(state.ready_idle, state)
     return UnitRoom(
-        asked.capacity_millicores,
-        asked.reserved_millicores,
-        sum(_sum_running(one) for one in opened)
-        + _sum_waiting(state, is_idle=True),
+        _sum_capacity(opened),
+        _sum_reserved(opened) + waiting,
+        sum(map(_sum_running, opened)) + sum(waiting_idle.values()),
         max(
             (one.free for one in opened),
             key=lambda free: free.cpu_millicores,
             default=Resources(),
         ),
         _get_labels(opened),
-        _count_places(opened, _sum_waiting(state, is_idle=False)),
-        _sum_waiting_images(state),
+        _count_places(opened, waiting),
+        waiting_idle,
         _list_serving_images(opened, state),
     )
 
 
 def measure_asked(state: SchedulerState) -> UnitRoom:
     """Return what open workers have, and what is reserved, alone."""
-    return _measure_asked(_list_open(state), state)
+    opened = _feasibility.list_open(state)
+    waiting = sum(_sum_waiting(state.ready, state).values())
+    return UnitRoom(_sum_capacity(opened), _sum_reserved(opened) + waiting)
 
 
-def _list_open(state: SchedulerState) -> list[Worker]:
-    return [
-        worker
-        for worker in state.workers.values()
-        if _feasibility.takes_work(worker, state)
-    ]
+def _sum_capacity(opened: list[Worker]) -> int:
+    return sum(one.entry.capacity.cpu_millicores for one in opened)
 
 
-def _measure_asked(opened: list[Worker], state: SchedulerState) -> UnitRoom:
-    return UnitRoom(
-        sum(one.entry.capacity.cpu_millicores for one in opened),
-        sum(one.reserved.cpu_millicores for one in opened)
-        + _sum_waiting(state, is_idle=False),
-    )
+def _sum_reserved(opened: list[Worker]) -> int:
+    return sum(one.reserved.cpu_millicores for one in opened)
 
 
 def _count_places(
@@ -91,19 +86,12 @@
     )
 
 
-def _sum_waiting(state: SchedulerState, *, is_idle: bool) -> int:
-    queue = state.ready_idle if is_idle else state.ready
-    total = 0
-    for kind, tasks in queue.items():
-        step = state.jobs[kind[0]].request.steps[kind[2]]
-        total += len(tasks) * step.size.cpu_millicores
-    return total
-
-
-def _sum_waiting_images(state: SchedulerState) -> dict[str, int]:
-    """Return the processors that opportunistic tasks wait for, by image."""
+def _sum_waiting(
+    queue: dict[StepKey, dict[TaskKey, Task]], state: SchedulerState
+) -> dict[str, int]:
+    """Return the processors that a queue's tasks wait for, by image."""
     waiting: collections.Counter[str] = collections.Counter()
-    for kind, tasks in state.ready_idle.items():
+    for kind, tasks in queue.items():
         step = state.jobs[kind[0]].request.steps[kind[2]]
         waiting[step.image] += len(tasks) * step.size.cpu_millicores
     return dict(waiting)
