Tell what is expected of work that waits, and which reading taught most

Cause: the log said that workers refuse an image, not whether the expected slowdown is large or the slack beside is small, nor where an expectation came from, nor for how long a job has had nothing running. 'work waits' now names the worker that refuses each image the least, with the excess expected there, its spread and the slack; and the jobs with nothing running. 'slowdown learned' tells the reading with the largest slowdown, at most once a second. No decision is changed.

--- a/src/tulippin/jobs/_attempts.py
+++ b/src/tulippin/jobs/_attempts.py
@@ -60,6 +60,8 @@
     job = context.state.jobs.get(attempt.key.job_id)
     if job is not None and attempt.key in job.tasks:
         job.tasks[attempt.key].attempts.pop(attempt.run, None)
+        if not _ready.has_runs(job):
+            job.idle_since_ms = context.state.now_ms
 
 
 def release(attempt: Attempt, context: Context, why: str) -> None:
--- a/src/tulippin/jobs/_interference.py
+++ b/src/tulippin/jobs/_interference.py
@@ -11,10 +11,13 @@
 import math
 import typing as t
 
+import attrs
+
 from tulippin.jobs import _tails
 from tulippin.jobs.state import (
     Attempt,
     AttemptState,
+    Lesson,
     SchedulerState,
     Worker,
 )
@@ -23,6 +26,7 @@
 # Exposure is counted in tenths of the worker's processors: about what one
 # opportunistic task of the users' sheets uses.
 _TENTHS: t.Final = 10
+_DIGITS: t.Final = 3
 _PERCENT: t.Final = 100
 # Exposure below this teaches nothing.
 _LEAST_EXPOSURE: t.Final = 0.1
@@ -227,12 +231,29 @@
     if _tails.is_own_doing(height, sum(exposure.values())):
         return
     slowdown = _tails.compute_slowdown(attempt.tail_ms, idle_ms, load)
+    image = attempt.step.image
     state.model.learn(
-        attempt.step.image,
+        image,
         exposure,
         max(0.0, slowdown - 1 - _SIBLING_BIAS),
         is_bound=not is_steady or attempt.tail_ms > _GROWING_RATIO * alone_ms,
     )
+    lesson = Lesson(
+        attempt.worker_id,
+        image,
+        attempt.tail_ms,
+        undisturbed_ms,
+        round(load, _DIGITS),
+        round(slowdown, _DIGITS),
+        {other: round(used, _DIGITS) for other, used in exposure.items()},
+        {
+            other: round(state.model.get_weight(image, other), _DIGITS)
+            for other in exposure
+        },
+    )
+    known = state.lesson
+    if known is None or lesson.slowdown > known.slowdown:
+        state.lesson = lesson
 
 
 # -- expecting ----------------------------------------------------------------
@@ -319,6 +340,33 @@
     return worker.slack
 
 
+@attrs.frozen
+class ExpectedExcess:
+    """What a task would add to the slowdown of the image it hurts most."""
+
+    image: str
+    excess: float
+    spread: float
+    slack: float
+
+
+def find_worst(
+    step: Step, worker: Worker, state: SchedulerState
+) -> ExpectedExcess | None:
+    """Return what comes closest to the slack there, or goes beyond it."""
+    share = get_share(step, worker)
+    found = [
+        ExpectedExcess(
+            image,
+            round(state.model.get_weight(image, step.image) * share, _DIGITS),
+            round(state.model.get_spread(image, step.image) * share, _DIGITS),
+            round(slack, _DIGITS),
+        )
+        for image, slack in get_slack(worker, state).items()
+    ]
+    return max(found, key=lambda one: one.excess - one.slack, default=None)
+
+
 def get_harm(step: Step, worker: Worker, state: SchedulerState) -> float | None:
     """Return what an opportunistic task would do beside what runs.
 
--- a/src/tulippin/jobs/_ready.py
+++ b/src/tulippin/jobs/_ready.py
@@ -67,7 +67,7 @@
         step = job.request.steps[kind[2]]
         if step.gang or job.queue.advised:
             continue
-        is_starved = is_lull and step.opportunistic and not _has_runs(job)
+        is_starved = is_lull and step.opportunistic and not has_runs(job)
         found.extend(
             (job, task)
             for task in tasks.values()
@@ -87,5 +87,13 @@
     return task.has_run or job.is_resumed
 
 
-def _has_runs(job: Job) -> bool:
+def has_runs(job: Job) -> bool:
+    """Whether a run of some task of the job is there or ordered."""
     return any(task.attempts for task in job.tasks.values())
+
+
+def get_idle_ms(job: Job, task: Task, state: SchedulerState) -> int:
+    """Return for how long a ready task's job has had nothing running."""
+    if has_runs(job):
+        return 0
+    return state.now_ms - max(job.idle_since_ms, task.ready_ms)
--- a/src/tulippin/jobs/_refusals.py
+++ b/src/tulippin/jobs/_refusals.py
@@ -13,7 +13,15 @@
 import collections
 import typing as t
 
-from tulippin.jobs import _feasibility, _interference, _scoring, _unseen
+import attrs
+
+from tulippin.jobs import (
+    _feasibility,
+    _interference,
+    _ready,
+    _scoring,
+    _unseen,
+)
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs.state import Job, SchedulerState, Task, Worker
 from tulippin.jobs.types import Step
@@ -21,6 +29,10 @@
 _EVERY_MS: t.Final = 1000
 _MOST_NAMED: t.Final = 5
 _FULL_PERCENT: t.Final = 100
+# A task slowed by this misses its target at half of its usual load.
+_TOLD_SLOWDOWN: t.Final = 1.5
+# Keeps a ratio to a slack that is used up finite.
+_LEAST_SLACK: t.Final = 0.02
 
 
 def tell(context: Context) -> None:
@@ -31,12 +43,21 @@
     if state.now_ms - state.refusals_told_ms < _EVERY_MS:
         return
     state.refusals_told_ms = state.now_ms
+    _tell_lesson(context)
     _tell_lasting(context)
     _tell_reserving(context)
     if state.ready_idle:
         _tell_idle(context)
 
 
+def _tell_lesson(context: Context) -> None:
+    """Tell the reading that showed the largest slowdown since the last."""
+    lesson = context.state.lesson
+    context.state.lesson = None
+    if lesson is not None and lesson.slowdown >= _TOLD_SLOWDOWN:
+        context.log('slowdown learned', **attrs.asdict(lesson))
+
+
 def _tell_lasting(context: Context) -> None:
     """Tell why long-running tasks have waited for a second or more."""
     state = context.state
@@ -118,6 +139,11 @@
     context.log(
         'work waits',
         tasks=waiting,
+        nearest={
+            image: _find_nearest(*found, state)
+            for image, found in smallest.items()
+        },
+        **_sum_idle_jobs(state),
         refused={
             image: _count_reasons(*found, state)
             for image, found in smallest.items()
@@ -130,6 +156,43 @@
     )
 
 
+def _find_nearest(
+    job: Job, step: Step, task: Task, state: SchedulerState
+) -> dict[str, t.Any]:
+    """Return what is expected at the worker that refuses a task the least.
+
+    With it the log tells whether the expectation is large, or the slack of
+    the tasks beside is small.
+    """
+    found: list[tuple[float, dict[str, t.Any]]] = []
+    for worker in state.workers.values():
+        if not _feasibility.is_feasible(worker, job, task, step, state):
+            continue
+        worst = _interference.find_worst(step, worker, state)
+        if worst is not None:
+            ratio = worst.excess / max(worst.slack, _LEAST_SLACK)
+            told = attrs.asdict(worst) | {'worker': worker.worker_id}
+            found.append((ratio, told))
+    return min(found, key=lambda pair: pair[0])[1] if found else {}
+
+
+def _sum_idle_jobs(state: SchedulerState) -> dict[str, t.Any]:
+    """Return which jobs wait for idle processors with nothing running."""
+    idle_ms: dict[str, int] = {}
+    for kind, tasks in state.ready_idle.items():
+        job = state.jobs[kind[0]]
+        task = next(iter(tasks.values()))
+        since_ms = _ready.get_idle_ms(job, task, state)
+        if since_ms >= _EVERY_MS:
+            idle_ms[job.job_id] = max(since_ms, idle_ms.get(job.job_id, 0))
+    longest = max(idle_ms, key=idle_ms.__getitem__, default='')
+    return {
+        'jobs_without_run': len(idle_ms),
+        'longest_without_run': longest,
+        'longest_without_run_ms': idle_ms.get(longest, 0),
+    }
+
+
 def _sum_use(state: SchedulerState) -> dict[str, int]:
     """Return what opportunistic tasks ask for, and are seen to use."""
     running = [
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -178,6 +178,7 @@
     """A job with its tasks, as far as they may run.
 
     ``is_resumed``: it had begun before the owner took the unit.
+    ``idle_since_ms`` is when the last of its runs was over.
     ``is_guest``: another unit is its home. ``passes`` are the numbers of
     the passes by which tasks came, ``passed`` those that went.
     """
@@ -191,6 +192,7 @@
     has_begun: bool = False
     arrived_ms: int = 0
     finished_ms: int = 0
+    idle_since_ms: int = 0
     tasks: dict[TaskKey, Task] = attrs.field(factory=dict)
     remaining: dict[tuple[int, int], int] = attrs.field(factory=dict)
     opened: set[tuple[int, int]] = attrs.field(factory=set)
@@ -314,6 +316,34 @@
     wait_extra_ms: int = 0
 
 
+@attrs.frozen
+class Lesson:
+    """A reading that the model took in, and what it expects since.
+
+    Parameters
+    ----------
+    worker_id, image : str
+        Where the reading is from, and whose tail it is.
+    tail_ms, undisturbed_ms : float
+        The tail, and the least of its siblings'.
+    load, slowdown : float
+        What was made of them.
+    exposure : dict of str to float
+        Tenths of the worker's processors in use beside it, by image.
+    expected : dict of str to float
+        The excess expected of each image for a tenth, from now on.
+    """
+
+    worker_id: str
+    image: str
+    tail_ms: float
+    undisturbed_ms: float
+    load: float
+    slowdown: float
+    exposure: dict[str, float]
+    expected: dict[str, float]
+
+
 @attrs.define
 class SchedulerState:
     """Everything the reducer reads and changes."""
@@ -360,6 +390,7 @@
     tails: dict[str, dict[TaskKey, tuple[float, int]]] = attrs.field(
         factory=dict
     )
+    lesson: Lesson | None = None
     samples_kept: int = 0
     model_kept_ms: int = 0
     is_model_committing: bool = False
--- a/tests/tulippin/jobs/test_scheduler_starving.py
+++ b/tests/tulippin/jobs/test_scheduler_starving.py
@@ -1,5 +1,6 @@
 """Jobs with nothing running beside idle processors get a share of them."""
 
+import logbook
 import pytest
 import trio
 
@@ -65,3 +66,37 @@
             fleet.check()
 
     run_virtual(run)
+
+
+def test_log_tells_what_is_expected_of_work_that_waits(run_virtual):
+    async def run():
+        async with open_fleet(instances=1, workers=WORKERS) as fleet:
+            serving = make_step(
+                WORKERS,
+                2000,
+                long_running=True,
+                target_ms=50,
+                image='web',
+                max_per_worker=1,
+            )
+            await submit(fleet, 1, make_request(serving, lasts=True))
+            await fleet.wait_running(WORKERS)
+            await trio.sleep(1)
+            fear(fleet)
+            batch = make_step(3, 4000, opportunistic=True, image='batch')
+            await submit(fleet, 2, make_request(batch), PATIENT)
+            await trio.sleep(2.2)
+
+    handler = logbook.TestHandler()
+    with handler.applicationbound():
+        run_virtual(run)
+    line = next(
+        record.kwargs
+        for record in handler.records
+        if record.message == 'work waits' and record.kwargs['jobs_without_run']
+    )
+    assert line['longest_without_run'] == f'{2:016x}'
+    assert line['longest_without_run_ms'] >= 1000
+    nearest = line['nearest']['batch']
+    assert nearest['image'] == 'web'
+    assert nearest['excess'] > nearest['slack']
