--- a/src/tulippin/platform/standin.py
+++ b/src/tulippin/platform/standin.py
@@ -175,7 +175,7 @@
         except UnavailableError:
             return OrderAnswer(StartOutcome.UNKNOWN)
         if (key, run) in worker.runs:
-            worker.runs[key, run].pace_percent = percent
+            worker.runs[key, run].set_pace(percent)
         return OrderAnswer(StartOutcome.STARTED, worker.clock_ms)
 
     async def hold(
--- a/src/tulippin/platform/standin_http.py
+++ b/src/tulippin/platform/standin_http.py
@@ -182,7 +182,7 @@
         body = msgspec.json.decode(await request.body(), type=PaceBody)
         run = self.worker.runs.get((parse_task(body.task), body.run))
         if run is not None:
-            run.pace_percent = body.percent
+            run.set_pace(body.percent)
         return _answer(WorkerAnswerBody(self.worker.clock_ms))
 
     async def _hold(self, request: Request) -> Response:
--- a/src/tulippin/platform/standin_worker.py
+++ b/src/tulippin/platform/standin_worker.py
@@ -61,19 +61,33 @@
 
 @attrs.define
 class _Run:
+    """A run; ``left_ms`` is the work that was left at ``since_ms``."""
+
     order: StartOrder
     plan: TaskPlan
-    ends_at_ms: int
+    left_ms: float
+    since_ms: int
     checkpoint: str
     pace_percent: int = 100
 
+    def compute_left_ms(self) -> float:
+        """Return the work left, in the time that it takes at full pace."""
+        worked_ms = (get_now_ms() - self.since_ms) * self.pace_percent
+        return max(0.0, self.left_ms - worked_ms / _PERCENT)
+
+    def set_pace(self, percent: int) -> None:
+        """Work at another share of the speed from now on."""
+        self.left_ms = self.compute_left_ms()
+        self.since_ms = get_now_ms()
+        self.pace_percent = percent
+
 
 def _get_progress(run: _Run) -> int:
     """Return the share of the work done; tasks that last are at work."""
     if run.plan.lasts:
         return _PERCENT
-    left_ms = max(0, run.ends_at_ms - get_now_ms())
-    return _PERCENT - left_ms * _PERCENT // max(1, run.plan.run_ms)
+    left_ms = run.compute_left_ms()
+    return int(_PERCENT - left_ms * _PERCENT // max(1, run.plan.run_ms))
 
 
 @attrs.define
@@ -168,7 +182,7 @@
         for place, run in list(self.runs.items()):
             if self.clock_ms > self.deadline_ms:
                 self._end(place, RunOutcome.LAPSED)
-            elif not run.plan.lasts and get_now_ms() >= run.ends_at_ms:
+            elif not (run.plan.lasts or run.compute_left_ms()):
                 fails = run.plan.fails_always or (
                     self.worker_id in run.plan.failing_workers
                 )
@@ -205,7 +219,7 @@
         plan = msgspec.json.decode(order.spec, type=TaskPlan)
         self.highest_runs[order.key] = order.run
         self.runs[order.key, order.run] = _Run(
-            order, plan, get_now_ms() + plan.run_ms, order.checkpoint
+            order, plan, plan.run_ms, get_now_ms(), order.checkpoint
         )
         self.started_count += 1
         self._note('started', order.key, order.run)
@@ -255,6 +269,12 @@
             return None
         return plan.tail_ms if plan.lasts else _LOAD_MILLICORES
 
+    def _get_paced_load(self, run: _Run) -> float | None:
+        load = self._get_load(run.plan)
+        if load is None or run.plan.lasts:
+            return load
+        return load * run.pace_percent / _PERCENT
+
     def _report(self) -> WorkerReport:
         running = tuple(
             RunningTask(
@@ -262,7 +282,7 @@
                 run,
                 one.checkpoint,
                 _get_progress(one),
-                self._get_load(one.plan),
+                self._get_paced_load(one),
             )
             for (key, run), one in self.runs.items()
         )
