Begin a run of each job that has had none for long, at a slow pace

Cause (LOST): most workers refuse an opportunistic task by what the model of neighbours expects, and a job that all refuse had no claim to anything: 40 to 48 jobs with nothing running 15 s after a takeover, 1 to 9 of them 16 s after the last job, for up to 30 s, beside half of all processors idle. The one way past the model opened a start in 300 ms, for the task that had waited longest, so that the jobs helped first were helped again, and it went at full pace. Change: jobs with nothing running for 2.5 s (1.5 s once no job comes) get one run each, the longest without one first, on the worker that bears most of it, at the pace that its slack allows (10% at least). Such a run yields: slack and idle processors are counted without it, it follows the slack, rests at the first miss, and goes elsewhere where it would rest for long. Runs of the last owner yield where together they are too many. 'choose_idlest' and its lull are gone; overdue long-running tasks keep their lane.

--- a/src/tulippin/jobs/_attempts.py
+++ b/src/tulippin/jobs/_attempts.py
@@ -127,7 +127,7 @@
         task.checkpoint = ended.checkpoint
     _judge_worker(worker, ended, context)
     if ended.outcome is RunOutcome.DONE:
-        if attempt is not None:
+        if attempt is not None and not attempt.is_slow_start:
             run_ms = context.state.now_ms - attempt.sent_ms
             _ranking.learn_run_time(job, run_ms, context.state)
         _end_done(job, task, context)
--- a/src/tulippin/jobs/_choosing.py
+++ b/src/tulippin/jobs/_choosing.py
@@ -4,7 +4,7 @@
 
 import typing as t
 
-from tulippin.jobs import _feasibility, _interference, _scoring
+from tulippin.jobs import _feasibility, _scoring
 from tulippin.jobs.state import Job, SchedulerState, Task, Worker
 from tulippin.jobs.types import Step
 
@@ -57,28 +57,6 @@
     return best
 
 
-def choose_idlest(
-    job: Job, task: Task, step: Step, state: SchedulerState
-) -> Worker | None:
-    """Return the idlest worker where most processors of all are idle.
-
-    What the model expects there is set aside: a miss that follows is seen
-    within a second, and lets the task rest. Jobs of images that most
-    workers refuse had nothing running for 20 s otherwise.
-    """
-    opened = _feasibility.list_open(state)
-    capacity = sum(one.entry.capacity.cpu_millicores for one in opened)
-    if 2 * sum(map(_interference.get_used, opened)) > capacity:
-        return None
-    calm = [
-        worker
-        for worker in opened
-        if not worker.missed_since_ms
-        and _feasibility.is_feasible(worker, job, task, step, state)
-    ]
-    return max(calm, key=_interference.get_idle, default=None)
-
-
 def _score(
     worker: Worker, task: Task, step: Step, state: SchedulerState
 ) -> float | None:
--- a/src/tulippin/jobs/_interference.py
+++ b/src/tulippin/jobs/_interference.py
@@ -91,7 +91,7 @@
     """Return the millicores thought to be in use on a worker."""
     if worker.used_millicores is None:
         worker.used_millicores = sum(
-            _get_use(attempt.step) for attempt in worker.attempts.values()
+            _get_use(attempt) for attempt in worker.attempts.values()
         )
     return worker.used_millicores
 
@@ -101,15 +101,18 @@
     return worker.entry.capacity.cpu_millicores - get_used(worker)
 
 
-def _get_use(step: Step) -> float:
+def _get_use(attempt: Attempt) -> float:
     """Return the millicores that a task is thought to use.
 
-    One that is paced down counts in full. Counted at its pace, more tasks
-    run at once and all more slowly, as neighbours' targets bear only so
-    much: four days of trial 0.648 to 0.605.
+    One that rests for a while counts in full. Counted at its pace, more
+    tasks run at once and all more slowly, as neighbours' targets bear only
+    so much: four days of trial 0.648 to 0.605. One that yields takes what
+    others leave, and counts at its pace.
     """
-    weight = _SERVING_USE if step.target_ms else 1.0
-    return step.size.cpu_millicores * weight
+    size = attempt.step.size.cpu_millicores
+    if attempt.is_slow_start:
+        return size * attempt.wanted_percent / _PERCENT
+    return size * _SERVING_USE if attempt.step.target_ms else size
 
 
 def get_share(step: Step, worker: Worker) -> float:
@@ -270,13 +273,17 @@
 def get_expected(
     serving_image: str, worker: Worker, state: SchedulerState
 ) -> float:
-    """Return what all neighbours add to an image's slowdown at their pace."""
+    """Return what all neighbours add to an image's slowdown at their pace.
+
+    But for those that yield: they make room for whatever else is placed.
+    """
     return sum(
         get_contribution(serving_image, attempt, worker, state)
         * attempt.wanted_percent
         / _PERCENT
         for attempt in worker.fillers.values()
         if attempt.state is not AttemptState.STOPPING
+        and not attempt.is_slow_start
     )
 
 
@@ -367,6 +374,19 @@
     return max(found, key=lambda one: one.excess - one.slack, default=None)
 
 
+def compute_borne_share(
+    step: Step, worker: Worker, state: SchedulerState
+) -> float:
+    """Return the share of its speed at which a task leaves targets kept."""
+    share = get_share(step, worker)
+    borne = 1.0
+    for image, slack in get_slack(worker, state).items():
+        part = state.model.get_bound(image, step.image) * share
+        if part > HARMLESS:
+            borne = min(borne, slack / part)
+    return max(0.0, borne)
+
+
 def get_harm(step: Step, worker: Worker, state: SchedulerState) -> float | None:
     """Return what an opportunistic task would do beside what runs.
 
--- a/src/tulippin/jobs/_pacing.py
+++ b/src/tulippin/jobs/_pacing.py
@@ -16,6 +16,7 @@
     _interference,
     _ownership,
     _scoring,
+    _slow_start,
 )
 from tulippin.jobs._dispatch import Context, handle
 from tulippin.jobs.effects import PaceRun
@@ -64,12 +65,31 @@
         worker.missed_since_ms = 0
         worker.calm_since_ms = 0
         return
+    _judge_adopted(worker, fillers, context)
     _choose(worker, fillers, context)
     for attempt in fillers:
         if attempt.pace_percent != attempt.wanted_percent:
             _send(attempt, worker, context)
 
 
+def _judge_adopted(
+    worker: Worker, fillers: list[Attempt], context: Context
+) -> None:
+    """Have runs of the last owner yield where together they are too many.
+
+    Which of them it had begun slowly is not known, and all at full pace
+    would miss targets for two seconds on most workers.
+    """
+    adopted = [one for one in fillers if one.pace_percent is None]
+    if not adopted:
+        return
+    slack = _interference.get_slack(worker, context.state)
+    if min(slack.values(), default=0.0) < 0:
+        for attempt in adopted:
+            attempt.is_slow_start = True
+        _interference.forget_view(worker)
+
+
 def tick(context: Context) -> None:
     """Let neighbours rest on workers that have not been heard for long.
 
@@ -114,8 +134,11 @@
     before = [attempt.wanted_percent for attempt in fillers]
     may_raise = state.now_ms - worker.pace_changed_ms >= _RAISE_AFTER_MS
     for attempt in fillers:
-        if percent < attempt.wanted_percent or may_raise:
-            attempt.wanted_percent = percent
+        wanted = percent
+        if attempt.is_slow_start:
+            wanted = _slow_start.adjust_pace(attempt, worker, ratio, state)
+        if wanted < attempt.wanted_percent or may_raise:
+            attempt.wanted_percent = wanted
     _move_slowed(fillers, context)
     after = [attempt.wanted_percent for attempt in fillers]
     if before == after:
@@ -168,11 +191,27 @@
             or attempt.progress_percent < _CHEAP_PROGRESS_PERCENT
         )
         is_long = now_ms - attempt.slowed_ms >= _MOVE_AFTER_MS
-        if is_cheap and is_long and _scoring.fits_elsewhere(attempt, context):
+        if is_cheap and is_long and _fits_elsewhere(attempt, context):
             _attempts.avoid(attempt, context)
             _attempts.stop_attempt(attempt, context, 'slowed for long')
 
 
+def _fits_elsewhere(attempt: Attempt, context: Context) -> bool:
+    if _scoring.fits_elsewhere(attempt, context):
+        return True
+    is_slow = attempt.is_slow_start
+    return is_slow and _slow_start.has_place_elsewhere(attempt, context)
+
+
+def begin(attempt: Attempt, worker: Worker, context: Context) -> None:
+    """Set the pace of a run that has just been started, if it has one.
+
+    It works in full until then, and for as long disturbs in full.
+    """
+    if attempt.wanted_percent != attempt.pace_percent:
+        _send(attempt, worker, context)
+
+
 def _send(attempt: Attempt, worker: Worker, context: Context) -> None:
     state = context.state
     if state.now_ms - attempt.paced_ms < _SEND_AGAIN_MS:
--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -12,11 +12,13 @@
     _choosing,
     _evening,
     _feasibility,
+    _interference,
     _lifecycle,
     _ownership,
     _preempting,
     _ranking,
     _ready,
+    _slow_start,
     _unseen,
     _workers,
 )
@@ -46,6 +48,11 @@
 # to 0.41 of its worth.
 _OVERDUE_EVERY_MS: t.Final = 300
 _OVERDUE_TRIES: t.Final = 8
+# Between two looks for jobs that have long had nothing running, and how many
+# of them are weighed against all workers in one: twelve of 33 workers take
+# some 1 ms.
+_SLOW_EVERY_MS: t.Final = 200
+_SLOW_TRIES: t.Final = 12
 # Between two passes over the tasks for idle processors.
 _IDLE_EVERY_MS: t.Final = 100
 # Between two passes over the other tasks, but at a tick: events come in
@@ -91,7 +98,14 @@
         """Place step by step, as far as the budget goes."""
         state = self.context.state
         settled = _unseen.is_settled(state)
-        self._place_overdue(settled=settled)
+        if self.queue is state.ready:
+            self._place_overdue(settled=settled)
+        self._place_ranked(settled=settled)
+        if self.queue is state.ready_idle:
+            self._place_slowly()
+
+    def _place_ranked(self, *, settled: bool) -> None:
+        state = self.context.state
         for kind in _ranking.sort_kinds(self.queue, state):
             job = state.jobs[kind[0]]
             if settled or not job.awaits_workers:
@@ -100,24 +114,34 @@
                 state.is_placing_due = True
                 return
 
+    def _place_slowly(self) -> None:
+        """Begin a run of each job that has long had none."""
+        state = self.context.state
+        if state.now_ms - state.slow_placed_ms < _SLOW_EVERY_MS:
+            return
+        state.slow_placed_ms = state.now_ms
+        for job, task in _slow_start.list_waiting(state)[:_SLOW_TRIES]:
+            step = job.request.steps[task.key.step]
+            found = _slow_start.choose(job, task, step, state)
+            if found is not None:
+                self._start(job, step, task, found.worker, found.pace_percent)
+
     def _place_overdue(self, *, settled: bool) -> None:
         """Start one task that has waited long, before others.
 
         Short tasks go before long-running ones otherwise, and where they
-        always wait they take all room that comes free. Likewise jobs that
-        can be in time, before one that has nothing running.
+        always wait they take all room that comes free.
         """
         state = self.context.state
-        is_idle = self.queue is state.ready_idle
-        if state.now_ms - state.overdue_ms.get(is_idle, 0) < _OVERDUE_EVERY_MS:
+        if state.now_ms - state.overdue_ms < _OVERDUE_EVERY_MS:
             return
         tried: set[_ready.StepKey] = set()
-        for job, task in _ready.list_overdue(self.queue, state):
+        for job, task in _ready.list_overdue(state):
             if len(tried) >= _OVERDUE_TRIES:
                 return
             is_unseen = job.awaits_workers and not settled
             if not is_unseen and self._start_overdue(job, task, tried):
-                state.overdue_ms[is_idle] = state.now_ms
+                state.overdue_ms = state.now_ms
                 return
 
     def _start_overdue(
@@ -132,8 +156,6 @@
         if _unseen.is_awaited(task, state):
             return False
         worker = _choosing.choose(job, task, step, state)
-        if worker is None and step.opportunistic:
-            worker = _choosing.choose_idlest(job, task, step, state)
         if worker is None:
             tried.add(kind)
             self._note_too_large(job, step)
@@ -206,9 +228,21 @@
         self._start(job, step, task, worker)
         return True
 
-    def _start(self, job: Job, step: Step, task: Task, worker: Worker) -> None:
+    def _start(
+        self,
+        job: Job,
+        step: Step,
+        task: Task,
+        worker: Worker,
+        pace_percent: int | None = None,
+    ) -> None:
+        """Start a task, at a pace where it is to begin slowly."""
         task.run_count += 1
         attempt = _add(job, step, task, worker, self.context)
+        if pace_percent is not None:
+            attempt.is_slow_start = True
+            attempt.wanted_percent = pace_percent
+            _interference.forget_view(worker)
         _send(attempt, job, self.context)
         self.budget -= 1
 
@@ -324,6 +358,7 @@
         waited_ms=state.now_ms - job.arrived_ms,
         reserved_millicores=worker.reserved.cpu_millicores,
         list_age_ms=state.now_ms - worker.answered_ms,
+        pace_percent=attempt.wanted_percent,
     )
     context.emit(
         StartRun(
--- a/src/tulippin/jobs/_ready.py
+++ b/src/tulippin/jobs/_ready.py
@@ -9,15 +9,10 @@
 
 StepKey: t.TypeAlias = tuple[str, int, int]
 
-# A long-running task that has run is overdue after so long without a place,
-# and so is an opportunistic one of a job with nothing running: the users
-# allow 6 s without a run, of which a worker's lease takes up to 4.9 s, and
-# 3 s without any run of a job beside idle processors.
+# A long-running task that has run is overdue after so long without a place:
+# the users allow 6 s without a run, of which a worker's lease takes up to
+# 4.9 s.
 OVERDUE_MS: t.Final = 2500
-# Jobs with nothing running are helped once no job has come for so long. While
-# they come, those that can be in time go first: with late ones helped at all
-# times, one kind of request was worth 0.40 in place of 0.44 on a full day.
-_LULL_MS: t.Final = 2500
 
 
 def get_step_key(key: TaskKey) -> StepKey:
@@ -55,24 +50,19 @@
         del queue[get_step_key(key)]
 
 
-def list_overdue(
-    queue: dict[StepKey, dict[TaskKey, Task]], state: SchedulerState
-) -> list[tuple[Job, Task]]:
-    """Return tasks that have waited too long, the oldest first."""
+def list_overdue(state: SchedulerState) -> list[tuple[Job, Task]]:
+    """Return long-running tasks that have waited too long, oldest first."""
     limit_ms = state.now_ms - OVERDUE_MS
-    is_lull = state.arrived_ms <= state.now_ms - _LULL_MS
     found = []
-    for kind, tasks in queue.items():
+    for kind, tasks in state.ready.items():
         job = state.jobs[kind[0]]
         step = job.request.steps[kind[2]]
-        if step.gang or job.queue.advised:
+        if not step.long_running or step.gang or job.queue.advised:
             continue
-        is_starved = is_lull and step.opportunistic and not has_runs(job)
         found.extend(
             (job, task)
             for task in tasks.values()
-            if task.ready_ms <= limit_ms
-            and (is_starved or (step.long_running and is_back(job, task)))
+            if task.ready_ms <= limit_ms and is_back(job, task)
         )
     found.sort(key=lambda pair: pair[1].ready_ms)
     return found
--- a/src/tulippin/jobs/_workers.py
+++ b/src/tulippin/jobs/_workers.py
@@ -4,7 +4,7 @@
 
 import typing as t
 
-from tulippin.jobs import _attempts, _ownership, _unseen
+from tulippin.jobs import _attempts, _ownership, _pacing, _unseen
 from tulippin.jobs._dispatch import Context, handle
 from tulippin.jobs.effects import ForgetWorker, HoldWorker
 from tulippin.jobs.events import (
@@ -191,6 +191,7 @@
         attempt.seen_ms = state.now_ms
         attempt.worked_ms = state.now_ms
         _attempts.note_running(attempt, context)
+        _pacing.begin(attempt, worker, context)
         return
     state.count(f'starts_{outcome.value}')
     if outcome is StartOutcome.UNKNOWN:
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -109,6 +109,8 @@
     where an earlier owner may have set another. ``load`` is as the worker
     tells it, smoothed over time; ``tail_ms`` is the tail by now, made out
     from ``load`` and an earlier reading of it, ``past_load``.
+    ``is_slow_start``: it was begun past what its worker bears at full
+    pace, and yields to all others.
     ``load_part`` is the task's load beside the least of its siblings',
     ``swing_part`` beside what the job's swing foretells.
     """
@@ -137,6 +139,7 @@
     load_part: float = 1.0
     swing_part: float = 1.0
     worked_ms: int = 0
+    is_slow_start: bool = False
 
 
 @attrs.define
@@ -380,7 +383,8 @@
     passing_ms: int = 0
     drained_ms: int = 0
     arrived_ms: int = 0
-    overdue_ms: dict[bool, int] = attrs.field(factory=dict)
+    overdue_ms: int = 0
+    slow_placed_ms: int = 0
     wall_offset_ms: int = 0
     model: PairModel = attrs.field(factory=PairModel)
     swings: SwingModel = attrs.field(factory=SwingModel)
