Do not hold tails against those of siblings that have just started

Cause: a tail is told smoothed and begins with that of no load. A sibling counts from 1 s after its start on (0.94 of the way).

--- a/src/tulippin/jobs/_tails.py
+++ b/src/tulippin/jobs/_tails.py
@@ -18,6 +18,8 @@
 # A tail that is told goes half of the way to a new one in this time;
 # measured: 242, 134, 80, 54, 40, 34 ms after neighbours were stopped.
 _SMOOTHING_MS: t.Final = 250
+# A tail that is told has come within a fifteenth of the true one.
+_SETTLED_MS: t.Final = 1000
 # Readings closer together than this tell nothing of the change between.
 SHORTEST_INTERVAL_MS: t.Final = 280
 _LEAST_TAIL_MS: t.Final = 1.0
@@ -83,7 +85,14 @@
 
 
 def note_sibling(attempt: Attempt, state: SchedulerState) -> None:
-    """Let a job's other tasks be held against this one's tail."""
+    """Let a job's other tasks be held against this one's tail.
+
+    Not while it has just started: its tail begins with that of no load.
+    One such sibling made a slowdown of 61 of what was 1.3, and with it
+    expectations 4 to 20 times too high for the rest of a day.
+    """
+    if state.now_ms - attempt.seen_ms < _SETTLED_MS:
+        return
     tails = state.tails.setdefault(attempt.key.job_id, {})
     tails[attempt.key] = (attempt.load, state.now_ms)
     image = attempt.step.image
