Say once how tests hand jobs in and lose an owner

Cause: five test files of schedulers held each a submit of their own, four ways to kill the owner or have it leave, two ways to count starts, and three to name another instance. Now these are methods of the fleet in tests/fleet_of_schedulers.py.

No assertion is changed, added or taken out; numbers that stood for job ids are the same ids by name. One submit stays: the one of test_scheduler_cancels whose job runs until it is cancelled.

--- a/tests/fleet_of_schedulers.py
+++ b/tests/fleet_of_schedulers.py
@@ -28,6 +28,9 @@
 QUEUE = Queue('q', 'host', '/q/', 'catalogue', 0, 3, 2.0, 500)
 URGENT = QUEUE
 PATIENT = Queue('p', 'host', '/p/', 'catalogue', 2, 3, 2.0, 500)
+JOB = '00000000000000aa'
+# How long a caller waits for an instance's answer.
+LIMIT_MS = 3000
 
 
 def make_config_body(version=1):
@@ -110,6 +113,31 @@
     def kill(self, name):
         self.instances.pop(name).scope.cancel()
 
+    def kill_owner(self):
+        self.kill(self.get_owner())
+
+    async def stop(self, name):
+        """Have an instance give its units up, and end its process."""
+        await self.instances[name].shell.leave()
+        self.kill(name)
+
+    async def submit(self, job_id=JOB, request=None, queue=QUEUE, by=None):
+        """Hand a job in at an instance, the first one if none is named."""
+        name = by or next(iter(self.instances))
+        await self.instances[name].intake.submit(
+            job_id, queue, request or make_request(), LIMIT_MS
+        )
+
+    def count_starts(self, job_id=JOB):
+        return sum(
+            event.kind == 'started' and event.key.job_id == job_id
+            for event in self.platform.history
+        )
+
+    def get_other(self, name):
+        """Return the first instance that has another name."""
+        return next(one for one in self.instances if one != name)
+
     def get_owner(self):
         for name, instance in self.instances.items():
             if instance.is_owner:
--- a/tests/tulippin/jobs/test_scheduler_cancels.py
+++ b/tests/tulippin/jobs/test_scheduler_cancels.py
@@ -13,6 +13,8 @@
 import trio
 
 from fleet_of_schedulers import (
+    JOB,
+    LIMIT_MS,
     QUEUE,
     make_request,
     make_step,
@@ -35,8 +37,6 @@
 from tulippin.platform.standin import StandinAgents, get_now_ms
 from tulippin.platform.standin_store import SILENCE_S, StoreView
 
-LIMIT_MS = 3000
-JOB = '00000000000000aa'
 # The longest that a run may go on after its job's cancel, and how much
 # later the count begins for a run that a worker started late.
 GONE_MS = 3000 + 900
@@ -56,10 +56,10 @@
         yield fleet
 
 
-async def submit(fleet, job_id=JOB, request=None, by=None):
-    name = by or next(iter(fleet.instances))
-    request = request or make_request(run_ms=LONG_MS)
-    await fleet.instances[name].intake.submit(job_id, QUEUE, request, LIMIT_MS)
+async def submit_long(fleet, **options):
+    """Hand a job in that ends by its cancel only."""
+    request = make_request(run_ms=LONG_MS)
+    await fleet.submit(request=request, **options)
 
 
 async def cancel(fleet, by, job_id=JOB):
@@ -100,17 +100,6 @@
     return overdue
 
 
-def count_starts(fleet, job_id=JOB):
-    return sum(
-        event.kind == 'started' and event.key.job_id == job_id
-        for event in fleet.platform.history
-    )
-
-
-def get_other(fleet, name):
-    return next(one for one in fleet.instances if one != name)
-
-
 async def wait_until(condition, limit_s=10):
     with trio.fail_after(limit_s):
         while not condition():
@@ -258,9 +247,9 @@
     async def run():
         async with open_calm_fleet(workers=1) as fleet:
             start_late.append(late_s)
-            await submit(fleet)
+            await submit_long(fleet)
             await trio.sleep(after_s)
-            acked_ms = await cancel(fleet, get_other(fleet, fleet.get_owner()))
+            acked_ms = await cancel(fleet, fleet.get_other(fleet.get_owner()))
             await trio.sleep(SETTLE_S)
             assert find_overdue(fleet, acked_ms) == {}
 
@@ -275,11 +264,11 @@
     async def run():
         async with open_calm_fleet(workers=1) as fleet:
             start_late.append(late_s)
-            await submit(fleet)
+            await submit_long(fleet)
             await trio.sleep(0.3)
             stop_trouble.until_s = trio.current_time() + 2.0
             stop_trouble.late_s = stop_late_s
-            acked_ms = await cancel(fleet, get_other(fleet, fleet.get_owner()))
+            acked_ms = await cancel(fleet, fleet.get_other(fleet.get_owner()))
             await trio.sleep(SETTLE_S)
             assert find_overdue(fleet, acked_ms) == {}
 
@@ -295,10 +284,10 @@
 
     async def run():
         async with open_calm_fleet(workers=1) as fleet:
-            await submit(fleet)
+            await submit_long(fleet)
             await trio.sleep(0.3)
             stop_trouble.until_s = trio.current_time() + 2.0
-            acked_ms = await cancel(fleet, get_other(fleet, fleet.get_owner()))
+            acked_ms = await cancel(fleet, fleet.get_other(fleet.get_owner()))
             await trio.sleep(SETTLE_S)
             assert find_overdue(fleet, acked_ms)
 
@@ -309,8 +298,8 @@
 def test_cancel_reaches_a_draining_worker(run_virtual, is_listed):
     async def run():
         async with open_calm_fleet(workers=2) as fleet:
-            await submit(
-                fleet, request=make_request(make_step(9), run_ms=LONG_MS)
+            await fleet.submit(
+                request=make_request(make_step(9), run_ms=LONG_MS)
             )
             await fleet.wait_running(9)
             for worker in fleet.platform.workers.values():
@@ -341,8 +330,8 @@
             # What the starter itself still orders does not count.
             stop_trouble.until_s = trio.current_time() + 0.6
             starter = fleet.get_owner()
-            other = get_other(fleet, starter)
-            await submit(fleet, by=other)
+            other = fleet.get_other(starter)
+            await submit_long(fleet, by=other)
             await wait_until(lambda: has_attempts(fleet, starter))
             if kill == 'before':
                 fleet.kill(starter)
@@ -391,14 +380,14 @@
     """
     starter = fleet.get_owner()
     hide_epochs(fleet, starter)
-    taker = get_other(fleet, starter)
+    taker = fleet.get_other(starter)
     silence_own_writes(delays, starter)
     load_slowly(delays, taker, 0.4)
     await wait_until(lambda: is_in(fleet, taker, Phase.LOADING))
     # The taker has read the jobs: this one comes by its feed.
     await trio.sleep(0.1)
-    await submit(fleet, request=request, by=taker)
-    await wait_until(lambda: count_starts(fleet))
+    await fleet.submit(request=request, by=taker)
+    await wait_until(fleet.count_starts)
     assert is_in(fleet, taker, Phase.LOADING)
     assert fleet.get_owner() == starter
     return taker
@@ -460,12 +449,12 @@
 ):
     async def run():
         async with open_calm_fleet(instances=2, workers=2) as fleet:
-            await submit(
-                fleet, request=make_request(make_step(6), run_ms=LONG_MS)
+            await fleet.submit(
+                request=make_request(make_step(6), run_ms=LONG_MS)
             )
             await fleet.wait_running(6)
             starter = fleet.get_owner()
-            taker = get_other(fleet, starter)
+            taker = fleet.get_other(starter)
             load_slowly(delays, taker, 0.4)
 
             async def take_slowly(client, transaction):
@@ -489,11 +478,11 @@
 def test_cancel_while_nobody_has_the_unit(run_virtual, at_s):
     async def run():
         async with open_calm_fleet(instances=3, workers=2) as fleet:
-            await submit(
-                fleet, request=make_request(make_step(6), run_ms=LONG_MS)
+            await fleet.submit(
+                request=make_request(make_step(6), run_ms=LONG_MS)
             )
             await fleet.wait_running(6)
-            fleet.kill(fleet.get_owner())
+            fleet.kill_owner()
             await trio.sleep(at_s)
             acked_ms = await cancel(fleet, next(iter(fleet.instances)))
             await trio.sleep(SETTLE_S)
@@ -509,8 +498,8 @@
 ):
     async def run():
         async with open_calm_fleet(instances=2, workers=2) as fleet:
-            await submit(
-                fleet, request=make_request(make_step(6), run_ms=LONG_MS)
+            await fleet.submit(
+                request=make_request(make_step(6), run_ms=LONG_MS)
             )
             await fleet.wait_running(6)
             starter = fleet.get_owner()
@@ -524,7 +513,7 @@
                 nursery.start_soon(fleet.instances[starter].shell.leave)
                 await wait_until(lambda: is_in(fleet, starter, Phase.RELEASING))
                 await trio.sleep(at_s)
-                acked_ms = await cancel(fleet, get_other(fleet, starter))
+                acked_ms = await cancel(fleet, fleet.get_other(starter))
             fleet.kill(starter)
             await trio.sleep(SETTLE_S)
             assert find_overdue(fleet, acked_ms) == {}
@@ -559,7 +548,7 @@
             jobs = [f'{number:016x}' for number in range(8)]
             for job_id in jobs:
                 request = make_request(make_step(2), run_ms=LONG_MS)
-                await submit(fleet, job_id, request)
+                await fleet.submit(job_id, request)
             await fleet.wait_running(2 * len(jobs))
             acked = {}
 
@@ -593,7 +582,7 @@
         for instance in fleet.instances.values():
             instance.shell.choose_unit = lambda request: 0
         step = make_step(60, 10 * CORE, long_running=True)
-        await submit(fleet, request=make_request(step, lasts=True))
+        await fleet.submit(request=make_request(step, lasts=True))
         yield fleet
 
 
@@ -651,7 +640,7 @@
             fleet.platform.store.trouble.write_s = write_s
             await trio.sleep(at_s)
             home = get_owners(fleet)[0]
-            acked_ms = await cancel(fleet, get_other(fleet, home))
+            acked_ms = await cancel(fleet, fleet.get_other(home))
             if is_killed:
                 fleet.kill(home)
             await trio.sleep(SETTLE_S)
@@ -677,7 +666,7 @@
             await find_stray(fleet, delays, make_request(run_ms=100))
             await trio.sleep(SETTLE_S)
             await fleet.wait_done(JOB)
-            assert count_starts(fleet) == 1
+            assert fleet.count_starts() == 1
             fleet.check()
 
     run_virtual(run)
@@ -697,7 +686,7 @@
             await find_stray(fleet, delays, request)
             await trio.sleep(SETTLE_S)
             await fleet.wait_state(JOB, JobState.FAILED)
-            assert count_starts(fleet) == QUEUE.max_attempts
+            assert fleet.count_starts() == QUEUE.max_attempts
 
     run_virtual(run)
 
@@ -714,7 +703,7 @@
 
     async def run():
         async with open_calm_fleet(instances=1) as fleet:
-            await submit(fleet, request=make_request())
+            await fleet.submit(request=make_request())
             await fleet.wait_done(JOB)
             state = fleet.instances['i0'].state
             refused = []
@@ -730,7 +719,7 @@
             await trio.sleep(0.1)
             fleet.platform.store.forget_history()
             await trio.sleep(4)
-            assert count_starts(fleet) == 1
+            assert fleet.count_starts() == 1
             assert await fleet.instances['i0'].intake.get_state(JOB) in {
                 None,
                 JobState.COMPLETED,
@@ -801,8 +790,7 @@
 
             delays.transact = take_slowly
             first = fleet.get_owner()
-            await fleet.instances[first].shell.leave()
-            fleet.kill(first)
+            await fleet.stop(first)
             await wait_until(lambda: get_takers(fleet))
             stopping = get_takers(fleet)[0]
             shell = fleet.instances[stopping].shell
@@ -881,7 +869,7 @@
         # Both tried to take the unit; the one that was second has not seen
         # any renewal by the first.
         async with open_fleet(instances=2) as fleet:
-            fleet.kill(fleet.get_owner())
+            fleet.kill_owner()
             await fleet.wait_owner(limit_s=6)
 
     run_virtual(run)
@@ -898,7 +886,7 @@
 
     async def run():
         async with open_calm_fleet(instances=3) as fleet:
-            fleet.kill(fleet.get_owner())
+            fleet.kill_owner()
             fleet.platform.store.trouble.refused.add('*')
             await trio.sleep(down_s)
             fleet.platform.store.trouble.refused.clear()
@@ -965,7 +953,7 @@
             await depose(fleet, 2)
             await wait_until(lambda: held)
             await depose(fleet, 4)
-            await submit(fleet, request=make_request())
+            await fleet.submit(request=make_request())
             await wait_epoch(fleet, 5)
             await fleet.wait_done(JOB)
 
@@ -1046,7 +1034,7 @@
     async def run():
         async with open_calm_fleet(instances=2, workers=2) as fleet:
             frozen = fleet.get_owner()
-            taker = get_other(fleet, frozen)
+            taker = fleet.get_other(frozen)
             ownership = fleet.instances[frozen].state.ownership
             orders = note_orders(monkeypatch, frozen)
             # A worker that the taker has not spoken to.
@@ -1055,7 +1043,7 @@
             await wait_until(lambda: ownership.is_renewing)
             freezer.freeze(fleet.instances[frozen])
             await wait_until(lambda: is_in(fleet, taker, Phase.ACTIVE))
-            await submit(fleet, request=make_request(run_ms=3000), by=taker)
+            await fleet.submit(request=make_request(run_ms=3000), by=taker)
             await trio.sleep(0.3)
             # Its next renewal tells it better, but not at once.
             fleet.platform.store.trouble.write_s = 0.3
@@ -1074,15 +1062,15 @@
 ):
     async def run():
         async with open_calm_fleet(instances=3, workers=2) as fleet:
-            fleet.kill(fleet.get_owner())
+            fleet.kill_owner()
             await wait_until(lambda: get_takers(fleet))
             frozen = get_takers(fleet)[0]
-            taker = get_other(fleet, frozen)
+            taker = fleet.get_other(frozen)
             orders = note_orders(monkeypatch, frozen)
             fleet.platform.workers['w0'].cut_off = {taker}
             freezer.freeze(fleet.instances[frozen])
             await wait_until(lambda: is_in(fleet, taker, Phase.ACTIVE))
-            await submit(fleet, request=make_request(run_ms=3000), by=taker)
+            await fleet.submit(request=make_request(run_ms=3000), by=taker)
             await trio.sleep(0.3)
             freezer.thaw()
             await trio.sleep(1)
--- a/tests/tulippin/jobs/test_scheduler_harm.py
+++ b/tests/tulippin/jobs/test_scheduler_harm.py
@@ -16,7 +16,6 @@
 
 from fleet_of_schedulers import (
     PATIENT,
-    QUEUE,
     make_request,
     make_step,
     open_fleet,
@@ -27,7 +26,8 @@
 from tulippin.platform.standin import StandinAgents
 from tulippin.platform.standin_worker import StandinWorker
 
-LIMIT_MS = 3000
+SERVING = '0000000000000001'
+FILLER = '0000000000000002'
 # How long the users bear that a task is over its target by what works
 # beside it.
 HARM_S = 4.0
@@ -72,11 +72,6 @@
     return serves and count_working(worker) > 0
 
 
-async def submit(fleet, number, request, queue=QUEUE):
-    intake = next(iter(fleet.instances.values())).intake
-    await intake.submit(f'{number:016x}', queue, request, LIMIT_MS)
-
-
 def make_serving():
     step = make_step(
         WORKERS,
@@ -102,9 +97,9 @@
 
 async def begin(fleet):
     """Have each worker serve, and work beside that; return the owner."""
-    await submit(fleet, 1, make_serving())
+    await fleet.submit(SERVING, make_serving())
     await fleet.wait_running(WORKERS)
-    await submit(fleet, 2, make_filler(), PATIENT)
+    await fleet.submit(FILLER, make_filler(), PATIENT)
     await fleet.wait_running(3 * WORKERS)
     # Each worker has told of what works there.
     await trio.sleep(1)
@@ -224,7 +219,7 @@
 
 async def kill_owner(fleet, after_s):
     await trio.sleep(after_s)
-    fleet.kill(fleet.get_owner())
+    fleet.kill_owner()
 
 
 @pytest.mark.parametrize('lasted_s', [0.3, 1.0, 1.8, 2.0])
--- a/tests/tulippin/jobs/test_scheduler_lasting.py
+++ b/tests/tulippin/jobs/test_scheduler_lasting.py
@@ -5,14 +5,12 @@
 import pytest
 import trio
 
-from fleet_of_schedulers import QUEUE, make_request, make_step, open_fleet
+from fleet_of_schedulers import JOB, make_request, make_step, open_fleet
 from tulippin.exceptions import AnswerLostError
 from tulippin.jobs.records import LEASE_KEY
 from tulippin.platform.standin import get_now_ms
 from tulippin.platform.standin_store import SILENCE_S, StoreView
 
-LIMIT_MS = 3000
-JOB = '00000000000000aa'
 OTHER = '00000000000000bb'
 # What users bear without a run of a task that lasts: so long after its last
 # run, and a moment more until it counts as lost.
@@ -20,13 +18,6 @@
 LOST_MS = 9000
 
 
-async def submit(fleet, job_id=JOB, request=None):
-    instance = next(iter(fleet.instances.values()))
-    await instance.intake.submit(
-        job_id, QUEUE, request or make_request(), LIMIT_MS
-    )
-
-
 def make_lasting(count, cpu=1000, **options):
     step = make_step(count, cpu, long_running=True, **options)
     return make_request(step, lasts=True)
@@ -34,7 +25,7 @@
 
 async def submit_lasting(fleet, count, **options):
     """Let tasks that last run; return the worker of the first."""
-    await submit(fleet, request=make_lasting(count, **options))
+    await fleet.submit(request=make_lasting(count, **options))
     await fleet.wait_running(count)
     # The owner has read where they run.
     await trio.sleep(1.5)
@@ -46,8 +37,7 @@
 async def restart_owner(fleet):
     """Stop the owner in a planned way and start its instance anew."""
     name = await fleet.wait_owner()
-    await fleet.instances[name].shell.leave()
-    fleet.kill(name)
+    await fleet.stop(name)
     await fleet.start(name)
 
 
@@ -178,7 +168,7 @@
             instances=2, workers=3, worker_lease_limit_ms=10_000
         ) as fleet:
             worker = await submit_lasting(fleet, 3)
-            fleet.kill(fleet.get_owner())
+            fleet.kill_owner()
             await fleet.wait_owner()
             await trio.sleep(1)
             worker.crash()
@@ -201,13 +191,12 @@
         one for one in fleet.platform.workers.values() if not one.runs
     )
     # It has run something, so that orders may have had effect there.
-    await submit(fleet, OTHER, make_request(make_step(16)))
+    await fleet.submit(OTHER, make_request(make_step(16)))
     await fleet.wait_done(OTHER)
     silent.cut_off.add('*')
     await trio.sleep(8)
     name = fleet.get_owner()
-    await fleet.instances[name].shell.leave()
-    fleet.kill(name)
+    await fleet.stop(name)
     worker.fail_all()
     await fleet.wait_owner()
     await trio.sleep(2)
@@ -237,9 +226,9 @@
                 one for one in fleet.platform.workers.values() if not one.runs
             )
             silent.cut_off.add('*')
-            fleet.kill(fleet.get_owner())
+            fleet.kill_owner()
             await fleet.wait_owner()
-            await submit(fleet, OTHER)
+            await fleet.submit(OTHER)
             await fleet.wait_done(OTHER, limit_s=2)
             fleet.check()
 
@@ -258,7 +247,7 @@
     async def run():
         async with open_fleet(instances=3, workers=2) as fleet:
             await submit_lasting(fleet, 2)
-            fleet.kill(fleet.get_owner())
+            fleet.kill_owner()
             await trio.sleep(1.5)
             clients = getattr(fleet.platform.store.trouble, trouble)
             clients.add('*')
@@ -313,8 +302,7 @@
             while not held:
                 await trio.sleep(0.01)
             leaving = fleet.get_owner()
-            await fleet.instances[leaving].shell.leave()
-            fleet.kill(leaving)
+            await fleet.stop(leaving)
             assert not held
             await fleet.wait_owner(limit_s=1)
 
@@ -327,7 +315,7 @@
     while True:
         number += 1
         request = make_request(make_step(4, **options), run_ms=400)
-        await submit(fleet, f'{number:016x}', request)
+        await fleet.submit(f'{number:016x}', request)
         await trio.sleep(0.4)
 
 
@@ -359,7 +347,7 @@
     async def run():
         async with open_fleet(instances=1) as fleet:
             await submit_lasting(fleet, 2)
-            fleet.kill(fleet.get_owner())
+            fleet.kill_owner()
             fleet.platform.store.trouble.lost_answer_share = 1.0
             await fleet.start('i1')
             await trio.sleep(6)
--- a/tests/tulippin/jobs/test_scheduler_starving.py
+++ b/tests/tulippin/jobs/test_scheduler_starving.py
@@ -5,25 +5,20 @@
 
 from fleet_of_schedulers import (
     PATIENT,
-    QUEUE,
     make_request,
     make_step,
     open_fleet,
 )
 from tulippin.jobs.pair_model import ImageModel
 
-LIMIT_MS = 3000
+SERVING = '0000000000000001'
+BATCH = '0000000000000002'
 WORKERS = 4
 # What users bear without a run of a job beside processors that are mostly
 # idle.
 BORNE_S = 3.5
 
 
-async def submit(fleet, number, request, queue=QUEUE):
-    intake = next(iter(fleet.instances.values())).intake
-    await intake.submit(f'{number:016x}', queue, request, LIMIT_MS)
-
-
 def fear(fleet):
     """Have the owner be sure that one image harms another by far."""
     state = fleet.instances[fleet.get_owner()].state
@@ -54,14 +49,14 @@
                 image='web',
                 max_per_worker=1,
             )
-            await submit(fleet, 1, make_request(serving, lasts=True))
+            await fleet.submit(SERVING, make_request(serving, lasts=True))
             await fleet.wait_running(WORKERS)
             await trio.sleep(1)
             fear(fleet)
             batch = make_step(3, 4000, opportunistic=True, image='batch')
-            await submit(fleet, 2, make_request(batch), PATIENT)
+            await fleet.submit(BATCH, make_request(batch), PATIENT)
             await fleet.wait_running(WORKERS + 1, limit_s=BORNE_S)
-            await fleet.wait_done(f'{2:016x}', limit_s=20)
+            await fleet.wait_done(BATCH, limit_s=20)
             fleet.check()
 
     run_virtual(run)
--- a/tests/tulippin/jobs/test_scheduler_takeovers.py
+++ b/tests/tulippin/jobs/test_scheduler_takeovers.py
@@ -7,6 +7,8 @@
 import trio
 
 from fleet_of_schedulers import (
+    JOB,
+    LIMIT_MS,
     PATIENT,
     QUEUE,
     make_request,
@@ -28,8 +30,6 @@
 from tulippin.platform.standin import StandinAgents
 from tulippin.platform.standin_store import SILENCE_S, StoreView
 
-LIMIT_MS = 3000
-JOB = '00000000000000aa'
 # A new owner's calls to a worker take so long where a test slows them.
 SLOW_S = 0.1
 # The most that a call to a worker takes where they differ; most take less.
@@ -115,13 +115,6 @@
     return Wires().install(monkeypatch)
 
 
-async def submit(fleet, job_id=JOB, request=None, queue=QUEUE, by=None):
-    name = by or next(iter(fleet.instances))
-    await fleet.instances[name].intake.submit(
-        job_id, queue, request or make_request(), LIMIT_MS
-    )
-
-
 def get_epoch_row(fleet, number=0):
     return fleet.platform.store.rows[UNITS_TABLE, Unit(number).part, EPOCH_KEY]
 
@@ -166,13 +159,6 @@
     return first, get_taker(fleet, first, number), row
 
 
-def count_starts(fleet, job_id=JOB):
-    return sum(
-        event.kind == 'started' and event.key.job_id == job_id
-        for event in fleet.platform.history
-    )
-
-
 @pytest.mark.parametrize('after_s', [0.004, 0.01, 0.03, 0.06])
 def test_job_accepted_after_a_takeover_starts_once(run_virtual, wires, after_s):
     async def run():
@@ -180,14 +166,14 @@
             _, second, row = await succeed_unaware_owner(fleet, wires)
             await trio.sleep(after_s)
             request = make_request(make_step(4), run_ms=2000)
-            await submit(fleet, request=request, by=second)
+            await fleet.submit(request=request, by=second)
             await fleet.wait_done(JOB)
             job_row = next(
                 one for one in fleet.platform.store.changes if one.key == JOB
             )
             assert job_row.version > row.version
             fleet.check()
-            assert count_starts(fleet) == 4
+            assert fleet.count_starts() == 4
 
     run_virtual(run)
 
@@ -205,7 +191,7 @@
             wires.dropped_stops.add((second, 'w0'))
             await trio.sleep(0.01)
             request = make_request(run_ms=30 if is_short else 6000)
-            await submit(fleet, request=request, by=second)
+            await fleet.submit(request=request, by=second)
             await trio.sleep(3)
             wires.dropped_stops.clear()
             await fleet.wait_done(JOB)
@@ -221,7 +207,7 @@
         async with open_fleet(instances=2, workers=3) as fleet:
             # Until all workers are written down as the unit's.
             await trio.sleep(1)
-            fleet.kill(fleet.get_owner())
+            fleet.kill_owner()
             overtaken = next(iter(fleet.instances))
             reading = wires.reading_gates[overtaken, 'servers'] = trio.Event()
             await wait_taken(fleet)
@@ -232,10 +218,10 @@
             reading.set()
             await trio.sleep(0.01)
             request = make_request(make_step(4), run_ms=2000)
-            await submit(fleet, request=request, by='newer')
+            await fleet.submit(request=request, by='newer')
             await fleet.wait_done(JOB)
             fleet.check()
-            assert count_starts(fleet) == 4
+            assert fleet.count_starts() == 4
 
     run_virtual(run)
 
@@ -249,7 +235,7 @@
         async with open_fleet(instances=2, workers=3) as fleet:
             await trio.sleep(1)
             trouble = fleet.platform.store.trouble
-            fleet.kill(fleet.get_owner())
+            fleet.kill_owner()
             unaware = next(iter(fleet.instances))
             unit = fleet.instances[unaware].shell.units[0]
             while unit.state.ownership.phase is not Phase.TAKING:
@@ -264,10 +250,10 @@
             await wait_taken(fleet)
             await trio.sleep(0.01)
             request = make_request(make_step(4), run_ms=2000)
-            await submit(fleet, request=request, by='newer')
+            await fleet.submit(request=request, by='newer')
             await fleet.wait_done(JOB)
             fleet.check()
-            assert count_starts(fleet) == 4
+            assert fleet.count_starts() == 4
 
     run_virtual(run)
 
@@ -315,11 +301,11 @@
             second = get_taker(fleet, first)
             await trio.sleep(0.03)
             request = make_request(make_step(4), run_ms=2000)
-            await submit(fleet, request=request, by=second)
+            await fleet.submit(request=request, by=second)
             pause.end()
             await fleet.wait_done(JOB)
             fleet.check()
-            assert count_starts(fleet) == 4
+            assert fleet.count_starts() == 4
 
     run_virtual(run)
 
@@ -333,7 +319,7 @@
             unit.state.config = attrs.evolve(
                 unit.state.config, finished_kept_ms=1000
             )
-            await submit(fleet)
+            await fleet.submit()
             await fleet.wait_done(JOB)
             wires.unanswered.add(('i0', get_jobs_part(JOB), JOB))
             with trio.fail_after(10):
@@ -342,7 +328,7 @@
             fleet.platform.store.forget_history()
             await trio.sleep(4)
             fleet.check()
-            assert count_starts(fleet) == 1
+            assert fleet.count_starts() == 1
 
     run_virtual(run)
 
@@ -385,7 +371,7 @@
             first = get_owner_of(fleet, other)
             passing = wires.gates['*', '*', GUEST_SUFFIX] = trio.Event()
             lasting = make_step(60, 10_000, long_running=True)
-            await submit(fleet, request=make_request(lasting, lasts=True))
+            await fleet.submit(request=make_request(lasting, lasts=True))
             wires.unanswered.add((first, Unit(other).part, LEASE_KEY))
             for address in get_unit_workers(fleet, other)[::2]:
                 for name in fleet.instances:
@@ -458,7 +444,7 @@
     async def run():
         async with open_fleet(instances=2, workers=2) as fleet:
             request = make_request(make_step(3), run_ms=60_000)
-            await submit(fleet, request=request)
+            await fleet.submit(request=request)
             await fleet.wait_running(3)
             first = fleet.get_owner()
             busy = [one for one in fleet.platform.workers.values() if one.runs]
@@ -528,7 +514,7 @@
     async def run():
         async with open_fleet(instances=3) as fleet:
             await trio.sleep(1)
-            fleet.kill(fleet.get_owner())
+            fleet.kill_owner()
             await wait_taken(fleet)
             await trio.sleep(0.02)
             fleet.kill(fleet.get_owner() or get_taker(fleet, ''))
@@ -541,7 +527,7 @@
     async def run():
         async with open_fleet(instances=2) as fleet:
             await trio.sleep(1)
-            fleet.kill(fleet.get_owner())
+            fleet.kill_owner()
             await trio.sleep(1)
             fleet.platform.store.trouble.refused.add('*')
             await trio.sleep(5)
@@ -597,8 +583,8 @@
     async def run():
         async with open_fleet(instances=2, workers=2) as fleet:
             first = fleet.get_owner()
-            taker = next(name for name in fleet.instances if name != first)
-            await submit(fleet)
+            taker = fleet.get_other(first)
+            await fleet.submit()
             await fleet.wait_running(1)
             wires.unanswered.add((first, Unit().part, JOB))
             await trio.sleep(0.6)
@@ -609,10 +595,9 @@
                 if worker.started_count
             )
             wires.worker_s[taker, worker.address] = 0.5
-            await fleet.instances[first].shell.leave()
-            fleet.kill(first)
+            await fleet.stop(first)
             await fleet.wait_done(JOB)
             await trio.sleep(1)
-            assert count_starts(fleet) == 1
+            assert fleet.count_starts() == 1
 
     run_virtual(run)
