Say once when an order to stop goes out again, and how one is made

Cause: the time after which an unanswered order to stop is sent again stood in two modules, for runs that are known and for strays, and so did the making of the order. Both stand in _attempts now. No change of behaviour: at exactly 700 ms a stray is still told again and a known run is not yet.

Ruled out: one function for both waits. A known run keeps the time in its attempt and ends by its answer; a stray keeps it with its worker and ends by a report.

--- a/src/tulippin/jobs/_attempts.py
+++ b/src/tulippin/jobs/_attempts.py
@@ -22,7 +22,7 @@
 _QUARANTINE_MS: t.Final = 1500
 _QUARANTINE_LIMIT_MS: t.Final = 12000
 # How long an order to stop may go unanswered before it is sent again.
-_STOP_AGAIN_MS: t.Final = 700
+STOP_AGAIN_MS: t.Final = 700
 
 
 def find_task(key: TaskKey, context: Context) -> tuple[Job, Task] | None:
@@ -230,12 +230,19 @@
     if worker is None:
         return
     attempt.stop_sent_ms = context.state.now_ms
+    order_stop(worker, attempt.key, attempt.run, context)
+
+
+def order_stop(
+    worker: Worker, key: TaskKey, run: int, context: Context
+) -> None:
+    """Order a worker to stop a run, whether or not it is known here."""
     context.emit(
         StopRun(
             worker.worker_id,
             worker.entry.address,
-            attempt.key,
-            attempt.run,
+            key,
+            run,
             context.fencing_token,
         )
     )
@@ -243,7 +250,7 @@
 
 def stop_again(worker: Worker, context: Context) -> None:
     """Repeat orders to stop that brought no answer."""
-    limit_ms = context.state.now_ms - _STOP_AGAIN_MS
+    limit_ms = context.state.now_ms - STOP_AGAIN_MS
     for attempt in worker.attempts.values():
         is_open = (
             attempt.state is AttemptState.STOPPING
--- a/src/tulippin/jobs/_reports.py
+++ b/src/tulippin/jobs/_reports.py
@@ -6,7 +6,6 @@
 
 from tulippin.jobs import _attempts, _lifecycle, _ready, _tails, _unseen
 from tulippin.jobs._dispatch import Context, handle
-from tulippin.jobs.effects import StopRun
 from tulippin.jobs.events import WorkerAnswered
 from tulippin.jobs.state import Attempt, AttemptState, Job, Worker
 from tulippin.jobs.types import FINAL_STATES, RunningTask
@@ -17,8 +16,6 @@
 # A job that a worker knows of comes by the feed so long after a taking at
 # the latest: a feed's call that hangs is given up after 2.4 s.
 _NEWS_MS: t.Final = 3000
-# How long an order to stop a stray run may go unanswered.
-_STOP_AGAIN_MS: t.Final = 700
 
 
 @handle.register
@@ -155,10 +152,9 @@
     """Have a run of a job that is not known stop, until it has."""
     state = context.state
     place = (row.key, row.run)
-    if (
-        state.now_ms - worker.strays.get(place, -_STOP_AGAIN_MS)
-        < _STOP_AGAIN_MS
-    ):
+    never_ms = -_attempts.STOP_AGAIN_MS
+    sent_ms = worker.strays.get(place, never_ms)
+    if state.now_ms - sent_ms < _attempts.STOP_AGAIN_MS:
         return
     worker.strays[place] = state.now_ms
     context.log(
@@ -168,15 +164,7 @@
         worker=worker.worker_id,
         why='job is not known',
     )
-    context.emit(
-        StopRun(
-            worker.worker_id,
-            worker.entry.address,
-            row.key,
-            row.run,
-            context.fencing_token,
-        )
-    )
+    _attempts.order_stop(worker, row.key, row.run, context)
 
 
 def _judge_missing(
