Say once whether an earlier owner's account counts

Cause: beginning with workers and noting tasks each held the account's epoch against ours. One function returns what the last owner told, nothing if the account is of an owner before it, and says why. No change of behaviour.

--- a/src/tulippin/jobs/_unseen.py
+++ b/src/tulippin/jobs/_unseen.py
@@ -95,10 +95,7 @@
 def begin(account: AccountRecord | None, context: Context) -> None:
     """Note on which workers the earlier owners' runs may go on."""
     state = context.state
-    last_epoch = context.fencing_token - 1
-    known: dict[str, WorkerAccount] = {}
-    if account is not None and account.epoch == last_epoch:
-        known = account.workers
+    known = _get_told(account, context)
     for worker_id, address in state.roster.items():
         worker = state.workers.get(worker_id)
         if worker is None:
@@ -120,6 +117,19 @@
     )
 
 
+def _get_told(
+    account: AccountRecord | None, context: Context
+) -> t.Mapping[str, WorkerAccount]:
+    """Return what the last owner told by worker.
+
+    An account of an owner before it says nothing: since then another has
+    given orders that it does not hold.
+    """
+    if account is None or account.epoch != context.fencing_token - 1:
+        return {}
+    return account.workers
+
+
 def _get_inherited_ms(state: SchedulerState) -> int:
     """Return the longest that another owner's orders may still last."""
     config = state.config
@@ -130,9 +140,7 @@
 def note_tasks(account: AccountRecord | None, context: Context) -> None:
     """Note which tasks may run on which workers, by the last account."""
     state = context.state
-    if account is None or account.epoch != context.fencing_token - 1:
-        return
-    for worker_id, told in account.workers.items():
+    for worker_id, told in _get_told(account, context).items():
         for name in told.tasks or ():
             key = parse_task(name)
             job = state.jobs.get(key.job_id)
