Say once how settings are read, a try is opened, an instance comes back

Three are the same logic: both daemons' reading of a settings file, with its error; opening the ticket of a try, here or at another instance; and in the soak starting an instance again after a crash and after a stop. Each stands once now. No change of behaviour.

--- a/src/tulippin/_requests.py
+++ b/src/tulippin/_requests.py
@@ -79,6 +79,12 @@
     return ticket
 
 
+def _open_child(context: Context, ticket: Ticket) -> Ticket:
+    """Open the ticket of one try, which answers to its parent."""
+    origin = TicketOrigin(ticket.ticket)
+    return _open_ticket(context, origin, ticket.request, ticket.deadline_ms)
+
+
 # --- arrival ----------------------------------------------------------------
 
 
@@ -141,13 +147,7 @@
     if cell is None:
         _forward(context, ticket, unit)
         return
-    child = _open_ticket(
-        context,
-        TicketOrigin(ticket.ticket),
-        ticket.request,
-        ticket.deadline_ms,
-    )
-    _enqueue(context, child, cell)
+    _enqueue(context, _open_child(context, ticket), cell)
 
 
 def _pick_cell(context: Context, ticket: Ticket) -> str:
@@ -210,12 +210,7 @@
     if not context.is_heard(holder.session_id):
         _child_done(context, ticket, _not_run('owner_unreachable'))
         return
-    child = _open_ticket(
-        context,
-        TicketOrigin(ticket.ticket),
-        ticket.request,
-        ticket.deadline_ms,
-    )
+    child = _open_child(context, ticket)
     child.stage = Stage.FORWARDED
     child.unit = unit
     child.target_session = holder.session_id
--- a/src/tulippin/_soak.py
+++ b/src/tulippin/_soak.py
@@ -311,6 +311,11 @@
         return
     soak.fleet.crash(process.instance_id)
     await process.ended.wait()
+    await _start_again(soak, process, step)
+
+
+async def _start_again(soak: _Soak, process: Process, step: FaultStep) -> None:
+    """Start an instance after its fault, unless it has come back by then."""
     await trio.sleep(step.for_s)
     if soak.fleet.find_process(process.instance_id) is None:
         soak.fleet.start_instance(process.instance_id)
@@ -322,9 +327,7 @@
     if process is None:
         return
     await soak.fleet.stop(process.instance_id)
-    await trio.sleep(step.for_s)
-    if soak.fleet.find_process(process.instance_id) is None:
-        soak.fleet.start_instance(process.instance_id)
+    await _start_again(soak, process, step)
 
 
 @_causes(FaultKind.PAUSE)
--- a/src/tulippin/ini.py
+++ b/src/tulippin/ini.py
@@ -4,6 +4,7 @@
 
 import configparser
 import math
+import pathlib
 import re
 import typing as t
 
@@ -12,6 +13,22 @@
 _HEX_KEY: t.Final = re.compile('[0-9a-f]{64}')
 
 
+def read_settings_text(source: str) -> str:
+    """Return the text of the settings file at a path.
+
+    Raises
+    ------
+    InputError
+        If it cannot be read as text.
+    """
+    try:
+        return pathlib.Path(source).read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        raise InputError(
+            f'cannot read {source}: {error}', code='no_settings'
+        ) from error
+
+
 def read_ini(text: str, source: str) -> configparser.ConfigParser:
     """Parse INI text.
 
--- a/src/tulippin/scheduler_settings.py
+++ b/src/tulippin/scheduler_settings.py
@@ -9,7 +9,12 @@
 import attrs
 
 from tulippin.exceptions import Finding, InputError
-from tulippin.ini import SectionReader, read_ini, read_operators
+from tulippin.ini import (
+    SectionReader,
+    read_ini,
+    read_operators,
+    read_settings_text,
+)
 
 _SECTIONS: t.Final = frozenset(
     (
@@ -86,13 +91,7 @@
         With every finding, each with file, section and key.
     """
     source = str(path)
-    try:
-        text = pathlib.Path(path).read_text()
-    except (OSError, UnicodeDecodeError) as error:
-        raise InputError(
-            f'cannot read {source}: {error}', code='no_settings'
-        ) from error
-    return parse_scheduler_settings(text, source)
+    return parse_scheduler_settings(read_settings_text(source), source)
 
 
 def is_scheduler_settings(text: str) -> bool:
--- a/src/tulippin/settings.py
+++ b/src/tulippin/settings.py
@@ -10,7 +10,12 @@
 import attrs
 
 from tulippin.exceptions import Finding, InputError
-from tulippin.ini import SectionReader, read_ini, read_operators
+from tulippin.ini import (
+    SectionReader,
+    read_ini,
+    read_operators,
+    read_settings_text,
+)
 from tulippin.state import Config
 
 _MAX_PORT: t.Final = 65535
@@ -104,13 +109,7 @@
         With every finding, each with file, section and key.
     """
     source = str(path)
-    try:
-        text = pathlib.Path(path).read_text()
-    except (OSError, UnicodeDecodeError) as error:
-        raise InputError(
-            f'cannot read {source}: {error}', code='no_settings'
-        ) from error
-    return parse_settings(text, source)
+    return parse_settings(read_settings_text(source), source)
 
 
 def parse_settings(text: str, source: str = 'settings') -> Settings:
