Give a fleet's processes and its network modules of their own

The process is in _fake_process.py now and the network in _fake_network.py, moved as they were; what tulippin.testing gives out is the same.

Ruled out: moving callers and operators too.

--- a/src/tulippin/_soak.py
+++ b/src/tulippin/_soak.py
@@ -11,7 +11,8 @@
 import trio
 
 from tulippin import codec
-from tulippin._fleet import Fleet, FleetSize, Process
+from tulippin._fake_process import Process
+from tulippin._fleet import Fleet, FleetSize
 from tulippin.history import Violation, check_history
 from tulippin.messages import JobStatus
 from tulippin.types import (
--- a/src/tulippin/testing.py
+++ b/src/tulippin/testing.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from tulippin._fake_network import FakeNetwork, NetworkFaults
 from tulippin._fake_platform import (
     FakeDirectory,
     FakeObjects,
@@ -14,7 +15,7 @@
     StoreFaults,
 )
 from tulippin._fake_worker import FakeWorker, WorkerFaults
-from tulippin._fleet import FakeNetwork, Fleet, FleetSize, NetworkFaults
+from tulippin._fleet import Fleet, FleetSize
 from tulippin._single import PEER, SESSION, SingleInstance, make_worker
 from tulippin._soak import (
     FaultKind,
