Give where a service is served, and what answers prove, modules of their own

Cause: _requests.py, 684 lines, held beside the way of a request two jobs that call none of its steps: which cells and workers serve a service, and what an answer proves, with whether a request may be tried again. They are in _serving.py and _proofs.py now. Functions are moved as they were, with names others can call and a line of what they do where there was none; one nested call is a local.

Ruled out: moving what runs at most once. Not split: _soak.py, store.py, _homes.py and state.py.

--- a/src/tulippin/_requests.py
+++ b/src/tulippin/_requests.py
@@ -9,9 +9,8 @@
 
 import collections
 import functools
-import typing as t
 
-from tulippin import _worker_state
+from tulippin import _proofs, _serving, _worker_state
 from tulippin import effects as fx
 from tulippin._context import Context, get_range
 from tulippin._dispatch import handle, receive, settle
@@ -41,28 +40,10 @@
 )
 from tulippin.types import OutcomeKind, is_cell
 
-_RETRY_PAUSE_MS = 50
 _AVOID_MS = 1000
 _HOP_MARGIN_MS = 120
-_RETRY_AFTER_MS = 1000
 _STORE_RETRY_AFTER_MS = 5000
 _MAX_TOKENS = 100.0
-# A cell whose owner was lost is served again within 6 s, and told of with the
-# next gossip.
-_TELLING_MS = 8000
-_WAIT_CODES = frozenset(('moved', 'no_owner', 'leaving', 'fenced'))
-
-
-def _not_run(
-    code: str, retry_after_ms: int = _RETRY_AFTER_MS
-) -> RequestOutcome:
-    return RequestOutcome(
-        OutcomeKind.NOT_RUN, code, retry_after_ms=retry_after_ms
-    )
-
-
-def _unknown(code: str) -> RequestOutcome:
-    return RequestOutcome(OutcomeKind.UNKNOWN, code)
 
 
 def _open_ticket(
@@ -93,7 +74,9 @@
     state = context.state
     state.counters['requests'] += 1
     if state.session.refusing or state.session.standing is Standing.LEFT:
-        context.emit(fx.AnswerRequest(event.call_id, _not_run('stopping')))
+        context.emit(
+            fx.AnswerRequest(event.call_id, _proofs.make_not_run('stopping'))
+        )
         return
     state.retry_tokens = min(
         _MAX_TOKENS, state.retry_tokens + state.config.retry_budget_ratio
@@ -113,9 +96,8 @@
     ticket.try_count += 1
     ticket.stage = Stage.TRYING
     if context.now_ms >= ticket.deadline_ms:
-        _finish(
-            context, ticket, _downgrade(context, ticket, _not_run('deadline'))
-        )
+        outcome = _proofs.make_not_run('deadline')
+        _finish(context, ticket, _proofs.downgrade(context, ticket, outcome))
     elif ticket.request.repeatable or ticket.durable:
         _route_to_cell(context, ticket)
     else:
@@ -133,14 +115,14 @@
 
 
 def _route_to_cell(context: Context, ticket: Ticket) -> None:
-    unit = _pick_cell(context, ticket)
+    unit = _serving.pick_cell(context, ticket)
     if not unit:
         # A cell that changes hands serves again soon: the try is repeated,
         # while "no endpoint" would be final. 5 of 30 starts of two instances
         # beside load refused a request so.
-        is_known = _is_told_of(context, ticket.request.service)
+        is_known = _serving.is_told_of(context, ticket.request.service)
         code = 'moved' if is_known else 'no_endpoint'
-        _child_done(context, ticket, _not_run(code))
+        _child_done(context, ticket, _proofs.make_not_run(code))
         return
     ticket.try_unit = unit
     cell = context.state.cells.get(unit)
@@ -150,65 +132,16 @@
     _enqueue(context, _open_child(context, ticket), cell)
 
 
-def _pick_cell(context: Context, ticket: Ticket) -> str:
-    """Return an own cell with a free slot, or the freer of two others."""
-    service = ticket.request.service
-    known = dict(_iter_serving(context, service))
-    fresh = [unit for unit in known if unit not in ticket.full_cells]
-    names = sorted(fresh or known)
-    own = [
-        unit
-        for unit in names
-        if unit in context.state.cells and known[unit] > 0
-    ]
-    if own:
-        names = own
-    if len(names) > 2:
-        names = context.state.random.sample(names, 2)
-    return max(names, key=lambda unit: known[unit], default='')
-
-
-def _is_told_of(context: Context, service: str) -> bool:
-    """Whether a cell had a task of a service a moment ago.
-
-    While a cell changes hands nobody tells of it: its old owner has given
-    it up, and the new one loads it.
-    """
-    told_ms = context.state.service_told_ms.get(service)
-    return told_ms is not None and context.now_ms - told_ms < _TELLING_MS
-
-
-def _iter_serving(
-    context: Context, service: str
-) -> t.Iterator[tuple[str, int]]:
-    for session_id, peer in context.state.peers.items():
-        if not context.is_heard(session_id):
-            continue
-        for summary in peer.summaries.values():
-            holder = context.get_holder(summary.unit)
-            current = holder is not None and holder.epoch == summary.epoch
-            if service in summary.services and current:
-                yield summary.unit, summary.services[service]
-    for cell in context.state.cells.values():
-        if cell.phase is Phase.ACTIVE and service in cell.endpoints:
-            free = sum(
-                cell.workers[worker_id].free_slots
-                for worker_id in set(cell.endpoints[service].values())
-                if _worker_state.is_serving(context, cell.workers[worker_id])
-            )
-            yield cell.unit, free - len(cell.queues.get(service, ()))
-
-
 def _forward(context: Context, ticket: Ticket, unit: str) -> None:
     """Make a try by the unit's owner on another instance."""
     holder = context.get_holder(unit)
     state = context.state
     reachable = holder is not None and holder.session_id in state.peers
     if holder is None or not reachable or not state.session.session_id:
-        _child_done(context, ticket, _not_run('no_owner'))
+        _child_done(context, ticket, _proofs.make_not_run('no_owner'))
         return
     if not context.is_heard(holder.session_id):
-        _child_done(context, ticket, _not_run('owner_unreachable'))
+        _child_done(context, ticket, _proofs.make_not_run('owner_unreachable'))
         return
     child = _open_child(context, ticket)
     child.stage = Stage.FORWARDED
@@ -250,7 +183,7 @@
     elif isinstance(unit, RangeState):
         _open_durably(context, ticket, unit)
     else:
-        _finish(context, ticket, _not_run('moved'))
+        _finish(context, ticket, _proofs.make_not_run('moved'))
 
 
 # --- at most once -----------------------------------------------------------
@@ -263,16 +196,18 @@
     if not context.state.config.seams.deduplication:
         known = None
     if home.phase is Phase.LOADING:
-        _child_done(context, ticket, _not_run('moved'))
+        _child_done(context, ticket, _proofs.make_not_run('moved'))
     elif known is not None:
         _finish(context, ticket, _replay(known, ticket.request))
     elif request_id in home.request_tickets:
         _join(context, ticket, home)
     elif home.phase is not Phase.ACTIVE:
-        _child_done(context, ticket, _not_run('moved'))
+        _child_done(context, ticket, _proofs.make_not_run('moved'))
     elif not context.store_ready:
-        outcome = _not_run('store_unavailable', _STORE_RETRY_AFTER_MS)
-        _finish(context, ticket, _downgrade(context, ticket, outcome))
+        outcome = _proofs.make_not_run(
+            'store_unavailable', _STORE_RETRY_AFTER_MS
+        )
+        _finish(context, ticket, _proofs.downgrade(context, ticket, outcome))
     else:
         ticket.stage = Stage.OPENING
         ticket.unit = home.unit
@@ -306,9 +241,9 @@
         home.request_tickets[ticket.request.request_id]
     )
     if first is None:
-        _finish(context, ticket, _unknown('lost'))
+        _finish(context, ticket, _proofs.make_unknown('lost'))
     elif first.request.digest != ticket.request.digest:
-        _finish(context, ticket, _not_run('id_reused', 0))
+        _finish(context, ticket, _proofs.make_not_run('id_reused', 0))
     else:
         ticket.stage = Stage.JOINED
         first.waiters.append(TicketOrigin(ticket.ticket))
@@ -317,9 +252,9 @@
 def _replay(entry: RequestEntry, request: ServiceRequest) -> RequestOutcome:
     """Return the same answer again, or say that it is not known."""
     if entry.digest != request.digest:
-        return _not_run('id_reused', 0)
+        return _proofs.make_not_run('id_reused', 0)
     if entry.outcome is None:
-        return _unknown('outcome_not_known')
+        return _proofs.make_unknown('outcome_not_known')
     return RequestOutcome(entry.outcome, 'replayed', entry.status, entry.body)
 
 
@@ -370,14 +305,14 @@
     service = ticket.request.service
     ticket.unit = cell.unit
     if cell.phase is not Phase.ACTIVE or not context.may_serve:
-        _finish(context, ticket, _not_run('moved'))
+        _finish(context, ticket, _proofs.make_not_run('moved'))
         return
     if service not in cell.endpoints:
-        _finish(context, ticket, _not_run('no_endpoint'))
+        _finish(context, ticket, _proofs.make_not_run('no_endpoint'))
         return
     queue = cell.queues.setdefault(service, collections.deque())
     if len(queue) >= context.state.config.request_queue_limit:
-        _finish(context, ticket, _not_run('overloaded'))
+        _finish(context, ticket, _proofs.make_not_run('overloaded'))
         return
     ticket.stage = Stage.QUEUED
     queue.append(ticket.ticket)
@@ -405,38 +340,15 @@
             continue
         if context.now_ms >= ticket.deadline_ms:
             queue.popleft()
-            _finish(context, ticket, _not_run('deadline'))
+            _finish(context, ticket, _proofs.make_not_run('deadline'))
             continue
-        worker = _choose_endpoint(context, cell, service)
+        worker = _serving.choose_endpoint(context, cell, service)
         if worker is None:
             return
         queue.popleft()
         _call(context, cell, worker, ticket)
 
 
-def _choose_endpoint(
-    context: Context, cell: CellState, service: str
-) -> WorkerState | None:
-    """Return the worker of the service with the most free slots."""
-    workers = [
-        cell.workers[worker_id]
-        for worker_id in sorted(set(cell.endpoints.get(service, {}).values()))
-        if worker_id in cell.workers
-    ]
-    free = [
-        worker
-        for worker in workers
-        if _worker_state.is_serving(context, worker)
-        and worker.free_slots > 0
-        and context.now_ms >= worker.avoid_until_ms
-    ]
-    return min(
-        free,
-        key=lambda worker: (-worker.free_slots, worker.pressure),
-        default=None,
-    )
-
-
 def _call(
     context: Context, cell: CellState, worker: WorkerState, ticket: Ticket
 ) -> None:
@@ -462,7 +374,7 @@
     ticket = context.state.tickets.get(event.dispatch_id)
     if ticket is None or ticket.stage is not Stage.SENT:
         return
-    outcome = _check_answer(context, ticket, event)
+    outcome = _proofs.check_answer(context, ticket, event)
     found = _worker_state.find_worker(context, ticket.worker_id)
     if found is not None:
         cell, worker = found
@@ -483,23 +395,6 @@
         pump_worker(context, cell, worker)
 
 
-def _check_answer(
-    context: Context, ticket: Ticket, event: EndpointReplied
-) -> RequestOutcome:
-    """Return the outcome, unknown if the answer is not whole or not ours."""
-    outcome = event.outcome
-    seams = context.state.config.seams
-    if outcome.kind is OutcomeKind.UNKNOWN and not seams.not_run_proof:
-        return _not_run('broken')
-    if outcome.kind is not OutcomeKind.ANSWERED or not seams.answer_match:
-        return outcome
-    if event.request_id != ticket.request.request_id:
-        return _unknown('mismatched')
-    if event.body_bytes != len(outcome.body.encode()):
-        return _unknown('truncated')
-    return outcome
-
-
 # --- outcomes ---------------------------------------------------------------
 
 
@@ -557,68 +452,10 @@
         return
     if outcome.kind is OutcomeKind.UNKNOWN:
         parent.last_outcome = outcome
-    if _may_retry(context, parent, outcome):
-        parent.retry_at_ms = context.now_ms + _RETRY_PAUSE_MS
+    if _proofs.may_retry(context, parent, outcome):
+        parent.retry_at_ms = context.now_ms + _proofs.RETRY_PAUSE_MS
         return
-    _finish(context, parent, _downgrade(context, parent, outcome))
-
-
-def _downgrade(
-    context: Context, parent: Ticket, outcome: RequestOutcome
-) -> RequestOutcome:
-    """Never say "not run" if an earlier try may have run."""
-    proved = context.state.config.seams.not_run_proof
-    earlier = parent.last_outcome
-    if earlier is not None and outcome.kind is OutcomeKind.NOT_RUN and proved:
-        return earlier
-    return outcome
-
-
-def _may_retry(
-    context: Context, parent: Ticket, outcome: RequestOutcome
-) -> bool:
-    state = context.state
-    if context.now_ms + _RETRY_PAUSE_MS >= parent.deadline_ms:
-        return False
-    if outcome.kind is OutcomeKind.NOT_RUN:
-        if outcome.code in _WAIT_CODES:
-            return True
-        if not _has_other_cell(context, parent, outcome):
-            return False
-    elif not _is_safe_again(parent, outcome):
-        return False
-    if state.retry_tokens < 1:
-        state.counters['retries_denied'] += 1
-        return False
-    state.retry_tokens -= 1
-    state.counters['retries'] += 1
-    return True
-
-
-def _has_other_cell(
-    context: Context, parent: Ticket, outcome: RequestOutcome
-) -> bool:
-    """Tell whether a refused request may find room elsewhere."""
-    if outcome.code == 'refused':
-        return True
-    if outcome.code != 'overloaded':
-        return False
-    parent.full_cells.add(parent.try_unit)
-    return any(
-        unit not in parent.full_cells
-        for unit, _ in _iter_serving(context, parent.request.service)
-    )
-
-
-def _is_safe_again(parent: Ticket, outcome: RequestOutcome) -> bool:
-    """Tell whether a request whose last try may have run may run again.
-
-    The way to the hash range's owner is safe to go again: the owner
-    knows the id.
-    """
-    if parent.request.repeatable:
-        return True
-    return not parent.durable and outcome.code == 'peer_lost'
+    _finish(context, parent, _proofs.downgrade(context, parent, outcome))
 
 
 def fail_message(message: object, session_id: str, context: Context) -> None:
@@ -627,7 +464,7 @@
         return
     ticket = context.state.tickets.get(message.call_id)
     if ticket is not None and ticket.stage is Stage.FORWARDED:
-        _finish(context, ticket, _unknown('peer_lost'))
+        _finish(context, ticket, _proofs.make_unknown('peer_lost'))
 
 
 def lose_peer(context: Context, session_id: str) -> None:
@@ -635,7 +472,7 @@
     for ticket in list(context.state.tickets.values()):
         forwarded = ticket.stage is Stage.FORWARDED
         if forwarded and ticket.target_session == session_id:
-            _finish(context, ticket, _unknown('peer_lost'))
+            _finish(context, ticket, _proofs.make_unknown('peer_lost'))
 
 
 def leave_unit(context: Context, unit: UnitState) -> None:
@@ -647,10 +484,10 @@
         if ticket.unit != unit.unit:
             continue
         if ticket.stage is Stage.QUEUED:
-            _finish(context, ticket, _not_run('moved'))
+            _finish(context, ticket, _proofs.make_not_run('moved'))
         elif ticket.stage is Stage.OPENING and not is_cell(unit.unit):
             ticket.unit = ''
-            _finish(context, ticket, _not_run('session_lost'))
+            _finish(context, ticket, _proofs.make_not_run('session_lost'))
 
 
 def tick(context: Context) -> None:
@@ -671,9 +508,9 @@
 
 def _expire(context: Context, ticket: Ticket) -> None:
     if ticket.stage is Stage.QUEUED:
-        _finish(context, ticket, _not_run('deadline'))
+        _finish(context, ticket, _proofs.make_not_run('deadline'))
     elif ticket.stage is Stage.FORWARDED or ticket.stage is Stage.JOINED:
-        _finish(context, ticket, _unknown('deadline'))
+        _finish(context, ticket, _proofs.make_unknown('deadline'))
     elif ticket.stage is Stage.OPENING:
         # It is not sent before its opening is durable: it did not run.
-        _finish(context, ticket, _not_run('deadline'))
+        _finish(context, ticket, _proofs.make_not_run('deadline'))
