--- a/src/tulippin/_soak.py
+++ b/src/tulippin/_soak.py
@@ -11,7 +11,8 @@
 import trio
 
 from tulippin import codec
-from tulippin._fleet import Fleet, FleetSize, Process
+from tulippin._fake_process import Process
+from tulippin._fleet import Fleet, FleetSize
 from tulippin.history import Violation, check_history
 from tulippin.messages import JobStatus
 from tulippin.types import (
@@ -311,6 +312,11 @@
         return
     soak.fleet.crash(process.instance_id)
     await process.ended.wait()
+    await _start_again(soak, process, step)
+
+
+async def _start_again(soak: _Soak, process: Process, step: FaultStep) -> None:
+    """Start an instance after its fault, unless it has come back by then."""
     await trio.sleep(step.for_s)
     if soak.fleet.find_process(process.instance_id) is None:
         soak.fleet.start_instance(process.instance_id)
@@ -322,9 +328,7 @@
     if process is None:
         return
     await soak.fleet.stop(process.instance_id)
-    await trio.sleep(step.for_s)
-    if soak.fleet.find_process(process.instance_id) is None:
-        soak.fleet.start_instance(process.instance_id)
+    await _start_again(soak, process, step)
 
 
 @_causes(FaultKind.PAUSE)
