Hold moves off unwell workers to what a step allows away

Cause: max_unavailable of a step (the users' may_miss) was read from the call, kept, and used nowhere. Tasks that last were moved off workers whose tails are absurd one at a time for each worker, so three workers that seemed unwell in the same second took three of a step's tasks away at once.

One decision now (_availability.may_end): a run is ended only while fewer others of its step are away than it allows. Away is all that a report of the last 1.6 s does not show at its whole: waiting, starting, doubtful, stopping, below 100 percent, on a worker that is silent, or in another unit, as no owner knows how those do. Free to leave are workers that drain, and workers that have been unwell for 3.5 s with nothing that works beside their tasks: what works beside rests after 1.8 s of a miss, and its mark on a tail is gone after 3.5. Steps without the bound (0, the default of the wire) are moved as before.

Ruled out, each read: preempting never takes tasks that last; draining leaves a worker that drains; passing and evening out move what has no run; a task that stands still is below 100 percent by its worker's report; second runs, runs of another unit's task and strays are stopped as one run at a time goes first; leases are prolonged by every owner in touch. docs/design/rules.md lists them.

Before: test_availability.py with the decision's module and without its use, 10 of 52 failed (0 to 2 others away at a stop where 0 and 1 are allowed). After: 52 passed; tests/tulippin/jobs and platform 459 passed.

--- a/src/tulippin/jobs/_soundness.py
+++ b/src/tulippin/jobs/_soundness.py
@@ -10,7 +10,13 @@
 import math
 import typing as t
 
-from tulippin.jobs import _attempts, _interference, _scoring, _tails
+from tulippin.jobs import (
+    _attempts,
+    _availability,
+    _interference,
+    _scoring,
+    _tails,
+)
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs.state import Attempt, AttemptState, Worker
 
@@ -79,6 +85,7 @@
 
 
 def _move(attempt: Attempt, why: str, context: Context) -> None:
+    """Stop a task here; one that stands still counts as away already."""
     _attempts.avoid(attempt, context)
     _attempts.stop_attempt(attempt, context, why)
 
@@ -89,6 +96,9 @@
         if attempt.state is AttemptState.STOPPING:
             return
     for attempt in worker.serving.values():
-        if _scoring.fits_elsewhere(attempt, context):
+        if not _scoring.fits_elsewhere(attempt, context):
+            continue
+        if _availability.may_end(attempt, context):
             _move(attempt, 'its worker is unwell', context)
             return
+        context.state.count('moves_held_back')
--- a/src/tulippin/jobs/types.py
+++ b/src/tulippin/jobs/types.py
@@ -104,7 +104,8 @@
         The tasks use processors that the others leave idle, and
         reserve none.
     max_unavailable : int
-        Tasks of a long-running step that may be away at once.
+        Tasks of a long-running step that may be away at once by the
+        system's doing; zero is no bound.
     """
 
     task_count: int
--- /dev/null
+++ b/tests/tulippin/jobs/test_availability.py
@@ -0,0 +1,418 @@
+"""Tasks of a lasting step that are away at once by the system's doing.
+
+The users tell for a step how many of its tasks may be away at once. Tasks
+were moved off unwell workers one at a time for each worker, with no count
+for the step.
+"""
+
+import attrs
+import pytest
+import trio
+
+from fleet_of_schedulers import QUEUE, make_request, make_step, open_fleet
+from tulippin.jobs import _availability, _soundness
+from tulippin.jobs._attempts import add_attempt
+from tulippin.jobs._dispatch import Context
+from tulippin.jobs._lifecycle import get_task
+from tulippin.jobs.state import (
+    Attempt,
+    AttemptState,
+    Job,
+    PassedTask,
+    Phase,
+    SchedulerConfig,
+    SchedulerState,
+    Worker,
+)
+from tulippin.jobs.types import (
+    JobRequest,
+    JobState,
+    RunOutcome,
+    Step,
+    TaskKey,
+    WorkerEntry,
+)
+from tulippin.platform import standin_worker
+from tulippin.platform.standin import get_now_ms
+from tulippin.platform.standin_worker import StandinWorker
+from tulippin.types import Resources
+
+NOW_MS = 100_000
+JOB = '00000000000000aa'
+LIMIT_MS = 3000
+# Tasks are at work so long after their start.
+STARTING_MS = 1500
+
+
+# -- the decision ------------------------------------------------------------
+
+
+def make_served(max_unavailable=1, task_count=3, **options):
+    """Let each task of a lasting step be at work on a worker of its own."""
+    step = Step(
+        task_count,
+        Resources(1000, 1000),
+        image='web',
+        target_ms=50,
+        long_running=True,
+        max_unavailable=max_unavailable,
+        **options,
+    )
+    state = SchedulerState(SchedulerConfig('i', 'i:1'), now_ms=NOW_MS)
+    state.ownership.phase = Phase.ACTIVE
+    job = state.jobs[JOB] = Job(JOB, QUEUE, JobRequest('', (step,)), 1)
+    for index in range(task_count):
+        add_worker(state, f'w{index}')
+        start(state, job, index)
+    return state, job
+
+
+def add_worker(state, worker_id):
+    entry = WorkerEntry(
+        worker_id, 'catalogue', 'a', 'z', Resources(10_000, 64_000)
+    )
+    worker = state.workers[worker_id] = Worker(entry, answered_ms=NOW_MS)
+    worker.is_rostered = True
+    worker.is_reconciled = True
+    worker.clock_offset_ms = 0
+
+
+def start(state, job, index):
+    key = TaskKey(JOB, 0, 0, index)
+    attempt = Attempt(
+        key,
+        1,
+        f'w{index}',
+        job.request.steps[0],
+        0,
+        AttemptState.RUNNING,
+        NOW_MS - 5000,
+        progress_percent=100,
+    )
+    add_attempt(attempt, get_task(job, key), state.workers[f'w{index}'])
+
+
+def get_attempt(job, index):
+    return job.tasks[TaskKey(JOB, 0, 0, index)].attempts[1]
+
+
+def may_end_first(state, job):
+    return _availability.may_end(get_attempt(job, 0), Context(state))
+
+
+def test_task_may_be_ended_while_all_others_work():
+    assert may_end_first(*make_served())
+
+
+def leave_waiting(state, job):
+    job.tasks[TaskKey(JOB, 0, 0, 1)].attempts.clear()
+
+
+def leave_unmet(state, job):
+    del job.tasks[TaskKey(JOB, 0, 0, 1)]
+
+
+def let_start(state, job):
+    get_attempt(job, 1).state = AttemptState.STARTING
+
+
+def let_doubt(state, job):
+    get_attempt(job, 1).state = AttemptState.DOUBTFUL
+
+
+def let_stop(state, job):
+    get_attempt(job, 1).state = AttemptState.STOPPING
+
+
+def let_warm_up(state, job):
+    get_attempt(job, 1).progress_percent = 99
+
+
+def silence(state, job):
+    state.workers['w1'].failed_count = 1
+
+
+def leave_unheard(state, job):
+    state.workers['w1'].answered_ms = NOW_MS - 1700
+
+
+def pass_on(state, job):
+    job.passed[TaskKey(JOB, 0, 0, 1)] = PassedTask(2, 1, 0)
+
+
+ABSENCES = [
+    leave_waiting,
+    leave_unmet,
+    let_start,
+    let_doubt,
+    let_stop,
+    let_warm_up,
+    silence,
+    leave_unheard,
+    pass_on,
+]
+
+
+@pytest.mark.parametrize('absent', ABSENCES)
+def test_task_may_not_be_ended_while_another_is_away(absent):
+    state, job = make_served()
+    absent(state, job)
+    assert not may_end_first(state, job)
+
+
+@pytest.mark.parametrize('absent', ABSENCES)
+def test_bound_of_two_bears_one_that_is_away(absent):
+    state, job = make_served(max_unavailable=2)
+    absent(state, job)
+    assert may_end_first(state, job)
+    get_attempt(job, 2).state = AttemptState.STOPPING
+    assert not may_end_first(state, job)
+
+
+@pytest.mark.parametrize('absent', ABSENCES)
+def test_step_without_a_bound_is_not_counted(absent):
+    state, job = make_served(max_unavailable=0)
+    absent(state, job)
+    assert may_end_first(state, job)
+
+
+def test_guest_counts_tasks_of_other_units_as_away():
+    state, job = make_served()
+    key = TaskKey(JOB, 0, 0, 1)
+    job.is_guest = True
+    job.passes = {TaskKey(JOB, 0, 0, index): 1 for index in (0, 2)}
+    # It has never met the task.
+    task = job.tasks.pop(key)
+    assert not may_end_first(state, job)
+    job.passes[key] = 1
+    job.tasks[key] = task
+    assert may_end_first(state, job)
+
+
+def test_tasks_of_another_step_or_occurrence_are_not_counted():
+    state, job = make_served()
+    other = attrs.evolve(job.request.steps[0], task_count=5)
+    job.request = attrs.evolve(job.request, steps=(*job.request.steps, other))
+    get_task(job, TaskKey(JOB, 1, 0, 1))
+    assert may_end_first(state, job)
+
+
+@pytest.mark.parametrize(
+    ('max_unavailable', 'is_allowed'), [(1, False), (2, False), (3, True)]
+)
+def test_gang_ends_as_a_whole(max_unavailable, is_allowed):
+    state, job = make_served(max_unavailable, gang=True)
+    assert may_end_first(state, job) is is_allowed
+
+
+def cancel(state, job):
+    job.is_cancelled = True
+
+
+def fail(state, job):
+    job.state = JobState.FAILED
+
+
+def drain(state, job):
+    worker = state.workers['w0']
+    worker.entry = attrs.evolve(worker.entry, draining=True)
+
+
+def be_unwell_for_long(state, job):
+    state.workers['w0'].unwell_since_ms = NOW_MS - 3500
+
+
+@pytest.mark.parametrize('free', [cancel, fail, drain, be_unwell_for_long])
+def test_bound_ends_with_the_job_or_with_its_worker(free):
+    state, job = make_served()
+    let_stop(state, job)
+    assert not may_end_first(state, job)
+    free(state, job)
+    assert may_end_first(state, job)
+
+
+def test_worker_beside_whose_tasks_others_work_is_not_surely_at_fault():
+    state, job = make_served()
+    let_stop(state, job)
+    be_unwell_for_long(state, job)
+    filler = Attempt(
+        TaskKey('b', 0, 0, 0),
+        1,
+        'w0',
+        Step(1, Resources(1000, 100), opportunistic=True),
+        2,
+        AttemptState.RUNNING,
+        NOW_MS - 5000,
+    )
+    state.workers['w0'].fillers[filler.key, 1] = filler
+    assert not may_end_first(state, job)
+    filler.pace_percent = 0
+    assert may_end_first(state, job)
+
+
+def judge_unwell(state, job, worker_id):
+    """Judge a worker whose tails are absurd, beside two that are well."""
+    worker = state.workers[worker_id]
+    for attempt in worker.serving.values():
+        attempt.load = 33_000.0
+    worker.unwell_since_ms = state.now_ms - 800
+    state.tails[JOB] = {
+        TaskKey(JOB, 0, 0, index): (10.0, state.now_ms) for index in (7, 8)
+    }
+    _soundness.judge(worker, Context(state))
+
+
+@pytest.mark.parametrize(
+    ('max_unavailable', 'stopped'), [(1, 1), (2, 2), (0, 3)]
+)
+def test_unwell_workers_are_emptied_within_the_bound(max_unavailable, stopped):
+    state, job = make_served(max_unavailable)
+    add_worker(state, 'w9')
+    for index in range(3):
+        judge_unwell(state, job, f'w{index}')
+    attempts = [get_attempt(job, index) for index in range(3)]
+    states = [one.state for one in attempts]
+    assert states.count(AttemptState.STOPPING) == stopped
+
+
+# -- whole fleets ------------------------------------------------------------
+
+
+@pytest.fixture
+def mad(monkeypatch):
+    """Return the workers with absurd tails; tasks take time to start."""
+    workers = set()
+
+    def get_load(worker, plan):
+        return 9000.0 if worker.worker_id in workers else 12.0
+
+    def get_progress(run):
+        began_ms = run.ends_at_ms - run.plan.run_ms
+        return 100 if get_now_ms() - began_ms >= STARTING_MS else 40
+
+    monkeypatch.setattr(StandinWorker, '_get_load', get_load)
+    monkeypatch.setattr(standin_worker, '_get_progress', get_progress)
+    return workers
+
+
+async def serve(fleet, count, max_unavailable):
+    """Let tasks that serve be at work; return where the first ones are."""
+    step = make_step(
+        count,
+        long_running=True,
+        target_ms=50,
+        image='web',
+        max_per_worker=1,
+        max_unavailable=max_unavailable,
+    )
+    intake = next(iter(fleet.instances.values())).intake
+    await intake.submit(JOB, QUEUE, make_request(step, lasts=True), LIMIT_MS)
+    await fleet.wait_running(count)
+    await trio.sleep(4)
+    return [one for one in fleet.platform.workers.values() if one.runs]
+
+
+def list_others_away(history):
+    """Return for each stop how many other tasks were not at work then."""
+    counts = []
+    runs = {}
+    for event in history:
+        if event.kind == 'started':
+            runs[event.key] = event.at_ms + STARTING_MS
+        elif event.kind == 'ended':
+            runs[event.key] = float('inf')
+            if event.outcome is RunOutcome.STOPPED:
+                since = {
+                    key: at for key, at in runs.items() if key != event.key
+                }
+                away = sum(at > event.at_ms for at in since.values())
+                counts.append(away)
+    return counts
+
+
+async def go_mad(worker, mad):
+    """Show absurd tails for a while, as by chance."""
+    mad.add(worker.worker_id)
+    await trio.sleep(3.2)
+    mad.remove(worker.worker_id)
+
+
+@pytest.mark.parametrize('pause_s', [0.0, 0.3, 0.7, 1.2])
+@pytest.mark.parametrize('max_unavailable', [1, 2])
+def test_workers_that_go_mad_in_turn_are_emptied_within_the_bound(
+    run_virtual, mad, max_unavailable, pause_s
+):
+    async def run():
+        async with open_fleet(instances=2, workers=8) as fleet:
+            serving = await serve(fleet, 5, max_unavailable)
+            for worker in serving[:3]:
+                fleet.nursery.start_soon(go_mad, worker, mad)
+                await trio.sleep(pause_s)
+            await trio.sleep(12)
+            fleet.check()
+            assert fleet.count_running() == 5
+            return list_others_away(fleet.platform.history)
+
+    counts = run_virtual(run)
+    assert counts
+    assert max(counts) < max_unavailable
+
+
+def test_workers_that_stay_mad_are_left_in_the_end(run_virtual, mad):
+    async def run():
+        async with open_fleet(instances=2, workers=8) as fleet:
+            serving = await serve(fleet, 5, 1)
+            mad.update(worker.worker_id for worker in serving[:3])
+            await trio.sleep(6)
+            fleet.check()
+            left = {
+                event.worker_id
+                for event in fleet.platform.history
+                if event.outcome is RunOutcome.STOPPED
+            }
+            return left, set(mad)
+
+    left, mad_ones = run_virtual(run)
+    assert left == mad_ones
+
+
+def test_without_a_bound_workers_are_emptied_side_by_side(run_virtual, mad):
+    async def run():
+        async with open_fleet(instances=2, workers=8) as fleet:
+            serving = await serve(fleet, 5, 0)
+            mad.update(worker.worker_id for worker in serving[:3])
+            await trio.sleep(2.5)
+            return list_others_away(fleet.platform.history)
+
+    assert run_virtual(run) == [0, 1, 2]
+
+
+# A worker that leaves takes its tasks with it: none has to stay for the
+# bound, and those elsewhere are not moved while they are away.
+def test_worker_that_leaves_is_emptied_whatever_the_bound(run_virtual, mad):
+    async def run():
+        async with open_fleet(instances=2, workers=8) as fleet:
+            serving = await serve(fleet, 5, 1)
+            mad.add(serving[0].worker_id)
+            for worker in serving[2:4]:
+                fleet.platform.drain(worker.worker_id, 4000)
+            await trio.sleep(3.2)
+            assert not any(worker.runs for worker in serving[2:4])
+            mad.clear()
+            await trio.sleep(3)
+            fleet.check()
+            assert fleet.count_running() == 5
+            leaving = {worker.worker_id for worker in serving[2:4]}
+            history = [
+                event
+                for event in fleet.platform.history
+                if event.key.job_id == JOB
+            ]
+            return leaving, history
+
+    leaving, history = run_virtual(run)
+    counts = list_others_away(history)
+    stops = [one for one in history if one.outcome is RunOutcome.STOPPED]
+    stops = [one for one in stops if one.kind == 'ended']
+    for stop, away in zip(stops, counts, strict=True):
+        assert stop.worker_id in leaving or away == 0
