Let a loading owner's lease tell on what the last one told

Cause: an owner that still loads its unit renews its lease from a state that is empty until the rows are read. A unit that is slow to load was said to have no job that waits, where four did (a taker's first row told the count on, its renewals did not, nor did the release of an owner stopped before it had loaded). Its room told of no labels, so a job that asks for one went to any unit while the only one that has it was loaded, and stays there for good.

Such a lease now tells the last owner's count and room, without places, and says that the unit is being loaded. Homes leave it out while a loaded unit could run the job, and passing finds no place there, as before; rows without the new field read as of an owner that has loaded.

Ruled out: telling the places on, too. Nothing is started there for a second or more, and each job sent there would wait for it.

--- a/src/tulippin/jobs/_balancing.py
+++ b/src/tulippin/jobs/_balancing.py
@@ -154,16 +154,18 @@
         if all(_could_run(step, units[number]) for step in request.steps)
     ]
     fresh = [number for number in able if _is_fresh(units[number], now_ms)]
-    # An owner that still loads its unit tells of no worker yet. It would
-    # look the emptiest of all, and start nothing for a second or more.
-    loaded = [
-        number
-        for number in fresh
-        if _get_room(units[number]).capacity_millicores
-    ]
+    # An owner that still loads its unit starts nothing for a second or more,
+    # and one with no open worker would look the emptiest of all.
+    loaded = [number for number in fresh if _takes_jobs(units[number])]
     return loaded or fresh or able or numbers
 
 
+def _takes_jobs(unit: UnitShell) -> bool:
+    """Whether a unit's owner has loaded it, and some worker is open."""
+    is_loading = unit.lease is None or unit.lease.is_loading
+    return not is_loading and _get_room(unit).capacity_millicores > 0
+
+
 def _is_fresh(unit: UnitShell, now_ms: int) -> bool:
     """Whether a unit's owner was alive a moment ago."""
     return unit.is_owner or now_ms - unit.lease_seen_ms <= _FRESH_MS
--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -5,6 +5,8 @@
 import typing as t
 import zlib
 
+import attrs
+
 from tulippin.jobs import _lifecycle, _memory, _rooms, _unseen
 from tulippin.jobs._dispatch import Context, handle
 from tulippin.jobs.effects import (
@@ -21,9 +23,10 @@
     StopRequested,
     UnitTaken,
 )
-from tulippin.jobs.records import EpochRecord, LeaseRecord
+from tulippin.jobs.records import EpochRecord, LeaseRecord, UnitRoom
 from tulippin.jobs.state import Ownership, Phase, SchedulerState
 from tulippin.jobs.swings import SwingModel
+from tulippin.types import Resources
 
 # Spreads the takers of a lapsed lease, so that most see the first one's
 # success before their own try; a transaction takes some 5 ms.
@@ -153,18 +156,11 @@
     ownership.phase = Phase.TAKING
     ownership.tried_version = ownership.lease_version
     context.log('take unit', why=why, silent_ms=silent_ms, epoch=last + 1)
-    config = state.config
     context.emit(
         TakeUnit(
-            LeaseRecord(
-                config.session_id,
-                config.instance_id,
-                # Until the jobs are loaded, the last owner's count is the
-                # newest there is.
-                waiting=ownership.lease.waiting if ownership.lease else {},
-            ),
+            _make_lease(state, is_loaded=False),
             ownership.lease_version,
-            EpochRecord(last + 1, config.session_id),
+            EpochRecord(last + 1, state.config.session_id),
             ownership.epoch_version,
         )
     )
@@ -301,7 +297,9 @@
         return
     ownership.is_renewing = True
     ownership.renewal_count += 1
-    context.emit(RenewLease(_make_lease(state), ownership.epoch_version))
+    is_loaded = ownership.phase is Phase.ACTIVE
+    lease = _make_lease(state, is_loaded=is_loaded)
+    context.emit(RenewLease(lease, ownership.epoch_version))
 
 
 def _is_spared(state: SchedulerState) -> bool:
@@ -326,7 +324,7 @@
     context.log('release unit', epoch=context.fencing_token, why=why)
     context.emit(
         ReleaseLease(
-            _make_lease(state, released=True),
+            _make_lease(state, is_loaded=is_loaded, released=True),
             # What is not loaded must not be written over.
             _memory.make_record(state) if is_loaded else None,
             _unseen.make_account(context) if is_loaded else None,
@@ -338,16 +336,35 @@
 
 
 def _make_lease(
-    state: SchedulerState, *, released: bool = False
+    state: SchedulerState, *, is_loaded: bool, released: bool = False
 ) -> LeaseRecord:
+    if is_loaded:
+        told = (count_waiting(state), _rooms.measure(state), False)
+    else:
+        told = _get_last_told(state.ownership)
     return LeaseRecord(
         state.config.session_id,
         state.config.instance_id,
         state.ownership.renewal_count,
         released,
-        count_waiting(state),
-        _rooms.measure(state),
+        *told,
+    )
+
+
+def _get_last_told(
+    ownership: Ownership,
+) -> tuple[dict[str, int], UnitRoom, bool]:
+    """Return what a lease tells of a unit that is still to be loaded.
+
+    Until then the last owner's count of jobs is the newest there is. Of
+    its room all stands but the places: nothing is started there yet.
+    """
+    if ownership.lease is None:
+        return {}, UnitRoom(), True
+    room = attrs.evolve(
+        ownership.lease.room, largest_free=Resources(), places=()
     )
+    return ownership.lease.waiting, room, True
 
 
 def count_waiting(state: SchedulerState) -> dict[str, int]:
--- a/src/tulippin/jobs/records.py
+++ b/src/tulippin/jobs/records.py
@@ -122,6 +122,8 @@
     """The owner's sign of life; observers time its changes themselves.
 
     ``waiting`` counts the accepted jobs of each queue with no task begun.
+    ``is_loading``: the owner does not know its unit yet; count and room are
+    the last owner's, without a place.
     """
 
     session_id: str
@@ -130,6 +132,7 @@
     released: bool = False
     waiting: dict[str, int] = attrs.field(factory=dict)
     room: UnitRoom = UnitRoom()
+    is_loading: bool = False
 
 
 @attrs.frozen
