--- a/src/tulippin/jobs/records.py
+++ b/src/tulippin/jobs/records.py
@@ -122,6 +122,8 @@
     """The owner's sign of life; observers time its changes themselves.
 
     ``waiting`` counts the accepted jobs of each queue with no task begun.
+    ``is_loading``: the owner does not know its unit yet; count and room are
+    the last owner's, without a place.
     """
 
     session_id: str
@@ -130,6 +132,7 @@
     released: bool = False
     waiting: dict[str, int] = attrs.field(factory=dict)
     room: UnitRoom = UnitRoom()
+    is_loading: bool = False
 
 
 @attrs.frozen
@@ -238,12 +241,29 @@
     """Where tasks may run, by an owner that released the unit.
 
     It counts for the next epoch alone: whoever came in between has given
-    orders that it does not know.
+    orders that it does not know. An owner that has given none hands it on
+    under its own epoch.
     """
 
     epoch: int
     workers: dict[str, WorkerAccount] = attrs.field(factory=dict)
 
+    def hand_on(self, unused_ms: int) -> AccountRecord:
+        """Return the account as of a later owner that gave no order.
+
+        Parameters
+        ----------
+        unused_ms : int
+            For how long, at least, the account has stood by then.
+        """
+        workers = {
+            worker_id: attrs.evolve(
+                told, lasting_ms=max(0, told.lasting_ms - unused_ms)
+            )
+            for worker_id, told in self.workers.items()
+        }
+        return AccountRecord(self.epoch + 1, workers)
+
 
 @attrs.frozen
 class JobRecord:
