--- a/tests/tulippin/jobs/test_availability.py
+++ b/tests/tulippin/jobs/test_availability.py
@@ -287,7 +287,7 @@
         return 9000.0 if worker.worker_id in workers else 12.0
 
     def get_progress(run):
-        began_ms = run.ends_at_ms - run.plan.run_ms
+        began_ms = run.since_ms
         return 100 if get_now_ms() - began_ms >= STARTING_MS else 40
 
     monkeypatch.setattr(StandinWorker, '_get_load', get_load)
--- a/tests/tulippin/jobs/test_scheduler_starving.py
+++ b/tests/tulippin/jobs/test_scheduler_starving.py
@@ -74,12 +74,12 @@
                 image='web',
                 max_per_worker=1,
             )
-            await submit(fleet, 1, make_request(serving, lasts=True))
+            await fleet.submit(f'{1:016x}', make_request(serving, lasts=True))
             await fleet.wait_running(WORKERS)
             await trio.sleep(1)
             fear(fleet)
             batch = make_step(3, 4000, opportunistic=True, image='batch')
-            await submit(fleet, 2, make_request(batch), PATIENT)
+            await fleet.submit(f'{2:016x}', make_request(batch), PATIENT)
             await trio.sleep(2.2)
 
     handler = logbook.TestHandler()
