--- a/tests/tulippin/jobs/test_scheduler_waiting.py
+++ b/tests/tulippin/jobs/test_scheduler_waiting.py
@@ -216,6 +216,33 @@
         await trio.sleep(0.5)
 
 
+# -- what an owner knows of those before it ----------------------------------
+
+
+@pytest.mark.parametrize('waited_s', [2.0, 10.0])
+def test_owner_knows_how_long_jobs_of_the_last_one_have_waited(
+    run_virtual, press, waited_s
+):
+    async def run():
+        async with open_fleet(instances=2, workers=WORKERS) as fleet:
+            await serve(fleet)
+            # Larger than any worker, so that it never starts.
+            step = make_step(1, 60_000, opportunistic=True, image='heavy')
+            accepted_s = trio.current_time()
+            await submit(fleet, 10, make_request(step), PATIENT)
+            await trio.sleep(waited_s)
+            fleet.kill(fleet.get_owner())
+            await fleet.wait_owner()
+            state = fleet.instances[fleet.get_owner()].state
+            with trio.fail_after(5):
+                while f'{10:016x}' not in state.jobs:
+                    await trio.sleep(LOOK_S)
+            arrived_s = state.jobs[f'{10:016x}'].arrived_ms / 1000
+            assert arrived_s == pytest.approx(accepted_s, abs=0.2)
+
+    run_virtual(run)
+
+
 # -- what is expected of neighbours ------------------------------------------
 
 
