Keep when a job was accepted, so that a new owner ranks it by its age

Cause: a job's row did not tell when it was accepted. The row keeps the time of day by the clock of the instance that accepted it, and the owner turns it into its own, never into the future. When the owner came to know the job stands apart: gathering, batches and evening out go by that. Ruled out: taking the age for those too; jobs that stood before a start would be placed in batches of their own, and no longer image by image.

--- a/src/tulippin/jobs/_evening.py
+++ b/src/tulippin/jobs/_evening.py
@@ -61,7 +61,7 @@
 def _is_new(kind: StepKey, state: SchedulerState) -> bool:
     """Whether a step's tasks may yet be passed on to even units out."""
     job = state.jobs[kind[0]]
-    is_young = state.now_ms - job.arrived_ms < _KEPT_MS
+    is_young = state.now_ms - job.known_ms < _KEPT_MS
     return is_young and _may_leave(job, job.request.steps[kind[2]], state)
 
 
@@ -102,7 +102,7 @@
     for kind, tasks in state.ready.items():
         job = state.jobs[kind[0]]
         step = job.request.steps[kind[2]]
-        is_told = state.now_ms - job.arrived_ms >= _ROOMS_TOLD_MS
+        is_told = state.now_ms - job.known_ms >= _ROOMS_TOLD_MS
         if not (is_told and _may_leave(job, step, state)):
             continue
         if not any(task.has_run or task.attempts for task in tasks.values()):
--- a/src/tulippin/jobs/_lifecycle.py
+++ b/src/tulippin/jobs/_lifecycle.py
@@ -82,6 +82,7 @@
             record.request,
             row.version,
             arrived_ms=state.now_ms,
+            known_ms=state.now_ms,
             depths=_ranking.compute_depths(record.request),
             is_guest=True,
         )
@@ -124,6 +125,19 @@
     return is_here(job, first) and not has_run
 
 
+def _get_arrival_ms(record: JobRecord, state: SchedulerState) -> int:
+    """Return when a job was accepted, by this instance's clock.
+
+    One that was loaded after a takeover has waited already. Ranked as if it
+    had just come, it would go before jobs that can still be in time. Clocks
+    differ, so none counts as still to come, or as older than any is kept.
+    """
+    if not record.accepted_ms:
+        return state.now_ms
+    age_ms = state.now_ms + state.wall_offset_ms - record.accepted_ms
+    return state.now_ms - min(max(0, age_ms), state.config.finished_kept_ms)
+
+
 def _make_job(row: StoredRow, context: Context) -> Job | None:
     try:
         record = decode(row.value or b'', JobRecord)
@@ -135,7 +149,8 @@
         record.queue,
         record.request,
         row.version,
-        arrived_ms=context.state.now_ms,
+        arrived_ms=_get_arrival_ms(record, context.state),
+        known_ms=context.state.now_ms,
         depths=_ranking.compute_depths(record.request),
     )
     for occurrence in range(record.request.occurrence_count):
--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -209,7 +209,7 @@
         state = self.context.state
         if not job.request.steps[kind[2]].long_running:
             return False
-        if state.now_ms - job.arrived_ms < _GATHER_MS:
+        if state.now_ms - job.known_ms < _GATHER_MS:
             return True
         if self.held is None:
             self.held = _evening.list_held(state)
--- a/src/tulippin/jobs/_ranking.py
+++ b/src/tulippin/jobs/_ranking.py
@@ -87,7 +87,7 @@
     """
     step = job.request.steps[kind[2]]
     if step.long_running:
-        batch = job.arrived_ms // _BATCH_MS
+        batch = job.known_ms // _BATCH_MS
         order = (
             -demand[step.image],
             step.image,
--- a/src/tulippin/jobs/intake.py
+++ b/src/tulippin/jobs/intake.py
@@ -106,7 +106,7 @@
         if number is None:
             raise UnavailableError('no unit is known yet')
         home = HomeRecord(number)
-        record = JobRecord(queue, request)
+        record = JobRecord(queue, request, self.shell.wall())
         transaction = Transaction(
             get_jobs_part(job_id),
             (RowCondition(HOMES_TABLE, job_id, 0),),
--- a/src/tulippin/jobs/records.py
+++ b/src/tulippin/jobs/records.py
@@ -267,10 +267,15 @@
 
 @attrs.frozen
 class JobRecord:
-    """An accepted job, with its queue as it was configured then."""
+    """An accepted job, with its queue as it was configured then.
+
+    ``accepted_ms`` is the time of day by the clock of the instance that
+    accepted it; 0 if that is not known.
+    """
 
     queue: Queue
     request: JobRequest
+    accepted_ms: int = 0
 
 
 @attrs.frozen
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -181,7 +181,8 @@
     """A job with its tasks, as far as they may run.
 
     ``is_resumed``: it had begun before the owner took the unit.
-    ``idle_since_ms`` is when the last of its runs was over.
+    ``arrived_ms`` is when it was accepted, ``known_ms`` when this owner came
+    to know it, ``idle_since_ms`` when the last of its runs was over.
     ``is_guest``: another unit is its home. ``passes`` are the numbers of
     the passes by which tasks came, ``passed`` those that went.
     """
@@ -194,6 +195,7 @@
     is_cancelled: bool = False
     has_begun: bool = False
     arrived_ms: int = 0
+    known_ms: int = 0
     finished_ms: int = 0
     idle_since_ms: int = 0
     tasks: dict[TaskKey, Task] = attrs.field(factory=dict)
