Pass over entries and values that another writer got wrong

Cause: a value that is no base64 raised out of the decoding of rows and took the whole page with it; text that is no UTF-8 and JSON nested too deeply raised past the error that was caught; an entry's address, state, room and fields were not checked, so one without an address named a worker to use; an entry that turned unreadable left the old one in use; an id was what stands behind the last slash of any key, in any part. Now an entry names a worker only if it has every field that workers write, of its type, a state with a name, an address, and some room. Any other counts as removed until it can be read again: nothing is started there, orders already given go on counting as for a worker that is gone. It is logged when its fault changes, not at each heartbeat. An address that is none is never called. An unreadable configuration, or one with a version above which none could come, leaves the last one in force. Ruled out: dropping a row of wrong value from its page. A condition that asks for its absence would then fail without a row to show for it; it stays, empty. Ruled out: taking a negative rest of a drain for wrong form. A worker may serve on a little longer than it said; it counts as none left.

No existing test changed; the stand-in's entries have the fields that workers write.

--- a/src/tulippin/platform/feeds.py
+++ b/src/tulippin/platform/feeds.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import typing as t
 
 import attrs
@@ -22,7 +23,15 @@
 _CONFIG_KEY: t.Final = 'config'
 _CONFIG_KEY_FULL: t.Final = 'op/config'
 _WORKERS_TABLE: t.Final = 'servers'
+_WORKERS_PREFIX: t.Final = 'servers/'
 _READY: t.Final = 'ready'
+# A worker's id is sent to it in a header, so it is of plain characters.
+_WORKER_ID: t.Final = re.compile('[A-Za-z0-9][!-.0-~]{0,199}')
+# What entries of wrong form raise: not JSON, not of the form wanted, not
+# text, or nested too deeply to be read.
+_UNREADABLE: t.Final = (msgspec.DecodeError, ValueError, RecursionError)
+# Some 100 bytes each.
+_TOLD_KEPT: t.Final = 1000
 # A worker's labels are its kind, then its rack.
 _RACK_LABEL: t.Final = 1
 
@@ -75,7 +84,7 @@
         capacity=decode_room(body.room),
         labels=body.labels,
         draining=body.state != _READY,
-        leaves_in_ms=int(body.remaining_ms),
+        leaves_in_ms=max(0, int(body.remaining_ms)),
         clock_ms=body.clock_ms,
         machine=body.machine,
         rack=body.labels[_RACK_LABEL] if len(body.labels) > 1 else '',
@@ -84,9 +93,16 @@
 
 @attrs.frozen
 class PlatformFeeds:
-    """Both feeds, read from the store; see ``Feeds``."""
+    """Both feeds, read from the store; see ``Feeds``.
+
+    An entry of the list that can't be read names no worker: it counts as
+    one that was removed, until it can be read again.
+    """
 
     store: RowStore
+    # Why entries can't be read, as told in the log: a worker writes its
+    # entry every second, and its fault is told when it changes.
+    _told: dict[str, str] = attrs.field(factory=dict, init=False)
 
     async def read_configuration(self) -> tuple[Configuration | None, int]:
         """Return the configuration, if any, and the store's version."""
@@ -103,7 +119,7 @@
     async def read_workers(self) -> tuple[tuple[WorkerEntry, ...], int]:
         """Return every worker on the list and the store's version."""
         page = await self.store.read_rows(_WORKERS_TABLE, '')
-        changed, _ = _split_workers(page.rows)
+        changed, _ = self._split_workers(page.rows)
         return changed, page.version
 
     async def follow_workers(
@@ -111,43 +127,77 @@
     ) -> tuple[tuple[WorkerEntry, ...], tuple[str, ...], int]:
         """Return workers changed and workers gone since a version."""
         page = await self.store.follow(_WORKERS_TABLE, after, 0)
-        changed, gone = _split_workers(page.rows)
+        changed, gone = self._split_workers(page.rows)
         return changed, gone, page.version
 
+    def _split_workers(
+        self, rows: t.Iterable[StoredRow]
+    ) -> tuple[tuple[WorkerEntry, ...], tuple[str, ...]]:
+        """Return the newest entry of each worker, and those without one."""
+        changed: dict[str, WorkerEntry] = {}
+        gone: set[str] = set()
+        for row in rows:
+            worker_id = _find_worker_id(row)
+            if worker_id is None:
+                self._tell(row.key, 'not the key of a worker')
+                continue
+            entry = self._read_entry(worker_id, row)
+            if entry is None:
+                gone.add(worker_id)
+                changed.pop(worker_id, None)
+                continue
+            changed[worker_id] = entry
+            gone.discard(worker_id)
+        return tuple(changed.values()), tuple(sorted(gone))
+
+    def _read_entry(self, worker_id: str, row: StoredRow) -> WorkerEntry | None:
+        """Return a worker's entry; nothing if it is gone or unreadable."""
+        if row.value is None:
+            self._told.pop(row.key, None)
+            return None
+        try:
+            entry = decode_worker(worker_id, row.value)
+        except _UNREADABLE as error:
+            self._tell(row.key, str(error))
+            return None
+        if self._told.pop(row.key, None) is not None:
+            logger.info('worker entry readable again', worker=worker_id)
+        return entry
+
+    def _tell(self, key: str, reason: str) -> None:
+        """Log why an entry is passed over, unless that is known."""
+        if self._told.get(key) == reason:
+            return
+        if len(self._told) >= _TOLD_KEPT:
+            self._told.pop(next(iter(self._told)))
+        self._told[key] = reason
+        logger.error('worker entry unreadable', key=key, reason=reason)
+
+
+def _find_worker_id(row: StoredRow) -> str | None:
+    """Return whose entry a row is; nothing if it is no worker's."""
+    worker_id = row.key.removeprefix(_WORKERS_PREFIX)
+    if row.part or not _WORKER_ID.fullmatch(worker_id):
+        return None
+    return worker_id
+
 
 def _find_configuration(
     rows: t.Iterable[StoredRow],
 ) -> Configuration | None:
     newest = None
     for row in rows:
-        if row.key not in {_CONFIG_KEY, _CONFIG_KEY_FULL} or not row.value:
+        if row.part or row.key not in {_CONFIG_KEY, _CONFIG_KEY_FULL}:
             continue
-        try:
-            newest = decode_configuration(row.value)
-        except msgspec.DecodeError as error:
-            logger.error('configuration unreadable', reason=str(error))
-    return newest
-
-
-def _split_workers(
-    rows: t.Iterable[StoredRow],
-) -> tuple[tuple[WorkerEntry, ...], tuple[str, ...]]:
-    """Return the newest entry of each worker, and those removed."""
-    changed: dict[str, WorkerEntry] = {}
-    gone: set[str] = set()
-    for row in rows:
-        worker_id = row.key.rpartition('/')[2]
         if row.value is None:
-            gone.add(worker_id)
-            changed.pop(worker_id, None)
             continue
         try:
-            entry = decode_worker(worker_id, row.value)
-        except msgspec.DecodeError as error:
+            newest = decode_configuration(row.value)
+        except _UNREADABLE as error:
+            # The last good one stays in force.
             logger.error(
-                'worker entry unreadable', worker=worker_id, reason=str(error)
+                'configuration unreadable',
+                version=row.version,
+                reason=str(error),
             )
-            continue
-        changed[worker_id] = entry
-        gone.discard(worker_id)
-    return tuple(changed.values()), tuple(sorted(gone))
+    return newest
--- a/src/tulippin/platform/standin_worker.py
+++ b/src/tulippin/platform/standin_worker.py
@@ -123,15 +123,19 @@
         """Return the worker's entry for the list."""
         return msgspec.json.encode(
             WorkerBody(
-                self.service,
-                self.address,
-                'hall',
-                'draining' if self.is_draining else 'ready',
-                self.room,
-                self.labels,
-                self.clock_ms,
-                self._get_remaining_ms(),
-                f'm{sequence}',
+                service=self.service,
+                address=self.address,
+                zone='hall',
+                version='v1',
+                slots=8,
+                state='draining' if self.is_draining else 'ready',
+                cold_remaining_ms=0,
+                sequence=sequence,
+                room=self.room,
+                labels=self.labels,
+                clock_ms=self.clock_ms,
+                remaining_ms=self._get_remaining_ms(),
+                machine=f'm{sequence}',
             )
         )
 
--- a/src/tulippin/platform/store.py
+++ b/src/tulippin/platform/store.py
@@ -27,16 +27,29 @@
 _REFUSALS: t.Final = frozenset((429, 503))
 # The most rows that one reading returns.
 _PAGE_ROWS: t.Final = 500
+# No record, entry or configuration is empty.
+_UNREADABLE: t.Final = b''
 
 _rows_decoder = msgspec.json.Decoder(RowsBody)
 
 
 def decode_row(body: RowBody) -> StoredRow:
-    """Return a row in the product's own form."""
-    value = None if body.gone else base64.b64decode(body.value)
+    """Return a row in the product's own form.
+
+    A value that is no base64 becomes an empty one: the row is there, with
+    its version, and whoever reads it finds nothing that it could use.
+    """
+    value = None if body.gone else _decode_value(body.value)
     return StoredRow(body.table, body.part, body.key, value, body.version)
 
 
+def _decode_value(text: t.Any) -> bytes:
+    try:
+        return base64.b64decode(text, validate=True)
+    except (TypeError, ValueError):
+        return _UNREADABLE
+
+
 def _encode_transaction(transaction: Transaction) -> bytes:
     part = transaction.part
     return msgspec.json.encode(
@@ -90,6 +103,8 @@
                 version = page.version
             if not page.more:
                 return RowPage(tuple(rows), version)
+            if not page.rows:
+                raise AnswerLostError('the store answers a page of nothing')
             # The smallest key above the last one.
             first = f'{page.rows[-1].key}\0'
 
--- a/src/tulippin/platform/wire.py
+++ b/src/tulippin/platform/wire.py
@@ -10,12 +10,29 @@
 EndedRow: t.TypeAlias = tuple[int, str, int, str, str]
 
 
+# Far above any machine, and far below what sums over all workers may reach.
+_Amount: t.TypeAlias = t.Annotated[int, msgspec.Meta(ge=1, le=10**9)]
+_AmountOrNone: t.TypeAlias = t.Annotated[int, msgspec.Meta(ge=0, le=10**6)]
+_Name: t.TypeAlias = t.Annotated[str, msgspec.Meta(min_length=1)]
+# A host's name or an IPv6 address in brackets, and a port.
+ADDRESS_PATTERN: t.Final = (
+    r'^([A-Za-z0-9][A-Za-z0-9._-]{0,252}|\[[0-9A-Fa-f:.]{2,45}\]):'
+    '(6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}'
+    r'|[1-5][0-9]{4}|[1-9][0-9]{0,3})\Z'
+)
+_Address: t.TypeAlias = t.Annotated[str, msgspec.Meta(pattern=ADDRESS_PATTERN)]
+# Above any of these no newer configuration would ever come.
+_Version: t.TypeAlias = t.Annotated[int, msgspec.Meta(ge=0, lt=2**62)]
+# The states that the platform names; an entry with another one is foreign.
+_WorkerState: t.TypeAlias = t.Literal['ready', 'draining']
+
+
 class RoomBody(msgspec.Struct, frozen=True):
     """What a worker holds: thousandths of a core, MiB, whole GPUs."""
 
-    cpu: int = msgspec.field(name='Cpu', default=0)
-    memory_mb: int = msgspec.field(name='MemMb', default=0)
-    gpus: int = msgspec.field(name='Gpus', default=0)
+    cpu: _Amount = msgspec.field(name='Cpu')
+    memory_mb: _Amount = msgspec.field(name='MemMb')
+    gpus: _AmountOrNone = msgspec.field(name='Gpus', default=0)
 
 
 class StepBody(msgspec.Struct, frozen=True):
@@ -109,7 +126,7 @@
 class ConfigBody(msgspec.Struct, frozen=True):
     """The operators' configuration in full."""
 
-    version: int = msgspec.field(name='Version')
+    version: _Version = msgspec.field(name='Version')
     routes: tuple[RouteBody, ...] = msgspec.field(name='Routes', default=())
     services: tuple[ServiceBody, ...] = msgspec.field(
         name='Services', default=()
@@ -117,16 +134,26 @@
     limits: LimitsBody = msgspec.field(name='Limits', default=LimitsBody())
 
 
-class WorkerBody(msgspec.Struct, frozen=True):
-    """A worker's own entry in the list."""
+class WorkerBody(msgspec.Struct, frozen=True, kw_only=True):
+    """A worker's own entry in the list.
 
-    service: str = msgspec.field(name='Service')
-    address: str = msgspec.field(name='Address')
-    zone: str = msgspec.field(name='Zone')
-    state: str = msgspec.field(name='State')
-    room: RoomBody = msgspec.field(name='Capacity', default=RoomBody())
+    Every worker writes all fields without a default, also those that are
+    not used here: an entry that lacks one is not a worker's.
+    """
+
+    service: _Name = msgspec.field(name='Service')
+    address: _Address = msgspec.field(name='Address')
+    zone: _Name = msgspec.field(name='Zone')
+    version: str = msgspec.field(name='Version')
+    slots: int = msgspec.field(name='Slots')
+    state: _WorkerState = msgspec.field(name='State')
+    cold_remaining_ms: float = msgspec.field(name='ColdRemainingMs')
+    sequence: int = msgspec.field(name='Sequence')
+    room: RoomBody = msgspec.field(name='Capacity')
     # Its kind, then its rack.
-    labels: tuple[str, ...] = msgspec.field(name='Labels', default=())
+    labels: t.Annotated[tuple[str, ...], msgspec.Meta(min_length=1)] = (
+        msgspec.field(name='Labels')
+    )
     clock_ms: int = msgspec.field(name='ClockMs', default=0)
     # The least time until a draining worker goes.
     remaining_ms: float = msgspec.field(name='RemainingMs', default=0)
@@ -134,12 +161,12 @@
 
 
 class RowBody(msgspec.Struct, frozen=True):
-    """A row of the store; the value is in base64."""
+    """A row of the store; the value is in base64 if it is the store's."""
 
     table: str = ''
     part: str = ''
     key: str = msgspec.field(name='Key', default='')
-    value: str = msgspec.field(name='Value', default='')
+    value: t.Any = msgspec.field(name='Value', default='')
     version: int = msgspec.field(name='ver', default=0)
     gone: bool = False
 
--- a/src/tulippin/platform/workers.py
+++ b/src/tulippin/platform/workers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import typing as t
 
 import msgspec
@@ -24,6 +25,7 @@
     parse_task,
 )
 from tulippin.platform.wire import (
+    ADDRESS_PATTERN,
     EndedRow,
     HoldBody,
     PaceBody,
@@ -48,6 +50,7 @@
 # A running row has a fifth entry only where tasks share processors.
 _LOAD_COLUMN: t.Final = 4
 _LIFE_HEADER: t.Final = 'Expected-Instance'
+_ADDRESS: t.Final = re.compile(ADDRESS_PATTERN)
 
 _answer_decoder = msgspec.json.Decoder(WorkerAnswerBody)
 
@@ -155,6 +158,8 @@
         body: msgspec.Struct,
         wait_ms: int = 0,
     ) -> HttpAnswer:
+        if not _ADDRESS.match(address):
+            raise UnavailableError(f'{worker_id} has no address')
         client = self._clients.get(worker_id)
         if client is None:
             client = self._clients[worker_id] = self._make_client()
