Take rows of jobs in as a whole, or not at all

Cause: a job's row, a task passed on and a job's progress were trusted once they had the right form. Progress that could not be decoded raised in the loading of the unit; so did names of steps and tasks that there are not, steps that wait for later ones, bits that are no number, and a job's id with a dot in it. One of 10^15 tasks filled the memory. Each ended the instance, and the next one that loaded the unit. Now a record is checked against what it names before anything of it is taken in. A job whose row is of no use is not known, and the others go on. A job whose progress is of no use may be over, or have tasks that are done or in another unit: nothing of it is started and nothing of it kept, until it is cancelled or another owner can read it; what a worker still runs of it goes on. The same holds for a job whose row was of no use when its unit was loaded and is read later. A cancel that can't be read is a cancel: its key says so, and one that was accepted is for good. Each has one line in the log. Ruled out: beginning such a job anew. It would run again what is done, or what runs in another unit, and a final state would be taken back.

--- a/src/tulippin/codec_json.py
+++ b/src/tulippin/codec_json.py
@@ -10,6 +10,12 @@
 
 Decoded = t.TypeVar('Decoded')
 
+_UNREADABLE: t.Final = (
+    msgspec.DecodeError,
+    UnicodeDecodeError,
+    RecursionError,
+)
+
 _decoders: dict[t.Any, msgspec.json.Decoder[t.Any]] = {}
 
 
@@ -24,12 +30,13 @@
     Raises
     ------
     InputError
-        If the JSON is malformed or a part has the wrong type.
+        If the JSON is malformed or nested too deeply, or a part has the
+        wrong type.
     """
     decoder = _decoders.get(kind)
     if decoder is None:
         decoder = _decoders[kind] = msgspec.json.Decoder(kind)
     try:
         return t.cast(Decoded, decoder.decode(body))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except _UNREADABLE as error:
         raise InputError(str(error), code='bad_json') from error
--- a/src/tulippin/jobs/_attempts.py
+++ b/src/tulippin/jobs/_attempts.py
@@ -94,6 +94,7 @@
 def make_ready(job: Job, task: Task, context: Context) -> None:
     """Have a task started again, unless it is over or still runs."""
     is_over = task.is_done or job.is_cancelled or job.state in FINAL_STATES
+    is_over = is_over or job.is_past_unknown
     is_here = _lifecycle.is_here(job, task.key)
     if is_here and not is_over and not task.attempts:
         step = job.request.steps[task.key.step]
--- a/src/tulippin/jobs/_committing.py
+++ b/src/tulippin/jobs/_committing.py
@@ -68,6 +68,7 @@
     if event.model is not None:
         _memory.restore(event.model, state)
     jobs = _lifecycle.add_rows(event.jobs, context)
+    state.unread_jobs.update(_lifecycle.list_unread(event.jobs, state))
     _restore(jobs, event.progress, context)
     _unseen.note_tasks(event.account, context)
     for job in jobs:
@@ -113,6 +114,7 @@
         return
     before = {job_id for job_id, job in state.jobs.items() if job.is_cancelled}
     added = _lifecycle.add_rows(event.rows, context)
+    _withhold_unread(added, context)
     _restore(added, event.progress, context)
     if added:
         state.arrived_ms = state.now_ms
@@ -137,6 +139,17 @@
             _take_up(job, context)
 
 
+def _withhold_unread(jobs: list[Job], context: Context) -> None:
+    """Start nothing of jobs that could not be read with their unit.
+
+    Earlier owners may have known them, and this one did not see what they
+    left of them.
+    """
+    for job in jobs:
+        if job.job_id in context.state.unread_jobs:
+            _lifecycle.withhold(job, context, 'its row was unreadable')
+
+
 def _describe(step: Step) -> dict[str, t.Any]:
     """Return what a step asks for, without what it leaves at zero."""
     return attrs.asdict(
--- a/src/tulippin/jobs/_lifecycle.py
+++ b/src/tulippin/jobs/_lifecycle.py
@@ -6,15 +6,15 @@
 
 import attrs
 
-from tulippin.codec_json import decode
-from tulippin.exceptions import InputError
 from tulippin.jobs import _ranking, _ready
 from tulippin.jobs._dispatch import Context
-from tulippin.jobs._rows import read_record
+from tulippin.jobs._row_checks import find_progress_fault, is_job_id
+from tulippin.jobs._rows import log_unreadable, read_record
 from tulippin.jobs.ports import StoredRow
 from tulippin.jobs.records import (
     CANCEL_SUFFIX,
     GUEST_SUFFIX,
+    CancelRecord,
     GuestRecord,
     JobRecord,
     ProgressRecord,
@@ -42,6 +42,9 @@
         if row.value is None:
             continue
         if row.key.endswith(CANCEL_SUFFIX):
+            # Also one that can't be read: its key alone says what it is, and
+            # a cancel that was accepted is for good.
+            read_record(row, CancelRecord)
             cancelled.append(row.key.removesuffix(CANCEL_SUFFIX))
             continue
         job = _take_row(row, context)
@@ -55,6 +58,9 @@
 
 def _take_row(row: StoredRow, context: Context) -> Job | None:
     """Take in a job, or tasks passed on; return a job if it is new."""
+    if not is_job_id(row.key.removesuffix(GUEST_SUFFIX)):
+        log_unreadable(row, 'its key names no job')
+        return None
     if row.key.endswith(GUEST_SUFFIX):
         return _take_guest(row, context)
     jobs = context.state.jobs
@@ -66,6 +72,16 @@
     return job
 
 
+def list_unread(
+    rows: t.Iterable[StoredRow], state: SchedulerState
+) -> t.Iterator[str]:
+    """Iterate over the ids of jobs whose rows gave none."""
+    for row in rows:
+        job_id = row.key.partition('/')[0]
+        if row.value is not None and job_id not in state.jobs:
+            yield job_id
+
+
 def _take_guest(row: StoredRow, context: Context) -> Job | None:
     """Take in tasks that other units passed on; return a job if new."""
     state = context.state
@@ -74,6 +90,9 @@
     if record is None:
         return None
     job = state.jobs.get(job_id)
+    if job is not None and job.request.steps != record.request.steps:
+        log_unreadable(row, 'its job has other steps')
+        return None
     is_new = job is None
     if job is None:
         job = Job(
@@ -114,7 +133,8 @@
     Its tasks may be in several units. The one that has the first of them
     counts it, so that no job is left out or counted twice.
     """
-    if job.is_cancelled or job.state is not JobState.PENDING:
+    is_pending = job.state is JobState.PENDING and not job.is_past_unknown
+    if job.is_cancelled or not is_pending:
         return False
     first = get_first_task(job)
     if job.is_guest and first not in job.passes:
@@ -125,10 +145,8 @@
 
 
 def _make_job(row: StoredRow, context: Context) -> Job | None:
-    try:
-        record = decode(row.value or b'', JobRecord)
-    except InputError as error:
-        context.log('job row unreadable', job=row.key, reason=error.message)
+    record = read_record(row, JobRecord)
+    if record is None:
         return None
     job = Job(
         row.key,
@@ -148,8 +166,13 @@
 
 def restore(job: Job, row: StoredRow, context: Context) -> None:
     """Apply what is durable of a job's progress."""
-    record = decode(row.value or b'', ProgressRecord)
+    if row.value is None:
+        return
     job.progress_version = row.version
+    record = _read_progress(job, row)
+    if record is None:
+        withhold(job, context, 'its progress is unreadable')
+        return
     job.durable = record
     job.state = record.state
     job.has_begun = record.state is not JobState.PENDING
@@ -168,6 +191,29 @@
         job.passed[key] = PassedTask(*passed)
 
 
+def _read_progress(job: Job, row: StoredRow) -> ProgressRecord | None:
+    """Return a job's progress as a whole, or nothing of it."""
+    record = read_record(row, ProgressRecord)
+    if record is None:
+        return None
+    fault = find_progress_fault(record, job.request)
+    if fault:
+        log_unreadable(row, fault)
+        return None
+    return record
+
+
+def withhold(job: Job, context: Context, why: str) -> None:
+    """Start nothing of a job, as what ran or is done is not known.
+
+    It may be over, or have tasks that are done or run in another unit.
+    What a worker still runs of it goes on, and it can be cancelled.
+    """
+    job.is_past_unknown = True
+    job.has_begun = True
+    context.log('job withheld', job=job.job_id, why=why)
+
+
 def _restore_done(job: Job, occurrence: int, number: int, bits: int) -> None:
     for index in range(job.request.steps[number].task_count):
         if bits >> index & 1:
@@ -212,7 +258,13 @@
 
 
 def mark_dirty(job: Job, state: SchedulerState) -> None:
-    """Have a job's progress made durable with the next commit."""
+    """Have a job's progress made durable with the next commit.
+
+    What is known of a job with an unknown past is less than what is kept of
+    it, but for its end.
+    """
+    if job.is_past_unknown and job.state not in FINAL_STATES:
+        return
     if not state.dirty_jobs:
         state.dirty_since_ms = state.now_ms
     state.dirty_jobs[job.job_id] = None
@@ -220,7 +272,7 @@
 
 def open_steps(job: Job, state: SchedulerState) -> None:
     """Make ready the tasks of each step whose turn has come."""
-    if job.state in FINAL_STATES or job.is_cancelled:
+    if job.state in FINAL_STATES or job.is_cancelled or job.is_past_unknown:
         return
     _open_passed(job, state)
     if job.is_guest:
--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -237,6 +237,7 @@
     state.ready.clear()
     state.ready_idle.clear()
     state.scheduled.clear()
+    state.unread_jobs.clear()
     state.advice_asked.clear()
     state.tails.clear()
     state.swings = SwingModel()
--- /dev/null
+++ b/src/tulippin/jobs/_row_checks.py
@@ -0,0 +1,210 @@
+"""What is wrong with a record that has the right form.
+
+Another writer's row may have every field of its type and still name steps,
+tasks or units that there are not. Whoever takes such a record in would look
+them up, so that one row would end the work on all.
+"""
+
+from __future__ import annotations
+
+import functools
+import math
+import re
+import typing as t
+
+from tulippin.jobs.records import (
+    AccountRecord,
+    GuestRecord,
+    HomeRecord,
+    JobRecord,
+    LayoutRecord,
+    LeaseRecord,
+    ModelRecord,
+    PairRecord,
+    ProgressRecord,
+    SwingRecord,
+    WorkerAccount,
+)
+from tulippin.jobs.types import JobRequest, Step, TaskKey, parse_task
+from tulippin.types import Resources
+
+_TASK_NAME: t.Final = re.compile(r'[0-9]{1,9}\.[0-9]{1,9}\.[0-9]{1,9}')
+_STEP_NAME: t.Final = re.compile(r'[0-9]{1,9}\.[0-9]{1,9}')
+_BITS: t.Final = re.compile('[0-9a-f]+')
+_JOB_ID: t.Final = re.compile('[^./]+')
+_HEX: t.Final = 16
+# A job of more would fill an owner's memory before its first task.
+_MOST_TASKS: t.Final = 1_000_000
+# Each unit has two tables, of which the platform's store keeps 100.
+_MOST_UNITS: t.Final = 1000
+# An owner's orders last for some seconds.
+_LONGEST_ACCOUNT_MS: t.Final = 60_000
+# Above anything that is learned: an excess, a variance, a time in ms.
+_LARGEST: t.Final = 1e9
+
+
+def is_job_id(text: str) -> bool:
+    """Whether tasks can be named after a job of this id."""
+    return _JOB_ID.fullmatch(text) is not None
+
+
+@functools.singledispatch
+def find_fault(record: t.Any) -> str:
+    """Return what makes a record useless; an empty text if nothing does."""
+    return ''
+
+
+# -- jobs ---------------------------------------------------------------------
+
+
+def _find_request_fault(request: JobRequest) -> str:
+    if not request.steps:
+        return 'it has no steps'
+    if request.occurrence_count * len(request.steps) > _MOST_TASKS:
+        return 'it has too many steps'
+    for number, step in enumerate(request.steps):
+        if not 0 < step.task_count <= _MOST_TASKS:
+            return f'step {number} has {step.task_count} tasks'
+        if any(not 0 <= one < number for one in step.after):
+            return f'step {number} waits for one that is no earlier one'
+        if _is_negative(step):
+            return f'step {number} asks for less than nothing'
+    return ''
+
+
+def _is_negative(step: Step) -> bool:
+    return not step.size.fits(Resources())
+
+
+def has_task(request: JobRequest, key: TaskKey) -> bool:
+    """Whether a key names one of a job's tasks."""
+    if not 0 <= key.occurrence < request.occurrence_count:
+        return False
+    if not 0 <= key.step < len(request.steps):
+        return False
+    return 0 <= key.index < request.steps[key.step].task_count
+
+
+def _find_name_fault(names: t.Iterable[str], request: JobRequest) -> str:
+    """Return which of some tasks, as ``K.STEP.INDEX``, there is not."""
+    for name in names:
+        is_name = _TASK_NAME.fullmatch(name) is not None
+        if not is_name or not has_task(request, parse_task(f'-.{name}')):
+            return f'it names task {name!r}'
+    return ''
+
+
+@find_fault.register
+def _check_job(record: JobRecord) -> str:
+    return _find_request_fault(record.request)
+
+
+@find_fault.register
+def _check_guest(record: GuestRecord) -> str:
+    fault = _find_request_fault(record.request)
+    if not fault and min(record.passes.values(), default=1) < 1:
+        fault = 'a pass has no number'
+    if not fault and min(record.runs.values(), default=0) < 0:
+        fault = 'a run is below none'
+    return fault or _find_name_fault(
+        [*record.passes, *record.runs, *record.begun], record.request
+    )
+
+
+def find_progress_fault(record: ProgressRecord, request: JobRequest) -> str:
+    """Return what of a job's progress is none of this job's."""
+    for name, bits in record.done.items():
+        if not _STEP_NAME.fullmatch(name) or not _BITS.fullmatch(bits):
+            return f'it names step {name!r}'
+        key = parse_task(f'-.{name}.0')
+        if not has_task(request, key):
+            return f'it names step {name!r}'
+        if int(bits, _HEX) >> request.steps[key.step].task_count:
+            return f'more tasks of step {name} are done than it has'
+    if any(min(passed) < 0 for passed in record.passed.values()):
+        return 'a task is passed to no unit'
+    return _find_name_fault(
+        [*record.failures, *record.avoided, *record.passed], request
+    )
+
+
+# -- units --------------------------------------------------------------------
+
+
+def _are_units(numbers: t.Iterable[int]) -> bool:
+    return all(0 <= number < _MOST_UNITS for number in numbers)
+
+
+@find_fault.register
+def _check_home(record: HomeRecord) -> str:
+    return '' if _are_units(record.units) else 'it names no unit'
+
+
+@find_fault.register
+def _check_layout(record: LayoutRecord) -> str:
+    return '' if _are_units(record.racks.values()) else 'it names no unit'
+
+
+@find_fault.register
+def _check_lease(record: LeaseRecord) -> str:
+    counts = (record.renewal_count, *record.waiting.values())
+    return 'it counts below none' if min(counts) < 0 else ''
+
+
+@find_fault.register
+def _check_account(record: AccountRecord) -> str:
+    for worker_id, told in record.workers.items():
+        if not 0 <= told.lasting_ms <= _LONGEST_ACCOUNT_MS:
+            return f'orders to {worker_id} last {told.lasting_ms} ms'
+        if not _names_tasks(told):
+            return f'it names no tasks on {worker_id}'
+    return ''
+
+
+def _names_tasks(told: WorkerAccount) -> bool:
+    parts = (name.partition('.') for name in told.tasks or ())
+    return all(
+        is_job_id(job_id) and _TASK_NAME.fullmatch(rest)
+        for job_id, _, rest in parts
+    )
+
+
+# -- models -------------------------------------------------------------------
+
+
+def _are_sane(values: t.Iterable[float]) -> bool:
+    return all(
+        math.isfinite(value) and abs(value) <= _LARGEST for value in values
+    )
+
+
+@find_fault.register
+def _check_model(record: ModelRecord) -> str:
+    for image, pair in record.pairs.items():
+        if not _is_sane_pair(pair):
+            return f'what it tells of image {image!r} is no model'
+    times = (*record.lowest_tails_ms.values(), *record.run_times_ms.values())
+    if not _are_sane(times) or min(times, default=0) < 0:
+        return 'it tells no times'
+    return '' if _is_sane_swing(record.swings) else 'it tells no swings'
+
+
+def _is_sane_pair(pair: PairRecord) -> bool:
+    count = len(pair.means)
+    rows = pair.covariances
+    lengths = [len(row) for row in rows]
+    if lengths != [count - place for place in range(len(rows))]:
+        return False
+    if not _are_sane(pair.means.values()):
+        return False
+    # What is known for sure would be divided by.
+    if any(not row or row[0] <= 0 for row in rows):
+        return False
+    counts = pair.sample_counts.values()
+    return min(counts, default=0) >= 0 and all(map(_are_sane, rows))
+
+
+def _is_sane_swing(swings: SwingRecord) -> bool:
+    waves = swings.waves.values()
+    is_sane = _are_sane((swings.period_ms, swings.mean))
+    return is_sane and all(map(_are_sane, waves))
--- a/src/tulippin/jobs/_rows.py
+++ b/src/tulippin/jobs/_rows.py
@@ -6,6 +6,7 @@
 
 from tulippin.codec_json import decode
 from tulippin.exceptions import InputError
+from tulippin.jobs._row_checks import find_fault
 from tulippin.jobs.ports import RowStore, StoredRow
 from tulippin.logs import logger
 
@@ -13,14 +14,36 @@
 
 
 def read_record(row: StoredRow | None, kind: type[Record]) -> Record | None:
-    """Return a row's record; nothing if it is absent or unreadable."""
+    """Return a row's record; nothing if it is absent or of no use."""
     if row is None or row.value is None:
         return None
     try:
-        return decode(row.value, kind)
+        record = decode(row.value, kind)
     except InputError as error:
-        logger.error('row unreadable', key=row.key, reason=error.message)
+        log_unreadable(row, error.message)
         return None
+    fault = find_fault(record)
+    if fault:
+        log_unreadable(row, fault)
+        return None
+    return record
+
+
+def log_unreadable(row: StoredRow, reason: str) -> None:
+    """Say that a row is not used, and why."""
+    logger.error(
+        'row unreadable',
+        table=row.table,
+        part=row.part,
+        key=row.key,
+        version=row.version,
+        reason=reason,
+    )
+
+
+def is_unreadable(row: StoredRow | None, record: object) -> bool:
+    """Whether a row is there and gave no record."""
+    return row is not None and row.value is not None and record is None
 
 
 async def read_row(
--- a/src/tulippin/jobs/_unseen.py
+++ b/src/tulippin/jobs/_unseen.py
@@ -13,6 +13,7 @@
 
 from tulippin.jobs import _lifecycle
 from tulippin.jobs._dispatch import Context
+from tulippin.jobs._row_checks import has_task
 from tulippin.jobs.records import AccountRecord, WorkerAccount
 from tulippin.jobs.state import SchedulerState, Task, Worker
 from tulippin.jobs.types import WorkerEntry, parse_task
@@ -136,7 +137,9 @@
         for name in told.tasks or ():
             key = parse_task(name)
             job = state.jobs.get(key.job_id)
-            if job is not None and worker_id in state.workers:
+            if job is None or not has_task(job.request, key):
+                continue
+            if worker_id in state.workers:
                 task = _lifecycle.get_task(job, key)
                 task.unseen_on.add(worker_id)
 
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -178,8 +178,10 @@
     """A job with its tasks, as far as they may run.
 
     ``is_resumed``: it had begun before the owner took the unit.
-    ``is_guest``: another unit is its home. ``passes`` are the numbers of
-    the passes by which tasks came, ``passed`` those that went.
+    ``is_past_unknown``: what was kept of it can't be read, so that nothing
+    of it may be started. ``is_guest``: another unit is its home.
+    ``passes`` are the numbers of the passes by which tasks came, ``passed``
+    those that went.
     """
 
     job_id: str
@@ -199,6 +201,7 @@
     awaits_workers: bool = False
     is_resumed: bool = False
     is_guest: bool = False
+    is_past_unknown: bool = False
     passes: dict[TaskKey, int] = attrs.field(factory=dict)
     passed: dict[TaskKey, PassedTask] = attrs.field(factory=dict)
     depths: tuple[int, ...] = (1,)
@@ -336,6 +339,7 @@
     refusals_told_ms: int = 0
     swept_ms: int = 0
     scheduled: set[str] = attrs.field(factory=set)
+    unread_jobs: set[str] = attrs.field(factory=set)
     advice_asked: set[tuple[str, int, int]] = attrs.field(factory=set)
     dirty_jobs: dict[str, None] = attrs.field(factory=dict)
     dirty_since_ms: int = 0
