Tell a unit's rows that can't be read from rows that are not there

Cause: a row of a unit that could not be decoded counted as absent. Without a lease the unit was free, and taken from an owner that lived. Without an epoch the next one was 1, below what workers have met, so that each owner was fenced. Without a roster no worker was waited for, and a task that ran on a silent one was started a second time. A roster or a layout without its only field was read as an empty one. An instance that started read a layout of no use again and again. A job whose home could not be read was said to be accepted, or not to be there, and one without readable progress to wait. Now each has the safest reading. Lease: as silent, since the row came; its owner's next renewal puts it right. Epoch: that of the row's version, as no epoch is above its row's version. Roster: any worker may run anything; those listed are asked, the longest lease is waited out, and it is written anew. Account: none. Layout: the last one stays in force, also against one that moves a rack, and the first unit's owner writes it back; none is made in its place. Home and progress: callers get 503, and 504 where a job may be kept. Tasks are not passed on over a row that may tell of others. Ruled out: making a layout anew. A rack that changed its unit would have two owners, and jobs stay with the unit that their home names. Ruled out: logging at each reading. Rows are decoded when they change.

No existing test changed.

--- a/src/tulippin/jobs/_committing.py
+++ b/src/tulippin/jobs/_committing.py
@@ -60,11 +60,14 @@
         _ownership.step_down(context, 'another owner took it meanwhile')
         return
     state.ownership.phase = Phase.ACTIVE
-    state.roster = dict(event.roster.addresses)
     state.roster_version = event.roster_version
     for entry in event.workers:
         _workers.note_entry(entry, context)
-    _unseen.begin(event.account, context)
+    if event.roster is None:
+        _unseen.begin_without_roster(context)
+    else:
+        state.roster = dict(event.roster.addresses)
+        _unseen.begin(event.account, context)
     if event.model is not None:
         _memory.restore(event.model, state)
     jobs = _lifecycle.add_rows(event.jobs, context)
--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -117,7 +117,11 @@
     if ownership.changed_ms < 0:
         return
     silent_ms = state.now_ms - ownership.changed_ms
-    if lease is None or lease.released:
+    if lease is None and ownership.lease_version:
+        # Whoever has the unit writes its next renewal over it.
+        why = 'lease unreadable'
+        wait_ms = state.config.lease_ms + _get_delay_ms(state)
+    elif lease is None or lease.released:
         why = 'released' if lease else 'never owned'
         wait_ms = _get_delay_ms(state) // _RELEASED_PART
     elif lease.instance_id == state.config.instance_id:
@@ -238,6 +242,7 @@
     state.ready_idle.clear()
     state.scheduled.clear()
     state.unread_jobs.clear()
+    state.unsettled_until_ms = 0
     state.advice_asked.clear()
     state.tails.clear()
     state.swings = SwingModel()
--- a/src/tulippin/jobs/_row_effects.py
+++ b/src/tulippin/jobs/_row_effects.py
@@ -13,7 +13,12 @@
 from tulippin.jobs import events as ev
 from tulippin.jobs._perform import perform
 from tulippin.jobs._resolving import transact_surely
-from tulippin.jobs._rows import get_version, read_record, read_row
+from tulippin.jobs._rows import (
+    get_version,
+    is_unreadable,
+    read_record,
+    read_row,
+)
 from tulippin.jobs.ports import (
     RowCondition,
     RowWrite,
@@ -362,6 +367,10 @@
     if home is None or home.is_cancelled:
         return None
     known = read_record(guest_row, GuestRecord)
+    if is_unreadable(guest_row, known):
+        # It may tell of tasks that others have passed on, which would be
+        # lost with it. They are told again with the job's next progress.
+        return None
     record = effect.record
     if known is not None:
         newer = {
--- a/src/tulippin/jobs/_unit_feeds.py
+++ b/src/tulippin/jobs/_unit_feeds.py
@@ -11,8 +11,14 @@
 from tulippin.exceptions import UnavailableError
 from tulippin.jobs import events as ev
 from tulippin.jobs._rows import get_version, read_record, read_row
-from tulippin.jobs.ports import HistoryLostError, RowPage, RowStore
+from tulippin.jobs.ports import (
+    HistoryLostError,
+    RowPage,
+    RowStore,
+    StoredRow,
+)
 from tulippin.jobs.records import (
+    ACCOUNT_KEY,
     ACCOUNTS_TABLE,
     EPOCH_KEY,
     MODELS_TABLE,
@@ -70,6 +76,11 @@
     return RowPage(rows, min(page.version for page in pages))
 
 
+def _find_row(page: RowPage, key: str) -> StoredRow | None:
+    """Return the row of a key; other writers' rows may stand beside it."""
+    return next((row for row in page.rows if row.key == key), None)
+
+
 @attrs.define
 class UnitFeeds:
     """Follows a unit for as long as it is owned; ``scope`` ends it."""
@@ -107,17 +118,20 @@
         workers, version = await self.shell.ports.feeds.read_workers()
         self._note_listed(workers, ())
         own = {row.key: row for row in owned.rows}
-        roster = own.get(ROSTER_KEY)
+        roster_row = own.get(ROSTER_KEY)
+        roster = read_record(roster_row, RosterRecord)
+        if not get_version(roster_row):
+            roster = RosterRecord({})
         loaded = ev.UnitLoaded(
             self.shell.clock(),
             jobs.rows,
             progress.rows,
-            read_record(roster, RosterRecord) or RosterRecord(),
-            get_version(roster),
+            roster,
+            get_version(roster_row),
             tuple(filter(self.shell.has_worker, workers)),
             read_record(next(iter(learned.rows), None), ModelRecord),
             get_version(own.get(EPOCH_KEY)),
-            read_record(next(iter(account.rows), None), AccountRecord),
+            read_record(_find_row(account, ACCOUNT_KEY), AccountRecord),
         )
         return loaded, jobs.version, version
 
--- a/src/tulippin/jobs/_unit_watch.py
+++ b/src/tulippin/jobs/_unit_watch.py
@@ -13,7 +13,7 @@
 from tulippin.exceptions import UnavailableError
 from tulippin.jobs import events as ev
 from tulippin.jobs._resolving import transact_surely
-from tulippin.jobs._rows import get_version, read_record
+from tulippin.jobs._rows import get_version, log_unreadable, read_record
 from tulippin.jobs._unit_feeds import FEED_PAUSE_S, FEED_WAIT_MS
 from tulippin.jobs.layout import extend_layout, get_rack, make_layout
 from tulippin.jobs.ports import (
@@ -57,6 +57,7 @@
 
     shell: SchedulerShell
     layout_row: StoredRow | None = None
+    is_layout_wrong: bool = False
     after: int = -1
 
     async def run(self) -> None:
@@ -133,12 +134,31 @@
         self.after = -1 if is_new and not page.rows else page.version
 
     def _take_layout(self, rows: t.Iterable[StoredRow]) -> None:
+        """Know the layout; one that can't be read leaves the last in force.
+
+        A new one is never made in its place: a rack that changed its unit
+        would have two owners. The first unit's owner writes the one that it
+        knows over it.
+        """
         for row in rows:
+            if row.key != LAYOUT_KEY or row.value is None:
+                continue
+            self.layout_row = row
             layout = read_record(row, LayoutRecord)
-            if row.key == LAYOUT_KEY and layout is not None:
-                self.layout_row = row
+            if layout is not None and self._moves_rack(layout):
+                log_unreadable(row, 'a rack has changed its unit')
+                layout = None
+            self.is_layout_wrong = layout is None
+            if layout is not None:
                 self.shell.take_layout(layout)
 
+    def _moves_rack(self, layout: LayoutRecord) -> bool:
+        """Whether a rack that is known has another unit in a layout."""
+        known = self.shell.layout.racks if self.shell.layout else {}
+        return any(
+            layout.racks.get(rack, unit) != unit for rack, unit in known.items()
+        )
+
     # -- making the layout -------------------------------------------------
 
     async def _make_first(self) -> None:
@@ -197,7 +217,7 @@
             known = self.shell.layout.racks
             listed = unit.listed_workers
             racks = {get_rack(entry) for entry in listed.values()}
-            if racks <= set(known):
+            if racks <= set(known) and not self.is_layout_wrong:
                 continue
             try:
                 await self._write(
--- a/src/tulippin/jobs/_unseen.py
+++ b/src/tulippin/jobs/_unseen.py
@@ -43,7 +43,7 @@
 
 def is_settled(state: SchedulerState) -> bool:
     """Whether no task at all can run that an earlier owner started unseen."""
-    return all(
+    return state.now_ms > state.unsettled_until_ms and all(
         is_sure(worker, state)
         for worker in state.workers.values()
         if worker.may_run_anything
@@ -121,6 +121,24 @@
     )
 
 
+def begin_without_roster(context: Context) -> None:
+    """Begin where the roster can't be read.
+
+    Any worker may run anything, also one that is on no list any more: all
+    that are listed are asked, and the others' leases are waited out.
+    """
+    state = context.state
+    state.roster = {
+        worker.worker_id: worker.entry.address
+        for worker in state.workers.values()
+    }
+    begin(None, context)
+    # It differs from what is wanted, and so is written anew.
+    state.roster = {}
+    lasting_ms = _get_inherited_ms(state) * state.config.clock_drift_ratio
+    state.unsettled_until_ms = state.now_ms + int(lasting_ms) + _LAPSE_SLACK_MS
+
+
 def _get_inherited_ms(state: SchedulerState) -> int:
     """Return the longest that another owner's orders may still last."""
     config = state.config
--- a/src/tulippin/jobs/events.py
+++ b/src/tulippin/jobs/events.py
@@ -101,11 +101,12 @@
 
     ``epoch_version`` is that of the owner's epoch, read after the jobs: if
     it is still ours, no later owner knew these jobs when they were read.
+    No roster: it can't be read, and tells of no worker.
     """
 
     jobs: tuple[StoredRow, ...]
     progress: tuple[StoredRow, ...]
-    roster: RosterRecord
+    roster: RosterRecord | None
     roster_version: int
     workers: tuple[WorkerEntry, ...]
     model: ModelRecord | None = None
--- a/src/tulippin/jobs/intake.py
+++ b/src/tulippin/jobs/intake.py
@@ -14,7 +14,7 @@
 from tulippin.exceptions import AnswerLostError, UnavailableError
 from tulippin.jobs._ownership import count_waiting
 from tulippin.jobs._resolving import transact_surely
-from tulippin.jobs._rows import read_record, read_row
+from tulippin.jobs._rows import is_unreadable, read_record, read_row
 from tulippin.jobs.ports import (
     RowCondition,
     RowStore,
@@ -84,13 +84,19 @@
         self, job_id: str
     ) -> tuple[HomeRecord | None, StoredRow | None]:
         row = await self._read(HOMES_TABLE, get_jobs_part(job_id), job_id)
-        return read_record(row, HomeRecord), row
+        home = read_record(row, HomeRecord)
+        if is_unreadable(row, home):
+            # There may be such a job, and nobody can tell where.
+            raise UnavailableError(f'the home of {job_id} is unreadable')
+        return home, row
 
     async def _read_state(self, number: int, job_id: str) -> JobState | None:
         """Return what is durable of a job's state in a unit."""
         unit = Unit(number)
         row = await self._read(unit.progress_table, unit.part, job_id)
         progress = read_record(row, ProgressRecord)
+        if is_unreadable(row, progress):
+            raise UnavailableError(f'the progress of {job_id} is unreadable')
         return progress.state if progress else None
 
     async def submit(
@@ -119,6 +125,8 @@
         result = await self._transact(transaction, limit_ms)
         if result.is_done:
             self._keep_home(job_id, number)
+        elif _is_home_unreadable(result, job_id):
+            raise AnswerLostError(f'the home of {job_id} is unreadable')
         self.shell.observe('tulippin_call_seconds', 'submit', began_ms)
         logger.info(
             'job accepted',
@@ -193,6 +201,15 @@
         return total
 
 
+def _is_home_unreadable(result: TransactionResult, job_id: str) -> bool:
+    """Whether what stands in a new job's way tells of no job."""
+    return any(
+        is_unreadable(row, read_record(row, HomeRecord))
+        for row in result.rows
+        if (row.table, row.key) == (HOMES_TABLE, job_id)
+    )
+
+
 def _make_cancel(
     job_id: str, queue: Queue, home: HomeRecord, row: StoredRow
 ) -> Transaction:
--- a/src/tulippin/jobs/records.py
+++ b/src/tulippin/jobs/records.py
@@ -136,11 +136,12 @@
 class LayoutRecord:
     """The unit of each rack; a rack never changes its unit.
 
+    Racks have no default: a row without them tells of no layout.
     ``failure_domains`` names the one that a unit's racks are in, or
     nothing where they are in several.
     """
 
-    racks: dict[str, int] = attrs.field(factory=dict)
+    racks: dict[str, int]
     failure_domains: dict[str, str] = attrs.field(factory=dict)
 
     @property
@@ -209,9 +210,12 @@
 
 @attrs.frozen
 class RosterRecord:
-    """Workers, by id, on which the owner's orders may still have effect."""
+    """Workers, by id, on which the owner's orders may still have effect.
 
-    addresses: dict[str, str] = attrs.field(factory=dict)
+    They have no default: a row without them does not tell of none.
+    """
+
+    addresses: dict[str, str]
 
 
 @attrs.frozen
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -340,6 +340,7 @@
     swept_ms: int = 0
     scheduled: set[str] = attrs.field(factory=set)
     unread_jobs: set[str] = attrs.field(factory=set)
+    unsettled_until_ms: int = 0
     advice_asked: set[tuple[str, int, int]] = attrs.field(factory=set)
     dirty_jobs: dict[str, None] = attrs.field(factory=dict)
     dirty_since_ms: int = 0
--- a/src/tulippin/jobs/unit_shell.py
+++ b/src/tulippin/jobs/unit_shell.py
@@ -16,7 +16,12 @@
 from tulippin.jobs import events as ev
 from tulippin.jobs._perform import perform
 from tulippin.jobs._resolving import AnswerTimes
-from tulippin.jobs._rows import get_version, read_record
+from tulippin.jobs._rows import (
+    get_version,
+    is_unreadable,
+    log_unreadable,
+    read_record,
+)
 from tulippin.jobs._unit_feeds import UnitFeeds
 from tulippin.jobs.ports import SchedulerPorts, StoredRow
 from tulippin.jobs.records import (
@@ -56,8 +61,10 @@
         self.state: SchedulerState = core.make_state(config)
         self.lease: LeaseRecord | None = None
         self.lease_seen_ms = 0
+        self._lease: LeaseRecord | None = None
         self._parent = parent
         self._rows: dict[str, StoredRow] = {}
+        self._epoch: EpochRecord | None = None
         self._feeds: UnitFeeds | None = None
 
     @property
@@ -127,23 +134,29 @@
 
     def see_rows(self, rows: t.Iterable[StoredRow]) -> None:
         """Take in changed rows of the unit's own part."""
-        self._rows.update((row.key, row) for row in rows)
-        lease_row = self._rows.get(LEASE_KEY)
-        lease = read_record(lease_row, LeaseRecord)
-        if lease != self.lease:
-            self.lease_seen_ms = self.clock()
-        self.lease = lease
-        epoch_row = self._rows.get(EPOCH_KEY)
+        for row in rows:
+            self._rows[row.key] = row
+            if row.key == LEASE_KEY:
+                self._take_lease(row)
+            elif row.key == EPOCH_KEY:
+                self._epoch = _read_epoch(row)
         self.post(
             ev.LeaseSeen(
                 self.clock(),
-                lease,
-                get_version(lease_row),
-                read_record(epoch_row, EpochRecord),
-                get_version(epoch_row),
+                self._lease,
+                get_version(self._rows.get(LEASE_KEY)),
+                self._epoch,
+                get_version(self._rows.get(EPOCH_KEY)),
             )
         )
 
+    def _take_lease(self, row: StoredRow) -> None:
+        """Read the lease; what it told last counts while it is unreadable."""
+        self._lease = read_record(row, LeaseRecord)
+        if self._lease != self.lease and not is_unreadable(row, self._lease):
+            self.lease_seen_ms = self.clock()
+            self.lease = self._lease
+
     def follow_unit(self) -> None:
         """Load the unit that is owned now, and follow it."""
         self._feeds = UnitFeeds(self)
@@ -156,6 +169,22 @@
             self._feeds = None
 
 
+def _read_epoch(row: StoredRow) -> EpochRecord | None:
+    """Return the epoch; one above all that were, if it can't be read.
+
+    Each taking raises the epoch by one and the store's version by one or
+    more, so that no epoch is above the version of its row. A lower one than
+    workers have met would be fenced, by all of them.
+    """
+    record = read_record(row, EpochRecord)
+    if record is not None and not 0 < record.epoch <= row.version:
+        log_unreadable(row, f'its epoch is {record.epoch}')
+        record = None
+    if is_unreadable(row, record):
+        return EpochRecord(row.version, '')
+    return record
+
+
 @perform.register
 def _log(effect: fx.LogDecision, shell: UnitShell) -> None:
     logger.info(effect.decision, unit=shell.config.unit.number, **effect.fields)
