Read a unit's model and account by their keys

Cause: the first row of the part was taken for the model, and so for the account. Another writer's row with a lower key stood in their place, and an owner began with nothing learned. Ruled out: taking the part of such a model that can be used. What is known of one pair hangs on what is known of the others.

--- a/src/tulippin/jobs/_unit_feeds.py
+++ b/src/tulippin/jobs/_unit_feeds.py
@@ -21,6 +21,7 @@
     ACCOUNT_KEY,
     ACCOUNTS_TABLE,
     EPOCH_KEY,
+    MODEL_KEY,
     MODELS_TABLE,
     ROSTER_KEY,
     UNITS_TABLE,
@@ -129,7 +130,7 @@
             roster,
             get_version(roster_row),
             tuple(filter(self.shell.has_worker, workers)),
-            read_record(next(iter(learned.rows), None), ModelRecord),
+            read_record(_find_row(learned, MODEL_KEY), ModelRecord),
             get_version(own.get(EPOCH_KEY)),
             read_record(_find_row(account, ACCOUNT_KEY), AccountRecord),
         )
@@ -209,8 +210,10 @@
         page = await self.shell.ports.store.follow(MODELS_TABLE, after, 0)
         own_part = self.shell.config.unit.part
         for row in page.rows:
+            if row.part == own_part or row.key != MODEL_KEY:
+                continue
             record = read_record(row, ModelRecord)
-            if record is not None and row.part != own_part:
+            if record is not None:
                 models[row.part] = record
         if page.rows:
             known = tuple(models.values())
--- a/tests/tulippin/jobs/test_foreign_units.py
+++ b/tests/tulippin/jobs/test_foreign_units.py
@@ -420,3 +420,58 @@
             await fleet.wait_done(JOB)
 
     run_virtual(run)
+
+
+# -- models -------------------------------------------------------------------
+
+
+MODELS = {
+    **WRONG,
+    'rows too long': b'{"pairs":{"a":{"means":{"b":1},"covariances":[[1,2]]}}}',
+    'too many rows': b'{"pairs":{"a":{"means":{},"covariances":[[1]]}}}',
+    'known for sure': b'{"pairs":{"a":{"means":{"b":1},"covariances":[[0]]}}}',
+    'below none': b'{"pairs":{"a":{"means":{"b":1},"covariances":[[-1]]}}}',
+    'infinite': b'{"pairs":{"a":{"means":{"b":1e999}}}}',
+    'no number': b'{"pairs":{"a":{"means":{"b":NaN}}}}',
+    'large': b'{"pairs":{"a":{"means":{"b":1e300}}}}',
+    'samples below none': b'{"pairs":{"a":{"sample_counts":{"b":-1}}}}',
+    'time below none': b'{"run_times_ms":{"q":-5}}',
+    'tail is infinite': b'{"lowest_tails_ms":{"a":1e999}}',
+    'period is infinite': b'{"swings":{"period_ms":1e308}}',
+    'wave is short': b'{"swings":{"period_ms":9000,"waves":{"a":[1]}}}',
+    'wave is large': b'{"swings":{"period_ms":9e3,"waves":{"a":[1e99,0,0]}}}',
+}
+
+
+@pytest.mark.parametrize('name', sorted(MODELS))
+def test_wrong_model_teaches_nothing(run_virtual, name):
+    async def run():
+        async with open_fleet() as fleet:
+            store = fleet.platform.store
+            fleet.kill(fleet.get_owner())
+            store.write('models', 'u0', 'model', MODELS[name])
+            store.write('models', 'u1', 'model', MODELS[name])
+            await fleet.wait_owner()
+            await submit(fleet, JOB)
+            await fleet.wait_done(JOB)
+            owner = fleet.instances[fleet.get_owner()]
+            assert owner.state.model.images == {}
+            assert owner.state.swings.swings == {}
+            assert 'a' not in owner.state.lowest_tails_ms
+
+    run_virtual(run)
+
+
+def test_model_is_read_by_its_key(run_virtual):
+    async def run():
+        async with open_fleet() as fleet:
+            store = fleet.platform.store
+            fleet.kill(fleet.get_owner())
+            store.write('models', 'u0', 'a', b'{')
+            good = b'{"pairs":{"a":{"means":{"b":1.0},"covariances":[[0.5]]}}}'
+            store.write('models', 'u0', 'model', good)
+            await fleet.wait_owner()
+            owner = fleet.instances[fleet.get_owner()]
+            assert owner.state.model.images['a'].means == {'b': 1.0}
+
+    run_virtual(run)
