Take an answer that is no report for none

Cause: an entry of the list may name an address where something else answers. Rows of tasks that are no names, of other types or too long raised out of the reading of a report, and so did text that is no UTF-8 and JSON nested too deeply; each ended the instance. Now such an answer is a lost one: the worker counts as silent, and what it may run is waited for as after any silence. Ruled out: passing over single rows of a report. A run that is left out would be taken for one that has vanished, and be started again beside itself.

No existing test changed.

--- a/src/tulippin/platform/workers.py
+++ b/src/tulippin/platform/workers.py
@@ -133,11 +133,7 @@
             raise FencedOrderError(f'{worker_id} has a newer owner')
         if answer.status != _OK or decoded.clock_ms is None:
             raise UnavailableError(f'{worker_id} answers {answer.status}')
-        return WorkerReport(
-            decoded.clock_ms,
-            tuple(_decode_running(row) for row in decoded.running),
-            tuple(_decode_ended(row) for row in decoded.ended),
-        )
+        return _decode_report(decoded.clock_ms, decoded)
 
     async def _order(
         self, worker_id: str, address: str, path: str, body: msgspec.Struct
@@ -177,7 +173,7 @@
         return WorkerAnswerBody()
     try:
         return _answer_decoder.decode(answer.body)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
         raise AnswerLostError(f'a worker answers nonsense: {error}') from error
 
 
@@ -198,12 +194,31 @@
     return OrderAnswer(StartOutcome.REJECTED, decoded.clock_ms)
 
 
+def _decode_report(clock_ms: int, body: WorkerAnswerBody) -> WorkerReport:
+    try:
+        running = tuple(_decode_running(row) for row in body.running)
+        ended = tuple(_decode_ended(row) for row in body.ended)
+    except (TypeError, ValueError) as error:
+        raise AnswerLostError(f'a worker reports nonsense: {error}') from error
+    return WorkerReport(clock_ms, running, ended)
+
+
 def _decode_running(row: RunningRow) -> RunningTask:
     *rest, load = row if len(row) > _LOAD_COLUMN else (*row, None)
     task, run, checkpoint, percent = rest
+    _demand(task, str)
+    _demand(run, int)
+    _demand(checkpoint, str)
+    _demand(percent, (int, float))
+    _demand(load, (int, float, type(None)))
     return RunningTask(parse_task(task), run, checkpoint, percent, load)
 
 
+def _demand(value: t.Any, kinds: type | tuple[type, ...]) -> None:
+    if not isinstance(value, kinds):
+        raise TypeError(f'{value!r} in a row of what runs')
+
+
 def _decode_ended(row: EndedRow) -> EndedRun:
     return EndedRun(
         number=row[0],
--- a/tests/tulippin/platform/test_foreign_entries.py
+++ b/tests/tulippin/platform/test_foreign_entries.py
@@ -9,11 +9,13 @@
 import trio
 
 from tulippin._http_client import HttpAnswer
-from tulippin.exceptions import AnswerLostError
+from tulippin.exceptions import AnswerLostError, UnavailableError
 from tulippin.jobs.ports import Transaction
+from tulippin.jobs.types import StartOutcome, TaskKey
 from tulippin.platform.feeds import PlatformFeeds
 from tulippin.platform.standin_store import StandinStore
 from tulippin.platform.store import PlatformStore
+from tulippin.platform.workers import PlatformWorkers
 
 GOOD = {
     'Service': 's',
@@ -427,3 +429,75 @@
         assert found is None
 
     run_virtual(run)
+
+
+# -- what answers at an address ----------------------------------------------
+
+
+@attrs.define
+class Answerer:
+    """Whatever listens at an address that an entry names."""
+
+    body: bytes
+    status: int = 200
+    call_count: int = 0
+
+    async def send(self, method, url, body=b'', headers=None, extra_wait_ms=0):
+        self.call_count += 1
+        return HttpAnswer(self.status, {}, self.body)
+
+
+def make_report(**fields):
+    return json.dumps({'ClockMs': 5, **fields}).encode()
+
+
+REPORTS = {
+    # An entry carries the clock of a report, and what else it carries is
+    # passed over.
+    **{name: body for name, body in RAW.items() if b'ClockMs' not in body},
+    'cut off': make_report()[:-1],
+    'deep': RAW['deep'],
+    'two of them': make_report() * 2,
+    'page': b'<html></html>',
+    'no clock': b'{}',
+    'clock is a text': b'{"ClockMs":"5"}',
+    'task is a word': make_report(RunningCount=[['x', 1, '', 0]]),
+    'task is a number': make_report(RunningCount=[[7, 1, '', 0]]),
+    'task of words': make_report(RunningCount=[['a.b.c.d', 1, '', 0]]),
+    'run is a text': make_report(RunningCount=[['a.0.0.0', '1', '', 0]]),
+    'checkpoint is a number': make_report(RunningCount=[['a.0.0.0', 1, 1, 0]]),
+    'percent is a text': make_report(RunningCount=[['a.0.0.0', 1, '', '0']]),
+    'load is a text': make_report(RunningCount=[['a.0.0.0', 1, '', 0, 'x']]),
+    'row too short': make_report(RunningCount=[['a.0.0.0', 1]]),
+    'row too long': make_report(RunningCount=[['a.0.0.0', 1, '', 0, 1, 2]]),
+    'row is a text': make_report(RunningCount=['abcd']),
+    'ended is a word': make_report(EndedAt=[[1, 'x', 1, 'done', '']]),
+    'ended oddly': make_report(EndedAt=[[1, 'a.0.0.0', 1, 'odd', '']]),
+}
+
+
+@pytest.mark.parametrize('name', sorted(REPORTS))
+def test_answer_of_something_else_is_no_report(name):
+    client = Answerer(REPORTS[name])
+    agents = PlatformWorkers(lambda: client)
+
+    async def hold():
+        await agents.hold('w0', '10.0.0.1:80', 1, 0, None, 0)
+
+    with pytest.raises(UnavailableError):
+        trio.run(hold)
+
+
+@pytest.mark.parametrize('address', NO_ADDRESSES)
+def test_address_that_is_none_is_never_called(address):
+    client = Answerer(make_report())
+    agents = PlatformWorkers(lambda: client)
+
+    async def call():
+        key = TaskKey('a', 0, 0, 0)
+        with pytest.raises(UnavailableError):
+            await agents.hold('w0', address, 1, 0, None, 0)
+        return await agents.stop('w0', address, key, 1, 1)
+
+    assert trio.run(call).outcome is StartOutcome.NOT_SENT
+    assert client.call_count == 0
