Give no order to a worker of a service without a name

Cause: a worker's service was looked at only when a task was placed. One of a service that no configuration names was written on the roster, called four times a second while it was silent, counted among the unit's room and among the workers that an owner must reach, and gave its rack a unit. Now it stays off the roster and the layout until a configuration names its service; then it is used. One that has had orders stays on it, so that jobs accepted before a service was removed go on, and its runs are waited for. Ruled out: to look at the configuration in placing as well. A job's queue names the service, by the configuration under which it was accepted. Ruled out: using none while no configuration is known. An owner that starts beside an unreadable one goes on with the jobs that were accepted.

Before, as run: of 4 cases 2 failed. No existing test changed.

--- a/src/tulippin/jobs/_committing.py
+++ b/src/tulippin/jobs/_committing.py
@@ -285,7 +285,8 @@
     """Keep the workers known that orders of ours may reach.
 
     A worker is written down before its first order, and struck out once
-    it is gone and nothing can run there.
+    it is gone and nothing can run there. One of a service that no
+    configuration has named yet gets no order.
     """
     state = context.state
     if state.is_roster_committing:
@@ -293,6 +294,7 @@
     wanted = {
         worker.worker_id: worker.entry.address
         for worker in state.workers.values()
+        if worker.is_rostered or _is_named(worker.entry.service, state)
     }
     if wanted == state.roster:
         return
@@ -306,6 +308,11 @@
     )
 
 
+def _is_named(service: str, state: SchedulerState) -> bool:
+    known = state.configuration
+    return known is None or service in known.service_names
+
+
 @handle.register
 def _roster_committed(event: RosterCommitted, context: Context) -> None:
     state = context.state
--- a/src/tulippin/jobs/_unit_watch.py
+++ b/src/tulippin/jobs/_unit_watch.py
@@ -30,6 +30,7 @@
     LayoutRecord,
     Unit,
 )
+from tulippin.jobs.types import WorkerEntry
 from tulippin.logs import logger
 
 if t.TYPE_CHECKING:
@@ -159,6 +160,17 @@
             layout.racks.get(rack, unit) != unit for rack, unit in known.items()
         )
 
+    def _keep_named(
+        self, entries: t.Iterable[WorkerEntry]
+    ) -> list[WorkerEntry]:
+        """Return the workers of services that the configuration names."""
+        known = self.shell.configuration
+        return [
+            entry
+            for entry in entries
+            if known is None or entry.service in known.service_names
+        ]
+
     # -- making the layout -------------------------------------------------
 
     async def _make_first(self) -> None:
@@ -172,7 +184,7 @@
             now = trio.current_time()
             is_settled = bool(entries) and now - since >= _SETTLE_S
             if is_settled or now - began >= _SETTLE_LIMIT_S:
-                await self._write(make_layout(entries))
+                await self._write(make_layout(self._keep_named(entries)))
                 return
             await trio.sleep(_LOOK_EVERY_S)
             known = {entry.worker_id for entry in entries}
@@ -215,13 +227,11 @@
             if unit is None or not unit.is_owner:
                 continue
             known = self.shell.layout.racks
-            listed = unit.listed_workers
-            racks = {get_rack(entry) for entry in listed.values()}
+            listed = self._keep_named(unit.listed_workers.values())
+            racks = {get_rack(entry) for entry in listed}
             if racks <= set(known) and not self.is_layout_wrong:
                 continue
             try:
-                await self._write(
-                    extend_layout(self.shell.layout, listed.values())
-                )
+                await self._write(extend_layout(self.shell.layout, listed))
             except UnavailableError as error:
                 self.shell.note_store(error)
--- a/src/tulippin/jobs/_workers.py
+++ b/src/tulippin/jobs/_workers.py
@@ -50,7 +50,10 @@
     if worker is None:
         worker = state.workers[entry.worker_id] = Worker(entry)
         context.log(
-            'worker listed', worker=entry.worker_id, address=entry.address
+            'worker listed',
+            worker=entry.worker_id,
+            address=entry.address,
+            service=entry.service,
         )
     if entry.draining:
         _note_drain(worker, entry, context)
--- a/src/tulippin/jobs/types.py
+++ b/src/tulippin/jobs/types.py
@@ -214,6 +214,16 @@
     max_body_bytes: int = 262144
     max_header_bytes: int = 65536
 
+    @functools.cached_property
+    def service_names(self) -> frozenset[str]:
+        """The services whose workers may be used."""
+        return frozenset(
+            (
+                *(service.name for service in self.services),
+                *(queue.service for queue in self.queues),
+            )
+        )
+
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue of a host with the longest matching prefix."""
         matching = [
--- a/tests/tulippin/jobs/test_foreign_units.py
+++ b/tests/tulippin/jobs/test_foreign_units.py
@@ -3,10 +3,17 @@
 import json
 
 import logbook
+import msgspec
 import pytest
 import trio
 
-from fleet_of_schedulers import QUEUE, make_request, make_step, open_fleet
+from fleet_of_schedulers import (
+    QUEUE,
+    make_config_body,
+    make_request,
+    make_step,
+    open_fleet,
+)
 from tulippin.codec_json import encode
 from tulippin.exceptions import UnavailableError
 from tulippin.jobs.records import (
@@ -17,7 +24,8 @@
     ProgressRecord,
     get_jobs_part,
 )
-from tulippin.jobs.types import JobState
+from tulippin.jobs.types import JobState, Queue
+from tulippin.platform.wire import RouteBody
 
 LIMIT_MS = 3000
 JOB = f'{1:016x}'
@@ -147,6 +155,57 @@
     run_virtual(run)
 
 
+def list_rostered(fleet):
+    row = fleet.platform.store.rows['units', 'u0', 'roster']
+    return set(json.loads(row.value)['addresses'])
+
+
+@pytest.mark.parametrize('rack', ['r1', 'r9'])
+def test_worker_of_a_service_without_a_name_gets_no_order(run_virtual, rack):
+    async def run():
+        async with open_fleet(workers=1) as fleet:
+            worker = fleet.platform.add_worker(
+                'w9', service='odd', labels=('a', rack)
+            )
+            await trio.sleep(4)
+            await submit(fleet, JOB)
+            await fleet.wait_done(JOB)
+            assert worker.fence == 0
+            assert list_rostered(fleet) == {'w0'}
+            layout = fleet.platform.store.rows['units', 'layout', 'layout']
+            assert json.loads(layout.value)['racks'] == {'r1': 0}
+
+    run_virtual(run)
+
+
+@pytest.mark.parametrize('rack', ['r1', 'r9'])
+def test_worker_is_used_once_a_configuration_names_its_service(
+    run_virtual, rack
+):
+    async def run():
+        async with open_fleet(workers=1) as fleet:
+            fleet.platform.add_worker('w9', service='odd', labels=('a', rack))
+            await trio.sleep(4)
+            known = make_config_body(2)
+            route = RouteBody('r', 'host', '/r/', 'odd')
+            routes = (*known.routes, route)
+            fleet.platform.configure(
+                msgspec.structs.replace(known, routes=routes)
+            )
+            queue = Queue('r', 'host', '/r/', 'odd')
+            intake = fleet.instances['i0'].intake
+            await trio.sleep(4)
+            await intake.submit(JOB, queue, make_request(), LIMIT_MS)
+            await fleet.wait_done(JOB)
+            assert list_rostered(fleet) == {'w0', 'w9'}
+            # A later one without it takes no place from accepted jobs.
+            fleet.platform.configure(make_config_body(3))
+            await intake.submit(OTHER, queue, make_request(), LIMIT_MS)
+            await fleet.wait_done(OTHER)
+
+    run_virtual(run)
+
+
 # -- lease and epoch ----------------------------------------------------------
 
 
