Keep the last bundle in force beside a row that is none

Cause: a bundle's row that is no text raised out of the table and ended the instance; one of another form was refused with a line in the log every four seconds, and took the operators' whole list with it. Now its refusal is told when its reason changes, and the list leaves it out. Ruled out: to stop looking once a row was refused. It may be mended without a new head, and the rolled bundle would not come into force.

No existing test changed.

--- a/src/tulippin/bundle_store.py
+++ b/src/tulippin/bundle_store.py
@@ -18,7 +18,13 @@
     verify,
     verify_row,
 )
-from tulippin.exceptions import ConflictError, DeniedError, NotFoundError
+from tulippin.exceptions import (
+    ConflictError,
+    DeniedError,
+    InputError,
+    NotFoundError,
+)
+from tulippin.logs import logger
 from tulippin.ports import Condition, Table, Write
 from tulippin.store import commit_resolved
 
@@ -63,11 +69,17 @@
         return codec.decode(row.value, BundleRow), row.version
 
     async def iter_all(self) -> list[BundleRow]:
-        """Return all bundles in the order of their numbers."""
-        return [
-            codec.decode(row.value, BundleRow)
-            for _, row in await self.table.scan('bundle/')
-        ]
+        """Return all bundles in the order of their numbers.
+
+        Rows that are none are left out.
+        """
+        found = []
+        for key, row in await self.table.scan('bundle/'):
+            try:
+                found.append(codec.decode(row.value, BundleRow))
+            except InputError as error:
+                logger.error('row unreadable', key=key, reason=error.message)
+        return found
 
     async def propose(self, text: str, signature: Signature) -> BundleRow:
         """Add a checked bundle to the log under the next number."""
--- a/src/tulippin/row_table.py
+++ b/src/tulippin/row_table.py
@@ -23,7 +23,8 @@
 
 
 def _convert(row: StoredRow) -> Row:
-    return Row((row.value or b'').decode(), row.version)
+    # What is no text becomes text that no signature confirms.
+    return Row((row.value or b'').decode(errors='replace'), row.version)
 
 
 @attrs.frozen
--- a/src/tulippin/scheduler_bundles.py
+++ b/src/tulippin/scheduler_bundles.py
@@ -5,6 +5,7 @@
 import importlib
 import typing as t
 
+import attrs
 import trio
 
 from tulippin.exceptions import TulippinError, UnavailableError
@@ -32,22 +33,47 @@
         Operators' public keys; a bundle whose signatures they do not
         confirm is not put in force.
     """
-    store = shell.ports.store
-    head_version = 0
-    number = 0
+    follower = _Follower(shell, keys)
     while True:
         await trio.sleep(_LOOK_EVERY_S)
         try:
-            head = await read_row(store, PRODUCT_TABLE, PRODUCT_PART, _HEAD_KEY)
-            if head is None or head.version == head_version:
-                continue
-            number = await _apply_newest(shell, keys, number)
+            await follower.look()
         except UnavailableError as error:
             shell.note_store(error)
         except TulippinError as error:
-            logger.error('bundle refused', reason=error.format_message())
-        else:
-            head_version = head.version
+            follower.tell(error)
+
+
+@attrs.define
+class _Follower:
+    """What is in force, and why what was rolled since is not."""
+
+    shell: SchedulerShell
+    keys: t.Mapping[str, str]
+    head_version: int = 0
+    number: int = 0
+    told: str = ''
+
+    async def look(self) -> None:
+        """Put the newest bundle in force, unless none came since.
+
+        The head's version is kept once that is done: a row that is refused
+        may be mended without a new head.
+        """
+        store = self.shell.ports.store
+        head = await read_row(store, PRODUCT_TABLE, PRODUCT_PART, _HEAD_KEY)
+        if head is None or head.version == self.head_version:
+            return
+        self.number = await _apply_newest(self.shell, self.keys, self.number)
+        self.head_version = head.version
+        self.told = ''
+
+    def tell(self, error: TulippinError) -> None:
+        """Log why a bundle is refused, unless that was told last."""
+        reason = error.format_message()
+        if reason != self.told:
+            logger.error('bundle refused', reason=reason)
+        self.told = reason
 
 
 async def _apply_newest(
--- /dev/null
+++ b/tests/tulippin/test_foreign_bundles.py
@@ -0,0 +1,111 @@
+"""Rows of bundles that another writer got wrong."""
+
+import logbook
+import pytest
+import trio
+
+from tulippin.bundle_store import BundleStore
+from tulippin.bundles import compute_digest, make_key, sign
+from tulippin.jobs.events import PolicyChanged
+from tulippin.platform.standin_store import StandinStore
+from tulippin.row_table import RowTable
+from tulippin.scheduler_bundles import follow_bundles
+
+TEXT = """
+[bundle]
+name = harvest
+[policy new]
+kind = best_fit
+"""
+PAIRS = {name: make_key() for name in ('alice', 'bob')}
+KEYS = {name: public for name, (_, public) in PAIRS.items()}
+WRONG = {
+    'empty': b'',
+    'cut off': b'{"number":1',
+    'not text': b'{"number":1,"text":"\xff","rolled_number":"\xff"}',
+    'a list': b'[]',
+    'random bytes': bytes(range(256)),
+    'deep': b'{"x":' + b'[' * 60_000 + b']' * 60_000 + b'}',
+    'number is a text': b'{"number":"1","rolled_number":"1"}',
+}
+
+
+class StandinShell:
+    """Keeps what the scheduler is told."""
+
+    def __init__(self, store):
+        self.ports = self
+        self.store = store
+        self.posted = []
+
+    def clock(self):
+        return 0
+
+    def post(self, event):
+        self.posted.append(event)
+
+    def note_store(self, error):
+        raise error
+
+
+def sign_as(operator, action, number):
+    digest = compute_digest(TEXT)
+    return sign(PAIRS[operator][0], operator, action, number, digest)
+
+
+async def roll_one(store):
+    """Bring one more bundle into force."""
+    row = await store.propose(TEXT, sign_as('alice', 'propose', 0))
+    number = row.number
+    await store.approve(number, sign_as('bob', 'approve', number))
+    await store.roll(number, sign_as('alice', 'roll', number))
+    return number
+
+
+def list_numbers(shell):
+    return [
+        event.number
+        for event in shell.posted
+        if isinstance(event, PolicyChanged)
+    ]
+
+
+@pytest.mark.parametrize('key', ['bundle-head', 'bundle/00000002'])
+@pytest.mark.parametrize('name', sorted(WRONG))
+def test_wrong_row_leaves_the_last_bundle_in_force(run_virtual, name, key):
+    async def run():
+        store = StandinStore()
+        view = store.get_view('i0')
+        bundles = BundleStore(RowTable(view), KEYS)
+        shell = StandinShell(view)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(follow_bundles, shell, KEYS)
+            await roll_one(bundles)
+            await trio.sleep(9)
+            await roll_one(bundles)
+            rows = store.rows
+            good = rows['tulippin', 'product', key].value
+            store.write('tulippin', 'product', key, WRONG[name])
+            await trio.sleep(30)
+            assert list_numbers(shell) == [1]
+            store.write('tulippin', 'product', key, good)
+            await trio.sleep(9)
+            assert list_numbers(shell) == [1, 2]
+            nursery.cancel_scope.cancel()
+
+    with logbook.TestHandler() as handler:
+        run_virtual(run)
+    lines = [record.message for record in handler.records]
+    assert lines == ['bundle refused']
+
+
+@pytest.mark.parametrize('name', sorted(WRONG))
+def test_wrong_bundle_is_left_out_of_the_list(run_virtual, name):
+    async def run():
+        store = StandinStore()
+        bundles = BundleStore(RowTable(store.get_view('i0')), KEYS)
+        await roll_one(bundles)
+        store.write('tulippin', 'product', 'bundle/00000009', WRONG[name])
+        assert [row.number for row in await bundles.iter_all()] == [1]
+
+    run_virtual(run)
