Take no other address for a worker that has had orders

Cause: an entry's address was followed at once. Under another worker's address the one there answers that it is another life, and that was taken for the end of the life that the entry names: what it ran was started elsewhere. Now such an entry takes the worker off the list, and orders go on to the address on the roster, until the entry tells that one again. If that one was wrong, the worker is forgotten once nothing can run there, and listed anew. Ruled out: doubting the answer of another life. After a crash it is true, and waiting for the lease would cost tasks that last some seconds.

No existing test changed.

--- a/src/tulippin/jobs/_workers.py
+++ b/src/tulippin/jobs/_workers.py
@@ -55,12 +55,33 @@
             address=entry.address,
             service=entry.service,
         )
+    if worker.is_rostered and worker.entry.address != entry.address:
+        _refuse_move(worker, entry, context)
+        return
     if entry.draining:
         _note_drain(worker, entry, context)
     worker.entry = entry
     worker.is_listed = True
 
 
+def _refuse_move(worker: Worker, entry: WorkerEntry, context: Context) -> None:
+    """Pass over an entry by which a worker's life has moved.
+
+    An id stands for one life, at one address. Whatever answers at another
+    one would say that this life is over, and what it runs would be started
+    beside itself. If it is the known address that is wrong, the worker is
+    forgotten once nothing can run there, and then listed anew.
+    """
+    if worker.is_listed:
+        worker.is_listed = False
+        context.log(
+            'worker at another address',
+            worker=entry.worker_id,
+            address=entry.address,
+            known=worker.entry.address,
+        )
+
+
 def _note_drain(worker: Worker, entry: WorkerEntry, context: Context) -> None:
     """Note when a worker leaves: no later than any of its entries says."""
     leaves_at_ms = context.state.now_ms + entry.leaves_in_ms
--- a/tests/tulippin/jobs/test_foreign_units.py
+++ b/tests/tulippin/jobs/test_foreign_units.py
@@ -155,6 +155,51 @@
     run_virtual(run)
 
 
+@pytest.mark.parametrize('address', ['10.9.0.1:80', '10.6.6.6:80'])
+def test_entry_with_the_address_of_another_worker_costs_no_run(
+    run_virtual, address
+):
+    async def run():
+        async with open_fleet(workers=2) as fleet:
+            step = make_step(2, 9000, long_running=True)
+            await submit(fleet, JOB, make_request(step, lasts=True))
+            await fleet.wait_running(2)
+            worker = fleet.platform.workers['w0']
+            for _ in range(5):
+                body = json.loads(worker.make_body(1))
+                body['Address'] = address
+                value = json.dumps(body).encode()
+                fleet.platform.store.write('servers', '', 'w0', value)
+                await trio.sleep(1.7)
+            await submit(fleet, OTHER)
+            await fleet.wait_done(OTHER)
+            assert count_starts(fleet, JOB) == 2
+            assert fleet.count_running() == 2
+            fleet.check()
+
+    run_virtual(run)
+
+
+def test_worker_first_listed_with_a_wrong_address_is_used_in_the_end(
+    run_virtual,
+):
+    async def run():
+        async with open_fleet(workers=1) as fleet:
+            fleet.platform.workers['w0'].crash()
+            fleet.platform.remove('w0')
+            store = fleet.platform.store
+            late = fleet.platform.add_worker('w1', is_up=False)
+            body = json.loads(late.make_body(1))
+            body['Address'] = '10.6.6.6:80'
+            store.write('servers', '', 'w1', json.dumps(body).encode())
+            await trio.sleep(2)
+            late.is_up = True
+            await submit(fleet, JOB)
+            await fleet.wait_done(JOB)
+
+    run_virtual(run)
+
+
 def list_rostered(fleet):
     row = fleet.platform.store.rows['units', 'u0', 'roster']
     return set(json.loads(row.value)['addresses'])
