--- a/src/tulippin/jobs/_committing.py
+++ b/src/tulippin/jobs/_committing.py
@@ -60,14 +60,18 @@
         _ownership.step_down(context, 'another owner took it meanwhile')
         return
     state.ownership.phase = Phase.ACTIVE
-    state.roster = dict(event.roster.addresses)
     state.roster_version = event.roster_version
     for entry in event.workers:
         _workers.note_entry(entry, context)
-    _unseen.begin(event.account, context)
+    if event.roster is None:
+        _unseen.begin_without_roster(context)
+    else:
+        state.roster = dict(event.roster.addresses)
+        _unseen.begin(event.account, context)
     if event.model is not None:
         _memory.restore(event.model, state)
     jobs = _lifecycle.add_rows(event.jobs, context)
+    state.unread_jobs.update(_lifecycle.list_unread(event.jobs, state))
     _restore(jobs, event.progress, context)
     _unseen.note_tasks(event.account, context)
     for job in jobs:
@@ -113,6 +117,7 @@
         return
     before = {job_id for job_id, job in state.jobs.items() if job.is_cancelled}
     added = _lifecycle.add_rows(event.rows, context)
+    _withhold_unread(added, context)
     _restore(added, event.progress, context)
     if added:
         state.arrived_ms = state.now_ms
@@ -137,6 +142,17 @@
             _take_up(job, context)
 
 
+def _withhold_unread(jobs: list[Job], context: Context) -> None:
+    """Start nothing of jobs that could not be read with their unit.
+
+    Earlier owners may have known them, and this one did not see what they
+    left of them.
+    """
+    for job in jobs:
+        if job.job_id in context.state.unread_jobs:
+            _lifecycle.withhold(job, context, 'its row was unreadable')
+
+
 def _describe(step: Step) -> dict[str, t.Any]:
     """Return what a step asks for, without what it leaves at zero."""
     return attrs.asdict(
@@ -269,7 +285,8 @@
     """Keep the workers known that orders of ours may reach.
 
     A worker is written down before its first order, and struck out once
-    it is gone and nothing can run there.
+    it is gone and nothing can run there. One of a service that no
+    configuration has named yet gets no order.
     """
     state = context.state
     if state.is_roster_committing:
@@ -277,6 +294,7 @@
     wanted = {
         worker.worker_id: worker.entry.address
         for worker in state.workers.values()
+        if worker.is_rostered or _is_named(worker.entry.service, state)
     }
     if wanted == state.roster:
         return
@@ -290,6 +308,11 @@
     )
 
 
+def _is_named(service: str, state: SchedulerState) -> bool:
+    known = state.configuration
+    return known is None or service in known.service_names
+
+
 @handle.register
 def _roster_committed(event: RosterCommitted, context: Context) -> None:
     state = context.state
--- a/src/tulippin/jobs/_unseen.py
+++ b/src/tulippin/jobs/_unseen.py
@@ -13,6 +13,7 @@
 
 from tulippin.jobs import _lifecycle
 from tulippin.jobs._dispatch import Context
+from tulippin.jobs._row_checks import has_task
 from tulippin.jobs.records import AccountRecord, WorkerAccount
 from tulippin.jobs.state import SchedulerState, Task, Worker
 from tulippin.jobs.types import WorkerEntry, parse_task
@@ -42,7 +43,7 @@
 
 def is_settled(state: SchedulerState) -> bool:
     """Whether no task at all can run that an earlier owner started unseen."""
-    return all(
+    return state.now_ms > state.unsettled_until_ms and all(
         is_sure(worker, state)
         for worker in state.workers.values()
         if worker.may_run_anything
@@ -130,6 +131,24 @@
     return account.workers
 
 
+def begin_without_roster(context: Context) -> None:
+    """Begin where the roster can't be read.
+
+    Any worker may run anything, also one that is on no list any more: all
+    that are listed are asked, and the others' leases are waited out.
+    """
+    state = context.state
+    state.roster = {
+        worker.worker_id: worker.entry.address
+        for worker in state.workers.values()
+    }
+    begin(None, context)
+    # It differs from what is wanted, and so is written anew.
+    state.roster = {}
+    lasting_ms = _get_inherited_ms(state) * state.config.clock_drift_ratio
+    state.unsettled_until_ms = state.now_ms + int(lasting_ms) + _LAPSE_SLACK_MS
+
+
 def _get_inherited_ms(state: SchedulerState) -> int:
     """Return the longest that another owner's orders may still last."""
     config = state.config
@@ -144,7 +163,9 @@
         for name in told.tasks or ():
             key = parse_task(name)
             job = state.jobs.get(key.job_id)
-            if job is not None and worker_id in state.workers:
+            if job is None or not has_task(job.request, key):
+                continue
+            if worker_id in state.workers:
                 task = _lifecycle.get_task(job, key)
                 task.unseen_on.add(worker_id)
 
