Keep room for short tasks from new long-running ones

Urgent jobs were late as their tasks found no room.

Cause: more long-running tasks are handed in than find room.

Not ruled out: that tighter packing of long-running tasks would leave larger pieces.

Now an owner keeps as many places, of the size that short tasks ask for, as these use on the mean of 10 s, from long-running tasks that have not run.

--- a/src/tulippin/jobs/_choosing.py
+++ b/src/tulippin/jobs/_choosing.py
@@ -4,7 +4,7 @@
 
 import typing as t
 
-from tulippin.jobs import _feasibility, _interference, _scoring
+from tulippin.jobs import _feasibility, _interference, _scoring, _sparing
 from tulippin.jobs.state import Job, SchedulerState, Task, Worker
 from tulippin.jobs.types import Step
 
@@ -43,11 +43,7 @@
     """
     best = None
     best_score = 0.0
-    for worker in state.workers.values():
-        if rack and worker.entry.rack != rack:
-            continue
-        if not _feasibility.is_feasible(worker, job, task, step, state):
-            continue
+    for worker in _list_able(job, task, step, state, rack):
         score = _score(worker, task, step, state)
         if score is None:
             continue
@@ -57,6 +53,22 @@
     return best
 
 
+def _list_able(
+    job: Job, task: Task, step: Step, state: SchedulerState, rack: str
+) -> list[Worker]:
+    """Return the workers that may take a task now."""
+    able = [
+        worker
+        for worker in state.workers.values()
+        if not (rack and worker.entry.rack != rack)
+        and _feasibility.is_feasible(worker, job, task, step, state)
+    ]
+    keeper = _sparing.find_keeper(job, task, step, state) if able else None
+    if keeper is None:
+        return able
+    return [worker for worker in able if keeper.lets_on(worker, step)]
+
+
 def choose_idlest(
     job: Job, task: Task, step: Step, state: SchedulerState
 ) -> Worker | None:
--- a/src/tulippin/jobs/_lifecycle.py
+++ b/src/tulippin/jobs/_lifecycle.py
@@ -8,7 +8,7 @@
 
 from tulippin.codec_json import decode
 from tulippin.exceptions import InputError
-from tulippin.jobs import _ranking, _ready
+from tulippin.jobs import _ranking, _ready, _sparing
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs._rows import read_record
 from tulippin.jobs.ports import StoredRow
@@ -267,11 +267,15 @@
 def _open_step(
     job: Job, occurrence: int, number: int, state: SchedulerState
 ) -> None:
-    for index in range(job.request.steps[number].task_count):
+    step = job.request.steps[number]
+    opened = 0
+    for index in range(step.task_count):
         key = TaskKey(job.job_id, occurrence, number, index)
         task = get_task(job, key)
         if _is_startable(job, task):
-            _ready.add(task, job.request.steps[number], state)
+            _ready.add(task, step, state)
+            opened += 1
+    _sparing.note_step(job, step, opened, state)
 
 
 def mark_begun(job: Job, state: SchedulerState) -> None:
--- /dev/null
+++ b/src/tulippin/jobs/_sparing.py
@@ -0,0 +1,137 @@
+"""Room that new long-running tasks leave to short ones.
+
+Long-running tasks stay for minutes. Where more of them are handed in than
+find room, each hole that a short task leaves goes to one of them for good,
+if it is large enough: short tasks go first, but only those that wait in that
+moment and fit. What is left in the end are pieces smaller than most short
+tasks. On a full day of 176 workers the large ones waited for tens of
+seconds, and of the time that late urgent jobs lost nine tenths went so.
+
+So an owner keeps as many places of the size that short tasks ask for as are
+in use on the mean. More would lie idle most of the time, and a long-running
+task that waits is work lost as well. What is smaller than a place is anyone's.
+The figure follows what comes: where no short jobs do, nothing is kept.
+"""
+
+from __future__ import annotations
+
+import math
+import typing as t
+
+import attrs
+
+from tulippin.jobs import _feasibility, _ready
+from tulippin.jobs.state import (
+    Job,
+    SchedulerState,
+    ShortDemand,
+    Task,
+    Worker,
+)
+from tulippin.jobs.types import Queue, Step
+
+# Over how long what short jobs ask for is taken together. A unit gets some
+# two of them a second, which differ by ten: 20 tell their mean to within a
+# quarter, and a crowd that comes or goes is known soon enough.
+_MEMORY_MS: t.Final = 10_000
+# The most of all processors that are kept: after a crowd of short jobs the
+# figure is too high for a while, and a new long-running task is to start at
+# once where half of the processors are free.
+_MOST_SHARE: t.Final = 0.25
+
+
+def note_step(
+    job: Job, step: Step, task_count: int, state: SchedulerState
+) -> None:
+    """Count what a short step asks for whose turn has come."""
+    if step.long_running or step.opportunistic:
+        return
+    queue = job.queue
+    cpu_millicores = step.size.cpu_millicores
+    run_ms = state.run_times_ms.get(queue.name, 0.0) or step.estimated_ms
+    work = task_count * cpu_millicores * run_ms
+    known = state.short_demands.setdefault(
+        (queue.service, queue.priority), ShortDemand()
+    )
+    part = _get_part(known, state)
+    known.noted_ms = state.now_ms
+    known.work = known.work * part + work
+    known.squares = known.squares * part + work * cpu_millicores
+
+
+def _get_part(known: ShortDemand, state: SchedulerState) -> float:
+    """Return which part of a demand still counts."""
+    return math.exp((known.noted_ms - state.now_ms) / _MEMORY_MS)
+
+
+@attrs.frozen
+class Keeper:
+    """Tells on which workers a new long-running task may be started.
+
+    ``place_millicores`` is what a place for a short task is,
+    ``spare_places`` how many more there are than are kept.
+    """
+
+    place_millicores: int
+    spare_places: int
+
+    def lets_on(self, worker: Worker, step: Step) -> bool:
+        """Whether a task leaves enough places if it starts on a worker."""
+        return step.size.cpu_millicores <= self.get_largest(worker)
+
+    def get_largest(self, worker: Worker) -> int:
+        """Return the most processors that a task may take of a worker."""
+        hole = _get_hole(worker)
+        places = hole // self.place_millicores
+        kept = max(0, places - max(0, self.spare_places))
+        return hole - kept * self.place_millicores
+
+
+def find_keeper(
+    job: Job, task: Task, step: Step, state: SchedulerState
+) -> Keeper | None:
+    """Return what keeps room from a task; nothing if it may take any.
+
+    One that was at work before has users who miss it, and may.
+    """
+    if not step.long_running or _ready.is_back(job, task):
+        return None
+    return make_keeper(job.queue, state)
+
+
+def make_keeper(queue: Queue, state: SchedulerState) -> Keeper | None:
+    """Return what keeps room from a queue's new long-running tasks.
+
+    Nothing is kept for jobs that are less urgent.
+    """
+    work = 0.0
+    squares = 0.0
+    for (service, priority), known in state.short_demands.items():
+        if service == queue.service and priority <= queue.priority:
+            part = _get_part(known, state)
+            work += known.work * part
+            squares += known.squares * part
+    # Of what size the task is that a processor in use is in use for, on the
+    # mean: by number of tasks the small ones would tell of places too small
+    # for most of the work.
+    place_millicores = round(squares / work) if work else 0
+    if not place_millicores:
+        return None
+    opened = [
+        worker
+        for worker in _feasibility.list_open(state)
+        if worker.entry.service == queue.service
+    ]
+    capacity = sum(one.entry.capacity.cpu_millicores for one in opened)
+    kept = min(work / _MEMORY_MS, _MOST_SHARE * capacity) / place_millicores
+    places = sum(_get_hole(one) // place_millicores for one in opened)
+    return Keeper(place_millicores, places - round(kept))
+
+
+def _get_hole(worker: Worker) -> int:
+    """Return the processors that no long-running task reserves."""
+    return worker.entry.capacity.cpu_millicores - sum(
+        attempt.step.reserved.cpu_millicores
+        for attempt in worker.attempts.values()
+        if attempt.step.long_running
+    )
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -289,6 +289,19 @@
         return self.entry.capacity.subtract(self.reserved)
 
 
+@attrs.define
+class ShortDemand:
+    """What short tasks that reserve processors asked for lately.
+
+    ``work``, in millicore-milliseconds, fades with time; ``squares`` is the
+    same times each task's processors, so that their mean can be told.
+    """
+
+    work: float = 0.0
+    squares: float = 0.0
+    noted_ms: int = 0
+
+
 @attrs.define
 class Ownership:
     """What is known of the unit's owner.
@@ -357,6 +370,9 @@
     policy: Policy = InterferencePolicy()
     policy_number: int = 0
     run_times_ms: dict[str, float] = attrs.field(factory=dict)
+    short_demands: dict[tuple[str, int], ShortDemand] = attrs.field(
+        factory=dict
+    )
     tails: dict[str, dict[TaskKey, tuple[float, int]]] = attrs.field(
         factory=dict
     )
--- /dev/null
+++ b/tests/tulippin/jobs/test_sparing.py
@@ -0,0 +1,132 @@
+"""New long-running tasks leave room to short ones that reserve theirs."""
+
+import attrs
+import pytest
+from test_scheduler_decisions import (
+    NOW_MS,
+    QUEUE,
+    make_attempt,
+    make_job,
+    make_serving,
+    make_state,
+)
+
+from tulippin.jobs import _choosing, _sparing
+from tulippin.jobs.state import Task
+from tulippin.jobs.types import Step, TaskKey
+from tulippin.types import Resources
+
+# Nine places of 3 cores on three workers of 10.
+WORKERS = 3
+SHORT_CORES = 3
+URGENT = attrs.evolve(QUEUE, name='urgent', priority=0)
+LASTING = attrs.evolve(QUEUE, name='lasting', priority=1)
+
+
+def ask_for_short(state, cores, queue=URGENT):
+    """Have short tasks come that use so many cores on the mean."""
+    step = Step(1, Resources(SHORT_CORES * 1000, 1000), estimated_ms=1000)
+    for _ in range(200):
+        state.now_ms += 1000 * SHORT_CORES // cores if cores else 1000
+        if cores:
+            job = make_job(state, 'short', state.now_ms, (step,))
+            job.queue = queue
+            _sparing.note_step(job, step, 1, state)
+
+
+def place(state, cores, queue=LASTING, **options):
+    """Place new long-running tasks as long as any finds a worker."""
+    step = make_serving(cpu=cores * 1000)
+    job = make_job(state, 'lasting', state.now_ms, (step,))
+    job.queue = queue
+    count = 0
+    while True:
+        task = Task(TaskKey('lasting', 0, 0, count), **options)
+        worker = _choosing.choose(job, task, step, state)
+        if worker is None:
+            return count
+        make_attempt(worker, step, 'lasting', count)
+        count += 1
+
+
+def count_places(state):
+    return sum(
+        worker.free.cpu_millicores // (SHORT_CORES * 1000)
+        for worker in state.workers.values()
+    )
+
+
+@pytest.mark.parametrize('cores', [3, 6])
+def test_new_long_running_tasks_leave_what_short_ones_use(cores):
+    """They left nothing: what short tasks had left was theirs for good."""
+    state = make_state(WORKERS)
+    ask_for_short(state, cores)
+    assert place(state, 3) == 9 - cores // SHORT_CORES
+    assert count_places(state) == cores // SHORT_CORES
+
+
+def test_pieces_that_are_too_small_for_a_short_task_are_anyones():
+    state = make_state(1)
+    ask_for_short(state, 3)
+    make_attempt(state.workers['w0'], make_serving(cpu=6000))
+    assert place(state, 1) == 1
+    assert count_places(state) == 1
+
+
+def test_most_of_the_processors_are_never_kept():
+    """After a crowd the figure is far too high for a while."""
+    state = make_state(WORKERS)
+    ask_for_short(state, 60)
+    assert place(state, 3) == 7
+
+
+def test_running_short_tasks_hold_their_places_themselves():
+    """A place in use counts as kept: another beside it is not."""
+    state = make_state(1)
+    ask_for_short(state, 3)
+    make_attempt(
+        state.workers['w0'], Step(1, Resources(SHORT_CORES * 1000, 1000))
+    )
+    assert place(state, 3) == 2
+
+
+def test_nothing_is_kept_where_no_short_jobs_come():
+    state = make_state(WORKERS)
+    assert place(state, 5) == 2 * WORKERS
+
+
+def test_what_was_kept_is_given_once_short_jobs_stay_away():
+    state = make_state(WORKERS)
+    ask_for_short(state, 6)
+    ask_for_short(state, 0)
+    assert place(state, 5) == 2 * WORKERS
+
+
+def test_task_that_was_at_work_before_takes_any_place():
+    state = make_state(WORKERS)
+    ask_for_short(state, 6)
+    assert place(state, 5, has_run=True) == 2 * WORKERS
+
+
+def test_nothing_is_kept_for_less_urgent_jobs_or_other_services():
+    state = make_state(WORKERS)
+    ask_for_short(state, 6, attrs.evolve(URGENT, priority=2))
+    ask_for_short(state, 6, attrs.evolve(URGENT, service='other'))
+    assert place(state, 5) == 2 * WORKERS
+
+
+def test_workers_that_take_no_work_hold_no_places():
+    state = make_state(WORKERS)
+    ask_for_short(state, 6)
+    for worker in list(state.workers.values())[1:]:
+        worker.quarantined_until_ms = state.now_ms + NOW_MS
+    assert place(state, 5) == 1
+
+
+def test_short_tasks_take_any_place():
+    state = make_state(1)
+    ask_for_short(state, 6)
+    step = Step(1, Resources(10_000, 1000))
+    job = make_job(state, 'wide', state.now_ms, (step,))
+    task = Task(TaskKey('wide', 0, 0, 0))
+    assert _choosing.choose(job, task, step, state) is not None
