--- a/src/tulippin/jobs/_lifecycle.py
+++ b/src/tulippin/jobs/_lifecycle.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from tulippin.jobs import _ranking, _ready
+from tulippin.jobs import _ranking, _ready, _sparing
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs._row_checks import find_progress_fault, is_job_id
 from tulippin.jobs._rows import log_unreadable, read_record
@@ -334,11 +334,15 @@
 def _open_step(
     job: Job, occurrence: int, number: int, state: SchedulerState
 ) -> None:
-    for index in range(job.request.steps[number].task_count):
+    step = job.request.steps[number]
+    opened = 0
+    for index in range(step.task_count):
         key = TaskKey(job.job_id, occurrence, number, index)
         task = get_task(job, key)
         if _is_startable(job, task):
-            _ready.add(task, job.request.steps[number], state)
+            _ready.add(task, step, state)
+            opened += 1
+    _sparing.note_step(job, step, opened, state)
 
 
 def mark_begun(job: Job, state: SchedulerState) -> None:
