--- a/src/tulippin/jobs/_pacing.py
+++ b/src/tulippin/jobs/_pacing.py
@@ -12,6 +12,7 @@
 
 from tulippin.jobs import (
     _attempts,
+    _availability,
     _feasibility,
     _interference,
     _ownership,
@@ -191,7 +192,8 @@
             or attempt.progress_percent < _CHEAP_PROGRESS_PERCENT
         )
         is_long = now_ms - attempt.slowed_ms >= _MOVE_AFTER_MS
-        if is_cheap and is_long and _fits_elsewhere(attempt, context):
+        may_go = is_cheap and _availability.may_end(attempt, context)
+        if may_go and is_long and _fits_elsewhere(attempt, context):
             _attempts.avoid(attempt, context)
             _attempts.stop_attempt(attempt, context, 'slowed for long')
 
--- a/tests/tulippin/jobs/test_availability.py
+++ b/tests/tulippin/jobs/test_availability.py
@@ -10,7 +10,7 @@
 import trio
 
 from fleet_of_schedulers import QUEUE, make_request, make_step, open_fleet
-from tulippin.jobs import _availability, _soundness
+from tulippin.jobs import _availability, _pacing, _soundness
 from tulippin.jobs._attempts import add_attempt
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs._lifecycle import get_task
@@ -53,10 +53,9 @@
         task_count,
         Resources(1000, 1000),
         image='web',
-        target_ms=50,
         long_running=True,
         max_unavailable=max_unavailable,
-        **options,
+        **({'target_ms': 50} | options),
     )
     state = SchedulerState(SchedulerConfig('i', 'i:1'), now_ms=NOW_MS)
     state.ownership.phase = Phase.ACTIVE
@@ -275,6 +274,23 @@
     assert states.count(AttemptState.STOPPING) == stopped
 
 
+@pytest.mark.parametrize(
+    ('max_unavailable', 'stopped'), [(1, 1), (2, 2), (0, 3)]
+)
+def test_tasks_that_rest_are_moved_within_the_bound(max_unavailable, stopped):
+    state, job = make_served(
+        max_unavailable, target_ms=0, opportunistic=True, checkpointing=True
+    )
+    add_worker(state, 'w9')
+    attempts = [get_attempt(job, index) for index in range(3)]
+    for attempt in attempts:
+        attempt.wanted_percent = 0
+        attempt.slowed_ms = NOW_MS - 5000
+    _pacing._move_slowed(attempts, Context(state))
+    states = [one.state for one in attempts]
+    assert states.count(AttemptState.STOPPING) == stopped
+
+
 # -- whole fleets ------------------------------------------------------------
 
 
