Let no start that is refused end the wait of its job

Cause: a start that a worker refuses, and each try to place a gang that lacks one place, counted as the end of a run, so that the wait for a slow run began anew. By then the pause of the worker was over, and as the empty one it was chosen again: beside one worker of six that refuses, a job had nothing running for the 12 s of the test. A job with a gang that finds no place beside another step never came to have waited. A wait ends only with a run that was seen. The time of tasks that last is left as it is: passing and overdue starts go by it. Ruled out: avoiding workers that refuse. They are paused for 0.3 or 1 s, and the next look, 0.2 s later, takes another.

--- a/src/tulippin/jobs/_attempts.py
+++ b/src/tulippin/jobs/_attempts.py
@@ -60,7 +60,10 @@
     job = context.state.jobs.get(attempt.key.job_id)
     if job is not None and attempt.key in job.tasks:
         job.tasks[attempt.key].attempts.pop(attempt.run, None)
-        if not _ready.has_runs(job):
+        # A run that never was has not ended the wait of its job: with each
+        # refused start the wait began anew, and the same worker was chosen.
+        was_there = attempt.seen_ms > 0
+        if was_there and not _ready.has_runs(job):
             job.idle_since_ms = context.state.now_ms
 
 
@@ -79,7 +82,10 @@
     if found is None:
         return
     job, task = found
+    waits_since_ms = task.ready_ms
     make_ready(job, task, context)
+    if attempt.step.opportunistic and not attempt.seen_ms:
+        task.ready_ms = waits_since_ms
     if attempt.step.gang:
         # The others would wait for this one in vain.
         for one in _iter_members(job, task):
--- a/tests/tulippin/jobs/test_scheduler_waiting_review.py
+++ b/tests/tulippin/jobs/test_scheduler_waiting_review.py
@@ -6,9 +6,11 @@
 """
 
 import attrs
+import pytest
 import trio
 from test_scheduler_waiting import (
     BORNE_S,
+    HEAVY_MS,
     WORKERS,
     Watch,
     fear,
@@ -20,14 +22,18 @@
 )
 
 from fleet_of_schedulers import (
+    PATIENT,
     make_request,
     make_step,
     open_fleet,
 )
 from tulippin.jobs.types import (
+    OrderAnswer,
     Queue,
+    StartOutcome,
     Step,
 )
+from tulippin.platform.standin_worker import StandinWorker
 from tulippin.types import Resources
 
 __all__ = ('press',)
@@ -118,6 +124,50 @@
     run_virtual(run)
 
 
+@pytest.mark.parametrize('count', [1, 2])
+def test_worker_that_refuses_starts_is_not_chosen_for_ever(
+    run_virtual, press, monkeypatch, count
+):
+    """An empty worker looks best, and refuses what is started there."""
+    take = StandinWorker.take_start
+    refusing = {f'w{number}' for number in range(count)}
+
+    def take_start(worker, order):
+        if worker.worker_id in refusing and '000a' in order.key.job_id:
+            return OrderAnswer(StartOutcome.UNHEALTHY, worker.clock_ms)
+        return take(worker, order)
+
+    monkeypatch.setattr(StandinWorker, 'take_start', take_start)
+
+    async def run():
+        async with open_fleet(instances=1, workers=WORKERS) as fleet:
+            await serve(fleet)
+            fear(fleet, 'heavy')
+            await submit(fleet, 10, make_batch(1), PATIENT)
+            assert await wait_one(fleet, 10) < BORNE_S + count
+
+    run_virtual(run)
+
+
+def test_tries_to_place_a_gang_do_not_end_the_wait_of_its_job(
+    run_virtual, press
+):
+    async def run():
+        async with open_fleet(instances=1, workers=WORKERS) as fleet:
+            await serve(fleet)
+            fear(fleet, 'heavy')
+            steps = (
+                # Only one of its members finds a place on each worker.
+                make_step(WORKERS + 1, 9000, gang=True),
+                make_step(1, 2000, opportunistic=True, image='heavy'),
+            )
+            request = make_request(*steps, run_ms=1500, tail_ms=HEAVY_MS)
+            await submit(fleet, 10, request, PATIENT)
+            await fleet.wait_running(WORKERS + 1, limit_s=BORNE_S)
+
+    run_virtual(run)
+
+
 # -- single decisions ----------------------------------------------------------
 
 
