Let tasks that fit nowhere keep no others from a slow run

Cause: each look weighed the twelve tasks that have waited longest. What fits nowhere (a label that no worker has, memory that is taken) waits the longest: beside twelve such jobs another one had nothing running for the 12 s of the test, with three it had. Of a job with two ready steps only one was weighed, always the same, also if it fits nowhere. Now a look weighs the eight that have waited longest and four of the others in turn, and each ready step of a job. Nothing changes while no more than twelve wait. Ruled out: putting off what was tried in vain. Under a shortage of places jobs that come later would go before old ones. Before: 3 of 5 cases fail (the two others are those with room for all); after: 5 pass.

--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -48,11 +48,8 @@
 # to 0.41 of its worth.
 _OVERDUE_EVERY_MS: t.Final = 300
 _OVERDUE_TRIES: t.Final = 8
-# Between two looks for jobs that have long had nothing running, and how many
-# of them are weighed against all workers in one: twelve of 33 workers take
-# some 1 ms.
+# Between two looks for jobs that have long had nothing running.
 _SLOW_EVERY_MS: t.Final = 200
-_SLOW_TRIES: t.Final = 12
 # Between two passes over the tasks for idle processors.
 _IDLE_EVERY_MS: t.Final = 100
 # Between two passes over the other tasks, but at a tick: events come in
@@ -121,7 +118,11 @@
         if state.now_ms - state.slow_placed_ms < _SLOW_EVERY_MS:
             return
         state.slow_placed_ms = state.now_ms
-        for job, task in _slow_start.list_waiting(state)[:_SLOW_TRIES]:
+        waiting = _slow_start.list_waiting(state)
+        for job, task in _slow_start.take_turn(waiting, state):
+            if _ready.has_runs(job):
+                # Another of its steps has begun in this look.
+                continue
             step = job.request.steps[task.key.step]
             found = _slow_start.choose(job, task, step, state)
             if found is not None:
--- a/src/tulippin/jobs/_slow_start.py
+++ b/src/tulippin/jobs/_slow_start.py
@@ -55,6 +55,11 @@
 _TIGHT_RATIO: t.Final = 0.8
 # The most on one worker: 48 jobs waited so on 33 workers.
 _MOST_SLOW: t.Final = 3
+# How many tasks are weighed against all workers in one look, those that
+# have waited longest and some of the others: twelve take some 1 ms beside
+# 33 workers.
+_FIRST_TRIES: t.Final = 8
+_TURN_TRIES: t.Final = 4
 
 
 @attrs.frozen
@@ -66,14 +71,14 @@
 
 
 def list_waiting(state: SchedulerState) -> list[tuple[Job, Task]]:
-    """Return a task of each job that has waited too long for any run.
+    """Return a task of each step whose job has waited too long for a run.
 
     The first is of the job that has had nothing running for the longest.
     """
     settled = _unseen.is_settled(state)
     is_lull = state.now_ms - state.arrived_ms >= _LULL_MS
     wait_ms = _LULL_WAIT_MS if is_lull else _WAIT_MS
-    found: dict[str, tuple[int, Job, Task]] = {}
+    found: list[tuple[int, Job, Task]] = []
     for kind, tasks in state.ready_idle.items():
         job = state.jobs[kind[0]]
         task = _find_startable(tasks.values(), state)
@@ -82,10 +87,27 @@
         if task is None or is_gang or (job.awaits_workers and not settled):
             continue
         idle_ms = _ready.get_idle_ms(job, task, state)
-        if idle_ms >= max(wait_ms, found.get(job.job_id, (0,))[0]):
-            found[job.job_id] = idle_ms, job, task
-    ordered = sorted(found.values(), key=lambda one: -one[0])
-    return [(job, task) for _, job, task in ordered]
+        if idle_ms >= wait_ms:
+            found.append((idle_ms, job, task))
+    found.sort(key=lambda one: -one[0])
+    return [(job, task) for _, job, task in found]
+
+
+def take_turn(
+    waiting: list[tuple[Job, Task]], state: SchedulerState
+) -> list[tuple[Job, Task]]:
+    """Return those to be weighed now: the first ones, and some in turn.
+
+    What fits nowhere waits the longest: without turns a dozen such tasks
+    keep all others from being looked at.
+    """
+    first = waiting[:_FIRST_TRIES]
+    others = waiting[_FIRST_TRIES:]
+    if not others:
+        return first
+    begin = state.slow_turn % len(others)
+    state.slow_turn = begin + _TURN_TRIES
+    return first + (others[begin:] + others[:begin])[:_TURN_TRIES]
 
 
 def _find_startable(
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -392,6 +392,7 @@
     arrived_ms: int = 0
     overdue_ms: int = 0
     slow_placed_ms: int = 0
+    slow_turn: int = 0
     wall_offset_ms: int = 0
     model: PairModel = attrs.field(factory=PairModel)
     swings: SwingModel = attrs.field(factory=SwingModel)
--- a/tests/tulippin/jobs/test_scheduler_waiting_review.py
+++ b/tests/tulippin/jobs/test_scheduler_waiting_review.py
@@ -51,6 +51,57 @@
     return watch.idle_s[f'{number:016x}']
 
 
+@pytest.mark.parametrize('jobs', [3, 12, 30])
+def test_jobs_that_fit_nowhere_keep_no_other_from_its_run(
+    run_virtual, press, jobs
+):
+    async def run():
+        async with open_fleet(instances=1, workers=WORKERS) as fleet:
+            await serve(fleet)
+            fear(fleet, 'heavy')
+            for number in range(100, 100 + jobs):
+                step = make_step(
+                    1,
+                    2000,
+                    opportunistic=True,
+                    image=f'x{number}',
+                    required_label='nowhere',
+                )
+                await submit(fleet, number, make_request(step), PATIENT)
+            await trio.sleep(1)
+            await submit(fleet, 10, make_batch(1), PATIENT)
+            assert await wait_one(fleet, 10) < BORNE_S
+
+    run_virtual(run)
+
+
+@pytest.mark.parametrize('first', [True, False])
+def test_step_that_fits_nowhere_keeps_no_other_of_its_job(
+    run_virtual, press, first
+):
+    async def run():
+        async with open_fleet(instances=1, workers=WORKERS) as fleet:
+            await serve(fleet)
+            fear(fleet, 'heavy')
+            steps = [
+                make_step(
+                    1,
+                    2000,
+                    opportunistic=True,
+                    image='heavy',
+                    required_label='nowhere',
+                ),
+                make_step(1, 2000, opportunistic=True, image='heavy'),
+            ]
+            if not first:
+                steps.reverse()
+            request = make_request(*steps, run_ms=1500, tail_ms=HEAVY_MS)
+            await submit(fleet, 10, request, PATIENT)
+            await fleet.wait_running(WORKERS + 1, limit_s=BORNE_S)
+
+    run_virtual(run)
+
+
 def test_step_kept_off_by_its_label_closes_no_worker_to_its_image(
     run_virtual,
 ):
