Let slow runs that disturb nothing work in full

Cause: the pace borne of each of several slow runs was the share of one, at most 1, divided by their number. Two on one worker went at 50 percent and three at 20, also where nothing is served, or nothing of it is disturbed: after the end of the job that was served they went on so to their own end. The slack is divided now, and not the speed. Before: 4 of 6 cases fail (paces of 50 and 20); after: 6 pass.

--- a/src/tulippin/jobs/_interference.py
+++ b/src/tulippin/jobs/_interference.py
@@ -375,15 +375,18 @@
 
 
 def compute_borne_share(
-    step: Step, worker: Worker, state: SchedulerState
+    step: Step, count: int, worker: Worker, state: SchedulerState
 ) -> float:
-    """Return the share of its speed at which a task leaves targets kept."""
+    """Return the share of speed at which so many leave targets kept.
+
+    Only what disturbs has to share: what disturbs nothing works in full.
+    """
     share = get_share(step, worker)
     borne = 1.0
     for image, slack in get_slack(worker, state).items():
         part = state.model.get_bound(image, step.image) * share
         if part > HARMLESS:
-            borne = min(borne, slack / part)
+            borne = min(borne, slack / (part * count))
     return max(0.0, borne)
 
 
--- a/src/tulippin/jobs/_slow_start.py
+++ b/src/tulippin/jobs/_slow_start.py
@@ -159,8 +159,9 @@
     step: Step, count: int, worker: Worker, state: SchedulerState
 ) -> float:
     """Return the pace that is borne of each of so many such runs."""
-    borne = _interference.compute_borne_share(step, worker, state)
-    return _PERCENT * borne / count
+    return _PERCENT * _interference.compute_borne_share(
+        step, count, worker, state
+    )
 
 
 def _get_pace(borne_percent: float) -> int:
--- a/tests/tulippin/jobs/test_scheduler_waiting_review.py
+++ b/tests/tulippin/jobs/test_scheduler_waiting_review.py
@@ -27,11 +27,25 @@
     make_step,
     open_fleet,
 )
+from tulippin.jobs import _slow_start
+from tulippin.jobs._attempts import add_attempt
+from tulippin.jobs.pair_model import ImageModel
+from tulippin.jobs.state import (
+    Attempt,
+    AttemptState,
+    Phase,
+    SchedulerConfig,
+    SchedulerState,
+    Task,
+    Worker,
+)
 from tulippin.jobs.types import (
     OrderAnswer,
     Queue,
     StartOutcome,
     Step,
+    TaskKey,
+    WorkerEntry,
 )
 from tulippin.platform.standin_worker import StandinWorker
 from tulippin.types import Resources
@@ -224,3 +238,56 @@
 
 NOW_MS = 100_000
 PLAIN = Queue('q', 'h', '/q/', 's', 0, 3, 2.0, 500)
+
+
+def make_state(workers=1):
+    state = SchedulerState(SchedulerConfig('i', 'i:1'), now_ms=NOW_MS)
+    state.ownership.phase = Phase.ACTIVE
+    for number in range(workers):
+        entry = WorkerEntry(
+            f'w{number}', 's', 'a', 'z', Resources(10_000, 64_000)
+        )
+        worker = state.workers[entry.worker_id] = Worker(entry)
+        worker.is_rostered = True
+        worker.is_reconciled = True
+        worker.clock_offset_ms = 0
+    return state
+
+
+def add_slow(worker, job_id, percent=10):
+    step = Step(1, Resources(1000, 1000), image='batch', opportunistic=True)
+    key = TaskKey(job_id, 0, 0, 0)
+    attempt = Attempt(
+        key, 1, worker.worker_id, step, 2, AttemptState.RUNNING, NOW_MS - 9000
+    )
+    attempt.is_slow_start = True
+    attempt.wanted_percent = attempt.pace_percent = percent
+    add_attempt(attempt, Task(key), worker)
+    return attempt
+
+
+@pytest.mark.parametrize('count', [1, 2, 3])
+@pytest.mark.parametrize('is_serving', [True, False])
+def test_slow_runs_go_on_in_full_where_they_disturb_nothing(count, is_serving):
+    state = make_state()
+    worker = state.workers['w0']
+    if is_serving:
+        serving = Step(
+            1,
+            Resources(2000, 1000),
+            image='web',
+            target_ms=50,
+            long_running=True,
+        )
+        key = TaskKey('s', 0, 0, 0)
+        attempt = Attempt(
+            key, 1, 'w0', serving, 2, AttemptState.RUNNING, NOW_MS - 9000
+        )
+        add_attempt(attempt, Task(key), worker)
+        model = state.model.images.setdefault('web', ImageModel())
+        model.means['batch'] = 0.0
+        model.covariances['batch', 'batch'] = 0.0001
+        model.sample_counts['batch'] = 50
+    runs = [add_slow(worker, f'b{number}') for number in range(count)]
+    paces = [_slow_start.adjust_pace(one, worker, 0.2, state) for one in runs]
+    assert paces == [100] * count
