Start what needs more memory than the rule ever leaves

Cause: 5 to 65 percent of a worker's memory is left to urgent tasks, the more the idler it is. An opportunistic task of more than 35 percent found none on a fleet with nothing else on it, and waited without end (30 of 64 GB). Once its job has a claim to a run, such a task may have it; at most three on each worker, and urgent tasks have them stopped as before. Ruled out: leaving the memory of others out too. Lighter tasks find room on workers that serve, by what these take for each processor. Before: the test fails; after: it passes.

--- a/src/tulippin/jobs/_feasibility.py
+++ b/src/tulippin/jobs/_feasibility.py
@@ -20,15 +20,29 @@
 
 
 def is_feasible(
-    worker: Worker, job: Job, task: Task, step: Step, state: SchedulerState
+    worker: Worker,
+    job: Job,
+    task: Task,
+    step: Step,
+    state: SchedulerState,
+    *,
+    has_waited: bool = False,
 ) -> bool:
-    """Hard conditions, which no policy can switch off."""
+    """Hard conditions, which no policy can switch off.
+
+    A task whose job ``has_waited`` takes memory that is left to urgent ones
+    if it would find less on a worker with nothing else on it: it could never
+    start, and urgent tasks can have it stopped.
+    """
     if not worker.has_room(step.reserved):
         return False
     if step.opportunistic:
         is_known = not is_unheard(worker, state)
+        is_granted = has_waited and _is_too_large(worker, step)
         if not (is_known and _fits_idle(worker, step)):
             return False
+        if lacks_memory(worker, step) and not is_granted:
+            return False
     return is_open(worker, job, task, step, state)
 
 
@@ -82,10 +96,15 @@
 
 
 def _fits_idle(worker: Worker, step: Step) -> bool:
-    """Idle processors are there, and memory is left for urgent tasks."""
+    """Whether a task's processors are idle."""
     used = _interference.get_used(worker) + step.size.cpu_millicores
-    is_idle = used <= worker.entry.capacity.cpu_millicores
-    return is_idle and not lacks_memory(worker, step)
+    return used <= worker.entry.capacity.cpu_millicores
+
+
+def _is_too_large(worker: Worker, step: Step) -> bool:
+    """Whether even an idle worker has too little memory by the rule."""
+    most_share = 1 - _MEMORY_KEPT_SHARE - _MEMORY_PER_CPU
+    return step.size.memory_mb > worker.entry.capacity.memory_mb * most_share
 
 
 def lacks_memory(worker: Worker, step: Step) -> bool:
--- a/src/tulippin/jobs/_slow_start.py
+++ b/src/tulippin/jobs/_slow_start.py
@@ -133,7 +133,9 @@
     for worker in state.workers.values():
         if worker.missed_since_ms or count_slow(worker) >= _MOST_SLOW:
             continue
-        if not _feasibility.is_feasible(worker, job, task, step, state):
+        if not _feasibility.is_feasible(
+            worker, job, task, step, state, has_waited=True
+        ):
             continue
         rank = (
             worker.worker_id in task.avoided,
--- a/tests/tulippin/jobs/test_scheduler_waiting_review.py
+++ b/tests/tulippin/jobs/test_scheduler_waiting_review.py
@@ -233,6 +233,21 @@
     run_virtual(run)
 
 
+def test_task_larger_than_the_memory_left_by_rule_starts_on_idle_workers(
+    run_virtual,
+):
+    async def run():
+        async with open_fleet(instances=1, workers=2) as fleet:
+            # 30 of the 64 GB of workers with nothing else on them.
+            step = Step(
+                1, Resources(2000, 30_000), opportunistic=True, image='x'
+            )
+            await submit(fleet, 10, make_request(step), PATIENT)
+            await fleet.wait_running(1, limit_s=BORNE_S)
+
+    run_virtual(run)
+
+
 # -- single decisions ----------------------------------------------------------
 
 
