Give each task that lasts and fills a claim of its own

Cause: a job with one slow run had no further claim. Of three tasks that last, on idle processors, two had none for the 12 s of the test; users count each task that lasts. It waits since it became ready, whatever else of its job runs. How likely: not on the users' sheets, where what fills ends. Before: the test fails; after: it passes.

--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -120,10 +120,10 @@
         state.slow_placed_ms = state.now_ms
         waiting = _slow_start.list_waiting(state)
         for job, task in _slow_start.take_turn(waiting, state):
-            if _ready.has_runs(job):
+            step = job.request.steps[task.key.step]
+            if _ready.has_runs(job) and not step.long_running:
                 # Another of its steps has begun in this look.
                 continue
-            step = job.request.steps[task.key.step]
             found = _slow_start.choose(job, task, step, state)
             if found is not None:
                 self._start(job, step, task, found.worker, found.pace_percent)
--- a/src/tulippin/jobs/_ready.py
+++ b/src/tulippin/jobs/_ready.py
@@ -83,7 +83,12 @@
 
 
 def get_idle_ms(job: Job, task: Task, state: SchedulerState) -> int:
-    """Return for how long a ready task's job has had nothing running."""
+    """Return for how long a ready task's job has had nothing running.
+
+    Users miss each task that lasts, whatever else of its job runs.
+    """
+    if job.request.steps[task.key.step].long_running:
+        return state.now_ms - task.ready_ms
     if has_runs(job):
         return 0
     return state.now_ms - max(job.idle_since_ms, task.ready_ms)
--- a/tests/tulippin/jobs/test_scheduler_waiting_review.py
+++ b/tests/tulippin/jobs/test_scheduler_waiting_review.py
@@ -214,6 +214,21 @@
     run_virtual(run)
 
 
+def test_each_task_that_lasts_and_fills_has_a_claim(run_virtual, press):
+    async def run():
+        async with open_fleet(instances=1, workers=WORKERS) as fleet:
+            await serve(fleet)
+            fear(fleet, 'heavy')
+            step = make_step(
+                3, 2000, opportunistic=True, image='heavy', long_running=True
+            )
+            request = make_request(step, lasts=True, tail_ms=HEAVY_MS)
+            await submit(fleet, 10, request, PATIENT)
+            await fleet.wait_running(WORKERS + 3, limit_s=12)
+
+    run_virtual(run)
+
+
 def test_tries_to_place_a_gang_do_not_end_the_wait_of_its_job(
     run_virtual, press
 ):
