Rank each time of a scheduled job by when it is due

Cause: lateness was counted from when the job was accepted. A time that is due 15 s after that ranked as past hope at once, behind all others. Ruled out as a cause: the time of acceptance in the row. It was so before, as the owner counted from when it came to know the job. How likely: no kind of request is scheduled on the users' sheets read. Before: the test fails (rank 2 where 0 is due); after: it passes.

--- a/src/tulippin/jobs/_ranking.py
+++ b/src/tulippin/jobs/_ranking.py
@@ -105,10 +105,24 @@
     mean_ms = state.run_times_ms.get(job.queue.name, 0.0)
     total_ms = max(job.depths, default=1) * mean_ms
     objective_ms = job.queue.stretch * total_ms + job.queue.target_latency_ms
-    due_ms = job.arrived_ms + objective_ms
+    begun_ms = _get_begin_ms(job, kind, state)
+    due_ms = begun_ms + objective_ms
     at_best_ms = state.now_ms + job.depths[kind[2]] * mean_ms
     if at_best_ms <= due_ms:
         return 0, due_ms
-    if at_best_ms <= job.arrived_ms + _LATE_LIMIT * objective_ms:
+    if at_best_ms <= begun_ms + _LATE_LIMIT * objective_ms:
         return 1, due_ms
     return 2, due_ms
+
+
+def _get_begin_ms(job: Job, kind: StepKey, state: SchedulerState) -> int:
+    """Return when the time of a step's work began to count.
+
+    Each time of a scheduled job counts from when it is due: from when the
+    job was accepted, it would be late before its turn.
+    """
+    schedule = job.request.schedule
+    if not schedule.count:
+        return job.arrived_ms
+    due_ms = schedule.first_at_ms + kind[1] * schedule.interval_ms
+    return max(job.arrived_ms, due_ms - state.wall_offset_ms)
--- a/tests/tulippin/jobs/test_scheduler_waiting_review.py
+++ b/tests/tulippin/jobs/test_scheduler_waiting_review.py
@@ -27,12 +27,13 @@
     make_step,
     open_fleet,
 )
-from tulippin.jobs import _slow_start
+from tulippin.jobs import _ranking, _slow_start
 from tulippin.jobs._attempts import add_attempt
 from tulippin.jobs.pair_model import ImageModel
 from tulippin.jobs.state import (
     Attempt,
     AttemptState,
+    Job,
     Phase,
     SchedulerConfig,
     SchedulerState,
@@ -40,8 +41,10 @@
     Worker,
 )
 from tulippin.jobs.types import (
+    JobRequest,
     OrderAnswer,
     Queue,
+    Schedule,
     StartOutcome,
     Step,
     TaskKey,
@@ -321,3 +324,19 @@
     runs = [add_slow(worker, f'b{number}') for number in range(count)]
     paces = [_slow_start.adjust_pace(one, worker, 0.2, state) for one in runs]
     assert paces == [100] * count
+
+
+def test_time_of_a_scheduled_job_can_be_in_time_when_it_is_due():
+    state = make_state()
+    state.run_times_ms['q'] = 1000.0
+    request = JobRequest('t', (Step(1),), Schedule(NOW_MS, 5000, 4))
+    job = Job(
+        'a',
+        PLAIN,
+        request,
+        1,
+        arrived_ms=NOW_MS - 15_000,
+        known_ms=NOW_MS - 15_000,
+    )
+    state.jobs['a'] = job
+    assert _ranking._judge(job, ('a', 0, 0), state)[0] == 0
