--- a/tests/tulippin/jobs/test_scheduler_waiting_review.py
+++ b/tests/tulippin/jobs/test_scheduler_waiting_review.py
@@ -10,7 +10,9 @@
 import trio
 from test_scheduler_waiting import (
     BORNE_S,
+    HARM_S,
     HEAVY_MS,
+    TARGET_MS,
     WORKERS,
     Watch,
     fear,
@@ -266,6 +268,110 @@
     run_virtual(run)
 
 
+def test_jobs_beyond_the_places_for_slow_runs_wait_no_longer(
+    run_virtual, press
+):
+    async def run():
+        async with open_fleet(instances=1, workers=WORKERS) as fleet:
+            await serve(fleet)
+            fear(fleet, 'heavy')
+            numbers = range(10, 10 + 4 * WORKERS)
+            for number in numbers:
+                await submit(fleet, number, make_batch(1), PATIENT)
+            watch = Watch(fleet)
+            await watch.run(get_ids(numbers), for_s=60)
+            assert watch.harm_s < HARM_S
+            assert max(watch.idle_s.values()) < BORNE_S
+
+    run_virtual(run)
+
+
+@pytest.mark.parametrize('after_s', [2.0, 4.0])
+@pytest.mark.parametrize('jobs', [6, 16])
+def test_owner_lost_in_the_middle_of_slow_runs(
+    run_virtual, press, after_s, jobs
+):
+    async def run():
+        async with open_fleet(instances=2, workers=WORKERS) as fleet:
+            await serve(fleet)
+            fear(fleet, 'heavy')
+            # What is learned is kept for the next owner.
+            await trio.sleep(2.5)
+            numbers = range(10, 10 + jobs)
+            for number in numbers:
+                await submit(fleet, number, make_batch(1), PATIENT)
+            watch = Watch(fleet)
+            fleet.nursery.start_soon(watch.run, get_ids(numbers), 60)
+            await trio.sleep(after_s)
+            fleet.kill_owner()
+            await fleet.wait_owner()
+            for number in numbers:
+                await fleet.wait_done(f'{number:016x}', 60)
+            assert watch.harm_s < HARM_S
+            fleet.check()
+
+    run_virtual(run)
+
+
+@pytest.mark.parametrize('ahead_ms', [-2000, 2000])
+def test_clock_that_is_off_makes_no_job_much_older(run_virtual, ahead_ms):
+    async def run():
+        async with open_fleet(instances=2, workers=1) as fleet:
+            owner = fleet.get_owner()
+            other = fleet.get_other(owner)
+            shell = fleet.instances[other].shell
+            right = shell.wall
+            shell.wall = lambda: right() + ahead_ms
+            step = make_step(1, HUGE, opportunistic=True)
+            await fleet.submit('a' * 16, make_request(step), PATIENT, other)
+            await trio.sleep(1)
+            job = fleet.instances[owner].state.jobs['a' * 16]
+            assert -2200 <= job.arrived_ms - job.known_ms <= 0
+            assert not list(
+                _slow_start.list_waiting(fleet.instances[owner].state)
+            )
+
+    run_virtual(run)
+
+
+def test_jobs_that_can_never_be_done_close_no_sound_worker_for_long(
+    run_virtual,
+):
+    """Each fails wherever it runs, and each worker is held to be at fault."""
+
+    async def run():
+        async with open_fleet(instances=1, workers=3) as fleet:
+            for number in range(100, 108):
+                step = make_step(3, opportunistic=True, image='x')
+                request = make_request(step, run_ms=200, fails_always=True)
+                await submit(fleet, number, request, PATIENT)
+            await trio.sleep(2)
+            await submit(fleet, 10, make_batch(2, 'light', 800, 1), PATIENT)
+            assert await wait_one(fleet, 10, for_s=60) < BORNE_S
+
+    run_virtual(run)
+
+
+def test_slow_run_does_not_rest_for_ever_below_the_target(
+    run_virtual, monkeypatch
+):
+    """The tail is high by its own load, and no target is missed."""
+    monkeypatch.setattr(
+        StandinWorker,
+        '_get_load',
+        lambda worker, plan: 0.86 * TARGET_MS if plan.lasts else 2000.0,
+    )
+
+    async def run():
+        async with open_fleet(instances=1, workers=WORKERS) as fleet:
+            await serve(fleet)
+            fear(fleet, 'heavy')
+            await submit(fleet, 10, make_batch(1), PATIENT)
+            await fleet.wait_done(f'{10:016x}', limit_s=60)
+
+    run_virtual(run)
+
+
 # -- single decisions ----------------------------------------------------------
 
 
