Let a slow run go on where another worker bears it in full

Cause: a run begun slowly stays where it is as long as it works at all. A task of 2 s at 10 percent was not done within 8 s beside a worker that had joined with nothing on it, and its job had no other claim. One that has been at 20 percent or less for 1.2 s, and has a checkpoint or little progress, goes where the model bears it at full pace, as one at rest does. Ruled out: going to another slow place as well; the next is no better. Before: the test fails; after: it passes.

--- a/src/tulippin/jobs/_pacing.py
+++ b/src/tulippin/jobs/_pacing.py
@@ -50,6 +50,9 @@
 # A task that rests for so long goes elsewhere: a stop and a new start take
 # about a second.
 _MOVE_AFTER_MS: t.Final = 1200
+# A run that was begun slowly and goes on at no more than this is held up: it
+# takes five times as long, or more.
+_HELD_PERCENT: t.Final = 20
 # Work that may be done again, where there is no checkpoint.
 _CHEAP_PROGRESS_PERCENT: t.Final = 25
 
@@ -182,7 +185,7 @@
     """Stop what has been slow for long, to go on from there elsewhere."""
     now_ms = context.state.now_ms
     for attempt in fillers:
-        if attempt.wanted_percent:
+        if attempt.wanted_percent and not _is_held(attempt):
             attempt.slowed_ms = 0
             continue
         attempt.slowed_ms = attempt.slowed_ms or now_ms
@@ -196,11 +199,18 @@
             _attempts.stop_attempt(attempt, context, 'slowed for long')
 
 
+def _is_held(attempt: Attempt) -> bool:
+    """Whether a run would be done much sooner where it is borne in full."""
+    is_held = attempt.wanted_percent <= _HELD_PERCENT
+    return attempt.is_slow_start and is_held
+
+
 def _fits_elsewhere(attempt: Attempt, context: Context) -> bool:
     if _scoring.fits_elsewhere(attempt, context):
         return True
-    is_slow = attempt.is_slow_start
-    return is_slow and _slow_start.has_place_elsewhere(attempt, context)
+    # Another slow place is better than rest, and no better than this one.
+    may_begin = attempt.is_slow_start and not attempt.wanted_percent
+    return may_begin and _slow_start.has_place_elsewhere(attempt, context)
 
 
 def begin(attempt: Attempt, worker: Worker, context: Context) -> None:
--- a/tests/tulippin/jobs/test_scheduler_waiting_review.py
+++ b/tests/tulippin/jobs/test_scheduler_waiting_review.py
@@ -286,6 +286,21 @@
     run_virtual(run)
 
 
+def test_slow_run_goes_where_it_is_borne_in_full(run_virtual, press):
+    async def run():
+        async with open_fleet(instances=1, workers=WORKERS) as fleet:
+            await serve(fleet)
+            fear(fleet, 'heavy')
+            request = make_batch(1, run_ms=2000)
+            await submit(fleet, 10, request, PATIENT)
+            await fleet.wait_running(WORKERS + 1, limit_s=BORNE_S)
+            # A worker with nothing on it joins a moment later.
+            fleet.platform.add_worker('w9', labels=('a', 'r1'))
+            await fleet.wait_done(f'{10:016x}', limit_s=8)
+
+    run_virtual(run)
+
+
 @pytest.mark.parametrize('after_s', [2.0, 4.0])
 @pytest.mark.parametrize('jobs', [6, 16])
 def test_owner_lost_in_the_middle_of_slow_runs(
