--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -48,11 +48,8 @@
 # to 0.41 of its worth.
 _OVERDUE_EVERY_MS: t.Final = 300
 _OVERDUE_TRIES: t.Final = 8
-# Between two looks for jobs that have long had nothing running, and how many
-# of them are weighed against all workers in one: twelve of 33 workers take
-# some 1 ms.
+# Between two looks for jobs that have long had nothing running.
 _SLOW_EVERY_MS: t.Final = 200
-_SLOW_TRIES: t.Final = 12
 # Between two passes over the tasks for idle processors.
 _IDLE_EVERY_MS: t.Final = 100
 # Between two passes over the other tasks, but at a tick: events come in
@@ -87,8 +84,9 @@
     context: Context
     queue: dict[_ready.StepKey, dict[TaskKey, Task]]
     budget: int = _STARTS_PER_PASS
-    # The least processors, by image, that were refused in this pass.
-    refused: dict[str, int] = attrs.field(factory=dict)
+    # Sizes of opportunistic tasks, by service and image, that no worker
+    # takes beside what it serves.
+    refused: dict[tuple[str, str], list[Resources]] = attrs.field(factory=dict)
     # Sizes of plain tasks, by service, for which no worker has room.
     too_large: dict[str, list[Resources]] = attrs.field(factory=dict)
     # Steps that wait for the others' rooms, once that was asked.
@@ -120,8 +118,12 @@
         if state.now_ms - state.slow_placed_ms < _SLOW_EVERY_MS:
             return
         state.slow_placed_ms = state.now_ms
-        for job, task in _slow_start.list_waiting(state)[:_SLOW_TRIES]:
+        waiting = _slow_start.list_waiting(state)
+        for job, task in _slow_start.take_turn(waiting, state):
             step = job.request.steps[task.key.step]
+            if _ready.has_runs(job) and not step.long_running:
+                # Another of its steps has begun in this look.
+                continue
             found = _slow_start.choose(job, task, step, state)
             if found is not None:
                 self._start(job, step, task, found.worker, found.pace_percent)
@@ -165,10 +167,14 @@
 
     def _place(self, job: Job, kind: _ready.StepKey) -> None:
         step = job.request.steps[kind[2]]
-        if self._is_hopeless(step) or self._is_gathering(job, kind):
+        if self._is_gathering(job, kind):
             return
         if job.queue.advised:
+            # Also where there is no hope in this pass: a job that has had
+            # nothing running for long can begin only where it has a ticket.
             _advice.ask_if_due(job, kind, self.context)
+        if self._is_hopeless(job, step):
+            return
         state = self.context.state
         tasks = [
             task
@@ -180,14 +186,30 @@
             return
         for task in tasks[: self.budget]:
             if not self._place_task(job, step, task):
+                self._note_refused(job, step, task)
                 break
-        if step.opportunistic and kind in self.queue:
-            self.refused[step.image] = max(1, step.size.cpu_millicores)
 
-    def _is_hopeless(self, step: Step) -> bool:
-        """Whether a smaller task of the same image found no place."""
-        least = self.refused.get(step.image, 0) if step.opportunistic else 0
-        return bool(least) and step.size.cpu_millicores >= least
+    def _is_hopeless(self, job: Job, step: Step) -> bool:
+        """Whether no larger task of the same image found a place."""
+        if not step.opportunistic:
+            return False
+        place = job.queue.service, step.image
+        return any(step.size.fits(size) for size in self.refused.get(place, ()))
+
+    def _note_refused(self, job: Job, step: Step, task: Task) -> None:
+        """Note that no worker takes tasks of a size beside what it serves.
+
+        What only a label, a ticket or its own step keeps off tells nothing
+        of others, and what lacks memory nothing of lighter ones.
+        """
+        if not (step.opportunistic and _has_no_bounds(step, job)):
+            return
+        state = self.context.state
+        size = step.size
+        if not _choosing.is_kept_by_memory(task, step, state):
+            size = attrs.evolve(size, memory_mb=0)
+        place = job.queue.service, step.image
+        self.refused.setdefault(place, []).append(size)
 
     def _is_too_large(self, job: Job, step: Step) -> bool:
         """Whether no larger task of the service found room in this pass."""
@@ -249,8 +271,13 @@
 
 def _is_plain(step: Step, job: Job) -> bool:
     """Whether only its size keeps a step's task from a worker."""
+    return not step.opportunistic and _has_no_bounds(step, job)
+
+
+def _has_no_bounds(step: Step, job: Job) -> bool:
+    """Whether a step's tasks may run on any worker that bears them."""
     is_free = not (step.required_label or step.max_per_worker)
-    return is_free and not step.opportunistic and not job.queue.advised
+    return is_free and not job.queue.advised
 
 
 def place_gang(
