--- a/src/tulippin/jobs/_slow_start.py
+++ b/src/tulippin/jobs/_slow_start.py
@@ -51,7 +51,8 @@
 # Below this part of the targets a run keeps its pace, also where the model
 # expects more by now than it did. Pacing up whenever the tails are below half
 # of their targets, whatever is expected, missed targets for 7,583 s in 18 days
-# in place of 7,190 s.
+# in place of 7,190 s. Above it what the model expects counts, down to the
+# slowest pace: a tail that is high by its own load would keep a run at rest.
 _TIGHT_RATIO: t.Final = 0.8
 # The most on one worker: 48 jobs waited so on 33 workers.
 _MOST_SLOW: t.Final = 3
@@ -195,7 +196,7 @@
         _compute_borne_percent(attempt.step, count_slow(worker), worker, state)
     )
     if ratio > _TIGHT_RATIO:
-        return borne
+        return max(borne, _SLOWEST_PERCENT)
     return max(borne, attempt.wanted_percent, _SLOWEST_PERCENT)
 
 
