Do not hold workers to be at fault for jobs that fail wherever they run

Cause: three different jobs that fail in a row on a worker close it for 1.5 to 12 s. Jobs that can never be done fail everywhere, so that sound workers were closed too: beside 16 such jobs on three workers a sound job waited for 35.2 s, beside 8 for 10.4 s. A job that has failed on two workers, and of which no task was ever done, does not count now; as soon as one is, it counts again. Ruled out: clearing the failures once such a job has failed for good; that reopens workers that do fail everything. Tests: test_jobs_that_can_never_be_done_close_no_sound_worker_for_long, off the list (it failed before), and test_faults: one and two of six workers that fail all are still left alone, beside jobs wide enough to fail on both at once (also before).

--- a/src/tulippin/jobs/_attempts.py
+++ b/src/tulippin/jobs/_attempts.py
@@ -4,7 +4,13 @@
 
 import typing as t
 
-from tulippin.jobs import _interference, _lifecycle, _ranking, _ready
+from tulippin.jobs import (
+    _faults,
+    _interference,
+    _lifecycle,
+    _ranking,
+    _ready,
+)
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs.effects import StopRun
 from tulippin.jobs.state import Attempt, AttemptState, Job, Task, Worker
@@ -16,11 +22,6 @@
     TaskKey,
 )
 
-# So many different jobs failing in a row on a worker mean that the worker
-# itself is at fault; each further one doubles its quarantine.
-_FAULTY_JOBS: t.Final = 3
-_QUARANTINE_MS: t.Final = 1500
-_QUARANTINE_LIMIT_MS: t.Final = 12000
 # How long an order to stop may go unanswered before it is sent again.
 STOP_AGAIN_MS: t.Final = 700
 
@@ -132,7 +133,7 @@
     task.has_run = True
     if ended.checkpoint:
         task.checkpoint = ended.checkpoint
-    _judge_worker(worker, ended, context)
+    _faults.judge(worker, ended, context)
     if ended.outcome is RunOutcome.DONE:
         if attempt is not None and not attempt.is_slow_start:
             run_ms = context.state.now_ms - attempt.sent_ms
@@ -184,28 +185,6 @@
         stop_job(job, context, 'job has failed')
 
 
-def _judge_worker(worker: Worker, ended: EndedRun, context: Context) -> None:
-    """Tell a faulty worker by failures in a row of different jobs."""
-    if ended.outcome is RunOutcome.DONE:
-        worker.failed_jobs.clear()
-        return
-    if ended.outcome is not RunOutcome.FAILED:
-        return
-    worker.failed_jobs.add(ended.key.job_id)
-    excess = len(worker.failed_jobs) - _FAULTY_JOBS
-    if excess < 0:
-        return
-    pause_ms = min(_QUARANTINE_MS << excess, _QUARANTINE_LIMIT_MS)
-    worker.quarantined_until_ms = context.state.now_ms + pause_ms
-    context.state.count('quarantines')
-    context.log(
-        'worker quarantined',
-        worker=worker.worker_id,
-        failed_jobs=len(worker.failed_jobs),
-        pause_ms=pause_ms,
-    )
-
-
 def stop_job(job: Job, context: Context, why: str) -> None:
     """Stop all that runs of a job."""
     for task in job.tasks.values():
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -183,6 +183,7 @@
     ``is_resumed``: it had begun before the owner took the unit.
     ``arrived_ms`` is when it was accepted, ``known_ms`` when this owner came
     to know it, ``idle_since_ms`` when the last of its runs was over.
+    ``failed_on`` are workers where a run of it failed.
     ``is_past_unknown``: what was kept of it can't be read, so that nothing
     of it may be started. ``is_guest``: another unit is its home.
     ``passes`` are the numbers of the passes by which tasks came, ``passed``
@@ -200,6 +201,7 @@
     known_ms: int = 0
     finished_ms: int = 0
     idle_since_ms: int = 0
+    failed_on: set[str] = attrs.field(factory=set)
     tasks: dict[TaskKey, Task] = attrs.field(factory=dict)
     remaining: dict[tuple[int, int], int] = attrs.field(factory=dict)
     opened: set[tuple[int, int]] = attrs.field(factory=set)
