Begin few runs slowly while jobs come, and only where some is borne

Up to six slow runs on each worker went at 10% also where nothing is borne, while jobs came. Change: while jobs come one such run on a worker at the most, only where the slack bears 10% of it, and at rest where that is no longer so. Once no job comes, as before.

--- a/src/tulippin/jobs/_slow_start.py
+++ b/src/tulippin/jobs/_slow_start.py
@@ -58,6 +58,8 @@
 # six workers the last job waits for 2.8 s, where three of each let it wait for
 # 6.6 s, and at 10% six such runs press less than one at full pace.
 _MOST_SLOW: t.Final = 6
+# While jobs come, such runs are few, and only where some of a task is borne.
+_MOST_SLOW_BESIDE_OTHERS: t.Final = 1
 # How many tasks are weighed against all workers in one look, those that
 # have waited longest and some of the others: twelve take some 1 ms beside
 # 33 workers.
@@ -79,8 +81,7 @@
     The first is of the job that has had nothing running for the longest.
     """
     settled = _unseen.is_settled(state)
-    is_lull = state.now_ms - state.arrived_ms >= _LULL_MS
-    wait_ms = _LULL_WAIT_MS if is_lull else _WAIT_MS
+    wait_ms = _LULL_WAIT_MS if _is_lull(state) else _WAIT_MS
     found: list[tuple[int, Job, Task]] = []
     for kind, tasks in state.ready_idle.items():
         job = state.jobs[kind[0]]
@@ -96,6 +97,11 @@
     return [(job, task) for _, job, task in found]
 
 
+def _is_lull(state: SchedulerState) -> bool:
+    """Whether no job comes any more."""
+    return state.now_ms - state.arrived_ms >= _LULL_MS
+
+
 def take_turn(
     waiting: list[tuple[Job, Task]], state: SchedulerState
 ) -> list[tuple[Job, Task]]:
@@ -129,12 +135,13 @@
 
     Workers where the task failed come last, and the idlest goes first
     among those that bear the same. Where none bears any, the one that is
-    closest to it does.
+    closest to it does, once no job comes any more.
     """
+    most_slow = _MOST_SLOW if _is_lull(state) else _MOST_SLOW_BESIDE_OTHERS
     best: Worker | None = None
     best_rank = (True, 0.0, 0.0)
     for worker in state.workers.values():
-        if worker.missed_since_ms or count_slow(worker) >= _MOST_SLOW:
+        if worker.missed_since_ms or count_slow(worker) >= most_slow:
             continue
         if not _feasibility.is_feasible(
             worker, job, task, step, state, has_waited=True
@@ -152,7 +159,13 @@
             best_rank = rank
     if best is None:
         return None
-    return SlowStart(best, max(_get_pace(-best_rank[1]), _SLOWEST_PERCENT))
+    pace_percent = max(_get_pace(-best_rank[1]), _get_least_pace(state))
+    return SlowStart(best, pace_percent) if pace_percent else None
+
+
+def _get_least_pace(state: SchedulerState) -> int:
+    """Return the pace that a run has also where none is borne."""
+    return _SLOWEST_PERCENT if _is_lull(state) else 0
 
 
 def count_slow(worker: Worker) -> int:
@@ -198,7 +211,7 @@
         _compute_borne_percent(attempt.step, count_slow(worker), worker, state)
     )
     if ratio > _TIGHT_RATIO:
-        return max(borne, _SLOWEST_PERCENT)
+        return max(borne, _get_least_pace(state))
     return max(borne, attempt.wanted_percent, _SLOWEST_PERCENT)
 
 
