Show tasks that crash their workers, in tests that fail

The stand-in's tasks can crash their worker some time after each start, and a crashed worker is back as another life at its address. check_history tells a third start after three crashes.

--- a/src/tulippin/platform/standin.py
+++ b/src/tulippin/platform/standin.py
@@ -45,16 +45,28 @@
 _WORKER_S: t.Final = 0.001
 _HEARTBEAT_S: t.Final = 1.1
 _ADVICE_S: t.Final = 0.03
+# An entry goes after three heartbeats of silence.
+_ENTRY_LAPSE_MS: t.Final = 3300
+# A task under which so many workers have crashed is started so many times
+# more at the most.
+_CRASHES: t.Final = 3
+_STARTS_AFTER: t.Final = 2
 
 
 @attrs.define
 class StandinPlatform:
-    """Store, list and workers together; run ``serve`` in a nursery."""
+    """Store, list and workers together; run ``serve`` in a nursery.
+
+    A worker that has crashed is back ``back_after_ms`` later, if that is
+    told: as another life, at the same address.
+    """
 
     store: StandinStore = attrs.field(factory=StandinStore)
     workers: dict[str, StandinWorker] = attrs.field(factory=dict)
     history: list[RunEvent] = attrs.field(factory=list)
     sequence: int = 0
+    back_after_ms: int | None = None
+    lives: int = 0
 
     def add_worker(self, worker_id: str, **options: t.Any) -> StandinWorker:
         """Start a worker's life at an address of its own."""
@@ -93,6 +105,8 @@
                 if worker.is_up:
                     worker.tick()
                     self._let_leave(worker)
+                elif worker.crashed_ms is not None:
+                    self._follow_crash(worker)
             if trio.current_time() >= beat_at:
                 self._beat_all()
                 beat_at = trio.current_time() + _HEARTBEAT_S
@@ -104,6 +118,26 @@
             worker.crash()
             self.remove(worker.worker_id)
 
+    def _follow_crash(self, worker: StandinWorker) -> None:
+        """Let a crashed worker's entry lapse, and its next life begin."""
+        if self.back_after_ms is None or worker.leaves_at_ms is not None:
+            return
+        silent_ms = get_now_ms() - worker.crashed_ms
+        if silent_ms >= _ENTRY_LAPSE_MS and not worker.is_off_list:
+            worker.is_off_list = True
+            self.remove(worker.worker_id)
+        if silent_ms >= self.back_after_ms and not worker.is_succeeded:
+            worker.is_succeeded = True
+            self.lives += 1
+            self.add_worker(
+                f'{worker.worker_id.partition("+")[0]}+{self.lives}',
+                address=worker.address,
+                service=worker.service,
+                room=worker.room,
+                labels=worker.labels,
+                clock_offset_ms=worker.clock_offset_ms,
+            )
+
     def _beat_all(self) -> None:
         for worker in self.workers.values():
             if worker.is_up:
@@ -226,11 +260,13 @@
     """Return what the history shows that must never happen.
 
     Two runs of a task at once; a start after an end that was ``done``
-    and taken note of; a start below an earlier run's number.
+    and taken note of; a third start of a task after three workers have
+    crashed under it.
     """
     present: dict[TaskKey, set[tuple[str, int]]] = collections.defaultdict(set)
     noted: set[TaskKey] = set()
     broken = []
+    history = list(history)
     for event in history:
         place = (event.worker_id, event.run)
         if event.kind == 'started':
@@ -241,6 +277,21 @@
             present[event.key].add(place)
         elif event.kind == 'ended':
             present[event.key].discard(place)
-        elif event.outcome is RunOutcome.DONE:
+        elif event.kind == 'noted' and event.outcome is RunOutcome.DONE:
             noted.add(event.key)
+    return broken + _check_crashes(history)
+
+
+def _check_crashes(history: list[RunEvent]) -> list[str]:
+    """Return the starts beyond those that crashes leave to their task."""
+    crashes: collections.Counter[TaskKey] = collections.Counter()
+    starts_after: collections.Counter[TaskKey] = collections.Counter()
+    broken = []
+    for event in history:
+        if event.kind == 'crashed':
+            crashes[event.key] += 1
+        elif event.kind == 'started' and crashes[event.key] >= _CRASHES:
+            starts_after[event.key] += 1
+            if starts_after[event.key] > _STARTS_AFTER:
+                broken.append(f'over its budget: {event}')
     return broken
--- a/src/tulippin/platform/standin_worker.py
+++ b/src/tulippin/platform/standin_worker.py
@@ -8,6 +8,7 @@
 import msgspec
 import trio
 
+from tulippin.exceptions import AnswerLostError
 from tulippin.jobs.ports import (
     FencedOrderError,
     StartOrder,
@@ -37,7 +38,8 @@
 class TaskPlan(msgspec.Struct, frozen=True):
     """What a task does, as its job's text says.
 
-    ``failing_workers`` fail it; ``lasts`` runs until it is stopped.
+    ``failing_workers`` fail it; ``lasts`` runs until it is stopped. Its
+    worker crashes ``crashes_after_ms`` after each start, if that is told.
     """
 
     run_ms: int = 300
@@ -45,6 +47,7 @@
     fails_always: bool = False
     lasts: bool = False
     tail_ms: float = 10.0
+    crashes_after_ms: int | None = None
 
 
 @attrs.frozen
@@ -69,6 +72,15 @@
     since_ms: int
     checkpoint: str
     pace_percent: int = 100
+    started_ms: int = attrs.field(factory=get_now_ms)
+
+    @property
+    def is_crashing(self) -> bool:
+        """Whether the run ends its worker by now."""
+        after_ms = self.plan.crashes_after_ms
+        return after_ms is not None and (
+            get_now_ms() >= self.started_ms + after_ms
+        )
 
     def compute_left_ms(self) -> float:
         """Return the work left, in the time that it takes at full pace."""
@@ -114,6 +126,9 @@
     labels: tuple[str, ...] = ('a', 'r1')
     clock_offset_ms: int = 5000
     is_up: bool = True
+    crashed_ms: int | None = None
+    is_off_list: bool = False
+    is_succeeded: bool = False
     is_draining: bool = False
     leaves_at_ms: int | None = None
     cut_off: set[str] = attrs.field(factory=set)
@@ -182,7 +197,15 @@
         self._changed = trio.Event()
 
     def tick(self) -> None:
-        """End what is over: work done, and leases that lapsed."""
+        """End what is over: work done, and leases that lapsed.
+
+        A run that crashes its worker ends all that is there.
+        """
+        for (key, number), run in self.runs.items():
+            if run.is_crashing:
+                self._note('crashed', key, number)
+                self.crash()
+                return
         for place, run in list(self.runs.items()):
             if self.clock_ms > self.deadline_ms:
                 self._end(place, RunOutcome.LAPSED)
@@ -199,6 +222,7 @@
             self._note('ended', key, run, RunOutcome.LAPSED)
         self.runs.clear()
         self.is_up = False
+        self.crashed_ms = get_now_ms()
 
     def fail_all(self) -> None:
         """End all that runs here as failed, and list it so."""
@@ -261,6 +285,8 @@
                 self._note('noted', ended.key, ended.run, ended.outcome)
         self.ended = [one for one in self.ended if one.number > last_seen]
         self.tick()
+        if not self.is_up:
+            raise AnswerLostError(f'{self.address} has crashed')
         if deadline_ms is not None:
             self.deadline_ms = max(self.deadline_ms, deadline_ms)
         if not self.ended and wait_ms:
