Count the workers that crash under a task, and give its job up at the third

Cause: a run lost with its worker left no trace where the next start was decided, and what had died together was started together. Now it is kept by task and worker's life which runs had just begun (crashes), and where each running task was started last (started), in the job's progress: next owners and other units count on. Runs under suspicion are kept apart until they prove themselves, and their order is sent once the next owner would know of it. At three crashes the job is failed with its reason in the row, also where the task runs in another unit (FailJob, told as cancels are). Ruled out: a count alone (15 tasks had the same one), giving up at two (a sound task whose second worker dies by itself), apart for all that had run within five seconds (a worker lost at 24 starts a second would delay its tasks by seconds).

--- a/src/tulippin/jobs/_attempts.py
+++ b/src/tulippin/jobs/_attempts.py
@@ -54,6 +54,7 @@
     worker = context.state.workers.get(attempt.worker_id)
     if worker is not None:
         found = worker.attempts.pop((attempt.key, attempt.run), None)
+        worker.trials.pop((attempt.key, attempt.run), None)
         if found is not None:
             worker.reserved = worker.reserved.subtract(attempt.step.reserved)
             _interference.drop_attempt(attempt, worker)
@@ -131,6 +132,7 @@
         return
     job, task = found
     task.has_run = True
+    task.open_start = None
     if ended.checkpoint:
         task.checkpoint = ended.checkpoint
     _faults.judge(worker, ended, context)
--- a/src/tulippin/jobs/_choosing.py
+++ b/src/tulippin/jobs/_choosing.py
@@ -4,7 +4,7 @@
 
 import typing as t
 
-from tulippin.jobs import _feasibility, _scoring, _sparing
+from tulippin.jobs import _feasibility, _scoring, _sparing, _trials
 from tulippin.jobs.state import Job, SchedulerState, Task, Worker
 from tulippin.jobs.types import Step
 
@@ -21,6 +21,8 @@
 # one far from its data likewise.
 _AVOIDED_WEIGHT: t.Final = 10.0
 _FAR_WEIGHT: t.Final = 2.0
+# Before all else, where a task is to go that may crash its worker.
+_RISK_WEIGHT: t.Final = 100.0
 
 
 def choose(
@@ -102,7 +104,7 @@
         score += _AVOIDED_WEIGHT
     if step.preferred_rack and step.preferred_rack not in worker.entry.labels:
         score += _FAR_WEIGHT
-    return score
+    return score + _RISK_WEIGHT * _trials.get_risk(task, worker)
 
 
 def _score_serving(worker: Worker, step: Step) -> float:
--- a/src/tulippin/jobs/_committing.py
+++ b/src/tulippin/jobs/_committing.py
@@ -8,6 +8,7 @@
 
 from tulippin.jobs import (
     _attempts,
+    _crashes,
     _lifecycle,
     _memory,
     _ownership,
@@ -31,7 +32,7 @@
     UnitLoaded,
 )
 from tulippin.jobs.ports import StoredRow
-from tulippin.jobs.records import GUEST_SUFFIX, RosterRecord
+from tulippin.jobs.records import FAIL_SUFFIX, GUEST_SUFFIX, RosterRecord
 from tulippin.jobs.state import Job, Phase, SchedulerState
 from tulippin.jobs.types import FINAL_STATES, JobState, Step
 
@@ -138,7 +139,7 @@
             continue
         if job.is_cancelled and job_id not in before:
             _cancel(job, context)
-        elif row.key.endswith(GUEST_SUFFIX):
+        elif row.key.endswith((GUEST_SUFFIX, FAIL_SUFFIX)):
             _take_up(job, context)
 
 
@@ -163,6 +164,8 @@
 def _take_up(job: Job, context: Context) -> None:
     if job.is_cancelled:
         _cancel(job, context)
+    elif job.is_given_up:
+        _crashes.fail(job, job.reason, context)
     elif job.state not in FINAL_STATES:
         _lifecycle.open_steps(job, context.state)
 
@@ -274,6 +277,7 @@
         if job is not None:
             job.progress_version = event.version
             job.durable = write.record
+            state.is_placing_due = True
             _passing.send(job, context)
     _settle_ends(event.commit.ends, state)
 
--- /dev/null
+++ b/src/tulippin/jobs/_crashes.py
@@ -0,0 +1,409 @@
+"""Tasks that crash the workers that start them, told from those beside them.
+
+A worker that crashes takes along all that runs there, and most of it is
+sound. A task that crashes each worker costs one at each start, every 3.5 s:
+two such jobs took 144 workers in 100 s where nothing was counted. So it is
+kept, by task and by worker's life, which runs had begun soon before their
+worker died, and what is under suspicion is started apart:
+
+- A run that its worker told for five seconds is above suspicion; so is one
+  on a worker that left as planned.
+- A task under which a worker died within a second is started where no other
+  such run has yet to prove itself, and where least is lost. After a second
+  crash nothing else is started there meanwhile, and no other suspect of its
+  job at all. That parts the one that crashes from those that died with it:
+  with the next crash it alone has one more.
+- The third crash gives the job up. With two, a sound task would do whose
+  worker died beside a crashing one and whose next worker dies by itself;
+  each more costs a worker with little on it. Two further starts are allowed,
+  so that crashes which a lost owner could not tell of do no harm.
+
+What is counted is made durable before the task is started again, and where
+it is to be started before a suspect's order is sent, so that the next owner
+counts on.
+"""
+
+from __future__ import annotations
+
+import typing as t
+
+import attrs
+
+from tulippin.jobs import _attempts, _lifecycle, _trials, _unseen
+from tulippin.jobs._dispatch import Context
+from tulippin.jobs.records import CrashRecord
+from tulippin.jobs.state import (
+    Attempt,
+    AttemptState,
+    Job,
+    SchedulerState,
+    Task,
+    Worker,
+)
+from tulippin.jobs.types import FINAL_STATES, JobState
+
+# A job is given up at so many crashes under one task.
+MOST_CRASHES: t.Final = 3
+# A worker that stays silent, and no life of which is seen, is taken for
+# crashed after so long. One that is back tells sooner.
+_SILENT_LIMIT_MS: t.Final = 15_000
+_LOOK_EVERY_MS: t.Final = 200
+_MOST_TOLD: t.Final = 8
+
+
+# -- what is counted ----------------------------------------------------------
+
+
+def note_silence(worker: Worker, context: Context) -> None:
+    """Keep which runs had just begun on a worker that has gone silent.
+
+    It may be cut off and at work. But where its owner is lost too, nobody
+    else knows of the runs.
+    """
+    for attempt in _list_blamed(worker):
+        _note(attempt, worker, context, is_sure=False)
+
+
+def note_end_of_life(worker: Worker, context: Context) -> None:
+    """Count the crash of a worker, another life of which was met."""
+    state = context.state
+    if worker.leaves_at_ms:
+        # It left as it said.
+        _forget(worker.worker_id, context)
+        return
+    if not worker.is_reconciled:
+        state.lost_unread[worker.worker_id] = True
+    for attempt in _list_blamed(worker):
+        _note(attempt, worker, context, is_sure=True)
+    for job, task in _list_suspects(state):
+        record = task.crashes.get(worker.worker_id)
+        if record is not None and not record.is_sure:
+            task.crashes[worker.worker_id] = attrs.evolve(record, is_sure=True)
+            _lifecycle.mark_dirty(job, state)
+    suspects = {
+        attempt.key.format()
+        for attempt in worker.attempts.values()
+        if attempt.key in state.suspects
+    }
+    context.log(
+        'worker crashed',
+        worker=worker.worker_id,
+        silent_ms=state.now_ms - worker.answered_ms,
+        runs=len(worker.attempts),
+        suspects=sorted(suspects)[:_MOST_TOLD],
+    )
+
+
+def _list_blamed(worker: Worker) -> list[Attempt]:
+    """Return the runs under which a worker may have died.
+
+    Where one under suspicion had yet to prove itself, those that have done so
+    are not to blame, nor is what had run for a while: five of six sound tasks
+    would have a second crash counted beside a worker's next one.
+    """
+    recent = [
+        attempt
+        for attempt in worker.attempts.values()
+        if attempt.is_ordered
+        and _get_age_ms(attempt, worker) < _trials.RECENT_MS
+    ]
+    if not _trials.has_trials(worker):
+        return recent
+    return [attempt for attempt in recent if _is_unproved(attempt, worker)]
+
+
+def _is_unproved(attempt: Attempt, worker: Worker) -> bool:
+    if attempt.probation_ms:
+        return _trials.is_on_probation(attempt, worker)
+    return _get_age_ms(attempt, worker) < _trials.SOON_MS
+
+
+def _get_age_ms(attempt: Attempt, worker: Worker) -> int:
+    """Return for how long, at least, a run was there, as its worker told."""
+    return max(0, worker.answered_ms - attempt.sent_ms)
+
+
+def _note(
+    attempt: Attempt, worker: Worker, context: Context, *, is_sure: bool
+) -> None:
+    """Keep that a worker died, or may have, soon after a run began."""
+    state = context.state
+    found = _attempts.find_task(attempt.key, context)
+    if found is None:
+        return
+    job, task = found
+    if task.is_done or job.is_cancelled or job.state in FINAL_STATES:
+        return
+    if worker.worker_id in task.crashes:
+        return
+    entry = worker.entry
+    _add(
+        job,
+        task,
+        CrashRecord(
+            worker.worker_id,
+            entry.address,
+            entry.machine,
+            attempt.run,
+            _get_age_ms(attempt, worker),
+            _get_wall_ms(state),
+            is_sure,
+        ),
+        state,
+    )
+
+
+def _add(
+    job: Job, task: Task, record: CrashRecord, state: SchedulerState
+) -> None:
+    """Count a crash to a task."""
+    task.crashes[record.worker_id] = record
+    state.suspects.add(task.key)
+    state.count('crashes_suspected')
+    _lifecycle.mark_dirty(job, state)
+
+
+def _get_wall_ms(state: SchedulerState) -> int:
+    """Return the time of day, which the next owner knows too."""
+    return state.now_ms + state.wall_offset_ms
+
+
+def note_answer(worker: Worker, context: Context) -> None:
+    """Take back what a worker was suspected of that answers again."""
+    _forget(worker.worker_id, context)
+
+
+def _forget(worker_id: str, context: Context) -> None:
+    for job, task in _list_suspects(context.state):
+        if task.crashes.pop(worker_id, None) is not None:
+            _lifecycle.mark_dirty(job, context.state)
+
+
+def note_running(attempt: Attempt, context: Context) -> None:
+    """Take in that a worker tells a run, and clear one that lives on."""
+    found = _attempts.find_task(attempt.key, context)
+    if found is None:
+        return
+    job, task = found
+    task.open_start = None
+    age_ms = context.state.now_ms - attempt.sent_ms
+    if task.crashes and age_ms >= _trials.RECENT_MS:
+        task.crashes.clear()
+        _lifecycle.mark_dirty(job, context.state)
+
+
+def _list_suspects(state: SchedulerState) -> list[tuple[Job, Task]]:
+    """Return the tasks under which workers died, and strike others off."""
+    found = []
+    for key in list(state.suspects):
+        job = state.jobs.get(key.job_id)
+        task = job.tasks.get(key) if job is not None else None
+        is_open = task is not None and task.crashes and not task.is_done
+        if job is None or not is_open or job.state in FINAL_STATES:
+            state.suspects.discard(key)
+            continue
+        found.append((job, t.cast(Task, task)))
+    return found
+
+
+# -- what is started ----------------------------------------------------------
+
+
+def may_start(job: Job, task: Task, state: SchedulerState) -> bool:
+    """Whether a ready task may be started, if a worker takes it.
+
+    It may not while it may run somewhere unseen, or its crashes forbid it.
+    """
+    if _unseen.is_awaited(task, state):
+        return False
+    return not _must_wait(job, task, state)
+
+
+def _must_wait(job: Job, task: Task, state: SchedulerState) -> bool:
+    """Whether a task may not be started, whatever room there is.
+
+    So it is until all that is known of its crashes is durable, and while it
+    is open whether they are one too many. Of a job's tasks others wait while
+    one of them is the likeliest to blame: they would be lost with the job.
+    """
+    if task.open_start is not None:
+        _judge_open_start(job, task, state)
+    if task.open_start is not None:
+        return True
+    if not task.crashes:
+        return False
+    if len(task.crashes) >= MOST_CRASHES or not _is_durable(job, task):
+        return True
+    return _trials.is_on_trial(task) and _waits_for_sibling(job, task, state)
+
+
+def _judge_open_start(job: Job, task: Task, state: SchedulerState) -> None:
+    """Tell what became of an earlier owner's start that nobody reports."""
+    run, worker_id = t.cast(tuple[int, str], task.open_start)
+    worker = state.workers.get(worker_id)
+    if worker is not None and not _unseen.is_sure(worker, state):
+        return
+    task.open_start = None
+    is_lapsed = worker is not None and not worker.is_reconciled
+    if worker_id not in state.lost_unread and not is_lapsed:
+        # It told all that it runs, or an earlier owner saw it go.
+        return
+    if worker is not None and worker.leaves_at_ms:
+        return
+    entry = worker.entry if worker is not None else None
+    record = CrashRecord(
+        worker_id,
+        entry.address if entry else '',
+        entry.machine if entry else '',
+        run,
+        # How long it had run is not known.
+        _trials.SOON_MS,
+        _get_wall_ms(state),
+        state.lost_unread.get(worker_id, False),
+    )
+    _add(job, task, record, state)
+
+
+def _is_durable(job: Job, task: Task) -> bool:
+    """Whether the store tells the same of a task's crashes."""
+    if job.durable is None:
+        return False
+    name = _lifecycle.get_name(task.key)
+    kept = job.durable.crashes.get(name, ())
+    return kept == task.list_crashes()
+
+
+def _waits_for_sibling(job: Job, task: Task, state: SchedulerState) -> bool:
+    """Whether another task of the job is to be tried, or is, before this."""
+    own = _get_rank(task)
+    step = job.request.steps[task.key.step]
+    for other in job.tasks.values():
+        if other is task or len(other.crashes) < _trials.CLOSING_COUNT:
+            continue
+        if step.gang and other.key[:3] == task.key[:3]:
+            continue
+        if not other.is_done and (
+            _get_rank(other) > own or _is_on_probation(other, state)
+        ):
+            return True
+    return False
+
+
+def _get_rank(task: Task) -> tuple[int, int]:
+    """Return how likely a task is to blame, beside its siblings."""
+    return len(task.crashes), -task.key.index
+
+
+def _is_on_probation(task: Task, state: SchedulerState) -> bool:
+    """Whether a run of a task has yet to prove itself."""
+    return any(
+        _trials.is_on_probation(attempt, state.workers[attempt.worker_id])
+        for attempt in task.attempts.values()
+        if attempt.worker_id in state.workers
+    )
+
+
+# -- orders that wait to be durable -------------------------------------------
+
+
+def take_durable(context: Context) -> list[Attempt]:
+    """Return the runs whose orders may be sent now, and note them as sent.
+
+    The next owner has to know of each start of a suspect: one that is lost
+    with its worker and its owner would not be counted.
+    """
+    state = context.state
+    due = []
+    waiting = []
+    for attempt in state.unsent:
+        if attempt.state is not AttemptState.STARTING:
+            continue
+        worker = state.workers.get(attempt.worker_id)
+        place = (attempt.key, attempt.run)
+        if worker is None or place not in worker.attempts:
+            continue
+        kept = due if _is_start_durable(attempt, state) else waiting
+        kept.append(attempt)
+    state.unsent = waiting
+    for attempt in due:
+        attempt.is_ordered = True
+        attempt.sent_ms = state.now_ms
+    return due
+
+
+def _is_start_durable(attempt: Attempt, state: SchedulerState) -> bool:
+    job = state.jobs.get(attempt.key.job_id)
+    if job is None or job.durable is None:
+        return False
+    name = _lifecycle.get_name(attempt.key)
+    return job.durable.started.get(name) == (attempt.run, attempt.worker_id)
+
+
+# -- giving up ----------------------------------------------------------------
+
+
+def tick(context: Context) -> None:
+    """Settle what is open of crashes, and give up jobs with too many."""
+    state = context.state
+    is_due = state.now_ms - state.crashes_looked_ms >= _LOOK_EVERY_MS
+    if not (is_due and state.suspects and context.may_order):
+        return
+    state.crashes_looked_ms = state.now_ms
+    for job, task in _list_suspects(state):
+        _settle(job, task, context)
+        known = sum(one.is_sure for one in task.crashes.values())
+        if known >= MOST_CRASHES and job.state not in FINAL_STATES:
+            _give_up(job, task, context)
+
+
+def _settle(job: Job, task: Task, context: Context) -> None:
+    """Take silent workers for crashed that have another life, or are gone."""
+    state = context.state
+    for record in list(task.crashes.values()):
+        # Instances' clocks differ; one far ahead must not keep it open.
+        waited_ms = abs(_get_wall_ms(state) - record.noted_ms)
+        is_over = waited_ms >= _SILENT_LIMIT_MS
+        if not record.is_sure and (is_over or _is_succeeded(record, state)):
+            task.crashes[record.worker_id] = attrs.evolve(record, is_sure=True)
+            _lifecycle.mark_dirty(job, state)
+
+
+def _is_succeeded(record: CrashRecord, state: SchedulerState) -> bool:
+    """Whether another life of the same machine has answered."""
+    return any(
+        worker.answered_ms
+        and not worker.is_over
+        and worker.worker_id != record.worker_id
+        and (
+            worker.entry.address == record.address
+            or (record.machine and worker.entry.machine == record.machine)
+        )
+        for worker in state.workers.values()
+    )
+
+
+def _give_up(job: Job, task: Task, context: Context) -> None:
+    """Fail a job, as each worker that starts its task crashes."""
+    records = task.list_crashes()
+    workers = ', '.join(one.worker_id for one in records)
+    name = task.key.format()
+    context.state.count('jobs_given_up')
+    context.log(
+        'job given up',
+        job=job.job_id,
+        task=name,
+        workers=[one.worker_id for one in records],
+        runs=[one.run for one in records],
+        ages_ms=[one.age_ms for one in records],
+        noted_ms=[one.noted_ms for one in records],
+    )
+    fail(job, f'workers crashed under {name}: {workers}', context)
+
+
+def fail(job: Job, reason: str, context: Context) -> None:
+    """Show a job as failed, say why in its row, and stop it."""
+    if job.state in FINAL_STATES:
+        return
+    job.reason = reason
+    _lifecycle.finish(job, JobState.FAILED, context)
+    _attempts.stop_job(job, context, 'job has failed')
--- a/src/tulippin/jobs/_feasibility.py
+++ b/src/tulippin/jobs/_feasibility.py
@@ -4,7 +4,7 @@
 
 import typing as t
 
-from tulippin.jobs import _advice, _interference
+from tulippin.jobs import _advice, _interference, _trials
 from tulippin.jobs.state import Job, SchedulerState, Task, Worker
 from tulippin.jobs.types import Step
 
@@ -59,7 +59,9 @@
         return False
     if job.queue.advised and not _advice.get_ticket(worker, job, task, state):
         return False
-    return _has_fewer(worker, task, step)
+    return _has_fewer(worker, task, step) and _trials.may_join(
+        worker, task, state
+    )
 
 
 def takes_work(worker: Worker, state: SchedulerState) -> bool:
--- a/src/tulippin/jobs/_lifecycle.py
+++ b/src/tulippin/jobs/_lifecycle.py
@@ -10,11 +10,15 @@
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs._row_checks import find_progress_fault, is_job_id
 from tulippin.jobs._rows import log_unreadable, read_record
+from tulippin.jobs.effects import FailJob
 from tulippin.jobs.ports import StoredRow
 from tulippin.jobs.records import (
     CANCEL_SUFFIX,
+    FAIL_SUFFIX,
     GUEST_SUFFIX,
     CancelRecord,
+    CrashRecord,
+    FailRecord,
     GuestRecord,
     JobRecord,
     ProgressRecord,
@@ -33,11 +37,12 @@
 def add_rows(rows: t.Iterable[StoredRow], context: Context) -> list[Job]:
     """Take in rows of the jobs' table; return the jobs that are new.
 
-    Cancels come last: they may stand before their job.
+    Cancels and failures come last: they may stand before their job.
     """
     jobs = context.state.jobs
     added = []
     cancelled = []
+    failed = []
     for row in rows:
         if row.value is None:
             continue
@@ -47,15 +52,29 @@
             read_record(row, CancelRecord)
             cancelled.append(row.key.removesuffix(CANCEL_SUFFIX))
             continue
+        if row.key.endswith(FAIL_SUFFIX):
+            failed.append(row)
+            continue
         job = _take_row(row, context)
         if job is not None:
             added.append(job)
     for job_id in cancelled:
         if job_id in jobs:
             jobs[job_id].is_cancelled = True
+    for row in failed:
+        _take_failure(row, context.state)
     return added
 
 
+def _take_failure(row: StoredRow, state: SchedulerState) -> None:
+    """Note that another unit gave a job up."""
+    job = state.jobs.get(row.key.removesuffix(FAIL_SUFFIX))
+    record = read_record(row, FailRecord)
+    if job is not None and record is not None:
+        job.is_given_up = True
+        job.reason = record.reason
+
+
 def _take_row(row: StoredRow, context: Context) -> Job | None:
     """Take in a job, or tasks passed on; return a job if it is new."""
     if not is_job_id(row.key.removesuffix(GUEST_SUFFIX)):
@@ -113,6 +132,7 @@
             task = get_task(job, key)
             task.least_run = record.runs.get(name, 0)
             task.has_run = name in record.begun
+            _restore_crashes(task, record.crashes.get(name, ()), state)
     return job if is_new else None
 
 
@@ -191,8 +211,12 @@
     job.durable = record
     job.state = record.state
     job.has_begun = record.state is not JobState.PENDING
+    job.reason = record.reason
     if record.state in FINAL_STATES:
         job.finished_ms = context.state.now_ms
+        if record.state is JobState.FAILED:
+            # The last owner may have been lost before it told other units.
+            _tell_failed(job, context)
         return
     for name, bits in record.done.items():
         occurrence, _, number = name.partition('.')
@@ -204,6 +228,21 @@
     for name, passed in record.passed.items():
         key = parse_task(f'{job.job_id}.{name}')
         job.passed[key] = PassedTask(*passed)
+    for name, crashes in record.crashes.items():
+        task = get_task(job, parse_task(f'{job.job_id}.{name}'))
+        _restore_crashes(task, crashes, context.state)
+    for name, started in record.started.items():
+        task = get_task(job, parse_task(f'{job.job_id}.{name}'))
+        task.open_start = started
+
+
+def _restore_crashes(
+    task: Task, crashes: t.Iterable[CrashRecord], state: SchedulerState
+) -> None:
+    """Count the crashes that an earlier owner, or unit, told of."""
+    for crash in crashes:
+        task.crashes[crash.worker_id] = crash
+        state.suspects.add(task.key)
 
 
 def _read_progress(job: Job, row: StoredRow) -> ProgressRecord | None:
@@ -245,19 +284,27 @@
     return task
 
 
+def get_name(key: TaskKey) -> str:
+    """Return the name of a task within its job, as ``K.STEP.INDEX``."""
+    return f'{key.occurrence}.{key.step}.{key.index}'
+
+
 def make_progress(job: Job) -> ProgressRecord:
     """Return what is to be kept of a job as it is now."""
     if job.state in FINAL_STATES:
-        return ProgressRecord(job.state)
+        return ProgressRecord(job.state, reason=job.reason)
     done: dict[str, int] = {}
     failures: dict[str, list[int]] = {}
     avoided: dict[str, list[str]] = {}
+    crashes: dict[str, tuple[CrashRecord, ...]] = {}
     for key, task in job.tasks.items():
+        if task.crashes and not task.is_done:
+            crashes[get_name(key)] = task.list_crashes()
         if task.is_done:
             name = f'{key.occurrence}.{key.step}'
             done[name] = done.get(name, 0) | 1 << key.index
         if task.failed_runs:
-            name = f'{key.occurrence}.{key.step}.{key.index}'
+            name = get_name(key)
             failures[name] = sorted(task.failed_runs)
             avoided[name] = sorted(task.avoided)
     return ProgressRecord(
@@ -265,13 +312,27 @@
         {name: f'{bits:x}' for name, bits in done.items()},
         failures,
         {
-            f'{key.occurrence}.{key.step}.{key.index}': attrs.astuple(passed)
+            get_name(key): attrs.astuple(passed)
             for key, passed in job.passed.items()
         },
         avoided,
+        crashes,
+        _list_started(job),
     )
 
 
+def _list_started(job: Job) -> dict[str, tuple[int, str]]:
+    """Return the newest run of each task that runs, and its worker."""
+    started = {}
+    for key, task in job.tasks.items():
+        if task.attempts:
+            run = max(task.attempts)
+            started[get_name(key)] = (run, task.attempts[run].worker_id)
+        elif task.open_start is not None:
+            started[get_name(key)] = task.open_start
+    return started
+
+
 def mark_dirty(job: Job, state: SchedulerState) -> None:
     """Have a job's progress made durable with the next commit.
 
@@ -384,4 +445,13 @@
         job=job.job_id,
         state=final.value,
         age_ms=state.now_ms - job.arrived_ms,
+        reason=job.reason,
     )
+    if final is JobState.FAILED:
+        _tell_failed(job, context)
+
+
+def _tell_failed(job: Job, context: Context) -> None:
+    """Tell other units of a failure, if they may run tasks of the job."""
+    if job.is_guest or job.passed:
+        context.emit(FailJob(job.job_id, job.reason))
--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -232,17 +232,26 @@
 
 def clear_unit(state: SchedulerState) -> None:
     """Forget all that only the owner holds."""
+    _clear_crashes(state)
     state.jobs.clear()
     state.workers.clear()
-    state.ready.clear()
-    state.ready_idle.clear()
-    state.scheduled.clear()
+    _clear_ready(state)
     state.unread_jobs.clear()
     state.unsettled_until_ms = 0
     state.advice_asked.clear()
     state.tails.clear()
     state.swings = SwingModel()
     state.dirty_jobs.clear()
+    _clear_commits(state)
+
+
+def _clear_ready(state: SchedulerState) -> None:
+    state.ready.clear()
+    state.ready_idle.clear()
+    state.scheduled.clear()
+
+
+def _clear_commits(state: SchedulerState) -> None:
     state.roster = {}
     state.roster_version = 0
     state.is_committing = False
@@ -250,6 +259,12 @@
     state.is_model_committing = False
 
 
+def _clear_crashes(state: SchedulerState) -> None:
+    state.suspects.clear()
+    state.unsent.clear()
+    state.lost_unread.clear()
+
+
 def note_pause(context: Context, gap_ms: int) -> None:
     """After standing still, order nothing until the store confirms."""
     ownership = context.state.ownership
--- a/src/tulippin/jobs/_passing.py
+++ b/src/tulippin/jobs/_passing.py
@@ -11,11 +11,18 @@
 
 import attrs
 
-from tulippin.jobs import _evening, _lifecycle, _ready, _rooms, _unseen
+from tulippin.jobs import (
+    _crashes,
+    _evening,
+    _lifecycle,
+    _ready,
+    _rooms,
+    _unseen,
+)
 from tulippin.jobs._dispatch import Context, handle
 from tulippin.jobs.effects import PassTasks
 from tulippin.jobs.events import RoomsSeen
-from tulippin.jobs.records import GuestRecord, UnitRoom
+from tulippin.jobs.records import CrashRecord, GuestRecord, UnitRoom
 from tulippin.jobs.state import (
     RUNS_PER_EPOCH,
     Job,
@@ -54,7 +61,7 @@
     _even_out(context)
     budget = _TASKS_PER_PASS
     for job, step, task in _list_late(state):
-        if budget and not _unseen.is_awaited(task, state):
+        if budget and _crashes.may_start(job, task, state):
             budget -= _pass(job, step, task, context)
 
 
@@ -145,6 +152,18 @@
     return job.is_resumed or (task is not None and task.has_run)
 
 
+def _list_crashes(
+    job: Job, names: t.Iterable[str]
+) -> dict[str, tuple[CrashRecord, ...]]:
+    """Return what crashed under some tasks, for the unit that gets them."""
+    found = {}
+    for name in names:
+        task = job.tasks.get(parse_task(f'{job.job_id}.{name}'))
+        if task is not None and task.crashes:
+            found[name] = task.list_crashes()
+    return found
+
+
 def _get_passed(job: Job, key: TaskKey) -> int:
     passed = job.passed.get(key)
     return passed.pass_number if passed else 0
@@ -198,5 +217,6 @@
             {name: number for name, (number, _) in tasks.items()},
             {name: run for name, (_, run) in tasks.items()},
             tuple(name for name in tasks if _has_run(job, name)),
+            _list_crashes(job, tasks),
         )
         context.emit(PassTasks(job.job_id, unit, record))
--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -10,6 +10,7 @@
     _advice,
     _attempts,
     _choosing,
+    _crashes,
     _evening,
     _feasibility,
     _interference,
@@ -19,6 +20,7 @@
     _ranking,
     _ready,
     _slow_start,
+    _trials,
     _unseen,
     _workers,
 )
@@ -66,6 +68,8 @@
     state = context.state
     if not (context.may_order and _ownership.may_prolong(state)):
         return
+    for attempt in _crashes.take_durable(context):
+        _order(attempt, state.jobs[attempt.key.job_id], context)
     is_soon = state.now_ms - state.placed_ms < _EVERY_MS
     if is_tick or (state.is_placing_due and not is_soon):
         state.is_placing_due = False
@@ -155,7 +159,7 @@
         kind = _ready.get_step_key(task.key)
         if kind in tried or self._is_too_large(job, step):
             return False
-        if _unseen.is_awaited(task, state):
+        if not _crashes.may_start(job, task, state):
             return False
         worker = _choosing.choose(job, task, step, state)
         if worker is None:
@@ -179,7 +183,7 @@
         tasks = [
             task
             for task in self.queue[kind].values()
-            if not _unseen.is_awaited(task, state)
+            if _crashes.may_start(job, task, state)
         ]
         if step.gang:
             self.budget -= place_gang(job, step, tasks, self.context)
@@ -352,7 +356,6 @@
     state = context.state
     run = context.fencing_token * RUNS_PER_EPOCH + task.run_count
     run += task.least_run
-    valid_ms = state.config.start_valid_ms
     attempt = Attempt(
         task.key,
         run,
@@ -361,21 +364,37 @@
         job.queue.priority,
         AttemptState.STARTING,
         state.now_ms,
-        start_deadline_ms=_workers.get_clock_ms(worker, state) + valid_ms,
         checkpoint=task.checkpoint,
     )
     _attempts.add_attempt(attempt, task, worker)
+    _trials.note_start(attempt, task, worker)
     _ready.remove(task.key, step, state)
     return attempt
 
 
 def _send(attempt: Attempt, job: Job, context: Context) -> None:
-    """Order a run whose place is reserved to start."""
+    """Order a run whose place is reserved to start, or once it is durable.
+
+    Where it was started is kept of each run, though but for those under
+    suspicion no order waits for that: 0.1 s later the next owner knows it.
+    """
+    state = context.state
+    _lifecycle.mark_begun(job, state)
+    _lifecycle.mark_dirty(job, state)
+    if attempt.is_ordered:
+        _order(attempt, job, context)
+    else:
+        state.unsent.append(attempt)
+
+
+def _order(attempt: Attempt, job: Job, context: Context) -> None:
+    """Send the order to start a run."""
     state = context.state
     worker = state.workers[attempt.worker_id]
     task = job.tasks[attempt.key]
-    _unseen.extend_lapse(worker, state.config.start_valid_ms, state)
-    _lifecycle.mark_begun(job, state)
+    valid_ms = state.config.start_valid_ms
+    attempt.start_deadline_ms = _workers.get_clock_ms(worker, state) + valid_ms
+    _unseen.extend_lapse(worker, valid_ms, state)
     state.count('starts')
     context.log(
         'start run',
@@ -386,6 +405,7 @@
         reserved_millicores=worker.reserved.cpu_millicores,
         list_age_ms=state.now_ms - worker.answered_ms,
         pace_percent=attempt.wanted_percent,
+        crashes=len(task.crashes),
     )
     context.emit(
         StartRun(
--- a/src/tulippin/jobs/_reports.py
+++ b/src/tulippin/jobs/_reports.py
@@ -4,7 +4,14 @@
 
 import typing as t
 
-from tulippin.jobs import _attempts, _lifecycle, _ready, _tails, _unseen
+from tulippin.jobs import (
+    _attempts,
+    _crashes,
+    _lifecycle,
+    _ready,
+    _tails,
+    _unseen,
+)
 from tulippin.jobs._dispatch import Context, handle
 from tulippin.jobs.events import WorkerAnswered
 from tulippin.jobs.state import Attempt, AttemptState, Job, Worker
@@ -28,6 +35,7 @@
     worker.answered_ms = state.now_ms
     if worker.failed_count:
         context.log('worker answers again', worker=worker.worker_id)
+        _crashes.note_answer(worker, context)
     worker.failed_count = 0
     worker.clock_offset_ms = event.report.clock_ms - state.now_ms
     _take_ends(worker, event, context)
@@ -101,6 +109,7 @@
         found = _attempts.find_task(row.key, context)
         if found is not None:
             found[1].checkpoint = row.checkpoint
+    _crashes.note_running(attempt, context)
     attempt.progress_percent = row.progress_percent
     _tails.note_load(attempt, row.load or 0.0, state.now_ms)
     # A worker that does not tell loads is taken to be at work.
--- a/src/tulippin/jobs/_row_checks.py
+++ b/src/tulippin/jobs/_row_checks.py
@@ -107,7 +107,8 @@
     if not fault and min(record.runs.values(), default=0) < 0:
         fault = 'a run is below none'
     return fault or _find_name_fault(
-        [*record.passes, *record.runs, *record.begun], record.request
+        [*record.passes, *record.runs, *record.begun, *record.crashes],
+        record.request,
     )
 
 
@@ -123,9 +124,14 @@
             return f'more tasks of step {name} are done than it has'
     if any(min(passed) < 0 for passed in record.passed.values()):
         return 'a task is passed to no unit'
-    return _find_name_fault(
-        [*record.failures, *record.avoided, *record.passed], request
+    names = (
+        *record.failures,
+        *record.avoided,
+        *record.passed,
+        *record.crashes,
+        *record.started,
     )
+    return _find_name_fault(names, request)
 
 
 # -- units --------------------------------------------------------------------
--- a/src/tulippin/jobs/_row_effects.py
+++ b/src/tulippin/jobs/_row_effects.py
@@ -28,6 +28,7 @@
 from tulippin.jobs.records import (
     CANCEL_SUFFIX,
     EPOCH_KEY,
+    FAIL_SUFFIX,
     GUEST_SUFFIX,
     HOMES_TABLE,
     LEASE_KEY,
@@ -35,6 +36,7 @@
     MODELS_TABLE,
     ROSTER_KEY,
     UNITS_TABLE,
+    FailRecord,
     GuestRecord,
     HomeRecord,
     LeaseRecord,
@@ -271,7 +273,7 @@
     removals: dict[str, list[RowWrite]] = {}
     for job_id in effect.job_ids:
         writes = removals.setdefault(get_jobs_part(job_id), [])
-        for suffix in ('', CANCEL_SUFFIX, GUEST_SUFFIX):
+        for suffix in ('', CANCEL_SUFFIX, GUEST_SUFFIX, FAIL_SUFFIX):
             key = f'{job_id}{suffix}'
             writes.append(RowWrite(unit.jobs_table, key, None))
         if job_id not in effect.guest_ids:
@@ -347,7 +349,7 @@
     home_row = await read_row(store, HOMES_TABLE, part, effect.job_id)
     guest_row = await read_row(store, table, part, key)
     home = read_record(home_row, HomeRecord)
-    if home is None or home.is_cancelled:
+    if home is None or home.is_cancelled or home.is_failed:
         return None
     known = read_record(guest_row, GuestRecord)
     if is_unreadable(guest_row, known):
@@ -369,6 +371,7 @@
             passes={**known.passes, **newer},
             runs={**known.runs, **runs},
             begun=tuple(sorted({*known.begun, *record.begun})),
+            crashes={**known.crashes, **record.crashes},
         )
     if effect.unit not in home.units:
         guests = (*home.guest_units, effect.unit)
@@ -384,3 +387,64 @@
             RowWrite(table, key, encode(record)),
         ),
     )
+
+
+@perform.register(fx.FailJob)
+def _fail_job(effect: fx.FailJob, shell: UnitShell) -> None:
+    shell.start(_run_fail, effect, shell)
+
+
+async def _run_fail(effect: fx.FailJob, shell: UnitShell) -> None:
+    """Tell all units that know a job of its failure, as of a cancel."""
+    while True:
+        try:
+            transaction = await _make_failure(effect, shell)
+            if transaction is None:
+                return
+            result = await transact_surely(
+                shell.ports.store,
+                transaction,
+                _PASS_LIMIT_S,
+                shell.answer_times,
+            )
+        except UnavailableError as error:
+            logger.warning(
+                'failure not told yet',
+                job=effect.job_id,
+                reason=error.message,
+            )
+            await trio.sleep(_PASS_PAUSE_S)
+            continue
+        if result.is_done:
+            logger.info(
+                'failure told', job=effect.job_id, version=result.version
+            )
+            return
+
+
+async def _make_failure(
+    effect: fx.FailJob, shell: UnitShell
+) -> Transaction | None:
+    """Return what tells of a failure; nothing if that was told, or is moot."""
+    part = get_jobs_part(effect.job_id)
+    row = await read_row(shell.ports.store, HOMES_TABLE, part, effect.job_id)
+    home = read_record(row, HomeRecord)
+    if home is None or home.is_cancelled or home.is_failed:
+        return None
+    mark = encode(FailRecord(effect.reason))
+    key = f'{effect.job_id}{FAIL_SUFFIX}'
+    return Transaction(
+        part,
+        (RowCondition(HOMES_TABLE, effect.job_id, get_version(row)),),
+        (
+            RowWrite(
+                HOMES_TABLE,
+                effect.job_id,
+                encode(attrs.evolve(home, is_failed=True)),
+            ),
+            *(
+                RowWrite(Unit(number).jobs_table, key, mark)
+                for number in home.units
+            ),
+        ),
+    )
--- a/src/tulippin/jobs/_slow_start.py
+++ b/src/tulippin/jobs/_slow_start.py
@@ -23,6 +23,7 @@
 
 from tulippin.jobs import (
     _attempts,
+    _crashes,
     _feasibility,
     _interference,
     _ready,
@@ -85,7 +86,7 @@
     found: list[tuple[int, Job, Task]] = []
     for kind, tasks in state.ready_idle.items():
         job = state.jobs[kind[0]]
-        task = _find_startable(tasks.values(), state)
+        task = _find_startable(job, tasks.values(), state)
         # Members of a gang work only together, and not slowly.
         is_gang = job.request.steps[kind[2]].gang
         if task is None or is_gang or (job.awaits_workers and not settled):
@@ -120,11 +121,11 @@
 
 
 def _find_startable(
-    tasks: t.Iterable[Task], state: SchedulerState
+    job: Job, tasks: t.Iterable[Task], state: SchedulerState
 ) -> Task | None:
-    """Return the first task that surely runs nowhere."""
+    """Return the first task that may be started."""
     return next(
-        (task for task in tasks if not _unseen.is_awaited(task, state)), None
+        (task for task in tasks if _crashes.may_start(job, task, state)), None
     )
 
 
--- a/src/tulippin/jobs/_workers.py
+++ b/src/tulippin/jobs/_workers.py
@@ -4,7 +4,14 @@
 
 import typing as t
 
-from tulippin.jobs import _attempts, _ownership, _pacing, _unseen
+from tulippin.jobs import (
+    _attempts,
+    _crashes,
+    _ownership,
+    _pacing,
+    _trials,
+    _unseen,
+)
 from tulippin.jobs._dispatch import Context, handle
 from tulippin.jobs.effects import ForgetWorker, HoldWorker
 from tulippin.jobs.events import (
@@ -155,7 +162,7 @@
 def _choose_wait_ms(worker: Worker) -> int:
     if not worker.is_reconciled or worker.failed_count:
         return 0
-    if worker.strays:
+    if worker.strays or _trials.has_trials(worker):
         return _OPEN_WAIT_MS
     for attempt in worker.attempts.values():
         if attempt.state in _OPEN_STATES:
@@ -187,6 +194,7 @@
         context.log(
             'worker silent', worker=worker.worker_id, reason=event.reason
         )
+        _crashes.note_silence(worker, context)
 
 
 def _end_life(worker: Worker, context: Context) -> None:
@@ -196,7 +204,9 @@
     again at once after each answer until its last lease was over, 1,770 times
     a second for three of them, which took all of an owner's processor.
     """
-    context.log('worker replaced', worker=worker.worker_id)
+    if worker.is_over:
+        return
+    _crashes.note_end_of_life(worker, context)
     _lose(worker, context, 'its worker has a new life')
     worker.is_over = True
     worker.is_listed = False
@@ -243,11 +253,11 @@
         return
     if outcome is StartOutcome.NO_ROOM:
         worker.paused_until_ms = state.now_ms + _NO_ROOM_PAUSE_MS
-    elif outcome is StartOutcome.OTHER_LIFE:
-        worker.is_listed = False
-    else:
+    elif outcome is not StartOutcome.OTHER_LIFE:
         worker.paused_until_ms = state.now_ms + _UNHEALTHY_PAUSE_MS
     _attempts.release(attempt, context, f'start refused: {outcome.value}')
+    if outcome is StartOutcome.OTHER_LIFE:
+        _end_life(worker, context)
 
 
 @handle.register
@@ -278,6 +288,8 @@
             _lose(worker, context, 'its lease lapsed')
         _attempts.stop_again(worker, context)
         if _is_forgettable(worker, state):
+            if worker.is_rostered and not worker.is_reconciled:
+                state.lost_unread.setdefault(worker.worker_id, False)
             context.log('worker forgotten', worker=worker.worker_id)
             del state.workers[worker.worker_id]
             context.emit(ForgetWorker(worker.worker_id))
--- a/src/tulippin/jobs/effects.py
+++ b/src/tulippin/jobs/effects.py
@@ -104,6 +104,14 @@
     record: GuestRecord
 
 
+@attrs.frozen
+class FailJob(JobEffect):
+    """Tell all units that know a job that it has failed."""
+
+    job_id: str
+    reason: str
+
+
 @attrs.frozen
 class CommitRoster(JobEffect):
     """Keep on which workers the owner's orders may have effect."""
--- a/src/tulippin/jobs/records.py
+++ b/src/tulippin/jobs/records.py
@@ -29,6 +29,7 @@
 ROSTER_KEY: t.Final = 'roster'
 CANCEL_SUFFIX: t.Final = '/cancel'
 GUEST_SUFFIX: t.Final = '/guest'
+FAIL_SUFFIX: t.Final = '/failed'
 # Sizes of tasks, in millicores, for which a unit's owner tells its places.
 PLACE_SIZES: t.Final = (
     1000,
@@ -164,6 +165,7 @@
     unit: int
     guest_units: tuple[int, ...] = ()
     is_cancelled: bool = False
+    is_failed: bool = False
 
     @property
     def units(self) -> tuple[int, ...]:
@@ -286,13 +288,41 @@
     accepted_ms: int = 0
 
 
+@attrs.frozen
+class CrashRecord:
+    """A worker's life that ended, or may have, soon after a task's start.
+
+    Parameters
+    ----------
+    worker_id, address, machine : str
+        The life, and where its next one would be.
+    run : int
+        The task's run there.
+    age_ms : int
+        For how long, at least, the run had been there.
+    noted_ms : int
+        The time of day when the worker was first found silent.
+    is_sure : bool
+        The life is over; otherwise the worker may be cut off and at work.
+    """
+
+    worker_id: str
+    address: str
+    machine: str
+    run: int
+    age_ms: int
+    noted_ms: int
+    is_sure: bool = False
+
+
 @attrs.frozen
 class GuestRecord:
     """Long-running tasks that another unit passed on to this one.
 
     ``passes`` tells for each task, as ``K.STEP.INDEX``, how often it has
     changed its unit, this time included, and ``runs`` the highest run
-    that an earlier unit may have started. ``begun`` are those that have run.
+    that an earlier unit may have started. ``begun`` are those that have run,
+    ``crashes`` the workers that crashed under them.
     """
 
     queue: Queue
@@ -300,6 +330,7 @@
     passes: dict[str, int] = attrs.field(factory=dict)
     runs: dict[str, int] = attrs.field(factory=dict)
     begun: tuple[str, ...] = ()
+    crashes: dict[str, tuple[CrashRecord, ...]] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -309,6 +340,13 @@
     queue_name: str
 
 
+@attrs.frozen
+class FailRecord:
+    """Says that a unit gave the job up, and why."""
+
+    reason: str
+
+
 @attrs.frozen
 class ProgressRecord:
     """What is durable of a job's run.
@@ -329,6 +367,13 @@
     avoided : dict
         Workers where such a task failed: the next owner would not know
         them, as their ends are no longer listed.
+    crashes : dict
+        Workers that crashed under a task, or may have, by task.
+    started : dict
+        The newest run of each task that runs, and its worker: what died
+        with its worker while the unit changed hands is known by it.
+    reason : str
+        Why the job was given up.
     """
 
     state: JobState
@@ -336,3 +381,6 @@
     failures: dict[str, list[int]] = attrs.field(factory=dict)
     passed: dict[str, tuple[int, int, int]] = attrs.field(factory=dict)
     avoided: dict[str, list[str]] = attrs.field(factory=dict)
+    crashes: dict[str, tuple[CrashRecord, ...]] = attrs.field(factory=dict)
+    started: dict[str, tuple[int, str]] = attrs.field(factory=dict)
+    reason: str = ''
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -9,6 +9,7 @@
 
 from tulippin.jobs.pair_model import PairModel
 from tulippin.jobs.records import (
+    CrashRecord,
     EpochRecord,
     LeaseRecord,
     ProgressRecord,
@@ -113,6 +114,10 @@
     pace, and yields to all others.
     ``load_part`` is the task's load beside the least of its siblings',
     ``swing_part`` beside what the job's swing foretells.
+    ``crash_count`` workers had crashed under its task before. The worker has
+    to live for ``probation_ms`` of it, as far as is told, until it is taken
+    to bear it. ``is_ordered``: the order was sent, or is about to be; one
+    under suspicion is sent once it is durable that it may have been.
     """
 
     key: TaskKey
@@ -140,6 +145,9 @@
     swing_part: float = 1.0
     worked_ms: int = 0
     is_slow_start: bool = False
+    crash_count: int = 0
+    probation_ms: int = 0
+    is_ordered: bool = True
 
 
 @attrs.define
@@ -148,6 +156,9 @@
 
     ``unseen_on`` are workers where an earlier owner's run of it may go on.
     ``has_run``: a run of it was there, as far as this owner knows.
+    ``crashes`` tells by worker which crashed, or may have, under it, and
+    ``open_start`` the run and worker of an earlier owner's last start, until
+    it is known what became of it.
     """
 
     key: TaskKey
@@ -162,6 +173,12 @@
     least_run: int = 0
     unseen_on: set[str] = attrs.field(factory=set)
     has_run: bool = False
+    crashes: dict[str, CrashRecord] = attrs.field(factory=dict)
+    open_start: tuple[int, str] | None = None
+
+    def list_crashes(self) -> tuple[CrashRecord, ...]:
+        """Return its crashes as they are kept."""
+        return tuple(self.crashes[name] for name in sorted(self.crashes))
 
 
 @attrs.frozen
@@ -187,7 +204,7 @@
     ``is_past_unknown``: what was kept of it can't be read, so that nothing
     of it may be started. ``is_guest``: another unit is its home.
     ``passes`` are the numbers of the passes by which tasks came, ``passed``
-    those that went.
+    those that went. ``is_given_up``: some unit gave the job up, for ``reason``.
     """
 
     job_id: str
@@ -211,8 +228,10 @@
     is_resumed: bool = False
     is_guest: bool = False
     is_past_unknown: bool = False
+    is_given_up: bool = False
     passes: dict[TaskKey, int] = attrs.field(factory=dict)
     passed: dict[TaskKey, PassedTask] = attrs.field(factory=dict)
+    reason: str = ''
     depths: tuple[int, ...] = (1,)
     tickets: dict[tuple[str, int, int], dict[str, tuple[str, int]]] = (
         attrs.field(factory=dict)
@@ -239,7 +258,8 @@
     whose effect is not durable yet; ``early_ends`` those of ends that wait
     to be read until their job is known. ``strays`` are runs there of jobs
     that are not known, each with the time of the last order to stop it.
-    ``is_over``: another life was met at its address.
+    ``trials`` are runs there whose tasks are under suspicion of crashing
+    their workers. ``is_over``: another life was met at its address.
     """
 
     entry: WorkerEntry
@@ -275,6 +295,7 @@
     is_rostered: bool = False
     may_run_anything: bool = False
     is_reconciled: bool = False
+    trials: dict[tuple[TaskKey, int], Attempt] = attrs.field(factory=dict)
     is_over: bool = False
 
     @property
@@ -392,6 +413,10 @@
     swept_ms: int = 0
     scheduled: set[str] = attrs.field(factory=set)
     unread_jobs: set[str] = attrs.field(factory=set)
+    suspects: set[TaskKey] = attrs.field(factory=set)
+    unsent: list[Attempt] = attrs.field(factory=list)
+    lost_unread: dict[str, bool] = attrs.field(factory=dict)
+    crashes_looked_ms: int = 0
     unsettled_until_ms: int = 0
     advice_asked: set[tuple[str, int, int]] = attrs.field(factory=set)
     dirty_jobs: dict[str, None] = attrs.field(factory=dict)
--- a/tests/tulippin/jobs/test_scheduler_units.py
+++ b/tests/tulippin/jobs/test_scheduler_units.py
@@ -14,7 +14,13 @@
     open_fleet,
 )
 from tulippin.exceptions import UnavailableError
-from tulippin.jobs import _evening, _passing, _row_effects, events
+from tulippin.jobs import (
+    _evening,
+    _lifecycle,
+    _passing,
+    _row_effects,
+    events,
+)
 from tulippin.jobs.types import JobState
 from tulippin.jobs.unit_shell import UnitShell
 
@@ -190,6 +196,50 @@
     run_virtual(run)
 
 
+async def run_crashing_guest(fleet):
+    """Pass a crashing task to another unit; return its workers' crashes."""
+    fleet.platform.back_after_ms = 1500
+    await fill_one_unit(fleet, 45)
+    await fleet.wait_running(45)
+    step = make_step(1, 10 * CORE, long_running=True)
+    crashing = make_request(step, lasts=True, crashes_after_ms=10)
+    await submit(fleet, f'{2:016x}', crashing)
+    with trio.move_on_after(25):
+        await fleet.wait_state(f'{2:016x}', JobState.FAILED, 30)
+    history = fleet.platform.history
+    return [event for event in history if event.kind == 'crashed']
+
+
+def test_task_that_crashes_in_another_unit_fails_its_job(run_virtual):
+    async def run():
+        async with open_units() as fleet:
+            crashes = await run_crashing_guest(fleet)
+            assert 2 <= len(crashes) <= 5
+            for name in fleet.instances:
+                await fleet.wait_state(f'{2:016x}', JobState.FAILED, 2, name)
+            await trio.sleep(6)
+            history = fleet.platform.history
+            assert sum(one.kind == 'crashed' for one in history) == len(crashes)
+            assert len(get_running(fleet)) == 45
+            fleet.check()
+
+    run_virtual(run)
+
+
+def test_unit_that_tells_no_failure_would_leave_it_running(
+    run_virtual, monkeypatch
+):
+    monkeypatch.setattr(_lifecycle, '_tell_failed', lambda *_: None)
+
+    async def run():
+        async with open_units() as fleet:
+            await run_crashing_guest(fleet)
+            intake = next(iter(fleet.instances.values())).intake
+            return await intake.get_state(f'{2:016x}')
+
+    assert run_virtual(run) is not JobState.FAILED
+
+
 def test_passed_tasks_outlive_all_owners(run_virtual):
     async def run():
         async with open_units() as fleet:
