Let the room of workers change under what runs there

Cause, by reading: a worker's newest figure was used for its own room, and that was tested nowhere; where a room had shrunk below what runs there, its lack was taken from the places that other workers told (four of eight places of a core for one that is 3.5 over), and a worker that guards no room was started on however old its entry was, or beside runs of unknown jobs. Changed: rooms below zero count as none in places told and kept; on workers that guard none nothing is begun on an entry older than 3 s or beside unknown runs; a change of room is told in the log. An entry's age counts from when its reading began. Ruled out: stopping what is over a room that shrank (no rule asks for it, it is lost). Measured with the stand-in, four workers whose rooms swing between 4 and 16 cores under 120 jobs: no start over a room; with each guard off (old figure, room of what stops, age of the entry) there are some. Cost: while the store is away for over 3 s nothing is begun on workers that guard no room.

--- a/src/tulippin/jobs/_committing.py
+++ b/src/tulippin/jobs/_committing.py
@@ -63,7 +63,7 @@
     state.ownership.phase = Phase.ACTIVE
     state.roster_version = event.roster_version
     for entry in event.workers:
-        _workers.note_entry(entry, context)
+        _workers.note_entry(entry, event.workers_read_ms, context)
     if event.roster is None:
         _unseen.begin_without_roster(context)
     else:
--- a/src/tulippin/jobs/_feasibility.py
+++ b/src/tulippin/jobs/_feasibility.py
@@ -17,6 +17,10 @@
 # A worker with tasks is read once a second; an answer that is lost makes
 # that 1.4 s.
 _UNHEARD_MS: t.Final = 1600
+# How old the entry of a worker that guards no room may be. A room that has
+# shrunk counts 3 s and a heartbeat later; its entry is written up to a
+# heartbeat after that, and read within a second.
+_ENTRY_LIMIT_MS: t.Final = 3000
 
 
 def is_feasible(
@@ -70,10 +74,25 @@
         return False
     if worker.failed_count or worker.entry.draining:
         return False
+    if not _is_room_sure(worker, state):
+        return False
     closed_until_ms = max(worker.quarantined_until_ms, worker.paused_until_ms)
     return closed_until_ms <= state.now_ms
 
 
+def _is_room_sure(worker: Worker, state: SchedulerState) -> bool:
+    """Whether what a worker that guards no room holds, and has, is known.
+
+    It starts whatever it is told. Nothing is begun there on an old figure, as
+    while the store is away, or beside runs of jobs that are not known yet.
+    """
+    known = state.configuration
+    if known is None or worker.entry.service in known.guarded_services:
+        return True
+    is_recent = state.now_ms - worker.entry_ms <= _ENTRY_LIMIT_MS
+    return is_recent and not worker.strays
+
+
 def list_open(state: SchedulerState) -> list[Worker]:
     """Return the workers that take work now."""
     return [one for one in state.workers.values() if takes_work(one, state)]
--- a/src/tulippin/jobs/_rooms.py
+++ b/src/tulippin/jobs/_rooms.py
@@ -55,7 +55,7 @@
 ) -> tuple[int, ...]:
     """Return how many tasks of each size find a place now."""
     counts = (
-        sum(one.free.cpu_millicores // size for one in opened)
+        sum(max(0, one.free.cpu_millicores) // size for one in opened)
         - waiting_millicores // size
         for size in PLACE_SIZES
     )
--- a/src/tulippin/jobs/_sparing.py
+++ b/src/tulippin/jobs/_sparing.py
@@ -155,9 +155,17 @@
 
 
 def _get_hole(worker: Worker) -> int:
-    """Return the processors that no long-running task reserves."""
-    return worker.entry.capacity.cpu_millicores - sum(
-        attempt.step.reserved.cpu_millicores
-        for attempt in worker.attempts.values()
-        if attempt.step.long_running
+    """Return the processors that no long-running task reserves.
+
+    A room that has shrunk may have less than none; it takes no place from
+    other workers.
+    """
+    return max(
+        0,
+        worker.entry.capacity.cpu_millicores
+        - sum(
+            attempt.step.reserved.cpu_millicores
+            for attempt in worker.attempts.values()
+            if attempt.step.long_running
+        ),
     )
--- a/src/tulippin/jobs/_unit_feeds.py
+++ b/src/tulippin/jobs/_unit_feeds.py
@@ -116,6 +116,7 @@
         owned = await store.read_rows(UNITS_TABLE, unit.part)
         learned = await store.read_rows(MODELS_TABLE, unit.part)
         account = await store.read_rows(ACCOUNTS_TABLE, unit.part)
+        workers_read_ms = self.shell.clock()
         workers, version = await self.shell.ports.feeds.read_workers()
         self._note_listed(workers, ())
         own = {row.key: row for row in owned.rows}
@@ -133,6 +134,7 @@
             read_record(_find_row(learned, MODEL_KEY), ModelRecord),
             get_version(own.get(EPOCH_KEY)),
             read_record(_find_row(account, ACCOUNT_KEY), AccountRecord),
+            workers_read_ms,
         )
         return loaded, jobs.version, version
 
@@ -234,6 +236,7 @@
         feeds = self.shell.ports.feeds
         while True:
             await trio.sleep(_WORKERS_EVERY_S)
+            read_ms = self.shell.clock()
             try:
                 if after < 0:
                     changed, after = await feeds.read_workers()
@@ -250,7 +253,7 @@
                 self.shell.note_store(error)
                 continue
             self._note_listed(changed, gone)
-            self._post_workers(changed, gone)
+            self._post_workers(changed, gone, read_ms)
 
     def _note_listed(
         self, changed: t.Iterable[WorkerEntry], gone: t.Iterable[str]
@@ -260,12 +263,15 @@
             self.listed.pop(worker_id, None)
 
     def _post_workers(
-        self, changed: t.Iterable[WorkerEntry], gone: t.Iterable[str]
+        self,
+        changed: t.Iterable[WorkerEntry],
+        gone: t.Iterable[str],
+        read_ms: int,
     ) -> None:
         """Tell of the unit's own workers among those that changed."""
         own = tuple(filter(self.shell.has_worker, changed))
         known = self.shell.state.workers
         lost = tuple(worker_id for worker_id in gone if worker_id in known)
         if own or lost:
-            event = ev.WorkersChanged(self.shell.clock(), own, lost)
+            event = ev.WorkersChanged(self.shell.clock(), own, lost, read_ms)
             self.shell.post(event)
--- a/src/tulippin/jobs/_workers.py
+++ b/src/tulippin/jobs/_workers.py
@@ -7,6 +7,7 @@
 from tulippin.jobs import (
     _attempts,
     _crashes,
+    _interference,
     _ownership,
     _pacing,
     _trials,
@@ -42,7 +43,7 @@
 @handle.register
 def _change_workers(event: WorkersChanged, context: Context) -> None:
     for entry in event.changed:
-        note_entry(entry, context)
+        note_entry(entry, event.read_ms, context)
     for worker_id in event.gone:
         worker = context.state.workers.get(worker_id)
         if worker is not None and worker.is_listed:
@@ -50,8 +51,18 @@
             context.log('worker gone', worker=worker_id)
 
 
-def note_entry(entry: WorkerEntry, context: Context) -> None:
-    """Take in a worker's entry on the platform's list."""
+def note_entry(entry: WorkerEntry, read_ms: int, context: Context) -> None:
+    """Take in a worker's entry on the platform's list.
+
+    Parameters
+    ----------
+    entry : WorkerEntry
+        The entry.
+    read_ms : int
+        When its reading began.
+    context : Context
+        Takes what is decided.
+    """
     state = context.state
     worker = state.workers.get(entry.worker_id)
     if worker is None:
@@ -70,10 +81,30 @@
         return
     if entry.draining:
         _note_drain(worker, entry, context)
+    if entry.capacity != worker.entry.capacity:
+        _note_room(worker, entry, context)
     worker.entry = entry
+    worker.entry_ms = read_ms
     worker.is_listed = True
 
 
+def _note_room(worker: Worker, entry: WorkerEntry, context: Context) -> None:
+    """Note that a worker has another room: less may fit, or more.
+
+    What runs there goes on, also where it takes more than that by now.
+    """
+    _interference.forget_view(worker)
+    context.state.is_placing_due = True
+    context.log(
+        'worker room changed',
+        worker=entry.worker_id,
+        cpu_millicores=entry.capacity.cpu_millicores,
+        memory_mb=entry.capacity.memory_mb,
+        before_millicores=worker.entry.capacity.cpu_millicores,
+        reserved_millicores=worker.reserved.cpu_millicores,
+    )
+
+
 def _refuse_move(worker: Worker, entry: WorkerEntry, context: Context) -> None:
     """Pass over an entry by which a worker's life has moved.
 
--- a/src/tulippin/jobs/events.py
+++ b/src/tulippin/jobs/events.py
@@ -101,7 +101,8 @@
 
     ``epoch_version`` is that of the owner's epoch, read after the jobs: if
     it is still ours, no later owner knew these jobs when they were read.
-    No roster: it can't be read, and tells of no worker.
+    No roster: it can't be read, and tells of no worker. ``workers_read_ms``
+    is when the reading of the workers' list began.
     """
 
     jobs: tuple[StoredRow, ...]
@@ -112,6 +113,7 @@
     model: ModelRecord | None = None
     epoch_version: int = 0
     account: AccountRecord | None = None
+    workers_read_ms: int = 0
 
 
 @attrs.frozen
@@ -130,10 +132,15 @@
 
 @attrs.frozen
 class WorkersChanged(JobEvent):
-    """The platform's list of workers has changed."""
+    """The platform's list of workers has changed.
+
+    ``read_ms`` is when its reading began: what stood still meanwhile, or
+    waited in the inbox, takes it for no newer than that.
+    """
 
     changed: tuple[WorkerEntry, ...]
     gone: tuple[str, ...]
+    read_ms: int
 
 
 @attrs.frozen
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -260,6 +260,7 @@
     that are not known, each with the time of the last order to stop it.
     ``trials`` are runs there whose tasks are under suspicion of crashing
     their workers. ``is_over``: another life was met at its address.
+    ``entry_ms`` is when the newest reading of its entry began.
     """
 
     entry: WorkerEntry
@@ -297,6 +298,7 @@
     is_reconciled: bool = False
     trials: dict[tuple[TaskKey, int], Attempt] = attrs.field(factory=dict)
     is_over: bool = False
+    entry_ms: int = 0
 
     @property
     def worker_id(self) -> str:
--- a/src/tulippin/jobs/types.py
+++ b/src/tulippin/jobs/types.py
@@ -225,6 +225,15 @@
             )
         )
 
+    @functools.cached_property
+    def guarded_services(self) -> frozenset[str]:
+        """The services whose workers refuse what does not fit."""
+        return frozenset(
+            service.name
+            for service in self.services
+            if service.enforces_capacity
+        )
+
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue of a host with the longest matching prefix."""
         matching = [
--- a/src/tulippin/platform/standin.py
+++ b/src/tulippin/platform/standin.py
@@ -261,7 +261,7 @@
 
     Two runs of a task at once; a start after an end that was ``done``
     and taken note of; a third start of a task after three workers have
-    crashed under it.
+    crashed under it; a start that brings a worker over its room.
     """
     present: dict[TaskKey, set[tuple[str, int]]] = collections.defaultdict(set)
     noted: set[TaskKey] = set()
@@ -279,6 +279,11 @@
             present[event.key].discard(place)
         elif event.kind == 'noted' and event.outcome is RunOutcome.DONE:
             noted.add(event.key)
+    broken.extend(
+        f'over its room: {event}'
+        for event in history
+        if event.kind == 'over_room'
+    )
     return broken + _check_crashes(history)
 
 
--- a/src/tulippin/platform/standin_worker.py
+++ b/src/tulippin/platform/standin_worker.py
@@ -28,6 +28,8 @@
 _MS: t.Final = 1000
 _LOAD_MILLICORES: t.Final = 1000.0
 _PERCENT: t.Final = 100
+# A room that has shrunk counts so much later: 3 s, and a heartbeat.
+_ROOM_GRACE_MS: t.Final = 4100
 
 
 def get_now_ms() -> int:
@@ -40,6 +42,7 @@
 
     ``failing_workers`` fail it; ``lasts`` runs until it is stopped. Its
     worker crashes ``crashes_after_ms`` after each start, if that is told.
+    ``cpu_millicores`` is what it takes of its worker's room.
     """
 
     run_ms: int = 300
@@ -48,6 +51,7 @@
     lasts: bool = False
     tail_ms: float = 10.0
     crashes_after_ms: int | None = None
+    cpu_millicores: int = 0
 
 
 @attrs.frozen
@@ -73,6 +77,7 @@
     checkpoint: str
     pace_percent: int = 100
     started_ms: int = attrs.field(factory=get_now_ms)
+    stops_at_ms: int | None = None
 
     @property
     def is_crashing(self) -> bool:
@@ -116,6 +121,8 @@
         Its clock beside the virtual time.
     leaves_at_ms : int, optional
         When it ends in a planned way, with all that still runs there.
+    stop_ms : int
+        How long a stop takes; until then the run is there.
     """
 
     worker_id: str
@@ -134,6 +141,8 @@
     cut_off: set[str] = attrs.field(factory=set)
     late_orders_s: float = 0.0
     tells_load: bool = True
+    stop_ms: int = 0
+    rooms: list[tuple[int, int]] = attrs.field(factory=list)
     runs: dict[tuple[TaskKey, int], _Run] = attrs.field(factory=dict)
     ended: list[EndedRun] = attrs.field(factory=list)
     highest_runs: dict[TaskKey, int] = attrs.field(factory=dict)
@@ -201,21 +210,47 @@
 
         A run that crashes its worker ends all that is there.
         """
-        for (key, number), run in self.runs.items():
-            if run.is_crashing:
-                self._note('crashed', key, number)
-                self.crash()
-                return
+        for key, number in self._list_crashing():
+            self._note('crashed', key, number)
+            self.crash()
         for place, run in list(self.runs.items()):
-            if self.clock_ms > self.deadline_ms:
-                self._end(place, RunOutcome.LAPSED)
-            elif not (run.plan.lasts or run.compute_left_ms()):
-                fails = run.plan.fails_always or (
-                    self.worker_id in run.plan.failing_workers
-                )
-                outcome = RunOutcome.FAILED if fails else RunOutcome.DONE
+            outcome = self._get_outcome(run)
+            if outcome is not None:
                 self._end(place, outcome)
 
+    def _list_crashing(self) -> list[tuple[TaskKey, int]]:
+        """Return the first run that ends the worker by now, if any does."""
+        crashing = [
+            place for place, run in self.runs.items() if run.is_crashing
+        ]
+        return crashing[:1]
+
+    def _get_outcome(self, run: _Run) -> RunOutcome | None:
+        """Return how a run has ended by now, if it has."""
+        if self.clock_ms > self.deadline_ms:
+            return RunOutcome.LAPSED
+        if run.stops_at_ms is not None:
+            is_stopped = get_now_ms() >= run.stops_at_ms
+            return RunOutcome.STOPPED if is_stopped else None
+        if run.plan.lasts or run.compute_left_ms():
+            return None
+        fails = run.plan.fails_always or (
+            self.worker_id in run.plan.failing_workers
+        )
+        return RunOutcome.FAILED if fails else RunOutcome.DONE
+
+    def resize(self, cpu_millicores: int) -> None:
+        """Have another room from now on; its next entry tells it."""
+        self.rooms.append((get_now_ms(), self.room.cpu))
+        self.room = msgspec.structs.replace(self.room, cpu=cpu_millicores)
+
+    def _is_over_room(self) -> bool:
+        """Whether what is there is more than the room that counts by now."""
+        since_ms = get_now_ms() - _ROOM_GRACE_MS
+        earlier = [cpu for until_ms, cpu in self.rooms if until_ms > since_ms]
+        taken = sum(run.plan.cpu_millicores for run in self.runs.values())
+        return taken > max([self.room.cpu, *earlier])
+
     def crash(self) -> None:
         """Die with all that runs here."""
         for key, run in list(self.runs):
@@ -251,6 +286,8 @@
         )
         self.started_count += 1
         self._note('started', order.key, order.run)
+        if self._is_over_room():
+            self._note('over_room', order.key, order.run)
         return OrderAnswer(StartOutcome.STARTED, clock_ms)
 
     def take_stop(
@@ -262,8 +299,10 @@
         if fence < self.fence:
             return OrderAnswer(StartOutcome.FENCED, self.clock_ms)
         self.highest_runs[key] = max(run, self.highest_runs.get(key, 0))
-        if (key, run) in self.runs:
-            self._end((key, run), RunOutcome.STOPPED)
+        found = self.runs.get((key, run))
+        if found is not None and found.stops_at_ms is None:
+            found.stops_at_ms = get_now_ms() + self.stop_ms
+            self.tick()
         return OrderAnswer(StartOutcome.STARTED, self.clock_ms)
 
     async def take_hold(
