Take what was under way while the machine was suspended for old

Cause, by reading: timers of the event loop stand while a machine is suspended and the clock goes on. An answer that waited in the kernel counted as told at its reading; an order whose sending had not begun left on waking, before the time was read anew; idle connections, dropped by their peers meanwhile, were used. Ruled out: leases and renewals (they count by the clock that goes on, and wait for a confirmation already, tests before).

--- a/src/tulippin/_http_client.py
+++ b/src/tulippin/_http_client.py
@@ -9,6 +9,7 @@
 import trio
 
 from tulippin._http_connections import ConnectionPool
+from tulippin.clocks import read_suspended_ms
 from tulippin.exceptions import AnswerLostError, UnavailableError
 
 _JSON: t.Final = (b'Content-Type', b'application/json')
@@ -27,6 +28,9 @@
 _MAX_CONNECTIONS: t.Final = 64
 # Shorter than any server's own idle limit that the users name (15 s).
 _KEEPALIVE_S: t.Final = 12.0
+# Servers close what was idle, and drop what was asked, while a machine is
+# suspended for longer; the connections' own limits do not count that time.
+_SUSPENDED_MS: t.Final = 1000
 _MS: t.Final = 1000
 # Of headers; any bytes are text in it.
 _LATIN: t.Final = 'latin-1'
@@ -48,6 +52,7 @@
     connections: ConnectionPool
     call_count: int = 0
     is_retired: bool = False
+    suspended_ms: int = attrs.field(factory=read_suspended_ms)
 
 
 class HttpClient:
@@ -55,7 +60,8 @@
 
     A call that times out retires the whole pool: what silenced one
     connection has most likely silenced the idle ones beside it, and each
-    would cost the next caller a timeout of its own.
+    would cost the next caller a timeout of its own. So does a suspension of
+    the machine.
 
     Parameters
     ----------
@@ -95,6 +101,16 @@
             self._retired.append(pool)
             self._pool = self._make_pool()
 
+    async def _renew(self) -> None:
+        """Leave connections behind that are from before a suspension."""
+        pool = self._pool
+        if read_suspended_ms() - pool.suspended_ms < _SUSPENDED_MS:
+            return
+        self._retire(pool)
+        if not pool.call_count:
+            self._retired.remove(pool)
+            await pool.connections.aclose()
+
     async def _leave(self, pool: _Pool) -> None:
         pool.call_count -= 1
         if pool.is_retired and not pool.call_count:
@@ -138,6 +154,7 @@
             ('connect', 'read', 'write', 'pool'), self._timeout_s
         )
         timeouts['read'] += extra_wait_ms / _MS
+        await self._renew()
         pool = self._pool
         pool.call_count += 1
         try:
--- a/src/tulippin/clocks.py
+++ b/src/tulippin/clocks.py
@@ -13,6 +13,15 @@
     return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // _NS_IN_MS
 
 
+def read_suspended_ms() -> int:
+    """Return for how long the machine has been suspended since it started.
+
+    Timers and limits of the event loop stand still meanwhile.
+    """
+    steady_ns = time.clock_gettime_ns(time.CLOCK_MONOTONIC)
+    return read_clock_ms() - steady_ns // _NS_IN_MS
+
+
 def read_wall_ms() -> int:
     """Return the time of day in milliseconds."""
     return time.time_ns() // _NS_IN_MS
--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -419,6 +419,7 @@
                 context.fencing_token,
                 task.checkpoint if attempt.step.checkpointing else '',
                 _advice.get_ticket(worker, job, task, state),
-            )
+            ),
+            state.now_ms + valid_ms,
         )
     )
--- a/src/tulippin/jobs/_reports.py
+++ b/src/tulippin/jobs/_reports.py
@@ -32,7 +32,7 @@
     if worker is None:
         return
     worker.is_holding = False
-    worker.answered_ms = state.now_ms
+    worker.answered_ms = _get_told_ms(event, context)
     if worker.failed_count:
         context.log('worker answers again', worker=worker.worker_id)
         _crashes.note_answer(worker, context)
@@ -55,6 +55,17 @@
         worker.hold_after_ms = state.now_ms + _UNSETTLED_PAUSE_MS
 
 
+def _get_told_ms(event: WorkerAnswered, context: Context) -> int:
+    """Return when a worker told this, or earlier.
+
+    An answer that came while this instance stood still is as old as its
+    question, for all that is known.
+    """
+    if event.sent_ms < context.state.ownership.paused_ms:
+        return event.sent_ms
+    return context.state.now_ms
+
+
 def _take_ends(worker: Worker, event: WorkerAnswered, context: Context) -> None:
     """Take note of ends in their order, up to one that comes too early.
 
--- a/src/tulippin/jobs/_worker_effects.py
+++ b/src/tulippin/jobs/_worker_effects.py
@@ -13,6 +13,7 @@
     FencedOrderError,
     WorkerChangedError,
 )
+from tulippin.jobs.types import OrderAnswer, StartOutcome
 from tulippin.logs import logger
 
 if t.TYPE_CHECKING:
@@ -65,8 +66,17 @@
 
 
 async def _run_start(effect: fx.StartRun, shell: UnitShell) -> None:
+    """Send an order, unless this instance stood still since it was given.
+
+    Whoever was suspended may have been succeeded: what was decided before
+    is decided anew, once the time was read again.
+    """
     order = effect.order
-    answer = await shell.ports.workers.start(order)
+    if shell.clock() > effect.expires_ms:
+        answer = OrderAnswer(StartOutcome.NOT_SENT)
+        logger.info('order expired', task=order.key.format(), run=order.run)
+    else:
+        answer = await shell.ports.workers.start(order)
     shell.post(
         ev.StartAnswered(
             shell.clock(), order.worker_id, order.key, order.run, answer
--- a/src/tulippin/jobs/effects.py
+++ b/src/tulippin/jobs/effects.py
@@ -144,9 +144,10 @@
 
 @attrs.frozen
 class StartRun(JobEffect):
-    """Send an order to start a run."""
+    """Send an order to start a run, but not after ``expires_ms``."""
 
     order: StartOrder
+    expires_ms: int
 
 
 @attrs.frozen
