Send no suspect's order to a worker that has gone silent; show crashes and reasons

Cause: between the reservation of a suspect's run and its order a worker may go silent; the order's fate would be open, and count as a crash. Such orders wait until the worker answers, or the run is released with it. `scheduler job` shows the workers that crashed under each task and why a job was given up. The test of a suspect without a place did not fail without its guard (the sound job went first); it does now, as the sound job is the less urgent one.

--- a/src/tulippin/jobs/_crashes.py
+++ b/src/tulippin/jobs/_crashes.py
@@ -325,8 +325,9 @@
         place = (attempt.key, attempt.run)
         if worker is None or place not in worker.attempts:
             continue
-        kept = due if _is_start_durable(attempt, state) else waiting
-        kept.append(attempt)
+        # One sent to a worker that is silent by now would count as a crash.
+        is_due = not worker.failed_count and _is_start_durable(attempt, state)
+        (due if is_due else waiting).append(attempt)
     state.unsent = waiting
     for attempt in due:
         attempt.is_ordered = True
--- a/src/tulippin/jobs/views.py
+++ b/src/tulippin/jobs/views.py
@@ -4,6 +4,7 @@
 
 import typing as t
 
+from tulippin.jobs import _lifecycle
 from tulippin.jobs._interference import get_slack
 from tulippin.jobs._ownership import count_waiting
 from tulippin.jobs.state import Attempt, Job, SchedulerState, Worker
@@ -37,6 +38,14 @@
         'failed_runs': sum(
             len(task.failed_runs) for task in job.tasks.values()
         ),
+        'crashes': {
+            _lifecycle.get_name(task.key): [
+                crash.worker_id for crash in task.list_crashes()
+            ]
+            for task in job.tasks.values()
+            if task.crashes
+        },
+        'reason': job.reason,
         'runs': [
             show_attempt(attempt)
             for task in job.tasks.values()
--- a/tests/tulippin/jobs/test_scheduler_crashes.py
+++ b/tests/tulippin/jobs/test_scheduler_crashes.py
@@ -17,10 +17,11 @@
 import pytest
 import trio
 
-from fleet_of_schedulers import make_request, make_step, open_fleet
+from fleet_of_schedulers import PATIENT, make_request, make_step, open_fleet
 from tulippin.jobs import _crashes, _lifecycle, _trials
 from tulippin.jobs.records import CrashRecord
 from tulippin.jobs.types import JobState
+from tulippin.jobs.views import show_job
 
 CRASHING = 'c' * 16
 # Three may crash under a task, and it may be started twice more.
@@ -327,8 +328,10 @@
     run_virtual(run)
 
 
-def play_beside_blocked(run_virtual, monkeypatch):
-    """Return whether a job is done beside one of its size that has no place."""
+def test_suspect_without_a_place_keeps_no_other_from_one(
+    run_virtual, monkeypatch
+):
+    """All less urgent tasks of its size waited with it, for up to 68 s."""
     blocked = name_sound(1)
     monkeypatch.setattr(
         _trials, 'may_join', lambda worker, task, state: task.key[0] != blocked
@@ -343,20 +346,14 @@
             job = fleet.instances[fleet.get_owner()].state.jobs[blocked]
             for task in job.tasks.values():
                 task.crashes['gone'] = crash
-            await fleet.submit(name_sound(2), make_request(make_step(2)))
+            request = make_request(make_step(2))
+            await fleet.submit(name_sound(2), request, PATIENT)
             await fleet.wait_done(name_sound(2), 3)
             assert not fleet.count_starts(blocked)
 
     run_virtual(run)
 
 
-def test_suspect_without_a_place_keeps_no_other_from_one(
-    run_virtual, monkeypatch
-):
-    """All tasks of its size waited with it, for up to 68 s."""
-    play_beside_blocked(run_virtual, monkeypatch)
-
-
 def test_job_whose_run_was_adopted_is_shown_as_running(run_virtual):
     """Its owner was lost before it could tell of the start."""
 
@@ -371,3 +368,52 @@
             assert fleet.count_starts(name_sound(1)) == 1
 
     run_virtual(run)
+
+
+def test_job_that_was_given_up_says_why(run_virtual):
+    async def run():
+        async with open_fleet(workers=6) as fleet:
+            fleet.platform.back_after_ms = 2000
+            await submit_crashing(fleet, 10)
+            with trio.fail_after(GIVEN_UP_S):
+                while count_crashes(fleet) < 2:
+                    await trio.sleep(0.05)
+            await trio.sleep(3)
+            owner = fleet.instances[fleet.get_owner()].state
+            told = show_job(owner.jobs[CRASHING])
+            assert len(told['crashes']['0.0.0']) == 2
+            assert told['reason'] == ''
+            await check_given_up(fleet)
+            told = show_job(owner.jobs[CRASHING])
+            assert told['reason'].startswith('workers crashed under c')
+            assert owner.counters['jobs_given_up'] == 1
+            # The next owner knows it from the job's row.
+            fleet.kill_owner()
+            await fleet.wait_owner()
+            await trio.sleep(1)
+            owner = fleet.instances[fleet.get_owner()].state
+            assert show_job(owner.jobs[CRASHING])['reason'] == told['reason']
+
+    run_virtual(run)
+
+
+def test_order_is_not_sent_to_a_worker_that_has_gone_silent(run_virtual):
+    async def run():
+        async with open_fleet(workers=1) as fleet:
+            fleet.platform.back_after_ms = 1000
+            await submit_crashing(fleet, 10)
+            with trio.fail_after(GIVEN_UP_S):
+                while not count_crashes(fleet):
+                    await trio.sleep(0.01)
+            state = fleet.instances[fleet.get_owner()].state
+            with trio.fail_after(GIVEN_UP_S):
+                while not state.unsent:
+                    await trio.sleep(0.001)
+            worker = state.workers[state.unsent[0].worker_id]
+            fleet.platform.workers[worker.worker_id].cut_off.add('*')
+            worker.failed_count = 1
+            await trio.sleep(1)
+            assert len(state.unsent) == 1
+            assert fleet.count_starts(CRASHING) == 1
+
+    run_virtual(run)
