Split starting of runs and giving up of jobs into modules of their own

Cause: reading the change again. _placing and _crashes had grown over 400 lines, with two jobs each; telling other units of passed tasks and of a failure was written twice. No change of behaviour meant. The line of the log that tells of passed tasks is worded anew.

--- a/src/tulippin/jobs/_committing.py
+++ b/src/tulippin/jobs/_committing.py
@@ -8,7 +8,7 @@
 
 from tulippin.jobs import (
     _attempts,
-    _crashes,
+    _giving_up,
     _lifecycle,
     _memory,
     _ownership,
@@ -165,7 +165,7 @@
     if job.is_cancelled:
         _cancel(job, context)
     elif job.is_given_up:
-        _crashes.fail(job, job.reason, context)
+        _giving_up.fail(job, job.reason, context)
     elif job.state not in FINAL_STATES:
         _lifecycle.open_steps(job, context.state)
 
--- a/src/tulippin/jobs/_crashes.py
+++ b/src/tulippin/jobs/_crashes.py
@@ -41,15 +41,11 @@
     Task,
     Worker,
 )
-from tulippin.jobs.types import FINAL_STATES, JobState
+from tulippin.jobs.types import FINAL_STATES
 
 # A job is given up at so many crashes under one task, where those count
 # twice that came while nothing else had just begun on the worker.
 _ENOUGH: t.Final = 5
-# A worker that stays silent, and no life of which is seen, is taken for
-# crashed after so long. One that is back tells sooner.
-_SILENT_LIMIT_MS: t.Final = 15_000
-_LOOK_EVERY_MS: t.Final = 200
 _MOST_TOLD: t.Final = 8
 
 
@@ -75,7 +71,7 @@
     if not worker.is_reconciled:
         state.lost_unread[worker.worker_id] = True
     _blame(worker, context, is_sure=True)
-    for job, task in _list_suspects(state):
+    for job, task in list_suspects(state):
         record = task.crashes.get(worker.worker_id)
         if record is not None and not record.is_sure:
             task.crashes[worker.worker_id] = attrs.evolve(record, is_sure=True)
@@ -146,7 +142,7 @@
             entry.machine,
             attempt.run,
             _trials.get_age_ms(attempt, worker),
-            _get_wall_ms(state),
+            get_wall_ms(state),
             is_sure,
             is_clear,
         ),
@@ -164,7 +160,7 @@
     _lifecycle.mark_dirty(job, state)
 
 
-def _get_wall_ms(state: SchedulerState) -> int:
+def get_wall_ms(state: SchedulerState) -> int:
     """Return the time of day, which the next owner knows too."""
     return state.now_ms + state.wall_offset_ms
 
@@ -175,7 +171,7 @@
 
 
 def _forget(worker_id: str, context: Context) -> None:
-    for job, task in _list_suspects(context.state):
+    for job, task in list_suspects(context.state):
         if task.crashes.pop(worker_id, None) is not None:
             _lifecycle.mark_dirty(job, context.state)
 
@@ -195,7 +191,7 @@
     _lifecycle.mark_dirty(job, context.state)
 
 
-def _list_suspects(state: SchedulerState) -> list[tuple[Job, Task]]:
+def list_suspects(state: SchedulerState) -> list[tuple[Job, Task]]:
     """Return the tasks under which workers died, and strike others off."""
     found = []
     for key in list(state.suspects):
@@ -235,7 +231,7 @@
         return True
     if not task.crashes:
         return False
-    if _is_enough(task.list_crashes()) or not _is_durable(job, task):
+    if is_enough(task.list_crashes()) or not _is_durable(job, task):
         return True
     return _trials.is_on_trial(task) and _waits_for_sibling(job, task, state)
 
@@ -261,7 +257,7 @@
         run,
         # How long it had run is not known.
         _trials.SOON_MS,
-        _get_wall_ms(state),
+        get_wall_ms(state),
         state.lost_unread.get(worker_id, False),
     )
     _add(job, task, record, state)
@@ -306,6 +302,12 @@
     )
 
 
+def is_enough(crashes: t.Sequence[CrashRecord]) -> bool:
+    """Whether crashes tell that a task ends each worker that starts it."""
+    clear = sum(one.is_clear for one in crashes)
+    return len(crashes) + clear >= _ENOUGH
+
+
 # -- orders that wait to be durable -------------------------------------------
 
 
@@ -341,79 +343,3 @@
         return False
     name = _lifecycle.get_name(attempt.key)
     return job.durable.started.get(name) == (attempt.run, attempt.worker_id)
-
-
-# -- giving up ----------------------------------------------------------------
-
-
-def tick(context: Context) -> None:
-    """Settle what is open of crashes, and give up jobs with too many."""
-    state = context.state
-    is_due = state.now_ms - state.crashes_looked_ms >= _LOOK_EVERY_MS
-    if not (is_due and state.suspects and context.may_order):
-        return
-    state.crashes_looked_ms = state.now_ms
-    for job, task in _list_suspects(state):
-        _settle(job, task, context)
-        known = [one for one in task.list_crashes() if one.is_sure]
-        if _is_enough(known) and job.state not in FINAL_STATES:
-            _give_up(job, task, context)
-
-
-def _is_enough(crashes: t.Sequence[CrashRecord]) -> bool:
-    """Whether crashes tell that a task ends each worker that starts it."""
-    clear = sum(one.is_clear for one in crashes)
-    return len(crashes) + clear >= _ENOUGH
-
-
-def _settle(job: Job, task: Task, context: Context) -> None:
-    """Take silent workers for crashed that have another life, or are gone."""
-    state = context.state
-    for record in list(task.crashes.values()):
-        # Instances' clocks differ; one far ahead must not keep it open.
-        waited_ms = abs(_get_wall_ms(state) - record.noted_ms)
-        is_over = waited_ms >= _SILENT_LIMIT_MS
-        if not record.is_sure and (is_over or _is_succeeded(record, state)):
-            task.crashes[record.worker_id] = attrs.evolve(record, is_sure=True)
-            _lifecycle.mark_dirty(job, state)
-
-
-def _is_succeeded(record: CrashRecord, state: SchedulerState) -> bool:
-    """Whether another life of the same machine has answered."""
-    return any(
-        worker.answered_ms
-        and not worker.is_over
-        and worker.worker_id != record.worker_id
-        and (
-            worker.entry.address == record.address
-            or (record.machine and worker.entry.machine == record.machine)
-        )
-        for worker in state.workers.values()
-    )
-
-
-def _give_up(job: Job, task: Task, context: Context) -> None:
-    """Fail a job, as each worker that starts its task crashes."""
-    records = task.list_crashes()
-    workers = ', '.join(one.worker_id for one in records)
-    name = task.key.format()
-    context.state.count('jobs_given_up')
-    context.log(
-        'job given up',
-        job=job.job_id,
-        task=name,
-        workers=[one.worker_id for one in records],
-        runs=[one.run for one in records],
-        ages_ms=[one.age_ms for one in records],
-        noted_ms=[one.noted_ms for one in records],
-    )
-    fail(job, f'workers crashed under {name}: {workers}', context)
-
-
-def fail(job: Job, reason: str, context: Context) -> None:
-    """Show a job as failed, say why in its row, and stop it."""
-    if job.state in FINAL_STATES:
-        return
-    job.reason = reason
-    _lifecycle.finish(job, JobState.FAILED, context)
-    _attempts.stop_job(job, context, 'job has failed')
--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -14,23 +14,17 @@
     _evening,
     _feasibility,
     _interference,
-    _lifecycle,
     _ownership,
     _preempting,
     _ranking,
     _ready,
     _slow_start,
-    _trials,
+    _starting,
     _unseen,
-    _workers,
 )
 from tulippin.jobs._dispatch import Context
-from tulippin.jobs.effects import StartRun
-from tulippin.jobs.ports import StartOrder
 from tulippin.jobs.state import (
-    RUNS_PER_EPOCH,
     Attempt,
-    AttemptState,
     Job,
     SchedulerState,
     Task,
@@ -68,8 +62,7 @@
     state = context.state
     if not (context.may_order and _ownership.may_prolong(state)):
         return
-    for attempt in _crashes.take_durable(context):
-        _order(attempt, state.jobs[attempt.key.job_id], context)
+    _starting.send_durable(context)
     is_soon = state.now_ms - state.placed_ms < _EVERY_MS
     if is_tick or (state.is_placing_due and not is_soon):
         state.is_placing_due = False
@@ -268,12 +261,12 @@
     ) -> None:
         """Start a task, at a pace where it is to begin slowly."""
         task.run_count += 1
-        attempt = _add(job, step, task, worker, self.context)
+        attempt = _starting.add_run(job, step, task, worker, self.context)
         if pace_percent is not None:
             attempt.is_slow_start = True
             attempt.wanted_percent = pace_percent
             _interference.forget_view(worker)
-        _send(attempt, job, self.context)
+        _starting.send(attempt, job, self.context)
         self.budget -= 1
 
 
@@ -304,7 +297,7 @@
     for labels in _iter_racks(step, context.state):
         attempts = _add_all(job, step, tasks, labels, context)
         for attempt in attempts:
-            _send(attempt, job, context)
+            _starting.send(attempt, job, context)
         if attempts:
             return len(attempts)
     return 0
@@ -335,7 +328,7 @@
             return []
         task.run_count = run_count
         task.checkpoint = checkpoint
-        added.append(_add(job, step, task, worker, context))
+        added.append(_starting.add_run(job, step, task, worker, context))
     return added
 
 
@@ -351,79 +344,3 @@
         ),
         context,
     )
-
-
-def _add(
-    job: Job, step: Step, task: Task, worker: Worker, context: Context
-) -> Attempt:
-    """Reserve the place of a new run."""
-    state = context.state
-    run = context.fencing_token * RUNS_PER_EPOCH + task.run_count
-    run += task.least_run
-    attempt = Attempt(
-        task.key,
-        run,
-        worker.worker_id,
-        step,
-        job.queue.priority,
-        AttemptState.STARTING,
-        state.now_ms,
-        checkpoint=task.checkpoint,
-    )
-    _attempts.add_attempt(attempt, task, worker)
-    _trials.note_start(attempt, task, worker)
-    _ready.remove(task.key, step, state)
-    return attempt
-
-
-def _send(attempt: Attempt, job: Job, context: Context) -> None:
-    """Order a run whose place is reserved to start, or once it is durable.
-
-    Where it was started is kept of each run, though but for those under
-    suspicion no order waits for that: 0.1 s later the next owner knows it.
-    """
-    state = context.state
-    _lifecycle.mark_begun(job, state)
-    _lifecycle.mark_dirty(job, state)
-    if attempt.is_ordered:
-        _order(attempt, job, context)
-    else:
-        state.unsent.append(attempt)
-
-
-def _order(attempt: Attempt, job: Job, context: Context) -> None:
-    """Send the order to start a run."""
-    state = context.state
-    worker = state.workers[attempt.worker_id]
-    task = job.tasks[attempt.key]
-    valid_ms = state.config.start_valid_ms
-    attempt.start_deadline_ms = _workers.get_clock_ms(worker, state) + valid_ms
-    _unseen.extend_lapse(worker, valid_ms, state)
-    state.count('starts')
-    context.log(
-        'start run',
-        task=attempt.key.format(),
-        run=attempt.run,
-        worker=worker.worker_id,
-        waited_ms=state.now_ms - job.arrived_ms,
-        reserved_millicores=worker.reserved.cpu_millicores,
-        list_age_ms=state.now_ms - worker.answered_ms,
-        pace_percent=attempt.wanted_percent,
-        crashes=len(task.crashes),
-    )
-    context.emit(
-        StartRun(
-            StartOrder(
-                worker.worker_id,
-                worker.entry.address,
-                attempt.key,
-                attempt.run,
-                job.request.spec,
-                attempt.start_deadline_ms,
-                context.fencing_token,
-                task.checkpoint if attempt.step.checkpointing else '',
-                _advice.get_ticket(worker, job, task, state),
-            ),
-            state.now_ms + valid_ms,
-        )
-    )
--- a/src/tulippin/jobs/_row_effects.py
+++ b/src/tulippin/jobs/_row_effects.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import typing as t
 
 import attrs
@@ -307,9 +308,26 @@
 
 async def _run_pass(effect: fx.PassTasks, shell: UnitShell) -> None:
     """Tell a unit of its tasks; the job's home knows where to cancel."""
+    await _write_surely(
+        functools.partial(_make_pass, effect, shell),
+        shell,
+        'pass tasks',
+        job=effect.job_id,
+        to_unit=effect.unit,
+        tasks=len(effect.record.passes),
+    )
+
+
+async def _write_surely(
+    make: t.Callable[[], t.Awaitable[Transaction | None]],
+    shell: UnitShell,
+    what: str,
+    **fields: t.Any,
+) -> None:
+    """Write what other units are told, made anew for each try."""
     while True:
         try:
-            transaction = await _make_pass(effect, shell)
+            transaction = await make()
             if transaction is None:
                 return
             result = await transact_surely(
@@ -319,22 +337,11 @@
                 shell.answer_times,
             )
         except UnavailableError as error:
-            logger.warning(
-                'tasks not passed yet',
-                job=effect.job_id,
-                to_unit=effect.unit,
-                reason=error.message,
-            )
+            logger.warning(f'{what}: not yet', reason=error.message, **fields)
             await trio.sleep(_PASS_PAUSE_S)
             continue
         if result.is_done:
-            logger.info(
-                'tasks passed',
-                job=effect.job_id,
-                to_unit=effect.unit,
-                tasks=len(effect.record.passes),
-                version=result.version,
-            )
+            logger.info(f'{what}: told', version=result.version, **fields)
             return
 
 
@@ -396,30 +403,12 @@
 
 async def _run_fail(effect: fx.FailJob, shell: UnitShell) -> None:
     """Tell all units that know a job of its failure, as of a cancel."""
-    while True:
-        try:
-            transaction = await _make_failure(effect, shell)
-            if transaction is None:
-                return
-            result = await transact_surely(
-                shell.ports.store,
-                transaction,
-                _PASS_LIMIT_S,
-                shell.answer_times,
-            )
-        except UnavailableError as error:
-            logger.warning(
-                'failure not told yet',
-                job=effect.job_id,
-                reason=error.message,
-            )
-            await trio.sleep(_PASS_PAUSE_S)
-            continue
-        if result.is_done:
-            logger.info(
-                'failure told', job=effect.job_id, version=result.version
-            )
-            return
+    await _write_surely(
+        functools.partial(_make_failure, effect, shell),
+        shell,
+        'fail job',
+        job=effect.job_id,
+    )
 
 
 async def _make_failure(
--- /dev/null
+++ b/src/tulippin/jobs/_starting.py
@@ -0,0 +1,108 @@
+"""Starting a run: its place is reserved, then its order is sent."""
+
+from __future__ import annotations
+
+from tulippin.jobs import (
+    _advice,
+    _attempts,
+    _crashes,
+    _lifecycle,
+    _ready,
+    _trials,
+    _unseen,
+    _workers,
+)
+from tulippin.jobs._dispatch import Context
+from tulippin.jobs.effects import StartRun
+from tulippin.jobs.ports import StartOrder
+from tulippin.jobs.state import (
+    RUNS_PER_EPOCH,
+    Attempt,
+    AttemptState,
+    Job,
+    Task,
+    Worker,
+)
+from tulippin.jobs.types import Step
+
+
+def add_run(
+    job: Job, step: Step, task: Task, worker: Worker, context: Context
+) -> Attempt:
+    """Reserve the place of a new run."""
+    state = context.state
+    run = context.fencing_token * RUNS_PER_EPOCH + task.run_count
+    run += task.least_run
+    attempt = Attempt(
+        task.key,
+        run,
+        worker.worker_id,
+        step,
+        job.queue.priority,
+        AttemptState.STARTING,
+        state.now_ms,
+        checkpoint=task.checkpoint,
+    )
+    _attempts.add_attempt(attempt, task, worker)
+    _trials.note_start(attempt, task, worker)
+    _ready.remove(task.key, step, state)
+    return attempt
+
+
+def send(attempt: Attempt, job: Job, context: Context) -> None:
+    """Order a run whose place is reserved to start, or once it is durable.
+
+    Where it was started is kept of each run, though but for those under
+    suspicion no order waits for that: 0.1 s later the next owner knows it.
+    """
+    state = context.state
+    _lifecycle.mark_begun(job, state)
+    _lifecycle.mark_dirty(job, state)
+    if attempt.is_ordered:
+        _order(attempt, job, context)
+    else:
+        state.unsent.append(attempt)
+
+
+def send_durable(context: Context) -> None:
+    """Send the orders that waited until the next owner would know of them."""
+    for attempt in _crashes.take_durable(context):
+        _order(attempt, context.state.jobs[attempt.key.job_id], context)
+
+
+def _order(attempt: Attempt, job: Job, context: Context) -> None:
+    """Send the order to start a run."""
+    state = context.state
+    worker = state.workers[attempt.worker_id]
+    task = job.tasks[attempt.key]
+    valid_ms = state.config.start_valid_ms
+    attempt.start_deadline_ms = _workers.get_clock_ms(worker, state) + valid_ms
+    _unseen.extend_lapse(worker, valid_ms, state)
+    state.count('starts')
+    context.log(
+        'start run',
+        task=attempt.key.format(),
+        run=attempt.run,
+        worker=worker.worker_id,
+        waited_ms=state.now_ms - job.arrived_ms,
+        reserved_millicores=worker.reserved.cpu_millicores,
+        list_age_ms=state.now_ms - worker.answered_ms,
+        pace_percent=attempt.wanted_percent,
+        crashes=len(task.crashes),
+    )
+    context.emit(
+        StartRun(
+            StartOrder(
+                worker.worker_id,
+                worker.entry.address,
+                attempt.key,
+                attempt.run,
+                job.request.spec,
+                attempt.start_deadline_ms,
+                context.fencing_token,
+                task.checkpoint if attempt.step.checkpointing else '',
+                _advice.get_ticket(worker, job, task, state),
+            ),
+            state.now_ms + valid_ms,
+        )
+    )
--- a/src/tulippin/jobs/_trials.py
+++ b/src/tulippin/jobs/_trials.py
@@ -22,11 +22,14 @@
 _PROBATION_MS: t.Final = 1000
 # From this on nothing else is started beside it meanwhile.
 CLOSING_COUNT: t.Final = 2
-# The part of the workers that may be closed so at one time.
+# The part of the workers that may be closed so at one time: with many such
+# tasks at once the others' work goes on.
 _MOST_CLOSED_SHARE: t.Final = 0.25
 # What is lost with a long-running task or a gang's member, beside others:
 # their users miss them for some four seconds.
 _LASTING_WEIGHT: t.Final = 4
+# A run that has just begun counts more than all that a worker may hold: with
+# it there, the next crash would not tell which of the two it was.
 _RECENT_WEIGHT: t.Final = 10
 
 
--- a/src/tulippin/jobs/core.py
+++ b/src/tulippin/jobs/core.py
@@ -9,8 +9,8 @@
 
 from tulippin.jobs import (
     _committing,
-    _crashes,
     _draining,
+    _giving_up,
     _interference,
     _lifecycle,
     _ownership,
@@ -82,7 +82,7 @@
 def _run_ticks(context: Context) -> None:
     """Do what time alone makes due, after all that is due was placed."""
     _pacing.tick(context)
-    _crashes.tick(context)
+    _giving_up.tick(context)
     _draining.tick(context)
     _passing.tick(context)
     _refusals.tell(context)
