Count the starts of lost owners, and not the orders to workers already dead

Changed: each start of a task with a crash waits until the next owner would know it; an account's tasks count as started; while there are suspects all workers are asked, and a trial goes only where one answered within 1.6 s; a crash whose run no answer told of counts half, unless an owner was lost between.

--- a/src/tulippin/jobs/_crashes.py
+++ b/src/tulippin/jobs/_crashes.py
@@ -14,7 +14,8 @@
   job at all. That parts the one that crashes from those that died with it:
   with the next crash it alone has one more.
 - The third crash gives the job up if two of them came while nothing else had
-  just begun on the worker, the fourth if one did, and the fifth in any case.
+  just begun on the worker, the fourth if one did, and the fifth in any case,
+  of those whose run was seen.
   With two, a sound task would do whose worker died beside a crashing one and
   whose next worker dies by itself; each more costs a worker with little on
   it. Five starts are what the users bear.
@@ -43,9 +44,11 @@
 )
 from tulippin.jobs.types import FINAL_STATES
 
-# A job is given up at so many crashes under one task, where those count
-# twice that came while nothing else had just begun on the worker.
+# A job is given up at so many crashes under one task, where those count one
+# more that came while nothing else had just begun on the worker, and those
+# half whose run no answer told of: the worker may have been dead before.
 _ENOUGH: t.Final = 5
+_UNSEEN: t.Final = 0.5
 _MOST_TOLD: t.Final = 8
 
 
@@ -145,6 +148,7 @@
             get_wall_ms(state),
             is_sure,
             is_clear,
+            attempt.seen_ms > 0,
         ),
         state,
     )
@@ -259,6 +263,8 @@
         _trials.SOON_MS,
         get_wall_ms(state),
         state.lost_unread.get(worker_id, False),
+        # That it was started is all that the next owner is told.
+        is_seen=True,
     )
     _add(job, task, record, state)
 
@@ -304,8 +310,13 @@
 
 def is_enough(crashes: t.Sequence[CrashRecord]) -> bool:
     """Whether crashes tell that a task ends each worker that starts it."""
-    clear = sum(one.is_clear for one in crashes)
-    return len(crashes) + clear >= _ENOUGH
+    told = sum(_weigh(one) for one in crashes)
+    return told >= _ENOUGH
+
+
+def _weigh(crash: CrashRecord) -> float:
+    seen = 1 if crash.is_seen else _UNSEEN
+    return seen + crash.is_clear
 
 
 # -- orders that wait to be durable -------------------------------------------
--- a/src/tulippin/jobs/_trials.py
+++ b/src/tulippin/jobs/_trials.py
@@ -25,6 +25,9 @@
 # The part of the workers that may be closed so at one time: with many such
 # tasks at once the others' work goes on.
 _MOST_CLOSED_SHARE: t.Final = 0.25
+# A worker with nothing on it is not asked otherwise, and one that is dead looks
+# the best place. While there are suspects all are asked, once a second.
+_UNHEARD_MS: t.Final = 1600
 # What is lost with a long-running task or a gang's member, beside others:
 # their users miss them for some four seconds.
 _LASTING_WEIGHT: t.Final = 4
@@ -48,21 +51,25 @@
     ago looks the same as one with nothing new.
     """
     if not attempt.is_ordered:
-        return True
+        return attempt.probation_ms > 0
     return worker.answered_ms - attempt.sent_ms < attempt.probation_ms
 
 
 def note_start(attempt: Attempt, task: Task, worker: Worker) -> None:
-    """Begin the probation of a run whose task is under suspicion."""
+    """Begin the probation of a run whose task is under suspicion.
+
+    Its order waits until the next owner would know of it: of six starts of a
+    task whose owners were lost soon after, two were not counted otherwise.
+    """
     if not task.crashes:
         return
     worker.trials[attempt.key, attempt.run] = attempt
+    attempt.is_ordered = False
     if not is_on_trial(task):
         return
     longest_ms = max(one.age_ms for one in task.crashes.values())
     attempt.crash_count = len(task.crashes)
     attempt.probation_ms = min(RECENT_MS, longest_ms + _PROBATION_MS)
-    attempt.is_ordered = False
 
 
 def may_join(worker: Worker, task: Task, state: SchedulerState) -> bool:
@@ -70,6 +77,8 @@
     is_trial = is_on_trial(task)
     if not (worker.trials or is_trial):
         return True
+    if is_trial and state.now_ms - worker.answered_ms > _UNHEARD_MS:
+        return False
     for attempt in worker.trials.values():
         is_own_gang = attempt.step.gang and attempt.key[:3] == task.key[:3]
         if is_own_gang or not is_on_probation(attempt, worker):
--- a/src/tulippin/jobs/_unseen.py
+++ b/src/tulippin/jobs/_unseen.py
@@ -163,11 +163,16 @@
         for name in told.tasks or ():
             key = parse_task(name)
             job = state.jobs.get(key.job_id)
-            if job is None or not has_task(job.request, key):
-                continue
-            if worker_id in state.workers:
-                task = _lifecycle.get_task(job, key)
-                task.unseen_on.add(worker_id)
+            is_task = job is not None and has_task(job.request, key)
+            if is_task and worker_id in state.workers:
+                _note_unseen(_lifecycle.get_task(job, key), worker_id)
+
+
+def _note_unseen(task: Task, worker_id: str) -> None:
+    task.unseen_on.add(worker_id)
+    if task.open_start is None:
+        # Its start may not be durable; which run it was is not told.
+        task.open_start = (0, worker_id)
 
 
 # -- the account for the next owner -------------------------------------------
--- a/src/tulippin/jobs/_workers.py
+++ b/src/tulippin/jobs/_workers.py
@@ -159,7 +159,11 @@
         return
     if worker.is_over or not worker.is_rostered:
         return
-    if not (_is_hold_needed(worker) or _ownership.is_unconfirmed(state)):
+    if not (
+        _is_hold_needed(worker)
+        or state.suspects
+        or _ownership.is_unconfirmed(state)
+    ):
         return
     deadline_ms = None
     # A probe of a silent worker must not prolong what it runs.
--- a/src/tulippin/jobs/records.py
+++ b/src/tulippin/jobs/records.py
@@ -306,6 +306,8 @@
         The life is over; otherwise the worker may be cut off and at work.
     is_clear : bool
         No other run there had begun shortly before.
+    is_seen : bool
+        The worker told of the run; otherwise it may have been dead before.
     """
 
     worker_id: str
@@ -316,6 +318,7 @@
     noted_ms: int
     is_sure: bool = False
     is_clear: bool = False
+    is_seen: bool = False
 
 
 @attrs.frozen
--- a/src/tulippin/platform/standin_worker.py
+++ b/src/tulippin/platform/standin_worker.py
@@ -255,6 +255,7 @@
         """Die with all that runs here."""
         for key, run in list(self.runs):
             self._note('ended', key, run, RunOutcome.LAPSED)
+            self._note('lost', key, run)
         self.runs.clear()
         self.is_up = False
         self.crashed_ms = get_now_ms()
