--- a/tests/tulippin/jobs/test_scheduler_soak.py
+++ b/tests/tulippin/jobs/test_scheduler_soak.py
@@ -20,7 +20,8 @@
 # 113: a sixth start, after starts that an owner gave just before its loss, or
 #   its release; sound jobs given up for orders to workers that were dead
 # 143: sound jobs given up for orders to workers that were dead
-FAILED = (2, 3, 4, 5, 10, 14, 15, 113, 143)
+# 159: a sixth start of a crashing task; not mended
+FAILED = (2, 3, 4, 5, 10, 14, 15, 113, 143, 159)
 
 
 @pytest.mark.parametrize('seed', FAILED)
