Tell an error that nothing was meant to raise as one line, with its input

Operators saw `started` after `started` and the last line of a traceback: not the place of the error, nor the unit, the event or the row that was at work.

An error from a unit's reducer is logged as `unit failed` with unit, phase, event and the names of the rows or workers that told it; one that ends the process as `instance failed`; both with cause, place and traceback, bounded. Lines still in the buffer are written before the process ends: up to 0.25 s of them were lost, those before the end. Nothing is contained yet: the error still ends the process.

--- a/src/tulippin/jobs/_unit_feeds.py
+++ b/src/tulippin/jobs/_unit_feeds.py
@@ -11,6 +11,7 @@
 from tulippin.exceptions import UnavailableError
 from tulippin.jobs import events as ev
 from tulippin.jobs._rows import get_version, read_record, read_row
+from tulippin.jobs._sources import name_row
 from tulippin.jobs.ports import (
     HistoryLostError,
     RowPage,
@@ -77,11 +78,26 @@
     return RowPage(rows, min(page.version for page in pages))
 
 
-def _find_row(page: RowPage, key: str) -> StoredRow | None:
+async def _find_row(
+    store: RowStore, table: str, unit: Unit, key: str
+) -> StoredRow | None:
     """Return the row of a key; other writers' rows may stand beside it."""
+    page = await store.read_rows(table, unit.part)
     return next((row for row in page.rows if row.key == key), None)
 
 
+def _name_present(*rows: StoredRow | None) -> tuple[str, ...]:
+    return tuple(name_row(row) for row in rows if row is not None)
+
+
+@attrs.frozen
+class _HeardModel:
+    """What another owner has learned, and the row that tells it."""
+
+    record: ModelRecord
+    source: str
+
+
 @attrs.define
 class UnitFeeds:
     """Follows a unit for as long as it is owned; ``scope`` ends it."""
@@ -114,8 +130,8 @@
         jobs = await read_jobs(store, unit)
         progress = await store.read_rows(unit.progress_table, unit.part)
         owned = await store.read_rows(UNITS_TABLE, unit.part)
-        learned = await store.read_rows(MODELS_TABLE, unit.part)
-        account = await store.read_rows(ACCOUNTS_TABLE, unit.part)
+        model_row = await _find_row(store, MODELS_TABLE, unit, MODEL_KEY)
+        account_row = await _find_row(store, ACCOUNTS_TABLE, unit, ACCOUNT_KEY)
         workers_read_ms = self.shell.clock()
         workers, version = await self.shell.ports.feeds.read_workers()
         self._note_listed(workers, ())
@@ -131,10 +147,11 @@
             roster,
             get_version(roster_row),
             tuple(filter(self.shell.has_worker, workers)),
-            read_record(_find_row(learned, MODEL_KEY), ModelRecord),
+            read_record(model_row, ModelRecord),
             get_version(own.get(EPOCH_KEY)),
-            read_record(_find_row(account, ACCOUNT_KEY), AccountRecord),
+            read_record(account_row, AccountRecord),
             workers_read_ms,
+            _name_present(roster_row, model_row, account_row),
         )
         return loaded, jobs.version, version
 
@@ -191,7 +208,7 @@
 
     async def _follow_models(self) -> None:
         """Follow what the owners of other units learn."""
-        models: dict[str, ModelRecord] = {}
+        models: dict[str, _HeardModel] = {}
         after = 0
         while True:
             await trio.sleep(_MODELS_EVERY_S)
@@ -206,7 +223,7 @@
                 self.shell.note_store(error)
 
     async def _read_models(
-        self, after: int, models: dict[str, ModelRecord]
+        self, after: int, models: dict[str, _HeardModel]
     ) -> int:
         """Take in the models changed after a version; return the next."""
         page = await self.shell.ports.store.follow(MODELS_TABLE, after, 0)
@@ -216,10 +233,14 @@
                 continue
             record = read_record(row, ModelRecord)
             if record is not None:
-                models[row.part] = record
+                models[row.part] = _HeardModel(record, name_row(row))
         if page.rows:
-            known = tuple(models.values())
-            self.shell.post(ev.ModelsSeen(self.shell.clock(), known))
+            event = ev.ModelsSeen(
+                self.shell.clock(),
+                tuple(heard.record for heard in models.values()),
+                tuple(heard.source for heard in models.values()),
+            )
+            self.shell.post(event)
         return page.version
 
     async def _find_version(self, after: int) -> int:
--- a/src/tulippin/jobs/events.py
+++ b/src/tulippin/jobs/events.py
@@ -102,7 +102,8 @@
     ``epoch_version`` is that of the owner's epoch, read after the jobs: if
     it is still ours, no later owner knew these jobs when they were read.
     No roster: it can't be read, and tells of no worker. ``workers_read_ms``
-    is when the reading of the workers' list began.
+    is when the reading of the workers' list began. ``sources`` names the rows
+    that are not among these.
     """
 
     jobs: tuple[StoredRow, ...]
@@ -114,6 +115,7 @@
     epoch_version: int = 0
     account: AccountRecord | None = None
     workers_read_ms: int = 0
+    sources: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -239,9 +241,10 @@
 
 @attrs.frozen
 class ModelsSeen(JobEvent):
-    """What the owners of the other units have learned."""
+    """What the owners of the other units have learned, by these rows."""
 
     models: tuple[ModelRecord, ...]
+    sources: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/src/tulippin/jobs/unit_shell.py
+++ b/src/tulippin/jobs/unit_shell.py
@@ -10,8 +10,14 @@
 
 import attrs
 
+from tulippin import failures
 from tulippin.exceptions import UnavailableError
-from tulippin.jobs import _ownership, _row_effects, _worker_effects, core
+from tulippin.jobs import (
+    _ownership,
+    _row_effects,
+    _worker_effects,
+    core,
+)
 from tulippin.jobs import effects as fx
 from tulippin.jobs import events as ev
 from tulippin.jobs._perform import perform
@@ -22,6 +28,7 @@
     log_unreadable,
     read_record,
 )
+from tulippin.jobs._sources import list_sources
 from tulippin.jobs._unit_feeds import UnitFeeds
 from tulippin.jobs.ports import SchedulerPorts, StoredRow
 from tulippin.jobs.records import (
@@ -129,9 +136,27 @@
     def step(self, event: ev.JobEvent) -> None:
         """Reduce one event and begin its effects."""
         event = attrs.evolve(event, at_ms=self.clock())
+        try:
+            self._reduce(event)
+        except Exception as error:
+            self._tell_failure(error, event)
+            raise
+
+    def _reduce(self, event: ev.JobEvent) -> None:
         for effect in core.reduce(self.state, event):
             perform(effect, self)
 
+    def _tell_failure(self, error: Exception, event: ev.JobEvent) -> None:
+        """Say at which input the unit's decisions failed."""
+        failures.tell(
+            'unit failed',
+            error,
+            unit=self.config.unit.number,
+            phase=self.state.ownership.phase.value,
+            event=type(event).__name__,
+            sources=list_sources(event),
+        )
+
     def see_rows(self, rows: t.Iterable[StoredRow]) -> None:
         """Take in changed rows of the unit's own part."""
         for row in rows:
--- a/src/tulippin/scheduler_daemon.py
+++ b/src/tulippin/scheduler_daemon.py
@@ -14,6 +14,7 @@
 import attrs
 import trio
 
+from tulippin import failures
 from tulippin._http_client import HttpClient
 from tulippin._http_server import HttpServer
 from tulippin.clocks import read_clock_ms, read_wall_ms
@@ -314,7 +315,14 @@
     )
     with lines.applicationbound():
         daemon = SchedulerDaemon(settings, lines, path)
-        trio.run(_run_with_signals, daemon)
+        try:
+            trio.run(_run_with_signals, daemon)
+        except BaseException as error:
+            failures.tell('instance failed', error)
+            raise
+        finally:
+            # What is still in the buffer is of the moments before the end.
+            lines.flush()
 
 
 def main(arguments: t.Sequence[str] | None = None) -> int:
