--- a/src/tulippin/platform/standin.py
+++ b/src/tulippin/platform/standin.py
@@ -140,9 +140,20 @@
 
     def _beat_all(self) -> None:
         for worker in self.workers.values():
-            if worker.is_up:
+            if worker.is_up and worker.tells_entry:
                 self.beat(worker)
 
+    def lapse_entries(self) -> None:
+        """Let all entries lapse while their workers live and answer on."""
+        for worker in self.workers.values():
+            worker.tells_entry = False
+            self.remove(worker.worker_id)
+
+    def restore_entries(self) -> None:
+        """Have all workers write their entries again."""
+        for worker in self.workers.values():
+            worker.tells_entry = True
+
     def get_agents(self, client: str) -> StandinAgents:
         """Return the workers as one client reaches them."""
         return StandinAgents(self, client)
--- a/src/tulippin/platform/standin_worker.py
+++ b/src/tulippin/platform/standin_worker.py
@@ -123,6 +123,8 @@
         When it ends in a planned way, with all that still runs there.
     stop_ms : int
         How long a stop takes; until then the run is there.
+    tells_entry : bool
+        It writes its entry on the list every second.
     """
 
     worker_id: str
@@ -141,6 +143,7 @@
     cut_off: set[str] = attrs.field(factory=set)
     late_orders_s: float = 0.0
     tells_load: bool = True
+    tells_entry: bool = True
     stop_ms: int = 0
     rooms: list[tuple[int, int]] = attrs.field(factory=list)
     runs: dict[tuple[TaskKey, int], _Run] = attrs.field(factory=dict)
