--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,7 @@
 
 import random
 
+import attrs
 import pytest
 import trio
 import trio._core._run as trio_run
@@ -9,6 +10,7 @@
 from hypothesis import settings
 
 import known_red
+from tulippin import failures
 
 settings.register_profile('ci', derandomize=True, deadline=None, database=None)
 settings.load_profile('ci')
@@ -20,6 +22,34 @@
         known_red.mark(items, known_red.read_known_red(text))
 
 
+@attrs.frozen
+class ToldFailure:
+    """An error that was contained, and told."""
+
+    what: str
+    error: BaseException
+    fields: dict
+
+
+@pytest.fixture(autouse=True)
+def told_failures(monkeypatch):
+    """Fail a test in which an error was contained that it does not expect.
+
+    The product goes on after such an error: without this a fault of its own
+    would pass. A test that plants one looks at what is told, and clears it.
+    """
+    told = []
+    tell = failures.tell
+
+    def note(what, error, **fields):
+        told.append(ToldFailure(what, error, fields))
+        tell(what, error, **fields)
+
+    monkeypatch.setattr(failures, 'tell', note)
+    yield told
+    assert told == []
+
+
 @pytest.fixture
 def run_virtual():
     """Return a runner of asynchronous functions in virtual time."""
