--- a/tests/tulippin/platform/test_platform_daemon.py
+++ b/tests/tulippin/platform/test_platform_daemon.py
@@ -5,12 +5,14 @@
 import os
 
 import attrs
+import logbook
 import msgspec
 import pytest
 import trio
 
 from fleet_of_schedulers import make_config_body
 from tulippin._http_client import HttpClient
+from tulippin.jobs import JobIntake
 from tulippin.line_buffer import LineBuffer
 from tulippin.platform.standin_http import StandinServers
 from tulippin.scheduler_daemon import SchedulerDaemon
@@ -242,3 +244,30 @@
         port = site.daemon.ports['readiness']
         ready = await site.call('GET', '/v1/ready', port=port)
         assert ready.status == 503
+
+
+async def test_fault_after_a_job_was_kept_is_told_and_not_refused(
+    tmp_path, monkeypatch
+):
+    """A fault of ours once answered 500 with no body and no line.
+
+    The job had been kept before, and ran: no answer may say that it had not.
+    """
+    submit = JobIntake.submit
+
+    async def submit_and_fail(*arguments):
+        await submit(*arguments)
+        raise ZeroDivisionError('planted')
+
+    monkeypatch.setattr(JobIntake, 'submit', submit_and_fail)
+    handler = logbook.TestHandler()
+    async with serve(tmp_path) as site:
+        with handler.applicationbound():
+            answer = await site.call('POST', f'/q/{JOB}', BODY)
+        assert answer.status == 500
+        told_text = json.loads(answer.body)['Error']
+        assert told_text.startswith('internal: ')
+        assert 'may have been done' in told_text
+        await site.wait_state('completed')
+    (told,) = [one for one in handler.records if one.message == 'call failed']
+    assert told.kwargs['id'] == JOB
