Tell an application's unexpected error once, and answer its caller

Callers saw 500 with an empty body, operators nothing: the server below the applications has no log of its own (its lines are no JSON), and so an error that a handler raised was gone. Ruled out: giving that server a log, which knows neither the call nor a bounded form.

Every application that HttpServer serves is guarded: `call failed` with method, path, id, cause, place and traceback, once, also where the routes answer first and raise on, and in a group beside cancelled tasks. If no answer has begun the caller gets a complete JSON body with status 500, `internal` and outcome `unknown`, on the platform's side in its own form: a job that was kept before the error is not said to be not run. An answer that has begun is left incomplete. A caller that leaves in the middle of its body is refused as `caller_left`; behind the routes it was an error that nobody heard.

The test of the routes waits for the line, which comes after the answer; it fails without the guard as before.

--- a/src/tulippin/_http_app.py
+++ b/src/tulippin/_http_app.py
@@ -4,14 +4,15 @@
 
 import typing as t
 
-import attrs
 from starlette.applications import Starlette
 from starlette.exceptions import HTTPException
-from starlette.requests import Request
+from starlette.requests import ClientDisconnect, Request
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
 from tulippin import codec_json as codec
+from tulippin._error_body import ErrorBody, FindingBody
+from tulippin._http_guard import INTERNAL_BODY
 from tulippin.exceptions import (
     ConflictError,
     DeniedError,
@@ -35,30 +36,6 @@
 _MS: t.Final = 1000
 
 
-@attrs.frozen
-class FindingBody:
-    """One finding, as sent."""
-
-    place: str
-    message: str
-    advice: str = ''
-
-
-@attrs.frozen
-class ErrorBody:
-    """An error, as sent.
-
-    ``outcome`` is ``not_run`` if nothing was done, else ``unknown`` or
-    ``failed``; ``retry_after_ms`` tells when to come back, 0 for never.
-    """
-
-    code: str
-    message: str
-    outcome: str = 'not_run'
-    retry_after_ms: int = 0
-    findings: tuple[FindingBody, ...] = ()
-
-
 def make_json(
     value: t.Any, status: int = 200, retry_after_ms: int = 0
 ) -> Response:
@@ -96,8 +73,16 @@
     Raises
     ------
     InputError
-        If it is longer than ``limit`` bytes; no more of it is read.
+        If it is longer than ``limit`` bytes, of which no more is read, or
+        if the caller leaves before its end.
     """
+    try:
+        return await _read_parts(request, limit)
+    except ClientDisconnect as error:
+        raise InputError('the caller left', code='caller_left') from error
+
+
+async def _read_parts(request: Request, limit: int) -> bytes:
     parts = []
     size = 0
     async for part in request.stream():
@@ -127,10 +112,8 @@
         )
         body = ErrorBody(code, f'{error.detail}; see /openapi.json')
         return make_json(body, error.status_code)
-    return make_json(
-        ErrorBody('internal', 'a fault of ours; see the log', 'unknown'),
-        _INTERNAL,
-    )
+    # Whoever serves the application tells the error, which is raised on.
+    return Response(INTERNAL_BODY, _INTERNAL, media_type='application/json')
 
 
 def make_app(routes: t.Sequence[Route]) -> Starlette:
--- a/src/tulippin/_http_server.py
+++ b/src/tulippin/_http_server.py
@@ -10,6 +10,7 @@
 from hypercorn.config import Config as HypercornConfig
 from hypercorn.trio import serve
 
+from tulippin._http_guard import INTERNAL_BODY, GuardedApp
 from tulippin.exceptions import UnavailableError
 
 _BACKLOG: t.Final = 512
@@ -27,6 +28,8 @@
         IP and port; port 0 takes a free one, see ``port``.
     certificate, key, authority : str
         PEM files; with an authority, clients must show a certificate.
+    failure_body : bytes
+        JSON for a caller whose call the application fails to answer.
     """
 
     def __init__(
@@ -36,8 +39,9 @@
         certificate: str = '',
         key: str = '',
         authority: str = '',
+        failure_body: bytes = INTERNAL_BODY,
     ) -> None:
-        self._app = app
+        self._app = GuardedApp(app, failure_body)
         self._address = address
         self._config = HypercornConfig()
         self._config.accesslog = None
--- a/src/tulippin/scheduler_daemon.py
+++ b/src/tulippin/scheduler_daemon.py
@@ -16,8 +16,10 @@
 
 from tulippin import failures
 from tulippin._http_client import HttpClient
+from tulippin._http_guard import INTERNAL_MESSAGE
 from tulippin._http_server import HttpServer
 from tulippin.clocks import read_clock_ms, read_wall_ms
+from tulippin.codec_json import encode
 from tulippin.exceptions import InputError, TulippinError
 from tulippin.jobs import (
     JobIntake,
@@ -31,6 +33,7 @@
 from tulippin.platform.callers import CallersApp
 from tulippin.platform.feeds import PlatformFeeds
 from tulippin.platform.store import PlatformStore
+from tulippin.platform.wire import ErrorBody
 from tulippin.platform.workers import PlatformWorkers
 from tulippin.scheduler_bundles import follow_bundles
 from tulippin.scheduler_settings import (
@@ -63,6 +66,7 @@
 # owner of 37 workers spent 529 us on a start in place of 484 (means of two
 # runs each of `bench/unit_load.py --workers 37`).
 _GARBAGE_THRESHOLDS: t.Final = (20_000, 20, 20)
+_FAILURE_BODY: t.Final = encode(ErrorBody(f'internal: {INTERNAL_MESSAGE}'))
 _USAGE: t.Final = 'usage: tulippin-instance SETTINGS.ini'
 
 
@@ -205,20 +209,18 @@
     ) -> list[HttpServer]:
         """Bind the listeners of callers, readiness and operators."""
         settings = self.settings
-        served = {
-            'callers': (app, settings.callers),
-            'readiness': (app, settings.readiness),
-            'internal': (
-                LazyApp(self._make_operators),
-                settings.operators_address,
+        operators = LazyApp(self._make_operators)
+        servers = {
+            'callers': HttpServer(
+                app, settings.callers, failure_body=_FAILURE_BODY
             ),
+            'readiness': HttpServer(app, settings.readiness),
+            'internal': HttpServer(operators, settings.operators_address),
         }
-        servers = []
-        for name, (one, address) in served.items():
-            server = stack.enter_context(HttpServer(one, address))
+        for name, server in servers.items():
+            stack.enter_context(server)
             self.ports[name] = server.port
-            servers.append(server)
-        return servers
+        return list(servers.values())
 
     def _make_operators(self) -> t.Any:
         module = importlib.import_module('tulippin.scheduler_operators')
--- a/tests/tulippin/test_http_server.py
+++ b/tests/tulippin/test_http_server.py
@@ -84,7 +84,7 @@
     async with serve(fail_half_way) as (client, url, handler):
         with pytest.raises(AnswerLostError):
             await client.send('GET', f'{url}/x')
-        assert len(list_failures(handler)) == 1
+    assert len(list_failures(handler)) == 1
 
 
 async def test_error_behind_routes_is_told_once():
@@ -94,6 +94,10 @@
     app = make_app([Route('/x', fail)])
     async with serve(app) as (client, url, handler):
         answer = await client.send('GET', f'{url}/x')
+        # The routes answer first and raise the error on.
+        with trio.fail_after(2):
+            while not list_failures(handler):
+                await trio.sleep(0.01)
     assert answer.status == 500
     assert json.loads(answer.body)['outcome'] == 'unknown'
     (told,) = list_failures(handler)
