--- /dev/null
+++ b/tests/instance_processes.py
@@ -0,0 +1,65 @@
+"""Daemons in processes of their own, with code planted before they start."""
+
+import json
+import subprocess
+import sys
+
+import attrs
+import trio
+
+LIMIT_S = 30
+PROGRAM = """
+import sys
+import trio
+from tulippin import {module} as module
+{planted}
+sys.exit(module.main(sys.argv[1:]))
+"""
+
+
+@attrs.frozen
+class Ended:
+    """A process that has ended, with all that it wrote."""
+
+    code: int
+    output: bytes
+
+    @property
+    def lines(self):
+        """Return all output as JSON; text of any other kind fails."""
+        return [json.loads(line) for line in self.output.splitlines()]
+
+    def find(self, message):
+        """Return the only line with a message."""
+        (found,) = [one for one in self.lines if one['message'] == message]
+        return found
+
+
+async def open_instance(module, planted, path):
+    """Start a daemon; both its outputs go the same way."""
+    program = PROGRAM.format(module=module, planted=planted)
+    return await trio.lowlevel.open_process(
+        [sys.executable, '-c', program, str(path)],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+    )
+
+
+async def read_to_end(process, pause_s=0):
+    """Return what a process wrote, once it has ended."""
+    output = b''
+    with trio.fail_after(LIMIT_S):
+        while part := await process.stdout.receive_some():
+            output += part
+            await trio.sleep(pause_s)
+        code = await process.wait()
+    return Ended(code, output)
+
+
+async def run_instance(module, planted, path, pause_s=0):
+    """Run a daemon until it ends by itself."""
+    process = await open_instance(module, planted, path)
+    try:
+        return await read_to_end(process, pause_s)
+    finally:
+        process.kill()
--- /dev/null
+++ b/tests/tulippin/platform/test_ended_instances.py
@@ -0,0 +1,89 @@
+"""What an instance that ends by itself leaves in its log.
+
+The story: instances ended some seconds after each start, and the last line of
+each life was the error's own, without its place; the lines of the moments
+before it were lost. Readers of JSON lines met a traceback of bare text.
+"""
+
+import pytest
+from test_platform_daemon import SETTINGS
+
+from instance_processes import run_instance
+from tulippin.platform.standin_http import StandinServers
+
+FAIL_IN_TASK = """
+async def fail(self):
+    await trio.sleep(0.5)
+    {0}
+module.SchedulerDaemon._watch_settings = fail
+"""
+FAIL_WITH_LINES = """
+async def fail(self):
+    await trio.sleep(0.5)
+    for number in range(3000):
+        module.logger.info('planted', number=number, text='x' * 100)
+    1 / 0
+module.SchedulerDaemon._watch_settings = fail
+"""
+
+
+async def run_planted(tmp_path, planted, pause_s=0):
+    async with StandinServers() as servers:
+        path = tmp_path / 'instance.ini'
+        path.write_text(SETTINGS.format(store=servers.store_address))
+        return await run_instance('scheduler_daemon', planted, path, pause_s)
+
+
+async def test_error_of_a_top_task_is_one_line_with_its_place(tmp_path):
+    ended = await run_planted(tmp_path, FAIL_IN_TASK.format('1 / 0'))
+    assert ended.code == 1
+    told = ended.find('instance failed')
+    assert told['cause'] == "ZeroDivisionError('division by zero')"
+    assert told['place'].endswith(' fail')
+    assert 'ZeroDivisionError' in told['traceback']
+    assert ended.find('started')['instance'] == 'edge-1'
+
+
+async def test_lines_before_the_end_reach_a_slow_reader(tmp_path):
+    ended = await run_planted(tmp_path, FAIL_WITH_LINES, pause_s=0.02)
+    planted = [one for one in ended.lines if one['message'] == 'planted']
+    assert [one['number'] for one in planted] == list(range(3000))
+    assert ended.find('instance failed')['place'].endswith(' fail')
+
+
+async def test_error_whose_text_is_no_text_is_told(tmp_path):
+    error = "raise ValueError(chr(0xd800) + 'planted')"
+    ended = await run_planted(tmp_path, FAIL_IN_TASK.format(error))
+    assert ended.code == 1
+    assert 'planted' in ended.find('instance failed')['traceback']
+
+
+async def test_every_error_of_a_group_is_told(tmp_path):
+    error = "raise ExceptionGroup('', [ValueError('one'), KeyError('two')])"
+    ended = await run_planted(tmp_path, FAIL_IN_TASK.format(error))
+    told = ended.find('instance failed')
+    assert told['cause'] == "ValueError('one')"
+    assert told['other_causes'] == ["KeyError('two')"]
+
+
+async def test_listener_that_is_taken_is_one_line_and_its_own_code(tmp_path):
+    async with StandinServers() as servers:
+        text = SETTINGS.format(store=servers.store_address)
+        path = tmp_path / 'instance.ini'
+        path.write_text(
+            text.replace(
+                'callers = 127.0.0.1:0', f'callers = {servers.store_address}'
+            )
+        )
+        ended = await run_instance('scheduler_daemon', '', path)
+    assert ended.code == 5
+    assert 'cannot listen' in ended.find('instance failed')['cause']
+
+
+@pytest.mark.parametrize(
+    ('error', 'code'), [('raise SystemExit(9)', 9), ('1 / 0', 1)]
+)
+async def test_exit_on_purpose_keeps_its_code(tmp_path, error, code):
+    planted = f'def run(*_): {error}\nmodule.trio.run = run'
+    ended = await run_planted(tmp_path, planted)
+    assert ended.code == code
