End a failed instance with its exit code, and all its lines written

Operators saw bare traceback text among JSON lines, after our own line, and lost the lines that a slow reader of the log had not taken yet: the last write before the end did not wait. A listener that was taken ended the process with 1 in place of its own code, as the error came in a group. Ruled out: to leave the traceback to the interpreter, which tells nothing that our line does not.

`instance failed` tells the first error with its traceback and up to three others of the group; the process ends with the error's own exit code, or with 1. What ends on purpose (an exit, an interrupt) is raised on as before. The older daemon does the same. At the end the buffer waits up to 1 s for the reader. A value that JSON does not take (an error's text that is no UTF-8) is told as text; its line was lost and bare text written in its place.

--- a/src/tulippin/daemon.py
+++ b/src/tulippin/daemon.py
@@ -12,6 +12,7 @@
 import attrs
 import trio
 
+from tulippin import failures
 from tulippin._http_client import HttpClient
 from tulippin._http_server import HttpServer
 from tulippin.clocks import read_clock_ms, read_wall_ms
@@ -223,12 +224,27 @@
             nursery.cancel_scope.cancel()
 
 
-def run_settings(path: str) -> None:
-    """Run a daemon from a settings file until it is stopped."""
+def run_settings(path: str) -> int:
+    """Run a daemon from a settings file until it ends.
+
+    Returns
+    -------
+    int
+        The exit code. What ended the daemon is told as one line; the
+        interpreter's own traceback would be no JSON among the others.
+    """
     settings = load_settings(path)
     config = settings.config
     with LogSetup(settings.log, config.instance_id, config.failure_domain):
-        trio.run(_run_with_signals, Daemon(settings))
+        try:
+            trio.run(_run_with_signals, Daemon(settings))
+        except BaseException as error:
+            failures.tell('instance failed', error)
+            # An exit on purpose has a code of its own.
+            if not isinstance(error, Exception):
+                raise
+            return failures.get_exit_code(error)
+    return 0
 
 
 def main(arguments: t.Sequence[str] | None = None) -> int:
@@ -237,27 +253,10 @@
     try:
         if len(given) != 1 or given[0].startswith('-'):
             raise InputError(_USAGE, code='usage')
-        run_settings(given[0])
+        return run_settings(given[0])
     except TulippinError as error:
         error.show()
         return error.exit_code
-    except BaseExceptionGroup as group:
-        errors, rest = group.split(TulippinError)
-        if errors is None or rest is not None:
-            raise
-        return _show_group(errors)
-    return 0
-
-
-def _show_group(group: BaseExceptionGroup[t.Any]) -> int:
-    code = 1
-    for error in group.exceptions:
-        if isinstance(error, BaseExceptionGroup):
-            code = _show_group(error)
-        elif isinstance(error, TulippinError):
-            error.show()
-            code = error.exit_code
-    return code
 
 
 if __name__ == '__main__':
--- a/src/tulippin/failures.py
+++ b/src/tulippin/failures.py
@@ -10,11 +10,16 @@
 import traceback
 import typing as t
 
+from tulippin.exceptions import TulippinError
 from tulippin.logs import logger
 
 # Of a traceback, its end; a group of exceptions repeats the frames above.
 _TRACEBACK_SIGNS: t.Final = 6000
 _CAUSE_SIGNS: t.Final = 500
+# Errors of one group beside the first that are told.
+_OTHER_CAUSES: t.Final = 3
+# Of a process that ends by an error of no code.
+_EXIT_CODE: t.Final = 1
 
 
 def find_causes(error: BaseException) -> list[BaseException]:
@@ -24,7 +29,7 @@
     return [cause for part in error.exceptions for cause in find_causes(part)]
 
 
-def describe(error: BaseException) -> dict[str, str]:
+def describe(error: BaseException) -> dict[str, t.Any]:
     """Return what a log line tells of an error.
 
     Parameters
@@ -34,21 +39,46 @@
 
     Returns
     -------
-    dict of str to str
-        ``cause``, ``place`` and ``traceback``.
+    dict
+        ``cause``, ``place`` and ``traceback``; ``other_causes`` if the
+        group holds more than one.
     """
-    cause = find_causes(error)[0]
-    frames = traceback.extract_tb(cause.__traceback__)
-    place = ''
-    if frames:
-        last = frames[-1]
-        place = f'{last.filename}:{last.lineno} {last.name}'
+    cause, *others = find_causes(error)
     text = ''.join(traceback.format_exception(cause))
-    return {
-        'cause': repr(cause)[:_CAUSE_SIGNS],
-        'place': place,
-        'traceback': text[-_TRACEBACK_SIGNS:],
+    told: dict[str, t.Any] = {
+        'cause': _tell_cause(cause),
+        'place': _find_place(cause),
+        'traceback': _make_text(text[-_TRACEBACK_SIGNS:]),
+    }
+    if others:
+        told['other_causes'] = list(map(_tell_cause, others[:_OTHER_CAUSES]))
+    return told
+
+
+def _tell_cause(cause: BaseException) -> str:
+    return _make_text(repr(cause)[:_CAUSE_SIGNS])
+
+
+def _find_place(cause: BaseException) -> str:
+    frames = traceback.extract_tb(cause.__traceback__)
+    if not frames:
+        return ''
+    last = frames[-1]
+    return f'{last.filename}:{last.lineno} {last.name}'
+
+
+def _make_text(text: str) -> str:
+    """Return a text that UTF-8 can hold; an error's own may not be one."""
+    return text.encode(errors='backslashreplace').decode()
+
+
+def get_exit_code(error: BaseException) -> int:
+    """Return the exit code of a process that an error ends."""
+    codes = {
+        cause.exit_code if isinstance(cause, TulippinError) else _EXIT_CODE
+        for cause in find_causes(error)
     }
+    return codes.pop() if len(codes) == 1 else _EXIT_CODE
 
 
 def tell(what: str, error: BaseException, **fields: t.Any) -> None:
--- a/src/tulippin/logs.py
+++ b/src/tulippin/logs.py
@@ -21,8 +21,30 @@
 logger = logbook.Logger('tulippin')
 
 
+def encode_line(fields: t.Mapping[str, t.Any]) -> bytes:
+    """Return a log line as JSON, whatever its fields hold.
+
+    A value that JSON does not take is told as text: the line that holds one
+    is most likely about a fault, and would be lost with it.
+    """
+    try:
+        return encode(fields)
+    except (TypeError, ValueError, RecursionError):
+        return encode(
+            {name: _make_plain(value) for name, value in fields.items()}
+        )
+
+
+def _make_plain(value: t.Any) -> t.Any:
+    try:
+        encode(value)
+    except (TypeError, ValueError, RecursionError):
+        return repr(value).encode(errors='backslashreplace').decode()
+    return value
+
+
 def _format_json(record: logbook.LogRecord, _: object) -> str:
-    return encode(
+    return encode_line(
         {
             'time': f'{record.time.isoformat()}Z',
             'level': record.level_name.lower(),
--- a/src/tulippin/scheduler_daemon.py
+++ b/src/tulippin/scheduler_daemon.py
@@ -44,6 +44,9 @@
 _MS: t.Final = 1000
 # An owner writes some 300 lines a second into a buffer of 8,000.
 _FLUSH_EVERY_S: t.Final = 0.25
+# What is still in the buffer at the end is of the moments before it; a
+# reader of its usual speed takes all of it in this time.
+_DRAIN_S: t.Final = 1.0
 # The store answers in 4 to 9 ms, and in 300 ms when it is slow.
 _STORE_TIMEOUT_S: t.Final = 0.9
 _STORE_CONNECTIONS: t.Final = 24
@@ -301,8 +304,15 @@
             nursery.cancel_scope.cancel()
 
 
-def run_settings(path: str) -> None:
-    """Run an instance from a settings file until it is stopped."""
+def run_settings(path: str) -> int:
+    """Run an instance from a settings file until it ends.
+
+    Returns
+    -------
+    int
+        The exit code. What ended the instance is told as one line; the
+        interpreter's own traceback would be no JSON among the others.
+    """
     settings = load_scheduler_settings(path)
     # What is loaded by now stays for good.
     gc.freeze()
@@ -321,10 +331,13 @@
             trio.run(_run_with_signals, daemon)
         except BaseException as error:
             failures.tell('instance failed', error)
-            raise
+            # An exit on purpose has a code of its own.
+            if not isinstance(error, Exception):
+                raise
+            return failures.get_exit_code(error)
         finally:
-            # What is still in the buffer is of the moments before the end.
-            lines.flush()
+            lines.drain(_DRAIN_S)
+    return 0
 
 
 def main(arguments: t.Sequence[str] | None = None) -> int:
@@ -333,11 +346,10 @@
     try:
         if len(given) != 1 or given[0].startswith('-'):
             raise InputError(_USAGE, code='usage')
-        run_settings(given[0])
+        return run_settings(given[0])
     except TulippinError as error:
         error.show()
         return error.exit_code
-    return 0
 
 
 if __name__ == '__main__':
