Tell each start how the last life ended

Operators saw `started` after `started` with nothing between: neither whether the process was killed or had failed, nor that it was the tenth start in a row.

One row per instance id in the table `lives`, each in a part of its own: read and written once at the start, written once at a planned stop, or within 0.3 s after a failure, by a connection of its own as the others are gone with the loop that failed. The line `last life` tells the end (planned, failed with cause and place, unknown after a kill), how long it lasted and how many lives in a row ended within 15 s without a planned stop (`failed_starts`). From the third on the instance begins with `SchedulerConfig.is_without_advice`, and says so. The same is at `/v1/lives`, in the dump and `tulippin scheduler show lives`; metrics `tulippin_failed_starts` and `tulippin_failures_total{what}` count it and what was contained.

The row only advises: a store that refuses, is silent or answers too late, a foreign row, or a fault of the keeping itself is told and ends nothing. The listeners serve before it is read; the first look at the units waits for it 0.4 s at most. A write never replaces the row of a newer life. A signal during the last write ends the process at once, after its line is written.

Measured: 97 starts at once with writes of 0.3 s: two calls each, done within 0.5 s (virtual time).

--- a/src/tulippin/cli_scheduler.py
+++ b/src/tulippin/cli_scheduler.py
@@ -12,6 +12,7 @@
 # The views of the internal listener, with the key of their rows.
 _VIEWS: t.Final = {
     'units': 'units',
+    'lives': 'lives',
     'jobs': 'jobs',
     'queues': 'queues',
     'workers': 'workers',
@@ -23,7 +24,7 @@
     """Show one view of a scheduler."""
 
     name = 'scheduler show'
-    description = 'Show units, jobs, queues, workers or model of a scheduler.'
+    description = 'Show one view of a scheduler, such as units, lives or jobs.'
     arguments = [argument('view', f'One of: {", ".join(_VIEWS)}.')]
 
     def run_checked(self) -> None:
--- a/src/tulippin/failures.py
+++ b/src/tulippin/failures.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import collections
 import traceback
 import typing as t
 
@@ -20,6 +21,8 @@
 _OTHER_CAUSES: t.Final = 3
 # Of a process that ends by an error of no code.
 _EXIT_CODE: t.Final = 1
+# How often each has been told in this process, by what failed.
+counts: t.Final[collections.Counter[str]] = collections.Counter()
 
 
 def find_causes(error: BaseException) -> list[BaseException]:
@@ -82,7 +85,7 @@
 
 
 def tell(what: str, error: BaseException, **fields: t.Any) -> None:
-    """Log an unexpected error with all that is known of it.
+    """Log and count an unexpected error with all that is known of it.
 
     Parameters
     ----------
@@ -93,4 +96,5 @@
     **fields
         What it was about: unit, event, rows.
     """
+    counts[what] += 1
     logger.error(what, **fields, **describe(error))
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -63,6 +63,9 @@
         How long a finished job's state is kept.
     processor_share : float
         The instance's processor, in cores of usual speed.
+    is_without_advice : bool
+        Whether to begin without what only advises: models, rooms, swings
+        and run times that others have told.
     """
 
     instance_id: str
@@ -76,6 +79,7 @@
     clock_drift_ratio: float = 1.02
     finished_kept_ms: int = 180_000
     processor_share: float = 1.0
+    is_without_advice: bool = False
 
 
 class Phase(enum.Enum):
--- a/src/tulippin/scheduler_daemon.py
+++ b/src/tulippin/scheduler_daemon.py
@@ -16,10 +16,9 @@
 
 from tulippin import failures
 from tulippin._http_client import HttpClient
-from tulippin._http_guard import INTERNAL_MESSAGE
 from tulippin._http_server import HttpServer
+from tulippin._lazy_app import LazyApp
 from tulippin.clocks import read_clock_ms, read_wall_ms
-from tulippin.codec_json import encode
 from tulippin.exceptions import InputError, TulippinError
 from tulippin.jobs import (
     JobIntake,
@@ -31,11 +30,12 @@
 from tulippin.logs import logger
 from tulippin.platform.advisor import PlatformAdvisor
 from tulippin.platform.callers import CallersApp
+from tulippin.platform.failure_body import FAILURE_BODY
 from tulippin.platform.feeds import PlatformFeeds
 from tulippin.platform.store import PlatformStore
-from tulippin.platform.wire import ErrorBody
 from tulippin.platform.workers import PlatformWorkers
 from tulippin.scheduler_bundles import follow_bundles
+from tulippin.scheduler_lives import LifeKeeper
 from tulippin.scheduler_settings import (
     SchedulerSettings,
     load_scheduler_settings,
@@ -50,6 +50,11 @@
 # The store answers in 4 to 9 ms, and in 300 ms when it is slow.
 _STORE_TIMEOUT_S: t.Final = 0.9
 _STORE_CONNECTIONS: t.Final = 24
+# How long the first look at the units waits for what the last life tells: a
+# store that takes longer would not tell of the units either.
+_LOOK_BACK_S: t.Final = 0.4
+# What a process that ends by an error takes to keep why.
+_LAST_WRITE_S: t.Final = 0.3
 # A worker answers in a few ms; a silent one is asked again.
 _WORKER_TIMEOUT_S: t.Final = 0.7
 _WORKER_CONNECTIONS: t.Final = 10
@@ -69,7 +74,6 @@
 # owner of 37 workers spent 529 us on a start in place of 484 (means of two
 # runs each of `bench/unit_load.py --workers 37`).
 _GARBAGE_THRESHOLDS: t.Final = (20_000, 20, 20)
-_FAILURE_BODY: t.Final = encode(ErrorBody(f'internal: {INTERNAL_MESSAGE}'))
 _USAGE: t.Final = 'usage: tulippin-instance SETTINGS.ini'
 
 
@@ -81,26 +85,6 @@
         return 0
 
 
-class LazyApp:
-    """An ASGI application that is made at its first call.
-
-    What operators and scrapes need takes 15 MB, which an instance that
-    nobody looks at does not spend.
-    """
-
-    def __init__(self, make: t.Callable[[], t.Any]) -> None:
-        self._make = make
-        self._app: t.Any = None
-
-    async def __call__(self, scope: t.Any, receive: t.Any, send: t.Any) -> None:
-        """Answer one call."""
-        if scope['type'] != 'http':
-            raise NotImplementedError(scope['type'])
-        if self._app is None:
-            self._app = self._make()
-        await self._app(scope, receive, send)
-
-
 class SchedulerDaemon:
     """One instance with its listeners.
 
@@ -124,6 +108,7 @@
         self._store: PlatformStore | None = None
         self.ports: dict[str, int] = {}
         self._shell: SchedulerShell | None = None
+        self._lives: LifeKeeper | None = None
         self._stopping = trio.Event()
 
     def stop(self) -> None:
@@ -191,21 +176,23 @@
     async def run(self, task_status: t.Any = trio.TASK_STATUS_IGNORED) -> None:
         """Run until a planned stop is complete."""
         async with contextlib.AsyncExitStack() as stack:
-            shell = await self._open(stack)
+            shell, lives = await self._open(stack)
             nursery = await stack.enter_async_context(trio.open_nursery())
-            for task in (self._flush, self._watch_settings):
-                nursery.start_soon(task)
+            self._start_tasks(nursery, lives)
             app = CallersApp(JobIntake(shell), self.get_unready)
             servers = self._make_servers(stack, app)
-            for server in servers:
-                await nursery.start(server.serve)
+            await _serve_all(nursery, servers)
+            await _start(shell, lives, stack)
             nursery.start_soon(follow_bundles, shell, self.settings.operators)
             task_status.started()
             logger.info('started', session=shell.config.session_id)
             await self._stopping.wait()
             await self._leave(app, servers)
             nursery.cancel_scope.cancel()
-        self._lines.flush()
+
+    def _start_tasks(self, nursery: trio.Nursery, lives: LifeKeeper) -> None:
+        for task in (self._flush, self._watch_settings, lives.begin):
+            nursery.start_soon(task)
 
     def _make_servers(
         self, stack: contextlib.AsyncExitStack, app: CallersApp
@@ -215,7 +202,7 @@
         operators = LazyApp(self._make_operators)
         servers = {
             'callers': HttpServer(
-                app, settings.callers, failure_body=_FAILURE_BODY
+                app, settings.callers, failure_body=FAILURE_BODY
             ),
             'readiness': HttpServer(app, settings.readiness),
             'internal': HttpServer(operators, settings.operators_address),
@@ -228,11 +215,16 @@
     def _make_operators(self) -> t.Any:
         module = importlib.import_module('tulippin.scheduler_operators')
         api = module.SchedulerOperatorsApi(
-            self._shell, self.settings.operators, self.get_unready
+            self._shell,
+            self._lives,
+            self.settings.operators,
+            self.get_unready,
         )
         return api.make_app()
 
-    async def _open(self, stack: contextlib.AsyncExitStack) -> SchedulerShell:
+    async def _open(
+        self, stack: contextlib.AsyncExitStack
+    ) -> tuple[SchedulerShell, LifeKeeper]:
         settings = self.settings
         client = await stack.enter_async_context(
             HttpClient(_STORE_TIMEOUT_S, _STORE_CONNECTIONS)
@@ -252,7 +244,7 @@
                 limit_ms,
             ),
         )
-        shell = SchedulerShell(
+        self._shell = SchedulerShell(
             config,
             SchedulerPorts(
                 store,
@@ -264,8 +256,10 @@
             clock=read_clock_ms,
             wall=read_wall_ms,
         )
-        self._shell = await stack.enter_async_context(shell)
-        return shell
+        self._lives = LifeKeeper(
+            store, config.instance_id, config.session_id, read_wall_ms
+        )
+        return self._shell, self._lives
 
     async def _leave(self, app: CallersApp, servers: list[HttpServer]) -> None:
         """Release the unit, answer what comes, then close."""
@@ -276,12 +270,28 @@
             async with trio.open_nursery() as nursery:
                 if self._shell is not None:
                     nursery.start_soon(self._shell.leave)
+                if self._lives is not None:
+                    nursery.start_soon(self._lives.end_planned)
                 nursery.start_soon(trio.sleep, min(_BALANCER_S, grace_s / 2))
             for server in servers:
                 server.shut_down()
             for server in servers:
                 await server.stopped.wait()
         logger.info('stopped')
+        self._lines.flush()
+
+    async def keep_failure(self, error: BaseException) -> None:
+        """Keep for the next life what ended this one, if there is time.
+
+        To be run once ``run`` has ended, with its connections.
+        """
+        if self._lives is None:
+            return
+        with trio.move_on_after(_LAST_WRITE_S):
+            async with HttpClient(_LAST_WRITE_S, 1) as client:
+                address = self.settings.store_address
+                self._lives.store = PlatformStore(address, client)
+                await self._lives.end_failed(error)
 
     async def _flush(self) -> None:
         while True:
@@ -289,6 +299,27 @@
             await trio.sleep(_FLUSH_EVERY_S)
 
 
+async def _serve_all(
+    nursery: trio.Nursery, servers: t.Iterable[HttpServer]
+) -> None:
+    for server in servers:
+        await nursery.start(server.serve)
+
+
+async def _start(
+    shell: SchedulerShell, lives: LifeKeeper, stack: contextlib.AsyncExitStack
+) -> None:
+    """Start a shell, without advice if the last lives ended within seconds.
+
+    What only advises may be what ended them; without it a start costs some
+    placement, and with it perhaps one more life.
+    """
+    with trio.move_on_after(_LOOK_BACK_S):
+        await lives.looked.wait()
+    shell.config = attrs.evolve(shell.config, is_without_advice=lives.settle())
+    await stack.enter_async_context(shell)
+
+
 async def _run_with_signals(daemon: SchedulerDaemon) -> None:
     async with trio.open_nursery() as nursery:
         with trio.open_signal_receiver(
@@ -334,6 +365,9 @@
             # An exit on purpose has a code of its own.
             if not isinstance(error, Exception):
                 raise
+            # A signal may end the process before the row is kept.
+            lines.flush()
+            trio.run(daemon.keep_failure, error)
             return failures.get_exit_code(error)
         finally:
             lines.drain(_DRAIN_S)
--- a/src/tulippin/scheduler_operators.py
+++ b/src/tulippin/scheduler_operators.py
@@ -17,6 +17,7 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
+from tulippin import failures
 from tulippin._bundle_routes import BundleRoutes
 from tulippin._http_app import make_app, make_health_routes, make_json
 from tulippin.bundle_store import BundleStore
@@ -26,13 +27,15 @@
 from tulippin.jobs.state import Phase, SchedulerState
 from tulippin.latency_metrics import iter_latency_metrics
 from tulippin.row_table import RowTable
+from tulippin.scheduler_lives import LifeKeeper
 
 
 class SchedulerMetrics(Collector):
     """Collects an instance's figures at each scrape."""
 
-    def __init__(self, shell: SchedulerShell) -> None:
+    def __init__(self, shell: SchedulerShell, lives: LifeKeeper) -> None:
         self._shell = shell
+        self._lives = lives
         self.registry = CollectorRegistry()
         self.registry.register(self)
 
@@ -52,15 +55,29 @@
         for name, count in sorted(counts.items()):
             counters.add_metric([name], count)
         yield counters
+        yield _make_failures()
         yield from _iter_gauges(
             {
                 'tulippin_event_age_ms': self._shell.event_age_ms,
+                'tulippin_failed_starts': self._lives.failed_starts,
                 **_sum_figures(states),
             }
         )
         yield from iter_latency_metrics(self._shell.latencies)
 
 
+def _make_failures() -> Metric:
+    """Return the errors that were contained, by what failed."""
+    metric = CounterMetricFamily(
+        'tulippin_failures',
+        'Unexpected errors, by what failed',
+        labels=['what'],
+    )
+    for what, count in sorted(failures.counts.items()):
+        metric.add_metric([what], count)
+    return metric
+
+
 def _sum_figures(states: t.Sequence[SchedulerState]) -> dict[str, int]:
     """Return the figures of all units that the instance knows."""
     return {
@@ -93,6 +110,8 @@
     ----------
     shell : SchedulerShell
         The instance.
+    lives : LifeKeeper
+        Its lives, as far as they are known.
     keys : mapping of str to str
         Operators' public keys.
     get_unready : callable
@@ -102,12 +121,14 @@
     def __init__(
         self,
         shell: SchedulerShell,
+        lives: LifeKeeper,
         keys: t.Mapping[str, str],
         get_unready: t.Callable[[], str],
     ) -> None:
         self._shell = shell
         self._get_unready = get_unready
-        self._metrics = SchedulerMetrics(shell)
+        self._lives = lives
+        self._metrics = SchedulerMetrics(shell, lives)
         self._bundles = BundleStore(RowTable(shell.ports.store), keys)
 
     def _iter_states(self) -> t.Iterator[SchedulerState]:
@@ -121,6 +142,7 @@
             [
                 *BundleRoutes(self._bundles).make_routes(),
                 Route('/v1/units', self._list_units),
+                Route('/v1/lives', self._list_lives),
                 Route('/v1/jobs', self._list_jobs),
                 Route('/v1/jobs/{job_id}', self._show_job),
                 Route('/v1/queues', self._show_queues),
@@ -136,6 +158,14 @@
         rows = [views.show_unit(state) for state in self._iter_states()]
         return make_json({'units': rows})
 
+    async def _list_lives(self, _: Request) -> Response:
+        return make_json({'lives': self._show_lives()})
+
+    def _show_lives(self) -> list[dict[str, t.Any]]:
+        """Return the last life, unless the store did not tell it."""
+        last = self._lives.last
+        return [] if last is None else [last.describe()]
+
     async def _list_jobs(self, request: Request) -> Response:
         wanted = request.query_params.get('state', '')
         jobs = [
@@ -179,7 +209,11 @@
 
     async def _dump(self, _: Request) -> Response:
         return make_json(
-            {'units': [views.dump(state) for state in self._iter_states()]}
+            {
+                'units': [views.dump(state) for state in self._iter_states()],
+                'lives': self._show_lives(),
+                'failures': failures.counts,
+            }
         )
 
     async def _get_metrics(self, _: Request) -> Response:
--- /dev/null
+++ b/tests/tulippin/platform/test_instance_lives.py
@@ -0,0 +1,174 @@
+"""How an instance's last life ended is told at its next start.
+
+The story: `started` after `started`, with nothing between; nobody could tell
+a kill from an error, and a start at the same input ended as the one before.
+"""
+
+import contextlib
+import json
+import signal
+import socket
+import time
+
+import pytest
+import trio
+from test_platform_daemon import SETTINGS, serve
+
+from instance_processes import open_instance, read_to_end, run_instance
+from tulippin import scheduler_daemon
+from tulippin._http_client import HttpClient
+from tulippin.line_buffer import LineBuffer
+from tulippin.platform.standin_http import StandinServers
+from tulippin.scheduler_daemon import SchedulerDaemon
+from tulippin.scheduler_settings import parse_scheduler_settings
+
+FAIL = """
+async def fail(self):
+    await trio.sleep(0.5)
+    config = self._shell.config
+    module.logger.info('planted', is_without=config.is_without_advice)
+    1 / 0
+module.SchedulerDaemon._watch_settings = fail
+"""
+FAIL_BESIDE_SILENCE = """
+async def fail(self):
+    await trio.sleep(0.5)
+    self.settings = module.attrs.evolve(self.settings, store_address='{0}')
+    1 / 0
+module._LAST_WRITE_S = {1}
+module.SchedulerDaemon._watch_settings = fail
+"""
+
+
+@contextlib.contextmanager
+def listen_silently():
+    """Yield the address of a listener that takes calls and never answers."""
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        host, port = listener.getsockname()
+        yield f'{host}:{port}'
+
+
+def write_settings(folder, store_address):
+    path = folder / 'instance.ini'
+    path.write_text(SETTINGS.format(store=store_address))
+    return path
+
+
+async def run_planted(path, planted):
+    return await run_instance('scheduler_daemon', planted, path)
+
+
+async def run_until(path, number, after_s=1.5):
+    """Run an instance and send it a signal once it serves."""
+    process = await open_instance('scheduler_daemon', '', path)
+    await trio.sleep(after_s)
+    process.send_signal(number)
+    return await read_to_end(process)
+
+
+async def test_third_failed_start_in_a_row_begins_without_advice(tmp_path):
+    async with StandinServers() as servers:
+        path = write_settings(tmp_path, servers.store_address)
+        lives = [await run_planted(path, FAIL) for _ in range(4)]
+    told = [life.find('last life') for life in lives]
+    assert [one['end'] for one in told] == ['none'] + ['failed'] * 3
+    assert [one['failed_starts'] for one in told] == [0, 1, 2, 3]
+    assert told[1]['cause'] == "ZeroDivisionError('division by zero')"
+    assert told[1]['place'].endswith(' fail')
+    assert 400 <= told[1]['lasted_ms'] < 10_000
+    is_without = [life.find('planted')['is_without'] for life in lives]
+    assert is_without == [False, False, False, True]
+    assert told[3]['is_without_advice'] is True
+
+
+@pytest.mark.parametrize(
+    ('number', 'end', 'code'),
+    [(signal.SIGTERM, 'planned', 0), (signal.SIGKILL, 'unknown', -9)],
+)
+async def test_stop_and_kill_are_told_apart(tmp_path, number, end, code):
+    async with StandinServers() as servers:
+        path = write_settings(tmp_path, servers.store_address)
+        first = await run_until(path, number)
+        second = await run_planted(path, FAIL)
+    assert first.code == code
+    told = second.find('last life')
+    assert told['end'] == end
+    assert told['lasted_ms'] > 0
+
+
+async def test_second_stop_signal_during_the_stop_changes_nothing(tmp_path):
+    async with StandinServers() as servers:
+        path = write_settings(tmp_path, servers.store_address)
+        process = await open_instance('scheduler_daemon', '', path)
+        await trio.sleep(1.5)
+        for _ in range(20):
+            process.send_signal(signal.SIGTERM)
+            await trio.sleep(0.01)
+        first = await read_to_end(process)
+        second = await run_planted(path, FAIL)
+    assert first.code == 0
+    assert second.find('last life')['end'] == 'planned'
+
+
+async def test_silent_store_delays_the_end_by_little(tmp_path):
+    with listen_silently() as silent:
+        async with StandinServers() as servers:
+            path = write_settings(tmp_path, servers.store_address)
+            planted = FAIL_BESIDE_SILENCE.format(silent, 0.3)
+            ended = await run_planted(path, planted)
+            again = await run_planted(path, FAIL)
+    assert ended.code == 1
+    assert ended.find('instance failed')
+    # The row still says that the life had begun.
+    assert again.find('last life')['end'] == 'unknown'
+    assert again.find('last life')['failed_starts'] == 1
+
+
+async def test_signal_during_the_last_write_ends_at_once(tmp_path):
+    with listen_silently() as silent:
+        async with StandinServers() as servers:
+            path = write_settings(tmp_path, servers.store_address)
+            planted = FAIL_BESIDE_SILENCE.format(silent, 60)
+            process = await open_instance('scheduler_daemon', planted, path)
+            await trio.sleep(3)
+            began_s = time.monotonic()
+            process.send_signal(signal.SIGTERM)
+            ended = await read_to_end(process)
+    assert time.monotonic() - began_s < 5
+    assert ended.code == -signal.SIGTERM
+    assert ended.find('instance failed')
+
+
+async def test_silent_store_does_not_delay_serving(tmp_path, monkeypatch):
+    monkeypatch.setattr(scheduler_daemon, '_LOOK_BACK_S', 60)
+    monkeypatch.setattr(scheduler_daemon, '_STORE_TIMEOUT_S', 60)
+    with listen_silently() as silent:
+        path = write_settings(tmp_path, silent)
+        settings = parse_scheduler_settings(path.read_text())
+        with open(tmp_path / 'log', 'wb') as log:
+            lines = LineBuffer(log.fileno(), {})
+            daemon = SchedulerDaemon(settings, lines, str(path))
+            async with trio.open_nursery() as nursery, HttpClient(2) as client:
+                nursery.start_soon(daemon.run)
+                with trio.fail_after(5):
+                    while len(daemon.ports) < 3:
+                        await trio.sleep(0.01)
+                    port = daemon.ports['callers']
+                    url = f'http://127.0.0.1:{port}/q/00112233445566aa'
+                    answer = await client.send('GET', url)
+                nursery.cancel_scope.cancel()
+    assert answer.status == 503
+    assert answer.headers['retry-after'] == '1'
+
+
+async def test_operators_see_the_last_life(tmp_path):
+    async with serve(tmp_path) as site:
+        port = site.daemon.ports['internal']
+        lives = await site.call('GET', '/v1/lives', port=port)
+        (shown,) = json.loads(lives.body)['lives']
+        assert shown['end'] == 'none'
+        dump = await site.call('GET', '/v1/dump', port=port)
+        assert json.loads(dump.body)['lives'] == [shown]
+        metrics = await site.call('GET', '/metrics', port=port)
+        assert b'tulippin_failed_starts 0.0' in metrics.body
+        assert b'# TYPE tulippin_failures_total counter' in metrics.body
--- /dev/null
+++ b/tests/tulippin/test_scheduler_lives.py
@@ -0,0 +1,373 @@
+"""What an instance keeps of its lives, over the stand-in of the store.
+
+The story: `started` came after `started` with nothing between, on every
+instance. Nobody could tell a kill from an error of ours, nor that the same
+instance had begun again and again within seconds.
+"""
+
+import attrs
+import logbook
+import pytest
+import trio
+import trio.testing
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tulippin.codec_json import encode
+from tulippin.jobs._rows import read_record
+from tulippin.jobs.ports import StoredRow
+from tulippin.platform.standin_store import SILENCE_S, StandinStore
+from tulippin.scheduler_lives import (
+    LIVES_TABLE,
+    LifeEnd,
+    LifeKeeper,
+    LifeRecord,
+    get_life_key,
+    get_life_part,
+)
+
+INSTANCE = 'edge-1'
+BEGAN_MS = 1_700_000_000_000
+
+
+@attrs.define
+class Site:
+    """A store, a time of day, and an instance's lives on them."""
+
+    store: StandinStore = attrs.field(factory=StandinStore)
+    wall_ms: int = BEGAN_MS
+    life_count: int = 0
+
+    def read_wall_ms(self):
+        return self.wall_ms
+
+    def make_keeper(self, instance_id=INSTANCE):
+        self.life_count += 1
+        return LifeKeeper(
+            self.store.get_view(instance_id),
+            instance_id,
+            f'{instance_id}:{self.life_count}',
+            self.read_wall_ms,
+        )
+
+    async def begin(self, instance_id=INSTANCE):
+        keeper = self.make_keeper(instance_id)
+        await keeper.begin()
+        return keeper
+
+    async def live(self, for_ms, error=None):
+        """Live for a while and end; without an error by a planned stop."""
+        keeper = await self.begin()
+        self.wall_ms += for_ms
+        if error is None:
+            await keeper.end_planned()
+        else:
+            await keeper.end_failed(error)
+
+    async def be_killed(self, for_ms):
+        await self.begin()
+        self.wall_ms += for_ms
+
+    def get_row(self, instance_id=INSTANCE):
+        key = get_life_key(instance_id)
+        place = (LIVES_TABLE, get_life_part(instance_id), key)
+        return self.store.rows.get(place)
+
+    def read(self):
+        return read_record(self.get_row(), LifeRecord)
+
+
+def divide(by):
+    return 1 / by
+
+
+def make_error():
+    with pytest.raises(ZeroDivisionError) as caught:
+        divide(0)
+    return caught.value
+
+
+@pytest.fixture
+def run(run_virtual):
+    """Return a runner of a function with a site; it returns log records."""
+
+    def run_with_site(function):
+        with logbook.TestHandler() as handler:
+            run_virtual(function, Site())
+        return handler.records
+
+    return run_with_site
+
+
+def list_told(records):
+    return [one.kwargs for one in records if one.message == 'last life']
+
+
+def test_first_life_has_none_before_it(run):
+    async def play(site):
+        keeper = await site.begin()
+        assert keeper.last.end is LifeEnd.NONE
+        assert keeper.failed_starts == 0
+
+    (told,) = list_told(run(play))
+    assert told['end'] == 'none'
+
+
+def test_planned_stop_is_told_with_its_length(run):
+    async def play(site):
+        await site.live(60_000)
+        await site.begin()
+
+    told = list_told(run(play))[-1]
+    assert told['end'] == 'planned'
+    assert told['lasted_ms'] == 60_000
+    assert told['failed_starts'] == 0
+
+
+def test_failure_is_told_with_cause_and_place(run):
+    async def play(site):
+        await site.live(60_000, make_error())
+        await site.begin()
+
+    told = list_told(run(play))[-1]
+    assert told['end'] == 'failed'
+    assert told['cause'] == "ZeroDivisionError('division by zero')"
+    assert told['place'].endswith('divide')
+    assert told['last_session'] == 'edge-1:1'
+    # It lasted: the next start is none of a row of failed ones.
+    assert told['failed_starts'] == 0
+
+
+def test_kill_is_unknown_and_lasted_at_most_until_now(run):
+    async def play(site):
+        await site.be_killed(3000)
+        await site.begin()
+
+    told = list_told(run(play))[-1]
+    assert told['end'] == 'unknown'
+    assert told['lasted_ms'] == 3000
+    assert told['failed_starts'] == 1
+
+
+def test_third_failed_start_in_a_row_begins_without_advice(run):
+    async def play(site):
+        for is_without in (False, False, False, True):
+            keeper = site.make_keeper()
+            await keeper.begin()
+            assert keeper.settle() is is_without
+            site.wall_ms += 5000
+            await keeper.end_failed(make_error())
+
+    told = list_told(run(play))
+    assert [one['failed_starts'] for one in told] == [0, 1, 2, 3]
+    assert [one['is_without_advice'] for one in told] == [False] * 3 + [True]
+
+
+@pytest.mark.parametrize('kind', ['planned', 'lasting', 'clock_set_back'])
+def test_row_of_failed_starts_ends(run, kind):
+    async def play(site):
+        for _ in range(3):
+            await site.live(5000, make_error())
+        if kind == 'planned':
+            await site.live(100)
+        elif kind == 'lasting':
+            await site.live(600_000, make_error())
+        else:
+            await site.live(-600_000, make_error())
+        keeper = await site.begin()
+        assert keeper.failed_starts == 0
+        assert not keeper.settle()
+
+    run(play)
+
+
+@pytest.mark.parametrize('trouble', ['refused', 'silenced'])
+def test_store_that_is_away_ends_nothing(run, trouble):
+    async def play(site):
+        getattr(site.store.trouble, trouble).add('*')
+        keeper = site.make_keeper()
+        await keeper.begin()
+        assert keeper.looked.is_set()
+        assert not keeper.settle()
+        await keeper.end_planned()
+
+    records = run(play)
+    reasons = [one for one in records if one.message == 'life not kept']
+    assert len(reasons) == 2
+    assert not list_told(records)
+
+
+def test_life_begun_without_the_store_counts_once_it_is_back(run):
+    async def play(site):
+        await site.live(5000, make_error())
+        site.store.trouble.refused.add('*')
+        keeper = await site.begin()
+        site.store.trouble.refused.clear()
+        site.wall_ms += 5000
+        await keeper.end_failed(make_error())
+        assert (await site.begin()).failed_starts == 2
+
+    run(play)
+
+
+def test_fault_of_the_keeping_is_told_and_ends_nothing(run):
+    async def play(site):
+        keeper = site.make_keeper()
+        keeper.store = None
+        await keeper.begin()
+        await keeper.end_planned()
+
+    records = run(play)
+    assert [one.message for one in records] == ['life not kept'] * 2
+    assert all('AttributeError' in one.kwargs['cause'] for one in records)
+
+
+def test_lost_answer_of_the_first_write_does_not_lose_the_end(run):
+    async def play(site):
+        site.store.trouble.lost_answer_share = 1.0
+        keeper = await site.begin()
+        site.store.trouble.lost_answer_share = 0.0
+        await keeper.end_failed(make_error())
+        assert site.read().end is LifeEnd.FAILED
+
+    run(play)
+
+
+def test_end_of_an_older_life_does_not_touch_a_newer_one(run):
+    """A replacement begins while its forerunner is still leaving."""
+
+    async def play(site):
+        older = await site.begin()
+        newer = await site.begin()
+        await older.end_planned()
+        assert site.read().session_id == 'edge-1:2'
+        await newer.end_planned()
+        assert site.read().end is LifeEnd.PLANNED
+
+    run(play)
+
+
+def test_failure_during_a_planned_stop_is_a_failure(run):
+    async def play(site):
+        keeper = await site.begin()
+        await keeper.end_planned()
+        await keeper.end_failed(make_error())
+        assert site.read().end is LifeEnd.FAILED
+
+    run(play)
+
+
+def test_restart_storm_costs_one_reading_and_one_write_each(run):
+    async def play(site):
+        names = [f'edge-{number}' for number in range(97)]
+        site.store.trouble.write_s = 0.3
+        began_s = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            for name in names:
+                nursery.start_soon(site.begin, name)
+        assert site.store.call_count == 2 * len(names)
+        # No write waits for another instance's.
+        assert trio.current_time() - began_s < 0.5
+        assert all(site.get_row(name) for name in names)
+
+    run(play)
+
+
+def test_long_ids_have_rows_of_their_own(run):
+    async def play(site):
+        names = ['x' * 3000 + end for end in 'ab']
+        for name in names:
+            await site.begin(name)
+        rows = [site.get_row(name) for name in names]
+        assert rows[0].key != rows[1].key
+        assert max(len(row.key) for row in rows) <= 64
+        keeper = await site.begin(names[0])
+        assert keeper.last.end is LifeEnd.UNKNOWN
+
+    run(play)
+
+
+FOREIGN = (
+    b'',
+    b'[]',
+    b'{"instance_id": 5}',
+    encode(LifeRecord('other', 'other:1', BEGAN_MS)),
+    encode(LifeRecord(INSTANCE, 's', BEGAN_MS, failed_starts=-1)),
+    encode(LifeRecord(INSTANCE, 's', -(10**30))),
+    encode(LifeRecord(INSTANCE, 's', 10**30)),
+    encode(LifeRecord(INSTANCE, 's', BEGAN_MS, cause='x' * 100_000)),
+)
+
+
+@pytest.mark.parametrize('value', FOREIGN)
+def test_foreign_row_under_our_key_is_told_and_replaced(run, value):
+    async def play(site):
+        part = get_life_part(INSTANCE)
+        site.store.write(LIVES_TABLE, part, get_life_key(INSTANCE), value)
+        keeper = await site.begin()
+        assert keeper.last.end is LifeEnd.NONE
+        assert site.read().session_id == 'edge-1:1'
+
+    records = run(play)
+    assert [one.message for one in records].count('row unreadable') == 1
+
+
+def test_foreign_row_after_the_start_is_left_alone(run):
+    async def play(site):
+        keeper = await site.begin()
+        part = get_life_part(INSTANCE)
+        site.store.write(LIVES_TABLE, part, get_life_key(INSTANCE), b'[]')
+        await keeper.end_planned()
+        assert site.get_row().value == b'[]'
+
+    assert run(play)[-1].message == 'life not kept'
+
+
+def test_late_answer_changes_nothing_that_was_begun(run):
+    async def play(site):
+        for _ in range(3):
+            await site.live(5000, make_error())
+        site.store.trouble.silenced.add('*')
+        keeper = site.make_keeper()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(keeper.begin)
+            await trio.sleep(SILENCE_S / 3)
+            assert not keeper.settle()
+        site.store.trouble.silenced.clear()
+        later = site.make_keeper()
+        assert not later.settle()
+        await later.begin()
+
+    told = list_told(run(play))[-1]
+    assert told['failed_starts'] >= 3
+    assert told['is_without_advice'] is False
+
+
+TIMES = st.integers(-(10**13), 10**13)
+
+
+@given(
+    st.text(max_size=2000),
+    TIMES,
+    TIMES,
+    st.text(max_size=3000),
+    st.integers(0, 5),
+)
+def test_what_is_written_reads_back(name, began_ms, lasted_ms, text, count):
+    site = Site(wall_ms=began_ms)
+
+    async def play():
+        for _ in range(count):
+            await site.begin(name)
+        keeper = await site.begin(name)
+        site.wall_ms += lasted_ms
+        await keeper.end_failed(ValueError(text))
+
+    with logbook.TestHandler() as handler:
+        trio.run(play, clock=trio.testing.MockClock(autojump_threshold=0))
+    messages = [one.message for one in handler.records]
+    assert 'row unreadable' not in messages
+    assert 'life not kept' not in messages
+    row = site.get_row(name)
+    assert isinstance(row, StoredRow)
+    assert read_record(row, LifeRecord).end is LifeEnd.FAILED
