Answer whole where the server refuses an application's answer

A caller saw 500 with an empty body where an application's headers were no headers: the answer counted as begun though nothing had been sent. It counts once a part has been sent.

Before: the new test fails (empty body).

--- a/src/tulippin/_http_guard.py
+++ b/src/tulippin/_http_guard.py
@@ -80,8 +80,9 @@
 
     async def send(self, message: Message) -> None:
         """Pass a part of the answer on."""
-        self.has_begun = True
         await self._send(message)
+        # A start that the server refuses, for its headers, sends nothing.
+        self.has_begun = True
 
 
 def _tell(error: BaseException, scope: Scope) -> None:
--- a/tests/tulippin/test_http_server.py
+++ b/tests/tulippin/test_http_server.py
@@ -49,6 +49,12 @@
         raise ZeroDivisionError('planted')
 
 
+async def answer_with_a_faulty_header(scope, receive, send):
+    if scope['type'] != 'http':
+        raise NotImplementedError(scope['type'])
+    await send({**START, 'headers': [(b'x', b'a\r\nb')]})
+
+
 @contextlib.asynccontextmanager
 async def serve(app):
     handler = logbook.TestHandler()
@@ -87,6 +93,14 @@
     assert len(list_failures(handler)) == 1
 
 
+async def test_answer_that_the_server_refuses_is_a_complete_error():
+    async with serve(answer_with_a_faulty_header) as (client, url, handler):
+        answer = await client.send('GET', f'{url}/x')
+    assert answer.status == 500
+    assert json.loads(answer.body)['code'] == 'internal'
+    assert len(list_failures(handler)) == 1
+
+
 async def test_error_behind_routes_is_told_once():
     async def fail(request):
         raise ZeroDivisionError('planted')
