Don't take a life's own end for the last life's

A stop while the first reading was on its way kept the end over the row of the last life; the reading then brought our own row, and `last life` told of this life. A reading that comes after that is not heeded.

Before: the new test of a late reading fails (it names the life itself), the one of a lost reading passes.

--- a/src/tulippin/scheduler_lives.py
+++ b/src/tulippin/scheduler_lives.py
@@ -237,6 +237,9 @@
     async def _begin(self) -> None:
         key = get_life_key(self._record.instance_id)
         row = await read_row(self.store, LIVES_TABLE, self._part, key)
+        if self.last is not None:
+            # The end of this life was kept meanwhile, over the last life's.
+            return
         self._look_back(row)
         self.looked.set()
         await self._put()
--- a/tests/tulippin/test_scheduler_lives.py
+++ b/tests/tulippin/test_scheduler_lives.py
@@ -77,6 +77,21 @@
         return read_record(self.get_row(), LifeRecord)
 
 
+@attrs.define
+class SlowReading:
+    """A store whose readings are made late."""
+
+    store: object
+    may_answer: trio.Event = attrs.field(factory=trio.Event)
+
+    async def read_rows(self, *arguments):
+        await self.may_answer.wait()
+        return await self.store.read_rows(*arguments)
+
+    async def transact(self, transaction):
+        return await self.store.transact(transaction)
+
+
 def divide(by):
     return 1 / by
 
@@ -233,6 +248,42 @@
     run(play)
 
 
+def test_life_that_ends_before_it_was_kept_is_not_its_own_last(run):
+    """A stop came while the first reading was still on its way."""
+
+    async def play(site):
+        await site.live(60_000)
+        site.store.trouble.silenced.add('*')
+        keeper = site.make_keeper()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(keeper.begin)
+            await trio.sleep(SILENCE_S / 2)
+            site.store.trouble.silenced.clear()
+            await keeper.end_planned()
+        assert keeper.last.last_session == 'edge-1:1'
+        assert site.read().session_id == 'edge-1:2'
+        assert site.read().end is LifeEnd.PLANNED
+
+    assert len(list_told(run(play))) == 2
+
+
+def test_reading_that_comes_after_the_end_is_not_heeded(run):
+    async def play(site):
+        await site.live(60_000)
+        keeper = site.make_keeper()
+        reading = SlowReading(keeper.store)
+        keeper.store = reading
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(keeper.begin)
+            await trio.sleep(0.1)
+            await keeper.end_planned()
+            reading.may_answer.set()
+        assert keeper.last.last_session == 'edge-1:1'
+        assert site.read().end is LifeEnd.PLANNED
+
+    assert len(list_told(run(play))) == 2
+
+
 def test_end_of_an_older_life_does_not_touch_a_newer_one(run):
     """A replacement begins while its forerunner is still leaving."""
 
