Answer an error of ours that refuses no call as unknown

An error of the product's family with no status of its own (a revoked session, an internal one) was answered behind the routes with 500, outcome `not_run`, and without a line: nothing says that it was raised before any work was done. It is a fault like any other now: told once, outcome `unknown`. Refusals (400 to 503) are as before.

Before: the new test fails (no line, `not_run`).

--- a/src/tulippin/_http_app.py
+++ b/src/tulippin/_http_app.py
@@ -48,13 +48,16 @@
     )
 
 
-def make_error(error: TulippinError) -> Response:
-    """Return an error of the family as a response."""
-    status = _INTERNAL
+def _get_status(error: TulippinError) -> int:
     for kind, number in _STATUSES:
         if isinstance(error, kind):
-            status = number
-            break
+            return number
+    return _INTERNAL
+
+
+def make_error(error: TulippinError) -> Response:
+    """Return an error of the family that has a status as a response."""
+    status = _get_status(error)
     if error.code == 'too_large':
         status = _TOO_LARGE
     findings = tuple(
@@ -105,6 +108,9 @@
 
 async def _handle_error(_: Request, error: Exception) -> Response:
     if isinstance(error, TulippinError):
+        if _get_status(error) == _INTERNAL:
+            # No call is refused by it: it is told and answered as a fault.
+            raise error
         return make_error(error)
     if isinstance(error, HTTPException):
         code = {404: 'no_such_path', 405: 'no_such_method'}.get(
--- a/tests/tulippin/test_http_server.py
+++ b/tests/tulippin/test_http_server.py
@@ -16,7 +16,7 @@
 from tulippin._http_app import make_app, make_json, read_json
 from tulippin._http_client import HttpClient
 from tulippin._http_server import HttpServer
-from tulippin.exceptions import AnswerLostError
+from tulippin.exceptions import AnswerLostError, FencedError
 
 START = {
     'type': 'http.response.start',
@@ -118,6 +118,23 @@
     assert told.kwargs['place'].endswith('fail')
 
 
+async def test_error_of_the_family_without_a_status_is_a_fault_of_ours():
+    async def fail(request):
+        raise FencedError('planted')
+
+    app = make_app([Route('/x', fail)])
+    async with serve(app) as (client, url, handler):
+        answer = await client.send('GET', f'{url}/x')
+        with trio.fail_after(2):
+            while not list_failures(handler):
+                await trio.sleep(0.01)
+    assert answer.status == 500
+    # Nothing says that it was raised before any work was done.
+    assert json.loads(answer.body)['outcome'] == 'unknown'
+    (told,) = list_failures(handler)
+    assert told.kwargs['cause'] == "FencedError('planted')"
+
+
 async def test_connection_is_served_on_after_an_error():
     async def fail_first(scope, receive, send):
         if scope['path'] == '/bad':
