Failing tests: a flood of one traceback, and settings that no check foresees

Two fail: an error at each event is told with 6 KB each time, and a digit that is no number, in a changed settings file, ends the instance.

--- a/tests/tulippin/platform/test_instance_lives.py
+++ b/tests/tulippin/platform/test_instance_lives.py
@@ -139,6 +139,16 @@
     assert ended.find('instance failed')
 
 
+async def test_stop_before_the_store_has_answered_is_complete(tmp_path):
+    with listen_silently() as silent:
+        path = write_settings(tmp_path, silent)
+        ended = await run_until(path, signal.SIGTERM)
+    assert ended.code == 0
+    assert ended.find('stopped')
+    reasons = [one for one in ended.lines if one['message'] == 'life not kept']
+    assert len(reasons) == 2
+
+
 async def test_silent_store_does_not_delay_serving(tmp_path, monkeypatch):
     monkeypatch.setattr(scheduler_daemon, '_LOOK_BACK_S', 60)
     monkeypatch.setattr(scheduler_daemon, '_STORE_TIMEOUT_S', 60)
--- a/tests/tulippin/platform/test_platform_daemon.py
+++ b/tests/tulippin/platform/test_platform_daemon.py
@@ -226,6 +226,22 @@
         assert site.daemon.settings is before
 
 
+async def test_settings_that_no_check_foresees_end_nothing(tmp_path):
+    """A digit that is no number, in a changed file, ended the instance."""
+    handler = logbook.TestHandler()
+    async with serve(tmp_path) as site:
+        before = site.daemon.settings
+        text = site.path.read_text().replace('ports = 0,0', 'ports = ²,³')
+        with handler.applicationbound():
+            site.path.write_text(text)
+            site.daemon.reload()
+        assert site.daemon.settings is before
+        assert (await site.call('GET', '/q/')).status == 200
+    # Whoever reads the file finds out why nothing has changed.
+    told = {one.message for one in handler.records}
+    assert told & {'settings refused', 'settings failed'}
+
+
 async def test_changed_settings_are_put_in_force(tmp_path):
     async with serve(tmp_path) as site:
         text = site.path.read_text().replace('grace_s = 3', 'grace_s = 2')
--- a/tests/tulippin/test_failures.py
+++ b/tests/tulippin/test_failures.py
@@ -42,3 +42,34 @@
     assert record.level == logbook.ERROR
     assert record.kwargs['unit'] == 3
     assert sum(len(str(one)) for one in record.kwargs.values()) < 20_000
+
+
+def test_error_that_comes_again_and_again_is_told_without_its_frames():
+    """A fault at each event or call would fill the log with one traceback."""
+    with logbook.TestHandler() as handler:
+        for number in range(250):
+            try:
+                divide(0)
+            except ZeroDivisionError as error:
+                failures.tell('again', error, number=number)
+    assert failures.counts['again'] == 250
+    told = [record.kwargs for record in handler.records]
+    assert [one['number'] for one in told] == list(range(250))
+    assert all(one['place'].endswith('divide') for one in told)
+    whole = [one['number'] for one in told if 'traceback' in one]
+    assert whole == [*range(20), 99, 199]
+    assert told[50]['time_told'] == 51
+
+
+def test_another_error_beside_one_that_comes_often_is_told_whole():
+    with logbook.TestHandler() as handler:
+        for text in ['often'] * 30 + ['rare']:
+            try:
+                raise_at_one_place(text)
+            except (KeyError, ValueError) as error:
+                failures.tell('beside', error)
+    assert 'traceback' in handler.records[-1].kwargs
+
+
+def raise_at_one_place(text):
+    raise {'often': KeyError, 'rare': ValueError}[text](text)
