Go on with the settings in force when a file's reading fails

A changed settings file whose reading raised what no check foresees (a digit that is no number in `internal_ports`: ValueError) ended a running instance, by the file's change alone. It is told as `settings failed` and changes nothing. The check itself still takes such a digit for one: at a start it ends the process, which is left to the settings' own reader.

Before: the new test fails (the instance ends). After: it passes.

--- a/src/tulippin/scheduler_daemon.py
+++ b/src/tulippin/scheduler_daemon.py
@@ -133,6 +133,10 @@
                 reason=error.message,
             )
             return
+        except Exception as error:
+            # What no check foresaw must not end an instance that works.
+            failures.tell('settings failed', error, path=self._path)
+            return
         changed = [
             field.name
             for field in attrs.fields(SchedulerSettings)
