Tell what comes again and again without its traceback

An error at each event or call was told with up to 6 KB each time: 600 lines filled the log's buffer of 4 MB, and lines of decisions were dropped. Each is still told and counted, with cause, place and its number; the traceback comes with the first 20 of a kind and place, then with each 100th.

--- a/src/tulippin/failures.py
+++ b/src/tulippin/failures.py
@@ -23,6 +23,14 @@
 _EXIT_CODE: t.Final = 1
 # How often each has been told in this process, by what failed.
 counts: t.Final[collections.Counter[str]] = collections.Counter()
+# A fault at each event or call would fill the log with one traceback: it is
+# told so often, then at each so many.
+_WHOLE_COUNT: t.Final = 20
+_WHOLE_EVERY: t.Final = 100
+
+_times_told: t.Final[collections.Counter[tuple[str, str, str]]] = (
+    collections.Counter()
+)
 
 
 def find_causes(error: BaseException) -> list[BaseException]:
@@ -87,6 +95,9 @@
 def tell(what: str, error: BaseException, **fields: t.Any) -> None:
     """Log and count an unexpected error with all that is known of it.
 
+    One that comes again and again is told each time with its cause and its
+    place, but seldom with its traceback.
+
     Parameters
     ----------
     what : str
@@ -97,4 +108,12 @@
         What it was about: unit, event, rows.
     """
     counts[what] += 1
-    logger.error(what, **fields, **describe(error))
+    told = describe(error)
+    kind = type(find_causes(error)[0]).__name__
+    key = (what, kind, told['place'])
+    _times_told[key] += 1
+    number = _times_told[key]
+    if number > _WHOLE_COUNT and number % _WHOLE_EVERY:
+        told.pop('traceback')
+        told['time_told'] = number
+    logger.error(what, **fields, **told)
