Tests of instances' lives wait for lines, not for times

On a busy machine a process may need longer to start than the test gave it before the signal. It now waits until the line is there. Three runs in a row beside other load (load average 7 to 9): 18 of 18 pass each time.

--- a/tests/instance_processes.py
+++ b/tests/instance_processes.py
@@ -45,9 +45,19 @@
     )
 
 
-async def read_to_end(process, pause_s=0):
-    """Return what a process wrote, once it has ended."""
+async def read_until(process, message):
+    """Return what a process wrote until it told a message."""
     output = b''
+    with trio.fail_after(LIMIT_S):
+        while f'"{message}"'.encode() not in output:
+            part = await process.stdout.receive_some()
+            assert part, output
+            output += part
+    return output
+
+
+async def read_to_end(process, pause_s=0, output=b''):
+    """Return what a process wrote, once it has ended."""
     with trio.fail_after(LIMIT_S):
         while part := await process.stdout.receive_some():
             output += part
--- a/tests/tulippin/platform/test_instance_lives.py
+++ b/tests/tulippin/platform/test_instance_lives.py
@@ -14,7 +14,12 @@
 import trio
 from test_platform_daemon import SETTINGS, serve
 
-from instance_processes import open_instance, read_to_end, run_instance
+from instance_processes import (
+    open_instance,
+    read_to_end,
+    read_until,
+    run_instance,
+)
 from tulippin import scheduler_daemon
 from tulippin._http_client import HttpClient
 from tulippin.line_buffer import LineBuffer
@@ -58,12 +63,23 @@
     return await run_instance('scheduler_daemon', planted, path)
 
 
-async def run_until(path, number, after_s=1.5):
+@contextlib.asynccontextmanager
+async def open_until(path, message, planted=''):
+    """Open an instance; yield it and its output once it tells a message."""
+    process = await open_instance('scheduler_daemon', planted, path)
+    try:
+        yield process, await read_until(process, message)
+    finally:
+        process.kill()
+
+
+async def run_until(path, number):
     """Run an instance and send it a signal once it serves."""
-    process = await open_instance('scheduler_daemon', '', path)
-    await trio.sleep(after_s)
-    process.send_signal(number)
-    return await read_to_end(process)
+    async with open_until(path, 'started') as (process, output):
+        # The row of this life is written beside the start.
+        await trio.sleep(0.5)
+        process.send_signal(number)
+        return await read_to_end(process, output=output)
 
 
 async def test_third_failed_start_in_a_row_begins_without_advice(tmp_path):
@@ -99,12 +115,11 @@
 async def test_second_stop_signal_during_the_stop_changes_nothing(tmp_path):
     async with StandinServers() as servers:
         path = write_settings(tmp_path, servers.store_address)
-        process = await open_instance('scheduler_daemon', '', path)
-        await trio.sleep(1.5)
-        for _ in range(20):
-            process.send_signal(signal.SIGTERM)
-            await trio.sleep(0.01)
-        first = await read_to_end(process)
+        async with open_until(path, 'started') as (process, output):
+            for _ in range(20):
+                process.send_signal(signal.SIGTERM)
+                await trio.sleep(0.01)
+            first = await read_to_end(process, output=output)
         second = await run_planted(path, FAIL)
     assert first.code == 0
     assert second.find('last life')['end'] == 'planned'
@@ -129,11 +144,13 @@
         async with StandinServers() as servers:
             path = write_settings(tmp_path, servers.store_address)
             planted = FAIL_BESIDE_SILENCE.format(silent, 60)
-            process = await open_instance('scheduler_daemon', planted, path)
-            await trio.sleep(3)
-            began_s = time.monotonic()
-            process.send_signal(signal.SIGTERM)
-            ended = await read_to_end(process)
+            opened = open_until(path, 'instance failed', planted)
+            async with opened as (process, output):
+                # The write begins right after the line.
+                await trio.sleep(0.5)
+                began_s = time.monotonic()
+                process.send_signal(signal.SIGTERM)
+                ended = await read_to_end(process, output=output)
     assert time.monotonic() - began_s < 5
     assert ended.code == -signal.SIGTERM
     assert ended.find('instance failed')
