--- a/tests/tulippin/jobs/test_unit_failures.py
+++ b/tests/tulippin/jobs/test_unit_failures.py
@@ -190,9 +190,9 @@
         (cause,) = failures.find_causes(one.error)
         assert isinstance(cause, PlantedError)
         assert one.fields['unit'] in UNITS
-    told = [one for one in handler.records if 'traceback' in one.kwargs]
+    told = [one for one in handler.records if 'cause' in one.kwargs]
     assert len(told) == len(told_failures)
-    assert all('PlantedError' in one.kwargs['traceback'] for one in told)
+    assert all('PlantedError' in one.kwargs['cause'] for one in told)
     told_failures.clear()
 
 
