Mark the tests that plant errors, and fail every other one that meets some

The fixture that fails a test with a contained error met tests that are about such errors and were written beside it. They are marked; all others still fail at any error that is told.

--- a/tests/tulippin/platform/test_platform_daemon.py
+++ b/tests/tulippin/platform/test_platform_daemon.py
@@ -181,6 +181,7 @@
         assert ready.status == 503
 
 
+@pytest.mark.plants_errors
 async def test_refusing_store_means_not_taken(tmp_path):
     async with serve(tmp_path) as site:
         site.servers.platform.store.trouble.refused.add('http')
@@ -226,6 +227,7 @@
         assert site.daemon.settings is before
 
 
+@pytest.mark.plants_errors
 async def test_settings_that_no_check_foresees_end_nothing(tmp_path):
     """A digit that is no number, in a changed file, ended the instance."""
     handler = logbook.TestHandler()
@@ -262,6 +264,7 @@
         assert ready.status == 503
 
 
+@pytest.mark.plants_errors
 async def test_fault_after_a_job_was_kept_is_told_and_not_refused(
     tmp_path, monkeypatch
 ):
--- a/tests/tulippin/test_failures.py
+++ b/tests/tulippin/test_failures.py
@@ -26,6 +26,7 @@
     assert 'in fail' in told['traceback']
 
 
+@pytest.mark.plants_errors
 def test_line_is_an_error_with_fields_and_bounded():
     def recurse(depth):
         if depth:
@@ -44,6 +45,7 @@
     assert sum(len(str(one)) for one in record.kwargs.values()) < 20_000
 
 
+@pytest.mark.plants_errors
 def test_error_that_comes_again_and_again_is_told_without_its_frames():
     """A fault at each event or call would fill the log with one traceback."""
     with logbook.TestHandler() as handler:
@@ -61,6 +63,7 @@
     assert told[50]['time_told'] == 51
 
 
+@pytest.mark.plants_errors
 def test_another_error_beside_one_that_comes_often_is_told_whole():
     with logbook.TestHandler() as handler:
         for text in ['often'] * 30 + ['rare']:
--- a/tests/tulippin/test_http_server.py
+++ b/tests/tulippin/test_http_server.py
@@ -69,6 +69,7 @@
     return [one for one in handler.records if one.message == 'call failed']
 
 
+@pytest.mark.plants_errors
 @pytest.mark.parametrize('app', [fail_at_once, fail_beside_a_cancelled_task])
 async def test_error_is_told_once_and_answered_as_unknown(app):
     async with serve(app) as (client, url, handler):
@@ -86,6 +87,7 @@
     assert told.kwargs['place'].endswith(app.__name__)
 
 
+@pytest.mark.plants_errors
 async def test_answer_that_has_begun_is_not_completed():
     async with serve(fail_half_way) as (client, url, handler):
         with pytest.raises(AnswerLostError):
@@ -93,6 +95,7 @@
     assert len(list_failures(handler)) == 1
 
 
+@pytest.mark.plants_errors
 async def test_answer_that_the_server_refuses_is_a_complete_error():
     async with serve(answer_with_a_faulty_header) as (client, url, handler):
         answer = await client.send('GET', f'{url}/x')
@@ -101,6 +104,7 @@
     assert len(list_failures(handler)) == 1
 
 
+@pytest.mark.plants_errors
 async def test_error_behind_routes_is_told_once():
     async def fail(request):
         raise ZeroDivisionError('planted')
@@ -118,6 +122,7 @@
     assert told.kwargs['place'].endswith('fail')
 
 
+@pytest.mark.plants_errors
 async def test_error_of_the_family_without_a_status_is_a_fault_of_ours():
     async def fail(request):
         raise FencedError('planted')
@@ -135,6 +140,7 @@
     assert told.kwargs['cause'] == "FencedError('planted')"
 
 
+@pytest.mark.plants_errors
 async def test_connection_is_served_on_after_an_error():
     async def fail_first(scope, receive, send):
         if scope['path'] == '/bad':
@@ -151,6 +157,7 @@
             assert found.status == status
 
 
+@pytest.mark.plants_errors
 async def test_long_path_is_told_in_part():
     async with serve(fail_at_once) as (client, url, handler):
         await client.send('GET', f'{url}/{"x" * 5000}')
--- a/tests/tulippin/test_scheduler_lives.py
+++ b/tests/tulippin/test_scheduler_lives.py
@@ -225,6 +225,7 @@
     run(play)
 
 
+@pytest.mark.plants_errors
 def test_fault_of_the_keeping_is_told_and_ends_nothing(run):
     async def play(site):
         keeper = site.make_keeper()
