Refuse at once a call with too little time left, and tell faults of ours

Cause: 300 ms are kept back for the answer's way, so that less was left than none; the wait for the layout then got a negative time, which raises ValueError, and the HTTP server answers an exception without a word. A time of more than 4300 digits raised the same. GET and DELETE worked on for 300 ms after such a deadline; a hand-in that waited for the layout for as long as its whole time was answered 504, though it was surely not done.

Ruled out: unicode digits. The header is bytes, whose isdigit() takes plain digits only; the test keeps that.

Now: of a short deadline only half is kept back, so that what can be served is; below 10 ms (a store that is well takes 4 to 9) a call is refused at once with 503, Retry-After and its log line, and nothing of it is begun. The same bound holds before each transaction, also after a wait or a reading that used the time up, so that "not run" is true. Texts that are no whole number count as none, as before; a negative one is over. What nothing was meant to raise is told as one line, and answered with 500 and a time to come back.

Deadlines from 600 ms on are kept back as before.

--- a/src/tulippin/jobs/intake.py
+++ b/src/tulippin/jobs/intake.py
@@ -38,6 +38,9 @@
 from tulippin.logs import logger
 
 _MS: t.Final = 1000
+# A store that is well answers in 4 to 9 ms: with less time left, a caller
+# would learn nothing of what was done.
+LEAST_LIMIT_MS: t.Final = 10
 # A cancel is tried so often where the units that run a job's tasks change
 # meanwhile: a task is passed on once in seconds at most.
 _CANCEL_TRIES: t.Final = 4
@@ -68,6 +71,7 @@
     async def _transact(
         self, transaction: Transaction, limit_ms: int
     ) -> TransactionResult:
+        _check_limit(limit_ms)
         times = self.shell.answer_times
         return await transact_surely(
             self._store, transaction, limit_ms / _MS, times
@@ -106,8 +110,8 @@
 
         The same id again is the same job, whatever it carries.
         """
-        with trio.move_on_after(min(limit_ms, _LAYOUT_WAIT_MS) / _MS):
-            await self.shell.laid_out.wait()
+        began_ms = self.shell.clock()
+        await self._wait_for_layout(limit_ms)
         number = self.shell.choose_unit(request)
         if number is None:
             raise UnavailableError('no unit is known yet')
@@ -121,8 +125,8 @@
                 RowWrite(Unit(number).jobs_table, job_id, encode(record)),
             ),
         )
-        began_ms = self.shell.clock()
-        result = await self._transact(transaction, limit_ms)
+        left_ms = limit_ms - (self.shell.clock() - began_ms)
+        result = await self._transact(transaction, left_ms)
         if result.is_done:
             self._keep_home(job_id, number)
         elif _is_home_unreadable(result, job_id):
@@ -138,6 +142,13 @@
             took_ms=self.shell.clock() - began_ms,
         )
 
+    async def _wait_for_layout(self, limit_ms: int) -> None:
+        """Wait for the units, and leave half the time to the store."""
+        _check_limit(limit_ms)
+        wait_ms = min(limit_ms / 2, _LAYOUT_WAIT_MS)
+        with trio.move_on_after(wait_ms / _MS):
+            await self.shell.laid_out.wait()
+
     async def get_state(self, job_id: str) -> JobState | None:
         """Return a job's state, or nothing if there is no such job."""
         found = self.shell.find_job(job_id)
@@ -201,6 +212,14 @@
         return total
 
 
+def _check_limit(limit_ms: int) -> None:
+    """Refuse what can't be done in the time left, before any of it is."""
+    if limit_ms < LEAST_LIMIT_MS:
+        raise UnavailableError(
+            f'not run: {limit_ms} ms are too little; call again with more'
+        )
+
+
 def _is_home_unreadable(result: TransactionResult, job_id: str) -> bool:
     """Whether what stands in a new job's way tells of no job."""
     return any(
--- a/src/tulippin/platform/callers.py
+++ b/src/tulippin/platform/callers.py
@@ -8,13 +8,14 @@
 import msgspec
 import trio
 
+from tulippin import failures
 from tulippin.exceptions import (
     AnswerLostError,
     Finding,
     InputError,
     UnavailableError,
 )
-from tulippin.jobs.intake import JobIntake
+from tulippin.jobs.intake import LEAST_LIMIT_MS, JobIntake
 from tulippin.jobs.types import (
     JobRequest,
     JobState,
@@ -38,12 +39,19 @@
 # A caller that gives no deadline is taken to wait so long: the shortest
 # deadline that the users' sheets give.
 _DEFAULT_DEADLINE_MS: t.Final = 3000
+# Above any deadline of the users' sheets; what is longer is waited for so
+# long.
+_LONGEST_DEADLINE_MS: t.Final = 3_600_000
+_DEADLINE: t.Final = re.compile(b'(-?)0*([0-9]+)')
+# A number of more digits is above any deadline, and not worth reading.
+_DEADLINE_DIGITS: t.Final = 9
 # Kept back of a deadline for the answer's way to the caller: 3 ms each
-# way and a slow machine's scheduling.
+# way and a slow machine's scheduling. Of a short one, half of it.
 _ANSWER_MS: t.Final = 300
 _MS: t.Final = 1000
 _SPEC_LIMIT_BYTES: t.Final = 4000
 _BAD_REQUEST: t.Final = 400
+_INTERNAL: t.Final = 500
 # A colon, a blank and a line's end around each header.
 _HEADER_SIGNS: t.Final = 4
 # When to come back after a refusal: a takeover takes about so long.
@@ -169,9 +177,26 @@
         if scope['path'] == _READY_PATH:
             reply = Reply(503 if self._get_unready() else 200)
         else:
-            reply = await self._answer(scope, receive)
+            reply = await self._answer_surely(scope, receive)
         await self._send(reply, send)
 
+    async def _answer_surely(self, scope: Scope, receive: Receive) -> Reply:
+        """Answer one call, also one that fails by a fault of ours.
+
+        The server would send a status alone, and log nothing.
+        """
+        try:
+            return await self._answer(scope, receive)
+        except Exception as error:
+            failures.tell(
+                'call failed',
+                error,
+                method=scope['method'],
+                job=scope['path'].rpartition('/')[2],
+            )
+            text = 'a fault of ours; see the log'
+            return Reply(_INTERNAL, ErrorBody(text), retry=True)
+
     async def _send(self, reply: Reply, send: Send) -> None:
         body = b'' if reply.body is None else msgspec.json.encode(reply.body)
         headers = [
@@ -201,9 +226,11 @@
         if queue is None:
             return Reply(404, ErrorBody('no such queue'))
         job_id = scope['path'].removeprefix(queue.path_prefix).strip('/')
-        limit_ms = _read_deadline_ms(headers) - _ANSWER_MS
+        limit_ms = read_limit_ms(headers)
+        if limit_ms < LEAST_LIMIT_MS:
+            return _give_up(job_id, 503, 'not run: too little time is left')
         try:
-            with trio.fail_after(max(limit_ms, _ANSWER_MS) / _MS):
+            with trio.fail_after(limit_ms / _MS):
                 _check_headers(scope, configuration.max_header_bytes)
                 body = await _read_body(receive, configuration.max_body_bytes)
                 return await self._dispatch(
@@ -275,9 +302,24 @@
         )
 
 
-def _read_deadline_ms(headers: dict[bytes, bytes]) -> int:
-    text = headers.get(_DEADLINE_HEADER, b'')
-    return int(text) if text.isdigit() else _DEFAULT_DEADLINE_MS
+def read_limit_ms(headers: t.Mapping[bytes, bytes]) -> int:
+    """Return for how long a call may be worked on; 0 if its time is over.
+
+    A text that is no whole number counts as none.
+    """
+    match = _DEADLINE.fullmatch(headers.get(_DEADLINE_HEADER, b''))
+    deadline_ms = _DEFAULT_DEADLINE_MS
+    if match is not None:
+        deadline_ms = _decode_deadline_ms(*match.groups())
+    return deadline_ms - min(_ANSWER_MS, -(-deadline_ms // 2))
+
+
+def _decode_deadline_ms(sign: bytes, digits: bytes) -> int:
+    if sign:
+        return 0
+    if len(digits) > _DEADLINE_DIGITS:
+        return _LONGEST_DEADLINE_MS
+    return min(int(digits), _LONGEST_DEADLINE_MS)
 
 
 async def _read_body(receive: Receive, limit_bytes: int) -> bytes:
--- /dev/null
+++ b/tests/tulippin/platform/test_caller_deadlines.py
@@ -0,0 +1,219 @@
+"""Calls whose time is nearly over, over already, or written oddly.
+
+Callers that had tried elsewhere came back with what was left of their time,
+below what is kept back for an answer's way. A hand-in then waited for a
+negative time, which raises: a 500 that named no time to come back, and no log
+line. A time of some thousand digits did the same.
+"""
+
+import json
+
+import attrs
+import logbook
+import pytest
+import trio
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fleet_of_schedulers import JOB, QUEUE, make_request, open_fleet
+from tulippin.exceptions import UnavailableError
+from tulippin.platform.callers import CallersApp, read_limit_ms
+from tulippin.platform.standin import get_now_ms
+
+BODY = {
+    'Spec': '{"run_ms":100}',
+    'Steps': [{'Count': 1, 'Cpu': 1000, 'MemMb': 100}],
+}
+METHODS = ('POST', 'GET', 'DELETE')
+# Below what a store needs for an answer.
+HOPELESS = (b'0', b'1', b'9', b'-1', b'-3000', b'-' + b'9' * 4301)
+SHORT = (b'60', b'120', b'250', b'299', b'301', b'599')
+ODD = (
+    b'',
+    b' ',
+    b'soon',
+    b'1e3',
+    b'3000.5',
+    b'0x10',
+    b'+3000',
+    b'3_000',
+    b'\xb2',
+    '\u0663\u0660\u0660\u0660'.encode(),
+    b'9' * 19,
+    b'9' * 400,
+    b'9' * 4301,
+    b'0' * 4301 + b'3000',
+)
+
+
+@attrs.define
+class Answer:
+    status: int
+    headers: dict
+    body: dict
+    took_ms: int
+
+
+async def call(app, method, deadline, path=f'/q/{JOB}', body=BODY):
+    """Send one call as the server would, and return its answer."""
+    sent = []
+
+    async def receive():
+        return {
+            'type': 'http.request',
+            'body': json.dumps(body).encode() if method == 'POST' else b'',
+        }
+
+    async def send(message):
+        sent.append(message)
+
+    headers = [(b'host', b'host'), (b'deadline-ms', deadline)]
+    scope = {'type': 'http', 'method': method, 'path': path}
+    began_ms = get_now_ms()
+    await app({**scope, 'headers': headers}, receive, send)
+    text = sent[1]['body']
+    return Answer(
+        sent[0]['status'],
+        dict(sent[0]['headers']),
+        json.loads(text) if text else {},
+        get_now_ms() - began_ms,
+    )
+
+
+def make_app(fleet):
+    intake = next(iter(fleet.instances.values())).intake
+    return CallersApp(intake, lambda: '')
+
+
+async def is_kept(fleet, job_id=JOB):
+    intake = next(iter(fleet.instances.values())).intake
+    return await intake.get_state(job_id) is not None
+
+
+@pytest.mark.parametrize('deadline', HOPELESS, ids=lambda text: text[:9])
+@pytest.mark.parametrize('method', METHODS)
+def test_call_without_time_is_refused_at_once(run_virtual, method, deadline):
+    async def run():
+        async with open_fleet(1) as fleet:
+            await fleet.wait_owner()
+            answer = await call(make_app(fleet), method, deadline)
+            assert answer.status == 503
+            assert answer.headers[b'retry-after'] == b'1'
+            assert not answer.took_ms
+            assert not await is_kept(fleet)
+
+    with logbook.TestHandler() as lines:
+        run_virtual(run)
+    told = [one for one in lines.records if one.message == 'call given up']
+    assert [one.kwargs['job'] for one in told] == [JOB]
+
+
+@pytest.mark.parametrize('deadline', SHORT, ids=bytes.decode)
+def test_what_can_be_served_in_a_short_time_is(run_virtual, deadline):
+    async def run():
+        async with open_fleet(1) as fleet:
+            await fleet.wait_owner()
+            app = make_app(fleet)
+            for method in METHODS:
+                answer = await call(app, method, deadline)
+                assert answer.status == 200
+                assert answer.took_ms < int(deadline)
+
+    run_virtual(run)
+
+
+@pytest.mark.parametrize('deadline', ODD, ids=lambda text: text[:9])
+def test_odd_deadline_ends_no_call(run_virtual, deadline):
+    async def run():
+        async with open_fleet(1) as fleet:
+            await fleet.wait_owner()
+            app = make_app(fleet)
+            for method in METHODS:
+                assert (await call(app, method, deadline)).status == 200
+
+    run_virtual(run)
+
+
+@pytest.mark.parametrize('deadline', [b'100', b'400', b'1700', b'2500'])
+def test_hand_in_before_the_layout_is_known_leaves_no_job(
+    run_virtual, deadline
+):
+    """A refusal that says "not run" comes in time, and is true."""
+
+    async def run():
+        async with open_fleet(1) as fleet:
+            await fleet.wait_owner()
+            app = make_app(fleet)
+            shell = next(iter(fleet.instances.values())).shell
+            shell.laid_out = trio.Event()
+            shell.choose_unit = lambda request: None
+            answer = await call(app, 'POST', deadline)
+            assert answer.status == 503
+            assert answer.headers[b'retry-after'] == b'1'
+            assert answer.took_ms < int(deadline)
+            assert not await is_kept(fleet)
+
+    run_virtual(run)
+
+
+def test_layout_that_comes_late_leaves_no_time_for_the_store(run_virtual):
+    """What is left after the wait counts, not what there was before it."""
+
+    async def run():
+        async with open_fleet(1) as fleet:
+            await fleet.wait_owner()
+            instance = next(iter(fleet.instances.values()))
+            instance.shell.laid_out = trio.Event()
+            with pytest.raises(UnavailableError):
+                await instance.intake.submit(JOB, QUEUE, make_request(), 18)
+            assert not await is_kept(fleet)
+
+    run_virtual(run)
+
+
+@pytest.mark.parametrize('limit_ms', [-(10**9), -1, 0, 1, 9])
+def test_intake_refuses_what_has_no_time(run_virtual, limit_ms):
+    async def run():
+        async with open_fleet(1) as fleet:
+            await fleet.wait_owner()
+            intake = next(iter(fleet.instances.values())).intake
+            with pytest.raises(UnavailableError):
+                await intake.submit(JOB, QUEUE, make_request(), limit_ms)
+            assert not await is_kept(fleet)
+            await fleet.submit()
+            with pytest.raises(UnavailableError):
+                await intake.cancel(JOB, QUEUE, limit_ms)
+            assert (await intake.get_state(JOB)).value != 'cancelled'
+
+    run_virtual(run)
+
+
+@given(st.binary(max_size=30) | st.integers().map(lambda n: b'%d' % n))
+def test_any_text_gives_a_time_that_can_be_waited_for(text):
+    limit_ms = read_limit_ms({b'deadline-ms': text})
+    assert isinstance(limit_ms, int)
+    # A float's whole numbers end there, and trio's longest waits far below.
+    assert limit_ms < 2**53
+    if text.isdigit() and int(text) <= 600_000:
+        assert limit_ms < max(1, int(text))
+
+
+def test_fault_of_ours_is_told_and_answered(run_virtual):
+    """What nothing was meant to raise is a 500 with its line in the log."""
+
+    async def run():
+        async with open_fleet(1) as fleet:
+            await fleet.wait_owner()
+            app = make_app(fleet)
+            shell = next(iter(fleet.instances.values())).shell
+            shell.choose_unit = {}.__getitem__
+            answer = await call(app, 'POST', b'3000')
+            assert answer.status == 500
+            assert answer.headers[b'retry-after'] == b'1'
+
+    with logbook.TestHandler() as lines:
+        run_virtual(run)
+    (told,) = [one for one in lines.records if one.message == 'call failed']
+    assert told.kwargs['job'] == JOB
+    assert told.kwargs['method'] == 'POST'
+    assert 'choose_unit' in told.kwargs['traceback']
