Refuse jobs with figures that no job has, at the door and in their rows

What callers would see: a job with an EstimatedMs of 1e308 was accepted and ended the process of its owner (OverflowError, int too large to convert to float, in _sparing.note_step), and of each next owner, as the row outlives them. A body nested 60,000 deep raised RecursionError, a 500. A target_ms or an EstimatedMs below 1 was read as 0, which says that there is none; AntiAffinity and may_miss below 0 let no task be placed, or none be moved, for ever.

Cause: the check at the door had no upper bounds, and less of a check than the owner's reading; the owner's had no bounds of sizes and times.

Ruled out: StartAtMs and IntervalMs alone end nothing (never due, or capped by the arrival); they are bounded all the same, as due times enter float sums.

Now one bound counts for both: sizes to 10**9 as of workers, times to 10**15 ms, a million tasks of one occurrence; the door names each field, and asks the owner's own check last, so that nothing is accepted that its owner refuses. A row with such figures, of another writer or older, is passed over with its line as any other unreadable one, and sound jobs go on beside it.

--- a/src/tulippin/jobs/_row_checks.py
+++ b/src/tulippin/jobs/_row_checks.py
@@ -25,7 +25,13 @@
     SwingRecord,
     WorkerAccount,
 )
-from tulippin.jobs.types import JobRequest, Step, TaskKey, parse_task
+from tulippin.jobs.types import (
+    JobRequest,
+    Schedule,
+    Step,
+    TaskKey,
+    parse_task,
+)
 from tulippin.types import Resources
 
 _TASK_NAME: t.Final = re.compile(r'[0-9]{1,9}\.[0-9]{1,9}\.[0-9]{1,9}')
@@ -34,7 +40,13 @@
 _JOB_ID: t.Final = re.compile('[^./]+')
 _HEX: t.Final = 16
 # A job of more would fill an owner's memory before its first task.
-_MOST_TASKS: t.Final = 1_000_000
+MOST_TASKS: t.Final = 1_000_000
+# As of a worker's room: far above any machine, and sums and products of
+# such figures are far below what a float holds.
+MOST_AMOUNT: t.Final = 10**9
+# Some 30,000 years, which a float adds to a time of day without a loss.
+LONGEST_MS: t.Final = 10**15
+_LARGEST_SIZE: t.Final = Resources(MOST_AMOUNT, MOST_AMOUNT, MOST_AMOUNT)
 # Each unit has two tables, of which the platform's store keeps 100.
 _MOST_UNITS: t.Final = 1000
 # An owner's orders last for some seconds.
@@ -57,23 +69,49 @@
 # -- jobs ---------------------------------------------------------------------
 
 
+@find_fault.register
 def _find_request_fault(request: JobRequest) -> str:
     if not request.steps:
         return 'it has no steps'
-    if request.occurrence_count * len(request.steps) > _MOST_TASKS:
+    if request.occurrence_count * len(request.steps) > MOST_TASKS:
         return 'it has too many steps'
-    for number, step in enumerate(request.steps):
-        if not 0 < step.task_count <= _MOST_TASKS:
-            return f'step {number} has {step.task_count} tasks'
-        if any(not 0 <= one < number for one in step.after):
-            return f'step {number} waits for one that is no earlier one'
-        if _is_negative(step):
-            return f'step {number} asks for less than nothing'
+    if sum(step.task_count for step in request.steps) > MOST_TASKS:
+        return 'it has too many tasks'
+    if not _is_sane_schedule(request.schedule):
+        return 'it is due at no time'
+    faults = (
+        _find_step_fault(number, step)
+        for number, step in enumerate(request.steps)
+    )
+    return next(filter(None, faults), '')
+
+
+def _is_sane_schedule(schedule: Schedule) -> bool:
+    times_ms = (schedule.first_at_ms, schedule.interval_ms)
+    return all(abs(time_ms) <= LONGEST_MS for time_ms in times_ms)
+
+
+def _find_step_fault(number: int, step: Step) -> str:
+    if not 0 < step.task_count <= MOST_TASKS:
+        return f'step {number} has {step.task_count} tasks'
+    if any(not 0 <= one < number for one in step.after):
+        return f'step {number} waits for one that is no earlier one'
+    if _is_negative(step):
+        return f'step {number} asks for less than nothing'
+    if _is_huge(step):
+        return f'step {number} asks for more than there can be'
     return ''
 
 
 def _is_negative(step: Step) -> bool:
-    return not step.size.fits(Resources())
+    is_short = min(step.estimated_ms, step.target_ms) < 0
+    return is_short or not step.size.fits(Resources())
+
+
+def _is_huge(step: Step) -> bool:
+    """Whether what is worked out of a step may leave what a float holds."""
+    is_long = max(step.estimated_ms, step.target_ms) > LONGEST_MS
+    return is_long or not _LARGEST_SIZE.fits(step.size)
 
 
 def has_task(request: JobRequest, key: TaskKey) -> bool:
--- a/src/tulippin/platform/callers.py
+++ b/src/tulippin/platform/callers.py
@@ -15,6 +15,12 @@
     InputError,
     UnavailableError,
 )
+from tulippin.jobs._row_checks import (
+    LONGEST_MS,
+    MOST_AMOUNT,
+    MOST_TASKS,
+    find_fault,
+)
 from tulippin.jobs.intake import LEAST_LIMIT_MS, JobIntake
 from tulippin.jobs.types import (
     JobRequest,
@@ -50,6 +56,9 @@
 _ANSWER_MS: t.Final = 300
 _MS: t.Final = 1000
 _SPEC_LIMIT_BYTES: t.Final = 4000
+# Of tasks on one worker, or away at once; some callers write the largest
+# number that they know for no bound.
+_MOST_SPREAD: t.Final = 2**64
 _BAD_REQUEST: t.Final = 400
 _INTERNAL: t.Final = 500
 # A colon, a blank and a line's end around each header.
@@ -84,6 +93,32 @@
 }
 
 
+class _Bound(t.NamedTuple):
+    """Between which figures a field of a body is, and the platform's name."""
+
+    name: str
+    field: str
+    least: int
+    most: int
+
+
+_JOB_BOUNDS: t.Final = (
+    _Bound('StartAtMs', 'start_at_ms', 0, LONGEST_MS),
+    _Bound('IntervalMs', 'interval_ms', 0, LONGEST_MS),
+    _Bound('RepeatCount', 'repeat_count', 0, MOST_TASKS),
+)
+_STEP_BOUNDS: t.Final = (
+    _Bound('Count', 'count', 1, MOST_TASKS),
+    _Bound('Cpu', 'cpu', 0, MOST_AMOUNT),
+    _Bound('MemMb', 'memory_mb', 0, MOST_AMOUNT),
+    _Bound('Gpus', 'gpus', 0, MOST_AMOUNT),
+    _Bound('EstimatedMs', 'estimated_ms', 0, LONGEST_MS),
+    _Bound('AntiAffinity', 'anti_affinity', 0, _MOST_SPREAD),
+    _Bound('target_ms', 'target_ms', 0, LONGEST_MS),
+    _Bound('may_miss', 'may_miss', 0, _MOST_SPREAD),
+)
+
+
 class Reply(t.NamedTuple):
     """An answer: its status, its body and whether to come back later."""
 
@@ -102,16 +137,22 @@
     """
     try:
         wire = _job_decoder.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise InputError(str(error), code='bad_job') from error
     findings = list(_check_job(wire))
     if findings:
         raise InputError('the job is refused', findings, code='bad_job')
-    return JobRequest(
+    request = JobRequest(
         wire.spec,
         tuple(_decode_step(step) for step in wire.steps),
         Schedule(wire.start_at_ms, wire.interval_ms, wire.repeat_count),
     )
+    # Its owner would pass over what its own check refuses, and a job that
+    # was accepted would never run.
+    fault = find_fault(request)
+    if fault:
+        raise InputError(f'the job is refused: {fault}', code='bad_job')
+    return request
 
 
 def _check_job(wire: JobBody) -> t.Iterator[Finding]:
@@ -119,21 +160,35 @@
         yield Finding('Spec', 'is too long', f'{_SPEC_LIMIT_BYTES} bytes')
     if not wire.steps:
         yield Finding('Steps', 'is empty', 'give at least one step')
+    yield from _check_figures('', wire, _JOB_BOUNDS)
     for number, step in enumerate(wire.steps):
         place = f'Steps[{number}]'
-        if step.count < 1:
-            yield Finding(f'{place}.Count', 'is below 1')
+        yield from _check_figures(f'{place}.', step, _STEP_BOUNDS)
         if any(not 0 <= one < number for one in step.after):
             yield Finding(f'{place}.AfterRevision', 'names no earlier step')
-        if min(step.cpu, step.memory_mb, step.gpus) < 0:
-            yield Finding(place, 'asks for less than nothing')
+
+
+def _check_figures(
+    place: str, wire: msgspec.Struct, bounds: t.Iterable[_Bound]
+) -> t.Iterator[Finding]:
+    for bound in bounds:
+        figure = getattr(wire, bound.field)
+        if figure < bound.least:
+            yield Finding(f'{place}{bound.name}', f'is below {bound.least}')
+        if figure > bound.most:
+            yield Finding(f'{place}{bound.name}', f'is above {bound.most}')
+
+
+def _decode_time_ms(time_ms: float) -> int:
+    """Return a time as a whole number; 0 says that there is none."""
+    return max(1, int(time_ms)) if time_ms else 0
 
 
 def _decode_step(step: StepBody) -> Step:
     return Step(
         task_count=step.count,
         size=Resources(step.cpu, step.memory_mb, step.gpus),
-        estimated_ms=int(step.estimated_ms),
+        estimated_ms=_decode_time_ms(step.estimated_ms),
         after=step.after,
         checkpointing=step.checkpointing,
         gang=step.gang,
@@ -144,7 +199,7 @@
         allow_duplicates=step.allow_duplicates,
         long_running=step.long_running,
         image=step.image,
-        target_ms=int(step.target_ms),
+        target_ms=_decode_time_ms(step.target_ms),
         opportunistic=step.fills,
         max_unavailable=step.may_miss,
     )
