Look no task up that its job has not; read no load that no worker has

What users would see: a worker that lists an end of a task that its job has not (an occurrence past the last, index -1 or 10**12) ends its owner with KeyError or MemoryError, in _lifecycle.note_done or make_progress, and each next owner too, as the end stays listed until it is noted. Runs and ends of such tasks were counted, started again and written into the job's progress, which the next owner then refused.

Cause: find_task looked at the step's upper bound alone, and adopt_strays at nothing; reports were checked for types, not for figures.

Ruled out: nonsense that is no row at all (missing columns, names of no task) was and is an answer that is lost.

Now: has_task decides for runs and ends alike: such a run is stopped as a stray, such an end is noted and changes no job. A load that no worker has only advises: the run counts as there, its load is not known, and one line names the worker until its report is sound again. Less than a thousandth is none. Progress is kept within 0 to 100. A load that is not told puts the run back to not known, as before its first report.

--- a/src/tulippin/jobs/_attempts.py
+++ b/src/tulippin/jobs/_attempts.py
@@ -12,6 +12,7 @@
     _ready,
 )
 from tulippin.jobs._dispatch import Context
+from tulippin.jobs._row_checks import has_task
 from tulippin.jobs.effects import StopRun
 from tulippin.jobs.state import Attempt, AttemptState, Job, Task, Worker
 from tulippin.jobs.types import (
@@ -27,9 +28,13 @@
 
 
 def find_task(key: TaskKey, context: Context) -> tuple[Job, Task] | None:
-    """Return a known task with its job."""
+    """Return a known task with its job.
+
+    A worker may name a task that its job has not. Looked up all the same,
+    it would be counted, run and kept, or be no key of what is left to do.
+    """
     job = context.state.jobs.get(key.job_id)
-    if job is None or key.step >= len(job.request.steps):
+    if job is None or not has_task(job.request, key):
         return None
     return job, _lifecycle.get_task(job, key)
 
--- a/src/tulippin/jobs/_reports.py
+++ b/src/tulippin/jobs/_reports.py
@@ -13,6 +13,7 @@
     _unseen,
 )
 from tulippin.jobs._dispatch import Context, handle
+from tulippin.jobs._row_checks import has_task
 from tulippin.jobs.events import WorkerAnswered
 from tulippin.jobs.state import Attempt, AttemptState, Job, Worker
 from tulippin.jobs.types import FINAL_STATES, RunningTask
@@ -91,7 +92,7 @@
     """Take over runs of a job that were met, or have ended, before it came."""
     for worker in context.state.workers.values():
         for key in worker.early_ends:
-            if key.job_id == job.job_id:
+            if key.job_id == job.job_id and has_task(job.request, key):
                 task = _lifecycle.get_task(job, key)
                 task.unseen_on.add(worker.worker_id)
         for key, run in list(worker.strays):
@@ -122,12 +123,26 @@
             found[1].checkpoint = row.checkpoint
     _crashes.note_running(attempt, context)
     attempt.progress_percent = row.progress_percent
-    _tails.note_load(attempt, row.load or 0.0, state.now_ms)
+    _note_load(attempt, row.load, state.now_ms)
     # A worker that does not tell loads is taken to be at work.
     if row.load is None or row.load > 0:
         attempt.worked_ms = state.now_ms
 
 
+def _note_load(attempt: Attempt, load: float | None, now_ms: int) -> None:
+    """Take in a run's load; one that was not told is not known any more.
+
+    Read as a tail of no time, it would say that every target is kept.
+    """
+    if load is not None:
+        _tails.note_load(attempt, load, now_ms)
+        return
+    attempt.load = 0.0
+    attempt.tail_ms = 0.0
+    attempt.past_load = 0.0
+    attempt.past_load_ms = 0
+
+
 def _adopt(
     worker: Worker, row: RunningTask, context: Context
 ) -> Attempt | None:
--- a/src/tulippin/platform/workers.py
+++ b/src/tulippin/platform/workers.py
@@ -24,6 +24,7 @@
     WorkerReport,
     parse_task,
 )
+from tulippin.logs import logger
 from tulippin.platform.wire import (
     ADDRESS_PATTERN,
     EndedRow,
@@ -49,6 +50,14 @@
 }
 # A running row has a fifth entry only where tasks share processors.
 _LOAD_COLUMN: t.Final = 4
+# Far above any tail in ms and any use in millicores.
+_LARGEST_LOAD: t.Final = 1e9
+# Less than a thousandth of either is none: what is divided by it would leave
+# what a float holds.
+_LEAST_LOAD: t.Final = 1e-3
+# Of an unusable load, what a log line tells.
+_LOAD_SIGNS: t.Final = 40
+_FULL_PERCENT: t.Final = 100
 _LIFE_HEADER: t.Final = 'Expected-Instance'
 _ADDRESS: t.Final = re.compile(ADDRESS_PATTERN)
 
@@ -67,9 +76,12 @@
     def __init__(self, make_client: t.Callable[[], HttpClient]) -> None:
         self._make_client = make_client
         self._clients: dict[str, HttpClient] = {}
+        # Workers whose newest report has an unusable load.
+        self._odd: set[str] = set()
 
     async def forget(self, worker_id: str) -> None:
         """Close the connections to a worker that is gone."""
+        self._odd.discard(worker_id)
         client = self._clients.pop(worker_id, None)
         if client is not None:
             await client.close()
@@ -133,7 +145,17 @@
             raise FencedOrderError(f'{worker_id} has a newer owner')
         if answer.status != _OK or decoded.clock_ms is None:
             raise UnavailableError(f'{worker_id} answers {answer.status}')
-        return _decode_report(decoded.clock_ms, decoded)
+        report = _decode_report(decoded.clock_ms, decoded)
+        self._note_odd(worker_id, _find_odd_load(decoded))
+        return report
+
+    def _note_odd(self, worker_id: str, load: str) -> None:
+        """Say that a worker tells an unusable load, unless that is known."""
+        if not load:
+            self._odd.discard(worker_id)
+        elif worker_id not in self._odd:
+            self._odd.add(worker_id)
+            logger.warning('load unusable', worker=worker_id, load=load)
 
     async def _order(
         self, worker_id: str, address: str, path: str, body: msgspec.Struct
@@ -211,7 +233,34 @@
     _demand(checkpoint, str)
     _demand(percent, (int, float))
     _demand(load, (int, float, type(None)))
-    return RunningTask(parse_task(task), run, checkpoint, percent, load)
+    return RunningTask(
+        parse_task(task),
+        run,
+        checkpoint,
+        min(max(percent, 0), _FULL_PERCENT),
+        _decode_load(load),
+    )
+
+
+def _decode_load(load: float | None) -> float | None:
+    """Return a load; nothing if it is not told, or is none of a worker.
+
+    It advises only, so that the run counts as there all the same.
+    """
+    if load is None or not 0 <= load <= _LARGEST_LOAD:
+        return None
+    return load if load >= _LEAST_LOAD else 0.0
+
+
+def _find_odd_load(body: WorkerAnswerBody) -> str:
+    """Return the first load of a report that is none of a worker's."""
+    told = (row[_LOAD_COLUMN] for row in body.running if _tells_load(row))
+    odd = (load for load in told if _decode_load(load) is None)
+    return next((repr(load)[:_LOAD_SIGNS] for load in odd), '')
+
+
+def _tells_load(row: RunningRow) -> bool:
+    return len(row) > _LOAD_COLUMN and row[_LOAD_COLUMN] is not None
 
 
 def _demand(value: t.Any, kinds: type | tuple[type, ...]) -> None:
