Settings: bound every number, and check ports and addresses

What operators would see: a settings file that a running instance reads again ended it where a number has 400 digits, a grace is 1e308 s or a port is written with a digit of another kind: OverflowError and ValueError, which the reading does not catch. A store's address without a port, and ports above 65535 or in the wrong order, were put in force without a word.

Cause: isfinite() of a whole number beyond a float raises; isdigit() takes digits that int() does not; a number had no upper bound unless one was given; the scheduler's addresses were not checked at all.

Ruled out: a file that is gone, no text, empty, cut off or a directory was and is refused with one line and changes nothing.

Now each number has both bounds and is named in a finding with them; addresses to listen on are IP and port, those to connect to may name a host.

--- a/src/tulippin/ini.py
+++ b/src/tulippin/ini.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import configparser
-import math
+import ipaddress
 import pathlib
 import re
 import typing as t
@@ -11,6 +11,11 @@
 from tulippin.exceptions import Finding, InputError
 
 _HEX_KEY: t.Final = re.compile('[0-9a-f]{64}')
+_PORT: t.Final = re.compile('[0-9]{1,5}')
+_MOST_PORT: t.Final = 65535
+_HOST_NAME: t.Final = re.compile(r'[A-Za-z0-9_-]+(\.[A-Za-z0-9_-]+)*')
+# Whole numbers beyond it are none that a float, or a store, holds.
+_LARGEST: t.Final = 2**63
 
 
 def read_settings_text(source: str) -> str:
@@ -161,14 +166,51 @@
         except ValueError:
             self.report(key, f'{text!r} is not a number', 'write a number')
             return fallback
-        below = least is not None and number < least
-        above = most is not None and number > most
-        if below or above or not math.isfinite(number):
-            self.report(key, f'{text} is out of bounds', f'{least} to {most}')
+        low = -_LARGEST if least is None else least
+        high = _LARGEST if most is None else most
+        # Also false for what is no number.
+        if not low <= number <= high:
+            self.report(key, f'{text} is out of bounds', f'{low} to {high}')
             return fallback
         return number
 
 
+def parse_port(text: str) -> int | None:
+    """Return a port; nothing if the text is none."""
+    if not _PORT.fullmatch(text) or int(text) > _MOST_PORT:
+        return None
+    return int(text)
+
+
+def check_address(
+    reader: SectionReader, key: str, address: str, *, may_be_name: bool = False
+) -> None:
+    """Report an address that is no IP and port.
+
+    Parameters
+    ----------
+    reader : SectionReader
+        Collects the finding.
+    key, address : str
+        What is checked.
+    may_be_name : bool
+        A host's name will do: it is connected to, not listened on.
+    """
+    host, _, port = address.rpartition(':')
+    if not (may_be_name and _HOST_NAME.fullmatch(host)) and not _is_ip(host):
+        reader.report(key, f'{address!r} has no IP number', 'write IP:PORT')
+    elif parse_port(port) is None:
+        reader.report(key, f'{address!r} has no port', 'write IP:PORT')
+
+
+def _is_ip(host: str) -> bool:
+    try:
+        ipaddress.ip_address(host.strip('[]'))
+    except ValueError:
+        return False
+    return True
+
+
 def read_operators(
     parser: configparser.ConfigParser, reader: SectionReader
 ) -> dict[str, str]:
--- a/src/tulippin/scheduler_settings.py
+++ b/src/tulippin/scheduler_settings.py
@@ -11,6 +11,8 @@
 from tulippin.exceptions import Finding, InputError
 from tulippin.ini import (
     SectionReader,
+    check_address,
+    parse_port,
     read_ini,
     read_operators,
     read_settings_text,
@@ -28,6 +30,12 @@
         'log',
     )
 )
+# Bounds that no instance reaches, so that what is worked out of the figures
+# stays one.
+_LONGEST_LEASE_MS: t.Final = 600_000
+_LONGEST_GRACE_S: t.Final = 3600.0
+_MOST_CORES: t.Final = 1000.0
+_MOST_SPEED: t.Final = 1000.0
 
 
 @attrs.frozen
@@ -135,34 +143,56 @@
     ports = listen.get_list('internal_ports')
     first, last = _read_ports(listen, ports)
     workers = readers['workers']
+    grace_s = readers['stop'].get_float('grace_s', 6.0, 1.0, _LONGEST_GRACE_S)
     return SchedulerSettings(
         instance_id=instance.get_text('id'),
         failure_domain=instance.get_text('failure_domain'),
         region=instance.get_text('region', '-'),
-        callers=listen.get_text('callers'),
-        readiness=listen.get_text('readiness'),
+        callers=_read_address(listen, 'callers'),
+        readiness=_read_address(listen, 'readiness'),
         internal_ip=listen.get_text('internal_ip'),
         internal_first_port=first,
         internal_last_port=last,
-        store_address=readers['store'].get_text('address'),
-        advice_address=readers['advice'].get_text('address', ''),
-        worker_lease_limit_ms=workers.get_int('lease_limit_ms', 6000, 1000),
-        grace_ms=int(readers['stop'].get_float('grace_s', 6.0, 1.0) * 1000),
+        store_address=_read_address(
+            readers['store'], 'address', may_be_name=True
+        ),
+        advice_address=_read_address(
+            readers['advice'], 'address', '', may_be_name=True
+        ),
+        worker_lease_limit_ms=workers.get_int(
+            'lease_limit_ms', 6000, 1000, _LONGEST_LEASE_MS
+        ),
+        grace_ms=int(grace_s * 1000),
         operators=read_operators(parser, readers['operators']),
         log_level=readers['log'].get_choice(
             'level', ('debug', 'info', 'warning', 'error'), 'info'
         ),
         processor_share=(
-            instance.get_float('core_share', 1.0, 0.01)
-            * instance.get_float('core_speed', 1.0, 0.01)
+            instance.get_float('core_share', 1.0, 0.01, _MOST_CORES)
+            * instance.get_float('core_speed', 1.0, 0.01, _MOST_SPEED)
         ),
     )
 
 
+def _read_address(
+    reader: SectionReader,
+    key: str,
+    default: str | None = None,
+    *,
+    may_be_name: bool = False,
+) -> str:
+    address = reader.get_text(key, default)
+    if address:
+        check_address(reader, key, address, may_be_name=may_be_name)
+    return address
+
+
 def _read_ports(
     listen: SectionReader, ports: tuple[str, ...]
 ) -> tuple[int, int]:
-    if len(ports) == 2 and all(port.isdigit() for port in ports):
-        return int(ports[0]), int(ports[1])
+    found = [parse_port(port) for port in ports]
+    known = [port for port in found if port is not None]
+    if len(known) == len(ports) == 2 and known == sorted(known):
+        return known[0], known[1]
     listen.report('internal_ports', 'is no range', 'write FIRST,LAST')
     return 0, 0
--- a/src/tulippin/settings.py
+++ b/src/tulippin/settings.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import configparser
-import ipaddress
 import pathlib
 import typing as t
 
@@ -12,13 +11,15 @@
 from tulippin.exceptions import Finding, InputError
 from tulippin.ini import (
     SectionReader,
+    check_address,
     read_ini,
     read_operators,
     read_settings_text,
 )
 from tulippin.state import Config
 
-_MAX_PORT: t.Final = 65535
+# Above any limit that an instance can keep.
+_HIGHEST_LIMIT: t.Final = 10**9
 _SECTIONS: t.Final = frozenset(
     (
         'instance',
@@ -189,7 +190,7 @@
         peers = self._open('peers')
         seeds = peers.get_list('addresses', ())
         for seed in seeds:
-            _check_address(peers, 'addresses', seed)
+            check_address(peers, 'addresses', seed)
         peers.close()
         return Config(
             instance_id,
@@ -274,7 +275,9 @@
         reader = self._open('limits')
         limits = LimitSettings(
             **{
-                field.name: reader.get_int(field.name, field.default, 1)
+                field.name: reader.get_int(
+                    field.name, field.default, 1, _HIGHEST_LIMIT
+                )
                 for field in attrs.fields(LimitSettings)
             }
         )
@@ -304,16 +307,5 @@
 def _get_address(reader: SectionReader, key: str) -> str:
     address = reader.get_text(key)
     if address:
-        _check_address(reader, key, address)
+        check_address(reader, key, address)
     return address
-
-
-def _check_address(reader: SectionReader, key: str, address: str) -> None:
-    host, _, port = address.rpartition(':')
-    try:
-        ipaddress.ip_address(host.strip('[]'))
-    except ValueError:
-        reader.report(key, f'{address!r} has no IP number', 'write IP:PORT')
-        return
-    if not port.isdigit() or int(port) > _MAX_PORT:
-        reader.report(key, f'{address!r} has no port', 'write IP:PORT')
