Take nested or repeating answers of store and advisor as lost

What users would see: an answer nested 60,000 deep, of the store's rows or of the advisor, raised RecursionError in a feed or an effect, which ends the instance. A page of rows that the store tells again and again was read for ever. Advice that is valid for 10**400 ms was taken as it is, and a ticket that its worker refuses would be used for as long.

Cause: the workers' adapter caught what a nested text raises, these two did not; a page was not held against what was asked for.

Ruled out: texts that are no UTF-8, half pairs, numbers of 5000 digits and NaN are DecodeErrors of the decoder, and were lost answers before.

--- a/src/tulippin/platform/advisor.py
+++ b/src/tulippin/platform/advisor.py
@@ -14,6 +14,9 @@
 from tulippin.platform.wire import AdviceBody, QuestionBody
 
 _OK: t.Final = 200
+# What is told for longer is asked for again: a ticket that its worker refuses
+# is used until its time is over.
+_LONGEST_VALID_MS: t.Final = 600_000
 
 _decoder = msgspec.json.Decoder(AdviceBody)
 
@@ -42,6 +45,7 @@
             raise UnavailableError(f'no advice ({answer.status})')
         try:
             decoded = _decoder.decode(answer.body)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, ValueError, RecursionError) as error:
             raise AnswerLostError(f'unreadable advice: {error}') from error
-        return Advice(dict(decoded.good), decoded.valid_ms)
+        valid_ms = min(decoded.valid_ms, _LONGEST_VALID_MS)
+        return Advice(dict(decoded.good), valid_ms)
--- a/src/tulippin/platform/store.py
+++ b/src/tulippin/platform/store.py
@@ -105,6 +105,9 @@
                 return RowPage(tuple(rows), version)
             if not page.rows:
                 raise AnswerLostError('the store answers a page of nothing')
+            if page.rows[-1].key < first:
+                # Asked for what follows, it would tell the same for ever.
+                raise AnswerLostError('the store answers a page twice')
             # The smallest key above the last one.
             first = f'{page.rows[-1].key}\0'
 
@@ -175,5 +178,5 @@
 def _decode_rows(answer: HttpAnswer) -> RowsBody:
     try:
         return _rows_decoder.decode(answer.body)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
         raise AnswerLostError(f'the store answers nonsense: {error}') from error
