Generated entries, queues and layouts: none ends an owner

Entries and configurations with figures that no worker and no queue has are decoded as the platform would send them, and reduced beside reports: 150 generated orders, and layouts of any eight entries. Nothing failed: the rooms are bounded when they are read, and what is worked out of times, priorities and stretches is compared or added only. The tests stay to keep that so.

--- a/tests/tulippin/jobs/test_odd_reports.py
+++ b/tests/tulippin/jobs/test_odd_reports.py
@@ -1,4 +1,4 @@
-"""Workers that report what no worker can: tasks, runs, ends and loads.
+"""Workers that report what no worker can, or are listed as none can be.
 
 A worker that listed the end of a task that its job has not, of an occurrence
 past the last or with a negative index, ended its owner: the task was looked
@@ -22,10 +22,12 @@
 from tulippin.jobs import effects as fx
 from tulippin.jobs import events as ev
 from tulippin.jobs._dispatch import Context
-from tulippin.jobs._lifecycle import make_progress
+from tulippin.jobs._lifecycle import make_progress, open_steps
 from tulippin.jobs._memory import make_record
 from tulippin.jobs._reports import adopt_strays
+from tulippin.jobs._rooms import measure
 from tulippin.jobs._row_checks import find_fault, find_progress_fault
+from tulippin.jobs.layout import extend_layout, make_layout
 from tulippin.jobs.records import EpochRecord
 from tulippin.jobs.state import (
     Job,
@@ -42,6 +44,7 @@
     TaskKey,
     WorkerEntry,
 )
+from tulippin.platform.feeds import decode_configuration, decode_worker
 from tulippin.platform.workers import PlatformWorkers
 from tulippin.types import Resources
 
@@ -260,3 +263,106 @@
     for worker_id, running, ended, clock_ms in reports:
         report(state, worker_id, hear(running, ended, clock_ms))
         check_kept(state)
+
+
+# -- entries and configurations -----------------------------------------------
+
+ENTRY = {
+    'Service': QUEUE.service,
+    'Address': '10.0.0.1:80',
+    'Zone': 'z',
+    'Version': 'v1',
+    'Slots': 8,
+    'State': 'ready',
+    'ColdRemainingMs': 0,
+    'Capacity': {'Cpu': 16000, 'MemMb': 32768, 'Gpus': 0},
+    'Labels': ['a', 'r1'],
+    'ClockMs': 482113,
+    'Sequence': 4,
+}
+TIMES = st.sampled_from((0, 0.5, 1, -1, 1e15, 1e308, -1e308))
+COUNTS = st.sampled_from((0, 1, -1, 2**31, 2**64, HUGE, -HUGE))
+ENTRIES = st.fixed_dictionaries(
+    {},
+    optional={
+        'Capacity': st.fixed_dictionaries(
+            {
+                'Cpu': st.sampled_from((1, 999, 16000, 10**9)),
+                'MemMb': st.sampled_from((1, 32768, 10**9)),
+            },
+            optional={'Gpus': st.sampled_from((0, 1, 10**6))},
+        ),
+        'State': st.sampled_from(('ready', 'draining')),
+        'Labels': st.sampled_from((['a'], ['a', ''], ['', 'r1'], ['a'] * 9)),
+        'Slots': COUNTS,
+        'Sequence': COUNTS,
+        'ClockMs': COUNTS,
+        'ColdRemainingMs': TIMES,
+        'RemainingMs': TIMES,
+    },
+).map(lambda changes: {**ENTRY, **changes})
+ROUTES = st.fixed_dictionaries(
+    {
+        'Name': st.just(QUEUE.name),
+        'Host': st.just('host'),
+        'PathPrefix': st.just('/q/'),
+        'Service': st.just(QUEUE.service),
+    },
+    optional={
+        'Priority': COUNTS,
+        'MaxAttempts': COUNTS,
+        'Stretch': TIMES,
+        'TargetLatencyMs': TIMES,
+    },
+)
+
+
+def list_entry(state, number, entry):
+    value = json.dumps({**entry, 'Address': f'10.0.0.{number + 1}:80'})
+    found = decode_worker(f'w{number}', value.encode())
+    state.now_ms += 50
+    return core.reduce(
+        state, ev.WorkersChanged(state.now_ms, (found,), (), state.now_ms)
+    )
+
+
+@settings(max_examples=150, suppress_health_check=list(HealthCheck))
+@given(
+    st.lists(st.tuples(st.sampled_from((0, 1)), ENTRIES), max_size=4),
+    ROUTES,
+    st.sampled_from((0.0, 1e-9, 500.0, 1e9)),
+)
+def test_no_entry_and_no_queue_ends_an_owner(entries, route, run_ms):
+    state = make_owner()
+    value = json.dumps({'Version': 1, 'Routes': [route]}).encode()
+    configuration = decode_configuration(value)
+    core.reduce(state, ev.ConfigurationChanged(state.now_ms, configuration))
+    job = state.jobs[JOB]
+    job.queue = configuration.queues[0]
+    if run_ms:
+        state.run_times_ms[QUEUE.name] = run_ms
+    open_steps(job, state)
+    running = [
+        (name(step=FILLER), 1, '', 9, 1500.0),
+        (name(), 1, '', 100, 40.0),
+    ]
+    for number, entry in entries:
+        list_entry(state, number, entry)
+        report(state, 'w0', hear(running))
+        state.now_ms += 700
+        core.reduce(state, ev.Ticked(state.now_ms, state.now_ms))
+    failed = [(1, name(step=BATCH), 1, 'failed', '')]
+    report(state, 'w0', hear(running, failed))
+    check_kept(state)
+    measure(state)
+
+
+@given(st.lists(ENTRIES, max_size=8))
+def test_any_entries_make_a_layout(entries):
+    found = [
+        decode_worker(f'w{number}', json.dumps(entry).encode())
+        for number, entry in enumerate(entries)
+    ]
+    layout = make_layout(found)
+    assert not find_fault(layout)
+    assert not find_fault(extend_layout(layout, found))
