Older daemon: what platform, workers and peers answer may be anything

What users would see: a worker that answers a sync with anything but a report makes the decoder raise InputError in the effect that sent it, which catches refusals and silence only; so do the table and the list of instances. A lease row that can't be read raises it where the rows of ended sessions are cleared. A report's use of 10**400 MB ended the reducer (OverflowError in sizes), and a peer's weight with -4 samples did (ZeroDivisionError in policies: the prior counts 4); slowdowns of 1e308 went into weights that end as no number; slots below none let more requests in than the worker has.

Shown at the adapters and in the reducer; that the effect's error ends the process was read in the code, not run.

Now the adapters take such an answer as lost; use that no task has is dropped with a line, weights that nobody learned are counted and passed over, slots below none are none, and the clearing says why it did nothing.

--- a/src/tulippin/_pressure.py
+++ b/src/tulippin/_pressure.py
@@ -107,7 +107,10 @@
 
 @receive.register
 def _(message: ModelShared, sender: str, context: Context) -> None:
-    context.state.model.take_shared(sender, message.entries)
+    state = context.state
+    odd_count = state.model.take_shared(sender, message.entries)
+    if odd_count:
+        state.counters['weights_refused'] += odd_count
 
 
 def _get_residents(worker: WorkerState, at_ms: int) -> dict[str, int]:
--- a/src/tulippin/platform_http.py
+++ b/src/tulippin/platform_http.py
@@ -13,13 +13,19 @@
 
 from tulippin import codec
 from tulippin._http_client import HttpAnswer, HttpClient
-from tulippin.exceptions import AnswerLostError, UnavailableError
+from tulippin.exceptions import (
+    AnswerLostError,
+    InputError,
+    UnavailableError,
+)
 from tulippin.ports import Condition, InstanceList, Row, Write
 
 _OK: t.Final = 200
 _NOT_FOUND: t.Final = 404
 _UNAVAILABLE: t.Final = 503
 
+Decoded = t.TypeVar('Decoded')
+
 
 @attrs.frozen
 class KeyBody:
@@ -53,6 +59,16 @@
     return answer
 
 
+def _decode(answer: HttpAnswer, kind: type[Decoded]) -> Decoded:
+    """Return an answer's value; one that is none is a lost answer."""
+    try:
+        return codec.decode(answer.body, kind)
+    except InputError as error:
+        raise AnswerLostError(
+            f'the platform answers nonsense: {error.message}'
+        ) from error
+
+
 @attrs.frozen
 class HttpTable:
     """The table service at a URL."""
@@ -65,12 +81,12 @@
         answer = await self._send('get', KeyBody(key))
         if answer.status == _NOT_FOUND:
             return None
-        return codec.decode(answer.body, Row)
+        return _decode(answer, Row)
 
     async def scan(self, prefix: str) -> list[tuple[str, Row]]:
         """Return the rows whose key begins with a prefix."""
         answer = await self._send('scan', KeyBody(prefix))
-        return codec.decode(answer.body, list[tuple[str, Row]])
+        return _decode(answer, list[tuple[str, Row]])
 
     async def commit(
         self, conditions: t.Sequence[Condition], writes: t.Sequence[Write]
@@ -78,7 +94,7 @@
         """Apply all writes if all conditions hold."""
         body = CommitBody(tuple(conditions), tuple(writes))
         answer = await self._send('commit', body)
-        return codec.decode(answer.body, VersionBody).version
+        return _decode(answer, VersionBody).version
 
     async def _send(self, verb: str, body: object) -> HttpAnswer:
         return _check(
@@ -122,4 +138,4 @@
     async def list_instances(self) -> InstanceList:
         """Return the list as the platform has it now."""
         answer = _check(await self.client.send('GET', f'{self.url}/instances'))
-        return codec.decode(answer.body, InstanceList)
+        return _decode(answer, InstanceList)
--- a/src/tulippin/policies.py
+++ b/src/tulippin/policies.py
@@ -19,6 +19,9 @@
 
 
 _CLASS_LIMIT: t.Final = 32
+# Far above what is learned of a slowdown, and of how many samples.
+_MOST_WEIGHT: t.Final = 1e6
+_MOST_SAMPLES: t.Final = 1e6
 
 
 @attrs.frozen
@@ -135,10 +138,19 @@
 
     def take_shared(
         self, source: str, entries: t.Iterable[tuple[str, float, float]]
-    ) -> None:
-        """Take what another instance has learned, in place of its last."""
+    ) -> int:
+        """Take what another instance has learned, in place of its last.
+
+        Returns how many entries are none that could be learned: less than
+        no sample would leave nothing to divide by.
+        """
         known = self.shared.setdefault(source, {})
+        odd_count = 0
         for key, weight, count in entries:
+            is_weight = 0 <= weight <= _MOST_WEIGHT
+            if not is_weight or not 0 <= count <= _MOST_SAMPLES:
+                odd_count += 1
+                continue
             old_weight, old_count = known.get(key, (0.0, 0.0))
             total, counted = self.shared_sums.get(key, (0.0, 0.0))
             self.shared_sums[key] = (
@@ -146,6 +158,7 @@
                 counted - old_count + count,
             )
             known[key] = (weight, count)
+        return odd_count
 
     def drop_shared(self, source: str) -> None:
         """Forget what an instance that has ended had learned."""
--- a/src/tulippin/shell.py
+++ b/src/tulippin/shell.py
@@ -21,7 +21,8 @@
 from tulippin._perform import perform
 from tulippin._session_effects import SessionEffects
 from tulippin.bundle_store import BundleStore
-from tulippin.exceptions import UnavailableError
+from tulippin.exceptions import InputError, UnavailableError
+from tulippin.logs import logger
 from tulippin.messages import (
     JobReply,
     RequestOutcome,
@@ -258,7 +259,14 @@
                 trio.move_on_after(_GARBAGE_EVERY_S),
                 contextlib.suppress(UnavailableError),
             ):
-                await collect_garbage(self.ports.table, self.ports.objects)
+                await self._collect_once()
+
+    async def _collect_once(self) -> None:
+        """Clear ended sessions, unless a row hides which ones are needed."""
+        try:
+            await collect_garbage(self.ports.table, self.ports.objects)
+        except InputError as error:
+            logger.error('sessions not cleared', reason=error.message)
 
     def start(self, task: t.Callable[..., t.Awaitable[None]], *args) -> None:
         """Run an effect's task beside the loop."""
--- a/src/tulippin/workers_http.py
+++ b/src/tulippin/workers_http.py
@@ -12,12 +12,14 @@
 from tulippin.exceptions import (
     AnswerLostError,
     FencedError,
+    InputError,
     UnavailableError,
 )
+from tulippin.logs import logger
 from tulippin.messages import RequestOutcome, ServiceRequest
 from tulippin.ports import EndpointReply
-from tulippin.types import OutcomeKind
-from tulippin.worker_types import WorkerReport, WorkerSync
+from tulippin.types import OutcomeKind, Resources
+from tulippin.worker_types import UsageSample, WorkerReport, WorkerSync
 
 REQUEST_ID_HEADER: t.Final = 'x-request-id'
 EPOCH_HEADER: t.Final = 'x-owner-epoch'
@@ -26,6 +28,10 @@
 _OK: t.Final = 200
 _CONFLICT: t.Final = 409
 _FIRST_ERROR: t.Final = 400
+# Far above any machine, and any slowdown of what still answers; sums and
+# products of such figures stay within a float.
+_LARGEST_USE: t.Final = Resources(10**9, 10**9, 10**9)
+_LARGEST_SLOWDOWN: t.Final = 1e6
 
 
 @attrs.frozen
@@ -43,7 +49,7 @@
             raise FencedError('a higher epoch is at work')
         if answer.status != _OK:
             raise UnavailableError(f'the worker answers {answer.status}')
-        return codec.decode(answer.body, WorkerReport)
+        return _decode_report(answer)
 
 
 @attrs.frozen
@@ -77,6 +83,33 @@
         return _read_reply(answer)
 
 
+def _decode_report(answer: HttpAnswer) -> WorkerReport:
+    """Return a report with such figures only as a worker can have."""
+    try:
+        report = codec.decode(answer.body, WorkerReport)
+    except InputError as error:
+        raise AnswerLostError(
+            f'the worker answers nonsense: {error.message}'
+        ) from error
+    usage = tuple(filter(_is_possible, report.usage))
+    if len(usage) < len(report.usage):
+        logger.warning(
+            'use unusable',
+            worker=report.worker_id,
+            samples=len(report.usage) - len(usage),
+        )
+    # Slots below none would let more requests in than the worker has.
+    return attrs.evolve(
+        report, usage=usage, busy_slots=max(0, report.busy_slots)
+    )
+
+
+def _is_possible(sample: UsageSample) -> bool:
+    is_slowdown = 0 < sample.slowdown <= _LARGEST_SLOWDOWN
+    is_use = sample.used.fits(Resources()) and _LARGEST_USE.fits(sample.used)
+    return is_slowdown and is_use
+
+
 def _read_reply(answer: HttpAnswer) -> EndpointReply:
     leaving = LEAVING_HEADER in answer.headers
     refusal = answer.headers.get(NOT_RUN_HEADER)
