Refuse a lease's room that leaves what a float holds

Shown: a lease row that reads well and tells of 10**400 reserved millicores passes its check, and _passing._get_fullness raises OverflowError in the reducer of each other owner that weighs the units (_evening and _balancing divide the same figures).

An owner can't come to such a room, as workers and tasks are bounded where they are read; it takes another writer. The row is refused as the other odd counts of a lease are: what the lease told last counts until the owner's next renewal, which writes over it within a second.

--- a/src/tulippin/jobs/_row_checks.py
+++ b/src/tulippin/jobs/_row_checks.py
@@ -23,6 +23,7 @@
     PairRecord,
     ProgressRecord,
     SwingRecord,
+    UnitRoom,
     WorkerAccount,
 )
 from tulippin.jobs.types import (
@@ -46,6 +47,8 @@
 MOST_AMOUNT: t.Final = 10**9
 # Some 30,000 years, which a float adds to a time of day without a loss.
 LONGEST_MS: t.Final = 10**15
+# Far above what all jobs that one unit can hold ask for.
+_MOST_ASKED: t.Final = 10**30
 _LARGEST_SIZE: t.Final = Resources(MOST_AMOUNT, MOST_AMOUNT, MOST_AMOUNT)
 # Each unit has two tables, of which the platform's store keeps 100.
 _MOST_UNITS: t.Final = 1000
@@ -192,7 +195,28 @@
 @find_fault.register
 def _check_lease(record: LeaseRecord) -> str:
     counts = (record.renewal_count, *record.waiting.values())
-    return 'it counts below none' if min(counts) < 0 else ''
+    if min(counts) < 0:
+        return 'it counts below none'
+    return '' if _is_sane_room(record.room) else 'its room is none of a unit'
+
+
+def _is_sane_room(room: UnitRoom) -> bool:
+    """Whether what is worked out of a room stays within a float.
+
+    Less than none may be left: a worker's room may have shrunk.
+    """
+    figures = (
+        room.capacity_millicores,
+        room.reserved_millicores,
+        room.idle_millicores,
+        room.largest_free.cpu_millicores,
+        room.largest_free.memory_mb,
+        room.largest_free.accelerator_count,
+        room.largest_new_millicores or 0,
+        *room.places,
+        *room.waiting_millicores.values(),
+    )
+    return all(abs(figure) <= _MOST_ASKED for figure in figures)
 
 
 @find_fault.register
--- /dev/null
+++ b/tests/tulippin/jobs/test_odd_rooms.py
@@ -0,0 +1,89 @@
+"""What a lease's row tells of its unit's room, where it is none.
+
+Other units' owners weigh the rooms that leases tell, to pass tasks on and to
+even units out, and so do the instances that place a job: a room of 10 to the
+400th processors ended the owners that passed tasks on, and the hand-in.
+"""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fleet_of_schedulers import make_step
+from tulippin.codec_json import encode
+from tulippin.jobs._evening import choose_units
+from tulippin.jobs._passing import _get_fullness, _is_inviting
+from tulippin.jobs._rooms import count_places, has_place, measure_asked
+from tulippin.jobs._rows import read_record
+from tulippin.jobs.ports import StoredRow
+from tulippin.jobs.records import LeaseRecord, UnitRoom
+from tulippin.jobs.state import SchedulerConfig, SchedulerState
+from tulippin.types import Resources
+
+HUGE = 10**400
+# More than a unit's owner can come to: a million jobs, each of a million
+# tasks of the largest size.
+MOST_ASKED = 10**21
+FIGURES = st.sampled_from((0, 1, -1, 16_000, 2**63, MOST_ASKED, HUGE, -HUGE))
+ROOMS = st.builds(
+    UnitRoom,
+    FIGURES,
+    FIGURES,
+    FIGURES,
+    st.builds(Resources, FIGURES, FIGURES, FIGURES),
+    st.just(('a',)),
+    st.lists(FIGURES, max_size=4).map(tuple),
+    st.dictionaries(st.just('image'), FIGURES),
+    st.just(('image',)),
+    st.none() | FIGURES,
+)
+
+
+def read(room):
+    value = encode(LeaseRecord('i0:1', 'i0', 7, room=room))
+    return read_record(StoredRow('units', 'u0', 'lease', value, 1), LeaseRecord)
+
+
+@given(st.lists(ROOMS, max_size=3))
+def test_room_that_is_read_can_be_weighed(rooms):
+    state = SchedulerState(SchedulerConfig('i', 'i:1'), now_ms=100_000)
+    for number, room in enumerate(rooms, 1):
+        record = read(room)
+        if record is None:
+            continue
+        state.rooms[number] = record.room
+        _is_inviting(record.room)
+        assert float(_get_fullness(record.room)) >= -MOST_ASKED
+        count_places(record.room, 1000)
+        has_place(record.room, make_step(), is_new=True)
+        float(sum(record.room.waiting_millicores.values()))
+    choose_units(state)
+
+
+ODD = {
+    'capacity': UnitRoom(capacity_millicores=HUGE),
+    'reserved': UnitRoom(reserved_millicores=HUGE),
+    'below none': UnitRoom(reserved_millicores=-HUGE),
+    'idle': UnitRoom(idle_millicores=HUGE),
+    'free': UnitRoom(largest_free=Resources(HUGE, 0, 0)),
+    'places': UnitRoom(places=(1, HUGE)),
+    'waiting': UnitRoom(waiting_millicores={'a': HUGE}),
+    'new': UnitRoom(largest_new_millicores=-HUGE),
+}
+
+
+@pytest.mark.parametrize('name', sorted(ODD))
+def test_room_of_no_unit_is_refused(name):
+    assert read(ODD[name]) is None
+
+
+@pytest.mark.parametrize(
+    'room',
+    [
+        UnitRoom(),
+        UnitRoom(16_000, MOST_ASKED, MOST_ASKED, Resources(-9000, -1, 0)),
+        measure_asked(SchedulerState(SchedulerConfig('i', 'i:1'))),
+    ],
+)
+def test_room_that_an_owner_can_come_to_is_read(room):
+    assert read(room).room == room
