Bound a queue's target latency where it is read

Shown: a job's row whose queue has a target of 10**400 ms ends its owner (OverflowError in _ranking._judge, where due times are sums of floats), and each next one. A configuration can't bring it (its figure is a float), another writer's row can. The row is refused; a configured target is kept to 10**15 ms so that no configuration makes the jobs that come under it unreadable.

Two new cases failed on the code before; the five that hold a configured target to what owners read passed, and stay.

--- a/src/tulippin/jobs/_row_checks.py
+++ b/src/tulippin/jobs/_row_checks.py
@@ -28,6 +28,7 @@
 )
 from tulippin.jobs.types import (
     JobRequest,
+    Queue,
     Schedule,
     Step,
     TaskKey,
@@ -47,6 +48,8 @@
 MOST_AMOUNT: t.Final = 10**9
 # Some 30,000 years, which a float adds to a time of day without a loss.
 LONGEST_MS: t.Final = 10**15
+# What a float still holds, with some more added to it.
+_MOST_EXACT: t.Final = 10**300
 # Far above what all jobs that one unit can hold ask for.
 _MOST_ASKED: t.Final = 10**30
 _LARGEST_SIZE: t.Final = Resources(MOST_AMOUNT, MOST_AMOUNT, MOST_AMOUNT)
@@ -137,12 +140,22 @@
 
 @find_fault.register
 def _check_job(record: JobRecord) -> str:
-    return _find_request_fault(record.request)
+    return _find_queue_fault(record.queue) or _find_request_fault(
+        record.request
+    )
+
+
+def _find_queue_fault(queue: Queue) -> str:
+    """Return what of a queue can't be worked with, as due times are."""
+    if abs(queue.target_latency_ms) > _MOST_EXACT:
+        return 'its queue has no target'
+    return ''
 
 
 @find_fault.register
 def _check_guest(record: GuestRecord) -> str:
-    fault = _find_request_fault(record.request)
+    fault = _find_queue_fault(record.queue)
+    fault = fault or _find_request_fault(record.request)
     if not fault and min(record.passes.values(), default=1) < 1:
         fault = 'a pass has no number'
     if not fault and min(record.runs.values(), default=0) < 0:
--- a/src/tulippin/platform/feeds.py
+++ b/src/tulippin/platform/feeds.py
@@ -9,6 +9,7 @@
 import attrs
 import msgspec
 
+from tulippin.jobs._row_checks import LONGEST_MS
 from tulippin.jobs.ports import RowStore, StoredRow
 from tulippin.jobs.types import (
     Configuration,
@@ -54,7 +55,7 @@
         priority=body.priority,
         max_attempts=body.max_attempts,
         stretch=body.stretch,
-        target_latency_ms=int(body.target_ms),
+        target_latency_ms=int(min(body.target_ms, LONGEST_MS)),
         advised=body.advice is not None,
     )
 
--- a/tests/tulippin/jobs/test_odd_jobs.py
+++ b/tests/tulippin/jobs/test_odd_jobs.py
@@ -22,6 +22,7 @@
 from tulippin.jobs.records import JobRecord
 from tulippin.jobs.types import JobState
 from tulippin.platform.callers import decode_job
+from tulippin.platform.feeds import decode_configuration
 
 SOUND = '00000000000000bb'
 HUGE = 10**400
@@ -152,3 +153,23 @@
     value = json.loads(encode(JobRecord(QUEUE, make_request())))
     value['request']['steps'] = [step]
     assert run_virtual(meet, json.dumps(value).encode())
+
+
+@pytest.mark.parametrize('target', [HUGE, -HUGE])
+def test_queue_of_another_writer_ends_no_owner(run_virtual, target):
+    value = json.loads(encode(JobRecord(QUEUE, make_request())))
+    value['queue']['target_latency_ms'] = target
+    assert run_virtual(meet, json.dumps(value).encode())
+
+
+@pytest.mark.parametrize('target', [0, 500, 1e15, 1e300, 1.7e308])
+def test_job_of_any_configured_queue_is_read_by_its_owner(target):
+    """What the operators configure must not hide what callers hand in."""
+    route = {'Name': 'q', 'Host': 'h', 'PathPrefix': '/', 'Service': 's'}
+    route['TargetLatencyMs'] = target
+    body = json.dumps({'Version': 1, 'Routes': [route]}).encode()
+    (queue,) = decode_configuration(body).queues
+    row = StoredRow(
+        'jobs0', 'j0', JOB, encode(JobRecord(queue, make_request())), 1
+    )
+    assert read_record(row, JobRecord).queue == queue
