Count no queue's jobs from a lease that was not read

What callers saw: an instance that has just started, or that can't read a unit's lease, answered a queue's GET with a WaitingCount of 0 for that unit, as if nobody waited there.

Cause: a lease that is not there, one that was not read yet and one that can't be read were all taken as none.

--- a/src/tulippin/jobs/intake.py
+++ b/src/tulippin/jobs/intake.py
@@ -37,6 +37,9 @@
 from tulippin.jobs.types import JobRequest, JobState, Queue
 from tulippin.logs import logger
 
+if t.TYPE_CHECKING:
+    from tulippin.jobs.unit_shell import UnitShell
+
 _MS: t.Final = 1000
 # A store that is well answers in 4 to 9 ms: with less time left, a caller
 # would learn nothing of what was done.
@@ -202,14 +205,27 @@
 
     def count_waiting(self, queue: Queue) -> int:
         """Return how many of a queue's jobs have no task begun."""
-        total = 0
-        for unit in self.shell.units.values():
-            if unit.is_owner:
-                waiting = count_waiting(unit.state)
-            else:
-                waiting = unit.lease.waiting if unit.lease else {}
-            total += waiting.get(queue.name, 0)
-        return total
+        if not self.shell.units:
+            raise UnavailableError('no unit is known yet')
+        told = [_get_waiting(unit) for unit in self.shell.units.values()]
+        return sum(waiting.get(queue.name, 0) for waiting in told)
+
+
+def _get_waiting(unit: UnitShell) -> dict[str, int]:
+    """Return the waiting jobs of a unit, as far as its lease is known.
+
+    A lease that has not been read, or can't be, does not tell of none.
+    """
+    if unit.is_owner:
+        return count_waiting(unit.state)
+    if unit.lease is not None:
+        return unit.lease.waiting
+    ownership = unit.state.ownership
+    is_read = ownership.changed_ms >= 0
+    if not is_read or ownership.lease_version:
+        number = unit.config.unit.number
+        raise UnavailableError(f'the lease of unit {number} is not known yet')
+    return {}
 
 
 def _check_limit(limit_ms: int) -> None:
--- a/tests/tulippin/platform/test_caller_deadlines.py
+++ b/tests/tulippin/platform/test_caller_deadlines.py
@@ -15,7 +15,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fleet_of_schedulers import JOB, QUEUE, make_request, open_fleet
+from fleet_of_schedulers import JOB, QUEUE, make_request, make_step, open_fleet
 from tulippin.exceptions import UnavailableError
 from tulippin.platform.callers import CallersApp, read_limit_ms
 from tulippin.platform.standin import get_now_ms
@@ -217,3 +217,51 @@
     assert told.kwargs['job'] == JOB
     assert told.kwargs['method'] == 'POST'
     assert 'choose_unit' in told.kwargs['traceback']
+
+
+WAITING = 3
+
+
+async def wait_for_jobs(fleet):
+    """Hand in jobs that nothing can run, and wait until all know of them."""
+    for number in range(WAITING):
+        request = make_request(make_step(cpu=10**6))
+        await fleet.submit(f'{number:016x}', request)
+    await trio.sleep(3)
+
+
+def test_instance_that_has_read_no_lease_counts_no_jobs(run_virtual):
+    """Each of its answers was 0 until then, as if nobody waited."""
+
+    async def run():
+        async with open_fleet(1) as fleet:
+            await wait_for_jobs(fleet)
+            instance = await fleet.start('i9')
+            app = CallersApp(instance.intake, lambda: '')
+            answers = []
+            with trio.move_on_after(3):
+                while True:
+                    answers.append(await call(app, 'GET', b'3000', '/q/'))
+                    await trio.sleep(0.001)
+            counts = {one.body.get('WaitingCount') for one in answers}
+            assert counts == {None, WAITING}
+            refused = [one for one in answers if one.status != 200]
+            assert {one.status for one in refused} == {503}
+            assert {one.headers[b'retry-after'] for one in refused} == {b'1'}
+
+    run_virtual(run)
+
+
+def test_unreadable_lease_of_another_owner_counts_no_jobs(run_virtual):
+    async def run():
+        async with open_fleet(1) as fleet:
+            await wait_for_jobs(fleet)
+            instance = await fleet.start('i9')
+            await trio.sleep(2)
+            assert instance.intake.count_waiting(QUEUE) == WAITING
+            unit = instance.shell.units[0]
+            unit.lease = None
+            with pytest.raises(UnavailableError):
+                instance.intake.count_waiting(QUEUE)
+
+    run_virtual(run)
