Take a worker's numbers beyond 62 bits as a lost answer

What users would see: a worker whose clock is a number of 4300 nines is answered with a lease until some seconds later, a number of 4301 digits, which can't be written (ValueError of the encoder, in the effect that holds the worker); so is the next run after such a one, and an acknowledged end.

Cause: numbers of reports had no bounds; the decoder takes 4300 digits.

--- a/src/tulippin/platform/wire.py
+++ b/src/tulippin/platform/wire.py
@@ -7,8 +7,10 @@
 import msgspec
 
 RunningRow: t.TypeAlias = tuple[t.Any, ...]
-EndedRow: t.TypeAlias = tuple[int, str, int, str, str]
-
+# Far above any clock and any count, with room for what is added to it: a
+# number of more than 4300 digits can't even be written.
+_Count: t.TypeAlias = t.Annotated[int, msgspec.Meta(ge=-(2**62), lt=2**62)]
+EndedRow: t.TypeAlias = tuple[_Count, str, _Count, str, str]
 
 # Far above any machine, and far below what sums over all workers may reach.
 _Amount: t.TypeAlias = t.Annotated[int, msgspec.Meta(ge=1, le=10**9)]
@@ -251,7 +253,7 @@
 class WorkerAnswerBody(msgspec.Struct, frozen=True):
     """A worker's answer to any order."""
 
-    clock_ms: int | None = msgspec.field(name='ClockMs', default=None)
+    clock_ms: _Count | None = msgspec.field(name='ClockMs', default=None)
     reason: str = msgspec.field(name='Reason', default='')
     # Rows, not a count: task, run, checkpoint, percent, load.
     running: tuple[RunningRow, ...] = msgspec.field(
--- a/src/tulippin/platform/workers.py
+++ b/src/tulippin/platform/workers.py
@@ -50,6 +50,8 @@
 }
 # A running row has a fifth entry only where tasks share processors.
 _LOAD_COLUMN: t.Final = 4
+# Above it there is no next run.
+_LARGEST_RUN: t.Final = 2**62
 # Far above any tail in ms and any use in millicores.
 _LARGEST_LOAD: t.Final = 1e9
 # Less than a thousandth of either is none: what is divided by it would leave
@@ -230,6 +232,8 @@
     task, run, checkpoint, percent = rest
     _demand(task, str)
     _demand(run, int)
+    if abs(run) >= _LARGEST_RUN:
+        raise ValueError('a run has no number')
     _demand(checkpoint, str)
     _demand(percent, (int, float))
     _demand(load, (int, float, type(None)))
