--- a/src/tulippin/http_callers.py
+++ b/src/tulippin/http_callers.py
@@ -17,6 +17,7 @@
     make_json,
     read_json,
 )
+from tulippin._proofs import make_not_run
 from tulippin.api_types import ServiceAnswer, ServiceCall
 from tulippin.bundles import compute_digest
 from tulippin.codec import decode, encode
@@ -123,7 +124,7 @@
         service = request.path_params['service']
         timeout_ms = self._check_call(service, call)
         if timeout_ms <= 0:
-            outcome = RequestOutcome(OutcomeKind.NOT_RUN, 'deadline')
+            outcome = make_not_run('deadline')
         else:
             outcome = await self._shell.request(
                 ServiceRequest(
--- a/tests/tulippin/test_http.py
+++ b/tests/tulippin/test_http.py
@@ -115,6 +115,24 @@
         check_schema('post', '/v1/services/{service}', got, answer)
 
 
+@pytest.mark.parametrize(
+    'details',
+    [
+        {'deadline_unix_ms': 1},
+        {'deadline_unix_ms': -(10**400)},
+        {'timeout_ms': 300},
+    ],
+)
+async def test_refusal_for_want_of_time_says_when_to_come_back(
+    open_daemons, details
+):
+    """A deadline that is over was answered with "never"."""
+    async with open_daemons() as site:
+        got, answer = await ask(site, make_call(**details))
+        assert (got, answer['outcome']) == (503, 'not_run')
+        assert answer['retry_after_ms'] > 0
+
+
 async def test_jobs(open_daemons):
     async with open_daemons() as site:
         status, job = await site.call('POST', '/v1/jobs', BATCH, port='callers')
