--- a/tests/tulippin/platform/test_platform_daemon.py
+++ b/tests/tulippin/platform/test_platform_daemon.py
@@ -112,6 +112,30 @@
         assert json.loads(waiting.body) == {'WaitingCount': 0}
 
 
+@pytest.mark.parametrize(
+    ('deadline', 'status'),
+    [
+        ('250', 200),
+        ('299', 200),
+        ('0', 503),
+        ('9', 503),
+        ('-1', 503),
+        ('9' * 4301, 200),
+        ('soon', 200),
+    ],
+)
+async def test_deadline_is_kept_or_refused_at_once(tmp_path, deadline, status):
+    """A short one was a 500, without a time to come back."""
+    async with serve(tmp_path) as site:
+        headers = {'Deadline-Ms': deadline}
+        answer = await site.call('POST', f'/q/{JOB}', BODY, headers=headers)
+        assert answer.status == status
+        is_refused = status == 503
+        assert ('retry-after' in answer.headers) == is_refused
+        state = await site.call('GET', f'/q/{JOB}')
+        assert state.status == (410 if is_refused else 200)
+
+
 async def test_unknown_host_path_and_job(tmp_path):
     async with serve(tmp_path) as site:
         for host, path, status in (
