End a task of a unit's life also where it had no turn yet

What callers could have seen: orders and rows of a life of a unit that is over, beside those of its next one.

Cause: the end of a life cancels the scopes of its tasks, and a task adds its scope at its first turn. One that an event began runs after the slice of the loop: where a later event of that slice, or a later effect of the same event, fails, it began after the end and nothing ended it.

Ruled out: the unit's feeds (their scope is cancelled before they begin). Before: the planted task runs; after: it does not. It holds as each task passes the check at its first turn, and is in the list of scopes from then on, with nothing between.

--- a/src/tulippin/jobs/unit_shell.py
+++ b/src/tulippin/jobs/unit_shell.py
@@ -141,6 +141,9 @@
         args: tuple[t.Any, ...],
     ) -> None:
         """Run a task until its end, or the end of this life of the unit."""
+        if self.is_over:
+            # It was begun, and had no turn before that end.
+            return
         began_ms = self.clock()
         with trio.CancelScope() as scope:
             self._scopes.add(scope)
