Let a unit's next life rest after its second failure, and be told nothing

What callers could have seen: an instance that does nothing else than begin one unit anew, thousands of lines a second, and renewals of its other units late; and, long after, a unit without an owner for half a minute more.

Cause: each next life was told configuration, policy and lease at once, and had ticks. Only its taking waited (by an extra wait). An event that raises for all lives (a configuration, a lease, a tick) therefore failed again in the same slice of the loop, without end. And the extra wait was counted from each lapse of a lease, and stayed as long as the instance only watched the unit: hours after the failures it was still kept free for that long.

Ruled out: waiting by the unit's own ticks (they may be what fails); a pause of the loop (the other units would wait).

A life that rests gets no event, and is told the newest configuration, policy and rows when it begins, by the same path as at once. A planned stop does not wait for it: it holds nothing.

The test of the later taking plants its failures at the lease, which a unit that is not owned is told too; it fails before this change at the same line.

--- a/src/tulippin/jobs/_restarts.py
+++ b/src/tulippin/jobs/_restarts.py
@@ -18,8 +18,9 @@
 
 # Failures further apart are taken for separate ones.
 _MEMORY_MS: t.Final = 60_000
-# How long the unit waits before it is taken up again after the second
-# failure, doubled at each further one. From the third on others are first.
+# How long the unit rests after the second failure, doubled at each further
+# one: from the third on others take it first, and what fails at each event
+# fails some times a minute.
 _FIRST_WAIT_MS: t.Final = 1000
 _LONGEST_WAIT_MS: t.Final = 30_000
 # Rows that are set aside; there are some per unit.
--- a/src/tulippin/jobs/shell.py
+++ b/src/tulippin/jobs/shell.py
@@ -18,13 +18,14 @@
 from tulippin.jobs.layout import get_rack
 from tulippin.jobs.ports import HistoryLostError, SchedulerPorts
 from tulippin.jobs.records import LayoutRecord, Unit
-from tulippin.jobs.state import Job, Phase, SchedulerConfig
+from tulippin.jobs.state import Job, SchedulerConfig
 from tulippin.jobs.types import Configuration, JobRequest, WorkerEntry
 from tulippin.jobs.unit_shell import UnitShell
 from tulippin.latencies import LatencyTable
 from tulippin.logs import logger
 from tulippin.supervision import keep_running
 
+_MS: t.Final = 1000
 _TICK_S: t.Final = 0.05
 # An instance that has no unit looks less often whether one is free, as a
 # takeover takes two seconds: 87 of 97 instances have none, and each wake-up
@@ -112,10 +113,7 @@
         self._is_leaving = True
         for unit in self.units.values():
             unit.post(ev.StopRequested(self.clock()))
-        while any(
-            unit.state.ownership.phase is not Phase.LEFT
-            for unit in self.units.values()
-        ):
+        while not all(unit.has_left for unit in self.units.values()):
             await trio.sleep(_TICK_S / 2)
 
     # -- units ---------------------------------------------------------------
@@ -132,12 +130,32 @@
         config = attrs.evolve(self.config, unit=Unit(number))
         self._begin_unit(UnitShell(config, self))
 
-    def replace_unit(self, failed: UnitShell, unit: UnitShell) -> None:
-        """Go on with a unit's next life; the other units know of nothing."""
+    def replace_unit(
+        self, failed: UnitShell, unit: UnitShell, rest_ms: int
+    ) -> None:
+        """Go on with a unit's next life; the other units know of nothing.
+
+        It rests first, and is told nothing meanwhile: one that fails at all
+        that it is told would take the whole instance's time.
+        """
         for inbox in (self._urgent, self._inbox):
             kept = [entry for entry in inbox if entry[0] is not failed]
             inbox.clear()
             inbox.extend(kept)
+        self.units[unit.config.unit.number] = unit
+        if rest_ms:
+            unit.is_resting = True
+            self.start(self._begin_later, unit, rest_ms)
+        else:
+            self._go_on(unit)
+
+    async def _begin_later(self, unit: UnitShell, rest_ms: int) -> None:
+        await trio.sleep(rest_ms / _MS)
+        unit.is_resting = False
+        self._go_on(unit)
+
+    def _go_on(self, unit: UnitShell) -> None:
+        """Tell a unit's next life all that its last one knew of."""
         self._begin_unit(unit)
         unit.see_rows(())
         if self._is_leaving:
--- a/src/tulippin/jobs/unit_shell.py
+++ b/src/tulippin/jobs/unit_shell.py
@@ -69,6 +69,7 @@
         self.config = config
         self.state: SchedulerState = core.make_state(config)
         self.is_over = False
+        self.is_resting = False
         self._parent = parent
         self._rows = rows or UnitRows()
         self._restarts = restarts or RestartLog()
@@ -116,6 +117,11 @@
         phase = self.state.ownership.phase
         return not self.is_over and phase in _HELD_PHASES
 
+    @property
+    def has_left(self) -> bool:
+        """Whether a planned stop has nothing to wait for here."""
+        return self.is_resting or self.state.ownership.phase is Phase.LEFT
+
     @property
     def may_be_free(self) -> bool:
         """Whether the instance may have to take the unit by now."""
@@ -126,8 +132,11 @@
         return self._parent.clock()
 
     def post(self, event: ev.JobEvent) -> None:
-        """Put an event of this unit into the instance's inbox."""
-        if not self.is_over:
+        """Put an event of this unit into the instance's inbox.
+
+        A life that rests is told all that still counts when it begins.
+        """
+        if not (self.is_over or self.is_resting):
             self._parent.post_to(self, event)
 
     def start(self, task: t.Callable[..., t.Awaitable[None]], *args) -> None:
@@ -228,16 +237,15 @@
         for scope in self._scopes:
             scope.cancel()
         self.forget_unit()
-        self._parent.replace_unit(self, self._begin_anew(wait_ms))
+        self._parent.replace_unit(self, self._begin_anew(), wait_ms)
 
-    def _begin_anew(self, wait_ms: int) -> UnitShell:
+    def _begin_anew(self) -> UnitShell:
         """Return the unit's next life, which knows what the rows tell."""
         session_id = self.config.session_id.partition('/')[0]
         config = attrs.evolve(
             self.config, session_id=f'{session_id}/{self._restarts.life}'
         )
         unit = UnitShell(config, self._parent, self._rows, self._restarts)
-        unit.state.ownership.wait_extra_ms = wait_ms
         unit.state.advice_after_ms = self._restarts.advice_after_ms
         unit.state.counters = self.state.counters
         unit.state.count('unit_failures')
--- a/tests/tulippin/jobs/test_unit_failures_review.py
+++ b/tests/tulippin/jobs/test_unit_failures_review.py
@@ -157,7 +157,7 @@
             def is_early_here(state, count):
                 return state.config.instance_id == first and count < OFTEN
 
-            plant_at(monkeypatch, Ticked, number=0, when=is_early_here)
+            plant_at(monkeypatch, LeaseSeen, number=0, when=is_early_here)
             with trio.fail_after(60):
                 while len(told_failures) < OFTEN:
                     await trio.sleep(0.05)
