Tell an error whatever its own text does

What callers could have seen: a unit that stands still for good, or an instance that ends, by an error in the telling of one; a line without its place.

Cause: repr of an error is the error's own code; its text may hold half of a sign, which no JSON line can; and of a long text the end was kept, not the frames before it.

Ruled out: str of an error in a traceback (the library guards it). Before: two of four such errors raise from the telling, one loses its line, one its frames; after: each is one line with its place. Each entry of a traceback is bounded by itself, so that the frames come before any text.

--- a/src/tulippin/failures.py
+++ b/src/tulippin/failures.py
@@ -14,6 +14,7 @@
 
 # Of a traceback, its end; a group of exceptions repeats the frames above.
 _TRACEBACK_SIGNS: t.Final = 6000
+# Of an error's own text; the frames stand before it.
 _CAUSE_SIGNS: t.Final = 500
 
 
@@ -43,14 +44,29 @@
     if frames:
         last = frames[-1]
         place = f'{last.filename}:{last.lineno} {last.name}'
-    text = ''.join(traceback.format_exception(cause))
+    parts = traceback.format_exception(cause)
+    text = ''.join(part[:_CAUSE_SIGNS] for part in parts)
     return {
-        'cause': repr(cause)[:_CAUSE_SIGNS],
+        'cause': _show(cause),
         'place': place,
-        'traceback': text[-_TRACEBACK_SIGNS:],
+        'traceback': _make_writable(text[-_TRACEBACK_SIGNS:]),
     }
 
 
+def _show(cause: BaseException) -> str:
+    """Return an error's text; its own code may fail at that."""
+    try:
+        text = repr(cause)
+    except Exception as second:
+        text = f'{type(cause).__name__}, whose text raises {type(second)}'
+    return _make_writable(text[:_CAUSE_SIGNS])
+
+
+def _make_writable(text: str) -> str:
+    """Replace what no line can hold: a lone half of a sign."""
+    return text.encode('utf-8', 'backslashreplace').decode()
+
+
 def tell(what: str, error: BaseException, **fields: t.Any) -> None:
     """Log an unexpected error with all that is known of it.
 
