Go on where the log is not taken

What callers could have seen: each instance whose log is not taken (its reader has gone, its disk is full) ends within a quarter of a second of each start.

Cause: the writing of gathered lines bore a full pipe and no other error, and runs in a task directly under the daemon, where an error ends the process.

Ruled out: a blocking write (the descriptor is switched to non-blocking). Before: BrokenPipeError from flush, before any of two lines; after: both lines are written once the file takes some again, with a line that tells how often none were taken, and by what error. The buffer is bounded as before.

--- a/src/tulippin/line_buffer.py
+++ b/src/tulippin/line_buffer.py
@@ -50,6 +50,8 @@
         self._lines: collections.deque[bytes] = collections.deque()
         self._rest = b''
         self.dropped_count = 0
+        self._refused_count = 0
+        self._refused_by = ''
         os.set_blocking(descriptor, False)
 
     def change_level(self, level: str) -> None:
@@ -78,7 +80,11 @@
         return _make_line(line)
 
     def flush(self) -> None:
-        """Write as much as the file takes now."""
+        """Write as much as the file takes now.
+
+        One that takes nothing, as its reader has gone or its disk is full,
+        ends nobody: the lines wait, and that is told once it takes some.
+        """
         while self._rest or self._lines:
             if not self._rest:
                 self._rest = self._gather()
@@ -86,7 +92,24 @@
                 count = os.write(self._descriptor, self._rest)
             except BlockingIOError:
                 return
+            except OSError as error:
+                self._refused_count += 1
+                self._refused_by = repr(error)
+                return
             self._rest = self._rest[count:]
+            self._tell_refused()
+
+    def _tell_refused(self) -> None:
+        """Say, once lines are taken, that for a while none were."""
+        if not self._refused_count:
+            return
+        told = {
+            'message': 'log not written',
+            'count': self._refused_count,
+            'cause': self._refused_by,
+        }
+        self._refused_count = 0
+        self._lines.append(_make_line({**self._fields, **told}))
 
     def _gather(self) -> bytes:
         chosen = []
--- a/tests/tulippin/test_line_buffer.py
+++ b/tests/tulippin/test_line_buffer.py
@@ -81,3 +81,28 @@
         logger.info('told')
     lines.flush()
     assert [line['message'] for line in read_lines(pipe[0])] == ['told']
+
+
+def test_file_that_takes_nothing_ends_nobody(pipe):
+    """Its reader has gone, or its disk is full: the lines wait, bounded.
+
+    What users would have seen: each instance whose log is not taken ends
+    within a quarter of a second of each start.
+    """
+    reader, writer = os.pipe()
+    lines = LineBuffer(writer, {})
+    os.close(reader)
+    with lines.applicationbound():
+        logger.info('decided', number=1)
+        lines.flush()
+        lines.flush()
+        os.dup2(pipe[1], writer)
+        os.set_blocking(writer, False)
+        logger.info('decided', number=2)
+        lines.flush()
+    os.close(writer)
+    found = read_lines(pipe[0])
+    assert [one['number'] for one in found if 'number' in one] == [1, 2]
+    (told,) = [one for one in found if one['message'] == 'log not written']
+    assert told['count'] == 2
+    assert 'BrokenPipeError' in told['cause']
