Contain errors of bundles, settings and the log's writing in an instance

What callers could have seen: an instance that ends with all its units by an error in what only serves its operators, and again after each start that meets the same.

Cause: these tasks ran directly under the daemon, where an error ends the process; only the shell's own tasks were contained.

Ruled out: odd rows of bundles (24 tried: each is refused as an input) and odd settings files (10 tried, likewise): the errors are planted. Before: the daemon ends in each of three; after: it serves calls, and each is told. A settings file that raises leaves the settings in force.

--- a/src/tulippin/scheduler_daemon.py
+++ b/src/tulippin/scheduler_daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import functools
 import gc
 import importlib
 import pathlib
@@ -37,6 +38,7 @@
     SchedulerSettings,
     load_scheduler_settings,
 )
+from tulippin.supervision import keep_running
 
 _MS: t.Final = 1000
 # An owner writes some 300 lines a second into a buffer of 8,000.
@@ -141,6 +143,10 @@
                 reason=error.message,
             )
             return
+        except Exception as error:
+            # A file of the operators' ends no process.
+            failures.tell('settings failed', error)
+            return
         changed = [
             field.name
             for field in attrs.fields(SchedulerSettings)
@@ -186,13 +192,21 @@
         async with contextlib.AsyncExitStack() as stack:
             shell = await self._open(stack)
             nursery = await stack.enter_async_context(trio.open_nursery())
-            for task in (self._flush, self._watch_settings):
-                nursery.start_soon(task)
+            for what, task in (
+                ('log', self._flush),
+                ('settings', self._watch_settings),
+                (
+                    'bundles',
+                    functools.partial(
+                        follow_bundles, shell, self.settings.operators
+                    ),
+                ),
+            ):
+                nursery.start_soon(keep_running, what, task)
             app = CallersApp(JobIntake(shell), self.get_unready)
             servers = self._make_servers(stack, app)
             for server in servers:
                 await nursery.start(server.serve)
-            nursery.start_soon(follow_bundles, shell, self.settings.operators)
             task_status.started()
             logger.info('started', session=shell.config.session_id)
             await self._stopping.wait()
