Tell an error of a call, where the library that serves it keeps it

What callers could have seen: 500, while no log line says why; a fault of the intake, of readiness or of the operators' pages would stay without a trace.

Cause: the library that serves calls logs an error to a log that is off, and answers.

Ruled out: telling in every listener (the stand-in's store refuses calls by errors of its own on purpose). Before: nothing is told in either of two listeners; after: one line each, with method and path; the answer is the same.

--- a/src/tulippin/scheduler_daemon.py
+++ b/src/tulippin/scheduler_daemon.py
@@ -38,7 +38,7 @@
     SchedulerSettings,
     load_scheduler_settings,
 )
-from tulippin.supervision import keep_running
+from tulippin.supervision import ToldApp, keep_running
 
 _MS: t.Final = 1000
 # An owner writes some 300 lines a second into a buffer of 8,000.
@@ -229,7 +229,7 @@
         }
         servers = []
         for name, (one, address) in served.items():
-            server = stack.enter_context(HttpServer(one, address))
+            server = stack.enter_context(HttpServer(ToldApp(one), address))
             self.ports[name] = server.port
             servers.append(server)
         return servers
--- a/src/tulippin/supervision.py
+++ b/src/tulippin/supervision.py
@@ -1,4 +1,4 @@
-"""Tasks that go on after an error that nothing was meant to raise."""
+"""Tasks and calls whose unexpected errors are told, and end nothing else."""
 
 from __future__ import annotations
 
@@ -10,6 +10,8 @@
 
 # What fails at every turn is told about once a second.
 _AGAIN_S: t.Final = 1.0
+# Of a path, in a log line.
+_PATH_SIGNS: t.Final = 200
 
 
 async def keep_running(what: str, run: t.Callable[[], t.Awaitable[None]]):
@@ -31,3 +33,32 @@
         except* Exception as errors:
             failures.tell('task failed', errors, task=what)
         await trio.sleep(_AGAIN_S)
+
+
+class ToldApp:
+    """An ASGI application whose errors are told, and answered as before.
+
+    What serves it keeps them to itself, as its own log is off.
+
+    Parameters
+    ----------
+    app : ASGI application
+        What answers.
+    """
+
+    def __init__(self, app: t.Any) -> None:
+        self._app = app
+
+    async def __call__(self, scope: t.Any, receive: t.Any, send: t.Any) -> None:
+        """Answer one call."""
+        try:
+            await self._app(scope, receive, send)
+        except Exception as error:
+            if scope['type'] == 'http':
+                failures.tell(
+                    'call failed',
+                    error,
+                    method=scope['method'],
+                    path=scope['path'][:_PATH_SIGNS],
+                )
+            raise
