Count what the reducer contains in tests that have no shell

The fixture that fails a test in which an error was contained saw only what a shell tells. A test that drives the reducer alone gets the error as an effect, and passed. What is decided counts now, unless a test planted it.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -11,6 +11,8 @@
 
 import known_red
 from tulippin import failures
+from tulippin.jobs._dispatch import Context
+from tulippin.jobs.effects import TellFailure
 
 settings.register_profile('ci', derandomize=True, deadline=None, database=None)
 settings.load_profile('ci')
@@ -37,17 +39,39 @@
 
     The product goes on after such an error: without this a fault of its own
     would pass. A test that plants one looks at what is told, and clears it.
+    What the reducer contains counts as soon as it is decided: many tests have
+    no shell that would tell it.
     """
     told = []
     tell = failures.tell
 
+    decided = []
+    emit = Context.emit
+
     def note(what, error, **fields):
+        decided[:] = [one for one in decided if one.error is not error]
         told.append(ToldFailure(what, error, fields))
         tell(what, error, **fields)
 
+    def note_effect(context, effect):
+        if isinstance(effect, TellFailure):
+            fields = {'sources': effect.sources}
+            decided.append(ToldFailure(effect.what, effect.error, fields))
+        emit(context, effect)
+
     monkeypatch.setattr(failures, 'tell', note)
+    monkeypatch.setattr(Context, 'emit', note_effect)
     yield told
     assert told == []
+    assert [one for one in decided if not is_planted(one)] == []
+
+
+def is_planted(one):
+    """Whether all causes of an error are a test's own."""
+    return all(
+        type(cause).__name__ == 'PlantedError'
+        for cause in failures.find_causes(one.error)
+    )
 
 
 @pytest.fixture
