Keep variances with digits enough for their floor

What callers could have seen: a new owner that knows nothing of what disturbs what, as the last one's row is refused by its readers.

Cause: the floor of a variance is 1e-6, and variances were kept with five decimal places: at the floor, and up to 5e-6, the row said 0.0 again.

Ruled out: sound samples alone (up to 11 tenths beside a sample's least spread leave 1.4e-5 or more by the model's own terms); it takes what the floor is for. Before: the row of a model at its floor is refused by its readers, also after impossible samples past their guard; after: it is read back at the floor.

--- a/src/tulippin/jobs/_memory.py
+++ b/src/tulippin/jobs/_memory.py
@@ -22,6 +22,9 @@
 _EVERY_MS: t.Final = 2000
 # A mean is told to so many digits; the spread of a sample is 0.09.
 _DIGITS: t.Final = 5
+# A variance may be as low as its floor, which has to be above nothing also
+# as it is kept: readers divide by it, and refuse a row without it.
+_VARIANCE_DIGITS: t.Final = 7
 
 
 def make_record(state: SchedulerState) -> ModelRecord:
@@ -70,7 +73,7 @@
     images = list(model.means)
     rows = [
         [
-            round(model.get_covariance(one, other), _DIGITS)
+            round(model.get_covariance(one, other), _VARIANCE_DIGITS)
             for other in images[place:]
         ]
         for place, one in enumerate(images)
