Tests for guards that no test fails without

Each was taken out in turn on a scratch basis, and all tests passed: the end of a life's tasks and feeds, the session of the next life, the withholding of a job whose progress raises, and what is left out after a failure. Each of these tests fails without its guard, and passes with it.

--- a/tests/tulippin/jobs/test_unit_failures_review.py
+++ b/tests/tulippin/jobs/test_unit_failures_review.py
@@ -15,17 +15,22 @@
 from the failure on was counted from each later lapse of a lease.
 """
 
+import attrs
 import pytest
 import trio
 
 from fleet_of_schedulers import make_request, open_fleet
-from tulippin.jobs import core, unit_shell
+from tulippin.jobs import _lifecycle, core, unit_shell
+from tulippin.jobs._restarts import RestartLog
+from tulippin.jobs._sources import name_row
 from tulippin.jobs.events import (
     ConfigurationChanged,
     LeaseSeen,
     StopRequested,
     Ticked,
 )
+from tulippin.jobs.ports import StoredRow
+from tulippin.jobs.records import MODEL_KEY, MODELS_TABLE
 from tulippin.jobs.types import JobState
 
 LATER = '0000000000000003'
@@ -36,6 +41,8 @@
 # More than any number that a test allows.
 LIMIT = 300
 OFTEN = 6
+# Four of the instance's own, the feeds, and a few effects.
+MOST_TASKS = 20
 # A lease of 2 s, and what its takers leave to each other.
 TAKEN_WITHIN_S = 5
 
@@ -174,3 +181,95 @@
 
     run_virtual(run)
     told_failures.clear()
+
+
+def test_what_runs_for_a_life_ends_with_it(
+    run_virtual, monkeypatch, told_failures
+):
+    """Its tasks, its feeds and its session are not those of the next life."""
+    ran = []
+
+    async def work():
+        await trio.sleep(0.5)
+        ran.append('of the life that is over')
+
+    async def run():
+        async with open_fleet(1, 2) as fleet:
+            await fleet.wait_owner()
+            shell = fleet.instances['i0'].shell
+            unit = shell.units[0]
+            feeds = unit._feeds
+            unit.start(work)
+            await trio.sleep(0.1)
+            # The inbox holds more for this life when it fails.
+            plant_at(monkeypatch, LeaseSeen, 0, when=lambda _, count: not count)
+            unit.see_rows(())
+            unit.see_rows(())
+            await trio.sleep(2)
+            assert unit.is_over
+            assert feeds.scope.cancel_called
+            assert len(shell._nursery.child_tasks) < MOST_TASKS
+            following = shell.units[0]
+            assert following.is_owner
+            sessions = {unit.config.session_id, following.config.session_id}
+            assert len(sessions) == 2
+
+    run_virtual(run)
+    assert ran == []
+    assert len(told_failures) == 1
+    told_failures.clear()
+
+
+def test_finished_job_whose_progress_raises_is_not_run_again(
+    run_virtual, monkeypatch, told_failures
+):
+    """What is done of it is not known, so nothing of it is started."""
+
+    async def run():
+        async with open_fleet(2, 2) as fleet:
+            await fleet.submit(LATER, make_request(run_ms=200))
+            await fleet.wait_done(LATER)
+            await trio.sleep(1)
+            real = _lifecycle.restore
+
+            def restore(job, *args):
+                if job.job_id == LATER:
+                    raise PlantedError
+                return real(job, *args)
+
+            monkeypatch.setattr(_lifecycle, 'restore', restore)
+            fleet.kill_owner()
+            await fleet.wait_owner()
+            await trio.sleep(20)
+            assert fleet.count_starts(LATER) == 1
+            fleet.check()
+
+    run_virtual(run)
+    assert {one.what for one in told_failures} == {'row failed'}
+    told_failures.clear()
+
+
+def test_rows_that_advise_are_left_out_from_the_second_failure_on():
+    log = RestartLog()
+    assert log.note(('models/u0/model@3',), 1000) == 0
+    assert log.advice_after_ms == 0
+    assert log.aside == {'models/u0/model@3'}
+    assert log.note((), 2000) > 0
+    assert log.advice_after_ms > 2000
+    # Long after, a failure is the first one again.
+    assert log.note((), 1_000_000) == 0
+
+
+def test_row_set_aside_is_taken_in_no_more(run_virtual):
+    async def run():
+        async with open_fleet(1, 1) as fleet:
+            unit = fleet.instances['i0'].shell.units[0]
+            row = StoredRow(MODELS_TABLE, 'u0', MODEL_KEY, b'{}', 3)
+            assert unit.takes(row)
+            unit._restarts.note((name_row(row),), unit.clock())
+            assert not unit.takes(row)
+            assert unit.takes(attrs.evolve(row, version=4))
+            unit._restarts.note((), unit.clock())
+            assert not unit.takes(attrs.evolve(row, version=4))
+
+    run_virtual(run)
