--- /dev/null
+++ b/tests/tulippin/jobs/test_unknown_rooms_review.py
@@ -0,0 +1,54 @@
+"""Guards of unknown rooms and of kept tails that no other test needs."""
+
+from test_unknown_rooms import (
+    FILLS,
+    SERVES,
+    TARGET_MS,
+    add_run,
+    make_state,
+    make_worker,
+)
+
+from tulippin.jobs import _choosing, _soundness, _tails
+from tulippin.jobs._dispatch import Context
+from tulippin.jobs.state import Task
+from tulippin.jobs.types import TaskKey
+from tulippin.types import Resources
+
+KNOWN = Resources(16_000, 64_000)
+OTHER = '0000000000000009'
+
+
+def is_unwell(capacity):
+    """Whether a worker is, whose tail is 8 times that of its siblings."""
+    worker = make_worker(capacity)
+    state = make_state(worker)
+    slow = add_run(worker, 0, SERVES, 8 * 12.0)
+    add_run(worker, 1, FILLS, 2000.0)
+    for number in (2, 3):
+        key = slow.key._replace(index=number)
+        state.tails.setdefault(key.job_id, {})[key] = (12.0, state.now_ms)
+    return _soundness._is_unwell(worker, Context(state))
+
+
+def test_worker_of_unknown_room_is_not_judged_by_its_tails():
+    """Neighbours may do it: how much they use of it is not known."""
+    assert not is_unwell(KNOWN)
+    assert not is_unwell(None)
+
+
+def test_memory_of_an_unknown_room_keeps_no_task_waiting():
+    worker = make_worker(None)
+    state = make_state(worker)
+    task = Task(TaskKey(OTHER, 0, 0, 0))
+    assert not _choosing.is_kept_by_memory(task, FILLS, state)
+
+
+def test_idle_tail_is_a_part_of_the_target_at_least():
+    worker = make_worker(KNOWN)
+    state = make_state(worker)
+    run = add_run(worker, 0, SERVES, 12.0)
+    usual_ms = _tails.get_idle_ms(run, state)
+    for lowest_ms in (0.0, 1e-300, 1e-9):
+        state.lowest_tails_ms['web'] = lowest_ms
+        assert TARGET_MS / 100 <= _tails.get_idle_ms(run, state) <= usual_ms
