Write no empty model over what an earlier owner has learned

What callers could have seen: after two failures of any cause and a planned stop within a minute, a unit that has to learn again what disturbs what.

Cause: from the second failure on the kept model is not read for a minute, and a release wrote the state's model, by then an empty one, over its row.

Ruled out: the regular keeping (without a new sample nothing is written). Before: the release holds an empty model; after: none, so that the row stays.

--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -346,6 +346,8 @@
 def _release(context: Context, why: str) -> None:
     state = context.state
     is_loaded = state.ownership.phase is Phase.ACTIVE
+    # One that took in nothing has nothing to write over what was kept.
+    is_learned = is_loaded and not state.is_without_advice
     unused_ms = state.now_ms - state.ownership.taken_ms
     state.ownership.phase = Phase.RELEASING
     context.log('release unit', epoch=context.fencing_token, why=why)
@@ -353,7 +355,7 @@
         ReleaseLease(
             _make_lease(state, is_loaded=is_loaded, released=True),
             # What is not loaded must not be written over.
-            _memory.make_record(state) if is_loaded else None,
+            _memory.make_record(state) if is_learned else None,
             _unseen.make_account(context) if is_loaded else None,
             state.ownership.epoch,
             state.ownership.epoch_version,
--- a/tests/tulippin/jobs/test_kept_model_review.py
+++ b/tests/tulippin/jobs/test_kept_model_review.py
@@ -8,11 +8,19 @@
 """
 
 from tulippin.codec_json import encode
-from tulippin.jobs import SchedulerConfig, _memory, make_state
+from tulippin.jobs import SchedulerConfig, _memory, make_state, reduce
 from tulippin.jobs._rows import read_record
+from tulippin.jobs.effects import ReleaseLease
+from tulippin.jobs.events import StopRequested
 from tulippin.jobs.pair_model import LEAST_VARIANCE, ImageModel
 from tulippin.jobs.ports import StoredRow
-from tulippin.jobs.records import MODEL_KEY, MODELS_TABLE, ModelRecord
+from tulippin.jobs.records import (
+    MODEL_KEY,
+    MODELS_TABLE,
+    EpochRecord,
+    ModelRecord,
+)
+from tulippin.jobs.state import Phase
 
 
 def keep(state):
@@ -44,3 +52,19 @@
     for image in ('batch', 'other'):
         assert model.get_covariance(image, image) >= LEAST_VARIANCE
     assert keep(state) is not None
+
+
+def release(advice_after_ms):
+    state = make_state(SchedulerConfig('i', 'i:1'))
+    state.ownership.phase = Phase.ACTIVE
+    state.ownership.epoch = EpochRecord(3, 'i:1')
+    state.advice_after_ms = advice_after_ms
+    effects = reduce(state, StopRequested(1000))
+    (effect,) = [one for one in effects if isinstance(one, ReleaseLease)]
+    return effect.model
+
+
+def test_owner_that_took_nothing_in_writes_nothing_over_what_was_kept():
+    """Left out after failures, the last owner's model is not read at all."""
+    assert release(advice_after_ms=60_000) is None
+    assert release(advice_after_ms=0) == ModelRecord()
