--- a/src/tulippin/failures.py
+++ b/src/tulippin/failures.py
@@ -16,6 +16,7 @@
 
 # Of a traceback, its end; a group of exceptions repeats the frames above.
 _TRACEBACK_SIGNS: t.Final = 6000
+# Of an error's own text; the frames stand before it.
 _CAUSE_SIGNS: t.Final = 500
 # Errors of one group beside the first that are told.
 _OTHER_CAUSES: t.Final = 3
@@ -55,7 +56,8 @@
         group holds more than one.
     """
     cause, *others = find_causes(error)
-    text = ''.join(traceback.format_exception(cause))
+    parts = traceback.format_exception(cause)
+    text = ''.join(part[:_CAUSE_SIGNS] for part in parts)
     told: dict[str, t.Any] = {
         'cause': _tell_cause(cause),
         'place': _find_place(cause),
@@ -67,7 +69,12 @@
 
 
 def _tell_cause(cause: BaseException) -> str:
-    return _make_text(repr(cause)[:_CAUSE_SIGNS])
+    """Return an error's text; its own code may fail at that."""
+    try:
+        text = repr(cause)
+    except Exception as second:
+        text = f'{type(cause).__name__}, whose text raises {type(second)}'
+    return _make_text(text[:_CAUSE_SIGNS])
 
 
 def _find_place(cause: BaseException) -> str:
--- a/src/tulippin/line_buffer.py
+++ b/src/tulippin/line_buffer.py
@@ -100,7 +100,11 @@
         return _make_line(line)
 
     def flush(self) -> None:
-        """Write as much as the file takes now."""
+        """Write as much as the file takes now.
+
+        One that takes nothing, as its reader has gone or its disk is full,
+        ends nobody: the lines wait, and that is told once it takes some.
+        """
         while self._rest or self._lines:
             if not self._rest:
                 self._rest = self._gather()
--- a/src/tulippin/scheduler_daemon.py
+++ b/src/tulippin/scheduler_daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import functools
 import gc
 import importlib
 import pathlib
@@ -39,6 +40,7 @@
     SchedulerSettings,
     load_scheduler_settings,
 )
+from tulippin.supervision import keep_running
 
 _MS: t.Final = 1000
 # An owner writes some 300 lines a second into a buffer of 8,000.
@@ -186,7 +188,10 @@
             servers = self._make_servers(stack, app)
             await _serve_all(nursery, servers)
             await _start(shell, lives, stack)
-            nursery.start_soon(follow_bundles, shell, self.settings.operators)
+            follow = functools.partial(
+                follow_bundles, shell, self.settings.operators
+            )
+            nursery.start_soon(keep_running, 'bundles', follow)
             task_status.started()
             logger.info('started', session=shell.config.session_id)
             await self._stopping.wait()
@@ -194,8 +199,9 @@
             nursery.cancel_scope.cancel()
 
     def _start_tasks(self, nursery: trio.Nursery, lives: LifeKeeper) -> None:
-        for task in (self._flush, self._watch_settings, lives.begin):
-            nursery.start_soon(task)
+        nursery.start_soon(keep_running, 'log', self._flush)
+        nursery.start_soon(keep_running, 'settings', self._watch_settings)
+        nursery.start_soon(lives.begin)
 
     def _make_servers(
         self, stack: contextlib.AsyncExitStack, app: CallersApp
--- a/tests/tulippin/test_line_buffer.py
+++ b/tests/tulippin/test_line_buffer.py
@@ -159,3 +159,24 @@
     assert set(found) == {'decided', 'log was not written', 'after'}
     assert 'No space' in found['log was not written']['reason']
     assert found['log was not written']['count'] == 2
+
+
+def test_lines_wait_for_a_file_that_takes_none_for_a_while(pipe):
+    """Each instance whose log was not taken ended soon after each start."""
+    reader, writer = os.pipe()
+    lines = LineBuffer(writer, {})
+    os.close(reader)
+    with lines.applicationbound():
+        logger.info('decided', number=1)
+        lines.flush()
+        lines.flush()
+        os.dup2(pipe[1], writer)
+        os.set_blocking(writer, False)
+        logger.info('decided', number=2)
+        lines.flush()
+    os.close(writer)
+    found = read_lines(pipe[0])
+    assert [one['number'] for one in found if 'number' in one] == [1, 2]
+    (told,) = [one for one in found if one['message'] == 'log was not written']
+    assert told['count'] == 2
+    assert 'Broken pipe' in told['reason']
