Failing test: what owners learn is kept in a row and read back

Properties over generated samples (exposures of 0.1 to 10 tenths, excess 0 to 100, bound or not, up to 8 images, up to 480 samples), run times, tails and swings: the record passes its own check, and the next owner expects the same.

--- /dev/null
+++ b/tests/tulippin/jobs/test_kept_models.py
@@ -0,0 +1,284 @@
+"""What owners learn, kept in a row and read back.
+
+What users saw: instances ended one after the other, some 5 s after each
+start, with a division by zero. In which order: an owner learned a variance
+of 2e-11, rounded it to five decimal places, and kept 0; each owner of
+another unit read the row and divided by it, and after each start again, as
+the row outlived them all. Cause: the form in which a figure was kept did
+not hold it, and nobody looked at a row before it was written.
+"""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tulippin.codec_json import decode, encode
+from tulippin.jobs import SchedulerConfig, _interference, _ranking, make_state
+from tulippin.jobs._attempts import add_attempt
+from tulippin.jobs._memory import make_record, restore
+from tulippin.jobs._row_checks import find_fault
+from tulippin.jobs.pair_model import PairModel
+from tulippin.jobs.records import ModelRecord
+from tulippin.jobs.state import Attempt, AttemptState, Job, Task, Worker
+from tulippin.jobs.types import JobRequest, Queue, Step, TaskKey, WorkerEntry
+from tulippin.types import Resources
+
+IMAGES = tuple(f'image-{number}' for number in range(8))
+SERVING = ('web', 'api')
+NOW_MS = 100_000
+# Wall clock less the steady one, of two instances.
+WALL_OFFSET_MS = 1_764_000_000_000
+OTHER_OFFSET_MS = 1_763_999_123_456
+# What is told of an excess or a spread is compared with limits that are
+# themselves known to some hundredths of it.
+TOLERATED = 1e-4
+# A unit has some ten images, and its row some 10 KB.
+MOST_ROW_BYTES = 16_000
+
+exposures = st.dictionaries(
+    st.sampled_from(IMAGES),
+    st.floats(0.1, 10),
+    min_size=1,
+    max_size=len(IMAGES),
+)
+samples = st.tuples(
+    st.sampled_from(SERVING),
+    exposures,
+    st.one_of(st.floats(0, 1), st.floats(0, 100)),
+    st.booleans(),
+)
+# A few samples, over and over: what an owner sees for as long as the same
+# tasks run side by side.
+lessons = st.tuples(
+    st.lists(samples, min_size=1, max_size=8), st.integers(1, 60)
+)
+
+
+def teach(state, lesson):
+    seen, times = lesson
+    for _ in range(times):
+        for serving_image, exposure, excess, is_bound in seen:
+            state.model.learn(
+                serving_image, exposure, excess, is_bound=is_bound
+            )
+
+
+def make_owner(session='i:1', wall_offset_ms=WALL_OFFSET_MS):
+    state = make_state(SchedulerConfig('i', session))
+    state.now_ms = NOW_MS
+    state.wall_offset_ms = wall_offset_ms
+    return state
+
+
+def hand_over(state):
+    """Return the next owner's state, by what is kept."""
+    record = decode(encode(make_record(state)), ModelRecord)
+    assert find_fault(record) == ''
+    successor = make_owner('i:2', OTHER_OFFSET_MS)
+    restore(record, successor)
+    return successor
+
+
+def iter_pairs():
+    for serving_image in SERVING:
+        for image in IMAGES:
+            yield serving_image, image
+
+
+def add_run(state, worker, step, job_id):
+    key = TaskKey(job_id, 0, 0, 0)
+    attempt = Attempt(
+        key, 1, 'w', step, 2, AttemptState.RUNNING, NOW_MS - 5000, load=1.0
+    )
+    add_attempt(attempt, Task(key), worker)
+
+
+def make_worker(state):
+    entry = WorkerEntry('w', 's', 'a', 'z', Resources(10_000, 64_000))
+    worker = state.workers['w'] = Worker(entry)
+    for image in SERVING:
+        step = Step(
+            1,
+            Resources(1000, 100),
+            image=image,
+            target_ms=50,
+            long_running=True,
+        )
+        add_run(state, worker, step, f'job-{image}')
+    return worker
+
+
+def get_harms(state):
+    worker = make_worker(state)
+    return {
+        image: _interference.get_harm(
+            Step(1, Resources(100, 100), image=image, opportunistic=True),
+            worker,
+            state,
+        )
+        for image in IMAGES
+    }
+
+
+@given(lessons)
+def test_what_is_learned_reads_back(lesson):
+    state = make_owner()
+    teach(state, lesson)
+    successor = hand_over(state)
+    for pair in iter_pairs():
+        weight = state.model.get_weight(*pair)
+        spread = state.model.get_spread(*pair)
+        assert successor.model.get_weight(*pair) == pytest.approx(
+            weight, rel=TOLERATED
+        )
+        assert successor.model.get_spread(*pair) == pytest.approx(
+            spread, rel=TOLERATED
+        )
+    assert successor.model.count_samples() == state.model.count_samples()
+
+
+@given(lessons)
+def test_next_owner_expects_the_same_harm(lesson):
+    state = make_owner()
+    teach(state, lesson)
+    told = get_harms(hand_over(state))
+    for image, harm in get_harms(state).items():
+        if harm is None or told[image] is None:
+            # The slack of these tasks is some tenths; so much away from it
+            # both sides of the limit are right.
+            assert harm == told[image] or is_at_limit(state, image)
+            continue
+        assert told[image] == pytest.approx(harm, rel=0.01, abs=TOLERATED)
+
+
+def is_at_limit(state, image):
+    """Whether an image's harm is as large as what is left, or nearly."""
+    worker = state.workers['w']
+    share = 0.1
+    return any(
+        state.model.get_bound(serving_image, image) * share
+        == pytest.approx(slack, rel=0.01)
+        for serving_image, slack in _interference.get_slack(
+            worker, state
+        ).items()
+    )
+
+
+@given(lessons, lessons)
+def test_next_owner_learns_on_soundly(lesson, later):
+    state = make_owner()
+    teach(state, lesson)
+    successor = hand_over(state)
+    teach(successor, later)
+    again = hand_over(successor)
+    for pair in iter_pairs():
+        assert again.model.get_spread(*pair) > 0
+
+
+@given(lessons)
+def test_others_hear_what_is_kept(lesson):
+    state = make_owner()
+    teach(state, lesson)
+    told = hand_over(state)
+    hearing, reading = PairModel(), PairModel()
+    hearing.hear([state.model.images])
+    reading.hear([told.model.images])
+    for pair in iter_pairs():
+        assert reading.get_bound(*pair) == pytest.approx(
+            hearing.get_bound(*pair), rel=TOLERATED, abs=TOLERATED
+        )
+
+
+@pytest.mark.parametrize('variance', [1.6e-5, 4.4e-6, 2e-6, 1.1e-6])
+def test_small_variance_is_kept(variance):
+    state = make_owner()
+    teach(state, ([('web', {'image-0': 1.0}, 0.0, False)], 1))
+    model = state.model.images['web']
+    model.covariances['image-0', 'image-0'] = variance
+    spread = hand_over(state).model.get_spread('web', 'image-0')
+    assert spread == pytest.approx(variance**0.5, rel=TOLERATED)
+
+
+def test_row_of_ten_images_is_small():
+    state = make_owner()
+    for serving_image in (f'serving-{number}' for number in range(10)):
+        for number in range(400):
+            exposure = {
+                f'image-{one % 10}': 0.1 + (number * one) % 7 / 3
+                for one in range(number, number + 3)
+            }
+            state.model.learn(serving_image, exposure, number % 5 / 10)
+    assert len(encode(make_record(state))) < MOST_ROW_BYTES
+
+
+# -- times --------------------------------------------------------------------
+
+queues = st.sampled_from(['urgent', 'usual'])
+runs = st.lists(st.tuples(queues, st.integers(0, 10**8)), max_size=30)
+tails = st.dictionaries(st.sampled_from(SERVING), st.floats(1, 1e6))
+
+
+@given(runs, tails)
+def test_times_read_back(ended, lowest_ms):
+    state = make_owner()
+    for name, run_ms in ended:
+        queue = Queue(name, 'h', '/', 's')
+        job = Job('job', queue, JobRequest('', (Step(1),)), 1)
+        _ranking.learn_run_time(job, run_ms, state)
+    state.lowest_tails_ms = lowest_ms
+    successor = hand_over(state)
+    assert successor.lowest_tails_ms == pytest.approx(lowest_ms, rel=TOLERATED)
+    for name in ('urgent', 'usual'):
+        # 0 is as good as not known, and so is what was not told.
+        assert successor.run_times_ms.get(name, 0.0) == pytest.approx(
+            state.run_times_ms.get(name, 0.0), rel=TOLERATED, abs=0.001
+        )
+
+
+# -- swings -------------------------------------------------------------------
+
+JOBS = ('job-a', 'job-b', 'job-c')
+loads = st.lists(
+    st.tuples(
+        st.sampled_from(JOBS),
+        st.integers(1, 900),
+        st.floats(-1.7, 1.7),
+        st.floats(0.01, 1),
+    ),
+    min_size=1,
+    max_size=200,
+)
+
+
+@settings(max_examples=40)
+@given(loads, st.integers(0, 47), st.booleans())
+def test_swings_read_back(seen, period, is_chosen):
+    state = make_owner()
+    at_ms = 1000
+    for job_id, after_ms, load, weight in seen:
+        at_ms += after_ms
+        state.swings.learn(job_id, at_ms, load, weight)
+    state.swings.choose_period(at_ms)
+    if not is_chosen:
+        state.swings.period = period
+    state.now_ms = at_ms
+    successor = hand_over(state)
+    for job_id in JOBS:
+        for ahead_ms in (0, 700, 5000):
+            told = successor.swings.foretell(
+                job_id, at_ms + WALL_OFFSET_MS - OTHER_OFFSET_MS + ahead_ms
+            )
+            known = state.swings.foretell(job_id, at_ms + ahead_ms)
+            if known is None:
+                assert told is None
+            else:
+                assert told == pytest.approx(known, rel=1e-3, abs=1e-3)
+
+
+def test_unit_without_a_common_period_keeps_no_swings():
+    state = make_owner()
+    state.swings.learn('job-a', NOW_MS, 0.5, 1.0)
+    record = make_record(state)
+    assert record.swings.period_ms == 0
+    assert record.swings.waves == {}
+    assert hand_over(state).swings.swings == {}
