Refuse what nobody can have learned, with its reason, and never write it

A kept model with a least tail of 0 ms, whose unit's owner was sure of a job's load, ended each owner that heard of it: compute_tail_ms of an idle tail of 0 is 0, and _learn_one divides by it. A covariance larger than its variances allow ended owners with `math domain error` at the next sample.

An owner's record goes through the same check before it is written: the parts that fail are left out, told in one line and counted as `model_parts_not_kept`. A mean run time of 0 ms is left out without a line, as it is read as not known.

--- a/src/tulippin/jobs/_memory.py
+++ b/src/tulippin/jobs/_memory.py
@@ -12,6 +12,7 @@
 import attrs
 
 from tulippin.jobs._dispatch import Context, handle
+from tulippin.jobs._model_checks import drop_faults
 from tulippin.jobs._rounding import (
     round_all,
     round_covariances,
@@ -23,21 +24,43 @@
 from tulippin.jobs.records import ModelRecord, PairRecord, SwingRecord
 from tulippin.jobs.state import Phase, SchedulerState
 from tulippin.jobs.swings import Wave
+from tulippin.logs import logger
 
 _EVERY_MS: t.Final = 2000
+_MOST_TOLD: t.Final = 8
 
 
 def make_record(state: SchedulerState) -> ModelRecord:
-    """Return what is worth keeping."""
-    return ModelRecord(
-        {
-            image: _make_pair(model)
-            for image, model in state.model.images.items()
-        },
-        round_all(state.lowest_tails_ms),
-        round_all(state.run_times_ms),
-        _make_swings(state),
+    """Return what is worth keeping.
+
+    Never what its readers would refuse: they would lose the whole of it, or
+    take in what nobody can have learned.
+    """
+    record, faults = drop_faults(
+        ModelRecord(
+            {
+                image: _make_pair(model)
+                for image, model in state.model.images.items()
+            },
+            round_all(state.lowest_tails_ms),
+            round_all(_list_known(state.run_times_ms)),
+            _make_swings(state),
+        )
     )
+    if faults:
+        state.count('model_parts_not_kept', len(faults))
+        logger.error(
+            'model parts not kept',
+            unit=state.config.unit.number,
+            parts=len(faults),
+            reasons=faults[:_MOST_TOLD],
+        )
+    return record
+
+
+def _list_known(times_ms: t.Mapping[str, float]) -> dict[str, float]:
+    """Return the times without those of 0, which stand for none."""
+    return {name: time_ms for name, time_ms in times_ms.items() if time_ms}
 
 
 def _make_swings(state: SchedulerState) -> SwingRecord:
--- a/src/tulippin/jobs/_row_checks.py
+++ b/src/tulippin/jobs/_row_checks.py
@@ -8,10 +8,10 @@
 from __future__ import annotations
 
 import functools
-import math
 import re
 import typing as t
 
+from tulippin.jobs import _model_checks
 from tulippin.jobs.records import (
     AccountRecord,
     GuestRecord,
@@ -20,9 +20,7 @@
     LayoutRecord,
     LeaseRecord,
     ModelRecord,
-    PairRecord,
     ProgressRecord,
-    SwingRecord,
     WorkerAccount,
 )
 from tulippin.jobs.types import JobRequest, Step, TaskKey, parse_task
@@ -39,8 +37,6 @@
 _MOST_UNITS: t.Final = 1000
 # An owner's orders last for some seconds.
 _LONGEST_ACCOUNT_MS: t.Final = 60_000
-# Above anything that is learned: an excess, a variance, a time in ms.
-_LARGEST: t.Final = 1e9
 
 
 def is_job_id(text: str) -> bool:
@@ -178,39 +174,7 @@
 # -- models -------------------------------------------------------------------
 
 
-def _are_sane(values: t.Iterable[float]) -> bool:
-    return all(
-        math.isfinite(value) and abs(value) <= _LARGEST for value in values
-    )
-
-
 @find_fault.register
 def _check_model(record: ModelRecord) -> str:
-    for image, pair in record.pairs.items():
-        if not _is_sane_pair(pair):
-            return f'what it tells of image {image!r} is no model'
-    times = (*record.lowest_tails_ms.values(), *record.run_times_ms.values())
-    if not _are_sane(times) or min(times, default=0) < 0:
-        return 'it tells no times'
-    return '' if _is_sane_swing(record.swings) else 'it tells no swings'
-
-
-def _is_sane_pair(pair: PairRecord) -> bool:
-    count = len(pair.means)
-    rows = pair.covariances
-    lengths = [len(row) for row in rows]
-    if lengths != [count - place for place in range(len(rows))]:
-        return False
-    if not _are_sane(pair.means.values()):
-        return False
-    # What is known for sure would be divided by.
-    if any(not row or row[0] <= 0 for row in rows):
-        return False
-    counts = pair.sample_counts.values()
-    return min(counts, default=0) >= 0 and all(map(_are_sane, rows))
-
-
-def _is_sane_swing(swings: SwingRecord) -> bool:
-    waves = swings.waves.values()
-    is_sane = _are_sane((swings.period_ms, swings.mean))
-    return is_sane and all(map(_are_sane, waves))
+    _, faults = _model_checks.drop_faults(record)
+    return faults[0] if faults else ''
--- a/src/tulippin/jobs/swings.py
+++ b/src/tulippin/jobs/swings.py
@@ -43,6 +43,16 @@
 # How often the common period is chosen anew.
 _CHOOSE_EVERY_MS: t.Final = 1000
 _TURN: t.Final = 2 * math.pi
+# By what a period may lie beside the nearest that is tried: half a step.
+_PERIOD_RATIO: t.Final = 1.0175
+
+
+def is_period(period_ms: float) -> bool:
+    """Whether a period is one that a model finds, or 0 for none."""
+    if period_ms == 0:
+        return True
+    shortest_ms = _PERIODS_MS[0] / _PERIOD_RATIO
+    return shortest_ms <= period_ms <= _PERIODS_MS[-1] * _PERIOD_RATIO
 
 
 @attrs.define
--- a/tests/tulippin/jobs/test_kept_models.py
+++ b/tests/tulippin/jobs/test_kept_models.py
@@ -8,6 +8,7 @@
 not hold it, and nobody looked at a row before it was written.
 """
 
+import logbook
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -259,6 +260,28 @@
         )
 
 
+# -- what can't be kept --------------------------------------------------------
+
+
+def test_what_nobody_can_learn_is_told_and_not_written():
+    """An owner that learned from a worker of no size kept what none reads."""
+    state = make_owner()
+    state.model.learn('web', {'image-0': 20_000.0}, 0.5)
+    state.model.learn('api', {'image-0': 2.0}, 0.5)
+    state.lowest_tails_ms = {'web': 0.0, 'api': 9.0}
+    with logbook.TestHandler() as handler:
+        successor = hand_over(state)
+    assert list(successor.model.images) == ['api']
+    assert successor.lowest_tails_ms == {'api': 9.0}
+    assert state.counters['model_parts_not_kept'] == 2
+    (line,) = handler.records
+    assert line.message == 'model parts not kept'
+    assert [reason.partition(':')[0] for reason in line.kwargs['reasons']] == [
+        "image 'web'",
+        "tail of 'web'",
+    ]
+
+
 # -- swings -------------------------------------------------------------------
 
 JOBS = ('job-a', 'job-b', 'job-c')
