Keep no run in a job's progress that the job can't have

A worker that tells a run of a job's task that there is not (an occurrence, step or index beyond the job's) had it taken over as the job's. It was named in the job's progress as started, or as failed. The next owner refused that record as a whole and withheld the job: nothing of it was started again.

Ruled out: dropping such names on reading, as a name that is wrong there may stand for a task that must not be started twice.

Such a run is still taken over, and an end of one in a step that there is not raises KeyError in note_done: that is where reports are taken in.

--- a/src/tulippin/jobs/_lifecycle.py
+++ b/src/tulippin/jobs/_lifecycle.py
@@ -8,7 +8,11 @@
 
 from tulippin.jobs import _ranking, _ready, _sparing
 from tulippin.jobs._dispatch import Context
-from tulippin.jobs._row_checks import find_progress_fault, is_job_id
+from tulippin.jobs._row_checks import (
+    find_progress_fault,
+    has_task,
+    is_job_id,
+)
 from tulippin.jobs._rows import log_unreadable, read_record
 from tulippin.jobs.effects import FailJob
 from tulippin.jobs.ports import StoredRow
@@ -289,6 +293,17 @@
     return f'{key.occurrence}.{key.step}.{key.index}'
 
 
+def _iter_own(job: Job) -> t.Iterator[tuple[TaskKey, Task]]:
+    """Iterate over the tasks that a job has.
+
+    Workers may tell runs of others. A record that named one would be refused
+    as a whole, and nothing of the job would be started again.
+    """
+    for key, task in job.tasks.items():
+        if has_task(job.request, key):
+            yield key, task
+
+
 def make_progress(job: Job) -> ProgressRecord:
     """Return what is to be kept of a job as it is now."""
     if job.state in FINAL_STATES:
@@ -297,7 +312,7 @@
     failures: dict[str, list[int]] = {}
     avoided: dict[str, list[str]] = {}
     crashes: dict[str, tuple[CrashRecord, ...]] = {}
-    for key, task in job.tasks.items():
+    for key, task in _iter_own(job):
         if task.crashes and not task.is_done:
             crashes[get_name(key)] = task.list_crashes()
         if task.is_done:
@@ -327,7 +342,7 @@
     What has run for long is not held to have crashed its worker.
     """
     started = {}
-    for key, task in job.tasks.items():
+    for key, task in _iter_own(job):
         if task.attempts:
             run = max(task.attempts)
             if not task.attempts[run].is_proved:
--- /dev/null
+++ b/tests/tulippin/jobs/test_records.py
@@ -0,0 +1,77 @@
+"""Whatever an owner writes, the next one reads, and decides the same.
+
+What users saw of records that do not read back: jobs of which nothing was
+started again (the next owner refused their progress), and instances that
+ended one after the other at a figure that another had kept.
+"""
+
+import pytest
+from test_foreign_rows import (
+    JOB,
+    answer,
+    list_committed,
+    load,
+    make_job_row,
+    pass_time,
+)
+
+from tulippin.codec_json import decode, encode
+from tulippin.jobs import core
+from tulippin.jobs._row_checks import find_fault, find_progress_fault
+from tulippin.jobs.effects import CommitProgress
+from tulippin.jobs.events import ProgressCommitted
+from tulippin.jobs.types import EndedRun, RunningTask, RunOutcome, TaskKey
+
+EPOCH_VERSION = 100
+# Names that a worker may tell, and that no task of the job has.
+NO_TASKS = [(0, 0, 9), (0, -1, 0), (5, 0, 0), (0, 0, -1), (-1, 0, 0)]
+
+
+def read_back(record):
+    """Return a record as its readers get it from a row."""
+    again = decode(encode(record), type(record))
+    assert find_fault(again) == ''
+    return again
+
+
+# -- runs that no job can have ------------------------------------------------
+
+
+@pytest.mark.parametrize('place', NO_TASKS)
+def test_run_of_no_task_leaves_the_job_its_progress(place):
+    """A worker told a run that its job can't have.
+
+    The owner took it over and named it among the job's started runs. The
+    next one refused the whole of the job's progress and withheld the job.
+    """
+    state = load([make_job_row(JOB)])
+    odd = RunningTask(TaskKey(JOB, *place), 5, '', 0, None)
+    own = RunningTask(TaskKey(JOB, 0, 0, 1), 6, '', 0, None)
+    effects = [*answer(state, 'w1'), *answer(state, 'w0', [odd, own])]
+    effects.extend(pass_time(state, 500))
+    (write,) = list_committed(effects)
+    request = state.jobs[JOB].request
+    assert find_progress_fault(read_back(write.record), request) == ''
+    assert write.record.started['0.0.1'] == (6, 'w0')
+
+
+@pytest.mark.parametrize('place', [(0, 0, 9), (0, 0, -1)])
+def test_failure_of_no_task_leaves_the_job_its_progress(place):
+    state = load([make_job_row(JOB)])
+    answer(state, 'w1')
+    answer(state, 'w0')
+    for effect in pass_time(state, 300):
+        if isinstance(effect, CommitProgress):
+            core.reduce(
+                state, ProgressCommitted(state.now_ms, effect, EPOCH_VERSION)
+            )
+    key = TaskKey(JOB, *place)
+    ended = [
+        EndedRun(1, key, 5, RunOutcome.FAILED, ''),
+        EndedRun(2, TaskKey(JOB, 0, 0, 1), 6, RunOutcome.FAILED, ''),
+    ]
+    effects = [*answer(state, 'w0', ended=ended), *pass_time(state, 500)]
+    (write,) = list_committed(effects)
+    request = state.jobs[JOB].request
+    assert find_progress_fault(read_back(write.record), request) == ''
+    assert write.record.failures == {'0.0.1': [6]}
