Write no account that the next owner would refuse

A worker that tells a run whose name no job's task can have (a job id with a slash, or none; an index below 0 or of eleven digits) is told to stop it, and until then an account of the unit names it. The next owner refused the whole account, and waited for all silent workers as after a crash.

Names that no row's job can have are left out of the account: no task would be held up by them. What is wrong beside them (a time beyond any order's) is told in a line, counted as `accounts_not_kept`, and not written.

--- a/src/tulippin/jobs/_accounts.py
+++ b/src/tulippin/jobs/_accounts.py
@@ -4,11 +4,13 @@
 
 import typing as t
 
+import attrs
 import trio
 
 from tulippin.codec_json import encode
 from tulippin.exceptions import UnavailableError
 from tulippin.jobs import effects as fx
+from tulippin.jobs._row_checks import find_fault, is_task_name
 from tulippin.jobs._rows import read_record, read_row
 from tulippin.jobs.ports import RowWrite
 from tulippin.jobs.records import (
@@ -42,6 +44,13 @@
     account = await _find_account(effect, shell)
     if account is None:
         return writes
+    account = _name_tasks(account)
+    fault = find_fault(account)
+    if fault:
+        # The next owner does without: it waits for all workers.
+        logger.error('account not kept', reason=fault)
+        shell.state.count('accounts_not_kept')
+        return writes
     value = encode(account)
     if len(value) > _ACCOUNT_LIMIT_BYTES:
         # The next owner does without: it waits for all workers.
@@ -51,6 +60,21 @@
     return writes
 
 
+def _name_tasks(account: AccountRecord) -> AccountRecord:
+    """Return an account without names that no task can have.
+
+    Workers may tell such a run. No job would be held up by it, while the
+    account that names it would be refused with all that it tells.
+    """
+    workers = {}
+    for worker_id, told in account.workers.items():
+        tasks = told.tasks
+        if tasks is not None:
+            tasks = tuple(filter(is_task_name, tasks))
+        workers[worker_id] = attrs.evolve(told, tasks=tasks)
+    return attrs.evolve(account, workers=workers)
+
+
 async def _find_account(
     effect: fx.ReleaseLease, shell: UnitShell
 ) -> AccountRecord | None:
--- a/src/tulippin/jobs/_row_checks.py
+++ b/src/tulippin/jobs/_row_checks.py
@@ -164,11 +164,13 @@
 
 
 def _names_tasks(told: WorkerAccount) -> bool:
-    parts = (name.partition('.') for name in told.tasks or ())
-    return all(
-        is_job_id(job_id) and _TASK_NAME.fullmatch(rest)
-        for job_id, _, rest in parts
-    )
+    return all(map(is_task_name, told.tasks or ()))
+
+
+def is_task_name(name: str) -> bool:
+    """Whether some job could have a task of this whole name."""
+    job_id, _, rest = name.partition('.')
+    return is_job_id(job_id) and _TASK_NAME.fullmatch(rest) is not None
 
 
 # -- models -------------------------------------------------------------------
--- a/tests/tulippin/jobs/test_records.py
+++ b/tests/tulippin/jobs/test_records.py
@@ -5,9 +5,14 @@
 ended one after the other at a figure that another had kept.
 """
 
+import types
+
+import logbook
 import pytest
+import trio
 from test_foreign_rows import (
     JOB,
+    OTHER,
     answer,
     list_committed,
     load,
@@ -16,10 +21,19 @@
 )
 
 from tulippin.codec_json import decode, encode
-from tulippin.jobs import core
+from tulippin.jobs import _unseen, core
+from tulippin.jobs._accounts import make_known_writes
+from tulippin.jobs._dispatch import Context
 from tulippin.jobs._row_checks import find_fault, find_progress_fault
-from tulippin.jobs.effects import CommitProgress
+from tulippin.jobs.effects import CommitProgress, ReleaseLease
 from tulippin.jobs.events import ProgressCommitted
+from tulippin.jobs.records import (
+    ACCOUNTS_TABLE,
+    AccountRecord,
+    EpochRecord,
+    LeaseRecord,
+    WorkerAccount,
+)
 from tulippin.jobs.types import EndedRun, RunningTask, RunOutcome, TaskKey
 
 EPOCH_VERSION = 100
@@ -34,6 +48,21 @@
     return again
 
 
+def make_release(account):
+    lease = LeaseRecord('i:1', 'i')
+    return ReleaseLease(lease, None, account, EpochRecord(5, 'i:1'), 100)
+
+
+def write_account(account, state):
+    """Return the account that a release keeps, as it is read; or nothing."""
+    shell = types.SimpleNamespace(state=state)
+    writes = trio.run(make_known_writes, make_release(account), shell)
+    for write in writes:
+        if write.table == ACCOUNTS_TABLE:
+            return read_back(decode(write.value, AccountRecord))
+    return None
+
+
 # -- runs that no job can have ------------------------------------------------
 
 
@@ -75,3 +104,35 @@
     request = state.jobs[JOB].request
     assert find_progress_fault(read_back(write.record), request) == ''
     assert write.record.failures == {'0.0.1': [6]}
+
+
+@pytest.mark.parametrize(
+    'key',
+    [
+        TaskKey('a/b', 0, 0, 0),
+        TaskKey('', 0, 0, 0),
+        TaskKey('z', 0, 0, -1),
+        TaskKey('z', 0, 0, 10**10),
+    ],
+)
+def test_run_that_no_job_can_have_leaves_the_account_readable(key):
+    """A worker told such a run, and the next owner refused the account."""
+    state = load([make_job_row(JOB), make_job_row(OTHER)])
+    runs = [
+        RunningTask(one, 5, '', 0, None) for one in (key, TaskKey(JOB, 0, 0, 1))
+    ]
+    answer(state, 'w0', runs)
+    answer(state, 'w1')
+    for worker in state.workers.values():
+        worker.is_rostered = True
+    account = write_account(_unseen.make_account(Context(state)), state)
+    assert account.workers['w0'].tasks == (f'{JOB}.0.0.1',)
+
+
+def test_account_that_nobody_would_read_is_told_and_not_written():
+    state = load()
+    account = AccountRecord(5, {'w0': WorkerAccount(10**9, ())})
+    with logbook.TestHandler() as handler:
+        assert write_account(account, state) is None
+    assert state.counters['accounts_not_kept'] == 1
+    assert [one.message for one in handler.records] == ['account not kept']
