Refuse figures of jobs and rooms that no float can hold

A caller's job with an EstimatedMs of 1e308 is accepted, and ended each owner of its unit: _sparing.note_step adds it, times processors, to a float (OverflowError), and so does the next owner as it loads the row. A job that asks for 10**400 millicores would end owners elsewhere: it is summed up in the lease's room, which _passing._get_fullness and _balancing._get_load divide. A room below nothing made its unit look the emptiest of all.

Rows of jobs that ask for more than 10**12 of anything, or tell times beyond 2**53 ms, are refused, so that they cost their job alone; rooms are refused that are below nothing or beyond 10**30. Free room may lie below nothing, as more may be reserved than there is, and reads back.

Left: such a job is still accepted at the callers' door, where it should be refused at once.

--- a/src/tulippin/jobs/_row_checks.py
+++ b/src/tulippin/jobs/_row_checks.py
@@ -11,8 +11,11 @@
 import re
 import typing as t
 
+import attrs
+
 from tulippin.jobs import _model_checks
 from tulippin.jobs.records import (
+    PLACE_SIZES,
     AccountRecord,
     GuestRecord,
     HomeRecord,
@@ -21,6 +24,7 @@
     LeaseRecord,
     ModelRecord,
     ProgressRecord,
+    UnitRoom,
     WorkerAccount,
 )
 from tulippin.jobs.types import JobRequest, Step, TaskKey, parse_task
@@ -35,6 +39,12 @@
 _MOST_TASKS: t.Final = 1_000_000
 # Each unit has two tables, of which the platform's store keeps 100.
 _MOST_UNITS: t.Final = 1000
+# Of what one task may ask for, in millicores and MiB: far beyond any worker.
+_MOST_ASKED: t.Final = 10**12
+# Beyond any sum of what jobs ask for, and far below what a float can hold.
+_MOST_SUMMED: t.Final = 10**30
+# Times in ms up to which a float counts by ones.
+_LONGEST_MS: t.Final = 2**53
 # An owner's orders last for some seconds.
 _LONGEST_ACCOUNT_MS: t.Final = 60_000
 
@@ -65,6 +75,10 @@
             return f'step {number} waits for one that is no earlier one'
         if _is_negative(step):
             return f'step {number} asks for less than nothing'
+        if _is_beyond_all(step):
+            return f'step {number} asks for more than there can be'
+    if not _are_times(attrs.astuple(request.schedule)):
+        return 'its schedule tells no times'
     return ''
 
 
@@ -72,6 +86,17 @@
     return not step.size.fits(Resources())
 
 
+def _is_beyond_all(step: Step) -> bool:
+    """Whether sums of what a step asks for are beyond what a float holds."""
+    asked = attrs.astuple(step.size)
+    is_timed = _are_times((step.estimated_ms, step.target_ms))
+    return max(asked) > _MOST_ASKED or not is_timed
+
+
+def _are_times(times_ms: t.Iterable[int]) -> bool:
+    return all(abs(time_ms) <= _LONGEST_MS for time_ms in times_ms)
+
+
 def has_task(request: JobRequest, key: TaskKey) -> bool:
     """Whether a key names one of a job's tasks."""
     if not 0 <= key.occurrence < request.occurrence_count:
@@ -150,7 +175,33 @@
 @find_fault.register
 def _check_lease(record: LeaseRecord) -> str:
     counts = (record.renewal_count, *record.waiting.values())
-    return 'it counts below none' if min(counts) < 0 else ''
+    if min(counts) < 0:
+        return 'it counts below none'
+    return _find_room_fault(record.room)
+
+
+def _find_room_fault(room: UnitRoom) -> str:
+    """Return what of a unit's room is none.
+
+    Shares of it are compared with those of other units: one that is less
+    than nothing would draw all tasks, and one without end ends who divides.
+    """
+    sums = (
+        room.capacity_millicores,
+        room.reserved_millicores,
+        room.idle_millicores,
+        *room.waiting_millicores.values(),
+        *room.places,
+    )
+    if not all(0 <= value <= _MOST_SUMMED for value in sums):
+        return 'its room is none'
+    if len(room.places) > len(PLACE_SIZES):
+        return 'it tells places of no size'
+    # What is left where more is reserved than there is lies below nothing.
+    left = (*attrs.astuple(room.largest_free), room.largest_new_millicores)
+    if any(abs(value or 0) > _MOST_SUMMED for value in left):
+        return 'what is free of its room is none'
+    return ''
 
 
 @find_fault.register
--- a/tests/tulippin/jobs/test_records.py
+++ b/tests/tulippin/jobs/test_records.py
@@ -7,17 +7,21 @@
 
 import types
 
+import attrs
 import logbook
 import pytest
 import trio
 from test_foreign_rows import (
     JOB,
     OTHER,
+    QUEUE,
     answer,
     list_committed,
     load,
     make_job_row,
+    make_row,
     pass_time,
+    settle,
 )
 
 from tulippin.codec_json import decode, encode
@@ -31,10 +35,21 @@
     ACCOUNTS_TABLE,
     AccountRecord,
     EpochRecord,
+    JobRecord,
     LeaseRecord,
+    UnitRoom,
     WorkerAccount,
 )
-from tulippin.jobs.types import EndedRun, RunningTask, RunOutcome, TaskKey
+from tulippin.jobs.types import (
+    EndedRun,
+    JobRequest,
+    RunningTask,
+    RunOutcome,
+    Schedule,
+    Step,
+    TaskKey,
+)
+from tulippin.types import Resources
 
 EPOCH_VERSION = 100
 # Names that a worker may tell, and that no task of the job has.
@@ -136,3 +151,74 @@
         assert write_account(account, state) is None
     assert state.counters['accounts_not_kept'] == 1
     assert [one.message for one in handler.records] == ['account not kept']
+
+
+# -- figures that are none ----------------------------------------------------
+
+WITHOUT_END = 10**400
+ODD_STEPS = [
+    {'size': Resources(WITHOUT_END, 0)},
+    {'size': Resources(0, WITHOUT_END)},
+    {'size': Resources(0, 0, WITHOUT_END)},
+    {'estimated_ms': int(1e308)},
+    {'estimated_ms': -WITHOUT_END},
+    {'target_ms': WITHOUT_END},
+]
+
+
+@pytest.mark.parametrize('fields', ODD_STEPS)
+def test_figure_without_end_costs_its_job_alone(fields):
+    """A caller's guess of 1e308 ms ended each owner of the job's unit.
+
+    Its row is read again by the next owner, which divides by it as well.
+    """
+    step = attrs.evolve(Step(2, Resources(1000, 1000)), **fields)
+    record = JobRecord(QUEUE, JobRequest('', (step,)))
+    state = load([make_row(JOB, record), make_job_row(OTHER)])
+    settle(state)
+    assert list(state.jobs) == [OTHER]
+    assert 'more than there can be' in find_fault(record)
+
+
+@pytest.mark.parametrize('place', range(3))
+def test_schedule_without_end_costs_its_job_alone(place):
+    figures = [0, 1000, 2]
+    figures[place] = WITHOUT_END
+    step = Step(1, Resources(1000, 1000))
+    request = JobRequest('', (step,), Schedule(*figures))
+    state = load([make_row(JOB, JobRecord(QUEUE, request))])
+    settle(state)
+    assert list(state.jobs) == []
+
+
+ODD_ROOMS = [
+    {'capacity_millicores': -1},
+    {'capacity_millicores': WITHOUT_END},
+    {'reserved_millicores': -1},
+    {'reserved_millicores': WITHOUT_END},
+    {'idle_millicores': -1},
+    {'idle_millicores': WITHOUT_END},
+    {'places': (-1,)},
+    {'places': (WITHOUT_END,)},
+    {'places': (1,) * 13},
+    {'waiting_millicores': {'batch': -1}},
+    {'waiting_millicores': {'batch': WITHOUT_END}},
+    {'largest_free': Resources(WITHOUT_END, 0)},
+    {'largest_new_millicores': -WITHOUT_END},
+]
+
+
+@pytest.mark.parametrize('fields', ODD_ROOMS)
+def test_room_that_is_none_is_refused(fields):
+    lease = LeaseRecord('i:1', 'i', room=UnitRoom(**fields))
+    assert find_fault(decode(encode(lease), LeaseRecord))
+
+
+def test_room_with_more_reserved_than_there_is_reads_back():
+    room = UnitRoom(
+        16_000,
+        20_000,
+        largest_free=Resources(-4000, -100),
+        largest_new_millicores=-4000,
+    )
+    read_back(LeaseRecord('i:1', 'i', room=room))
