Count the tasks of jobs that another unit passed on

A worker that tells a long-running task of a guest as done ended the owner with a KeyError in note_done; its end is listed again to the next one. A guest's durable progress with a task done ended the owner that loads it, in _restore_done: what is left of each step was counted for jobs homed here alone.

The counts of a guest are now made as those of any job. test_guest_task_that_is_done_ends_no_owner: before KeyError (0, 0), after passed, with its progress written, read and restored.

--- a/src/tulippin/jobs/_lifecycle.py
+++ b/src/tulippin/jobs/_lifecycle.py
@@ -128,6 +128,7 @@
             depths=_ranking.compute_depths(record.request),
             is_guest=True,
         )
+        _count_tasks(job)
         state.jobs[job_id] = job
     for name, number in record.passes.items():
         key = parse_task(f'{job_id}.{name}')
@@ -140,6 +141,13 @@
     return job if is_new else None
 
 
+def _count_tasks(job: Job) -> None:
+    """Count the tasks that are to be done, as of a job with none done."""
+    for occurrence in range(job.request.occurrence_count):
+        for number, step in enumerate(job.request.steps):
+            job.remaining[occurrence, number] = step.task_count
+
+
 def is_here(job: Job, key: TaskKey) -> bool:
     """Whether a task is this unit's to run."""
     came = job.passes.get(key, -1 if job.is_guest else 0)
@@ -195,9 +203,7 @@
         known_ms=context.state.now_ms,
         depths=_ranking.compute_depths(record.request),
     )
-    for occurrence in range(record.request.occurrence_count):
-        for number, step in enumerate(record.request.steps):
-            job.remaining[occurrence, number] = step.task_count
+    _count_tasks(job)
     if record.request.schedule.count:
         context.state.scheduled.add(row.key)
     return job
--- a/tests/tulippin/jobs/test_records.py
+++ b/tests/tulippin/jobs/test_records.py
@@ -17,6 +17,7 @@
     QUEUE,
     answer,
     list_committed,
+    list_started,
     load,
     make_job_row,
     make_row,
@@ -35,6 +36,7 @@
     ACCOUNTS_TABLE,
     AccountRecord,
     EpochRecord,
+    GuestRecord,
     JobRecord,
     LeaseRecord,
     UnitRoom,
@@ -153,6 +155,36 @@
     assert [one.message for one in handler.records] == ['account not kept']
 
 
+# -- tasks that another unit passed on -----------------------------------------
+
+
+def make_guest_row():
+    step = Step(2, Resources(1000, 1000), long_running=True)
+    request = JobRequest('', (step,))
+    record = GuestRecord(QUEUE, request, {'0.0.1': 1}, {'0.0.1': 65_536})
+    return make_row(f'{JOB}/guest', record)
+
+
+def test_guest_task_that_is_done_ends_no_owner():
+    """A worker tells that a long-running task of a guest has ended, done.
+
+    The unit had not counted the job's tasks, as it is not their home, and its
+    owner ended with a KeyError. So did the next one, at the durable progress.
+    """
+    state = load([make_guest_row()])
+    answer(state, 'w1')
+    key = TaskKey(JOB, 0, 0, 1)
+    ended = EndedRun(1, key, 70_000, RunOutcome.DONE, '')
+    effects = [*answer(state, 'w0', ended=[ended]), *pass_time(state, 500)]
+    (write,) = list_committed(effects)
+    record = read_back(write.record)
+    assert record.done == {'0.0': '2'}
+    row = make_row(JOB, record, 20, 'progress0')
+    successor = load([make_guest_row()], [row])
+    assert successor.jobs[JOB].tasks[key].is_done
+    assert list_started(settle(successor)) == []
+
+
 # -- figures that are none ----------------------------------------------------
 
 WITHOUT_END = 10**400
