Generate the states whose records must read back

A unit is driven through its events alone (jobs, guests, cancels, failures, reports with odd runs, starts that come to anything, ends, lost workers, commits, releases, lost owners); each record that it writes is encoded, decoded and held against its readers' check, and the next owner has to know of each job what is durable, with the tasks that are left.

Not reached often: a run of no task that ends (note_done raises KeyError).

--- /dev/null
+++ b/tests/tulippin/jobs/test_reached_records.py
@@ -0,0 +1,154 @@
+"""Records of whatever state a unit's owner can reach, and what they restore.
+
+What users saw: one owner kept a figure that ended the next one and all
+others; and jobs of which nothing was started again, as their own progress
+was refused. No example had shown either. So the events are generated.
+"""
+
+import attrs
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tulippin.jobs.layout import extend_layout, make_layout
+from tulippin.jobs.records import AccountRecord, HomeRecord, WorkerAccount
+from tulippin.jobs.state import Phase
+from tulippin.jobs.types import (
+    RunOutcome,
+    StartOutcome,
+    TaskKey,
+    WorkerEntry,
+)
+from tulippin.types import Resources
+from unit_on_paper import REQUESTS, PaperUnit, read_back
+
+numbers = st.integers(0, 5)
+tails = st.one_of(st.sampled_from([0.0, 14.0]), st.floats(0.5, 200))
+used = st.one_of(st.sampled_from([0.0, 1000.0]), st.floats(0, 2000))
+steps = st.one_of(
+    st.tuples(st.just('submit'), st.integers(0, len(REQUESTS) - 1)),
+    st.tuples(st.just('pass_time'), st.integers(1, 12)),
+    st.tuples(st.just('pass_time'), st.integers(1, 12)),
+    st.tuples(st.just('answer'), numbers, tails, used),
+    st.tuples(st.just('go_on'), st.integers(1, 5), tails, used),
+    st.tuples(st.just('go_on'), st.integers(1, 5), tails, used),
+    st.tuples(st.just('answer_start'), st.just(StartOutcome.STARTED)),
+    st.tuples(st.just('answer_start'), st.just(StartOutcome.STARTED)),
+    st.tuples(st.just('answer_start'), st.sampled_from(StartOutcome)),
+    st.tuples(
+        st.just('end_run'),
+        numbers,
+        numbers,
+        st.sampled_from([RunOutcome.DONE, RunOutcome.FAILED, *RunOutcome]),
+    ),
+    st.tuples(
+        st.just('tell_odd_run'),
+        numbers,
+        st.builds(
+            TaskKey,
+            st.sampled_from([f'{one:016x}' for one in range(3)] + ['', 'a/b']),
+            st.integers(-1, 2),
+            st.integers(-1, 2),
+            st.integers(-1, 4),
+        ),
+        st.integers(0, 10**6),
+    ),
+    st.tuples(st.just('lose'), numbers, st.booleans()),
+    st.tuples(st.just('commit')),
+    st.tuples(st.just('commit')),
+    st.tuples(
+        st.just('pass_here'), st.integers(1, 9), st.booleans(), st.booleans()
+    ),
+    st.tuples(st.just('cancel'), numbers),
+    st.tuples(st.just('give_up'), numbers),
+    st.tuples(st.just('see_rooms')),
+    st.tuples(st.just('crash')),
+    st.tuples(st.just('release')),
+)
+sequences = st.lists(steps, min_size=20, max_size=60)
+
+
+def take(unit, step):
+    name, *arguments = step
+    getattr(unit, name)(*arguments)
+
+
+def begin():
+    unit = PaperUnit()
+    for kind in range(3):
+        unit.submit(kind)
+    unit.go_on(3, 14.0, 1000.0)
+    return unit
+
+
+@settings(max_examples=200)
+@given(sequences)
+def test_each_record_that_is_written_reads_back(sequence):
+    unit = begin()
+    for step in sequence:
+        take(unit, step)
+    unit.release()
+
+
+@settings(max_examples=200)
+@given(sequences)
+def test_next_owner_knows_what_is_durable(sequence):
+    unit = begin()
+    for step in sequence:
+        take(unit, step)
+    while unit.commits:
+        unit.commit()
+    unit.crash()
+    assert unit.state.ownership.phase is Phase.ACTIVE
+    unit.check_restored()
+
+
+# -- records that no owner writes, or that follow from others ------------------
+
+places = st.tuples(
+    st.sampled_from([f'rack-{number}' for number in range(12)] + ['']),
+    st.sampled_from(['zone-a', 'zone-b', '']),
+)
+
+
+def make_entries(where):
+    return [
+        WorkerEntry(f'w{number}', 's', 'a:1', domain, Resources(1), rack=rack)
+        for number, (rack, domain) in enumerate(where)
+    ]
+
+
+@given(st.lists(st.lists(places, max_size=80), min_size=1, max_size=4))
+def test_each_layout_reads_back_and_grows_the_same(listings):
+    first, *later = map(make_entries, listings)
+    layout = make_layout(first)
+    for entries in later:
+        again = read_back(layout)
+        assert again == layout
+        layout = extend_layout(layout, entries)
+        assert extend_layout(again, entries) == layout
+    assert read_back(layout).unit_numbers == layout.unit_numbers
+
+
+@given(st.lists(st.integers(0, 99), min_size=1, unique=True), st.booleans())
+def test_home_reads_back(units, is_cancelled):
+    home = HomeRecord(units[0], tuple(units[1:]), is_cancelled)
+    assert read_back(home) == home
+    failed = attrs.evolve(home, is_failed=True)
+    assert read_back(failed).units == tuple(units)
+
+
+@given(
+    st.dictionaries(
+        st.text(),
+        st.builds(
+            WorkerAccount,
+            st.integers(0, 60_000),
+            st.none() | st.just(('job.0.0.1',)),
+            st.booleans(),
+        ),
+    ),
+    st.integers(0, 10**6),
+)
+def test_account_that_is_handed_on_reads_back(workers, unused_ms):
+    account = AccountRecord(4, workers).hand_on(unused_ms)
+    assert read_back(account) == account
--- a/tests/tulippin/jobs/test_records.py
+++ b/tests/tulippin/jobs/test_records.py
@@ -193,7 +193,7 @@
     {'size': Resources(0, WITHOUT_END)},
     {'size': Resources(0, 0, WITHOUT_END)},
     {'estimated_ms': int(1e308)},
-    {'estimated_ms': -WITHOUT_END},
+    {'estimated_ms': WITHOUT_END},
     {'target_ms': WITHOUT_END},
 ]
 
@@ -212,6 +212,15 @@
     assert 'more than there can be' in find_fault(record)
 
 
+def test_guess_below_all_figures_costs_its_job_alone():
+    step = Step(2, Resources(1000, 1000), estimated_ms=-WITHOUT_END)
+    record = JobRecord(QUEUE, JobRequest('', (step,)))
+    state = load([make_row(JOB, record), make_job_row(OTHER)])
+    settle(state)
+    assert list(state.jobs) == [OTHER]
+    assert find_fault(record)
+
+
 @pytest.mark.parametrize('place', range(3))
 def test_schedule_without_end_costs_its_job_alone(place):
     figures = [0, 1000, 2]
--- /dev/null
+++ b/tests/unit_on_paper.py
@@ -0,0 +1,415 @@
+"""A unit with its rows and workers, on which generated steps are taken.
+
+The reducer is driven through its events alone. Each record that it has
+written is read back as its readers would read it.
+"""
+
+import types
+
+import attrs
+import trio
+
+from tulippin.codec_json import decode, encode
+from tulippin.jobs import _lifecycle, core
+from tulippin.jobs import effects as fx
+from tulippin.jobs import events as ev
+from tulippin.jobs._accounts import make_known_writes
+from tulippin.jobs._row_checks import find_fault, find_progress_fault
+from tulippin.jobs.ports import StoredRow
+from tulippin.jobs.records import (
+    ACCOUNTS_TABLE,
+    MODELS_TABLE,
+    AccountRecord,
+    CancelRecord,
+    CrashRecord,
+    EpochRecord,
+    FailRecord,
+    GuestRecord,
+    JobRecord,
+    ModelRecord,
+    ProgressRecord,
+    RosterRecord,
+    UnitRoom,
+)
+from tulippin.jobs.state import Phase, SchedulerConfig
+from tulippin.jobs.types import (
+    FINAL_STATES,
+    EndedRun,
+    JobRequest,
+    OrderAnswer,
+    Queue,
+    RunningTask,
+    RunOutcome,
+    Schedule,
+    StartOutcome,
+    Step,
+    TaskKey,
+    WorkerEntry,
+    WorkerReport,
+)
+from tulippin.types import Resources
+
+QUEUE = Queue('q', 'h', '/q/', 's', 0, 3, 2.0, 500)
+TICK_MS = 50
+WALL_MS = 1_764_000_000_000
+SMALL = Resources(1000, 1000)
+LARGE = Resources(4000, 1000)
+SERVED = Step(2, SMALL, long_running=True, target_ms=50, image='web')
+FILLING = Step(3, SMALL, opportunistic=True, image='batch', checkpointing=True)
+REQUESTS = (
+    JobRequest('', (Step(3, SMALL), Step(1, SMALL, after=(0,)))),
+    JobRequest('', (SERVED,)),
+    JobRequest('', (FILLING,)),
+    JobRequest('', (Step(2, SMALL, gang=True), Step(1, SMALL))),
+    JobRequest('', (Step(1, SMALL),), Schedule(WALL_MS, 400, 3)),
+    JobRequest('', (Step(1, SMALL, allow_duplicates=True),)),
+    # More than there is room for.
+    JobRequest('', (attrs.evolve(SERVED, task_count=9, size=LARGE),)),
+)
+HOUSED = UnitRoom(
+    64_000, 1000, largest_free=Resources(16_000, 64_000), places=(64,)
+)
+
+
+def read_back(record):
+    """Return a record as its readers get it from a row."""
+    again = decode(encode(record), type(record))
+    assert find_fault(again) == ''
+    return again
+
+
+def count_left(job):
+    """Return how many tasks of each step are not done."""
+    left = {
+        (occurrence, number): step.task_count
+        for occurrence in range(job.request.occurrence_count)
+        for number, step in enumerate(job.request.steps)
+    }
+    for task in job.tasks.values():
+        if task.is_done:
+            left[task.key.occurrence, task.key.step] -= 1
+    return left
+
+
+@attrs.define
+class PaperWorker:
+    """A worker's life: what runs there, and which ends it lists."""
+
+    entry: WorkerEntry
+    runs: dict[tuple[TaskKey, int], float] = attrs.field(factory=dict)
+    ended: list[EndedRun] = attrs.field(factory=list)
+
+    def end(self, place, outcome):
+        del self.runs[place]
+        number = len(self.ended) + 1
+        self.ended.append(EndedRun(number, *place, outcome, ''))
+
+    def report(self, now_ms):
+        running = tuple(
+            RunningTask(key, run, '', 10, load)
+            for (key, run), load in self.runs.items()
+        )
+        return WorkerReport(now_ms, running, tuple(self.ended))
+
+
+@attrs.define
+class PaperUnit:
+    """The rows of a unit, its workers and its owner."""
+
+    now_ms: int = 100_000
+    version: int = 100
+    epoch: int = 0
+    rows: dict[str, StoredRow] = attrs.field(factory=dict)
+    progress: dict[str, StoredRow] = attrs.field(factory=dict)
+    roster: RosterRecord | None = None
+    roster_version: int = 0
+    model: ModelRecord | None = None
+    account: AccountRecord | None = None
+    workers: dict[str, PaperWorker] = attrs.field(factory=dict)
+    life: int = 0
+    starts: list[fx.StartRun] = attrs.field(factory=list)
+    commits: list[fx.CommitProgress] = attrs.field(factory=list)
+    kinds: set[str] = attrs.field(factory=set)
+    state: core.SchedulerState | None = None
+
+    def __attrs_post_init__(self):
+        for number in range(3):
+            self.add_worker(f'address-{number}:80')
+        self.load()
+
+    def add_worker(self, address):
+        self.life += 1
+        entry = WorkerEntry(
+            f'w{self.life}',
+            's',
+            address,
+            'zone',
+            Resources(8000, 16_000),
+            machine=address,
+        )
+        self.workers[entry.worker_id] = PaperWorker(entry)
+        return entry
+
+    def put(self, table, key, record):
+        self.version += 1
+        return StoredRow(table, 'u0', key, encode(record), self.version)
+
+    # -- the owner ----------------------------------------------------------
+
+    def load(self):
+        """Let a new owner read all that is kept."""
+        self.epoch += 1
+        self.version += 1
+        self.starts.clear()
+        self.commits.clear()
+        session = f'i:{self.epoch}'
+        state = self.state = core.make_state(SchedulerConfig('i', session))
+        state.now_ms = self.now_ms
+        state.wall_offset_ms = WALL_MS - 100_000
+        ownership = state.ownership
+        ownership.phase = Phase.LOADING
+        ownership.epoch = read_back(EpochRecord(self.epoch, session))
+        ownership.epoch_version = self.version
+        ownership.taken_ms = ownership.renewed_ms = self.now_ms
+        roster = self.roster
+        if not self.roster_version:
+            roster = RosterRecord({})
+        entries = tuple(one.entry for one in self.workers.values())
+        self.reduce(
+            ev.UnitLoaded(
+                self.now_ms,
+                tuple(self.rows.values()),
+                tuple(self.progress.values()),
+                roster,
+                self.roster_version,
+                entries,
+                self.model,
+                self.version,
+                self.account,
+            )
+        )
+
+    def reduce(self, event):
+        for effect in core.reduce(self.state, event):
+            self.perform(effect)
+
+    def perform(self, effect):
+        """Keep what an effect writes; each record must read back."""
+        match effect:
+            case fx.CommitProgress():
+                for write in effect.writes:
+                    self.check_progress(write)
+                self.commits.append(effect)
+            case fx.CommitRoster():
+                self.roster = read_back(effect.roster)
+                self.version += 1
+                self.roster_version = self.version
+                self.reduce(
+                    ev.RosterCommitted(
+                        self.now_ms,
+                        effect.roster,
+                        self.version,
+                        effect.epoch_version,
+                    )
+                )
+            case fx.RenewLease():
+                read_back(effect.lease)
+                self.state.ownership.is_renewing = False
+            case fx.KeepModel():
+                self.model = read_back(effect.model)
+                self.reduce(ev.ModelKept(self.now_ms))
+            case fx.PassTasks():
+                read_back(effect.record)
+            case fx.FailJob():
+                read_back(FailRecord(effect.reason))
+            case fx.StartRun():
+                self.starts.append(effect)
+            case fx.StopRun():
+                self.stop(effect)
+            case _:
+                return
+        self.kinds.add(type(effect).__name__)
+
+    def check_progress(self, write):
+        record = read_back(write.record)
+        request = self.state.jobs[write.job_id].request
+        assert find_progress_fault(record, request) == ''
+
+    def stop(self, effect):
+        worker = self.workers.get(effect.worker_id)
+        place = (effect.key, effect.run)
+        if worker is not None and place in worker.runs:
+            worker.end(place, RunOutcome.STOPPED)
+
+    # -- steps --------------------------------------------------------------
+
+    def pass_time(self, ticks):
+        for _ in range(ticks):
+            self.now_ms += TICK_MS
+            self.state.ownership.renewed_ms = self.now_ms - 500
+            wall_ms = self.now_ms + WALL_MS - 100_000
+            self.reduce(ev.Ticked(self.now_ms, wall_ms))
+
+    def answer(self, number, tail_ms, used_millicores):
+        """Let a worker tell what it runs, and at which loads."""
+        worker = self.pick(number)
+        for key, run in worker.runs:
+            is_served = self.is_served(key)
+            load = tail_ms if is_served else used_millicores
+            worker.runs[key, run] = load
+        report = worker.report(self.now_ms)
+        worker_id = worker.entry.worker_id
+        self.reduce(
+            ev.WorkerAnswered(self.now_ms, worker_id, self.now_ms, report)
+        )
+
+    def is_served(self, key):
+        job = self.state.jobs.get(key.job_id)
+        return job is not None and job.request.steps[0].target_ms > 0
+
+    def go_on(self, rounds, tail_ms, used_millicores):
+        """Let all orders be carried out, and all workers answer."""
+        for _ in range(rounds):
+            self.pass_time(6)
+            while self.starts:
+                self.answer_start(StartOutcome.STARTED)
+            for number in range(len(self.workers)):
+                self.answer(number, tail_ms + number, used_millicores)
+            self.commit()
+
+    def pick(self, number):
+        return list(self.workers.values())[number % len(self.workers)]
+
+    def answer_start(self, outcome):
+        """Let the first order that is under way come to something."""
+        if not self.starts:
+            return
+        order = self.starts.pop(0).order
+        worker = self.workers.get(order.worker_id)
+        if worker is None:
+            return
+        if outcome is StartOutcome.STARTED:
+            worker.runs[order.key, order.run] = 1.0
+        told = OrderAnswer(outcome, self.now_ms)
+        self.reduce(
+            ev.StartAnswered(
+                self.now_ms, order.worker_id, order.key, order.run, told
+            )
+        )
+
+    def end_run(self, number, which, outcome):
+        worker = self.pick(number)
+        places = list(worker.runs)
+        if places:
+            worker.end(places[which % len(places)], outcome)
+
+    def tell_odd_run(self, number, key, run):
+        """Let a worker tell a run that no owner has started."""
+        self.pick(number).runs[key, run] = 1.0
+
+    def lose(self, number, is_replaced):
+        """Let a worker crash; another life of it may answer."""
+        worker = self.pick(number)
+        worker_id = worker.entry.worker_id
+        del self.workers[worker_id]
+        entry = self.add_worker(worker.entry.address)
+        self.reduce(
+            ev.WorkerSilent(
+                self.now_ms, worker_id, 'crashed', is_replaced=is_replaced
+            )
+        )
+        self.reduce(ev.WorkersChanged(self.now_ms, (entry,), (), self.now_ms))
+
+    def commit(self):
+        """Make the oldest commit durable."""
+        if not self.commits:
+            return
+        commit = self.commits.pop(0)
+        for write in commit.writes:
+            row = self.put('progress0', write.job_id, write.record)
+            self.progress[write.job_id] = row
+        self.reduce(ev.ProgressCommitted(self.now_ms, commit, self.version))
+
+    def tell_jobs(self, *rows):
+        self.rows.update((row.key, row) for row in rows)
+        self.reduce(ev.JobsChanged(self.now_ms, rows))
+
+    def submit(self, kind):
+        job_id = f'{len(self.rows):016x}'
+        wall_ms = self.now_ms + WALL_MS - 100_000
+        record = read_back(JobRecord(QUEUE, REQUESTS[kind], wall_ms))
+        self.tell_jobs(self.put('jobs0', job_id, record))
+
+    def pass_here(self, pass_number, has_begun, has_crashed):
+        """Let another unit pass on a task of a served job."""
+        job_id = f'{len(self.rows):016x}'
+        crash = CrashRecord('w0', 'a:80', 'm', 7, 10, WALL_MS, True)
+        record = read_back(
+            GuestRecord(
+                QUEUE,
+                REQUESTS[1],
+                {'0.0.1': pass_number},
+                {'0.0.1': 65_536},
+                ('0.0.1',) if has_begun else (),
+                {'0.0.1': (crash,)} if has_crashed else {},
+            )
+        )
+        self.tell_jobs(self.put('jobs0', f'{job_id}/guest', record))
+
+    def mark(self, number, record, suffix):
+        """Let a caller cancel a job, or another unit give it up."""
+        jobs = list(self.state.jobs)
+        if jobs:
+            job_id = jobs[number % len(jobs)]
+            self.tell_jobs(
+                self.put('jobs0', f'{job_id}{suffix}', read_back(record))
+            )
+
+    def cancel(self, number):
+        self.mark(number, CancelRecord('q'), '/cancel')
+
+    def give_up(self, number):
+        self.mark(number, FailRecord('crashed'), '/failed')
+
+    def see_rooms(self):
+        self.reduce(ev.RoomsSeen(self.now_ms, {1: HOUSED}))
+
+    # -- the next owner -----------------------------------------------------
+
+    def crash(self):
+        """Lose the owner: the next one knows what is durable alone."""
+        self.account = None
+        self.load()
+
+    def release(self):
+        """Have the owner give the unit up, and another one take it."""
+        released = [
+            effect
+            for effect in core.reduce(self.state, ev.StopRequested(self.now_ms))
+            if isinstance(effect, fx.ReleaseLease)
+        ]
+        for effect in released:
+            read_back(effect.lease)
+            shell = types.SimpleNamespace(state=self.state)
+            writes = trio.run(make_known_writes, effect, shell)
+            kept = {write.table: write.value for write in writes}
+            # Nothing that an owner knows may be too odd to be kept.
+            self.account = read_back(
+                decode(kept[ACCOUNTS_TABLE], AccountRecord)
+            )
+            self.model = read_back(decode(kept[MODELS_TABLE], ModelRecord))
+            self.kinds.add('ReleaseLease')
+        self.load()
+
+    def check_restored(self):
+        """The owner knows of each job what is durable, and nothing else."""
+        for job_id, row in self.progress.items():
+            job = self.state.jobs.get(job_id)
+            if job is None:
+                continue
+            durable = decode(row.value, ProgressRecord)
+            assert not job.is_past_unknown
+            if durable.state in FINAL_STATES or job.state in FINAL_STATES:
+                continue
+            assert _lifecycle.make_progress(job) == durable
+            assert job.remaining == count_left(job)
