Say which parts of a record may be left out

One odd figure in a kept model cost the next owner all that its unit had learned. drop_faults gives what is sound of a record that advises, image by image, and the reason for each part that is not; of any other record the whole, as each part of it tells what may run or has.

Not wired yet: read_record still takes a record as a whole or not at all.

--- a/src/tulippin/jobs/_row_checks.py
+++ b/src/tulippin/jobs/_row_checks.py
@@ -60,6 +60,23 @@
     return ''
 
 
+@functools.singledispatch
+def drop_faults(record: t.Any) -> tuple[t.Any, tuple[str, ...]]:
+    """Return what of a record may be taken in, and what is wrong with the rest.
+
+    Only records that advise have parts that can be left out. Of the others
+    each part tells what may run, or has, and they count as a whole.
+    """
+    return record, ()
+
+
+@drop_faults.register
+def _drop_model_faults(
+    record: ModelRecord,
+) -> tuple[ModelRecord, tuple[str, ...]]:
+    return _model_checks.drop_faults(record)
+
+
 # -- jobs ---------------------------------------------------------------------
 
 
--- a/tests/tulippin/jobs/test_model_checks.py
+++ b/tests/tulippin/jobs/test_model_checks.py
@@ -15,15 +15,27 @@
 
 from tulippin.codec_json import decode, encode
 from tulippin.exceptions import InputError
-from tulippin.jobs import SchedulerConfig, _interference, core, make_state
+from tulippin.jobs import (
+    SchedulerConfig,
+    _interference,
+    _row_checks,
+    core,
+    make_state,
+)
 from tulippin.jobs._attempts import add_attempt
 from tulippin.jobs._memory import restore
 from tulippin.jobs._model_checks import drop_faults
 from tulippin.jobs._row_checks import find_fault
 from tulippin.jobs.events import ModelsSeen
-from tulippin.jobs.records import ModelRecord, PairRecord, SwingRecord
+from tulippin.jobs.records import (
+    ModelRecord,
+    PairRecord,
+    ProgressRecord,
+    RosterRecord,
+    SwingRecord,
+)
 from tulippin.jobs.state import Attempt, AttemptState, Task, Worker
-from tulippin.jobs.types import Step, TaskKey, WorkerEntry
+from tulippin.jobs.types import JobState, Step, TaskKey, WorkerEntry
 from tulippin.types import Resources
 
 SOUND = PairRecord(
@@ -277,3 +289,28 @@
     restore(ModelRecord(swings=KNOWN_SWING), state)
     core.reduce(state, ModelsSeen(state.now_ms, (kept, MODEL)))
     use(state, worker, filler)
+
+
+# -- what else is there -------------------------------------------------------
+
+
+def test_one_odd_figure_costs_one_image_of_a_row():
+    """One figure cost the next owner all that its unit had learned."""
+    odd = change(covariances=[[0.0, 0.0], [0.01]])
+    record = attrs.evolve(MODEL, pairs={'web': odd, 'api': SOUND})
+    kept, faults = _row_checks.drop_faults(decode(encode(record), ModelRecord))
+    assert len(faults) == 1
+    state = make_state(SchedulerConfig('i', 'i:1'))
+    restore(kept, state)
+    assert list(state.model.images) == ['api']
+    assert state.lowest_tails_ms == MODEL.lowest_tails_ms
+    assert state.run_times_ms == MODEL.run_times_ms
+    assert list(state.swings.swings) == ['job']
+
+
+def test_record_that_is_essential_counts_as_a_whole():
+    """A part that is left out of a roster would be a worker not asked."""
+    roster = RosterRecord({'w0': 'a:80'})
+    assert _row_checks.drop_faults(roster) == (roster, ())
+    progress = ProgressRecord(JobState.RUNNING, {'0.9': 'f'})
+    assert _row_checks.drop_faults(progress) == (progress, ())
