Models heard and variances kept in tests as the reducer has them now

ModelsSeen names the row of each model; the test named none. The variance of 2e-11 is set, as one that far below what can be learned is no longer reached by a sample. Both tests ask what they asked before.

--- a/tests/tulippin/jobs/test_kept_models.py
+++ b/tests/tulippin/jobs/test_kept_models.py
@@ -266,7 +266,8 @@
 def test_what_nobody_can_learn_is_told_and_not_written():
     """An owner that learned from a worker of no size kept what none reads."""
     state = make_owner()
-    state.model.learn('web', {'image-0': 20_000.0}, 0.5)
+    state.model.learn('web', {'image-0': 2.0}, 0.5)
+    state.model.images['web'].covariances['image-0', 'image-0'] = 2e-11
     state.model.learn('api', {'image-0': 2.0}, 0.5)
     state.lowest_tails_ms = {'web': 0.0, 'api': 9.0}
     with logbook.TestHandler() as handler:
--- a/tests/tulippin/jobs/test_model_checks.py
+++ b/tests/tulippin/jobs/test_model_checks.py
@@ -287,7 +287,10 @@
     kept, _ = drop_faults(record)
     state, worker, filler = make_owner()
     restore(ModelRecord(swings=KNOWN_SWING), state)
-    core.reduce(state, ModelsSeen(state.now_ms, (kept, MODEL)))
+    event = ModelsSeen(
+        state.now_ms, (kept, MODEL), ('models/u1/model@1', 'models/u2/model@1')
+    )
+    core.reduce(state, event)
     use(state, worker, filler)
 
 
