--- a/src/tulippin/_http_app.py
+++ b/src/tulippin/_http_app.py
@@ -4,14 +4,15 @@
 
 import typing as t
 
-import attrs
 from starlette.applications import Starlette
 from starlette.exceptions import HTTPException
-from starlette.requests import Request
+from starlette.requests import ClientDisconnect, Request
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
 from tulippin import codec_json as codec
+from tulippin._error_body import ErrorBody, FindingBody
+from tulippin._http_guard import INTERNAL_BODY
 from tulippin.exceptions import (
     ConflictError,
     DeniedError,
@@ -35,30 +36,6 @@
 _MS: t.Final = 1000
 
 
-@attrs.frozen
-class FindingBody:
-    """One finding, as sent."""
-
-    place: str
-    message: str
-    advice: str = ''
-
-
-@attrs.frozen
-class ErrorBody:
-    """An error, as sent.
-
-    ``outcome`` is ``not_run`` if nothing was done, else ``unknown`` or
-    ``failed``; ``retry_after_ms`` tells when to come back, 0 for never.
-    """
-
-    code: str
-    message: str
-    outcome: str = 'not_run'
-    retry_after_ms: int = 0
-    findings: tuple[FindingBody, ...] = ()
-
-
 def make_json(
     value: t.Any, status: int = 200, retry_after_ms: int = 0
 ) -> Response:
@@ -71,13 +48,16 @@
     )
 
 
-def make_error(error: TulippinError) -> Response:
-    """Return an error of the family as a response."""
-    status = _INTERNAL
+def _get_status(error: TulippinError) -> int:
     for kind, number in _STATUSES:
         if isinstance(error, kind):
-            status = number
-            break
+            return number
+    return _INTERNAL
+
+
+def make_error(error: TulippinError) -> Response:
+    """Return an error of the family that has a status as a response."""
+    status = _get_status(error)
     if error.code == 'too_large':
         status = _TOO_LARGE
     findings = tuple(
@@ -96,8 +76,16 @@
     Raises
     ------
     InputError
-        If it is longer than ``limit`` bytes; no more of it is read.
+        If it is longer than ``limit`` bytes, of which no more is read, or
+        if the caller leaves before its end.
     """
+    try:
+        return await _read_parts(request, limit)
+    except ClientDisconnect as error:
+        raise InputError('the caller left', code='caller_left') from error
+
+
+async def _read_parts(request: Request, limit: int) -> bytes:
     parts = []
     size = 0
     async for part in request.stream():
@@ -120,6 +108,9 @@
 
 async def _handle_error(_: Request, error: Exception) -> Response:
     if isinstance(error, TulippinError):
+        if _get_status(error) == _INTERNAL:
+            # No call is refused by it: it is told and answered as a fault.
+            raise error
         return make_error(error)
     if isinstance(error, HTTPException):
         code = {404: 'no_such_path', 405: 'no_such_method'}.get(
@@ -127,10 +118,8 @@
         )
         body = ErrorBody(code, f'{error.detail}; see /openapi.json')
         return make_json(body, error.status_code)
-    return make_json(
-        ErrorBody('internal', 'a fault of ours; see the log', 'unknown'),
-        _INTERNAL,
-    )
+    # Whoever serves the application tells the error, which is raised on.
+    return Response(INTERNAL_BODY, _INTERNAL, media_type='application/json')
 
 
 def make_app(routes: t.Sequence[Route]) -> Starlette:
--- a/src/tulippin/_http_server.py
+++ b/src/tulippin/_http_server.py
@@ -10,6 +10,7 @@
 from hypercorn.config import Config as HypercornConfig
 from hypercorn.trio import serve
 
+from tulippin._http_guard import GuardedApp
 from tulippin.exceptions import UnavailableError
 
 _BACKLOG: t.Final = 512
@@ -37,7 +38,7 @@
         key: str = '',
         authority: str = '',
     ) -> None:
-        self._app = app
+        self._app = GuardedApp(app)
         self._address = address
         self._config = HypercornConfig()
         self._config.accesslog = None
--- a/src/tulippin/jobs/_row_checks.py
+++ b/src/tulippin/jobs/_row_checks.py
@@ -27,7 +27,14 @@
     UnitRoom,
     WorkerAccount,
 )
-from tulippin.jobs.types import JobRequest, Step, TaskKey, parse_task
+from tulippin.jobs.types import (
+    JobRequest,
+    Queue,
+    Schedule,
+    Step,
+    TaskKey,
+    parse_task,
+)
 from tulippin.types import Resources
 
 _TASK_NAME: t.Final = re.compile(r'[0-9]{1,9}\.[0-9]{1,9}\.[0-9]{1,9}')
@@ -36,15 +43,19 @@
 _JOB_ID: t.Final = re.compile('[^./]+')
 _HEX: t.Final = 16
 # A job of more would fill an owner's memory before its first task.
-_MOST_TASKS: t.Final = 1_000_000
+MOST_TASKS: t.Final = 1_000_000
+# As of a worker's room: far above any machine, and sums and products of
+# such figures are far below what a float holds.
+MOST_AMOUNT: t.Final = 10**9
+# Some 30,000 years, which a float adds to a time of day without a loss.
+LONGEST_MS: t.Final = 10**15
+# What a float still holds, with some more added to it.
+_MOST_EXACT: t.Final = 10**300
+# Far above what all jobs that one unit can hold ask for.
+_MOST_ASKED: t.Final = 10**30
+_LARGEST_SIZE: t.Final = Resources(MOST_AMOUNT, MOST_AMOUNT, MOST_AMOUNT)
 # Each unit has two tables, of which the platform's store keeps 100.
 _MOST_UNITS: t.Final = 1000
-# Of what one task may ask for, in millicores and MiB: far beyond any worker.
-_MOST_ASKED: t.Final = 10**12
-# Beyond any sum of what jobs ask for, and far below what a float can hold.
-_MOST_SUMMED: t.Final = 10**30
-# Times in ms up to which a float counts by ones.
-_LONGEST_MS: t.Final = 2**53
 # An owner's orders last for some seconds.
 _LONGEST_ACCOUNT_MS: t.Final = 60_000
 
@@ -80,38 +91,49 @@
 # -- jobs ---------------------------------------------------------------------
 
 
+@find_fault.register
 def _find_request_fault(request: JobRequest) -> str:
     if not request.steps:
         return 'it has no steps'
-    if request.occurrence_count * len(request.steps) > _MOST_TASKS:
+    if request.occurrence_count * len(request.steps) > MOST_TASKS:
         return 'it has too many steps'
-    for number, step in enumerate(request.steps):
-        if not 0 < step.task_count <= _MOST_TASKS:
-            return f'step {number} has {step.task_count} tasks'
-        if any(not 0 <= one < number for one in step.after):
-            return f'step {number} waits for one that is no earlier one'
-        if _is_negative(step):
-            return f'step {number} asks for less than nothing'
-        if _is_beyond_all(step):
-            return f'step {number} asks for more than there can be'
-    if not _are_times(attrs.astuple(request.schedule)):
-        return 'its schedule tells no times'
-    return ''
+    if sum(step.task_count for step in request.steps) > MOST_TASKS:
+        return 'it has too many tasks'
+    if not _is_sane_schedule(request.schedule):
+        return 'it is due at no time'
+    faults = (
+        _find_step_fault(number, step)
+        for number, step in enumerate(request.steps)
+    )
+    return next(filter(None, faults), '')
 
 
-def _is_negative(step: Step) -> bool:
-    return not step.size.fits(Resources())
+def _is_sane_schedule(schedule: Schedule) -> bool:
+    times_ms = (schedule.first_at_ms, schedule.interval_ms)
+    return all(abs(time_ms) <= LONGEST_MS for time_ms in times_ms)
 
 
-def _is_beyond_all(step: Step) -> bool:
-    """Whether sums of what a step asks for are beyond what a float holds."""
-    asked = attrs.astuple(step.size)
-    is_timed = _are_times((step.estimated_ms, step.target_ms))
-    return max(asked) > _MOST_ASKED or not is_timed
+def _find_step_fault(number: int, step: Step) -> str:
+    if not 0 < step.task_count <= MOST_TASKS:
+        return f'step {number} has {step.task_count} tasks'
+    if any(not 0 <= one < number for one in step.after):
+        return f'step {number} waits for one that is no earlier one'
+    if _is_negative(step):
+        return f'step {number} asks for less than nothing'
+    if _is_huge(step):
+        return f'step {number} asks for more than there can be'
+    return ''
 
 
-def _are_times(times_ms: t.Iterable[int]) -> bool:
-    return all(abs(time_ms) <= _LONGEST_MS for time_ms in times_ms)
+def _is_negative(step: Step) -> bool:
+    is_short = min(step.estimated_ms, step.target_ms) < 0
+    return is_short or not step.size.fits(Resources())
+
+
+def _is_huge(step: Step) -> bool:
+    """Whether what is worked out of a step may leave what a float holds."""
+    is_long = max(step.estimated_ms, step.target_ms) > LONGEST_MS
+    return is_long or not _LARGEST_SIZE.fits(step.size)
 
 
 def has_task(request: JobRequest, key: TaskKey) -> bool:
@@ -134,12 +156,22 @@
 
 @find_fault.register
 def _check_job(record: JobRecord) -> str:
-    return _find_request_fault(record.request)
+    return _find_queue_fault(record.queue) or _find_request_fault(
+        record.request
+    )
+
+
+def _find_queue_fault(queue: Queue) -> str:
+    """Return what of a queue can't be worked with, as due times are."""
+    if abs(queue.target_latency_ms) > _MOST_EXACT:
+        return 'its queue has no target'
+    return ''
 
 
 @find_fault.register
 def _check_guest(record: GuestRecord) -> str:
-    fault = _find_request_fault(record.request)
+    fault = _find_queue_fault(record.queue)
+    fault = fault or _find_request_fault(record.request)
     if not fault and min(record.passes.values(), default=1) < 1:
         fault = 'a pass has no number'
     if not fault and min(record.runs.values(), default=0) < 0:
@@ -210,13 +242,13 @@
         *room.waiting_millicores.values(),
         *room.places,
     )
-    if not all(0 <= value <= _MOST_SUMMED for value in sums):
+    if not all(0 <= value <= _MOST_ASKED for value in sums):
         return 'its room is none'
     if len(room.places) > len(PLACE_SIZES):
         return 'it tells places of no size'
     # What is left where more is reserved than there is lies below nothing.
     left = (*attrs.astuple(room.largest_free), room.largest_new_millicores)
-    if any(abs(value or 0) > _MOST_SUMMED for value in left):
+    if any(abs(value or 0) > _MOST_ASKED for value in left):
         return 'what is free of its room is none'
     return ''
 
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -63,6 +63,9 @@
         How long a finished job's state is kept.
     processor_share : float
         The instance's processor, in cores of usual speed.
+    is_without_advice : bool
+        Nothing that only advises is taken in, as earlier lives of the
+        process ended soon after their start.
     """
 
     instance_id: str
@@ -76,6 +79,7 @@
     clock_drift_ratio: float = 1.02
     finished_kept_ms: int = 180_000
     processor_share: float = 1.0
+    is_without_advice: bool = False
 
 
 class Phase(enum.Enum):
@@ -253,7 +257,9 @@
     order of ours may have given it has surely ended. ``slack`` is by
     how much more the serving tasks of each image there may be slowed;
     nothing where it must be worked out anew. ``exposure`` is what its
-    opportunistic tasks used at an earlier report. ``may_run_anything``: an
+    opportunistic tasks used at an earlier report, nothing where that is not
+    known; ``refused_ms`` is when a report of theirs was last refused as
+    impossible. ``may_run_anything``: an
     earlier owner's orders may have effect there, on any task.
     ``leaves_at_ms`` is the earliest end of a worker that drains.
     ``unsettled`` are tasks of ends that were read, by the end's number, and
@@ -281,8 +287,9 @@
     serving: dict[tuple[TaskKey, int], Attempt] = attrs.field(factory=dict)
     fillers: dict[tuple[TaskKey, int], Attempt] = attrs.field(factory=dict)
     slack: dict[str, float] | None = None
-    exposure: dict[str, float] = attrs.field(factory=dict)
+    exposure: dict[str, float] | None = attrs.field(factory=dict)
     exposure_ms: int = 0
+    refused_ms: int | None = None
     leaves_at_ms: int = 0
     failed_jobs: set[str] = attrs.field(factory=set)
     quarantined_until_ms: int = 0
@@ -313,6 +320,8 @@
         Asked for each worker by each waiting step: 0.7 us in place of 2.2.
         """
         capacity = self.entry.capacity
+        if capacity is None:
+            return False
         reserved = self.reserved
         return (
             wanted.cpu_millicores
@@ -324,8 +333,9 @@
 
     @property
     def free(self) -> Resources:
-        """Room that nothing reserves."""
-        return self.entry.capacity.subtract(self.reserved)
+        """Room that nothing reserves; none where the room is not known."""
+        capacity = self.entry.capacity
+        return capacity.subtract(self.reserved) if capacity else Resources()
 
 
 @attrs.define
@@ -396,7 +406,12 @@
 
 @attrs.define
 class SchedulerState:
-    """Everything the reducer reads and changes."""
+    """Everything the reducer reads and changes.
+
+    Nothing that only advises is taken in until ``advice_after_ms``, as an error
+    came up among it; ``advice_pause_ms`` is how long that was the last time,
+    and ``rows_aside`` names versions of rows that are never taken in.
+    """
 
     config: SchedulerConfig
     now_ms: int = 0
@@ -456,8 +471,17 @@
     model_kept_ms: int = 0
     is_model_committing: bool = False
     lowest_tails_ms: dict[str, float] = attrs.field(factory=dict)
+    advice_after_ms: int = 0
+    advice_pause_ms: int = 0
+    rows_aside: set[str] = attrs.field(factory=set)
     counters: dict[str, int] = attrs.field(factory=dict)
 
+    @property
+    def is_without_advice(self) -> bool:
+        """Whether what only advises is left out by now."""
+        is_early = self.now_ms < self.advice_after_ms
+        return is_early or self.config.is_without_advice
+
     def count(self, name: str, amount: int = 1) -> None:
         """Add to a counter."""
         self.counters[name] = self.counters.get(name, 0) + amount
--- a/src/tulippin/platform/callers.py
+++ b/src/tulippin/platform/callers.py
@@ -8,13 +8,21 @@
 import msgspec
 import trio
 
+from tulippin import failures
+from tulippin._http_guard import INTERNAL_MESSAGE
 from tulippin.exceptions import (
     AnswerLostError,
     Finding,
     InputError,
     UnavailableError,
 )
-from tulippin.jobs.intake import JobIntake
+from tulippin.jobs._row_checks import (
+    LONGEST_MS,
+    MOST_AMOUNT,
+    MOST_TASKS,
+    find_fault,
+)
+from tulippin.jobs.intake import LEAST_LIMIT_MS, JobIntake
 from tulippin.jobs.types import (
     JobRequest,
     JobState,
@@ -38,12 +46,26 @@
 # A caller that gives no deadline is taken to wait so long: the shortest
 # deadline that the users' sheets give.
 _DEFAULT_DEADLINE_MS: t.Final = 3000
+# Above any deadline of the users' sheets; what is longer is waited for so
+# long.
+_LONGEST_DEADLINE_MS: t.Final = 3_600_000
+_DEADLINE: t.Final = re.compile(b'(-?)0*([0-9]+)')
+# A number of more digits is above any deadline, and not worth reading.
+_DEADLINE_DIGITS: t.Final = 9
 # Kept back of a deadline for the answer's way to the caller: 3 ms each
-# way and a slow machine's scheduling.
+# way and a slow machine's scheduling. Of a short one, half of it.
 _ANSWER_MS: t.Final = 300
 _MS: t.Final = 1000
 _SPEC_LIMIT_BYTES: t.Final = 4000
+# Of tasks on one worker, or away at once; some callers write the largest
+# number that they know for no bound.
+_MOST_SPREAD: t.Final = 2**64
 _BAD_REQUEST: t.Final = 400
+# Whether a call was carried out is not known.
+_UNKNOWN: t.Final = 504
+_REFUSED: t.Final = 503
+# Of what a caller sends, a log line takes so much.
+_PATH_SIGNS: t.Final = 200
 # A colon, a blank and a line's end around each header.
 _HEADER_SIGNS: t.Final = 4
 # When to come back after a refusal: a takeover takes about so long.
@@ -76,6 +98,32 @@
 }
 
 
+class _Bound(t.NamedTuple):
+    """Between which figures a field of a body is, and the platform's name."""
+
+    name: str
+    field: str
+    least: int
+    most: int
+
+
+_JOB_BOUNDS: t.Final = (
+    _Bound('StartAtMs', 'start_at_ms', 0, LONGEST_MS),
+    _Bound('IntervalMs', 'interval_ms', 0, LONGEST_MS),
+    _Bound('RepeatCount', 'repeat_count', 0, MOST_TASKS),
+)
+_STEP_BOUNDS: t.Final = (
+    _Bound('Count', 'count', 1, MOST_TASKS),
+    _Bound('Cpu', 'cpu', 0, MOST_AMOUNT),
+    _Bound('MemMb', 'memory_mb', 0, MOST_AMOUNT),
+    _Bound('Gpus', 'gpus', 0, MOST_AMOUNT),
+    _Bound('EstimatedMs', 'estimated_ms', 0, LONGEST_MS),
+    _Bound('AntiAffinity', 'anti_affinity', 0, _MOST_SPREAD),
+    _Bound('target_ms', 'target_ms', 0, LONGEST_MS),
+    _Bound('may_miss', 'may_miss', 0, _MOST_SPREAD),
+)
+
+
 class Reply(t.NamedTuple):
     """An answer: its status, its body and whether to come back later."""
 
@@ -94,16 +142,22 @@
     """
     try:
         wire = _job_decoder.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise InputError(str(error), code='bad_job') from error
     findings = list(_check_job(wire))
     if findings:
         raise InputError('the job is refused', findings, code='bad_job')
-    return JobRequest(
+    request = JobRequest(
         wire.spec,
         tuple(_decode_step(step) for step in wire.steps),
         Schedule(wire.start_at_ms, wire.interval_ms, wire.repeat_count),
     )
+    # Its owner would pass over what its own check refuses, and a job that
+    # was accepted would never run.
+    fault = find_fault(request)
+    if fault:
+        raise InputError(f'the job is refused: {fault}', code='bad_job')
+    return request
 
 
 def _check_job(wire: JobBody) -> t.Iterator[Finding]:
@@ -111,21 +165,35 @@
         yield Finding('Spec', 'is too long', f'{_SPEC_LIMIT_BYTES} bytes')
     if not wire.steps:
         yield Finding('Steps', 'is empty', 'give at least one step')
+    yield from _check_figures('', wire, _JOB_BOUNDS)
     for number, step in enumerate(wire.steps):
         place = f'Steps[{number}]'
-        if step.count < 1:
-            yield Finding(f'{place}.Count', 'is below 1')
+        yield from _check_figures(f'{place}.', step, _STEP_BOUNDS)
         if any(not 0 <= one < number for one in step.after):
             yield Finding(f'{place}.AfterRevision', 'names no earlier step')
-        if min(step.cpu, step.memory_mb, step.gpus) < 0:
-            yield Finding(place, 'asks for less than nothing')
+
+
+def _check_figures(
+    place: str, wire: msgspec.Struct, bounds: t.Iterable[_Bound]
+) -> t.Iterator[Finding]:
+    for bound in bounds:
+        figure = getattr(wire, bound.field)
+        if figure < bound.least:
+            yield Finding(f'{place}{bound.name}', f'is below {bound.least}')
+        if figure > bound.most:
+            yield Finding(f'{place}{bound.name}', f'is above {bound.most}')
+
+
+def _decode_time_ms(time_ms: float) -> int:
+    """Return a time as a whole number; 0 says that there is none."""
+    return max(1, int(time_ms)) if time_ms else 0
 
 
 def _decode_step(step: StepBody) -> Step:
     return Step(
         task_count=step.count,
         size=Resources(step.cpu, step.memory_mb, step.gpus),
-        estimated_ms=int(step.estimated_ms),
+        estimated_ms=_decode_time_ms(step.estimated_ms),
         after=step.after,
         checkpointing=step.checkpointing,
         gang=step.gang,
@@ -136,7 +204,7 @@
         allow_duplicates=step.allow_duplicates,
         long_running=step.long_running,
         image=step.image,
-        target_ms=int(step.target_ms),
+        target_ms=_decode_time_ms(step.target_ms),
         opportunistic=step.fills,
         max_unavailable=step.may_miss,
     )
@@ -167,11 +235,29 @@
         if scope['type'] != 'http':
             raise NotImplementedError(scope['type'])
         if scope['path'] == _READY_PATH:
-            reply = Reply(503 if self._get_unready() else 200)
+            reply = Reply(_REFUSED if self._get_unready() else 200)
         else:
-            reply = await self._answer(scope, receive)
+            reply = await self._answer_surely(scope, receive)
         await self._send(reply, send)
 
+    async def _answer_surely(self, scope: Scope, receive: Receive) -> Reply:
+        """Answer one call, also one that fails by a fault of ours.
+
+        What was asked for may have been done. Its caller is told so, with the
+        status after which it may ask again.
+        """
+        try:
+            return await self._answer(scope, receive)
+        except Exception as error:
+            failures.tell(
+                'call failed',
+                error,
+                method=scope['method'],
+                path=scope['path'][:_PATH_SIGNS],
+            )
+            text = f'internal: {INTERNAL_MESSAGE}'
+            return Reply(_UNKNOWN, ErrorBody(text), retry=True)
+
     async def _send(self, reply: Reply, send: Send) -> None:
         body = b'' if reply.body is None else msgspec.json.encode(reply.body)
         headers = [
@@ -195,15 +281,21 @@
         headers = dict(scope['headers'])
         configuration = self._intake.shell.configuration
         if configuration is None:
-            return Reply(503, ErrorBody('no configuration yet'), retry=True)
+            return Reply(
+                _REFUSED, ErrorBody('no configuration yet'), retry=True
+            )
         host = headers.get(b'host', b'').decode('latin-1').partition(':')[0]
         queue = configuration.find_queue(host, scope['path'])
         if queue is None:
             return Reply(404, ErrorBody('no such queue'))
         job_id = scope['path'].removeprefix(queue.path_prefix).strip('/')
-        limit_ms = _read_deadline_ms(headers) - _ANSWER_MS
+        limit_ms = read_limit_ms(headers)
+        if limit_ms < LEAST_LIMIT_MS:
+            return _give_up(
+                job_id, _REFUSED, 'not run: too little time is left'
+            )
         try:
-            with trio.fail_after(max(limit_ms, _ANSWER_MS) / _MS):
+            with trio.fail_after(limit_ms / _MS):
                 _check_headers(scope, configuration.max_header_bytes)
                 body = await _read_body(receive, configuration.max_body_bytes)
                 return await self._dispatch(
@@ -214,9 +306,11 @@
         except UnavailableError as error:
             # Only what surely was not done may be refused.
             is_open = isinstance(error, AnswerLostError)
-            return _give_up(job_id, 504 if is_open else 503, error.message)
+            return _give_up(
+                job_id, _UNKNOWN if is_open else _REFUSED, error.message
+            )
         except trio.TooSlowError:
-            return _give_up(job_id, 504, 'out of time')
+            return _give_up(job_id, _UNKNOWN, 'out of time')
 
     async def _dispatch(
         self,
@@ -275,9 +369,24 @@
         )
 
 
-def _read_deadline_ms(headers: dict[bytes, bytes]) -> int:
-    text = headers.get(_DEADLINE_HEADER, b'')
-    return int(text) if text.isdigit() else _DEFAULT_DEADLINE_MS
+def read_limit_ms(headers: t.Mapping[bytes, bytes]) -> int:
+    """Return for how long a call may be worked on; 0 if its time is over.
+
+    A text that is no whole number counts as none.
+    """
+    match = _DEADLINE.fullmatch(headers.get(_DEADLINE_HEADER, b''))
+    deadline_ms = _DEFAULT_DEADLINE_MS
+    if match is not None:
+        deadline_ms = _decode_deadline_ms(*match.groups())
+    return deadline_ms - min(_ANSWER_MS, -(-deadline_ms // 2))
+
+
+def _decode_deadline_ms(sign: bytes, digits: bytes) -> int:
+    if sign:
+        return 0
+    if len(digits) > _DEADLINE_DIGITS:
+        return _LONGEST_DEADLINE_MS
+    return min(int(digits), _LONGEST_DEADLINE_MS)
 
 
 async def _read_body(receive: Receive, limit_bytes: int) -> bytes:
