--- a/src/tulippin/jobs/_lifecycle.py
+++ b/src/tulippin/jobs/_lifecycle.py
@@ -8,7 +8,11 @@
 
 from tulippin.jobs import _ranking, _ready, _sparing
 from tulippin.jobs._dispatch import Context
-from tulippin.jobs._row_checks import find_progress_fault, is_job_id
+from tulippin.jobs._row_checks import (
+    find_progress_fault,
+    has_task,
+    is_job_id,
+)
 from tulippin.jobs._rows import log_unreadable, read_record
 from tulippin.jobs._sources import name_row
 from tulippin.jobs.effects import FailJob, TellFailure
@@ -143,6 +147,7 @@
             depths=_ranking.compute_depths(record.request),
             is_guest=True,
         )
+        _count_tasks(job)
         state.jobs[job_id] = job
     for name, number in record.passes.items():
         key = parse_task(f'{job_id}.{name}')
@@ -155,6 +160,13 @@
     return job if is_new else None
 
 
+def _count_tasks(job: Job) -> None:
+    """Count the tasks that are to be done, as of a job with none done."""
+    for occurrence in range(job.request.occurrence_count):
+        for number, step in enumerate(job.request.steps):
+            job.remaining[occurrence, number] = step.task_count
+
+
 def is_here(job: Job, key: TaskKey) -> bool:
     """Whether a task is this unit's to run."""
     came = job.passes.get(key, -1 if job.is_guest else 0)
@@ -210,9 +222,7 @@
         known_ms=context.state.now_ms,
         depths=_ranking.compute_depths(record.request),
     )
-    for occurrence in range(record.request.occurrence_count):
-        for number, step in enumerate(record.request.steps):
-            job.remaining[occurrence, number] = step.task_count
+    _count_tasks(job)
     if record.request.schedule.count:
         context.state.scheduled.add(row.key)
     return job
@@ -308,6 +318,17 @@
     return f'{key.occurrence}.{key.step}.{key.index}'
 
 
+def _iter_own(job: Job) -> t.Iterator[tuple[TaskKey, Task]]:
+    """Iterate over the tasks that a job has.
+
+    Workers may tell runs of others. A record that named one would be refused
+    as a whole, and nothing of the job would be started again.
+    """
+    for key, task in job.tasks.items():
+        if has_task(job.request, key):
+            yield key, task
+
+
 def make_progress(job: Job) -> ProgressRecord:
     """Return what is to be kept of a job as it is now."""
     if job.state in FINAL_STATES:
@@ -316,7 +337,7 @@
     failures: dict[str, list[int]] = {}
     avoided: dict[str, list[str]] = {}
     crashes: dict[str, tuple[CrashRecord, ...]] = {}
-    for key, task in job.tasks.items():
+    for key, task in _iter_own(job):
         if task.crashes and not task.is_done:
             crashes[get_name(key)] = task.list_crashes()
         if task.is_done:
@@ -346,7 +367,7 @@
     What has run for long is not held to have crashed its worker.
     """
     started = {}
-    for key, task in job.tasks.items():
+    for key, task in _iter_own(job):
         if task.attempts:
             run = max(task.attempts)
             if not task.attempts[run].is_proved:
--- a/src/tulippin/jobs/_memory.py
+++ b/src/tulippin/jobs/_memory.py
@@ -12,32 +12,55 @@
 import attrs
 
 from tulippin.jobs._dispatch import Context, handle
+from tulippin.jobs._model_checks import drop_faults
+from tulippin.jobs._rounding import (
+    round_all,
+    round_covariances,
+    round_figure,
+)
 from tulippin.jobs.effects import KeepModel
 from tulippin.jobs.events import ModelsSeen
 from tulippin.jobs.pair_model import ImageModel, PairModel
 from tulippin.jobs.records import ModelRecord, PairRecord, SwingRecord
 from tulippin.jobs.state import Phase, SchedulerState
 from tulippin.jobs.swings import SwingModel, Wave
+from tulippin.logs import logger
 
 _EVERY_MS: t.Final = 2000
-# A mean is told to so many digits; the spread of a sample is 0.09.
-_DIGITS: t.Final = 5
-# A variance may be as low as its floor, which has to be above nothing also
-# as it is kept: readers divide by it, and refuse a row without it.
-_VARIANCE_DIGITS: t.Final = 7
+_MOST_TOLD: t.Final = 8
 
 
 def make_record(state: SchedulerState) -> ModelRecord:
-    """Return what is worth keeping."""
-    return ModelRecord(
-        {
-            image: _make_pair(model)
-            for image, model in state.model.images.items()
-        },
-        _round_all(state.lowest_tails_ms),
-        _round_all(state.run_times_ms),
-        _make_swings(state),
+    """Return what is worth keeping.
+
+    Never what its readers would refuse: they would lose the whole of it, or
+    take in what nobody can have learned.
+    """
+    record, faults = drop_faults(
+        ModelRecord(
+            {
+                image: _make_pair(model)
+                for image, model in state.model.images.items()
+            },
+            round_all(state.lowest_tails_ms),
+            round_all(_list_known(state.run_times_ms)),
+            _make_swings(state),
+        )
     )
+    if faults:
+        state.count('model_parts_not_kept', len(faults))
+        logger.error(
+            'model parts not kept',
+            unit=state.config.unit.number,
+            parts=len(faults),
+            reasons=faults[:_MOST_TOLD],
+        )
+    return record
+
+
+def _list_known(times_ms: t.Mapping[str, float]) -> dict[str, float]:
+    """Return the times without those of 0, which stand for none."""
+    return {name: time_ms for name, time_ms in times_ms.items() if time_ms}
 
 
 def _make_swings(state: SchedulerState) -> SwingRecord:
@@ -49,9 +72,9 @@
         wave = swings.get_wave(job_id)
         if wave is not None:
             turned = attrs.astuple(wave.turn(angle))
-            waves[job_id] = tuple(round(one, _DIGITS) for one in turned)
+            waves[job_id] = tuple(map(round_figure, turned))
     return SwingRecord(
-        round(swings.period_ms, _DIGITS), round(swings.mean, _DIGITS), waves
+        round_figure(swings.period_ms), round_figure(swings.mean), waves
     )
 
 
@@ -65,20 +88,17 @@
         swings.restore(job_id, Wave(*parts).turn(-angle), state.now_ms)
 
 
-def _round_all(values: t.Mapping[str, float]) -> dict[str, float]:
-    return {name: round(value, _DIGITS) for name, value in values.items()}
-
-
 def _make_pair(model: ImageModel) -> PairRecord:
     images = list(model.means)
     rows = [
-        [
-            round(model.get_covariance(one, other), _VARIANCE_DIGITS)
-            for other in images[place:]
-        ]
+        [model.get_covariance(one, other) for other in images[place:]]
         for place, one in enumerate(images)
     ]
-    return PairRecord(_round_all(model.means), rows, dict(model.sample_counts))
+    return PairRecord(
+        round_all(model.means),
+        round_covariances(rows),
+        dict(model.sample_counts),
+    )
 
 
 def restore(record: ModelRecord, state: SchedulerState) -> None:
--- a/src/tulippin/jobs/_row_checks.py
+++ b/src/tulippin/jobs/_row_checks.py
@@ -8,11 +8,14 @@
 from __future__ import annotations
 
 import functools
-import math
 import re
 import typing as t
 
+import attrs
+
+from tulippin.jobs import _model_checks
 from tulippin.jobs.records import (
+    PLACE_SIZES,
     AccountRecord,
     GuestRecord,
     HomeRecord,
@@ -20,9 +23,7 @@
     LayoutRecord,
     LeaseRecord,
     ModelRecord,
-    PairRecord,
     ProgressRecord,
-    SwingRecord,
     UnitRoom,
     WorkerAccount,
 )
@@ -57,8 +58,6 @@
 _MOST_UNITS: t.Final = 1000
 # An owner's orders last for some seconds.
 _LONGEST_ACCOUNT_MS: t.Final = 60_000
-# Above anything that is learned: an excess, a variance, a time in ms.
-_LARGEST: t.Final = 1e9
 
 
 def is_job_id(text: str) -> bool:
@@ -72,6 +71,23 @@
     return ''
 
 
+@functools.singledispatch
+def drop_faults(record: t.Any) -> tuple[t.Any, tuple[str, ...]]:
+    """Return what of a record may be taken in, and what is wrong with the rest.
+
+    Only records that advise have parts that can be left out. Of the others
+    each part tells what may run, or has, and they count as a whole.
+    """
+    return record, ()
+
+
+@drop_faults.register
+def _drop_model_faults(
+    record: ModelRecord,
+) -> tuple[ModelRecord, tuple[str, ...]]:
+    return _model_checks.drop_faults(record)
+
+
 # -- jobs ---------------------------------------------------------------------
 
 
@@ -210,26 +226,31 @@
     counts = (record.renewal_count, *record.waiting.values())
     if min(counts) < 0:
         return 'it counts below none'
-    return '' if _is_sane_room(record.room) else 'its room is none of a unit'
+    return _find_room_fault(record.room)
 
 
-def _is_sane_room(room: UnitRoom) -> bool:
-    """Whether what is worked out of a room stays within a float.
+def _find_room_fault(room: UnitRoom) -> str:
+    """Return what of a unit's room is none.
 
-    Less than none may be left: a worker's room may have shrunk.
+    Shares of it are compared with those of other units: one that is less
+    than nothing would draw all tasks, and one without end ends who divides.
     """
-    figures = (
+    sums = (
         room.capacity_millicores,
         room.reserved_millicores,
         room.idle_millicores,
-        room.largest_free.cpu_millicores,
-        room.largest_free.memory_mb,
-        room.largest_free.accelerator_count,
-        room.largest_new_millicores or 0,
-        *room.places,
         *room.waiting_millicores.values(),
+        *room.places,
     )
-    return all(abs(figure) <= _MOST_ASKED for figure in figures)
+    if not all(0 <= value <= _MOST_ASKED for value in sums):
+        return 'its room is none'
+    if len(room.places) > len(PLACE_SIZES):
+        return 'it tells places of no size'
+    # What is left where more is reserved than there is lies below nothing.
+    left = (*attrs.astuple(room.largest_free), room.largest_new_millicores)
+    if any(abs(value or 0) > _MOST_ASKED for value in left):
+        return 'what is free of its room is none'
+    return ''
 
 
 @find_fault.register
@@ -243,49 +264,19 @@
 
 
 def _names_tasks(told: WorkerAccount) -> bool:
-    parts = (name.partition('.') for name in told.tasks or ())
-    return all(
-        is_job_id(job_id) and _TASK_NAME.fullmatch(rest)
-        for job_id, _, rest in parts
-    )
+    return all(map(is_task_name, told.tasks or ()))
 
 
-# -- models -------------------------------------------------------------------
+def is_task_name(name: str) -> bool:
+    """Whether some job could have a task of this whole name."""
+    job_id, _, rest = name.partition('.')
+    return is_job_id(job_id) and _TASK_NAME.fullmatch(rest) is not None
 
 
-def _are_sane(values: t.Iterable[float]) -> bool:
-    return all(
-        math.isfinite(value) and abs(value) <= _LARGEST for value in values
-    )
+# -- models -------------------------------------------------------------------
 
 
 @find_fault.register
 def _check_model(record: ModelRecord) -> str:
-    for image, pair in record.pairs.items():
-        if not _is_sane_pair(pair):
-            return f'what it tells of image {image!r} is no model'
-    times = (*record.lowest_tails_ms.values(), *record.run_times_ms.values())
-    if not _are_sane(times) or min(times, default=0) < 0:
-        return 'it tells no times'
-    return '' if _is_sane_swing(record.swings) else 'it tells no swings'
-
-
-def _is_sane_pair(pair: PairRecord) -> bool:
-    count = len(pair.means)
-    rows = pair.covariances
-    lengths = [len(row) for row in rows]
-    if lengths != [count - place for place in range(len(rows))]:
-        return False
-    if not _are_sane(pair.means.values()):
-        return False
-    # What is known for sure would be divided by.
-    if any(not row or row[0] <= 0 for row in rows):
-        return False
-    counts = pair.sample_counts.values()
-    return min(counts, default=0) >= 0 and all(map(_are_sane, rows))
-
-
-def _is_sane_swing(swings: SwingRecord) -> bool:
-    waves = swings.waves.values()
-    is_sane = _are_sane((swings.period_ms, swings.mean))
-    return is_sane and all(map(_are_sane, waves))
+    _, faults = _model_checks.drop_faults(record)
+    return faults[0] if faults else ''
--- a/src/tulippin/jobs/_rows.py
+++ b/src/tulippin/jobs/_rows.py
@@ -7,11 +7,13 @@
 from tulippin import failures
 from tulippin.codec_json import decode
 from tulippin.exceptions import InputError
-from tulippin.jobs._row_checks import find_fault
+from tulippin.jobs._row_checks import drop_faults, find_fault
 from tulippin.jobs.ports import RowStore, StoredRow
 from tulippin.logs import logger
 
 Record = t.TypeVar('Record')
+# A row may have thousands of odd parts.
+_MOST_TOLD: t.Final = 8
 
 
 def read_record(row: StoredRow | None, kind: type[Record]) -> Record | None:
@@ -23,6 +25,9 @@
     except InputError as error:
         log_unreadable(row, error.message)
         return None
+    record, dropped = _drop(record)
+    for reason in dropped[:_MOST_TOLD]:
+        log_unreadable(row, reason, 'row part unreadable')
     fault = _check(record)
     if fault:
         log_unreadable(row, fault)
@@ -30,6 +35,16 @@
     return record
 
 
+def _drop(record: Record) -> tuple[Record, tuple[str, ...]]:
+    """Return a record without unsound parts that only advise."""
+    try:
+        return drop_faults(record)
+    except Exception as error:
+        # Its check fails as well, and the whole record is refused.
+        failures.tell('check failed', error, record=type(record).__name__)
+        return record, ()
+
+
 def _check(record: Record) -> str:
     """Return what makes a record useless; a check that fails says that."""
     try:
@@ -39,10 +54,12 @@
         return f'its check failed: {error!r}'
 
 
-def log_unreadable(row: StoredRow, reason: str) -> None:
-    """Say that a row is not used, and why."""
+def log_unreadable(
+    row: StoredRow, reason: str, what: str = 'row unreadable'
+) -> None:
+    """Say that a row, or a part of it, is not used, and why."""
     logger.error(
-        'row unreadable',
+        what,
         table=row.table,
         part=row.part,
         key=row.key,
