Count a crash in full whose worker answered after the order

Order of events: its fifth order reached the worker 0.9 s late; the worker answered 0.84 s after the order was sent, and the run ended it 5 ms after its start, before an answer told of it. Cause: a run that no answer told of counted half, as its worker may have been dead before the order; this one had answered since. So five crashes weighed 4.5 of 5.

Now such a crash counts in full where the worker's last answer came over 0.1 s after the order was sent; one that comes sooner may have been on its way before.

Ruled out: that the crash was not noted (six of six were).

--- a/src/tulippin/jobs/_crashes.py
+++ b/src/tulippin/jobs/_crashes.py
@@ -15,7 +15,7 @@
   with the next crash it alone has one more.
 - The third crash gives the job up if two of them came while nothing else had
   just begun on the worker, the fourth if one did, and the fifth in any case,
-  of those whose run was seen.
+  of those whose run or whose worker was seen after the order.
   With two, a sound task would do whose worker died beside a crashing one and
   whose next worker dies by itself; each more costs a worker with little on
   it. Five starts are what the users bear.
@@ -46,10 +46,12 @@
 
 # A job is given up at so many crashes under one task, where those count one
 # more that came while nothing else had just begun on the worker, and those
-# half whose run no answer told of: the worker may have been dead before.
+# half after whose order no answer came: the worker may have been dead before.
 _ENOUGH: t.Final = 5
 _UNSEEN: t.Final = 0.5
 _MOST_TOLD: t.Final = 8
+# An answer that comes so soon after an order may have been on its way before.
+_UNDER_WAY_MS: t.Final = 100
 
 
 # -- what is counted ----------------------------------------------------------
@@ -148,12 +150,22 @@
             get_wall_ms(state),
             is_sure,
             is_clear,
-            attempt.seen_ms > 0,
+            _is_seen(attempt, worker),
         ),
         state,
     )
 
 
+def _is_seen(attempt: Attempt, worker: Worker) -> bool:
+    """Whether a run was told of, or its worker lived on after the order.
+
+    An order may be long on its way, and its run end the worker before an
+    answer tells of it: five such crashes would not be enough.
+    """
+    lived_ms = _trials.get_age_ms(attempt, worker)
+    return attempt.seen_ms > 0 or lived_ms > _UNDER_WAY_MS
+
+
 def _add(
     job: Job, task: Task, record: CrashRecord, state: SchedulerState
 ) -> None:
--- a/src/tulippin/jobs/records.py
+++ b/src/tulippin/jobs/records.py
@@ -307,7 +307,8 @@
     is_clear : bool
         No other run there had begun shortly before.
     is_seen : bool
-        The worker told of the run; otherwise it may have been dead before.
+        The worker told of the run, or answered after its order was sent;
+        otherwise it may have been dead before.
     """
 
     worker_id: str
--- a/tests/tulippin/jobs/test_scheduler_soak.py
+++ b/tests/tulippin/jobs/test_scheduler_soak.py
@@ -17,11 +17,13 @@
 # 14: a sound long-running task given up after four crashes beside others
 # 15: a job shown as pending whose run was adopted, its first owner lost before
 #   it could tell of the start
+# 46: a sixth start, as a crash counted half whose order had been on its way
+#   for long, while its worker went on to answer
 # 113: a sixth start, after starts that an owner gave just before its loss, or
 #   its release; sound jobs given up for orders to workers that were dead
 # 143: sound jobs given up for orders to workers that were dead
 # 159: a sixth start of a crashing task; not mended
-FAILED = (2, 3, 4, 5, 10, 14, 15, 113, 143, 159)
+FAILED = (2, 3, 4, 5, 10, 14, 15, 46, 113, 143, 159)
 
 
 @pytest.mark.parametrize('seed', FAILED)
