Blame a run that has outlived only crashes whose age nobody knows

Order of events: it ends its workers 3 s after each start; two owners were lost with its first two crashes. The next owner knew of the two starts and not for how long the runs had been there, and took them for 1 s old. So two later runs outlived a probation of 2 s, and as another suspect had just begun beside each, that one alone was blamed: of six workers that died under it (five by it) two were not counted.

Cause: an age that is not known was kept as a short one. The same holds for a run that was taken over, whose age counts from then on. A record now says whether its owner saw the run begin (`is_age_known`), and a run has outlived nothing where one of its task's crashes is of unknown age: it is blamed with those beside it. The probation stays as it was, so workers are closed to others for no longer. Rows without the field are read as before; today's and earlier readers pass over it.

Ruled out: a count lost with an owner (both starts were kept). Half a crash for what is left out: not tried.

--- a/src/tulippin/jobs/_crashes.py
+++ b/src/tulippin/jobs/_crashes.py
@@ -108,15 +108,26 @@
         if attempt.is_ordered and _trials.is_recent(attempt, worker)
     ]
     if _trials.has_trials(worker):
-        blamed = [one for one in blamed if not _has_passed(one, worker)]
+        blamed = [
+            one for one in blamed if not _has_passed(one, worker, context)
+        ]
     for attempt in blamed:
         is_clear = len(blamed) == 1 and attempt.probation_ms > 0
         _note(attempt, worker, context, is_sure=is_sure, is_clear=is_clear)
 
 
-def _has_passed(attempt: Attempt, worker: Worker) -> bool:
-    is_trial = attempt.probation_ms > 0
-    return is_trial and not _trials.is_on_probation(attempt, worker)
+def _has_passed(attempt: Attempt, worker: Worker, context: Context) -> bool:
+    """Whether a run under suspicion has lived longer than those that crashed.
+
+    None has where it is not known for how long one of those was there: a task
+    that ends its workers after 3 s would outlive a second each time.
+    """
+    if not attempt.probation_ms or _trials.is_on_probation(attempt, worker):
+        return False
+    found = _attempts.find_task(attempt.key, context)
+    if found is None:
+        return True
+    return all(one.is_age_known for one in found[1].crashes.values())
 
 
 def _note(
@@ -151,6 +162,8 @@
             is_sure,
             is_clear,
             _is_seen(attempt, worker),
+            # One that was taken over has no order of this owner's.
+            is_age_known=attempt.start_deadline_ms > 0,
         ),
         state,
     )
@@ -271,12 +284,12 @@
         entry.address if entry else '',
         entry.machine if entry else '',
         run,
-        # How long it had run is not known.
         _trials.SOON_MS,
         get_wall_ms(state),
         state.lost_unread.get(worker_id, False),
         # That it was started is all that the next owner is told.
         is_seen=True,
+        is_age_known=False,
     )
     _add(job, task, record, state)
 
--- a/src/tulippin/jobs/records.py
+++ b/src/tulippin/jobs/records.py
@@ -309,6 +309,8 @@
     is_seen : bool
         The worker told of the run, or answered after its order was sent;
         otherwise it may have been dead before.
+    is_age_known : bool
+        Its owner saw it begin; otherwise it may have been there for longer.
     """
 
     worker_id: str
@@ -320,6 +322,7 @@
     is_sure: bool = False
     is_clear: bool = False
     is_seen: bool = False
+    is_age_known: bool = True
 
 
 @attrs.frozen
--- a/tests/tulippin/jobs/test_crash_counting.py
+++ b/tests/tulippin/jobs/test_crash_counting.py
@@ -8,6 +8,8 @@
 import trio
 
 from fleet_of_schedulers import make_request, make_step, open_fleet
+from tulippin.jobs import _trials
+from tulippin.jobs.records import CrashRecord
 
 CRASHING = 'c' * 16
 LIMIT_S = 28
@@ -63,3 +65,95 @@
             assert crash.is_seen == bool(lives_for_s)
 
     run_virtual(run)
+
+
+async def wait_started(fleet, count):
+    with trio.fail_after(LIMIT_S):
+        while fleet.count_starts(CRASHING) < count:
+            await trio.sleep(0.01)
+
+
+def get_run(fleet, job_id=CRASHING):
+    """Return the only run of a job's task, as its owner knows it."""
+    state = fleet.instances[fleet.get_owner()].state
+    (task,) = state.jobs[job_id].tasks.values()
+    (attempt,) = task.attempts.values()
+    return task, attempt, state.workers[attempt.worker_id]
+
+
+def put_on_trial(fleet, job_id, probation_ms):
+    """Have a job's only run be one under suspicion; return its task."""
+    task, attempt, worker = get_run(fleet, job_id)
+    crash = CrashRecord('gone', '', '', 1, 300, 0, is_sure=True)
+    task.crashes[crash.worker_id] = crash
+    fleet.instances[fleet.get_owner()].state.suspects.add(task.key)
+    attempt.probation_ms = probation_ms
+    worker.trials[attempt.key, attempt.run] = attempt
+    return task
+
+
+async def lose_owners(fleet, count):
+    """Kill the owner after each of so many crashes, before it can tell."""
+    for lost in range(count):
+        await wait_started(fleet, lost + 1)
+        await trio.sleep(3.1)
+        fleet.kill_owner()
+        await fleet.start(f'n{lost}')
+        await fleet.wait_owner()
+
+
+def test_run_outlives_none_whose_age_is_not_known(run_virtual):
+    """A crash whose run was there for how long nobody knows is no short one.
+
+    Order of events: a task ends its workers 3 s after each start, and owners
+    are lost with two of them; the next owner takes both runs for 1 s old, and
+    the third for proved after 2 s, so that its crash is put down to a run
+    beside it that has just begun. Cause: an unknown age was kept as 1 s.
+    """
+    beside = 'd' * 16
+
+    async def run():
+        async with open_fleet(instances=4, workers=1) as fleet:
+            fleet.platform.back_after_ms = 2000
+            await submit_crashing(fleet, 3000)
+            await lose_owners(fleet, 2)
+            await wait_started(fleet, 3)
+            await trio.sleep(2.2)
+            task, attempt, worker = get_run(fleet)
+            assert not _trials.is_on_probation(attempt, worker)
+            request = make_request(make_step(), run_ms=20_000)
+            await fleet.submit(beside, request)
+            await fleet.wait_running(2)
+            put_on_trial(fleet, beside, _trials.RECENT_MS)
+            with trio.fail_after(LIMIT_S):
+                while worker.worker_id not in task.crashes:
+                    await trio.sleep(0.01)
+            assert len(task.crashes) == 3
+
+    run_virtual(run)
+
+
+def test_age_of_an_adopted_run_is_not_known(run_virtual):
+    """The age of a run that was taken over is not the time since then."""
+
+    async def run():
+        async with open_fleet(workers=2) as fleet:
+            await submit_crashing(fleet, 3000)
+            await wait_started(fleet, 1)
+            await trio.sleep(2)
+            await fleet.stop(fleet.get_owner())
+            (crash,) = await wait_crashes(fleet)
+            assert fleet.count_starts(CRASHING) == 1
+            assert not crash.is_age_known
+
+    run_virtual(run)
+
+
+def test_age_of_an_own_run_is_known(run_virtual):
+    async def run():
+        async with open_fleet(workers=2) as fleet:
+            await submit_crashing(fleet, 400)
+            (crash,) = await wait_crashes(fleet)
+            assert crash.is_age_known
+
+    run_virtual(run)
