--- a/src/tulippin/jobs/_crashes.py
+++ b/src/tulippin/jobs/_crashes.py
@@ -15,7 +15,7 @@
   with the next crash it alone has one more.
 - The third crash gives the job up if two of them came while nothing else had
   just begun on the worker, the fourth if one did, and the fifth in any case,
-  of those whose run was seen.
+  of those whose run or whose worker was seen after the order.
   With two, a sound task would do whose worker died beside a crashing one and
   whose next worker dies by itself; each more costs a worker with little on
   it. Five starts are what the users bear.
@@ -46,10 +46,12 @@
 
 # A job is given up at so many crashes under one task, where those count one
 # more that came while nothing else had just begun on the worker, and those
-# half whose run no answer told of: the worker may have been dead before.
+# half after whose order no answer came: the worker may have been dead before.
 _ENOUGH: t.Final = 5
 _UNSEEN: t.Final = 0.5
 _MOST_TOLD: t.Final = 8
+# An answer that comes so soon after an order may have been on its way before.
+_UNDER_WAY_MS: t.Final = 100
 
 
 # -- what is counted ----------------------------------------------------------
@@ -106,15 +108,26 @@
         if attempt.is_ordered and _trials.is_recent(attempt, worker)
     ]
     if _trials.has_trials(worker):
-        blamed = [one for one in blamed if not _has_passed(one, worker)]
+        blamed = [
+            one for one in blamed if not _has_passed(one, worker, context)
+        ]
     for attempt in blamed:
         is_clear = len(blamed) == 1 and attempt.probation_ms > 0
         _note(attempt, worker, context, is_sure=is_sure, is_clear=is_clear)
 
 
-def _has_passed(attempt: Attempt, worker: Worker) -> bool:
-    is_trial = attempt.probation_ms > 0
-    return is_trial and not _trials.is_on_probation(attempt, worker)
+def _has_passed(attempt: Attempt, worker: Worker, context: Context) -> bool:
+    """Whether a run under suspicion has lived longer than those that crashed.
+
+    None has where it is not known for how long one of those was there: a task
+    that ends its workers after 3 s would outlive a second each time.
+    """
+    if not attempt.probation_ms or _trials.is_on_probation(attempt, worker):
+        return False
+    found = _attempts.find_task(attempt.key, context)
+    if found is None:
+        return True
+    return all(one.is_age_known for one in found[1].crashes.values())
 
 
 def _note(
@@ -148,12 +161,24 @@
             get_wall_ms(state),
             is_sure,
             is_clear,
-            attempt.seen_ms > 0,
+            _is_seen(attempt, worker),
+            # One that was taken over has no order of this owner's.
+            is_age_known=attempt.start_deadline_ms > 0,
         ),
         state,
     )
 
 
+def _is_seen(attempt: Attempt, worker: Worker) -> bool:
+    """Whether a run was told of, or its worker lived on after the order.
+
+    An order may be long on its way, and its run end the worker before an
+    answer tells of it: five such crashes would not be enough.
+    """
+    lived_ms = _trials.get_age_ms(attempt, worker)
+    return attempt.seen_ms > 0 or lived_ms > _UNDER_WAY_MS
+
+
 def _add(
     job: Job, task: Task, record: CrashRecord, state: SchedulerState
 ) -> None:
@@ -259,12 +284,12 @@
         entry.address if entry else '',
         entry.machine if entry else '',
         run,
-        # How long it had run is not known.
         _trials.SOON_MS,
         get_wall_ms(state),
         state.lost_unread.get(worker_id, False),
         # That it was started is all that the next owner is told.
         is_seen=True,
+        is_age_known=False,
     )
     _add(job, task, record, state)
 
--- a/src/tulippin/jobs/records.py
+++ b/src/tulippin/jobs/records.py
@@ -307,7 +307,10 @@
     is_clear : bool
         No other run there had begun shortly before.
     is_seen : bool
-        The worker told of the run; otherwise it may have been dead before.
+        The worker told of the run, or answered after its order was sent;
+        otherwise it may have been dead before.
+    is_age_known : bool
+        Its owner saw it begin; otherwise it may have been there for longer.
     """
 
     worker_id: str
@@ -319,6 +322,7 @@
     is_sure: bool = False
     is_clear: bool = False
     is_seen: bool = False
+    is_age_known: bool = True
 
 
 @attrs.frozen
