Contain a unit's ticks and rows, drop what fails only together, believe no tail of no time

Planted in both places: unit 0 keeps its owner. - Models that raise an error only together were handled again without a guard, and ended the unit's life; they are dropped as a whole. - A second error at the end of a life vanished; it is told. - A tail of 1e-9 ms of one task beside 12 ms of its siblings gave 4.2 a tenth to neighbours that did no harm, and would have been kept as the least tail for all units.

--- a/src/tulippin/jobs/_advising.py
+++ b/src/tulippin/jobs/_advising.py
@@ -66,7 +66,8 @@
             _forget(error, 'advice dropped', event, context)
             return
         _set_aside(error, failed, context)
-        handle(_leave_out(event, failed), context)
+        # Fewer each time: what fails only together is dropped as a whole.
+        hear(_leave_out(event, failed), context)
 
 
 def _leave_out(event: ModelsSeen, names: t.Collection[str]) -> ModelsSeen:
--- a/src/tulippin/jobs/_tails.py
+++ b/src/tulippin/jobs/_tails.py
@@ -95,6 +95,9 @@
     """
     if state.now_ms - attempt.seen_ms < _SETTLED_MS:
         return
+    if attempt.load < _get_least_idle_ms(attempt):
+        # One impossible tail would make heavy neighbours of all its siblings'.
+        return
     tails = state.tails.setdefault(attempt.key.job_id, {})
     tails[attempt.key] = (attempt.load, state.now_ms)
     image = attempt.step.image
@@ -120,7 +123,12 @@
     """
     idle_ms = _IDLE_RATIO * attempt.step.target_ms
     lowest_ms = state.lowest_tails_ms.get(attempt.step.image, idle_ms)
-    return min(idle_ms, max(lowest_ms, _LEAST_IDLE_RATIO * idle_ms))
+    return min(idle_ms, max(lowest_ms, _get_least_idle_ms(attempt)))
+
+
+def _get_least_idle_ms(attempt: Attempt) -> float:
+    """Return the least tail that is believed of a task."""
+    return _LEAST_IDLE_RATIO * _IDLE_RATIO * attempt.step.target_ms
 
 
 def learn_part(attempt: Attempt, state: SchedulerState) -> None:
--- a/src/tulippin/jobs/shell.py
+++ b/src/tulippin/jobs/shell.py
@@ -252,8 +252,7 @@
         while True:
             units = list(self.units.values())
             for unit in units:
-                if unit.is_held or unit.may_be_free:
-                    unit.post(ev.Ticked(self.clock(), self.wall()))
+                unit.tick(self.wall())
             if any(unit.is_held for unit in units):
                 await trio.sleep(_TICK_S)
             else:
--- a/src/tulippin/jobs/unit_shell.py
+++ b/src/tulippin/jobs/unit_shell.py
@@ -189,6 +189,16 @@
         """Whether a worker belongs to the unit."""
         return self._parent.get_unit_number(entry) == self.config.unit.number
 
+    def tick(self, wall_ms: int) -> None:
+        """Let time pass for the unit, if that may change anything."""
+        try:
+            is_due = self.is_held or self.may_be_free
+        except Exception as error:
+            self._fail(error, task='tick')
+            return
+        if is_due:
+            self.post(ev.Ticked(self.clock(), wall_ms))
+
     def step(self, event: ev.JobEvent) -> None:
         """Reduce one event and begin its effects."""
         if self.is_over:
@@ -219,6 +229,10 @@
         under way is refused once the unit is taken under the next epoch.
         """
         if self.is_over:
+            # What else ends with this life is told, and has no other effect.
+            failures.tell(
+                'task failed', error, unit=self.config.unit.number, **fields
+            )
             return
         self.is_over = True
         wait_ms = self._restarts.note(sources, self.clock())
@@ -253,6 +267,12 @@
 
     def see_rows(self, rows: t.Iterable[StoredRow]) -> None:
         """Take in changed rows of the unit's own part."""
+        try:
+            self._take_rows(rows)
+        except Exception as error:
+            self._fail(error, task='rows')
+
+    def _take_rows(self, rows: t.Iterable[StoredRow]) -> None:
         for row in rows:
             self._rows.take(row, self.clock())
         self.post(self._rows.make_event(self.clock()))
--- a/tests/tulippin/jobs/test_unit_failures_review.py
+++ b/tests/tulippin/jobs/test_unit_failures_review.py
@@ -18,11 +18,13 @@
 import attrs
 import pytest
 import trio
+from test_unit_failures import wait_units
 
 from fleet_of_schedulers import make_request, open_fleet
-from tulippin.jobs import _lifecycle, core, unit_shell
+from tulippin.jobs import _lifecycle, _ownership, core, unit_shell
 from tulippin.jobs._restarts import RestartLog
 from tulippin.jobs._sources import name_row
+from tulippin.jobs._unit_rows import UnitRows
 from tulippin.jobs.events import (
     ConfigurationChanged,
     LeaseSeen,
@@ -273,3 +275,43 @@
             assert not unit.takes(attrs.evolve(row, version=4))
 
     run_virtual(run)
+
+
+@pytest.mark.parametrize(
+    ('owner', 'name'),
+    [(_ownership, 'may_be_free'), (UnitRows, 'make_event')],
+)
+def test_one_units_ticks_and_rows_stop_no_other(
+    run_virtual, monkeypatch, told_failures, owner, name
+):
+    """What raises there at each turn was a fault of the tasks of all units."""
+
+    async def run():
+        async with open_fleet(2, 60, 10) as fleet:
+            await wait_units(fleet)
+            real = getattr(owner, name)
+            odd = [
+                (unit.state, unit._rows)
+                for instance in fleet.instances.values()
+                for number, unit in instance.shell.units.items()
+                if number == 1
+            ]
+
+            def fail(first, *arguments):
+                if any(first is one for pair in odd for one in pair):
+                    raise PlantedError(name)
+                return real(first, *arguments)
+
+            monkeypatch.setattr(owner, name, fail)
+            await trio.sleep(6)
+            assert any(
+                unit.is_owner and number == 0
+                for instance in fleet.instances.values()
+                for number, unit in instance.shell.units.items()
+            )
+            fleet.check()
+
+    run_virtual(run)
+    assert {one.what for one in told_failures} <= {'unit failed'}
+    assert len(told_failures) < 40
+    told_failures.clear()
--- a/tests/tulippin/jobs/test_unknown_rooms.py
+++ b/tests/tulippin/jobs/test_unknown_rooms.py
@@ -327,3 +327,15 @@
     _reports.handle(event, Context(state))
     assert attempt.load == 0
     assert attempt.tail_ms == 60.0
+
+
+def test_impossible_tail_of_one_sibling_blames_nobody():
+    """One of no time beside 12 ms made 4.2 a tenth of what did no harm."""
+    worker = make_worker(Resources(16_000, 64_000))
+    state = make_state(worker)
+    for number, tail_ms in enumerate((12.0, 12.0, 1e-9)):
+        add_run(worker, number, SERVES, tail_ms)
+    add_run(worker, 3, FILLS, USED_MILLICORES)
+    report(worker, state)
+    assert state.model.get_weight('web', 'batch') < 0.5
+    assert state.lowest_tails_ms['web'] == 12.0
