--- a/tests/fleet_of_schedulers.py
+++ b/tests/fleet_of_schedulers.py
@@ -53,6 +53,19 @@
     return Step(count, Resources(cpu, 1000), **options)
 
 
+def make_serving(count, target_ms):
+    """Return a job that serves on so many workers, one task on each."""
+    step = make_step(
+        count,
+        cpu=6000,
+        long_running=True,
+        target_ms=target_ms,
+        image='web',
+        max_per_worker=1,
+    )
+    return make_request(step, lasts=True)
+
+
 @attrs.define
 class Instance:
     shell: SchedulerShell
--- a/tests/tulippin/jobs/test_scheduler_harm.py
+++ b/tests/tulippin/jobs/test_scheduler_harm.py
@@ -17,6 +17,7 @@
 from fleet_of_schedulers import (
     PATIENT,
     make_request,
+    make_serving,
     make_step,
     open_fleet,
 )
@@ -72,18 +73,6 @@
     return serves and count_working(worker) > 0
 
 
-def make_serving():
-    step = make_step(
-        WORKERS,
-        cpu=6000,
-        long_running=True,
-        target_ms=TARGET_MS,
-        image='web',
-        max_per_worker=1,
-    )
-    return make_request(step, lasts=True)
-
-
 def make_filler():
     step = make_step(
         2 * WORKERS,
@@ -97,7 +86,7 @@
 
 async def begin(fleet):
     """Have each worker serve, and work beside that; return the owner."""
-    await fleet.submit(SERVING, make_serving())
+    await fleet.submit(SERVING, make_serving(WORKERS, TARGET_MS))
     await fleet.wait_running(WORKERS)
     await fleet.submit(FILLER, make_filler(), PATIENT)
     await fleet.wait_running(3 * WORKERS)
--- a/tests/tulippin/jobs/test_unit_failures.py
+++ b/tests/tulippin/jobs/test_unit_failures.py
@@ -24,7 +24,12 @@
 import pytest
 import trio
 
-from fleet_of_schedulers import make_request, make_step, open_fleet
+from fleet_of_schedulers import (
+    make_request,
+    make_serving,
+    make_step,
+    open_fleet,
+)
 from tulippin import failures
 from tulippin.codec_json import encode
 from tulippin.jobs import (
@@ -69,18 +74,6 @@
     """Nothing of the product raises it, or knows it."""
 
 
-def make_serving():
-    step = make_step(
-        WORKERS,
-        cpu=6000,
-        long_running=True,
-        target_ms=TARGET_MS,
-        image='web',
-        max_per_worker=1,
-    )
-    return make_request(step, lasts=True)
-
-
 def make_filler():
     step = make_step(
         12,
@@ -136,7 +129,7 @@
 
 async def begin(fleet):
     await wait_units(fleet)
-    await fleet.submit(SERVING, make_serving())
+    await fleet.submit(SERVING, make_serving(WORKERS, TARGET_MS))
     await fleet.wait_running(WORKERS)
 
 
--- a/tests/tulippin/jobs/test_unknown_rooms.py
+++ b/tests/tulippin/jobs/test_unknown_rooms.py
@@ -27,6 +27,7 @@
 from fleet_of_schedulers import (
     PATIENT,
     make_request,
+    make_serving,
     make_step,
     open_fleet,
 )
@@ -81,18 +82,6 @@
     monkeypatch.setattr(StandinWorker, '_get_load', get_load)
 
 
-def make_serving():
-    step = make_step(
-        WORKERS,
-        cpu=6000,
-        long_running=True,
-        target_ms=TARGET_MS,
-        image='web',
-        max_per_worker=1,
-    )
-    return make_request(step, lasts=True)
-
-
 def make_filler():
     step = make_step(
         WORKERS,
@@ -106,7 +95,7 @@
 
 
 async def begin(fleet):
-    await fleet.submit(SERVING, make_serving())
+    await fleet.submit(SERVING, make_serving(WORKERS, TARGET_MS))
     await fleet.wait_running(WORKERS)
     await fleet.submit(FILLER, make_filler(), PATIENT)
     await fleet.wait_running(WORKERS + WORKERS // 2, limit_s=30)
