Plant the errors that end a daemon where nothing contains them

The tests of what an instance leaves that ends by itself planted their error in the task that watches the settings. Since errors of that task are contained, the planted instance went on, and three of these tests failed in a whole run.

--- a/tests/instance_processes.py
+++ b/tests/instance_processes.py
@@ -15,6 +15,17 @@
 {planted}
 sys.exit(module.main(sys.argv[1:]))
 """
+# Runs a planted coroutine function beside a daemon, in a task that nothing
+# contains.
+BESIDE = """
+real_run = module.SchedulerDaemon.run
+async def run(self, *arguments):
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(fail, self)
+        await real_run(self, *arguments)
+        nursery.cancel_scope.cancel()
+module.SchedulerDaemon.run = run
+"""
 
 
 @attrs.frozen
--- a/tests/tulippin/platform/test_ended_instances.py
+++ b/tests/tulippin/platform/test_ended_instances.py
@@ -8,14 +8,13 @@
 import pytest
 from test_platform_daemon import SETTINGS
 
-from instance_processes import run_instance
+from instance_processes import BESIDE, run_instance
 from tulippin.platform.standin_http import StandinServers
 
 FAIL_IN_TASK = """
 async def fail(self):
     await trio.sleep(0.5)
     {0}
-module.SchedulerDaemon._watch_settings = fail
 """
 FAIL_WITH_LINES = """
 async def fail(self):
@@ -23,7 +22,6 @@
     for number in range(3000):
         module.logger.info('planted', number=number, text='x' * 100)
     1 / 0
-module.SchedulerDaemon._watch_settings = fail
 """
 
 
@@ -35,7 +33,7 @@
 
 
 async def test_error_of_a_top_task_is_one_line_with_its_place(tmp_path):
-    ended = await run_planted(tmp_path, FAIL_IN_TASK.format('1 / 0'))
+    ended = await run_planted(tmp_path, FAIL_IN_TASK.format('1 / 0') + BESIDE)
     assert ended.code == 1
     told = ended.find('instance failed')
     assert told['cause'] == "ZeroDivisionError('division by zero')"
@@ -45,7 +43,7 @@
 
 
 async def test_lines_before_the_end_reach_a_slow_reader(tmp_path):
-    ended = await run_planted(tmp_path, FAIL_WITH_LINES, pause_s=0.02)
+    ended = await run_planted(tmp_path, FAIL_WITH_LINES + BESIDE, pause_s=0.02)
     planted = [one for one in ended.lines if one['message'] == 'planted']
     assert [one['number'] for one in planted] == list(range(3000))
     assert ended.find('instance failed')['place'].endswith(' fail')
@@ -53,14 +51,14 @@
 
 async def test_error_whose_text_is_no_text_is_told(tmp_path):
     error = "raise ValueError(chr(0xd800) + 'planted')"
-    ended = await run_planted(tmp_path, FAIL_IN_TASK.format(error))
+    ended = await run_planted(tmp_path, FAIL_IN_TASK.format(error) + BESIDE)
     assert ended.code == 1
     assert 'planted' in ended.find('instance failed')['traceback']
 
 
 async def test_every_error_of_a_group_is_told(tmp_path):
     error = "raise ExceptionGroup('', [ValueError('one'), KeyError('two')])"
-    ended = await run_planted(tmp_path, FAIL_IN_TASK.format(error))
+    ended = await run_planted(tmp_path, FAIL_IN_TASK.format(error) + BESIDE)
     told = ended.find('instance failed')
     assert told['cause'] == "ValueError('one')"
     assert told['other_causes'] == ["KeyError('two')"]
--- a/tests/tulippin/platform/test_instance_lives.py
+++ b/tests/tulippin/platform/test_instance_lives.py
@@ -15,6 +15,7 @@
 from test_platform_daemon import SETTINGS, serve
 
 from instance_processes import (
+    BESIDE,
     open_instance,
     read_to_end,
     read_until,
@@ -33,7 +34,6 @@
     config = self._shell.config
     module.logger.info('planted', is_without=config.is_without_advice)
     1 / 0
-module.SchedulerDaemon._watch_settings = fail
 """
 FAIL_BESIDE_SILENCE = """
 async def fail(self):
@@ -41,7 +41,6 @@
     self.settings = module.attrs.evolve(self.settings, store_address='{0}')
     1 / 0
 module._LAST_WRITE_S = {1}
-module.SchedulerDaemon._watch_settings = fail
 """
 
 
@@ -85,7 +84,7 @@
 async def test_third_failed_start_in_a_row_begins_without_advice(tmp_path):
     async with StandinServers() as servers:
         path = write_settings(tmp_path, servers.store_address)
-        lives = [await run_planted(path, FAIL) for _ in range(4)]
+        lives = [await run_planted(path, FAIL + BESIDE) for _ in range(4)]
     told = [life.find('last life') for life in lives]
     assert [one['end'] for one in told] == ['none'] + ['failed'] * 3
     assert [one['failed_starts'] for one in told] == [0, 1, 2, 3]
@@ -105,7 +104,7 @@
     async with StandinServers() as servers:
         path = write_settings(tmp_path, servers.store_address)
         first = await run_until(path, number)
-        second = await run_planted(path, FAIL)
+        second = await run_planted(path, FAIL + BESIDE)
     assert first.code == code
     told = second.find('last life')
     assert told['end'] == end
@@ -120,7 +119,7 @@
                 process.send_signal(signal.SIGTERM)
                 await trio.sleep(0.01)
             first = await read_to_end(process, output=output)
-        second = await run_planted(path, FAIL)
+        second = await run_planted(path, FAIL + BESIDE)
     assert first.code == 0
     assert second.find('last life')['end'] == 'planned'
 
@@ -129,9 +128,9 @@
     with listen_silently() as silent:
         async with StandinServers() as servers:
             path = write_settings(tmp_path, servers.store_address)
-            planted = FAIL_BESIDE_SILENCE.format(silent, 0.3)
+            planted = FAIL_BESIDE_SILENCE.format(silent, 0.3) + BESIDE
             ended = await run_planted(path, planted)
-            again = await run_planted(path, FAIL)
+            again = await run_planted(path, FAIL + BESIDE)
     assert ended.code == 1
     assert ended.find('instance failed')
     # The row still says that the life had begun.
@@ -143,7 +142,7 @@
     with listen_silently() as silent:
         async with StandinServers() as servers:
             path = write_settings(tmp_path, servers.store_address)
-            planted = FAIL_BESIDE_SILENCE.format(silent, 60)
+            planted = FAIL_BESIDE_SILENCE.format(silent, 60) + BESIDE
             opened = open_until(path, 'instance failed', planted)
             async with opened as (process, output):
                 # The write begins right after the line.
