Read no part of a unit's jobs again that was read

Cause: an instance that takes a unit reads eight parts of its jobs side by side, each call with 0.9 s.

The parts that were read are kept over the tries. Each is as of a moment of its own, and the feed goes on from the earliest, so that an older one misses nothing. Ruled out as a cause: the containment of errors (none was told).

--- a/src/tulippin/jobs/_unit_feeds.py
+++ b/src/tulippin/jobs/_unit_feeds.py
@@ -5,7 +5,6 @@
 import typing as t
 
 import attrs
-import outcome
 import trio
 
 from tulippin.exceptions import UnavailableError
@@ -52,30 +51,48 @@
 _WORKERS_EVERY_S: t.Final = 0.5
 
 
-async def read_jobs(store: RowStore, unit: Unit) -> RowPage:
+async def read_jobs(
+    store: RowStore, unit: Unit, pages: dict[str, RowPage] | None = None
+) -> RowPage:
     """Return all accepted and cancelled jobs of a unit.
 
     The parts are read side by side, each as of a moment of its own; the
     version returned is that of the earliest, so that a feed from there on
     tells all that a reading missed.
 
+    Parameters
+    ----------
+    store : RowStore
+        Where they are.
+    unit : Unit
+        Whose jobs.
+    pages : dict of str to RowPage, optional
+        The parts that an earlier try has read, and then those of this one:
+        an instance that is too slow for all parts at once would begin anew
+        at each try, and hold the unit without ever loading it.
+
     Raises
     ------
     UnavailableError
         If a part could not be read.
     """
-    found: list[outcome.Outcome] = []
+    pages = {} if pages is None else pages
+    failed: list[UnavailableError] = []
 
     async def read(part: str) -> None:
-        read_rows = store.read_rows
-        found.append(await outcome.acapture(read_rows, unit.jobs_table, part))
+        try:
+            pages[part] = await store.read_rows(unit.jobs_table, part)
+        except UnavailableError as error:
+            failed.append(error)
 
     async with trio.open_nursery() as nursery:
         for part in get_jobs_parts():
-            nursery.start_soon(read, part)
-    pages = [one.unwrap() for one in found]
-    rows = tuple(row for page in pages for row in page.rows)
-    return RowPage(rows, min(page.version for page in pages))
+            if part not in pages:
+                nursery.start_soon(read, part)
+    if failed:
+        raise failed[0]
+    rows = tuple(row for page in pages.values() for row in page.rows)
+    return RowPage(rows, min(page.version for page in pages.values()))
 
 
 async def _find_row(
@@ -117,17 +134,20 @@
                 nursery.start_soon(self._follow_models)
 
     async def _load(self) -> tuple[ev.UnitLoaded, int, int]:
+        pages: dict[str, RowPage] = {}
         while True:
             try:
-                return await self._load_once()
+                return await self._load_once(pages)
             except UnavailableError as error:
                 self.shell.note_store(error)
             await trio.sleep(FEED_PAUSE_S)
 
-    async def _load_once(self) -> tuple[ev.UnitLoaded, int, int]:
+    async def _load_once(
+        self, pages: dict[str, RowPage]
+    ) -> tuple[ev.UnitLoaded, int, int]:
         unit = self.shell.config.unit
         store = self.shell.ports.store
-        jobs = await read_jobs(store, unit)
+        jobs = await read_jobs(store, unit, pages)
         progress = await store.read_rows(unit.progress_table, unit.part)
         owned = await store.read_rows(UNITS_TABLE, unit.part)
         model_row = await _find_row(store, MODELS_TABLE, unit, MODEL_KEY)
