Tell how a release ended, what a taking waits for, and why tasks stay on leaving workers

Observability for the incident, no change of a decision. The hypotheses could not be told apart by the log: a release that did not land left one line without its unit, epoch or whether it may land later; a task that waits for silent workers did not tell for how long; and a run that is left on a leaving worker left no line at all, whether others waited for a place (the moves then pause) or no place was found.

Now: 'unit released' and 'unit not released' with unit, epoch, time taken and whether the write may land later; 'account read' names the workers of which nothing is known and how long their orders may last; 'long-running tasks wait' says for how long at most; 'tasks stay on leaving workers' gives the reasons, once a second.

--- a/src/tulippin/jobs/_draining.py
+++ b/src/tulippin/jobs/_draining.py
@@ -8,11 +8,12 @@
 
 from __future__ import annotations
 
+import collections
 import typing as t
 
 from tulippin.jobs import _attempts, _passing, _ready, _scoring
 from tulippin.jobs._dispatch import Context
-from tulippin.jobs.state import Attempt, AttemptState, SchedulerState
+from tulippin.jobs.state import Attempt, AttemptState, SchedulerState, Worker
 
 _EVERY_MS: t.Final = 200
 # The most stops decided in one go: places for the tasks are looked for one
@@ -21,6 +22,7 @@
 # A worker that leaves so soon is emptied without regard to the pace: a stop
 # takes up to 0.9 s.
 _LAST_MS: t.Final = 1500
+_TELL_EVERY_MS: t.Final = 1000
 
 
 def tick(context: Context) -> None:
@@ -37,12 +39,36 @@
     ]
     leaving.sort(key=lambda worker: worker.leaves_at_ms)
     budget = 0 if _are_others_waiting(state) else _STOPS_PER_PASS
+    kept: collections.Counter[str] = collections.Counter()
     for worker in leaving:
         is_last = worker.leaves_at_ms - state.now_ms <= _LAST_MS
         for attempt in list(filter(_is_movable, worker.attempts.values())):
-            if (budget or is_last) and _has_place(attempt, context):
+            if not (budget or is_last):
+                kept['others_wait'] += 1
+            elif _has_place(attempt, context):
                 budget = max(0, budget - 1)
                 _attempts.stop_attempt(attempt, context, 'its worker leaves')
+            else:
+                kept['no_place'] += 1
+    _tell_kept(kept, leaving, context)
+
+
+def _tell_kept(
+    kept: t.Mapping[str, int], leaving: list[Worker], context: Context
+) -> None:
+    """Tell why tasks are left on workers that leave, once a second."""
+    state = context.state
+    if not kept or state.now_ms - state.kept_told_ms < _TELL_EVERY_MS:
+        return
+    state.kept_told_ms = state.now_ms
+    first = leaving[0]
+    context.log(
+        'tasks stay on leaving workers',
+        reasons=dict(kept),
+        workers=len(leaving),
+        next_worker=first.worker_id,
+        next_leaves_in_ms=first.leaves_at_ms - state.now_ms,
+    )
 
 
 def _is_movable(attempt: Attempt) -> bool:
--- a/src/tulippin/jobs/_refusals.py
+++ b/src/tulippin/jobs/_refusals.py
@@ -79,6 +79,7 @@
         oldest=oldest.key.format(),
         waited_ms=state.now_ms - oldest.ready_ms,
         silent_workers=_unseen.list_awaited(state)[:_MOST_NAMED],
+        awaited_ms=_unseen.get_awaited_ms(state),
     )
 
 
--- a/src/tulippin/jobs/_row_effects.py
+++ b/src/tulippin/jobs/_row_effects.py
@@ -9,7 +9,7 @@
 import trio
 
 from tulippin.codec_json import encode
-from tulippin.exceptions import UnavailableError
+from tulippin.exceptions import AnswerLostError, UnavailableError
 from tulippin.jobs import effects as fx
 from tulippin.jobs import events as ev
 from tulippin.jobs._accounts import make_known_writes
@@ -160,15 +160,31 @@
             *known,
         ),
     )
+    began_ms = shell.clock()
     try:
-        await transact_surely(
+        result = await transact_surely(
             shell.ports.store,
             transaction,
             _RELEASE_LIMIT_S,
             shell.answer_times,
         )
     except UnavailableError as error:
-        logger.warning('unit not released', reason=error.message)
+        logger.warning(
+            'unit not released',
+            unit=shell.config.unit.number,
+            epoch=effect.epoch.epoch,
+            reason=error.message,
+            may_land_later=isinstance(error, AnswerLostError),
+            took_ms=shell.clock() - began_ms,
+        )
+    else:
+        logger.info(
+            'unit released',
+            unit=shell.config.unit.number,
+            epoch=effect.epoch.epoch,
+            is_done=result.is_done,
+            took_ms=shell.clock() - began_ms,
+        )
     shell.post(ev.LeaseReleased(shell.clock()))
 
 
--- a/src/tulippin/jobs/_unseen.py
+++ b/src/tulippin/jobs/_unseen.py
@@ -24,6 +24,8 @@
 _UNAWARE_MS: t.Final = 1500
 # Added to the end of a lease for the time that messages take.
 _LAPSE_SLACK_MS: t.Final = 400
+# How many workers a line of the log names.
+_MOST_NAMED: t.Final = 5
 
 
 def extend_lapse(
@@ -58,6 +60,15 @@
     ]
 
 
+def get_awaited_ms(state: SchedulerState) -> int:
+    """Return after how long at most no earlier owner's run is left unseen."""
+    ends_ms = [
+        state.workers[worker_id].lapse_at_ms
+        for worker_id in list_awaited(state)
+    ]
+    return max(0, max(ends_ms, default=0) - state.now_ms)
+
+
 def is_awaited(task: Task, state: SchedulerState) -> bool:
     """Whether a task may run on a silent worker by the last account.
 
@@ -113,11 +124,18 @@
         else:
             # The account counts to the end, with all that is added to it.
             worker.lapse_at_ms = state.now_ms + told.lasting_ms
+    unknown = [
+        worker_id
+        for worker_id, worker in state.workers.items()
+        if worker.may_run_anything
+    ]
     context.log(
         'account read',
         is_known=bool(known),
         silent=sum(one.is_silent for one in known.values()),
-        unknown=sum(one.may_run_anything for one in state.workers.values()),
+        unknown=len(unknown),
+        unknown_workers=unknown[:_MOST_NAMED],
+        lasting_ms=get_awaited_ms(state),
     )
 
 
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -450,6 +450,7 @@
     rooms: dict[int, UnitRoom] = attrs.field(factory=dict)
     passing_ms: int = 0
     drained_ms: int = 0
+    kept_told_ms: int = 0
     arrived_ms: int = 0
     overdue_ms: int = 0
     slow_placed_ms: int = 0
