Keep where each long-running task may run before its order is sent

What callers saw: after an owner's loss long-running tasks stayed away for 6.4 s and more beside free room, all of them, while one worker that had left or crashed did not answer.

Cause: what an owner knows of places was handed on by a release alone. After any other end the next owner knew of no place, and held every task of an older job back for every worker that may have had orders. Class: knowledge that a farewell alone hands on; one silent member that holds up all.

The next owner waits for those workers alone, and for none where a task never ran. Rows of earlier versions name no places, and their tasks wait as before until all workers are sure; where the roster can't be read, too. A release's account still counts above the rows, being newer.

Cost: while the store does not answer, no long-running task is started, not even one whose worker crashed, unless it is on the worker that is kept for it.

Changed tests: the review's test of overdue tasks reduces one tick and looks at the orders; its tasks have durable places now, and its assertion stands.

--- a/src/tulippin/jobs/_attempts.py
+++ b/src/tulippin/jobs/_attempts.py
@@ -67,6 +67,8 @@
     job = context.state.jobs.get(attempt.key.job_id)
     if job is not None and attempt.key in job.tasks:
         job.tasks[attempt.key].attempts.pop(attempt.run, None)
+        if attempt.step.long_running and job.state not in FINAL_STATES:
+            _lifecycle.mark_dirty(job, context.state)
         # A run that never was has not ended the wait of its job: with each
         # refused start the wait began anew, and the same worker was chosen.
         was_there = attempt.seen_ms > 0
--- a/src/tulippin/jobs/_committing.py
+++ b/src/tulippin/jobs/_committing.py
@@ -81,6 +81,11 @@
         # what was accepted after our taking.
         is_new = job.row_version > state.ownership.epoch_version
         job.awaits_workers = job.is_guest or not is_new
+        if is_new and not job.is_guest:
+            job.knows_places = True
+        elif job.durable is None or event.roster is None:
+            # Of workers that are on no roster nothing tells when they are sure.
+            job.knows_places = False
         job.is_resumed = job.has_begun
         _take_up(job, context)
     context.log(
@@ -183,6 +188,9 @@
         _giving_up.fail(job, job.reason, context)
     elif job.state not in FINAL_STATES:
         _lifecycle.open_steps(job, context.state)
+        if _lifecycle.has_lasting(job):
+            # The next owner then knows which of its tasks have never run.
+            _lifecycle.mark_dirty(job, context.state)
 
 
 def _cancel(job: Job, context: Context) -> None:
--- a/src/tulippin/jobs/_crashes.py
+++ b/src/tulippin/jobs/_crashes.py
@@ -350,8 +350,9 @@
 def take_durable(context: Context) -> list[Attempt]:
     """Return the runs whose orders may be sent now, and note them as sent.
 
-    The next owner has to know of each start of a suspect: one that is lost
-    with its worker and its owner would not be counted.
+    The next owner has to know of each start of a suspect, as one that is lost
+    with its worker and its owner would not be counted, and of each place of a
+    long-running task, as it would wait for all workers otherwise.
     """
     state = context.state
     due = []
@@ -364,7 +365,7 @@
         if worker is None or place not in worker.attempts:
             continue
         # One sent to a worker that is silent by now would count as a crash.
-        is_due = not worker.failed_count and _is_start_durable(attempt, state)
+        is_due = not worker.failed_count and _may_send(attempt, worker, state)
         (due if is_due else waiting).append(attempt)
     state.unsent = waiting
     for attempt in due:
@@ -373,6 +374,18 @@
     return due
 
 
+def _may_send(attempt: Attempt, worker: Worker, state: SchedulerState) -> bool:
+    """Whether all that the next owner has to know of a start is durable."""
+    job = state.jobs.get(attempt.key.job_id)
+    is_place_kept = job is not None and _lifecycle.is_place_durable(
+        job, attempt.key, worker.worker_id
+    )
+    if attempt.step.long_running and not is_place_kept:
+        return False
+    is_trial = (attempt.key, attempt.run) in worker.trials
+    return not is_trial or _is_start_durable(attempt, state)
+
+
 def _is_start_durable(attempt: Attempt, state: SchedulerState) -> bool:
     job = state.jobs.get(attempt.key.job_id)
     if job is None or job.durable is None:
--- a/src/tulippin/jobs/_evening.py
+++ b/src/tulippin/jobs/_evening.py
@@ -129,7 +129,7 @@
     """
     if not step.long_running or step.gang or not state.rooms:
         return False
-    if job.awaits_workers and not _unseen.is_settled(state):
+    if _unseen.holds_back(job, step):
         return False
     return not (job.is_guest or job.is_resumed)
 
--- a/src/tulippin/jobs/_lifecycle.py
+++ b/src/tulippin/jobs/_lifecycle.py
@@ -263,6 +263,15 @@
     for name, started in record.started.items():
         task = get_task(job, parse_task(f'{job.job_id}.{name}'))
         task.open_start = started
+    _restore_places(job, record)
+
+
+def _restore_places(job: Job, record: ProgressRecord) -> None:
+    """Note where the long-running tasks of a job may run, if that is told."""
+    job.knows_places = record.places is not None
+    for name, worker_ids in (record.places or {}).items():
+        task = get_task(job, parse_task(f'{job.job_id}.{name}'))
+        task.unseen_on.update(worker_ids)
 
 
 def _restore_crashes(
@@ -358,6 +367,7 @@
         avoided,
         crashes,
         _list_started(job),
+        places=_list_places(job),
     )
 
 
@@ -377,6 +387,33 @@
     return started
 
 
+def has_lasting(job: Job) -> bool:
+    """Whether some of a job's tasks are long-running."""
+    return any(step.long_running for step in job.request.steps)
+
+
+def _list_places(job: Job) -> dict[str, tuple[str, ...]] | None:
+    """Return the workers where each long-running task may run, if known."""
+    if not (job.knows_places and has_lasting(job)):
+        return None
+    places = {}
+    for key, task in _iter_own(job):
+        if not job.request.steps[key.step].long_running:
+            continue
+        worker_ids = {one.worker_id for one in task.attempts.values()}
+        worker_ids |= task.unseen_on
+        if worker_ids:
+            places[get_name(key)] = tuple(sorted(worker_ids))
+    return places
+
+
+def is_place_durable(job: Job, key: TaskKey, worker_id: str) -> bool:
+    """Whether the next owner would look for a long-running task there."""
+    if job.durable is None or job.durable.places is None:
+        return False
+    return worker_id in job.durable.places.get(get_name(key), ())
+
+
 def mark_dirty(job: Job, state: SchedulerState) -> None:
     """Have a job's progress made durable with the next commit.
 
--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -238,6 +238,7 @@
     _clear_ready(state)
     state.unread_jobs.clear()
     state.unsettled_until_ms = 0
+    state.is_settled = False
     state.advice_after_ms = 0
     state.advice_pause_ms = 0
     state.advice_asked.clear()
--- a/src/tulippin/jobs/_passing.py
+++ b/src/tulippin/jobs/_passing.py
@@ -96,7 +96,7 @@
 def _may_pass(job: Job, step: Step, state: SchedulerState) -> bool:
     if not step.long_running or step.gang:
         return False
-    return not job.awaits_workers or _unseen.is_settled(state)
+    return not _unseen.holds_back(job, step)
 
 
 def _pass(job: Job, step: Step, task: Task, context: Context) -> bool:
--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -62,6 +62,7 @@
     state = context.state
     if not (context.may_order and _ownership.may_prolong(state)):
         return
+    _unseen.note_settled(state)
     _starting.send_durable(context)
     is_soon = state.now_ms - state.placed_ms < _EVERY_MS
     if is_tick or (state.is_placing_due and not is_soon):
@@ -92,18 +93,17 @@
     def run(self) -> None:
         """Place step by step, as far as the budget goes."""
         state = self.context.state
-        settled = _unseen.is_settled(state)
         if self.queue is state.ready:
-            self._place_overdue(settled=settled)
-        self._place_ranked(settled=settled)
+            self._place_overdue()
+        self._place_ranked()
         if self.queue is state.ready_idle:
             self._place_slowly()
 
-    def _place_ranked(self, *, settled: bool) -> None:
+    def _place_ranked(self) -> None:
         state = self.context.state
         for kind in _ranking.sort_kinds(self.queue, state):
             job = state.jobs[kind[0]]
-            if settled or not job.awaits_workers:
+            if not _unseen.holds_back(job, job.request.steps[kind[2]]):
                 self._place(job, kind)
             if self.budget <= 0:
                 state.is_placing_due = True
@@ -125,7 +125,7 @@
             if found is not None:
                 self._start(job, step, task, found.worker, found.pace_percent)
 
-    def _place_overdue(self, *, settled: bool) -> None:
+    def _place_overdue(self) -> None:
         """Start one task that has waited long, before others.
 
         Short tasks go before long-running ones otherwise, and where they
@@ -138,7 +138,8 @@
         for job, task in _ready.list_overdue(state):
             if len(tried) >= _OVERDUE_TRIES:
                 return
-            is_unseen = job.awaits_workers and not settled
+            step = job.request.steps[task.key.step]
+            is_unseen = _unseen.holds_back(job, step)
             if not is_unseen and self._start_overdue(job, task, tried):
                 state.overdue_ms = state.now_ms
                 return
--- a/src/tulippin/jobs/_refusals.py
+++ b/src/tulippin/jobs/_refusals.py
@@ -64,11 +64,10 @@
     waiting = list(_iter_late(state))
     if not waiting:
         return
-    settled = _unseen.is_settled(state)
     unseen = [
         task
         for job, task in waiting
-        if (job.awaits_workers and not settled)
+        if _unseen.holds_back(job, job.request.steps[task.key.step])
         or _unseen.is_awaited(task, state)
     ]
     oldest = min((task for _, task in waiting), key=lambda task: task.ready_ms)
--- a/src/tulippin/jobs/_reports.py
+++ b/src/tulippin/jobs/_reports.py
@@ -174,6 +174,8 @@
     if not is_over:
         # Its owner may have been lost before it could tell that it had begun.
         _lifecycle.mark_begun(job, state)
+        if step.long_running:
+            _lifecycle.mark_dirty(job, state)
     context.log(
         'run adopted',
         task=row.key.format(),
--- a/src/tulippin/jobs/_row_checks.py
+++ b/src/tulippin/jobs/_row_checks.py
@@ -200,6 +200,7 @@
         *record.passed,
         *record.crashes,
         *record.started,
+        *(record.places or ()),
     )
     return _find_name_fault(names, request)
 
--- a/src/tulippin/jobs/_slow_start.py
+++ b/src/tulippin/jobs/_slow_start.py
@@ -81,15 +81,14 @@
 
     The first is of the job that has had nothing running for the longest.
     """
-    settled = _unseen.is_settled(state)
     wait_ms = _LULL_WAIT_MS if _is_lull(state) else _WAIT_MS
     found: list[tuple[int, Job, Task]] = []
     for kind, tasks in state.ready_idle.items():
         job = state.jobs[kind[0]]
         task = _find_startable(job, tasks.values(), state)
         # Members of a gang work only together, and not slowly.
-        is_gang = job.request.steps[kind[2]].gang
-        if task is None or is_gang or (job.awaits_workers and not settled):
+        step = job.request.steps[kind[2]]
+        if task is None or step.gang or _unseen.holds_back(job, step):
             continue
         idle_ms = _ready.get_idle_ms(job, task, state)
         if idle_ms >= wait_ms:
--- a/src/tulippin/jobs/_starting.py
+++ b/src/tulippin/jobs/_starting.py
@@ -45,6 +45,10 @@
     )
     _attempts.add_attempt(attempt, task, worker)
     _trials.note_start(attempt, task, worker)
+    if step.long_running and not _lifecycle.is_place_durable(
+        job, task.key, worker.worker_id
+    ):
+        attempt.is_ordered = False
     _ready.remove(task.key, step, state)
     return attempt
 
@@ -52,8 +56,9 @@
 def send(attempt: Attempt, job: Job, context: Context) -> None:
     """Order a run whose place is reserved to start, or once it is durable.
 
-    Where it was started is kept of each run, though but for those under
-    suspicion no order waits for that: 0.1 s later the next owner knows it.
+    Where it was started is kept of each run, and long-running tasks and
+    those under suspicion wait for that: the next owner has to know of them.
+    Of others it does 0.1 s later.
     """
     state = context.state
     _lifecycle.mark_begun(job, state)
--- a/src/tulippin/jobs/_unseen.py
+++ b/src/tulippin/jobs/_unseen.py
@@ -3,8 +3,10 @@
 A task is started only once no run of it can be left. After a planned
 release the last owner's account tells where each task may run, so that
 only tasks on a silent worker wait, and for no longer than the lease that
-they were given. After a crash nothing is known: every task of an older job
-waits for all workers that the last owner may have given orders to.
+they were given. After a crash that is known of long-running tasks alone, by
+their jobs' rows, which tell of a start before its order is sent: every other
+task of an older job waits for all workers that the last owner may have given
+orders to.
 """
 
 from __future__ import annotations
@@ -15,8 +17,8 @@
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs._row_checks import has_task
 from tulippin.jobs.records import AccountRecord, WorkerAccount
-from tulippin.jobs.state import SchedulerState, Task, Worker
-from tulippin.jobs.types import WorkerEntry, parse_task
+from tulippin.jobs.state import Job, SchedulerState, Task, Worker
+from tulippin.jobs.types import Step, WorkerEntry, parse_task
 
 # How long an owner that was succeeded may go on without knowing it: its
 # feed of jobs tells it at once, and any other worker at its next report,
@@ -69,6 +71,24 @@
     return max(0, max(ends_ms, default=0) - state.now_ms)
 
 
+def note_settled(state: SchedulerState) -> None:
+    """Let no job wait for all workers any more, once none has to."""
+    if state.is_settled or not is_settled(state):
+        return
+    state.is_settled = True
+    for job in state.jobs.values():
+        job.awaits_workers = False
+        if not job.knows_places:
+            job.knows_places = True
+            _lifecycle.mark_dirty(job, state)
+
+
+def holds_back(job: Job, step: Step) -> bool:
+    """Whether tasks of a step may run on any worker that is not sure."""
+    is_told = step.long_running and job.knows_places
+    return job.awaits_workers and not is_told
+
+
 def is_awaited(task: Task, state: SchedulerState) -> bool:
     """Whether a task may run on a silent worker by the last account.
 
@@ -106,6 +126,7 @@
 def begin(account: AccountRecord | None, context: Context) -> None:
     """Note on which workers the earlier owners' runs may go on."""
     state = context.state
+    state.is_settled = False
     known = _get_told(account, context)
     for worker_id, address in state.roster.items():
         worker = state.workers.get(worker_id)
@@ -178,9 +199,18 @@
 
 
 def note_tasks(account: AccountRecord | None, context: Context) -> None:
-    """Note which tasks may run on which workers, by the last account."""
+    """Note which tasks may run on which workers, by the last account.
+
+    Of the workers that it names it knows all, and more lately than the rows.
+    """
     state = context.state
-    for worker_id, told in _get_told(account, context).items():
+    known = _get_told(account, context)
+    surely = {one for one, told in known.items() if told.tasks is not None}
+    if surely:
+        for job in state.jobs.values():
+            for task in job.tasks.values():
+                task.unseen_on -= surely
+    for worker_id, told in known.items():
         for name in told.tasks or ():
             key = parse_task(name)
             job = state.jobs.get(key.job_id)
--- a/src/tulippin/jobs/records.py
+++ b/src/tulippin/jobs/records.py
@@ -384,6 +384,9 @@
         with its worker while the unit changed hands is known by it.
     reason : str
         Why the job was given up.
+    places : dict, optional
+        The workers where each long-running task may run; one that is not
+        named runs nowhere. Nothing where that is not known.
     """
 
     state: JobState
@@ -394,3 +397,4 @@
     crashes: dict[str, tuple[CrashRecord, ...]] = attrs.field(factory=dict)
     started: dict[str, tuple[int, str]] = attrs.field(factory=dict)
     reason: str = ''
+    places: dict[str, tuple[str, ...]] | None = None
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -122,7 +122,8 @@
     to live for ``probation_ms`` of it, as far as is told, until it is taken
     to bear it, and ``is_proved`` once it has for long enough to be above
     suspicion. ``is_ordered``: the order was sent, or is about to be; one
-    under suspicion is sent once it is durable that it may have been.
+    under suspicion, or of a long-running task, is sent once it is durable
+    that it may have been.
     """
 
     key: TaskKey
@@ -204,6 +205,9 @@
     """A job with its tasks, as far as they may run.
 
     ``is_resumed``: it had begun before the owner took the unit.
+    ``awaits_workers``: its tasks may run wherever an earlier owner's orders
+    still have effect; ``knows_places``: but for the long-running ones, of
+    which all places are known.
     ``arrived_ms`` is when it was accepted, ``known_ms`` when this owner came
     to know it, ``idle_since_ms`` when the last of its runs was over.
     ``failed_on`` are workers where a run of it failed.
@@ -231,6 +235,7 @@
     progress_version: int = 0
     durable: ProgressRecord | None = None
     awaits_workers: bool = False
+    knows_places: bool = True
     is_resumed: bool = False
     is_guest: bool = False
     is_past_unknown: bool = False
@@ -437,6 +442,7 @@
     lost_unread: dict[str, bool] = attrs.field(factory=dict)
     crashes_looked_ms: int = 0
     unsettled_until_ms: int = 0
+    is_settled: bool = False
     advice_asked: set[tuple[str, int, int]] = attrs.field(factory=set)
     dirty_jobs: dict[str, None] = attrs.field(factory=dict)
     dirty_since_ms: int = 0
--- a/tests/tulippin/jobs/test_scheduler_handover.py
+++ b/tests/tulippin/jobs/test_scheduler_handover.py
@@ -2,11 +2,19 @@
 
 import collections
 
+import attrs
 import pytest
 import trio
 
 from fleet_of_schedulers import JOB, make_request, make_step, open_fleet
-from tulippin.platform.standin import get_now_ms
+from tulippin.codec_json import decode, encode
+from tulippin.jobs import _lifecycle
+from tulippin.jobs.records import ProgressRecord, Unit
+from tulippin.platform.standin import check_history, get_now_ms
+from tulippin.platform.standin_store import StoreView
+
+# What users bear without a run of a task that lasts.
+BORNE_MS = 6000
 
 
 def make_lasting(count, cpu=1000):
@@ -97,3 +105,87 @@
             return get_longest_gap_ms(fleet)
 
     assert run_virtual(run) < 1500
+
+
+def tells_a_place(write):
+    return b'"places":{"' in (write.value or b'')
+
+
+@pytest.fixture
+def unkept(monkeypatch):
+    """Return the clients whose places never become durable."""
+    clients = set()
+    inner = StoreView.transact
+
+    async def transact(view, transaction):
+        while view.client in clients and any(
+            map(tells_a_place, transaction.writes)
+        ):
+            await trio.sleep(0.01)
+        return await inner(view, transaction)
+
+    monkeypatch.setattr(StoreView, 'transact', transact)
+    return clients
+
+
+async def lose_owner_that_keeps_no_place(fleet, unkept):
+    """Lose an owner and sight of the worker of a task that it has started."""
+    first = fleet.get_owner()
+    unkept.add(first)
+    await fleet.submit(request=make_lasting(1))
+    await trio.sleep(2)
+    fleet.kill(first)
+    for worker in fleet.platform.workers.values():
+        if worker.runs:
+            worker.cut_off.add('*')
+    await trio.sleep(5)
+    return check_history(fleet.platform.history)
+
+
+def test_no_task_starts_where_the_next_owner_would_not_look(
+    run_virtual, unkept
+):
+    async def run():
+        async with open_fleet(instances=2, workers=3) as fleet:
+            assert await lose_owner_that_keeps_no_place(fleet, unkept) == []
+            assert fleet.count_starts() == 1
+
+    run_virtual(run)
+
+
+def test_orders_that_wait_for_no_place_would_run_a_task_twice(
+    run_virtual, unkept, monkeypatch
+):
+    monkeypatch.setattr(_lifecycle, 'is_place_durable', lambda *_: True)
+
+    async def run():
+        async with open_fleet(instances=2, workers=3) as fleet:
+            assert await lose_owner_that_keeps_no_place(fleet, unkept)
+
+    run_virtual(run)
+
+
+def drop_places(fleet):
+    """Have the rows of jobs tell no places, as those of earlier versions."""
+    for row in list(fleet.platform.store.rows.values()):
+        if row.table == Unit(0).progress_table:
+            record = decode(row.value, ProgressRecord)
+            value = encode(attrs.evolve(record, places=None))
+            fleet.platform.store.write(row.table, row.part, row.key, value)
+
+
+def test_task_of_which_no_place_is_told_waits_for_every_worker(run_virtual):
+    async def run():
+        async with open_fleet(instances=2, workers=3) as fleet:
+            await submit_lasting(fleet, 1)
+            serving = next(
+                one for one in fleet.platform.workers.values() if one.runs
+            )
+            fleet.kill_owner()
+            drop_places(fleet)
+            serving.cut_off.add('*')
+            await trio.sleep(15)
+            fleet.check()
+            return get_longest_gap_ms(fleet)
+
+    assert run_virtual(run) < BORNE_MS
--- a/tests/tulippin/jobs/test_scheduler_review.py
+++ b/tests/tulippin/jobs/test_scheduler_review.py
@@ -14,6 +14,7 @@
 from tulippin.jobs import events as ev
 from tulippin.jobs._attempts import add_attempt
 from tulippin.jobs._dispatch import Context
+from tulippin.jobs._lifecycle import get_name
 from tulippin.jobs._placing import _OVERDUE_TRIES
 from tulippin.jobs._ready import OVERDUE_MS
 from tulippin.jobs._ready import add as add_ready
@@ -25,6 +26,7 @@
     MODELS_TABLE,
     EpochRecord,
     LeaseRecord,
+    ProgressRecord,
     Unit,
 )
 from tulippin.jobs.state import (
@@ -40,6 +42,7 @@
 from tulippin.jobs.types import (
     EndedRun,
     JobRequest,
+    JobState,
     RunningTask,
     RunOutcome,
     Step,
@@ -200,6 +203,12 @@
     assert state.ownership.phase is Phase.ACTIVE
 
 
+def keep_places(job, worker_id):
+    """Have it durable where tasks may run, so that no order waits for that."""
+    places = {get_name(key): (worker_id,) for key in job.tasks}
+    job.durable = ProgressRecord(JobState.RUNNING, places=places)
+
+
 # Tasks that have run and must wait for a silent worker, or have no place at
 # all, use up the tries, and one with a place is not put before the short tasks.
 @pytest.mark.parametrize('blocked', [0, _OVERDUE_TRIES])
@@ -215,6 +224,7 @@
             step = state.jobs[job_id].request.steps[0]
             task.has_run = True
             add_ready(task, step, state)
+        keep_places(state.jobs[job_id], 'w0')
     state.now_ms = now_ms - 10
     state.ownership.renewed_ms = now_ms
     state.workers['w0'].answered_ms = now_ms
