Have an owner that stops decide until another has its unit

What callers saw: an instance was stopped in a planned way while the store was slow, refused or was silent, and its unit's long-running tasks lapsed at their workers; nothing was started, moved or prolonged for up to 7 s.

Cause: from the request to stop on, an owner gave no order, whether its release landed or not, and after a release that failed it had left for good, while its process lived on. Class: a phase in which nobody decides.

Now a release is tried after a renewal that was answered, for 0.5 s, and if it fails the owner goes on deciding and tries again, until 2 s before its grace ends. A release whose answer was lost may still be done by the store seconds later, with an account that is older than what the owner has ordered since. So it is conditional on the lease's row too, and nothing is ordered until a renewal has been done: that one voids it. Jobs that come while a release is open are taken in. An owner that stops and finds that it was succeeded has left; it stood by for the unit again, and could take it, before.

Ruled out: to take the unit anew under a new version of its epoch (commits under way would fail and end the ownership); to go on prolonging while a release is open (the account would have to grant that time to every silent worker).

--- a/src/tulippin/jobs/_committing.py
+++ b/src/tulippin/jobs/_committing.py
@@ -130,7 +130,7 @@
 @handle.register
 def _change_jobs(event: JobsChanged, context: Context) -> None:
     state = context.state
-    if state.ownership.phase is not Phase.ACTIVE:
+    if not _ownership.is_loaded(state):
         return
     if event.epoch_version > state.ownership.epoch_version:
         # Whatever came with it, or later, is the next owner's to start.
--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -50,6 +50,10 @@
 # tick comes twenty times in it.
 PAUSE_LIMIT_MS: t.Final = 1000
 
+# Between two tries to give a unit up.
+_RELEASE_PAUSE_MS: t.Final = 300
+
+_STOPS: t.Final = 'the instance stops'
 _OWNING: t.Final = frozenset((Phase.LOADING, Phase.ACTIVE))
 # What a stop waits for: a unit taken after it would be nobody's to release.
 _UNDER_WAY: t.Final = frozenset((Phase.TAKING, Phase.RELEASING))
@@ -188,13 +192,15 @@
     ownership.phase = Phase.LOADING
     ownership.epoch = EpochRecord(event.epoch, state.config.session_id)
     ownership.epoch_version = event.version
+    ownership.lease_version = event.version
     ownership.taken_ms = event.at_ms
     ownership.renewed_ms = event.at_ms
     ownership.must_confirm = False
     ownership.is_renewing = False
     context.log('unit taken', epoch=event.epoch, version=event.version)
     if state.is_stopping:
-        _release(context, 'the instance stops')
+        ownership.release_why = _STOPS
+        _release(context)
         return
     context.emit(LoadUnit())
 
@@ -213,20 +219,31 @@
         return
     if event.is_done:
         ownership.renewed_ms = max(ownership.renewed_ms, event.sent_ms)
+        ownership.lease_version = event.version
         # An answer that was on its way while the process stood still tells
         # of the time before.
         if ownership.must_confirm and event.sent_ms >= ownership.paused_ms:
             context.log('ownership confirmed', epoch=context.fencing_token)
             ownership.must_confirm = False
+        if _is_release_due(context.state) and not ownership.must_confirm:
+            _release(context)
 
 
 def step_down(context: Context, reason: str) -> None:
     """Give up the unit: another instance owns it."""
-    state = context.state
     context.log('step down', reason=reason, epoch=context.fencing_token)
+    _end_ownership(context)
+
+
+def _end_ownership(context: Context) -> None:
+    """Stand by for the unit again, unless the instance stops."""
+    state = context.state
     clear_unit(state)
     state.ownership = Ownership(changed_ms=state.now_ms)
+    # Not ours again before others have had their turn.
     state.ownership.wait_extra_ms = state.config.lease_ms
+    if state.is_stopping:
+        state.ownership.phase = Phase.LEFT
     context.emit(ForgetUnit())
 
 
@@ -317,16 +334,20 @@
         return
     if _is_spared(state):
         state.spared_count += 1
-        _release(context, 'too many units here')
-        return
+        ownership.release_why = 'too many units here'
     if ownership.phase not in _OWNING or ownership.is_renewing:
         return
-    if state.now_ms < ownership.renewed_ms + state.config.renew_every_ms:
-        return
+    renew_at_ms = ownership.renewed_ms + state.config.renew_every_ms
+    if state.now_ms >= renew_at_ms or _is_release_due(state):
+        _renew(context)
+
+
+def _renew(context: Context) -> None:
+    ownership = context.state.ownership
     ownership.is_renewing = True
     ownership.renewal_count += 1
     is_loaded = ownership.phase is Phase.ACTIVE
-    lease = _make_lease(state, is_loaded=is_loaded)
+    lease = _make_lease(context.state, is_loaded=is_loaded)
     context.emit(RenewLease(lease, ownership.epoch_version))
 
 
@@ -335,6 +356,8 @@
     ownership = state.ownership
     if ownership.phase is not Phase.ACTIVE or not state.other_units:
         return False
+    if ownership.release_why:
+        return False
     if _get_burden(state) <= _MOST_BURDEN or ownership.must_confirm:
         return False
     # One at a time, by number; and ever less often, as it does not help
@@ -344,14 +367,32 @@
     return state.now_ms - ownership.taken_ms > turn_ms
 
 
-def _release(context: Context, why: str) -> None:
+def _is_release_due(state: SchedulerState) -> bool:
+    """Whether the unit is to be given up, and a try may be made now.
+
+    Each try follows a renewal that was answered: a store that is silent would
+    leave it open for seconds whether the unit is ours, and the unit without
+    a decision meanwhile.
+    """
+    ownership = state.ownership
+    is_wanted = bool(ownership.release_why) and ownership.phase in _OWNING
+    return is_wanted and state.now_ms >= ownership.release_after_ms
+
+
+def _release(context: Context) -> None:
     state = context.state
-    is_loaded = state.ownership.phase is Phase.ACTIVE
+    ownership = state.ownership
+    is_loaded = ownership.phase is Phase.ACTIVE
     # One that took in nothing has nothing to write over what was kept.
     is_learned = is_loaded and not state.is_without_advice
-    unused_ms = state.now_ms - state.ownership.taken_ms
-    state.ownership.phase = Phase.RELEASING
-    context.log('release unit', epoch=context.fencing_token, why=why)
+    unused_ms = state.now_ms - ownership.taken_ms
+    ownership.released_from = ownership.phase
+    ownership.phase = Phase.RELEASING
+    context.log(
+        'release unit',
+        epoch=context.fencing_token,
+        why=ownership.release_why,
+    )
     context.emit(
         ReleaseLease(
             _make_lease(state, is_loaded=is_loaded, released=True),
@@ -361,10 +402,19 @@
             state.ownership.epoch,
             state.ownership.epoch_version,
             None if is_loaded else unused_ms,
+            ownership.lease_version,
         )
     )
 
 
+def is_loaded(state: SchedulerState) -> bool:
+    """Whether all that is durable of the unit is known, and followed."""
+    ownership = state.ownership
+    if ownership.phase is Phase.RELEASING:
+        return ownership.released_from is Phase.ACTIVE
+    return ownership.phase is Phase.ACTIVE
+
+
 def _make_lease(
     state: SchedulerState, *, is_loaded: bool, released: bool = False
 ) -> LeaseRecord:
@@ -413,19 +463,49 @@
     ownership = state.ownership
     state.is_stopping = True
     if ownership.phase in _OWNING:
-        _release(context, 'the instance stops')
+        ownership.release_why = _STOPS
+        if not ownership.is_renewing:
+            _renew(context)
     elif ownership.phase not in _UNDER_WAY:
         ownership.phase = Phase.LEFT
 
 
 @handle.register
 def _released(event: LeaseReleased, context: Context) -> None:
-    state = context.state
-    clear_unit(state)
-    context.emit(ForgetUnit())
-    if state.is_stopping:
-        state.ownership.phase = Phase.LEFT
+    ownership = context.state.ownership
+    is_ours = event.epoch_version == ownership.epoch_version
+    if ownership.phase is not Phase.RELEASING or not is_ours:
         return
-    state.ownership = Ownership(changed_ms=state.now_ms)
-    # Not ours again before others have had their turn.
-    state.ownership.wait_extra_ms = state.config.lease_ms
+    if event.is_done:
+        _end_ownership(context)
+    else:
+        _keep_unit(event, context)
+
+
+def _keep_unit(event: LeaseReleased, context: Context) -> None:
+    """Go on deciding for a unit that could not be given up.
+
+    If the release may still be done, nothing is ordered until a renewal has
+    been: that one then keeps it from being done.
+    """
+    state = context.state
+    ownership = state.ownership
+    ownership.phase = ownership.released_from
+    ownership.release_why = _STOPS if state.is_stopping else ''
+    if event.lease_version:
+        # A renewal of ours was done whose answer was lost or is to come.
+        ownership.lease_version = event.lease_version
+    else:
+        ownership.release_after_ms = state.now_ms + _RELEASE_PAUSE_MS
+    if event.is_unsure:
+        ownership.must_confirm = True
+        ownership.paused_ms = state.now_ms
+    context.log(
+        'unit kept',
+        epoch=context.fencing_token,
+        must_confirm=ownership.must_confirm,
+    )
+    if ownership.phase is Phase.LOADING:
+        # What was loaded meanwhile was not taken in.
+        context.emit(ForgetUnit())
+        context.emit(LoadUnit())
--- a/src/tulippin/jobs/_row_effects.py
+++ b/src/tulippin/jobs/_row_effects.py
@@ -25,6 +25,7 @@
     RowCondition,
     RowWrite,
     Transaction,
+    TransactionResult,
 )
 from tulippin.jobs.records import (
     CANCEL_SUFFIX,
@@ -54,7 +55,7 @@
 _COMMIT_LIMIT_S: t.Final = 3600.0
 _TAKE_LIMIT_S: t.Final = 2.0
 _RENEW_LIMIT_S: t.Final = 1.4
-_RELEASE_LIMIT_S: t.Final = 1.5
+_RELEASE_LIMIT_S: t.Final = 0.5
 _PASS_LIMIT_S: t.Final = 1.0
 _PASS_PAUSE_S: t.Final = 0.3
 
@@ -119,6 +120,7 @@
         effect.lease, effect.epoch_version, shell
     )
     sent_ms = shell.clock()
+    version = 0
     is_done = False
     is_fenced = False
     try:
@@ -129,12 +131,18 @@
         shell.note_store(error)
     else:
         shell.note_store()
+        version = result.version
         is_done = result.is_done
         is_fenced = not result.is_done
         shell.lease = effect.lease
     shell.post(
         ev.LeaseRenewed(
-            shell.clock(), effect.epoch_version, sent_ms, is_done, is_fenced
+            shell.clock(),
+            effect.epoch_version,
+            sent_ms,
+            is_done,
+            is_fenced,
+            version,
         )
     )
 
@@ -151,9 +159,14 @@
     )
     # The epoch's row gets a new version: a renewal that the store carries
     # out late would take the release back, and the unit would have nobody
-    # until that lease lapses too.
+    # until that lease lapses too. The lease's own version keeps a release
+    # from being done late, after its owner has gone on.
     transaction = attrs.evolve(
         transaction,
+        conditions=(
+            *transaction.conditions,
+            RowCondition(UNITS_TABLE, LEASE_KEY, effect.lease_version),
+        ),
         writes=(
             *transaction.writes,
             RowWrite(UNITS_TABLE, EPOCH_KEY, encode(effect.epoch)),
@@ -161,6 +174,8 @@
         ),
     )
     began_ms = shell.clock()
+    result = None
+    is_unsure = False
     try:
         result = await transact_surely(
             shell.ports.store,
@@ -169,12 +184,13 @@
             shell.answer_times,
         )
     except UnavailableError as error:
+        is_unsure = isinstance(error, AnswerLostError)
         logger.warning(
             'unit not released',
             unit=shell.config.unit.number,
             epoch=effect.epoch.epoch,
             reason=error.message,
-            may_land_later=isinstance(error, AnswerLostError),
+            may_land_later=is_unsure,
             took_ms=shell.clock() - began_ms,
         )
     else:
@@ -185,7 +201,28 @@
             is_done=result.is_done,
             took_ms=shell.clock() - began_ms,
         )
-    shell.post(ev.LeaseReleased(shell.clock()))
+    is_ours, lease_version = _find_kept(effect, result)
+    shell.post(
+        ev.LeaseReleased(
+            shell.clock(),
+            effect.epoch_version,
+            not is_ours,
+            is_unsure,
+            lease_version,
+        )
+    )
+
+
+def _find_kept(
+    effect: fx.ReleaseLease, result: TransactionResult | None
+) -> tuple[bool, int]:
+    """Return whether the unit is ours, and its lease's version if told."""
+    if result is None:
+        return True, 0
+    met = {row.key: row.version for row in result.rows}
+    if result.is_done or met.get(EPOCH_KEY) != effect.epoch_version:
+        return False, 0
+    return True, met.get(LEASE_KEY, 0)
 
 
 @perform.register(fx.KeepModel)
--- a/src/tulippin/jobs/effects.py
+++ b/src/tulippin/jobs/effects.py
@@ -57,7 +57,8 @@
 
     Model and account are absent where the unit had not been loaded.
     ``unused_ms`` tells then for how long it was held: no order was given,
-    and the last owner's account is handed on.
+    and the last owner's account is handed on. ``lease_version`` is that of
+    the lease's row: any later renewal keeps this from being done late.
     """
 
     lease: LeaseRecord
@@ -66,6 +67,7 @@
     epoch: EpochRecord
     epoch_version: int
     unused_ms: int | None = None
+    lease_version: int = 0
 
 
 @attrs.frozen
--- a/src/tulippin/jobs/events.py
+++ b/src/tulippin/jobs/events.py
@@ -82,13 +82,15 @@
     """Whether the lease, as sent at a time, was renewed.
 
     ``is_fenced`` says that another owns the unit; neither flag means
-    that the store did not answer. ``epoch_version`` tells the ownership.
+    that the store did not answer. ``epoch_version`` tells the ownership,
+    ``version`` that of the lease's row from then on.
     """
 
     epoch_version: int
     sent_ms: int
     is_done: bool
     is_fenced: bool
+    version: int = 0
 
 
 # What an owner keeps or loses its unit by.
@@ -254,4 +256,21 @@
 
 @attrs.frozen
 class LeaseReleased(JobEvent):
-    """The unit is free for another instance."""
+    """How a try to give the unit up has ended.
+
+    Parameters
+    ----------
+    epoch_version : int
+        Tells the ownership.
+    is_done : bool
+        The unit is not ours any more.
+    is_unsure : bool
+        It may be so, or become so later, if no renewal is done before.
+    lease_version : int
+        That of the lease's row, where it is not the one that was told.
+    """
+
+    epoch_version: int
+    is_done: bool
+    is_unsure: bool = False
+    lease_version: int = 0
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -363,6 +363,9 @@
     ``must_confirm``: a renewal sent after ``paused_ms`` has to be done
     before any order is given. ``tried_version`` is the lease row's that
     the last try to take the unit asked for.
+    ``release_why``: the unit is to be given up, after the next renewal and
+    not before ``release_after_ms``; ``released_from`` is the phase in which
+    that was tried last.
     """
 
     phase: Phase = Phase.STANDING_BY
@@ -379,6 +382,9 @@
     paused_ms: int = 0
     tried_version: int = 0
     wait_extra_ms: int = 0
+    release_why: str = ''
+    release_after_ms: int = 0
+    released_from: Phase = Phase.ACTIVE
 
 
 @attrs.frozen
--- a/src/tulippin/scheduler_daemon.py
+++ b/src/tulippin/scheduler_daemon.py
@@ -61,6 +61,10 @@
 _WORKER_CONNECTIONS: t.Final = 10
 # The balancer asks once a second and acts on the second miss.
 _BALANCER_S: t.Final = 2.6
+# Before the end of the grace: all has to be done by then, and for so long
+# before that the listeners close.
+_LAST_CALLS_S: t.Final = 1.0
+_CLOSING_S: t.Final = 2.0
 # Silence of the store after which callers do better elsewhere: a feed
 # returns every 1.5 s, and a slow store answers in 0.3 s.
 _STORE_SILENCE_MS: t.Final = 2500
@@ -268,15 +272,25 @@
         )
         return self._shell, self._lives
 
+    async def _hand_over(self, shell: SchedulerShell) -> None:
+        """Give up all units, as long as there is time to close after it.
+
+        Until another has a unit, this instance decides for it: also where the
+        store does not take its release.
+        """
+        grace_s = self.settings.grace_ms / _MS
+        with trio.move_on_after(max(grace_s / 2, grace_s - _CLOSING_S)):
+            await shell.leave()
+
     async def _leave(self, app: CallersApp, servers: list[HttpServer]) -> None:
         """Release the unit, answer what comes, then close."""
         logger.info('stopping')
         app.is_closing = True
         grace_s = self.settings.grace_ms / _MS
-        with trio.move_on_after(grace_s - 1):
+        with trio.move_on_after(grace_s - _LAST_CALLS_S):
             async with trio.open_nursery() as nursery:
                 if self._shell is not None:
-                    nursery.start_soon(self._shell.leave)
+                    nursery.start_soon(self._hand_over, self._shell)
                 if self._lives is not None:
                     nursery.start_soon(self._lives.end_planned)
                 nursery.start_soon(trio.sleep, min(_BALANCER_S, grace_s / 2))
--- a/tests/tulippin/jobs/test_scheduler_handover.py
+++ b/tests/tulippin/jobs/test_scheduler_handover.py
@@ -6,12 +6,24 @@
 import pytest
 import trio
 
-from fleet_of_schedulers import JOB, make_request, make_step, open_fleet
+from fleet_of_schedulers import (
+    JOB,
+    QUEUE,
+    make_request,
+    make_step,
+    open_fleet,
+)
 from tulippin.codec_json import decode, encode
-from tulippin.jobs import _lifecycle
-from tulippin.jobs.records import ProgressRecord, Unit
+from tulippin.exceptions import AnswerLostError
+from tulippin.jobs import _lifecycle, core
+from tulippin.jobs import effects as fx
+from tulippin.jobs import events as ev
+from tulippin.jobs._dispatch import Context
+from tulippin.jobs.ports import StoredRow
+from tulippin.jobs.records import EpochRecord, JobRecord, ProgressRecord, Unit
+from tulippin.jobs.state import Phase, SchedulerConfig
 from tulippin.platform.standin import check_history, get_now_ms
-from tulippin.platform.standin_store import StoreView
+from tulippin.platform.standin_store import SILENCE_S, StoreView
 
 # What users bear without a run of a task that lasts.
 BORNE_MS = 6000
@@ -189,3 +201,139 @@
             return get_longest_gap_ms(fleet)
 
     assert run_virtual(run) < BORNE_MS
+
+
+async def stop_with_a_late_release(fleet, late_s):
+    """Stop an owner whose release the store does not answer, and does late."""
+    trouble = fleet.platform.store.trouble
+    first = fleet.get_owner()
+    ownership = fleet.instances[first].state.ownership
+    fleet.nursery.start_soon(restart, fleet, first)
+    with trio.fail_after(2):
+        while ownership.phase is not Phase.RELEASING:
+            await trio.sleep(0.001)
+    trouble.late_clients = {first}
+    trouble.late_write_share = 1.0
+    await trio.sleep(late_s)
+    trouble.late_write_share = 0.0
+    return first
+
+
+@pytest.mark.parametrize('late_s', [0.05, 1.0, 1.5])
+def test_release_done_late_takes_no_unit_from_an_owner_that_went_on(
+    run_virtual, late_s
+):
+    async def run():
+        async with open_fleet(instances=3, workers=3) as fleet:
+            await submit_lasting(fleet, 6)
+            await stop_with_a_late_release(fleet, late_s)
+            await trio.sleep(12)
+            fleet.check()
+            assert fleet.get_owner()
+            return get_longest_gap_ms(fleet)
+
+    assert run_virtual(run) == 0
+
+
+def is_release(transaction):
+    return any(
+        b'"released":true' in (write.value or b'')
+        for write in transaction.writes
+    )
+
+
+@pytest.fixture
+def held_releases(monkeypatch):
+    """Return the releases so far; none of them is done or answered."""
+    held = []
+    inner = StoreView.transact
+
+    async def transact(view, transaction):
+        if not is_release(transaction):
+            return await inner(view, transaction)
+        held.append(transaction)
+        await trio.sleep(SILENCE_S)
+        raise AnswerLostError('held back')
+
+    monkeypatch.setattr(StoreView, 'transact', transact)
+    return held
+
+
+def test_release_that_was_held_back_is_void_once_its_owner_has_gone_on(
+    run_virtual, held_releases
+):
+    async def run():
+        async with open_fleet(instances=2, workers=3) as fleet:
+            first = fleet.get_owner()
+            fleet.nursery.start_soon(fleet.instances[first].shell.leave)
+            with trio.fail_after(5):
+                while not held_releases or not fleet.get_owner():
+                    await trio.sleep(0.01)
+                earlier = list(held_releases)
+                # The next try follows a renewal.
+                while len(held_releases) == len(earlier):
+                    await trio.sleep(0.01)
+            store = fleet.platform.store
+            return [store.apply(one).is_done for one in earlier]
+
+    assert not any(run_virtual(run))
+
+
+def make_releasing():
+    """Return the state of an owner that waits for its release's answer."""
+    state = core.make_state(SchedulerConfig('i', 'i:1'))
+    state.ownership.phase = Phase.ACTIVE
+    state.ownership.epoch = EpochRecord(3, 'i:1')
+    core.reduce(state, ev.StopRequested(1000))
+    core.reduce(state, ev.LeaseRenewed(1004, 0, 1000, True, False, 7))
+    assert state.ownership.phase is Phase.RELEASING
+    return state
+
+
+def make_job_row():
+    value = encode(JobRecord(QUEUE, make_lasting(1)))
+    return StoredRow(Unit(0).jobs_table, 'j0', JOB, value, 40)
+
+
+def test_job_that_comes_while_a_release_is_open_is_not_missed_after_it():
+    state = make_releasing()
+    core.reduce(state, ev.JobsChanged(1010, (make_job_row(),)))
+    core.reduce(state, ev.LeaseReleased(1500, 0, is_done=False))
+    assert state.ownership.phase is Phase.ACTIVE
+    assert JOB in state.jobs
+    assert state.ready
+
+
+@pytest.mark.parametrize('is_unsure', [True, False])
+def test_owner_orders_after_a_failed_release_unless_it_may_still_be_done(
+    is_unsure,
+):
+    state = make_releasing()
+    core.reduce(state, ev.LeaseReleased(1500, 0, False, is_unsure))
+    assert Context(state).may_order is not is_unsure
+    core.reduce(state, ev.LeaseRenewed(1600, 0, 1550, True, False, 9))
+    assert Context(state).may_order
+    assert state.ownership.lease_version == 9
+
+
+def test_release_is_tried_again_after_a_renewal():
+    state = make_releasing()
+    core.reduce(state, ev.LeaseReleased(1500, 0, is_done=False))
+    state.ownership.renewed_ms = 1500
+    assert not core.reduce(state, ev.Ticked(1600, 0))
+    (renewal,) = core.reduce(state, ev.Ticked(1850, 0))
+    assert isinstance(renewal, fx.RenewLease)
+    effects = core.reduce(
+        state, ev.LeaseRenewed(1860, 0, 1850, True, False, 11)
+    )
+    (release,) = [one for one in effects if isinstance(one, fx.ReleaseLease)]
+    assert release.lease_version == 11
+    core.reduce(state, ev.LeaseReleased(1900, 0, is_done=True))
+    assert state.ownership.phase is Phase.LEFT
+
+
+def test_stopping_owner_that_was_succeeded_waits_for_nothing():
+    state = make_releasing()
+    core.reduce(state, ev.LeaseReleased(1500, 0, False, is_unsure=True))
+    core.reduce(state, ev.LeaseRenewed(1600, 0, 1550, False, is_fenced=True))
+    assert state.ownership.phase is Phase.LEFT
