Believe an account whole, and hold no task back for an end that changes nothing

What callers saw: beside a known account long-running tasks waited for up to 6.5 s for workers that they had never run on.

Cause, by the lines 'account read' of plays with a slow store (is_known true, unknown 1 and 2): a worker that is on the roster and not in the account counted as one that may run anything. It had come on the roster too late to get an order, or all orders there were over and it was still to be struck out: an owner gives orders only to workers that it knows as rostered, and forgets one only once nothing can run there. So a known account leaves none unknown. And a run that was stopped as its worker left was named in the account until its end was durable, so that its task waited for that worker's lease, 4.9 s, although its end was read. Only ends that the next start hangs on (done, failed, with a checkpoint) are named now.

Evidence: the tests failed before.

--- a/src/tulippin/jobs/_attempts.py
+++ b/src/tulippin/jobs/_attempts.py
@@ -25,6 +25,9 @@
 
 # How long an order to stop may go unanswered before it is sent again.
 STOP_AGAIN_MS: t.Final = 700
+# Ends that a task's next start depends on. After others it is started as if
+# that run had not been.
+_COUNTED_OUTCOMES: t.Final = frozenset((RunOutcome.DONE, RunOutcome.FAILED))
 
 
 def find_task(key: TaskKey, context: Context) -> tuple[Job, Task] | None:
@@ -123,7 +126,8 @@
     attempt = worker.attempts.get((ended.key, ended.run))
     if attempt is not None:
         drop_attempt(attempt, context)
-    worker.unsettled[ended.number] = ended.key
+    if ended.outcome in _COUNTED_OUTCOMES or ended.checkpoint:
+        worker.unsettled[ended.number] = ended.key
     found = find_task(ended.key, context)
     context.state.count(f'ends_{ended.outcome.value}')
     context.log(
--- a/src/tulippin/jobs/_unseen.py
+++ b/src/tulippin/jobs/_unseen.py
@@ -138,13 +138,16 @@
         worker.is_rostered = True
         # What was in use there under the last owner.
         worker.exposure = None
-        told = known.get(worker_id)
-        worker.may_run_anything = told is None or told.tasks is None
-        if told is None:
-            extend_lapse(worker, _get_inherited_ms(state), state)
-        else:
+        told = known.get(worker_id) if known is not None else None
+        if told is not None:
+            worker.may_run_anything = told.tasks is None
             # The account counts to the end, with all that is added to it.
             worker.lapse_at_ms = state.now_ms + told.lasting_ms
+        elif known is None:
+            worker.may_run_anything = True
+            extend_lapse(worker, _get_inherited_ms(state), state)
+        # Otherwise it had come on the roster, and got no order yet, or all
+        # orders there were over, and it was still to be struck out.
     unknown = [
         worker_id
         for worker_id, worker in state.workers.items()
@@ -152,8 +155,8 @@
     ]
     context.log(
         'account read',
-        is_known=bool(known),
-        silent=sum(one.is_silent for one in known.values()),
+        is_known=known is not None,
+        silent=sum(one.is_silent for one in (known or {}).values()),
         unknown=len(unknown),
         unknown_workers=unknown[:_MOST_NAMED],
         lasting_ms=get_awaited_ms(state),
@@ -162,14 +165,14 @@
 
 def _get_told(
     account: AccountRecord | None, context: Context
-) -> t.Mapping[str, WorkerAccount]:
-    """Return what the last owner told by worker.
+) -> t.Mapping[str, WorkerAccount] | None:
+    """Return what the last owner told by worker, if it told anything.
 
     An account of an owner before it says nothing: since then another has
     given orders that it does not hold.
     """
     if account is None or account.epoch != context.fencing_token - 1:
-        return {}
+        return None
     return account.workers
 
 
@@ -204,7 +207,7 @@
     Of the workers that it names it knows all, and more lately than the rows.
     """
     state = context.state
-    known = _get_told(account, context)
+    known = _get_told(account, context) or {}
     surely = {one for one, told in known.items() if told.tasks is not None}
     if surely:
         for job in state.jobs.values():
--- a/tests/tulippin/jobs/test_accounts.py
+++ b/tests/tulippin/jobs/test_accounts.py
@@ -11,14 +11,25 @@
 
 from fleet_of_schedulers import QUEUE, make_request, make_step, open_fleet
 from tulippin.codec_json import decode
+from tulippin.jobs._attempts import take_end
+from tulippin.jobs._dispatch import Context
+from tulippin.jobs._unseen import (
+    begin,
+    get_awaited_ms,
+    is_settled,
+    make_account,
+)
+from tulippin.jobs.core import make_state
 from tulippin.jobs.records import (
     ACCOUNT_KEY,
     ACCOUNTS_TABLE,
     AccountRecord,
+    EpochRecord,
     Unit,
     WorkerAccount,
 )
-from tulippin.jobs.state import Phase
+from tulippin.jobs.state import Phase, SchedulerConfig
+from tulippin.jobs.types import EndedRun, RunOutcome, TaskKey
 from tulippin.platform.standin import get_now_ms
 from tulippin.platform.standin_store import StoreView
 
@@ -221,3 +232,54 @@
             return get_now_ms() - since_ms
 
     assert run_virtual(run) < 1000
+
+
+def begin_with(account):
+    """Return the state of an owner that has read an account of epoch 3."""
+    state = make_state(SchedulerConfig('i', 'i:1'))
+    state.now_ms = 1000
+    state.ownership.epoch = EpochRecord(4, 'i:1')
+    state.roster = {'told': '10.9.0.1:80', 'untold': '10.9.0.2:80'}
+    begin(account, Context(state))
+    return state
+
+
+# It came on the roster too late to get an order, or was about to be struck
+# out, as nothing could run there any more.
+def test_rostered_worker_that_a_known_account_lacks_holds_nothing_up():
+    account = AccountRecord(3, {'told': WorkerAccount(4000, ('a.0.0.0',))})
+    state = begin_with(account)
+    assert not state.workers['untold'].may_run_anything
+    assert is_settled(state)
+    assert get_awaited_ms(state) == 4000
+
+
+@pytest.mark.parametrize('epoch', [2, 4])
+def test_rostered_worker_may_run_anything_by_an_account_of_another_owner(epoch):
+    account = AccountRecord(epoch, {'told': WorkerAccount(4000, ('a.0.0.0',))})
+    state = begin_with(account)
+    assert state.workers['untold'].may_run_anything
+    assert not is_settled(state)
+
+
+ACCOUNTED_ENDS = {
+    RunOutcome.DONE: True,
+    RunOutcome.FAILED: True,
+    RunOutcome.STOPPED: False,
+    RunOutcome.LAPSED: False,
+}
+
+
+@pytest.mark.parametrize('outcome', list(RunOutcome))
+@pytest.mark.parametrize('checkpoint', ['', 'c1'])
+def test_account_tells_of_ends_that_the_next_start_depends_on(
+    outcome, checkpoint
+):
+    state = begin_with(AccountRecord(3, {}))
+    worker = state.workers['told']
+    worker.is_reconciled = True
+    ended = EndedRun(1, TaskKey(JOB, 0, 0, 0), 1, outcome, checkpoint)
+    take_end(worker, ended, Context(state))
+    told = make_account(Context(state)).workers['told'].tasks
+    wanted = checkpoint or ACCOUNTED_ENDS.get(outcome, False)
+    assert bool(told) is bool(wanted)
