Let a task that may run unseen keep no other on a leaving worker

What callers saw: long-running tasks stayed on workers that had said they leave, and ended with them or were moved in the last 1.5 s.

Cause: moves pause while a task that was moved looks for a place, so that not more are stopped than find one. A task that may still run on a silent worker, or waits for what its crashes are, counted as one that looks for a place, though no room would start it: with one such wait after the other no task was moved but in the last moments. Class: one silent member that holds up all.

--- a/src/tulippin/jobs/_draining.py
+++ b/src/tulippin/jobs/_draining.py
@@ -11,9 +11,23 @@
 import collections
 import typing as t
 
-from tulippin.jobs import _attempts, _passing, _ready, _scoring
+from tulippin.jobs import (
+    _attempts,
+    _crashes,
+    _passing,
+    _ready,
+    _scoring,
+    _unseen,
+)
 from tulippin.jobs._dispatch import Context
-from tulippin.jobs.state import Attempt, AttemptState, SchedulerState, Worker
+from tulippin.jobs.state import (
+    Attempt,
+    AttemptState,
+    Job,
+    SchedulerState,
+    Task,
+    Worker,
+)
 
 _EVERY_MS: t.Final = 200
 # The most stops decided in one go: places for the tasks are looked for one
@@ -80,14 +94,23 @@
 
 def _are_others_waiting(state: SchedulerState) -> bool:
     """Whether tasks that were stopped just now still look for a place."""
-    since_ms = state.now_ms - _LAST_MS
     return any(
-        task.ready_ms > since_ms and _ready.is_back(state.jobs[kind[0]], task)
+        _looks_for_place(state.jobs[kind[0]], task, state)
         for kind, tasks in state.ready.items()
         for task in tasks.values()
     )
 
 
+def _looks_for_place(job: Job, task: Task, state: SchedulerState) -> bool:
+    """Whether a task is back since a moment ago, and only room may lack."""
+    is_recent = task.ready_ms > state.now_ms - _LAST_MS
+    if not (is_recent and _ready.is_back(job, task)):
+        return False
+    step = job.request.steps[task.key.step]
+    is_unseen = _unseen.holds_back(job, step)
+    return not is_unseen and _crashes.may_start(job, task, state)
+
+
 def _has_place(attempt: Attempt, context: Context) -> bool:
     """Whether this unit, or another one, would take the task."""
     if _scoring.fits_elsewhere(attempt, context):
--- a/tests/tulippin/jobs/test_scheduler_handover.py
+++ b/tests/tulippin/jobs/test_scheduler_handover.py
@@ -337,3 +337,33 @@
     core.reduce(state, ev.LeaseReleased(1500, 0, False, is_unsure=True))
     core.reduce(state, ev.LeaseRenewed(1600, 0, 1550, False, is_fenced=True))
     assert state.ownership.phase is Phase.LEFT
+
+
+async def time_moves_beside_an_unseen_task(fleet):
+    """Return how long a leaving worker keeps its tasks, in seconds."""
+    silent, leaving = [
+        one for one in fleet.platform.workers.values() if one.runs
+    ]
+    fleet.kill_owner()
+    silent.cut_off.add('*')
+    await fleet.wait_owner()
+    fleet.platform.drain(leaving.worker_id, 4000)
+    began_s = trio.current_time()
+    with trio.fail_after(4):
+        while leaving.runs:
+            await trio.sleep(0.01)
+    return trio.current_time() - began_s
+
+
+def test_task_that_may_run_unseen_keeps_no_other_on_a_leaving_worker(
+    run_virtual,
+):
+    async def run():
+        async with open_fleet(instances=2, workers=4) as fleet:
+            await submit_lasting(fleet, 2, cpu=9000)
+            seconds = await time_moves_beside_an_unseen_task(fleet)
+            await trio.sleep(8)
+            fleet.check()
+            return seconds
+
+    assert run_virtual(run) < 1
