Send a slow store fewer tries, and take its units further apart

What callers saw: with a store that takes 50 times as long, a unit that was released had nobody for 1 s and more, and its next owner's first commits took up to 5 s, in which long-running tasks waited to be started.

Cause, by the calls of one such hand-over (virtual time): seven instances ask for the unit within 50 ms, each again every 0.15 s beside its own open try, as none knows how slow the store is. The part that holds the unit's rows takes one write after the other and refuses more than a second of them: 70 of 85 calls in 3 s were refused or in vain, the new owner's commits among them.

Now a try that is refused beside an open one doubles the wait for the next one; the owner's lease tells how long the store takes to answer; takers of the unit wait apart by four such answers (0.8 s at most; 50 ms with a sound store, as before), and begin with that time in mind.

Ruled out: a spread of six answers and up to 1.8 s, with which test_instance_that_stops_while_it_takes_a_unit_gives_it_up failed, as a unit that three instances ask for was left alone for longer than it takes.

Evidence: test_busy_store_is_not_sent_the_same_again_and_again (9 tries in 1.2 s before, 5 now at most).

--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -31,6 +31,11 @@
 # Spreads the takers of a lapsed lease, so that most see the first one's
 # success before their own try; a transaction takes some 5 ms.
 _SPREAD_MS: t.Final = 200
+# Where the store is slow they are spread over so many of its answers: what
+# those ask for that come second is in vain, and keeps the first one's writes
+# waiting.
+_SPREAD_ANSWERS: t.Final = 4
+_SLOWEST_ANSWER_MS: t.Final = 200
 # What is added to a wait for each unit that an instance has, or is about
 # to have, on one core: the largest instances with the fewest units go first.
 _BURDEN_MS: t.Final = 200
@@ -130,7 +135,7 @@
         wait_ms = state.config.lease_ms + _get_delay_ms(state)
     elif lease is None or lease.released:
         why = 'released' if lease else 'never owned'
-        wait_ms = _get_delay_ms(state) // _RELEASED_PART
+        wait_ms = _get_delay_ms(state, _RELEASED_PART)
     elif lease.instance_id == state.config.instance_id:
         # One process runs at a time, so our own earlier life is over.
         why = 'earlier life'
@@ -143,12 +148,16 @@
     _take(context, why, silent_ms)
 
 
-def _get_delay_ms(state: SchedulerState) -> int:
+def _get_delay_ms(state: SchedulerState, part: int = 1) -> int:
     """Return how long the instance leaves a free unit to others."""
     config = state.config
     name = f'{config.instance_id}/{config.unit.number}'
-    spread_ms = zlib.crc32(name.encode()) % _SPREAD_MS
-    return max(0, int(spread_ms + _BURDEN_MS * (_get_burden(state) - 1)))
+    place = zlib.crc32(name.encode()) % _SPREAD_MS / _SPREAD_MS
+    lease = state.ownership.lease
+    answer_ms = min(lease.answer_ms if lease else 0, _SLOWEST_ANSWER_MS)
+    spread_ms = max(_SPREAD_MS / part, _SPREAD_ANSWERS * answer_ms)
+    burden_ms = _BURDEN_MS * (_get_burden(state) - 1) / part
+    return max(0, int(place * spread_ms + burden_ms))
 
 
 def _get_burden(state: SchedulerState) -> float:
--- a/src/tulippin/jobs/_resolving.py
+++ b/src/tulippin/jobs/_resolving.py
@@ -45,6 +45,10 @@
         """Take in the time of an answer, or of a try without one."""
         self.usual_s += _LEARN * (took_s - self.usual_s)
 
+    def expect(self, usual_s: float) -> None:
+        """Take a store to be no faster than others have found it."""
+        self.usual_s = max(self.usual_s, usual_s)
+
     @property
     def wait_s(self) -> float:
         """How long a try waits for its answer before another one is sent.
@@ -106,6 +110,7 @@
     sent_count: int = 0
     open_count: int = 0
     is_lost: bool = False
+    crowded_count: int = 0
     pause_s: float = _FIRST_PAUSE_S
     _changed: trio.Event = attrs.field(factory=trio.Event)
 
@@ -117,7 +122,7 @@
                 self.sent_count += 1
                 self.open_count += 1
                 nursery.start_soon(self._try)
-            await self._wait(self.times.wait_s)
+            await self._wait(self._get_wait_s())
             if self.result is not None:
                 return
             if not self.open_count:
@@ -130,6 +135,14 @@
                 await self._wait(math.inf)
                 return
 
+    def _get_wait_s(self) -> float:
+        """Return how long to wait before another try is sent beside.
+
+        A store that refuses one beside others has more to do than it can.
+        """
+        wait_s = self.times.wait_s * 2**self.crowded_count
+        return min(wait_s, _LONGEST_WAIT_S)
+
     async def _wait(self, wait_s: float) -> None:
         """Wait for a result, or until no try is open, or for so long."""
         with trio.move_on_after(wait_s):
@@ -148,6 +161,7 @@
             self.reason = error
         except UnavailableError as error:
             self.reason = error
+            self.crowded_count += self.open_count > 1
         else:
             self.times.note(trio.current_time() - began_s)
             self._take(result)
--- a/src/tulippin/jobs/_row_checks.py
+++ b/src/tulippin/jobs/_row_checks.py
@@ -224,7 +224,11 @@
 
 @find_fault.register
 def _check_lease(record: LeaseRecord) -> str:
-    counts = (record.renewal_count, *record.waiting.values())
+    counts = (
+        record.renewal_count,
+        record.answer_ms,
+        *record.waiting.values(),
+    )
     if min(counts) < 0:
         return 'it counts below none'
     return _find_room_fault(record.room)
--- a/src/tulippin/jobs/_row_effects.py
+++ b/src/tulippin/jobs/_row_effects.py
@@ -58,6 +58,7 @@
 _RELEASE_LIMIT_S: t.Final = 0.5
 _PASS_LIMIT_S: t.Final = 1.0
 _PASS_PAUSE_S: t.Final = 0.3
+_MS: t.Final = 1000
 
 
 @perform.register(fx.TakeUnit)
@@ -77,13 +78,17 @@
             RowCondition(UNITS_TABLE, EPOCH_KEY, effect.epoch_version),
         ),
         (
-            RowWrite(UNITS_TABLE, LEASE_KEY, encode(effect.lease)),
+            RowWrite(
+                UNITS_TABLE, LEASE_KEY, _encode_lease(effect.lease, shell)
+            ),
             RowWrite(UNITS_TABLE, EPOCH_KEY, encode(effect.epoch)),
             RowWrite(
                 shell.config.unit.jobs_table, EPOCH_KEY, encode(effect.epoch)
             ),
         ),
     )
+    if shell.lease is not None:
+        shell.answer_times.expect(shell.lease.answer_ms / _MS)
     version = 0
     is_unsure = False
     try:
@@ -100,13 +105,19 @@
     )
 
 
+def _encode_lease(lease: LeaseRecord, shell: UnitShell) -> bytes:
+    """Return a lease that tells how long the store takes to answer."""
+    answer_ms = int(shell.answer_times.usual_s * _MS)
+    return encode(attrs.evolve(lease, answer_ms=answer_ms))
+
+
 def _make_lease_transaction(
     lease: LeaseRecord, epoch_version: int, shell: UnitShell
 ) -> Transaction:
     return Transaction(
         shell.config.unit.part,
         (RowCondition(UNITS_TABLE, EPOCH_KEY, epoch_version),),
-        (RowWrite(UNITS_TABLE, LEASE_KEY, encode(lease)),),
+        (RowWrite(UNITS_TABLE, LEASE_KEY, _encode_lease(lease, shell)),),
     )
 
 
--- a/src/tulippin/jobs/records.py
+++ b/src/tulippin/jobs/records.py
@@ -128,7 +128,8 @@
 
     ``waiting`` counts the accepted jobs of each queue with no task begun.
     ``is_loading``: the owner does not know its unit yet; count and room are
-    the last owner's, without a place.
+    the last owner's, without a place. ``answer_ms`` is how long the store
+    takes to answer the owner's transactions.
     """
 
     session_id: str
@@ -138,6 +139,7 @@
     waiting: dict[str, int] = attrs.field(factory=dict)
     room: UnitRoom = UnitRoom()
     is_loading: bool = False
+    answer_ms: int = 0
 
 
 @attrs.frozen
--- a/tests/tulippin/jobs/test_scheduler_handover.py
+++ b/tests/tulippin/jobs/test_scheduler_handover.py
@@ -20,7 +20,13 @@
 from tulippin.jobs import events as ev
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs.ports import StoredRow
-from tulippin.jobs.records import EpochRecord, JobRecord, ProgressRecord, Unit
+from tulippin.jobs.records import (
+    EpochRecord,
+    JobRecord,
+    LeaseRecord,
+    ProgressRecord,
+    Unit,
+)
 from tulippin.jobs.state import Phase, SchedulerConfig
 from tulippin.platform.standin import check_history, get_now_ms
 from tulippin.platform.standin_store import SILENCE_S, StoreView
@@ -367,3 +373,22 @@
             return seconds
 
     assert run_virtual(run) < 1
+
+
+@pytest.mark.parametrize('answer_ms', [0, 5, 200, 10**6])
+def test_takers_leave_a_slow_store_time_between_them(answer_ms):
+    waits_ms = sorted(find_wait_ms(f'i{one}', answer_ms) for one in range(30))
+    most_ms = {0: 50, 5: 50}.get(answer_ms, 800)
+    assert 0.8 * most_ms <= waits_ms[-1] <= most_ms
+
+
+def find_wait_ms(name, answer_ms):
+    """Return after how long an instance asks for a unit that is released."""
+    state = core.make_state(SchedulerConfig(name, f'{name}:1'))
+    lease = LeaseRecord('o:1', 'o', released=True, answer_ms=answer_ms)
+    core.reduce(state, ev.LeaseSeen(1, lease, 7, EpochRecord(3, 'o:1'), 5))
+    now_ms = 1
+    while state.ownership.phase is Phase.STANDING_BY:
+        now_ms += 1
+        core.reduce(state, ev.Ticked(now_ms, 0))
+    return now_ms
--- a/tests/tulippin/jobs/test_scheduler_resolving.py
+++ b/tests/tulippin/jobs/test_scheduler_resolving.py
@@ -4,10 +4,10 @@
 import pytest
 import trio
 
-from tulippin.exceptions import AnswerLostError
+from tulippin.exceptions import AnswerLostError, UnavailableError
 from tulippin.jobs import _attempts
 from tulippin.jobs._dispatch import Context
-from tulippin.jobs._resolving import transact_surely
+from tulippin.jobs._resolving import AnswerTimes, transact_surely
 from tulippin.jobs.ports import RowCondition, RowWrite, Transaction
 from tulippin.jobs.state import Job, SchedulerConfig, SchedulerState, Worker
 from tulippin.jobs.types import (
@@ -119,3 +119,33 @@
     other = EndedRun(6, key, 8, RunOutcome.FAILED, '')
     _attempts.take_end(worker, other, Context(state))
     assert job.state is JobState.FAILED
+
+
+@attrs.define
+class BusyStore:
+    """Takes long for the first transaction, and refuses others meanwhile."""
+
+    store: StandinStore
+    call_count: int = 0
+
+    async def transact(self, transaction):
+        self.call_count += 1
+        if self.call_count > 1:
+            raise UnavailableError('the part is busy')
+        await trio.sleep(1.2)
+        return self.store.apply(transaction)
+
+
+def test_busy_store_is_not_sent_the_same_again_and_again(run_virtual):
+    view = BusyStore(StandinStore())
+    result = run_virtual(transact_surely, view, TRANSACTION, 5.0)
+    assert result.is_done
+    assert view.call_count <= 5
+
+
+def test_store_that_others_found_slow_is_given_time():
+    times = AnswerTimes()
+    times.expect(0.2)
+    assert times.wait_s >= 0.2
+    times.expect(0.0)
+    assert times.wait_s >= 0.2
