Be ready only once it is known who owns each unit

Cause: readiness asked for a configuration and a layout; the units' rows are read right after the layout. Once known it stays so: an instance whose unit begins a new life is not taken out of service.

--- a/src/tulippin/jobs/shell.py
+++ b/src/tulippin/jobs/shell.py
@@ -108,6 +108,11 @@
         self._nursery.cancel_scope.cancel()
         await self._manager.__aexit__(*details)
 
+    @property
+    def has_seen_units(self) -> bool:
+        """Whether it has been read of each unit who owns it."""
+        return all(unit.is_seen for unit in self.units.values())
+
     async def leave(self) -> None:
         """Give up all units in a planned way."""
         self._is_leaving = True
--- a/src/tulippin/jobs/unit_shell.py
+++ b/src/tulippin/jobs/unit_shell.py
@@ -70,6 +70,7 @@
         self.state: SchedulerState = core.make_state(config)
         self.is_over = False
         self.is_resting = False
+        self.is_seen = False
         self._parent = parent
         self._rows = rows or UnitRows()
         self._restarts = restarts or RestartLog()
@@ -216,6 +217,7 @@
     def _reduce(self, event: ev.JobEvent) -> None:
         for effect in core.reduce(self.state, event):
             perform(effect, self)
+        self.is_seen |= isinstance(event, ev.LeaseSeen)
 
     def _fail(
         self,
--- a/src/tulippin/scheduler_daemon.py
+++ b/src/tulippin/scheduler_daemon.py
@@ -115,6 +115,7 @@
         self._shell: SchedulerShell | None = None
         self._lives: LifeKeeper | None = None
         self._stopping = trio.Event()
+        self._has_seen_units = False
 
     def stop(self) -> None:
         """Begin the planned stop."""
@@ -177,6 +178,9 @@
             return 'no configuration yet'
         if shell.layout is None:
             return 'no units yet'
+        self._has_seen_units = self._has_seen_units or shell.has_seen_units
+        if not self._has_seen_units:
+            return 'no leases yet'
         silent_ms = read_clock_ms() - shell.store_answered_ms
         if silent_ms > _STORE_SILENCE_MS:
             return f'the store has been silent for {silent_ms} ms'
--- a/tests/tulippin/platform/test_platform_daemon.py
+++ b/tests/tulippin/platform/test_platform_daemon.py
@@ -13,6 +13,7 @@
 from fleet_of_schedulers import make_config_body
 from tulippin._http_client import HttpClient
 from tulippin.jobs import JobIntake
+from tulippin.jobs.unit_shell import UnitShell
 from tulippin.line_buffer import LineBuffer
 from tulippin.platform.standin_http import StandinServers
 from tulippin.scheduler_daemon import SchedulerDaemon
@@ -314,3 +315,26 @@
         await site.wait_state('completed')
     (told,) = [one for one in handler.records if one.message == 'call failed']
     assert told.kwargs['path'].endswith(JOB)
+
+
+async def test_instance_is_not_ready_before_it_knows_its_units_leases(
+    tmp_path, monkeypatch
+):
+    """A ready one refused a first call that asked for counts."""
+    held = []
+    inner = UnitShell.see_rows
+
+    def hold_back(unit, rows):
+        held.append((unit, rows))
+
+    monkeypatch.setattr(UnitShell, 'see_rows', hold_back)
+    async with serve(tmp_path, configure=False) as site:
+        site.servers.platform.configure(make_config_body())
+        with trio.fail_after(10):
+            while not held:
+                await trio.sleep(0.02)
+        assert site.daemon.get_unready() == 'no leases yet'
+        for unit, rows in held:
+            inner(unit, rows)
+        await site.wait_ready(configure=True)
+        assert (await site.call('GET', '/q/')).status == 200
