Name no worker ahead for tasks that may have crashed theirs

All tasks of a worker that died were named the same two workers, and preferred them, so that a crashing one was started together with the sound ones again: each got a second crash.

--- a/src/tulippin/jobs/_choosing.py
+++ b/src/tulippin/jobs/_choosing.py
@@ -115,7 +115,7 @@
         score = worker.free.cpu_millicores / cpu_millicores
     if worker.worker_id in task.avoided:
         score += _AVOIDED_WEIGHT
-    if worker.worker_id in task.spares:
+    if worker.worker_id in task.spares and not task.crashes:
         score += _SPARE_WEIGHT
     if step.preferred_rack and step.preferred_rack not in worker.entry.labels:
         score += _FAR_WEIGHT
--- a/src/tulippin/jobs/_spares.py
+++ b/src/tulippin/jobs/_spares.py
@@ -36,7 +36,11 @@
             if (found := _attempts.find_task(attempt.key, context))
         ]
         if _is_in_need(worker):
-            needy.extend(one for one in found if not _has_spare(*one, state))
+            needy.extend(
+                (job, task, step)
+                for job, task, step in found
+                if not (task.crashes or _has_spare(job, task, step, state))
+            )
         else:
             _forget(found, state)
     for job, task, step in needy[:_MOST_CHOSEN]:
--- a/tests/tulippin/jobs/test_scheduler_handover.py
+++ b/tests/tulippin/jobs/test_scheduler_handover.py
@@ -505,3 +505,18 @@
     core.reduce(state, ev.ProgressCommitted(1310, effect, 50, is_fenced=False))
     assert job.committing is None
     assert job.durable == effect.writes[0].record
+
+
+def test_task_under_suspicion_has_no_worker_named_ahead(run_virtual):
+    async def run():
+        async with open_fleet(instances=1, workers=3) as fleet:
+            await submit_lasting(fleet, 2)
+            for worker in fleet.platform.workers.values():
+                if worker.runs:
+                    worker.cut_off.add('*')
+            await trio.sleep(3)
+            job = fleet.instances['i0'].state.jobs[JOB]
+            assert all(task.crashes for task in job.tasks.values())
+            return [task.spares for task in job.tasks.values()]
+
+    assert not any(run_virtual(run))
