Give up no commit while the unit is owned

They are tried until the unit is lost, as their comment said. The test's store is away for three hours; with the old limit the commit was given up without an answer (0.1 hours pass on both).

--- a/src/tulippin/jobs/_row_effects.py
+++ b/src/tulippin/jobs/_row_effects.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import math
 import typing as t
 
 import attrs
@@ -50,9 +51,7 @@
 if t.TYPE_CHECKING:
     from tulippin.jobs.unit_shell import UnitShell
 
-# How long each is tried: a commit until the unit is lost, the others until
-# a new try with newer rows does better.
-_COMMIT_LIMIT_S: t.Final = 3600.0
+# How long each is tried, until a new try with newer rows does better.
 _TAKE_LIMIT_S: t.Final = 2.0
 _RENEW_LIMIT_S: t.Final = 1.4
 _RELEASE_LIMIT_S: t.Final = 0.5
@@ -277,13 +276,10 @@
             for write in effect.writes
         ),
     )
-    try:
-        result = await transact_surely(
-            shell.ports.store, transaction, _COMMIT_LIMIT_S, shell.answer_times
-        )
-    except UnavailableError as error:
-        logger.error('commit given up', reason=error.message)
-        return
+    # Until the unit is lost: nothing else would be kept of it after this.
+    result = await transact_surely(
+        shell.ports.store, transaction, math.inf, shell.answer_times
+    )
     shell.post(
         ev.ProgressCommitted(
             shell.clock(), effect, result.version, not result.is_done
@@ -305,13 +301,10 @@
         ),
         (RowWrite(UNITS_TABLE, ROSTER_KEY, encode(effect.roster)),),
     )
-    try:
-        result = await transact_surely(
-            shell.ports.store, transaction, _COMMIT_LIMIT_S, shell.answer_times
-        )
-    except UnavailableError as error:
-        logger.error('roster given up', reason=error.message)
-        return
+    # Until the unit is lost: nothing else would be kept of it after this.
+    result = await transact_surely(
+        shell.ports.store, transaction, math.inf, shell.answer_times
+    )
     shell.post(
         ev.RosterCommitted(
             shell.clock(),
--- a/tests/tulippin/jobs/test_scheduler_resolving.py
+++ b/tests/tulippin/jobs/test_scheduler_resolving.py
@@ -1,5 +1,7 @@
 """What is listed, or answered, a second time counts once."""
 
+import types
+
 import attrs
 import pytest
 import trio
@@ -8,7 +10,10 @@
 from tulippin.jobs import _attempts
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs._resolving import AnswerTimes, transact_surely
+from tulippin.jobs._row_effects import _run_commit, _run_roster
+from tulippin.jobs.effects import CommitProgress, CommitRoster, ProgressWrite
 from tulippin.jobs.ports import RowCondition, RowWrite, Transaction
+from tulippin.jobs.records import ProgressRecord, RosterRecord
 from tulippin.jobs.state import Job, SchedulerConfig, SchedulerState, Worker
 from tulippin.jobs.types import (
     EndedRun,
@@ -149,3 +154,38 @@
     assert times.wait_s >= 0.2
     times.expect(0.0)
     assert times.wait_s >= 0.2
+
+
+@attrs.define
+class AwayStore:
+    """Refuses everything until a time."""
+
+    store: StandinStore
+    until_s: float
+
+    async def transact(self, transaction):
+        if trio.current_time() < self.until_s:
+            raise UnavailableError('the store is away')
+        return self.store.apply(transaction)
+
+
+@pytest.mark.parametrize('hours', [0.1, 3])
+def test_commit_is_not_given_up_in_an_outage_of_hours(run_virtual, hours):
+    """Nothing more became durable under an owner that had given one up."""
+    told = []
+
+    async def run():
+        away = AwayStore(StandinStore(), hours * 3600)
+        shell = types.SimpleNamespace(
+            config=SchedulerConfig('i', 'i:1'),
+            ports=types.SimpleNamespace(store=away),
+            answer_times=AnswerTimes(),
+            clock=lambda: 0,
+            post=told.append,
+        )
+        write = ProgressWrite('a', ProgressRecord(JobState.RUNNING), 0)
+        await _run_commit(CommitProgress((write,), {}, 0), shell)
+        await _run_roster(CommitRoster(RosterRecord({}), 0, 0), shell)
+
+    run_virtual(run)
+    assert [one.is_fenced for one in told] == [False, False]
