Look through orders that wait only when a commit may have freed them

Since orders of long-running tasks wait for their place, hundreds may wait at a takeover, and each event of the unit went through all of them. They are looked at after a commit and at each tick now.

--- a/src/tulippin/jobs/_committing.py
+++ b/src/tulippin/jobs/_committing.py
@@ -303,6 +303,7 @@
             job.durable = write.record
             job.committing = None
             state.is_placing_due = True
+            state.is_sending_due = True
             _passing.send(job, context)
     _settle_ends(event.commit.ends, state)
 
--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -63,7 +63,9 @@
     if not (context.may_order and _ownership.may_prolong(state)):
         return
     _unseen.note_settled(state)
-    _starting.send_durable(context)
+    if is_tick or state.is_sending_due:
+        state.is_sending_due = False
+        _starting.send_durable(context)
     is_soon = state.now_ms - state.placed_ms < _EVERY_MS
     if is_tick or (state.is_placing_due and not is_soon):
         state.is_placing_due = False
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -442,6 +442,7 @@
         factory=dict
     )
     is_placing_due: bool = False
+    is_sending_due: bool = False
     placed_ms: int = 0
     idle_placed_ms: int = 0
     refusals_told_ms: int = 0
