Tell of orders that wait to be durable

Since orders of long-running tasks wait until their place is durable, an on-call engineer has to see that they do: 'orders wait to be durable', once a second, with their number, the oldest and for how long. The module that names places ahead reads in smaller pieces; no change of a decision.

--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -54,11 +54,10 @@
 # A gap between two events that means that the process stood still: the
 # tick comes twenty times in it.
 PAUSE_LIMIT_MS: t.Final = 1000
-
 # Between two tries to give a unit up.
 _RELEASE_PAUSE_MS: t.Final = 300
-
 _STOPS: t.Final = 'the instance stops'
+
 _OWNING: t.Final = frozenset((Phase.LOADING, Phase.ACTIVE))
 # What a stop waits for: a unit taken after it would be nobody's to release.
 _UNDER_WAY: t.Final = frozenset((Phase.TAKING, Phase.RELEASING))
--- a/src/tulippin/jobs/_refusals.py
+++ b/src/tulippin/jobs/_refusals.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import collections
+import operator
 import typing as t
 
 import attrs
@@ -38,12 +39,14 @@
 def tell(context: Context) -> None:
     """Write the lines if something has waited since the last ones."""
     state = context.state
-    if not (context.may_order and (state.ready_idle or state.ready)):
+    is_waiting = bool(state.ready_idle or state.ready or state.unsent)
+    if not (context.may_order and is_waiting):
         return
     if state.now_ms - state.refusals_told_ms < _EVERY_MS:
         return
     state.refusals_told_ms = state.now_ms
     _tell_lesson(context)
+    _tell_unsent(context)
     _tell_lasting(context)
     _tell_reserving(context)
     if state.ready_idle:
@@ -58,6 +61,23 @@
         context.log('slowdown learned', **attrs.asdict(lesson))
 
 
+def _tell_unsent(context: Context) -> None:
+    """Tell which orders have waited for a second to be durable."""
+    state = context.state
+    limit_ms = state.now_ms - _EVERY_MS
+    waiting = [one for one in state.unsent if one.sent_ms <= limit_ms]
+    if not waiting:
+        return
+    oldest = min(waiting, key=operator.attrgetter('sent_ms'))
+    context.log(
+        'orders wait to be durable',
+        orders=len(waiting),
+        oldest=oldest.key.format(),
+        worker=oldest.worker_id,
+        waited_ms=state.now_ms - oldest.sent_ms,
+    )
+
+
 def _tell_lasting(context: Context) -> None:
     """Tell why long-running tasks have waited for a second or more."""
     state = context.state
--- a/src/tulippin/jobs/_spares.py
+++ b/src/tulippin/jobs/_spares.py
@@ -12,9 +12,11 @@
 
 from tulippin.jobs import _attempts, _choosing, _feasibility, _lifecycle
 from tulippin.jobs._dispatch import Context
-from tulippin.jobs.state import Attempt, Job, SchedulerState, Task, Worker
+from tulippin.jobs.state import Job, SchedulerState, Task, Worker
 from tulippin.jobs.types import Step
 
+_Lasting: t.TypeAlias = tuple[Job, Task, Step]
+
 _EVERY_MS: t.Final = 200
 _SPARES_EACH: t.Final = 2
 # The most tasks in one go, as all workers are weighed for each.
@@ -28,44 +30,52 @@
     if not (context.may_order and is_due):
         return
     state.spares_looked_ms = state.now_ms
-    needy = []
+    needy: list[_Lasting] = []
     for worker in state.workers.values():
-        found = [
-            (*found, attempt.step)
-            for attempt in filter(_is_movable, worker.attempts.values())
-            if (found := _attempts.find_task(attempt.key, context))
-        ]
+        tasks = _list_lasting(worker, context)
         if _is_in_need(worker):
-            needy.extend(
-                (job, task, step)
-                for job, task, step in found
-                if not (task.crashes or _has_spare(job, task, step, state))
-            )
+            needy.extend(one for one in tasks if _lacks_spare(*one, state))
         else:
-            _forget(found, state)
+            _forget(tasks, state)
     for job, task, step in needy[:_MOST_CHOSEN]:
-        _name(job, task, step, state)
+        _name_spares(job, task, step, state)
 
 
-def _is_movable(attempt: Attempt) -> bool:
-    return attempt.step.long_running and not attempt.step.gang
+def _list_lasting(worker: Worker, context: Context) -> list[_Lasting]:
+    """Return the long-running tasks that run on a worker."""
+    tasks = []
+    for attempt in worker.attempts.values():
+        step = attempt.step
+        found = _attempts.find_task(attempt.key, context)
+        if found is not None and step.long_running and not step.gang:
+            tasks.append((*found, step))
+    return tasks
 
 
 def _is_in_need(worker: Worker) -> bool:
     return worker.entry.draining or worker.failed_count > 0
 
 
-def _has_spare(job: Job, task: Task, step: Step, state: SchedulerState) -> bool:
-    """Whether a worker that is named for a task would still take it."""
+def _lacks_spare(
+    job: Job, task: Task, step: Step, state: SchedulerState
+) -> bool:
+    """Whether no worker that is named for a task would take it by now.
+
+    Where one under suspicion goes is decided as it is started.
+    """
+    if task.crashes:
+        return False
     named = [state.workers.get(worker_id) for worker_id in task.spares]
-    return any(
+    return not any(
         _feasibility.is_feasible(worker, job, task, step, state)
         for worker in named
         if worker is not None
     )
 
 
-def _name(job: Job, task: Task, step: Step, state: SchedulerState) -> None:
+def _name_spares(
+    job: Job, task: Task, step: Step, state: SchedulerState
+) -> None:
     best = _choosing.list_best(job, task, step, state)
     spares = frozenset(one.worker_id for one in best[:_SPARES_EACH])
     if spares != task.spares:
@@ -73,10 +83,8 @@
         _lifecycle.mark_dirty(job, state)
 
 
-def _forget(
-    found: t.Iterable[tuple[Job, Task, Step]], state: SchedulerState
-) -> None:
-    for job, task, _ in found:
+def _forget(tasks: t.Iterable[_Lasting], state: SchedulerState) -> None:
+    for job, task, _ in tasks:
         if task.spares:
             task.spares = frozenset()
             _lifecycle.mark_dirty(job, state)
--- a/tests/tulippin/jobs/test_scheduler_handover.py
+++ b/tests/tulippin/jobs/test_scheduler_handover.py
@@ -3,6 +3,7 @@
 import collections
 
 import attrs
+import logbook
 import pytest
 import trio
 
@@ -520,3 +521,29 @@
             return [task.spares for task in job.tasks.values()]
 
     assert not any(run_virtual(run))
+
+
+def test_order_that_waits_to_be_durable_is_told(run_virtual):
+    async def run():
+        async with open_fleet(instances=1, workers=2) as fleet:
+            # Until the workers are on the roster.
+            await trio.sleep(1)
+            await fleet.submit(request=make_lasting(1))
+            state = fleet.instances['i0'].state
+            with trio.fail_after(1):
+                while JOB not in state.jobs:
+                    await trio.sleep(0.001)
+            fleet.platform.store.trouble.silenced.add('*')
+            await trio.sleep(3)
+            assert not fleet.count_running()
+
+    with logbook.TestHandler().applicationbound() as handler:
+        run_virtual(run)
+    told = [
+        one
+        for one in handler.records
+        if one.message == 'orders wait to be durable'
+    ]
+    assert told
+    assert told[-1].kwargs['orders'] == 1
+    assert told[-1].kwargs['waited_ms'] > 1000
