Soak of jobs: long-running tasks run again once there are no more faults

Why no soak saw the incident: it asked whether jobs end and whether anything ran twice, never whether a long-running task is at work. After its last fault every task of such a job has to run within 15 s now.

--- a/tests/scheduler_soak.py
+++ b/tests/scheduler_soak.py
@@ -37,6 +37,8 @@
 # Workers that have died under a sound task before it may be given up.
 LOST_UNDER_SOUND = 3
 QUIET_S = 30
+# What a long-running task may be away for once there are no more faults.
+AWAY_S = 15
 AFTER_MS = (0, 10, 60, 400, 1500, 3000)
 WAYS = (
     {},
@@ -71,7 +73,7 @@
     source: random.Random
     sound: list = attrs.field(factory=list)
     crashing: list = attrs.field(factory=list)
-    lasting: list = attrs.field(factory=list)
+    lasting: dict = attrs.field(factory=dict)
     starts: int = 0
 
     async def submit(self, job_id, request, queue):
@@ -106,7 +108,10 @@
             lasts=lasts,
             cpu_millicores=SIZE,
         )
-        (self.lasting if lasts else self.sound).append(job_id)
+        if lasts:
+            self.lasting[job_id] = step.task_count
+        else:
+            self.sound.append(job_id)
         await self.submit(job_id, request, queue)
 
     async def _hand_in_crashing(self, number, queue):
@@ -258,8 +263,28 @@
             if states.get(job_id) is not wanted
             and not self._may_be_given_up(job_id, states.get(job_id))
         ]
+        with trio.move_on_after(AWAY_S):
+            while self._list_away(states):
+                await trio.sleep(0.2)
+        wrong.extend(f'{name} is away' for name in self._list_away(states))
         return wrong + check_history(self.fleet.platform.history)
 
+    def _list_away(self, states):
+        """Return the long-running tasks that run nowhere."""
+        present = {
+            key.format()
+            for worker in self.fleet.platform.workers.values()
+            if worker.is_up
+            for key, _ in worker.runs
+        }
+        names = {
+            f'{job_id}.0.0.{index}'
+            for job_id, count in self.lasting.items()
+            if states.get(job_id) is JobState.RUNNING
+            for index in range(count)
+        }
+        return sorted(names - present)
+
 
 async def play(seed):
     """Play a scenario; return what is not as it should be."""
