Test: tasks are not away while owners are lost and workers replaced

Owners are killed every 3 s, workers replaced every 0.7 s, the store sound, refusing or silent for 3 s.

A release that met other versions is told as not released; it was told as released with is_done false.

--- a/src/tulippin/jobs/_row_effects.py
+++ b/src/tulippin/jobs/_row_effects.py
@@ -194,23 +194,24 @@
             shell.answer_times,
         )
     except UnavailableError as error:
+        reason = error.message
         is_unsure = isinstance(error, AnswerLostError)
+    else:
+        reason = '' if result.is_done else 'its rows have other versions'
+    fields = {
+        'unit': shell.config.unit.number,
+        'epoch': effect.epoch.epoch,
+        'took_ms': shell.clock() - began_ms,
+    }
+    if reason:
         logger.warning(
             'unit not released',
-            unit=shell.config.unit.number,
-            epoch=effect.epoch.epoch,
-            reason=error.message,
+            reason=reason,
             may_land_later=is_unsure,
-            took_ms=shell.clock() - began_ms,
+            **fields,
         )
     else:
-        logger.info(
-            'unit released',
-            unit=shell.config.unit.number,
-            epoch=effect.epoch.epoch,
-            is_done=result.is_done,
-            took_ms=shell.clock() - began_ms,
-        )
+        logger.info('unit released', **fields)
     is_ours, lease_version = _find_kept(effect, result)
     shell.post(
         ev.LeaseReleased(
--- a/tests/tulippin/jobs/test_scheduler_handover.py
+++ b/tests/tulippin/jobs/test_scheduler_handover.py
@@ -123,6 +123,43 @@
     assert run_virtual(run) <= BORNE_MS
 
 
+async def lose_owners(fleet, count, gap_s):
+    """Lose one owner after the other, and start their instances anew."""
+    for number in range(count):
+        await trio.sleep(gap_s)
+        owner = await fleet.wait_owner()
+        fleet.kill(owner)
+        await fleet.start(f'{owner}-{number}')
+
+
+async def trouble_store(fleet, trouble, after_s):
+    """Have the store serve nobody for 3 s, if it is to."""
+    await trio.sleep(after_s)
+    if trouble:
+        clients = getattr(fleet.platform.store.trouble, trouble)
+        clients.add('*')
+        await trio.sleep(3)
+        clients.clear()
+
+
+@pytest.mark.parametrize('trouble', ['', 'refused', 'silenced'])
+@pytest.mark.parametrize('after_s', [3.0, 5.0])
+def test_tasks_are_not_away_while_owners_are_lost_and_workers_replaced(
+    run_virtual, trouble, after_s
+):
+    async def run():
+        async with open_fleet(instances=8, workers=16) as fleet:
+            await submit_lasting(fleet, 24, cpu=4000)
+            fleet.nursery.start_soon(lose_owners, fleet, 3, 3.0)
+            fleet.nursery.start_soon(replace_workers, fleet, 14, 0.7)
+            await trouble_store(fleet, trouble, after_s)
+            await trio.sleep(22)
+            fleet.check()
+            return get_longest_gap_ms(fleet)
+
+    assert run_virtual(run) <= BORNE_MS
+
+
 @pytest.mark.parametrize('trouble', ['refused', 'silenced'])
 def test_runs_do_not_lapse_while_their_owner_can_not_release(
     run_virtual, trouble
