Read as a newcomer: one copy of what tests of long-running tasks share

Two test files measured the time away with the same code; it stands beside the fleet now. A local name hid a function of the same name, and an attribute had no word of what it tells. No assertion and no decision changes.

--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -390,9 +390,9 @@
 def _release(context: Context) -> None:
     state = context.state
     ownership = state.ownership
-    is_loaded = ownership.phase is Phase.ACTIVE
+    was_loaded = ownership.phase is Phase.ACTIVE
     # One that took in nothing has nothing to write over what was kept.
-    is_learned = is_loaded and not state.is_without_advice
+    is_learned = was_loaded and not state.is_without_advice
     unused_ms = state.now_ms - ownership.taken_ms
     ownership.released_from = ownership.phase
     ownership.phase = Phase.RELEASING
@@ -403,13 +403,13 @@
     )
     context.emit(
         ReleaseLease(
-            _make_lease(state, is_loaded=is_loaded, released=True),
+            _make_lease(state, is_loaded=was_loaded, released=True),
             # What is not loaded must not be written over.
             _memory.make_record(state) if is_learned else None,
-            _unseen.make_account(context) if is_loaded else None,
+            _unseen.make_account(context) if was_loaded else None,
             state.ownership.epoch,
             state.ownership.epoch_version,
-            None if is_loaded else unused_ms,
+            None if was_loaded else unused_ms,
             ownership.lease_version,
         )
     )
--- a/src/tulippin/jobs/unit_shell.py
+++ b/src/tulippin/jobs/unit_shell.py
@@ -70,6 +70,7 @@
         self.state: SchedulerState = core.make_state(config)
         self.is_over = False
         self.is_resting = False
+        # Whether it was read who owns the unit.
         self.is_seen = False
         self._parent = parent
         self._rows = rows or UnitRows()
--- a/tests/fleet_of_schedulers.py
+++ b/tests/fleet_of_schedulers.py
@@ -1,5 +1,6 @@
 """Scheduler instances over the platform's stand-in, in virtual time."""
 
+import collections
 import contextlib
 
 import attrs
@@ -66,6 +67,29 @@
     return make_request(step, lasts=True)
 
 
+def make_lasting(count, cpu=1000, **options):
+    """Return a job of long-running tasks."""
+    step = make_step(count, cpu, long_running=True, **options)
+    return make_request(step, lasts=True)
+
+
+def get_longest_gap_ms(fleet, job_id=JOB):
+    """Return for how long at most a task of a job has not run."""
+    gaps = collections.Counter()
+    ended_ms = {}
+    for event in fleet.platform.history:
+        if event.key.job_id != job_id:
+            continue
+        if event.kind == 'ended':
+            ended_ms[event.key] = event.at_ms
+        elif event.kind == 'started' and event.key in ended_ms:
+            gap_ms = event.at_ms - ended_ms.pop(event.key)
+            gaps[event.key] = max(gaps[event.key], gap_ms)
+    for key, at_ms in ended_ms.items():
+        gaps[key] = max(gaps[key], get_now_ms() - at_ms)
+    return max(gaps.values(), default=0)
+
+
 @attrs.define
 class Instance:
     shell: SchedulerShell
--- a/tests/tulippin/jobs/test_scheduler_handover.py
+++ b/tests/tulippin/jobs/test_scheduler_handover.py
@@ -1,7 +1,5 @@
 """Long-running tasks go on while their unit passes from owner to owner."""
 
-import collections
-
 import attrs
 import logbook
 import pytest
@@ -10,8 +8,8 @@
 from fleet_of_schedulers import (
     JOB,
     QUEUE,
-    make_request,
-    make_step,
+    get_longest_gap_ms,
+    make_lasting,
     open_fleet,
 )
 from tulippin.codec_json import decode, encode
@@ -30,7 +28,7 @@
 )
 from tulippin.jobs.state import Phase, SchedulerConfig
 from tulippin.jobs.types import JobState, TaskKey
-from tulippin.platform.standin import check_history, get_now_ms
+from tulippin.platform.standin import check_history
 from tulippin.platform.standin_store import SILENCE_S, StoreView
 
 # What users bear without a run of a task that lasts.
@@ -39,10 +37,6 @@
 SLOW_WRITE_S = 0.2
 
 
-def make_lasting(count, cpu=1000):
-    return make_request(make_step(count, cpu, long_running=True), lasts=True)
-
-
 async def submit_lasting(fleet, count, cpu=1000):
     """Let tasks that last run, and the owner read where they do."""
     await fleet.submit(request=make_lasting(count, cpu))
@@ -50,27 +44,6 @@
     await trio.sleep(1.5)
 
 
-def get_gaps_ms(fleet):
-    """Return by task for how long at most it has not run."""
-    gaps_ms = collections.Counter()
-    ended_ms = {}
-    for event in fleet.platform.history:
-        if event.key.job_id != JOB:
-            continue
-        if event.kind == 'ended':
-            ended_ms[event.key] = event.at_ms
-        elif event.kind == 'started' and event.key in ended_ms:
-            gap_ms = event.at_ms - ended_ms.pop(event.key)
-            gaps_ms[event.key] = max(gaps_ms[event.key], gap_ms)
-    for key, at_ms in ended_ms.items():
-        gaps_ms[key] = max(gaps_ms[key], get_now_ms() - at_ms)
-    return gaps_ms
-
-
-def get_longest_gap_ms(fleet):
-    return max(get_gaps_ms(fleet).values(), default=0)
-
-
 async def restart(fleet, name, grace_s=5.0):
     """Stop an instance as its platform does, and start it anew."""
     with trio.move_on_after(grace_s):
--- a/tests/tulippin/jobs/test_scheduler_lasting.py
+++ b/tests/tulippin/jobs/test_scheduler_lasting.py
@@ -1,14 +1,17 @@
 """Tasks that last run again soon, whatever their workers and owners do."""
 
-import collections
-
 import pytest
 import trio
 
-from fleet_of_schedulers import JOB, make_request, make_step, open_fleet
+from fleet_of_schedulers import (
+    get_longest_gap_ms,
+    make_lasting,
+    make_request,
+    make_step,
+    open_fleet,
+)
 from tulippin.exceptions import AnswerLostError
 from tulippin.jobs.records import LEASE_KEY
-from tulippin.platform.standin import get_now_ms
 from tulippin.platform.standin_store import SILENCE_S, StoreView
 
 OTHER = '00000000000000bb'
@@ -18,11 +21,6 @@
 LOST_MS = 9000
 
 
-def make_lasting(count, cpu=1000, **options):
-    step = make_step(count, cpu, long_running=True, **options)
-    return make_request(step, lasts=True)
-
-
 async def submit_lasting(fleet, count, **options):
     """Let tasks that last run; return the worker of the first."""
     await fleet.submit(request=make_lasting(count, **options))
@@ -41,23 +39,6 @@
     await fleet.start(name)
 
 
-def get_longest_gap_ms(fleet, job_id=JOB):
-    """Return for how long at most a task of a job has not run."""
-    gaps = collections.Counter()
-    ended_ms = {}
-    for event in fleet.platform.history:
-        if event.key.job_id != job_id:
-            continue
-        if event.kind == 'ended':
-            ended_ms[event.key] = event.at_ms
-        elif event.kind == 'started' and event.key in ended_ms:
-            gap_ms = event.at_ms - ended_ms.pop(event.key)
-            gaps[event.key] = max(gaps[event.key], gap_ms)
-    for key, at_ms in ended_ms.items():
-        gaps[key] = max(gaps[key], get_now_ms() - at_ms)
-    return max(gaps.values(), default=0)
-
-
 async def restart_owners_by_turns(fleet, count, pause_s):
     for _ in range(count):
         await restart_owner(fleet)
