Tell how processors are divided while tasks wait for them

No decision changes. The log told that urgent tasks wait and that processors are missing, not what was kept for them, what there was of it, who held the rest, how late the jobs that wait are, nor whether another unit had a place: the three hypotheses of the incident look alike without that.

`processors divided`, a line a second and owner while something waits; `waiting_millicores`, `by_lateness` and `units_with_place` beside what `tasks wait for room` tells already.

--- a/src/tulippin/jobs/_ranking.py
+++ b/src/tulippin/jobs/_ranking.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import enum
 import typing as t
 
 from tulippin.jobs._ready import StepKey
@@ -64,12 +65,20 @@
     return demand
 
 
+class Hope(enum.IntEnum):
+    """How late a job must be at best."""
+
+    IN_TIME = 0
+    LATE = 1
+    WORTHLESS = 2
+
+
 class _Rank(t.NamedTuple):
     """Compared field by field, in this order; the least goes first."""
 
     priority: int
     is_lasting: bool
-    hope: int
+    hope: Hope
     due_ms: float
     largest_first: tuple[int, str, int, int]
     kind: StepKey
@@ -94,13 +103,20 @@
             step.max_per_worker or _UNLIMITED,
             -step.size.cpu_millicores,
         )
-        return _Rank(job.queue.priority, True, 0, batch, order, kind)
+        return _Rank(job.queue.priority, True, Hope.IN_TIME, batch, order, kind)
     hope, due_ms = _judge(job, kind, state)
     none = (0, '', 0, 0)
     return _Rank(job.queue.priority, False, hope, due_ms, none, kind)
 
 
-def _judge(job: Job, kind: StepKey, state: SchedulerState) -> tuple[int, float]:
+def get_hope(job: Job, kind: StepKey, state: SchedulerState) -> Hope:
+    """Return how late a job must be at best."""
+    return _judge(job, kind, state)[0]
+
+
+def _judge(
+    job: Job, kind: StepKey, state: SchedulerState
+) -> tuple[Hope, float]:
     """Return how late the job must be at best, and when it is due."""
     mean_ms = state.run_times_ms.get(job.queue.name, 0.0)
     total_ms = max(job.depths, default=1) * mean_ms
@@ -109,10 +125,10 @@
     due_ms = begun_ms + objective_ms
     at_best_ms = state.now_ms + job.depths[kind[2]] * mean_ms
     if at_best_ms <= due_ms:
-        return 0, due_ms
+        return Hope.IN_TIME, due_ms
     if at_best_ms <= begun_ms + _LATE_LIMIT * objective_ms:
-        return 1, due_ms
-    return 2, due_ms
+        return Hope.LATE, due_ms
+    return Hope.WORTHLESS, due_ms
 
 
 def _get_begin_ms(job: Job, kind: StepKey, state: SchedulerState) -> int:
--- a/src/tulippin/jobs/_refusals.py
+++ b/src/tulippin/jobs/_refusals.py
@@ -19,8 +19,11 @@
 from tulippin.jobs import (
     _feasibility,
     _interference,
+    _ranking,
     _ready,
+    _rooms,
     _scoring,
+    _sparing,
     _unseen,
 )
 from tulippin.jobs._dispatch import Context
@@ -49,6 +52,7 @@
     _tell_unsent(context)
     _tell_lasting(context)
     _tell_reserving(context)
+    _tell_room(context)
     if state.ready_idle:
         _tell_idle(context)
 
@@ -121,9 +125,38 @@
         smallest_millicores=step.size.cpu_millicores,
         smallest_memory_mb=step.size.memory_mb,
         refused=_count_reasons(job, step, task, state),
+        waiting_millicores=sum(map(_get_size, waiting)),
+        by_lateness=_count_by_lateness(waiting, state),
+        units_with_place=_count_units_with_place(step, state),
     )
 
 
+def _count_by_lateness(
+    waiting: list[tuple[Job, Task]], state: SchedulerState
+) -> dict[str, int]:
+    """Return how many tasks wait of jobs that can be in time, or no more."""
+    counts = collections.Counter(
+        _ranking.get_hope(job, _ready.get_step_key(task.key), state).name
+        for job, task in waiting
+    )
+    return {name.lower(): count for name, count in counts.items()}
+
+
+def _count_units_with_place(step: Step, state: SchedulerState) -> int:
+    """Return how many other units told of a worker with enough room."""
+    return sum(
+        _rooms.has_place(room, step, is_new=False)
+        for room in state.rooms.values()
+    )
+
+
+def _tell_room(context: Context) -> None:
+    """Tell how the unit's processors are divided while tasks wait for them."""
+    if context.state.ready:
+        report = _sparing.describe(context.state)
+        context.log('processors divided', **attrs.asdict(report))
+
+
 def _get_size(pair: tuple[Job, Task]) -> int:
     job, task = pair
     return job.request.steps[task.key.step].size.cpu_millicores
--- a/src/tulippin/jobs/_sparing.py
+++ b/src/tulippin/jobs/_sparing.py
@@ -15,6 +15,7 @@
 
 from __future__ import annotations
 
+import collections
 import math
 import typing as t
 
@@ -68,12 +69,13 @@
 class Keeper:
     """Tells on which workers a new long-running task may be started.
 
-    ``place_millicores`` is what a place for a short task is,
-    ``spare_places`` how many more there are than are kept.
+    ``place_millicores`` is what a place for a short task is, ``kept_places``
+    how many are kept, and ``spare_places`` how many more there are.
     """
 
     place_millicores: int
     spare_places: int
+    kept_places: int = 0
 
     def lets_on(self, worker: Worker, step: Step) -> bool:
         """Whether a task leaves enough places if it starts on a worker."""
@@ -118,6 +120,68 @@
     )
 
 
+@attrs.frozen
+class RoomReport:
+    """How a unit's processors are divided, for the log.
+
+    Parameters
+    ----------
+    place_millicores : int
+        The size of a place that is kept for short tasks; 0 if none is.
+    kept_places, found_places : int
+        How many are kept, and how many long-running tasks leave.
+    asked_millicores : int
+        What short tasks used on the mean of late, as the owner knows it.
+    long_running_millicores, short_millicores, free_millicores : int
+        What is reserved on open workers, and what is not.
+    """
+
+    place_millicores: int
+    kept_places: int
+    found_places: int
+    asked_millicores: int
+    long_running_millicores: int
+    short_millicores: int
+    free_millicores: int
+
+
+def describe(state: SchedulerState) -> RoomReport:
+    """Return how the unit's processors are divided now."""
+    opened = _feasibility.list_open(state)
+    lasting = sum(
+        attempt.step.reserved.cpu_millicores
+        for one in opened
+        for attempt in one.attempts.values()
+        if attempt.step.long_running
+    )
+    reserved = sum(one.reserved.cpu_millicores for one in opened)
+    asked = sum(
+        known.work * _get_part(known, state)
+        for known in state.short_demands.values()
+    )
+    keeper = _find_least_urgent(opened, state)
+    return RoomReport(
+        place_millicores=keeper.place_millicores if keeper else 0,
+        kept_places=keeper.kept_places if keeper else 0,
+        found_places=keeper.kept_places + keeper.spare_places if keeper else 0,
+        asked_millicores=round(asked / _MEMORY_MS),
+        long_running_millicores=lasting,
+        short_millicores=reserved - lasting,
+        free_millicores=sum(max(0, one.free.cpu_millicores) for one in opened),
+    )
+
+
+def _find_least_urgent(
+    opened: list[Worker], state: SchedulerState
+) -> Keeper | None:
+    """Return what keeps room on the service with the most open workers."""
+    if not (opened and state.short_demands):
+        return None
+    services = collections.Counter(one.entry.service for one in opened)
+    least_urgent = max(priority for _, priority in state.short_demands)
+    return _make_keeper(services.most_common(1)[0][0], least_urgent, state)
+
+
 def _get_room(worker: Worker, keeper: Keeper | None) -> int:
     free = worker.free.cpu_millicores
     return min(free, keeper.get_largest(worker)) if keeper else free
@@ -151,7 +215,7 @@
     capacity = sum(one.entry.capacity.cpu_millicores for one in opened)
     kept = min(work / _MEMORY_MS, _MOST_SHARE * capacity) / place_millicores
     places = sum(_get_hole(one) // place_millicores for one in opened)
-    return Keeper(place_millicores, places - round(kept))
+    return Keeper(place_millicores, places - round(kept), round(kept))
 
 
 def _get_hole(worker: Worker) -> int:
--- a/tests/tulippin/jobs/test_scheduler_logs.py
+++ b/tests/tulippin/jobs/test_scheduler_logs.py
@@ -6,7 +6,13 @@
 import pytest
 import trio
 
-from fleet_of_schedulers import QUEUE, make_request, make_step, open_fleet
+from fleet_of_schedulers import (
+    QUEUE,
+    make_lasting,
+    make_request,
+    make_step,
+    open_fleet,
+)
 
 JOB = '00000000000000aa'
 LIMIT_MS = 3000
@@ -140,3 +146,38 @@
     assert told[-1]['queue'] == QUEUE.name
     assert told[-1]['refused'] == {'processors': 2}
     assert told[-1]['waited_ms'] > 1000
+
+
+def test_division_of_processors_is_told_while_tasks_wait(run_virtual):
+    async def run():
+        async with open_fleet(instances=1, workers=2) as fleet:
+            intake = fleet.instances['i0'].intake
+            lasting = make_lasting(2, 12_000)
+            await intake.submit(f'{1:016x}', QUEUE, lasting, LIMIT_MS)
+            await fleet.wait_running(2)
+            # One of two tasks finds no room beside what lasts.
+            urgent = make_request(
+                make_step(3, 3000, estimated_ms=9000), run_ms=9000
+            )
+            await intake.submit(JOB, QUEUE, urgent, LIMIT_MS)
+            await trio.sleep(3)
+
+    with capture() as handler:
+        run_virtual(run)
+    told = find_last(handler, 'processors divided')
+    assert told['long_running_millicores'] == 24_000
+    assert told['short_millicores'] == 6000
+    assert told['free_millicores'] == 2000
+    assert told['place_millicores'] == 3000
+    assert told['found_places'] == 2
+    waiting = find_last(handler, 'tasks wait for room')
+    assert waiting['waiting_millicores'] == 3000
+    assert waiting['by_lateness'] == {'worthless': 1}
+    assert waiting['units_with_place'] == 0
+
+
+def find_last(handler, message):
+    """Return the fields of the last line of a kind."""
+    return [
+        record.kwargs for record in handler.records if record.message == message
+    ][-1]
