Rank first jobs by the callers' guess until a run has ended

What callers saw: the first urgent jobs of a queue counted as worthless after three times the target alone (0.9 s where that is 300 ms), and went behind all others, as the run time that is not known yet was taken for none.

Before: a job of 4 s of work that has waited for 3 s is judged WORTHLESS; the test fails so on the code before. After: IN_TIME, by the guess that came with the job. Once a run of the queue has ended its time goes before the guess, as before.

--- a/src/tulippin/jobs/_ranking.py
+++ b/src/tulippin/jobs/_ranking.py
@@ -31,6 +31,16 @@
     state.run_times_ms[name] = known_ms + _LEARN * (run_ms - known_ms)
 
 
+def get_run_ms(job: Job, state: SchedulerState) -> float:
+    """Return how long a run of a job's tasks takes on the mean.
+
+    Until one of the queue has ended the callers' guess stands for it: with no
+    time at all every job would look late at once.
+    """
+    known_ms = state.run_times_ms.get(job.queue.name, 0.0)
+    return known_ms or max(step.estimated_ms for step in job.request.steps)
+
+
 def compute_depths(request: JobRequest) -> tuple[int, ...]:
     """Return for each step how many steps its longest chain still has."""
     depths = [1 for _ in request.steps]
@@ -118,7 +128,7 @@
     job: Job, kind: StepKey, state: SchedulerState
 ) -> tuple[Hope, float]:
     """Return how late the job must be at best, and when it is due."""
-    mean_ms = state.run_times_ms.get(job.queue.name, 0.0)
+    mean_ms = get_run_ms(job, state)
     total_ms = max(job.depths, default=1) * mean_ms
     objective_ms = job.queue.stretch * total_ms + job.queue.target_latency_ms
     begun_ms = _get_begin_ms(job, kind, state)
--- /dev/null
+++ b/tests/tulippin/jobs/test_ranking.py
@@ -0,0 +1,34 @@
+"""In which order steps are looked at that wait."""
+
+import pytest
+from test_scheduler_decisions import QUEUE, make_job, make_state
+
+from tulippin.jobs import _ranking
+from tulippin.jobs._ranking import Hope
+from tulippin.jobs.types import Step
+from tulippin.types import Resources
+
+RUN_MS = 4000
+
+
+def judge(state, waited_ms):
+    step = Step(1, Resources(1000, 1000), estimated_ms=RUN_MS)
+    arrived_ms = state.now_ms - waited_ms
+    job = make_job(state, 'a', arrived_ms, (step,))
+    return _ranking.get_hope(job, ('a', 0, 0), state)
+
+
+# Guards against first jobs that count as worthless before any run has ended.
+@pytest.mark.parametrize(
+    ('waited_ms', 'hope'),
+    [(0, Hope.IN_TIME), (3000, Hope.IN_TIME), (9000, Hope.LATE)],
+)
+def test_guess_stands_for_a_run_time_that_is_not_known(waited_ms, hope):
+    state = make_state()
+    assert judge(state, waited_ms) is hope
+
+
+def test_known_run_time_goes_before_the_guess():
+    state = make_state()
+    state.run_times_ms[QUEUE.name] = 100.0
+    assert judge(state, 3000) is Hope.WORTHLESS
