Keep which long-running tasks have run

What callers saw: after each change of owner every long-running task of a job that had begun counted as one that was at work, also those that had never run. They went before others as overdue, and took any room, for their life.

Cause: a new owner knew that the job had begun, not which of its tasks had; not known was taken for all.

Now a job's row tells in bits, beside the places that are written before each order, which tasks have run or were ordered to: no further write. A row of an earlier version tells nothing, and all its tasks count as before. A task that lost its run and waits while the owner changes counts as missed, as before.

--- a/src/tulippin/jobs/_lifecycle.py
+++ b/src/tulippin/jobs/_lifecycle.py
@@ -264,6 +264,18 @@
         task = get_task(job, parse_task(f'{job.job_id}.{name}'))
         task.open_start = started
     _restore_places(job, record)
+    _restore_begun(job, record)
+
+
+def _restore_begun(job: Job, record: ProgressRecord) -> None:
+    """Note which long-running tasks have run, if that is told."""
+    job.knows_begun = record.begun is not None
+    for name, bits in (record.begun or {}).items():
+        occurrence, _, number = name.partition('.')
+        for index in range(job.request.steps[int(number)].task_count):
+            if int(bits, _HEX) >> index & 1:
+                key = TaskKey(job.job_id, int(occurrence), int(number), index)
+                get_task(job, key).has_run = True
 
 
 def _restore_places(job: Job, record: ProgressRecord) -> None:
@@ -343,22 +355,27 @@
     if job.state in FINAL_STATES:
         return ProgressRecord(job.state, reason=job.reason)
     done: dict[str, int] = {}
+    begun: dict[str, int] = {}
     failures: dict[str, list[int]] = {}
     avoided: dict[str, list[str]] = {}
     crashes: dict[str, tuple[CrashRecord, ...]] = {}
     for key, task in _iter_own(job):
         if task.crashes and not task.is_done:
             crashes[get_name(key)] = task.list_crashes()
+        name = f'{key.occurrence}.{key.step}'
         if task.is_done:
-            name = f'{key.occurrence}.{key.step}'
             done[name] = done.get(name, 0) | 1 << key.index
+        if job.request.steps[key.step].long_running and (
+            task.attempts or _ready.is_back(job, task)
+        ):
+            begun[name] = begun.get(name, 0) | 1 << key.index
         if task.failed_runs:
             name = get_name(key)
             failures[name] = sorted(task.failed_runs)
             avoided[name] = sorted(task.avoided)
     return ProgressRecord(
         job.state,
-        {name: f'{bits:x}' for name, bits in done.items()},
+        _write_bits(done),
         failures,
         {
             get_name(key): attrs.astuple(passed)
@@ -368,9 +385,14 @@
         crashes,
         _list_started(job),
         places=_list_places(job),
+        begun=_write_bits(begun) if has_lasting(job) else None,
     )
 
 
+def _write_bits(tasks: dict[str, int]) -> dict[str, str]:
+    return {name: f'{bits:x}' for name, bits in tasks.items()}
+
+
 def _list_started(job: Job) -> dict[str, tuple[int, str]]:
     """Return the newest run of each task that has just begun, and its worker.
 
--- a/src/tulippin/jobs/_passing.py
+++ b/src/tulippin/jobs/_passing.py
@@ -148,8 +148,8 @@
 
 
 def _has_run(job: Job, name: str) -> bool:
-    task = job.tasks.get(parse_task(f'{job.job_id}.{name}'))
-    return job.is_resumed or (task is not None and task.has_run)
+    key = parse_task(f'{job.job_id}.{name}')
+    return _ready.is_back(job, _lifecycle.get_task(job, key))
 
 
 def _list_crashes(
--- a/src/tulippin/jobs/_ready.py
+++ b/src/tulippin/jobs/_ready.py
@@ -74,7 +74,7 @@
     Its users were served and miss it now; those of one that has never run
     wait as for any work.
     """
-    return task.has_run or job.is_resumed
+    return task.has_run or (job.is_resumed and not job.knows_begun)
 
 
 def has_runs(job: Job) -> bool:
--- a/src/tulippin/jobs/_row_checks.py
+++ b/src/tulippin/jobs/_row_checks.py
@@ -184,14 +184,14 @@
 
 def find_progress_fault(record: ProgressRecord, request: JobRequest) -> str:
     """Return what of a job's progress is none of this job's."""
-    for name, bits in record.done.items():
+    for name, bits in (*record.done.items(), *(record.begun or {}).items()):
         if not _STEP_NAME.fullmatch(name) or not _BITS.fullmatch(bits):
             return f'it names step {name!r}'
         key = parse_task(f'-.{name}.0')
         if not has_task(request, key):
             return f'it names step {name!r}'
         if int(bits, _HEX) >> request.steps[key.step].task_count:
-            return f'more tasks of step {name} are done than it has'
+            return f'it tells of more tasks of step {name} than it has'
     if any(min(passed) < 0 for passed in record.passed.values()):
         return 'a task is passed to no unit'
     names = (
--- a/src/tulippin/jobs/records.py
+++ b/src/tulippin/jobs/records.py
@@ -389,6 +389,9 @@
     places : dict, optional
         The workers where each long-running task may run; one that is not
         named runs nowhere. Nothing where that is not known.
+    begun : dict, optional
+        Bits as ``done`` of the long-running tasks that have run, or were
+        ordered to. Nothing where that is not known.
     """
 
     state: JobState
@@ -400,3 +403,4 @@
     started: dict[str, tuple[int, str]] = attrs.field(factory=dict)
     reason: str = ''
     places: dict[str, tuple[str, ...]] | None = None
+    begun: dict[str, str] | None = None
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -206,7 +206,8 @@
 class Job:
     """A job with its tasks, as far as they may run.
 
-    ``is_resumed``: it had begun before the owner took the unit.
+    ``is_resumed``: it had begun before the owner took the unit;
+    ``knows_begun``: it is known which of its long-running tasks had.
     ``durable`` is what the store tells of it, ``committing`` what it may tell
     at any moment.
     ``awaits_workers``: its tasks may run wherever an earlier owner's orders
@@ -242,6 +243,7 @@
     awaits_workers: bool = False
     knows_places: bool = True
     is_resumed: bool = False
+    knows_begun: bool = False
     is_guest: bool = False
     is_past_unknown: bool = False
     is_given_up: bool = False
