Home urgent jobs by the places that short tasks find

What callers saw: urgent jobs waited for room in one unit while other units had some.

Cause: a unit told its places less all that waits there, long-running work included, which goes after short tasks.

Now the lease tells both; an urgent job goes by the places less what short tasks wait for, a long-running one as before. Owners of earlier versions tell the old figure alone, which then counts for both.

Without it, two tests fail: eight long-running tasks that wait beside 20 free processors leave no place for short ones, and three units look alike of which one has places.

--- a/src/tulippin/jobs/_balancing.py
+++ b/src/tulippin/jobs/_balancing.py
@@ -259,7 +259,10 @@
     """Return the share of a step's tasks that find a place in a unit."""
     size = max(1, step.reserved.cpu_millicores)
     sent = demands.reserved.get(unit.config.unit.number, 0) // size
-    places = _rooms.count_places(_get_room(unit), size) - sent
+    found = _rooms.count_places(
+        _get_room(unit), size, is_short=not step.long_running
+    )
+    places = found - sent
     return max(0, min(1, places / step.task_count))
 
 
--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -450,7 +450,10 @@
     if ownership.lease is None:
         return {}, UnitRoom(), True
     room = attrs.evolve(
-        ownership.lease.room, largest_free=Resources(), places=()
+        ownership.lease.room,
+        largest_free=Resources(),
+        places=(),
+        short_places=(),
     )
     return ownership.lease.waiting, room, True
 
--- a/src/tulippin/jobs/_rooms.py
+++ b/src/tulippin/jobs/_rooms.py
@@ -17,6 +17,7 @@
     """Return what open workers hold and what is asked of them."""
     opened = _feasibility.list_open(state)
     waiting = sum(_sum_waiting(state.ready, state).values())
+    waiting_short = _sum_waiting_short(state)
     waiting_idle = _sum_waiting(state.ready_idle, state)
     return UnitRoom(
         _sum_capacity(opened),
@@ -32,6 +33,7 @@
         waiting_idle,
         _list_serving_images(opened, state),
         _sparing.get_largest_new(opened, state),
+        _count_places(opened, waiting_short),
     )
 
 
@@ -62,13 +64,18 @@
     return tuple(itertools.takewhile(lambda count: count > 0, counts))
 
 
-def count_places(room: UnitRoom, size_millicores: int) -> int:
+def count_places(
+    room: UnitRoom, size_millicores: int, *, is_short: bool = False
+) -> int:
     """Return how many tasks of a size find a place, or a few less.
 
     What is told is counted for sizes a third apart, so the next larger one
     stands for those below it.
     """
-    for size, count in zip(PLACE_SIZES, room.places, strict=False):
+    places = room.places
+    if is_short and room.short_places is not None:
+        places = room.short_places
+    for size, count in zip(PLACE_SIZES, places, strict=False):
         if size >= size_millicores:
             return count
     return 0
@@ -105,6 +112,16 @@
     return dict(waiting)
 
 
+def _sum_waiting_short(state: SchedulerState) -> int:
+    """Return the processors that short tasks wait for."""
+    total = 0
+    for kind, tasks in state.ready.items():
+        step = state.jobs[kind[0]].request.steps[kind[2]]
+        if not step.long_running:
+            total += len(tasks) * step.size.cpu_millicores
+    return total
+
+
 def _list_serving_images(
     opened: list[Worker], state: SchedulerState
 ) -> tuple[str, ...]:
--- a/src/tulippin/jobs/_row_checks.py
+++ b/src/tulippin/jobs/_row_checks.py
@@ -246,10 +246,11 @@
         room.idle_millicores,
         *room.waiting_millicores.values(),
         *room.places,
+        *(room.short_places or ()),
     )
     if not all(0 <= value <= _MOST_ASKED for value in sums):
         return 'its room is none'
-    if len(room.places) > len(PLACE_SIZES):
+    if max(len(room.places), len(room.short_places or ())) > len(PLACE_SIZES):
         return 'it tells places of no size'
     # What is left where more is reserved than there is lies below nothing.
     left = (*attrs.astuple(room.largest_free), room.largest_new_millicores)
--- a/src/tulippin/jobs/records.py
+++ b/src/tulippin/jobs/records.py
@@ -109,6 +109,9 @@
     largest_new_millicores : int or None
         The most processors of a worker that a new long-running task may
         take, beside what is kept for short ones; nothing if not told.
+    short_places : tuple of int or None
+        ``places`` for short tasks, which go before long-running ones that
+        wait; nothing if not told.
     """
 
     capacity_millicores: int = 0
@@ -120,6 +123,7 @@
     waiting_millicores: dict[str, int] = attrs.field(factory=dict)
     images: tuple[str, ...] = ()
     largest_new_millicores: int | None = None
+    short_places: tuple[int, ...] | None = None
 
 
 @attrs.frozen
--- a/tests/tulippin/jobs/test_balancing.py
+++ b/tests/tulippin/jobs/test_balancing.py
@@ -4,8 +4,9 @@
 import random
 
 import attrs
+from test_scheduler_decisions import make_job, make_serving, make_state
 
-from tulippin.jobs import _balancing, _rooms
+from tulippin.jobs import _balancing, _ready, _rooms
 from tulippin.jobs.records import (
     PLACE_SIZES,
     LayoutRecord,
@@ -13,8 +14,8 @@
     Unit,
     UnitRoom,
 )
-from tulippin.jobs.state import SchedulerConfig
-from tulippin.jobs.types import JobRequest, Step
+from tulippin.jobs.state import SchedulerConfig, Task
+from tulippin.jobs.types import JobRequest, Step, TaskKey
 from tulippin.types import Resources
 
 CAPACITY = 700_000
@@ -113,6 +114,30 @@
     assert _rooms.count_places(room, 7000) == 0
 
 
+def test_urgent_job_goes_where_only_long_running_work_waits():
+    """Units that long-running work waited in looked alike to it."""
+    units = make_units(0, 0, 0)
+    room = units[1].lease.room
+    units[1].lease = attrs.evolve(
+        units[1].lease, room=attrs.evolve(room, short_places=(9,) * 5)
+    )
+    assert choose(units, make_request(9), 20) == {1: 20}
+    lasting = make_request(9, long_running=True)
+    assert len(choose(units, lasting, 100)) == 3
+
+
+def test_unit_tells_places_beside_long_running_work_that_waits():
+    """It told of none, as what waits was taken off them all."""
+    state = make_state(2)
+    step = make_serving(cpu=3000)
+    for number in range(8):
+        job = make_job(state, f'{number}', state.now_ms, (step,))
+        _ready.add(Task(TaskKey(job.job_id, 0, 0, 0)), step, state)
+    room = _rooms.measure(state)
+    assert _rooms.count_places(room, 3000) == 0
+    assert _rooms.count_places(room, 3000, is_short=True) == 6
+
+
 def let_wait(unit, **images):
     room = attrs.evolve(unit.lease.room, waiting_millicores=images)
     unit.lease = attrs.evolve(unit.lease, room=room)
