Keep headroom for short tasks from new long-running ones, known or not

Cause: a place that is given to a long-running task is given for its life, and was given by what one owner had seen of its own unit in ten seconds. Not known counted as none: nothing was kept before the first urgent job, nor by a new owner. What was kept was a mean, of pieces of the mean size, and what was smaller than that was anyone's, so that what came free one by one never became a place.

Now the order of sacrifice is told in one place (`_headroom`): a new long-running task leaves the mean and a standard deviation of what short tasks ask for, and what they hold and wait for by now; a quarter of the processors while that is not known, fading once the room has been tight for minutes without any, and at most a quarter ever. Only pieces that most short tasks fit in count, and where too few are left no piece is given away. The demand is that of all units together (`_demand`), told with the rooms, and the next owner goes on from it. Nothing is held back while less than half is reserved, from gangs, or from tasks that were at work before.

A new owner serves an urgent job in time where none was served in 10 s.

--- a/src/tulippin/jobs/_choosing.py
+++ b/src/tulippin/jobs/_choosing.py
@@ -5,7 +5,7 @@
 import operator
 import typing as t
 
-from tulippin.jobs import _feasibility, _scoring, _sparing, _trials
+from tulippin.jobs import _feasibility, _headroom, _scoring, _trials
 from tulippin.jobs.state import Job, SchedulerState, Task, Worker
 from tulippin.jobs.types import Step
 
@@ -77,10 +77,10 @@
         if not (rack and worker.entry.rack != rack)
         and _feasibility.is_feasible(worker, job, task, step, state)
     ]
-    keeper = _sparing.find_keeper(job, task, step, state) if able else None
-    if keeper is None:
+    headroom = _headroom.find_headroom(job, task, step, state) if able else None
+    if headroom is None:
         return able
-    return [worker for worker in able if keeper.lets_on(worker, step)]
+    return [worker for worker in able if headroom.admits(worker, step)]
 
 
 def is_kept_by_memory(task: Task, step: Step, state: SchedulerState) -> bool:
--- a/src/tulippin/jobs/_committing.py
+++ b/src/tulippin/jobs/_committing.py
@@ -9,6 +9,7 @@
 from tulippin.jobs import (
     _advising,
     _attempts,
+    _demand,
     _giving_up,
     _lifecycle,
     _memory,
@@ -75,6 +76,22 @@
     state.unread_jobs.update(_lifecycle.list_unread(event.jobs, state))
     _restore(jobs, event.progress, context)
     _unseen.note_tasks(event.account, context)
+    _take_up_all(jobs, event, context)
+    context.log(
+        'unit loaded',
+        epoch=context.fencing_token,
+        jobs=len(jobs),
+        workers=len(state.workers),
+        rostered=len(state.roster),
+        pairs_known=sum(
+            len(model.means) for model in state.model.images.values()
+        ),
+    )
+
+
+def _take_up_all(jobs: list[Job], event: UnitLoaded, context: Context) -> None:
+    """Have the tasks of loaded jobs started as far as they may be."""
+    state = context.state
     for job in jobs:
         # Until every worker has answered or lapsed, a task that is not
         # seen anywhere may still run; but no earlier owner has started
@@ -88,16 +105,7 @@
             job.knows_places = False
         job.is_resumed = job.has_begun
         _take_up(job, context)
-    context.log(
-        'unit loaded',
-        epoch=context.fencing_token,
-        jobs=len(jobs),
-        workers=len(state.workers),
-        rostered=len(state.roster),
-        pairs_known=sum(
-            len(model.means) for model in state.model.images.values()
-        ),
-    )
+    _demand.take_over(state)
 
 
 def _restore(
--- a/src/tulippin/jobs/_lifecycle.py
+++ b/src/tulippin/jobs/_lifecycle.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from tulippin.jobs import _ranking, _ready, _sparing
+from tulippin.jobs import _demand, _ranking, _ready
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs._row_checks import (
     find_progress_fault,
@@ -517,7 +517,7 @@
         if _is_startable(job, task):
             _ready.add(task, step, state)
             opened += 1
-    _sparing.note_step(job, step, opened, state)
+    _demand.note_step(job, step, opened, state)
 
 
 def mark_begun(job: Job, state: SchedulerState) -> None:
--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -267,12 +267,19 @@
     state.advice_after_ms = 0
     state.advice_pause_ms = 0
     state.advice_asked.clear()
-    state.tails.clear()
-    state.swings = SwingModel()
+    _clear_observed(state)
     state.dirty_jobs.clear()
     _clear_commits(state)
 
 
+def _clear_observed(state: SchedulerState) -> None:
+    state.tails.clear()
+    state.swings = SwingModel()
+    state.short_demands.clear()
+    state.queue_kinds.clear()
+    state.is_demand_told = False
+
+
 def _clear_ready(state: SchedulerState) -> None:
     state.ready.clear()
     state.ready_idle.clear()
--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -13,6 +13,7 @@
     _crashes,
     _evening,
     _feasibility,
+    _headroom,
     _interference,
     _ownership,
     _preempting,
@@ -87,8 +88,11 @@
     # Sizes of opportunistic tasks, by service and image, that no worker
     # takes beside what it serves.
     refused: dict[tuple[str, str], list[Resources]] = attrs.field(factory=dict)
-    # Sizes of plain tasks, by service, for which no worker has room.
-    too_large: dict[str, list[Resources]] = attrs.field(factory=dict)
+    # Sizes of plain tasks, by service, for which no worker has room; those
+    # of tasks that leave headroom apart.
+    too_large: dict[tuple[str, bool], list[Resources]] = attrs.field(
+        factory=dict
+    )
     # Steps that wait for the others' rooms, once that was asked.
     held: frozenset[_ready.StepKey] | None = None
 
@@ -153,7 +157,7 @@
         state = self.context.state
         step = job.request.steps[task.key.step]
         kind = _ready.get_step_key(task.key)
-        if kind in tried or self._is_too_large(job, step):
+        if kind in tried or self._is_too_large(job, step, task):
             return False
         if not _crashes.may_start(job, task, state):
             return False
@@ -161,7 +165,7 @@
         if worker is None:
             if not task.crashes:
                 tried.add(kind)
-                self._note_too_large(job, step)
+                self._note_too_large(job, step, task)
             return False
         self._start(job, step, task, worker)
         return True
@@ -182,6 +186,8 @@
             for task in self.queue[kind].values()
             if _crashes.may_start(job, task, state)
         ]
+        # No room that is kept from new tasks is kept from those that ran.
+        tasks.sort(key=lambda task: not _ready.is_back(job, task))
         if step.gang:
             self.budget -= place_gang(job, step, tasks, self.context)
             return
@@ -212,19 +218,22 @@
         place = job.queue.service, step.image
         self.refused.setdefault(place, []).append(size)
 
-    def _is_too_large(self, job: Job, step: Step) -> bool:
+    def _is_too_large(self, job: Job, step: Step, task: Task) -> bool:
         """Whether no larger task of the service found room in this pass."""
         if step.opportunistic:
             return False
-        return any(
-            step.reserved.fits(size)
-            for size in self.too_large.get(job.queue.service, ())
-        )
+        service = job.queue.service
+        sizes = list(self.too_large.get((service, False), ()))
+        if _headroom.leaves_headroom(job, task, step):
+            sizes.extend(self.too_large.get((service, True), ()))
+        return any(step.reserved.fits(size) for size in sizes)
 
-    def _note_too_large(self, job: Job, step: Step) -> None:
+    def _note_too_large(self, job: Job, step: Step, task: Task) -> None:
         """Note that no worker has room for tasks of a size."""
         if _is_plain(step, job):
-            sizes = self.too_large.setdefault(job.queue.service, [])
+            leaves_room = _headroom.leaves_headroom(job, task, step)
+            key = (job.queue.service, leaves_room)
+            sizes = self.too_large.setdefault(key, [])
             sizes.append(step.reserved)
 
     def _is_gathering(self, job: Job, kind: _ready.StepKey) -> bool:
@@ -242,14 +251,14 @@
         """Start a task; false if the step's others fit nowhere either."""
         state = self.context.state
         worker = None
-        if not self._is_too_large(job, step):
+        if not self._is_too_large(job, step, task):
             worker = _choosing.choose(job, task, step, state)
         if worker is None:
             _preempt(job, task, self.context)
             if task.crashes:
                 # What keeps it off, as one under suspicion, keeps off no other.
                 return True
-            self._note_too_large(job, step)
+            self._note_too_large(job, step, task)
             return bool(task.avoided)
         self._start(job, step, task, worker)
         return True
--- a/src/tulippin/jobs/_refusals.py
+++ b/src/tulippin/jobs/_refusals.py
@@ -18,12 +18,12 @@
 
 from tulippin.jobs import (
     _feasibility,
+    _headroom,
     _interference,
     _ranking,
     _ready,
     _rooms,
     _scoring,
-    _sparing,
     _unseen,
 )
 from tulippin.jobs._dispatch import Context
@@ -153,7 +153,7 @@
 def _tell_room(context: Context) -> None:
     """Tell how the unit's processors are divided while tasks wait for them."""
     if context.state.ready:
-        report = _sparing.describe(context.state)
+        report = _headroom.describe(context.state)
         context.log('processors divided', **attrs.asdict(report))
 
 
--- a/src/tulippin/jobs/_rooms.py
+++ b/src/tulippin/jobs/_rooms.py
@@ -5,7 +5,7 @@
 import collections
 import itertools
 
-from tulippin.jobs import _feasibility, _sparing
+from tulippin.jobs import _demand, _feasibility, _headroom
 from tulippin.jobs._ready import StepKey
 from tulippin.jobs.records import PLACE_SIZES, UnitRoom
 from tulippin.jobs.state import SchedulerState, Task, Worker
@@ -32,8 +32,11 @@
         _count_places(opened, waiting),
         waiting_idle,
         _list_serving_images(opened, state),
-        _sparing.get_largest_new(opened, state),
+        _headroom.get_largest_new(opened, state),
         _count_places(opened, waiting_short),
+        tuple(_demand.list_records(state)),
+        _sum_by_service(opened),
+        dict(state.queue_kinds),
     )
 
 
@@ -122,6 +125,14 @@
     return total
 
 
+def _sum_by_service(opened: list[Worker]) -> dict[str, int]:
+    """Return the processors of workers that take work, by service."""
+    found: collections.Counter[str] = collections.Counter()
+    for one in opened:
+        found[one.entry.service] += one.entry.capacity.cpu_millicores
+    return dict(found)
+
+
 def _list_serving_images(
     opened: list[Worker], state: SchedulerState
 ) -> tuple[str, ...]:
--- a/src/tulippin/jobs/_row_checks.py
+++ b/src/tulippin/jobs/_row_checks.py
@@ -245,8 +245,10 @@
         room.reserved_millicores,
         room.idle_millicores,
         *room.waiting_millicores.values(),
+        *room.service_millicores.values(),
         *room.places,
         *(room.short_places or ()),
+        *_list_figures(room),
     )
     if not all(0 <= value <= _MOST_ASKED for value in sums):
         return 'its room is none'
@@ -259,6 +261,12 @@
     return ''
 
 
+def _list_figures(room: UnitRoom) -> t.Iterator[float]:
+    for one in room.demands:
+        yield from (one.mean_millicores, one.variance, one.count)
+        yield from (one.squares, one.cubes)
+
+
 @find_fault.register
 def _check_account(record: AccountRecord) -> str:
     for worker_id, told in record.workers.items():
--- a/src/tulippin/jobs/core.py
+++ b/src/tulippin/jobs/core.py
@@ -12,6 +12,7 @@
     _committing,
     _draining,
     _giving_up,
+    _headroom,
     _lifecycle,
     _ownership,
     _pacing,
@@ -90,6 +91,7 @@
     _spares.tick(context)
     _draining.tick(context)
     _passing.tick(context)
+    _headroom.tick(context)
     _refusals.tell(context)
 
 
--- a/src/tulippin/jobs/records.py
+++ b/src/tulippin/jobs/records.py
@@ -83,6 +83,47 @@
         return f'progress{self.number}'
 
 
+@attrs.frozen
+class DemandRecord:
+    """What short tasks of a priority ask for at once, in one unit.
+
+    Parameters
+    ----------
+    service : str
+        Whose workers they would run on.
+    priority : int
+        The priority of their queues.
+    mean_millicores, variance : float
+        The processors that they ask for.
+    squares, cubes : float
+        The mean, weighted by the size of each task, once and twice.
+    count : float
+        On how many steps of late this is based.
+    """
+
+    service: str
+    priority: int
+    mean_millicores: float = 0.0
+    squares: float = 0.0
+    cubes: float = 0.0
+    variance: float = 0.0
+    count: float = 0.0
+
+
+@attrs.frozen
+class QueueKinds:
+    """Which sorts of tasks have come by a queue."""
+
+    short: bool = False
+    long_running: bool = False
+
+    def join(self, other: QueueKinds) -> QueueKinds:
+        """Return what either of two tells of."""
+        return QueueKinds(
+            self.short or other.short, self.long_running or other.long_running
+        )
+
+
 @attrs.frozen
 class UnitRoom:
     """What a unit's open workers hold, and what is asked of them.
@@ -112,6 +153,12 @@
     short_places : tuple of int or None
         ``places`` for short tasks, which go before long-running ones that
         wait; nothing if not told.
+    demands : tuple of DemandRecord
+        What short tasks ask for.
+    service_millicores : dict of str to int
+        ``capacity_millicores`` by service.
+    queue_kinds : dict of str to QueueKinds
+        What has come by each queue.
     """
 
     capacity_millicores: int = 0
@@ -124,6 +171,9 @@
     images: tuple[str, ...] = ()
     largest_new_millicores: int | None = None
     short_places: tuple[int, ...] | None = None
+    demands: tuple[DemandRecord, ...] = ()
+    service_millicores: dict[str, int] = attrs.field(factory=dict)
+    queue_kinds: dict[str, QueueKinds] = attrs.field(factory=dict)
 
 
 @attrs.frozen
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -13,6 +13,7 @@
     EpochRecord,
     LeaseRecord,
     ProgressRecord,
+    QueueKinds,
     Unit,
     UnitRoom,
 )
@@ -354,12 +355,17 @@
 class ShortDemand:
     """What short tasks that reserve processors asked for lately.
 
-    ``work``, in millicore-milliseconds, fades with time; ``squares`` is the
-    same times each task's processors, so that their mean can be told.
+    ``work``, in millicore-milliseconds, fades with time; ``squares`` and
+    ``cubes`` are the same times each task's processors, once and twice, so
+    that their mean and spread can be told, and ``bursts`` times those of all
+    tasks that came with it. ``count`` is how many steps came.
     """
 
+    count: float = 0.0
     work: float = 0.0
     squares: float = 0.0
+    cubes: float = 0.0
+    bursts: float = 0.0
     noted_ms: int = 0
 
 
@@ -426,6 +432,10 @@
 class SchedulerState:
     """Everything the reducer reads and changes.
 
+    ``queue_kinds`` tells which sorts of tasks have come by each queue;
+    ``is_demand_told``: the last owner told what short ones ask for.
+    ``roomy_ms`` is when less than half of the processors were last reserved.
+
     Nothing that only advises is taken in until ``advice_after_ms``, as an error
     came up among it; ``advice_pause_ms`` is how long that was the last time,
     and ``rows_aside`` names versions of rows that are never taken in.
@@ -485,6 +495,9 @@
     short_demands: dict[tuple[str, int], ShortDemand] = attrs.field(
         factory=dict
     )
+    queue_kinds: dict[str, QueueKinds] = attrs.field(factory=dict)
+    roomy_ms: int = 0
+    is_demand_told: bool = False
     tails: dict[str, dict[TaskKey, tuple[float, int]]] = attrs.field(
         factory=dict
     )
--- a/tests/tulippin/jobs/test_odd_rooms.py
+++ b/tests/tulippin/jobs/test_odd_rooms.py
@@ -11,12 +11,18 @@
 
 from fleet_of_schedulers import make_step
 from tulippin.codec_json import encode
+from tulippin.jobs import _demand
 from tulippin.jobs._evening import choose_units
 from tulippin.jobs._passing import _get_fullness, _is_inviting
 from tulippin.jobs._rooms import count_places, has_place, measure_asked
 from tulippin.jobs._rows import read_record
 from tulippin.jobs.ports import StoredRow
-from tulippin.jobs.records import LeaseRecord, UnitRoom
+from tulippin.jobs.records import (
+    DemandRecord,
+    LeaseRecord,
+    QueueKinds,
+    UnitRoom,
+)
 from tulippin.jobs.state import SchedulerConfig, SchedulerState
 from tulippin.types import Resources
 
@@ -25,6 +31,7 @@
 # tasks of the largest size.
 MOST_ASKED = 10**21
 FIGURES = st.sampled_from((0, 1, -1, 16_000, 2**63, MOST_ASKED, HUGE, -HUGE))
+SIZES = st.sampled_from((0.0, 1e-300, 1.0, 16_000.0, 1e21, 1e300, -1.0))
 ROOMS = st.builds(
     UnitRoom,
     FIGURES,
@@ -36,6 +43,15 @@
     st.dictionaries(st.just('image'), FIGURES),
     st.just(('image',)),
     st.none() | FIGURES,
+    st.none() | st.lists(FIGURES, max_size=4).map(tuple),
+    st.lists(
+        st.builds(DemandRecord, st.just('catalogue'), FIGURES, *[SIZES] * 4),
+        max_size=2,
+    ).map(tuple),
+    st.dictionaries(st.just('catalogue'), FIGURES),
+    st.dictionaries(
+        st.just('q'), st.builds(QueueKinds, st.booleans(), st.booleans())
+    ),
 )
 
 
@@ -56,6 +72,11 @@
         assert float(_get_fullness(record.room)) >= -MOST_ASKED
         count_places(record.room, 1000)
         has_place(record.room, make_step(), is_new=True)
+        count_places(record.room, 1000, is_short=True)
+        _demand.estimate('catalogue', 9, 16_000, state)
+        state.ownership.lease = LeaseRecord('s', 'i', room=record.room)
+        _demand.take_over(state)
+        _demand.list_records(state)
         float(sum(record.room.waiting_millicores.values()))
     choose_units(state)
 
@@ -69,6 +90,10 @@
     'places': UnitRoom(places=(1, HUGE)),
     'waiting': UnitRoom(waiting_millicores={'a': HUGE}),
     'new': UnitRoom(largest_new_millicores=-HUGE),
+    'short places': UnitRoom(short_places=(1, -1)),
+    'service': UnitRoom(service_millicores={'a': HUGE}),
+    'demand': UnitRoom(demands=(DemandRecord('a', 0, 1.0, 1e300),)),
+    'variance': UnitRoom(demands=(DemandRecord('a', 0, 1.0, 1.0, 1.0, -1.0),)),
 }
 
 
--- a/tests/tulippin/jobs/test_scheduler_headroom.py
+++ b/tests/tulippin/jobs/test_scheduler_headroom.py
@@ -3,6 +3,7 @@
 import contextlib
 import random
 
+import pytest
 import trio
 
 from fleet_of_schedulers import (
@@ -118,6 +119,30 @@
         assert run_virtual(serve_beside_lasting, source, seed=seed) >= 0.5
 
 
+# Guards against a new owner that gives away the room its predecessor kept.
+@pytest.mark.parametrize('seed', range(4))
+def test_new_owner_leaves_the_room_that_urgent_jobs_ask_for(run_virtual, seed):
+    source = random.Random(seed)
+
+    async def run():
+        async with open_busy_fleet(instances=2) as fleet:
+            await fill(fleet, source, share=0.5)
+            await send_bursts(fleet, source, for_s=90)
+            fleet.kill_owner()
+            await fleet.wait_owner()
+            await fill(fleet, source, first=500)
+            await trio.sleep(5)
+            step = make_step(6, 6000, estimated_ms=RUN_MS)
+            request = make_request(step, run_ms=RUN_MS)
+            taken_s = []
+            await run_burst(fleet, 2000, request, taken_s)
+            assert taken_s
+            assert taken_s[0] <= IN_TIME_S
+            fleet.check()
+
+    run_virtual(run, seed=seed)
+
+
 # Guards against room that stays idle where no urgent job ever comes.
 def test_room_is_given_to_long_running_jobs_once_none_else_come(run_virtual):
     async def run():
