Keep whole workers while the sizes of short tasks are not known

Before any short task was known a place was half a worker, and long-running tasks took the other halves; of tasks of 5 processors on the mean one fits in such a half, three in a worker of 16.

Now a place is a whole worker of the usual size until the sizes are known.

--- a/src/tulippin/jobs/_headroom.py
+++ b/src/tulippin/jobs/_headroom.py
@@ -18,6 +18,7 @@
 
 import collections
 import math
+import statistics
 import typing as t
 
 import attrs
@@ -32,10 +33,9 @@
 # The most of all processors that are kept: after a crowd of short jobs the
 # demand is overrated for a while.
 _MOST_SHARE: t.Final = 0.25
-# What is kept, of the processors and of a worker's in one piece, while it is
-# not known whether short tasks come.
+# What is kept of the processors, as whole workers, while it is not known
+# whether short tasks come.
 _UNKNOWN_SHARE: t.Final = 0.25
-_UNKNOWN_PLACE_SHARE: t.Final = 0.5
 # Where less than this is reserved nothing is held back.
 _ROOMY_SHARE: t.Final = 0.5
 # How fast that is given up while none come, and how many steps of short
@@ -151,7 +151,7 @@
         _get_wanted(service, priority, demand, opened, state),
         _MOST_SHARE * capacity,
     )
-    bare = _make_bare(demand, capacity // len(opened))
+    bare = _make_bare(demand, opened)
     if not (wanted and bare.place_millicores):
         return None
     holes = [get_hole(one) for one in opened]
@@ -166,14 +166,14 @@
     )
 
 
-def _make_bare(
-    demand: _demand.Demand, mean_capacity_millicores: int
-) -> Headroom:
+def _make_bare(demand: _demand.Demand, opened: list[Worker]) -> Headroom:
     """Return what a place is, without any."""
-    unknown = round(_UNKNOWN_PLACE_SHARE * mean_capacity_millicores)
+    whole = statistics.median_low(
+        one.entry.capacity.cpu_millicores for one in opened
+    )
     return Headroom(
-        min(demand.place_millicores or unknown, mean_capacity_millicores),
-        min(demand.piece_millicores or unknown, mean_capacity_millicores),
+        min(demand.place_millicores or whole, whole),
+        min(demand.piece_millicores or whole, whole),
         kept_places=0,
         found_places=0,
     )
