Take no order that nobody saw carried out for a run of known age

What callers saw: a task that ends its workers some seconds after each start is started more than five times, as several of its crashes count for nothing.

Cause: beside a run that has yet to prove itself, a run that has outlived all earlier crashes of its task is not blamed. A worker that was dead before the order came leaves a crash of age 0 whose age counts as known.

Change: only crashes whose run, or whose worker, was seen after the order tell how long a run lives until it crashes. Probations are as long as before.

Evidence: the new test fails without the change and passes with it.

--- a/src/tulippin/jobs/_crashes.py
+++ b/src/tulippin/jobs/_crashes.py
@@ -119,15 +119,18 @@
 def _has_passed(attempt: Attempt, worker: Worker, context: Context) -> bool:
     """Whether a run under suspicion has lived longer than those that crashed.
 
-    None has where it is not known for how long one of those was there: a task
-    that ends its workers after 3 s would outlive a second each time.
+    None has where it is not known for how long one of those was there, or
+    whether it was: a task that ends its workers after 3 s would outlive a
+    second each time.
     """
     if not attempt.probation_ms or _trials.is_on_probation(attempt, worker):
         return False
     found = _attempts.find_task(attempt.key, context)
     if found is None:
         return True
-    return all(one.is_age_known for one in found[1].crashes.values())
+    return all(
+        one.is_age_known and one.is_seen for one in found[1].crashes.values()
+    )
 
 
 def _note(
--- a/tests/tulippin/jobs/test_crash_counting.py
+++ b/tests/tulippin/jobs/test_crash_counting.py
@@ -133,6 +133,35 @@
     run_virtual(run)
 
 
+def test_run_outlives_none_that_nobody_saw(run_virtual):
+    """A crash before its order came tells nothing of how long a run lives."""
+    beside = 'd' * 16
+
+    async def run():
+        async with open_fleet(workers=1) as fleet:
+            fleet.platform.back_after_ms = 2000
+            await trio.sleep(1)
+            (worker,) = fleet.platform.workers.values()
+            worker.crash()
+            await submit_crashing(fleet, 3000)
+            (crash,) = await wait_crashes(fleet)
+            assert fleet.count_starts(CRASHING) == 0
+            assert not crash.is_seen
+            await wait_started(fleet, 1)
+            await trio.sleep(2.2)
+            task, attempt, worker = get_run(fleet)
+            assert not _trials.is_on_probation(attempt, worker)
+            request = make_request(make_step(), run_ms=20_000)
+            await fleet.submit(beside, request)
+            await fleet.wait_running(2)
+            put_on_trial(fleet, beside, _trials.RECENT_MS)
+            with trio.fail_after(LIMIT_S):
+                while worker.worker_id not in task.crashes:
+                    await trio.sleep(0.01)
+
+    run_virtual(run)
+
+
 def test_age_of_an_adopted_run_is_not_known(run_virtual):
     """The age of a run that was taken over is not the time since then."""
 
