Keep what an owner noted of a crash, also where the next one finds its start

What callers saw: nothing by itself; a crashing task costs a worker or two more where its owner is lost.

Cause: an owner finds in a job's row both the crash that the last one noted and the start that it followed, of the same run on the same worker. Once the worker is known to be over it writes the crash anew, as one of which only the start is known: a second old, of unknown age, not clear, not sure. The task is then no longer kept apart from others, so that its next crash is not clear either.

Change: a start is not judged where its crash is known.

Evidence: the new test fails without the change and passes with it.

--- a/src/tulippin/jobs/_crashes.py
+++ b/src/tulippin/jobs/_crashes.py
@@ -281,6 +281,10 @@
         return
     if worker is not None and worker.leaves_at_ms:
         return
+    known = task.crashes.get(worker_id)
+    if known is not None and run in {0, known.run}:
+        # Its owner told more of it than that it was started.
+        return
     entry = worker.entry if worker is not None else None
     record = CrashRecord(
         worker_id,
--- a/tests/tulippin/jobs/test_crash_counting.py
+++ b/tests/tulippin/jobs/test_crash_counting.py
@@ -178,6 +178,23 @@
     run_virtual(run)
 
 
+def test_crash_that_an_owner_noted_is_no_unknown_one_to_the_next(run_virtual):
+    async def run():
+        async with open_fleet(instances=2, workers=2) as fleet:
+            fleet.platform.back_after_ms = 2000
+            await submit_crashing(fleet, 400)
+            await wait_crashes(fleet)
+            await trio.sleep(0.3)
+            (noted,) = list_crashes(fleet)
+            fleet.kill_owner()
+            await wait_started(fleet, 2)
+            known = {one.worker_id: one for one in list_crashes(fleet)}
+            kept = known[noted.worker_id]
+            assert (kept.age_ms, kept.is_age_known) == (noted.age_ms, True)
+
+    run_virtual(run)
+
+
 def test_age_of_an_own_run_is_known(run_virtual):
     async def run():
         async with open_fleet(workers=2) as fleet:
