Count starts that are lost with their owner before any row tells of them

Cause: orders of short tasks wait for nothing, and become durable 0.12 to 0.17 s later, or as long as the store is away. Where owner and worker are lost before, the next owner starts the task as if it had never been. With one or two crashes that nobody counts, and others that count one each as they came beside other new runs, the fifth start was not the last.

Change: once a new owner knows what goes on on all workers that an earlier one may have given orders to, and one of them has died unread, each job of which a short task waits without a known crash has one more start that may be lost (`doubts`, kept in its progress). Its short tasks are started once that is durable, so that the next owner counts on. To a task with three seen crashes it counts as one crash more, two at most; nobody is given up by it alone.

A store that goes away before the count is durable holds these jobs' short tasks until it is back; after that they, and next steps, go on without it. A sound task of such a job that has three to four seen crashes may be given up one or two short of what was needed before.

--- a/src/tulippin/jobs/_crashes.py
+++ b/src/tulippin/jobs/_crashes.py
@@ -22,7 +22,9 @@
 
 What is counted is made durable before the task is started again, and where
 it is to be started before a suspect's order is sent, so that the next owner
-counts on.
+counts on. Other short tasks are started at once, and made durable later: one
+may be lost with its owner and its worker. The next owner counts that to each
+job of which it may have been.
 """
 
 from __future__ import annotations
@@ -49,6 +51,10 @@
 # half after whose order no answer came: the worker may have been dead before.
 _ENOUGH: t.Final = 5
 _UNSEEN: t.Final = 0.5
+# Starts that may have been lost count as so many crashes at most, and only
+# beside so many that were seen.
+_MOST_DOUBTS: t.Final = 2
+_LEAST_SEEN: t.Final = 3
 _MOST_TOLD: t.Final = 8
 # An answer that comes so soon after an order may have been on its way before.
 _UNDER_WAY_MS: t.Final = 100
@@ -261,9 +267,11 @@
         _judge_open_start(job, task, state)
     if task.open_start is not None:
         return True
+    if not _are_doubts_durable(job, task):
+        return True
     if not task.crashes:
         return False
-    if is_enough(task.list_crashes()) or not _is_durable(job, task):
+    if is_enough(job, task, task.list_crashes()) or not _is_durable(job, task):
         return True
     return _trials.is_on_trial(task) and _waits_for_sibling(job, task, state)
 
@@ -301,6 +309,69 @@
     _add(job, task, record, state)
 
 
+def doubt(jobs: t.Iterable[Job], state: SchedulerState) -> None:
+    """Note which jobs' tasks may have crashed a worker unseen.
+
+    No row tells what an earlier owner started in its last moments, or while
+    the store took no writes. Where a worker has died since, each short task
+    that waits, and of which nothing is known, may have been there.
+    """
+    job_ids = {job.job_id for job in jobs}
+    if not (job_ids and _has_lost_unread(state)):
+        return
+    doubted = {
+        kind[0]: None
+        for queue in (state.ready, state.ready_idle)
+        for kind, tasks in queue.items()
+        if kind[0] in job_ids
+        and any(
+            _may_be_lost(state.jobs[kind[0]], task, state)
+            for task in tasks.values()
+        )
+    }
+    for job_id in doubted:
+        job = state.jobs[job_id]
+        job.doubts += 1
+        _lifecycle.mark_dirty(job, state)
+
+
+def _has_lost_unread(state: SchedulerState) -> bool:
+    """Whether a worker has died, or lapsed, that might run anything."""
+    for worker_id in state.lost_unread:
+        worker = state.workers.get(worker_id)
+        if worker is None or worker.may_run_anything:
+            return True
+    return any(
+        worker.may_run_anything and not worker.is_reconciled
+        for worker in state.workers.values()
+    )
+
+
+def _may_be_lost(job: Job, task: Task, state: SchedulerState) -> bool:
+    """Whether a waiting task may have been started where no row tells it.
+
+    Long-running ones, and those under suspicion, are not before it is durable.
+    """
+    if task.open_start is not None:
+        _judge_open_start(job, task, state)
+    return _is_short(job, task) and not task.crashes
+
+
+def _is_short(job: Job, task: Task) -> bool:
+    return not job.request.steps[task.key.step].long_running
+
+
+def _are_doubts_durable(job: Job, task: Task) -> bool:
+    """Whether the next owner would know of starts that may have been lost.
+
+    Without that each owner that is lost would take the next start for the
+    first one.
+    """
+    if not job.doubts or not _is_short(job, task):
+        return True
+    return job.durable is not None and job.durable.doubts >= job.doubts
+
+
 def _is_durable(job: Job, task: Task) -> bool:
     """Whether the store tells the same of a task's crashes."""
     if job.durable is None:
@@ -340,12 +411,21 @@
     )
 
 
-def is_enough(crashes: t.Sequence[CrashRecord]) -> bool:
-    """Whether crashes tell that a task ends each worker that starts it."""
+def is_enough(job: Job, task: Task, crashes: t.Sequence[CrashRecord]) -> bool:
+    """Whether crashes tell that a task ends each worker that starts it.
+
+    Starts that may have been lost are among those that users bear.
+    """
     told = sum(_weigh(one) for one in crashes)
+    if _is_short(job, task) and _count_seen(crashes) >= _LEAST_SEEN:
+        told += min(job.doubts, _MOST_DOUBTS)
     return told >= _ENOUGH
 
 
+def _count_seen(crashes: t.Sequence[CrashRecord]) -> int:
+    return sum(one.is_seen for one in crashes)
+
+
 def _weigh(crash: CrashRecord) -> float:
     seen = 1 if crash.is_seen else _UNSEEN
     return seen + crash.is_clear
--- a/src/tulippin/jobs/_giving_up.py
+++ b/src/tulippin/jobs/_giving_up.py
@@ -30,7 +30,8 @@
     for job, task in _crashes.list_suspects(state):
         _settle(job, task, context)
         known = [one for one in task.list_crashes() if one.is_sure]
-        if _crashes.is_enough(known) and job.state not in FINAL_STATES:
+        is_enough = _crashes.is_enough(job, task, known)
+        if is_enough and job.state not in FINAL_STATES:
             _give_up(job, task, context)
 
 
--- a/src/tulippin/jobs/_lifecycle.py
+++ b/src/tulippin/jobs/_lifecycle.py
@@ -263,6 +263,7 @@
     for name, started in record.started.items():
         task = get_task(job, parse_task(f'{job.job_id}.{name}'))
         task.open_start = started
+    job.doubts = record.doubts
     _restore_places(job, record)
 
 
@@ -368,6 +369,7 @@
         crashes,
         _list_started(job),
         places=_list_places(job),
+        doubts=job.doubts,
     )
 
 
--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -62,7 +62,7 @@
     state = context.state
     if not (context.may_order and _ownership.may_prolong(state)):
         return
-    _unseen.note_settled(state)
+    _crashes.doubt(_unseen.note_settled(state), state)
     if is_tick or state.is_sending_due:
         state.is_sending_due = False
         _starting.send_durable(context)
--- a/src/tulippin/jobs/_row_checks.py
+++ b/src/tulippin/jobs/_row_checks.py
@@ -194,6 +194,8 @@
             return f'more tasks of step {name} are done than it has'
     if any(min(passed) < 0 for passed in record.passed.values()):
         return 'a task is passed to no unit'
+    if record.doubts < 0:
+        return 'it counts below none'
     names = (
         *record.failures,
         *record.avoided,
--- a/src/tulippin/jobs/_unseen.py
+++ b/src/tulippin/jobs/_unseen.py
@@ -71,16 +71,24 @@
     return max(0, max(ends_ms, default=0) - state.now_ms)
 
 
-def note_settled(state: SchedulerState) -> None:
-    """Let no job wait for all workers any more, once none has to."""
+def note_settled(state: SchedulerState) -> list[Job]:
+    """Let no job wait for all workers any more, once none has to.
+
+    Returns
+    -------
+    list of Job
+        Those that did wait until now.
+    """
     if state.is_settled or not is_settled(state):
-        return
+        return []
     state.is_settled = True
+    awaiting = [job for job in state.jobs.values() if job.awaits_workers]
     for job in state.jobs.values():
         job.awaits_workers = False
         if not job.knows_places:
             job.knows_places = True
             _lifecycle.mark_dirty(job, state)
+    return awaiting
 
 
 def holds_back(job: Job, step: Step) -> bool:
--- a/src/tulippin/jobs/records.py
+++ b/src/tulippin/jobs/records.py
@@ -389,6 +389,9 @@
     places : dict, optional
         The workers where each long-running task may run; one that is not
         named runs nowhere. Nothing where that is not known.
+    doubts : int
+        How often short tasks of it may have been started unseen on a worker
+        that died while the unit changed hands.
     """
 
     state: JobState
@@ -400,3 +403,4 @@
     started: dict[str, tuple[int, str]] = attrs.field(factory=dict)
     reason: str = ''
     places: dict[str, tuple[str, ...]] | None = None
+    doubts: int = 0
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -219,6 +219,8 @@
     of it may be started. ``is_guest``: another unit is its home.
     ``passes`` are the numbers of the passes by which tasks came, ``passed``
     those that went. ``is_given_up``: some unit gave the job up, for ``reason``.
+    ``doubts`` is how often short tasks of it may have been started unseen on
+    a worker that died while the unit changed hands.
     """
 
     job_id: str
@@ -245,6 +247,7 @@
     is_guest: bool = False
     is_past_unknown: bool = False
     is_given_up: bool = False
+    doubts: int = 0
     passes: dict[TaskKey, int] = attrs.field(factory=dict)
     passed: dict[TaskKey, PassedTask] = attrs.field(factory=dict)
     reason: str = ''
--- a/tests/tulippin/jobs/test_crash_counting.py
+++ b/tests/tulippin/jobs/test_crash_counting.py
@@ -8,11 +8,13 @@
 import trio
 
 from fleet_of_schedulers import make_request, make_step, open_fleet
-from tulippin.jobs import _trials
+from tulippin.jobs import _crashes, _trials
 from tulippin.jobs.records import CrashRecord
+from tulippin.jobs.types import JobState
 
 CRASHING = 'c' * 16
 LIMIT_S = 28
+MOST_STARTS = 5
 
 
 def list_crashes(fleet):
@@ -203,3 +205,124 @@
             assert crash.is_age_known
 
     run_virtual(run)
+
+
+async def take_over(fleet):
+    """Kill the owner; return the job as the next one knows it."""
+    fleet.kill_owner()
+    owner = await fleet.wait_owner()
+    state = fleet.instances[owner].state
+    with trio.fail_after(LIMIT_S):
+        while CRASHING not in state.jobs:
+            await trio.sleep(0.01)
+    return state.jobs[CRASHING]
+
+
+async def lose_start(fleet, after_ms=10):
+    """Lose a start with its owner, before any row tells of it."""
+    fleet.platform.back_after_ms = 2000
+    await submit_crashing(fleet, after_ms)
+    await wait_started(fleet, 1)
+    return await take_over(fleet)
+
+
+async def crowd(fleet):
+    """Have some short task begin wherever there is room, all the time."""
+    number = 0
+    while True:
+        number += 1
+        request = make_request(make_step(), run_ms=1000)
+        await fleet.submit(f'{number:016x}', request)
+        await trio.sleep(0.1)
+
+
+def test_start_lost_with_its_owner_is_one_of_five(run_virtual):
+    """Each later crash is beside runs that had just begun, and so not clear."""
+
+    async def run():
+        async with open_fleet(instances=3, workers=1) as fleet:
+            await lose_start(fleet)
+            fleet.nursery.start_soon(crowd, fleet)
+            await fleet.wait_state(CRASHING, JobState.FAILED, 60)
+            return fleet.count_starts(CRASHING)
+
+    assert run_virtual(run) <= MOST_STARTS
+
+
+async def run_without_store(fleet):
+    """Return the starts until the store is back; the first one was lost."""
+    await lose_start(fleet)
+    fleet.platform.store.trouble.silenced.add('*')
+    await trio.sleep(6)
+    count = fleet.count_starts(CRASHING)
+    fleet.platform.store.trouble.silenced.clear()
+    return count
+
+
+def test_start_waits_until_the_lost_one_is_durable(run_virtual):
+    async def run():
+        async with open_fleet(instances=3, workers=6) as fleet:
+            assert await run_without_store(fleet) == 1
+            await wait_started(fleet, 2)
+
+    run_virtual(run)
+
+
+def test_start_that_does_not_wait_would_be_lost_too(run_virtual, monkeypatch):
+    monkeypatch.setattr(_crashes, '_are_doubts_durable', lambda *_: True)
+
+    async def run():
+        async with open_fleet(instances=3, workers=6) as fleet:
+            assert await run_without_store(fleet) > 1
+
+    run_virtual(run)
+
+
+@pytest.mark.parametrize('is_durable', [False, True])
+def test_start_is_lost_only_if_no_row_tells_it(run_virtual, is_durable):
+    async def run():
+        async with open_fleet(instances=3, workers=6) as fleet:
+            await submit_crashing(fleet, 2000)
+            await wait_started(fleet, 1)
+            await trio.sleep(0.3 if is_durable else 0)
+            job = await take_over(fleet)
+            await wait_started(fleet, 2)
+            assert job.durable.doubts == (not is_durable)
+
+    run_virtual(run)
+
+
+def test_no_start_is_lost_where_all_workers_live(run_virtual):
+    async def run():
+        async with open_fleet(instances=3, workers=6) as fleet:
+            job = await lose_start(fleet, after_ms=60_000)
+            state = fleet.instances[fleet.get_owner()].state
+            with trio.fail_after(LIMIT_S):
+                while not state.is_settled:
+                    await trio.sleep(0.01)
+            assert job.doubts == 0
+
+    run_virtual(run)
+
+
+def test_job_with_a_lost_start_goes_on_without_the_store(run_virtual):
+    async def run():
+        async with open_fleet(instances=3, workers=6) as fleet:
+            steps = make_step(), make_step(after=(0,))
+            request = make_request(*steps, run_ms=3000)
+            await fleet.submit(CRASHING, request)
+            await wait_started(fleet, 1)
+            for worker in fleet.platform.workers.values():
+                if worker.runs:
+                    worker.crash()
+            job = await take_over(fleet)
+            await wait_started(fleet, 2)
+            assert job.doubts == 1
+            fleet.platform.store.trouble.refused.add('*')
+            await trio.sleep(7)
+            assert fleet.count_starts(CRASHING) == 3
+            fleet.platform.store.trouble.refused.clear()
+            await fleet.wait_done(CRASHING)
+            fleet.check()
+
+    run_virtual(run)
--- a/tests/tulippin/jobs/test_foreign_rows.py
+++ b/tests/tulippin/jobs/test_foreign_rows.py
@@ -306,6 +306,7 @@
     'crashes of no task': make_progress(crashes={'0.9.0': ()}),
     'started of no task': make_progress(started={'0.0.9': (1, 'w0')}),
     'crashes that tell nothing': make_progress(crashes={'0.0.0': ({},)}),
+    'doubts below none': make_progress(doubts=-1),
 }
 
 
--- a/tests/tulippin/jobs/test_scheduler_soak.py
+++ b/tests/tulippin/jobs/test_scheduler_soak.py
@@ -17,8 +17,8 @@
 # 14: a sound long-running task given up after four crashes beside others
 # 15: a job shown as pending whose run was adopted, its first owner lost before
 #   it could tell of the start
-# 68, 97: a sixth start, as the first crashes came while nothing became durable
-#   and their owners were lost; not mended
+# 68, 97: a sixth start, as the first ones were lost with their owners, and
+#   with their workers, before a row told of them
 # 82, 84, 88: sound jobs given up, and starts too many, as all tasks of a worker
 #   that died were started together on the one that was named for them
 # 46: a sixth start, as a crash counted half whose order had been on its way
