--- a/src/tulippin/jobs/_lifecycle.py
+++ b/src/tulippin/jobs/_lifecycle.py
@@ -263,6 +263,7 @@
     for name, started in record.started.items():
         task = get_task(job, parse_task(f'{job.job_id}.{name}'))
         task.open_start = started
+    job.doubts = record.doubts
     _restore_places(job, record)
     _restore_begun(job, record)
 
@@ -386,6 +387,7 @@
         _list_started(job),
         places=_list_places(job),
         begun=_write_bits(begun) if has_lasting(job) else None,
+        doubts=job.doubts,
     )
 
 
--- a/src/tulippin/jobs/records.py
+++ b/src/tulippin/jobs/records.py
@@ -446,6 +446,9 @@
     begun : dict, optional
         Bits as ``done`` of the long-running tasks that have run, or were
         ordered to. Nothing where that is not known.
+    doubts : int
+        How often short tasks of it may have been started unseen on a worker
+        that died while the unit changed hands.
     """
 
     state: JobState
@@ -458,3 +461,4 @@
     reason: str = ''
     places: dict[str, tuple[str, ...]] | None = None
     begun: dict[str, str] | None = None
+    doubts: int = 0
