Count the memory of the places that are kept for short tasks

Long-running tasks of 1 processor and 32 GB took the memory of all workers, with 36 of 40 processors free, and a short task of 8 GB found none.

Now the demand tells the memory of a short task too, a place counts where both are left, and room counts as tight once half of the processors or of the memory is reserved.

--- a/src/tulippin/jobs/_demand.py
+++ b/src/tulippin/jobs/_demand.py
@@ -37,7 +37,8 @@
 
     ``place_millicores`` is the size of a task, ``piece_millicores`` one that
     most tasks fit in, both weighted by work; 0 if nothing is known. ``count``
-    tells on how many steps of late this is based.
+    tells on how many steps of late this is based, and ``place_memory_mb`` what
+    memory a task takes.
     """
 
     mean_millicores: float = 0.0
@@ -45,6 +46,7 @@
     place_millicores: int = 0
     piece_millicores: int = 0
     count: float = 0.0
+    place_memory_mb: int = 0
 
 
 def note_step(
@@ -76,6 +78,7 @@
     known.squares = known.squares * part + asked * run_ms * cpu_millicores
     known.cubes = known.cubes * part + asked * run_ms * cpu_millicores**2
     known.bursts = known.bursts * part + asked * run_ms * asked
+    known.memory = known.memory * part + asked * run_ms * step.size.memory_mb
 
 
 def _get_part(known: ShortDemand, state: SchedulerState) -> float:
@@ -166,6 +169,7 @@
         round(size),
         round(min(size + deviation, capacity_millicores)),
         sum(one.count for one in asked),
+        round(min(_MOST_TOLD, sum(one.memory for one in asked) / mean)),
     )
 
 
@@ -188,6 +192,7 @@
                         known.cubes * rate,
                         known.bursts * rate,
                         known.count * part,
+                        known.memory * rate,
                     )
                 ),
             )
@@ -223,5 +228,6 @@
             one.squares * _MEMORY_MS,
             one.cubes * _MEMORY_MS,
             one.variance * _MEMORY_MS,
+            one.memory * _MEMORY_MS,
             state.now_ms,
         )
--- a/src/tulippin/jobs/_headroom.py
+++ b/src/tulippin/jobs/_headroom.py
@@ -58,6 +58,8 @@
     is_scarce : bool
         So little is left that no piece of it is given away: what is freed
         piece by piece becomes a place only if nobody takes it before.
+    place_memory_mb : int
+        The memory of a place.
     """
 
     place_millicores: int
@@ -65,10 +67,16 @@
     kept_places: int
     found_places: int
     is_scarce: bool = False
+    place_memory_mb: int = 0
 
     def admits(self, worker: Worker, step: Step) -> bool:
         """Whether enough room remains if a task starts on a worker."""
-        return step.size.cpu_millicores <= self.get_largest(worker)
+        if step.size.cpu_millicores > self.get_largest(worker):
+            return False
+        if worker.entry.capacity.cpu_millicores < self.piece_millicores:
+            return True
+        left = _get_hole_memory(worker) - step.size.memory_mb
+        return left >= self._count_kept(worker) * self.place_memory_mb
 
     def get_largest(self, worker: Worker) -> int:
         """Return the most processors that a task may take of a worker."""
@@ -77,17 +85,28 @@
             return hole
         if self.is_scarce:
             return 0
-        spare = max(0, self.found_places - self.kept_places)
-        kept = self.count_places(hole) - spare
-        if kept <= 0:
+        kept = self._count_kept(worker)
+        if not kept:
             return hole
         return hole - max(kept * self.place_millicores, self.piece_millicores)
 
-    def count_places(self, hole_millicores: int) -> int:
+    def _count_kept(self, worker: Worker) -> int:
+        """Return how many places of a worker can't be spared."""
+        spare = max(0, self.found_places - self.kept_places)
+        return max(0, self.count_places(worker) - spare)
+
+    def count_places(self, worker: Worker) -> int:
+        """Return how many places long-running tasks leave on a worker."""
+        return self.count_fitting(get_hole(worker), _get_hole_memory(worker))
+
+    def count_fitting(self, cpu_millicores: int, memory_mb: int) -> int:
         """Return how many places there are in one piece."""
-        if hole_millicores < self.piece_millicores:
+        if cpu_millicores < self.piece_millicores:
             return 0
-        return hole_millicores // self.place_millicores
+        places = cpu_millicores // self.place_millicores
+        if self.place_memory_mb:
+            places = min(places, memory_mb // self.place_memory_mb)
+        return places
 
 
 def leaves_headroom(job: Job, task: Task, step: Step) -> bool:
@@ -160,8 +179,7 @@
         if worker.entry.service == service
     ]
     capacity = sum(one.entry.capacity.cpu_millicores for one in opened)
-    reserved = sum(one.reserved.cpu_millicores for one in opened)
-    if not capacity or reserved < _ROOMY_SHARE * capacity:
+    if not capacity or _is_roomy(opened):
         return None
     demand = _demand.estimate(service, priority, capacity, state)
     wanted = min(
@@ -173,16 +191,31 @@
         return None
     holes = [get_hole(one) for one in opened]
     most = _MOST_SHARE * sum(
-        bare.count_places(one.entry.capacity.cpu_millicores) for one in opened
+        bare.count_fitting(
+            one.entry.capacity.cpu_millicores, one.entry.capacity.memory_mb
+        )
+        for one in opened
     )
     kept = round(min(wanted / bare.place_millicores, most))
-    found = sum(map(bare.count_places, holes))
+    found = sum(map(bare.count_places, opened))
     is_scarce = found < kept and sum(holes) < _MOST_SHARE * capacity
     return attrs.evolve(
         bare, kept_places=kept, found_places=found, is_scarce=is_scarce
     )
 
 
+def _is_roomy(opened: list[Worker]) -> bool:
+    """Whether less than half of processors and memory are reserved."""
+    cpu_millicores = sum(one.entry.capacity.cpu_millicores for one in opened)
+    reserved = sum(one.reserved.cpu_millicores for one in opened)
+    memory_mb = sum(one.entry.capacity.memory_mb for one in opened)
+    free_mb = sum(map(_get_hole_memory, opened))
+    return (
+        reserved < _ROOMY_SHARE * cpu_millicores
+        and memory_mb - free_mb <= _ROOMY_SHARE * memory_mb
+    )
+
+
 def _make_bare(demand: _demand.Demand, opened: list[Worker]) -> Headroom:
     """Return what a place is, without any."""
     whole = statistics.median_low(
@@ -193,6 +226,7 @@
         min(demand.piece_millicores or whole, whole),
         kept_places=0,
         found_places=0,
+        place_memory_mb=demand.place_memory_mb,
     )
 
 
@@ -244,12 +278,9 @@
 
 
 def tick(context: Context) -> None:
-    """Note whether less than half of the processors are reserved."""
+    """Note since when half of processors or memory are reserved."""
     state = context.state
-    opened = _feasibility.list_open(state)
-    capacity = sum(one.entry.capacity.cpu_millicores for one in opened)
-    reserved = sum(one.reserved.cpu_millicores for one in opened)
-    if reserved < _ROOMY_SHARE * capacity:
+    if _is_roomy(_feasibility.list_open(state)):
         state.roomy_ms = state.now_ms
 
 
@@ -264,6 +295,19 @@
     )
 
 
+def _get_hole_memory(worker: Worker) -> int:
+    """Return the memory that no long-running task reserves."""
+    return max(
+        0,
+        worker.entry.capacity.memory_mb
+        - sum(
+            attempt.step.reserved.memory_mb
+            for attempt in worker.attempts.values()
+            if attempt.step.long_running
+        ),
+    )
+
+
 def _sum_long_running(worker: Worker) -> int:
     return sum(
         attempt.step.reserved.cpu_millicores
@@ -285,6 +329,8 @@
         How many are kept, and how many long-running tasks leave.
     is_scarce : bool
         Whether no new long-running task is started.
+    place_memory_mb : int
+        The memory of a place.
     mean_millicores, deviation_millicores : int
         What short tasks ask for.
     long_running_millicores, short_millicores, free_millicores : int
@@ -296,6 +342,7 @@
     kept_places: int
     found_places: int
     is_scarce: bool
+    place_memory_mb: int
     mean_millicores: int
     deviation_millicores: int
     long_running_millicores: int
--- a/src/tulippin/jobs/_row_checks.py
+++ b/src/tulippin/jobs/_row_checks.py
@@ -266,7 +266,7 @@
 def _list_figures(room: UnitRoom) -> t.Iterator[float]:
     for one in room.demands:
         yield from (one.mean_millicores, one.variance, one.count)
-        yield from (one.squares, one.cubes)
+        yield from (one.squares, one.cubes, one.memory)
 
 
 @find_fault.register
--- a/src/tulippin/jobs/records.py
+++ b/src/tulippin/jobs/records.py
@@ -99,6 +99,8 @@
         The mean, weighted by the size of each task, once and twice.
     count : float
         On how many steps of late this is based.
+    memory : float
+        The mean, weighted by the memory of each task.
     """
 
     service: str
@@ -108,6 +110,7 @@
     cubes: float = 0.0
     variance: float = 0.0
     count: float = 0.0
+    memory: float = 0.0
 
 
 @attrs.frozen
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -361,7 +361,8 @@
     ``work``, in millicore-milliseconds, fades with time; ``squares`` and
     ``cubes`` are the same times each task's processors, once and twice, so
     that their mean and spread can be told, and ``bursts`` times those of all
-    tasks that came with it. ``count`` is how many steps came.
+    tasks that came with it; ``memory`` is the work times each task's memory.
+    ``count`` is how many steps came.
     """
 
     count: float = 0.0
@@ -369,6 +370,7 @@
     squares: float = 0.0
     cubes: float = 0.0
     bursts: float = 0.0
+    memory: float = 0.0
     noted_ms: int = 0
 
 
--- a/tests/tulippin/jobs/test_demand.py
+++ b/tests/tulippin/jobs/test_demand.py
@@ -129,7 +129,7 @@
 @pytest.mark.parametrize('figure', [0.0, 1e-300, 1e27])
 def test_demand_of_odd_figures_is_weighed(mean, figure):
     state = make_watched()
-    record = DemandRecord(QUEUE.service, 0, mean, *[figure] * 4)
+    record = DemandRecord(QUEUE.service, 0, mean, *[figure] * 5)
     state.rooms[1] = UnitRoom(demands=(record,))
     demand = estimate(state)
     assert 0 <= demand.place_millicores <= demand.piece_millicores <= CAPACITY
--- a/tests/tulippin/jobs/test_odd_rooms.py
+++ b/tests/tulippin/jobs/test_odd_rooms.py
@@ -45,7 +45,7 @@
     st.none() | FIGURES,
     st.none() | st.lists(FIGURES, max_size=4).map(tuple),
     st.lists(
-        st.builds(DemandRecord, st.just('catalogue'), FIGURES, *[SIZES] * 4),
+        st.builds(DemandRecord, st.just('catalogue'), FIGURES, *[SIZES] * 6),
         max_size=2,
     ).map(tuple),
     st.dictionaries(st.just('catalogue'), FIGURES),
