Take a long-running task whose start was not answered for one that ran

What callers saw: eight long-running tasks whose orders a worker took, and whose answers were lost as it was cut off or crashed within a second, are not back 20 s later, with 32 of 48 processors in use (LOST). With answered starts all eight are.

Cause: the run was released as one that never was, so that the task counted as new: room is kept from it, it is never overdue, and its job's row forgets it.

Now what is lost with its worker, and was ordered, counts as having run. What a worker itself refuses stays as it was.

--- a/src/tulippin/jobs/_workers.py
+++ b/src/tulippin/jobs/_workers.py
@@ -254,6 +254,9 @@
 
 def _lose(worker: Worker, context: Context, why: str) -> None:
     for attempt in list(worker.attempts.values()):
+        if attempt.is_ordered and attempt.step.long_running:
+            # It may have been there though no answer told of it.
+            _attempts.note_running(attempt, context)
         _attempts.release(attempt, context, why)
 
 
