Weigh headroom by service, by the largest worker, and for bound tasks

- Whether room is tight was noted over all services together.
Beside an empty service a quarter of a full one was kept without end; beside a full one the first long-running jobs of an idle one took everything.
It is noted by service.
- A place was at most the median worker.
Short tasks of 12 processors beside four workers of 16 and five of 4 found none with more than 4 free.
Known sizes are clipped by the largest worker; the usual one stands for unknown sizes.
- A task whose label only this unit has waited beside twice its room while the units together were less than half full.
Nothing is kept from it then.

--- a/src/tulippin/jobs/_headroom.py
+++ b/src/tulippin/jobs/_headroom.py
@@ -123,9 +123,30 @@
     """Return what a task has to leave free; nothing if it may take any."""
     if not leaves_headroom(job, task, step):
         return None
+    if _is_bound(step, state) and _are_all_roomy(state):
+        return None
     return _measure(job.queue.service, job.queue.priority, state)
 
 
+def _is_bound(step: Step, state: SchedulerState) -> bool:
+    """Whether no other unit could run a step's tasks."""
+    label = step.required_label
+    return bool(label) and not any(
+        label in room.labels for room in state.rooms.values()
+    )
+
+
+def _are_all_roomy(state: SchedulerState) -> bool:
+    """Whether all units together have less than half reserved."""
+    opened = _feasibility.list_open(state)
+    capacity = sum(one.entry.capacity.cpu_millicores for one in opened)
+    reserved = sum(one.reserved.cpu_millicores for one in opened)
+    for room in state.rooms.values():
+        capacity += room.capacity_millicores
+        reserved += room.reserved_millicores
+    return reserved < _ROOMY_SHARE * capacity
+
+
 def get_largest(
     service: str, priority: int, state: SchedulerState
 ) -> int | None:
@@ -218,12 +239,12 @@
 
 def _make_bare(demand: _demand.Demand, opened: list[Worker]) -> Headroom:
     """Return what a place is, without any."""
-    whole = statistics.median_low(
-        one.entry.capacity.cpu_millicores for one in opened
-    )
+    sizes = [one.entry.capacity.cpu_millicores for one in opened]
+    usual = statistics.median_low(sizes)
+    largest = max(sizes)
     return Headroom(
-        min(demand.place_millicores or whole, whole),
-        min(demand.piece_millicores or whole, whole),
+        min(demand.place_millicores or usual, largest),
+        min(demand.piece_millicores or usual, largest),
         kept_places=0,
         found_places=0,
         place_memory_mb=demand.place_memory_mb,
@@ -252,7 +273,7 @@
     """Return which part is kept for demand that may still show."""
     if not _demand.may_show(service, priority, state):
         return 0.0
-    since_ms = max(state.roomy_ms, state.ownership.taken_ms)
+    since_ms = max(state.roomy_ms.get(service, 0), state.ownership.taken_ms)
     watched_ms = state.now_ms - since_ms
     return _UNKNOWN_SHARE * math.exp(-watched_ms / _UNKNOWN_FADE_MS)
 
@@ -278,10 +299,14 @@
 
 
 def tick(context: Context) -> None:
-    """Note since when half of processors or memory are reserved."""
+    """Note since when half of a service's room is reserved."""
     state = context.state
-    if _is_roomy(_feasibility.list_open(state)):
-        state.roomy_ms = state.now_ms
+    opened = _feasibility.list_open(state)
+    services = {one.entry.service for one in opened}
+    for service in services:
+        own = [one for one in opened if one.entry.service == service]
+        if _is_roomy(own):
+            state.roomy_ms[service] = state.now_ms
 
 
 def get_hole(worker: Worker) -> int:
--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -278,6 +278,7 @@
     state.short_demands.clear()
     state.queue_kinds.clear()
     state.is_demand_told = False
+    state.roomy_ms.clear()
 
 
 def _clear_ready(state: SchedulerState) -> None:
--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -233,6 +233,9 @@
 
     def _is_held_back(self, job: Job, step: Step, task: Task) -> bool:
         """Whether no worker would have headroom left beside a task."""
+        if step.required_label:
+            # What binds a task to its unit is looked at for each.
+            return False
         if not _headroom.leaves_headroom(job, task, step):
             return False
         key = (job.queue.service, job.queue.priority)
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -439,7 +439,8 @@
 
     ``queue_kinds`` tells which sorts of tasks have come by each queue;
     ``is_demand_told``: the last owner told what short ones ask for.
-    ``roomy_ms`` is when less than half of the processors were last reserved.
+    ``roomy_ms`` tells by service when less than half of its room was last
+    reserved.
 
     Nothing that only advises is taken in until ``advice_after_ms``, as an error
     came up among it; ``advice_pause_ms`` is how long that was the last time,
@@ -501,7 +502,7 @@
         factory=dict
     )
     queue_kinds: dict[str, QueueKinds] = attrs.field(factory=dict)
-    roomy_ms: int = 0
+    roomy_ms: dict[str, int] = attrs.field(factory=dict)
     is_demand_told: bool = False
     tails: dict[str, dict[TaskKey, tuple[float, int]]] = attrs.field(
         factory=dict
