Look for room for held back long-running tasks once, and stop nothing for them

Cause, by a profile of three units with more long-running work than fits: a step that headroom holds back looked for others to stop, in each pass, though no stop makes room that it may take (a third of the owner's time); each pass measured all runs anew; each waiting task looked through the units' rooms.

Now such a step passes at once; the measure stands for 0.1 s; a task is not passed on where another of its step just found no unit; the share reserved is looked at twice a second.

--- a/src/tulippin/jobs/_headroom.py
+++ b/src/tulippin/jobs/_headroom.py
@@ -38,6 +38,11 @@
 _UNKNOWN_SHARE: t.Final = 0.25
 # Where less than this is reserved nothing is held back.
 _ROOMY_SHARE: t.Final = 0.5
+# Between two looks at how much is reserved.
+_LOOK_EVERY_MS: t.Final = 500
+# For how long a measure of the largest piece stands: looking at all runs in
+# each pass takes a fifth of an owner's time.
+_LARGEST_KEPT_MS: t.Final = 100
 # How fast that is given up while none come, and how many steps of short
 # tasks tell enough of the demand to go by that alone.
 _UNKNOWN_FADE_MS: t.Final = 60_000
@@ -152,8 +157,20 @@
 ) -> int | None:
     """Return the most processors that a new task may take of any worker.
 
-    Nothing if no room is kept from long-running tasks of the priority.
+    Nothing if no room is kept from long-running tasks of the priority. The
+    figure is up to 0.1 s old.
     """
+    known = state.largest_new.get((service, priority))
+    if known is not None and state.now_ms - known[0] < _LARGEST_KEPT_MS:
+        return known[1]
+    largest = _find_largest(service, priority, state)
+    state.largest_new[service, priority] = state.now_ms, largest
+    return largest
+
+
+def _find_largest(
+    service: str, priority: int, state: SchedulerState
+) -> int | None:
     headroom = _measure(service, priority, state)
     if headroom is None:
         return None
@@ -301,6 +318,9 @@
 def tick(context: Context) -> None:
     """Note since when half of a service's room is reserved."""
     state = context.state
+    if state.now_ms - state.roomy_looked_ms < _LOOK_EVERY_MS:
+        return
+    state.roomy_looked_ms = state.now_ms
     opened = _feasibility.list_open(state)
     services = {one.entry.service for one in opened}
     for service in services:
--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -279,6 +279,7 @@
     state.queue_kinds.clear()
     state.is_demand_told = False
     state.roomy_ms.clear()
+    state.largest_new.clear()
 
 
 def _clear_ready(state: SchedulerState) -> None:
--- a/src/tulippin/jobs/_passing.py
+++ b/src/tulippin/jobs/_passing.py
@@ -60,9 +60,24 @@
     state.passing_ms = state.now_ms
     _even_out(context)
     budget = _TASKS_PER_PASS
+    refused: set[tuple[_ready.StepKey, bool, bool]] = set()
     for job, step, task in _list_late(state):
-        if budget and _crashes.may_start(job, task, state):
-            budget -= _pass(job, step, task, context)
+        # Where no unit has a place for one task, none has for its like.
+        alike = (
+            _ready.get_step_key(task.key),
+            _ready.is_back(job, task),
+            _is_late(job, task, state),
+        )
+        if alike in refused or task.attempts:
+            continue
+        if not _crashes.may_start(job, task, state):
+            continue
+        if not _pass(job, step, task, context):
+            refused.add(alike)
+            continue
+        budget -= 1
+        if not budget:
+            return
 
 
 def _list_late(state: SchedulerState) -> list[tuple[Job, Step, Task]]:
@@ -102,10 +117,8 @@
 def _pass(job: Job, step: Step, task: Task, context: Context) -> bool:
     """Mark a task as another unit's, if one has room; true if so."""
     state = context.state
-    if task.attempts:
-        return False
     is_back = _ready.is_back(job, task)
-    is_late = is_back and state.now_ms - task.ready_ms >= _LATE_MS
+    is_late = _is_late(job, task, state)
     unit = _choose_unit(step, state, is_late=is_late, is_new=not is_back)
     if unit is None:
         return False
@@ -118,6 +131,12 @@
     return True
 
 
+def _is_late(job: Job, task: Task, state: SchedulerState) -> bool:
+    """Whether a task that ran has waited for long."""
+    waited_ms = state.now_ms - task.ready_ms
+    return waited_ms >= _LATE_MS and _ready.is_back(job, task)
+
+
 def _hand_over(
     job: Job, step: Step, task: Task, unit: int, context: Context
 ) -> None:
--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -93,9 +93,6 @@
     too_large: dict[tuple[str, bool], list[Resources]] = attrs.field(
         factory=dict
     )
-    # The most processors that a new long-running task may take of a worker,
-    # by service and priority; no start in the pass makes it more.
-    largest_new: dict[tuple[str, int], int | None] = attrs.field(factory=dict)
     # Steps that wait for the others' rooms, once that was asked.
     held: frozenset[_ready.StepKey] | None = None
 
@@ -189,8 +186,9 @@
             for task in self.queue[kind].values()
             if _crashes.may_start(job, task, state)
         ]
-        # No room that is kept from new tasks is kept from those that ran.
-        tasks.sort(key=lambda task: not _ready.is_back(job, task))
+        if step.long_running:
+            # No room that is kept from new tasks is kept from those that ran.
+            tasks.sort(key=lambda task: not _ready.is_back(job, task))
         if step.gang:
             self.budget -= place_gang(job, step, tasks, self.context)
             return
@@ -238,11 +236,9 @@
             return False
         if not _headroom.leaves_headroom(job, task, step):
             return False
-        key = (job.queue.service, job.queue.priority)
-        if key not in self.largest_new:
-            state = self.context.state
-            self.largest_new[key] = _headroom.get_largest(*key, state)
-        largest = self.largest_new[key]
+        largest = _headroom.get_largest(
+            job.queue.service, job.queue.priority, self.context.state
+        )
         return largest is not None and step.size.cpu_millicores > largest
 
     def _note_too_large(self, job: Job, step: Step, task: Task) -> None:
@@ -268,8 +264,10 @@
         """Start a task; false if the step's others fit nowhere either."""
         state = self.context.state
         worker = None
-        is_refused = self._is_too_large(job, step, task)
-        if not (is_refused or self._is_held_back(job, step, task)):
+        if self._is_held_back(job, step, task):
+            # No stop of others would make it room that it may take.
+            return False
+        if not self._is_too_large(job, step, task):
             worker = _choosing.choose(job, task, step, state)
         if worker is None:
             _preempt(job, task, self.context)
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -503,6 +503,10 @@
     )
     queue_kinds: dict[str, QueueKinds] = attrs.field(factory=dict)
     roomy_ms: dict[str, int] = attrs.field(factory=dict)
+    roomy_looked_ms: int = 0
+    largest_new: dict[tuple[str, int], tuple[int, int | None]] = attrs.field(
+        factory=dict
+    )
     is_demand_told: bool = False
     tails: dict[str, dict[TaskKey, tuple[float, int]]] = attrs.field(
         factory=dict
