Accept a stop of a process without its handlers in the soak of processes

The check now reads from the kernel whether the process handles SIGTERM at the moment of the signal. One that does still has to end with 0 in time; one that does not may end with 0 or by the signal, as nothing was served there. A planted process that handles the signal and ends with 3 is still found.

--- a/tests/process_soak.py
+++ b/tests/process_soak.py
@@ -58,6 +58,8 @@
 # Time for all accepted jobs to complete once the faults are over.
 RECOVERY_S = 60
 MAX_EXIT_S = 10
+# Exit codes of a process that was stopped before it handled the signal.
+UNHANDLED_CODES = {0, -signal.SIGTERM}
 ACCEPTED = 200
 GONE = 410
 
@@ -287,9 +289,15 @@
         )
 
     async def stop_all(self):
-        """Stop all processes; each must exit with code 0 in time."""
+        """Stop all processes; each must exit with code 0 in time.
+
+        One that starts and does not handle the signal yet may end by it.
+        """
         instances, self.instances = self.instances, []
+        exit_codes = {}
         for instance in instances:
+            is_handled = handles_signal(instance.process, signal.SIGTERM)
+            exit_codes[instance.name] = {0} if is_handled else UNHANDLED_CODES
             instance.process.send_signal(signal.SIGTERM)
         with trio.move_on_after(MAX_EXIT_S):
             for instance in instances:
@@ -297,7 +305,7 @@
         self.violations.extend(
             f'{instance.name} ended with {instance.process.returncode}'
             for instance in instances
-            if instance.process.returncode != 0
+            if instance.process.returncode not in exit_codes[instance.name]
         )
         for instance in instances:
             if instance.process.returncode is None:
@@ -309,13 +317,23 @@
 
     The interpreter itself does neither before it runs the program.
     """
+    mask = read_signal_mask(process, 'SigIgn')
+    return bool(mask & 1) or handles_signal(process, signal.SIGHUP)
+
+
+def handles_signal(process, number):
+    """Return whether a process has installed a handler for a signal."""
+    return bool(read_signal_mask(process, 'SigCgt') >> (number - 1) & 1)
+
+
+def read_signal_mask(process, name):
+    """Return a signal mask of a process; bit 0 stands for signal 1."""
     status = pathlib.Path(f'/proc/{process.pid}/status').read_text()
-    masks = [
+    return next(
         int(line.split()[1], 16)
         for line in status.splitlines()
-        if line.startswith(('SigIgn', 'SigCgt'))
-    ]
-    return any(mask & 1 for mask in masks)
+        if line.startswith(f'{name}:')
+    )
 
 
 def find_port(output):
--- a/tests/tulippin/test_process_soak.py
+++ b/tests/tulippin/test_process_soak.py
@@ -4,10 +4,12 @@
 """
 
 import pathlib
+import random
 import signal
 import subprocess
 import sys
 
+import attrs
 import pytest
 import trio
 
@@ -21,6 +23,10 @@
 START_SCRIPT = (
     pathlib.Path(__file__).parents[2] / 'deploy' / 'tulippin_instance.py'
 )
+DIE_ON_STOP = """
+import os
+module.SchedulerDaemon.stop = lambda self: os._exit(3)
+"""
 
 
 @pytest.mark.parametrize('seed', [1, 9])
@@ -62,3 +68,44 @@
             await trio.sleep(2)
             process.send_signal(signal.SIGTERM)
             assert await process.wait() == 0
+
+
+@attrs.define
+class StoppingSoak(process_soak.ProcessSoak):
+    """Processes that are asked to stop as soon as they are started."""
+
+    async def stop_started(self, *, is_reached):
+        await self.start('edge-0')
+        (instance,) = self.instances
+        with trio.fail_after(10):
+            while is_reached and not process_soak.handles_signal(
+                instance.process, signal.SIGTERM
+            ):
+                await trio.sleep(0.01)
+        await self.stop_all()
+        return instance.process.returncode
+
+
+async def open_stopping(folder, *, is_reached):
+    async with StandinServers(1) as servers, trio.open_nursery() as nursery:
+        soak = StoppingSoak(servers, nursery, random.Random(1), folder, 0)
+        code = await soak.stop_started(is_reached=is_reached)
+        nursery.cancel_scope.cancel()
+    return code, soak.violations
+
+
+async def test_stop_of_a_process_without_its_handlers_is_no_violation(tmp_path):
+    code, violations = await open_stopping(tmp_path, is_reached=False)
+    assert code == -signal.SIGTERM
+    assert violations == []
+
+
+async def test_process_with_its_handlers_must_stop_with_code_0(
+    tmp_path, monkeypatch
+):
+    monkeypatch.setattr(
+        process_soak, 'PRINT_PORTS', process_soak.PRINT_PORTS + DIE_ON_STOP
+    )
+    code, violations = await open_stopping(tmp_path, is_reached=True)
+    assert code == 3
+    assert violations == ['edge-0 ended with 3']
