Start nothing in evacuated failure domains, and move waiting jobs out

Nothing read the operators' row.

The change: the feed of the configuration is one of all operators' settings; an evacuation is decoded by its key, which counts whatever the value is. No unit is taken before the settings have been read. _evacuation.is_closed is asked before each place and before each order that waited to be durable; runs go on. New jobs get homes elsewhere. That the unit starts a job no more is durable before its next home gets it, run numbers go on above, and a job never returns to a unit it left.

--- a/bench/soak_jobs.py
+++ b/bench/soak_jobs.py
@@ -19,11 +19,13 @@
 import scheduler_soak
 
 
-def run(seed: int, are_ids_kept: bool) -> list[str]:
+def run(seed: int, are_ids_kept: bool, evacuates: bool) -> list[str]:
     trio_run._ALLOW_DETERMINISTIC_SCHEDULING = True
     trio_run._r = random.Random(seed)
     clock = trio.testing.MockClock(autojump_threshold=0)
-    return trio.run(scheduler_soak.play, seed, are_ids_kept, clock=clock)
+    return trio.run(
+        scheduler_soak.play, seed, are_ids_kept, evacuates, clock=clock
+    )
 
 
 def main() -> int:
@@ -35,11 +37,16 @@
         action='store_true',
         help='restart workers under their ids, in series',
     )
+    parser.add_argument(
+        '--evacuate',
+        action='store_true',
+        help='evacuate failure domains, at times all at once',
+    )
     options = parser.parse_args()
     began = time.monotonic()
     failures = 0
     for seed in range(options.seed, options.seed + options.runs):
-        violations = run(seed, options.keep_ids)
+        violations = run(seed, options.keep_ids, options.evacuate)
         if violations:
             failures += 1
             print(f'seed {seed} fails: {violations[:4]}', flush=True)
--- a/src/tulippin/jobs/_committing.py
+++ b/src/tulippin/jobs/_committing.py
@@ -15,6 +15,7 @@
     _attempts,
     _demand,
     _giving_up,
+    _job_moves,
     _lifecycle,
     _model_store,
     _ownership,
@@ -132,6 +133,7 @@
         if job is not None:
             _try_restore(job, row, context)
             _transfers.send(job, context)
+            _job_moves.send(job, context)
 
 
 def _try_restore(job: Job, row: StoredRow, context: Context) -> None:
@@ -212,8 +214,9 @@
         _giving_up.fail(job, job.reason, context)
     elif job.state not in FINAL_STATES:
         _lifecycle.open_steps(job, context.state)
-        if _lifecycle.has_long_running(job):
-            # The next owner then knows which of the tasks have never run.
+        if _lifecycle.has_long_running(job) or job.left_units:
+            # The next owner then knows which of the tasks have never run, and
+            # callers learn the state of a job that has moved here.
             _lifecycle.mark_dirty(job, context.state)
 
 
@@ -338,6 +341,7 @@
             state.is_placing_due = True
             state.is_sending_due = True
             _transfers.send(job, context)
+            _job_moves.send(job, context)
     _record_settled_ends(event.commit.ends, state)
 
 
@@ -425,7 +429,7 @@
     old = [
         job.job_id
         for job in state.jobs.values()
-        if job.state in FINAL_STATES
+        if (job.state in FINAL_STATES or job.moved_to is not None)
         and job.finished_ms < limit_ms
         and job.job_id not in state.dirty_jobs
         and not any(task.attempts for task in job.tasks.values())
@@ -433,7 +437,7 @@
     if not old or state.is_committing:
         return
     transferred = frozenset(
-        job_id for job_id in old if state.jobs[job_id].is_transferred
+        job_id for job_id in old if _is_elsewhere(state.jobs[job_id])
     )
     for job_id in old:
         del state.jobs[job_id]
@@ -442,3 +446,8 @@
     context.emit(
         RemoveJobs(tuple(old), state.ownership.epoch_version, transferred)
     )
+
+
+def _is_elsewhere(job: Job) -> bool:
+    """Whether another unit is the home of a job."""
+    return job.is_transferred or job.moved_to is not None
--- a/src/tulippin/jobs/_home_selection.py
+++ b/src/tulippin/jobs/_home_selection.py
@@ -119,6 +119,7 @@
     layout: LayoutRecord,
     demands: RoutedDemand,
     now_ms: int,
+    evacuated_units: t.Collection[int] = (),
 ) -> int:
     """Return the number of the home unit for a new job.
 
@@ -134,8 +135,15 @@
         The demand sent to units since their lease rows; the job is added.
     now_ms : int
         The time of the instance's clock.
+    evacuated_units : collection of int, optional
+        Units where no task may be started; chosen only if there is no other.
     """
-    numbers = _get_candidates(request, units, layout, now_ms)
+    open_units = {
+        number: unit
+        for number, unit in units.items()
+        if number not in evacuated_units
+    }
+    numbers = _get_candidates(request, open_units or units, layout, now_ms)
     for number in numbers:
         demands.refresh(number, units[number].lease_seen_ms)
     numbers = _filter_fitting(request, numbers, units, demands)
--- a/src/tulippin/jobs/_lifecycle.py
+++ b/src/tulippin/jobs/_lifecycle.py
@@ -30,6 +30,7 @@
     FailRecord,
     GuestRecord,
     JobRecord,
+    MovedJobRecord,
     ProgressRecord,
 )
 from tulippin.jobs.state import Job, SchedulerState, Task, TransferredTask
@@ -211,7 +212,7 @@
     the first task counts the job, so that each job is counted exactly once.
     """
     is_pending = job.state is JobState.PENDING and not job.is_progress_unknown
-    if job.is_cancelled or not is_pending:
+    if job.is_cancelled or job.moved_to is not None or not is_pending:
         return False
     first = get_counted_task(job)
     if job.is_transferred and first not in job.passes:
@@ -251,11 +252,25 @@
         depths=_ranking.compute_depths(record.request),
     )
     _count_tasks(job)
+    if record.moved is not None:
+        _restore_moved(job, record.moved, context)
     if record.request.schedule.count:
         context.state.scheduled.add(row.key)
     return job
 
 
+def _restore_moved(job: Job, moved: MovedJobRecord, context: Context) -> None:
+    """Restore what the last home unit left of a job that moved here."""
+    job.run_floor = moved.run_floor
+    job.left_units = moved.left_units
+    job.state = moved.progress.state
+    job.has_begun = job.state is not JobState.PENDING
+    _restore_tasks(job, moved.progress, context.state)
+    for name, checkpoint in moved.checkpoints.items():
+        task = get_task(job, parse_task_key(f'{job.job_id}.{name}'))
+        task.checkpoint = checkpoint
+
+
 def restore(job: Job, row: StoredRow, context: Context) -> None:
     """Apply the stored progress of a job.
 
@@ -278,6 +293,22 @@
             # The last owner may have crashed before it notified other units.
             _notify_failed(job, context)
         return
+    _restore_tasks(job, record, context.state)
+    for name, passed in record.passed.items():
+        key = parse_task_key(f'{job.job_id}.{name}')
+        job.passed[key] = TransferredTask(*passed)
+    for name, started in record.started.items():
+        task = get_task(job, parse_task_key(f'{job.job_id}.{name}'))
+        task.unresolved_start = started
+    job.moved_to = record.moved_to
+    _restore_assigned_workers(job, record)
+    _restore_begun(job, record)
+
+
+def _restore_tasks(
+    job: Job, record: ProgressRecord, state: SchedulerState
+) -> None:
+    """Restore which tasks are done, have failed runs or crashed workers."""
     for name, bits in record.done.items():
         occurrence, _, number = name.partition('.')
         _restore_done(job, int(occurrence), int(number), int(bits, _HEX_BASE))
@@ -285,18 +316,10 @@
         task = get_task(job, parse_task_key(f'{job.job_id}.{name}'))
         task.failed_runs = set(runs)
         task.avoided.update(record.avoided.get(name, ()))
-    for name, passed in record.passed.items():
-        key = parse_task_key(f'{job.job_id}.{name}')
-        job.passed[key] = TransferredTask(*passed)
     for name, crashes in record.crashes.items():
         task = get_task(job, parse_task_key(f'{job.job_id}.{name}'))
-        _restore_crashes(task, crashes, context.state)
-    for name, started in record.started.items():
-        task = get_task(job, parse_task_key(f'{job.job_id}.{name}'))
-        task.unresolved_start = started
+        _restore_crashes(task, crashes, state)
     job.doubts = record.doubts
-    _restore_assigned_workers(job, record)
-    _restore_begun(job, record)
 
 
 def _restore_begun(job: Job, record: ProgressRecord) -> None:
@@ -353,16 +376,16 @@
 def _restore_done(job: Job, occurrence: int, number: int, bits: int) -> None:
     for index in range(job.request.steps[number].task_count):
         if bits >> index & 1:
-            key = TaskKey(job.job_id, occurrence, number, index)
-            get_task(job, key).is_done = True
-            job.remaining[occurrence, number] -= 1
+            task = get_task(job, TaskKey(job.job_id, occurrence, number, index))
+            job.remaining[occurrence, number] -= not task.is_done
+            task.is_done = True
 
 
 def get_task(job: Job, key: TaskKey) -> Task:
     """Return a task of a job; create it if it doesn't exist yet."""
     task = job.tasks.get(key)
     if task is None:
-        task = job.tasks[key] = Task(key)
+        task = job.tasks[key] = Task(key, run_floor=job.run_floor)
     return task
 
 
@@ -419,6 +442,7 @@
         places=_list_assigned_workers(job),
         begun=_format_bits(begun) if has_long_running(job) else None,
         doubts=job.doubts,
+        moved_to=job.moved_to,
     )
 
 
@@ -503,6 +527,8 @@
     """Make the tasks of all steps ready whose dependencies are done."""
     if job.state in FINAL_STATES or job.is_cancelled or job.is_progress_unknown:
         return
+    if job.moved_to is not None:
+        return
     _open_transferred(job, state)
     if job.is_transferred:
         return
--- a/src/tulippin/jobs/_record_validation.py
+++ b/src/tulippin/jobs/_record_validation.py
@@ -23,6 +23,7 @@
     LayoutRecord,
     LeaseRecord,
     ModelRecord,
+    MovedJobRecord,
     ProgressRecord,
     UnitCapacity,
     WorkerAccount,
@@ -159,9 +160,21 @@
 
 @find_fault.register
 def _check_job(record: JobRecord) -> str:
-    return _find_queue_fault(record.queue) or _find_request_fault(
+    fault = _find_queue_fault(record.queue) or _find_request_fault(
         record.request
     )
+    if fault or record.moved is None:
+        return fault
+    return _find_moved_fault(record.moved, record.request)
+
+
+def _find_moved_fault(moved: MovedJobRecord, request: JobRequest) -> str:
+    if moved.run_floor < 0:
+        return 'the number of a run is negative'
+    if not _are_unit_numbers(moved.left_units):
+        return 'invalid unit number'
+    fault = find_progress_fault(moved.progress, request)
+    return fault or _find_name_fault(moved.checkpoints, request)
 
 
 def _find_queue_fault(queue: Queue) -> str:
@@ -199,6 +212,10 @@
         return 'the target unit of a transfer is negative'
     if record.doubts < 0:
         return 'its count of doubts is negative'
+    if record.moved_to is not None and not _are_unit_numbers(
+        (record.moved_to,)
+    ):
+        return 'invalid unit number'
     names = (
         *record.failures,
         *record.avoided,
--- a/src/tulippin/jobs/_row_effects.py
+++ b/src/tulippin/jobs/_row_effects.py
@@ -50,6 +50,7 @@
     Unit,
     get_jobs_part,
 )
+from tulippin.jobs.types import JobState
 from tulippin.logs import logger
 
 if t.TYPE_CHECKING:
@@ -472,6 +473,52 @@
     )
 
 
+@perform.register(fx.MoveJob)
+def _move_job(effect: fx.MoveJob, shell: UnitShell) -> None:
+    shell.start(_run_move, effect, shell)
+
+
+async def _run_move(effect: fx.MoveJob, shell: UnitShell) -> None:
+    """Write a job to its next home unit, and that unit to the home row."""
+    await _write_until_done(
+        functools.partial(_make_move, effect, shell),
+        shell,
+        'move job',
+        job=effect.job_id,
+        to_unit=effect.unit,
+    )
+
+
+async def _make_move(
+    effect: fx.MoveJob, shell: UnitShell
+) -> Transaction | None:
+    """Build the transaction that moves a job.
+
+    Returns None if the job has moved already, or is cancelled.
+    """
+    part = get_jobs_part(effect.job_id)
+    row = await read_row(shell.ports.store, HOMES_TABLE, part, effect.job_id)
+    home = read_record(row, HomeRecord)
+    if home is None or home.is_cancelled or home.is_failed:
+        return None
+    if home.unit != shell.config.unit.number:
+        return None
+    has_begun = effect.record.moved.progress.state is not JobState.PENDING
+    moved = attrs.evolve(home, unit=effect.unit, has_begun=has_begun)
+    return Transaction(
+        part,
+        (RowCondition(HOMES_TABLE, effect.job_id, get_version(row)),),
+        (
+            RowWrite(HOMES_TABLE, effect.job_id, encode(moved)),
+            RowWrite(
+                Unit(effect.unit).jobs_table,
+                effect.job_id,
+                encode(effect.record),
+            ),
+        ),
+    )
+
+
 @perform.register(fx.FailJob)
 def _fail_job(effect: fx.FailJob, shell: UnitShell) -> None:
     shell.start(_run_fail, effect, shell)
--- a/src/tulippin/jobs/_starting.py
+++ b/src/tulippin/jobs/_starting.py
@@ -6,6 +6,7 @@
     _advice,
     _attempts,
     _crashes,
+    _evacuation,
     _lifecycle,
     _probation,
     _ready_queues,
@@ -74,11 +75,26 @@
 
 
 def send_durable(context: Context) -> None:
-    """Send the start orders that have become durable."""
+    """Send the start orders that have become durable.
+
+    Those for workers that were evacuated meanwhile are withdrawn.
+    """
+    _withdraw_evacuated(context)
     for attempt in _crashes.take_sendable_attempts(context):
         _send_order(attempt, context.state.jobs[attempt.key.job_id], context)
 
 
+def _withdraw_evacuated(context: Context) -> None:
+    """Drop unsent starts on evacuated workers, so that others are chosen."""
+    state = context.state
+    for attempt in list(state.unsent_starts):
+        worker = state.workers.get(attempt.worker_id)
+        if worker is not None and _evacuation.is_closed(worker, state):
+            _attempts.drop_lost_attempt(
+                attempt, context, 'its failure domain is evacuated'
+            )
+
+
 def _send_order(attempt: Attempt, job: Job, context: Context) -> None:
     """Send the start order of a run, with the deadline until it is valid."""
     state = context.state
--- a/src/tulippin/jobs/_unit_watch.py
+++ b/src/tulippin/jobs/_unit_watch.py
@@ -67,7 +67,12 @@
     after: int = -1
 
     async def run(self) -> None:
-        """Follow the table of units until cancelled."""
+        """Follow the table of units until cancelled.
+
+        No unit is taken before the operators' settings have been read: the
+        failure domain of its workers may be evacuated.
+        """
+        await self.shell.settings_known.wait()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._extend_layout)
             while True:
--- a/src/tulippin/jobs/_wait_diagnostics.py
+++ b/src/tulippin/jobs/_wait_diagnostics.py
@@ -16,6 +16,7 @@
 import attrs
 
 from tulippin.jobs import (
+    _evacuation,
     _feasibility,
     _headroom,
     _interference,
@@ -287,6 +288,8 @@
     worker: Worker, job: Job, step: Step, task: Task, state: SchedulerState
 ) -> str:
     """Return why a worker refuses a task; `takes_it` if it does not."""
+    if _evacuation.is_closed(worker, state):
+        return 'evacuated'
     if not _feasibility.is_open(worker, job, task, step, state):
         return 'closed'
     if not step.opportunistic:
--- a/src/tulippin/jobs/core.py
+++ b/src/tulippin/jobs/core.py
@@ -13,6 +13,7 @@
     _draining,
     _giving_up,
     _headroom,
+    _job_moves,
     _lifecycle,
     _ownership,
     _pacing,
@@ -91,6 +92,7 @@
     _standby_workers.tick(context)
     _draining.tick(context)
     _transfers.tick(context)
+    _job_moves.tick(context)
     _headroom.tick(context)
     _wait_diagnostics.log_waits(context)
 
--- a/src/tulippin/jobs/effects.py
+++ b/src/tulippin/jobs/effects.py
@@ -11,6 +11,7 @@
     AccountRecord,
     EpochRecord,
     GuestRecord,
+    JobRecord,
     LeaseRecord,
     ModelRecord,
     ProgressRecord,
@@ -120,6 +121,15 @@
     record: GuestRecord
 
 
+@attrs.frozen
+class MoveJob(JobEffect):
+    """Make another unit the home of a job; this one no longer starts it."""
+
+    job_id: str
+    unit: int
+    record: JobRecord
+
+
 @attrs.frozen
 class FailJob(JobEffect):
     """Mark a job as failed in all units that hold tasks of it."""
--- a/src/tulippin/jobs/events.py
+++ b/src/tulippin/jobs/events.py
@@ -51,6 +51,19 @@
     configuration: Configuration
 
 
+@attrs.frozen
+class EvacuationsChanged(JobEvent):
+    """The evacuated failure domains, at first or after a change.
+
+    ``open_until_ms`` holds for each one a time at which it was not evacuated
+    yet, or 0 if none is known. ``closed_units`` are the units that lie in these
+    domains as a whole.
+    """
+
+    open_until_ms: dict[str, int]
+    closed_units: frozenset[int] = frozenset()
+
+
 @attrs.frozen
 class PolicyChanged(JobEvent):
     """A bundle was rolled out; its policy is in force from now on."""
--- a/src/tulippin/jobs/intake.py
+++ b/src/tulippin/jobs/intake.py
@@ -64,7 +64,7 @@
 
     shell: SchedulerShell
     # Cache of home units, which saves one of two reads for a job's state. A
-    # job's home never changes, and a caller mostly uses the same instance.
+    # job's home rarely changes, and a caller mostly uses the same instance.
     _homes: dict[str, int] = attrs.field(factory=dict, init=False)
 
     @property
@@ -99,14 +99,16 @@
             raise UnavailableError(f'the home of {job_id} is unreadable')
         return home, row
 
-    async def _read_state(self, number: int, job_id: str) -> JobState | None:
-        """Return the durable state of a job in a unit, if any."""
+    async def _read_progress(
+        self, number: int, job_id: str
+    ) -> ProgressRecord | None:
+        """Return the durable progress of a job in a unit, if any."""
         unit = Unit(number)
         row = await self._read_row(unit.progress_table, unit.part, job_id)
         progress = read_record(row, ProgressRecord)
         if is_unreadable(row, progress):
             raise UnavailableError(f'the progress of {job_id} is unreadable')
-        return progress.state if progress else None
+        return progress
 
     async def submit(
         self, job_id: str, queue: Queue, request: JobRequest, limit_ms: int
@@ -158,22 +160,26 @@
         """Return a job's state, or None if there is no such job."""
         found = self.shell.find_job(job_id)
         if found is not None and found[1].durable is not None:
-            return found[1].durable.state
+            durable = found[1].durable
+            if durable.moved_to is None:
+                return durable.state
         expected_unit = self._homes.get(job_id)
         if len(self.shell.units) == 1:
             expected_unit = next(iter(self.shell.units))
+        progress = None
         if expected_unit is not None:
-            state = await self._read_state(expected_unit, job_id)
-            if state is not None:
-                return state
+            progress = await self._read_progress(expected_unit, job_id)
+            if progress is not None and progress.moved_to is None:
+                return progress.state
         home, _ = await self._read_home(job_id)
         if home is None:
             return None
         self._cache_home(job_id, home.unit)
-        state = None
         if home.unit != expected_unit:
-            state = await self._read_state(home.unit, job_id)
-        return state or JobState.PENDING
+            progress = await self._read_progress(home.unit, job_id)
+        if progress is not None:
+            return progress.state
+        return JobState.RUNNING if home.has_begun else JobState.PENDING
 
     def _cache_home(self, job_id: str, number: int) -> None:
         if len(self._homes) >= _MAX_CACHED_HOMES:
--- a/src/tulippin/jobs/ports.py
+++ b/src/tulippin/jobs/ports.py
@@ -115,16 +115,35 @@
         """Apply a transaction."""
 
 
+@attrs.frozen
+class OperatorSettings:
+    """What operators have set, or what they changed after a version.
+
+    Parameters
+    ----------
+    configuration : Configuration or None
+        The newest valid configuration, if any was read.
+    evacuations : dict of str to bool
+        By failure domain, whether it is evacuated.
+    version : int
+        The version of the store.
+    """
+
+    configuration: Configuration | None
+    evacuations: dict[str, bool]
+    version: int
+
+
 class Feeds(t.Protocol):
-    """The platform's feeds of the configuration and of workers."""
+    """The platform's feeds of the operators' settings and of workers."""
 
-    async def read_configuration(self) -> tuple[Configuration | None, int]:
-        """Return the configuration, if any, and the version read."""
+    async def read_settings(self) -> OperatorSettings:
+        """Return all settings of the operators."""
 
-    async def follow_configuration(
+    async def follow_settings(
         self, after: int, wait_ms: int
-    ) -> tuple[Configuration | None, int]:
-        """Return a newer configuration, if any within ``wait_ms``."""
+    ) -> OperatorSettings:
+        """Return the changed settings, if any within ``wait_ms``."""
 
     async def read_workers(self) -> tuple[tuple[WorkerEntry, ...], int]:
         """Return all workers on the list and the version read."""
--- a/src/tulippin/jobs/records.py
+++ b/src/tulippin/jobs/records.py
@@ -226,12 +226,16 @@
 
 @attrs.frozen
 class HomeRecord:
-    """The home unit of a job, and other units that run tasks of it."""
+    """The home unit of a job, and other units that run tasks of it.
+
+    ``has_begun`` says that the job had begun before it moved to this unit.
+    """
 
     unit: int
     guest_units: tuple[int, ...] = ()
     is_cancelled: bool = False
     is_failed: bool = False
+    has_begun: bool = False
 
     @property
     def units(self) -> tuple[int, ...]:
@@ -352,12 +356,37 @@
     """An accepted job, with its queue as configured at that time.
 
     ``accepted_ms`` is the time of day by the clock of the instance that
-    accepted it, or 0 if unknown.
+    accepted it, or 0 if unknown. ``moved`` is what the last home unit left of
+    a job that has moved to this one.
     """
 
     queue: Queue
     request: JobRequest
     accepted_ms: int = 0
+    moved: MovedJobRecord | None = None
+
+
+@attrs.frozen
+class MovedJobRecord:
+    """State of a job that moves from its home unit to another one.
+
+    Parameters
+    ----------
+    progress : ProgressRecord
+        The job's last progress in the unit that it leaves.
+    run_floor : int
+        The highest run number that earlier home units may have used.
+    left_units : tuple of int
+        All earlier home units. A job doesn't return to any of them, as their
+        rows of it are out of date.
+    checkpoints : dict of str to str
+        The last checkpoints of its tasks, by ``OCCURRENCE.STEP.INDEX``.
+    """
+
+    progress: ProgressRecord
+    run_floor: int
+    left_units: tuple[int, ...]
+    checkpoints: dict[str, str] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -477,6 +506,8 @@
     doubts : int
         How often short tasks of the job may have had an unconfirmed run on a
         worker that died while the unit changed its owner.
+    moved_to : int, optional
+        The unit that the job has moved to. This one starts none of its tasks.
     """
 
     state: JobState
@@ -490,3 +521,4 @@
     places: dict[str, tuple[str, ...]] | None = None
     begun: dict[str, str] | None = None
     doubts: int = 0
+    moved_to: int | None = None
--- a/src/tulippin/jobs/shell.py
+++ b/src/tulippin/jobs/shell.py
@@ -1,7 +1,7 @@
 """The scheduler's shell: the event loop for all units of one instance.
 
 It holds a ``UnitShell`` for each unit of the layout, queues and dispatches
-their events, and follows the configuration.
+their events, and follows the operators' settings.
 """
 
 from __future__ import annotations
@@ -20,7 +20,11 @@
 from tulippin.jobs._unit_feeds import FEED_RETRY_PAUSE_S, FEED_WAIT_MS
 from tulippin.jobs._unit_watch import UnitWatch
 from tulippin.jobs.layout import get_rack
-from tulippin.jobs.ports import HistoryLostError, SchedulerPorts
+from tulippin.jobs.ports import (
+    HistoryLostError,
+    OperatorSettings,
+    SchedulerPorts,
+)
 from tulippin.jobs.records import LayoutRecord, Unit
 from tulippin.jobs.state import Job, SchedulerConfig
 from tulippin.jobs.types import Configuration, JobRequest, WorkerEntry
@@ -76,6 +80,9 @@
         self.layout: LayoutRecord | None = None
         self.configuration: Configuration | None = None
         self.configured = trio.Event()
+        # Evacuated failure domains; see ``EvacuationsChanged``.
+        self.evacuations: dict[str, int] = {}
+        self.settings_known = trio.Event()
         self.layout_known = trio.Event()
         self.store_answered_ms = 0
         self.event_age_ms = 0
@@ -102,7 +109,7 @@
         for name, task in (
             ('tick', self._tick),
             ('loop', self._run),
-            ('configuration', self._follow_configuration),
+            ('settings', self._follow_settings),
             ('units', UnitWatch(self).run),
         ):
             self._nursery.start_soon(keep_running, name, task)
@@ -135,6 +142,8 @@
         for number in layout.unit_numbers:
             if number not in self.units:
                 self._add_unit(number)
+        if self.evacuations:
+            self.post(self._make_evacuations_event())
 
     def _add_unit(self, number: int) -> None:
         config = attrs.evolve(self.config, unit=Unit(number))
@@ -179,6 +188,8 @@
         if self.configuration is not None:
             event = ev.ConfigurationChanged(self.clock(), self.configuration)
             unit.post(event)
+        if self.evacuations:
+            unit.post(self._make_evacuations_event())
         if self._policy is not None:
             unit.post(self._policy)
 
@@ -201,7 +212,22 @@
         if self.layout is None or not self.units:
             return None
         return _home_selection.choose_unit(
-            request, self.units, self.layout, self._demands, self.clock()
+            request,
+            self.units,
+            self.layout,
+            self._demands,
+            self.clock(),
+            self.list_evacuated_units(),
+        )
+
+    def list_evacuated_units(self) -> frozenset[int]:
+        """Return the units all of whose workers are evacuated."""
+        if self.layout is None or not self.evacuations:
+            return frozenset()
+        return frozenset(
+            int(number)
+            for number, domain in self.layout.failure_domains.items()
+            if domain in self.evacuations
         )
 
     # -- the loop ----------------------------------------------------------
@@ -294,22 +320,19 @@
 
     # -- feeds -------------------------------------------------------------
 
-    async def _follow_configuration(self) -> None:
+    async def _follow_settings(self) -> None:
+        feeds = self.ports.feeds
         after = -1
+        last_read_ms = 0
         while True:
+            read_ms = self.clock()
             try:
                 if after < 0:
-                    (
-                        configuration,
-                        after,
-                    ) = await self.ports.feeds.read_configuration()
+                    settings = await feeds.read_settings()
                 else:
-                    feeds = self.ports.feeds
-                    configuration, after = await feeds.follow_configuration(
-                        after, FEED_WAIT_MS
-                    )
+                    settings = await feeds.follow_settings(after, FEED_WAIT_MS)
             except HistoryLostError:
-                logger.info('feed restarts', feed='configuration')
+                logger.info('feed restarts', feed='settings')
                 after = -1
                 continue
             except UnavailableError as error:
@@ -317,8 +340,62 @@
                 await trio.sleep(FEED_RETRY_PAUSE_S)
                 continue
             self.record_store_result()
-            if configuration is not None:
-                self._apply_configuration(configuration)
+            known = self.evacuations if after >= 0 else {}
+            self._apply_evacuations(known, settings, last_read_ms)
+            if settings.configuration is not None:
+                self._apply_configuration(settings.configuration)
+            self.settings_known.set()
+            after = settings.version
+            last_read_ms = read_ms
+
+    def _apply_evacuations(
+        self,
+        known: dict[str, int],
+        settings: OperatorSettings,
+        last_read_ms: int,
+    ) -> None:
+        """Apply changes to the evacuations that are known to be in force.
+
+        A domain whose evacuation is new was not evacuated when the last read
+        of the settings began.
+        """
+        evacuations = {
+            domain: open_until_ms
+            for domain, open_until_ms in known.items()
+            if settings.evacuations.get(domain, True)
+        }
+        for domain, is_evacuated in settings.evacuations.items():
+            if is_evacuated:
+                open_until_ms = self.evacuations.get(domain, last_read_ms)
+                evacuations.setdefault(domain, open_until_ms)
+        if evacuations == self.evacuations:
+            return
+        began = sorted(evacuations.keys() - self.evacuations.keys())
+        ended = sorted(self.evacuations.keys() - evacuations.keys())
+        self.evacuations = evacuations
+        logger.info(
+            'evacuations changed',
+            began=began,
+            ended=ended,
+            unknown=self._list_unknown_domains(began),
+            version=settings.version,
+        )
+        self.post(self._make_evacuations_event())
+
+    def _list_unknown_domains(self, domains: t.Iterable[str]) -> list[str]:
+        """Return the failure domains that no known unit lies in."""
+        if self.layout is None:
+            return []
+        known = set(self.layout.failure_domains.values())
+        if '' in known:
+            # A unit that spans several domains doesn't name them.
+            return []
+        return [one for one in domains if one not in known]
+
+    def _make_evacuations_event(self) -> ev.EvacuationsChanged:
+        return ev.EvacuationsChanged(
+            self.clock(), dict(self.evacuations), self.list_evacuated_units()
+        )
 
     def _apply_configuration(self, configuration: Configuration) -> None:
         current = self.configuration
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -231,6 +231,9 @@
     none of its tasks may be started. ``is_transferred`` marks a job whose home
     unit is another one. ``passes`` holds the transfer numbers of tasks that
     came from other units, ``passed`` the tasks that went to others.
+    ``moved_to`` is the unit that is the job's home from now on, ``left_units``
+    were its homes before this one, and ``run_floor`` is the highest run number
+    that they may have used.
     ``is_given_up`` says that a unit abandoned the job, for ``reason``.
     ``doubts`` counts how often short tasks of the job may have had an
     unconfirmed run on a worker that died while the unit changed its owner.
@@ -264,6 +267,9 @@
     doubts: int = 0
     passes: dict[TaskKey, int] = attrs.field(factory=dict)
     passed: dict[TaskKey, TransferredTask] = attrs.field(factory=dict)
+    moved_to: int | None = None
+    run_floor: int = 0
+    left_units: tuple[int, ...] = ()
     reason: str = ''
     depths: tuple[int, ...] = (1,)
     tickets: dict[tuple[str, int, int], dict[str, tuple[str, int]]] = (
@@ -482,7 +488,10 @@
 class SchedulerState:
     """Everything that the reducer reads and changes.
 
-    ``queue_kinds`` says which kinds of tasks have arrived in each queue, and
+    ``evacuations`` holds the evacuated failure domains, each with a time at
+    which it was not evacuated yet, or 0 if none is known, and ``closed_units``
+    the units that lie in them as a whole. ``queue_kinds`` says
+    which kinds of tasks have arrived in each queue, and
     ``is_demand_inherited`` whether the previous owner published the demand of
     short ones. ``uncrowded_ms`` holds by service the last time when less than
     half of its capacity was reserved. ``lost_unconfirmed_workers`` holds the
@@ -497,6 +506,8 @@
     config: SchedulerConfig
     now_ms: int = 0
     configuration: Configuration | None = None
+    evacuations: dict[str, int] = attrs.field(factory=dict)
+    closed_units: frozenset[int] = frozenset()
     ownership: Ownership = attrs.field(factory=Ownership)
     jobs: dict[str, Job] = attrs.field(factory=dict)
     workers: dict[str, Worker] = attrs.field(factory=dict)
@@ -534,6 +545,7 @@
     is_stopping: bool = False
     unit_capacities: dict[int, UnitCapacity] = attrs.field(factory=dict)
     transfers_checked_ms: int = 0
+    moves_checked_ms: int = 0
     drain_checked_ms: int = 0
     obstacles_logged_ms: int = 0
     standbys_checked_ms: int = 0
--- a/src/tulippin/jobs/views.py
+++ b/src/tulippin/jobs/views.py
@@ -4,7 +4,7 @@
 
 import typing as t
 
-from tulippin.jobs import _lifecycle
+from tulippin.jobs import _evacuation, _lifecycle
 from tulippin.jobs._interference import get_slack
 from tulippin.jobs._ownership import count_waiting
 from tulippin.jobs.state import Attempt, Job, SchedulerState, Worker
@@ -75,6 +75,7 @@
         'failure_domain': worker.entry.failure_domain,
         'listed': worker.is_listed,
         'draining': worker.entry.draining,
+        'evacuated': _evacuation.is_closed(worker, state),
         'silent_holds': worker.failed_count,
         'quarantined_for_ms': max(
             0, worker.quarantined_until_ms - state.now_ms
--- a/src/tulippin/platform/feeds.py
+++ b/src/tulippin/platform/feeds.py
@@ -1,4 +1,4 @@
-"""Feeds of the operators' configuration and of the worker list."""
+"""Feeds of the operators' settings and of the worker list."""
 
 from __future__ import annotations
 
@@ -10,7 +10,12 @@
 import msgspec
 
 from tulippin.jobs._record_validation import MAX_DURATION_MS
-from tulippin.jobs.ports import RowStore, StoredRow
+from tulippin.jobs.ports import (
+    OperatorSettings,
+    RowPage,
+    RowStore,
+    StoredRow,
+)
 from tulippin.jobs.types import (
     Configuration,
     Queue,
@@ -27,8 +32,10 @@
 from tulippin.types import Resources
 
 _OPERATOR_TABLE: t.Final = 'op'
+_OPERATOR_PREFIX: t.Final = 'op/'
 _CONFIG_KEY: t.Final = 'config'
-_FULL_CONFIG_KEY: t.Final = 'op/config'
+# The rest of the key names the failure domain.
+_EVACUATION_PREFIX: t.Final = 'evacuate/'
 _WORKERS_TABLE: t.Final = 'servers'
 _WORKERS_PREFIX: t.Final = 'servers/'
 _READY: t.Final = 'ready'
@@ -44,6 +51,7 @@
 
 _config_decoder = msgspec.json.Decoder(ConfigBody)
 _worker_decoder = msgspec.json.Decoder(WorkerBody)
+_evacuation_decoder = msgspec.json.Decoder(dict[str, t.Any])
 
 
 def decode_capacity(body: CapacityBody) -> Resources:
@@ -128,17 +136,17 @@
     # every second; only a changed reason is logged again.
     _logged_reasons: dict[str, str] = attrs.field(factory=dict, init=False)
 
-    async def read_configuration(self) -> tuple[Configuration | None, int]:
-        """Return the configuration, if any, and the version of the store."""
+    async def read_settings(self) -> OperatorSettings:
+        """Return all settings of the operators."""
         page = await self.store.read_rows(_OPERATOR_TABLE, '')
-        return _find_configuration(page.rows), page.version
+        return _decode_settings(page)
 
-    async def follow_configuration(
+    async def follow_settings(
         self, after: int, wait_ms: int
-    ) -> tuple[Configuration | None, int]:
-        """Wait for a newer configuration; return it and the new version."""
+    ) -> OperatorSettings:
+        """Wait for changed settings of the operators, and return them."""
         page = await self.store.follow(_OPERATOR_TABLE, after, wait_ms)
-        return _find_configuration(page.rows), page.version
+        return _decode_settings(page)
 
     async def read_workers(self) -> tuple[tuple[WorkerEntry, ...], int]:
         """Return all listed workers and the version of the store."""
@@ -206,15 +214,62 @@
     return worker_id
 
 
+def _decode_settings(page: RowPage) -> OperatorSettings:
+    rows = [row for row in page.rows if not row.part]
+    return OperatorSettings(
+        _find_configuration(rows), _find_evacuations(rows), page.version
+    )
+
+
+def _get_operator_key(row: StoredRow) -> str:
+    return row.key.removeprefix(_OPERATOR_PREFIX)
+
+
+def _find_evacuations(rows: t.Iterable[StoredRow]) -> dict[str, bool]:
+    """Return for each failure domain among the rows if it is evacuated."""
+    found = {}
+    for row in rows:
+        key = _get_operator_key(row)
+        if not key.startswith(_EVACUATION_PREFIX):
+            continue
+        failure_domain = key.removeprefix(_EVACUATION_PREFIX)
+        if not failure_domain:
+            _log_evacuation(row, 'its key names no failure domain')
+            continue
+        found[failure_domain] = row.value is not None
+        if row.value is not None:
+            _check_evacuation(row, row.value)
+    return found
+
+
+def _check_evacuation(row: StoredRow, value: bytes) -> None:
+    """Log a malformed evacuation; it applies all the same.
+
+    The key says what is asked for, and ignoring the row would send work to
+    workers that are about to be switched off.
+    """
+    try:
+        _evacuation_decoder.decode(value)
+    except _DECODE_ERRORS as error:
+        _log_evacuation(row, str(error))
+
+
+def _log_evacuation(row: StoredRow, reason: str) -> None:
+    logger.error(
+        'evacuation unreadable',
+        key=row.key,
+        version=row.version,
+        reason=reason,
+    )
+
+
 def _find_configuration(
     rows: t.Iterable[StoredRow],
 ) -> Configuration | None:
     """Return the newest valid configuration among the rows, if any."""
     newest = None
     for row in rows:
-        if row.part or row.key not in {_CONFIG_KEY, _FULL_CONFIG_KEY}:
-            continue
-        if row.value is None:
+        if row.value is None or _get_operator_key(row) != _CONFIG_KEY:
             continue
         try:
             newest = decode_configuration(row.value)
--- a/src/tulippin/platform/standin.py
+++ b/src/tulippin/platform/standin.py
@@ -33,6 +33,8 @@
 from tulippin.platform.wire import ConfigBody
 
 __all__ = (
+    'EVACUATION_MS',
+    'Evacuation',
     'StandinAdvisor',
     'StandinAgents',
     'StandinPlatform',
@@ -45,6 +47,8 @@
 _WORKER_LATENCY_S: t.Final = 0.001
 _HEARTBEAT_INTERVAL_S: t.Final = 1.1
 _ADVICE_LATENCY_S: t.Final = 0.03
+# Time after the start of an evacuation until the last start there.
+EVACUATION_MS: t.Final = 5000
 # An entry expires after three missed heartbeats.
 _ENTRY_EXPIRY_MS: t.Final = 3300
 # Once a task has crashed this many workers, it may be started only a limited
@@ -53,6 +57,24 @@
 _MAX_STARTS_AFTER_CRASHES: t.Final = 2
 
 
+@attrs.define
+class Evacuation:
+    """Evacuation of a failure domain; ``ended_ms`` is None until it ends.
+
+    ``known_by_ms`` is when every owner must have stopped to start runs there.
+    """
+
+    failure_domain: str
+    known_by_ms: int
+    ended_ms: int | None = None
+
+    def forbids(self, event: RunEvent, failure_domain: str) -> bool:
+        """Whether a run may not be started by an event in a domain."""
+        is_late = event.at_ms > self.known_by_ms
+        is_over = self.ended_ms is not None and event.at_ms >= self.ended_ms
+        return failure_domain == self.failure_domain and is_late and not is_over
+
+
 @attrs.define
 class StandinPlatform:
     """The whole platform; run ``serve`` in a nursery.
@@ -66,6 +88,7 @@
     workers: dict[str, StandinWorker] = attrs.field(factory=dict)
     history: list[RunEvent] = attrs.field(factory=list)
     sequence: int = 0
+    evacuations: list[Evacuation] = attrs.field(factory=list)
     restart_delay_ms: int | None = None
     are_ids_kept: bool = False
     incarnation_count: int = 0
@@ -82,6 +105,40 @@
         """Publish the operators' configuration."""
         self.store.write('op', '', 'config', msgspec.json.encode(body))
 
+    def evacuate(self, failure_domain: str) -> None:
+        """Have the operators evacuate a failure domain."""
+        known_by_ms = get_now_ms() + EVACUATION_MS
+        self.evacuations.append(Evacuation(failure_domain, known_by_ms))
+        self.store.write('op', '', f'evacuate/{failure_domain}', b'{}')
+
+    def end_evacuation(self, failure_domain: str) -> None:
+        """Have the operators take back the evacuation of a domain."""
+        for one in self.evacuations:
+            if one.failure_domain == failure_domain and one.ended_ms is None:
+                one.ended_ms = get_now_ms()
+        self.store.write('op', '', f'evacuate/{failure_domain}', None)
+
+    def allow_late_evacuations(self) -> None:
+        """Count the bound of running evacuations from now, after an outage."""
+        for one in self.evacuations:
+            if one.ended_ms is None:
+                one.known_by_ms = get_now_ms() + EVACUATION_MS
+
+    def list_starts_in_evacuated(self) -> list[str]:
+        """Return the starts that an evacuation forbade, as violations."""
+        domains = {
+            name: one.failure_domain for name, one in self.workers.items()
+        }
+        return [
+            f'start in an evacuated domain: {event}'
+            for event in self.history
+            if event.kind == 'started'
+            and any(
+                one.forbids(event, domains[event.worker_id])
+                for one in self.evacuations
+            )
+        ]
+
     def publish_entry(self, worker: StandinWorker) -> None:
         """Write a worker's entry into the worker list."""
         self.sequence += 1
@@ -163,6 +220,7 @@
             service=worker.service,
             room=worker.room,
             labels=worker.labels,
+            failure_domain=worker.failure_domain,
             **options,
         )
 
--- a/src/tulippin/platform/standin_worker.py
+++ b/src/tulippin/platform/standin_worker.py
@@ -165,6 +165,7 @@
     service: str = 'catalogue'
     room: CapacityBody = CapacityBody(16000, 64000, 0)
     labels: tuple[str, ...] = ('a', 'r1')
+    failure_domain: str = 'hall'
     clock_offset_ms: int = 5000
     is_up: bool = True
     crashed_ms: int | None = None
@@ -200,7 +201,7 @@
             WorkerBody(
                 service=self.service,
                 address=self.address,
-                zone='hall',
+                zone=self.failure_domain,
                 version='v1',
                 slots=8,
                 state='draining' if self.is_draining else 'ready',
--- a/tests/scheduler_fleet.py
+++ b/tests/scheduler_fleet.py
@@ -214,16 +214,24 @@
 
     def check(self):
         assert check_history(self.platform.history) == []
+        assert self.platform.list_starts_in_evacuated() == []
 
 
 @contextlib.asynccontextmanager
-async def open_fleet(instances=2, workers=2, rack_size=None, **options):
+async def open_fleet(
+    instances=2, workers=2, rack_size=None, racks_per_domain=None, **options
+):
     async with trio.open_nursery() as nursery:
         fleet = SchedulerFleet(nursery, options=options)
         fleet.platform.configure(make_config_body())
         for number in range(workers):
-            rack = f'r{number // rack_size}' if rack_size else 'r1'
-            fleet.platform.add_worker(f'w{number}', labels=('a', rack))
+            rack = number // rack_size if rack_size else 1
+            domain = rack // racks_per_domain if racks_per_domain else ''
+            fleet.platform.add_worker(
+                f'w{number}',
+                labels=('a', f'r{rack}'),
+                failure_domain=f'hall{domain}',
+            )
         nursery.start_soon(fleet.platform.serve)
         for number in range(instances):
             await fleet.start(f'i{number}')
--- a/tests/scheduler_soak.py
+++ b/tests/scheduler_soak.py
@@ -153,6 +153,22 @@
             for worker in source.sample(up, count):
                 worker.crash()
 
+    async def evacuate_domains(self, source):
+        """Evacuate failure domains, at times both, while faults go on."""
+        platform = self.fleet.platform
+        async with trio.open_nursery() as nursery:
+            for domain in sorted(
+                {one.failure_domain for one in platform.workers.values()}
+            ):
+                nursery.start_soon(self._evacuate, domain, source)
+
+    async def _evacuate(self, domain, source):
+        while trio.current_time() < FAULTS_S:
+            await trio.sleep(2 + 8 * source.random())
+            self.fleet.platform.evacuate(domain)
+            await trio.sleep(8 * source.random())
+            self.fleet.platform.end_evacuation(domain)
+
     async def _start(self, name):
         self.starts += 1
         await self.fleet.start(f'{name.partition("-")[0]}-{self.starts}')
@@ -209,6 +225,7 @@
         trouble.silenced.add('*')
         await trio.sleep(self.source.random() * 4)
         trouble.silenced.clear()
+        self.fleet.platform.allow_late_evacuations()
 
     async def _slow_store(self):
         trouble = self.fleet.platform.store.trouble
@@ -288,6 +305,7 @@
         violations.extend(
             f'{name} is away' for name in self._list_missing_tasks(states)
         )
+        violations.extend(self.fleet.platform.list_starts_in_evacuated())
         return violations + check_history(self.fleet.platform.history)
 
     def _list_missing_tasks(self, states):
@@ -307,11 +325,14 @@
         return sorted(names - present)
 
 
-async def play(seed, are_ids_kept=False):
+async def play(seed, are_ids_kept=False, are_domains_evacuated=False):
     """Run the scenario of a seed; return all violations.
 
-    If `are_ids_kept`, workers restart under their ids, also at once.
+    If `are_ids_kept`, workers restart under their ids, also at once. If
+    `are_domains_evacuated`, the workers lie in two failure domains, which
+    operators evacuate again and again.
     """
+    rack_size = WORKER_COUNT // 2 if are_domains_evacuated else WORKER_COUNT
     source = random.Random(seed)
     body = make_config_body(2)
     services = tuple(
@@ -319,7 +340,10 @@
         for one in body.services
     )
     async with open_fleet(
-        instances=3, workers=WORKER_COUNT, rack_size=WORKER_COUNT
+        instances=3,
+        workers=WORKER_COUNT,
+        rack_size=rack_size,
+        racks_per_domain=1,
     ) as fleet:
         fleet.platform.configure(
             msgspec.structs.replace(body, services=services)
@@ -333,4 +357,8 @@
             if are_ids_kept:
                 fleet.platform.are_ids_kept = True
                 nursery.start_soon(soak.restart_workers)
+            if are_domains_evacuated:
+                nursery.start_soon(
+                    soak.evacuate_domains, random.Random(f'evacuate {seed}')
+                )
         return await soak.collect_violations()
--- /dev/null
+++ b/tests/tulippin/jobs/test_job_moves.py
@@ -0,0 +1,273 @@
+"""Waiting jobs move out of units that are evacuated, and run exactly once."""
+
+import collections
+
+import pytest
+import trio
+from test_evacuation import NOTICE_S, open_domains, submit_many
+
+from scheduler_fleet import (
+    LIMIT_MS,
+    LOW_PRIORITY_QUEUE,
+    QUEUE,
+    make_request,
+    make_step,
+)
+from tulippin.jobs import _job_moves, _row_effects
+from tulippin.jobs.types import JobState
+
+JOB = f'{1:016x}'
+
+
+def home_all_in(fleet, domain_units):
+    """Make every instance choose the first of some units as home."""
+    for instance in fleet.instances.values():
+        instance.shell.choose_unit = lambda request: domain_units[0]
+
+
+def get_units(fleet, domain):
+    layout = next(iter(fleet.instances.values())).shell.layout
+    return sorted(
+        int(number)
+        for number, name in layout.failure_domains.items()
+        if name == domain
+    )
+
+
+def count_done(fleet, job_id):
+    """Return how often each task of a job ended as done."""
+    return collections.Counter(
+        event.key
+        for event in fleet.platform.history
+        if event.kind == 'ended'
+        and event.outcome is not None
+        and event.outcome.value == 'done'
+        and event.key.job_id == job_id
+    )
+
+
+async def submit_two_steps(fleet, job_id=JOB, **plan):
+    request = make_request(make_step(4), make_step(3, after=(0,)), **plan)
+    await fleet.submit(job_id, request)
+
+
+def test_job_goes_on_in_another_domain_where_it_was_left(run_virtual):
+    async def run():
+        async with open_domains() as fleet:
+            home_all_in(fleet, get_units(fleet, 'hall0'))
+            await submit_two_steps(fleet, run_ms=1000)
+            await fleet.wait_running(4)
+            fleet.platform.evacuate('hall0')
+            # The runs there end first.
+            await fleet.wait_done(JOB, limit_s=4)
+            done = count_done(fleet, JOB)
+            assert sorted(done.values()) == [1] * 7
+            fleet.check()
+
+    run_virtual(run)
+
+
+def test_without_moves_the_job_would_wait(run_virtual, monkeypatch):
+    monkeypatch.setattr(_job_moves, '_choose_unit', lambda job, state: None)
+
+    async def run():
+        async with open_domains() as fleet:
+            home_all_in(fleet, get_units(fleet, 'hall0'))
+            await submit_two_steps(fleet, run_ms=1000)
+            await fleet.wait_running(4)
+            fleet.platform.evacuate('hall0')
+            await trio.sleep(10)
+            assert len(count_done(fleet, JOB)) == 4
+
+    run_virtual(run)
+
+
+def test_state_of_a_moved_job_never_goes_back(run_virtual):
+    """Guards against a begun job that is shown as pending by any instance."""
+
+    async def run():
+        async with open_domains() as fleet:
+            home_all_in(fleet, get_units(fleet, 'hall0'))
+            await submit_two_steps(fleet, run_ms=1500)
+            await fleet.wait_state(JOB, JobState.RUNNING)
+            fleet.platform.evacuate('hall0')
+            seen = set()
+            with trio.fail_after(6):
+                while seen != {JobState.COMPLETED}:
+                    seen = {
+                        await instance.intake.get_state(JOB)
+                        for instance in fleet.instances.values()
+                    }
+                    assert seen <= {JobState.RUNNING, JobState.COMPLETED}
+                    await trio.sleep(0.02)
+            fleet.check()
+
+    run_virtual(run)
+
+
+@pytest.mark.parametrize('delay_s', [0.0, 0.05, 0.1, 0.15, 0.2, 0.3, 1.0])
+def test_cancel_during_a_move_ends_the_job(run_virtual, delay_s):
+    async def run():
+        async with open_domains() as fleet:
+            home_all_in(fleet, get_units(fleet, 'hall0'))
+            fleet.platform.evacuate('hall0')
+            await trio.sleep(NOTICE_S)
+            await submit_two_steps(fleet, run_ms=3000)
+            await trio.sleep(delay_s)
+            intake = next(iter(fleet.instances.values())).intake
+            assert await intake.cancel(JOB, QUEUE, LIMIT_MS)
+            await trio.sleep(1.5)
+            assert not fleet.count_running()
+            for instance in fleet.instances.values():
+                state = await instance.intake.get_state(JOB)
+                assert state is JobState.CANCELLED
+            fleet.check()
+
+    run_virtual(run)
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_jobs_run_once_while_their_owners_are_lost(run_virtual, seed):
+    async def run():
+        async with open_domains(instances=6) as fleet:
+            source = fleet.platform.store.source
+            source.seed(seed)
+            trouble = fleet.platform.store.trouble
+            trouble.lost_answer_share = 0.2
+            home_all_in(fleet, get_units(fleet, 'hall0'))
+            job_ids = await submit_many(fleet, 20, run_ms=800)
+            await trio.sleep(source.random())
+            fleet.platform.evacuate('hall0')
+            for round_number in range(4):
+                await trio.sleep(source.random())
+                name = source.choice(sorted(fleet.instances))
+                fleet.kill(name)
+                await fleet.start(f'n{round_number}')
+            trouble.lost_answer_share = 0.0
+            for job_id in job_ids:
+                await fleet.wait_done(job_id, limit_s=40)
+            fleet.check()
+
+    run_virtual(run, seed=seed)
+
+
+def test_job_moves_on_if_its_next_domain_is_evacuated_too(run_virtual):
+    async def run():
+        async with open_domains() as fleet:
+            home_all_in(fleet, get_units(fleet, 'hall0'))
+            job_ids = await submit_many(fleet, 20, run_ms=1200)
+            for domain in ('hall0', 'hall1'):
+                fleet.platform.evacuate(domain)
+                await trio.sleep(0.7)
+            for job_id in job_ids:
+                await fleet.wait_done(job_id)
+            fleet.check()
+
+    run_virtual(run)
+
+
+def test_job_that_moved_everywhere_waits_for_its_last_home(run_virtual):
+    """A job doesn't return to a unit whose rows of it are out of date."""
+
+    async def run():
+        async with open_domains(2) as fleet:
+            home_all_in(fleet, get_units(fleet, 'hall0'))
+            fleet.platform.evacuate('hall0')
+            fleet.platform.evacuate('hall1')
+            await trio.sleep(NOTICE_S)
+            await submit_two_steps(fleet)
+            await trio.sleep(2)
+            fleet.platform.end_evacuation('hall1')
+            await fleet.wait_done(JOB)
+            fleet.check()
+
+    run_virtual(run)
+
+
+def test_failed_runs_count_over_a_move(run_virtual):
+    async def run():
+        async with open_domains() as fleet:
+            home_all_in(fleet, get_units(fleet, 'hall0'))
+            request = make_request(make_step(), run_ms=400, fails_always=True)
+            await fleet.submit(JOB, request)
+            await fleet.wait_running(1)
+            fleet.platform.evacuate('hall0')
+            await fleet.wait_state(JOB, JobState.FAILED)
+            assert fleet.count_starts(JOB) == QUEUE.max_attempts
+            fleet.check()
+
+    run_virtual(run)
+
+
+def test_moved_job_is_counted_as_waiting_once(run_virtual):
+    async def run():
+        async with open_domains() as fleet:
+            home_all_in(fleet, get_units(fleet, 'hall0'))
+            fleet.platform.evacuate('hall0')
+            await trio.sleep(NOTICE_S)
+            step = make_step(1, cpu=16000)
+            for number in range(72):
+                await fleet.submit(
+                    f'{number:016x}',
+                    make_request(step, run_ms=60_000),
+                    LOW_PRIORITY_QUEUE,
+                )
+            await trio.sleep(4)
+            started = {
+                event.key.job_id
+                for event in fleet.platform.history
+                if event.kind == 'started'
+            }
+            waiting = {
+                instance.intake.count_waiting(LOW_PRIORITY_QUEUE)
+                for instance in fleet.instances.values()
+            }
+            assert waiting == {72 - len(started)}
+
+    run_virtual(run)
+
+
+def test_rows_of_a_moved_job_are_removed_by_both_units(run_virtual):
+    async def run():
+        async with open_domains(finished_retention_ms=2000) as fleet:
+            home_all_in(fleet, get_units(fleet, 'hall0'))
+            fleet.platform.evacuate('hall0')
+            await trio.sleep(NOTICE_S)
+            await submit_two_steps(fleet)
+            await fleet.wait_done(JOB)
+            await trio.sleep(8)
+            keys = {key for _, _, key in fleet.platform.store.rows}
+            assert not [key for key in keys if key.startswith(JOB)]
+
+    run_virtual(run)
+
+
+def test_write_to_the_next_home_is_repeated_after_its_owner_is_lost(
+    run_virtual, monkeypatch
+):
+    """Guards against a job that no unit is the home of."""
+    make_move = _row_effects._make_move
+    refused = []
+
+    async def fail_first(effect, shell):
+        if len(refused) < 1:
+            refused.append(shell.config.session_id)
+            await trio.sleep_forever()
+        return await make_move(effect, shell)
+
+    monkeypatch.setattr(_row_effects, '_make_move', fail_first)
+
+    async def run():
+        async with open_domains() as fleet:
+            home_all_in(fleet, get_units(fleet, 'hall0'))
+            fleet.platform.evacuate('hall0')
+            await trio.sleep(NOTICE_S)
+            await submit_two_steps(fleet)
+            with trio.fail_after(5):
+                while not refused:
+                    await trio.sleep(0.05)
+            fleet.kill(refused[0].partition(':')[0])
+            await fleet.wait_done(JOB)
+            fleet.check()
+
+    run_virtual(run)
--- a/tests/tulippin/jobs/test_scheduler_soak.py
+++ b/tests/tulippin/jobs/test_scheduler_soak.py
@@ -48,6 +48,12 @@
 RESTART_SEEDS = (1, 2, 3, 4, 7, 8)
 
 
+@pytest.mark.parametrize('seed', range(4))
+def test_failure_domains_are_evacuated_in_series(run_virtual, seed):
+    found = run_virtual(scheduler_soak.play, seed, False, True, seed=seed)
+    assert found == []
+
+
 @pytest.mark.parametrize('seed', RESTART_SEEDS)
 def test_workers_restart_under_their_ids_in_series(run_virtual, seed):
     assert run_virtual(scheduler_soak.play, seed, True, seed=seed) == []
--- a/tests/tulippin/platform/test_foreign_entries.py
+++ b/tests/tulippin/platform/test_foreign_entries.py
@@ -412,13 +412,13 @@
         store = StandinStore()
         feeds = make_feeds(store)
         store.write('op', '', 'config', INVALID_CONFIGURATIONS[name])
-        found, after = await feeds.read_configuration()
-        assert found is None
+        found = await feeds.read_settings()
+        assert found.configuration is None
         store.write('op', '', 'config', b'{"Version":3}')
         store.write('op', '', 'config', INVALID_CONFIGURATIONS[name])
         # The valid version isn't masked by the later invalid one.
-        found, after = await feeds.follow_configuration(after, 0)
-        assert found.version == 3
+        found = await feeds.follow_settings(found.version, 0)
+        assert found.configuration.version == 3
 
     with logbook.TestHandler() as handler:
         run_virtual(run)
@@ -430,8 +430,8 @@
     async def run():
         store = StandinStore()
         store.write('op', 'elsewhere', 'config', b'{"Version":3}')
-        found, _ = await make_feeds(store).follow_configuration(0, 0)
-        assert found is None
+        found = await make_feeds(store).follow_settings(0, 0)
+        assert found.configuration is None
 
     run_virtual(run)
 
