Take the objective of a job from its own estimates

The cause: whether a job can still be in time, and when it is due, came from the mean run time of its queue.

--- a/src/tulippin/jobs/_attempts.py
+++ b/src/tulippin/jobs/_attempts.py
@@ -10,8 +10,8 @@
 from tulippin.jobs import (
     _interference,
     _lifecycle,
-    _ranking,
     _ready_queues,
+    _run_times,
     _worker_failures,
 )
 from tulippin.jobs._dispatch import Context
@@ -166,7 +166,7 @@
     if ended.outcome is RunOutcome.DONE:
         if attempt is not None and not attempt.is_slow_start:
             run_ms = context.state.now_ms - attempt.sent_ms
-            _ranking.learn_run_time(job, run_ms, context.state)
+            _run_times.learn(job, attempt.step, run_ms, context.state)
         _end_done(job, task, context)
         return
     if ended.outcome is RunOutcome.FAILED:
--- a/src/tulippin/jobs/_lifecycle.py
+++ b/src/tulippin/jobs/_lifecycle.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from tulippin.jobs import _demand, _ranking, _ready_queues
+from tulippin.jobs import _demand, _ready_queues
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs._event_sources import name_row
 from tulippin.jobs._record_validation import (
@@ -167,7 +167,6 @@
             row.version,
             arrived_ms=state.now_ms,
             first_seen_ms=state.now_ms,
-            depths=_ranking.compute_depths(record.request),
             is_transferred=True,
         )
         _count_tasks(job)
@@ -249,7 +248,6 @@
         row.version,
         arrived_ms=_get_arrival_ms(record, context.state),
         first_seen_ms=context.state.now_ms,
-        depths=_ranking.compute_depths(record.request),
     )
     _count_tasks(job)
     if record.moved is not None:
--- a/src/tulippin/jobs/_model_store.py
+++ b/src/tulippin/jobs/_model_store.py
@@ -22,7 +22,12 @@
 from tulippin.jobs.events import ModelsSeen
 from tulippin.jobs.load_cycles import LoadCycleModel, Wave
 from tulippin.jobs.pair_model import ImageModel, PairModel
-from tulippin.jobs.records import ModelRecord, PairRecord, SwingRecord
+from tulippin.jobs.records import (
+    ModelRecord,
+    PairRecord,
+    RunTimeRecord,
+    SwingRecord,
+)
 from tulippin.jobs.state import Phase, SchedulerState
 from tulippin.logs import logger
 
@@ -45,6 +50,10 @@
             round_all(state.lowest_tails_ms),
             round_all(_drop_unknown(state.run_times_ms)),
             _make_cycles(state),
+            {
+                queue: _round_fit(fit)
+                for queue, fit in state.run_time_fits.items()
+            },
         )
     )
     if faults:
@@ -58,6 +67,11 @@
     return record
 
 
+def _round_fit(fit: RunTimeRecord) -> RunTimeRecord:
+    figures = attrs.asdict(fit, filter=attrs.filters.exclude('count'))
+    return attrs.evolve(fit, **round_all(figures))
+
+
 def _drop_unknown(times_ms: t.Mapping[str, float]) -> dict[str, float]:
     """Return the times without those of 0, which are not known."""
     return {name: time_ms for name, time_ms in times_ms.items() if time_ms}
@@ -112,6 +126,7 @@
     }
     state.lowest_tails_ms = dict(record.lowest_tails_ms)
     state.run_times_ms = dict(record.run_times_ms)
+    state.run_time_fits = dict(record.run_time_fits)
     _restore_cycles(record.swings, state)
 
 
@@ -131,6 +146,7 @@
     state.swings = LoadCycleModel()
     state.lowest_tails_ms = {}
     state.run_times_ms = {}
+    state.run_time_fits = {}
     state.tails.clear()
 
 
@@ -148,6 +164,8 @@
             state.lowest_tails_ms[image] = min(known_ms, tail_ms)
         for queue, run_ms in record.run_times_ms.items():
             state.run_times_ms.setdefault(queue, run_ms)
+        for queue, fit in record.run_time_fits.items():
+            state.run_time_fits.setdefault(queue, fit)
 
 
 def tick(context: Context) -> None:
--- a/src/tulippin/jobs/_model_validation.py
+++ b/src/tulippin/jobs/_model_validation.py
@@ -15,7 +15,12 @@
 
 from tulippin.jobs.load_cycles import is_period
 from tulippin.jobs.pair_model import MIN_VARIANCE
-from tulippin.jobs.records import ModelRecord, PairRecord, SwingRecord
+from tulippin.jobs.records import (
+    ModelRecord,
+    PairRecord,
+    RunTimeRecord,
+    SwingRecord,
+)
 
 # Outliers raise the variance of images that always run together, by 0.0025
 # each, and a few samples that tell two of them apart give large means.
@@ -27,6 +32,8 @@
 _MIN_TIME_MS: t.Final = 0.001
 # About eleven days.
 _MAX_TIME_MS: t.Final = 1e9
+# Logarithms of times of up to _MAX_TIME_MS, and products of two of these.
+_MAX_LOG_FIGURE: t.Final = 1e3
 # A load is 1 at most, but a wave fitted to the start of a cycle may exceed it.
 _MAX_LOAD: t.Final = 100.0
 _MAX_NAME_LENGTH: t.Final = 60
@@ -57,6 +64,9 @@
             record.run_times_ms, _find_time_fault, 'run time of', faults
         ),
         _drop_cycle_faults(record.swings, faults),
+        _keep_valid(
+            record.run_time_fits, _find_fit_fault, 'run times of', faults
+        ),
     )
     return valid, tuple(faults)
 
@@ -85,6 +95,15 @@
     return f'{time_ms:g} ms is out of range'
 
 
+def _find_fit_fault(fit: RunTimeRecord) -> str:
+    if not 0 <= fit.count <= _MAX_SAMPLE_COUNT:
+        return 'its count of runs is out of range'
+    figures = (fit.log_estimate, fit.log_run, fit.variance, fit.covariance)
+    if not all(abs(figure) <= _MAX_LOG_FIGURE for figure in figures):
+        return 'one of its figures is out of range'
+    return 'its variance is negative' if fit.variance < 0 else ''
+
+
 # -- pairs --------------------------------------------------------------------
 
 
--- a/src/tulippin/jobs/_ranking.py
+++ b/src/tulippin/jobs/_ranking.py
@@ -10,12 +10,12 @@
 import enum
 import typing as t
 
+from tulippin.jobs import _run_times
 from tulippin.jobs._ready_queues import StepKey
 from tulippin.jobs.state import Job, SchedulerState, Task
-from tulippin.jobs.types import JobRequest
 
-# Weight of a new run time in the moving mean of its queue.
-_RUN_TIME_WEIGHT: t.Final = 0.05
+# Time after which the expected times of a job's steps are computed again.
+_CHAINS_VALID_MS: t.Final = 2000
 # A job has no value after this multiple of its objective.
 _MAX_OBJECTIVE_MULTIPLE: t.Final = 3
 # Long-running tasks of jobs that arrived in the same window are placed
@@ -25,32 +25,6 @@
 _UNLIMITED_TASKS_PER_WORKER: t.Final = 1_000_000
 
 
-def learn_run_time(job: Job, run_ms: int, state: SchedulerState) -> None:
-    """Update a queue's mean run time with a run that completed."""
-    name = job.queue.name
-    mean_ms = state.run_times_ms.get(name, float(run_ms))
-    state.run_times_ms[name] = mean_ms + _RUN_TIME_WEIGHT * (run_ms - mean_ms)
-
-
-def get_run_ms(job: Job, state: SchedulerState) -> float:
-    """Return the mean run time of the tasks of a job's queue.
-
-    Until a run of the queue has completed, the estimate in the request is
-    used: with a run time of zero every job would count as late at once.
-    """
-    mean_ms = state.run_times_ms.get(job.queue.name, 0.0)
-    return mean_ms or max(step.estimated_ms for step in job.request.steps)
-
-
-def compute_depths(request: JobRequest) -> tuple[int, ...]:
-    """Return for each step the length of the longest chain from it on."""
-    depths = [1 for _ in request.steps]
-    for index in reversed(range(len(request.steps))):
-        for predecessor in request.steps[index].after:
-            depths[predecessor] = max(depths[predecessor], depths[index] + 1)
-    return tuple(depths)
-
-
 def sort_steps(
     queue: dict[StepKey, dict[t.Any, Task]], state: SchedulerState
 ) -> list[StepKey]:
@@ -140,12 +114,12 @@
     job: Job, step_key: StepKey, state: SchedulerState
 ) -> tuple[Lateness, float]:
     """Return the best outcome that a job can still reach, and its due time."""
-    mean_ms = get_run_ms(job, state)
-    total_ms = max(job.depths, default=1) * mean_ms
+    chains_ms = _get_chains_ms(job, state)
+    total_ms = max(chains_ms)
     objective_ms = job.queue.stretch * total_ms + job.queue.target_latency_ms
     reference_ms = _get_reference_ms(job, step_key, state)
     due_ms = reference_ms + objective_ms
-    earliest_end_ms = state.now_ms + job.depths[step_key[2]] * mean_ms
+    earliest_end_ms = state.now_ms + chains_ms[step_key[2]]
     if earliest_end_ms <= due_ms:
         return Lateness.IN_TIME, due_ms
     if earliest_end_ms <= reference_ms + _MAX_OBJECTIVE_MULTIPLE * objective_ms:
@@ -153,6 +127,15 @@
     return Lateness.WORTHLESS, due_ms
 
 
+def _get_chains_ms(job: Job, state: SchedulerState) -> tuple[float, ...]:
+    """Return for each step the expected time of the longest chain from it."""
+    age_ms = state.now_ms - job.chains_computed_ms
+    if not job.chains_ms or age_ms >= _CHAINS_VALID_MS:
+        job.chains_ms = _run_times.predict_chains_ms(job, state)
+        job.chains_computed_ms = state.now_ms
+    return job.chains_ms
+
+
 def _get_reference_ms(
     job: Job, step_key: StepKey, state: SchedulerState
 ) -> int:
--- a/src/tulippin/jobs/records.py
+++ b/src/tulippin/jobs/records.py
@@ -278,6 +278,27 @@
     waves: dict[str, tuple[float, float, float]] = attrs.field(factory=dict)
 
 
+@attrs.frozen
+class RunTimeRecord:
+    """A line fitted to the run times of a queue's tasks, by their estimates.
+
+    Parameters
+    ----------
+    count : int
+        The number of runs.
+    log_estimate, log_run : float
+        Means of the logarithms of the estimates and of the run times, in ms.
+    variance, covariance : float
+        Variance of the former, and their covariance.
+    """
+
+    count: int = 0
+    log_estimate: float = 0.0
+    log_run: float = 0.0
+    variance: float = 0.0
+    covariance: float = 0.0
+
+
 @attrs.frozen
 class ModelRecord:
     """The persisted model: what an owner learned of images, queues, jobs."""
@@ -286,6 +307,7 @@
     lowest_tails_ms: dict[str, float] = attrs.field(factory=dict)
     run_times_ms: dict[str, float] = attrs.field(factory=dict)
     swings: SwingRecord = SwingRecord()
+    run_time_fits: dict[str, RunTimeRecord] = attrs.field(factory=dict)
 
 
 @attrs.frozen
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -19,6 +19,7 @@
     LeaseRecord,
     ProgressRecord,
     QueueKinds,
+    RunTimeRecord,
     Unit,
     UnitCapacity,
 )
@@ -271,7 +272,8 @@
     run_floor: int = 0
     left_units: tuple[int, ...] = ()
     reason: str = ''
-    depths: tuple[int, ...] = (1,)
+    chains_ms: tuple[float, ...] = ()
+    chains_computed_ms: int = 0
     tickets: dict[tuple[str, int, int], dict[str, tuple[str, int]]] = (
         attrs.field(factory=dict)
     )
@@ -559,6 +561,7 @@
     policy: Policy = InterferencePolicy()
     policy_number: int = 0
     run_times_ms: dict[str, float] = attrs.field(factory=dict)
+    run_time_fits: dict[str, RunTimeRecord] = attrs.field(factory=dict)
     short_demands: dict[tuple[str, int], ShortDemand] = attrs.field(
         factory=dict
     )
--- a/tests/tulippin/jobs/test_invalid_reports.py
+++ b/tests/tulippin/jobs/test_invalid_reports.py
@@ -108,7 +108,7 @@
 
 def add_job(state):
     request = JobRequest('', STEPS, Schedule(0, 0, 2))
-    job = Job(JOB, QUEUE, request, 60, arrived_ms=0, depths=(1,) * len(STEPS))
+    job = Job(JOB, QUEUE, request, 60, arrived_ms=0)
     for occurrence in range(request.occurrence_count):
         for number, step in enumerate(STEPS):
             job.remaining[occurrence, number] = step.task_count
--- a/tests/tulippin/jobs/test_model_checks.py
+++ b/tests/tulippin/jobs/test_model_checks.py
@@ -36,6 +36,7 @@
     PairRecord,
     ProgressRecord,
     RosterRecord,
+    RunTimeRecord,
     SwingRecord,
 )
 from tulippin.jobs.state import Attempt, AttemptState, Task, Worker
@@ -99,6 +100,17 @@
     'excessive count': change_pair(sample_counts={'a': 10**30}),
 }
 INVALID_TIMES = [0.0, -0.0, -1.0, 1e-320, 5e-324, 1e-6, 1e308, 1e10]
+VALID_FIT = RunTimeRecord(40, 7.0, 7.2, 0.3, 0.2)
+INVALID_FITS = {
+    **{
+        f'{field} of {value}': attrs.evolve(VALID_FIT, **{field: value})
+        for field in ('log_estimate', 'log_run', 'variance', 'covariance')
+        for value in (float('nan'), float('inf'), 1e5, -1e5)
+    },
+    'negative variance': attrs.evolve(VALID_FIT, variance=-0.1),
+    'negative count': attrs.evolve(VALID_FIT, count=-1),
+    'excessive count': attrs.evolve(VALID_FIT, count=10**30),
+}
 INVALID_CYCLES = {
     **{
         f'period of {value}': attrs.evolve(VALID_CYCLES, period_ms=value)
@@ -151,6 +163,17 @@
     assert len(faults) == 1
 
 
+@pytest.mark.parametrize('name', sorted(INVALID_FITS))
+def test_invalid_fit_drops_only_its_queue(name):
+    record = attrs.evolve(
+        MODEL, run_time_fits={'bad': INVALID_FITS[name], 'good': VALID_FIT}
+    )
+    assert 'bad' in find_fault(record)
+    kept, faults = drop_faults(record)
+    assert kept == attrs.evolve(MODEL, run_time_fits={'good': VALID_FIT})
+    assert len(faults) == 1
+
+
 @pytest.mark.parametrize('name', sorted(INVALID_CYCLES))
 def test_load_cycles_with_an_invalid_period_are_dropped(name):
     record = attrs.evolve(MODEL, swings=INVALID_CYCLES[name])
--- a/tests/tulippin/jobs/test_persisted_models.py
+++ b/tests/tulippin/jobs/test_persisted_models.py
@@ -6,13 +6,19 @@
 units divided by it. Rows were not validated before they were written.
 """
 
+import attrs
 import logbook
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from tulippin.codec_json import decode, encode
-from tulippin.jobs import SchedulerConfig, _interference, _ranking, make_state
+from tulippin.jobs import (
+    SchedulerConfig,
+    _interference,
+    _run_times,
+    make_state,
+)
 from tulippin.jobs._attempts import add_attempt
 from tulippin.jobs._model_store import make_record, restore
 from tulippin.jobs._record_validation import find_fault
@@ -236,17 +242,21 @@
 # -- times --------------------------------------------------------------------
 
 queues = st.sampled_from(['urgent', 'usual'])
-runs = st.lists(st.tuples(queues, st.integers(0, 10**8)), max_size=30)
+runs = st.lists(
+    st.tuples(queues, st.integers(0, 10**8), st.integers(0, 10**15)),
+    max_size=30,
+)
 tails = st.dictionaries(st.sampled_from(SERVING), st.floats(1, 1e6))
 
 
 @given(runs, tails)
 def test_times_read_back(ended, lowest_ms):
     state = make_owner()
-    for name, run_ms in ended:
+    for name, run_ms, estimated_ms in ended:
         queue = Queue(name, 'h', '/', 's')
-        job = Job('job', queue, JobRequest('', (Step(1),)), 1)
-        _ranking.learn_run_time(job, run_ms, state)
+        step = Step(1, estimated_ms=estimated_ms)
+        job = Job('job', queue, JobRequest('', (step,)), 1)
+        _run_times.learn(job, step, run_ms, state)
     state.lowest_tails_ms = lowest_ms
     successor = hand_over(state)
     assert successor.lowest_tails_ms == pytest.approx(lowest_ms, rel=TOLERANCE)
@@ -255,6 +265,11 @@
         assert successor.run_times_ms.get(name, 0.0) == pytest.approx(
             state.run_times_ms.get(name, 0.0), rel=TOLERANCE, abs=0.001
         )
+    assert successor.run_time_fits.keys() == state.run_time_fits.keys()
+    for name, fit in state.run_time_fits.items():
+        assert attrs.astuple(successor.run_time_fits[name]) == pytest.approx(
+            attrs.astuple(fit), rel=TOLERANCE
+        )
 
 
 # -- invalid parts ------------------------------------------------------------
--- a/tests/tulippin/jobs/test_scheduler_decisions.py
+++ b/tests/tulippin/jobs/test_scheduler_decisions.py
@@ -7,6 +7,7 @@
     _interference,
     _pacing,
     _ranking,
+    _run_times,
     _tail_latency,
     _worker_health,
     _worker_selection,
@@ -325,14 +326,7 @@
 
 
 def make_job(state, job_id, arrived_ms, steps):
-    job = Job(
-        job_id,
-        QUEUE,
-        JobRequest('', steps),
-        1,
-        arrived_ms=arrived_ms,
-        depths=_ranking.compute_depths(JobRequest('', steps)),
-    )
+    job = Job(job_id, QUEUE, JobRequest('', steps), 1, arrived_ms=arrived_ms)
     state.jobs[job_id] = job
     return job
 
@@ -348,14 +342,18 @@
     assert order == ['hopeful', 'late', 'lost']
 
 
-def test_depths_follow_the_longest_chain():
+def test_chains_follow_the_longest_one():
+    state = make_state()
+    state.run_times_ms['q'] = 1000.0
     steps = (
         Step(1),
         Step(1, after=(0,)),
         Step(1, after=(0,)),
         Step(1, after=(1,)),
     )
-    assert _ranking.compute_depths(JobRequest('', steps)) == (3, 2, 1, 1)
+    job = make_job(state, 'a', 0, steps)
+    chains_ms = _run_times.predict_chains_ms(job, state)
+    assert chains_ms == (3000.0, 2000.0, 1000.0, 1000.0)
 
 
 def test_long_running_tasks_of_a_batch_are_placed_by_image():
