Move late opportunistic jobs to units where less of their images waits

Callers' billing jobs waited for 15 to 45 s beside idle processors: their image disturbs an image on each worker of their home unit, which short tasks do not leave, while other units have idle processors and nothing waits there for that image.

The change: a job whose tasks have waited for a second, with no run left, moves whole to the unit with idle processors where least demand for its images waits, if that is less than half of what waits at home; twice at most, two jobs a check. It uses the move out of evacuated units.

--- a/src/tulippin/jobs/_job_moves.py
+++ b/src/tulippin/jobs/_job_moves.py
@@ -1,9 +1,13 @@
-"""Moves jobs out of units where nothing may be started.
+"""Moves jobs out of units where they would wait.
 
-Short tasks don't leave the home unit of their job. If all workers of a unit
-are evacuated, its waiting jobs move as a whole, once none of their tasks has a
-run left: the unit first makes durable that it will not start the job again,
-and only then writes it to its next home.
+Short tasks don't leave the home unit of their job. A job whose tasks wait moves
+as a whole, once none of them has a run left: the unit first makes durable that
+it will not start the job again, and only then writes it to its next home.
+
+Two loads call for it. If all workers of a unit are evacuated, nothing may be
+started there. And opportunistic tasks wait beside idle processors if their
+image disturbs what the unit's workers serve, while another unit serves images
+that tolerate it.
 """
 
 from __future__ import annotations
@@ -17,6 +21,7 @@
     _lifecycle,
     _ready_queues,
     _unconfirmed_runs,
+    _unit_capacity,
 )
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs.effects import MoveJob
@@ -27,35 +32,81 @@
 _CHECK_INTERVAL_MS: t.Final = 100
 # Each takes a transaction of its own.
 _MAX_MOVES_PER_CHECK: t.Final = 10
+# Units publish their waiting demand only twice a second, so that moves to a
+# unit with less of it are limited.
+_MAX_LATE_MOVES_PER_CHECK: t.Final = 2
+# A waiting task has been refused by all workers of its unit after this time.
+_LATE_AFTER_MS: t.Final = 1000
+# The units that a job may leave because it waits there.
+_MAX_LATE_MOVES: t.Final = 2
+# A job moves if its images have this many times less waiting demand elsewhere.
+_MIN_DEMAND_RATIO: t.Final = 2
+# Share of the processors reserved by tasks with a latency target that is idle.
+_IDLE_SHARE: t.Final = 0.5
 
 
 def tick(context: Context) -> None:
-    """Move waiting jobs to other units if this one is evacuated."""
+    """Move waiting jobs to units where they don't have to wait."""
     state = context.state
     is_due = state.now_ms - state.moves_checked_ms >= _CHECK_INTERVAL_MS
-    if not (context.may_send_orders and is_due and state.evacuations):
+    if not (context.may_send_orders and is_due and state.unit_capacities):
         return
     state.moves_checked_ms = state.now_ms
-    if not _evacuation.is_unit_closed(state):
-        return
-    budget = _MAX_MOVES_PER_CHECK
-    for job in _list_movable(state):
-        unit = _choose_unit(job, state)
-        if unit is None:
-            continue
-        _move(job, unit, context)
-        budget -= 1
-        if not budget:
-            return
+    if _evacuation.is_unit_closed(state):
+        _leave_closed_unit(context)
+    else:
+        _move_late_jobs(context)
 
 
-def _list_movable(state: SchedulerState) -> list[Job]:
-    """Return the jobs with waiting tasks and no runs, in order of arrival."""
+def _leave_closed_unit(context: Context) -> None:
+    """Move the jobs that wait in a unit where nothing may be started."""
+    state = context.state
+    budget = _MAX_MOVES_PER_CHECK
     job_ids = {
         step_key[0]
         for queue in (state.ready, state.ready_opportunistic)
         for step_key in queue
     }
+    for job in _list_movable(job_ids, state):
+        unit = _choose_unit(job, state)
+        if unit is not None and budget:
+            _move(job, unit, context)
+            budget -= 1
+
+
+def _move_late_jobs(context: Context) -> None:
+    """Move late jobs of opportunistic tasks where less of them waits."""
+    state = context.state
+    late = _find_late(state)
+    if not late:
+        return
+    waiting = _unit_capacity.sum_opportunistic_waiting(state)
+    budget = _MAX_LATE_MOVES_PER_CHECK
+    for job in _list_movable(late, state):
+        unit = _choose_less_waiting(job, late[job.job_id], waiting, state)
+        if unit is not None and budget:
+            _move(job, unit, context)
+            budget -= 1
+
+
+def _find_late(state: SchedulerState) -> dict[str, dict[str, int]]:
+    """Return the late opportunistic demand by job and image, in millicores."""
+    limit_ms = state.now_ms - _LATE_AFTER_MS
+    late: dict[str, dict[str, int]] = {}
+    for step_key, tasks in state.ready_opportunistic.items():
+        job = state.jobs[step_key[0]]
+        first = next(iter(tasks.values()))
+        if first.ready_ms > limit_ms or len(job.left_units) >= _MAX_LATE_MOVES:
+            continue
+        step = job.request.steps[step_key[2]]
+        demand = late.setdefault(job.job_id, {})
+        asked = len(tasks) * step.size.cpu_millicores
+        demand[step.image] = demand.get(step.image, 0) + asked
+    return late
+
+
+def _list_movable(job_ids: t.Iterable[str], state: SchedulerState) -> list[Job]:
+    """Return those of some jobs that have no runs, in order of arrival."""
     jobs = [state.jobs[job_id] for job_id in job_ids]
     return sorted(
         (job for job in jobs if _is_movable(job, state)),
@@ -80,18 +131,57 @@
 
 def _choose_unit(job: Job, state: SchedulerState) -> int | None:
     """Return the least loaded unit that can run a job, if there is one."""
-    steps = job.request.steps
     fitting = [
         (_get_load(room), number)
         for number, room in state.unit_capacities.items()
-        if number not in state.closed_units
-        and number not in job.left_units
-        and room.capacity_millicores
-        and all(_has_label(room, step) for step in steps)
+        if _accepts(number, room, job, state)
     ]
     return min(fitting)[1] if fitting else None
 
 
+def _choose_less_waiting(
+    job: Job,
+    demand: t.Mapping[str, int],
+    waiting: t.Mapping[str, int],
+    state: SchedulerState,
+) -> int | None:
+    """Return the unit where least waits of a job's images, or None.
+
+    It has to have idle processors for the job, and far less waiting demand for
+    these images than this unit: such demand is what its workers refuse.
+    """
+    asked = sum(demand.values())
+    own = _sum_waiting(waiting, demand)
+    found = []
+    for number, room in state.unit_capacities.items():
+        there = _sum_waiting(room.waiting_millicores, demand)
+        is_less = _MIN_DEMAND_RATIO * there + asked <= own
+        idle = _get_idle(room)
+        if is_less and idle >= asked and _accepts(number, room, job, state):
+            found.append((there, -idle, number))
+    return min(found)[-1] if found else None
+
+
+def _sum_waiting(waiting: t.Mapping[str, int], images: t.Iterable[str]) -> int:
+    return sum(waiting.get(image, 0) for image in images)
+
+
+def _get_idle(room: UnitCapacity) -> float:
+    """Return the processors that no opportunistic task of a unit asks for."""
+    used = _IDLE_SHARE * room.reserved_millicores + room.idle_millicores
+    return room.capacity_millicores - used
+
+
+def _accepts(
+    number: int, room: UnitCapacity, job: Job, state: SchedulerState
+) -> bool:
+    """Whether a job may move to a unit."""
+    if number in state.closed_units or number in job.left_units:
+        return False
+    is_open = room.capacity_millicores > 0
+    return is_open and all(_has_label(room, one) for one in job.request.steps)
+
+
 def _has_label(room: UnitCapacity, step: Step) -> bool:
     return not step.required_label or step.required_label in room.labels
 
@@ -114,9 +204,14 @@
     demand = max(
         step.task_count * step.size.cpu_millicores for step in job.request.steps
     )
+    image = job.request.steps[0].image
+    waiting = dict(room.waiting_millicores)
+    waiting[image] = waiting.get(image, 0) + demand
     # Counts the job until the next row of the unit does.
     state.unit_capacities[unit] = attrs.evolve(
-        room, idle_millicores=room.idle_millicores + demand
+        room,
+        idle_millicores=room.idle_millicores + demand,
+        waiting_millicores=waiting,
     )
     state.count('jobs_moved')
     context.log(
--- a/src/tulippin/jobs/_unit_capacity.py
+++ b/src/tulippin/jobs/_unit_capacity.py
@@ -22,7 +22,7 @@
     available = _feasibility.list_available(state)
     waiting = sum(_sum_waiting(state.ready, state).values())
     waiting_short = _sum_waiting_short(state)
-    waiting_opportunistic = _sum_waiting(state.ready_opportunistic, state)
+    waiting_opportunistic = sum_opportunistic_waiting(state)
     return UnitCapacity(
         _sum_capacity(available),
         _sum_reserved(available) + waiting,
@@ -123,6 +123,11 @@
     return dict(waiting)
 
 
+def sum_opportunistic_waiting(state: SchedulerState) -> dict[str, int]:
+    """Return the processors that opportunistic tasks wait for, by image."""
+    return _sum_waiting(state.ready_opportunistic, state)
+
+
 def _sum_waiting_short(state: SchedulerState) -> int:
     """Return the processors that short tasks wait for."""
     total = 0
--- a/tests/tulippin/jobs/test_job_moves.py
+++ b/tests/tulippin/jobs/test_job_moves.py
@@ -14,7 +14,8 @@
     make_step,
 )
 from tulippin.jobs import _job_moves, _row_effects
-from tulippin.jobs.types import JobState
+from tulippin.jobs.types import JobState, Step
+from tulippin.types import Resources
 
 JOB = f'{1:016x}'
 
@@ -271,3 +272,80 @@
             fleet.check()
 
     run_virtual(run)
+
+
+# -- late jobs beside idle processors in other units ---------------------------
+
+LATE_JOBS = 40
+LATE_RUN_MS = 3000
+LATE_SIZE = Resources(1000, 4000)
+
+
+async def submit_to_one_unit(fleet):
+    """Submit more opportunistic work than one unit has memory for.
+
+    Returns the time of each job's submit.
+    """
+    home_all_in(fleet, get_units(fleet, 'hall0'))
+    step = Step(16, LATE_SIZE, opportunistic=True, image='batch')
+    request = make_request(step, run_ms=LATE_RUN_MS, cpu_millicores=1000)
+    submitted_s = {}
+    for number in range(LATE_JOBS):
+        job_id = f'{number:016x}'
+        await fleet.submit(job_id, request, LOW_PRIORITY_QUEUE)
+        submitted_s[job_id] = trio.current_time()
+        await trio.sleep(0.05)
+    return submitted_s
+
+
+def play_late(run_virtual):
+    """Return the share of jobs that callers get in time."""
+    shares = []
+
+    async def run():
+        async with open_domains() as fleet:
+            submitted_s = await submit_to_one_unit(fleet)
+            for job_id in submitted_s:
+                await fleet.wait_done(job_id, limit_s=60)
+            ended_s = {
+                event.key.job_id: event.at_ms / 1000
+                for event in fleet.platform.history
+                if event.kind == 'ended'
+            }
+            objective_s = LOW_PRIORITY_QUEUE.stretch * LATE_RUN_MS / 1000
+            objective_s += LOW_PRIORITY_QUEUE.target_latency_ms / 1000
+            in_time = [
+                ended_s[job_id] - at_s <= objective_s
+                for job_id, at_s in submitted_s.items()
+            ]
+            shares.append(sum(in_time) / len(in_time))
+            fleet.check()
+
+    run_virtual(run)
+    return shares[0]
+
+
+def test_late_jobs_move_to_units_with_idle_processors(run_virtual, monkeypatch):
+    """Most jobs are in time, and most are not without moves."""
+    share = play_late(run_virtual)
+    monkeypatch.setattr(_job_moves, '_choose_less_waiting', lambda *_: None)
+    share_without = play_late(run_virtual)
+    assert share_without < 0.5 < share
+
+
+def test_late_job_stays_where_all_units_are_as_busy(run_virtual):
+    async def run():
+        async with open_domains(2) as fleet:
+            step = Step(16, LATE_SIZE, opportunistic=True, image='batch')
+            request = make_request(step, run_ms=2000, cpu_millicores=1000)
+            for number in range(120):
+                await fleet.submit(f'{number:016x}', request)
+            await trio.sleep(3)
+            moved = sum(
+                unit.state.counters.get('jobs_moved', 0)
+                for instance in fleet.instances.values()
+                for unit in instance.shell.units.values()
+            )
+            assert moved <= 12
+
+    run_virtual(run)
