Read the open home of a job in one place, list two seeds of the soak

The move of a job and its failure read the home row with the same lines, and the share of idle processors was a constant in two modules: each is one now; nothing changes for callers.

Red list: seed 2 of the soak with restarted workers passes now, as the course of events differs, not because its cause is mended. 90 seeds of it (1 to 90) on this code: 11, 48, 78 and 85 abandon a healthy job, the class of seed 2; 87 starts three tasks over the room of workers that guard none. Seed 2 stays a test.

--- a/src/tulippin/jobs/_home_selection.py
+++ b/src/tulippin/jobs/_home_selection.py
@@ -40,8 +40,6 @@
 # Load above the mean up to which a unit that serves a job's image is
 # preferred: tasks beyond that are transferred.
 _MAX_LOAD_ABOVE_MEAN: t.Final = 0.03
-# Share of the processors reserved by tasks with a latency target that is idle.
-_IDLE_SHARE: t.Final = 0.5
 
 
 @attrs.define
@@ -325,6 +323,6 @@
     room = _get_capacity(unit)
     demand = room.reserved_millicores + demands.reserved.get(number, 0)
     if is_idle:
-        demand = _IDLE_SHARE * demand + room.idle_millicores
+        demand = _unit_capacity.IDLE_SHARE * demand + room.idle_millicores
         demand += demands.idle.get(number, 0)
     return demand / max(1, room.capacity_millicores)
--- a/src/tulippin/jobs/_job_moves.py
+++ b/src/tulippin/jobs/_job_moves.py
@@ -41,8 +41,6 @@
 _MAX_LATE_MOVES: t.Final = 2
 # A job moves if its images have this many times less waiting demand elsewhere.
 _MIN_DEMAND_RATIO: t.Final = 2
-# Share of the processors reserved by tasks with a latency target that is idle.
-_IDLE_SHARE: t.Final = 0.5
 
 
 def tick(context: Context) -> None:
@@ -168,8 +166,8 @@
 
 def _get_idle(room: UnitCapacity) -> float:
     """Return the processors that no opportunistic task of a unit asks for."""
-    used = _IDLE_SHARE * room.reserved_millicores + room.idle_millicores
-    return room.capacity_millicores - used
+    reserved = _unit_capacity.IDLE_SHARE * room.reserved_millicores
+    return room.capacity_millicores - reserved - room.idle_millicores
 
 
 def _accepts(
--- a/src/tulippin/jobs/_row_effects.py
+++ b/src/tulippin/jobs/_row_effects.py
@@ -497,17 +497,14 @@
     Returns None if the job has moved already, or is cancelled.
     """
     part = get_jobs_part(effect.job_id)
-    row = await read_row(shell.ports.store, HOMES_TABLE, part, effect.job_id)
-    home = read_record(row, HomeRecord)
-    if home is None or home.is_cancelled or home.is_failed:
-        return None
-    if home.unit != shell.config.unit.number:
+    home, version = await _read_open_home(effect.job_id, shell)
+    if home is None or home.unit != shell.config.unit.number:
         return None
     has_begun = effect.record.moved.progress.state is not JobState.PENDING
     moved = attrs.evolve(home, unit=effect.unit, has_begun=has_begun)
     return Transaction(
         part,
-        (RowCondition(HOMES_TABLE, effect.job_id, get_version(row)),),
+        (RowCondition(HOMES_TABLE, effect.job_id, version),),
         (
             RowWrite(HOMES_TABLE, effect.job_id, encode(moved)),
             RowWrite(
@@ -519,6 +516,21 @@
     )
 
 
+async def _read_open_home(
+    job_id: str, shell: UnitShell
+) -> tuple[HomeRecord | None, int]:
+    """Return a job's home and the version of its row.
+
+    The home is None if it can't be read, or the job is cancelled or failed.
+    """
+    part = get_jobs_part(job_id)
+    row = await read_row(shell.ports.store, HOMES_TABLE, part, job_id)
+    home = read_record(row, HomeRecord)
+    if home is None or home.is_cancelled or home.is_failed:
+        return None, 0
+    return home, get_version(row)
+
+
 @perform.register(fx.FailJob)
 def _fail_job(effect: fx.FailJob, shell: UnitShell) -> None:
     shell.start(_run_fail, effect, shell)
@@ -542,15 +554,14 @@
     Returns None if the job is marked as failed or cancelled already.
     """
     part = get_jobs_part(effect.job_id)
-    row = await read_row(shell.ports.store, HOMES_TABLE, part, effect.job_id)
-    home = read_record(row, HomeRecord)
-    if home is None or home.is_cancelled or home.is_failed:
+    home, version = await _read_open_home(effect.job_id, shell)
+    if home is None:
         return None
     fail_value = encode(FailRecord(effect.reason))
     key = f'{effect.job_id}{FAIL_SUFFIX}'
     return Transaction(
         part,
-        (RowCondition(HOMES_TABLE, effect.job_id, get_version(row)),),
+        (RowCondition(HOMES_TABLE, effect.job_id, version),),
         (
             RowWrite(
                 HOMES_TABLE,
--- a/src/tulippin/jobs/_unit_capacity.py
+++ b/src/tulippin/jobs/_unit_capacity.py
@@ -8,6 +8,7 @@
 
 import collections
 import itertools
+import typing as t
 
 from tulippin.jobs import _demand, _feasibility, _headroom
 from tulippin.jobs._ready_queues import StepKey
@@ -16,6 +17,9 @@
 from tulippin.jobs.types import Step, TaskKey
 from tulippin.types import Resources
 
+# Share of the processors reserved by tasks with a latency target that is idle.
+IDLE_SHARE: t.Final = 0.5
+
 
 def measure(state: SchedulerState) -> UnitCapacity:
     """Return the capacity, reservations and waiting demand of a unit."""
--- a/tests/tulippin/jobs/test_scheduler_soak.py
+++ b/tests/tulippin/jobs/test_scheduler_soak.py
@@ -43,9 +43,10 @@
 
 
 # 7: tasks run again, as ends of a restarted worker are acknowledged unread
-# 2: a healthy job is abandoned, as three workers are lost or cut off soon
+# 2, 78: a healthy job is abandoned, as three workers are lost or cut off soon
 #   after starts of its task
-RESTART_SEEDS = (1, 2, 3, 4, 7, 8)
+# 87: tasks are started on a worker that is over its room and guards none
+RESTART_SEEDS = (1, 2, 3, 4, 7, 8, 78, 87)
 
 
 @pytest.mark.parametrize('seed', range(4))
