Keep evacuated failure domains as a set

The settings feed carried a time with each evacuated domain, from the beginning of the read before, for a grace that was not built: no decision read it. It is gone from the feed, the event and the state, and known domains and changes are joined in one step.

--- a/src/tulippin/jobs/_evacuation.py
+++ b/src/tulippin/jobs/_evacuation.py
@@ -14,13 +14,13 @@
 @handle.register
 def _apply_evacuations(event: EvacuationsChanged, context: Context) -> None:
     state = context.state
-    state.evacuations = dict(event.open_until_ms)
+    state.evacuated_domains = event.failure_domains
     state.closed_units = event.closed_units
     state.is_placing_due = True
     if state.workers:
         context.log(
             'evacuations in force',
-            failure_domains=sorted(state.evacuations),
+            failure_domains=sorted(event.failure_domains),
             closed_workers=sum(
                 is_closed(one, state) for one in state.workers.values()
             ),
@@ -30,7 +30,7 @@
 
 def is_closed(worker: Worker, state: SchedulerState) -> bool:
     """Whether nothing may be started on a worker, as it is evacuated."""
-    return worker.entry.failure_domain in state.evacuations
+    return worker.entry.failure_domain in state.evacuated_domains
 
 
 def is_unit_closed(state: SchedulerState) -> bool:
--- a/src/tulippin/jobs/events.py
+++ b/src/tulippin/jobs/events.py
@@ -55,12 +55,10 @@
 class EvacuationsChanged(JobEvent):
     """The evacuated failure domains, at first or after a change.
 
-    ``open_until_ms`` holds for each one a time at which it was not evacuated
-    yet, or 0 if none is known. ``closed_units`` are the units that lie in these
-    domains as a whole.
+    ``closed_units`` are the units that lie in these domains as a whole.
     """
 
-    open_until_ms: dict[str, int]
+    failure_domains: frozenset[str]
     closed_units: frozenset[int] = frozenset()
 
 
--- a/src/tulippin/jobs/shell.py
+++ b/src/tulippin/jobs/shell.py
@@ -80,8 +80,7 @@
         self.layout: LayoutRecord | None = None
         self.configuration: Configuration | None = None
         self.configured = trio.Event()
-        # Evacuated failure domains; see ``EvacuationsChanged``.
-        self.evacuations: dict[str, int] = {}
+        self.evacuated_domains: frozenset[str] = frozenset()
         self.settings_known = trio.Event()
         self.layout_known = trio.Event()
         self.store_answered_ms = 0
@@ -142,7 +141,7 @@
         for number in layout.unit_numbers:
             if number not in self.units:
                 self._add_unit(number)
-        if self.evacuations:
+        if self.evacuated_domains:
             self.post(self._make_evacuations_event())
 
     def _add_unit(self, number: int) -> None:
@@ -188,7 +187,7 @@
         if self.configuration is not None:
             event = ev.ConfigurationChanged(self.clock(), self.configuration)
             unit.post(event)
-        if self.evacuations:
+        if self.evacuated_domains:
             unit.post(self._make_evacuations_event())
         if self._policy is not None:
             unit.post(self._policy)
@@ -222,12 +221,12 @@
 
     def list_evacuated_units(self) -> frozenset[int]:
         """Return the units all of whose workers are evacuated."""
-        if self.layout is None or not self.evacuations:
+        if self.layout is None:
             return frozenset()
         return frozenset(
             int(number)
             for number, domain in self.layout.failure_domains.items()
-            if domain in self.evacuations
+            if domain in self.evacuated_domains
         )
 
     # -- the loop ----------------------------------------------------------
@@ -323,9 +322,7 @@
     async def _follow_settings(self) -> None:
         feeds = self.ports.feeds
         after = -1
-        last_read_ms = 0
         while True:
-            read_ms = self.clock()
             try:
                 if after < 0:
                     settings = await feeds.read_settings()
@@ -340,39 +337,24 @@
                 await trio.sleep(FEED_RETRY_PAUSE_S)
                 continue
             self.record_store_result()
-            known = self.evacuations if after >= 0 else {}
-            self._apply_evacuations(known, settings, last_read_ms)
+            known = self.evacuated_domains if after >= 0 else frozenset()
+            self._apply_evacuations(known, settings)
             if settings.configuration is not None:
                 self._apply_configuration(settings.configuration)
             self.settings_known.set()
             after = settings.version
-            last_read_ms = read_ms
 
     def _apply_evacuations(
-        self,
-        known: dict[str, int],
-        settings: OperatorSettings,
-        last_read_ms: int,
+        self, known: frozenset[str], settings: OperatorSettings
     ) -> None:
-        """Apply changes to the evacuations that are known to be in force.
-
-        A domain whose evacuation is new was not evacuated when the last read
-        of the settings began.
-        """
-        evacuations = {
-            domain: open_until_ms
-            for domain, open_until_ms in known.items()
-            if settings.evacuations.get(domain, True)
-        }
-        for domain, is_evacuated in settings.evacuations.items():
-            if is_evacuated:
-                open_until_ms = self.evacuations.get(domain, last_read_ms)
-                evacuations.setdefault(domain, open_until_ms)
-        if evacuations == self.evacuations:
+        """Apply changes to the known evacuated domains."""
+        changes = {**dict.fromkeys(known, True), **settings.evacuations}
+        evacuated = frozenset(filter(changes.__getitem__, changes))
+        if evacuated == self.evacuated_domains:
             return
-        began = sorted(evacuations.keys() - self.evacuations.keys())
-        ended = sorted(self.evacuations.keys() - evacuations.keys())
-        self.evacuations = evacuations
+        began = sorted(evacuated - self.evacuated_domains)
+        ended = sorted(self.evacuated_domains - evacuated)
+        self.evacuated_domains = evacuated
         logger.info(
             'evacuations changed',
             began=began,
@@ -394,7 +376,7 @@
 
     def _make_evacuations_event(self) -> ev.EvacuationsChanged:
         return ev.EvacuationsChanged(
-            self.clock(), dict(self.evacuations), self.list_evacuated_units()
+            self.clock(), self.evacuated_domains, self.list_evacuated_units()
         )
 
     def _apply_configuration(self, configuration: Configuration) -> None:
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -490,10 +490,8 @@
 class SchedulerState:
     """Everything that the reducer reads and changes.
 
-    ``evacuations`` holds the evacuated failure domains, each with a time at
-    which it was not evacuated yet, or 0 if none is known, and ``closed_units``
-    the units that lie in them as a whole. ``queue_kinds`` says
-    which kinds of tasks have arrived in each queue, and
+    ``closed_units`` are the units that lie in ``evacuated_domains`` as a whole.
+    ``queue_kinds`` says which kinds of tasks have arrived in each queue, and
     ``is_demand_inherited`` whether the previous owner published the demand of
     short ones. ``uncrowded_ms`` holds by service the last time when less than
     half of its capacity was reserved. ``lost_unconfirmed_workers`` holds the
@@ -508,7 +506,7 @@
     config: SchedulerConfig
     now_ms: int = 0
     configuration: Configuration | None = None
-    evacuations: dict[str, int] = attrs.field(factory=dict)
+    evacuated_domains: frozenset[str] = frozenset()
     closed_units: frozenset[int] = frozenset()
     ownership: Ownership = attrs.field(factory=Ownership)
     jobs: dict[str, Job] = attrs.field(factory=dict)
--- a/tests/tulippin/jobs/test_evacuation.py
+++ b/tests/tulippin/jobs/test_evacuation.py
@@ -180,13 +180,13 @@
             fleet.platform.store.drop_change_log()
             await trio.sleep(3)
             shells = [one.shell for one in fleet.instances.values()]
-            assert [set(one.evacuations) for one in shells] == [
+            assert [set(one.evacuated_domains) for one in shells] == [
                 {'hall0'} for _ in shells
             ]
             fleet.platform.end_evacuation('hall0')
             fleet.platform.store.drop_change_log()
             await trio.sleep(3)
-            assert not any(one.evacuations for one in shells)
+            assert not any(one.evacuated_domains for one in shells)
 
     run_virtual(run)
 
