Count the tasks of a moved job as assigned elsewhere

Found by reading: a run of a job that has moved, reported by a worker of the unit that it left (an order carried out late), was adopted there and went on, beside the run that the job's next home may start.

The cause: three places asked whether a job has moved, on top of the one rule on where a task is assigned, which the reports ask and which did not know of moves. The rule knows now, so that such a run is stopped, and two of the special cases are gone (making tasks ready, counting waiting jobs).

--- a/src/tulippin/jobs/_attempts.py
+++ b/src/tulippin/jobs/_attempts.py
@@ -126,7 +126,7 @@
 def make_ready(job: Job, task: Task, context: Context) -> None:
     """Make a task ready to start, unless it is over or still runs."""
     is_over = task.is_done or job.is_cancelled or job.state in FINAL_STATES
-    is_over = is_over or job.is_progress_unknown or job.moved_to is not None
+    is_over = is_over or job.is_progress_unknown
     is_assigned_here = _lifecycle.is_assigned_here(job, task.key)
     if is_assigned_here and not is_over and not task.attempts:
         step = job.request.steps[task.key.step]
--- a/src/tulippin/jobs/_lifecycle.py
+++ b/src/tulippin/jobs/_lifecycle.py
@@ -192,8 +192,11 @@
 def is_assigned_here(job: Job, key: TaskKey) -> bool:
     """Whether a task is assigned to this unit.
 
-    The latest transfer counts, whether the task was received or sent.
+    No task of a job that has moved is. Otherwise the latest transfer counts,
+    whether the task was received or sent.
     """
+    if job.moved_to is not None:
+        return False
     received_number = job.passes.get(key, -1 if job.is_transferred else 0)
     sent = job.passed.get(key)
     return sent is None or received_number > sent.transfer_number
@@ -211,7 +214,7 @@
     the first task counts the job, so that each job is counted exactly once.
     """
     is_pending = job.state is JobState.PENDING and not job.is_progress_unknown
-    if job.is_cancelled or job.moved_to is not None or not is_pending:
+    if job.is_cancelled or not is_pending:
         return False
     first = get_counted_task(job)
     if job.is_transferred and first not in job.passes:
--- a/tests/tulippin/jobs/test_job_moves.py
+++ b/tests/tulippin/jobs/test_job_moves.py
@@ -5,6 +5,15 @@
 import pytest
 import trio
 from test_evacuation import NOTICE_S, open_domains, submit_many
+from test_invalid_reports import (
+    BATCH,
+    deliver_report,
+    list_stopped,
+    make_name,
+    make_owner,
+    read_report,
+)
+from test_invalid_reports import JOB as REPORTED_JOB
 
 from scheduler_fleet import (
     LIMIT_MS,
@@ -274,6 +283,15 @@
     run_virtual(run)
 
 
+def test_run_of_a_moved_job_is_stopped():
+    """Guards against a second run beside the one in the job's next home."""
+    state = make_owner()
+    state.jobs[REPORTED_JOB].moved_to = 1
+    name = make_name(step=BATCH)
+    effects = deliver_report(state, 'w0', read_report([(name, 1, '', 10, 900)]))
+    assert [key.format() for key in list_stopped(effects)] == [name]
+
+
 # -- late jobs beside idle processors in other units ---------------------------
 
 LATE_JOBS = 40
