Use one loop for moves, one check of labels, one read of a home row

The two loads that move jobs had the same loop, which went on choosing units for the remaining jobs once its budget was used up; whether a unit has a step's label was written in three modules; a transfer of tasks read the home row by itself, and the row of the target also where the job was over. Each is one piece now. Which jobs move, and where, is as it was. 107 tests of moves, evacuations, homes, run times, crashes and rebalancing pass.

--- a/src/tulippin/jobs/_home_selection.py
+++ b/src/tulippin/jobs/_home_selection.py
@@ -179,7 +179,10 @@
     capable = [
         number
         for number in numbers
-        if all(_could_run(step, units[number]) for step in request.steps)
+        if all(
+            _unit_capacity.has_label(_get_capacity(units[number]), step)
+            for step in request.steps
+        )
     ]
     fresh = [number for number in capable if _is_fresh(units[number], now_ms)]
     # An owner that is loading its unit starts nothing for a second or more,
@@ -305,13 +308,6 @@
     return unit.lease.room if unit.lease else UnitCapacity()
 
 
-def _could_run(step: Step, unit: UnitShell) -> bool:
-    """Whether a unit has workers with the label that a step requires."""
-    return not step.required_label or (
-        step.required_label in _get_capacity(unit).labels
-    )
-
-
 def _get_load(
     unit: UnitShell, demands: RoutedDemand, *, is_idle: bool
 ) -> float:
--- a/src/tulippin/jobs/_job_moves.py
+++ b/src/tulippin/jobs/_job_moves.py
@@ -27,7 +27,7 @@
 from tulippin.jobs.effects import MoveJob
 from tulippin.jobs.records import JobRecord, MovedJobRecord, UnitCapacity
 from tulippin.jobs.state import RUNS_PER_EPOCH, Job, SchedulerState
-from tulippin.jobs.types import FINAL_STATES, Step
+from tulippin.jobs.types import FINAL_STATES
 
 _CHECK_INTERVAL_MS: t.Final = 100
 # Each takes a transaction of its own.
@@ -59,17 +59,17 @@
 def _leave_closed_unit(context: Context) -> None:
     """Move the jobs that wait in a unit where nothing may be started."""
     state = context.state
-    budget = _MAX_MOVES_PER_CHECK
     job_ids = {
         step_key[0]
         for queue in (state.ready, state.ready_opportunistic)
         for step_key in queue
     }
-    for job in _list_movable(job_ids, state):
-        unit = _choose_unit(job, state)
-        if unit is not None and budget:
-            _move(job, unit, context)
-            budget -= 1
+    _move_some(
+        _list_movable(job_ids, state),
+        lambda job: _choose_unit(job, state),
+        _MAX_MOVES_PER_CHECK,
+        context,
+    )
 
 
 def _move_late_jobs(context: Context) -> None:
@@ -79,12 +79,29 @@
     if not late:
         return
     waiting = _unit_capacity.sum_opportunistic_waiting(state)
-    budget = _MAX_LATE_MOVES_PER_CHECK
-    for job in _list_movable(late, state):
-        unit = _choose_less_waiting(job, late[job.job_id], waiting, state)
-        if unit is not None and budget:
-            _move(job, unit, context)
-            budget -= 1
+    _move_some(
+        _list_movable(late, state),
+        lambda job: _choose_less_waiting(job, late[job.job_id], waiting, state),
+        _MAX_LATE_MOVES_PER_CHECK,
+        context,
+    )
+
+
+def _move_some(
+    jobs: t.Iterable[Job],
+    choose: t.Callable[[Job], int | None],
+    budget: int,
+    context: Context,
+) -> None:
+    """Move the first jobs that a unit is found for, up to a number of them."""
+    for job in jobs:
+        unit = choose(job)
+        if unit is None:
+            continue
+        _move(job, unit, context)
+        budget -= 1
+        if not budget:
+            return
 
 
 def _find_late(state: SchedulerState) -> dict[str, dict[str, int]]:
@@ -176,12 +193,9 @@
     """Whether a job may move to a unit."""
     if number in state.closed_units or number in job.left_units:
         return False
-    is_open = room.capacity_millicores > 0
-    return is_open and all(_has_label(room, one) for one in job.request.steps)
-
-
-def _has_label(room: UnitCapacity, step: Step) -> bool:
-    return not step.required_label or step.required_label in room.labels
+    return room.capacity_millicores > 0 and all(
+        _unit_capacity.has_label(room, step) for step in job.request.steps
+    )
 
 
 def _get_load(room: UnitCapacity) -> float:
@@ -238,7 +252,7 @@
     record = JobRecord(
         job.queue,
         job.request,
-        _get_accepted_ms(job, state),
+        job.arrived_ms + state.wall_offset_ms,
         MovedJobRecord(
             attrs.evolve(progress, moved_to=None, started={}),
             run_floor,
@@ -247,8 +261,3 @@
         ),
     )
     context.emit(MoveJob(job.job_id, progress.moved_to, record))
-
-
-def _get_accepted_ms(job: Job, state: SchedulerState) -> int:
-    """Return the time of day at which a job was accepted."""
-    return job.arrived_ms + state.wall_offset_ms
--- a/src/tulippin/jobs/_row_effects.py
+++ b/src/tulippin/jobs/_row_effects.py
@@ -428,12 +428,10 @@
     part = get_jobs_part(effect.job_id)
     table = Unit(effect.unit).jobs_table
     key = f'{effect.job_id}{GUEST_SUFFIX}'
-    store = shell.ports.store
-    home_row = await read_row(store, HOMES_TABLE, part, effect.job_id)
-    guest_row = await read_row(store, table, part, key)
-    home = read_record(home_row, HomeRecord)
-    if home is None or home.is_cancelled or home.is_failed:
+    home, home_version = await _read_open_home(effect.job_id, shell)
+    if home is None:
         return None
+    guest_row = await read_row(shell.ports.store, table, part, key)
     stored = read_record(guest_row, GuestRecord)
     if is_unreadable(guest_row, stored):
         # The row may hold tasks that other units transferred, which would be
@@ -463,7 +461,7 @@
     return Transaction(
         part,
         (
-            RowCondition(HOMES_TABLE, effect.job_id, get_version(home_row)),
+            RowCondition(HOMES_TABLE, effect.job_id, home_version),
             RowCondition(table, key, get_version(guest_row)),
         ),
         (
--- a/src/tulippin/jobs/_run_times.py
+++ b/src/tulippin/jobs/_run_times.py
@@ -68,10 +68,9 @@
 
 def predict_ms(job: Job, step: Step, state: SchedulerState) -> float:
     """Return the expected run time of a step's tasks."""
-    mean_ms = get_mean_ms(job, state)
     fit = state.run_time_fits.get(job.queue.name)
     if fit is None or fit.count < _MIN_RUNS or step.estimated_ms <= 0:
-        return mean_ms
+        return get_mean_ms(job, state)
     slope = (fit.covariance + _PRIOR_VARIANCE) / (
         fit.variance + _PRIOR_VARIANCE
     )
--- a/src/tulippin/jobs/_unit_capacity.py
+++ b/src/tulippin/jobs/_unit_capacity.py
@@ -104,9 +104,12 @@
     largest_new = room.largest_new_millicores if is_new else None
     if largest_new is not None and step.reserved.cpu_millicores > largest_new:
         return False
-    if step.required_label and step.required_label not in room.labels:
-        return False
-    return room.largest_free.fits(step.reserved)
+    return has_label(room, step) and room.largest_free.fits(step.reserved)
+
+
+def has_label(room: UnitCapacity, step: Step) -> bool:
+    """Whether a unit has workers with the label that a step requires."""
+    return not step.required_label or step.required_label in room.labels
 
 
 def _sum_opportunistic(worker: Worker) -> int:
