Share the set-up of tests of evacuations and moves

Opening a fleet with one home and evacuated domains, running many jobs to their end, and checking that a model loses an invalid entry alone were written again in each test.

--- a/tests/tulippin/jobs/test_evacuation.py
+++ b/tests/tulippin/jobs/test_evacuation.py
@@ -78,19 +78,23 @@
     return job_ids
 
 
+async def run_many(fleet, count, **options):
+    """Submit jobs, and wait until they are done."""
+    for job_id in await submit_many(fleet, count, **options):
+        await fleet.wait_done(job_id)
+
+
 def test_nothing_is_started_in_an_evacuated_domain(run_virtual):
     async def run():
         async with open_domains() as fleet:
             fleet.platform.evacuate('hall0')
             await trio.sleep(NOTICE_S)
             since_ms = get_now_ms()
-            for job_id in await submit_many(fleet, 40, run_ms=500):
-                await fleet.wait_done(job_id)
+            await run_many(fleet, 40, run_ms=500)
             assert not list_starts(fleet, 'hall0', since_ms)
             fleet.platform.end_evacuation('hall0')
             await trio.sleep(1)
-            for job_id in await submit_many(fleet, 40, offset=100):
-                await fleet.wait_done(job_id)
+            await run_many(fleet, 40, offset=100)
             assert list_starts(fleet, 'hall0', since_ms)
             fleet.check()
 
@@ -148,8 +152,7 @@
                 fleet.kill(name)
             for number in range(2):
                 await fleet.start(f'n{number}')
-            for job_id in await submit_many(fleet, 30, offset=100, pause_s=0.1):
-                await fleet.wait_done(job_id)
+            await run_many(fleet, 30, offset=100, pause_s=0.1)
             fleet.check()
 
     run_virtual(run)
@@ -165,8 +168,7 @@
             await trio.sleep(6)
             for number in range(3):
                 await fleet.start(f'n{number}')
-            for job_id in await submit_many(fleet, 30):
-                await fleet.wait_done(job_id)
+            await run_many(fleet, 30)
             fleet.check()
 
     run_virtual(run)
@@ -322,8 +324,7 @@
             fleet.platform.evacuate('nowhere')
             fleet.platform.evacuate('nowhere')
             await trio.sleep(NOTICE_S)
-            for job_id in await submit_many(fleet, 30):
-                await fleet.wait_done(job_id)
+            await run_many(fleet, 30)
             started_in = {
                 fleet.platform.workers[event.worker_id].failure_domain
                 for event in fleet.platform.history
--- a/tests/tulippin/jobs/test_job_moves.py
+++ b/tests/tulippin/jobs/test_job_moves.py
@@ -1,6 +1,7 @@
 """Waiting jobs move out of units that are evacuated, and run exactly once."""
 
 import collections
+import contextlib
 
 import pytest
 import trio
@@ -29,19 +30,26 @@
 JOB = f'{1:016x}'
 
 
-def home_all_in(fleet, domain_units):
-    """Make every instance choose the first of some units as home."""
-    for instance in fleet.instances.values():
-        instance.shell.choose_unit = lambda request: domain_units[0]
+@contextlib.asynccontextmanager
+async def open_homed(*evacuated, **options):
+    """Open a fleet whose jobs all get the same home, in hall0.
 
-
-def get_units(fleet, domain):
-    layout = next(iter(fleet.instances.values())).shell.layout
-    return sorted(
-        int(number)
-        for number, name in layout.failure_domains.items()
-        if name == domain
-    )
+    The domains that are given are evacuated, and all instances know it.
+    """
+    async with open_domains(**options) as fleet:
+        layout = next(iter(fleet.instances.values())).shell.layout
+        home = min(
+            int(number)
+            for number, domain in layout.failure_domains.items()
+            if domain == 'hall0'
+        )
+        for instance in fleet.instances.values():
+            instance.shell.choose_unit = lambda request: home
+        for domain in evacuated:
+            fleet.platform.evacuate(domain)
+        if evacuated:
+            await trio.sleep(NOTICE_S)
+        yield fleet
 
 
 def count_done(fleet, job_id):
@@ -63,8 +71,7 @@
 
 def test_job_goes_on_in_another_domain_where_it_was_left(run_virtual):
     async def run():
-        async with open_domains() as fleet:
-            home_all_in(fleet, get_units(fleet, 'hall0'))
+        async with open_homed() as fleet:
             await submit_two_steps(fleet, run_ms=1000)
             await fleet.wait_running(4)
             fleet.platform.evacuate('hall0')
@@ -81,8 +88,7 @@
     monkeypatch.setattr(_job_moves, '_choose_unit', lambda job, state: None)
 
     async def run():
-        async with open_domains() as fleet:
-            home_all_in(fleet, get_units(fleet, 'hall0'))
+        async with open_homed() as fleet:
             await submit_two_steps(fleet, run_ms=1000)
             await fleet.wait_running(4)
             fleet.platform.evacuate('hall0')
@@ -96,8 +102,7 @@
     """Guards against a begun job that is shown as pending by any instance."""
 
     async def run():
-        async with open_domains() as fleet:
-            home_all_in(fleet, get_units(fleet, 'hall0'))
+        async with open_homed() as fleet:
             await submit_two_steps(fleet, run_ms=1500)
             await fleet.wait_state(JOB, JobState.RUNNING)
             fleet.platform.evacuate('hall0')
@@ -118,10 +123,7 @@
 @pytest.mark.parametrize('delay_s', [0.0, 0.05, 0.1, 0.15, 0.2, 0.3, 1.0])
 def test_cancel_during_a_move_ends_the_job(run_virtual, delay_s):
     async def run():
-        async with open_domains() as fleet:
-            home_all_in(fleet, get_units(fleet, 'hall0'))
-            fleet.platform.evacuate('hall0')
-            await trio.sleep(NOTICE_S)
+        async with open_homed('hall0') as fleet:
             await submit_two_steps(fleet, run_ms=3000)
             await trio.sleep(delay_s)
             intake = next(iter(fleet.instances.values())).intake
@@ -139,12 +141,11 @@
 @pytest.mark.parametrize('seed', range(4))
 def test_jobs_run_once_while_their_owners_are_lost(run_virtual, seed):
     async def run():
-        async with open_domains(instances=6) as fleet:
+        async with open_homed(instances=6) as fleet:
             source = fleet.platform.store.source
             source.seed(seed)
             trouble = fleet.platform.store.trouble
             trouble.lost_answer_share = 0.2
-            home_all_in(fleet, get_units(fleet, 'hall0'))
             job_ids = await submit_many(fleet, 20, run_ms=800)
             await trio.sleep(source.random())
             fleet.platform.evacuate('hall0')
@@ -163,8 +164,7 @@
 
 def test_job_moves_on_if_its_next_domain_is_evacuated_too(run_virtual):
     async def run():
-        async with open_domains() as fleet:
-            home_all_in(fleet, get_units(fleet, 'hall0'))
+        async with open_homed() as fleet:
             job_ids = await submit_many(fleet, 20, run_ms=1200)
             for domain in ('hall0', 'hall1'):
                 fleet.platform.evacuate(domain)
@@ -180,11 +180,7 @@
     """A job doesn't return to a unit whose rows of it are out of date."""
 
     async def run():
-        async with open_domains(2) as fleet:
-            home_all_in(fleet, get_units(fleet, 'hall0'))
-            fleet.platform.evacuate('hall0')
-            fleet.platform.evacuate('hall1')
-            await trio.sleep(NOTICE_S)
+        async with open_homed('hall0', 'hall1', count=2) as fleet:
             await submit_two_steps(fleet)
             await trio.sleep(2)
             fleet.platform.end_evacuation('hall1')
@@ -196,8 +192,7 @@
 
 def test_failed_runs_count_over_a_move(run_virtual):
     async def run():
-        async with open_domains() as fleet:
-            home_all_in(fleet, get_units(fleet, 'hall0'))
+        async with open_homed() as fleet:
             request = make_request(make_step(), run_ms=400, fails_always=True)
             await fleet.submit(JOB, request)
             await fleet.wait_running(1)
@@ -211,10 +206,7 @@
 
 def test_moved_job_is_counted_as_waiting_once(run_virtual):
     async def run():
-        async with open_domains() as fleet:
-            home_all_in(fleet, get_units(fleet, 'hall0'))
-            fleet.platform.evacuate('hall0')
-            await trio.sleep(NOTICE_S)
+        async with open_homed('hall0') as fleet:
             step = make_step(1, cpu=16000)
             for number in range(72):
                 await fleet.submit(
@@ -239,10 +231,7 @@
 
 def test_rows_of_a_moved_job_are_removed_by_both_units(run_virtual):
     async def run():
-        async with open_domains(finished_retention_ms=2000) as fleet:
-            home_all_in(fleet, get_units(fleet, 'hall0'))
-            fleet.platform.evacuate('hall0')
-            await trio.sleep(NOTICE_S)
+        async with open_homed('hall0', finished_retention_ms=2000) as fleet:
             await submit_two_steps(fleet)
             await fleet.wait_done(JOB)
             await trio.sleep(8)
@@ -268,10 +257,7 @@
     monkeypatch.setattr(_row_effects, '_make_move', fail_first)
 
     async def run():
-        async with open_domains() as fleet:
-            home_all_in(fleet, get_units(fleet, 'hall0'))
-            fleet.platform.evacuate('hall0')
-            await trio.sleep(NOTICE_S)
+        async with open_homed('hall0') as fleet:
             await submit_two_steps(fleet)
             with trio.fail_after(5):
                 while not refused:
@@ -304,7 +290,6 @@
 
     Returns the time of each job's submit.
     """
-    home_all_in(fleet, get_units(fleet, 'hall0'))
     step = Step(16, LATE_SIZE, opportunistic=True, image='batch')
     request = make_request(step, run_ms=LATE_RUN_MS, cpu_millicores=1000)
     submitted_s = {}
@@ -321,7 +306,7 @@
     shares = []
 
     async def run():
-        async with open_domains() as fleet:
+        async with open_homed() as fleet:
             submitted_s = await submit_to_one_unit(fleet)
             for job_id in submitted_s:
                 await fleet.wait_done(job_id, limit_s=60)
--- a/tests/tulippin/jobs/test_model_checks.py
+++ b/tests/tulippin/jobs/test_model_checks.py
@@ -136,6 +136,15 @@
 ]
 
 
+def check_drops_only_bad(field, bad, good):
+    """Check that an invalid entry of a field is dropped, and no other one."""
+    record = attrs.evolve(MODEL, **{field: {'bad': bad, 'good': good}})
+    assert 'bad' in find_fault(record)
+    kept, faults = drop_faults(record)
+    assert kept == attrs.evolve(MODEL, **{field: {'good': good}})
+    assert len(faults) == 1
+
+
 def test_valid_model_is_unchanged():
     assert drop_faults(MODEL) == (MODEL, ())
     assert find_fault(MODEL) == ''
@@ -156,22 +165,12 @@
 @pytest.mark.parametrize('field', ['lowest_tails_ms', 'run_times_ms'])
 @pytest.mark.parametrize('time_ms', INVALID_TIMES)
 def test_invalid_time_drops_only_itself(field, time_ms):
-    record = attrs.evolve(MODEL, **{field: {'bad': time_ms, 'good': 5.0}})
-    assert 'bad' in find_fault(record)
-    kept, faults = drop_faults(record)
-    assert kept == attrs.evolve(MODEL, **{field: {'good': 5.0}})
-    assert len(faults) == 1
+    check_drops_only_bad(field, time_ms, 5.0)
 
 
 @pytest.mark.parametrize('name', sorted(INVALID_FITS))
 def test_invalid_fit_drops_only_its_queue(name):
-    record = attrs.evolve(
-        MODEL, run_time_fits={'bad': INVALID_FITS[name], 'good': VALID_FIT}
-    )
-    assert 'bad' in find_fault(record)
-    kept, faults = drop_faults(record)
-    assert kept == attrs.evolve(MODEL, run_time_fits={'good': VALID_FIT})
-    assert len(faults) == 1
+    check_drops_only_bad('run_time_fits', INVALID_FITS[name], VALID_FIT)
 
 
 @pytest.mark.parametrize('name', sorted(INVALID_CYCLES))
--- a/tests/tulippin/jobs/test_run_times.py
+++ b/tests/tulippin/jobs/test_run_times.py
@@ -1,4 +1,4 @@
-"""Run times are predicted from estimates, and decide who is still in time."""
+"""Run times are predicted from estimates, and decide which jobs are in time."""
 
 import random
 
@@ -14,7 +14,7 @@
 from tulippin.types import Resources
 
 SIZE = Resources(1000, 1000)
-# Share of the spread of the estimates that the run times have.
+# Run times grow with this power of the estimates.
 EXPONENT = 0.6
 MEAN_RUN_MS = 2000
 
