Log why no earlier run holds a task back, and what a release report is made from

Callers saw one task run twice under two owners in a row, and no log told why the second one did not wait: whether the release report lacked the run, a worker counted as heard too early, or the job counted as newer than the takeover.

The change: the first start of a task by an owner logs what cleared it, with both versions and the state of each worker that the report names; the takeover counts the tasks of each class; the release logs the runs that its report is made from; an adopted run logs whether it was reported and which other runs there are; a start that is answered while orders are suspended is logged. No decision changes.

--- a/src/tulippin/jobs/_committing.py
+++ b/src/tulippin/jobs/_committing.py
@@ -94,6 +94,7 @@
         pairs_known=sum(
             len(model.means) for model in state.model.images.values()
         ),
+        tasks=_unconfirmed_runs.count_clearances(state),
     )
 
 
--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -453,6 +453,7 @@
         'release unit',
         epoch=context.fencing_token,
         why=ownership.release_reason,
+        runs=_unconfirmed_runs.count_runs(state),
     )
     context.emit(
         ReleaseLease(
--- a/src/tulippin/jobs/_reports.py
+++ b/src/tulippin/jobs/_reports.py
@@ -218,9 +218,17 @@
         task=row.key.format(),
         run=row.run,
         worker=worker.worker_id,
+        is_reported=worker.worker_id in task.reported_workers,
+        held_ms=state.now_ms - state.ownership.taken_ms,
+        other_runs=[
+            (other.run, other.worker_id, state.now_ms - other.sent_ms)
+            for other in task.attempts.values()
+            if other is not attempt
+        ],
     )
     if is_over or is_second:
         why = 'task is over' if is_over else 'another run exists'
+        state.count('runs_adopted_beside_another', int(is_second))
         _attempts.stop_attempt(attempt, context, why)
     return attempt
 
--- a/src/tulippin/jobs/_starting.py
+++ b/src/tulippin/jobs/_starting.py
@@ -114,6 +114,7 @@
         list_age_ms=state.now_ms - worker.answered_ms,
         pace_percent=attempt.target_pace_percent,
         crashes=len(task.crashes),
+        **_unconfirmed_runs.describe_clearance(job, task, state),
     )
     context.emit(
         StartRun(
--- a/src/tulippin/jobs/_unconfirmed_runs.py
+++ b/src/tulippin/jobs/_unconfirmed_runs.py
@@ -152,6 +152,7 @@
     state = context.state
     state.are_earlier_runs_confirmed = False
     reports = _get_valid_report(account, context)
+    state.is_release_reported = reports is not None
     for worker_id, address in state.roster.items():
         worker = state.workers.get(worker_id)
         if worker is None:
@@ -259,14 +260,77 @@
 
 def _add_unconfirmed_run(task: Task, worker_id: str) -> None:
     task.unconfirmed_workers.add(worker_id)
+    task.reported_workers += (worker_id,)
     if task.unresolved_start is None:
         # Its start may not be durable; the number of the run is unknown.
         task.unresolved_start = (0, worker_id)
 
 
+def describe_clearance(
+    job: Job, task: Task, state: SchedulerState
+) -> dict[str, t.Any]:
+    """Return why no run of an earlier owner holds a task back, for the log.
+
+    The fields are empty if this owner has started the task before.
+    """
+    if task.run_count > 1:
+        return {}
+    return {
+        'cleared_by': _name_clearance(job, task, state),
+        'job_version': job.row_version,
+        'epoch_version': state.ownership.epoch_version,
+        'reported_workers': [
+            (worker_id, _describe_confirmation(worker_id, state))
+            for worker_id in task.reported_workers
+        ],
+    }
+
+
+def _name_clearance(job: Job, task: Task, state: SchedulerState) -> str:
+    if not job.is_transferred and (
+        job.row_version > state.ownership.epoch_version
+    ):
+        return 'job is newer than the takeover'
+    if not state.is_release_reported:
+        return 'all workers are confirmed'
+    if task.reported_workers:
+        return 'reported workers are confirmed'
+    return 'not in the release report'
+
+
+def _describe_confirmation(worker_id: str, state: SchedulerState) -> str:
+    worker = state.workers.get(worker_id)
+    if worker is None:
+        return 'removed'
+    if worker.is_superseded:
+        return 'superseded'
+    return 'answered' if worker.is_reconciled else 'lapsed'
+
+
+def count_clearances(state: SchedulerState) -> dict[str, int]:
+    """Return how many unfinished tasks of loaded jobs are in each class."""
+    counts: dict[str, int] = {}
+    for job in state.jobs.values():
+        for task in job.tasks.values():
+            if not task.is_done:
+                name = _name_clearance(job, task, state)
+                counts[name] = counts.get(name, 0) + 1
+    return counts
+
+
 # -- the release report for the next owner ------------------------------------
 
 
+def count_runs(state: SchedulerState) -> dict[str, int]:
+    """Return the number of runs in each state, for the log."""
+    counts: dict[str, int] = {}
+    for worker in state.workers.values():
+        for attempt in worker.attempts.values():
+            name = attempt.state.value
+            counts[name] = counts.get(name, 0) + 1
+    return counts
+
+
 def make_account(context: Context) -> AccountRecord:
     """Return the release report: where each task may run."""
     state = context.state
--- a/src/tulippin/jobs/_workers.py
+++ b/src/tulippin/jobs/_workers.py
@@ -341,6 +341,15 @@
         _ownership.step_down(context, f'{event.worker_id} has a newer owner')
         return
     attempt = worker.attempts.get((event.key, event.run))
+    if not context.may_send_orders:
+        context.log(
+            'start answered while orders are suspended',
+            task=event.key.format(),
+            run=event.run,
+            worker=event.worker_id,
+            outcome=outcome.value,
+            is_known=attempt is not None,
+        )
     if attempt is None or attempt.state is not AttemptState.STARTING:
         return
     if outcome is OrderOutcome.STARTED:
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -177,7 +177,8 @@
     the owner knows of any run of the task. ``crashes`` holds, by incarnation of
     a worker, the certain and suspected crashes under the task.
     ``unresolved_start`` is the run and worker of an earlier owner's last start
-    while its outcome is unknown.
+    while its outcome is unknown. ``reported_workers`` are the workers that the
+    last owner's release report names for the task.
     """
 
     key: TaskKey
@@ -195,6 +196,7 @@
     has_run: bool = False
     crashes: dict[Incarnation, CrashRecord] = attrs.field(factory=dict)
     unresolved_start: tuple[int, str] | None = None
+    reported_workers: tuple[str, ...] = ()
 
     def list_crashes(self) -> tuple[CrashRecord, ...]:
         """Return the crashes in the order in which they are stored."""
@@ -496,7 +498,8 @@
     short ones. ``uncrowded_ms`` holds by service the last time when less than
     half of its capacity was reserved. ``lost_unconfirmed_workers`` holds the
     workers that died or lapsed before this owner read a report of theirs, with
-    whether their crash is certain.
+    whether their crash is certain. ``is_release_reported`` says that the last
+    owner left a release report.
 
     Advisory inputs are ignored until ``advisory_paused_until_ms`` after one of
     them raised an error. ``advisory_pause_ms`` is the length of the last such
@@ -532,6 +535,7 @@
     crashes_checked_ms: int = 0
     unconfirmed_until_ms: int = 0
     are_earlier_runs_confirmed: bool = False
+    is_release_reported: bool = False
     advice_asked: set[tuple[str, int, int]] = attrs.field(factory=set)
     dirty_jobs: dict[str, None] = attrs.field(factory=dict)
     dirty_since_ms: int = 0
--- a/tests/tulippin/jobs/test_scheduler_logs.py
+++ b/tests/tulippin/jobs/test_scheduler_logs.py
@@ -13,8 +13,10 @@
     make_step,
     open_fleet,
 )
+from tulippin.jobs.types import JobState
 
 JOB = '00000000000000aa'
+OTHER_JOB = '00000000000000bb'
 LIMIT_MS = 3000
 # Feeds of the configuration, of leases, and of the owned unit's jobs.
 WAITING_FEEDS = 3
@@ -39,6 +41,17 @@
     'unit loaded': {'epoch', 'jobs', 'workers', 'rostered'},
     'configuration in force': {'version'},
 }
+HANDOVER_MESSAGES = {
+    'release unit': {'epoch', 'why', 'runs'},
+    'unit loaded': {'epoch', 'tasks'},
+    'start run': {
+        'cleared_by',
+        'job_version',
+        'epoch_version',
+        'reported_workers',
+    },
+    'run adopted': {'run', 'worker', 'is_reported', 'held_ms', 'other_runs'},
+}
 
 
 @contextlib.contextmanager
@@ -78,6 +91,39 @@
     assert find_missing(handler, wanted) == {}
 
 
+def test_handover_logs_what_holds_tasks_back(run_virtual):
+    async def run():
+        async with open_fleet(workers=3) as fleet:
+            await submit(fleet, 1500)
+            await fleet.wait_running(2)
+            owner = fleet.get_owner()
+            other = fleet.get_other_instance(owner)
+            await fleet.stop(owner)
+            await fleet.submit(OTHER_JOB, by=other)
+            await fleet.wait_state(JOB, JobState.COMPLETED, by=other)
+
+    with capture_log() as handler:
+        run_virtual(run)
+    assert find_missing(handler, HANDOVER_MESSAGES) == {}
+    adopted = [
+        record.kwargs
+        for record in handler.records
+        if record.message == 'run adopted'
+    ]
+    assert len(adopted) == 2
+    assert all(fields['is_reported'] for fields in adopted)
+    clearances = [
+        record.kwargs['cleared_by']
+        for record in handler.records
+        if record.message == 'start run'
+    ]
+    assert clearances == [
+        'job is newer than the takeover',
+        'job is newer than the takeover',
+        'not in the release report',
+    ]
+
+
 def test_lost_run_is_logged(run_virtual):
     async def run():
         async with open_fleet() as fleet:
