Count the lease that a restarted worker may hold, also while nothing runs there

The owner counted that only for runs it knew of; a run that started there 0.9 s later outlived what the release report told, and the next owner started the task again beside it.

The change: the time at which runs of a new incarnation lapse is extended whether or not a run is known there, and the first answer to the next owner no longer replaces a longer time from a release report by the usual lease. Workers that may run any task (no report) are counted as before: from their first answer, by what owners grant.

The stand-in granted leases of any length, where the protocol cuts them to the worker's limit.

That this is what users saw is not shown: their second run began 77 ms after the first, without a silent worker.

--- a/src/tulippin/jobs/_incarnations.py
+++ b/src/tulippin/jobs/_incarnations.py
@@ -106,9 +106,9 @@
     """Extend the time at which runs of a new incarnation lapse.
 
     Orders with deadlines by the clock of the earlier one may have given it a
-    lease up to the longest that it accepts.
+    lease up to the longest that it accepts. It applies to all runs there,
+    those that start later included.
     """
-    if worker.attempts:
-        _unconfirmed_runs.extend_lapse_time(
-            worker, state.config.worker_lease_limit_ms, state
-        )
+    _unconfirmed_runs.extend_lapse_time(
+        worker, state.config.worker_lease_limit_ms, state
+    )
--- a/src/tulippin/jobs/_unconfirmed_runs.py
+++ b/src/tulippin/jobs/_unconfirmed_runs.py
@@ -136,10 +136,12 @@
     The last lease of an earlier owner was granted before this answer, so the
     lapse time is counted from here with the usual lease. Counted from the
     takeover with the longest lease that workers accept, tasks of a worker
-    that leaves soon after wait for 10.6 s, where owners grant 4.5 s.
+    that leaves soon after wait for 10.6 s, where owners grant 4.5 s. A release
+    report says how long the lease may last, also if that is longer.
     """
     if not worker.is_reconciled:
-        worker.lease_expiry_ms = 0
+        if worker.may_run_any_task:
+            worker.lease_expiry_ms = 0
         extend_lapse_time(worker, state.config.worker_lease_ms, state)
     worker.is_reconciled = is_whole
 
--- a/src/tulippin/platform/standin.py
+++ b/src/tulippin/platform/standin.py
@@ -230,6 +230,7 @@
             room=worker.room,
             labels=worker.labels,
             failure_domain=worker.failure_domain,
+            lease_limit_ms=worker.lease_limit_ms,
             **options,
         )
 
--- a/src/tulippin/platform/standin_worker.py
+++ b/src/tulippin/platform/standin_worker.py
@@ -153,6 +153,8 @@
         It writes its entry into the worker list with each heartbeat.
     stop_ms : int
         Delay until a stopped run ends.
+    lease_limit_ms : int
+        Longest lease that it grants; a longer one is cut to it.
     rooms : list of (int, int)
         Earlier CPU capacities, each with the time at which it changed.
     born_ms : int
@@ -178,6 +180,7 @@
     reports_load: bool = True
     publishes_entry: bool = True
     stop_ms: int = 0
+    lease_limit_ms: int = 6000
     rooms: list[tuple[int, int]] = attrs.field(factory=list)
     born_ms: int = attrs.field(factory=get_unix_ms)
     runs: dict[tuple[TaskKey, int], _Run] = attrs.field(factory=dict)
@@ -322,7 +325,7 @@
             return OrderAnswer(OrderOutcome.STARTED, clock_ms)
         if order.deadline_ms < clock_ms:
             return OrderAnswer(OrderOutcome.TOO_LATE, clock_ms)
-        self.deadline_ms = max(self.deadline_ms, order.deadline_ms)
+        self._extend_lease(order.deadline_ms)
         if order.run <= self.highest_runs.get(order.key, 0):
             return OrderAnswer(OrderOutcome.SUPERSEDED, clock_ms)
         plan = msgspec.json.decode(order.spec, type=TaskPlan)
@@ -381,13 +384,18 @@
         if not self.is_up:
             raise AnswerLostError(f'{self.address} has crashed')
         if deadline_ms is not None:
-            self.deadline_ms = max(self.deadline_ms, deadline_ms)
+            self._extend_lease(deadline_ms)
         if not self.ended and wait_ms:
             with trio.move_on_after(wait_ms / _MS_PER_S):
                 await self._changed.wait()
         self._drop_acknowledged()
         return self._report()
 
+    def _extend_lease(self, deadline_ms: int) -> None:
+        """Extend the lease to a time on its clock, up to the limit."""
+        longest_ms = self.clock_ms + self.lease_limit_ms
+        self.deadline_ms = max(self.deadline_ms, min(deadline_ms, longest_ms))
+
     def _drop_acknowledged(self) -> None:
         """Drop all ends up to the highest number that was acknowledged."""
         limit = self.acknowledged_number
--- a/tests/tulippin/jobs/test_restarted_workers.py
+++ b/tests/tulippin/jobs/test_restarted_workers.py
@@ -5,12 +5,13 @@
 import trio
 
 from scheduler_fleet import JOB, QUEUE, make_request, make_step, open_fleet
-from tulippin.jobs import _crashes, core
+from tulippin.jobs import _crashes, _unconfirmed_runs, core
 from tulippin.jobs import effects as fx
 from tulippin.jobs import events as ev
 from tulippin.jobs._attempts import add_attempt
+from tulippin.jobs._dispatch import Context
 from tulippin.jobs._feasibility import accepts_runs
-from tulippin.jobs.records import CrashRecord, EpochRecord
+from tulippin.jobs.records import AccountRecord, CrashRecord, EpochRecord
 from tulippin.jobs.state import (
     Attempt,
     AttemptState,
@@ -35,6 +36,7 @@
     WorkerEntry,
     WorkerReport,
 )
+from tulippin.platform.standin import StandinWorker
 from tulippin.types import Resources
 
 LATER_JOB = '00000000000000bb'
@@ -277,6 +279,41 @@
     assert lasting_ms >= state.config.worker_lease_limit_ms
 
 
+def test_idle_worker_may_hold_the_longest_lease_after_a_restart():
+    """A run that starts there later goes on for as long as the lease."""
+    state = make_owner()
+    reduce_report(state, LATER_BORN_MS)
+    lasting_ms = state.workers['w0'].lease_expiry_ms - state.now_ms
+    assert lasting_ms >= state.config.worker_lease_limit_ms
+
+
+@pytest.mark.parametrize('limit_ms', [6000, 10_000])
+def test_first_answer_keeps_the_lease_of_the_release_report(limit_ms):
+    """Guards against a second start while a worker keeps a longer lease."""
+    state = make_owner()
+    context = Context(state)
+    account = _unconfirmed_runs.make_account(context)
+    reported = attrs.evolve(account.workers['w0'], lasting_ms=limit_ms)
+    account = AccountRecord(0, {'w0': reported})
+    state.workers['w0'].is_reconciled = False
+    _unconfirmed_runs.begin(account, context)
+    reduce_report(state, BORN_MS)
+    worker = state.workers['w0']
+    assert worker.is_reconciled
+    assert worker.lease_expiry_ms >= NOW_MS + limit_ms
+
+
+@pytest.mark.parametrize('limit_ms', [6000, 10_000])
+def test_lease_is_cut_to_the_limit_of_the_worker(run_virtual, limit_ms):
+    async def hold():
+        worker = StandinWorker('w0', 'a:80', [], lease_limit_ms=limit_ms)
+        deadline_ms = worker.clock_ms + 60_000
+        await worker.handle_hold('w0', 1, 0, deadline_ms, 0)
+        return worker.deadline_ms - worker.clock_ms
+
+    assert run_virtual(hold) == limit_ms
+
+
 @pytest.mark.parametrize('owners', [1, 3])
 def test_crashes_of_one_worker_count_by_incarnation(run_virtual, owners):
     """Guards against a task that crashes one worker again and again."""
