Take an unlisted answer to an order for an unknown outcome

An order to start a run that was answered with any status but 200, 409, 421, 429 or 503 counted as rejected: the run was dropped from what the owner knows, left out of the release report, and its task started elsewhere at once. The protocol guarantees that nothing was done for the listed refusals alone; a gateway's 502 or 504, or a 500, may come after the start was carried out, so that the task runs twice.

The change: only 400 counts as rejected; any other status is an unknown outcome, which waits for the worker's report or the order's deadline (1.8 s).

Four of the eight cases of the new test fail without the change.

--- a/src/tulippin/platform/workers.py
+++ b/src/tulippin/platform/workers.py
@@ -38,6 +38,7 @@
 )
 
 _OK: t.Final = 200
+_BAD_REQUEST: t.Final = 400
 _CONFLICT: t.Final = 409
 _OTHER_INCARNATION_STATUS: t.Final = 421
 _UNHEALTHY_STATUSES: t.Final = frozenset((429, 503))
@@ -289,7 +290,10 @@
     if answer.status == _CONFLICT:
         outcome = _OUTCOMES_BY_REASON.get(decoded.reason, OrderOutcome.REJECTED)
         return OrderAnswer(outcome, decoded.clock_ms)
-    return OrderAnswer(OrderOutcome.REJECTED, decoded.clock_ms)
+    if answer.status == _BAD_REQUEST:
+        return OrderAnswer(OrderOutcome.REJECTED, decoded.clock_ms)
+    # Only the protocol's refusals guarantee that an order has no effect.
+    return OrderAnswer(OrderOutcome.UNKNOWN, decoded.clock_ms)
 
 
 def _decode_report(clock_ms: int, body: WorkerAnswerBody) -> WorkerReport:
--- a/tests/tulippin/platform/test_invalid_responses.py
+++ b/tests/tulippin/platform/test_invalid_responses.py
@@ -1,4 +1,4 @@
-"""Invalid responses of the store and of the advice service.
+"""Invalid responses of the store, of workers and of the advice service.
 
 Deeply nested JSON raises RecursionError, which ends the instance unless the
 adapters handle it. A ticket with an unlimited validity would be used forever,
@@ -16,10 +16,13 @@
 
 from tulippin._http_client import HttpAnswer
 from tulippin.exceptions import AnswerLostError, UnavailableError
-from tulippin.jobs.ports import Transaction
+from tulippin.jobs.ports import StartOrder, Transaction
+from tulippin.jobs.types import OrderOutcome, TaskKey
 from tulippin.platform.advisor import PlatformAdvisor
 from tulippin.platform.store import PlatformStore
+from tulippin.platform.workers import PlatformWorkers
 
+KEY = TaskKey('00000000000000aa', 0, 0, 0)
 DEEP = b'[' * 60_000
 INVALID_BODIES = {
     'deep': b'{"rows":[],"good":[],"x":' + DEEP + b']' * 60_000 + b'}',
@@ -40,7 +43,9 @@
     body: bytes
     status: int = 200
 
-    async def send(self, method, url, body=b'', headers=None, extra_wait_ms=0):
+    async def send(
+        self, method, url, body=b'', headers=None, extra_wait_ms=0, **_
+    ):
         await trio.lowlevel.checkpoint()
         return HttpAnswer(self.status, {}, self.body)
 
@@ -75,6 +80,26 @@
         ask(INVALID_BODIES[name])
 
 
+@pytest.mark.parametrize(
+    ('status', 'outcome'),
+    [
+        (400, OrderOutcome.REJECTED),
+        (409, OrderOutcome.REJECTED),
+        (429, OrderOutcome.UNHEALTHY),
+        (503, OrderOutcome.UNHEALTHY),
+        (404, OrderOutcome.UNKNOWN),
+        (500, OrderOutcome.UNKNOWN),
+        (502, OrderOutcome.UNKNOWN),
+        (504, OrderOutcome.UNKNOWN),
+    ],
+)
+def test_start_with_an_unlisted_status_may_have_been_done(status, outcome):
+    """Guards against a second start beside one that was carried out."""
+    workers = PlatformWorkers(lambda: CannedClient(b'{}', status))
+    order = StartOrder('w0', '10.0.0.1:80', KEY, 1, '', 1800, 1)
+    assert trio.run(workers.start, order).outcome is outcome
+
+
 @given(st.binary(max_size=60))
 def test_any_bytes_are_valid_or_a_lost_answer(body):
     store = PlatformStore('s:1', CannedClient(body))
