Measure by calls sent lately whether an unconfirmed owner reaches its workers

Callers saw one task run twice: its first start by the owner of epoch 8, and 77 ms later its first start by that of epoch 9. There the workers refused the first owner's start.

The cause: an owner whose renewals fail goes on while it reaches more than half of its workers, as one of them would tell of a successor. It counted as reached who had not failed. In an overloaded instance answers and refusals wait in the inbox while its ticks, which go first, place tasks, so that nobody fails and nothing is heard. The successor waits 6 s for a worker that it does not reach and starts the task elsewhere; the first owner, unaware for longer, starts it on that worker.

The change: a worker counts as reached by the time at which the last hold that it answered was sent, within the 3.5 s for which an unconfirmed owner may go on anyway. What an owner does is then bounded by when its proofs were asked for, however late they are read.

Evidence: in virtual time an owner with events 12 or 16 s late starts a task beside its successor; the new test fails for both without the change (2, 4 and 8 s pass on either code) and passes with it.

--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -367,15 +367,21 @@
     whose renewals aren't confirmed goes on while it reaches more than half of
     its workers, as the store may be unavailable to all instances: a successor
     reaches at least one of these workers, which then reports the new epoch.
+    Only calls that were sent in this time count: answers and failures may wait
+    in the inbox of an overloaded instance while its ticks go on.
     """
-    if state.now_ms - state.ownership.renewed_ms <= _MAX_UNCONFIRMED_MS:
+    since_ms = state.now_ms - _MAX_UNCONFIRMED_MS
+    if state.ownership.renewed_ms >= since_ms:
         return True
     rostered = [
         worker
         for worker in state.workers.values()
         if worker.is_rostered and not worker.is_superseded
     ]
-    reached_count = sum(not worker.failed_count for worker in rostered)
+    reached_count = sum(
+        worker.confirmed_ms >= since_ms and not worker.failed_count
+        for worker in rostered
+    )
     return 2 * reached_count > len(rostered)
 
 
--- a/src/tulippin/jobs/_reports.py
+++ b/src/tulippin/jobs/_reports.py
@@ -45,6 +45,7 @@
     worker = _incarnations.identify(known, event.report, context)
     worker.is_hold_in_flight = False
     worker.answered_ms = _get_answered_ms(event, context)
+    worker.confirmed_ms = event.sent_ms
     if worker.failed_count:
         context.log('worker answers again', worker=worker.worker_id)
         _crashes.note_answer(worker, context)
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -304,6 +304,8 @@
     ``clock_offset_ms`` added to the instance's clock gives a lower bound of the
     worker's clock. At ``lease_expiry_ms`` by the instance's clock, every lease
     that this owner's messages may have granted the worker has expired.
+    ``confirmed_ms`` is when the last hold that it answered was sent: until then
+    it had not heard of a later owner.
     ``slack`` is the further slowdown that the serving tasks of each image there
     can take, or None if it has to be recomputed. ``exposure`` is what its
     opportunistic tasks used at an earlier report, or None if unknown;
@@ -328,6 +330,7 @@
     clock_offset_ms: int | None = None
     is_hold_in_flight: bool = False
     answered_ms: int = 0
+    confirmed_ms: int = 0
     failed_count: int = 0
     hold_after_ms: int = 0
     lease_expiry_ms: int = 0
--- a/tests/tulippin/jobs/test_scheduler_takeovers.py
+++ b/tests/tulippin/jobs/test_scheduler_takeovers.py
@@ -11,12 +11,13 @@
     LIMIT_MS,
     LOW_PRIORITY_QUEUE,
     QUEUE,
+    WALL_OFFSET_MS,
     make_request,
     make_step,
     open_fleet,
 )
 from tulippin.exceptions import AnswerLostError, UnavailableError
-from tulippin.jobs.events import Ticked
+from tulippin.jobs.events import OWNERSHIP_EVENTS, Ticked
 from tulippin.jobs.records import (
     EPOCH_KEY,
     GUEST_SUFFIX,
@@ -26,14 +27,17 @@
     get_jobs_part,
 )
 from tulippin.jobs.state import Phase
-from tulippin.jobs.types import OrderAnswer, OrderOutcome
-from tulippin.platform.standin import StandinAgents
+from tulippin.jobs.types import JobState, OrderAnswer, OrderOutcome, Schedule
+from tulippin.platform.standin import StandinAgents, get_now_ms
 from tulippin.platform.standin_store import CALL_TIMEOUT_S, StoreView
 
 # Delay of a new owner's calls to a worker that a test slows down.
 SLOW_CALL_S = 0.1
 # Maximum random delay of a call to a worker; most delays are shorter.
 JITTER_S = 0.2
+# Time until a scheduled job is due: a successor waits for 6 s for workers that
+# it does not reach, after a lease of 2 s.
+DUE_AFTER_MS = 11_000
 
 
 @attrs.define
@@ -312,6 +316,53 @@
     run_virtual(run)
 
 
+def delay_events(shell, delay_s):
+    """Let all events wait but those that ownership depends on."""
+    post_now = shell.post_to
+
+    async def post_later(unit, event):
+        await trio.sleep(delay_s)
+        post_now(unit, event)
+
+    def post(unit, event):
+        if isinstance(event, OWNERSHIP_EVENTS):
+            post_now(unit, event)
+        else:
+            shell.start(post_later, unit, event)
+
+    shell.post_to = post
+
+
+@pytest.mark.parametrize('delay_s', [2, 4, 8, 12, 16])
+def test_owner_with_late_events_starts_nothing_beside_its_successor(
+    run_virtual, call_faults, delay_s
+):
+    """Guards against starts by an owner whose news waits in its inbox."""
+
+    async def run():
+        async with open_fleet(instances=2, workers=3) as fleet:
+            await trio.sleep(1)
+            first = fleet.get_owner()
+            second = fleet.get_other_instance(first)
+            due_ms = get_now_ms() + WALL_OFFSET_MS + DUE_AFTER_MS
+            request = attrs.evolve(
+                make_request(make_step(3, max_per_worker=1), run_ms=4000),
+                schedule=Schedule(due_ms, 1000, 1),
+            )
+            await fleet.submit(request=request)
+            await trio.sleep(0.5)
+            fleet.platform.workers['w0'].unreachable_clients = {second}
+            call_faults.unanswered.add((first, Unit().part, LEASE_KEY))
+            delay_events(fleet.instances[first].shell, delay_s)
+            await wait_taken(fleet)
+            await trio.sleep(DUE_AFTER_MS / 1000 + 2)
+            fleet.platform.workers['w0'].unreachable_clients = set()
+            await fleet.wait_state(JOB, JobState.COMPLETED, by=second)
+            fleet.check()
+
+    run_virtual(run)
+
+
 def test_finished_job_is_not_new_after_lost_history(run_virtual, call_faults):
     """A removed job whose rows remain isn't run when rows are read again."""
 
