Count the lease of a takeover from its request

An owner whose taking was answered late counted its first lease from the answer, while others count it from when the rows were written. A taking may be tried for 2.9 s; the owner could then extend leases of workers, and start tasks, for that much longer than its successor waits (6 s for a worker that it does not reach): a task could run twice.

The event now carries when the request was sent, and the lease counts from there. The new test fails without the change (5,000 where the request was sent at 3,400 ms).

--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -224,7 +224,9 @@
     ownership.epoch_version = event.version
     ownership.lease_version = event.version
     ownership.taken_ms = event.at_ms
-    ownership.renewed_ms = event.at_ms
+    # Others count the lease from when the rows were written, which may be long
+    # before the answer.
+    ownership.renewed_ms = event.sent_ms
     ownership.must_confirm = False
     ownership.is_renewing = False
     context.log('unit taken', epoch=event.epoch, version=event.version)
--- a/src/tulippin/jobs/_row_effects.py
+++ b/src/tulippin/jobs/_row_effects.py
@@ -94,6 +94,7 @@
     )
     if shell.lease is not None:
         shell.answer_times.expect(shell.lease.answer_ms / _MS)
+    sent_ms = shell.clock()
     version = 0
     is_in_doubt = False
     try:
@@ -106,7 +107,9 @@
     else:
         version = result.version if result.is_done else 0
     shell.post(
-        ev.UnitTaken(shell.clock(), effect.epoch.epoch, version, is_in_doubt)
+        ev.UnitTaken(
+            shell.clock(), effect.epoch.epoch, version, sent_ms, is_in_doubt
+        )
     )
 
 
--- a/src/tulippin/jobs/events.py
+++ b/src/tulippin/jobs/events.py
@@ -82,7 +82,7 @@
 
 @attrs.frozen
 class UnitTaken(JobEvent):
-    """An attempt to take the unit has ended.
+    """An attempt to take the unit, sent at ``sent_ms``, has ended.
 
     ``version`` is that of the rows written, or 0 if the unit was not taken.
     ``is_in_doubt`` says that the store gave no result or was unavailable.
@@ -90,6 +90,7 @@
 
     epoch: int
     version: int
+    sent_ms: int
     is_in_doubt: bool = False
 
 
--- a/tests/tulippin/jobs/test_scheduler_handover.py
+++ b/tests/tulippin/jobs/test_scheduler_handover.py
@@ -26,7 +26,7 @@
     ProgressRecord,
     Unit,
 )
-from tulippin.jobs.state import Phase, SchedulerConfig
+from tulippin.jobs.state import Phase, SchedulerConfig, SchedulerState
 from tulippin.jobs.types import JobState, TaskKey
 from tulippin.platform.standin import check_history
 from tulippin.platform.standin_store import CALL_TIMEOUT_S, StoreView
@@ -575,3 +575,12 @@
     assert records
     assert records[-1].kwargs['orders'] == 1
     assert records[-1].kwargs['waited_ms'] > 1000
+
+
+def test_lease_of_a_takeover_counts_from_its_request():
+    """Guards against an owner that outlasts the wait of its successor."""
+    state = SchedulerState(SchedulerConfig('i', 'i:1'), now_ms=5000)
+    state.ownership.phase = Phase.TAKING
+    core.reduce(state, ev.UnitTaken(5000, 3, 70, 3400))
+    assert state.ownership.phase is Phase.LOADING
+    assert state.ownership.renewed_ms == 3400
