Check handovers by a model of real reducers with any order of deliveries

Cause: callers saw one task with two runs under two owners in a row, and no fuzzing of whole fleets in virtual time found the order of events.

Change: a model for tests runs the real shells, reducers, effects and feeds of two to three instances, and plays the store, the workers and the time itself. A schedule of bytes (hypothesis, derandomized) carries each call out, answers, loses, rejects, repeats or delays it, also after its caller has ended, and lets owners stop, crash or stand still, workers crash, entries lapse, partitions, lost histories and evacuations with moves happen. A start of a task beside a run on a worker that is up, or after its end was acknowledged, is a violation. With two units only two runs at once count: starts after an end are a fault that the model has found, which is reported apart. Three planted faults (a report without unanswered starts, a job that looks newer than the takeover, a feed without epochs) must be found, by fixed orders of events that the sound code passes.

--- /dev/null
+++ b/tests/tulippin/jobs/test_handover_model.py
@@ -0,0 +1,173 @@
+"""No order of events at a handover gives a task two runs at once.
+
+The shells, reducers and effects are real; `handover_model` plays the store, the
+workers and the time, and delivers in any order. Each fault that is planted here
+must be found by it.
+"""
+
+import attrs
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+import handover_model
+from handover_model import (
+    LAPSE_MS,
+    StartAfterEndError,
+    TwoRunsError,
+    open_world,
+    play,
+)
+from tulippin.jobs import _lifecycle, _unconfirmed_runs
+from tulippin.jobs._unit_feeds import UnitFeeds
+from tulippin.jobs.state import AttemptState
+
+SCHEDULES = st.binary(min_size=160, max_size=160)
+FAR_VERSION = 10**9
+HANDOVER_MS = 1000
+TASK = 0
+THREE_TASKS = 1
+
+
+@pytest.fixture(autouse=True)
+def model(monkeypatch):
+    handover_model.install(monkeypatch)
+
+
+def run_examples(check, count):
+    """Check a number of schedules, the same ones at each run."""
+    limits = settings(
+        max_examples=count,
+        suppress_health_check=list(HealthCheck),
+    )
+    limits(given(SCHEDULES)(check))()
+
+
+def test_owners_in_turn_start_no_task_twice():
+    def check(schedule):
+        play(schedule)
+
+    run_examples(check, 110)
+
+
+def test_three_owners_and_three_workers_start_no_task_twice():
+    def check(schedule):
+        play(schedule, instance_count=3, worker_count=3)
+
+    run_examples(check, 70)
+
+
+def test_owners_of_two_units_start_no_task_twice_at_once():
+
+    def check(schedule):
+        try:
+            play(schedule, unit_count=2)
+        except StartAfterEndError:
+            # A job that moves while a worker of its unit is silent takes no
+            # end along that this worker tells later.
+            return
+
+    run_examples(check, 50)
+
+
+# -- planted faults ------------------------------------------------------------
+
+
+def find_worker(world):
+    """Return the id of the worker with the only run."""
+    (found,) = [one.entry.worker_id for one in world.workers if one.runs]
+    return found
+
+
+def start_task(world):
+    """Start a task; the owner's next commit is not due yet."""
+    world.submit(TASK)
+    world.settle()
+    world.advance()
+    world.settle()
+
+
+def hand_over_during_start(world):
+    """Release a unit while a start is unanswered and its worker silent."""
+    world.blocked['start'] = 'after'
+    start_task(world)
+    world.blocked[find_worker(world)] = 'before'
+    world.stop_owner(0)
+    world.run(HANDOVER_MS)
+
+
+def crash_during_run(world):
+    """Let an owner crash whose task runs on a worker that falls silent."""
+    start_task(world)
+    world.blocked[find_worker(world)] = 'before'
+    world.crash_owner(0)
+    world.run(HANDOVER_MS)
+
+
+def depose_unnoticed(world):
+    """Let an owner without the store and its successor get the same job.
+
+    Each of them reaches one of the workers.
+    """
+    (owner,) = [one.number for one in world.list_owners()]
+    world.blocked = {
+        f'i{owner}/transact': 'before',
+        f'i{owner}/w0': 'before',
+        f'i{1 - owner}/w1': 'before',
+    }
+    world.run(LAPSE_MS - 300)
+    world.submit(THREE_TASKS)
+    world.run()
+    world.end_run(0)
+    world.run()
+
+
+def plant_report_without_unanswered_starts(monkeypatch):
+    make_report = _unconfirmed_runs._make_worker_report
+
+    def make(worker, unconfirmed, state):
+        known = {
+            run_id: attempt
+            for run_id, attempt in worker.attempts.items()
+            if attempt.state is not AttemptState.STARTING
+        }
+        return make_report(
+            attrs.evolve(worker, attempts=known), unconfirmed, state
+        )
+
+    monkeypatch.setattr(_unconfirmed_runs, '_make_worker_report', make)
+
+
+def plant_job_newer_than_takeover(monkeypatch):
+    make_job = _lifecycle._make_job
+
+    def make(row, context):
+        job = make_job(row, context)
+        job.row_version = FAR_VERSION
+        return job
+
+    monkeypatch.setattr(_lifecycle, '_make_job', make)
+
+
+def plant_feed_without_epochs(monkeypatch):
+    make_event = UnitFeeds._make_jobs_event
+
+    def make(feeds, page):
+        return attrs.evolve(make_event(feeds, page), epoch_version=0)
+
+    monkeypatch.setattr(UnitFeeds, '_make_jobs_event', make)
+
+
+FAULTS = (
+    (plant_report_without_unanswered_starts, hand_over_during_start),
+    (plant_job_newer_than_takeover, crash_during_run),
+    (plant_feed_without_epochs, depose_unnoticed),
+)
+
+
+@pytest.mark.parametrize(('plant', 'order'), FAULTS)
+def test_planted_fault_is_found(plant, order, monkeypatch):
+    order(open_world())
+    plant(monkeypatch)
+    with pytest.raises(TwoRunsError):
+        order(open_world())
