Guard against a task that runs again because its job moved before its end was read

Cause: the owner of a job's home gives up the runs of a silent worker once its lease is over, and an evacuated unit then moves the job to another unit. If the worker answers later, its end as done is stored with the progress of the unit that the job has left, which nobody reads, and acknowledged; the next home starts the task again.

--- a/tests/tulippin/jobs/test_handover_model.py
+++ b/tests/tulippin/jobs/test_handover_model.py
@@ -26,6 +26,8 @@
 SCHEDULES = st.binary(min_size=160, max_size=160)
 FAR_VERSION = 10**9
 HANDOVER_MS = 1000
+# Longer than any lease of a worker, with drift and slack.
+WORKER_LAPSE_MS = 7500
 TASK = 0
 THREE_TASKS = 1
 
@@ -174,7 +176,7 @@
         order(open_world())
 
 
-# -- found by reading, shown by the model --------------------------------------
+# -- faults that the model has found or shown ----------------------------------
 
 
 def pass_calls(world, unit, kinds, until):
@@ -217,3 +219,22 @@
     world.settle()
     assert unit.is_owner
     assert len(unit.state.jobs) == 1
+
+
+def test_end_that_is_read_after_its_job_moved_is_not_lost():
+    """Guards against a task that runs again though its end was acknowledged."""
+    world = open_world(unit_count=2)
+    world.submit(TASK)
+    world.run()
+    silent_id = find_worker(world)
+    world.blocked[silent_id] = 'before'
+    world.end_run(0)
+    world.evacuate(0)
+    # The next home has no room yet.
+    world.blocked.update(w2='before', w3='before')
+    world.run(WORKER_LAPSE_MS)
+    del world.blocked[silent_id]
+    world.run()
+    assert world.acknowledged
+    world.blocked.clear()
+    world.run(HANDOVER_MS)
