Log how long a started task was ready, and how late its job is

An urgent job is lost when a task of it waits for half a second, but logs told of waits only from a second on. Each start now says since when the task was ready, whether its job can still be in time, and when it is due: a wait for room, a wrong order and work on jobs that are worth nothing can be told apart.

--- a/src/tulippin/jobs/_ranking.py
+++ b/src/tulippin/jobs/_ranking.py
@@ -11,7 +11,7 @@
 import typing as t
 
 from tulippin.jobs import _run_times
-from tulippin.jobs._ready_queues import StepKey
+from tulippin.jobs._ready_queues import StepKey, get_step_key
 from tulippin.jobs.state import Job, SchedulerState, Task
 
 # Time after which the expected times of a job's steps are computed again.
@@ -110,6 +110,22 @@
     return _estimate_lateness(job, step_key, state)[0]
 
 
+def describe(job: Job, task: Task, state: SchedulerState) -> dict[str, t.Any]:
+    """Return log fields on what ranks a task that is started.
+
+    Long-running tasks are not ranked by time and have only ``ready_for_ms``,
+    the time since the task could have been started.
+    """
+    fields: dict[str, t.Any] = {'ready_for_ms': state.now_ms - task.ready_ms}
+    if not job.request.steps[task.key.step].long_running:
+        lateness, due_ms = _estimate_lateness(
+            job, get_step_key(task.key), state
+        )
+        fields['lateness'] = lateness.name.lower()
+        fields['due_in_ms'] = round(due_ms - state.now_ms)
+    return fields
+
+
 def _estimate_lateness(
     job: Job, step_key: StepKey, state: SchedulerState
 ) -> tuple[Lateness, float]:
--- a/src/tulippin/jobs/_starting.py
+++ b/src/tulippin/jobs/_starting.py
@@ -9,6 +9,7 @@
     _evacuation,
     _lifecycle,
     _probation,
+    _ranking,
     _ready_queues,
     _unconfirmed_runs,
     _workers,
@@ -114,6 +115,7 @@
         list_age_ms=state.now_ms - worker.answered_ms,
         pace_percent=attempt.target_pace_percent,
         crashes=len(task.crashes),
+        **_ranking.describe(job, task, state),
         **_unconfirmed_runs.describe_clearance(job, task, state),
     )
     context.emit(
--- a/tests/tulippin/jobs/test_scheduler_logs.py
+++ b/tests/tulippin/jobs/test_scheduler_logs.py
@@ -222,6 +222,32 @@
     assert waiting['units_with_place'] == 0
 
 
+def test_start_logs_wait_and_lateness(run_virtual):
+    async def run():
+        async with open_fleet(instances=1, workers=2) as fleet:
+            # Each worker runs one task at a time, so the last one is late.
+            step = make_step(5, 12_000, estimated_ms=2000)
+            request = make_request(step, run_ms=2000)
+            intake = fleet.instances['i0'].intake
+            await intake.submit(JOB, QUEUE, request, LIMIT_MS)
+            await fleet.wait_done(JOB)
+
+    with capture_log() as handler:
+        run_virtual(run)
+    starts = [
+        record.kwargs
+        for record in handler.records
+        if record.message == 'start run'
+    ]
+    assert [one['lateness'] for one in starts] == [*['in_time'] * 4, 'late']
+    # An objective of twice the run time and half a second.
+    assert all(4000 <= one['due_in_ms'] <= 4500 for one in starts[:2])
+    assert all(one['ready_for_ms'] < 500 for one in starts[:2])
+    assert 4000 <= starts[-1]['ready_for_ms'] < 6000
+    expected_ms = 4500 - starts[-1]['waited_ms']
+    assert abs(starts[-1]['due_in_ms'] - expected_ms) < 500
+
+
 def find_last(handler, message):
     """Return the fields of the last log line with a message."""
     return [
