Keep the port of a stand-in worker reserved while it is down

Cause: a worker that is down had no socket, so that the system could give its port to any other one, such as that of a connection from an instance to the store. Instances open many of these, and worker ports come from the same range.

Now a socket that does not listen is bound to each worker's port as long as the servers live; the listener is bound beside it, which both allow by SO_REUSEADDR. Connections to a worker that is down are refused as those to a process that is gone.

Evidence: the new test fails without the change (a connection to the store gets the worker's port) and passes with it.

--- a/src/tulippin/platform/standin_http.py
+++ b/src/tulippin/platform/standin_http.py
@@ -4,6 +4,7 @@
 
 import base64
 import contextlib
+import socket
 import typing as t
 
 import attrs
@@ -276,10 +277,9 @@
         )
         for number in range(self._worker_count):
             worker = self.platform.add_worker(
-                f'w{number}', address=_ANY_ADDRESS
+                f'w{number}', address=self._reserve_address()
             )
             await self._serve_worker(worker)
-            self.platform.publish_entry(worker)
         self._nursery.start_soon(self.platform.serve)
         return self
 
@@ -291,18 +291,26 @@
     async def restart_worker(self, worker_id: str, down_s: float) -> None:
         """Crash a worker, and start it again under its id and address.
 
-        Its connections break.
+        Its connections break, and new ones are refused until it is up again.
         """
         self.platform.workers[worker_id].crash()
         self._worker_scopes[worker_id].cancel()
         await trio.sleep(down_s)
         await self._serve_worker(self.platform.restart(worker_id))
 
+    def _reserve_address(self) -> str:
+        """Return an address that stays reserved while nothing serves there.
+
+        The system gives its port to no other socket, such as a client's.
+        """
+        holder = self._stack.enter_context(socket.socket())
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        holder.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{holder.getsockname()[1]}'
+
     async def _serve_worker(self, worker: StandinWorker) -> None:
         scope = self._worker_scopes[worker.worker_id] = trio.CancelScope()
-        worker.address = await self._serve(
-            WorkerApi(worker).make_app(), worker.address, scope
-        )
+        await self._serve(WorkerApi(worker).make_app(), worker.address, scope)
 
     async def _serve(
         self,
--- a/tests/tulippin/test_process_soak.py
+++ b/tests/tulippin/test_process_soak.py
@@ -3,15 +3,18 @@
 ``bench/soak_processes.py`` plays any number of them.
 """
 
+import math
 import pathlib
 import random
 import signal
+import socket
 import subprocess
 import sys
 
 import attrs
 import pytest
 import trio
+import trio.testing
 
 import process_soak
 from tulippin._http_client import HttpClient
@@ -51,6 +54,27 @@
         assert servers.platform.history == []
 
 
+def split_address(address):
+    host, _, port = address.partition(':')
+    return host, int(port)
+
+
+async def test_standin_worker_keeps_its_port_while_it_is_down():
+    async with StandinServers(1) as servers:
+        worker = split_address(servers.platform.workers['w0'].address)
+        store = split_address(servers.store_address)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(servers.restart_worker, 'w0', math.inf)
+            await trio.testing.wait_all_tasks_blocked()
+            with pytest.raises(OSError, match='in use'):
+                socket.create_connection(store, 1, source_address=worker)
+            with pytest.raises(ConnectionRefusedError):
+                socket.create_connection(worker, 1)
+            nursery.cancel_scope.cancel()
+        await servers.restart_worker('w0', 0)
+        socket.create_connection(worker, 1).close()
+
+
 async def test_reload_of_a_starting_instance_does_not_end_it(tmp_path):
     async with StandinServers(1) as servers:
         path = tmp_path / 'instance.ini'
