Have restarts of one stand-in worker follow each other

A restart of a worker that came during another one ended the soak of processes in an error ("w0 is up; choose another id"): both waited, and both started the worker. One that came while the server of the last one was starting could cancel it before it had told that it serves.

A restart holds a lock of its worker now, so that the later one crashes the worker again once it is up. Series of restarts overlap often with 30 workers.

Evidence: the new test of three restarts at once fails without the lock by that error and passes with it.

--- a/src/tulippin/platform/standin_http.py
+++ b/src/tulippin/platform/standin_http.py
@@ -266,6 +266,7 @@
         self._stack = contextlib.AsyncExitStack()
         self._nursery: trio.Nursery | None = None
         self._worker_scopes: dict[str, trio.CancelScope] = {}
+        self._restarts: dict[str, trio.Lock] = {}
 
     async def __aenter__(self) -> t.Self:
         """Start all servers."""
@@ -279,6 +280,7 @@
             worker = self.platform.add_worker(
                 f'w{number}', address=self._reserve_address()
             )
+            self._restarts[worker.worker_id] = trio.Lock()
             await self._serve_worker(worker)
         self._nursery.start_soon(self.platform.serve)
         return self
@@ -292,11 +294,13 @@
         """Crash a worker, and start it again under its id and address.
 
         Its connections break, and new ones are refused until it is up again.
+        A restart that comes during another one of the worker follows it.
         """
-        self.platform.workers[worker_id].crash()
-        self._worker_scopes[worker_id].cancel()
-        await trio.sleep(down_s)
-        await self._serve_worker(self.platform.restart(worker_id))
+        async with self._restarts[worker_id]:
+            self.platform.workers[worker_id].crash()
+            self._worker_scopes[worker_id].cancel()
+            await trio.sleep(down_s)
+            await self._serve_worker(self.platform.restart(worker_id))
 
     def _reserve_address(self) -> str:
         """Return an address that stays reserved while nothing serves there.
--- a/tests/tulippin/test_process_soak.py
+++ b/tests/tulippin/test_process_soak.py
@@ -75,6 +75,16 @@
         socket.create_connection(worker, 1).close()
 
 
+async def test_restarts_of_a_standin_worker_follow_each_other():
+    async with StandinServers(1) as servers:
+        async with trio.open_nursery() as nursery:
+            for _ in range(3):
+                nursery.start_soon(servers.restart_worker, 'w0', 0.02)
+        worker = servers.platform.workers['w0']
+        assert worker.is_up
+        socket.create_connection(split_address(worker.address), 1).close()
+
+
 async def test_reload_of_a_starting_instance_does_not_end_it(tmp_path):
     async with StandinServers(1) as servers:
         path = tmp_path / 'instance.ini'
