Have an instance that stops leave units that it learns of during the stop

Cause: a planned stop asks the units that are known to be released. The layout came after that, and its units did not learn of the stop; only units that replace a failed one did. Now each unit that is started while the instance leaves gets the request, after the settings.

Evidence: the new test fails without the change (the leaving instance owns the unit) and passes with it; 118 tests of fleets, units, handovers and failed units pass.

--- a/src/tulippin/jobs/shell.py
+++ b/src/tulippin/jobs/shell.py
@@ -179,8 +179,6 @@
         """Start a unit's new shell with the current rows and settings."""
         self._start_unit(unit)
         unit.apply_rows(())
-        if self._is_leaving:
-            unit.post(ev.StopRequested(self.clock()))
 
     def _start_unit(self, unit: UnitShell) -> None:
         self.units[unit.config.unit.number] = unit
@@ -191,6 +189,8 @@
             unit.post(self._make_evacuations_event())
         if self._policy is not None:
             unit.post(self._policy)
+        if self._is_leaving:
+            unit.post(ev.StopRequested(self.clock()))
 
     def get_unit_number(self, entry: WorkerEntry) -> int | None:
         """Return the unit of a worker, or None if its rack has none yet."""
--- a/tests/tulippin/jobs/test_scheduler_fleet.py
+++ b/tests/tulippin/jobs/test_scheduler_fleet.py
@@ -221,6 +221,22 @@
     run_virtual(run)
 
 
+def test_instance_that_stops_before_it_knows_units_takes_none(run_virtual):
+    async def run():
+        async with open_fleet(instances=1) as fleet:
+            await fleet.wait_owner()
+            await fleet.start('leaving')
+            shell = fleet.instances['leaving'].shell
+            assert not shell.units
+            await shell.leave()
+            fleet.kill_owner()
+            await trio.sleep(10)
+            assert shell.units
+            assert not fleet.get_owner()
+
+    run_virtual(run)
+
+
 async def suspend_owner(fleet):
     """Suspend the owner for longer than its lease; return its unit."""
     await submit(fleet, request=make_request(make_step(3), run_ms=9000))
