Have a stand-in worker wait until its earlier listener is gone

Cause: a process that is being started holds copies of all sockets of the soak until it runs its program. The listener of a worker that went down meanwhile lives on there.

The stand-in tries again every 10 ms now, for 10 s at most. No other socket can take the port, so that it is the worker's own earlier listener that it waits for.

The new test (an earlier listener that is closed during the restart) fails before and passes now.

--- a/src/tulippin/platform/standin_http.py
+++ b/src/tulippin/platform/standin_http.py
@@ -16,7 +16,7 @@
 from starlette.routing import Route
 
 from tulippin._http_server import HttpServer
-from tulippin.exceptions import AnswerLostError
+from tulippin.exceptions import AnswerLostError, UnavailableError
 from tulippin.jobs.ports import (
     FencedOrderError,
     HistoryLostError,
@@ -47,6 +47,8 @@
 )
 
 _ANY_ADDRESS: t.Final = '127.0.0.1:0'
+_LISTEN_RETRY_S: t.Final = 0.01
+_LISTEN_LIMIT_S: t.Final = 10.0
 _REASONS_BY_OUTCOME: t.Final = {
     OrderOutcome.FENCED: 'fence',
     OrderOutcome.SUPERSEDED: 'old',
@@ -314,7 +316,15 @@
 
     async def _serve_worker(self, worker: StandinWorker) -> None:
         scope = self._worker_scopes[worker.worker_id] = trio.CancelScope()
-        await self._serve(WorkerApi(worker).make_app(), worker.address, scope)
+        app = WorkerApi(worker).make_app()
+        with trio.fail_after(_LISTEN_LIMIT_S):
+            # A process that is being started holds a copy of the worker's
+            # earlier listener until it runs its program.
+            while True:
+                with contextlib.suppress(UnavailableError):
+                    await self._serve(app, worker.address, scope)
+                    return
+                await trio.sleep(_LISTEN_RETRY_S)
 
     async def _serve(
         self,
--- a/tests/tulippin/test_process_soak.py
+++ b/tests/tulippin/test_process_soak.py
@@ -75,6 +75,22 @@
         socket.create_connection(worker, 1).close()
 
 
+async def test_standin_worker_waits_for_its_earlier_listener():
+    """A process that is being started holds copies of all sockets."""
+    async with StandinServers(1) as servers:
+        worker = split_address(servers.platform.workers['w0'].address)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(servers.restart_worker, 'w0', math.inf)
+            await trio.testing.wait_all_tasks_blocked()
+            nursery.cancel_scope.cancel()
+        earlier = socket.create_server(worker)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(servers.restart_worker, 'w0', 0)
+            await trio.testing.wait_all_tasks_blocked()
+            earlier.close()
+        socket.create_connection(worker, 1).close()
+
+
 async def test_restarts_of_a_standin_worker_follow_each_other():
     async with StandinServers(1) as servers:
         async with trio.open_nursery() as nursery:
