Have the soak of processes hand the unit on in quick series, and overlap stops

What users ask for was missing: stops of several owners in a row within a second, a stop beside another one by design, reloads during a stop, and a change of the configuration during a takeover. Faults by chance brought these seldom, and a change of the configuration changed its version alone.

Each run begins with stops of three owners in a row, each as soon as its lease names it, while all instances are up. Beside the faults by chance, series from a random source of their own do the four of them. A planned stop must now end with code 0 wherever the handler was installed, and without the lease of the unit, unless the process was suspended. Runs count the owners, and three changes within a second.

--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -20,7 +20,7 @@
     parser = argparse.ArgumentParser()
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--runs', type=int, default=50)
-    parser.add_argument('--instances', type=int, default=3)
+    parser.add_argument('--instances', type=int, default=4)
     parser.add_argument('--workers', type=int, default=4)
     parser.add_argument('--faults-s', type=float, default=10.0)
     options = parser.parse_args()
--- a/tests/process_soak.py
+++ b/tests/process_soak.py
@@ -10,17 +10,21 @@
 import collections
 import contextlib
 import json
+import math
 import pathlib
 import random
 import signal
 
 import attrs
+import msgspec
 import trio
 
 from instance_processes import BESIDE, open_instance
 from scheduler_fleet import make_config_body
 from tulippin._http_client import HttpClient
+from tulippin.codec_json import decode
 from tulippin.exceptions import AnswerLostError, UnavailableError
+from tulippin.jobs.records import LEASE_KEY, UNITS_TABLE, LeaseRecord
 from tulippin.platform.standin import check_history
 from tulippin.platform.standin_http import StandinServers
 
@@ -52,6 +56,16 @@
     *('stop', 'kill', 'suspend', 'reload', 'kill_all'),
     *('configure', 'restart_worker', 'restart_workers', 'restart_workers'),
 )
+SERIES = (
+    *('stop_owners', 'stop_owners', 'stop_beside_stop'),
+    *('reload_in_stop', 'configure_in_takeover'),
+)
+# All workers are in one rack, and so in this unit.
+UNIT = 'u0'
+TAKEOVER_S = 5
+# Time for all instances to start.
+START_S = 20
+OWNER_STOPS = 3
 CLIENT_TIMEOUT_S = 4
 # A planned stop may cut a request up to this time after it was sent.
 LOSS_SLACK_S = 0.2
@@ -79,6 +93,7 @@
     servers: StandinServers
     nursery: trio.Nursery
     source: random.Random
+    series_source: random.Random
     folder: object
     faults_s: float
     instances: list = attrs.field(factory=list)
@@ -86,7 +101,10 @@
     violations: list = attrs.field(factory=list)
     counts: collections.Counter = attrs.field(factory=collections.Counter)
     config_version: int = 1
-    started_s: float = attrs.field(factory=trio.current_time)
+    # By session id. A later process of the same name has another session.
+    sessions: dict = attrs.field(factory=dict)
+    # When the faults by chance begin.
+    started_s: float = math.inf
 
     @property
     def are_faults_due(self):
@@ -127,13 +145,24 @@
         if instance not in self.instances:
             return
         self.instances.remove(instance)
-        instance.process.send_signal(sent_signal)
+        process = instance.process
+        must_stop = sent_signal == signal.SIGTERM and handles_signal(
+            process, sent_signal
+        )
+        process.send_signal(sent_signal)
         with trio.move_on_after(MAX_EXIT_S):
-            await instance.process.wait()
-        if instance.process.returncode is None:
+            await process.wait()
+        if process.returncode is None:
             self.violations.append(f'{instance.name} does not end')
-            instance.process.kill()
-            await instance.process.wait()
+            process.kill()
+            await process.wait()
+        elif must_stop and process.returncode != 0:
+            self.violations.append(
+                f'{instance.name} stopped with {process.returncode}'
+            )
+        is_holder = self._find_holder() is instance
+        if must_stop and is_holder and not instance.is_disturbed:
+            self.violations.append(f'{instance.name} ended as the owner')
         await self.start(instance.name)
 
     # -- faults ---------------------------------------------------------------
@@ -200,6 +229,123 @@
             for worker_id in up[: max(1, len(up) // 2)]:
                 nursery.start_soon(self._restart_worker, worker_id)
 
+    async def inject(self):
+        """Hand the unit on while all instances are up; then inject faults."""
+        with trio.move_on_after(START_S):
+            while not all(one.port for one in self.instances):
+                await trio.sleep(0.01)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._stop_owners)
+            await trio.sleep(1)
+            self.started_s = trio.current_time()
+            nursery.start_soon(self.inject_faults)
+            nursery.start_soon(self.inject_series)
+
+    # -- series ---------------------------------------------------------------
+
+    async def inject_series(self):
+        """Inject series of faults, beside each other and the other faults."""
+        async with trio.open_nursery() as nursery:
+            while self.are_faults_due:
+                await trio.sleep(0.5 + 2 * self.series_source.random())
+                name = self.series_source.choice(SERIES)
+                self.counts[name] += 1
+                nursery.start_soon(getattr(self, f'_{name}'))
+
+    def _pick_series(self, count):
+        return self.series_source.sample(
+            self.instances, min(count, len(self.instances))
+        )
+
+    def find_owner(self):
+        """Return the instance that holds the unit, unless it is to end."""
+        holder = self._find_holder()
+        return holder if holder in self.instances else None
+
+    def _find_holder(self):
+        """Return the instance whose process holds the unit's lease, if any."""
+        rows = self.servers.platform.store.rows
+        row = rows.get((UNITS_TABLE, UNIT, LEASE_KEY))
+        lease = row and decode(row.value, LeaseRecord)
+        if lease is None or lease.released:
+            return None
+        if lease.session_id not in self.sessions:
+            self.sessions[lease.session_id] = next(
+                (
+                    one
+                    for one in self.instances
+                    if one.name == lease.instance_id
+                ),
+                None,
+            )
+        return self.sessions[lease.session_id]
+
+    async def _stop_owners(self):
+        """Stop each owner of the unit as soon as it has taken it."""
+        async with trio.open_nursery() as nursery:
+            for _ in range(OWNER_STOPS):
+                with trio.move_on_after(TAKEOVER_S):
+                    while not (owner := self.find_owner()):
+                        await trio.sleep(0.01)
+                    nursery.start_soon(self._end, owner, signal.SIGTERM)
+                    await trio.sleep(0.05)
+
+    async def _stop_beside_stop(self):
+        async with trio.open_nursery() as nursery:
+            for instance in self._pick_series(2):
+                nursery.start_soon(self._end, instance, signal.SIGTERM)
+                await trio.sleep(0.3 * self.series_source.random())
+
+    async def _reload_in_stop(self):
+        async with trio.open_nursery() as nursery:
+            for instance in self._pick_series(1):
+                nursery.start_soon(self._end, instance, signal.SIGTERM)
+                while instance.process.returncode is None and survives_reload(
+                    instance.process
+                ):
+                    instance.process.send_signal(signal.SIGHUP)
+                    await trio.sleep(0.02)
+
+    async def _configure_in_takeover(self):
+        """Change the configuration until another instance has the unit."""
+        owner = self.find_owner()
+        if owner is None:
+            return
+        sent_signal = self.series_source.choice(
+            (signal.SIGKILL, signal.SIGTERM)
+        )
+        owner.is_disturbed |= sent_signal == signal.SIGKILL
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._end, owner, sent_signal)
+            with trio.move_on_after(TAKEOVER_S):
+                while self.find_owner() in (None, owner):
+                    self._configure_queue()
+                    await trio.sleep(0.2 * self.series_source.random())
+
+    def _configure_queue(self):
+        """Add a queue, or remove it again."""
+        self.config_version += 1
+        body = make_config_body(self.config_version)
+        if self.config_version % 2:
+            added = msgspec.structs.replace(
+                body.routes[0], name='added', prefix='/added/'
+            )
+            body = msgspec.structs.replace(body, routes=(*body.routes, added))
+        self.servers.platform.configure(body)
+
+    async def watch_owners(self):
+        """Count how often the unit changes hands three times in a second."""
+        owner, changes_s = None, []
+        while True:
+            found = self.find_owner()
+            if found not in (None, owner):
+                owner = found
+                changes_s = [*changes_s[-3:], trio.current_time()]
+                self.counts['owners'] += 1
+                if len(changes_s) > 3 and changes_s[-1] - changes_s[0] < 1:
+                    self.counts['three changes in 1 s'] += 1
+            await trio.sleep(0.01)
+
     # -- clients --------------------------------------------------------------
 
     async def run_client(self, number):
@@ -327,8 +473,14 @@
 
 
 def read_signal_mask(process, name):
-    """Return a signal mask of a process; bit 0 stands for signal 1."""
-    status = pathlib.Path(f'/proc/{process.pid}/status').read_text()
+    """Return a signal mask of a process; bit 0 stands for signal 1.
+
+    It is 0 once the process has ended.
+    """
+    try:
+        status = pathlib.Path(f'/proc/{process.pid}/status').read_text()
+    except FileNotFoundError:
+        return 0
     return next(
         int(line.split()[1], 16)
         for line in status.splitlines()
@@ -344,7 +496,7 @@
     return 0
 
 
-async def play(seed, folder, instances=3, workers=4, faults_s=10.0):
+async def play(seed, folder, instances=4, workers=4, faults_s=10.0):
     """Run the scenario of a seed; return its violations and its counts."""
     async with (
         StandinServers(workers) as servers,
@@ -352,14 +504,20 @@
     ):
         servers.platform.configure(make_config_body())
         soak = ProcessSoak(
-            servers, nursery, random.Random(seed), folder, faults_s
+            servers,
+            nursery,
+            random.Random(seed),
+            random.Random(f'series {seed}'),
+            folder,
+            faults_s,
         )
+        nursery.start_soon(soak.watch_owners)
         try:
             for number in range(instances):
                 await soak.start(f'edge-{number}')
-            with trio.move_on_after(faults_s + RECOVERY_S) as scope:
+            with trio.move_on_after(START_S + faults_s + RECOVERY_S) as scope:
                 async with trio.open_nursery() as clients:
-                    clients.start_soon(soak.inject_faults)
+                    clients.start_soon(soak.inject)
                     for number in range(2 * instances):
                         clients.start_soon(soak.run_client, number)
             if scope.cancelled_caught:
--- a/tests/tulippin/test_process_soak.py
+++ b/tests/tulippin/test_process_soak.py
@@ -138,7 +138,8 @@
 
 async def open_stopping(folder, *, is_reached):
     async with StandinServers(1) as servers, trio.open_nursery() as nursery:
-        soak = StoppingSoak(servers, nursery, random.Random(1), folder, 0)
+        source = random.Random(1)
+        soak = StoppingSoak(servers, nursery, source, source, folder, 0)
         code = await soak.stop_started(is_reached=is_reached)
         nursery.cancel_scope.cancel()
     return code, soak.violations
