--- a/tests/tulippin/jobs/test_scheduler_soak.py
+++ b/tests/tulippin/jobs/test_scheduler_soak.py
@@ -46,7 +46,8 @@
 # 2, 78: a healthy job is abandoned, as three workers are lost or cut off soon
 #   after starts of its task
 # 87: tasks are started on a worker that is over its room and guards none
-RESTART_SEEDS = (1, 2, 3, 4, 7, 8, 78, 87)
+# 9220: a task with two runs, as a worker that restarts holds a longer lease
+RESTART_SEEDS = (1, 2, 3, 4, 7, 8, 78, 87, 9220)
 
 
 # 1008: runs of a worker that the soak replaced by another one of its id
