--- a/src/tulippin/platform/standin_http.py
+++ b/src/tulippin/platform/standin_http.py
@@ -4,6 +4,7 @@
 
 import base64
 import contextlib
+import socket
 import typing as t
 
 import attrs
@@ -15,7 +16,7 @@
 from starlette.routing import Route
 
 from tulippin._http_server import HttpServer
-from tulippin.exceptions import AnswerLostError
+from tulippin.exceptions import AnswerLostError, UnavailableError
 from tulippin.jobs.ports import (
     FencedOrderError,
     HistoryLostError,
@@ -46,6 +47,7 @@
 )
 
 _ANY_ADDRESS: t.Final = '127.0.0.1:0'
+_LISTEN_RETRY_S: t.Final = 0.01
 _REASONS_BY_OUTCOME: t.Final = {
     OrderOutcome.FENCED: 'fence',
     OrderOutcome.SUPERSEDED: 'old',
@@ -265,6 +267,7 @@
         self._stack = contextlib.AsyncExitStack()
         self._nursery: trio.Nursery | None = None
         self._worker_scopes: dict[str, trio.CancelScope] = {}
+        self._restarts: dict[str, trio.Lock] = {}
 
     async def __aenter__(self) -> t.Self:
         """Start all servers."""
@@ -276,10 +279,10 @@
         )
         for number in range(self._worker_count):
             worker = self.platform.add_worker(
-                f'w{number}', address=_ANY_ADDRESS
+                f'w{number}', address=self._reserve_address()
             )
+            self._restarts[worker.worker_id] = trio.Lock()
             await self._serve_worker(worker)
-            self.platform.publish_entry(worker)
         self._nursery.start_soon(self.platform.serve)
         return self
 
@@ -291,18 +294,35 @@
     async def restart_worker(self, worker_id: str, down_s: float) -> None:
         """Crash a worker, and start it again under its id and address.
 
-        Its connections break.
+        Its connections break, and new ones are refused until it is up again.
+        A restart that comes during another one of the worker follows it.
         """
-        self.platform.workers[worker_id].crash()
-        self._worker_scopes[worker_id].cancel()
-        await trio.sleep(down_s)
-        await self._serve_worker(self.platform.restart(worker_id))
+        async with self._restarts[worker_id]:
+            self.platform.workers[worker_id].crash()
+            self._worker_scopes[worker_id].cancel()
+            await trio.sleep(down_s)
+            await self._serve_worker(self.platform.restart(worker_id))
+
+    def _reserve_address(self) -> str:
+        """Return an address that stays reserved while nothing serves there.
+
+        The system gives its port to no other socket, such as a client's.
+        """
+        holder = self._stack.enter_context(socket.socket())
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        holder.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{holder.getsockname()[1]}'
 
     async def _serve_worker(self, worker: StandinWorker) -> None:
         scope = self._worker_scopes[worker.worker_id] = trio.CancelScope()
-        worker.address = await self._serve(
-            WorkerApi(worker).make_app(), worker.address, scope
-        )
+        app = WorkerApi(worker).make_app()
+        # A process that is being started holds a copy of the worker's earlier
+        # listener until it runs its program.
+        while True:
+            with contextlib.suppress(UnavailableError):
+                await self._serve(app, worker.address, scope)
+                return
+            await trio.sleep(_LISTEN_RETRY_S)
 
     async def _serve(
         self,
