Move no job that may have run while a worker of its unit is silent

A task that was done could run again: the owner of a job's home gives up the runs of a silent worker once its lease is over, and moves the job to another unit (evacuated, or less of its images waits there). The worker answers later; its end counts for the unit that the job has left, is acknowledged, and the next home starts the task again.

The cause: moves asked whether runs are left, not whether ends may be unread. At home that makes no difference, as an end that is read late still counts.

The change: a job that has begun, or is older than the takeover, leaves its unit only while each worker on the roster has answered this owner and is not silent.

--- a/src/tulippin/jobs/_job_moves.py
+++ b/src/tulippin/jobs/_job_moves.py
@@ -138,12 +138,30 @@
         return False
     if job.awaits_confirmation or _lifecycle.has_long_running(job):
         return False
+    may_have_run = job.has_begun or (
+        job.row_version <= state.ownership.epoch_version
+    )
+    if may_have_run and _has_silent_worker(state):
+        return False
     return not any(
         task.attempts or _unconfirmed_runs.has_unconfirmed_run(task, state)
         for task in job.tasks.values()
     )
 
 
+def _has_silent_worker(state: SchedulerState) -> bool:
+    """Whether a worker of the unit may hold ends that were not read.
+
+    Ends count for the unit that reads them: a task that was done there would
+    be started again by the next home of its job.
+    """
+    return any(
+        worker.failed_count or not worker.is_reconciled
+        for worker in state.workers.values()
+        if worker.is_rostered and not worker.is_superseded
+    )
+
+
 def _choose_unit(job: Job, state: SchedulerState) -> int | None:
     """Return the least loaded unit that can run a job, if there is one."""
     fitting = [
