Keep the roster's version when its commit is answered during a release

Cause: an owner that waits for the result of its release dropped the answer to a commit of the roster. If the release was then refused, the next commit of the roster carried the old version of the row, failed, and the owner stepped down as if another one had the unit: no release and no report, so that the unit waits for the lease, and its tasks for all workers.

Change: the answer is applied as long as the unit is loaded. A refused commit still ends an active ownership only; during a release, the owner's own release refuses commits too.

--- a/src/tulippin/jobs/_committing.py
+++ b/src/tulippin/jobs/_committing.py
@@ -403,10 +403,12 @@
     if event.epoch_version != state.ownership.epoch_version:
         return
     state.is_roster_committing = False
-    if state.ownership.phase is not Phase.ACTIVE:
+    if not _ownership.is_loaded(state):
         return
     if event.is_fenced:
-        _ownership.step_down(context, 'the roster has another owner')
+        # Its own release refuses the commits of an owner too.
+        if state.ownership.phase is Phase.ACTIVE:
+            _ownership.step_down(context, 'the roster has another owner')
         return
     if not event.version:
         return
--- a/tests/tulippin/jobs/test_handover_model.py
+++ b/tests/tulippin/jobs/test_handover_model.py
@@ -21,6 +21,7 @@
 )
 from tulippin.jobs import _lifecycle, _unconfirmed_runs
 from tulippin.jobs._unit_feeds import UnitFeeds
+from tulippin.jobs.records import ROSTER_KEY
 from tulippin.jobs.state import AttemptState
 
 SCHEDULES = st.binary(min_size=160, max_size=160)
@@ -174,7 +175,7 @@
         order(open_world())
 
 
-# -- found by reading, shown by the model --------------------------------------
+# -- faults that the model has found or shown ----------------------------------
 
 
 def pass_calls(world, unit, kinds, until):
@@ -198,18 +199,13 @@
     unit = owner.units[0]
     world.stop_owner(0)
 
-    def list_transactions():
-        return [
-            one
-            for one in world.calls
-            if one.unit is unit and one.kind == 'transact'
-        ]
-
     # The renewal, then the read of the last report for the release.
-    pass_calls(world, unit, {'transact'}, lambda: not list_transactions())
-    pass_calls(world, unit, {'read'}, list_transactions)
+    pass_calls(
+        world, unit, {'transact'}, lambda: not list_transactions(world, unit)
+    )
+    pass_calls(world, unit, {'read'}, lambda: list_transactions(world, unit))
     owner.is_paused = True
-    world.reject(list_transactions()[0])
+    world.reject(list_transactions(world, unit)[0])
     pass_calls(world, unit, {'read', 'list'}, lambda: len(owner.inbox) > 1)
     world.submit(TASK)
     world.unpause(0)
@@ -217,3 +213,36 @@
     world.settle()
     assert unit.is_owner
     assert len(unit.state.jobs) == 1
+
+
+def list_transactions(world, unit, *, of_roster=False):
+    return [
+        one
+        for one in world.calls
+        if one.unit is unit
+        and one.kind == 'transact'
+        and (one.arguments[0].writes[0].key == ROSTER_KEY) is of_roster
+    ]
+
+
+def test_roster_that_is_committed_during_a_release_is_known():
+    """Guards against an owner that takes its own roster for another one's."""
+    world = open_world()
+    (owner,) = world.list_owners()
+    unit = owner.units[0]
+    world.add_worker(0, '10.0.0.9:80')
+    world.blocked['transact'] = 'before'
+    while not list_transactions(world, unit, of_roster=True):
+        world.advance()
+        world.settle()
+    world.stop_owner(0)
+    renewal = list_transactions(world, unit)[0]
+    world.execute(renewal)
+    world.answer(renewal)
+    roster = list_transactions(world, unit, of_roster=True)[0]
+    world.execute(roster)
+    world.answer(roster)
+    world.reject(list_transactions(world, unit)[0])
+    assert unit.is_owner
+    assert set(unit.state.roster) == {'w0', 'w1', 'w2'}
+    assert unit.state.roster_version == world.store.version
