Hold back moves only for workers that may have an unread end of the job

Waiting jobs of an evacuated unit stayed there, beside free processors elsewhere, while any worker of the unit was silent, also one that never had a run of theirs: since a job that may have run moved only if each worker on the roster answered.

The change: a worker remembers the jobs whose runs were given up since its last report, and holds back these alone. After a takeover, a worker that has not answered yet holds back older jobs that the release report names there, or all older ones if nobody told what it runs.

--- a/src/tulippin/jobs/_job_moves.py
+++ b/src/tulippin/jobs/_job_moves.py
@@ -26,7 +26,7 @@
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs.effects import MoveJob
 from tulippin.jobs.records import JobRecord, MovedJobRecord, UnitCapacity
-from tulippin.jobs.state import RUNS_PER_EPOCH, Job, SchedulerState
+from tulippin.jobs.state import RUNS_PER_EPOCH, Job, SchedulerState, Worker
 from tulippin.jobs.types import FINAL_STATES
 
 _CHECK_INTERVAL_MS: t.Final = 100
@@ -138,10 +138,10 @@
         return False
     if job.awaits_confirmation or _lifecycle.has_long_running(job):
         return False
-    may_have_run = job.has_begun or (
-        job.row_version <= state.ownership.epoch_version
-    )
-    if may_have_run and _has_silent_worker(state):
+    if any(
+        _may_hold_unread_end(worker, job, state)
+        for worker in state.workers.values()
+    ):
         return False
     return not any(
         task.attempts or _unconfirmed_runs.has_unconfirmed_run(task, state)
@@ -149,16 +149,24 @@
     )
 
 
-def _has_silent_worker(state: SchedulerState) -> bool:
-    """Whether a worker of the unit may hold ends that were not read.
+def _may_hold_unread_end(
+    worker: Worker, job: Job, state: SchedulerState
+) -> bool:
+    """Whether a silent worker may hold the end of a run of a job.
 
     Ends count for the unit that reads them: a task that was done there would
     be started again by the next home of its job.
     """
-    return any(
-        worker.failed_count or not worker.is_reconciled
-        for worker in state.workers.values()
-        if worker.is_rostered and not worker.is_superseded
+    if worker.is_superseded:
+        return False
+    if job.job_id in worker.unread_job_ids:
+        return True
+    if worker.is_reconciled or not worker.is_rostered:
+        return False
+    if job.row_version > state.ownership.epoch_version:
+        return False
+    return worker.may_run_any_task or any(
+        worker.worker_id in task.reported_workers for task in job.tasks.values()
     )
 
 
--- a/src/tulippin/jobs/_reports.py
+++ b/src/tulippin/jobs/_reports.py
@@ -98,6 +98,7 @@
     state = context.state
     is_new_owner = state.now_ms - state.ownership.taken_ms < _JOB_FEED_DELAY_MS
     worker.deferred_ends.clear()
+    worker.unread_job_ids.clear()
     for ended in event.report.ended:
         if ended.number <= worker.last_read_end_number:
             worker.needs_ack |= ended.number <= worker.last_seen
--- a/src/tulippin/jobs/_workers.py
+++ b/src/tulippin/jobs/_workers.py
@@ -324,6 +324,7 @@
         if attempt.is_ordered and attempt.step.long_running:
             # It may have run even if no answer has confirmed it.
             _attempts.note_running(attempt, context)
+        worker.unread_job_ids.add(attempt.key.job_id)
         _attempts.drop_lost_attempt(attempt, context, why)
 
 
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -317,12 +317,14 @@
     the tasks whose ends are deferred until their job is known.
     ``orphaned_runs`` holds the runs whose job is unknown, with the time of the
     last order to stop each. ``probation_runs`` holds the runs whose tasks are
-    suspected of crashing workers. ``is_superseded`` says that another
-    incarnation of the worker answered at its address. ``entry_read_ms`` is when
-    the newest read of its entry began. ``born_ms`` is when the incarnation that
-    answers under the id started, or 0 until it is known; all other fields but
-    the entry are about this incarnation. ``needs_ack`` says that it still
-    reports ends that are durable, up to number ``last_seen``.
+    suspected of crashing workers. ``unread_job_ids`` holds the jobs of runs
+    that were given up since its last report. ``is_superseded`` says that
+    another incarnation of the worker answered at its address.
+    ``entry_read_ms`` is when the newest read of its entry began. ``born_ms`` is
+    when the incarnation that answers under the id started, or 0 until it is
+    known; all other fields but the entry are about this incarnation.
+    ``needs_ack`` says that it still reports ends that are durable, up to number
+    ``last_seen``.
     """
 
     entry: WorkerEntry
@@ -363,6 +365,7 @@
     probation_runs: dict[tuple[TaskKey, int], Attempt] = attrs.field(
         factory=dict
     )
+    unread_job_ids: set[str] = attrs.field(factory=set)
     is_superseded: bool = False
     entry_read_ms: int = 0
     born_ms: int = 0
--- a/tests/tulippin/jobs/test_job_moves.py
+++ b/tests/tulippin/jobs/test_job_moves.py
@@ -69,6 +69,28 @@
     await fleet.submit(job_id, request)
 
 
+def test_silent_worker_without_a_run_of_a_job_does_not_keep_it(run_virtual):
+    """Guards against jobs that wait in an evacuated unit beside idle ones."""
+
+    async def run():
+        async with open_homed() as fleet:
+            await submit_two_steps(fleet, run_ms=1000)
+            await fleet.wait_running(4)
+            used = {event.worker_id for event in fleet.platform.history}
+            for worker in fleet.platform.workers.values():
+                is_idle = worker.worker_id not in used
+                if is_idle and worker.failure_domain == 'hall0':
+                    worker.unreachable_clients = {'*'}
+            for instance in fleet.instances.values():
+                for unit in instance.shell.units.values():
+                    for worker in unit.state.workers.values():
+                        worker.failed_count += worker.worker_id not in used
+            fleet.platform.evacuate('hall0')
+            await fleet.wait_done(JOB, limit_s=4)
+
+    run_virtual(run)
+
+
 def test_job_goes_on_in_another_domain_where_it_was_left(run_virtual):
     async def run():
         async with open_homed() as fleet:
