Give last answers time of their own at a planned stop

Cause: requests were ended 0.25 s before the servers were cancelled, each by the clock. An event loop that is delayed over both times finds both expired in one round, and cancels the answers with the requests.

Change: cancelling has a limit of its own, which begins once the end of the requests was noticed. `stopped` tells whether requests remained.

Evidence: test_event_loop_delayed_at_the_end_of_a_stop_cuts_no_request delays the loop for 0.6 s over both times.

Left: a delay of over 0.75 s between the two limits, and one that ends after the grace period.

--- a/src/tulippin/scheduler_daemon.py
+++ b/src/tulippin/scheduler_daemon.py
@@ -63,11 +63,10 @@
 # Time for the load balancer to notice that the instance is not ready: it
 # checks once a second and acts on the second failure.
 _BALANCER_NOTICE_S: t.Final = 2.6
-# Reserved at the end of the grace period: for the last requests, and for
-# closing the listeners.
-_LAST_REQUESTS_S: t.Final = 1.0
-# Time for the last answers to be sent.
-_LAST_ANSWERS_S: t.Final = 0.25
+# Reserved at the end of the grace period: for the last answers and the end of
+# the process, and for the end of the process alone.
+_LAST_ANSWERS_S: t.Final = 1.25
+_EXIT_S: t.Final = 0.5
 _CLOSE_LISTENERS_S: t.Final = 2.0
 # The instance is not ready if the store hasn't answered for this long: a feed
 # returns every 1.5 s, and a slow store answers in 0.3 s.
@@ -303,9 +302,9 @@
         """
         logger.info('stopping')
         grace_s = self.settings.grace_ms / _MS_PER_S
-        ends_s = trio.current_time() + grace_s - _LAST_REQUESTS_S
+        ends_s = trio.current_time() + grace_s
         app.close_by(ends_s - _LAST_ANSWERS_S)
-        with trio.move_on_at(ends_s):
+        with trio.move_on_at(ends_s - _LAST_ANSWERS_S):
             async with trio.open_nursery() as nursery:
                 if self._shell is not None:
                     nursery.start_soon(self._hand_over, self._shell)
@@ -314,11 +313,12 @@
                 nursery.start_soon(
                     trio.sleep, min(_BALANCER_NOTICE_S, grace_s / 2)
                 )
-            for server in servers:
-                server.shut_down()
-            for server in servers:
-                await server.stopped.wait()
-        logger.info('stopped')
+            await _close_all(servers)
+        # A separate limit: where the event loop was delayed, the answers have
+        # time that begins when they can be sent.
+        with trio.move_on_after(_LAST_ANSWERS_S - _EXIT_S) as scope:
+            await _close_all(servers)
+        logger.info('stopped', has_unanswered=scope.cancelled_caught)
         self._lines.flush()
 
     async def record_failure(self, error: BaseException) -> None:
@@ -348,6 +348,14 @@
         await nursery.start(server.serve)
 
 
+async def _close_all(servers: t.Iterable[HttpServer]) -> None:
+    """Close the listeners, and wait until all requests are answered."""
+    for server in servers:
+        server.shut_down()
+    for server in servers:
+        await server.stopped.wait()
+
+
 async def _start_shell(
     shell: SchedulerShell,
     recorder: ProcessRecorder,
--- a/tests/tulippin/platform/test_platform_daemon.py
+++ b/tests/tulippin/platform/test_platform_daemon.py
@@ -4,6 +4,7 @@
 import json
 import os
 import signal
+import time
 
 import attrs
 import logbook
@@ -364,3 +365,26 @@
             await trio.sleep(1)
             nursery.start_soon(post)
     assert statuses == [504, 504]
+
+
+async def test_event_loop_delayed_at_the_end_of_a_stop_cuts_no_request(
+    tmp_path, monkeypatch
+):
+    """Guards against a request cut where its deadline passes unnoticed."""
+
+    async def submit(*details):
+        await trio.sleep_forever()
+
+    monkeypatch.setattr(JobIntake, 'submit', submit)
+    async with serve(tmp_path) as site, trio.open_nursery() as nursery:
+
+        async def post():
+            statuses.append((await site.call('POST', f'/q/{JOB}', BODY)).status)
+
+        statuses = []
+        nursery.start_soon(post)
+        await trio.sleep(0.3)
+        site.daemon.handle_signal(signal.SIGTERM)
+        await trio.sleep(1.65)
+        time.sleep(0.6)
+    assert statuses == [504]
