Let requests in progress use the whole grace period of a stop

What callers saw: with a grace period of over 6 s, a request with a long deadline was cut 3 s after the listeners closed (5.6 s after the signal), while its instance still had time for it.

Cause: the server of a scheduler instance cancelled its requests after a time of its own, whatever the grace period.

Change: whoever shuts a server down gives its limit; the scheduler gives its grace period, within which it ends the requests itself.

Evidence: test_request_with_a_long_deadline_is_answered_within_a_long_grace (9 s): before "Server disconnected without sending a response", after 504. Found by reading; tulippind waits for its requests before it shuts down.

--- a/src/tulippin/_http_server.py
+++ b/src/tulippin/_http_server.py
@@ -16,7 +16,7 @@
 from tulippin.exceptions import UnavailableError
 
 _BACKLOG_CONNECTIONS: t.Final = 512
-_SHUTDOWN_GRACE_S: t.Final = 3.0
+_SHUTDOWN_LIMIT_S: t.Final = 3.0
 # Limits in rounds of the event loop, since a delayed loop would use up a limit
 # in time at once: for a listener that shuts down, to accept the connections in
 # its queue; for an accepted connection, to read the request it has received.
@@ -51,7 +51,6 @@
         self._config = HypercornConfig()
         self._config.accesslog = None
         self._config.errorlog = None
-        self._config.graceful_timeout = _SHUTDOWN_GRACE_S
         self._config.include_server_header = False
         if certificate:
             self._config.certfile = certificate
@@ -88,8 +87,15 @@
         if self._socket is not None:
             self._socket.close()
 
-    def shut_down(self) -> None:
-        """Stop accepting requests; requests in progress complete."""
+    def shut_down(self, limit_s: float = _SHUTDOWN_LIMIT_S) -> None:
+        """Stop accepting requests; requests in progress complete.
+
+        Parameters
+        ----------
+        limit_s : float
+            Time after which requests in progress are cancelled.
+        """
+        self._config.graceful_timeout = limit_s
         self._stopping.set()
 
     async def serve(
--- a/src/tulippin/scheduler_daemon.py
+++ b/src/tulippin/scheduler_daemon.py
@@ -313,11 +313,11 @@
                 nursery.start_soon(
                     trio.sleep, min(_BALANCER_NOTICE_S, grace_s / 2)
                 )
-            await _close_all(servers)
+            await _close_all(servers, grace_s)
         # A separate limit: where the event loop was delayed, the answers have
         # time that begins when they can be sent.
         with trio.move_on_after(_LAST_ANSWERS_S - _EXIT_S) as scope:
-            await _close_all(servers)
+            await _close_all(servers, grace_s)
         logger.info('stopped', has_unanswered=scope.cancelled_caught)
         self._lines.flush()
 
@@ -348,10 +348,10 @@
         await nursery.start(server.serve)
 
 
-async def _close_all(servers: t.Iterable[HttpServer]) -> None:
+async def _close_all(servers: t.Iterable[HttpServer], limit_s: float) -> None:
     """Close the listeners, and wait until all requests are answered."""
     for server in servers:
-        server.shut_down()
+        server.shut_down(limit_s)
     for server in servers:
         await server.stopped.wait()
 
--- a/tests/tulippin/platform/test_platform_daemon.py
+++ b/tests/tulippin/platform/test_platform_daemon.py
@@ -388,3 +388,32 @@
         await trio.sleep(1.65)
         time.sleep(0.6)
     assert statuses == [504]
+
+
+async def test_request_with_a_long_deadline_is_answered_within_a_long_grace(
+    tmp_path, monkeypatch
+):
+    """Guards against a request cut before the grace period is over."""
+
+    async def submit(*details):
+        await trio.sleep_forever()
+
+    monkeypatch.setattr(JobIntake, 'submit', submit)
+    async with (
+        serve(tmp_path) as site,
+        HttpClient(20) as site.client,
+        trio.open_nursery() as nursery,
+    ):
+        site.daemon.settings = attrs.evolve(site.daemon.settings, grace_ms=9000)
+
+        async def post():
+            answer = await site.call(
+                'POST', f'/q/{JOB}', BODY, headers={'Deadline-Ms': '20000'}
+            )
+            statuses.append(answer.status)
+
+        statuses = []
+        nursery.start_soon(post)
+        await trio.sleep(0.3)
+        site.daemon.handle_signal(signal.SIGTERM)
+    assert statuses == [504]
