Wait for workers out of reach from when most others refuse the earlier owner

Cause: an owner that the store doesn't answer goes on, and extends leases, while it reaches more than half of its workers. Its successor counted its wait for workers out of reach from when it loaded the unit, as if most workers refused the earlier owner at once. Where the successor is slow to reach them, leases are extended meanwhile, and outlast the wait. The class of: a proof counts from the wrong moment.

Change: once more than half of the workers on the inherited roster have answered the new owner, those still out of reach are waited for as if the takeover were now. A release report tells whether its owner got that far (`has_reached_majority`; reports without it count as before), so that an owner that is released early passes the rest of the wait on, and handovers in series don't begin it anew.

The four cases of test_successor_slow_to_reach_its_workers_starts_nothing_twice failed before.

Left: a successor that never reaches more than half of the workers (a partition that holds owner and workers) waits as before.

--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -291,6 +291,8 @@
     state.unreadable_jobs.clear()
     state.unconfirmed_until_ms = 0
     state.are_earlier_runs_confirmed = False
+    state.inherited_ids = frozenset()
+    state.has_reached_majority = False
     state.advisory_paused_until_ms = 0
     state.advisory_pause_ms = 0
     state.advice_asked.clear()
--- a/src/tulippin/jobs/_unconfirmed_runs.py
+++ b/src/tulippin/jobs/_unconfirmed_runs.py
@@ -43,11 +43,16 @@
     state : SchedulerState
         The state of the unit.
     """
-    drift = state.config.clock_drift_ratio
-    at_ms = state.now_ms + int(lasting_ms * drift) + _LAPSE_SLACK_MS
+    at_ms = _get_lapse_ms(lasting_ms, state)
     worker.lease_expiry_ms = max(worker.lease_expiry_ms, at_ms)
 
 
+def _get_lapse_ms(lasting_ms: int, state: SchedulerState) -> int:
+    """Return when a lease lapses that is granted now."""
+    drifted_ms = int(lasting_ms * state.config.clock_drift_ratio)
+    return state.now_ms + drifted_ms + _LAPSE_SLACK_MS
+
+
 def are_runs_confirmed(worker: Worker, state: SchedulerState) -> bool:
     """Whether a worker can't have unconfirmed runs of an earlier owner."""
     return worker.is_reconciled or state.now_ms > worker.lease_expiry_ms
@@ -144,6 +149,35 @@
             worker.lease_expiry_ms = 0
         extend_lapse_time(worker, state.config.worker_lease_ms, state)
     worker.is_reconciled = is_whole
+    if not state.has_reached_majority and _refuses_majority(state):
+        state.has_reached_majority = True
+        _extend_inherited_leases(state)
+
+
+def _refuses_majority(state: SchedulerState) -> bool:
+    """Whether over half of the workers of earlier owners refuse these."""
+    inherited = [
+        worker
+        for worker_id in state.inherited_ids
+        if (worker := state.workers.get(worker_id)) is not None
+        and not worker.is_superseded
+    ]
+    reached_count = sum(worker.is_reconciled for worker in inherited)
+    return 2 * reached_count > len(inherited)
+
+
+def _extend_inherited_leases(state: SchedulerState) -> None:
+    """Wait for workers out of reach as long as if the takeover were now.
+
+    Until now an earlier owner may have extended leases, as it may while it
+    reaches more than half of the workers.
+    """
+    lasting_ms = _get_max_inherited_ms(state)
+    for worker in state.workers.values():
+        if worker.may_run_any_task and not are_runs_confirmed(worker, state):
+            extend_lapse_time(worker, lasting_ms, state)
+    if state.unconfirmed_until_ms > state.now_ms:
+        state.unconfirmed_until_ms = _get_lapse_ms(lasting_ms, state)
 
 
 # -- starting from the state that an earlier owner left -----------------------
@@ -155,6 +189,11 @@
     state.are_earlier_runs_confirmed = False
     reports = _get_valid_report(account, context)
     state.is_release_reported = reports is not None
+    state.inherited_ids = frozenset(state.roster)
+    # An owner that reports its release extends no leases any more.
+    state.has_reached_majority = (
+        reports is not None and account.has_reached_majority
+    )
     for worker_id, address in state.roster.items():
         worker = state.workers.get(worker_id)
         if worker is None:
@@ -219,10 +258,8 @@
     begin(None, context)
     # An empty roster differs from the wanted one, so it is written again.
     state.roster = {}
-    lasting_ms = _get_max_inherited_ms(state) * state.config.clock_drift_ratio
-    state.unconfirmed_until_ms = (
-        state.now_ms + int(lasting_ms) + _LAPSE_SLACK_MS
-    )
+    lasting_ms = _get_max_inherited_ms(state)
+    state.unconfirmed_until_ms = _get_lapse_ms(lasting_ms, state)
 
 
 def _get_max_inherited_ms(state: SchedulerState) -> int:
@@ -344,7 +381,9 @@
         for worker in state.workers.values()
         if worker.is_rostered
     }
-    return AccountRecord(context.fencing_token, workers)
+    return AccountRecord(
+        context.fencing_token, workers, state.has_reached_majority
+    )
 
 
 def _collect_unconfirmed(state: SchedulerState) -> dict[str, set[str]]:
--- a/src/tulippin/jobs/records.py
+++ b/src/tulippin/jobs/records.py
@@ -352,11 +352,13 @@
 
     It is valid for the next epoch only, as any owner after that has given
     orders that the report does not include. An owner that has given none
-    hands it over under its own epoch.
+    hands it over under its own epoch. ``has_reached_majority`` tells whether
+    more than half of the workers refused earlier owners by then.
     """
 
     epoch: int
     workers: dict[str, WorkerAccount] = attrs.field(factory=dict)
+    has_reached_majority: bool = True
 
     def carry_over(self, held_ms: int) -> AccountRecord:
         """Return the report for the successor of an owner without orders.
@@ -373,7 +375,7 @@
             )
             for worker_id, entry in self.workers.items()
         }
-        return AccountRecord(self.epoch + 1, workers)
+        return attrs.evolve(self, epoch=self.epoch + 1, workers=workers)
 
 
 @attrs.frozen
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -509,7 +509,9 @@
     half of its capacity was reserved. ``lost_unconfirmed_workers`` holds the
     workers that died or lapsed before this owner read a report of theirs, with
     whether their crash is certain. ``is_release_reported`` says that the last
-    owner left a release report.
+    owner left a release report. ``inherited_ids`` names the workers that
+    earlier owners had on their roster, and ``has_reached_majority`` tells
+    whether more than half of them refuse these owners.
 
     Advisory inputs are ignored until ``advisory_paused_until_ms`` after one of
     them raised an error. ``advisory_pause_ms`` is the length of the last such
@@ -546,6 +548,8 @@
     unconfirmed_until_ms: int = 0
     are_earlier_runs_confirmed: bool = False
     is_release_reported: bool = False
+    inherited_ids: frozenset[str] = frozenset()
+    has_reached_majority: bool = False
     advice_asked: set[tuple[str, int, int]] = attrs.field(factory=set)
     dirty_jobs: dict[str, None] = attrs.field(factory=dict)
     dirty_since_ms: int = 0
--- a/tests/tulippin/jobs/test_scheduler_takeovers.py
+++ b/tests/tulippin/jobs/test_scheduler_takeovers.py
@@ -363,6 +363,51 @@
     run_virtual(run)
 
 
+@pytest.mark.parametrize(
+    ('delay_s', 'slow_s', 'due_ms'),
+    [(0, 3, 6000), (1, 2, 6000), (1, 2.5, 7000), (1, 3, 7000)],
+)
+def test_successor_slow_to_reach_its_workers_starts_nothing_twice(
+    run_virtual, call_faults, delay_s, slow_s, due_ms
+):
+    """Guards against waits that end before the earlier owner is refused."""
+
+    async def run():
+        async with open_fleet(instances=2, workers=5) as fleet:
+            await trio.sleep(1)
+            first = fleet.get_owner()
+            second = fleet.get_other_instance(first)
+            request = attrs.evolve(
+                make_request(
+                    make_step(6, cpu=2000, max_per_worker=2), run_ms=6000
+                ),
+                schedule=Schedule(
+                    get_now_ms() + WALL_OFFSET_MS + due_ms, 1000, 1
+                ),
+            )
+            await fleet.submit(request=request)
+            await trio.sleep(0.5)
+            workers = list(fleet.platform.workers.values())
+            for worker in workers[:2]:
+                worker.unreachable_clients = {second}
+            fleet.platform.store.trouble.silenced = {first}
+            fleet.platform.store.blackhole_feeds(first)
+            delay_events(fleet.instances[first].shell, delay_s)
+            for worker in workers:
+                call_faults.worker_s[second, worker.address] = slow_s
+            await wait_taken(fleet)
+            await trio.sleep(slow_s + 0.05)
+            call_faults.worker_s.clear()
+            await trio.sleep(15)
+            fleet.platform.store.trouble.silenced = set()
+            for worker in workers:
+                worker.unreachable_clients = set()
+            await fleet.wait_state(JOB, JobState.COMPLETED, by=second)
+            fleet.check()
+
+    run_virtual(run)
+
+
 def test_finished_job_is_not_new_after_lost_history(run_virtual, call_faults):
     """A removed job whose rows remain isn't run when rows are read again."""
 
