Let an owner learn of its successor from the unit's rows

What callers could see: starts decided by an owner that was succeeded seconds ago, which its workers refuse, or which run beside the successor's where a worker does not know the successor yet.

Cause: the rows of lease and epoch go first in an instance's inbox, but an owner ignored them. It learned of its successor from refusals by workers and from the feed of jobs, which wait there behind ticks.

Change: an owner steps down when the epoch row has a later epoch than its own.

Evidence: with all other events 8 s late, an owner whose renewals get no answer still owned its unit 0.5 s after its successor had taken it; now it does not (test_owner_with_late_events_learns_of_its_successor_from_the_lease, which failed before).

--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -79,6 +79,9 @@
 @handle.register
 def _handle_lease_seen(event: LeaseSeen, context: Context) -> None:
     ownership = context.state.ownership
+    if ownership.phase in _OWNING_PHASES and _is_succeeded(event, ownership):
+        step_down(context, 'the rows of the unit have another owner')
+        return
     if ownership.phase not in _WATCHING_PHASES:
         return
     if event.lease_version < ownership.lease_version:
@@ -102,6 +105,13 @@
         _take_over_if_free(context)
 
 
+def _is_succeeded(event: LeaseSeen, ownership: Ownership) -> bool:
+    """Whether the rows show a later owner than this one."""
+    if event.epoch is None or ownership.epoch is None:
+        return False
+    return event.epoch.epoch > ownership.epoch.epoch
+
+
 def _is_outdated(lease: LeaseRecord | None, known: LeaseRecord | None) -> bool:
     """Whether the lease is a renewal that the store applied late.
 
--- a/tests/tulippin/jobs/test_scheduler_takeovers.py
+++ b/tests/tulippin/jobs/test_scheduler_takeovers.py
@@ -363,6 +363,24 @@
     run_virtual(run)
 
 
+def test_owner_with_late_events_learns_of_its_successor_from_the_lease(
+    run_virtual, call_faults
+):
+    """Guards against an owner that decides on until its inbox is read."""
+
+    async def run():
+        async with open_fleet(instances=2, workers=3) as fleet:
+            await trio.sleep(1)
+            first = fleet.get_owner()
+            call_faults.unanswered.add((first, Unit().part, LEASE_KEY))
+            delay_events(fleet.instances[first].shell, 8)
+            await wait_taken(fleet)
+            await trio.sleep(0.5)
+            assert not fleet.instances[first].is_owner
+
+    run_virtual(run)
+
+
 @pytest.mark.parametrize(
     ('delay_s', 'slow_s', 'due_ms'),
     [(0, 3, 6000), (1, 2, 6000), (1, 2.5, 7000), (1, 3, 7000)],
