Test that a release report tells how far its owner has got

Guards the rest of a wait over releases in series: the report of an owner that more than half of the workers have not answered says so, also where it is carried over, and the next owner counts on from there.

--- a/tests/tulippin/jobs/test_accounts.py
+++ b/tests/tulippin/jobs/test_accounts.py
@@ -18,6 +18,7 @@
     begin,
     get_unconfirmed_ms,
     make_account,
+    note_answer,
 )
 from tulippin.jobs.core import make_state
 from tulippin.jobs.records import (
@@ -278,6 +279,19 @@
     assert not are_earlier_runs_confirmed(state)
 
 
+@pytest.mark.parametrize('has_reached', [True, False])
+def test_report_tells_whether_earlier_owners_are_refused(has_reached):
+    """Guards against waits that begin anew at each of several releases."""
+    reported = {'reported': WorkerAccount(4000), 'unreported': WorkerAccount(0)}
+    account = AccountRecord(3, reported, has_reached)
+    state = make_state_with_report(account)
+    assert make_account(Context(state)).has_reached_majority is has_reached
+    assert account.carry_over(1).has_reached_majority is has_reached
+    for worker in state.workers.values():
+        note_answer(worker, state, is_whole=True)
+    assert make_account(Context(state)).has_reached_majority
+
+
 IS_END_REPORTED = {
     RunOutcome.DONE: True,
     RunOutcome.FAILED: True,
