Handle refusals by workers before the events that wait

Cause: a worker's refusal told an owner of its successor, but waited in the inbox while ticks, which go first, placed tasks.

Change: whatever says that another instance owns the unit is urgent, as the events are by which an instance takes, keeps or loses it: refused holds and orders, and commits that found another owner. Stepping down early is safe.

Evidence: test_refusal_by_a_worker_is_handled_before_waiting_events, for four kinds of answers; each failed before.

--- a/src/tulippin/jobs/events.py
+++ b/src/tulippin/jobs/events.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import typing as t
 
 import attrs
@@ -19,6 +20,7 @@
 from tulippin.jobs.types import (
     Configuration,
     OrderAnswer,
+    OrderOutcome,
     TaskKey,
     WorkerEntry,
     WorkerReport,
@@ -296,3 +298,23 @@
     is_done: bool
     is_in_doubt: bool = False
     lease_version: int = 0
+
+
+@functools.singledispatch
+def tells_of_successor(event: JobEvent) -> bool:
+    """Whether an event says that another instance owns the unit."""
+    return getattr(event, 'is_fenced', False)
+
+
+@tells_of_successor.register(StartAnswered)
+@tells_of_successor.register(StopAnswered)
+@tells_of_successor.register(PaceAnswered)
+def _is_order_fenced(
+    event: StartAnswered | StopAnswered | PaceAnswered,
+) -> bool:
+    return event.answer.outcome is OrderOutcome.FENCED
+
+
+def is_urgent(event: JobEvent) -> bool:
+    """Whether an event is handled before the events that wait."""
+    return isinstance(event, OWNERSHIP_EVENTS) or tells_of_successor(event)
--- a/src/tulippin/jobs/shell.py
+++ b/src/tulippin/jobs/shell.py
@@ -242,11 +242,9 @@
         """Queue an event for one unit.
 
         Events that ownership depends on go first, so that an overloaded owner
-        does not lose its unit.
+        does not lose its unit, and decides nothing beside its successor.
         """
-        inbox = self._inbox
-        if isinstance(event, ev.OWNERSHIP_EVENTS):
-            inbox = self._urgent
+        inbox = self._urgent if ev.is_urgent(event) else self._inbox
         inbox.append((unit, event))
         self._wake.set()
 
--- a/tests/handover_model.py
+++ b/tests/handover_model.py
@@ -244,8 +244,8 @@
         return int(entry.rack)
 
     def post_to(self, unit, event):
-        is_urgent = isinstance(event, ev.OWNERSHIP_EVENTS)
-        (self.urgent if is_urgent else self.inbox).append((unit, event))
+        inbox = self.urgent if ev.is_urgent(event) else self.inbox
+        inbox.append((unit, event))
         self.handle_events()
 
     def handle_events(self):
--- a/tests/tulippin/jobs/test_scheduler_takeovers.py
+++ b/tests/tulippin/jobs/test_scheduler_takeovers.py
@@ -17,7 +17,14 @@
     open_fleet,
 )
 from tulippin.exceptions import AnswerLostError, UnavailableError
-from tulippin.jobs.events import OWNERSHIP_EVENTS, Ticked
+from tulippin.jobs.events import (
+    OWNERSHIP_EVENTS,
+    PaceAnswered,
+    StartAnswered,
+    StopAnswered,
+    Ticked,
+    WorkerSilent,
+)
 from tulippin.jobs.records import (
     EPOCH_KEY,
     GUEST_SUFFIX,
@@ -27,7 +34,13 @@
     get_jobs_part,
 )
 from tulippin.jobs.state import Phase
-from tulippin.jobs.types import JobState, OrderAnswer, OrderOutcome, Schedule
+from tulippin.jobs.types import (
+    JobState,
+    OrderAnswer,
+    OrderOutcome,
+    Schedule,
+    TaskKey,
+)
 from tulippin.platform.standin import StandinAgents, get_now_ms
 from tulippin.platform.standin_store import CALL_TIMEOUT_S, StoreView
 
@@ -363,6 +376,42 @@
     run_virtual(run)
 
 
+FENCED = OrderAnswer(OrderOutcome.FENCED)
+KEY = TaskKey(JOB, 0, 0, 0)
+
+
+@pytest.mark.parametrize(
+    'refusal',
+    [
+        WorkerSilent(0, 'w0', 'fenced', is_fenced=True),
+        StartAnswered(0, 'w0', KEY, 1, FENCED),
+        StopAnswered(0, 'w0', KEY, 1, FENCED),
+        PaceAnswered(0, 'w0', KEY, 1, 50, FENCED),
+    ],
+    ids=lambda refusal: type(refusal).__name__,
+)
+def test_refusal_by_a_worker_is_handled_before_waiting_events(
+    run_virtual, refusal
+):
+    """Guards against an owner that decides on until its inbox is read."""
+
+    async def run():
+        async with open_fleet(instances=2, workers=3) as fleet:
+            await trio.sleep(1)
+            first = fleet.get_owner()
+            unit = fleet.instances[first].shell.units[0]
+            stepped = []
+            step = unit.step
+            unit.step = lambda event: (stepped.append(event), step(event))
+            unit.post(WorkerSilent(0, 'w1', 'no answer'))
+            unit.post(refusal)
+            await trio.sleep(0.1)
+            assert stepped[0] is refusal
+            assert not fleet.instances[first].is_owner
+
+    run_virtual(run)
+
+
 def test_owner_with_late_events_learns_of_its_successor_from_the_lease(
     run_virtual, call_faults
 ):
