--- a/src/tulippin/jobs/_unconfirmed_runs.py
+++ b/src/tulippin/jobs/_unconfirmed_runs.py
@@ -149,13 +149,13 @@
             worker.lease_expiry_ms = 0
         extend_lapse_time(worker, state.config.worker_lease_ms, state)
     worker.is_reconciled = is_whole
-    if not state.has_reached_majority and _refuses_majority(state):
-        state.has_reached_majority = True
+    if not state.has_reached_half and _refuses_half(state):
+        state.has_reached_half = True
         _extend_inherited_leases(state)
 
 
-def _refuses_majority(state: SchedulerState) -> bool:
-    """Whether over half of the workers of earlier owners refuse these."""
+def _refuses_half(state: SchedulerState) -> bool:
+    """Whether half of the workers of earlier owners refuse these, or more."""
     inherited = [
         worker
         for worker_id in state.inherited_ids
@@ -163,7 +163,7 @@
         and not worker.is_superseded
     ]
     reached_count = sum(worker.is_reconciled for worker in inherited)
-    return 2 * reached_count > len(inherited)
+    return 2 * reached_count >= len(inherited)
 
 
 def _extend_inherited_leases(state: SchedulerState) -> None:
@@ -191,9 +191,7 @@
     state.is_release_reported = reports is not None
     state.inherited_ids = frozenset(state.roster)
     # An owner that reports its release extends no leases any more.
-    state.has_reached_majority = (
-        reports is not None and account.has_reached_majority
-    )
+    state.has_reached_half = reports is not None and account.has_reached_half
     for worker_id, address in state.roster.items():
         worker = state.workers.get(worker_id)
         if worker is None:
@@ -381,9 +379,7 @@
         for worker in state.workers.values()
         if worker.is_rostered
     }
-    return AccountRecord(
-        context.fencing_token, workers, state.has_reached_majority
-    )
+    return AccountRecord(context.fencing_token, workers, state.has_reached_half)
 
 
 def _collect_unconfirmed(state: SchedulerState) -> dict[str, set[str]]:
--- a/src/tulippin/jobs/records.py
+++ b/src/tulippin/jobs/records.py
@@ -352,13 +352,13 @@
 
     It is valid for the next epoch only, as any owner after that has given
     orders that the report does not include. An owner that has given none
-    hands it over under its own epoch. ``has_reached_majority`` tells whether
-    more than half of the workers refused earlier owners by then.
+    hands it over under its own epoch. ``has_reached_half`` tells whether half
+    of the workers, or more, refused earlier owners by then.
     """
 
     epoch: int
     workers: dict[str, WorkerAccount] = attrs.field(factory=dict)
-    has_reached_majority: bool = True
+    has_reached_half: bool = True
 
     def carry_over(self, held_ms: int) -> AccountRecord:
         """Return the report for the successor of an owner without orders.
--- a/tests/tulippin/jobs/test_accounts.py
+++ b/tests/tulippin/jobs/test_accounts.py
@@ -285,11 +285,11 @@
     reported = {'reported': WorkerAccount(4000), 'unreported': WorkerAccount(0)}
     account = AccountRecord(3, reported, has_reached)
     state = make_state_with_report(account)
-    assert make_account(Context(state)).has_reached_majority is has_reached
-    assert account.carry_over(1).has_reached_majority is has_reached
+    assert make_account(Context(state)).has_reached_half is has_reached
+    assert account.carry_over(1).has_reached_half is has_reached
     for worker in state.workers.values():
         note_answer(worker, state, is_whole=True)
-    assert make_account(Context(state)).has_reached_majority
+    assert make_account(Context(state)).has_reached_half
 
 
 IS_END_REPORTED = {
--- a/tests/tulippin/jobs/test_scheduler_takeovers.py
+++ b/tests/tulippin/jobs/test_scheduler_takeovers.py
@@ -431,22 +431,31 @@
 
 
 @pytest.mark.parametrize(
-    ('delay_s', 'slow_s', 'due_ms'),
-    [(0, 3, 6000), (1, 2, 6000), (1, 2.5, 7000), (1, 3, 7000)],
+    ('count', 'delay_s', 'slow_s', 'due_ms'),
+    [
+        (5, 0, 3, 6000),
+        (5, 1, 2, 6000),
+        (5, 1, 2.5, 7000),
+        (5, 1, 3, 7000),
+        (4, 1, 2.5, 7000),
+        (4, 1, 3, 7000),
+        (4, 0, 3, 6000),
+    ],
 )
 def test_successor_slow_to_reach_its_workers_starts_nothing_twice(
-    run_virtual, call_faults, delay_s, slow_s, due_ms
+    run_virtual, call_faults, count, delay_s, slow_s, due_ms
 ):
     """Guards against waits that end before the earlier owner is refused."""
 
     async def run():
-        async with open_fleet(instances=2, workers=5) as fleet:
+        async with open_fleet(instances=2, workers=count) as fleet:
             await trio.sleep(1)
             first = fleet.get_owner()
             second = fleet.get_other_instance(first)
             request = attrs.evolve(
                 make_request(
-                    make_step(6, cpu=2000, max_per_worker=2), run_ms=6000
+                    make_step(count + 1, cpu=2000, max_per_worker=2),
+                    run_ms=6000,
                 ),
                 schedule=Schedule(
                     get_now_ms() + WALL_OFFSET_MS + due_ms, 1000, 1
