Step down for a later epoch row only

What callers could see: a unit without an owner for seconds, where the epoch row of its owner is unreadable.

Cause: an unreadable row counts as the highest epoch that it may hold, which is above the owner's own, also if the row is the owner's.

Change: the row has to be later than the owner's, too.

Evidence: test_owner_steps_down_for_a_later_row_only failed for the owner's own row before.

--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -109,7 +109,9 @@
     """Whether the rows show a later owner than this one."""
     if event.epoch is None or ownership.epoch is None:
         return False
-    return event.epoch.epoch > ownership.epoch.epoch
+    # An unreadable row counts as the highest epoch that it may hold.
+    is_later_row = event.epoch_version > ownership.epoch_version
+    return is_later_row and event.epoch.epoch > ownership.epoch.epoch
 
 
 def _is_outdated(lease: LeaseRecord | None, known: LeaseRecord | None) -> bool:
--- a/tests/tulippin/jobs/test_handover_model.py
+++ b/tests/tulippin/jobs/test_handover_model.py
@@ -155,10 +155,14 @@
     monkeypatch.setattr(UnitFeeds, '_make_jobs_event', make)
 
 
+def plant_unread_rows(monkeypatch):
+    monkeypatch.setattr(_ownership, '_is_succeeded', lambda *_: False)
+
+
 def plant_feeds_without_epochs(monkeypatch):
     """Neither the jobs nor the unit's own rows tell of the successor."""
     plant_feed_without_epochs(monkeypatch)
-    monkeypatch.setattr(_ownership, '_is_succeeded', lambda *_: False)
+    plant_unread_rows(monkeypatch)
 
 
 FAULTS = (
@@ -176,10 +180,11 @@
         order(open_world())
 
 
-def test_rows_of_the_unit_depose_an_owner_whose_jobs_have_no_epochs(
-    monkeypatch,
-):
-    plant_feed_without_epochs(monkeypatch)
+@pytest.mark.parametrize(
+    'plant', [plant_feed_without_epochs, plant_unread_rows]
+)
+def test_either_feed_deposes_an_owner_without_the_other(plant, monkeypatch):
+    plant(monkeypatch)
     depose_unnoticed(open_world())
 
 
--- a/tests/tulippin/jobs/test_scheduler_handover.py
+++ b/tests/tulippin/jobs/test_scheduler_handover.py
@@ -442,6 +442,19 @@
     assert run_virtual(run) < 1
 
 
+@pytest.mark.parametrize(('version', 'is_kept'), [(900, True), (901, False)])
+def test_owner_steps_down_for_a_later_row_only(version, is_kept):
+    """An unreadable row of its own tells its version as the epoch."""
+    state = core.make_state(SchedulerConfig('i', 'i:1'))
+    ownership = state.ownership
+    ownership.phase = Phase.ACTIVE
+    ownership.epoch = EpochRecord(4, 'i:1')
+    ownership.epoch_version = 900
+    row = EpochRecord(version, '')
+    core.reduce(state, ev.LeaseSeen(1, None, version, row, version))
+    assert (state.ownership.phase is Phase.ACTIVE) is is_kept
+
+
 @pytest.mark.parametrize('answer_ms', [0, 5, 200, 10**6])
 def test_takeover_attempts_are_staggered_on_slow_store(answer_ms):
     waits_ms = sorted(
--- a/tests/tulippin/jobs/test_scheduler_takeovers.py
+++ b/tests/tulippin/jobs/test_scheduler_takeovers.py
@@ -19,6 +19,7 @@
 from tulippin.exceptions import AnswerLostError, UnavailableError
 from tulippin.jobs.events import (
     OWNERSHIP_EVENTS,
+    LeaseSeen,
     PaceAnswered,
     StartAnswered,
     StopAnswered,
@@ -329,8 +330,11 @@
     run_virtual(run)
 
 
-def delay_events(shell, delay_s):
-    """Let all events wait but those that ownership depends on."""
+def delay_events(shell, delay_s, late=()):
+    """Let all events wait but those that ownership depends on.
+
+    Events of the types ``late`` wait as well.
+    """
     post_now = shell.post_to
 
     async def post_later(unit, event):
@@ -338,7 +342,7 @@
         post_now(unit, event)
 
     def post(unit, event):
-        if isinstance(event, OWNERSHIP_EVENTS):
+        if isinstance(event, OWNERSHIP_EVENTS) and not isinstance(event, late):
             post_now(unit, event)
         else:
             shell.start(post_later, unit, event)
@@ -366,7 +370,8 @@
             await trio.sleep(0.5)
             fleet.platform.workers['w0'].unreachable_clients = {second}
             call_faults.unanswered.add((first, Unit().part, LEASE_KEY))
-            delay_events(fleet.instances[first].shell, delay_s)
+            # The unit's own rows would tell the owner at once.
+            delay_events(fleet.instances[first].shell, delay_s, LeaseSeen)
             await wait_taken(fleet)
             await trio.sleep(DUE_AFTER_MS / 1000 + 2)
             fleet.platform.workers['w0'].unreachable_clients = set()
