--- a/src/tulippin/_http_server.py
+++ b/src/tulippin/_http_server.py
@@ -124,9 +124,9 @@
         await self._stopping.wait()
         poll = select.poll()
         poll.register(descriptor, select.POLLIN)
+        quiet_rounds = 0
         for _ in range(_ACCEPT_ROUNDS):
-            if not poll.poll(0):
+            quiet_rounds = 0 if poll.poll(0) else quiet_rounds + 1
+            if quiet_rounds > _READ_ROUNDS:
                 break
             await trio.lowlevel.checkpoint()
-        for _ in range(_READ_ROUNDS):
-            await trio.lowlevel.checkpoint()
--- a/src/tulippin/scheduler_daemon.py
+++ b/src/tulippin/scheduler_daemon.py
@@ -63,10 +63,12 @@
 # Time for the load balancer to notice that the instance is not ready: it
 # checks once a second and acts on the second failure.
 _BALANCER_NOTICE_S: t.Final = 2.6
-# Reserved at the end of the grace period: for the last answers and the end of
-# the process, and for the end of the process alone.
-_LAST_ANSWERS_S: t.Final = 1.25
+# Reserved at the end of the grace period: for the last requests, and for the
+# end of the process alone.
+_LAST_REQUESTS_S: t.Final = 1.0
 _EXIT_S: t.Final = 0.5
+# Time for the last answers to be sent.
+_LAST_ANSWERS_S: t.Final = 0.25
 _CLOSE_LISTENERS_S: t.Final = 2.0
 # The instance is not ready if the store hasn't answered for this long: a feed
 # returns every 1.5 s, and a slow store answers in 0.3 s.
@@ -302,9 +304,9 @@
         """
         logger.info('stopping')
         grace_s = self.settings.grace_ms / _MS_PER_S
-        ends_s = trio.current_time() + grace_s
+        ends_s = trio.current_time() + grace_s - _LAST_REQUESTS_S
         app.close_by(ends_s - _LAST_ANSWERS_S)
-        with trio.move_on_at(ends_s - _LAST_ANSWERS_S):
+        with trio.move_on_at(ends_s):
             async with trio.open_nursery() as nursery:
                 if self._shell is not None:
                     nursery.start_soon(self._hand_over, self._shell)
@@ -316,7 +318,7 @@
             await _close_all(servers, grace_s)
         # A separate limit: where the event loop was delayed, the answers have
         # time that begins when they can be sent.
-        with trio.move_on_after(_LAST_ANSWERS_S - _EXIT_S) as scope:
+        with trio.move_on_after(_LAST_REQUESTS_S - _EXIT_S) as scope:
             await _close_all(servers, grace_s)
         logger.info('stopped', has_unanswered=scope.cancelled_caught)
         self._lines.flush()
--- a/tests/tulippin/platform/test_platform_daemon.py
+++ b/tests/tulippin/platform/test_platform_daemon.py
@@ -14,7 +14,9 @@
 
 from scheduler_fleet import make_config_body
 from tulippin._http_client import HttpClient
+from tulippin.codec_json import decode
 from tulippin.jobs import JobIntake
+from tulippin.jobs.records import LEASE_KEY, LeaseRecord
 from tulippin.jobs.unit_shell import UnitShell
 from tulippin.line_buffer import LineBuffer
 from tulippin.platform.standin_http import StandinServers
@@ -417,3 +419,19 @@
         await trio.sleep(0.3)
         site.daemon.handle_signal(signal.SIGTERM)
     assert statuses == [504]
+
+
+async def test_short_grace_period_leaves_time_to_release_the_units(tmp_path):
+    """Guards against successors that wait for a lease to lapse."""
+    async with serve(tmp_path) as site:
+        await site.call('POST', f'/q/{JOB}', BODY)
+        await site.wait_state('completed')
+        site.daemon.settings = attrs.evolve(site.daemon.settings, grace_ms=1200)
+        site.daemon.handle_signal(signal.SIGTERM)
+        await trio.sleep(0.5)
+        (lease,) = [
+            decode(row.value, LeaseRecord)
+            for (_, _, key), row in site.servers.platform.store.rows.items()
+            if key == LEASE_KEY
+        ]
+        assert lease.released
