Take no worker for lapsed before half of them refuse the earlier owner

Cause: the wait for workers out of reach ended by time alone. An owner that the store doesn't answer goes on extending leases while it reaches more than half of its workers, however long its successor reaches none.

Change: until half of the inherited workers have answered the new owner, none of the others counts as lapsed; from then on the wait is as before.

Left: an owner that is cut off from the store and its successor together with its workers, whose entries lapse as if they had ended.

--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -304,7 +304,7 @@
     state.unconfirmed_until_ms = 0
     state.are_earlier_runs_confirmed = False
     state.inherited_ids = frozenset()
-    state.has_reached_half = False
+    state.has_reached_half = True
     state.advisory_paused_until_ms = 0
     state.advisory_pause_ms = 0
     state.advice_asked.clear()
--- a/src/tulippin/jobs/_unconfirmed_runs.py
+++ b/src/tulippin/jobs/_unconfirmed_runs.py
@@ -54,8 +54,14 @@
 
 
 def are_runs_confirmed(worker: Worker, state: SchedulerState) -> bool:
-    """Whether a worker can't have unconfirmed runs of an earlier owner."""
-    return worker.is_reconciled or state.now_ms > worker.lease_expiry_ms
+    """Whether a worker can't have unconfirmed runs of an earlier owner.
+
+    An earlier owner may extend leases while it reaches more than half of the
+    workers, so that none is known to have lapsed before half refuse it.
+    """
+    if worker.is_reconciled:
+        return True
+    return state.has_reached_half and state.now_ms > worker.lease_expiry_ms
 
 
 def are_earlier_runs_confirmed(state: SchedulerState) -> bool:
@@ -93,6 +99,9 @@
     list of Job
         The jobs that have waited until now.
     """
+    if not state.has_reached_half:
+        # Workers may be unlisted meanwhile.
+        state.has_reached_half = _refuses_half(state)
     if state.are_earlier_runs_confirmed or not are_earlier_runs_confirmed(
         state
     ):
@@ -148,18 +157,24 @@
         if worker.may_run_any_task:
             worker.lease_expiry_ms = 0
         extend_lapse_time(worker, state.config.worker_lease_ms, state)
+    is_new = is_whole and not worker.is_reconciled
     worker.is_reconciled = is_whole
-    if not state.has_reached_half and _refuses_half(state):
-        state.has_reached_half = True
+    if is_new and not state.has_reached_half and _refuses_half(state):
         _extend_inherited_leases(state)
+        state.has_reached_half = True
 
 
 def _refuses_half(state: SchedulerState) -> bool:
-    """Whether half of the workers of earlier owners refuse these, or more."""
+    """Whether half of the workers of earlier owners refuse these, or more.
+
+    Workers that aren't listed any more don't count, since most of them have
+    ended.
+    """
     inherited = [
         worker
         for worker_id in state.inherited_ids
         if (worker := state.workers.get(worker_id)) is not None
+        and worker.is_listed
         and not worker.is_superseded
     ]
     reached_count = sum(worker.is_reconciled for worker in inherited)
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -511,7 +511,7 @@
     whether their crash is certain. ``is_release_reported`` says that the last
     owner left a release report. ``inherited_ids`` names the workers that
     earlier owners had on their roster, and ``has_reached_half`` tells
-    whether half of them or more refuse these owners.
+    whether half of those that are listed, or more, refuse these owners.
 
     Advisory inputs are ignored until ``advisory_paused_until_ms`` after one of
     them raised an error. ``advisory_pause_ms`` is the length of the last such
@@ -549,7 +549,7 @@
     are_earlier_runs_confirmed: bool = False
     is_release_reported: bool = False
     inherited_ids: frozenset[str] = frozenset()
-    has_reached_half: bool = False
+    has_reached_half: bool = True
     advice_asked: set[tuple[str, int, int]] = attrs.field(factory=set)
     dirty_jobs: dict[str, None] = attrs.field(factory=dict)
     dirty_since_ms: int = 0
--- a/tests/tulippin/jobs/test_scheduler_takeovers.py
+++ b/tests/tulippin/jobs/test_scheduler_takeovers.py
@@ -489,6 +489,45 @@
     run_virtual(run)
 
 
+@pytest.mark.parametrize('back_s', [5, 6.5, 8, 12])
+def test_successor_that_reaches_no_worker_at_first_starts_nothing_twice(
+    run_virtual, back_s
+):
+    """Guards against waits that end before the earlier owner is refused."""
+
+    async def run():
+        async with open_fleet(instances=2, workers=5) as fleet:
+            await trio.sleep(1)
+            first = fleet.get_owner()
+            second = fleet.get_other_instance(first)
+            due_ms = get_now_ms() + WALL_OFFSET_MS + 6000
+            request = attrs.evolve(
+                make_request(
+                    make_step(6, cpu=2000, max_per_worker=2), run_ms=12_000
+                ),
+                schedule=Schedule(due_ms, 1000, 1),
+            )
+            await fleet.submit(request=request)
+            await trio.sleep(0.5)
+            workers = list(fleet.platform.workers.values())
+            for worker in workers:
+                worker.unreachable_clients = {second}
+            fleet.platform.store.trouble.silenced = {first}
+            fleet.platform.store.blackhole_feeds(first)
+            await wait_taken(fleet)
+            await trio.sleep(back_s)
+            for worker in workers[2:]:
+                worker.unreachable_clients = set()
+            await trio.sleep(15)
+            fleet.platform.store.trouble.silenced = set()
+            for worker in workers:
+                worker.unreachable_clients = set()
+            await fleet.wait_state(JOB, JobState.COMPLETED, 40, by=second)
+            fleet.check()
+
+    run_virtual(run)
+
+
 def test_finished_job_is_not_new_after_lost_history(run_virtual, call_faults):
     """A removed job whose rows remain isn't run when rows are read again."""
 
