--- a/tests/tulippin/jobs/test_scheduler_long_running.py
+++ b/tests/tulippin/jobs/test_scheduler_long_running.py
@@ -19,6 +19,7 @@
 # worker crashes.
 MAX_GAP_MS = 6000
 MAX_CRASH_GAP_MS = 9000
+NEVER_MS = 10**9
 
 
 async def submit_long_running(fleet, count, **options):
@@ -332,3 +333,27 @@
             await fleet.wait_owner(limit_s=4)
 
     run_virtual(run)
+
+
+def test_loss_of_most_workers_with_their_owner_delays_no_task_further(
+    run_virtual,
+):
+    """Guards against a successor that waits for workers that have ended."""
+
+    async def run(lost_count):
+        async with open_fleet(instances=2, workers=8) as fleet:
+            await trio.sleep(1)
+            # Entries of workers that have ended lapse.
+            fleet.platform.restart_delay_ms = NEVER_MS
+            await fleet.submit(request=make_long_running_request(8))
+            await fleet.wait_running(8)
+            await trio.sleep(0.7)
+            for worker in list(fleet.platform.workers.values())[:lost_count]:
+                worker.crash()
+            fleet.kill_owner()
+            await trio.sleep(20)
+            fleet.check()
+            return get_max_downtime_ms(fleet)
+
+    few_ms, most_ms = (run_virtual(run, count) for count in (3, 5))
+    assert 0 < most_ms <= few_ms
