--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from tulippin.jobs.features import Features
 from tulippin.jobs.load_cycles import LoadCycleModel
 from tulippin.jobs.pair_model import PairModel
 from tulippin.jobs.records import (
@@ -74,6 +75,8 @@
     is_without_advice : bool
         Whether advisory inputs are ignored, because earlier runs of the
         process ended soon after their start.
+    features : Features
+        The optional parts that are switched on.
     """
 
     instance_id: str
@@ -88,6 +91,7 @@
     finished_retention_ms: int = 180_000
     processor_share: float = 1.0
     is_without_advice: bool = False
+    features: Features = Features()
 
 
 class Phase(enum.Enum):
--- a/src/tulippin/scheduler_daemon.py
+++ b/src/tulippin/scheduler_daemon.py
@@ -263,6 +263,7 @@
             f'{settings.instance_id}:{uuid.uuid4().hex[:8]}',
             processor_share=settings.processor_share,
             worker_lease_limit_ms=lease_limit_ms,
+            features=settings.features,
             worker_lease_ms=min(
                 SchedulerConfig.__attrs_attrs__.worker_lease_ms.default,
                 lease_limit_ms,
--- a/src/tulippin/scheduler_settings.py
+++ b/src/tulippin/scheduler_settings.py
@@ -17,6 +17,7 @@
     read_operators,
     read_settings_text,
 )
+from tulippin.jobs.features import Features
 
 _SECTIONS: t.Final = frozenset(
     (
@@ -28,6 +29,7 @@
         'stop',
         'operators',
         'log',
+        'scheduling',
     )
 )
 # Above any real instance; values derived from these settings stay finite.
@@ -35,6 +37,9 @@
 _MAX_GRACE_S: t.Final = 3600.0
 _MAX_CORES: t.Final = 1000.0
 _MAX_CORE_SPEED: t.Final = 1000.0
+_MAX_JOB_PARTS: t.Final = 256
+_MIN_HARM_LIMIT_MS: t.Final = 2000
+_MAX_HARM_LIMIT_MS: t.Final = 60_000
 
 
 @attrs.frozen
@@ -65,6 +70,8 @@
         Minimum level of log lines.
     processor_share : float
         Processing capacity of the instance, in cores of standard speed.
+    features : Features
+        Optional parts of the scheduler.
     """
 
     instance_id: str
@@ -82,6 +89,7 @@
     operators: dict[str, str] = attrs.field(factory=dict)
     log_level: str = 'info'
     processor_share: float = 1.0
+    features: Features = Features()
 
     @property
     def operators_address(self) -> str:
@@ -177,9 +185,35 @@
             instance.get_float('core_share', 1.0, 0.01, _MAX_CORES)
             * instance.get_float('core_speed', 1.0, 0.01, _MAX_CORE_SPEED)
         ),
+        features=_read_features(readers['scheduling']),
     )
 
 
+def _read_features(reader: SectionReader) -> Features:
+    default = Features()
+    return Features(
+        job_part_count=reader.get_int(
+            'job_parts', default.job_part_count, 1, _MAX_JOB_PARTS
+        ),
+        bounds_writes=_read_switch(reader, 'bounded_writes'),
+        has_admission=_read_switch(reader, 'admission'),
+        orders_by_progress=_read_switch(reader, 'progress_order'),
+        budgets_harm=_read_switch(reader, 'harm_budget'),
+        harm_limit_ms=reader.get_int(
+            'harm_limit_ms',
+            default.harm_limit_ms,
+            _MIN_HARM_LIMIT_MS,
+            _MAX_HARM_LIMIT_MS,
+        ),
+        gathers_reports=_read_switch(reader, 'gathered_reports'),
+        gathers_reads=_read_switch(reader, 'gathered_reads'),
+    )
+
+
+def _read_switch(reader: SectionReader, key: str) -> bool:
+    return reader.get_choice(key, ('no', 'yes'), 'no') == 'yes'
+
+
 def _read_address(
     reader: SectionReader,
     key: str,
--- a/tests/tulippin/test_invalid_settings.py
+++ b/tests/tulippin/test_invalid_settings.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 
 from tulippin.exceptions import InputError
+from tulippin.jobs.features import Features
 from tulippin.line_buffer import LineBuffer
 from tulippin.scheduler_daemon import SchedulerDaemon
 from tulippin.scheduler_settings import (
@@ -39,6 +40,11 @@
     'workers': {'lease_limit_ms': '6000'},
     'stop': {'grace_s': '3'},
     'log': {'level': 'info'},
+    'scheduling': {
+        'job_parts': '64',
+        'harm_limit_ms': '4000',
+        'admission': 'yes',
+    },
 }
 DAEMON = {
     'instance': {'id': 'instance-1', 'failure_domain': 'hall-a'},
@@ -75,6 +81,7 @@
     'instance': ('core_share', 'core_speed'),
     'workers': ('lease_limit_ms',),
     'stop': ('grace_s',),
+    'scheduling': ('job_parts', 'harm_limit_ms'),
 }
 INVALID_PORTS = (
     '9000',
@@ -144,6 +151,19 @@
     assert list_finding_places(parse_scheduler_settings, changed) == [place]
 
 
+def test_features_are_off_unless_the_settings_switch_them_on():
+    sections = {**SCHEDULER, 'scheduling': {}}
+    assert parse_scheduler_settings(render(sections)).features == Features()
+    found = parse_scheduler_settings(render(SCHEDULER)).features
+    assert found == Features(job_part_count=64, has_admission=True)
+
+
+def test_invalid_switch_is_reported():
+    changed = render(SCHEDULER, 'scheduling', 'admission', 'maybe')
+    place = 'file.ini: [scheduling] admission'
+    assert list_finding_places(parse_scheduler_settings, changed) == [place]
+
+
 @pytest.mark.parametrize('text', INVALID_PORTS, ids=lambda text: text[:9])
 def test_invalid_ports_are_reported(text):
     changed = render(SCHEDULER, 'listen', 'internal_ports', text)
