Count known run times in the objective of a job

The objective of a job is a multiple of its longest chain of actual run times, but was computed from predictions alone. A job with one task that takes seven times as long therefore counted as late, and its other tasks waited behind those of jobs in time.

Forecasts are cached for each job for 500 ms and are computed again after a start or an end of one of its runs.

--- a/src/tulippin/jobs/_attempts.py
+++ b/src/tulippin/jobs/_attempts.py
@@ -8,6 +8,7 @@
 import typing as t
 
 from tulippin.jobs import (
+    _forecasting,
     _interference,
     _lifecycle,
     _ready_queues,
@@ -167,6 +168,8 @@
         if attempt is not None and not attempt.is_slow_start:
             run_ms = context.state.now_ms - attempt.sent_ms
             _run_times.learn(job, attempt.step, run_ms, context.state)
+        if attempt is not None:
+            _forecasting.note_done(job, attempt, context.state.now_ms)
         _end_done(job, task, context)
         return
     if ended.outcome is RunOutcome.FAILED:
--- /dev/null
+++ b/src/tulippin/jobs/_forecasting.py
@@ -0,0 +1,108 @@
+"""Forecasts of jobs from what is known of their runs so far.
+
+The objective of a job is a multiple of its longest chain of actual run times.
+Predicted before any run, it would be too short for a job one of whose tasks
+runs on for several times the usual time: the job would count as late, and its
+other tasks would wait behind those of all jobs that count as in time.
+"""
+
+from __future__ import annotations
+
+import typing as t
+
+from tulippin.jobs import _run_times
+from tulippin.jobs.job_forecast import JobForecast, compute_chains_ms
+from tulippin.jobs.state import (
+    Attempt,
+    AttemptState,
+    Job,
+    SchedulerState,
+)
+
+# Time after which a forecast is computed again. Each start and each end of a
+# run of the job ends it earlier.
+_VALID_MS: t.Final = 500
+_PERCENT: t.Final = 100
+
+
+def get_forecast(
+    job: Job, occurrence: int, state: SchedulerState
+) -> JobForecast:
+    """Return what is expected of an occurrence of a job."""
+    known = job.forecasts.get(occurrence)
+    if known is None or state.now_ms - known.computed_ms >= _VALID_MS:
+        known = _compute(job, occurrence, state)
+        job.forecasts[occurrence] = known
+    return known
+
+
+def invalidate(job: Job) -> None:
+    """Have the forecasts of a job computed again at their next use."""
+    job.forecasts.clear()
+
+
+def note_held(attempt: Attempt, now_ms: int) -> None:
+    """Add the time that a run has lost to its pace since the last report."""
+    since_ms = max(attempt.sent_ms, attempt.held_until_ms)
+    attempt.held_until_ms = now_ms
+    pace_percent = attempt.pace_percent
+    if pace_percent is None:
+        # Not confirmed yet: an earlier owner may have set any pace.
+        pace_percent = attempt.target_pace_percent
+    lost_ms = (now_ms - since_ms) * (_PERCENT - pace_percent) / _PERCENT
+    attempt.held_ms += max(0.0, lost_ms)
+
+
+def get_worked_ms(attempt: Attempt, now_ms: int) -> float:
+    """Return how long a run has worked, as a time at full pace.
+
+    It is 0 until the run has been reported: its start may have failed.
+    """
+    if not attempt.seen_ms:
+        return 0.0
+    return max(0.0, now_ms - attempt.sent_ms - attempt.held_ms)
+
+
+def note_done(job: Job, attempt: Attempt, now_ms: int) -> None:
+    """Record the actual time of a run that was completed."""
+    invalidate(job)
+    note_held(attempt, now_ms)
+    worked_ms = max(0.0, now_ms - attempt.sent_ms - attempt.held_ms)
+    key = attempt.key.occurrence, attempt.key.step
+    job.longest_runs_ms[key] = max(worked_ms, job.longest_runs_ms.get(key, 0.0))
+
+
+def _compute(job: Job, occurrence: int, state: SchedulerState) -> JobForecast:
+    steps = job.request.steps
+    running_ms = _get_running_ms(job, occurrence, state)
+    own_ms: list[float] = []
+    left_ms: list[float] = []
+    for index, step in enumerate(steps):
+        usual_ms = _run_times.predict_ms(job, step, state)
+        longest_ms = job.longest_runs_ms.get((occurrence, index), 0.0)
+        left_ms.append(usual_ms)
+        if longest_ms and not job.remaining[occurrence, index]:
+            own_ms.append(longest_ms)
+        else:
+            own_ms.append(max(usual_ms, longest_ms, running_ms.get(index, 0.0)))
+    return JobForecast(
+        state.now_ms,
+        max(compute_chains_ms(steps, own_ms)),
+        compute_chains_ms(steps, own_ms, left_ms),
+    )
+
+
+def _get_running_ms(
+    job: Job, occurrence: int, state: SchedulerState
+) -> dict[int, float]:
+    """Return for each step how long its longest present run has worked."""
+    running_ms: dict[int, float] = {}
+    for key, task in job.tasks.items():
+        if not task.attempts or key.occurrence != occurrence:
+            continue
+        for attempt in task.attempts.values():
+            if attempt.state is AttemptState.RUNNING:
+                worked_ms = get_worked_ms(attempt, state.now_ms)
+                if worked_ms > running_ms.get(key.step, 0.0):
+                    running_ms[key.step] = worked_ms
+    return running_ms
--- a/src/tulippin/jobs/_ranking.py
+++ b/src/tulippin/jobs/_ranking.py
@@ -10,7 +10,7 @@
 import enum
 import typing as t
 
-from tulippin.jobs import _run_times
+from tulippin.jobs import _forecasting, _run_times
 from tulippin.jobs._ready_queues import StepKey, get_step_key
 from tulippin.jobs.state import Job, SchedulerState, Task
 
@@ -130,12 +130,11 @@
     job: Job, step_key: StepKey, state: SchedulerState
 ) -> tuple[Lateness, float]:
     """Return the best outcome that a job can still reach, and its due time."""
-    chains_ms = _get_chains_ms(job, state)
-    total_ms = max(chains_ms)
+    total_ms, left_ms = _estimate_times(job, step_key, state)
     objective_ms = job.queue.stretch * total_ms + job.queue.target_latency_ms
     reference_ms = _get_reference_ms(job, step_key, state)
     due_ms = reference_ms + objective_ms
-    earliest_end_ms = state.now_ms + chains_ms[step_key[2]]
+    earliest_end_ms = state.now_ms + left_ms
     if earliest_end_ms <= due_ms:
         return Lateness.IN_TIME, due_ms
     if earliest_end_ms <= reference_ms + _MAX_OBJECTIVE_MULTIPLE * objective_ms:
@@ -143,6 +142,17 @@
     return Lateness.WORTHLESS, due_ms
 
 
+def _estimate_times(
+    job: Job, step_key: StepKey, state: SchedulerState
+) -> tuple[float, float]:
+    """Return the longest chain of a job, and the time left from a step on."""
+    if state.config.features.orders_by_progress:
+        forecast = _forecasting.get_forecast(job, step_key[1], state)
+        return forecast.total_ms, forecast.left_ms[step_key[2]]
+    chains_ms = _get_chains_ms(job, state)
+    return max(chains_ms), chains_ms[step_key[2]]
+
+
 def _get_chains_ms(job: Job, state: SchedulerState) -> tuple[float, ...]:
     """Return for each step the expected time of the longest chain from it."""
     age_ms = state.now_ms - job.chains_computed_ms
--- a/src/tulippin/jobs/_reports.py
+++ b/src/tulippin/jobs/_reports.py
@@ -12,6 +12,7 @@
 from tulippin.jobs import (
     _attempts,
     _crashes,
+    _forecasting,
     _incarnations,
     _lifecycle,
     _lost_starts,
@@ -146,6 +147,8 @@
         attempt.state = AttemptState.RUNNING
         attempt.seen_ms = state.now_ms
         _attempts.note_running(attempt, context)
+    if not attempt.step.long_running:
+        _forecasting.note_held(attempt, state.now_ms)
     if row.checkpoint:
         attempt.checkpoint = row.checkpoint
         found = _attempts.find_task(row.key, context)
--- a/src/tulippin/jobs/_starting.py
+++ b/src/tulippin/jobs/_starting.py
@@ -7,6 +7,7 @@
     _attempts,
     _crashes,
     _evacuation,
+    _forecasting,
     _lifecycle,
     _probation,
     _ranking,
@@ -49,6 +50,7 @@
         checkpoint=task.checkpoint,
     )
     _attempts.add_attempt(attempt, task, worker)
+    _forecasting.invalidate(job)
     _probation.begin_probation(attempt, task, worker)
     if step.long_running and not _lifecycle.is_assignment_durable(
         job, task.key, worker.worker_id
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -12,6 +12,7 @@
 import attrs
 
 from tulippin.jobs.features import Features
+from tulippin.jobs.job_forecast import JobForecast
 from tulippin.jobs.load_cycles import LoadCycleModel
 from tulippin.jobs.pair_model import PairModel
 from tulippin.jobs.records import (
@@ -137,7 +138,8 @@
     ``probation_ms`` of it; ``has_passed_probation`` says that it has run long
     enough not to be suspected of a crash. ``is_ordered`` says that the start
     order was sent or is about to be. The order of a suspected or long-running
-    task is sent only after the record of that start is durable.
+    task is sent only after the record of that start is durable. ``held_ms`` is
+    the time that a short run lost at paces below full until ``held_until_ms``.
     """
 
     key: TaskKey
@@ -169,6 +171,8 @@
     probation_ms: int = 0
     has_passed_probation: bool = False
     is_ordered: bool = True
+    held_ms: float = 0.0
+    held_until_ms: int = 0
 
 
 @attrs.define
@@ -244,6 +248,9 @@
     ``is_given_up`` says that a unit abandoned the job, for ``reason``.
     ``doubts`` counts how often short tasks of the job may have had an
     unconfirmed run on a worker that died while the unit changed its owner.
+    ``forecasts`` holds what is expected of its occurrences, and
+    ``longest_runs_ms`` by occurrence and step the longest run that this owner
+    saw completed.
     """
 
     job_id: str
@@ -280,6 +287,8 @@
     reason: str = ''
     chains_ms: tuple[float, ...] = ()
     chains_computed_ms: int = 0
+    forecasts: dict[int, JobForecast] = attrs.field(factory=dict)
+    longest_runs_ms: dict[tuple[int, int], float] = attrs.field(factory=dict)
     tickets: dict[tuple[str, int, int], dict[str, tuple[str, int]]] = (
         attrs.field(factory=dict)
     )
