Learn distributions of run times by queue and image

A mean hides a heavy tail: where three in a hundred runs take seven times as long, a run at twice the usual time has five times of it left, not none. The ratios of actual to predicted run times are recorded in histograms by queue and image. A run older than the upper quantile (0.9) is expected to take the mean of the runs that took longer than it has; the objective and the time left of its job follow.

Adopted, resumed and slow-started runs are not recorded, as their times say nothing about a whole run. The distributions are kept in memory, at most 256 of them, and a new owner learns them again from its own runs.

--- a/src/tulippin/jobs/_attempts.py
+++ b/src/tulippin/jobs/_attempts.py
@@ -169,7 +169,7 @@
             run_ms = context.state.now_ms - attempt.sent_ms
             _run_times.learn(job, attempt.step, run_ms, context.state)
         if attempt is not None:
-            _forecasting.note_done(job, attempt, context.state.now_ms)
+            _forecasting.note_done(job, attempt, context.state)
         _end_done(job, task, context)
         return
     if ended.outcome is RunOutcome.FAILED:
--- a/src/tulippin/jobs/_forecasting.py
+++ b/src/tulippin/jobs/_forecasting.py
@@ -63,28 +63,50 @@
     return max(0.0, now_ms - attempt.sent_ms - attempt.held_ms)
 
 
-def note_done(job: Job, attempt: Attempt, now_ms: int) -> None:
+def note_done(job: Job, attempt: Attempt, state: SchedulerState) -> None:
     """Record the actual time of a run that was completed."""
     invalidate(job)
-    note_held(attempt, now_ms)
-    worked_ms = max(0.0, now_ms - attempt.sent_ms - attempt.held_ms)
+    if not state.config.features.orders_by_progress:
+        return
+    step = attempt.step
+    note_held(attempt, state.now_ms)
+    worked_ms = max(0.0, state.now_ms - attempt.sent_ms - attempt.held_ms)
+    if _is_whole(job, attempt):
+        if not attempt.is_slow_start:
+            _run_times.learn_ratio(job, step, worked_ms, state)
+    else:
+        # The run before it, or its part before the takeover, is not known.
+        usual_ms = _run_times.predict(job, step, state).usual_ms
+        worked_ms = max(worked_ms, usual_ms)
     key = attempt.key.occurrence, attempt.key.step
     job.longest_runs_ms[key] = max(worked_ms, job.longest_runs_ms.get(key, 0.0))
 
 
+def _is_whole(job: Job, attempt: Attempt) -> bool:
+    """Whether a run did all the work of its task under this owner."""
+    is_adopted = not attempt.start_deadline_ms
+    is_resumed = attempt.step.checkpointing and (
+        job.tasks[attempt.key].run_count > 1
+    )
+    return not (is_adopted or is_resumed)
+
+
 def _compute(job: Job, occurrence: int, state: SchedulerState) -> JobForecast:
     steps = job.request.steps
     running_ms = _get_running_ms(job, occurrence, state)
     own_ms: list[float] = []
     left_ms: list[float] = []
     for index, step in enumerate(steps):
-        usual_ms = _run_times.predict_ms(job, step, state)
+        times = _run_times.predict(job, step, state)
         longest_ms = job.longest_runs_ms.get((occurrence, index), 0.0)
-        left_ms.append(usual_ms)
+        worked_ms = running_ms.get(index, 0.0)
+        total_ms = times.get_total_ms(worked_ms)
+        # Other tasks of a step that waits may run on for longer.
+        left_ms.append(max(times.usual_ms, total_ms - worked_ms))
         if longest_ms and not job.remaining[occurrence, index]:
             own_ms.append(longest_ms)
         else:
-            own_ms.append(max(usual_ms, longest_ms, running_ms.get(index, 0.0)))
+            own_ms.append(max(longest_ms, total_ms))
     return JobForecast(
         state.now_ms,
         max(compute_chains_ms(steps, own_ms)),
--- a/src/tulippin/jobs/_model_store.py
+++ b/src/tulippin/jobs/_model_store.py
@@ -147,6 +147,7 @@
     state.lowest_tails_ms = {}
     state.run_times_ms = {}
     state.run_time_fits = {}
+    state.run_ratios = {}
     state.tails.clear()
 
 
--- a/src/tulippin/jobs/_run_times.py
+++ b/src/tulippin/jobs/_run_times.py
@@ -3,7 +3,8 @@
 Estimates are rough: the run times of a queue's tasks spread less than the
 estimates do, and include the time until an end is reported. So for each queue
 a straight line between the logarithms of both is fitted to the runs that were
-completed.
+completed. How far the runs of a queue and image differ from that is learned as
+a distribution; a new owner begins without it.
 """
 
 from __future__ import annotations
@@ -11,7 +12,10 @@
 import math
 import typing as t
 
+import attrs
+
 from tulippin.jobs.records import RunTimeRecord
+from tulippin.jobs.run_ratios import MIN_RUNS, RunRatios
 from tulippin.jobs.state import Job, SchedulerState
 from tulippin.jobs.types import Step
 
@@ -26,6 +30,17 @@
 _MIN_RUNS: t.Final = 20
 # Predictions stay within this factor of the mean.
 _MAX_FACTOR: t.Final = 8.0
+# Number of queues and images whose distributions are kept, at 20 KB each;
+# callers choose the names of images.
+_MAX_DISTRIBUTIONS: t.Final = 256
+# The image under which all runs of a queue are recorded.
+_ANY_IMAGE: t.Final = ''
+# Share of the runs that take no longer than an upper quantile of run times. The
+# tail of three in a hundred is left out: the objective grows with such a run.
+_UPPER_SHARE: t.Final = 0.9
+_MEDIAN_SHARE: t.Final = 0.5
+# Stands for a distribution of which too little is known.
+_UNKNOWN: t.Final = RunRatios()
 
 
 def learn(job: Job, step: Step, run_ms: int, state: SchedulerState) -> None:
@@ -80,6 +95,72 @@
     return math.exp(fit.log_run + exponent)
 
 
+def learn_ratio(
+    job: Job, step: Step, worked_ms: float, state: SchedulerState
+) -> None:
+    """Record a run that was completed in the distributions of its kind."""
+    predicted_ms = predict_ms(job, step, state)
+    if predicted_ms <= 0 or worked_ms <= 0:
+        return
+    for image in dict.fromkeys((step.image, _ANY_IMAGE)):
+        key = job.queue.name, image
+        ratios = state.run_ratios.get(key)
+        if ratios is None:
+            if len(state.run_ratios) >= _MAX_DISTRIBUTIONS:
+                continue
+            ratios = state.run_ratios[key] = RunRatios()
+        ratios.record(worked_ms / predicted_ms)
+
+
+@attrs.frozen
+class RunTimes:
+    """Expected run times of the tasks of a step.
+
+    Parameters
+    ----------
+    usual_ms, upper_ms : float
+        The median, and an upper quantile.
+    """
+
+    usual_ms: float
+    upper_ms: float
+    _predicted_ms: float
+    _ratios: RunRatios
+
+    def get_total_ms(self, worked_ms: float) -> float:
+        """Return the expected time of a run that has worked for some time.
+
+        Up to the upper quantile it is the usual time, beyond it the mean of
+        the runs that took longer.
+        """
+        if worked_ms <= self.upper_ms or self._predicted_ms <= 0:
+            return max(self.usual_ms, worked_ms)
+        ratio = worked_ms / self._predicted_ms
+        expected_ms = self._ratios.get_expected(ratio) * self._predicted_ms
+        return max(worked_ms, expected_ms)
+
+
+def predict(job: Job, step: Step, state: SchedulerState) -> RunTimes:
+    """Return the expected run times of a step's tasks."""
+    predicted_ms = predict_ms(job, step, state)
+    ratios = _find_ratios(job, step, state)
+    return RunTimes(
+        predicted_ms * ratios.get_quantile(_MEDIAN_SHARE),
+        predicted_ms * ratios.get_quantile(_UPPER_SHARE),
+        predicted_ms,
+        ratios,
+    )
+
+
+def _find_ratios(job: Job, step: Step, state: SchedulerState) -> RunRatios:
+    """Return the distribution of a queue and image, or else of the queue."""
+    for image in (step.image, _ANY_IMAGE):
+        ratios = state.run_ratios.get((job.queue.name, image))
+        if ratios is not None and ratios.run_count >= MIN_RUNS:
+            return ratios
+    return _UNKNOWN
+
+
 def predict_chains_ms(job: Job, state: SchedulerState) -> tuple[float, ...]:
     """Return for each step the time of the longest chain from it on."""
     steps = job.request.steps
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -25,6 +25,7 @@
     Unit,
     UnitCapacity,
 )
+from tulippin.jobs.run_ratios import RunRatios
 from tulippin.jobs.types import (
     Configuration,
     Incarnation,
@@ -591,6 +592,7 @@
     policy_number: int = 0
     run_times_ms: dict[str, float] = attrs.field(factory=dict)
     run_time_fits: dict[str, RunTimeRecord] = attrs.field(factory=dict)
+    run_ratios: dict[tuple[str, str], RunRatios] = attrs.field(factory=dict)
     short_demands: dict[tuple[str, int], ShortDemand] = attrs.field(
         factory=dict
     )
--- a/tests/tulippin/jobs/test_forecasting.py
+++ b/tests/tulippin/jobs/test_forecasting.py
@@ -1,10 +1,18 @@
 """What is expected of a job follows from what is known of its runs."""
 
+import random
+
 import attrs
 import pytest
 from test_scheduler_decisions import QUEUE, make_job, make_state
 
-from tulippin.jobs import _attempts, _forecasting, _ranking
+from tulippin.jobs import (
+    _attempts,
+    _forecasting,
+    _model_store,
+    _ranking,
+    _run_times,
+)
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs._ranking import Lateness
 from tulippin.jobs.features import Features
@@ -45,8 +53,7 @@
         job.queue.priority,
         AttemptState.RUNNING,
         sent_ms,
-        seen_ms=sent_ms,
-        **options,
+        **{'seen_ms': sent_ms, 'start_deadline_ms': sent_ms, **options},
     )
     _attempts.add_attempt(attempt, task, worker)
     return attempt
@@ -73,7 +80,7 @@
     job = add_job(state, 7000)
     for index, age_ms in enumerate((6900, 900)):
         attempt = add_run(state, job, age_ms, index)
-        _forecasting.note_done(job, attempt, state.now_ms)
+        _forecasting.note_done(job, attempt, state)
         _attempts.drop_attempt(attempt, Context(state))
     job.remaining[0, 0] = 0
     found = _forecasting.get_forecast(job, 0, state)
@@ -85,7 +92,7 @@
     """Guards against jobs ranked by time that their runs never took."""
     state = make_progress_state()
     job = add_job(state, 500)
-    _forecasting.note_done(job, add_run(state, job, 400), state.now_ms)
+    _forecasting.note_done(job, add_run(state, job, 400), state)
     job.remaining[0, 0] = 0
     found = _forecasting.get_forecast(job, 0, state)
     assert found.total_ms == 400 + USUAL_MS
@@ -125,3 +132,96 @@
     assert _forecasting.get_forecast(job, 0, state) is found
     _forecasting.invalidate(job)
     assert _forecasting.get_forecast(job, 0, state) is not found
+
+
+def teach_tail(state, image='', seed=1, runs=400):
+    """Teach runs of which three in a hundred take seven times as long."""
+    source = random.Random(seed)
+    step = attrs.evolve(FIRST, image=image)
+    job = make_job(state, 'taught', 0, (step,))
+    for _ in range(runs):
+        factor = 7 if source.random() < 0.03 else 1
+        worked_ms = factor * USUAL_MS * 2 ** source.uniform(-0.3, 0.3)
+        _run_times.learn_ratio(job, step, worked_ms, state)
+    del state.jobs['taught']
+
+
+def test_run_in_the_tail_is_expected_to_take_as_long_as_others_there():
+    """Guards against stragglers that are expected to end at any moment."""
+    state = make_progress_state()
+    teach_tail(state)
+    job = add_job(state, 3000)
+    add_run(state, job, 2900)
+    found = _forecasting.get_forecast(job, 0, state)
+    assert found.total_ms == pytest.approx(7 * USUAL_MS + USUAL_MS, rel=0.1)
+    assert found.left_ms[0] == pytest.approx(
+        7 * USUAL_MS - 2900 + USUAL_MS, rel=0.15
+    )
+    assert find_lateness(state, job) is Lateness.IN_TIME
+
+
+def test_tail_leaves_the_expectation_of_usual_runs_alone():
+    state = make_progress_state()
+    teach_tail(state)
+    job = add_job(state, 600)
+    add_run(state, job, 500)
+    found = _forecasting.get_forecast(job, 0, state)
+    assert found.total_ms == pytest.approx(2 * USUAL_MS, rel=0.1)
+
+
+def test_images_of_a_queue_have_distributions_of_their_own():
+    """Guards against a slow image that makes all others of its queue late."""
+    state = make_progress_state()
+    for image, factor in (('slow', 3.0), ('fast', 0.5)):
+        step = attrs.evolve(FIRST, image=image)
+        job = make_job(state, image, 0, (step,))
+        for _ in range(30):
+            _run_times.learn_ratio(job, step, factor * USUAL_MS, state)
+        found = _run_times.predict(job, step, state)
+        assert found.usual_ms == pytest.approx(factor * USUAL_MS, rel=0.02)
+    other = attrs.evolve(FIRST, image='unknown')
+    job = make_job(state, 'c', 0, (other,))
+    # An unknown image has the distribution of all runs of its queue.
+    found = _run_times.predict(job, other, state)
+    assert found.upper_ms == pytest.approx(3 * USUAL_MS, rel=0.02)
+
+
+def test_number_of_distributions_is_bounded():
+    """Guards against callers that fill the memory with names of images."""
+    state = make_progress_state()
+    for number in range(1000):
+        step = attrs.evolve(FIRST, image=f'image{number}')
+        job = make_job(state, 'a', 0, (step,))
+        _run_times.learn_ratio(job, step, USUAL_MS, state)
+    assert len(state.run_ratios) == 256
+
+
+def test_adopted_run_is_no_example_of_a_run_time():
+    """Guards against a new owner that times runs from its takeover."""
+    state = make_progress_state()
+    job = add_job(state, 500)
+    attempt = add_run(state, job, 100, start_deadline_ms=0)
+    _forecasting.note_done(job, attempt, state)
+    assert not state.run_ratios
+    assert job.longest_runs_ms[0, 0] == USUAL_MS
+
+
+def test_new_owner_without_distributions_uses_predictions():
+    state = make_progress_state()
+    teach_tail(state)
+    _model_store.forget(state)
+    job = add_job(state, 3000)
+    add_run(state, job, 2900)
+    found = _forecasting.get_forecast(job, 0, state)
+    assert found.total_ms == 2900 + USUAL_MS
+
+
+def test_run_that_never_ends_keeps_its_job_in_time():
+    """Guards against ages beyond all known run times."""
+    state = make_progress_state()
+    teach_tail(state)
+    job = add_job(state, 10**8)
+    add_run(state, job, 10**8 - 100)
+    found = _forecasting.get_forecast(job, 0, state)
+    assert 10**8 < found.total_ms < 10**9
+    assert find_lateness(state, job) is Lateness.IN_TIME
