Let work of no value yield to other work

Jobs too late to earn anything ran beside jobs that could, up to 50 s after their arrival, and took the idle processors that these needed.

With progress_order, opportunistic work of no value is started only on workers where it disturbs no image by the upper bound of the model. Where no worker accepts other opportunistic work, the fewest runs of no value that make room for it are stopped; runs that are nearly done without checkpoints, slow starts and gangs go on. Preemption for urgent work stops them first, and urgent work of no value preempts others only after its job had nothing running for 2.5 s.

--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -14,7 +14,6 @@
     _advice,
     _attempts,
     _crashes,
-    _feasibility,
     _headroom,
     _interference,
     _lost_starts,
@@ -27,6 +26,7 @@
     _starting,
     _unconfirmed_runs,
     _worker_selection,
+    _yielding,
 )
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs.state import (
@@ -105,10 +105,13 @@
     queue: dict[_ready_queues.StepKey, dict[TaskKey, Task]]
     budget: int = _MAX_STARTS_PER_PASS
     # Sizes of opportunistic tasks, by service and image, that no worker
-    # accepts next to the tasks that it serves.
-    rejected_sizes: dict[tuple[str, str], list[Resources]] = attrs.field(
+    # accepts next to the tasks that it serves. More workers refuse work of no
+    # value, whose sizes are kept apart.
+    rejected_sizes: dict[tuple[str, str, bool], list[Resources]] = attrs.field(
         factory=dict
     )
+    # Runs that yield to opportunistic tasks; listed on first use.
+    victims: _yielding.Victims | None = None
     # Sizes of unconstrained tasks that no worker has capacity for, by service
     # and by whether the task has to leave headroom.
     unplaceable_sizes: dict[tuple[str, bool], list[Resources]] = attrs.field(
@@ -211,7 +214,7 @@
             # Needed even if the task fits nowhere in this pass: a slow start
             # requires a ticket for the worker.
             _advice.ask_if_due(job, step_key, self.context)
-        if self._exceeds_rejected_size(job, step):
+        if self._exceeds_rejected_size(job, step, step_key):
             return
         state = self.context.state
         tasks = [
@@ -231,13 +234,21 @@
                 self._record_rejected_size(job, step, task)
                 break
 
-    def _exceeds_rejected_size(self, job: Job, step: Step) -> bool:
+    def _exceeds_rejected_size(
+        self, job: Job, step: Step, step_key: _ready_queues.StepKey
+    ) -> bool:
         """Whether a task of the image that is no larger was rejected."""
         if not step.opportunistic:
             return False
-        place = job.queue.service, step.image
+        kinds = [False]
+        if _ranking.is_worthless(job, step_key, self.context.state):
+            kinds.append(True)
         return any(
-            step.size.fits(size) for size in self.rejected_sizes.get(place, ())
+            step.size.fits(size)
+            for is_worthless in kinds
+            for size in self.rejected_sizes.get(
+                (job.queue.service, step.image, is_worthless), ()
+            )
         )
 
     def _record_rejected_size(self, job: Job, step: Step, task: Task) -> None:
@@ -253,7 +264,9 @@
         size = step.size
         if not _worker_selection.is_limited_by_memory(task, step, state):
             size = attrs.evolve(size, memory_mb=0)
-        place = job.queue.service, step.image
+        step_key = _ready_queues.get_step_key(task.key)
+        is_worthless = _ranking.is_worthless(job, step_key, state)
+        place = job.queue.service, step.image, is_worthless
         self.rejected_sizes.setdefault(place, []).append(size)
 
     def _exceeds_free_capacity(self, job: Job, step: Step, task: Task) -> bool:
@@ -315,7 +328,8 @@
         if not self._exceeds_free_capacity(job, step, task):
             worker = _worker_selection.choose(job, task, step, state)
         if worker is None:
-            _preempt(job, task, self.context)
+            _preempting.preempt_if_urgent(job, task, self.context)
+            self._make_room(job, step, task)
             if task.crashes:
                 # A suspected task has restrictions that others don't have.
                 return True
@@ -324,6 +338,20 @@
         self._start(job, step, task, worker)
         return True
 
+    def _make_room(self, job: Job, step: Step, task: Task) -> None:
+        """Stop runs of no value for an opportunistic task of some value."""
+        state = self.context.state
+        if not (
+            step.opportunistic and state.config.features.orders_by_progress
+        ):
+            return
+        step_key = _ready_queues.get_step_key(task.key)
+        if _ranking.is_worthless(job, step_key, state):
+            return
+        if self.victims is None:
+            self.victims = _yielding.list_victims(state)
+        _yielding.make_room(job, task, step, self.victims, self.context)
+
     def _start(
         self,
         job: Job,
@@ -406,18 +434,3 @@
         task.checkpoint = checkpoint
         added.append(_starting.add_run(job, step, task, worker, context))
     return added
-
-
-def _preempt(job: Job, task: Task, context: Context) -> None:
-    """Stop less urgent runs for a task of the most urgent priority."""
-    step = job.request.steps[task.key.step]
-    if job.queue.priority != 0 or step.opportunistic:
-        return
-    _preempting.preempt(
-        job,
-        task,
-        lambda worker: _feasibility.is_open(
-            worker, job, task, step, context.state
-        ),
-        context,
-    )
--- a/src/tulippin/jobs/_preempting.py
+++ b/src/tulippin/jobs/_preempting.py
@@ -4,7 +4,7 @@
 
 import typing as t
 
-from tulippin.jobs import _attempts
+from tulippin.jobs import _attempts, _feasibility, _ranking, _ready_queues
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs.state import (
     Attempt,
@@ -26,6 +26,32 @@
 # Assignments change slowly compared with the passes over ready tasks, and
 # scanning the runs of all workers took half of an overloaded owner's time.
 _RETRY_INTERVAL_MS: t.Final = 200
+# Time without any run after which a job of no value may preempt others. At most
+# 3 s without a run are acceptable beside mostly idle processors.
+_WORTHLESS_PREEMPTS_AFTER_MS: t.Final = 2500
+
+
+def preempt_if_urgent(job: Job, task: Task, context: Context) -> None:
+    """Stop less urgent runs for a task of the most urgent priority.
+
+    Work of no value preempts others only once its job has had nothing running
+    for long, so that it is completed at some time.
+    """
+    state = context.state
+    step = job.request.steps[task.key.step]
+    if job.queue.priority != 0 or step.opportunistic:
+        return
+    step_key = _ready_queues.get_step_key(task.key)
+    if _ranking.is_worthless(job, step_key, state):
+        idle_ms = _ready_queues.get_idle_job_ms(job, task, state)
+        if idle_ms < _WORTHLESS_PREEMPTS_AFTER_MS:
+            return
+    preempt(
+        job,
+        task,
+        lambda worker: _feasibility.is_open(worker, job, task, step, state),
+        context,
+    )
 
 
 def preempt(
@@ -60,7 +86,7 @@
     for worker in state.workers.values():
         if not is_open(worker):
             continue
-        victims = _choose_victims(worker, step, job.queue.priority)
+        victims = _choose_victims(worker, step, job.queue.priority, state)
         cost = sum(_get_cost(attempt, state) for attempt in victims)
         if victims and (not best or cost < best_cost):
             best = victims
@@ -78,6 +104,8 @@
 
 def _get_cost(attempt: Attempt, state: SchedulerState) -> int:
     """Return the work, in millicore-milliseconds, that a stop may discard."""
+    if _is_worthless(attempt, state):
+        return 0
     age_ms = state.now_ms - attempt.sent_ms
     if attempt.step.checkpointing:
         # The work is saved; only restoring the checkpoint costs time.
@@ -85,6 +113,13 @@
     return age_ms * attempt.step.size.cpu_millicores
 
 
+def _is_worthless(attempt: Attempt, state: SchedulerState) -> bool:
+    """Whether the job of a run can earn nothing any more."""
+    job = state.jobs.get(attempt.key.job_id)
+    step_key = _ready_queues.get_step_key(attempt.key)
+    return job is not None and _ranking.is_worthless(job, step_key, state)
+
+
 def _is_victim(attempt: Attempt, priority: int) -> bool:
     """Whether a task of a priority may preempt a run."""
     return (
@@ -111,7 +146,9 @@
     )
 
 
-def _choose_victims(worker: Worker, step: Step, priority: int) -> list[Attempt]:
+def _choose_victims(
+    worker: Worker, step: Step, priority: int, state: SchedulerState
+) -> list[Attempt]:
     """Return runs whose stop frees enough capacity; empty if none do.
 
     Empty also if runs that are stopping already free enough.
@@ -132,6 +169,7 @@
     ]
     candidates.sort(
         key=lambda attempt: (
+            not _is_worthless(attempt, state),
             not attempt.step.checkpointing,
             -attempt.step.size.memory_mb,
         )
--- a/src/tulippin/jobs/_worker_selection.py
+++ b/src/tulippin/jobs/_worker_selection.py
@@ -5,7 +5,15 @@
 import operator
 import typing as t
 
-from tulippin.jobs import _feasibility, _headroom, _probation, _scoring
+from tulippin.jobs import (
+    _feasibility,
+    _headroom,
+    _interference,
+    _probation,
+    _ranking,
+    _ready_queues,
+    _scoring,
+)
 from tulippin.jobs.state import Job, SchedulerState, Task, Worker
 from tulippin.jobs.types import Step
 
@@ -58,7 +66,11 @@
 ) -> list[Worker]:
     """Return the workers that accept a task, best first."""
     scored = []
-    for worker in _list_eligible(job, task, step, state, rack):
+    eligible = _list_eligible(job, task, step, state, rack)
+    step_key = _ready_queues.get_step_key(task.key)
+    if step.opportunistic and _ranking.is_worthless(job, step_key, state):
+        eligible = [one for one in eligible if _is_harmless(one, step, state)]
+    for worker in eligible:
         score = _score(worker, task, step, state)
         if score is not None:
             scored.append((score, worker))
@@ -84,6 +96,12 @@
     return [worker for worker in eligible if headroom.admits(worker, step)]
 
 
+def _is_harmless(worker: Worker, step: Step, state: SchedulerState) -> bool:
+    """Whether a task disturbs no image on a worker, by the model's bound."""
+    harm = _interference.compute_harm(step, worker, state)
+    return harm is not None and harm <= 0
+
+
 def is_limited_by_memory(task: Task, step: Step, state: SchedulerState) -> bool:
     """Whether some worker accepts an opportunistic task but for its memory."""
     return any(
