Place last attempts on proven workers

A job fails with the last attempt of one of its tasks, so a worker that fails runs, or an unknown one, costs the whole job.

--- a/src/tulippin/jobs/_worker_failures.py
+++ b/src/tulippin/jobs/_worker_failures.py
@@ -28,6 +28,7 @@
     """Update a worker's failures with an ended run; quarantine if faulty."""
     if ended.outcome is RunOutcome.DONE:
         worker.failed_jobs.clear()
+        worker.has_good_end = True
         return
     if ended.outcome is not RunOutcome.FAILED:
         return
--- a/src/tulippin/jobs/_worker_selection.py
+++ b/src/tulippin/jobs/_worker_selection.py
@@ -9,6 +9,7 @@
     _feasibility,
     _headroom,
     _interference,
+    _last_attempts,
     _probation,
     _ranking,
     _ready_queues,
@@ -70,6 +71,10 @@
     step_key = _ready_queues.get_step_key(task.key)
     if step.opportunistic and _ranking.is_worthless(job, step_key, state):
         eligible = [one for one in eligible if _is_harmless(one, step, state)]
+    if _last_attempts.needs_proven_worker(job, task, state):
+        eligible = [
+            one for one in eligible if _last_attempts.is_proven(one, job)
+        ]
     for worker in eligible:
         score = _score(worker, task, step, state)
         if score is not None:
@@ -96,6 +101,11 @@
     return [worker for worker in eligible if headroom.admits(worker, step)]
 
 
+def awaits_proven_worker(job: Job, task: Task, state: SchedulerState) -> bool:
+    """Whether a task may only be refused because workers are not proven."""
+    return _last_attempts.needs_proven_worker(job, task, state)
+
+
 def _is_harmless(worker: Worker, step: Step, state: SchedulerState) -> bool:
     """Whether a task disturbs no image on a worker, by the model's bound."""
     harm = _interference.compute_harm(step, worker, state)
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -344,7 +344,8 @@
     when the incarnation that answers under the id started, or 0 until it is
     known; all other fields but the entry are about this incarnation.
     ``needs_ack`` says that it still reports ends that are durable, up to number
-    ``last_seen``.
+    ``last_seen``. ``has_good_end`` says that this owner has read the end of a
+    run there that was done.
     """
 
     entry: WorkerEntry
@@ -369,6 +370,7 @@
     rejection_logged_ms: int | None = None
     leaves_at_ms: int = 0
     failed_jobs: set[str] = attrs.field(factory=set)
+    has_good_end: bool = False
     quarantined_until_ms: int = 0
     paused_until_ms: int = 0
     unhealthy_since_ms: int = 0
