Start copies of stragglers where a step allows duplicates

A run in the tail of its distribution takes seven times as long as a fresh one, and its job waits for it.

The work of a tick moves from the reducer to a module of its own.

--- a/src/tulippin/jobs/_attempts.py
+++ b/src/tulippin/jobs/_attempts.py
@@ -170,6 +170,8 @@
             _run_times.learn(job, attempt.step, run_ms, context.state)
         if attempt is not None:
             _forecasting.note_done(job, attempt, context.state)
+            if attempt.copy_of and not task.is_done:
+                context.state.count('copies_ended_first')
         _end_done(job, task, context)
         return
     if ended.outcome is RunOutcome.FAILED:
--- a/src/tulippin/jobs/_ranking.py
+++ b/src/tulippin/jobs/_ranking.py
@@ -235,6 +235,8 @@
         fields['due_in_ms'] = round(outlook.due_ms - state.now_ms)
         if state.config.features.orders_by_progress:
             fields['has_begun'] = attempt.had_begun
+        if attempt.copy_of:
+            fields['copy_of'] = attempt.copy_of
     return fields
 
 
--- a/src/tulippin/jobs/core.py
+++ b/src/tulippin/jobs/core.py
@@ -10,18 +10,12 @@
 from tulippin.jobs import (
     _advisory_inputs,
     _committing,
-    _draining,
-    _giving_up,
-    _headroom,
-    _job_moves,
     _lifecycle,
     _ownership,
     _pacing,
+    _periodic_work,
     _placing,
     _reports,
-    _standby_workers,
-    _transfers,
-    _wait_diagnostics,
     _worker_health,
     _workers,
 )
@@ -79,24 +73,12 @@
     is_tick = isinstance(event, Ticked)
     _placing.place(context, is_tick=is_tick)
     if is_tick:
-        _run_periodic_work(context)
+        _periodic_work.tick(context)
     _committing.commit_if_due(context)
     _workers.send_due_holds(context)
     return tuple(context.effects)
 
 
-def _run_periodic_work(context: Context) -> None:
-    """Run periodic work, after all ready tasks have been placed."""
-    _pacing.tick(context)
-    _giving_up.tick(context)
-    _standby_workers.tick(context)
-    _draining.tick(context)
-    _transfers.tick(context)
-    _job_moves.tick(context)
-    _headroom.tick(context)
-    _wait_diagnostics.log_waits(context)
-
-
 def _evaluate_report(event: WorkerAnswered, context: Context) -> None:
     """Update model, worker health and paces from a worker's report."""
     worker = context.state.workers.get(event.worker_id)
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -141,7 +141,8 @@
     order was sent or is about to be. The order of a suspected or long-running
     task is sent only after the record of that start is durable. ``held_ms`` is
     the time that a short run lost at paces below full until ``held_until_ms``.
-    ``had_begun`` says that its job had begun before it.
+    ``had_begun`` says that its job had begun before it, and ``copy_of`` is the
+    run of the same task that it is a copy of, or 0.
     """
 
     key: TaskKey
@@ -176,6 +177,7 @@
     held_ms: float = 0.0
     held_until_ms: int = 0
     had_begun: bool = False
+    copy_of: int = 0
 
 
 @attrs.define
@@ -592,6 +594,7 @@
     last_arrival_ms: int = 0
     overdue_started_ms: int = 0
     slow_starts_checked_ms: int = 0
+    copies_checked_ms: int = 0
     next_slow_start: int = 0
     wall_offset_ms: int = 0
     model: PairModel = attrs.field(factory=PairModel)
