--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -328,7 +328,7 @@
         if not self._exceeds_free_capacity(job, step, task):
             worker = _worker_selection.choose(job, task, step, state)
         if worker is None:
-            if _worker_selection.awaits_proven_worker(job, task, state):
+            if _worker_selection.awaits_proven_worker(job, task, step, state):
                 # It says nothing about other tasks, and others needn't stop.
                 return True
             _preempting.preempt_if_urgent(job, task, self.context)
--- a/src/tulippin/jobs/_worker_selection.py
+++ b/src/tulippin/jobs/_worker_selection.py
@@ -101,9 +101,13 @@
     return [worker for worker in eligible if headroom.admits(worker, step)]
 
 
-def awaits_proven_worker(job: Job, task: Task, state: SchedulerState) -> bool:
-    """Whether a task may only be refused because workers are not proven."""
-    return _last_attempts.needs_proven_worker(job, task, state)
+def awaits_proven_worker(
+    job: Job, task: Task, step: Step, state: SchedulerState
+) -> bool:
+    """Whether a task waits although a worker that is not proven has room."""
+    return _last_attempts.needs_proven_worker(job, task, state) and bool(
+        _list_eligible(job, task, step, state, '')
+    )
 
 
 def _is_harmless(worker: Worker, step: Step, state: SchedulerState) -> bool:
--- a/tests/tulippin/jobs/test_last_attempts.py
+++ b/tests/tulippin/jobs/test_last_attempts.py
@@ -101,6 +101,18 @@
     assert not placement.unplaceable_sizes
 
 
+def test_last_attempt_preempts_where_no_worker_has_room():
+    """Guards against an urgent task that waits in vain for proven workers."""
+    state = make_progress_state()
+    for worker in state.workers.values():
+        worker.reserved = Resources(10_000, 0)
+    job, task = add_task(state, 1)
+    placement = _placing._PlacementPass(Context(state), {})
+    placement._place_task(job, STEP, task)
+    assert task.preempt_after_ms > state.now_ms
+    assert placement.unplaceable_sizes
+
+
 def test_job_is_completed_on_workers_that_no_owner_has_proved(run_virtual):
     """Guards against a new owner that knows no proven worker."""
 
