--- a/src/tulippin/jobs/_ranking.py
+++ b/src/tulippin/jobs/_ranking.py
@@ -114,7 +114,7 @@
         return _Rank(
             job.queue.priority, True, Lateness.IN_TIME, batch, order, step_key
         )
-    outlook = _estimate_outlook(job, step_key, state)
+    outlook = _estimate_lateness(job, step_key, state)
     return _Rank(
         job.queue.priority,
         False,
@@ -180,7 +180,7 @@
             order,
             step_key,
         )
-    lateness, due_ms, worthless_ms = _estimate_outlook(job, step_key, state)
+    lateness, due_ms, worthless_ms = _estimate_lateness(job, step_key, state)
     forecast = _forecasting.get_forecast(job, step_key[1], state)
     limit_ms = worthless_ms if lateness is Lateness.LATE else due_ms
     return _ProgressRank(
@@ -205,7 +205,7 @@
     job: Job, step_key: StepKey, state: SchedulerState
 ) -> Lateness:
     """Return the best outcome that a job can still reach."""
-    return _estimate_outlook(job, step_key, state).lateness
+    return _estimate_lateness(job, step_key, state).lateness
 
 
 def is_worthless(job: Job, step_key: StepKey, state: SchedulerState) -> bool:
@@ -230,7 +230,7 @@
     """
     fields: dict[str, t.Any] = {'ready_for_ms': state.now_ms - task.ready_ms}
     if not job.request.steps[task.key.step].long_running:
-        outlook = _estimate_outlook(job, get_step_key(task.key), state)
+        outlook = _estimate_lateness(job, get_step_key(task.key), state)
         fields['lateness'] = outlook.lateness.name.lower()
         fields['due_in_ms'] = round(outlook.due_ms - state.now_ms)
         if state.config.features.orders_by_progress:
@@ -247,7 +247,7 @@
         state.count(f'starts_{lateness.name.lower()}')
 
 
-def _estimate_outlook(
+def _estimate_lateness(
     job: Job, step_key: StepKey, state: SchedulerState
 ) -> _Outlook:
     """Return the best outcome that a job can still reach, and until when."""
