Publish the backlog of each queue in the lease

Instances can't tell how long a new job would wait: leases count waiting jobs, and idle processors are often unusable for the images that wait. Owners with the admission feature now publish for each queue the waiting work, the part of it that can still be in time, the rate of completions while the queue is long, and the mean run time per estimate. The figures of a queue are an array without names, to keep the row small. Leases without them are read as before.

--- a/src/tulippin/jobs/_lifecycle.py
+++ b/src/tulippin/jobs/_lifecycle.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from tulippin.jobs import _demand, _ready_queues
+from tulippin.jobs import _backlog, _demand, _ready_queues
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs._event_sources import name_row
 from tulippin.jobs._record_validation import (
@@ -604,6 +604,7 @@
     task.is_done = True
     _ready_queues.remove(task.key, job.request.steps[task.key.step], state)
     step_key = (task.key.occurrence, task.key.step)
+    _backlog.note_done(job, job.request.steps[task.key.step], state)
     job.remaining[step_key] -= 1
     mark_dirty(job, state)
     if not any(job.remaining.values()):
--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -13,6 +13,7 @@
 import attrs
 
 from tulippin.jobs import (
+    _backlog,
     _lifecycle,
     _model_store,
     _unconfirmed_runs,
@@ -318,6 +319,7 @@
     state.swings = LoadCycleModel()
     state.short_demands.clear()
     state.queue_kinds.clear()
+    state.completed_work.clear()
     state.is_demand_inherited = False
     state.uncrowded_ms.clear()
     state.cached_largest_new.clear()
@@ -512,6 +514,7 @@
         state.ownership.renewal_count,
         released,
         *published,
+        backlogs=_backlog.measure(state) if is_loaded else None,
     )
 
 
--- a/src/tulippin/jobs/_record_validation.py
+++ b/src/tulippin/jobs/_record_validation.py
@@ -25,6 +25,7 @@
     ModelRecord,
     MovedJobRecord,
     ProgressRecord,
+    QueueBacklog,
     UnitCapacity,
     WorkerAccount,
 )
@@ -56,6 +57,9 @@
 _MAX_TARGET_MS: t.Final = 10**300
 # Far above what all jobs that fit into one unit ask for.
 _MAX_UNIT_AMOUNT: t.Final = 10**30
+# Maximum mean run time for a millisecond of estimate: products with the longest
+# duration fit into a float.
+MAX_RUN_RATIO: t.Final = 10**6
 _MAX_SIZE: t.Final = Resources(MAX_AMOUNT, MAX_AMOUNT, MAX_AMOUNT)
 # Each unit has two tables, and the platform's store holds 100 tables.
 _MAX_UNITS: t.Final = 1000
@@ -257,9 +261,24 @@
     )
     if min(counts) < 0:
         return 'one of its counts is negative'
+    if not all(map(_is_valid_backlog, (record.backlogs or {}).values())):
+        return 'its backlog is out of range'
     return _find_capacity_fault(record.room)
 
 
+def _is_valid_backlog(backlog: QueueBacklog) -> bool:
+    """Whether a queue's figures may be summed and divided by."""
+    if not 0 <= backlog.timely_core_ms <= backlog.waiting_core_ms:
+        return False
+    amounts = (backlog.waiting_core_ms, backlog.rate_core_ms_per_s or 0)
+    is_ratio_valid = (
+        backlog.run_ratio is None or 0 < backlog.run_ratio <= MAX_RUN_RATIO
+    )
+    return is_ratio_valid and all(
+        0 <= amount <= _MAX_UNIT_AMOUNT for amount in amounts
+    )
+
+
 def _find_capacity_fault(room: UnitCapacity) -> str:
     """Return what is invalid in a unit's reported capacity.
 
--- a/src/tulippin/jobs/records.py
+++ b/src/tulippin/jobs/records.py
@@ -188,6 +188,34 @@
     queue_kinds: dict[str, QueueKinds] = attrs.field(factory=dict)
 
 
+class QueueBacklog(t.NamedTuple):
+    """Short work of one queue in a unit, and how fast it is completed.
+
+    It is stored as an array, without names of fields, as every instance reads
+    the leases of all units twice a second. A reader rejects an array that is
+    longer than it knows, so further figures need a field of their own in the
+    lease.
+
+    Parameters
+    ----------
+    waiting_core_ms : int
+        Predicted work of all tasks that have not ended, in core-milliseconds,
+        without jobs that can no longer have any value: those are placed last.
+    timely_core_ms : int
+        The part of it that belongs to jobs that can still be in time.
+    rate_core_ms_per_s : int or None
+        Work completed per second. None while the queue is short: the rate is
+        then that of the arrivals, not what the unit can do.
+    run_ratio : float or None
+        Mean run time for each millisecond of estimate; None if unknown.
+    """
+
+    waiting_core_ms: int = 0
+    timely_core_ms: int = 0
+    rate_core_ms_per_s: int | None = None
+    run_ratio: float | None = None
+
+
 @attrs.frozen
 class LeaseRecord:
     """The owner's lease; observers time its renewals by their own clocks.
@@ -196,7 +224,8 @@
     ``is_loading`` says that the owner has not loaded its unit yet: ``waiting``
     and ``room`` are then those of the previous owner, with no free capacity.
     ``answer_ms`` is the time that the store takes for a transaction of the
-    owner.
+    owner. ``backlogs`` holds the work of each queue with short tasks; it is
+    None if the owner does not measure it or has not loaded its unit.
     """
 
     session_id: str
@@ -207,6 +236,7 @@
     room: UnitCapacity = UnitCapacity()
     is_loading: bool = False
     answer_ms: int = 0
+    backlogs: dict[str, QueueBacklog] | None = None
 
 
 @attrs.frozen
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import collections
 import enum
 import typing as t
 
@@ -441,6 +442,22 @@
     noted_ms: int = 0
 
 
+@attrs.define
+class CompletedWork:
+    """Work of one queue that was completed recently.
+
+    ``ends`` holds for each end of a task its time and its predicted work in
+    core-milliseconds, oldest first. ``long_since_ms`` is the time since when
+    every measurement has found enough tasks waiting for a start that the ends
+    show what the unit can do; None if the last one has not.
+    """
+
+    ends: collections.deque[tuple[int, float]] = attrs.field(
+        factory=collections.deque
+    )
+    long_since_ms: int | None = None
+
+
 @attrs.define
 class Ownership:
     """Ownership of the unit, as this instance knows it.
@@ -586,6 +603,7 @@
         factory=dict
     )
     queue_kinds: dict[str, QueueKinds] = attrs.field(factory=dict)
+    completed_work: dict[str, CompletedWork] = attrs.field(factory=dict)
     uncrowded_ms: dict[str, int] = attrs.field(factory=dict)
     uncrowded_checked_ms: int = 0
     cached_largest_new: dict[tuple[str, int], tuple[int, int | None]] = (
