--- a/src/tulippin/jobs/_backlog.py
+++ b/src/tulippin/jobs/_backlog.py
@@ -35,8 +35,6 @@
 # Upper limit of the run time that a queue must have been long for, beside the
 # window: ends before it are of tasks that were started while it was short.
 _MAX_RUN_MS: t.Final = 6000
-# A job has no value after this multiple of its objective.
-_MAX_OBJECTIVE_MULTIPLE: t.Final = 3
 # Runs from which on the ratio of a fit is published.
 _MIN_RUNS: t.Final = 20
 # Upper limit of a figure that readers of a lease accept and that JSON encodes.
@@ -95,7 +93,7 @@
     return {
         name: backlog
         for name, backlog in backlogs.items()
-        if backlog.waiting_core_ms or found[name].queued
+        if backlog.waiting_core_ms
     }
 
 
@@ -119,18 +117,16 @@
             job_work.running += task_core_ms * running
     total.queued += job_work.queued
     total.running += job_work.running
-    multiple = _get_objective_multiple(job, state) if job_work.waiting else 0
-    if multiple <= _MAX_OBJECTIVE_MULTIPLE:
-        total.waiting += job_work.waiting
-    if multiple <= 1:
+    total.waiting += job_work.waiting
+    if job_work.waiting and _is_timely(job, state):
         total.timely += job_work.waiting
 
 
-def _get_objective_multiple(job: Job, state: SchedulerState) -> float:
-    """Return the earliest end of a job as a multiple of its objective."""
+def _is_timely(job: Job, state: SchedulerState) -> bool:
+    """Whether a job can still be completed within its objective."""
     if job.request.schedule.count:
         # Its occurrences have objectives of their own; all count as in time.
-        return 0
+        return True
     chains_ms = _run_times.predict_chains_ms(job, state)
     rest_ms = max(
         chains_ms[number]
@@ -140,7 +136,7 @@
     queue = job.queue
     objective_ms = queue.stretch * max(chains_ms) + queue.target_latency_ms
     earliest_ms = state.now_ms - job.arrived_ms + rest_ms
-    return earliest_ms / objective_ms if objective_ms > 0 else 0
+    return earliest_ms <= objective_ms
 
 
 def _make_backlog(
--- a/src/tulippin/jobs/records.py
+++ b/src/tulippin/jobs/records.py
@@ -199,8 +199,8 @@
     Parameters
     ----------
     waiting_core_ms : int
-        Predicted work of all tasks that have not ended, in core-milliseconds,
-        without jobs that can no longer have any value: those are placed last.
+        Predicted work of all tasks that have not ended, in core-milliseconds;
+        a task that runs counts half.
     timely_core_ms : int
         The part of it that belongs to jobs that can still be in time.
     rate_core_ms_per_s : int or None
