Reject jobs that would be too late with 429 and Retry-After

Before it rejects a job it reads the home row of its id; if that exists or can't be read, the call takes the normal path.

The time of a rejected job counts from its first call also when it returns to the same instance: counted from its acceptance it would precede jobs that can still be in time.

--- a/src/tulippin/exceptions.py
+++ b/src/tulippin/exceptions.py
@@ -110,6 +110,24 @@
     code = 'unknown'
 
 
+class OverloadedError(UnavailableError):
+    """A job was not accepted, as it would be completed too late to be of use.
+
+    Parameters
+    ----------
+    message : str
+        Why the job was not accepted.
+    retry_after_s : int
+        When the caller should come back, in seconds from now.
+    """
+
+    code = 'overloaded'
+
+    def __init__(self, message: str, retry_after_s: int) -> None:
+        super().__init__(message)
+        self.retry_after_s = retry_after_s
+
+
 class DeniedError(TulippinError):
     """The operator or the signature is not authorized for the action."""
 
--- a/src/tulippin/jobs/intake.py
+++ b/src/tulippin/jobs/intake.py
@@ -11,7 +11,12 @@
 import trio
 
 from tulippin.codec_json import encode
-from tulippin.exceptions import AnswerLostError, UnavailableError
+from tulippin.exceptions import (
+    AnswerLostError,
+    OverloadedError,
+    UnavailableError,
+)
+from tulippin.jobs import _admission_inputs
 from tulippin.jobs._ownership import count_waiting
 from tulippin.jobs._rows import is_unreadable, read_record, read_row
 from tulippin.jobs._transactions import transact_with_retries
@@ -50,6 +55,9 @@
 # A new instance reads the layout within some 10 ms; the very first one takes
 # up to 1 s to make it.
 _LAYOUT_WAIT_MS: t.Final = 1500
+# Time to find out whether a job that is to be rejected exists. A slower store
+# leaves too little time for the job itself.
+_HOME_READ_LIMIT_MS: t.Final = 500
 # Each entry takes some 100 bytes.
 _MAX_CACHED_HOMES: t.Final = 10_000
 
@@ -115,15 +123,19 @@
     ) -> None:
         """Accept a job, which is durable once this returns.
 
-        A repeated id denotes the same job, whatever its request.
+        A repeated id denotes the same job, whatever its request. Raises
+        ``OverloadedError`` if a new job would be completed too late.
         """
         began_ms = self.shell.clock()
         await self._wait_for_layout(limit_ms)
+        await self._check_admission(job_id, queue, request)
         number = self.shell.choose_unit(request)
         if number is None:
             raise UnavailableError('no unit is known yet')
+        _admission_inputs.note_sent(self.shell, job_id, queue, request, number)
         home = HomeRecord(number)
-        record = JobRecord(queue, request, self.shell.wall())
+        elapsed_ms = _admission_inputs.get_elapsed_ms(self.shell, job_id)
+        record = JobRecord(queue, request, self.shell.wall() - elapsed_ms)
         transaction = Transaction(
             get_jobs_part(job_id),
             (RowCondition(HOMES_TABLE, job_id, 0),),
@@ -156,6 +168,45 @@
         with trio.move_on_after(wait_ms / _MS):
             await self.shell.layout_known.wait()
 
+    async def _check_admission(
+        self, job_id: str, queue: Queue, request: JobRequest
+    ) -> None:
+        """Reject a new job that would be completed too late to be of use."""
+        rejection = _admission_inputs.assess_job(
+            self.shell, job_id, queue, request
+        )
+        if rejection is None or await self._may_exist(job_id):
+            return
+        retry_after_s = self.shell.admission.reject(
+            rejection, self.shell.clock()
+        )
+        logger.info(
+            'job rejected',
+            job=job_id,
+            **rejection.describe(),
+            retry_after_s=retry_after_s,
+        )
+        raise OverloadedError(
+            'not accepted: it would be completed too late', retry_after_s
+        )
+
+    async def _may_exist(self, job_id: str) -> bool:
+        """Whether a job has been accepted, or its home row can't be read."""
+        began_ms = self.shell.clock()
+        reason = 'no answer in time'
+        with trio.move_on_after(_HOME_READ_LIMIT_MS / _MS):
+            try:
+                home, _ = await self._read_home(job_id)
+            except UnavailableError as error:
+                reason = error.message
+            else:
+                # If the process was suspended, the leases may be out of date.
+                took_ms = self.shell.clock() - began_ms
+                if took_ms <= _HOME_READ_LIMIT_MS:
+                    return home is not None
+        logger.warning('job not rejected', job=job_id, reason=reason)
+        return True
+
     async def get_state(self, job_id: str) -> JobState | None:
         """Return a job's state, or None if there is no such job."""
         found = self.shell.find_job(job_id)
--- a/src/tulippin/jobs/shell.py
+++ b/src/tulippin/jobs/shell.py
@@ -19,6 +19,7 @@
 from tulippin.jobs._transactions import AnswerTimes
 from tulippin.jobs._unit_feeds import FEED_RETRY_PAUSE_S, FEED_WAIT_MS
 from tulippin.jobs._unit_watch import UnitWatch
+from tulippin.jobs.admission import Admission
 from tulippin.jobs.layout import get_rack
 from tulippin.jobs.ports import (
     HistoryLostError,
@@ -87,6 +88,7 @@
         self.event_age_ms = 0
         self.latencies = LatencyTable()
         self.answer_times = AnswerTimes()
+        self.admission = Admission()
         self._policy: ev.PolicyChanged | None = None
         self._is_store_available = False
         self._urgent: collections.deque[_QueuedEvent] = collections.deque()
--- a/src/tulippin/platform/callers.py
+++ b/src/tulippin/platform/callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import functools
 import math
 import re
 import typing as t
@@ -16,6 +17,7 @@
     AnswerLostError,
     Finding,
     InputError,
+    OverloadedError,
     UnavailableError,
 )
 from tulippin.jobs._record_validation import (
@@ -65,11 +67,12 @@
 # The request may or may not have been carried out.
 _OUTCOME_UNKNOWN: t.Final = 504
 _UNAVAILABLE: t.Final = 503
+_OVERLOADED: t.Final = 429
 _MAX_LOGGED_PATH_CHARS: t.Final = 200
 # The colon, the space and the CRLF of each header line.
 _HEADER_OVERHEAD_BYTES: t.Final = 4
 # About the duration of a takeover.
-_RETRY_AFTER_S: t.Final = '1'
+_RETRY_AFTER_S: t.Final = 1
 _STATE_NAMES: t.Final = {state: state.value for state in JobState}
 
 _job_decoder = msgspec.json.Decoder(JobBody)
@@ -130,6 +133,7 @@
     status: int
     body: msgspec.Struct | None = None
     retry: bool = False
+    retry_after_s: int = _RETRY_AFTER_S
 
 
 def decode_job(body: bytes) -> JobRequest:
@@ -287,7 +291,8 @@
             (b'content-length', str(len(body)).encode()),
         ]
         if reply.retry:
-            headers.append((b'retry-after', _RETRY_AFTER_S.encode()))
+            retry_after = str(reply.retry_after_s).encode()
+            headers.append((b'retry-after', retry_after))
         if self.is_closing:
             headers.append((b'connection', b'close'))
         await send(
@@ -328,13 +333,7 @@
         except InputError as error:
             return _reply_invalid(job_id, error)
         except UnavailableError as error:
-            # 503 is only for operations that were definitely not carried out.
-            may_be_done = isinstance(error, AnswerLostError)
-            return _reply_retry(
-                job_id,
-                _OUTCOME_UNKNOWN if may_be_done else _UNAVAILABLE,
-                error.message,
-            )
+            return _reply_unavailable(error, job_id)
         except trio.TooSlowError:
             return _reply_retry(job_id, _OUTCOME_UNKNOWN, 'out of time')
 
@@ -404,6 +403,31 @@
     return Reply(status, ErrorBody(reason), retry=True)
 
 
+@functools.singledispatch
+def _reply_unavailable(error: UnavailableError, job_id: str) -> Reply:
+    """Return the reply for an operation that can't be completed now.
+
+    503 is only for operations that were definitely not carried out.
+    """
+    return _reply_retry(job_id, _UNAVAILABLE, error.message)
+
+
+@_reply_unavailable.register
+def _reply_unknown(error: AnswerLostError, job_id: str) -> Reply:
+    return _reply_retry(job_id, _OUTCOME_UNKNOWN, error.message)
+
+
+@_reply_unavailable.register
+def _reply_overloaded(error: OverloadedError, job_id: str) -> Reply:
+    """Return the reply for a job whose rejection has been logged."""
+    return Reply(
+        _OVERLOADED,
+        ErrorBody(error.message),
+        retry=True,
+        retry_after_s=error.retry_after_s,
+    )
+
+
 def _check_headers(scope: Scope, limit_bytes: int) -> None:
     """Check the size of the headers as they are on the wire.
 
--- a/src/tulippin/scheduler_operators.py
+++ b/src/tulippin/scheduler_operators.py
@@ -23,6 +23,7 @@
 from tulippin.bundle_store import BundleStore
 from tulippin.exceptions import NotFoundError
 from tulippin.jobs import views
+from tulippin.jobs.admission import Admission
 from tulippin.jobs.shell import SchedulerShell
 from tulippin.jobs.state import Phase, SchedulerState
 from tulippin.latency_metrics import iter_latency_metrics
@@ -58,6 +59,7 @@
             counters.add_metric([name], count)
         yield counters
         yield _make_failure_counter()
+        yield from _iter_admission_metrics(self._shell.admission)
         yield from _iter_gauges(
             {
                 'tulippin_event_age_ms': self._shell.event_age_ms,
@@ -80,6 +82,26 @@
     return metric
 
 
+def _iter_admission_metrics(admission: Admission) -> t.Iterator[Metric]:
+    """Yield the rejected jobs and the predicted wait, by queue."""
+    rejected = CounterMetricFamily(
+        'tulippin_jobs_rejected',
+        'Jobs rejected as they would be completed too late, by queue',
+        labels=['queue'],
+    )
+    for name, count in sorted(admission.rejected.items()):
+        rejected.add_metric([name], count)
+    yield rejected
+    predicted = GaugeMetricFamily(
+        'tulippin_predicted_wait_ms',
+        'Predicted wait of a new job, by queue',
+        labels=['queue'],
+    )
+    for name, wait_ms in sorted(admission.predicted_ms.items()):
+        predicted.add_metric([name], wait_ms)
+    yield predicted
+
+
 def _sum_gauges(states: t.Sequence[SchedulerState]) -> dict[str, int]:
     """Return gauges summed over all units that the instance holds."""
     return {
