--- a/src/tulippin/jobs/admission.py
+++ b/src/tulippin/jobs/admission.py
@@ -43,6 +43,9 @@
 _OFFER_DECAY_MS: t.Final = 10_000
 # Upper limit of the saved-up share of rejections, in jobs.
 _MAX_CREDIT: t.Final = 2.0
+# A caller that returns later than this after its first call begins anew: jobs
+# have value for some 30 s, and callers are told to return within 10 s.
+_MAX_RETURN_MS: t.Final = 60_000
 # Each entry takes some 100 bytes.
 _MAX_IDS: t.Final = 10_000
 
@@ -352,14 +355,16 @@
 
     def get_elapsed_ms(self, job_id: str, now_ms: int) -> int:
         """Return the time since the first call of a job rejected here."""
-        return now_ms - self.first_calls_ms.get(job_id, now_ms)
+        elapsed_ms = now_ms - self.first_calls_ms.get(job_id, now_ms)
+        return elapsed_ms if elapsed_ms <= _MAX_RETURN_MS else 0
 
     def reject(self, rejection: Rejection, now_ms: int) -> int:
         """Count a rejection; return in how many seconds its caller returns."""
         name = rejection.queue.name
         self.rejected[name] += 1
-        _limit_size(self.first_calls_ms)
-        self.first_calls_ms.setdefault(rejection.job_id, now_ms)
+        if not self.get_elapsed_ms(rejection.job_id, now_ms):
+            _limit_size(self.first_calls_ms)
+            self.first_calls_ms[rejection.job_id] = now_ms
         return self.controls[name].book_return(rejection.outlook, now_ms)
 
     def note_sent(
--- a/tests/tulippin/jobs/test_admission.py
+++ b/tests/tulippin/jobs/test_admission.py
@@ -188,6 +188,8 @@
     assert 1 <= retry_s <= 10
     assert admission.get_elapsed_ms(JOB, 4000) == 4000
     assert admission.get_elapsed_ms('other', 4000) == 0
+    # Whoever comes back much later begins anew.
+    assert admission.get_elapsed_ms(JOB, 61_000) == 0
     again = None
     while again is None:
         again = admission.assess(JOB, QUEUE, REQUEST, [load], QUEUES, 4000)
