Require twice the objective behind timely jobs for a rejection

With a quarter of margin, rejected jobs would often have been in time: under overload some of the jobs before them are passed over.

--- a/src/tulippin/jobs/admission.py
+++ b/src/tulippin/jobs/admission.py
@@ -6,10 +6,10 @@
 their leases, and does no I/O.
 
 A wrong rejection costs the caller its job, and a missed one costs little. So
-a job is rejected only if two predictions agree by a margin: that it would end
-too late as the last one in its queue, and that it would not be in time if only
-jobs that can still be in time preceded it, as they are placed first. Nothing
-is rejected if any figure is old or unknown.
+a job is rejected only if two predictions agree, each by a margin: that it would
+end too late as the last one in its queue, and that it would not be in time if
+only jobs that can still be in time preceded it, as they are placed first.
+Nothing is rejected if any figure is old or unknown.
 """
 
 from __future__ import annotations
@@ -30,11 +30,16 @@
 MAX_LEASE_AGE_MS: t.Final = 1500
 # A job has no value after this multiple of its objective.
 _MAX_OBJECTIVE_MULTIPLE: t.Final = 3
-# Rejections start above this multiple of the limits. Estimates of a chain are
-# wrong by up to 1.9 times in one direction, and by 1.25 times on average.
+# Rejections start above this multiple of the time for which a job has value.
+# Its objective is computed from its caller's rough estimates.
 _START_MARGIN: t.Final = 1.25
 # The multiple while jobs of the queue are being rejected.
 _KEEP_MARGIN: t.Final = 1.1
+# A job may still be in time if the jobs that can be in time delay it to less
+# than this multiple of its objective: under overload some of them are passed
+# over. In a model with estimates wrong by up to 1.9 times, 1.25 reduced the
+# jobs in time from 339 to 335, and 2 left them unchanged.
+_MAX_TIMELY_MULTIPLE: t.Final = 2
 # Rejections end below this multiple of the objective.
 _END_MULTIPLE: t.Final = 2
 # Weight of a new job in the means of its queue.
@@ -142,12 +147,15 @@
 
     def is_too_late(self, margin: float) -> bool:
         """Whether the job would have no value, by a margin."""
-        limit_ms = margin * self.objective_ms - self.elapsed_ms
+        timely_limit_ms = (
+            _MAX_TIMELY_MULTIPLE * self.objective_ms - self.elapsed_ms
+        )
         value_limit_ms = (
             margin * _MAX_OBJECTIVE_MULTIPLE * self.objective_ms
             - self.elapsed_ms
         )
-        return self.last_ms > value_limit_ms and self.timely_ms > limit_ms
+        is_late_as_last = self.last_ms > value_limit_ms
+        return is_late_as_last and self.timely_ms > timely_limit_ms
 
 
 @attrs.frozen
--- a/tests/tulippin/jobs/test_admission.py
+++ b/tests/tulippin/jobs/test_admission.py
@@ -27,7 +27,7 @@
 JOB = '00000000000000aa'
 
 
-def make_backlog(wait_s, timely_s=8, rate=RATE, ratio=1.0):
+def make_backlog(wait_s, timely_s=9, rate=RATE, ratio=1.0):
     timely = min(wait_s, timely_s)
     return QueueBacklog(wait_s * RATE, timely * RATE, rate or None, ratio)
 
@@ -70,9 +70,10 @@
     assert not assess_all(make_load(wait_s=wait_s))
 
 
-def test_job_that_can_still_be_in_time_is_admitted():
+@pytest.mark.parametrize('timely_s', [0, 3, 8])
+def test_job_that_can_still_be_in_time_is_admitted(timely_s):
     """Guards against a rejection for work that is placed after the job."""
-    backlogs = {QUEUE.name: make_backlog(60, timely_s=3)}
+    backlogs = {QUEUE.name: make_backlog(60, timely_s)}
     assert not assess_all(make_load(backlogs=backlogs))
 
 
--- a/tests/tulippin/jobs/test_admission_failures.py
+++ b/tests/tulippin/jobs/test_admission_failures.py
@@ -31,11 +31,11 @@
     'Spec': REQUEST.spec,
     'Steps': [{'Count': 10, 'Cpu': 1000, 'MemMb': 1000, 'EstimatedMs': RUN_MS}],
 }
-SUBMIT_EVERY_S = 0.1
+SUBMIT_EVERY_S = 0.06
 # The queue has to be long for 5 s until a rate is published.
 WARM_UP_S = 9
-# Jobs of the load, which offers three times what two workers complete.
-LOAD = tuple(f'{number:016x}' for number in range(600))
+# Jobs of the load, which offers five times what two workers complete.
+LOAD = tuple(f'{number:016x}' for number in range(1000))
 # Any number of these ids is enough for one rejection while the units are full.
 PROBES = tuple(f'{number:016x}' for number in range(10**6, 10**6 + 60))
 
--- a/tests/tulippin/jobs/test_admission_load.py
+++ b/tests/tulippin/jobs/test_admission_load.py
@@ -33,6 +33,7 @@
 class ModelJob:
     job_id: str
     first_call_ms: int
+    request: JobRequest
     accepted_ms: int = 0
     # Tasks that wait for a start and that run, of the current step.
     queued: int = STEP.task_count
@@ -98,7 +99,7 @@
             rejection = self.admission.assess(
                 job.job_id,
                 QUEUE,
-                REQUEST,
+                job.request,
                 [self.load],
                 [QUEUE],
                 self.now_ms,
@@ -107,7 +108,7 @@
                 self._reject(job, rejection)
                 return
         if self.load is not None:
-            self.admission.note_sent(job.job_id, QUEUE, REQUEST, self.load)
+            self.admission.note_sent(job.job_id, QUEUE, job.request, self.load)
         elapsed_ms = self.admission.get_elapsed_ms(job.job_id, self.now_ms)
         job.accepted_ms = self.now_ms - elapsed_ms
         self.jobs.append(job)
@@ -166,7 +167,16 @@
         return counts
 
 
-def add_calls(model, begin_s, end_s, load, source):
+def make_request(factor):
+    """Return the request of a job whose estimates are wrong by a factor."""
+    steps = tuple(
+        attrs.evolve(step, estimated_ms=round(factor * RUN_MS))
+        for step in REQUEST.steps
+    )
+    return JobRequest('', steps)
+
+
+def add_calls(model, begin_s, end_s, load, source, max_error=1.0):
     """Add calls of a load, as a part of the capacity."""
     at_s = begin_s
     while True:
@@ -174,15 +184,16 @@
         if at_s >= end_s:
             return
         at_ms = round(at_s * 1000 / TICK_MS) * TICK_MS
-        model.calls[at_ms].append(ModelJob(f'{at_s}', at_ms))
+        request = make_request(max_error ** source.uniform(-1, 1))
+        model.calls[at_ms].append(ModelJob(f'{at_s}', at_ms, request))
 
 
-def run(schedule, *, has_admission, seed):
+def run(schedule, *, has_admission, seed, max_error=1.0):
     """Return the outcomes for loads, each with its begin and end in seconds."""
     model = Model(has_admission)
     source = random.Random(seed)
     for begin_s, end_s, load in schedule:
-        add_calls(model, begin_s, end_s, load, source)
+        add_calls(model, begin_s, end_s, load, source, max_error)
     model.run(until_ms=schedule[-1][1] * 1000)
     return model.count_outcomes()
 
@@ -195,17 +206,19 @@
 FULL_THEN_BURST = ((0, 15, 2.6), (15, 21, 2.6 * 2.6), (21, 60, 0.8))
 
 
+@pytest.mark.parametrize('max_error', [1.0, 1.9])
 @pytest.mark.parametrize('seed', [1, 2, 3])
-def test_burst_on_full_units_rejects_only_what_has_no_value(seed):
+def test_burst_on_full_units_costs_no_value(seed, max_error):
     """Guards against rejections that cost more value than they save."""
-    off = run(FULL_THEN_BURST, has_admission=False, seed=seed)
-    with_admission = run(FULL_THEN_BURST, has_admission=True, seed=seed)
+    options = {'seed': seed, 'max_error': max_error}
+    off = run(FULL_THEN_BURST, has_admission=False, **options)
+    with_admission = run(FULL_THEN_BURST, has_admission=True, **options)
     print('off', dict(off), 'on', dict(with_admission))
     assert not off['rejections']
     assert with_admission['rejections'] > 0
     # Work of no value isn't run.
     assert with_admission['no_value'] < off['no_value']
-    assert get_value(with_admission) >= 0.98 * get_value(off)
+    assert get_value(with_admission) >= 0.99 * get_value(off)
 
 
 @pytest.mark.parametrize('seed', [1, 2, 3, 4])
@@ -222,9 +235,11 @@
 )
 def test_nothing_is_rejected_below_the_capacity(schedule, seed):
     """Guards against false rejections, each of which costs a job."""
-    counts = run(schedule, has_admission=True, seed=seed)
-    assert not counts['rejections']
-    assert counts == run(schedule, has_admission=False, seed=seed)
+    for max_error in (1.0, 1.9):
+        options = {'seed': seed, 'max_error': max_error}
+        counts = run(schedule, has_admission=True, **options)
+        assert not counts['rejections']
+        assert counts == run(schedule, has_admission=False, **options)
 
 
 def test_returns_are_spread():
