Fix the number of the jobs' parts in the layout

The store executes the writes of a part one after the other. At 60 times its usual response time, 8 parts take 24 writes a second, fewer than 20 new jobs a second with their cancellations need.

LayoutRecord.job_parts holds the number, 8 if absent. The instance that creates the layout takes it from its settings; extending the layout keeps it, and a layout that changes it is invalid, like one that moves a rack. Intake, feeds and effects all use the number of the layout in force; a call waits for the layout before it looks for a job. An owner reads at most 12 parts at a time, as it has 24 connections to the store.

--- a/src/tulippin/jobs/_record_validation.py
+++ b/src/tulippin/jobs/_record_validation.py
@@ -59,6 +59,8 @@
 _MAX_SIZE: t.Final = Resources(MAX_AMOUNT, MAX_AMOUNT, MAX_AMOUNT)
 # Each unit has two tables, and the platform's store holds 100 tables.
 _MAX_UNITS: t.Final = 1000
+# An owner reads each part of its jobs in a call of its own.
+MAX_JOB_PARTS: t.Final = 256
 # Maximum remaining validity of a former owner's orders, usually a few seconds.
 _MAX_ORDER_VALIDITY_MS: t.Final = 60_000
 
@@ -241,11 +243,11 @@
 
 @find_fault.register
 def _check_layout(record: LayoutRecord) -> str:
-    return (
-        ''
-        if _are_unit_numbers(record.racks.values())
-        else 'invalid unit number'
-    )
+    if not _are_unit_numbers(record.racks.values()):
+        return 'invalid unit number'
+    if not 1 <= record.job_parts <= MAX_JOB_PARTS:
+        return "invalid number of the jobs' parts"
+    return ''
 
 
 @find_fault.register
--- a/src/tulippin/jobs/_row_effects.py
+++ b/src/tulippin/jobs/_row_effects.py
@@ -343,7 +343,8 @@
     unit = shell.config.unit
     removals: dict[str, list[RowWrite]] = {}
     for job_id in effect.job_ids:
-        writes = removals.setdefault(get_jobs_part(job_id), [])
+        part = get_jobs_part(job_id, shell.job_part_count)
+        writes = removals.setdefault(part, [])
         for suffix in ('', CANCEL_SUFFIX, GUEST_SUFFIX, FAIL_SUFFIX):
             key = f'{job_id}{suffix}'
             writes.append(RowWrite(unit.jobs_table, key, None))
@@ -428,7 +429,7 @@
 
     The tasks are merged into a record of earlier transfers, if there is one.
     """
-    part = get_jobs_part(effect.job_id)
+    part = get_jobs_part(effect.job_id, shell.job_part_count)
     table = Unit(effect.unit).jobs_table
     key = f'{effect.job_id}{GUEST_SUFFIX}'
     home, home_version = await _read_open_home(effect.job_id, shell)
@@ -497,7 +498,7 @@
 
     Returns None if the job has moved already, or is cancelled.
     """
-    part = get_jobs_part(effect.job_id)
+    part = get_jobs_part(effect.job_id, shell.job_part_count)
     home, version = await _read_open_home(effect.job_id, shell)
     if home is None or home.unit != shell.config.unit.number:
         return None
@@ -524,7 +525,7 @@
 
     The home is None if it can't be read, or the job is cancelled or failed.
     """
-    part = get_jobs_part(job_id)
+    part = get_jobs_part(job_id, shell.job_part_count)
     row = await read_row(shell.ports.store, HOMES_TABLE, part, job_id)
     home = read_record(row, HomeRecord)
     if home is None or home.is_cancelled or home.is_failed:
@@ -554,7 +555,7 @@
 
     Returns None if the job is marked as failed or cancelled already.
     """
-    part = get_jobs_part(effect.job_id)
+    part = get_jobs_part(effect.job_id, shell.job_part_count)
     home, version = await _read_open_home(effect.job_id, shell)
     if home is None:
         return None
--- a/src/tulippin/jobs/_unit_feeds.py
+++ b/src/tulippin/jobs/_unit_feeds.py
@@ -46,6 +46,9 @@
 # partition.
 FEED_WAIT_MS: t.Final = 1500
 FEED_RETRY_PAUSE_S: t.Final = 0.1
+# Parts of the jobs that are read at a time. An instance has 24 connections to
+# the store, which its renewals need too.
+_MAX_OPEN_READS: t.Final = 12
 # A model takes some 10 KB for each unit, and is most useful early, while
 # little has been learned here.
 _MODELS_EVERY_S: t.Final = 2.0
@@ -55,13 +58,16 @@
 
 
 async def read_jobs(
-    store: RowStore, unit: Unit, pages: dict[str, RowPage] | None = None
+    store: RowStore,
+    unit: Unit,
+    part_count: int,
+    pages: dict[str, RowPage] | None = None,
 ) -> RowPage:
     """Return the rows of all accepted and cancelled jobs of a unit.
 
-    The parts are read concurrently, each at its own version of the store. The
-    lowest of these versions is returned, so that a feed from there on includes
-    every change that a read missed.
+    Several parts are read concurrently, each at its own version of the store.
+    The lowest of these versions is returned, so that a feed from there on
+    includes every change that a read missed.
 
     Parameters
     ----------
@@ -69,6 +75,8 @@
         The store to read.
     unit : Unit
         The unit of the jobs.
+    part_count : int
+        ``job_parts`` of the layout in force.
     pages : dict of str to RowPage, optional
         Parts that an earlier attempt has read; parts read now are added. An
         instance that is too slow to read all parts in one attempt would
@@ -82,14 +90,19 @@
     pages = {} if pages is None else pages
     failed: list[UnavailableError] = []
 
+    limiter = trio.CapacityLimiter(_MAX_OPEN_READS)
+
     async def read(part: str) -> None:
-        try:
-            pages[part] = await store.read_rows(unit.jobs_table, part)
-        except UnavailableError as error:
-            failed.append(error)
+        async with limiter:
+            if failed:
+                return
+            try:
+                pages[part] = await store.read_rows(unit.jobs_table, part)
+            except UnavailableError as error:
+                failed.append(error)
 
     async with trio.open_nursery() as nursery:
-        for part in get_jobs_parts():
+        for part in get_jobs_parts(part_count):
             if part not in pages:
                 nursery.start_soon(read, part)
     if failed:
@@ -151,7 +164,7 @@
     ) -> tuple[ev.UnitLoaded, int, int]:
         unit = self.shell.config.unit
         store = self.shell.ports.store
-        jobs = await read_jobs(store, unit, pages)
+        jobs = await read_jobs(store, unit, self.shell.job_part_count, pages)
         progress = await store.read_rows(unit.progress_table, unit.part)
         owned = await store.read_rows(UNITS_TABLE, unit.part)
         model_row = await _find_row(store, MODELS_TABLE, unit, MODEL_KEY)
@@ -235,7 +248,7 @@
         """
         unit = self.shell.config.unit
         store = self.shell.ports.store
-        page = await read_jobs(store, unit)
+        page = await read_jobs(store, unit, self.shell.job_part_count)
         progress = await store.read_rows(unit.progress_table, unit.part)
         epoch = await read_row(store, UNITS_TABLE, unit.part, EPOCH_KEY)
         event = ev.JobsChanged(
--- a/src/tulippin/jobs/_unit_watch.py
+++ b/src/tulippin/jobs/_unit_watch.py
@@ -158,19 +158,30 @@
                 continue
             self.layout_row = row
             layout = read_record(row, LayoutRecord)
-            if layout is not None and self._moves_rack(layout):
-                log_unreadable(row, 'a rack has changed its unit')
+            fault = self._find_change(layout)
+            if fault:
+                log_unreadable(row, fault)
                 layout = None
             self.is_layout_invalid = layout is None
             if layout is not None:
                 self.shell.apply_layout(layout)
 
-    def _moves_rack(self, layout: LayoutRecord) -> bool:
-        """Whether a layout assigns a known rack to another unit."""
-        racks = self.shell.layout.racks if self.shell.layout else {}
-        return any(
-            layout.racks.get(rack, unit) != unit for rack, unit in racks.items()
+    def _find_change(self, layout: LayoutRecord | None) -> str:
+        """Return what a layout changes that never may; empty if nothing.
+
+        An instance of a version that knows no ``job_parts`` leaves it out of
+        a layout that it extends.
+        """
+        known = self.shell.layout
+        if layout is None or known is None:
+            return ''
+        if layout.job_parts != known.job_parts:
+            return "the number of the jobs' parts has changed"
+        moved = any(
+            layout.racks.get(rack, unit) != unit
+            for rack, unit in known.racks.items()
         )
+        return 'a rack has changed its unit' if moved else ''
 
     def _filter_configured(
         self, entries: t.Iterable[WorkerEntry]
@@ -200,7 +211,10 @@
             )
             if is_settled or now_s - began_at_s >= _SETTLE_LIMIT_S:
                 await self._write_layout(
-                    make_layout(self._filter_configured(entries))
+                    make_layout(
+                        self._filter_configured(entries),
+                        self.shell.config.features.job_part_count,
+                    )
                 )
                 return
             await trio.sleep(_SETTLE_CHECK_EVERY_S)
@@ -233,6 +247,7 @@
             is_done=result.is_done,
             units=len(layout.unit_numbers),
             racks=len(layout.racks),
+            job_parts=layout.job_parts,
             replaced_version=version,
         )
 
--- a/src/tulippin/jobs/intake.py
+++ b/src/tulippin/jobs/intake.py
@@ -92,13 +92,19 @@
     async def _read_home(
         self, job_id: str
     ) -> tuple[HomeRecord | None, StoredRow | None]:
-        row = await self._read_row(HOMES_TABLE, get_jobs_part(job_id), job_id)
+        row = await self._read_row(HOMES_TABLE, self._get_part(job_id), job_id)
         home = read_record(row, HomeRecord)
         if is_unreadable(row, home):
             # The job may exist, but its home unit is unknown.
             raise UnavailableError(f'the home of {job_id} is unreadable')
         return home, row
 
+    def _get_part(self, job_id: str) -> str:
+        layout = self.shell.layout
+        if layout is None:
+            raise UnavailableError('no layout is known yet')
+        return get_jobs_part(job_id, layout.job_parts)
+
     async def _read_progress(
         self, number: int, job_id: str
     ) -> ProgressRecord | None:
@@ -125,7 +131,7 @@
         home = HomeRecord(number)
         record = JobRecord(queue, request, self.shell.wall())
         transaction = Transaction(
-            get_jobs_part(job_id),
+            self._get_part(job_id),
             (RowCondition(HOMES_TABLE, job_id, 0),),
             (
                 RowWrite(HOMES_TABLE, job_id, encode(home)),
@@ -156,8 +162,14 @@
         with trio.move_on_after(wait_ms / _MS):
             await self.shell.layout_known.wait()
 
+    async def _require_layout(self, limit_ms: int) -> None:
+        """Wait for the first layout, which tells where jobs' rows are."""
+        if self.shell.layout is None:
+            await self._wait_for_layout(limit_ms)
+
     async def get_state(self, job_id: str) -> JobState | None:
         """Return a job's state, or None if there is no such job."""
+        await self._require_layout(_LAYOUT_WAIT_MS)
         found = self.shell.find_job(job_id)
         if found is not None and found[1].durable is not None:
             durable = found[1].durable
@@ -189,6 +201,7 @@
     async def cancel(self, job_id: str, queue: Queue, limit_ms: int) -> bool:
         """Cancel a job; return whether there is such a job."""
         began_ms = self.shell.clock()
+        await self._require_layout(limit_ms)
         for _ in range(_MAX_CANCEL_ATTEMPTS):
             home, row = await self._read_home(job_id)
             if home is None or row is None:
--- a/src/tulippin/jobs/layout.py
+++ b/src/tulippin/jobs/layout.py
@@ -12,7 +12,9 @@
 import math
 import typing as t
 
-from tulippin.jobs.records import LayoutRecord
+import attrs
+
+from tulippin.jobs.records import DEFAULT_JOB_PARTS, LayoutRecord
 from tulippin.jobs.types import WorkerEntry
 
 # Maximum number of workers that form a single unit: an owner uses 0.4 of a
@@ -36,18 +38,20 @@
     return entry.rack or entry.failure_domain
 
 
-def make_layout(entries: t.Iterable[WorkerEntry]) -> LayoutRecord:
+def make_layout(
+    entries: t.Iterable[WorkerEntry], job_parts: int = DEFAULT_JOB_PARTS
+) -> LayoutRecord:
     """Return the initial layout for the listed workers.
 
     Up to ``MAX_SINGLE_UNIT_WORKERS`` form one unit. Otherwise each failure
     domain is divided into units of about ``TARGET_UNIT_WORKERS``, as even as
-    whole racks allow.
+    whole racks allow. Accepted jobs are spread over ``job_parts`` parts.
     """
     workers = list(entries)
     sizes = collections.Counter(get_rack(entry) for entry in workers)
     if len(workers) <= MAX_SINGLE_UNIT_WORKERS:
         racks = dict.fromkeys(sorted(sizes), 0)
-        return LayoutRecord(racks, _name_domains(racks, workers))
+        return LayoutRecord(racks, _name_domains(racks, workers), job_parts)
     racks = {}
     first = 0
     for _, members in _group_by_domain(workers):
@@ -60,7 +64,7 @@
         for number, unit in enumerate(units, first):
             racks.update(dict.fromkeys(unit, number))
         first += len(units)
-    return LayoutRecord(racks, _name_domains(racks, workers))
+    return LayoutRecord(racks, _name_domains(racks, workers), job_parts)
 
 
 def _divide(racks: list[str], sizes: t.Mapping[str, int]) -> list[list[str]]:
@@ -133,7 +137,8 @@
     """Return the layout with the racks of these workers added.
 
     A new rack joins the smallest unit of its failure domain that can take it
-    within the size limit, or else forms a new unit. Known racks keep theirs.
+    within the size limit, or else forms a new unit. Known racks keep theirs,
+    and the number of the jobs' parts stays the same.
     """
     workers = list(entries)
     sizes = collections.Counter(get_rack(entry) for entry in workers)
@@ -151,8 +156,13 @@
     for rack in new:
         unit = _find_unit(rack, racks, sizes, domains, limit)
         racks[rack] = unit
-    return LayoutRecord(
-        racks, {**layout.failure_domains, **_name_domains(racks, workers)}
+    return attrs.evolve(
+        layout,
+        racks=racks,
+        failure_domains={
+            **layout.failure_domains,
+            **_name_domains(racks, workers),
+        },
     )
 
 
--- a/src/tulippin/jobs/records.py
+++ b/src/tulippin/jobs/records.py
@@ -49,19 +49,34 @@
     64_000,
 )
 # The store serializes the writes of a part, and a slow store takes 0.3 s for
-# each. Accepted and cancelled jobs are therefore spread over this number of
-# parts, apart from the owner's own writes.
-_JOBS_PART_COUNT: t.Final = 8
+# each. Accepted and cancelled jobs are therefore spread over several parts,
+# apart from the owner's own writes. Layouts that do not tell how many were
+# made by versions that used this number.
+DEFAULT_JOB_PARTS: t.Final = 8
 
 
-def get_jobs_parts() -> tuple[str, ...]:
-    """Return the parts that hold accepted and cancelled jobs."""
-    return tuple(f'j{number}' for number in range(_JOBS_PART_COUNT))
+def get_jobs_parts(count: int) -> tuple[str, ...]:
+    """Return the parts that hold accepted and cancelled jobs.
+
+    Parameters
+    ----------
+    count : int
+        ``job_parts`` of the layout in force.
+    """
+    return tuple(f'j{number}' for number in range(count))
 
 
-def get_jobs_part(job_id: str) -> str:
-    """Return the part that holds all rows of a job written by API calls."""
-    return get_jobs_parts()[zlib.crc32(job_id.encode()) % _JOBS_PART_COUNT]
+def get_jobs_part(job_id: str, count: int) -> str:
+    """Return the part that holds all rows of a job written by API calls.
+
+    Parameters
+    ----------
+    job_id : str
+        The job's id.
+    count : int
+        ``job_parts`` of the layout in force.
+    """
+    return f'j{zlib.crc32(job_id.encode()) % count}'
 
 
 @attrs.frozen
@@ -215,11 +230,13 @@
 
     ``racks`` has no default, so that a row without it is invalid.
     ``failure_domains`` holds the failure domain of each unit whose racks are
-    all in the same one.
+    all in the same one. ``job_parts`` is the number of parts that hold
+    accepted jobs. It never changes, as a job's rows would not be found.
     """
 
     racks: dict[str, int]
     failure_domains: dict[str, str] = attrs.field(factory=dict)
+    job_parts: int = DEFAULT_JOB_PARTS
 
     @property
     def unit_numbers(self) -> tuple[int, ...]:
--- a/src/tulippin/jobs/unit_shell.py
+++ b/src/tulippin/jobs/unit_shell.py
@@ -106,6 +106,12 @@
         """Statistics of the time that the store takes for transactions."""
         return self._parent.answer_times
 
+    @property
+    def job_part_count(self) -> int:
+        """The number of parts that hold accepted jobs."""
+        # A unit is known only by a layout.
+        return self._parent.layout.job_parts
+
     @property
     def unit_numbers(self) -> tuple[int, ...]:
         """The numbers of all units."""
--- a/src/tulippin/scheduler_settings.py
+++ b/src/tulippin/scheduler_settings.py
@@ -17,6 +17,7 @@
     read_operators,
     read_settings_text,
 )
+from tulippin.jobs._record_validation import MAX_JOB_PARTS
 from tulippin.jobs.features import Features
 
 _SECTIONS: t.Final = frozenset(
@@ -37,7 +38,6 @@
 _MAX_GRACE_S: t.Final = 3600.0
 _MAX_CORES: t.Final = 1000.0
 _MAX_CORE_SPEED: t.Final = 1000.0
-_MAX_JOB_PARTS: t.Final = 256
 _MIN_HARM_LIMIT_MS: t.Final = 2000
 _MAX_HARM_LIMIT_MS: t.Final = 60_000
 
@@ -193,7 +193,7 @@
     default = Features()
     return Features(
         job_part_count=reader.get_int(
-            'job_parts', default.job_part_count, 1, _MAX_JOB_PARTS
+            'job_parts', default.job_part_count, 1, MAX_JOB_PARTS
         ),
         bounds_writes=_read_switch(reader, 'bounded_writes'),
         has_admission=_read_switch(reader, 'admission'),
--- a/tests/handover_model.py
+++ b/tests/handover_model.py
@@ -30,10 +30,12 @@
     WorkerChangedError,
 )
 from tulippin.jobs.records import (
+    DEFAULT_JOB_PARTS,
     HOMES_TABLE,
     UNITS_TABLE,
     HomeRecord,
     JobRecord,
+    LayoutRecord,
     Unit,
     UnitCapacity,
     get_jobs_part,
@@ -198,6 +200,7 @@
         self.number = number
         self.session = session
         self.answer_times = AnswerTimes()
+        self.layout = LayoutRecord({})
         self.ports = types.SimpleNamespace(
             store=types.SimpleNamespace(
                 read_rows=lambda *a: ask('read', *a),
@@ -705,7 +708,7 @@
         record = JobRecord(QUEUE, request, self.now_ms + WALL_MS)
         self.store.apply(
             Transaction(
-                get_jobs_part(job_id),
+                get_jobs_part(job_id, DEFAULT_JOB_PARTS),
                 (RowCondition(HOMES_TABLE, job_id, 0),),
                 (
                     RowWrite(HOMES_TABLE, job_id, encode(HomeRecord(unit))),
--- a/tests/tulippin/jobs/test_invalid_unit_rows.py
+++ b/tests/tulippin/jobs/test_invalid_unit_rows.py
@@ -61,6 +61,9 @@
     **MALFORMED,
     'negative unit': encode(LayoutRecord({'r1': -1})),
     'unit too large': encode(LayoutRecord({'r1': 10**9})),
+    'no job parts': encode(LayoutRecord({'r1': 0}, job_parts=0)),
+    'too many job parts': encode(LayoutRecord({'r1': 0}, job_parts=10**9)),
+    'job parts changed': encode(LayoutRecord({'r1': 0}, job_parts=64)),
     'unit is a string': b'{"racks":{"r1":"0"}}',
 }
 
@@ -458,7 +461,9 @@
     async def run():
         async with open_fleet() as fleet:
             store = fleet.platform.store
-            store.write('homes', get_jobs_part(JOB), JOB, INVALID_HOMES[name])
+            store.write(
+                'homes', get_jobs_part(JOB, 8), JOB, INVALID_HOMES[name]
+            )
             intake = fleet.instances['i0'].intake
             with pytest.raises(UnavailableError):
                 await submit(fleet, JOB)
--- a/tests/tulippin/jobs/test_scheduler_fleet.py
+++ b/tests/tulippin/jobs/test_scheduler_fleet.py
@@ -114,8 +114,8 @@
 
 
 def test_slow_store_with_one_partition_rejects_jobs(run_virtual, monkeypatch):
-    monkeypatch.setattr(intake, 'get_jobs_part', lambda job_id: 'u0')
-    monkeypatch.setattr(_unit_feeds, 'get_jobs_parts', lambda: ('u0',))
+    monkeypatch.setattr(intake, 'get_jobs_part', lambda job_id, count: 'u0')
+    monkeypatch.setattr(_unit_feeds, 'get_jobs_parts', lambda count: ('u0',))
     assert submit_many_to_slow_store(run_virtual) < 12
 
 
--- a/tests/tulippin/jobs/test_scheduler_takeovers.py
+++ b/tests/tulippin/jobs/test_scheduler_takeovers.py
@@ -539,7 +539,7 @@
             )
             await fleet.submit()
             await fleet.wait_done(JOB)
-            call_faults.unanswered.add(('i0', get_jobs_part(JOB), JOB))
+            call_faults.unanswered.add(('i0', get_jobs_part(JOB, 8), JOB))
             with trio.fail_after(10):
                 while JOB in unit.state.jobs:
                     await trio.sleep(0.05)
--- a/tests/tulippin/jobs/test_slow_loading.py
+++ b/tests/tulippin/jobs/test_slow_loading.py
@@ -42,14 +42,14 @@
     store = SlowStore()
     pages = {}
     with pytest.raises(AnswerLostError):
-        await read_jobs(store, Unit(), pages)
-    page = await read_jobs(store, Unit(), pages)
-    assert sorted(store.read_parts) == sorted(get_jobs_parts())
-    assert {row.part for row in page.rows} == set(get_jobs_parts())
+        await read_jobs(store, Unit(), 8, pages)
+    page = await read_jobs(store, Unit(), 8, pages)
+    assert sorted(store.read_parts) == sorted(get_jobs_parts(8))
+    assert {row.part for row in page.rows} == set(get_jobs_parts(8))
     # The feed continues from the lowest version of the parts.
     assert page.version == 101
 
 
 async def test_read_without_earlier_pages_is_complete_or_fails():
     with pytest.raises(AnswerLostError):
-        await read_jobs(SlowStore(), Unit())
+        await read_jobs(SlowStore(), Unit(), 8)
