--- a/src/tulippin/jobs/_transactions.py
+++ b/src/tulippin/jobs/_transactions.py
@@ -36,13 +36,19 @@
 class AnswerTimes:
     """Moving average of the store's answer times for transactions.
 
-    An attempt whose answer is lost counts with its duration.
+    An attempt whose answer is lost counts with its duration. ``spread_s`` is
+    the mean deviation, and ``noted_s`` the time of the last answer.
     """
 
     usual_s: float = 0.0
+    spread_s: float = 0.0
+    noted_s: float = -math.inf
 
-    def note(self, took_s: float) -> None:
+    def note(self, took_s: float, now_s: float) -> None:
         """Add the time of an answer, or of an attempt without one."""
+        deviation_s = abs(took_s - self.usual_s)
+        self.spread_s += _AVERAGE_WEIGHT * (deviation_s - self.spread_s)
+        self.noted_s = now_s
         self.usual_s += _AVERAGE_WEIGHT * (took_s - self.usual_s)
 
     def expect(self, usual_s: float) -> None:
@@ -166,24 +172,28 @@
         except AnswerLostError as error:
             # No concurrent attempt was answered in this time either: the
             # store is slow.
-            self.times.note(trio.current_time() - began_s)
+            self._note_time(began_s)
             self.is_lost = True
             self.reason = error
         except UnavailableError as error:
             self.reason = error
             self.rejected_count += self.open_count > 1
         else:
-            self.times.note(trio.current_time() - began_s)
+            self._note_time(began_s)
             self._set_result(result)
         self.open_count -= 1
         self._changed.set()
 
+    def _note_time(self, began_s: float) -> None:
+        now_s = trio.current_time()
+        self.times.note(now_s - began_s, now_s)
+
     def _set_result(self, result: TransactionResult) -> None:
         if self.result is not None:
             return
         is_only = self.open_count == 1 and not self.is_lost
         if not is_only:
-            result = _recognize_own_writes(self.transaction, result)
+            result = recognize_own_writes(self.transaction, result)
         self.result = result
 
     def conclude(self) -> TransactionResult:
@@ -196,7 +206,7 @@
         raise reason
 
 
-def _recognize_own_writes(
+def recognize_own_writes(
     transaction: Transaction, result: TransactionResult
 ) -> TransactionResult:
     """Return a successful result if an earlier attempt wrote the rows found.
--- a/src/tulippin/jobs/ports.py
+++ b/src/tulippin/jobs/ports.py
@@ -34,6 +34,12 @@
     code = 'fenced_order'
 
 
+class PartitionBehindError(UnavailableError):
+    """The store executes no write of the part, whose queue is too long."""
+
+    code = 'partition_behind'
+
+
 @attrs.frozen
 class StoredRow:
     """A row; its value is None if it was removed."""
@@ -111,8 +117,14 @@
         the store no longer has the changes.
         """
 
-    async def transact(self, transaction: Transaction) -> TransactionResult:
-        """Apply a transaction."""
+    async def transact(
+        self, transaction: Transaction, extra_wait_ms: int = 0
+    ) -> TransactionResult:
+        """Apply a transaction.
+
+        Waits ``extra_wait_ms`` longer than usual for the answer. Raises
+        ``PartitionBehindError`` if the queue of its part is too long.
+        """
 
 
 @attrs.frozen
--- a/src/tulippin/platform/standin_store.py
+++ b/src/tulippin/platform/standin_store.py
@@ -11,6 +11,7 @@
 from tulippin.exceptions import AnswerLostError, UnavailableError
 from tulippin.jobs.ports import (
     HistoryLostError,
+    PartitionBehindError,
     RowPage,
     StoredRow,
     Transaction,
@@ -155,7 +156,7 @@
         now_s = trio.current_time()
         start_s = max(now_s, self.store.busy_until_s.get(part, now_s))
         if start_s - now_s > _MAX_WRITE_QUEUE_S:
-            raise UnavailableError('too many writes of the part are queued')
+            raise PartitionBehindError('too many writes of the part are queued')
         end_s = start_s + self.store.trouble.write_duration_s
         self.store.busy_until_s[part] = end_s
         await trio.sleep(end_s - now_s)
@@ -216,18 +217,20 @@
             return False
         return self.store.source.random() < trouble.late_write_share
 
-    async def transact(self, transaction: Transaction) -> TransactionResult:
+    async def transact(
+        self, transaction: Transaction, extra_wait_ms: int = 0
+    ) -> TransactionResult:
         """Commit a transaction; its answer may be lost."""
         await self._begin_request()
         if self._is_late():
             trio.lowlevel.spawn_system_task(self.store.apply_late, transaction)
-            await trio.sleep(CALL_TIMEOUT_S)
+            await trio.sleep(CALL_TIMEOUT_S + extra_wait_ms / _MS_PER_S)
             raise AnswerLostError('the write is late')
         await self._wait_for_write(transaction.part)
         result = self.store.apply(transaction)
         trouble = self.store.trouble
         if self.store.source.random() < trouble.lost_answer_share:
-            await trio.sleep(CALL_TIMEOUT_S)
+            await trio.sleep(CALL_TIMEOUT_S + extra_wait_ms / _MS_PER_S)
             raise AnswerLostError('the answer is lost')
         await trio.sleep(_STORE_LATENCY_S / 2)
         return result
--- a/src/tulippin/platform/store.py
+++ b/src/tulippin/platform/store.py
@@ -13,6 +13,7 @@
 from tulippin.exceptions import AnswerLostError, UnavailableError
 from tulippin.jobs.ports import (
     HistoryLostError,
+    PartitionBehindError,
     RowPage,
     StoredRow,
     Transaction,
@@ -24,7 +25,9 @@
 _CONDITION_FAILED: t.Final = 412
 _GONE: t.Final = 410
 # Statuses by which the store says that it changed nothing.
-_REJECTED_STATUSES: t.Final = frozenset((429, 503))
+_TOO_MANY_REQUESTS: t.Final = 429
+_NOT_AVAILABLE: t.Final = 503
+_REFUSAL: t.Final = 'the store refuses ({0})'
 _MAX_PAGE_ROWS: t.Final = 500
 # Replaces a value that is not base64; it is distinct from all valid values,
 # as no record, entry or configuration is empty.
@@ -150,7 +153,9 @@
         rows = tuple(decode_row(body) for body in page.rows)
         return RowPage(rows, page.version)
 
-    async def transact(self, transaction: Transaction) -> TransactionResult:
+    async def transact(
+        self, transaction: Transaction, extra_wait_ms: int = 0
+    ) -> TransactionResult:
         """Commit a transaction if its conditions hold.
 
         Returns
@@ -160,7 +165,10 @@
             its conditions met if it was not.
         """
         answer = await self._send(
-            'POST', '/v1/rows-tx', _encode_transaction(transaction)
+            'POST',
+            '/v1/rows-tx',
+            _encode_transaction(transaction),
+            extra_wait_ms,
         )
         if answer.status == _CONDITION_FAILED:
             page = _decode_rows(answer)
@@ -182,8 +190,10 @@
             body,
             extra_wait_ms=extra_wait_ms,
         )
-        if answer.status in _REJECTED_STATUSES:
-            raise UnavailableError(f'the store refuses ({answer.status})')
+        if answer.status == _TOO_MANY_REQUESTS:
+            raise PartitionBehindError(_REFUSAL.format(answer.status))
+        if answer.status == _NOT_AVAILABLE:
+            raise UnavailableError(_REFUSAL.format(answer.status))
         return answer
 
 
