Bound callers' writes by the time that their callers wait

Callers do not call again after 502 or 504, so each call that ends in doubt while the store is slow costs a job.

It rejects a call at once, before a unit is chosen, if the store has been silent for 2.5 s or needs longer for a response than the call has left. The response time is that of the instance's own calls of the last 2 s, or what owners publish in their leases if that is longer. A cancel whose job could not be read is rejected as not run. `job accepted` tells the attempts, `call given up` the time left and the usual response time, and metrics count calls by reason and jobs by attempts.

--- a/src/tulippin/jobs/intake.py
+++ b/src/tulippin/jobs/intake.py
@@ -12,9 +12,11 @@
 
 from tulippin.codec_json import encode
 from tulippin.exceptions import AnswerLostError, UnavailableError
+from tulippin.jobs._bounded_writes import make_rejection, transact_in_time
 from tulippin.jobs._ownership import count_waiting
 from tulippin.jobs._rows import is_unreadable, read_record, read_row
 from tulippin.jobs._transactions import transact_with_retries
+from tulippin.jobs._write_bounds import Reason
 from tulippin.jobs.ports import (
     RowCondition,
     RowStore,
@@ -52,6 +54,12 @@
 _LAYOUT_WAIT_MS: t.Final = 1500
 # Each entry takes some 100 bytes.
 _MAX_CACHED_HOMES: t.Final = 10_000
+# A feed returns every 1.5 s, also from a slow store. An instance that is cut
+# off from the store would not learn the outcome of a write, while its caller
+# may reach another instance. It is not ready after the same time.
+_MAX_STORE_SILENCE_MS: t.Final = 2500
+# Time for the reply after a bounded write has been given up.
+_CONCLUDE_S: t.Final = 0.02
 
 
 @attrs.frozen
@@ -71,14 +79,68 @@
     def _store(self) -> RowStore:
         return self.shell.ports.store
 
+    @property
+    def _bounds_writes(self) -> bool:
+        return self.shell.config.features.bounds_writes
+
+    def get_response_ms(self) -> int:
+        """Return how long the store usually takes at present for a write."""
+        load = self.shell.store_load
+        return int(load.get_response_time(trio.current_time()).usual_s * _MS)
+
     async def _transact(
         self, transaction: Transaction, limit_ms: int
-    ) -> TransactionResult:
-        _check_limit(limit_ms)
+    ) -> tuple[TransactionResult, int]:
+        """Execute a transaction; return its result and number of attempts.
+
+        The number is 0 if it is not counted.
+        """
+        self._check_limit(limit_ms)
+        if self._bounds_writes:
+            return await transact_in_time(
+                self._store,
+                transaction,
+                _get_deadline_s(limit_ms),
+                self.shell.store_load,
+            )
         times = self.shell.answer_times
-        return await transact_with_retries(
+        result = await transact_with_retries(
             self._store, transaction, limit_ms / _MS, times
         )
+        return result, 0
+
+    def _check_limit(self, limit_ms: int) -> None:
+        """Refuse a call that can't be done in time, before any effect."""
+        if limit_ms < MIN_TIME_LIMIT_MS:
+            self.shell.store_load.given_up[Reason.TOO_LITTLE_TIME] += 1
+            raise UnavailableError(
+                f'not run: {limit_ms} ms are too little; call again with more'
+            )
+
+    def _check_time(self, limit_ms: int, part: str) -> None:
+        """Reject a call if the store is silent, or slower than its time.
+
+        A write that is sent so late is most likely to end in doubt, and its
+        caller does not call again after 504.
+        """
+        if not self._bounds_writes:
+            return
+        load = self.shell.store_load
+        silent_ms = self.shell.clock() - self.shell.store_answered_ms
+        if silent_ms > _MAX_STORE_SILENCE_MS:
+            load.given_up[Reason.STORE_UNAVAILABLE] += 1
+            raise UnavailableError(
+                f'not run: the store has been silent for {silent_ms} ms'
+            )
+        response = load.get_response_time(trio.current_time(), part)
+        if limit_ms < response.needed_s * _MS:
+            reason = (
+                Reason.PART_BEHIND
+                if response.queue_s
+                else Reason.TOO_LITTLE_TIME
+            )
+            load.given_up[reason] += 1
+            raise make_rejection(reason, limit_ms / _MS, response)
 
     async def _read_row(
         self, table: str, part: str, key: str
@@ -99,6 +161,22 @@
             raise UnavailableError(f'the home of {job_id} is unreadable')
         return home, row
 
+    async def _read_home_in_time(
+        self, job_id: str, left_ms: int
+    ) -> tuple[HomeRecord | None, StoredRow | None]:
+        """Read a job's home before a write to it.
+
+        With bounded writes, a read that takes too long ends the call: nothing
+        has been written yet, so the caller may call again.
+        """
+        if not self._bounds_writes:
+            return await self._read_home(job_id)
+        self._check_time(left_ms, self._get_part(job_id))
+        with trio.move_on_at(_get_deadline_s(left_ms)):
+            return await self._read_home(job_id)
+        self.shell.store_load.given_up[Reason.STORE_UNAVAILABLE] += 1
+        raise UnavailableError(f'not run: the home of {job_id} was not read')
+
     def _get_part(self, job_id: str) -> str:
         layout = self.shell.layout
         if layout is None:
@@ -125,13 +203,16 @@
         """
         began_ms = self.shell.clock()
         await self._wait_for_layout(limit_ms)
+        part = self._get_part(job_id)
+        remaining_ms = limit_ms - (self.shell.clock() - began_ms)
+        self._check_time(remaining_ms, part)
         number = self.shell.choose_unit(request)
         if number is None:
             raise UnavailableError('no unit is known yet')
         home = HomeRecord(number)
         record = JobRecord(queue, request, self.shell.wall())
         transaction = Transaction(
-            self._get_part(job_id),
+            part,
             (RowCondition(HOMES_TABLE, job_id, 0),),
             (
                 RowWrite(HOMES_TABLE, job_id, encode(home)),
@@ -139,11 +220,13 @@
             ),
         )
         remaining_ms = limit_ms - (self.shell.clock() - began_ms)
-        result = await self._transact(transaction, remaining_ms)
+        result, attempts = await self._transact(transaction, remaining_ms)
         if result.is_done:
             self._cache_home(job_id, number)
         elif _is_home_unreadable(result, job_id):
             raise AnswerLostError(f'the home of {job_id} is unreadable')
+        if attempts:
+            self.shell.store_load.attempts[attempts] += 1
         self.shell.observe('tulippin_call_seconds', 'submit', began_ms)
         logger.info(
             'job accepted',
@@ -152,12 +235,13 @@
             unit=number,
             is_new=result.is_done,
             version=result.version,
+            attempts=attempts,
             took_ms=self.shell.clock() - began_ms,
         )
 
     async def _wait_for_layout(self, limit_ms: int) -> None:
         """Wait for the layout for at most half of the time limit."""
-        _check_limit(limit_ms)
+        self._check_limit(limit_ms)
         wait_ms = min(limit_ms / 2, _LAYOUT_WAIT_MS)
         with trio.move_on_after(wait_ms / _MS):
             await self.shell.layout_known.wait()
@@ -203,14 +287,15 @@
         began_ms = self.shell.clock()
         await self._require_layout(limit_ms)
         for _ in range(_MAX_CANCEL_ATTEMPTS):
-            home, row = await self._read_home(job_id)
+            left_ms = limit_ms - (self.shell.clock() - began_ms)
+            home, row = await self._read_home_in_time(job_id, left_ms)
             if home is None or row is None:
                 return False
             if home.is_cancelled:
                 return True
             transaction = _make_cancel_transaction(job_id, queue, home, row)
             remaining_ms = limit_ms - (self.shell.clock() - began_ms)
-            result = await self._transact(transaction, remaining_ms)
+            result, attempts = await self._transact(transaction, remaining_ms)
             if result.is_done:
                 self.shell.observe('tulippin_call_seconds', 'cancel', began_ms)
                 logger.info(
@@ -219,6 +304,7 @@
                     queue=queue.name,
                     units=home.units,
                     version=result.version,
+                    attempts=attempts,
                     took_ms=self.shell.clock() - began_ms,
                 )
                 return True
@@ -252,12 +338,15 @@
     return {}
 
 
-def _check_limit(limit_ms: int) -> None:
-    """Refuse a call that can't be done in time, before it has any effect."""
-    if limit_ms < MIN_TIME_LIMIT_MS:
-        raise UnavailableError(
-            f'not run: {limit_ms} ms are too little; call again with more'
-        )
+def _get_deadline_s(limit_ms: int) -> float:
+    """Return when the outcome of a bounded write must be known.
+
+    It is before the deadline of the request, which would leave no time to
+    tell whether the write had an effect.
+    """
+    now_s = trio.current_time()
+    limit_s = min(limit_ms / _MS, trio.current_effective_deadline() - now_s)
+    return now_s + limit_s - min(_CONCLUDE_S, limit_s / 4)
 
 
 def _is_home_unreadable(result: TransactionResult, job_id: str) -> bool:
--- a/src/tulippin/jobs/shell.py
+++ b/src/tulippin/jobs/shell.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import collections
+import functools
 import random
 import typing as t
 
@@ -19,6 +20,7 @@
 from tulippin.jobs._transactions import AnswerTimes
 from tulippin.jobs._unit_feeds import FEED_RETRY_PAUSE_S, FEED_WAIT_MS
 from tulippin.jobs._unit_watch import UnitWatch
+from tulippin.jobs._write_bounds import StoreLoad, list_reported_s
 from tulippin.jobs.layout import get_rack
 from tulippin.jobs.ports import (
     HistoryLostError,
@@ -87,6 +89,11 @@
         self.event_age_ms = 0
         self.latencies = LatencyTable()
         self.answer_times = AnswerTimes()
+        self.store_load = StoreLoad(
+            self.answer_times,
+            functools.partial(list_reported_s, self.units, clock),
+            source=random.Random(config.session_id),
+        )
         self._policy: ev.PolicyChanged | None = None
         self._is_store_available = False
         self._urgent: collections.deque[_QueuedEvent] = collections.deque()
--- a/src/tulippin/platform/callers.py
+++ b/src/tulippin/platform/callers.py
@@ -24,6 +24,7 @@
     MAX_TASKS,
     find_fault,
 )
+from tulippin.jobs._write_bounds import CallRejectedError
 from tulippin.jobs.intake import MIN_TIME_LIMIT_MS, JobIntake
 from tulippin.jobs.types import (
     JobRequest,
@@ -69,7 +70,7 @@
 # The colon, the space and the CRLF of each header line.
 _HEADER_OVERHEAD_BYTES: t.Final = 4
 # About the duration of a takeover.
-_RETRY_AFTER_S: t.Final = '1'
+_RETRY_AFTER_S: t.Final = 1
 _STATE_NAMES: t.Final = {state: state.value for state in JobState}
 
 _job_decoder = msgspec.json.Decoder(JobBody)
@@ -125,11 +126,18 @@
 
 
 class Reply(t.NamedTuple):
-    """Reply to a request; `retry` adds a Retry-After header."""
+    """Reply to a request; 0 in `retry_after_s` stands for no such header."""
 
     status: int
     body: msgspec.Struct | None = None
-    retry: bool = False
+    retry_after_s: int = 0
+
+
+class _Call(t.NamedTuple):
+    """The job that a request names, and when it must be answered."""
+
+    job_id: str
+    deadline_s: float
 
 
 def decode_job(body: bytes) -> JobRequest:
@@ -278,7 +286,7 @@
                 path=scope['path'][:_MAX_LOGGED_PATH_CHARS],
             )
             text = f'internal: {INTERNAL_MESSAGE}'
-            return Reply(_OUTCOME_UNKNOWN, ErrorBody(text), retry=True)
+            return Reply(_OUTCOME_UNKNOWN, ErrorBody(text), _RETRY_AFTER_S)
 
     async def _send(self, reply: Reply, send: Send) -> None:
         body = b'' if reply.body is None else msgspec.json.encode(reply.body)
@@ -286,8 +294,9 @@
             (b'content-type', b'application/json'),
             (b'content-length', str(len(body)).encode()),
         ]
-        if reply.retry:
-            headers.append((b'retry-after', _RETRY_AFTER_S.encode()))
+        if reply.retry_after_s:
+            text = str(reply.retry_after_s)
+            headers.append((b'retry-after', text.encode()))
         if self.is_closing:
             headers.append((b'connection', b'close'))
         await send(
@@ -305,7 +314,7 @@
         configuration = self._intake.shell.configuration
         if configuration is None:
             return Reply(
-                _UNAVAILABLE, ErrorBody('no configuration yet'), retry=True
+                _UNAVAILABLE, ErrorBody('no configuration yet'), _RETRY_AFTER_S
             )
         host = headers.get(b'host', b'').decode('latin-1').partition(':')[0]
         queue = configuration.find_queue(host, scope['path'])
@@ -314,10 +323,10 @@
         job_id = scope['path'].removeprefix(queue.path_prefix).strip('/')
         left_ms = (self._ends_s - trio.current_time()) * _MS_PER_S
         limit_ms = int(min(read_limit_ms(headers), left_ms))
+        call = _Call(job_id, trio.current_time() + limit_ms / _MS_PER_S)
         if limit_ms < MIN_TIME_LIMIT_MS:
-            return _reply_retry(
-                job_id, _UNAVAILABLE, 'not run: too little time is left'
-            )
+            error = UnavailableError('not run: too little time is left')
+            return self._give_up(call, error)
         try:
             with self._limit_time(limit_ms):
                 _check_headers(scope, configuration.max_header_bytes)
@@ -328,15 +337,31 @@
         except InputError as error:
             return _reply_invalid(job_id, error)
         except UnavailableError as error:
-            # 503 is only for operations that were definitely not carried out.
-            may_be_done = isinstance(error, AnswerLostError)
-            return _reply_retry(
-                job_id,
-                _OUTCOME_UNKNOWN if may_be_done else _UNAVAILABLE,
-                error.message,
-            )
+            return self._give_up(call, error)
         except trio.TooSlowError:
-            return _reply_retry(job_id, _OUTCOME_UNKNOWN, 'out of time')
+            return self._give_up(call, AnswerLostError('out of time'))
+
+    def _give_up(self, call: _Call, error: UnavailableError) -> Reply:
+        """Log a request that can't be completed; ask its caller to retry.
+
+        503 is only for operations that were definitely not carried out.
+        """
+        may_be_done = isinstance(error, AnswerLostError)
+        status = _OUTCOME_UNKNOWN if may_be_done else _UNAVAILABLE
+        left_s = call.deadline_s - trio.current_time()
+        retry_after_s = _RETRY_AFTER_S
+        if isinstance(error, CallRejectedError):
+            retry_after_s = error.retry_after_s
+        logger.warning(
+            'call given up',
+            job=call.job_id,
+            status=status,
+            reason=error.message,
+            left_ms=round(left_s * _MS_PER_S),
+            response_ms=self._intake.get_response_ms(),
+            retry_after_s=retry_after_s,
+        )
+        return Reply(status, ErrorBody(error.message), retry_after_s)
 
     @contextlib.contextmanager
     def _limit_time(self, limit_ms: int) -> t.Iterator[None]:
@@ -398,12 +423,6 @@
     return Reply(status, ErrorBody(f'{error.code}: {text}'))
 
 
-def _reply_retry(job_id: str, status: int, reason: str) -> Reply:
-    """Log a request that can't be completed; ask its caller to retry."""
-    logger.warning('call given up', job=job_id, status=status, reason=reason)
-    return Reply(status, ErrorBody(reason), retry=True)
-
-
 def _check_headers(scope: Scope, limit_bytes: int) -> None:
     """Check the size of the headers as they are on the wire.
 
--- a/src/tulippin/scheduler_operators.py
+++ b/src/tulippin/scheduler_operators.py
@@ -5,6 +5,7 @@
 import collections
 import typing as t
 
+import trio
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import (
     CounterMetricFamily,
@@ -23,12 +24,15 @@
 from tulippin.bundle_store import BundleStore
 from tulippin.exceptions import NotFoundError
 from tulippin.jobs import views
+from tulippin.jobs._write_bounds import Reason, StoreLoad
 from tulippin.jobs.shell import SchedulerShell
 from tulippin.jobs.state import Phase, SchedulerState
 from tulippin.latency_metrics import iter_latency_metrics
 from tulippin.row_table import RowTable
 from tulippin.scheduler_process_records import ProcessRecorder
 
+_MS_PER_S: t.Final = 1000
+
 
 class SchedulerMetrics(Collector):
     """Collects the metrics of an instance at each scrape."""
@@ -58,10 +62,14 @@
             counters.add_metric([name], count)
         yield counters
         yield _make_failure_counter()
+        yield from _iter_call_counters(self._shell.store_load)
         yield from _iter_gauges(
             {
                 'tulippin_event_age_ms': self._shell.event_age_ms,
                 'tulippin_failed_starts': self._recorder.failed_starts,
+                'tulippin_store_response_ms': _get_response_ms(
+                    self._shell.store_load
+                ),
                 **_sum_gauges(states),
             }
         )
@@ -80,6 +88,30 @@
     return metric
 
 
+def _iter_call_counters(load: StoreLoad) -> t.Iterator[Metric]:
+    """Yield how many calls were given up, and the attempts of the others."""
+    given_up = CounterMetricFamily(
+        'tulippin_calls_given_up', 'Calls given up, by why', labels=['reason']
+    )
+    for reason in Reason:
+        given_up.add_metric([reason.value], load.given_up[reason])
+    yield given_up
+    accepted = CounterMetricFamily(
+        'tulippin_jobs_accepted',
+        'Accepted jobs, by the attempts to write them',
+        labels=['attempts'],
+    )
+    for count, jobs in sorted(load.attempts.items()):
+        accepted.add_metric([str(count)], jobs)
+    yield accepted
+
+
+def _get_response_ms(load: StoreLoad) -> int:
+    """Return how long the store usually takes for a write."""
+    usual_s = load.get_response_time(trio.current_time()).usual_s
+    return int(usual_s * _MS_PER_S)
+
+
 def _sum_gauges(states: t.Sequence[SchedulerState]) -> dict[str, int]:
     """Return gauges summed over all units that the instance holds."""
     return {
