--- a/src/tulippin/jobs/_bounded_writes.py
+++ b/src/tulippin/jobs/_bounded_writes.py
@@ -202,7 +202,6 @@
             return self.result
         response = self._get_response_time()
         reason = self.attempts.get_reason(response)
-        self.load.given_up[reason] += 1
         if reason is Reason.OUTCOME_UNKNOWN:
             if self.attempts.open_count:
                 self._note_time(self.attempts.last_sent_s)
--- a/src/tulippin/jobs/_write_bounds.py
+++ b/src/tulippin/jobs/_write_bounds.py
@@ -17,7 +17,7 @@
 
 import attrs
 
-from tulippin.exceptions import UnavailableError
+from tulippin.exceptions import AnswerLostError, UnavailableError
 
 if t.TYPE_CHECKING:
     from tulippin.jobs._transactions import AnswerTimes
@@ -85,6 +85,15 @@
         self.retry_after_s = retry_after_s
 
 
+def find_reason(error: UnavailableError) -> Reason:
+    """Return why a call was given up that ended with an error."""
+    if isinstance(error, CallRejectedError):
+        return error.reason
+    if isinstance(error, AnswerLostError):
+        return Reason.OUTCOME_UNKNOWN
+    return Reason.STORE_UNAVAILABLE
+
+
 @attrs.frozen
 class ResponseTime:
     """How long the store takes at present to respond to a write.
--- a/src/tulippin/jobs/intake.py
+++ b/src/tulippin/jobs/intake.py
@@ -16,7 +16,7 @@
 from tulippin.jobs._ownership import count_waiting
 from tulippin.jobs._rows import is_unreadable, read_record, read_row
 from tulippin.jobs._transactions import transact_with_retries
-from tulippin.jobs._write_bounds import Reason
+from tulippin.jobs._write_bounds import CallRejectedError, Reason, find_reason
 from tulippin.jobs.ports import (
     RowCondition,
     RowStore,
@@ -83,6 +83,10 @@
     def _bounds_writes(self) -> bool:
         return self.shell.config.features.bounds_writes
 
+    def count_given_up(self, error: UnavailableError) -> None:
+        """Count a call that was given up because of an error."""
+        self.shell.store_load.given_up[find_reason(error)] += 1
+
     def get_response_ms(self) -> int:
         """Return how long the store usually takes at present for a write."""
         load = self.shell.store_load
@@ -95,7 +99,7 @@
 
         The number is 0 if it is not counted.
         """
-        self._check_limit(limit_ms)
+        _check_limit(limit_ms)
         if self._bounds_writes:
             return await transact_in_time(
                 self._store,
@@ -109,14 +113,6 @@
         )
         return result, 0
 
-    def _check_limit(self, limit_ms: int) -> None:
-        """Refuse a call that can't be done in time, before any effect."""
-        if limit_ms < MIN_TIME_LIMIT_MS:
-            self.shell.store_load.given_up[Reason.TOO_LITTLE_TIME] += 1
-            raise UnavailableError(
-                f'not run: {limit_ms} ms are too little; call again with more'
-            )
-
     def _check_time(self, limit_ms: int, part: str) -> None:
         """Reject a call if the store is silent, or slower than its time.
 
@@ -128,7 +124,6 @@
         load = self.shell.store_load
         silent_ms = self.shell.clock() - self.shell.store_answered_ms
         if silent_ms > _MAX_STORE_SILENCE_MS:
-            load.given_up[Reason.STORE_UNAVAILABLE] += 1
             raise UnavailableError(
                 f'not run: the store has been silent for {silent_ms} ms'
             )
@@ -139,7 +134,6 @@
                 if response.queue_s
                 else Reason.TOO_LITTLE_TIME
             )
-            load.given_up[reason] += 1
             raise make_rejection(reason, limit_ms / _MS, response)
 
     async def _read_row(
@@ -174,7 +168,6 @@
         self._check_time(left_ms, self._get_part(job_id))
         with trio.move_on_at(_get_deadline_s(left_ms)):
             return await self._read_home(job_id)
-        self.shell.store_load.given_up[Reason.STORE_UNAVAILABLE] += 1
         raise UnavailableError(f'not run: the home of {job_id} was not read')
 
     def _get_part(self, job_id: str) -> str:
@@ -241,7 +234,7 @@
 
     async def _wait_for_layout(self, limit_ms: int) -> None:
         """Wait for the layout for at most half of the time limit."""
-        self._check_limit(limit_ms)
+        _check_limit(limit_ms)
         wait_ms = min(limit_ms / 2, _LAYOUT_WAIT_MS)
         with trio.move_on_after(wait_ms / _MS):
             await self.shell.layout_known.wait()
@@ -338,6 +331,15 @@
     return {}
 
 
+def _check_limit(limit_ms: int) -> None:
+    """Refuse a call that can't be done in time, before it has any effect."""
+    if limit_ms < MIN_TIME_LIMIT_MS:
+        raise CallRejectedError(
+            f'not run: {limit_ms} ms are too little; call again with more',
+            Reason.TOO_LITTLE_TIME,
+        )
+
+
 def _get_deadline_s(limit_ms: int) -> float:
     """Return when the outcome of a bounded write must be known.
 
--- a/src/tulippin/platform/callers.py
+++ b/src/tulippin/platform/callers.py
@@ -24,7 +24,7 @@
     MAX_TASKS,
     find_fault,
 )
-from tulippin.jobs._write_bounds import CallRejectedError
+from tulippin.jobs._write_bounds import CallRejectedError, Reason
 from tulippin.jobs.intake import MIN_TIME_LIMIT_MS, JobIntake
 from tulippin.jobs.types import (
     JobRequest,
@@ -325,7 +325,9 @@
         limit_ms = int(min(read_limit_ms(headers), left_ms))
         call = _Call(job_id, trio.current_time() + limit_ms / _MS_PER_S)
         if limit_ms < MIN_TIME_LIMIT_MS:
-            error = UnavailableError('not run: too little time is left')
+            error = CallRejectedError(
+                'not run: too little time is left', Reason.TOO_LITTLE_TIME
+            )
             return self._give_up(call, error)
         try:
             with self._limit_time(limit_ms):
@@ -352,6 +354,7 @@
         retry_after_s = _RETRY_AFTER_S
         if isinstance(error, CallRejectedError):
             retry_after_s = error.retry_after_s
+        self._intake.count_given_up(error)
         logger.warning(
             'call given up',
             job=call.job_id,
