Read the jobs' parts in groups of 16

The reads were limited by trio.CapacityLimiter, which the handover model does not simulate: 11 of its tests failed with AttributeError.

An owner now reads 16 parts at a time, one group after the other. While a read takes 0.3 s, 64 parts load in four groups; eight of the 24 connections to the store stay free for renewals, commits and feeds.

--- a/src/tulippin/jobs/_unit_feeds.py
+++ b/src/tulippin/jobs/_unit_feeds.py
@@ -47,8 +47,8 @@
 FEED_WAIT_MS: t.Final = 1500
 FEED_RETRY_PAUSE_S: t.Final = 0.1
 # Parts of the jobs that are read at a time. An instance has 24 connections to
-# the store, which its renewals need too.
-_MAX_OPEN_READS: t.Final = 12
+# the store; its renewals, commits and other feeds need up to eight.
+_MAX_OPEN_READS: t.Final = 16
 # A model takes some 10 KB for each unit, and is most useful early, while
 # little has been learned here.
 _MODELS_EVERY_S: t.Final = 2.0
@@ -90,23 +90,19 @@
     pages = {} if pages is None else pages
     failed: list[UnavailableError] = []
 
-    limiter = trio.CapacityLimiter(_MAX_OPEN_READS)
-
     async def read(part: str) -> None:
-        async with limiter:
-            if failed:
-                return
-            try:
-                pages[part] = await store.read_rows(unit.jobs_table, part)
-            except UnavailableError as error:
-                failed.append(error)
+        try:
+            pages[part] = await store.read_rows(unit.jobs_table, part)
+        except UnavailableError as error:
+            failed.append(error)
 
-    async with trio.open_nursery() as nursery:
-        for part in get_jobs_parts(part_count):
-            if part not in pages:
+    missing = [part for part in get_jobs_parts(part_count) if part not in pages]
+    for first in range(0, len(missing), _MAX_OPEN_READS):
+        async with trio.open_nursery() as nursery:
+            for part in missing[first : first + _MAX_OPEN_READS]:
                 nursery.start_soon(read, part)
-    if failed:
-        raise failed[0]
+        if failed:
+            raise failed[0]
     rows = tuple(row for page in pages.values() for row in page.rows)
     return RowPage(rows, min(page.version for page in pages.values()))
 
