--- a/src/tulippin/jobs/_admission_inputs.py
+++ b/src/tulippin/jobs/_admission_inputs.py
@@ -61,6 +61,8 @@
     Counted from its acceptance, it would precede jobs that can still be in
     time, while its own time is over.
     """
+    if not shell.config.features.has_admission:
+        return 0
     return shell.admission.get_elapsed_ms(job_id, shell.clock())
 
 
--- a/src/tulippin/platform/callers.py
+++ b/src/tulippin/platform/callers.py
@@ -26,6 +26,7 @@
     MAX_TASKS,
     find_fault,
 )
+from tulippin.jobs._write_bounds import CallRejectedError, Reason
 from tulippin.jobs.intake import MIN_TIME_LIMIT_MS, JobIntake
 from tulippin.jobs.types import (
     JobRequest,
@@ -128,12 +129,18 @@
 
 
 class Reply(t.NamedTuple):
-    """Reply to a request; `retry` adds a Retry-After header."""
+    """Reply to a request; 0 in `retry_after_s` stands for no such header."""
 
     status: int
     body: msgspec.Struct | None = None
-    retry: bool = False
-    retry_after_s: int = _RETRY_AFTER_S
+    retry_after_s: int = 0
+
+
+class _Call(t.NamedTuple):
+    """The job that a request names, and when it must be answered."""
+
+    job_id: str
+    deadline_s: float
 
 
 def decode_job(body: bytes) -> JobRequest:
@@ -282,7 +289,7 @@
                 path=scope['path'][:_MAX_LOGGED_PATH_CHARS],
             )
             text = f'internal: {INTERNAL_MESSAGE}'
-            return Reply(_OUTCOME_UNKNOWN, ErrorBody(text), retry=True)
+            return Reply(_OUTCOME_UNKNOWN, ErrorBody(text), _RETRY_AFTER_S)
 
     async def _send(self, reply: Reply, send: Send) -> None:
         body = b'' if reply.body is None else msgspec.json.encode(reply.body)
@@ -290,9 +297,9 @@
             (b'content-type', b'application/json'),
             (b'content-length', str(len(body)).encode()),
         ]
-        if reply.retry:
-            retry_after = str(reply.retry_after_s).encode()
-            headers.append((b'retry-after', retry_after))
+        if reply.retry_after_s:
+            text = str(reply.retry_after_s)
+            headers.append((b'retry-after', text.encode()))
         if self.is_closing:
             headers.append((b'connection', b'close'))
         await send(
@@ -310,7 +317,7 @@
         configuration = self._intake.shell.configuration
         if configuration is None:
             return Reply(
-                _UNAVAILABLE, ErrorBody('no configuration yet'), retry=True
+                _UNAVAILABLE, ErrorBody('no configuration yet'), _RETRY_AFTER_S
             )
         host = headers.get(b'host', b'').decode('latin-1').partition(':')[0]
         queue = configuration.find_queue(host, scope['path'])
@@ -319,10 +326,12 @@
         job_id = scope['path'].removeprefix(queue.path_prefix).strip('/')
         left_ms = (self._ends_s - trio.current_time()) * _MS_PER_S
         limit_ms = int(min(read_limit_ms(headers), left_ms))
+        call = _Call(job_id, trio.current_time() + limit_ms / _MS_PER_S)
         if limit_ms < MIN_TIME_LIMIT_MS:
-            return _reply_retry(
-                job_id, _UNAVAILABLE, 'not run: too little time is left'
+            error = CallRejectedError(
+                'not run: too little time is left', Reason.TOO_LITTLE_TIME
             )
+            return self._reply_unavailable(error, call)
         try:
             with self._limit_time(limit_ms):
                 _check_headers(scope, configuration.max_header_bytes)
@@ -333,9 +342,52 @@
         except InputError as error:
             return _reply_invalid(job_id, error)
         except UnavailableError as error:
-            return _reply_unavailable(error, job_id)
+            return self._reply_unavailable(error, call)
         except trio.TooSlowError:
-            return _reply_retry(job_id, _OUTCOME_UNKNOWN, 'out of time')
+            return self._reply_unavailable(AnswerLostError('out of time'), call)
+
+    @functools.singledispatchmethod
+    def _reply_unavailable(self, error: UnavailableError, call: _Call) -> Reply:
+        """Return the reply for an operation that can't be completed now.
+
+        503 is only for operations that were definitely not carried out.
+        """
+        return self._give_up(call, _UNAVAILABLE, error)
+
+    @_reply_unavailable.register
+    def _(self, error: AnswerLostError, call: _Call) -> Reply:
+        return self._give_up(call, _OUTCOME_UNKNOWN, error)
+
+    @_reply_unavailable.register
+    def _(self, error: CallRejectedError, call: _Call) -> Reply:
+        return self._give_up(call, _UNAVAILABLE, error, error.retry_after_s)
+
+    @_reply_unavailable.register
+    def _(self, error: OverloadedError, call: _Call) -> Reply:
+        """Return the reply for a job whose rejection has been logged."""
+        body = ErrorBody(error.message)
+        return Reply(_OVERLOADED, body, error.retry_after_s)
+
+    def _give_up(
+        self,
+        call: _Call,
+        status: int,
+        error: UnavailableError,
+        retry_after_s: int = _RETRY_AFTER_S,
+    ) -> Reply:
+        """Log a request that can't be completed; ask its caller to retry."""
+        left_s = call.deadline_s - trio.current_time()
+        self._intake.count_given_up(error)
+        logger.warning(
+            'call given up',
+            job=call.job_id,
+            status=status,
+            reason=error.message,
+            left_ms=round(left_s * _MS_PER_S),
+            response_ms=self._intake.get_response_ms(),
+            retry_after_s=retry_after_s,
+        )
+        return Reply(status, ErrorBody(error.message), retry_after_s)
 
     @contextlib.contextmanager
     def _limit_time(self, limit_ms: int) -> t.Iterator[None]:
@@ -397,37 +449,6 @@
     return Reply(status, ErrorBody(f'{error.code}: {text}'))
 
 
-def _reply_retry(job_id: str, status: int, reason: str) -> Reply:
-    """Log a request that can't be completed; ask its caller to retry."""
-    logger.warning('call given up', job=job_id, status=status, reason=reason)
-    return Reply(status, ErrorBody(reason), retry=True)
-
-
-@functools.singledispatch
-def _reply_unavailable(error: UnavailableError, job_id: str) -> Reply:
-    """Return the reply for an operation that can't be completed now.
-
-    503 is only for operations that were definitely not carried out.
-    """
-    return _reply_retry(job_id, _UNAVAILABLE, error.message)
-
-
-@_reply_unavailable.register
-def _reply_unknown(error: AnswerLostError, job_id: str) -> Reply:
-    return _reply_retry(job_id, _OUTCOME_UNKNOWN, error.message)
-
-
-@_reply_unavailable.register
-def _reply_overloaded(error: OverloadedError, job_id: str) -> Reply:
-    """Return the reply for a job whose rejection has been logged."""
-    return Reply(
-        _OVERLOADED,
-        ErrorBody(error.message),
-        retry=True,
-        retry_after_s=error.retry_after_s,
-    )
-
-
 def _check_headers(scope: Scope, limit_bytes: int) -> None:
     """Check the size of the headers as they are on the wire.
 
