--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -13,6 +13,7 @@
 import attrs
 
 from tulippin.jobs.features import Features
+from tulippin.jobs.job_forecast import JobForecast
 from tulippin.jobs.load_cycles import LoadCycleModel
 from tulippin.jobs.pair_model import PairModel
 from tulippin.jobs.records import (
@@ -25,6 +26,7 @@
     Unit,
     UnitCapacity,
 )
+from tulippin.jobs.run_ratios import RunRatios
 from tulippin.jobs.types import (
     Configuration,
     Incarnation,
@@ -138,7 +140,10 @@
     ``probation_ms`` of it; ``has_passed_probation`` says that it has run long
     enough not to be suspected of a crash. ``is_ordered`` says that the start
     order was sent or is about to be. The order of a suspected or long-running
-    task is sent only after the record of that start is durable.
+    task is sent only after the record of that start is durable. ``held_ms`` is
+    the time that a short run lost at paces below full until ``held_until_ms``.
+    ``had_begun`` says that its job had begun before it, and ``copy_of`` is the
+    run of the same task that it is a copy of, or 0.
     """
 
     key: TaskKey
@@ -170,6 +175,10 @@
     probation_ms: int = 0
     has_passed_probation: bool = False
     is_ordered: bool = True
+    held_ms: float = 0.0
+    held_until_ms: int = 0
+    had_begun: bool = False
+    copy_of: int = 0
 
 
 @attrs.define
@@ -245,6 +254,11 @@
     ``is_given_up`` says that a unit abandoned the job, for ``reason``.
     ``doubts`` counts how often short tasks of the job may have had an
     unconfirmed run on a worker that died while the unit changed its owner.
+    ``forecasts`` holds what is expected of its occurrences, and
+    ``longest_runs_ms`` by occurrence and step the longest run that this owner
+    saw completed. ``has_full_run`` says that a run other than a slow start was
+    ordered. ``work`` is the work of one occurrence, in millicore-milliseconds,
+    as first predicted.
     """
 
     job_id: str
@@ -281,6 +295,10 @@
     reason: str = ''
     chains_ms: tuple[float, ...] = ()
     chains_computed_ms: int = 0
+    forecasts: dict[int, JobForecast] = attrs.field(factory=dict)
+    longest_runs_ms: dict[tuple[int, int], float] = attrs.field(factory=dict)
+    has_full_run: bool = False
+    work: float = 0.0
     tickets: dict[tuple[str, int, int], dict[str, tuple[str, int]]] = (
         attrs.field(factory=dict)
     )
@@ -329,7 +347,8 @@
     when the incarnation that answers under the id started, or 0 until it is
     known; all other fields but the entry are about this incarnation.
     ``needs_ack`` says that it still reports ends that are durable, up to number
-    ``last_seen``.
+    ``last_seen``. ``has_good_end`` says that this owner has read the end of a
+    run there that was done.
     """
 
     entry: WorkerEntry
@@ -354,6 +373,7 @@
     rejection_logged_ms: int | None = None
     leaves_at_ms: int = 0
     failed_jobs: set[str] = attrs.field(factory=set)
+    has_good_end: bool = False
     quarantined_until_ms: int = 0
     paused_until_ms: int = 0
     unhealthy_since_ms: int = 0
@@ -591,6 +611,7 @@
     last_arrival_ms: int = 0
     overdue_started_ms: int = 0
     slow_starts_checked_ms: int = 0
+    copies_checked_ms: int = 0
     next_slow_start: int = 0
     wall_offset_ms: int = 0
     model: PairModel = attrs.field(factory=PairModel)
@@ -599,6 +620,8 @@
     policy_number: int = 0
     run_times_ms: dict[str, float] = attrs.field(factory=dict)
     run_time_fits: dict[str, RunTimeRecord] = attrs.field(factory=dict)
+    run_ratios: dict[tuple[str, str], RunRatios] = attrs.field(factory=dict)
+    mean_job_work: dict[str, float] = attrs.field(factory=dict)
     short_demands: dict[tuple[str, int], ShortDemand] = attrs.field(
         factory=dict
     )
