Gather ends of runs in fewer calls for reports

Cause: each end of a run completes the call that waits for it, and the next call follows at once: 4.6 calls a second for each of 246 workers. No call is open while ends that were read are not durable, so an urgent end in this time was read up to 0.13 s late.

Change: _report_schedule decides when the next call is sent and how long it waits. It pauses for up to 250 ms where ends are due that complete no step, no urgent run is on the worker, no order is open, no tail is near its target and nothing waits for a place. The time between two reports, with the pause, stays below 1 s beside latency targets or opportunistic runs and below 1.5 s elsewhere. Progress is committed early if an urgent end that may complete a step, or one of a job close to its objective, is due before the next commit. Learned run times leave out the pauses.

--- a/src/tulippin/jobs/_attempts.py
+++ b/src/tulippin/jobs/_attempts.py
@@ -11,6 +11,7 @@
     _interference,
     _lifecycle,
     _ready_queues,
+    _report_schedule,
     _run_times,
     _worker_failures,
 )
@@ -57,6 +58,7 @@
     worker.attempts[attempt.key, attempt.run] = attempt
     worker.reserved = worker.reserved.add(attempt.step.reserved)
     _interference.add_attempt(attempt, worker)
+    _report_schedule.note_run(attempt, worker)
 
 
 def note_running(attempt: Attempt, context: Context) -> None:
@@ -133,11 +135,27 @@
         _ready_queues.add(task, step, context.state)
 
 
-def apply_end(worker: Worker, ended: EndedRun, context: Context) -> None:
+def apply_end(
+    worker: Worker,
+    ended: EndedRun,
+    context: Context,
+    read_delay_ms: float = 0.0,
+) -> None:
     """Apply the end of a run that its worker reports.
 
     A done task opens further steps or finishes its job, a failed run counts
     towards the job's limit, and after any other outcome the task is ready.
+
+    Parameters
+    ----------
+    worker : Worker
+        The worker that reports the end.
+    ended : EndedRun
+        The end.
+    context : Context
+        Collects effects and log lines.
+    read_delay_ms : float, optional
+        How long ago the run is expected to have ended.
     """
     attempt = worker.attempts.get((ended.key, ended.run))
     if attempt is not None:
@@ -166,6 +184,8 @@
     if ended.outcome is RunOutcome.DONE:
         if attempt is not None and not attempt.is_slow_start:
             run_ms = context.state.now_ms - attempt.sent_ms
+            # A run that began in a pause ended in the second half of its time.
+            run_ms -= int(min(read_delay_ms, run_ms / 2))
             _run_times.learn(job, attempt.step, run_ms, context.state)
         _end_done(job, task, context)
         return
@@ -179,6 +199,7 @@
     for member in _iter_members(job, task):
         _lifecycle.mark_done(job, member, context)
         stop_task(member, context, 'task is done')
+    _report_schedule.note_end(job, task.key, context.state)
     if job.state in FINAL_STATES:
         stop_job(job, context, 'job is finished')
 
@@ -250,6 +271,7 @@
     if worker is None:
         return
     attempt.stop_sent_ms = context.state.now_ms
+    _report_schedule.end_pause(worker, _report_schedule.CallReason.OPEN_ORDER)
     order_stop(worker, attempt.key, attempt.run, context)
 
 
--- a/src/tulippin/jobs/_committing.py
+++ b/src/tulippin/jobs/_committing.py
@@ -19,6 +19,7 @@
     _lifecycle,
     _model_store,
     _ownership,
+    _report_schedule,
     _reports,
     _transfers,
     _unconfirmed_runs,
@@ -248,7 +249,8 @@
 def commit_if_due(context: Context) -> None:
     """Begin a commit if progress waits for one.
 
-    A final state is committed at once, other progress after a delay.
+    A final state is committed at once, and so is progress whose ends keep an
+    urgent end from being read; other progress is committed after a delay.
     """
     state = context.state
     if state.is_committing or state.ownership.phase is not Phase.ACTIVE:
@@ -262,9 +264,9 @@
         _acknowledge_ends(context)
         return
     waited_ms = state.now_ms - state.dirty_since_ms
-    if not is_urgent and waited_ms < _COMMIT_DELAY_MS:
-        return
-    _commit(context)
+    is_due = is_urgent or waited_ms >= _COMMIT_DELAY_MS
+    if is_due or _report_schedule.needs_early_commit(state):
+        _commit(context)
 
 
 def _commit(context: Context) -> None:
--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -52,8 +52,6 @@
 _MAX_OVERDUE_STEPS: t.Final = 8
 # Interval between two scans for jobs that have had nothing running for long.
 _SLOW_START_INTERVAL_MS: t.Final = 200
-# Interval between two passes over the opportunistic tasks.
-_IDLE_PASS_INTERVAL_MS: t.Final = 100
 # Minimum interval between two passes over the other tasks, except at a tick:
 # events come in bursts, and each would scan the same workers again.
 _PASS_INTERVAL_MS: t.Final = 15
@@ -86,7 +84,8 @@
         state.placed_ms = state.now_ms
         _PlacementPass(context, state.ready).run()
     is_due = (
-        state.now_ms - state.opportunistic_placed_ms >= _IDLE_PASS_INTERVAL_MS
+        state.now_ms - state.opportunistic_placed_ms
+        >= _ready_queues.OPPORTUNISTIC_PASS_INTERVAL_MS
     )
     if is_tick and is_due and state.ready_opportunistic:
         state.opportunistic_placed_ms = state.now_ms
--- a/src/tulippin/jobs/_ready_queues.py
+++ b/src/tulippin/jobs/_ready_queues.py
@@ -12,6 +12,8 @@
 # A long-running task that ran before is overdue after waiting for this long:
 # users allow 6 s without a run, of which a worker's lease takes up to 4.9 s.
 OVERDUE_AFTER_MS: t.Final = 2500
+# Interval between two passes over the opportunistic tasks.
+OPPORTUNISTIC_PASS_INTERVAL_MS: t.Final = 100
 
 
 def get_step_key(key: TaskKey) -> StepKey:
--- a/src/tulippin/jobs/_reports.py
+++ b/src/tulippin/jobs/_reports.py
@@ -16,6 +16,7 @@
     _lifecycle,
     _lost_starts,
     _ready_queues,
+    _report_schedule,
     _tail_latency,
     _unconfirmed_runs,
 )
@@ -44,6 +45,9 @@
     is_return = bool(known.born_ms) and not known.is_reconciled
     worker = _incarnations.identify(known, event.report, context)
     worker.is_hold_in_flight = False
+    read_delay_ms = _report_schedule.get_read_delay_ms(
+        worker, event.sent_ms, state
+    )
     worker.answered_ms = _get_answered_ms(event, context)
     worker.confirmed_ms = event.sent_ms
     if worker.failed_count:
@@ -51,7 +55,7 @@
         _crashes.note_answer(worker, context)
     worker.failed_count = 0
     worker.clock_offset_ms = event.report.clock_ms - state.now_ms
-    _process_ends(worker, event, context)
+    _process_ends(worker, event, read_delay_ms, context)
     present = set()
     for row in event.report.running:
         present.add((row.key, row.run))
@@ -86,7 +90,10 @@
 
 
 def _process_ends(
-    worker: Worker, event: WorkerAnswered, context: Context
+    worker: Worker,
+    event: WorkerAnswered,
+    read_delay_ms: float,
+    context: Context,
 ) -> None:
     """Process ends in order, up to the first one of a job not yet received.
 
@@ -99,6 +106,7 @@
     is_new_owner = state.now_ms - state.ownership.taken_ms < _JOB_FEED_DELAY_MS
     worker.deferred_ends.clear()
     worker.unread_job_ids.clear()
+    read_count = 0
     for ended in event.report.ended:
         if ended.number <= worker.last_read_end_number:
             worker.needs_ack |= ended.number <= worker.last_seen
@@ -108,7 +116,11 @@
             worker.deferred_ends.add(ended.key)
             continue
         worker.last_read_end_number = ended.number
-        _attempts.apply_end(worker, ended, context)
+        read_count += 1
+        _attempts.apply_end(worker, ended, context, read_delay_ms)
+    if read_count:
+        state.count('reports_with_ends')
+        state.count('reported_ends', read_count)
 
 
 def adopt_orphaned_runs(job: Job, context: Context) -> None:
--- a/src/tulippin/jobs/_workers.py
+++ b/src/tulippin/jobs/_workers.py
@@ -17,6 +17,7 @@
     _ownership,
     _pacing,
     _probation,
+    _report_schedule,
     _unconfirmed_runs,
 )
 from tulippin.jobs._dispatch import Context, handle
@@ -189,6 +190,15 @@
     return state.now_ms + (worker.clock_offset_ms or 0)
 
 
+def schedule_report(worker: Worker, context: Context) -> None:
+    """Decide when a worker is asked for its next report after this one.
+
+    Called once the report has been evaluated, as a changed pace or a stopped
+    run makes the next one matter.
+    """
+    _report_schedule.begin_pause(worker, context.state)
+
+
 def send_due_holds(context: Context) -> None:
     """Send a hold call to every worker that is due for one.
 
@@ -213,6 +223,8 @@
         or _ownership.is_unconfirmed(state)
     ):
         return
+    if _report_schedule.is_paused(worker, state):
+        return
     deadline_ms = None
     # A probe of a worker that does not answer must not renew its lease.
     is_answering = (
@@ -230,9 +242,16 @@
             context.fencing_token,
             _take_acknowledgement(worker),
             deadline_ms,
-            _choose_wait_ms(worker),
+            _choose_wait_ms(worker, state),
         )
     )
+    _count_call(worker, state)
+
+
+def _count_call(worker: Worker, state: SchedulerState) -> None:
+    """Count a call for a report by the reason for which it is sent now."""
+    reason = _report_schedule.take_reason(worker, state)
+    state.count(f'report_calls_{reason}')
 
 
 def _take_acknowledgement(worker: Worker) -> int:
@@ -260,10 +279,12 @@
     return has_runs or is_unknown or has_ends
 
 
-def _choose_wait_ms(worker: Worker) -> int:
+def _choose_wait_ms(worker: Worker, state: SchedulerState) -> int:
     """Return how long a hold call may wait at the worker for an end."""
     if not worker.is_reconciled or worker.failed_count:
         return 0
+    if state.config.features.gathers_reports:
+        return _report_schedule.choose_wait_ms(worker, state)
     if worker.orphaned_runs or _probation.has_probation(worker):
         return _PENDING_HOLD_WAIT_MS
     for attempt in worker.attempts.values():
@@ -363,6 +384,9 @@
     state.count(f'starts_{outcome.value}')
     if outcome is OrderOutcome.UNKNOWN:
         attempt.state = AttemptState.DOUBTFUL
+        _report_schedule.end_pause(
+            worker, _report_schedule.CallReason.OPEN_ORDER
+        )
         context.log(
             'start unanswered',
             task=event.key.format(),
--- a/src/tulippin/jobs/core.py
+++ b/src/tulippin/jobs/core.py
@@ -104,6 +104,7 @@
         _advisory_inputs.learn(worker, event, context)
         _worker_health.judge(worker, context)
         _pacing.adjust(worker, context)
+        _workers.schedule_report(worker, context)
 
 
 @handle.register
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -328,7 +328,8 @@
     when the incarnation that answers under the id started, or 0 until it is
     known; all other fields but the entry are about this incarnation.
     ``needs_ack`` says that it still reports ends that are durable, up to number
-    ``last_seen``.
+    ``last_seen``. The next call for a report is not sent before
+    ``report_after_ms``, and ``report_reason`` tells why it is sent then.
     """
 
     entry: WorkerEntry
@@ -373,6 +374,8 @@
     is_superseded: bool = False
     entry_read_ms: int = 0
     born_ms: int = 0
+    report_after_ms: int = 0
+    report_reason: str = ''
 
     @property
     def worker_id(self) -> str:
