Read leases and bundles less often on instances without units

Change: with [scheduling] gathered_reads, such an instance pauses for 0.95 s between two reads of the units while every lease changed in the last read and none is released, lets a call for settings wait for 2 s, looks for a bundle every 8 s, and not at all without operators, whose signatures a bundle needs. With one unit the pause stays away: each call returns with a renewal, and fewer calls would delay a takeover by 1 s. Reads are counted by feed.

--- a/src/tulippin/jobs/_unit_feeds.py
+++ b/src/tulippin/jobs/_unit_feeds.py
@@ -13,6 +13,7 @@
 from tulippin.exceptions import UnavailableError
 from tulippin.jobs import events as ev
 from tulippin.jobs._event_sources import name_row
+from tulippin.jobs._read_schedule import FEED_WAIT_MS
 from tulippin.jobs._rows import get_version, read_record, read_row
 from tulippin.jobs.ports import (
     HistoryLostError,
@@ -40,11 +41,6 @@
 if t.TYPE_CHECKING:
     from tulippin.jobs.unit_shell import UnitShell
 
-# How long a feed's call waits at the store for a change. A broken connection
-# is noticed only when the call should have returned, so this and the store's
-# timeout together stay below the 3 s in which an instance must recover from a
-# partition.
-FEED_WAIT_MS: t.Final = 1500
 FEED_RETRY_PAUSE_S: t.Final = 0.1
 # A model takes some 10 KB for each unit, and is most useful early, while
 # little has been learned here.
@@ -196,6 +192,7 @@
                 if after < 0:
                     event, after = await self._read_jobs_again()
                 else:
+                    self.shell.count_read('jobs')
                     page = await store.follow(
                         unit.jobs_table, after, FEED_WAIT_MS
                     )
@@ -263,6 +260,7 @@
         self, after: int, models: dict[str, _ReceivedModel]
     ) -> int:
         """Read and post models changed after a version; return the next."""
+        self.shell.count_read('models')
         page = await self.shell.ports.store.follow(MODELS_TABLE, after, 0)
         own_part = self.shell.config.unit.part
         for row in page.rows:
@@ -297,6 +295,7 @@
         while True:
             await trio.sleep(_WORKERS_EVERY_S)
             read_ms = self.shell.clock()
+            self.shell.count_read('workers')
             try:
                 if after < 0:
                     changed, after = await feeds.read_workers()
--- a/src/tulippin/jobs/_unit_watch.py
+++ b/src/tulippin/jobs/_unit_watch.py
@@ -15,10 +15,11 @@
 
 from tulippin.codec_json import encode
 from tulippin.exceptions import UnavailableError
+from tulippin.jobs import _read_schedule
 from tulippin.jobs import events as ev
 from tulippin.jobs._rows import get_version, log_unreadable, read_record
 from tulippin.jobs._transactions import transact_with_retries
-from tulippin.jobs._unit_feeds import FEED_RETRY_PAUSE_S, FEED_WAIT_MS
+from tulippin.jobs._unit_feeds import FEED_RETRY_PAUSE_S
 from tulippin.jobs.layout import extend_layout, get_rack, make_layout
 from tulippin.jobs.ports import (
     HistoryLostError,
@@ -39,11 +40,9 @@
 
 if t.TYPE_CHECKING:
     from tulippin.jobs.shell import SchedulerShell
+    from tulippin.jobs.unit_shell import UnitShell
 
 _MS: t.Final = 1000
-# Pause between two reads. Each owner renews twice a second, so a pause lets
-# one read return the renewals of several owners.
-_READ_PAUSE_S: t.Final = 0.45
 # The first layout is made once the list of workers has not changed for the
 # first of these times, or after the second one at the latest. Workers write
 # their entry when they start and then every 1.1 s.
@@ -111,15 +110,27 @@
             unit.post(ev.RoomsSeen(self.shell.clock(), capacities))
 
     async def _pause(self) -> None:
-        units = self.shell.units.values()
-        if all(unit.is_owner for unit in units):
-            # No other instance renews a lease, so no changes are expected.
-            await trio.sleep(FEED_WAIT_MS / _MS)
-        elif len(units) > 1:
-            await trio.sleep(_READ_PAUSE_S)
+        config = self.shell.config
+        pause_ms = _read_schedule.choose_units_pause_ms(
+            [self._get_sight(unit) for unit in self.shell.units.values()],
+            config.features,
+            config.renew_every_ms,
+        )
+        if pause_ms:
+            await trio.sleep(pause_ms / _MS)
+
+    def _get_sight(self, unit: UnitShell) -> _read_schedule.UnitSight:
+        """Return what decides how often a unit's lease is read."""
+        return _read_schedule.UnitSight(
+            unit.is_claimed,
+            unit.is_owner,
+            unit.lease is not None and not unit.lease.released,
+            self.shell.clock() - unit.lease_seen_ms,
+        )
 
     async def _read_all(self) -> None:
         store = self.shell.ports.store
+        self.shell.read_counts['units'] += 1
         page = await store.read_rows(UNITS_TABLE, LAYOUT_PART)
         self._process_layout(page.rows)
         if self.layout_row is None:
@@ -127,13 +138,17 @@
             return
         after = page.version
         for number in self.shell.units:
+            self.shell.read_counts['units'] += 1
             page = await store.read_rows(UNITS_TABLE, Unit(number).part)
             self.shell.units[number].apply_rows(page.rows)
         self.after = after
 
     async def _follow(self) -> None:
         store = self.shell.ports.store
-        page = await store.follow(UNITS_TABLE, self.after, FEED_WAIT_MS)
+        self.shell.read_counts['units'] += 1
+        page = await store.follow(
+            UNITS_TABLE, self.after, _read_schedule.FEED_WAIT_MS
+        )
         changed = collections.defaultdict(list)
         for row in page.rows:
             changed[row.part].append(row)
--- a/src/tulippin/jobs/shell.py
+++ b/src/tulippin/jobs/shell.py
@@ -14,10 +14,10 @@
 import trio
 
 from tulippin.exceptions import UnavailableError
-from tulippin.jobs import _home_selection
+from tulippin.jobs import _home_selection, _read_schedule
 from tulippin.jobs import events as ev
 from tulippin.jobs._transactions import AnswerTimes
-from tulippin.jobs._unit_feeds import FEED_RETRY_PAUSE_S, FEED_WAIT_MS
+from tulippin.jobs._unit_feeds import FEED_RETRY_PAUSE_S
 from tulippin.jobs._unit_watch import UnitWatch
 from tulippin.jobs.layout import get_rack
 from tulippin.jobs.ports import (
@@ -86,6 +86,7 @@
         self.store_answered_ms = 0
         self.event_age_ms = 0
         self.latencies = LatencyTable()
+        self.read_counts: collections.Counter[str] = collections.Counter()
         self.answer_times = AnswerTimes()
         self._policy: ev.PolicyChanged | None = None
         self._is_store_available = False
@@ -321,11 +322,16 @@
         feeds = self.ports.feeds
         after = -1
         while True:
+            self.read_counts['settings'] += 1
+            wait_ms = _read_schedule.choose_settings_wait_ms(
+                self.config.features,
+                is_idle=_read_schedule.is_idle(self.units.values()),
+            )
             try:
                 if after < 0:
                     settings = await feeds.read_settings()
                 else:
-                    settings = await feeds.follow_settings(after, FEED_WAIT_MS)
+                    settings = await feeds.follow_settings(after, wait_ms)
             except HistoryLostError:
                 logger.info('feed restarts', feed='settings')
                 after = -1
--- a/src/tulippin/jobs/unit_shell.py
+++ b/src/tulippin/jobs/unit_shell.py
@@ -132,6 +132,10 @@
         """Whether the unit may be free for this instance to take."""
         return _ownership.may_take_over(self.state, self.clock())
 
+    def count_read(self, feed: str) -> None:
+        """Count a call of a feed to the store."""
+        self._parent.read_counts[feed] += 1
+
     def clock(self) -> int:
         """Return the monotonic time in milliseconds."""
         return self._parent.clock()
--- a/src/tulippin/scheduler_bundles.py
+++ b/src/tulippin/scheduler_bundles.py
@@ -9,14 +9,14 @@
 import trio
 
 from tulippin.exceptions import TulippinError, UnavailableError
+from tulippin.jobs import _read_schedule
 from tulippin.jobs._rows import read_row
 from tulippin.jobs.events import PolicyChanged
 from tulippin.jobs.records import PRODUCT_PART, PRODUCT_TABLE
 from tulippin.jobs.shell import SchedulerShell
 from tulippin.logs import logger
 
-# A new bundle must be in force within 12 s; reading the head takes 5 ms.
-_CHECK_INTERVAL_S: t.Final = 4.0
+_MS: t.Final = 1000
 _HEAD_KEY: t.Final = 'bundle-head'
 
 
@@ -35,12 +35,24 @@
         Operators' public keys. A bundle without valid signatures of these
         keys is rejected.
     """
+    if shell.config.features.gathers_reads and not keys:
+        # No bundle has a valid signature, so none is put in force.
+        logger.info('bundles not followed', reason='no operators are known')
+        await trio.sleep_forever()
     follower = _Follower(shell, keys)
+    has_failed = False
     while True:
-        await trio.sleep(_CHECK_INTERVAL_S)
+        interval_ms = _read_schedule.choose_bundles_interval_ms(
+            shell.config.features,
+            is_idle=_read_schedule.is_idle(shell.units.values()),
+            has_failed=has_failed,
+        )
+        await trio.sleep(interval_ms / _MS)
+        has_failed = False
         try:
             await follower.check()
         except UnavailableError as error:
+            has_failed = True
             shell.record_store_result(error)
         except TulippinError as error:
             follower.log_rejected(error)
@@ -63,6 +75,7 @@
         bundle row may be corrected without a new head.
         """
         store = self.shell.ports.store
+        self.shell.read_counts['bundles'] += 1
         head = await read_row(store, PRODUCT_TABLE, PRODUCT_PART, _HEAD_KEY)
         if head is None or head.version == self.head_version:
             return
--- a/src/tulippin/scheduler_operators.py
+++ b/src/tulippin/scheduler_operators.py
@@ -57,6 +57,7 @@
         for name, count in sorted(counts.items()):
             counters.add_metric([name], count)
         yield counters
+        yield self._make_read_counter()
         yield _make_failure_counter()
         yield from _iter_gauges(
             {
@@ -67,6 +68,17 @@
         )
         yield from iter_latency_metrics(self._shell.latencies)
 
+    def _make_read_counter(self) -> Metric:
+        """Return the counts of calls to the store by feed."""
+        metric = CounterMetricFamily(
+            'tulippin_store_reads',
+            'Calls to the store, by the feed that made them',
+            labels=['feed'],
+        )
+        for feed, count in sorted(self._shell.read_counts.items()):
+            metric.add_metric([feed], count)
+        return metric
+
 
 def _make_failure_counter() -> Metric:
     """Return the counts of contained errors by failed component."""
--- a/tests/tulippin/test_invalid_bundles.py
+++ b/tests/tulippin/test_invalid_bundles.py
@@ -1,5 +1,7 @@
 """Invalid bundle rows, as another writer might leave them."""
 
+import collections
+
 import logbook
 import pytest
 import trio
@@ -7,6 +9,8 @@
 from tulippin.bundle_store import BundleStore
 from tulippin.bundles import compute_digest, make_key, sign
 from tulippin.jobs.events import PolicyChanged
+from tulippin.jobs.features import Features
+from tulippin.jobs.state import SchedulerConfig
 from tulippin.platform.standin_store import StandinStore
 from tulippin.row_table import RowTable
 from tulippin.scheduler_bundles import follow_bundles
@@ -33,9 +37,14 @@
 class RecordingShell:
     """Records the events that are posted to the scheduler."""
 
-    def __init__(self, store):
+    def __init__(self, store, features=None):
         self.ports = self
         self.store = store
+        self.config = SchedulerConfig(
+            'i', 'i:1', features=features or Features()
+        )
+        self.units = {}
+        self.read_counts = collections.Counter()
         self.posted = []
 
     def clock(self):
