--- a/src/tulippin/jobs/_committing.py
+++ b/src/tulippin/jobs/_committing.py
@@ -19,7 +19,6 @@
     _lifecycle,
     _model_store,
     _ownership,
-    _report_schedule,
     _reports,
     _transfers,
     _unconfirmed_runs,
@@ -264,13 +263,14 @@
         _acknowledge_ends(context)
         return
     waited_ms = state.now_ms - state.dirty_since_ms
-    is_due = is_urgent or waited_ms >= _COMMIT_DELAY_MS
-    if is_due or _report_schedule.needs_early_commit(state):
+    is_urgent = is_urgent or state.is_early_commit_due
+    if is_urgent or waited_ms >= _COMMIT_DELAY_MS:
         _commit(context)
 
 
 def _commit(context: Context) -> None:
     state = context.state
+    state.is_early_commit_due = False
     chosen = sorted(
         state.dirty_jobs,
         key=lambda job_id: state.jobs[job_id].state not in FINAL_STATES,
--- a/src/tulippin/jobs/_report_schedule.py
+++ b/src/tulippin/jobs/_report_schedule.py
@@ -121,6 +121,7 @@
     worker.report_after_ms = 0
     if not state.config.features.gathers_reports:
         return
+    _note_hidden_end(worker, state)
     reason = _find_reason(worker, state)
     if reason is None:
         reason, until_ms = _plan_pause(worker, state)
@@ -149,12 +150,14 @@
     be wrong, so that the last run of a step is not always known before.
     """
     step_key = (key.occurrence, key.step)
-    if job.remaining.get(step_key) != 1:
+    is_on = state.config.features.gathers_reports
+    if not is_on or job.remaining.get(step_key) != 1:
         return
     for attempt in _iter_undone(job, key, state):
         worker = state.workers.get(attempt.worker_id) if attempt else None
         if worker is not None:
             end_pause(worker, CallReason.STEP_ENDS)
+            _note_hidden_end(worker, state)
 
 
 def is_paused(worker: Worker, state: SchedulerState) -> bool:
@@ -292,29 +295,21 @@
     return CallReason.PAUSED, until_ms
 
 
-def needs_early_commit(state: SchedulerState) -> bool:
-    """Whether ends that were read have to be acknowledged at once.
+def _note_hidden_end(worker: Worker, state: SchedulerState) -> None:
+    """Have ends committed at once if they hide an end that a job waits for.
 
     A worker returns ends that are not acknowledged again at once, so it is not
     called until they are durable, 0.12 s later. The end of an urgent run in
-    this time was read up to 0.13 s late.
+    this time was read up to 0.13 s late. This is decided once for a report, as
+    deciding it with each event doubled the processor time of an owner.
     """
-    if not state.config.features.gathers_reports:
-        return False
-    return any(
-        _hides_urgent_end(worker, state)
-        for worker in state.workers.values()
-        if worker.last_read_end_number > worker.last_seen
-    )
-
-
-def _hides_urgent_end(worker: Worker, state: SchedulerState) -> bool:
-    """Whether an end that a job waits for is due before the next commit."""
+    if worker.last_read_end_number <= worker.last_seen:
+        return
     until_ms = state.now_ms + _COMMIT_MS
-    return any(
+    state.is_early_commit_due |= any(
         get_earliest_end_ms(attempt, state) <= until_ms
-        and _may_complete_step(attempt, until_ms, state)
         and (_is_urgent(attempt.step) or _is_due_soon(attempt, state))
+        and _may_complete_step(attempt, until_ms, state)
         for attempt in worker.attempts.values()
         if not attempt.step.long_running
     )
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import collections
 import enum
 import typing as t
 
@@ -444,6 +445,22 @@
     noted_ms: int = 0
 
 
+@attrs.define
+class CompletedWork:
+    """Work of one queue that was completed recently.
+
+    ``ends`` holds for each end of a task its time and its predicted work in
+    core-milliseconds, oldest first. ``long_since_ms`` is the time since when
+    every measurement has found enough tasks waiting for a start that the ends
+    show what the unit can do; None if the last one has not.
+    """
+
+    ends: collections.deque[tuple[int, float]] = attrs.field(
+        factory=collections.deque
+    )
+    long_since_ms: int | None = None
+
+
 @attrs.define
 class Ownership:
     """Ownership of the unit, as this instance knows it.
@@ -520,6 +537,9 @@
     earlier owners had on their roster, and ``has_reached_half`` tells
     whether half of those that are listed, or more, refuse these owners.
 
+    ``is_early_commit_due`` says that ends were read that keep an urgent end
+    from being read until they are durable.
+
     Advisory inputs are ignored until ``advisory_paused_until_ms`` after one of
     them raised an error. ``advisory_pause_ms`` is the length of the last such
     pause, and ``excluded_rows`` names row versions that are excluded for good.
@@ -561,6 +581,7 @@
     dirty_jobs: dict[str, None] = attrs.field(factory=dict)
     dirty_since_ms: int = 0
     is_committing: bool = False
+    is_early_commit_due: bool = False
     roster: dict[str, str] = attrs.field(factory=dict)
     roster_births_ms: dict[str, int] = attrs.field(factory=dict)
     roster_version: int = 0
@@ -589,6 +610,7 @@
         factory=dict
     )
     queue_kinds: dict[str, QueueKinds] = attrs.field(factory=dict)
+    completed_work: dict[str, CompletedWork] = attrs.field(factory=dict)
     uncrowded_ms: dict[str, int] = attrs.field(factory=dict)
     uncrowded_checked_ms: int = 0
     cached_largest_new: dict[tuple[str, int], tuple[int, int | None]] = (
--- a/tests/tulippin/jobs/test_report_schedule.py
+++ b/tests/tulippin/jobs/test_report_schedule.py
@@ -130,7 +130,7 @@
     state.config = attrs.evolve(state.config, features=Features())
     assert begin(worker, state) == (0, '')
     assert _report_schedule.take_reason(worker, state) == 'not_gathered'
-    assert not _report_schedule.needs_early_commit(state)
+    assert not state.is_early_commit_due
 
 
 def test_worker_without_ends_due_is_called_at_once(state, worker):
@@ -323,9 +323,11 @@
     """No call is open while ends that were read are not durable."""
     urgent = add_job(state, attrs.evolve(URGENT, task_count=1))
     add_run(urgent, 0, worker, ends_in_ms)
-    assert not _report_schedule.needs_early_commit(state)
+    begin(worker, state)
+    assert not state.is_early_commit_due
     worker.last_read_end_number = 1
-    assert _report_schedule.needs_early_commit(state) is is_early
+    begin(worker, state)
+    assert state.is_early_commit_due is is_early
 
 
 def test_read_delay_is_half_of_the_time_without_a_call(state, worker):
