--- a/src/tulippin/jobs/_attempts.py
+++ b/src/tulippin/jobs/_attempts.py
@@ -12,6 +12,7 @@
     _interference,
     _lifecycle,
     _ready_queues,
+    _report_schedule,
     _run_times,
     _worker_failures,
 )
@@ -65,6 +66,7 @@
     worker.attempts[attempt.key, attempt.run] = attempt
     worker.reserved = worker.reserved.add(attempt.step.reserved)
     _interference.add_attempt(attempt, worker)
+    _report_schedule.note_run(attempt, worker)
 
 
 def note_running(attempt: Attempt, context: Context) -> None:
@@ -141,11 +143,27 @@
         _ready_queues.add(task, step, context.state)
 
 
-def apply_end(worker: Worker, ended: EndedRun, context: Context) -> None:
+def apply_end(
+    worker: Worker,
+    ended: EndedRun,
+    context: Context,
+    read_delay_ms: float = 0.0,
+) -> None:
     """Apply the end of a run that its worker reports.
 
     A done task opens further steps or finishes its job, a failed run counts
     towards the job's limit, and after any other outcome the task is ready.
+
+    Parameters
+    ----------
+    worker : Worker
+        The worker that reports the end.
+    ended : EndedRun
+        The end.
+    context : Context
+        Collects effects and log lines.
+    read_delay_ms : float, optional
+        How long ago the run is expected to have ended.
     """
     attempt = worker.attempts.get((ended.key, ended.run))
     if attempt is not None:
@@ -173,7 +191,7 @@
     _worker_failures.record_outcome(worker, ended, context)
     if ended.outcome is RunOutcome.DONE:
         if attempt is not None:
-            _learn_done(job, task, attempt, context.state)
+            _learn_done(job, task, attempt, read_delay_ms, context.state)
         _end_done(job, task, context)
         return
     if ended.outcome is RunOutcome.FAILED:
@@ -182,13 +200,19 @@
 
 
 def _learn_done(
-    job: Job, task: Task, attempt: Attempt, state: SchedulerState
+    job: Job,
+    task: Task,
+    attempt: Attempt,
+    read_delay_ms: float,
+    state: SchedulerState,
 ) -> None:
     """Learn from a run that was done, before its task is marked so."""
+    run_ms = state.now_ms - attempt.sent_ms
+    # A run that began in a pause ended in the second half of its time.
+    delay_ms = int(min(read_delay_ms, run_ms / 2))
     if not attempt.is_slow_start:
-        run_ms = state.now_ms - attempt.sent_ms
-        _run_times.learn(job, attempt.step, run_ms, state)
-    _forecasting.note_done(job, attempt, state)
+        _run_times.learn(job, attempt.step, run_ms - delay_ms, state)
+    _forecasting.note_done(job, attempt, state, delay_ms)
     if attempt.copy_of and not task.is_done:
         state.count('copies_ended_first')
 
@@ -198,6 +222,7 @@
     for member in _iter_members(job, task):
         _lifecycle.mark_done(job, member, context)
         stop_task(member, context, 'task is done')
+    _report_schedule.note_end(job, task.key, context.state)
     if job.state in FINAL_STATES:
         stop_job(job, context, 'job is finished')
 
@@ -269,6 +294,7 @@
     if worker is None:
         return
     attempt.stop_sent_ms = context.state.now_ms
+    _report_schedule.end_pause(worker, _report_schedule.CallReason.OPEN_ORDER)
     order_stop(worker, attempt.key, attempt.run, context)
 
 
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -348,7 +348,8 @@
     known; all other fields but the entry are about this incarnation.
     ``needs_ack`` says that it still reports ends that are durable, up to number
     ``last_seen``. ``has_good_end`` says that this owner has read the end of a
-    run there that was done.
+    run there that was done. The next call for a report is not sent before
+    ``report_after_ms``, and ``report_reason`` tells why it is sent then.
     """
 
     entry: WorkerEntry
@@ -394,6 +395,8 @@
     is_superseded: bool = False
     entry_read_ms: int = 0
     born_ms: int = 0
+    report_after_ms: int = 0
+    report_reason: str = ''
 
     @property
     def worker_id(self) -> str:
@@ -554,6 +557,9 @@
     earlier owners had on their roster, and ``has_reached_half`` tells
     whether half of those that are listed, or more, refuse these owners.
 
+    ``is_early_commit_due`` says that ends were read that keep an urgent end
+    from being read until they are durable.
+
     Advisory inputs are ignored until ``advisory_paused_until_ms`` after one of
     them raised an error. ``advisory_pause_ms`` is the length of the last such
     pause, and ``excluded_rows`` names row versions that are excluded for good.
@@ -595,6 +601,7 @@
     dirty_jobs: dict[str, None] = attrs.field(factory=dict)
     dirty_since_ms: int = 0
     is_committing: bool = False
+    is_early_commit_due: bool = False
     roster: dict[str, str] = attrs.field(factory=dict)
     roster_births_ms: dict[str, int] = attrs.field(factory=dict)
     roster_version: int = 0
