Pause only the runs that cost their neighbours more than they earn

Cause: nothing happened until a target had been missed for 1,800 ms. Then all opportunistic runs on the worker paused, also those that disturb nothing, and all resumed together once the targets were met.

With harm_budget, the expected loss by tasks over their targets (a burn rate over two seconds) is compared with what the job of each run earns. The runs that the interference model names as the cause pause for the least gain, and resume one by one with the slack. Each task has its own clock. A miss that nears harm_limit_ms ends at any price, and all runs pause early enough that late reports and a lost order are covered: this is checked at ticks too. A run with checkpoints that causes a miss moves at once if another worker takes it. Late work uses up at most half of the slack, work of no value none. With the feature off nothing changes.

--- a/src/tulippin/jobs/_interference.py
+++ b/src/tulippin/jobs/_interference.py
@@ -15,12 +15,13 @@
 
 import attrs
 
-from tulippin.jobs import _tail_latency
+from tulippin.jobs import _ranking, _ready_queues, _tail_latency
 from tulippin.jobs.state import (
     Attempt,
     AttemptState,
     Observation,
     SchedulerState,
+    Task,
     Worker,
 )
 from tulippin.jobs.types import Step
@@ -68,6 +69,17 @@
 # use varies by half around it. Values of 0.4 and 0.65, or the load derived
 # from current tails, lower the value of placements by 0.02 to 0.06.
 _SERVING_USE_RATIO: t.Final = 0.5
+# Time until a pause shows in the tails of the neighbours, and the share of the
+# target that these have to reach by it.
+_PAUSE_EFFECT_MS: t.Final = 500
+_PAUSE_GOAL_RATIO: t.Final = 0.95
+# Share of the slack that a task may use up, by the outcome that its job can
+# still reach. What a task of little value uses up is missing for others.
+_SLACK_SHARES: t.Final = {
+    _ranking.Lateness.IN_TIME: 1.0,
+    _ranking.Lateness.LATE: 0.5,
+    _ranking.Lateness.WORTHLESS: 0.0,
+}
 
 
 def add_attempt(attempt: Attempt, worker: Worker) -> None:
@@ -351,6 +363,22 @@
     return weight * share
 
 
+def get_disturbances(
+    attempt: Attempt, worker: Worker, state: SchedulerState
+) -> dict[str, float]:
+    """Return the excess that a run at full pace causes, by serving image.
+
+    Images that it does not disturb are left out.
+    """
+    disturbances: dict[str, float] = {}
+    images = {one.step.image for one in worker.serving.values()}
+    for image in images:
+        excess = get_contribution(image, attempt, worker, state)
+        if excess > _NEGLIGIBLE_EXCESS:
+            disturbances[image] = excess
+    return disturbances
+
+
 def get_expected(
     serving_image: str, worker: Worker, state: SchedulerState
 ) -> float:
@@ -411,6 +439,24 @@
     return max(0.0, slowdown - 1 - _CHANCE_EXCESS)
 
 
+def get_missing_slack(
+    attempt: Attempt, worker: Worker, state: SchedulerState
+) -> float:
+    """Return the excess to remove for a task over its target to meet it.
+
+    Unlike the slack it counts all of the slowdown that the tail shows, and the
+    load at the time when a pause takes effect. It is negative if the target
+    will be met by then, as the load falls.
+    """
+    expected = get_expected(attempt.step.image, worker, state)
+    idle_ms = _tail_latency.get_unloaded_tail_ms(attempt, state)
+    load = _tail_latency.get_load(attempt, state, expected)
+    slowdown = _tail_latency.compute_slowdown(attempt.tail_ms, idle_ms, load)
+    change = _tail_latency.predict_load_change(attempt, state, _PAUSE_EFFECT_MS)
+    goal_ms = _PAUSE_GOAL_RATIO * attempt.step.target_ms
+    return slowdown - 1 / (idle_ms / goal_ms + max(0.0, load + change))
+
+
 def get_slack(worker: Worker, state: SchedulerState) -> dict[str, float]:
     """Return the slack of each serving image on a worker.
 
@@ -492,8 +538,20 @@
     return max(0.0, tolerated)
 
 
+def get_slack_share(task: Task, state: SchedulerState) -> float:
+    """Return the share of a worker's slack that a task may use up."""
+    job = state.jobs.get(task.key.job_id)
+    if job is None or not state.config.features.budgets_harm:
+        return 1.0
+    step_key = _ready_queues.get_step_key(task.key)
+    return _SLACK_SHARES[_ranking.get_lateness(job, step_key, state)]
+
+
 def compute_harm(
-    step: Step, worker: Worker, state: SchedulerState
+    step: Step,
+    worker: Worker,
+    state: SchedulerState,
+    slack_share: float = 1.0,
 ) -> float | None:
     """Return the harm of placing an opportunistic task on a worker.
 
@@ -502,6 +560,18 @@
     pair of which little is known is only tried where the slack suffices for
     the worse case.
 
+    Parameters
+    ----------
+    step : Step
+        The step of the task.
+    worker : Worker
+        The worker, with its slack.
+    state : SchedulerState
+        Holds the model.
+    slack_share : float
+        The share of each slack that the task may use up. With 0, only workers
+        where the task disturbs no image are accepted.
+
     Returns
     -------
     float, optional
@@ -516,7 +586,7 @@
         excess = state.model.get_bound(image, step.image) * share
         if excess <= _NEGLIGIBLE_EXCESS:
             continue
-        if excess > slack:
+        if excess > slack * slack_share:
             return None
         harm += excess / max(slack, _MIN_SLACK)
     return harm
--- a/src/tulippin/jobs/_pacing.py
+++ b/src/tulippin/jobs/_pacing.py
@@ -3,7 +3,8 @@
 An opportunistic task is placed where the model expects no harm and then runs
 at full pace: a slowed one holds its processors and memory and makes its job
 late. A short miss of a target is tolerated; a longer one pauses all
-opportunistic runs on the worker until the tails recover.
+opportunistic runs on the worker until the tails recover. With a harm budget,
+only the runs that cause a miss pause (``_shedding``), before the hard limit.
 """
 
 from __future__ import annotations
@@ -17,6 +18,7 @@
     _interference,
     _ownership,
     _scoring,
+    _shedding,
     _slow_start,
 )
 from tulippin.jobs._dispatch import Context, handle
@@ -71,9 +73,10 @@
 def adjust(worker: Worker, context: Context) -> None:
     """Choose and send the paces of a worker's opportunistic runs."""
     fillers = _list_running(worker)
-    if not fillers:
+    if not (fillers or _shedding.is_recovering(worker, context.state)):
         worker.targets_missed_since_ms = 0
         worker.targets_met_since_ms = 0
+        worker.harm_budget.reset()
         return
     _limit_adopted(worker, fillers, context)
     _choose_paces(worker, fillers, context)
@@ -108,10 +111,39 @@
     if not context.may_send_orders:
         return
     for worker in context.state.workers.values():
-        if worker.fillers and _feasibility.has_stale_tails(
-            worker, context.state
-        ):
+        if not worker.fillers:
+            continue
+        if _feasibility.has_stale_tails(worker, context.state):
             _pause_unreported(worker, context)
+        elif context.state.config.features.budgets_harm:
+            _enforce_limit(worker, context)
+
+
+def _enforce_limit(worker: Worker, context: Context) -> None:
+    """Pause all runs in time if the next report is late, and repeat orders.
+
+    A miss goes on between two reports, and a pace whose order was lost is not
+    in force.
+    """
+    state = context.state
+    fillers = _list_running(worker)
+    if _shedding.must_pause_all(worker, state):
+        regular = [one for one in fillers if not one.is_slow_start]
+        shed = _shedding.pause_all(worker, regular, state)
+        for attempt in fillers:
+            attempt.target_pace_percent = 0
+        if shed:
+            worker.pace_changed_ms = state.now_ms
+            _interference.invalidate_slack(worker)
+            context.log(
+                'pace worker',
+                worker=worker.worker_id,
+                lasted_ms=worker.harm_budget.get_longest_ms(state.now_ms),
+                answered_ago_ms=state.now_ms - worker.answered_ms,
+                shed=shed,
+            )
+    for attempt in fillers:
+        send_if_changed(attempt, worker, context)
 
 
 def _pause_unreported(worker: Worker, context: Context) -> None:
@@ -144,8 +176,17 @@
     percent = 0 if missed_for_ms >= _PAUSE_DELAY_MS else _FULL_PERCENT
     before = [attempt.target_pace_percent for attempt in fillers]
     may_raise = state.now_ms - worker.pace_changed_ms >= _RAISE_DELAY_MS
+    has_budget = state.config.features.budgets_harm
+    outcome = (
+        _update_budget(worker, fillers, state, may_raise=may_raise)
+        if has_budget
+        else None
+    )
     for attempt in fillers:
         wanted = percent
+        if has_budget:
+            is_paused = _shedding.is_paused(attempt, worker)
+            wanted = 0 if is_paused else _FULL_PERCENT
         if attempt.is_slow_start:
             wanted = _slow_start.adjust_pace(attempt, worker, ratio, state)
         if wanted < attempt.target_pace_percent or may_raise:
@@ -164,9 +205,39 @@
         lasted_ms=missed_for_ms,
         before_percent=before,
         percent=after,
+        **_describe(outcome),
     )
 
 
+def _update_budget(
+    worker: Worker,
+    fillers: list[Attempt],
+    state: SchedulerState,
+    *,
+    may_raise: bool,
+) -> _shedding.Outcome:
+    """Choose the runs that pause by what they cost and earn."""
+    missed = [
+        attempt
+        for attempt in worker.serving.values()
+        if _get_ratio(attempt) > _MISS_RATIO
+    ]
+    return _shedding.update(worker, fillers, missed, state, may_raise=may_raise)
+
+
+def _describe(outcome: _shedding.Outcome | None) -> dict[str, t.Any]:
+    """Return log fields on what was decided by the harm budget."""
+    if outcome is None:
+        return {}
+    return {
+        'burn_rate': round(outcome.burn_rate, 2),
+        'cost': round(outcome.shedding.cost, 2),
+        'gain': round(outcome.shedding.gain, 2),
+        'shed': outcome.shed,
+        'resumed': outcome.resumed,
+    }
+
+
 def _track_miss(worker: Worker, ratio: float, state: SchedulerState) -> None:
     """Track since when a target has been missed, or that all are met again.
 
@@ -196,9 +267,12 @@
 def _move_slowed(fillers: list[Attempt], context: Context) -> None:
     """Stop runs slowed for long that another worker can take.
 
-    Only runs that lose little by it: with checkpoints, or little progress.
+    Only runs that lose little by it: with checkpoints, or little progress. Of
+    those that pause because they cause a miss one moves at a time, as the same
+    capacity elsewhere would be counted for all of them.
     """
     now_ms = context.state.now_ms
+    has_moved_cause = False
     for attempt in fillers:
         if attempt.target_pace_percent and not _is_held_back(attempt):
             attempt.slowed_since_ms = 0
@@ -208,13 +282,29 @@
             attempt.step.checkpointing
             or attempt.progress_percent < _MAX_LOST_PROGRESS_PERCENT
         )
+        is_cause = _is_movable_cause(attempt, context)
         is_long = now_ms - attempt.slowed_since_ms >= _MOVE_DELAY_MS
+        is_due = is_long or (is_cause and not has_moved_cause)
         may_go = is_cheap and _availability.may_end_run(attempt, context)
-        if may_go and is_long and _fits_elsewhere(attempt, context):
+        if may_go and is_due and _fits_elsewhere(attempt, context):
+            has_moved_cause = has_moved_cause or is_cause
             _attempts.avoid(attempt, context)
             _attempts.stop_attempt(attempt, context, 'slowed for long')
 
 
+def _is_movable_cause(attempt: Attempt, context: Context) -> bool:
+    """Whether a run pauses for a miss that it causes, and saves checkpoints.
+
+    It would pause until the load falls; elsewhere it goes on sooner.
+    """
+    worker = context.state.workers.get(attempt.worker_id)
+    return (
+        worker is not None
+        and attempt.step.checkpointing
+        and _shedding.is_cause(attempt, worker)
+    )
+
+
 def _is_held_back(attempt: Attempt) -> bool:
     """Whether a slow-started run would end much sooner at full pace."""
     is_held = attempt.target_pace_percent <= _HELD_BACK_PERCENT
--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -105,9 +105,10 @@
     queue: dict[_ready_queues.StepKey, dict[TaskKey, Task]]
     budget: int = _MAX_STARTS_PER_PASS
     # Sizes of opportunistic tasks, by service and image, that no worker
-    # accepts next to the tasks that it serves.
-    rejected_sizes: dict[tuple[str, str], list[Resources]] = attrs.field(
-        factory=dict
+    # accepts next to the tasks that it serves, with the share of the slack
+    # that they were allowed to use up.
+    rejected_sizes: dict[tuple[str, str], list[tuple[float, Resources]]] = (
+        attrs.field(factory=dict)
     )
     # Sizes of unconstrained tasks that no worker has capacity for, by service
     # and by whether the task has to leave headroom.
@@ -211,7 +212,7 @@
             # Needed even if the task fits nowhere in this pass: a slow start
             # requires a ticket for the worker.
             _advice.ask_if_due(job, step_key, self.context)
-        if self._exceeds_rejected_size(job, step):
+        if self._exceeds_rejected_size(job, step, step_key):
             return
         state = self.context.state
         tasks = [
@@ -231,15 +232,26 @@
                 self._record_rejected_size(job, step, task)
                 break
 
-    def _exceeds_rejected_size(self, job: Job, step: Step) -> bool:
+    def _exceeds_rejected_size(
+        self, job: Job, step: Step, step_key: _ready_queues.StepKey
+    ) -> bool:
         """Whether a task of the image that is no larger was rejected."""
         if not step.opportunistic:
             return False
-        place = job.queue.service, step.image
+        rejected = self.rejected_sizes.get((job.queue.service, step.image))
+        if not rejected:
+            return False
+        share = self._get_slack_share(step_key)
         return any(
-            step.size.fits(size) for size in self.rejected_sizes.get(place, ())
+            step.size.fits(size) and share <= rejected_share
+            for rejected_share, size in rejected
         )
 
+    def _get_slack_share(self, step_key: _ready_queues.StepKey) -> float:
+        """Return the share of a worker's slack that a step may use up."""
+        task = next(iter(self.queue[step_key].values()))
+        return _interference.get_slack_share(task, self.context.state)
+
     def _record_rejected_size(self, job: Job, step: Step, task: Task) -> None:
         """Record that no worker accepts an opportunistic task of this size.
 
@@ -254,7 +266,8 @@
         if not _worker_selection.is_limited_by_memory(task, step, state):
             size = attrs.evolve(size, memory_mb=0)
         place = job.queue.service, step.image
-        self.rejected_sizes.setdefault(place, []).append(size)
+        share = _interference.get_slack_share(task, state)
+        self.rejected_sizes.setdefault(place, []).append((share, size))
 
     def _exceeds_free_capacity(self, job: Job, step: Step, task: Task) -> bool:
         """Whether no worker had capacity for a task that is no larger."""
--- a/src/tulippin/jobs/_scoring.py
+++ b/src/tulippin/jobs/_scoring.py
@@ -86,7 +86,16 @@
     step: Step,
     state: SchedulerState,
 ) -> float | None:
+    limit_ms = state.config.features.harm_limit_ms
+    if worker.harm_budget.refuses_runs(state.now_ms, limit_ms):
+        return None
     harm = _interference.compute_harm(step, worker, state)
+    if harm:
+        # The share is only computed where it may matter, as this is called
+        # for each pair of task and worker.
+        share = _interference.get_slack_share(task, state)
+        if share < 1:
+            harm = _interference.compute_harm(step, worker, state, share)
     if harm is None:
         return None
     return _get_used_share(worker) + _HARM_WEIGHT * harm
--- a/src/tulippin/jobs/_tail_latency.py
+++ b/src/tulippin/jobs/_tail_latency.py
@@ -210,6 +210,18 @@
     return highest * attempt.cycle_load_factor
 
 
+def predict_load_change(
+    attempt: Attempt, state: SchedulerState, ahead_ms: int
+) -> float:
+    """Return how much a task's load changes, 0 if its cycle is not known."""
+    job_id = attempt.key.job_id
+    current = state.swings.predict_load(job_id, state.now_ms)
+    later = state.swings.predict_load(job_id, state.now_ms + ahead_ms)
+    if current is None or later is None:
+        return 0.0
+    return (later - current) * attempt.cycle_load_factor
+
+
 def get_load(
     attempt: Attempt,
     state: SchedulerState,
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from tulippin.jobs._harm_budget import HarmBudget
 from tulippin.jobs.features import Features
 from tulippin.jobs.load_cycles import LoadCycleModel
 from tulippin.jobs.pair_model import PairModel
@@ -360,6 +361,7 @@
     pace_changed_ms: int = 0
     targets_missed_since_ms: int = 0
     targets_met_since_ms: int = 0
+    harm_budget: HarmBudget = attrs.field(factory=HarmBudget)
     uncommitted_ends: dict[int, TaskKey] = attrs.field(factory=dict)
     deferred_ends: set[TaskKey] = attrs.field(factory=set)
     orphaned_runs: dict[tuple[TaskKey, int], int] = attrs.field(factory=dict)
--- a/src/tulippin/scheduler_operators.py
+++ b/src/tulippin/scheduler_operators.py
@@ -29,6 +29,12 @@
 from tulippin.row_table import RowTable
 from tulippin.scheduler_process_records import ProcessRecorder
 
+_HARM_COUNTERS: t.Final = (
+    'harm_missed_ms',
+    'harm_runs_shed',
+    'harm_shed_core_ms',
+)
+
 
 class SchedulerMetrics(Collector):
     """Collects the metrics of an instance at each scrape."""
@@ -57,6 +63,12 @@
         for name, count in sorted(counts.items()):
             counters.add_metric([name], count)
         yield counters
+        yield _make_harm_counter(
+            {
+                number: unit.state.counters
+                for number, unit in self._shell.units.items()
+            }
+        )
         yield _make_failure_counter()
         yield from _iter_gauges(
             {
@@ -68,6 +80,21 @@
         yield from iter_latency_metrics(self._shell.latencies)
 
 
+def _make_harm_counter(
+    counters: t.Mapping[int, t.Mapping[str, int]],
+) -> Metric:
+    """Return what missed targets and pauses cost, by unit."""
+    metric = CounterMetricFamily(
+        'tulippin_harm',
+        'Missed targets in ms, pauses, and what these did not earn in core-ms',
+        labels=['unit', 'name'],
+    )
+    for unit, counts in sorted(counters.items()):
+        for name in _HARM_COUNTERS:
+            metric.add_metric([str(unit), name], counts.get(name, 0))
+    return metric
+
+
 def _make_failure_counter() -> Metric:
     """Return the counts of contained errors by failed component."""
     metric = CounterMetricFamily(
--- a/tests/tulippin/platform/test_platform_daemon.py
+++ b/tests/tulippin/platform/test_platform_daemon.py
@@ -242,6 +242,8 @@
         assert found['jobs'][0]['state'] == 'completed'
         metrics = await site.call('GET', '/metrics', port=port)
         assert b'tulippin_call_seconds' in metrics.body
+        harm = b'tulippin_harm_total{name="harm_runs_shed",unit="0"} 0.0'
+        assert harm in metrics.body
         jobs = await site.call('GET', f'/v1/jobs/{JOB}', port=port)
         assert json.loads(jobs.body)['queue'] == 'q'
         bundles = await site.call('GET', '/v1/bundles', port=port)
