--- a/src/tulippin/jobs/_harm_budget.py
+++ b/src/tulippin/jobs/_harm_budget.py
@@ -117,7 +117,7 @@
     ``read_ms`` is the time of the last reading, ``shed_ms`` that of the last
     pause, ``exposed_ms`` when an opportunistic run last ran there.
     ``is_all_paused`` says that a miss lasted until all runs paused, and
-    that some of them still do: the model has not named the cause.
+    that some still do which the model does not take for its cause.
     """
 
     misses: dict[RunId, Miss] = attrs.field(factory=dict)
@@ -214,7 +214,8 @@
         resume one after the other.
         """
         return self.is_all_paused or any(
-            self.is_forced(run_id, now_ms, limit_ms) for run_id in self.misses
+            miss.is_open and self.is_forced(run_id, now_ms, limit_ms)
+            for run_id, miss in self.misses.items()
         )
 
     def is_forced(self, run_id: RunId, now_ms: int, limit_ms: int) -> bool:
--- a/src/tulippin/jobs/_shedding.py
+++ b/src/tulippin/jobs/_shedding.py
@@ -78,7 +78,11 @@
     _record(worker, fillers, missed, state)
     for run_id in budget.shed.keys() - worker.fillers.keys():
         del budget.shed[run_id]
-    budget.is_all_paused = budget.is_all_paused and bool(budget.shed)
+    budget.is_all_paused = budget.is_all_paused and any(
+        not one.is_cause for one in budget.shed.values()
+    )
+    if not fillers:
+        return Outcome()
     # Slow-started runs pause at the first miss, and resume by their own rule.
     regular = [one for one in fillers if not one.is_slow_start]
     outcome = Outcome(
--- a/tests/harm_load.py
+++ b/tests/harm_load.py
@@ -114,7 +114,7 @@
                 known_ms = self.tails_ms.get(place, IDLE_MS)
                 self.tails_ms[place] = kept * known_ms + (1 - kept) * tail_ms
                 if counts:
-                    self._count(place, bool(used), now_s)
+                    self._count(place, now_s)
 
     def _sum_used(self, worker):
         used = {}
@@ -146,7 +146,7 @@
             self.factors[key] = math.exp(self.source.gauss(0, SPREAD))
         return self.factors[key]
 
-    def _count(self, place, is_disturbed, now_s):
+    def _count(self, place, now_s):
         if self.tails_ms[place] <= TARGET_MS:
             self.missed_since_s.pop(place, None)
             return
--- a/tests/tulippin/jobs/test_shedding.py
+++ b/tests/tulippin/jobs/test_shedding.py
@@ -355,6 +355,18 @@
     assert list_paused(worker) == ['c']
 
 
+# Guards against a failure of the unit at a second miss on such a worker.
+def test_miss_that_begins_after_the_last_run_is_ignored():
+    state, worker = make_worker()
+    add_filler(state, worker, 'b', 'first', excess=0.0)
+    for _ in range(2):
+        report(state, worker)
+    worker.fillers.clear()
+    make_attempt(worker, make_service_request(), 'd', load=MISSED_MS)
+    report(state, worker)
+    assert [run_id[0].job_id for run_id in worker.harm_budget.misses] == ['a']
+
+
 # Guards against runs that pause for a miss that no neighbour causes.
 def test_miss_that_outlasts_all_runs_is_dropped():
     state, worker = make_worker()
