--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -92,6 +92,20 @@
         _PlacementPass(context, state.ready_opportunistic).run()
 
 
+class _Restriction(t.NamedTuple):
+    """What the lateness of a job restricts its tasks to."""
+
+    is_worthless: bool
+    slack_share: float
+
+    def includes(self, other: _Restriction) -> bool:
+        """Whether every worker closed by another restriction is closed too."""
+        return (
+            self.is_worthless >= other.is_worthless
+            and self.slack_share <= other.slack_share
+        )
+
+
 @attrs.define
 class _PlacementPass:
     """One pass over a queue of ready steps.
@@ -104,11 +118,11 @@
     queue: dict[_ready_queues.StepKey, dict[TaskKey, Task]]
     budget: int = _MAX_STARTS_PER_PASS
     # Sizes of opportunistic tasks, by service and image, that no worker
-    # accepts next to the tasks that it serves. More workers refuse work of no
-    # value, whose sizes are kept apart.
-    rejected_sizes: dict[tuple[str, str, bool], list[Resources]] = attrs.field(
-        factory=dict
-    )
+    # accepts next to the tasks that it serves, with the restriction under
+    # which they were rejected.
+    rejected_sizes: dict[
+        tuple[str, str], list[tuple[_Restriction, Resources]]
+    ] = attrs.field(factory=dict)
     # Runs that yield to opportunistic tasks; listed on first use.
     victims: _yielding.Victims | None = None
     # Sizes of unconstrained tasks that no worker has capacity for, by service
@@ -239,15 +253,23 @@
         """Whether a task of the image that is no larger was rejected."""
         if not step.opportunistic:
             return False
-        kinds = [False]
-        if _ranking.is_worthless(job, step_key, self.context.state):
-            kinds.append(True)
+        rejected = self.rejected_sizes.get((job.queue.service, step.image))
+        if not rejected:
+            return False
+        task = next(iter(self.queue[step_key].values()))
+        restriction = self._get_restriction(job, task)
         return any(
-            step.size.fits(size)
-            for is_worthless in kinds
-            for size in self.rejected_sizes.get(
-                (job.queue.service, step.image, is_worthless), ()
-            )
+            step.size.fits(size) and restriction.includes(rejected_under)
+            for rejected_under, size in rejected
+        )
+
+    def _get_restriction(self, job: Job, task: Task) -> _Restriction:
+        """Return which workers are closed to a task by its job's lateness."""
+        state = self.context.state
+        step_key = _ready_queues.get_step_key(task.key)
+        return _Restriction(
+            _ranking.is_worthless(job, step_key, state),
+            _interference.get_slack_share(task, state),
         )
 
     def _record_rejected_size(self, job: Job, step: Step, task: Task) -> None:
@@ -263,10 +285,9 @@
         size = step.size
         if not _worker_selection.is_limited_by_memory(task, step, state):
             size = attrs.evolve(size, memory_mb=0)
-        step_key = _ready_queues.get_step_key(task.key)
-        is_worthless = _ranking.is_worthless(job, step_key, state)
-        place = job.queue.service, step.image, is_worthless
-        self.rejected_sizes.setdefault(place, []).append(size)
+        place = job.queue.service, step.image
+        restriction = self._get_restriction(job, task)
+        self.rejected_sizes.setdefault(place, []).append((restriction, size))
 
     def _exceeds_free_capacity(self, job: Job, step: Step, task: Task) -> bool:
         """Whether no worker had capacity for a task that is no larger."""
--- a/src/tulippin/jobs/_unit_feeds.py
+++ b/src/tulippin/jobs/_unit_feeds.py
@@ -156,7 +156,7 @@
     ) -> tuple[ev.UnitLoaded, int, int]:
         unit = self.shell.config.unit
         store = self.shell.ports.store
-        jobs = await read_jobs(store, unit, self.shell.job_part_count, pages)
+        jobs = await read_jobs(store, unit, self.shell.layout.job_parts, pages)
         progress = await store.read_rows(unit.progress_table, unit.part)
         owned = await store.read_rows(UNITS_TABLE, unit.part)
         model_row = await _find_row(store, MODELS_TABLE, unit, MODEL_KEY)
@@ -241,7 +241,7 @@
         """
         unit = self.shell.config.unit
         store = self.shell.ports.store
-        page = await read_jobs(store, unit, self.shell.job_part_count)
+        page = await read_jobs(store, unit, self.shell.layout.job_parts)
         progress = await store.read_rows(unit.progress_table, unit.part)
         epoch = await read_row(store, UNITS_TABLE, unit.part, EPOCH_KEY)
         event = ev.JobsChanged(
@@ -255,7 +255,7 @@
         after = 0
         while True:
             await trio.sleep(_MODELS_EVERY_S)
-            if len(self.shell.unit_numbers) < 2:
+            if len(self.shell.layout.unit_numbers) < 2:
                 continue
             try:
                 after = await self._read_models(after, models)
--- a/src/tulippin/scheduler_operators.py
+++ b/src/tulippin/scheduler_operators.py
@@ -33,6 +33,11 @@
 from tulippin.scheduler_process_records import ProcessRecorder
 
 _MS_PER_S: t.Final = 1000
+_HARM_COUNTERS: t.Final = (
+    'harm_missed_ms',
+    'harm_runs_shed',
+    'harm_shed_core_ms',
+)
 
 
 class SchedulerMetrics(Collector):
@@ -53,16 +58,14 @@
     def collect(self) -> t.Iterator[Metric]:
         """Yield the current value of every metric."""
         states = [unit.state for unit in self._shell.units.values()]
-        counters = CounterMetricFamily(
-            'tulippin_events', 'Things counted, by name', labels=['name']
-        )
-        counts: collections.Counter[str] = collections.Counter()
-        for state in states:
-            counts.update(state.counters)
-        for name, count in sorted(counts.items()):
-            counters.add_metric([name], count)
-        yield counters
+        yield _make_event_counter(states)
         yield self._make_read_counter()
+        yield _make_harm_counter(
+            {
+                number: unit.state.counters
+                for number, unit in self._shell.units.items()
+            }
+        )
         yield _make_failure_counter()
         yield from _iter_admission_metrics(self._shell.admission)
         yield from _iter_call_counters(self._shell.store_load)
@@ -90,6 +93,33 @@
         return metric
 
 
+def _make_harm_counter(
+    counters: t.Mapping[int, t.Mapping[str, int]],
+) -> Metric:
+    """Return what missed targets and pauses cost, by unit."""
+    metric = CounterMetricFamily(
+        'tulippin_harm',
+        'Missed targets in ms, pauses, and what these did not earn in core-ms',
+        labels=['unit', 'name'],
+    )
+    for unit, counts in sorted(counters.items()):
+        for name in _HARM_COUNTERS:
+            metric.add_metric([str(unit), name], counts.get(name, 0))
+    return metric
+
+
+def _make_event_counter(states: t.Iterable[SchedulerState]) -> Metric:
+    counters = CounterMetricFamily(
+        'tulippin_events', 'Things counted, by name', labels=['name']
+    )
+    counts: collections.Counter[str] = collections.Counter()
+    for state in states:
+        counts.update(state.counters)
+    for name, count in sorted(counts.items()):
+        counters.add_metric([name], count)
+    return counters
+
+
 def _make_failure_counter() -> Metric:
     """Return the counts of contained errors by failed component."""
     metric = CounterMetricFamily(
