--- a/src/tulippin/jobs/_forecasting.py
+++ b/src/tulippin/jobs/_forecasting.py
@@ -69,14 +69,17 @@
     return max(0.0, now_ms - attempt.sent_ms - attempt.held_ms)
 
 
-def note_done(job: Job, attempt: Attempt, state: SchedulerState) -> None:
-    """Record the actual time of a run that was completed."""
+def note_done(
+    job: Job, attempt: Attempt, state: SchedulerState, read_delay_ms: int = 0
+) -> None:
+    """Record the actual time of a run that ended before its end was read."""
     invalidate(job)
     if not state.config.features.orders_by_progress:
         return
     step = attempt.step
-    note_held(attempt, state.now_ms)
-    worked_ms = max(0.0, state.now_ms - attempt.sent_ms - attempt.held_ms)
+    ended_ms = state.now_ms - read_delay_ms
+    note_held(attempt, ended_ms)
+    worked_ms = max(0.0, ended_ms - attempt.sent_ms - attempt.held_ms)
     if _is_whole(job, attempt):
         if not attempt.is_slow_start:
             _run_times.learn_ratio(job, step, worked_ms, state)
--- a/src/tulippin/jobs/unit_shell.py
+++ b/src/tulippin/jobs/unit_shell.py
@@ -28,7 +28,7 @@
 from tulippin.jobs._unit_feeds import UnitFeeds
 from tulippin.jobs._unit_rows import UnitRows
 from tulippin.jobs.ports import SchedulerPorts, StoredRow
-from tulippin.jobs.records import LeaseRecord
+from tulippin.jobs.records import LayoutRecord, LeaseRecord
 from tulippin.jobs.state import Phase, SchedulerConfig, SchedulerState
 from tulippin.jobs.types import WorkerEntry
 from tulippin.logs import logger
@@ -107,9 +107,9 @@
         return self._parent.answer_times
 
     @property
-    def unit_numbers(self) -> tuple[int, ...]:
-        """The numbers of all units."""
-        return tuple(self._parent.units)
+    def layout(self) -> LayoutRecord:
+        """The layout in force; a unit is known only by a layout."""
+        return self._parent.layout
 
     @property
     def is_owner(self) -> bool:
@@ -132,6 +132,10 @@
         """Whether the unit may be free for this instance to take."""
         return _ownership.may_take_over(self.state, self.clock())
 
+    def count_read(self, feed: str) -> None:
+        """Count a call of a feed to the store."""
+        self._parent.read_counts[feed] += 1
+
     def clock(self) -> int:
         """Return the monotonic time in milliseconds."""
         return self._parent.clock()
