--- a/tests/tulippin/jobs/test_yielding.py
+++ b/tests/tulippin/jobs/test_yielding.py
@@ -170,7 +170,11 @@
     state = make_progress_state()
     lost, lost_task = add_job(state, 'lost', LOST_MS)
     useful, useful_task = add_job(state, 'useful')
-    placement = _placing._PlacementPass(Context(state), {})
+    queue = {
+        ('lost', 0, 0): {lost_task.key: lost_task},
+        ('useful', 0, 0): {useful_task.key: useful_task},
+    }
+    placement = _placing._PlacementPass(Context(state), queue)
     placement._record_rejected_size(lost, BATCH, lost_task)
     assert placement._exceeds_rejected_size(lost, BATCH, ('lost', 0, 0))
     assert not placement._exceeds_rejected_size(useful, BATCH, ('useful', 0, 0))
