--- a/tests/handover_model.py
+++ b/tests/handover_model.py
@@ -6,6 +6,7 @@
 a pair of them chooses an action and what it applies to.
 """
 
+import collections
 import contextlib
 import itertools
 import math
@@ -198,6 +199,7 @@
         self.number = number
         self.session = session
         self.answer_times = AnswerTimes()
+        self.read_counts = collections.Counter()
         self.ports = types.SimpleNamespace(
             store=types.SimpleNamespace(
                 read_rows=lambda *a: ask('read', *a),
