--- a/src/tulippin/jobs/shell.py
+++ b/src/tulippin/jobs/shell.py
@@ -21,6 +21,7 @@
 from tulippin.jobs._unit_feeds import FEED_RETRY_PAUSE_S, FEED_WAIT_MS
 from tulippin.jobs._unit_watch import UnitWatch
 from tulippin.jobs._write_bounds import StoreLoad, list_reported_s
+from tulippin.jobs.admission import Admission
 from tulippin.jobs.layout import get_rack
 from tulippin.jobs.ports import (
     HistoryLostError,
@@ -94,6 +95,7 @@
             functools.partial(list_reported_s, self.units, clock),
             source=random.Random(config.session_id),
         )
+        self.admission = Admission()
         self._policy: ev.PolicyChanged | None = None
         self._is_store_available = False
         self._urgent: collections.deque[_QueuedEvent] = collections.deque()
--- a/src/tulippin/platform/callers.py
+++ b/src/tulippin/platform/callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import functools
 import math
 import re
 import typing as t
@@ -16,6 +17,7 @@
     AnswerLostError,
     Finding,
     InputError,
+    OverloadedError,
     UnavailableError,
 )
 from tulippin.jobs._record_validation import (
@@ -66,6 +68,7 @@
 # The request may or may not have been carried out.
 _OUTCOME_UNKNOWN: t.Final = 504
 _UNAVAILABLE: t.Final = 503
+_OVERLOADED: t.Final = 429
 _MAX_LOGGED_PATH_CHARS: t.Final = 200
 # The colon, the space and the CRLF of each header line.
 _HEADER_OVERHEAD_BYTES: t.Final = 4
@@ -328,7 +331,7 @@
             error = CallRejectedError(
                 'not run: too little time is left', Reason.TOO_LITTLE_TIME
             )
-            return self._give_up(call, error)
+            return _reply_unavailable(error, call, self._intake)
         try:
             with self._limit_time(limit_ms):
                 _check_headers(scope, configuration.max_header_bytes)
@@ -339,32 +342,10 @@
         except InputError as error:
             return _reply_invalid(job_id, error)
         except UnavailableError as error:
-            return self._give_up(call, error)
+            return _reply_unavailable(error, call, self._intake)
         except trio.TooSlowError:
-            return self._give_up(call, AnswerLostError('out of time'))
-
-    def _give_up(self, call: _Call, error: UnavailableError) -> Reply:
-        """Log a request that can't be completed; ask its caller to retry.
-
-        503 is only for operations that were definitely not carried out.
-        """
-        may_be_done = isinstance(error, AnswerLostError)
-        status = _OUTCOME_UNKNOWN if may_be_done else _UNAVAILABLE
-        left_s = call.deadline_s - trio.current_time()
-        retry_after_s = _RETRY_AFTER_S
-        if isinstance(error, CallRejectedError):
-            retry_after_s = error.retry_after_s
-        self._intake.count_given_up(error)
-        logger.warning(
-            'call given up',
-            job=call.job_id,
-            status=status,
-            reason=error.message,
-            left_ms=round(left_s * _MS_PER_S),
-            response_ms=self._intake.get_response_ms(),
-            retry_after_s=retry_after_s,
-        )
-        return Reply(status, ErrorBody(error.message), retry_after_s)
+            error = AnswerLostError('out of time')
+            return _reply_unavailable(error, call, self._intake)
 
     @contextlib.contextmanager
     def _limit_time(self, limit_ms: int) -> t.Iterator[None]:
@@ -426,6 +407,59 @@
     return Reply(status, ErrorBody(f'{error.code}: {text}'))
 
 
+@functools.singledispatch
+def _reply_unavailable(
+    error: UnavailableError, call: _Call, intake: JobIntake
+) -> Reply:
+    """Return the reply for an operation that can't be completed now.
+
+    503 is only for operations that were definitely not carried out.
+    """
+    return _give_up(error, call, intake, Reply(_UNAVAILABLE))
+
+
+@_reply_unavailable.register
+def _reply_not_run(
+    error: CallRejectedError, call: _Call, intake: JobIntake
+) -> Reply:
+    reply = Reply(_UNAVAILABLE, retry_after_s=error.retry_after_s)
+    return _give_up(error, call, intake, reply)
+
+
+@_reply_unavailable.register
+def _reply_unknown(
+    error: AnswerLostError, call: _Call, intake: JobIntake
+) -> Reply:
+    return _give_up(error, call, intake, Reply(_OUTCOME_UNKNOWN))
+
+
+@_reply_unavailable.register
+def _reply_overloaded(
+    error: OverloadedError, call: _Call, intake: JobIntake
+) -> Reply:
+    """Return the reply for a job whose rejection has been logged."""
+    return Reply(_OVERLOADED, ErrorBody(error.message), error.retry_after_s)
+
+
+def _give_up(
+    error: UnavailableError, call: _Call, intake: JobIntake, reply: Reply
+) -> Reply:
+    """Log a request that can't be completed; ask its caller to retry."""
+    left_s = call.deadline_s - trio.current_time()
+    retry_after_s = reply.retry_after_s or _RETRY_AFTER_S
+    intake.count_given_up(error)
+    logger.warning(
+        'call given up',
+        job=call.job_id,
+        status=reply.status,
+        reason=error.message,
+        left_ms=round(left_s * _MS_PER_S),
+        response_ms=intake.get_response_ms(),
+        retry_after_s=retry_after_s,
+    )
+    return Reply(reply.status, ErrorBody(error.message), retry_after_s)
+
+
 def _check_headers(scope: Scope, limit_bytes: int) -> None:
     """Check the size of the headers as they are on the wire.
 
--- a/tests/slow_intake.py
+++ b/tests/slow_intake.py
@@ -16,6 +16,7 @@
 from tulippin.exceptions import AnswerLostError, UnavailableError
 from tulippin.jobs._transactions import AnswerTimes, transact_with_retries
 from tulippin.jobs._write_bounds import StoreLoad, list_reported_s
+from tulippin.jobs.admission import Admission
 from tulippin.jobs.features import Features
 from tulippin.jobs.intake import JobIntake
 from tulippin.jobs.ports import (
@@ -153,6 +154,7 @@
             lambda: list_reported_s(self.units, self.clock),
             source=random.Random(number),
         )
+        self.admission = Admission()
         self.configuration = types.SimpleNamespace(
             find_queue=lambda host, path: QUEUE,
             max_header_bytes=10_000,
