Test that no parallel attempt joins a full queue, also after a read

The row is now read before the second parallel attempt, and the read that was due hid whether an attempt was: the test passed with the rule removed.

--- a/tests/tulippin/jobs/test_write_bounds.py
+++ b/tests/tulippin/jobs/test_write_bounds.py
@@ -79,6 +79,8 @@
     """It would only delay the attempt that is in the queue already."""
     attempts = make_attempts([100.0, 100.2])
     attempts.note_full(100.3, FAST, jitter=0.5)
+    # A read that is due would hide whether an attempt is.
+    attempts.has_read_early = True
     actions = [
         attempts.decide(100 + tenth / 10, FAST).action for tenth in range(4, 27)
     ]
