--- a/src/tulippin/jobs/_unit_feeds.py
+++ b/src/tulippin/jobs/_unit_feeds.py
@@ -13,6 +13,7 @@
 from tulippin.exceptions import UnavailableError
 from tulippin.jobs import events as ev
 from tulippin.jobs._event_sources import name_row
+from tulippin.jobs._read_schedule import FEED_WAIT_MS
 from tulippin.jobs._rows import get_version, read_record, read_row
 from tulippin.jobs.ports import (
     HistoryLostError,
@@ -40,11 +41,6 @@
 if t.TYPE_CHECKING:
     from tulippin.jobs.unit_shell import UnitShell
 
-# How long a feed's call waits at the store for a change. A broken connection
-# is noticed only when the call should have returned, so this and the store's
-# timeout together stay below the 3 s in which an instance must recover from a
-# partition.
-FEED_WAIT_MS: t.Final = 1500
 FEED_RETRY_PAUSE_S: t.Final = 0.1
 # Parts of the jobs that are read at a time. An instance has 24 connections to
 # the store; its renewals, commits and other feeds need up to eight.
@@ -160,7 +156,7 @@
     ) -> tuple[ev.UnitLoaded, int, int]:
         unit = self.shell.config.unit
         store = self.shell.ports.store
-        jobs = await read_jobs(store, unit, self.shell.job_part_count, pages)
+        jobs = await read_jobs(store, unit, self.shell.layout.job_parts, pages)
         progress = await store.read_rows(unit.progress_table, unit.part)
         owned = await store.read_rows(UNITS_TABLE, unit.part)
         model_row = await _find_row(store, MODELS_TABLE, unit, MODEL_KEY)
@@ -205,6 +201,7 @@
                 if after < 0:
                     event, after = await self._read_jobs_again()
                 else:
+                    self.shell.count_read('jobs')
                     page = await store.follow(
                         unit.jobs_table, after, FEED_WAIT_MS
                     )
@@ -244,7 +241,7 @@
         """
         unit = self.shell.config.unit
         store = self.shell.ports.store
-        page = await read_jobs(store, unit, self.shell.job_part_count)
+        page = await read_jobs(store, unit, self.shell.layout.job_parts)
         progress = await store.read_rows(unit.progress_table, unit.part)
         epoch = await read_row(store, UNITS_TABLE, unit.part, EPOCH_KEY)
         event = ev.JobsChanged(
@@ -258,7 +255,7 @@
         after = 0
         while True:
             await trio.sleep(_MODELS_EVERY_S)
-            if len(self.shell.unit_numbers) < 2:
+            if len(self.shell.layout.unit_numbers) < 2:
                 continue
             try:
                 after = await self._read_models(after, models)
@@ -272,6 +269,7 @@
         self, after: int, models: dict[str, _ReceivedModel]
     ) -> int:
         """Read and post models changed after a version; return the next."""
+        self.shell.count_read('models')
         page = await self.shell.ports.store.follow(MODELS_TABLE, after, 0)
         own_part = self.shell.config.unit.part
         for row in page.rows:
@@ -306,6 +304,7 @@
         while True:
             await trio.sleep(_WORKERS_EVERY_S)
             read_ms = self.shell.clock()
+            self.shell.count_read('workers')
             try:
                 if after < 0:
                     changed, after = await feeds.read_workers()
--- a/src/tulippin/jobs/intake.py
+++ b/src/tulippin/jobs/intake.py
@@ -206,9 +206,9 @@
         began_ms = self.shell.clock()
         await self._wait_for_layout(limit_ms)
         part = self._get_part(job_id)
+        await self._check_admission(job_id, queue, request)
         remaining_ms = limit_ms - (self.shell.clock() - began_ms)
         self._check_time(remaining_ms, part)
-        await self._check_admission(job_id, queue, request)
         number = self.shell.choose_unit(request)
         if number is None:
             raise UnavailableError('no unit is known yet')
@@ -251,11 +251,6 @@
         with trio.move_on_after(wait_ms / _MS):
             await self.shell.layout_known.wait()
 
-    async def _require_layout(self, limit_ms: int) -> None:
-        """Wait for the first layout, which tells where jobs' rows are."""
-        if self.shell.layout is None:
-            await self._wait_for_layout(limit_ms)
-
     async def _check_admission(
         self, job_id: str, queue: Queue, request: JobRequest
     ) -> None:
@@ -295,6 +290,11 @@
         logger.warning('job not rejected', job=job_id, reason=reason)
         return True
 
+    async def _require_layout(self, limit_ms: int) -> None:
+        """Wait for the first layout, which tells where jobs' rows are."""
+        if self.shell.layout is None:
+            await self._wait_for_layout(limit_ms)
+
     async def get_state(self, job_id: str) -> JobState | None:
         """Return a job's state, or None if there is no such job."""
         await self._require_layout(_LAYOUT_WAIT_MS)
--- a/src/tulippin/platform/callers.py
+++ b/src/tulippin/platform/callers.py
@@ -331,7 +331,7 @@
             error = CallRejectedError(
                 'not run: too little time is left', Reason.TOO_LITTLE_TIME
             )
-            return _reply_unavailable(error, call, self._intake)
+            return self._reply_unavailable(error, call)
         try:
             with self._limit_time(limit_ms):
                 _check_headers(scope, configuration.max_header_bytes)
@@ -342,10 +342,52 @@
         except InputError as error:
             return _reply_invalid(job_id, error)
         except UnavailableError as error:
-            return _reply_unavailable(error, call, self._intake)
+            return self._reply_unavailable(error, call)
         except trio.TooSlowError:
-            error = AnswerLostError('out of time')
-            return _reply_unavailable(error, call, self._intake)
+            return self._reply_unavailable(AnswerLostError('out of time'), call)
+
+    @functools.singledispatchmethod
+    def _reply_unavailable(self, error: UnavailableError, call: _Call) -> Reply:
+        """Return the reply for an operation that can't be completed now.
+
+        503 is only for operations that were definitely not carried out.
+        """
+        return self._give_up(call, _UNAVAILABLE, error)
+
+    @_reply_unavailable.register
+    def _(self, error: AnswerLostError, call: _Call) -> Reply:
+        return self._give_up(call, _OUTCOME_UNKNOWN, error)
+
+    @_reply_unavailable.register
+    def _(self, error: CallRejectedError, call: _Call) -> Reply:
+        return self._give_up(call, _UNAVAILABLE, error, error.retry_after_s)
+
+    @_reply_unavailable.register
+    def _(self, error: OverloadedError, call: _Call) -> Reply:
+        """Return the reply for a job whose rejection has been logged."""
+        body = ErrorBody(error.message)
+        return Reply(_OVERLOADED, body, error.retry_after_s)
+
+    def _give_up(
+        self,
+        call: _Call,
+        status: int,
+        error: UnavailableError,
+        retry_after_s: int = _RETRY_AFTER_S,
+    ) -> Reply:
+        """Log a request that can't be completed; ask its caller to retry."""
+        left_s = call.deadline_s - trio.current_time()
+        self._intake.count_given_up(error)
+        logger.warning(
+            'call given up',
+            job=call.job_id,
+            status=status,
+            reason=error.message,
+            left_ms=round(left_s * _MS_PER_S),
+            response_ms=self._intake.get_response_ms(),
+            retry_after_s=retry_after_s,
+        )
+        return Reply(status, ErrorBody(error.message), retry_after_s)
 
     @contextlib.contextmanager
     def _limit_time(self, limit_ms: int) -> t.Iterator[None]:
@@ -407,59 +449,6 @@
     return Reply(status, ErrorBody(f'{error.code}: {text}'))
 
 
-@functools.singledispatch
-def _reply_unavailable(
-    error: UnavailableError, call: _Call, intake: JobIntake
-) -> Reply:
-    """Return the reply for an operation that can't be completed now.
-
-    503 is only for operations that were definitely not carried out.
-    """
-    return _give_up(error, call, intake, Reply(_UNAVAILABLE))
-
-
-@_reply_unavailable.register
-def _reply_not_run(
-    error: CallRejectedError, call: _Call, intake: JobIntake
-) -> Reply:
-    reply = Reply(_UNAVAILABLE, retry_after_s=error.retry_after_s)
-    return _give_up(error, call, intake, reply)
-
-
-@_reply_unavailable.register
-def _reply_unknown(
-    error: AnswerLostError, call: _Call, intake: JobIntake
-) -> Reply:
-    return _give_up(error, call, intake, Reply(_OUTCOME_UNKNOWN))
-
-
-@_reply_unavailable.register
-def _reply_overloaded(
-    error: OverloadedError, call: _Call, intake: JobIntake
-) -> Reply:
-    """Return the reply for a job whose rejection has been logged."""
-    return Reply(_OVERLOADED, ErrorBody(error.message), error.retry_after_s)
-
-
-def _give_up(
-    error: UnavailableError, call: _Call, intake: JobIntake, reply: Reply
-) -> Reply:
-    """Log a request that can't be completed; ask its caller to retry."""
-    left_s = call.deadline_s - trio.current_time()
-    retry_after_s = reply.retry_after_s or _RETRY_AFTER_S
-    intake.count_given_up(error)
-    logger.warning(
-        'call given up',
-        job=call.job_id,
-        status=reply.status,
-        reason=error.message,
-        left_ms=round(left_s * _MS_PER_S),
-        response_ms=intake.get_response_ms(),
-        retry_after_s=retry_after_s,
-    )
-    return Reply(reply.status, ErrorBody(error.message), retry_after_s)
-
-
 def _check_headers(scope: Scope, limit_bytes: int) -> None:
     """Check the size of the headers as they are on the wire.
 
--- a/src/tulippin/scheduler_operators.py
+++ b/src/tulippin/scheduler_operators.py
@@ -33,6 +33,11 @@
 from tulippin.scheduler_process_records import ProcessRecorder
 
 _MS_PER_S: t.Final = 1000
+_HARM_COUNTERS: t.Final = (
+    'harm_missed_ms',
+    'harm_runs_shed',
+    'harm_shed_core_ms',
+)
 
 
 class SchedulerMetrics(Collector):
@@ -53,18 +58,17 @@
     def collect(self) -> t.Iterator[Metric]:
         """Yield the current value of every metric."""
         states = [unit.state for unit in self._shell.units.values()]
-        counters = CounterMetricFamily(
-            'tulippin_events', 'Things counted, by name', labels=['name']
+        yield _make_event_counter(states)
+        yield self._make_read_counter()
+        yield _make_harm_counter(
+            {
+                number: unit.state.counters
+                for number, unit in self._shell.units.items()
+            }
         )
-        counts: collections.Counter[str] = collections.Counter()
-        for state in states:
-            counts.update(state.counters)
-        for name, count in sorted(counts.items()):
-            counters.add_metric([name], count)
-        yield counters
         yield _make_failure_counter()
-        yield from _iter_call_counters(self._shell.store_load)
         yield from _iter_admission_metrics(self._shell.admission)
+        yield from _iter_call_counters(self._shell.store_load)
         yield from _iter_gauges(
             {
                 'tulippin_event_age_ms': self._shell.event_age_ms,
@@ -77,6 +81,44 @@
         )
         yield from iter_latency_metrics(self._shell.latencies)
 
+    def _make_read_counter(self) -> Metric:
+        """Return the counts of calls to the store by feed."""
+        metric = CounterMetricFamily(
+            'tulippin_store_reads',
+            'Calls to the store, by the feed that made them',
+            labels=['feed'],
+        )
+        for feed, count in sorted(self._shell.read_counts.items()):
+            metric.add_metric([feed], count)
+        return metric
+
+
+def _make_harm_counter(
+    counters: t.Mapping[int, t.Mapping[str, int]],
+) -> Metric:
+    """Return what missed targets and pauses cost, by unit."""
+    metric = CounterMetricFamily(
+        'tulippin_harm',
+        'Missed targets in ms, pauses, and what these did not earn in core-ms',
+        labels=['unit', 'name'],
+    )
+    for unit, counts in sorted(counters.items()):
+        for name in _HARM_COUNTERS:
+            metric.add_metric([str(unit), name], counts.get(name, 0))
+    return metric
+
+
+def _make_event_counter(states: t.Iterable[SchedulerState]) -> Metric:
+    counters = CounterMetricFamily(
+        'tulippin_events', 'Things counted, by name', labels=['name']
+    )
+    counts: collections.Counter[str] = collections.Counter()
+    for state in states:
+        counts.update(state.counters)
+    for name, count in sorted(counts.items()):
+        counters.add_metric([name], count)
+    return counters
+
 
 def _make_failure_counter() -> Metric:
     """Return the counts of contained errors by failed component."""
@@ -90,6 +132,26 @@
     return metric
 
 
+def _iter_admission_metrics(admission: Admission) -> t.Iterator[Metric]:
+    """Yield the rejected jobs and the predicted wait, by queue."""
+    rejected = CounterMetricFamily(
+        'tulippin_jobs_rejected',
+        'Jobs rejected as they would be completed too late, by queue',
+        labels=['queue'],
+    )
+    for name, count in sorted(admission.rejected.items()):
+        rejected.add_metric([name], count)
+    yield rejected
+    predicted = GaugeMetricFamily(
+        'tulippin_predicted_wait_ms',
+        'Predicted wait of a new job, by queue',
+        labels=['queue'],
+    )
+    for name, wait_ms in sorted(admission.predicted_ms.items()):
+        predicted.add_metric([name], wait_ms)
+    yield predicted
+
+
 def _iter_call_counters(load: StoreLoad) -> t.Iterator[Metric]:
     """Yield how many calls were given up, and the attempts of the others."""
     given_up = CounterMetricFamily(
@@ -114,26 +176,6 @@
     return int(usual_s * _MS_PER_S)
 
 
-def _iter_admission_metrics(admission: Admission) -> t.Iterator[Metric]:
-    """Yield the rejected jobs and the predicted wait, by queue."""
-    rejected = CounterMetricFamily(
-        'tulippin_jobs_rejected',
-        'Jobs rejected as they would be completed too late, by queue',
-        labels=['queue'],
-    )
-    for name, count in sorted(admission.rejected.items()):
-        rejected.add_metric([name], count)
-    yield rejected
-    predicted = GaugeMetricFamily(
-        'tulippin_predicted_wait_ms',
-        'Predicted wait of a new job, by queue',
-        labels=['queue'],
-    )
-    for name, wait_ms in sorted(admission.predicted_ms.items()):
-        predicted.add_metric([name], wait_ms)
-    yield predicted
-
-
 def _sum_gauges(states: t.Sequence[SchedulerState]) -> dict[str, int]:
     """Return gauges summed over all units that the instance holds."""
     return {
