--- a/src/tulippin/jobs/_attempts.py
+++ b/src/tulippin/jobs/_attempts.py
@@ -8,16 +8,25 @@
 import typing as t
 
 from tulippin.jobs import (
+    _forecasting,
     _interference,
     _lifecycle,
     _ready_queues,
+    _report_schedule,
     _run_times,
     _worker_failures,
 )
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs._record_validation import has_task
 from tulippin.jobs.effects import StopRun
-from tulippin.jobs.state import Attempt, AttemptState, Job, Task, Worker
+from tulippin.jobs.state import (
+    Attempt,
+    AttemptState,
+    Job,
+    SchedulerState,
+    Task,
+    Worker,
+)
 from tulippin.jobs.types import (
     FINAL_STATES,
     EndedRun,
@@ -57,6 +66,7 @@
     worker.attempts[attempt.key, attempt.run] = attempt
     worker.reserved = worker.reserved.add(attempt.step.reserved)
     _interference.add_attempt(attempt, worker)
+    _report_schedule.note_run(attempt, worker)
 
 
 def note_running(attempt: Attempt, context: Context) -> None:
@@ -133,11 +143,27 @@
         _ready_queues.add(task, step, context.state)
 
 
-def apply_end(worker: Worker, ended: EndedRun, context: Context) -> None:
+def apply_end(
+    worker: Worker,
+    ended: EndedRun,
+    context: Context,
+    read_delay_ms: float = 0.0,
+) -> None:
     """Apply the end of a run that its worker reports.
 
     A done task opens further steps or finishes its job, a failed run counts
     towards the job's limit, and after any other outcome the task is ready.
+
+    Parameters
+    ----------
+    worker : Worker
+        The worker that reports the end.
+    ended : EndedRun
+        The end.
+    context : Context
+        Collects effects and log lines.
+    read_delay_ms : float, optional
+        How long ago the run is expected to have ended.
     """
     attempt = worker.attempts.get((ended.key, ended.run))
     if attempt is not None:
@@ -164,9 +190,8 @@
         task.checkpoint = ended.checkpoint
     _worker_failures.record_outcome(worker, ended, context)
     if ended.outcome is RunOutcome.DONE:
-        if attempt is not None and not attempt.is_slow_start:
-            run_ms = context.state.now_ms - attempt.sent_ms
-            _run_times.learn(job, attempt.step, run_ms, context.state)
+        if attempt is not None:
+            _learn_done(job, task, attempt, read_delay_ms, context.state)
         _end_done(job, task, context)
         return
     if ended.outcome is RunOutcome.FAILED:
@@ -174,11 +199,30 @@
     make_ready(job, task, context)
 
 
+def _learn_done(
+    job: Job,
+    task: Task,
+    attempt: Attempt,
+    read_delay_ms: float,
+    state: SchedulerState,
+) -> None:
+    """Learn from a run that was done, before its task is marked so."""
+    run_ms = state.now_ms - attempt.sent_ms
+    # A run that began in a pause ended in the second half of its time.
+    delay_ms = int(min(read_delay_ms, run_ms / 2))
+    if not attempt.is_slow_start:
+        _run_times.learn(job, attempt.step, run_ms - delay_ms, state)
+    _forecasting.note_done(job, attempt, state, delay_ms)
+    if attempt.copy_of and not task.is_done:
+        state.count('copies_ended_first')
+
+
 def _end_done(job: Job, task: Task, context: Context) -> None:
     """Mark a task as done, with all members of its gang."""
     for member in _iter_members(job, task):
         _lifecycle.mark_done(job, member, context)
         stop_task(member, context, 'task is done')
+    _report_schedule.note_end(job, task.key, context.state)
     if job.state in FINAL_STATES:
         stop_job(job, context, 'job is finished')
 
@@ -250,6 +294,7 @@
     if worker is None:
         return
     attempt.stop_sent_ms = context.state.now_ms
+    _report_schedule.end_pause(worker, _report_schedule.CallReason.OPEN_ORDER)
     order_stop(worker, attempt.key, attempt.run, context)
 
 
--- a/src/tulippin/jobs/_committing.py
+++ b/src/tulippin/jobs/_committing.py
@@ -248,7 +248,8 @@
 def commit_if_due(context: Context) -> None:
     """Begin a commit if progress waits for one.
 
-    A final state is committed at once, other progress after a delay.
+    A final state is committed at once, and so is progress whose ends keep an
+    urgent end from being read; other progress is committed after a delay.
     """
     state = context.state
     if state.is_committing or state.ownership.phase is not Phase.ACTIVE:
@@ -262,13 +263,14 @@
         _acknowledge_ends(context)
         return
     waited_ms = state.now_ms - state.dirty_since_ms
-    if not is_urgent and waited_ms < _COMMIT_DELAY_MS:
-        return
-    _commit(context)
+    is_urgent = is_urgent or state.is_early_commit_due
+    if is_urgent or waited_ms >= _COMMIT_DELAY_MS:
+        _commit(context)
 
 
 def _commit(context: Context) -> None:
     state = context.state
+    state.is_early_commit_due = False
     chosen = sorted(
         state.dirty_jobs,
         key=lambda job_id: state.jobs[job_id].state not in FINAL_STATES,
--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -14,7 +14,6 @@
     _advice,
     _attempts,
     _crashes,
-    _feasibility,
     _headroom,
     _interference,
     _lost_starts,
@@ -27,6 +26,7 @@
     _starting,
     _unconfirmed_runs,
     _worker_selection,
+    _yielding,
 )
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs.state import (
@@ -52,8 +52,6 @@
 _MAX_OVERDUE_STEPS: t.Final = 8
 # Interval between two scans for jobs that have had nothing running for long.
 _SLOW_START_INTERVAL_MS: t.Final = 200
-# Interval between two passes over the opportunistic tasks.
-_IDLE_PASS_INTERVAL_MS: t.Final = 100
 # Minimum interval between two passes over the other tasks, except at a tick:
 # events come in bursts, and each would scan the same workers again.
 _PASS_INTERVAL_MS: t.Final = 15
@@ -86,13 +84,28 @@
         state.placed_ms = state.now_ms
         _PlacementPass(context, state.ready).run()
     is_due = (
-        state.now_ms - state.opportunistic_placed_ms >= _IDLE_PASS_INTERVAL_MS
+        state.now_ms - state.opportunistic_placed_ms
+        >= _ready_queues.OPPORTUNISTIC_PASS_INTERVAL_MS
     )
     if is_tick and is_due and state.ready_opportunistic:
         state.opportunistic_placed_ms = state.now_ms
         _PlacementPass(context, state.ready_opportunistic).run()
 
 
+class _Restriction(t.NamedTuple):
+    """What the lateness of a job restricts its tasks to."""
+
+    is_worthless: bool
+    slack_share: float
+
+    def includes(self, other: _Restriction) -> bool:
+        """Whether every worker closed by another restriction is closed too."""
+        return (
+            self.is_worthless >= other.is_worthless
+            and self.slack_share <= other.slack_share
+        )
+
+
 @attrs.define
 class _PlacementPass:
     """One pass over a queue of ready steps.
@@ -105,11 +118,13 @@
     queue: dict[_ready_queues.StepKey, dict[TaskKey, Task]]
     budget: int = _MAX_STARTS_PER_PASS
     # Sizes of opportunistic tasks, by service and image, that no worker
-    # accepts next to the tasks that it serves, with the share of the slack
-    # that they were allowed to use up.
-    rejected_sizes: dict[tuple[str, str], list[tuple[float, Resources]]] = (
-        attrs.field(factory=dict)
-    )
+    # accepts next to the tasks that it serves, with the restriction under
+    # which they were rejected.
+    rejected_sizes: dict[
+        tuple[str, str], list[tuple[_Restriction, Resources]]
+    ] = attrs.field(factory=dict)
+    # Runs that yield to opportunistic tasks; listed on first use.
+    victims: _yielding.Victims | None = None
     # Sizes of unconstrained tasks that no worker has capacity for, by service
     # and by whether the task has to leave headroom.
     unplaceable_sizes: dict[tuple[str, bool], list[Resources]] = attrs.field(
@@ -241,16 +256,21 @@
         rejected = self.rejected_sizes.get((job.queue.service, step.image))
         if not rejected:
             return False
-        share = self._get_slack_share(step_key)
+        task = next(iter(self.queue[step_key].values()))
+        restriction = self._get_restriction(job, task)
         return any(
-            step.size.fits(size) and share <= rejected_share
-            for rejected_share, size in rejected
+            step.size.fits(size) and restriction.includes(rejected_under)
+            for rejected_under, size in rejected
         )
 
-    def _get_slack_share(self, step_key: _ready_queues.StepKey) -> float:
-        """Return the share of a worker's slack that a step may use up."""
-        task = next(iter(self.queue[step_key].values()))
-        return _interference.get_slack_share(task, self.context.state)
+    def _get_restriction(self, job: Job, task: Task) -> _Restriction:
+        """Return which workers are closed to a task by its job's lateness."""
+        state = self.context.state
+        step_key = _ready_queues.get_step_key(task.key)
+        return _Restriction(
+            _ranking.is_worthless(job, step_key, state),
+            _interference.get_slack_share(task, state),
+        )
 
     def _record_rejected_size(self, job: Job, step: Step, task: Task) -> None:
         """Record that no worker accepts an opportunistic task of this size.
@@ -266,8 +286,8 @@
         if not _worker_selection.is_limited_by_memory(task, step, state):
             size = attrs.evolve(size, memory_mb=0)
         place = job.queue.service, step.image
-        share = _interference.get_slack_share(task, state)
-        self.rejected_sizes.setdefault(place, []).append((share, size))
+        restriction = self._get_restriction(job, task)
+        self.rejected_sizes.setdefault(place, []).append((restriction, size))
 
     def _exceeds_free_capacity(self, job: Job, step: Step, task: Task) -> bool:
         """Whether no worker had capacity for a task that is no larger."""
@@ -328,7 +348,11 @@
         if not self._exceeds_free_capacity(job, step, task):
             worker = _worker_selection.choose(job, task, step, state)
         if worker is None:
-            _preempt(job, task, self.context)
+            if _worker_selection.awaits_proven_worker(job, task, step, state):
+                # It says nothing about other tasks, and others needn't stop.
+                return True
+            _preempting.preempt_if_urgent(job, task, self.context)
+            self._make_room(job, step, task)
             if task.crashes:
                 # A suspected task has restrictions that others don't have.
                 return True
@@ -337,6 +361,20 @@
         self._start(job, step, task, worker)
         return True
 
+    def _make_room(self, job: Job, step: Step, task: Task) -> None:
+        """Stop runs of no value for an opportunistic task of some value."""
+        state = self.context.state
+        if not (
+            step.opportunistic and state.config.features.orders_by_progress
+        ):
+            return
+        step_key = _ready_queues.get_step_key(task.key)
+        if _ranking.is_worthless(job, step_key, state):
+            return
+        if self.victims is None:
+            self.victims = _yielding.list_victims(state)
+        _yielding.make_room(job, task, step, self.victims, self.context)
+
     def _start(
         self,
         job: Job,
@@ -419,18 +457,3 @@
         task.checkpoint = checkpoint
         added.append(_starting.add_run(job, step, task, worker, context))
     return added
-
-
-def _preempt(job: Job, task: Task, context: Context) -> None:
-    """Stop less urgent runs for a task of the most urgent priority."""
-    step = job.request.steps[task.key.step]
-    if job.queue.priority != 0 or step.opportunistic:
-        return
-    _preempting.preempt(
-        job,
-        task,
-        lambda worker: _feasibility.is_open(
-            worker, job, task, step, context.state
-        ),
-        context,
-    )
--- a/src/tulippin/jobs/_unit_feeds.py
+++ b/src/tulippin/jobs/_unit_feeds.py
@@ -13,6 +13,7 @@
 from tulippin.exceptions import UnavailableError
 from tulippin.jobs import events as ev
 from tulippin.jobs._event_sources import name_row
+from tulippin.jobs._read_schedule import FEED_WAIT_MS
 from tulippin.jobs._rows import get_version, read_record, read_row
 from tulippin.jobs.ports import (
     HistoryLostError,
@@ -40,12 +41,10 @@
 if t.TYPE_CHECKING:
     from tulippin.jobs.unit_shell import UnitShell
 
-# How long a feed's call waits at the store for a change. A broken connection
-# is noticed only when the call should have returned, so this and the store's
-# timeout together stay below the 3 s in which an instance must recover from a
-# partition.
-FEED_WAIT_MS: t.Final = 1500
 FEED_RETRY_PAUSE_S: t.Final = 0.1
+# Parts of the jobs that are read at a time. An instance has 24 connections to
+# the store; its renewals, commits and other feeds need up to eight.
+_MAX_OPEN_READS: t.Final = 16
 # A model takes some 10 KB for each unit, and is most useful early, while
 # little has been learned here.
 _MODELS_EVERY_S: t.Final = 2.0
@@ -55,13 +54,16 @@
 
 
 async def read_jobs(
-    store: RowStore, unit: Unit, pages: dict[str, RowPage] | None = None
+    store: RowStore,
+    unit: Unit,
+    part_count: int,
+    pages: dict[str, RowPage] | None = None,
 ) -> RowPage:
     """Return the rows of all accepted and cancelled jobs of a unit.
 
-    The parts are read concurrently, each at its own version of the store. The
-    lowest of these versions is returned, so that a feed from there on includes
-    every change that a read missed.
+    Several parts are read concurrently, each at its own version of the store.
+    The lowest of these versions is returned, so that a feed from there on
+    includes every change that a read missed.
 
     Parameters
     ----------
@@ -69,6 +71,8 @@
         The store to read.
     unit : Unit
         The unit of the jobs.
+    part_count : int
+        ``job_parts`` of the layout in force.
     pages : dict of str to RowPage, optional
         Parts that an earlier attempt has read; parts read now are added. An
         instance that is too slow to read all parts in one attempt would
@@ -88,12 +92,13 @@
         except UnavailableError as error:
             failed.append(error)
 
-    async with trio.open_nursery() as nursery:
-        for part in get_jobs_parts():
-            if part not in pages:
+    missing = [part for part in get_jobs_parts(part_count) if part not in pages]
+    for first in range(0, len(missing), _MAX_OPEN_READS):
+        async with trio.open_nursery() as nursery:
+            for part in missing[first : first + _MAX_OPEN_READS]:
                 nursery.start_soon(read, part)
-    if failed:
-        raise failed[0]
+        if failed:
+            raise failed[0]
     rows = tuple(row for page in pages.values() for row in page.rows)
     return RowPage(rows, min(page.version for page in pages.values()))
 
@@ -151,7 +156,7 @@
     ) -> tuple[ev.UnitLoaded, int, int]:
         unit = self.shell.config.unit
         store = self.shell.ports.store
-        jobs = await read_jobs(store, unit, pages)
+        jobs = await read_jobs(store, unit, self.shell.layout.job_parts, pages)
         progress = await store.read_rows(unit.progress_table, unit.part)
         owned = await store.read_rows(UNITS_TABLE, unit.part)
         model_row = await _find_row(store, MODELS_TABLE, unit, MODEL_KEY)
@@ -196,6 +201,7 @@
                 if after < 0:
                     event, after = await self._read_jobs_again()
                 else:
+                    self.shell.count_read('jobs')
                     page = await store.follow(
                         unit.jobs_table, after, FEED_WAIT_MS
                     )
@@ -235,7 +241,7 @@
         """
         unit = self.shell.config.unit
         store = self.shell.ports.store
-        page = await read_jobs(store, unit)
+        page = await read_jobs(store, unit, self.shell.layout.job_parts)
         progress = await store.read_rows(unit.progress_table, unit.part)
         epoch = await read_row(store, UNITS_TABLE, unit.part, EPOCH_KEY)
         event = ev.JobsChanged(
@@ -249,7 +255,7 @@
         after = 0
         while True:
             await trio.sleep(_MODELS_EVERY_S)
-            if len(self.shell.unit_numbers) < 2:
+            if len(self.shell.layout.unit_numbers) < 2:
                 continue
             try:
                 after = await self._read_models(after, models)
@@ -263,6 +269,7 @@
         self, after: int, models: dict[str, _ReceivedModel]
     ) -> int:
         """Read and post models changed after a version; return the next."""
+        self.shell.count_read('models')
         page = await self.shell.ports.store.follow(MODELS_TABLE, after, 0)
         own_part = self.shell.config.unit.part
         for row in page.rows:
@@ -297,6 +304,7 @@
         while True:
             await trio.sleep(_WORKERS_EVERY_S)
             read_ms = self.shell.clock()
+            self.shell.count_read('workers')
             try:
                 if after < 0:
                     changed, after = await feeds.read_workers()
