--- a/src/tulippin/jobs/_attempts.py
+++ b/src/tulippin/jobs/_attempts.py
@@ -8,6 +8,7 @@
 import typing as t
 
 from tulippin.jobs import (
+    _forecasting,
     _interference,
     _lifecycle,
     _ready_queues,
@@ -18,7 +19,14 @@
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs._record_validation import has_task
 from tulippin.jobs.effects import StopRun
-from tulippin.jobs.state import Attempt, AttemptState, Job, Task, Worker
+from tulippin.jobs.state import (
+    Attempt,
+    AttemptState,
+    Job,
+    SchedulerState,
+    Task,
+    Worker,
+)
 from tulippin.jobs.types import (
     FINAL_STATES,
     EndedRun,
@@ -182,11 +190,8 @@
         task.checkpoint = ended.checkpoint
     _worker_failures.record_outcome(worker, ended, context)
     if ended.outcome is RunOutcome.DONE:
-        if attempt is not None and not attempt.is_slow_start:
-            run_ms = context.state.now_ms - attempt.sent_ms
-            # A run that began in a pause ended in the second half of its time.
-            run_ms -= int(min(read_delay_ms, run_ms / 2))
-            _run_times.learn(job, attempt.step, run_ms, context.state)
+        if attempt is not None:
+            _learn_done(job, task, attempt, read_delay_ms, context.state)
         _end_done(job, task, context)
         return
     if ended.outcome is RunOutcome.FAILED:
@@ -194,6 +199,24 @@
     make_ready(job, task, context)
 
 
+def _learn_done(
+    job: Job,
+    task: Task,
+    attempt: Attempt,
+    read_delay_ms: float,
+    state: SchedulerState,
+) -> None:
+    """Learn from a run that was done, before its task is marked so."""
+    run_ms = state.now_ms - attempt.sent_ms
+    # A run that began in a pause ended in the second half of its time.
+    delay_ms = int(min(read_delay_ms, run_ms / 2))
+    if not attempt.is_slow_start:
+        _run_times.learn(job, attempt.step, run_ms - delay_ms, state)
+    _forecasting.note_done(job, attempt, state, delay_ms)
+    if attempt.copy_of and not task.is_done:
+        state.count('copies_ended_first')
+
+
 def _end_done(job: Job, task: Task, context: Context) -> None:
     """Mark a task as done, with all members of its gang."""
     for member in _iter_members(job, task):
--- a/src/tulippin/jobs/_unit_feeds.py
+++ b/src/tulippin/jobs/_unit_feeds.py
@@ -42,6 +42,9 @@
     from tulippin.jobs.unit_shell import UnitShell
 
 FEED_RETRY_PAUSE_S: t.Final = 0.1
+# Parts of the jobs that are read at a time. An instance has 24 connections to
+# the store; its renewals, commits and other feeds need up to eight.
+_MAX_OPEN_READS: t.Final = 16
 # A model takes some 10 KB for each unit, and is most useful early, while
 # little has been learned here.
 _MODELS_EVERY_S: t.Final = 2.0
@@ -51,13 +54,16 @@
 
 
 async def read_jobs(
-    store: RowStore, unit: Unit, pages: dict[str, RowPage] | None = None
+    store: RowStore,
+    unit: Unit,
+    part_count: int,
+    pages: dict[str, RowPage] | None = None,
 ) -> RowPage:
     """Return the rows of all accepted and cancelled jobs of a unit.
 
-    The parts are read concurrently, each at its own version of the store. The
-    lowest of these versions is returned, so that a feed from there on includes
-    every change that a read missed.
+    Several parts are read concurrently, each at its own version of the store.
+    The lowest of these versions is returned, so that a feed from there on
+    includes every change that a read missed.
 
     Parameters
     ----------
@@ -65,6 +71,8 @@
         The store to read.
     unit : Unit
         The unit of the jobs.
+    part_count : int
+        ``job_parts`` of the layout in force.
     pages : dict of str to RowPage, optional
         Parts that an earlier attempt has read; parts read now are added. An
         instance that is too slow to read all parts in one attempt would
@@ -84,12 +92,13 @@
         except UnavailableError as error:
             failed.append(error)
 
-    async with trio.open_nursery() as nursery:
-        for part in get_jobs_parts():
-            if part not in pages:
+    missing = [part for part in get_jobs_parts(part_count) if part not in pages]
+    for first in range(0, len(missing), _MAX_OPEN_READS):
+        async with trio.open_nursery() as nursery:
+            for part in missing[first : first + _MAX_OPEN_READS]:
                 nursery.start_soon(read, part)
-    if failed:
-        raise failed[0]
+        if failed:
+            raise failed[0]
     rows = tuple(row for page in pages.values() for row in page.rows)
     return RowPage(rows, min(page.version for page in pages.values()))
 
@@ -147,7 +156,7 @@
     ) -> tuple[ev.UnitLoaded, int, int]:
         unit = self.shell.config.unit
         store = self.shell.ports.store
-        jobs = await read_jobs(store, unit, pages)
+        jobs = await read_jobs(store, unit, self.shell.layout.job_parts, pages)
         progress = await store.read_rows(unit.progress_table, unit.part)
         owned = await store.read_rows(UNITS_TABLE, unit.part)
         model_row = await _find_row(store, MODELS_TABLE, unit, MODEL_KEY)
@@ -232,7 +241,7 @@
         """
         unit = self.shell.config.unit
         store = self.shell.ports.store
-        page = await read_jobs(store, unit)
+        page = await read_jobs(store, unit, self.shell.layout.job_parts)
         progress = await store.read_rows(unit.progress_table, unit.part)
         epoch = await read_row(store, UNITS_TABLE, unit.part, EPOCH_KEY)
         event = ev.JobsChanged(
@@ -246,7 +255,7 @@
         after = 0
         while True:
             await trio.sleep(_MODELS_EVERY_S)
-            if len(self.shell.unit_numbers) < 2:
+            if len(self.shell.layout.unit_numbers) < 2:
                 continue
             try:
                 after = await self._read_models(after, models)
--- a/src/tulippin/scheduler_operators.py
+++ b/src/tulippin/scheduler_operators.py
@@ -5,6 +5,7 @@
 import collections
 import typing as t
 
+import trio
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import (
     CounterMetricFamily,
@@ -23,6 +24,7 @@
 from tulippin.bundle_store import BundleStore
 from tulippin.exceptions import NotFoundError
 from tulippin.jobs import views
+from tulippin.jobs._write_bounds import Reason, StoreLoad
 from tulippin.jobs.admission import Admission
 from tulippin.jobs.shell import SchedulerShell
 from tulippin.jobs.state import Phase, SchedulerState
@@ -30,6 +32,13 @@
 from tulippin.row_table import RowTable
 from tulippin.scheduler_process_records import ProcessRecorder
 
+_MS_PER_S: t.Final = 1000
+_HARM_COUNTERS: t.Final = (
+    'harm_missed_ms',
+    'harm_runs_shed',
+    'harm_shed_core_ms',
+)
+
 
 class SchedulerMetrics(Collector):
     """Collects the metrics of an instance at each scrape."""
@@ -49,22 +58,24 @@
     def collect(self) -> t.Iterator[Metric]:
         """Yield the current value of every metric."""
         states = [unit.state for unit in self._shell.units.values()]
-        counters = CounterMetricFamily(
-            'tulippin_events', 'Things counted, by name', labels=['name']
-        )
-        counts: collections.Counter[str] = collections.Counter()
-        for state in states:
-            counts.update(state.counters)
-        for name, count in sorted(counts.items()):
-            counters.add_metric([name], count)
-        yield counters
+        yield _make_event_counter(states)
         yield self._make_read_counter()
+        yield _make_harm_counter(
+            {
+                number: unit.state.counters
+                for number, unit in self._shell.units.items()
+            }
+        )
         yield _make_failure_counter()
         yield from _iter_admission_metrics(self._shell.admission)
+        yield from _iter_call_counters(self._shell.store_load)
         yield from _iter_gauges(
             {
                 'tulippin_event_age_ms': self._shell.event_age_ms,
                 'tulippin_failed_starts': self._recorder.failed_starts,
+                'tulippin_store_response_ms': _get_response_ms(
+                    self._shell.store_load
+                ),
                 **_sum_gauges(states),
             }
         )
@@ -82,6 +93,33 @@
         return metric
 
 
+def _make_harm_counter(
+    counters: t.Mapping[int, t.Mapping[str, int]],
+) -> Metric:
+    """Return what missed targets and pauses cost, by unit."""
+    metric = CounterMetricFamily(
+        'tulippin_harm',
+        'Missed targets in ms, pauses, and what these did not earn in core-ms',
+        labels=['unit', 'name'],
+    )
+    for unit, counts in sorted(counters.items()):
+        for name in _HARM_COUNTERS:
+            metric.add_metric([str(unit), name], counts.get(name, 0))
+    return metric
+
+
+def _make_event_counter(states: t.Iterable[SchedulerState]) -> Metric:
+    counters = CounterMetricFamily(
+        'tulippin_events', 'Things counted, by name', labels=['name']
+    )
+    counts: collections.Counter[str] = collections.Counter()
+    for state in states:
+        counts.update(state.counters)
+    for name, count in sorted(counts.items()):
+        counters.add_metric([name], count)
+    return counters
+
+
 def _make_failure_counter() -> Metric:
     """Return the counts of contained errors by failed component."""
     metric = CounterMetricFamily(
@@ -114,6 +152,30 @@
     yield predicted
 
 
+def _iter_call_counters(load: StoreLoad) -> t.Iterator[Metric]:
+    """Yield how many calls were given up, and the attempts of the others."""
+    given_up = CounterMetricFamily(
+        'tulippin_calls_given_up', 'Calls given up, by why', labels=['reason']
+    )
+    for reason in Reason:
+        given_up.add_metric([reason.value], load.given_up[reason])
+    yield given_up
+    accepted = CounterMetricFamily(
+        'tulippin_jobs_accepted',
+        'Accepted jobs, by the attempts to write them',
+        labels=['attempts'],
+    )
+    for count, jobs in sorted(load.attempts.items()):
+        accepted.add_metric([str(count)], jobs)
+    yield accepted
+
+
+def _get_response_ms(load: StoreLoad) -> int:
+    """Return how long the store usually takes for a write."""
+    usual_s = load.get_response_time(trio.current_time()).usual_s
+    return int(usual_s * _MS_PER_S)
+
+
 def _sum_gauges(states: t.Sequence[SchedulerState]) -> dict[str, int]:
     """Return gauges summed over all units that the instance holds."""
     return {
--- a/tests/tulippin/jobs/test_report_schedule.py
+++ b/tests/tulippin/jobs/test_report_schedule.py
@@ -338,3 +338,17 @@
     assert delay_ms == 100
     sent_ms = NOW_MS - 100
     assert not _report_schedule.get_read_delay_ms(worker, sent_ms, state)
+
+
+@pytest.mark.parametrize(('age_ms', 'is_early'), [(0, False), (5300, True)])
+def test_ends_are_committed_early_for_a_job_close_to_its_objective(
+    state, worker, age_ms, is_early
+):
+    """Its objective is twice its chain of 2.2 s and 1 s more."""
+    step = attrs.evolve(OPPORTUNISTIC, task_count=1, estimated_ms=2200)
+    job = add_job(state, step)
+    job.arrived_ms = NOW_MS - age_ms
+    add_run(job, 0, worker, 100)
+    worker.last_read_end_number = 1
+    begin(worker, state)
+    assert state.is_early_commit_due is is_early
