--- a/tests/handover_model.py
+++ b/tests/handover_model.py
@@ -201,8 +201,8 @@
         self.number = number
         self.session = session
         self.answer_times = AnswerTimes()
-        self.read_counts = collections.Counter()
         self.layout = LayoutRecord({})
+        self.read_counts = collections.Counter()
         self.ports = types.SimpleNamespace(
             store=types.SimpleNamespace(
                 read_rows=lambda *a: ask('read', *a),
