--- a/src/tulippin/jobs/_report_schedule.py
+++ b/src/tulippin/jobs/_report_schedule.py
@@ -321,7 +321,7 @@
     task = job.tasks.get(attempt.key) if job else None
     if job is None or task is None:
         return False
-    due_in_ms = _ranking.describe(job, task, state).get('due_in_ms', 0)
+    due_in_ms = _ranking.describe(job, task, state, attempt).get('due_in_ms', 0)
     rest_ms = max(
         (
             chain_ms
