--- a/src/tulippin/jobs/_ranking.py
+++ b/src/tulippin/jobs/_ranking.py
@@ -240,6 +240,24 @@
     return fields
 
 
+def get_spare_ms(job: Job, step_key: StepKey, state: SchedulerState) -> float:
+    """Return the time until a job is due, less that of the steps that follow.
+
+    Negative if the steps that follow are expected to end after the objective.
+    """
+    job_id, occurrence, number = step_key
+    following_ms = max(
+        (
+            _estimate_times(job, (job_id, occurrence, index), state)[1]
+            for index, step in enumerate(job.request.steps)
+            if number in step.after
+        ),
+        default=0.0,
+    )
+    due_ms = _estimate_lateness(job, step_key, state).due_ms
+    return due_ms - state.now_ms - following_ms
+
+
 def count_start(job: Job, attempt: Attempt, state: SchedulerState) -> None:
     """Count the start of a short run by the lateness of its job."""
     if not attempt.step.long_running:
--- a/src/tulippin/jobs/_report_schedule.py
+++ b/src/tulippin/jobs/_report_schedule.py
@@ -18,7 +18,10 @@
 import typing as t
 
 from tulippin.jobs import _ownership, _probation, _ranking, _run_times
-from tulippin.jobs._ready_queues import OPPORTUNISTIC_PASS_INTERVAL_MS
+from tulippin.jobs._ready_queues import (
+    OPPORTUNISTIC_PASS_INTERVAL_MS,
+    get_step_key,
+)
 from tulippin.jobs.state import (
     Attempt,
     AttemptState,
@@ -318,21 +321,10 @@
 def _is_due_soon(attempt: Attempt, state: SchedulerState) -> bool:
     """Whether a run's job is expected to end close to its objective."""
     job = state.jobs.get(attempt.key.job_id)
-    task = job.tasks.get(attempt.key) if job else None
-    if job is None or task is None:
+    if job is None:
         return False
-    due_in_ms = _ranking.describe(job, task, state, attempt).get('due_in_ms', 0)
-    rest_ms = max(
-        (
-            chain_ms
-            for step, chain_ms in zip(
-                job.request.steps, job.chains_ms, strict=False
-            )
-            if attempt.key.step in step.after
-        ),
-        default=0.0,
-    )
-    return 0 <= due_in_ms - rest_ms <= _DUE_SOON_MS
+    spare_ms = _ranking.get_spare_ms(job, get_step_key(attempt.key), state)
+    return 0 <= spare_ms <= _DUE_SOON_MS
 
 
 def get_earliest_end_ms(attempt: Attempt, state: SchedulerState) -> int:
