--- a/src/tulippin/jobs/_harm_budget.py
+++ b/src/tulippin/jobs/_harm_budget.py
@@ -20,9 +20,9 @@
 
 # Loss by a task over its target, relative to the value of a task that serves.
 _MISS_COST_MULTIPLE: t.Final = 4.0
-# Value of a reserved core-second of a long-running task. These tasks earn two
-# fifths of all value with 3,650 reserved cores, opportunistic jobs half of it
-# with 1,550 to 2,370 core-seconds a second: the ratio is 0.34 to 0.52.
+# Value of a reserved core-second of a long-running task. These tasks reserve
+# more processors than they use, so each reserved one serves fewer users than
+# one that a job keeps busy.
 _SERVING_VALUE_RATIO: t.Final = 0.4
 # Window of the burn rate. A miss that lasts for a whole window is expected to
 # last for as long again.
