--- a/tests/tulippin/jobs/test_scheduler_overload.py
+++ b/tests/tulippin/jobs/test_scheduler_overload.py
@@ -24,6 +24,14 @@
     patient_load=0.6, burst_factor=2.6, has_service=True
 )
 
+BURST_WITH_STRAGGLERS = Load(
+    patient_load=0.8,
+    urgent_load=0.1,
+    burst_factor=2.6,
+    slow_share=0.03,
+    has_service=True,
+)
+
 
 @pytest.fixture(scope='module')
 def known_outcomes():
@@ -77,6 +85,12 @@
     assert get_mean(on) >= get_mean(off) - CHANCE
 
 
+def test_burst_with_stragglers_beside_urgent_work_earns_no_less(play_both):
+    """Guards against begun jobs that hold back all others under a burst."""
+    off, on = play_both(BURST_WITH_STRAGGLERS)
+    assert get_mean(on) >= get_mean(off) - CHANCE
+
+
 def test_patient_queue_does_not_cost_an_urgent_one(play_both):
     """Guards against begun patient jobs that go before urgent ones."""
     off, on = play_both(TWO_QUEUES)
