Play all optional parts in the soak of jobs, and share the value of a job

Two faults showed only with several parts enabled together, while each was tested alone. What a job is worth by its work and lateness stood in five modules, and stands in job_values now.

--- a/bench/soak_jobs.py
+++ b/bench/soak_jobs.py
@@ -17,14 +17,22 @@
 sys.path.insert(0, str(pathlib.Path(__file__).parent.parent / 'tests'))
 
 import scheduler_soak
+from tulippin.jobs.features import Features
 
 
-def run(seed: int, are_ids_kept: bool, evacuates: bool) -> list[str]:
+def run(
+    seed: int, are_ids_kept: bool, evacuates: bool, features: Features
+) -> list[str]:
     trio_run._ALLOW_DETERMINISTIC_SCHEDULING = True
     trio_run._r = random.Random(seed)
     clock = trio.testing.MockClock(autojump_threshold=0)
     return trio.run(
-        scheduler_soak.play, seed, are_ids_kept, evacuates, clock=clock
+        scheduler_soak.play,
+        seed,
+        are_ids_kept,
+        evacuates,
+        features,
+        clock=clock,
     )
 
 
@@ -42,11 +50,21 @@
         action='store_true',
         help='evacuate failure domains, at times all at once',
     )
+    parser.add_argument(
+        '--all-parts',
+        action='store_true',
+        help='switch on all optional parts of the scheduler',
+    )
     options = parser.parse_args()
+    features = (
+        scheduler_soak.ALL_PARTS
+        if options.all_parts
+        else scheduler_soak.NO_PARTS
+    )
     began = time.monotonic()
     failures = 0
     for seed in range(options.seed, options.seed + options.runs):
-        violations = run(seed, options.keep_ids, options.evacuate)
+        violations = run(seed, options.keep_ids, options.evacuate, features)
         if violations:
             failures += 1
             print(f'seed {seed} fails: {violations[:4]}', flush=True)
--- a/src/tulippin/jobs/_forecasting.py
+++ b/src/tulippin/jobs/_forecasting.py
@@ -10,7 +10,7 @@
 
 import typing as t
 
-from tulippin.jobs import _run_times
+from tulippin.jobs import _run_times, job_values
 from tulippin.jobs.job_forecast import JobForecast, compute_chains_ms
 from tulippin.jobs.state import (
     Attempt,
@@ -23,10 +23,6 @@
 # ends it earlier.
 _VALID_MS: t.Final = 500
 _PERCENT: t.Final = 100
-# The value of a job: a constant share, and the rest in proportion to its work
-# relative to the mean of its queue, up to a limit.
-_CONSTANT_VALUE: t.Final = 0.3
-_MAX_RELATIVE_WORK: t.Final = 4.0
 # Weight of a new job in the mean work of its queue.
 _WORK_WEIGHT: t.Final = 0.02
 
@@ -142,8 +138,7 @@
         work += step.task_count * task_work
         left += job.remaining.get((occurrence, index), 0) * task_work
     mean = _note_work(job, work, state)
-    relative_work = min(_MAX_RELATIVE_WORK, job.work / mean) if mean else 1.0
-    value = _CONSTANT_VALUE + (1 - _CONSTANT_VALUE) * relative_work
+    value = job_values.compute_value(job.work / mean if mean else 1.0)
     return value / max(1.0, left)
 
 
--- a/src/tulippin/jobs/_ranking.py
+++ b/src/tulippin/jobs/_ranking.py
@@ -14,13 +14,12 @@
 
 from tulippin.jobs import _forecasting, _run_times
 from tulippin.jobs._ready_queues import StepKey, get_step_key
+from tulippin.jobs.job_values import MAX_OBJECTIVE_MULTIPLE
 from tulippin.jobs.state import Attempt, Job, SchedulerState, Task
 from tulippin.jobs.types import Step
 
 # Time after which the expected times of a job's steps are computed again.
 _CHAINS_VALID_MS: t.Final = 2000
-# A job has no value after this multiple of its objective.
-_MAX_OBJECTIVE_MULTIPLE: t.Final = 3
 # Long-running tasks of jobs that arrived in the same window are placed
 # together.
 _BATCH_WINDOW_MS: t.Final = 1000
@@ -273,7 +272,7 @@
     objective_ms = job.queue.stretch * total_ms + job.queue.target_latency_ms
     reference_ms = _get_reference_ms(job, step_key, state)
     due_ms = reference_ms + objective_ms
-    worthless_ms = reference_ms + _MAX_OBJECTIVE_MULTIPLE * objective_ms
+    worthless_ms = reference_ms + MAX_OBJECTIVE_MULTIPLE * objective_ms
     if state.now_ms + upper_left_ms <= due_ms:
         return _Outlook(Lateness.IN_TIME, due_ms, worthless_ms)
     if state.now_ms + left_ms <= worthless_ms:
--- a/src/tulippin/jobs/_retry_schedule.py
+++ b/src/tulippin/jobs/_retry_schedule.py
@@ -10,13 +10,11 @@
 
 import attrs
 
+from tulippin.jobs import job_values
+
 _MS: t.Final = 1000
 MIN_RETRY_S: t.Final = 1
 MAX_RETRY_S: t.Final = 10
-# The value of a job is proportional to a constant part and a part that grows
-# with its work relative to the mean of its queue, up to a multiple of that.
-_CONSTANT_VALUE: t.Final = 0.3
-_MAX_RELATIVE_WORK: t.Final = 4.0
 
 
 @attrs.define
@@ -92,7 +90,4 @@
     relative = core_ms / mean_core_ms if mean_core_ms > 0 else 1.0
     if relative <= 1:
         return 1.0
-    value = _CONSTANT_VALUE + (1 - _CONSTANT_VALUE) * min(
-        relative, _MAX_RELATIVE_WORK
-    )
-    return value / relative
+    return job_values.compute_value(relative) / relative
--- a/src/tulippin/jobs/_shedding.py
+++ b/src/tulippin/jobs/_shedding.py
@@ -18,12 +18,13 @@
     _ready_queues,
     _run_times,
 )
+from tulippin.jobs.job_values import LATE_VALUE
 from tulippin.jobs.state import Attempt, Job, SchedulerState, Worker
 
 # Value of a job by the best outcome that it can still reach.
 _OUTCOME_VALUES: t.Final = {
     _ranking.Lateness.IN_TIME: 1.0,
-    _ranking.Lateness.LATE: 0.15,
+    _ranking.Lateness.LATE: LATE_VALUE,
     _ranking.Lateness.WORTHLESS: 0.0,
 }
 # Time until the tails show the effect of a pause: 100 ms until it is in force,
--- a/src/tulippin/jobs/admission.py
+++ b/src/tulippin/jobs/admission.py
@@ -21,6 +21,7 @@
 import attrs
 
 from tulippin.jobs._retry_schedule import RetrySchedule, get_limit_share
+from tulippin.jobs.job_values import MAX_OBJECTIVE_MULTIPLE
 from tulippin.jobs.records import QueueBacklog
 from tulippin.jobs.types import JobRequest, Queue
 
@@ -28,8 +29,6 @@
 _MS: t.Final = 1000
 # Owners renew their leases every 0.5 s, and the feed is read every 0.45 s.
 MAX_LEASE_AGE_MS: t.Final = 1500
-# A job has no value after this multiple of its objective.
-_MAX_OBJECTIVE_MULTIPLE: t.Final = 3
 # Rejections start above this multiple of the time for which a job has value.
 # Its objective is computed from its caller's rough estimates.
 _START_MARGIN: t.Final = 1.25
@@ -137,7 +136,7 @@
     @property
     def allowed_ms(self) -> float:
         """The time after which the job has no value."""
-        value_ms = _MAX_OBJECTIVE_MULTIPLE * self.objective_ms
+        value_ms = MAX_OBJECTIVE_MULTIPLE * self.objective_ms
         return max(0, value_ms - self.elapsed_ms)
 
     @property
@@ -151,7 +150,7 @@
             _MAX_TIMELY_MULTIPLE * self.objective_ms - self.elapsed_ms
         )
         value_limit_ms = (
-            margin * _MAX_OBJECTIVE_MULTIPLE * self.objective_ms
+            margin * MAX_OBJECTIVE_MULTIPLE * self.objective_ms
             - self.elapsed_ms
         )
         is_late_as_last = self.last_ms > value_limit_ms
@@ -255,7 +254,7 @@
         if multiple < _END_MULTIPLE:
             self.is_rejecting = False
             self.credit = 0.0
-        elif multiple > _START_MARGIN * _MAX_OBJECTIVE_MULTIPLE:
+        elif multiple > _START_MARGIN * MAX_OBJECTIVE_MULTIPLE:
             self.is_rejecting = True
 
     def is_rejected(self, outlook: Outlook) -> bool:
--- a/tests/scheduler_soak.py
+++ b/tests/scheduler_soak.py
@@ -22,6 +22,7 @@
     open_fleet,
 )
 from tulippin.exceptions import UnavailableError
+from tulippin.jobs.features import Features
 from tulippin.jobs.types import FINAL_STATES, JobState
 from tulippin.platform.standin import check_history
 
@@ -327,7 +328,25 @@
         return sorted(names - present)
 
 
-async def play(seed, are_ids_kept=False, are_domains_evacuated=False):
+NO_PARTS = Features()
+# All optional parts of the scheduler.
+ALL_PARTS = Features(
+    job_part_count=64,
+    bounds_writes=True,
+    has_admission=True,
+    orders_by_progress=True,
+    budgets_harm=True,
+    gathers_reports=True,
+    gathers_reads=True,
+)
+
+
+async def play(
+    seed,
+    are_ids_kept=False,
+    are_domains_evacuated=False,
+    features=NO_PARTS,
+):
     """Run the scenario of a seed; return all violations.
 
     If `are_ids_kept`, workers restart under their ids, also at once. If
@@ -346,6 +365,7 @@
         workers=WORKER_COUNT,
         rack_size=rack_size,
         racks_per_domain=1,
+        features=features,
     ) as fleet:
         fleet.platform.configure(
             msgspec.structs.replace(body, services=services)
--- a/tests/tulippin/jobs/test_scheduler_soak.py
+++ b/tests/tulippin/jobs/test_scheduler_soak.py
@@ -42,6 +42,20 @@
     assert run_virtual(scheduler_soak.play, seed, seed=seed) == []
 
 
+@pytest.mark.parametrize('seed', [1, 2, 3, 4])
+def test_all_optional_parts_keep_the_invariants(run_virtual, seed):
+    """Guards against parts that hold each alone, and not together."""
+    found = run_virtual(
+        scheduler_soak.play,
+        seed,
+        False,
+        False,
+        scheduler_soak.ALL_PARTS,
+        seed=seed,
+    )
+    assert found == []
+
+
 # 7: tasks run again, as ends of a restarted worker are acknowledged unread
 # 2, 78: a healthy job is abandoned, as three workers are lost or cut off soon
 #   after starts of its task
