Compute chains of steps, and work of no value, in one place each

The longest chains of a job's steps were computed by three loops: the older one in _run_times, one for forecasts and one in admission. Both others call compute_chains_ms now; its sums are the same. Whether the job of a run can earn nothing stood in _preempting and again in _yielding, and stands in _ranking. The tests of these modules pass, unchanged.

--- a/src/tulippin/jobs/_preempting.py
+++ b/src/tulippin/jobs/_preempting.py
@@ -104,7 +104,7 @@
 
 def _get_cost(attempt: Attempt, state: SchedulerState) -> int:
     """Return the work, in millicore-milliseconds, that a stop may discard."""
-    if _is_worthless(attempt, state):
+    if _ranking.is_worthless_run(attempt, state):
         return 0
     age_ms = state.now_ms - attempt.sent_ms
     if attempt.step.checkpointing:
@@ -113,13 +113,6 @@
     return age_ms * attempt.step.size.cpu_millicores
 
 
-def _is_worthless(attempt: Attempt, state: SchedulerState) -> bool:
-    """Whether the job of a run can earn nothing any more."""
-    job = state.jobs.get(attempt.key.job_id)
-    step_key = _ready_queues.get_step_key(attempt.key)
-    return job is not None and _ranking.is_worthless(job, step_key, state)
-
-
 def _is_victim(attempt: Attempt, priority: int) -> bool:
     """Whether a task of a priority may preempt a run."""
     return (
@@ -169,7 +162,7 @@
     ]
     candidates.sort(
         key=lambda attempt: (
-            not _is_worthless(attempt, state),
+            not _ranking.is_worthless_run(attempt, state),
             not attempt.step.checkpointing,
             -attempt.step.size.memory_mb,
         )
--- a/src/tulippin/jobs/_ranking.py
+++ b/src/tulippin/jobs/_ranking.py
@@ -219,6 +219,14 @@
     return get_lateness(job, step_key, state) is Lateness.WORTHLESS
 
 
+def is_worthless_run(attempt: Attempt, state: SchedulerState) -> bool:
+    """Whether the job of a run can earn nothing any more."""
+    job = state.jobs.get(attempt.key.job_id)
+    return job is not None and is_worthless(
+        job, get_step_key(attempt.key), state
+    )
+
+
 def describe(
     job: Job, task: Task, state: SchedulerState, attempt: Attempt
 ) -> dict[str, t.Any]:
--- a/src/tulippin/jobs/_run_times.py
+++ b/src/tulippin/jobs/_run_times.py
@@ -14,6 +14,7 @@
 
 import attrs
 
+from tulippin.jobs.job_forecast import compute_chains_ms
 from tulippin.jobs.records import RunTimeRecord
 from tulippin.jobs.run_ratios import MIN_RUNS, RunRatios
 from tulippin.jobs.state import Job, SchedulerState
@@ -166,10 +167,4 @@
     """Return for each step the time of the longest chain from it on."""
     steps = job.request.steps
     own_ms = [predict_ms(job, step, state) for step in steps]
-    chains_ms = list(own_ms)
-    for index in reversed(range(len(steps))):
-        for predecessor in steps[index].after:
-            chains_ms[predecessor] = max(
-                chains_ms[predecessor], own_ms[predecessor] + chains_ms[index]
-            )
-    return tuple(chains_ms)
+    return compute_chains_ms(steps, own_ms)
--- a/src/tulippin/jobs/_yielding.py
+++ b/src/tulippin/jobs/_yielding.py
@@ -71,10 +71,7 @@
         return False
     step_key = _ready_queues.get_step_key(attempt.key)
     if step_key not in known:
-        job = state.jobs.get(attempt.key.job_id)
-        known[step_key] = job is not None and _ranking.is_worthless(
-            job, step_key, state
-        )
+        known[step_key] = _ranking.is_worthless_run(attempt, state)
     return known[step_key]
 
 
--- a/src/tulippin/jobs/admission.py
+++ b/src/tulippin/jobs/admission.py
@@ -21,6 +21,7 @@
 import attrs
 
 from tulippin.jobs._retry_schedule import RetrySchedule, get_limit_share
+from tulippin.jobs.job_forecast import compute_chains_ms
 from tulippin.jobs.job_values import MAX_OBJECTIVE_MULTIPLE
 from tulippin.jobs.records import QueueBacklog
 from tulippin.jobs.types import JobRequest, Queue
@@ -496,11 +497,8 @@
 
 def _get_chain_ms(request: JobRequest) -> float:
     """Return the longest chain of steps by the caller's estimates."""
-    ends_ms: list[float] = []
-    for step in request.steps:
-        begin_ms = max((ends_ms[number] for number in step.after), default=0.0)
-        ends_ms.append(begin_ms + step.estimated_ms)
-    return max(ends_ms)
+    estimates_ms = [float(step.estimated_ms) for step in request.steps]
+    return max(compute_chains_ms(request.steps, estimates_ms))
 
 
 def _sum_estimates(request: JobRequest) -> float:
