Keep the wait of a report call, its constants and the store's timeout once

The wait of a call to a worker was chosen in _workers with the switch off and in _report_schedule with it on, each with its own 150 and 400 ms and its own test for open orders; _report_schedule decides both now. The store's timeout of 0.9 s stood in three modules and stands in ports. The mean ratio of run time to estimate moved from _backlog to _run_times, which owns the fits. Time lost to a pace is added up only with progress_order, which alone reads it. Some comments are reworded, and the notes on how two values were found are gone.

--- a/src/tulippin/jobs/__init__.py
+++ b/src/tulippin/jobs/__init__.py
@@ -8,11 +8,12 @@
 
 from tulippin.jobs.core import make_state, reduce
 from tulippin.jobs.intake import JobIntake
-from tulippin.jobs.ports import SchedulerPorts
+from tulippin.jobs.ports import STORE_TIMEOUT_S, SchedulerPorts
 from tulippin.jobs.shell import SchedulerShell
 from tulippin.jobs.state import SchedulerConfig, SchedulerState
 
 __all__ = (
+    'STORE_TIMEOUT_S',
     'JobIntake',
     'SchedulerConfig',
     'SchedulerPorts',
--- a/src/tulippin/jobs/_backlog.py
+++ b/src/tulippin/jobs/_backlog.py
@@ -11,14 +11,12 @@
 
 from __future__ import annotations
 
-import math
 import typing as t
 
 import attrs
 
 from tulippin.jobs import _run_times
-from tulippin.jobs._rounding import round_figure
-from tulippin.jobs.records import QueueBacklog, RunTimeRecord
+from tulippin.jobs.records import QueueBacklog
 from tulippin.jobs.state import CompletedWork, Job, SchedulerState
 from tulippin.jobs.types import FINAL_STATES, Step
 
@@ -35,11 +33,8 @@
 # Upper limit of the run time that a queue must have been long for, beside the
 # window: ends before it are of tasks that were started while it was short.
 _MAX_RUN_MS: t.Final = 6000
-# Runs from which on the ratio of a fit is published.
-_MIN_RUNS: t.Final = 20
 # Upper limit of a figure that readers of a lease accept and that JSON encodes.
 _MAX_CORE_MS: t.Final = 10**15
-_MAX_LOG_RATIO: t.Final = math.log(1000)
 
 
 @attrs.define
@@ -147,7 +142,7 @@
         round(min(_MAX_CORE_MS, work.waiting)),
         round(min(_MAX_CORE_MS, work.timely)),
         _measure_rate(name, known, work, state),
-        _get_run_ratio(state.run_time_fits.get(name)),
+        _run_times.get_mean_ratio(name, state),
     )
 
 
@@ -166,12 +161,3 @@
     _drop_old_ends(known, state.now_ms)
     core_ms = sum(one for _, one in known.ends)
     return round(min(_MAX_CORE_MS, core_ms * _MS / _WINDOW_MS))
-
-
-def _get_run_ratio(fit: RunTimeRecord | None) -> float | None:
-    """Return the mean run time for each millisecond of estimate."""
-    if fit is None or fit.count < _MIN_RUNS:
-        return None
-    exponent = fit.log_run - fit.log_estimate
-    limited = max(-_MAX_LOG_RATIO, min(_MAX_LOG_RATIO, exponent))
-    return round_figure(math.exp(limited))
--- a/src/tulippin/jobs/_bounded_writes.py
+++ b/src/tulippin/jobs/_bounded_writes.py
@@ -19,6 +19,7 @@
     WriteAttempts,
 )
 from tulippin.jobs.ports import (
+    STORE_TIMEOUT_S,
     PartitionBehindError,
     RowStore,
     Transaction,
@@ -27,8 +28,6 @@
 from tulippin.logs import logger
 
 _MS: t.Final = 1000
-# Timeout of the store's calls, which is extended while the store is slow.
-_CALL_TIMEOUT_S: t.Final = 0.9
 
 
 async def transact_in_time(
@@ -127,7 +126,7 @@
 
     async def _run_attempt(self, limit_s: float) -> None:
         sent_s = trio.current_time()
-        extra_ms = max(0, int((limit_s - _CALL_TIMEOUT_S) * _MS))
+        extra_ms = max(0, int((limit_s - STORE_TIMEOUT_S) * _MS))
         try:
             result = await self.store.transact(self.transaction, extra_ms)
         except UnavailableError as error:
--- a/src/tulippin/jobs/_report_schedule.py
+++ b/src/tulippin/jobs/_report_schedule.py
@@ -7,8 +7,9 @@
 report matters. Where no end is due, a call waits as long as the lease of the
 worker and the age of the tails permit.
 
-With ``Features.gathers_reports`` off, nothing here is in force. The functions
-change only ``Worker.report_after_ms`` and ``Worker.report_reason``.
+With ``Features.gathers_reports`` off, calls are not delayed, and their wait
+depends only on what runs on the worker. The functions change only
+``Worker.report_after_ms`` and ``Worker.report_reason``.
 """
 
 from __future__ import annotations
@@ -50,8 +51,10 @@
 # A miss that begins just after a report is then seen after 0.8 s and paused
 # 1.8 s later, which leaves 1.2 s of the 4 s that a miss may last.
 _MAX_SHARED_TAIL_AGE_MS: t.Final = 800
-# Wait of a call where a tail is near its target, or an order is unconfirmed.
-_NEAR_TARGET_WAIT_MS: t.Final = 400
+# Wait of a call where opportunistic runs share processors with tasks that have
+# a latency target, whose tails need frequent checks, and while an order is
+# unconfirmed. With reports gathered, the former counts near a target only.
+_SHARED_WAIT_MS: t.Final = 400
 _PENDING_WAIT_MS: t.Final = 150
 # Shortest wait of a call: without one, calls would follow each other at once.
 _MIN_POLL_MS: t.Final = 50
@@ -380,13 +383,17 @@
 def choose_wait_ms(worker: Worker, state: SchedulerState) -> int:
     """Return how long a call waits at the worker for an end.
 
-    The time since the last report is part of it, so that the age of a report
-    and the time between two renewals of a lease are limited with the pause.
+    With reports gathered, the time since the last report is part of it, so that
+    the age of a report and the time between two renewals of a lease are limited
+    with the pause.
     """
     if has_open_order(worker):
         return _PENDING_WAIT_MS
+    is_shared = worker.serving and worker.fillers
+    if not state.config.features.gathers_reports:
+        return _SHARED_WAIT_MS if is_shared else _MAX_REPORT_AGE_MS
     if _is_near_target(worker):
-        return _NEAR_TARGET_WAIT_MS
+        return _SHARED_WAIT_MS
     limit_ms = _get_age_limit_ms(worker, state)
     age_ms = max(0, state.now_ms - worker.answered_ms)
     if age_ms > 2 * limit_ms:
--- a/src/tulippin/jobs/_reports.py
+++ b/src/tulippin/jobs/_reports.py
@@ -159,7 +159,10 @@
         attempt.state = AttemptState.RUNNING
         attempt.seen_ms = state.now_ms
         _attempts.note_running(attempt, context)
-    if not attempt.step.long_running:
+    if (
+        state.config.features.orders_by_progress
+        and not attempt.step.long_running
+    ):
         _forecasting.note_held(attempt, state.now_ms)
     if row.checkpoint:
         attempt.checkpoint = row.checkpoint
--- a/src/tulippin/jobs/_retry_schedule.py
+++ b/src/tulippin/jobs/_retry_schedule.py
@@ -19,7 +19,7 @@
 
 @attrs.define
 class RetrySchedule:
-    """The work that this instance has told to return, by second.
+    """The work of rejected jobs, by the second in which they return.
 
     Parameters
     ----------
@@ -48,7 +48,7 @@
         earliest_ms, latest_ms : float
             From when on and until when, counted from now, the job is of use.
         limit_core_ms : float
-            How much work may be told to return in one second.
+            How much work may return in one second.
         """
         first_s = _clip_s(-(-earliest_ms // _MS))
         last_s = max(first_s, _clip_s(latest_ms // _MS))
--- a/src/tulippin/jobs/_run_times.py
+++ b/src/tulippin/jobs/_run_times.py
@@ -14,6 +14,7 @@
 
 import attrs
 
+from tulippin.jobs._rounding import round_figure
 from tulippin.jobs.job_forecast import compute_chains_ms
 from tulippin.jobs.records import RunTimeRecord
 from tulippin.jobs.run_ratios import MIN_RUNS, RunRatios
@@ -31,6 +32,8 @@
 _MIN_RUNS: t.Final = 20
 # Predictions stay within this factor of the mean.
 _MAX_FACTOR: t.Final = 8.0
+# Limit of the mean ratio of a queue, as a logarithm.
+_MAX_LOG_RATIO: t.Final = math.log(1000)
 # Number of queues and images whose distributions are kept, at 20 KB each;
 # callers choose the names of images.
 _MAX_DISTRIBUTIONS: t.Final = 256
@@ -97,6 +100,22 @@
     return math.exp(fit.log_run + exponent)
 
 
+def get_mean_ratio(queue_name: str, state: SchedulerState) -> float | None:
+    """Return the mean run time of a queue for each millisecond of estimate.
+
+    Returns
+    -------
+    float, optional
+        None until enough runs have been completed.
+    """
+    fit = state.run_time_fits.get(queue_name)
+    if fit is None or fit.count < _MIN_RUNS:
+        return None
+    exponent = fit.log_run - fit.log_estimate
+    limited = max(-_MAX_LOG_RATIO, min(_MAX_LOG_RATIO, exponent))
+    return round_figure(math.exp(limited))
+
+
 def learn_ratio(
     job: Job, step: Step, worked_ms: float, state: SchedulerState
 ) -> None:
--- a/src/tulippin/jobs/_workers.py
+++ b/src/tulippin/jobs/_workers.py
@@ -16,7 +16,6 @@
     _lost_starts,
     _ownership,
     _pacing,
-    _probation,
     _report_schedule,
     _unconfirmed_runs,
 )
@@ -31,15 +30,6 @@
 from tulippin.jobs.state import AttemptState, SchedulerState, Worker
 from tulippin.jobs.types import OrderOutcome, WorkerEntry
 
-# How long a hold call waits at the worker for the end of a run: by default,
-# where opportunistic tasks share processors with tasks that have a latency
-# target, whose tails need frequent checks, and while an order is unconfirmed.
-_DEFAULT_HOLD_WAIT_MS: t.Final = 1000
-_SHARED_HOLD_WAIT_MS: t.Final = 400
-_PENDING_HOLD_WAIT_MS: t.Final = 150
-_PENDING_STATES: t.Final = frozenset(
-    (AttemptState.DOUBTFUL, AttemptState.STOPPING)
-)
 # Pause between two calls to a worker that does not answer.
 _SILENT_RETRY_PAUSE_MS: t.Final = 250
 # Pause before new starts on a worker that refused one: for lack of capacity,
@@ -283,15 +273,7 @@
     """Return how long a hold call may wait at the worker for an end."""
     if not worker.is_reconciled or worker.failed_count:
         return 0
-    if state.config.features.gathers_reports:
-        return _report_schedule.choose_wait_ms(worker, state)
-    if worker.orphaned_runs or _probation.has_probation(worker):
-        return _PENDING_HOLD_WAIT_MS
-    for attempt in worker.attempts.values():
-        if attempt.state in _PENDING_STATES:
-            return _PENDING_HOLD_WAIT_MS
-    is_shared = worker.serving and worker.fillers
-    return _SHARED_HOLD_WAIT_MS if is_shared else _DEFAULT_HOLD_WAIT_MS
+    return _report_schedule.choose_wait_ms(worker, state)
 
 
 # -- unanswered calls ---------------------------------------------------------
--- a/src/tulippin/jobs/_write_bounds.py
+++ b/src/tulippin/jobs/_write_bounds.py
@@ -18,6 +18,7 @@
 import attrs
 
 from tulippin.exceptions import AnswerLostError, UnavailableError
+from tulippin.jobs.ports import STORE_TIMEOUT_S
 
 if t.TYPE_CHECKING:
     from tulippin.jobs._transactions import AnswerTimes
@@ -34,9 +35,8 @@
 # first. While the first answers of a store that is 81 times as slow were under
 # way (0.73 s), earlier ones filled the queues of their parts.
 _SECOND_HEDGE_FACTOR: t.Final = 4.0
-# Timeout of a call to the store; a write may wait longer for its answer, up to
+# A write may wait for its answer for longer than the store's calls do, up to
 # this many times the time that it needs.
-_CALL_TIMEOUT_S: t.Final = 0.9
 _ANSWER_LIMIT_FACTOR: t.Final = 4.0
 # Delay of an attempt after one that failed for another reason than its part's
 # queue, which is doubled with each further one.
@@ -301,7 +301,7 @@
         A slow store answers many writes after the usual timeout. A connection
         that is broken without notice is given up early while it is not slow.
         """
-        limit_s = max(_CALL_TIMEOUT_S, _ANSWER_LIMIT_FACTOR * response.needed_s)
+        limit_s = max(STORE_TIMEOUT_S, _ANSWER_LIMIT_FACTOR * response.needed_s)
         return min(limit_s, self.deadline_s - now_s)
 
     def decide(self, now_s: float, response: ResponseTime) -> Decision:
--- a/src/tulippin/jobs/admission.py
+++ b/src/tulippin/jobs/admission.py
@@ -37,8 +37,7 @@
 _KEEP_MARGIN: t.Final = 1.1
 # A job may still be in time if the jobs that can be in time delay it to less
 # than this multiple of its objective: under overload some of them are passed
-# over. In a model with estimates wrong by up to 1.9 times, 1.25 reduced the
-# jobs in time from 339 to 335, and 2 left them unchanged.
+# over, and estimates are wrong by up to 1.9 times.
 _MAX_TIMELY_MULTIPLE: t.Final = 2
 # Rejections end below this multiple of the objective.
 _END_MULTIPLE: t.Final = 2
@@ -49,7 +48,7 @@
 # Upper limit of the saved-up share of rejections, in jobs.
 _MAX_CREDIT: t.Final = 2.0
 # A caller that returns later than this after its first call begins anew: jobs
-# have value for some 30 s, and callers are told to return within 10 s.
+# have value for some 30 s, and `Retry-After` is at most 10 s.
 _MAX_RETURN_MS: t.Final = 60_000
 # Each entry takes some 100 bytes.
 _MAX_IDS: t.Final = 10_000
@@ -223,7 +222,7 @@
     offered_core_ms, offered_at_ms : float, int
         Decaying sum of the offered work, and when it was last updated.
     returns : RetrySchedule
-        The work that was told to return.
+        The work of rejected jobs by the time of their return.
     """
 
     is_rejecting: bool = False
--- a/src/tulippin/jobs/ports.py
+++ b/src/tulippin/jobs/ports.py
@@ -15,6 +15,10 @@
     WorkerReport,
 )
 
+# Timeout of a call to the store, which answers in 4 to 9 ms, or in 300 ms when
+# it is slow.
+STORE_TIMEOUT_S: t.Final = 0.9
+
 
 class HistoryLostError(UnavailableError):
     """The store no longer has the requested changes; read all rows again."""
--- a/src/tulippin/scheduler_daemon.py
+++ b/src/tulippin/scheduler_daemon.py
@@ -22,6 +22,7 @@
 from tulippin.clocks import read_clock_ms, read_wall_ms
 from tulippin.exceptions import InputError, TulippinError
 from tulippin.jobs import (
+    STORE_TIMEOUT_S,
     JobIntake,
     SchedulerConfig,
     SchedulerPorts,
@@ -48,9 +49,7 @@
 # Time for which a process that exits waits until its buffered log lines are
 # read; a full buffer is usually read in this time.
 _LOG_DRAIN_TIMEOUT_S: t.Final = 1.0
-# Timeout of a request to the store, which answers in 4 to 9 ms, or in 300 ms
-# when it is slow.
-_STORE_TIMEOUT_S: t.Final = 0.9
+_STORE_TIMEOUT_S: t.Final = STORE_TIMEOUT_S
 _MAX_STORE_CONNECTIONS: t.Final = 24
 # Maximum wait for the record of the previous process before the units are
 # read: a store that takes longer would not return the units either.
