Log what holds back the job that has waited longest

Callers saw two accepted jobs without any run beside idle workers. The log counted refusals by image, and the jobs without a run: neither told which job stood still, whether it had a run that paused, was being stopped or had no answer, nor why no worker took a slow start.

'job stalled' names the opportunistic job without a run that works for the longest time, with its runs and the reasons of the workers. When a run of a job last worked is tracked for it; no decision reads it yet. The conditions of a slow start have names, and are the same as before.

--- a/src/tulippin/jobs/_slow_start.py
+++ b/src/tulippin/jobs/_slow_start.py
@@ -17,6 +17,7 @@
 
 from __future__ import annotations
 
+import enum
 import typing as t
 
 import attrs
@@ -70,6 +71,14 @@
 _ROTATING_TASK_COUNT: t.Final = 4
 
 
+class Refusal(enum.Enum):
+    """Why a worker takes no slow start of a task."""
+
+    TARGET_MISSED = 'target_missed'
+    SLOW_RUNS = 'slow_runs'
+    NOT_FEASIBLE = 'not_feasible'
+
+
 @attrs.frozen
 class SlowStart:
     """The worker and the pace for the slow start of a task."""
@@ -149,22 +158,10 @@
         tolerates any pace. Without arrivals the slowest pace is allowed in
         any case.
     """
-    max_slow_runs = (
-        _MAX_SLOW_RUNS
-        if _has_no_arrivals(state)
-        else _MAX_SLOW_RUNS_WITH_ARRIVALS
-    )
     best: Worker | None = None
     best_rank = (True, 0.0, 0.0)
     for worker in state.workers.values():
-        if (
-            worker.targets_missed_since_ms
-            or _count_slow_runs(worker) >= max_slow_runs
-        ):
-            continue
-        if not _feasibility.is_feasible(
-            worker, job, task, step, state, has_waited=True
-        ):
+        if find_refusal(worker, job, task, step, state) is not None:
             continue
         rank = (
             worker.worker_id in task.avoided,
@@ -182,6 +179,26 @@
     return SlowStart(best, pace_percent) if pace_percent else None
 
 
+def find_refusal(
+    worker: Worker, job: Job, task: Task, step: Step, state: SchedulerState
+) -> Refusal | None:
+    """Return why a worker takes no slow start of a task, or None."""
+    if worker.targets_missed_since_ms:
+        return Refusal.TARGET_MISSED
+    if _count_slow_runs(worker) >= _get_max_slow_runs(state):
+        return Refusal.SLOW_RUNS
+    is_feasible = _feasibility.is_feasible(
+        worker, job, task, step, state, has_waited=True
+    )
+    return None if is_feasible else Refusal.NOT_FEASIBLE
+
+
+def _get_max_slow_runs(state: SchedulerState) -> int:
+    if _has_no_arrivals(state):
+        return _MAX_SLOW_RUNS
+    return _MAX_SLOW_RUNS_WITH_ARRIVALS
+
+
 def _get_min_pace(state: SchedulerState) -> int:
     """Return the pace that is allowed even if the slack tolerates none."""
     return _MIN_PACE_PERCENT if _has_no_arrivals(state) else 0
--- a/src/tulippin/jobs/_wait_diagnostics.py
+++ b/src/tulippin/jobs/_wait_diagnostics.py
@@ -16,18 +16,18 @@
 import attrs
 
 from tulippin.jobs import (
-    _evacuation,
     _feasibility,
     _headroom,
     _interference,
     _ranking,
     _ready_queues,
-    _scoring,
+    _stall_diagnostics,
     _unconfirmed_runs,
     _unit_capacity,
+    _wait_reasons,
 )
 from tulippin.jobs._dispatch import Context
-from tulippin.jobs.state import Job, SchedulerState, Task, Worker
+from tulippin.jobs.state import Job, SchedulerState, Task
 from tulippin.jobs.types import Step
 
 _LOG_INTERVAL_MS: t.Final = 1000
@@ -57,6 +57,7 @@
     _log_division(context)
     if state.ready_opportunistic:
         _log_opportunistic(context)
+        _stall_diagnostics.log_longest(context)
 
 
 def _log_observation(context: Context) -> None:
@@ -130,7 +131,7 @@
         waited_ms=state.now_ms - oldest.ready_ms,
         smallest_millicores=step.size.cpu_millicores,
         smallest_memory_mb=step.size.memory_mb,
-        refused=_count_reasons(job, step, task, state),
+        refused=_wait_reasons.count(job, step, task, state),
         waiting_millicores=sum(map(_get_size, waiting)),
         by_lateness=_count_by_lateness(waiting, state),
         units_with_place=_count_units_with_capacity(step, state),
@@ -208,7 +209,7 @@
         },
         **_summarize_idle_jobs(state),
         refused={
-            image: _count_reasons(*found, state)
+            image: _wait_reasons.count(*found, state)
             for image, found in smallest.items()
         },
         idle_millicores=sum(
@@ -272,41 +273,3 @@
         ),
         'seen_millicores': int(sum(one.load for one in running)),
     }
-
-
-def _count_reasons(
-    job: Job, step: Step, task: Task, state: SchedulerState
-) -> dict[str, int]:
-    """Return the number of workers by the reason for refusing a task."""
-    reasons: collections.Counter[str] = collections.Counter()
-    for worker in state.workers.values():
-        reasons[_get_reason(worker, job, step, task, state)] += 1
-    return dict(reasons)
-
-
-def _get_reason(
-    worker: Worker, job: Job, step: Step, task: Task, state: SchedulerState
-) -> str:
-    """Return why a worker refuses a task; `takes_it` if it does not."""
-    if _evacuation.is_closed(worker, state):
-        return 'evacuated'
-    if not _feasibility.is_open(worker, job, task, step, state):
-        return 'closed'
-    if not step.opportunistic:
-        return _get_missing_resource(worker, step)
-    if _interference.get_idle(worker) < step.size.cpu_millicores:
-        return 'busy'
-    if not _feasibility.is_feasible(worker, job, task, step, state):
-        return 'memory'
-    if _scoring.score_idle(state.policy, worker, task, step, state) is None:
-        serving = {one.step.image for one in worker.serving.values()}
-        return f'harms_one_of_{len(serving)}'
-    return 'takes_it'
-
-
-def _get_missing_resource(worker: Worker, step: Step) -> str:
-    """Return the resource that a worker lacks to reserve it for a task."""
-    free = worker.free
-    if free.cpu_millicores < step.reserved.cpu_millicores:
-        return 'processors'
-    return 'takes_it' if worker.has_capacity(step.reserved) else 'memory'
--- a/src/tulippin/jobs/core.py
+++ b/src/tulippin/jobs/core.py
@@ -10,6 +10,7 @@
 from tulippin.jobs import (
     _advisory_inputs,
     _committing,
+    _job_progress,
     _lifecycle,
     _ownership,
     _pacing,
@@ -98,6 +99,7 @@
     _committing.tick(context)
     if context.may_send_orders:
         state.swings.choose_period(state.now_ms)
+        _job_progress.note(state)
     for job_id in state.scheduled:
         if job_id in state.jobs:
             _lifecycle.open_steps(state.jobs[job_id], state)
--- /dev/null
+++ b/tests/waiting_jobs.py
@@ -0,0 +1,155 @@
+"""Jobs of opportunistic tasks beside tasks with a target, in virtual time."""
+
+import attrs
+import trio
+
+from scheduler_fleet import LOW_PRIORITY_QUEUE, make_request, make_step
+from tulippin.jobs.pair_model import ImageModel
+from tulippin.platform.standin_worker import StandinWorker
+
+LIMIT_MS = 3000
+TARGET_MS = 50
+SERVING_JOB = 1
+POLL_INTERVAL_S = 0.05
+
+
+def follow_load(monkeypatch, own_tails_ms, default_ms=12.0):
+    """Let the tail on a worker follow its opportunistic tasks.
+
+    Parameters
+    ----------
+    monkeypatch : pytest.MonkeyPatch
+        Replaces the loads that workers report until the test ends.
+    own_tails_ms : dict of str to float
+        The tail that a worker shows without opportunistic tasks, by its id; it
+        may be changed while the test runs.
+    default_ms : float
+        That tail on all other workers.
+    """
+
+    def get_own_ms(worker):
+        return own_tails_ms.get(worker.worker_id, default_ms)
+
+    def get_load(worker, plan):
+        if not plan.lasts:
+            return 2000.0
+        return get_own_ms(worker) + get_added_ms(worker)
+
+    monkeypatch.setattr(StandinWorker, '_get_load', get_load)
+    return get_own_ms
+
+
+def get_added_ms(worker):
+    """Return what the opportunistic tasks on a worker add to its tail."""
+    return sum(
+        run.plan.tail_ms * run.pace_percent / 100
+        for run in worker.runs.values()
+        if not run.plan.lasts
+    )
+
+
+async def submit(fleet, number, request, queue=LOW_PRIORITY_QUEUE):
+    intake = next(iter(fleet.instances.values())).intake
+    await intake.submit(f'{number:016x}', queue, request, LIMIT_MS)
+
+
+async def serve(fleet, workers, cpu=2000):
+    """Run one task with a latency target on every worker."""
+    step = make_step(
+        workers,
+        cpu,
+        long_running=True,
+        target_ms=TARGET_MS,
+        image='web',
+        max_per_worker=1,
+    )
+    request = make_request(step, lasts=True)
+    await submit(fleet, SERVING_JOB, request)
+    await fleet.wait_running(workers)
+    await trio.sleep(1)
+
+
+def expect_harm(fleet, *images, excess=5.0):
+    """Make the owner's model certain that images harm the served one."""
+    state = fleet.instances[fleet.get_owner()].state
+    model = state.model.images.setdefault('web', ImageModel())
+    for image in images:
+        model.means[image] = excess
+        model.covariances[image, image] = 0.0001
+        model.sample_counts[image] = 50
+
+
+def make_batch(count, *, cpu=1000, image='heavy', run_ms=1500, added_ms=25.0):
+    """Return a job of opportunistic tasks that add to the tails beside them."""
+    step = make_step(count, cpu, opportunistic=True, image=image)
+    return make_request(step, run_ms=run_ms, tail_ms=added_ms)
+
+
+def get_ids(numbers):
+    return {f'{number:016x}' for number in numbers}
+
+
+@attrs.define
+class Watch:
+    """Measures how long jobs go without progress, and targets are missed.
+
+    ``stalled_s`` holds by job id the longest time without a run that works,
+    ``absent_s`` that without any run. ``harm_s`` is the longest time for which
+    tasks that work made a worker miss a target that it meets without them.
+    """
+
+    fleet: object
+    get_own_ms: object
+    stalled_s: dict = attrs.field(factory=dict)
+    absent_s: dict = attrs.field(factory=dict)
+    harm_s: float = 0.0
+    _since_s: dict = attrs.field(factory=dict)
+
+    async def run(self, job_ids, for_s):
+        """Poll until all jobs are done or time is over; return the rest."""
+        until_s = trio.current_time() + for_s
+        open_jobs = set(job_ids)
+        while open_jobs and trio.current_time() < until_s:
+            open_jobs -= self._poll(open_jobs)
+            await trio.sleep(POLL_INTERVAL_S)
+        return open_jobs
+
+    def _poll(self, job_ids):
+        present = set()
+        working = set()
+        for worker in self.fleet.platform.workers.values():
+            worker.tick()
+            self._check_harm(worker)
+            for (key, _), run in worker.runs.items():
+                present.add(key.job_id)
+                if run.pace_percent and run.stops_at_ms is None:
+                    working.add(key.job_id)
+        done = {job_id for job_id in job_ids if self._is_done(job_id)}
+        for job_id in job_ids - done:
+            self._note(self.absent_s, job_id, is_over=job_id in present)
+            self._note(self.stalled_s, job_id, is_over=job_id in working)
+        return done
+
+    def _note(self, longest_s, job_id, *, is_over):
+        lasted_s = self._measure((id(longest_s), job_id), is_over=is_over)
+        longest_s[job_id] = max(longest_s.get(job_id, 0.0), lasted_s)
+
+    def _measure(self, name, *, is_over):
+        """Return how long a state has lasted, 0 if it is over."""
+        now_s = trio.current_time()
+        if is_over:
+            self._since_s.pop(name, None)
+            return 0.0
+        return now_s - self._since_s.setdefault(name, now_s)
+
+    def _check_harm(self, worker):
+        own_ms = self.get_own_ms(worker)
+        added_ms = get_added_ms(worker)
+        is_harmed = own_ms <= TARGET_MS < own_ms + added_ms
+        lasted_s = self._measure(worker.worker_id, is_over=not is_harmed)
+        self.harm_s = max(self.harm_s, lasted_s)
+
+    def _is_done(self, job_id):
+        owner = self.fleet.instances.get(self.fleet.get_owner())
+        job = owner.state.jobs.get(job_id) if owner else None
+        return job is not None and not any(job.remaining.values())
