Count a job's wait only while most processors are idle

Users accept no job without a run beside workers that are mostly idle. The test counted waits on a unit whose workers were in use, too: 'job stalled' told of six workers that all refuse as 'busy' while a job waited for 4.4 s. Use counts at the pace of each run, so that runs that pause leave a unit idle.

--- a/tests/tulippin/jobs/test_slow_start.py
+++ b/tests/tulippin/jobs/test_slow_start.py
@@ -112,7 +112,7 @@
             for number in numbers:
                 request = waiting_jobs.make_batch(form.task_count, cpu=form.cpu)
                 await waiting_jobs.submit(fleet, number, request)
-            watch = waiting_jobs.Watch(fleet, get_own_ms)
+            watch = waiting_jobs.Watch(fleet, get_own_ms, form.cpu)
             left = await watch.run(waiting_jobs.get_ids(numbers), for_s=60)
             assert max(watch.stalled_s.values()) < MAX_STALLED_S
             assert watch.harm_s < MAX_HARM_S
--- a/tests/waiting_jobs.py
+++ b/tests/waiting_jobs.py
@@ -10,6 +10,7 @@
 LIMIT_MS = 3000
 TARGET_MS = 50
 SERVING_JOB = 1
+SERVING_CPU = 2000
 POLL_INTERVAL_S = 0.05
 
 
@@ -53,11 +54,11 @@
     await intake.submit(f'{number:016x}', queue, request, LIMIT_MS)
 
 
-async def serve(fleet, workers, cpu=2000):
+async def serve(fleet, workers):
     """Run one task with a latency target on every worker."""
     step = make_step(
         workers,
-        cpu,
+        SERVING_CPU,
         long_running=True,
         target_ms=TARGET_MS,
         image='web',
@@ -93,13 +94,15 @@
 class Watch:
     """Measures how long jobs go without progress, and targets are missed.
 
-    ``stalled_s`` holds by job id the longest time without a run that works,
-    ``absent_s`` that without any run. ``harm_s`` is the longest time for which
-    tasks that work made a worker miss a target that it meets without them.
+    ``stalled_s`` holds by job id the longest time without a run that works
+    while less than half of the processors work, ``absent_s`` that without any
+    run. ``harm_s`` is the longest time for which tasks that work made a worker
+    miss a target that it meets without them. Tasks take ``cpu`` millicores.
     """
 
     fleet: object
     get_own_ms: object
+    cpu: int = 1000
     stalled_s: dict = attrs.field(factory=dict)
     absent_s: dict = attrs.field(factory=dict)
     harm_s: float = 0.0
@@ -117,19 +120,33 @@
     def _poll(self, job_ids):
         present = set()
         working = set()
+        used = 0
         for worker in self.fleet.platform.workers.values():
             worker.tick()
             self._check_harm(worker)
             for (key, _), run in worker.runs.items():
                 present.add(key.job_id)
+                used += self._get_use(run)
                 if run.pace_percent and run.stops_at_ms is None:
                     working.add(key.job_id)
+        workers = self.fleet.platform.workers.values()
+        is_busy = 2 * used >= sum(worker.room.cpu for worker in workers)
         done = {job_id for job_id in job_ids if self._is_done(job_id)}
         for job_id in job_ids - done:
-            self._note(self.absent_s, job_id, is_over=job_id in present)
-            self._note(self.stalled_s, job_id, is_over=job_id in working)
+            self._note(
+                self.absent_s, job_id, is_over=is_busy or job_id in present
+            )
+            self._note(
+                self.stalled_s, job_id, is_over=is_busy or job_id in working
+            )
         return done
 
+    def _get_use(self, run):
+        """Return the millicores that a run takes at its pace."""
+        if run.plan.lasts:
+            return SERVING_CPU
+        return self.cpu * run.pace_percent / 100
+
     def _note(self, longest_s, job_id, *, is_over):
         lasted_s = self._measure((id(longest_s), job_id), is_over=is_over)
         longest_s[job_id] = max(longest_s.get(job_id, 0.0), lasted_s)
