Count only runs that work as progress of a waiting job

Callers saw accepted jobs without any run beside idle workers. A job gets a run at a slow pace once it has had none for 1.5 s; any run or order kept it from that: a start that got no answer, a run on a silent worker, one that was being stopped, and one that paused for as long as a target was missed. The wait then began anew when the end was read.

Evidence: 'job stalled' names such runs.

A job now waits since one of its runs was last known to work, or since a step of it became ready.

--- a/src/tulippin/jobs/_attempts.py
+++ b/src/tulippin/jobs/_attempts.py
@@ -91,11 +91,6 @@
         job.tasks[attempt.key].attempts.pop(attempt.run, None)
         if attempt.step.long_running and job.state not in FINAL_STATES:
             _lifecycle.mark_dirty(job, context.state)
-        # A refused start doesn't end the idle time of its job: restarting it
-        # with each refused start makes the same worker the choice again.
-        has_existed = attempt.seen_ms > 0
-        if has_existed and not _ready_queues.has_runs(job):
-            job.idle_since_ms = context.state.now_ms
 
 
 def drop_lost_attempt(attempt: Attempt, context: Context, why: str) -> None:
--- a/src/tulippin/jobs/_lifecycle.py
+++ b/src/tulippin/jobs/_lifecycle.py
@@ -585,6 +585,8 @@
         if _needs_start(job, task):
             _ready_queues.add(task, step, state)
             opened += 1
+    if opened:
+        job.opened_ms = state.now_ms
     _demand.note_step(job, step, opened, state)
 
 
--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -166,7 +166,7 @@
         waiting = _slow_start.list_waiting(state)
         for job, task in _slow_start.select_round(waiting, state):
             step = job.request.steps[task.key.step]
-            if _ready_queues.has_runs(job) and not step.long_running:
+            if not _slow_start.has_claim(job, task, state):
                 # Another step of the job was started in this scan.
                 continue
             choice = _slow_start.choose(job, task, step, state)
--- a/src/tulippin/jobs/_preempting.py
+++ b/src/tulippin/jobs/_preempting.py
@@ -4,7 +4,13 @@
 
 import typing as t
 
-from tulippin.jobs import _attempts, _feasibility, _ranking, _ready_queues
+from tulippin.jobs import (
+    _attempts,
+    _feasibility,
+    _job_progress,
+    _ranking,
+    _ready_queues,
+)
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs.state import (
     Attempt,
@@ -43,7 +49,7 @@
         return
     step_key = _ready_queues.get_step_key(task.key)
     if _ranking.is_worthless(job, step_key, state):
-        idle_ms = _ready_queues.get_idle_job_ms(job, task, state)
+        idle_ms = _job_progress.get_idle_ms(job, task, state)
         if idle_ms < _WORTHLESS_PREEMPTS_AFTER_MS:
             return
     preempt(
--- a/src/tulippin/jobs/_ready_queues.py
+++ b/src/tulippin/jobs/_ready_queues.py
@@ -78,21 +78,3 @@
     resumed job ran, all of them count as having run.
     """
     return task.has_run or (job.is_resumed and not job.are_started_tasks_known)
-
-
-def has_runs(job: Job) -> bool:
-    """Whether any task of the job has a run, started or ordered."""
-    return any(task.attempts for task in job.tasks.values())
-
-
-def get_idle_job_ms(job: Job, task: Task, state: SchedulerState) -> int:
-    """Return for how long the job of a ready task has had nothing running.
-
-    For a long-running task it is the wait of the task itself: users miss each
-    one, whatever else of the job runs.
-    """
-    if job.request.steps[task.key.step].long_running:
-        return state.now_ms - task.ready_ms
-    if has_runs(job):
-        return 0
-    return state.now_ms - max(job.idle_since_ms, task.ready_ms)
--- a/src/tulippin/jobs/_slow_start.py
+++ b/src/tulippin/jobs/_slow_start.py
@@ -27,7 +27,7 @@
     _crashes,
     _feasibility,
     _interference,
-    _ready_queues,
+    _job_progress,
     _unconfirmed_runs,
 )
 from tulippin.jobs._dispatch import Context
@@ -105,7 +105,7 @@
             or _unconfirmed_runs.must_await_workers(job, step)
         ):
             continue
-        idle_ms = _ready_queues.get_idle_job_ms(job, task, state)
+        idle_ms = _job_progress.get_idle_ms(job, task, state)
         if idle_ms >= wait_ms:
             found.append((idle_ms, job, task))
     found.sort(key=lambda one: -one[0])
@@ -134,6 +134,11 @@
     return first + (others[offset:] + others[:offset])[:_ROTATING_TASK_COUNT]
 
 
+def has_claim(job: Job, task: Task, state: SchedulerState) -> bool:
+    """Whether a job has made no progress since its last start."""
+    return _job_progress.get_idle_ms(job, task, state) > 0
+
+
 def _find_startable(
     job: Job, tasks: t.Iterable[Task], state: SchedulerState
 ) -> Task | None:
--- a/src/tulippin/jobs/_stall_diagnostics.py
+++ b/src/tulippin/jobs/_stall_diagnostics.py
@@ -7,10 +7,12 @@
 from __future__ import annotations
 
 import collections
+import itertools
 import typing as t
 
 from tulippin.jobs import (
     _crashes,
+    _job_progress,
     _slow_start,
     _unconfirmed_runs,
     _wait_reasons,
@@ -30,6 +32,7 @@
         return
     stalled_ms, job, task = found
     step = job.request.steps[task.key.step]
+    runs = itertools.islice(_job_progress.iter_runs(job), _MAX_LOGGED_RUNS)
     context.log(
         'job stalled',
         task=task.key.format(),
@@ -37,7 +40,7 @@
         waiting_tasks=_count_waiting(job, state),
         awaits_workers=_unconfirmed_runs.must_await_workers(job, step),
         may_start=_crashes.may_start(job, task, state),
-        runs=[_describe_run(one, state) for one in _list_runs(job)],
+        runs=[_describe_run(one, state) for one in runs],
         slow_start=_count_slow_start_refusals(job, task, state),
         refused=_wait_reasons.count(job, step, task, state),
     )
@@ -49,7 +52,7 @@
     for step_key, tasks in state.ready_opportunistic.items():
         job = state.jobs[step_key[0]]
         task = next(iter(tasks.values()))
-        stalled_ms = state.now_ms - max(job.worked_ms, job.first_seen_ms)
+        stalled_ms = _job_progress.get_idle_ms(job, task, state)
         if stalled_ms < _MIN_LOGGED_MS:
             continue
         if longest is None or stalled_ms > longest[0]:
@@ -65,15 +68,6 @@
     )
 
 
-def _list_runs(job: Job) -> list[Attempt]:
-    runs = [
-        attempt
-        for task in job.tasks.values()
-        for attempt in task.attempts.values()
-    ]
-    return runs[:_MAX_LOGGED_RUNS]
-
-
 def _describe_run(attempt: Attempt, state: SchedulerState) -> dict[str, t.Any]:
     worker = state.workers.get(attempt.worker_id)
     missed_since_ms = worker.targets_missed_since_ms if worker else 0
--- a/src/tulippin/jobs/_wait_diagnostics.py
+++ b/src/tulippin/jobs/_wait_diagnostics.py
@@ -19,6 +19,7 @@
     _feasibility,
     _headroom,
     _interference,
+    _job_progress,
     _ranking,
     _ready_queues,
     _stall_diagnostics,
@@ -246,7 +247,7 @@
     for kind, tasks in state.ready_opportunistic.items():
         job = state.jobs[kind[0]]
         task = next(iter(tasks.values()))
-        since_ms = _ready_queues.get_idle_job_ms(job, task, state)
+        since_ms = _job_progress.get_idle_ms(job, task, state)
         if since_ms >= _LOG_INTERVAL_MS:
             idle_ms[job.job_id] = max(since_ms, idle_ms.get(job.job_id, 0))
     longest = max(idle_ms, key=idle_ms.__getitem__, default='')
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -245,7 +245,7 @@
     orders are still in effect. With ``are_assignments_known`` this does not
     apply to long-running tasks, as all workers that may run them are known.
     ``arrived_ms`` is when the job was accepted, ``first_seen_ms`` when this
-    owner received it, ``idle_since_ms`` when the last of its runs ended, and
+    owner received it, ``opened_ms`` when a step of it last became ready, and
     ``worked_ms`` when one of its runs was last known to work.
     ``failed_on`` holds the workers where one of its runs failed.
     ``is_progress_unknown`` says that its stored progress can't be read, so that
@@ -275,7 +275,7 @@
     arrived_ms: int = 0
     first_seen_ms: int = 0
     finished_ms: int = 0
-    idle_since_ms: int = 0
+    opened_ms: int = 0
     worked_ms: int = 0
     failed_on: set[str] = attrs.field(factory=set)
     tasks: dict[TaskKey, Task] = attrs.field(factory=dict)
