Let opportunistic runs go on where targets are missed without them

Callers saw accepted jobs without progress for as long as a target was missed on the workers that had room. Such a miss paused all opportunistic runs there and closed the worker to slow starts while any run was on it, whatever caused the miss: a task that is over its target by its own load paused them for good.

While no opportunistic run works on a worker, a target that is missed there is its own doing. For 2 s after such a reading, runs go on at 10%, and up to 50% while the tail stays within a tenth of that reading; then they pause until it is measured again. Runs don't move for such a pause.

--- /dev/null
+++ b/src/tulippin/jobs/_own_misses.py
@@ -0,0 +1,95 @@
+"""Tells a target that is missed anyway from one missed for its neighbours.
+
+A task that is over its target while no opportunistic run works beside it is so
+by its own load or by its worker. Pausing runs for it helps nobody, and would
+hold them back for as long as it lasts. They go on slowly instead, at a pace at
+which the tail stays near what it was without them, and pause at intervals to
+measure it again.
+"""
+
+from __future__ import annotations
+
+import typing as t
+
+from tulippin.jobs.state import Attempt, AttemptState, SchedulerState, Worker
+
+# Ratio of tail to target from which a target counts as missed.
+MISS_RATIO: t.Final = 0.97
+# Time after the end of the last run until a tail shows nothing of it.
+_SETTLING_MS: t.Final = 1000
+# Time for which a tail that was measured without neighbours explains a miss. A
+# miss that neighbours have come to cause may last 4 s.
+_VALID_MS: t.Final = 2000
+# Time until it has been measured again: a pause takes effect and settles, and
+# the next report is up to 0.4 s old.
+_MAX_MEASURE_MS: t.Final = 2000
+# Paces beside a missed target, and the rise of the tail, as a ratio, up to
+# which the pace is raised.
+_PACES_PERCENT: t.Final = (10, 20, 50)
+_MAX_RISE_RATIO: t.Final = 1.1
+# Minimum time between two raises; a report covers half a second.
+_RAISE_INTERVAL_MS: t.Final = 600
+
+
+def note(worker: Worker, ratio: float, state: SchedulerState) -> None:
+    """Apply a report to what is known of the misses on a worker.
+
+    Parameters
+    ----------
+    worker : Worker
+        The worker, with the report applied.
+    ratio : float
+        The worst ratio of a tail to its target there.
+    state : SchedulerState
+        Holds the time.
+    """
+    if any(_may_work(attempt) for attempt in worker.fillers.values()):
+        worker.quiet_since_ms = 0
+        _adjust_pace(worker, ratio, state)
+        return
+    worker.quiet_since_ms = worker.quiet_since_ms or state.now_ms
+    if state.now_ms - worker.quiet_since_ms < _SETTLING_MS:
+        return
+    worker.own_miss_ratio = ratio if ratio > MISS_RATIO else 0.0
+    worker.own_miss_ms = state.now_ms
+
+
+def _may_work(attempt: Attempt) -> bool:
+    """Whether a run may work, unless its worker has confirmed its pause."""
+    return attempt.pace_percent != 0 or attempt.state is AttemptState.STARTING
+
+
+def _adjust_pace(worker: Worker, ratio: float, state: SchedulerState) -> None:
+    """Raise the pace beside a missed target, or lower it, by its effect."""
+    if not is_own_miss(worker, state):
+        worker.own_miss_percent = _PACES_PERCENT[0]
+        return
+    if state.now_ms - worker.pace_changed_ms < _RAISE_INTERVAL_MS:
+        return
+    index = _PACES_PERCENT.index(worker.own_miss_percent)
+    is_near = ratio <= _MAX_RISE_RATIO * worker.own_miss_ratio
+    index = min(index + 1, len(_PACES_PERCENT) - 1) if is_near else 0
+    worker.own_miss_percent = _PACES_PERCENT[index]
+
+
+def is_own_miss(worker: Worker, state: SchedulerState) -> bool:
+    """Whether a target on a worker was missed without neighbours just now."""
+    age_ms = state.now_ms - worker.own_miss_ms
+    return worker.own_miss_ratio > 0 and age_ms < _VALID_MS
+
+
+def is_measuring(worker: Worker, state: SchedulerState) -> bool:
+    """Whether runs pause only until a missed target is explained again."""
+    age_ms = state.now_ms - worker.own_miss_ms
+    return worker.own_miss_ratio > 0 and age_ms < _VALID_MS + _MAX_MEASURE_MS
+
+
+def get_pace_percent(worker: Worker, state: SchedulerState) -> int:
+    """Return the pace of opportunistic runs beside a missed target."""
+    return worker.own_miss_percent if is_own_miss(worker, state) else 0
+
+
+def is_closed(worker: Worker, state: SchedulerState) -> bool:
+    """Whether a missed target closes a worker to slow starts."""
+    is_missed = worker.targets_missed_since_ms > 0
+    return is_missed and not is_own_miss(worker, state)
--- a/src/tulippin/jobs/_pacing.py
+++ b/src/tulippin/jobs/_pacing.py
@@ -16,6 +16,7 @@
     _availability,
     _feasibility,
     _interference,
+    _own_misses,
     _ownership,
     _scoring,
     _shedding,
@@ -49,8 +50,6 @@
 _RECOVERY_MS: t.Final = 700
 # A miss seen within this time after a takeover is assumed to be older.
 _INHERITED_MISS_MS: t.Final = 1500
-# Ratio of tail to target from which a target counts as missed.
-_MISS_RATIO: t.Final = 0.97
 # A run that is paused or held back for this long moves to another worker: a
 # stop and a new start take about a second.
 _MOVE_DELAY_MS: t.Final = 1200
@@ -73,6 +72,7 @@
 def adjust(worker: Worker, context: Context) -> None:
     """Choose and send the paces of a worker's opportunistic runs."""
     fillers = _list_running(worker)
+    _own_misses.note(worker, _get_worst_ratio(worker), context.state)
     if not (fillers or _shedding.is_recovering(worker, context.state)):
         worker.targets_missed_since_ms = 0
         worker.targets_met_since_ms = 0
@@ -168,12 +168,14 @@
     """Set the wanted pace of each run by the worst tail on the worker."""
     state = context.state
     worst = max(worker.serving.values(), key=_get_ratio, default=None)
-    ratio = 0.0 if worst is None else _get_ratio(worst)
+    ratio = _get_worst_ratio(worker)
     _track_miss(worker, ratio, state)
     missed_for_ms = state.now_ms - (
         worker.targets_missed_since_ms or state.now_ms
     )
-    percent = 0 if missed_for_ms >= _PAUSE_DELAY_MS else _FULL_PERCENT
+    percent = _FULL_PERCENT
+    if missed_for_ms >= _PAUSE_DELAY_MS:
+        percent = _own_misses.get_pace_percent(worker, state)
     before = [attempt.target_pace_percent for attempt in fillers]
     may_raise = state.now_ms - worker.pace_changed_ms >= _RAISE_DELAY_MS
     has_budget = state.config.features.budgets_harm
@@ -220,7 +222,7 @@
     missed = [
         attempt
         for attempt in worker.serving.values()
-        if _get_ratio(attempt) > _MISS_RATIO
+        if _get_ratio(attempt) > _own_misses.MISS_RATIO
     ]
     return _shedding.update(worker, fillers, missed, state, may_raise=may_raise)
 
@@ -246,7 +248,7 @@
     for up to 6 s.
     """
     now_ms = state.now_ms
-    if ratio > _MISS_RATIO:
+    if ratio > _own_misses.MISS_RATIO:
         is_inherited = now_ms - state.ownership.taken_ms < _INHERITED_MISS_MS
         since_ms = now_ms - _PAUSE_DELAY_MS if is_inherited else now_ms
         worker.targets_missed_since_ms = (
@@ -259,6 +261,11 @@
         worker.targets_missed_since_ms = 0
 
 
+def _get_worst_ratio(worker: Worker) -> float:
+    """Return the worst ratio of a tail to its target on a worker."""
+    return max(map(_get_ratio, worker.serving.values()), default=0.0)
+
+
 def _get_ratio(attempt: Attempt) -> float:
     """Return a run's tail latency as a ratio to its target."""
     return attempt.tail_ms / attempt.step.target_ms
@@ -317,7 +324,12 @@
         return True
     # A slow start elsewhere only improves on a run that is paused here.
     is_paused = attempt.is_slow_start and not attempt.target_pace_percent
-    return is_paused and _slow_start.can_start_elsewhere(attempt, context)
+    worker = context.state.workers[attempt.worker_id]
+    return (
+        is_paused
+        and not _own_misses.is_measuring(worker, context.state)
+        and _slow_start.can_start_elsewhere(attempt, context)
+    )
 
 
 def send_if_changed(attempt: Attempt, worker: Worker, context: Context) -> None:
--- a/src/tulippin/jobs/_slow_start.py
+++ b/src/tulippin/jobs/_slow_start.py
@@ -28,6 +28,7 @@
     _feasibility,
     _interference,
     _job_progress,
+    _own_misses,
     _unconfirmed_runs,
 )
 from tulippin.jobs._dispatch import Context
@@ -164,12 +165,13 @@
         any case.
     """
     best: Worker | None = None
-    best_rank = (True, 0.0, 0.0)
+    best_rank = (True, True, 0.0, 0.0)
     for worker in state.workers.values():
         if find_refusal(worker, job, task, step, state) is not None:
             continue
         rank = (
             worker.worker_id in task.avoided,
+            worker.targets_missed_since_ms > 0,
             -_compute_tolerated_percent(
                 step, _count_slow_runs(worker) + 1, worker, state
             ),
@@ -180,7 +182,7 @@
             best_rank = rank
     if best is None:
         return None
-    pace_percent = max(_get_pace(-best_rank[1]), _get_min_pace(state))
+    pace_percent = max(_get_pace(-best_rank[2]), _get_min_pace(state))
     return SlowStart(best, pace_percent) if pace_percent else None
 
 
@@ -188,7 +190,7 @@
     worker: Worker, job: Job, task: Task, step: Step, state: SchedulerState
 ) -> Refusal | None:
     """Return why a worker takes no slow start of a task, or None."""
-    if worker.targets_missed_since_ms:
+    if _own_misses.is_closed(worker, state):
         return Refusal.TARGET_MISSED
     if _count_slow_runs(worker) >= _get_max_slow_runs(state):
         return Refusal.SLOW_RUNS
@@ -248,7 +250,7 @@
         Holds the model.
     """
     if worker.targets_missed_since_ms:
-        return 0
+        return _own_misses.get_pace_percent(worker, state)
     tolerated = _get_pace(
         _compute_tolerated_percent(
             attempt.step, _count_slow_runs(worker), worker, state
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -357,6 +357,10 @@
     ``last_seen``. ``has_good_end`` says that this owner has read the end of a
     run there that was done. The next call for a report is not sent before
     ``report_after_ms``, and ``report_reason`` tells why it is sent then.
+    No opportunistic run has worked there since ``quiet_since_ms``, or 0 if one
+    may. ``own_miss_ratio`` is the worst tail without any, as a ratio to its
+    target, or 0 if that was met, as measured at ``own_miss_ms``;
+    ``own_miss_percent`` is the pace that such a miss permits.
     """
 
     entry: WorkerEntry
@@ -391,6 +395,10 @@
     pace_changed_ms: int = 0
     targets_missed_since_ms: int = 0
     targets_met_since_ms: int = 0
+    quiet_since_ms: int = 0
+    own_miss_ms: int = 0
+    own_miss_ratio: float = 0.0
+    own_miss_percent: int = 10
     harm_budget: HarmBudget = attrs.field(factory=HarmBudget)
     uncommitted_ends: dict[int, TaskKey] = attrs.field(factory=dict)
     deferred_ends: set[TaskKey] = attrs.field(factory=set)
