Let jobs share places and harm when slow starts find none

Callers saw accepted jobs without any run while other jobs' slow starts held the six places of each worker, paused or at a tenth of the speed, for as long as these lasted. Where such runs caused a miss, all of them paused and went on at the same pace, to cause the next one; with 48 waiting jobs the rounds of twelve tasks alone took a second.

Evidence: in virtual time 40 jobs on six workers leave one without a run that works for 10.7 s.

Runs that pause hold no place; twelve runs share a worker, more than six at 5%; after a miss beside slow starts their slowest pace is 2% for 5 s; a round considers 24 tasks.

--- a/src/tulippin/jobs/_pacing.py
+++ b/src/tulippin/jobs/_pacing.py
@@ -251,9 +251,9 @@
     if ratio > _own_misses.MISS_RATIO:
         is_inherited = now_ms - state.ownership.taken_ms < _INHERITED_MISS_MS
         since_ms = now_ms - _PAUSE_DELAY_MS if is_inherited else now_ms
-        worker.targets_missed_since_ms = (
-            worker.targets_missed_since_ms or since_ms
-        )
+        if not worker.targets_missed_since_ms:
+            worker.targets_missed_since_ms = since_ms
+            _slow_start.note_miss(worker, state)
         worker.targets_met_since_ms = 0
         return
     worker.targets_met_since_ms = worker.targets_met_since_ms or now_ms
--- a/src/tulippin/jobs/_slow_start.py
+++ b/src/tulippin/jobs/_slow_start.py
@@ -52,6 +52,11 @@
 # tails, but an estimate that is ten times too high is still detected.
 _PACES_PERCENT: t.Final = (100, 50, 20, 10)
 _MIN_PACE_PERCENT: t.Final = 10
+# The slowest pace where more runs than usual share a worker, and where a target
+# was missed beside them within a time.
+_CROWDED_PACE_PERCENT: t.Final = 5
+_LOWEST_PACE_PERCENT: t.Final = 2
+_RAISE_AFTER_MS: t.Final = 5000
 _PERCENT: t.Final = 100
 # Ratio of the worst tail to its target up to which a run keeps its pace, even
 # if the model now expects more excess. Above it the model decides, down to the
@@ -59,17 +64,19 @@
 # Raising the pace whenever tails are below half of their targets, whatever the
 # model expects, misses targets for 7,583 s in 18 days instead of 7,190 s.
 _TIGHT_RATIO: t.Final = 0.8
-# Maximum number of slow-started runs on a worker. With 48 waiting jobs on 33
+# Usual number of slow-started runs on a worker. With 48 waiting jobs on 33
 # workers and four runs on each of six workers, the last job waits for 2.8 s,
 # with three runs 6.6 s. Six runs at 10% disturb less than one at full pace.
 _MAX_SLOW_RUNS: t.Final = 6
+# The same for jobs that find no place otherwise.
+_MAX_CROWDED_RUNS: t.Final = 12
 # The same while jobs arrive; only where the slack tolerates some pace.
 _MAX_SLOW_RUNS_WITH_ARRIVALS: t.Final = 1
 # Number of tasks compared with all workers in one round: those that have waited
 # longest, and some of the others in turn. Twelve tasks take about 1 ms with 33
 # workers.
 _FIRST_TASK_COUNT: t.Final = 8
-_ROTATING_TASK_COUNT: t.Final = 4
+_ROTATING_TASK_COUNT: t.Final = 16
 
 
 class Refusal(enum.Enum):
@@ -165,13 +172,14 @@
         any case.
     """
     best: Worker | None = None
-    best_rank = (True, True, 0.0, 0.0)
+    best_rank = (True, True, True, 0.0, 0.0)
     for worker in state.workers.values():
         if find_refusal(worker, job, task, step, state) is not None:
             continue
         rank = (
             worker.worker_id in task.avoided,
             worker.targets_missed_since_ms > 0,
+            _count_slow_runs(worker) >= _MAX_SLOW_RUNS,
             -_compute_tolerated_percent(
                 step, _count_slow_runs(worker) + 1, worker, state
             ),
@@ -182,7 +190,8 @@
             best_rank = rank
     if best is None:
         return None
-    pace_percent = max(_get_pace(-best_rank[2]), _get_min_pace(state))
+    min_pace = _get_min_pace(best, _count_slow_runs(best) + 1, state)
+    pace_percent = max(_get_pace(-best_rank[3]), min_pace)
     return SlowStart(best, pace_percent) if pace_percent else None
 
 
@@ -202,18 +211,47 @@
 
 def _get_max_slow_runs(state: SchedulerState) -> int:
     if _has_no_arrivals(state):
-        return _MAX_SLOW_RUNS
+        return _MAX_CROWDED_RUNS
     return _MAX_SLOW_RUNS_WITH_ARRIVALS
 
 
-def _get_min_pace(state: SchedulerState) -> int:
-    """Return the pace that is allowed even if the slack tolerates none."""
-    return _MIN_PACE_PERCENT if _has_no_arrivals(state) else 0
+def _get_min_pace(worker: Worker, count: int, state: SchedulerState) -> int:
+    """Return the pace that is allowed even if the slack tolerates none.
+
+    Parameters
+    ----------
+    worker : Worker
+        The worker, with its last miss beside slow starts.
+    count : int
+        The number of slow-started runs that share it.
+    state : SchedulerState
+        Tells whether jobs arrive.
+    """
+    if not _has_no_arrivals(state):
+        return 0
+    missed_ago_ms = state.now_ms - worker.slow_miss_ms
+    is_recent = worker.slow_miss_ms > 0 and missed_ago_ms < _RAISE_AFTER_MS
+    if is_recent:
+        return _LOWEST_PACE_PERCENT
+    is_crowded = count > _MAX_SLOW_RUNS
+    return _CROWDED_PACE_PERCENT if is_crowded else _MIN_PACE_PERCENT
+
+
+def note_miss(worker: Worker, state: SchedulerState) -> None:
+    """Record a miss on a worker if slow starts there may have caused it.
+
+    At the same pace they would cause the next one as soon as they go on.
+    """
+    if _count_slow_runs(worker) and not _own_misses.is_own_miss(worker, state):
+        worker.slow_miss_ms = state.now_ms
 
 
 def _count_slow_runs(worker: Worker) -> int:
-    """Return the number of slow-started runs on a worker."""
-    return sum(one.is_slow_start for one in worker.fillers.values())
+    """Return the number of slow-started runs that don't pause on a worker."""
+    return sum(
+        one.is_slow_start and one.target_pace_percent > 0
+        for one in worker.fillers.values()
+    )
 
 
 def _compute_tolerated_percent(
@@ -251,14 +289,16 @@
     """
     if worker.targets_missed_since_ms:
         return _own_misses.get_pace_percent(worker, state)
+    count = _count_slow_runs(worker) + (attempt.target_pace_percent == 0)
     tolerated = _get_pace(
-        _compute_tolerated_percent(
-            attempt.step, _count_slow_runs(worker), worker, state
-        )
+        _compute_tolerated_percent(attempt.step, count, worker, state)
     )
+    min_pace = _get_min_pace(worker, count, state)
     if ratio > _TIGHT_RATIO:
-        return max(tolerated, _get_min_pace(state))
-    return max(tolerated, attempt.target_pace_percent, _MIN_PACE_PERCENT)
+        return max(tolerated, min_pace)
+    return max(
+        tolerated, attempt.target_pace_percent, min_pace or _MIN_PACE_PERCENT
+    )
 
 
 def can_start_elsewhere(attempt: Attempt, context: Context) -> bool:
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -361,6 +361,7 @@
     may. ``own_miss_ratio`` is the worst tail without any, as a ratio to its
     target, or 0 if that was met, as measured at ``own_miss_ms``;
     ``own_miss_percent`` is the pace that such a miss permits.
+    A target was last missed beside slow starts at ``slow_miss_ms``.
     """
 
     entry: WorkerEntry
@@ -399,6 +400,7 @@
     own_miss_ms: int = 0
     own_miss_ratio: float = 0.0
     own_miss_percent: int = 10
+    slow_miss_ms: int = 0
     harm_budget: HarmBudget = attrs.field(factory=HarmBudget)
     uncommitted_ends: dict[int, TaskKey] = attrs.field(factory=dict)
     deferred_ends: set[TaskKey] = attrs.field(factory=set)
