Move a slowed run only for a place that it can get

Callers saw jobs that had a run, slowly, and then none: the scheduler stopped a slow-started run because another worker would take it at full pace. Its end is read up to 0.9 s later; by then a waiting task has taken the place.

A run that works stays while the last placement pass left opportunistic tasks waiting, and one that pauses stays while its worker meets its targets again.

--- a/src/tulippin/jobs/_pacing.py
+++ b/src/tulippin/jobs/_pacing.py
@@ -320,18 +320,36 @@
 
 def _fits_elsewhere(attempt: Attempt, context: Context) -> bool:
     """Whether another worker can run the task faster than this one."""
-    if _scoring.has_other_worker(attempt, context):
+    if not _is_left_waiting(context.state) and _scoring.has_other_worker(
+        attempt, context
+    ):
         return True
     # A slow start elsewhere only improves on a run that is paused here.
     is_paused = attempt.is_slow_start and not attempt.target_pace_percent
     worker = context.state.workers[attempt.worker_id]
+    is_resuming = worker.targets_met_since_ms > 0 or _own_misses.is_measuring(
+        worker, context.state
+    )
     return (
         is_paused
-        and not _own_misses.is_measuring(worker, context.state)
+        and not is_resuming
         and _slow_start.can_start_elsewhere(attempt, context)
     )
 
 
+def _is_left_waiting(state: SchedulerState) -> bool:
+    """Whether the last placement pass left opportunistic tasks waiting.
+
+    These take any place before a run that is being moved there has ended.
+    """
+    placed_ms = state.opportunistic_placed_ms
+    return any(
+        task.ready_ms < placed_ms
+        for tasks in state.ready_opportunistic.values()
+        for task in tasks.values()
+    )
+
+
 def send_if_changed(attempt: Attempt, worker: Worker, context: Context) -> None:
     """Send a run's wanted pace, unless the worker has confirmed it.
 
