Pages of slow starts and paces: what a pause frees

The modules' descriptions said that every miss pauses all opportunistic runs, and that a slow start pauses at each. Counting the run itself beside those that work is spelled out; no decision changes.

--- a/src/tulippin/jobs/_pacing.py
+++ b/src/tulippin/jobs/_pacing.py
@@ -3,7 +3,8 @@
 An opportunistic task is placed where the model expects no harm and then runs
 at full pace: a slowed one holds its processors and memory and makes its job
 late. A short miss of a target is tolerated; a longer one pauses all
-opportunistic runs on the worker until the tails recover. With a harm budget,
+opportunistic runs on the worker until the tails recover, or until it is known
+that they don't cause it (``_own_misses``). With a harm budget,
 only the runs that cause a miss pause (``_shedding``), before the hard limit.
 """
 
--- a/src/tulippin/jobs/_slow_start.py
+++ b/src/tulippin/jobs/_slow_start.py
@@ -11,8 +11,10 @@
 tolerates the highest pace, at the pace that the slack there allows, with a
 limit on such runs for each worker. A slow-started run yields: other tasks are
 placed as if it did not exist, it continues at the pace that they leave, and it
-pauses as soon as a target is missed. It is observed at a pace at which targets
-are met, which corrects the estimate for its image.
+pauses as soon as a target is missed that would be met without it
+(``_own_misses``). It is observed at a pace at which targets are met, which
+corrects the estimate for its image. While it pauses it holds no place, and its
+job may have another run.
 """
 
 from __future__ import annotations
@@ -289,7 +291,10 @@
     """
     if worker.targets_missed_since_ms:
         return _own_misses.get_pace_percent(worker, state)
-    count = _count_slow_runs(worker) + (attempt.target_pace_percent == 0)
+    count = _count_slow_runs(worker)
+    if not attempt.target_pace_percent:
+        # It would go on beside those that are counted.
+        count += 1
     tolerated = _get_pace(
         _compute_tolerated_percent(attempt.step, count, worker, state)
     )
