--- a/tests/tulippin/jobs/test_scheduler_decisions.py
+++ b/tests/tulippin/jobs/test_scheduler_decisions.py
@@ -325,6 +325,73 @@
     assert filler.target_pace_percent == 100
 
 
+def make_slow_start(state, worker):
+    """Start a run slowly beside a tail that keeps it at the slowest pace."""
+    make_attempt(worker, make_service_request(), load=45.0)
+    set_pair(state, 'web', 'batch', 5.0)
+    step = make_filler()
+    make_job(state, 'b', NOW_MS - 5000, (step,))
+    filler = make_attempt(worker, step, 'b')
+    filler.is_slow_start = True
+    filler.target_pace_percent = filler.pace_percent = 10
+    return filler
+
+
+def leave_waiting(state, ready_ms):
+    """Add a ready task, seen by the last placement pass if it is older."""
+    job = make_job(state, 'c', ready_ms, (make_filler(cpu=60_000),))
+    task = Task(TaskKey('c', 0, 0, 0), ready_ms=ready_ms)
+    job.tasks[task.key] = task
+    state.ready_opportunistic['c', 0, 0] = {task.key: task}
+
+
+def pace_slow_start(state, worker, for_ms=2400, every_ms=400):
+    """Adjust paces repeatedly beside a high tail that meets its target."""
+    for _ in range(for_ms // every_ms):
+        set_sibling_tails(state, 45.0)
+        for one in state.workers.values():
+            one.answered_ms = state.now_ms
+        state.opportunistic_placed_ms = state.now_ms
+        pace(state, worker)
+        state.now_ms += every_ms
+
+
+def test_working_slow_start_stays_while_tasks_are_left_waiting():
+    state = make_state(2)
+    worker = state.workers['w0']
+    filler = make_slow_start(state, worker)
+    leave_waiting(state, NOW_MS - 1000)
+    pace_slow_start(state, worker)
+    assert filler.target_pace_percent == 10
+    assert filler.state is AttemptState.RUNNING
+
+
+def test_working_slow_start_moves_when_no_tasks_are_left_waiting():
+    state = make_state(2)
+    worker = state.workers['w0']
+    filler = make_slow_start(state, worker)
+    pace_slow_start(state, worker)
+    assert filler.target_pace_percent == 10
+    assert filler.state is AttemptState.STOPPING
+
+
+def test_task_that_the_last_pass_has_not_seen_is_not_left_waiting():
+    state = make_state(2)
+    worker = state.workers['w0']
+    filler = make_slow_start(state, worker)
+    leave_waiting(state, NOW_MS + 60_000)
+    pace_slow_start(state, worker)
+    assert filler.state is AttemptState.STOPPING
+
+
+def test_working_slow_start_stays_if_no_other_worker_takes_it():
+    state = make_state(1)
+    worker = state.workers['w0']
+    filler = make_slow_start(state, worker)
+    pace_slow_start(state, worker)
+    assert filler.state is AttemptState.RUNNING
+
+
 def make_job(state, job_id, arrived_ms, steps):
     job = Job(job_id, QUEUE, JobRequest('', steps), 1, arrived_ms=arrived_ms)
     state.jobs[job_id] = job
