Test two misses that neighbours may have caused but that count as own

- test_run_whose_resumption_is_unanswered_may_cause_a_miss: _may_work looks at the last confirmed pace alone.
A paused run that was ordered to go on, and whose answer is lost, works while the worker counts as quiet: each report then measures its effect as an own miss and extends it.
- test_run_that_ends_between_two_reports_may_cause_a_miss: ends are applied before _own_misses.note, so that a run that began and ended since the last report doesn't end the quiet time, and the tail that it left is an own miss.

--- a/tests/tulippin/jobs/test_own_misses.py
+++ b/tests/tulippin/jobs/test_own_misses.py
@@ -116,6 +116,27 @@
     assert _own_misses.is_own_miss(worker, state)
 
 
+def test_run_whose_resumption_is_unanswered_may_cause_a_miss():
+    state, worker = make_state()
+    attempt = add_paused(worker)
+    note(state, worker, OWN_RATIO, SETTLING_MS)
+    attempt.target_pace_percent = 10
+    attempt.pace_sent_ms = state.now_ms
+    note(state, worker, OWN_RATIO, SETTLING_MS)
+    assert not _own_misses.is_own_miss(worker, state)
+
+
+def test_run_that_ends_between_two_reports_may_cause_a_miss():
+    state, worker = make_state()
+    note(state, worker, 0.5)
+    note(state, worker, 0.5, SETTLING_MS)
+    attempt = add_filler(worker)
+    state.now_ms += REPORT_INTERVAL_MS
+    drop_attempt(attempt, Context(state))
+    note(state, worker, OWN_RATIO)
+    assert not _own_misses.is_own_miss(worker, state)
+
+
 @pytest.mark.parametrize(
     'fields',
     [
