Measure the wait of a job by each of its tasks

Tasks received from other units counted as waiting since the start.

When a task became ready for the first time is now kept for it.

--- a/src/tulippin/jobs/_job_progress.py
+++ b/src/tulippin/jobs/_job_progress.py
@@ -46,7 +46,7 @@
     )
     if is_busy:
         return 0
-    return state.now_ms - max(job.worked_ms, job.opened_ms)
+    return state.now_ms - max(job.worked_ms, task.opened_ms)
 
 
 def iter_runs(job: Job) -> t.Iterator[Attempt]:
--- a/src/tulippin/jobs/_lifecycle.py
+++ b/src/tulippin/jobs/_lifecycle.py
@@ -552,6 +552,7 @@
     for key in job.passes:
         task = get_task(job, key)
         if _needs_start(job, task):
+            task.opened_ms = task.opened_ms or state.now_ms
             _ready_queues.add(task, job.request.steps[key.step], state)
 
 
@@ -583,10 +584,9 @@
         key = TaskKey(job.job_id, occurrence, number, index)
         task = get_task(job, key)
         if _needs_start(job, task):
+            task.opened_ms = task.opened_ms or state.now_ms
             _ready_queues.add(task, step, state)
             opened += 1
-    if opened:
-        job.opened_ms = state.now_ms
     _demand.note_step(job, step, opened, state)
 
 
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -195,7 +195,8 @@
     a worker, the certain and suspected crashes under the task.
     ``unresolved_start`` is the run and worker of an earlier owner's last start
     while its outcome is unknown. ``reported_workers`` are the workers that the
-    last owner's release report names for the task.
+    last owner's release report names for the task. ``opened_ms`` is when it
+    became ready for the first time.
     """
 
     key: TaskKey
@@ -213,6 +214,7 @@
     has_run: bool = False
     crashes: dict[Incarnation, CrashRecord] = attrs.field(factory=dict)
     unresolved_start: tuple[int, str] | None = None
+    opened_ms: int = 0
     reported_workers: tuple[str, ...] = ()
 
     def list_crashes(self) -> tuple[CrashRecord, ...]:
@@ -245,8 +247,8 @@
     orders are still in effect. With ``are_assignments_known`` this does not
     apply to long-running tasks, as all workers that may run them are known.
     ``arrived_ms`` is when the job was accepted, ``first_seen_ms`` when this
-    owner received it, ``opened_ms`` when a step of it last became ready, and
-    ``worked_ms`` when one of its runs was last known to work.
+    owner received it, and ``worked_ms`` when one of its runs was last known to
+    work.
     ``failed_on`` holds the workers where one of its runs failed.
     ``is_progress_unknown`` says that its stored progress can't be read, so that
     none of its tasks may be started. ``is_transferred`` marks a job whose home
@@ -275,7 +277,6 @@
     arrived_ms: int = 0
     first_seen_ms: int = 0
     finished_ms: int = 0
-    opened_ms: int = 0
     worked_ms: int = 0
     failed_on: set[str] = attrs.field(factory=set)
     tasks: dict[TaskKey, Task] = attrs.field(factory=dict)
