Let a slowed run move to a place that waiting tasks leave

A run moves where the same other worker has accepted it since before the last placement pass, or where nothing waits.

--- a/src/tulippin/jobs/_pacing.py
+++ b/src/tulippin/jobs/_pacing.py
@@ -321,9 +321,7 @@
 
 def _fits_elsewhere(attempt: Attempt, context: Context) -> bool:
     """Whether another worker can run the task faster than this one."""
-    if not _is_left_waiting(context.state) and _scoring.has_other_worker(
-        attempt, context
-    ):
+    if _has_lasting_place(attempt, context):
         return True
     # A slow start elsewhere only improves on a run that is paused here.
     is_paused = attempt.is_slow_start and not attempt.target_pace_percent
@@ -338,17 +336,20 @@
     )
 
 
-def _is_left_waiting(state: SchedulerState) -> bool:
-    """Whether the last placement pass left opportunistic tasks waiting.
+def _has_lasting_place(attempt: Attempt, context: Context) -> bool:
+    """Whether a worker accepts a run, and did so before the last pass.
 
-    These take any place before a run that is being moved there has ended.
+    Waiting tasks take any other place before the end of the run is read.
     """
-    placed_ms = state.opportunistic_placed_ms
-    return any(
-        task.ready_ms < placed_ms
-        for tasks in state.ready_opportunistic.values()
-        for task in tasks.values()
-    )
+    state = context.state
+    worker = _scoring.find_other_worker(attempt, context)
+    worker_id = worker.worker_id if worker else ''
+    if worker_id != attempt.other_worker_id:
+        attempt.other_worker_id = worker_id
+        attempt.other_since_ms = state.now_ms
+    if worker is None or not state.ready_opportunistic:
+        return worker is not None
+    return attempt.other_since_ms < state.opportunistic_placed_ms
 
 
 def send_if_changed(attempt: Attempt, worker: Worker, context: Context) -> None:
--- a/src/tulippin/jobs/_scoring.py
+++ b/src/tulippin/jobs/_scoring.py
@@ -103,9 +103,14 @@
 
 def has_other_worker(attempt: Attempt, context: Context) -> bool:
     """Whether another worker accepts the task of a run now."""
+    return find_other_worker(attempt, context) is not None
+
+
+def find_other_worker(attempt: Attempt, context: Context) -> Worker | None:
+    """Return the first other worker that accepts the task of a run now."""
     found = _attempts.find_task(attempt.key, context)
     if found is None:
-        return False
+        return None
     job, task = found
     state = context.state
     step = attempt.step
@@ -115,7 +120,7 @@
         if not _feasibility.is_feasible(worker, job, task, step, state):
             continue
         if not step.opportunistic:
-            return True
+            return worker
         if score_idle(state.policy, worker, task, step, state) is not None:
-            return True
-    return False
+            return worker
+    return None
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -129,8 +129,11 @@
     """One run of a task on a worker.
 
     ``pace_percent`` is the pace that the worker has confirmed, or None if an
-    earlier owner may have set another one. ``load`` is the smoothed value that
-    the worker reports; ``tail_ms`` is the current tail latency, computed from
+    earlier owner may have set another one; ``open_pace_percent`` is one that
+    was ordered and not confirmed. ``other_worker_id`` is a worker that has
+    accepted the task since ``other_since_ms``, as last checked. ``load`` is
+    the smoothed value that the worker reports; ``tail_ms`` is the current tail
+    latency, computed from
     ``load`` and its earlier value ``previous_load``. ``start_deadline_ms`` is
     by the clock of its worker's incarnation; it is 0 if the start was sent by
     an earlier owner, or to an earlier incarnation. ``is_slow_start`` marks a
@@ -167,6 +170,8 @@
     pace_sent_ms: int = 0
     slowed_since_ms: int = 0
     load: float = 0.0
+    other_worker_id: str = ''
+    other_since_ms: int = 0
     tail_ms: float = 0.0
     previous_load: float = 0.0
     previous_load_ms: int = 0
