Order a pace again until the last order is confirmed

A run that had paused was ordered to go on, and the answer was lost; a later pause equalled the pace that was confirmed last, and was not sent.

The pace that was ordered and not confirmed is kept, and the wanted one is sent until it is confirmed.

--- a/src/tulippin/jobs/_own_misses.py
+++ b/src/tulippin/jobs/_own_misses.py
@@ -55,8 +55,13 @@
 
 
 def _may_work(attempt: Attempt) -> bool:
-    """Whether a run may work, unless its worker has confirmed its pause."""
-    return attempt.pace_percent != 0 or attempt.state is AttemptState.STARTING
+    """Whether a run may work: it does until its worker has confirmed a pause.
+
+    One that was ordered to go on may do so before it is confirmed.
+    """
+    paces = attempt.pace_percent, attempt.target_pace_percent
+    is_paused = paces == (0, 0) and not attempt.open_pace_percent
+    return attempt.state is AttemptState.STARTING or not is_paused
 
 
 def _adjust_pace(worker: Worker, ratio: float, state: SchedulerState) -> None:
--- a/src/tulippin/jobs/_pacing.py
+++ b/src/tulippin/jobs/_pacing.py
@@ -358,7 +358,9 @@
     A run works at full pace until its first pace arrives. The first pace is
     therefore sent as soon as the start is answered.
     """
-    if attempt.pace_percent != attempt.target_pace_percent:
+    wanted = attempt.target_pace_percent
+    is_open = attempt.open_pace_percent not in {None, wanted}
+    if attempt.pace_percent != wanted or is_open:
         _send(attempt, worker, context)
 
 
@@ -370,6 +372,7 @@
     attempt.pace_sent_ms = state.now_ms
     context.emit(
         PaceRun(
+    attempt.open_pace_percent = attempt.target_pace_percent
             worker.worker_id,
             worker.entry.address,
             attempt.key,
@@ -398,3 +401,4 @@
         attempt.pace_percent = event.percent
         # A paused task could not make progress until now.
         attempt.last_progress_ms = state.now_ms
+        attempt.open_pace_percent = None
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -167,6 +167,7 @@
     progress_percent: int = 0
     pace_percent: int | None = 100
     target_pace_percent: int = 100
+    open_pace_percent: int | None = None
     pace_sent_ms: int = 0
     slowed_since_ms: int = 0
     load: float = 0.0
