Bound the slow starts of a worker that pause

While jobs arrive all slow starts count, and 24 are the most on a worker; of those that pause only as many go on as places are left.

--- a/src/tulippin/jobs/_slow_start.py
+++ b/src/tulippin/jobs/_slow_start.py
@@ -72,6 +72,8 @@
 _MAX_SLOW_RUNS: t.Final = 6
 # The same for jobs that find no place otherwise.
 _MAX_CROWDED_RUNS: t.Final = 12
+# The same with those that pause.
+_MAX_TOTAL_RUNS: t.Final = 24
 # The same while jobs arrive; only where the slack tolerates some pace.
 _MAX_SLOW_RUNS_WITH_ARRIVALS: t.Final = 1
 # Number of tasks compared with all workers in one round: those that have waited
@@ -203,7 +205,7 @@
     """Return why a worker takes no slow start of a task, or None."""
     if _own_misses.is_closed(worker, state):
         return Refusal.TARGET_MISSED
-    if _count_slow_runs(worker) >= _get_max_slow_runs(state):
+    if _has_slow_runs(worker, state):
         return Refusal.SLOW_RUNS
     is_feasible = _feasibility.is_feasible(
         worker, job, task, step, state, has_waited=True
@@ -211,10 +213,16 @@
     return None if is_feasible else Refusal.NOT_FEASIBLE
 
 
-def _get_max_slow_runs(state: SchedulerState) -> int:
-    if _has_no_arrivals(state):
-        return _MAX_CROWDED_RUNS
-    return _MAX_SLOW_RUNS_WITH_ARRIVALS
+def _has_slow_runs(worker: Worker, state: SchedulerState) -> bool:
+    """Whether a worker has as many slow-started runs as it may have.
+
+    Runs that pause hold no place once no jobs arrive, but their memory.
+    """
+    total = sum(one.is_slow_start for one in worker.fillers.values())
+    if not _has_no_arrivals(state):
+        return total >= _MAX_SLOW_RUNS_WITH_ARRIVALS
+    is_crowded = _count_slow_runs(worker) >= _MAX_CROWDED_RUNS
+    return is_crowded or total >= _MAX_TOTAL_RUNS
 
 
 def _get_min_pace(worker: Worker, count: int, state: SchedulerState) -> int:
@@ -293,6 +301,8 @@
         return _own_misses.get_pace_percent(worker, state)
     count = _count_slow_runs(worker)
     if not attempt.target_pace_percent:
+        if count >= _MAX_CROWDED_RUNS:
+            return 0
         # It would go on beside those that are counted.
         count += 1
     tolerated = _get_pace(
