Resolve open starts before their worker leaves the roster

A task that crashes its workers was started a sixth time, which costs users one more worker and its runs.

Cause: an owner is lost together with the worker of a start that it has stored. Its successor resolves such an open start only as it looks at the task, and the task waits for all workers until then. With the stored bounds of leases a worker may be removed from the roster before that. What the owner knows of its loss is in memory; the next owner finds the start on a worker that no roster names and takes it for one without a crash.

Before a worker is removed, the open starts on it are resolved now, and the removal waits until the crashes there are durable. A crash under a job whose past is unknown is never committed and keeps no worker.

Limit: a worker whose runs are not confirmed yet, as fewer than half of the workers were reached, may still leave with an open start.

--- a/src/tulippin/jobs/_crashes.py
+++ b/src/tulippin/jobs/_crashes.py
@@ -362,6 +362,40 @@
     _add_crash(job, task, record, state)
 
 
+def are_starts_resolved(worker: Worker, state: SchedulerState) -> bool:
+    """Resolve the open starts on a worker that is about to be removed.
+
+    Returns
+    -------
+    bool
+        Whether all crashes of the worker are durable. The next owner takes a
+        start on a worker that isn't on the roster for one without a crash.
+    """
+    is_lost = worker.worker_id in state.lost_unconfirmed_workers
+    if is_lost or not worker.is_reconciled:
+        _resolve_starts_on(worker, state)
+    return all(
+        _are_crashes_durable(job, task)
+        for job, task in list_suspects(state)
+        # The progress of a job whose past is unknown isn't committed.
+        if not job.is_progress_unknown
+        and any(
+            crash.worker_id == worker.worker_id
+            for crash in task.crashes.values()
+        )
+    )
+
+
+def _resolve_starts_on(worker: Worker, state: SchedulerState) -> None:
+    for job in state.jobs.values():
+        if job.state in FINAL_STATES:
+            continue
+        for task in job.tasks.values():
+            start = task.unresolved_start
+            if start and start[1] == worker.worker_id and not task.is_done:
+                _resolve_open_start(job, task, state)
+
+
 def may_have_lost_start(job: Job, task: Task, state: SchedulerState) -> bool:
     """Whether a waiting task may have had a start that no row records.
 
--- a/src/tulippin/jobs/_workers.py
+++ b/src/tulippin/jobs/_workers.py
@@ -423,7 +423,9 @@
         if worker.failed_count and state.now_ms > worker.lease_expiry_ms:
             _release_runs(worker, context, 'its lease expired')
         _attempts.repeat_stops(worker, context)
-        if _is_forgettable(worker, state):
+        if _is_forgettable(worker, state) and _crashes.are_starts_resolved(
+            worker, state
+        ):
             if worker.is_rostered and not worker.is_reconciled:
                 state.lost_unconfirmed_workers.setdefault(
                     worker.worker_id, False
--- a/tests/tulippin/jobs/test_crash_counting.py
+++ b/tests/tulippin/jobs/test_crash_counting.py
@@ -328,3 +328,81 @@
             fleet.check()
 
     run_virtual(run)
+
+
+async def drop_from_roster(fleet, worker):
+    """Let the worker of a start leave the roster while the task waits.
+
+    The first owner is lost with the worker, the second one stores until when
+    the worker has leases, and the third one waits for another worker.
+    """
+    worker.crash()
+    fleet.kill_owner()
+    state = fleet.instances[await fleet.wait_owner()].state
+    fleet.platform.remove(worker.worker_id)
+    with trio.fail_after(LIMIT_S):
+        while not is_bounded(worker, state):
+            await trio.sleep(0.01)
+    fleet.kill_owner()
+    other = next(one for one in fleet.platform.workers.values() if one.is_up)
+    other.unreachable_clients = {'*'}
+    state = fleet.instances[await fleet.wait_owner()].state
+    with trio.fail_after(LIMIT_S):
+        while CRASHING not in state.jobs or worker.worker_id in state.workers:
+            await trio.sleep(0.01)
+        assert state.jobs[CRASHING].durable.crashes
+        while worker.worker_id in state.roster:
+            await trio.sleep(0.01)
+    assert not state.are_earlier_runs_confirmed
+    fleet.kill_owner()
+    other.unreachable_clients = set()
+
+
+def is_bounded(worker, state):
+    bounds = state.roster_bounds
+    return bounds is not None and worker.worker_id in bounds.until_ms
+
+
+def test_open_start_on_a_worker_that_left_the_roster_counts_as_crash(
+    run_virtual,
+):
+    """Guards against a crash that no owner counts, as none looks at the task.
+
+    The next owner would take the start for one that an earlier owner has seen
+    end.
+    """
+
+    async def run():
+        async with open_fleet(instances=4, workers=4) as fleet:
+            await submit_crashing(fleet, 60_000)
+            await wait_started(fleet, 1)
+            await trio.sleep(0.3)
+            workers = fleet.platform.workers.values()
+            (worker,) = [one for one in workers if one.runs]
+            await drop_from_roster(fleet, worker)
+            await wait_started(fleet, 2)
+            lost = [crash.worker_id for crash in list_crashes(fleet)]
+            assert lost == [worker.worker_id]
+
+    run_virtual(run)
+
+
+def test_crash_under_a_withheld_job_does_not_keep_its_worker(run_virtual):
+    """Guards against a wait for a commit that a withheld job never gets."""
+
+    async def run():
+        async with open_fleet(workers=2) as fleet:
+            await submit_crashing(fleet, 2000)
+            await wait_started(fleet, 1)
+            task, _, worker = get_run(fleet)
+            state = fleet.instances[fleet.get_owner()].state
+            state.jobs[CRASHING].is_progress_unknown = True
+            await wait_crashes(fleet)
+            assert not state.jobs[CRASHING].durable.crashes
+            fleet.platform.remove(worker.worker_id)
+            with trio.fail_after(LIMIT_S):
+                while worker.worker_id in state.workers:
+                    await trio.sleep(0.01)
+            assert task.crashes
+
+    run_virtual(run)
