--- a/src/tulippin/jobs/_crashes.py
+++ b/src/tulippin/jobs/_crashes.py
@@ -17,10 +17,10 @@
 - The third crash abandons the job if during two of them nothing else had
   just begun on the worker, the fourth if that holds for one, and the fifth in
   any case. A crash counts in full only if the worker reported the run, or
-  answered after the order was sent. A limit of two would abandon a job whose
-  task ran beside a crashing one and whose next worker crashed by itself. Each
-  further start costs a worker with little on it; up to five starts are
-  acceptable.
+  answered after the order was sent, or if three other crashes of the task were
+  seen in this way. A limit of two would abandon a job whose task ran beside a
+  crashing one and whose next worker crashed by itself. Each further start costs
+  a worker with little on it; up to five starts are acceptable.
 
 Crashes are made durable before the task is started again, and the assigned
 worker before the order of a suspected task is sent, so that the next owner
@@ -57,7 +57,7 @@
 # A job is abandoned when the crashes of one task weigh this much. A crash
 # weighs 1, and 1 more if nothing else had just begun on the worker. It weighs
 # 0.5 less if no answer followed the order, as the worker may have crashed
-# before.
+# before, unless enough other crashes of the task were seen.
 _ABANDON_WEIGHT: t.Final = 5
 _UNSEEN_CRASH_WEIGHT: t.Final = 0.5
 # Possibly lost starts count as at most this many crashes, and only in addition
@@ -362,6 +362,40 @@
     _add_crash(job, task, record, state)
 
 
+def are_starts_resolved(worker: Worker, state: SchedulerState) -> bool:
+    """Resolve the open starts on a worker that is about to be removed.
+
+    Returns
+    -------
+    bool
+        Whether all crashes of the worker are durable. The next owner takes a
+        start on a worker that isn't on the roster for one without a crash.
+    """
+    is_lost = worker.worker_id in state.lost_unconfirmed_workers
+    if is_lost or not worker.is_reconciled:
+        _resolve_starts_on(worker, state)
+    return all(
+        _are_crashes_durable(job, task)
+        for job, task in list_suspects(state)
+        # The progress of a job whose past is unknown isn't committed.
+        if not job.is_progress_unknown
+        and any(
+            crash.worker_id == worker.worker_id
+            for crash in task.crashes.values()
+        )
+    )
+
+
+def _resolve_starts_on(worker: Worker, state: SchedulerState) -> None:
+    for job in state.jobs.values():
+        if job.state in FINAL_STATES:
+            continue
+        for task in job.tasks.values():
+            start = task.unresolved_start
+            if start and start[1] == worker.worker_id and not task.is_done:
+                _resolve_open_start(job, task, state)
+
+
 def may_have_lost_start(job: Job, task: Task, state: SchedulerState) -> bool:
     """Whether a waiting task may have had a start that no row records.
 
@@ -443,15 +477,15 @@
     Possibly lost starts count as well, as they cost workers too.
     """
     weight = sum(_weigh(crash) for crash in crashes)
-    if _is_short(job, task) and _count_seen(crashes) >= _MIN_SEEN_CRASHES:
-        weight += min(job.doubts, _MAX_LOST_STARTS)
+    seen_count = sum(crash.is_seen for crash in crashes)
+    if seen_count >= _MIN_SEEN_CRASHES:
+        unseen_count = len(crashes) - seen_count
+        weight += (1 - _UNSEEN_CRASH_WEIGHT) * unseen_count
+        if _is_short(job, task):
+            weight += min(job.doubts, _MAX_LOST_STARTS)
     return weight >= _ABANDON_WEIGHT
 
 
-def _count_seen(crashes: t.Sequence[CrashRecord]) -> int:
-    return sum(crash.is_seen for crash in crashes)
-
-
 def _weigh(crash: CrashRecord) -> float:
     weight = 1 if crash.is_seen else _UNSEEN_CRASH_WEIGHT
     return weight + crash.is_clear
