Set the wait of tasks where it is kept now, in tests of yielding

The tests set when a job last had a run, which is measured for each task since; 15 of them ended in an error. They check what they checked before.

--- a/tests/tulippin/jobs/test_yielding.py
+++ b/tests/tulippin/jobs/test_yielding.py
@@ -52,7 +52,7 @@
     job.queue = attrs.evolve(QUEUE, priority=priority)
     task = Task(TaskKey(name, 0, 0, 0), ready_ms=state.now_ms)
     job.tasks[task.key] = task
-    job.idle_since_ms = state.now_ms
+    task.opened_ms = state.now_ms
     return job, task
 
 
@@ -193,7 +193,7 @@
     step = attrs.evolve(BATCH, opportunistic=False, size=Resources(9000, 1000))
     victim = add_run(state, 'victim', waited_ms=0, step=step)
     job, task = add_job(state, 'urgent', waited_ms, step, priority=0)
-    task.ready_ms = job.idle_since_ms = state.now_ms - idle_ms
+    task.ready_ms = task.opened_ms = state.now_ms - idle_ms
     _preempting.preempt_if_urgent(job, task, Context(state))
     assert (victim.state is AttemptState.STOPPING) is bool(count)
 
