Time a miss on, beyond the runs that caused it

A miss lasts until the target is met, or until the worker has had no such runs for a second, as with the harm budget. The test failed before: the later run went on at full pace.

--- a/src/tulippin/jobs/_own_misses.py
+++ b/src/tulippin/jobs/_own_misses.py
@@ -58,6 +58,15 @@
     worker.own_miss_ms = state.now_ms
 
 
+def is_settling(worker: Worker, ratio: float, state: SchedulerState) -> bool:
+    """Whether runs that ended a moment ago may have caused a miss.
+
+    Runs that start before it is over prolong it.
+    """
+    quiet_ms = state.now_ms - (worker.quiet_since_ms or state.now_ms)
+    return ratio > MISS_RATIO and quiet_ms < _SETTLING_MS
+
+
 def _may_work(attempt: Attempt) -> bool:
     """Whether a run may work: it does until its worker has confirmed a pause.
 
--- a/src/tulippin/jobs/_pacing.py
+++ b/src/tulippin/jobs/_pacing.py
@@ -73,9 +73,11 @@
 def adjust(worker: Worker, context: Context) -> None:
     """Choose and send the paces of a worker's opportunistic runs."""
     fillers = _list_running(worker)
-    _own_misses.note(worker, _get_worst_ratio(worker), context.state)
+    ratio = _get_worst_ratio(worker)
+    _own_misses.note(worker, ratio, context.state)
     if not (fillers or _shedding.is_recovering(worker, context.state)):
-        worker.targets_missed_since_ms = 0
+        if not _own_misses.is_settling(worker, ratio, context.state):
+            worker.targets_missed_since_ms = 0
         worker.targets_met_since_ms = 0
         worker.harm_budget.reset()
         return
--- a/tests/tulippin/jobs/test_scheduler_decisions.py
+++ b/tests/tulippin/jobs/test_scheduler_decisions.py
@@ -13,7 +13,7 @@
     _worker_selection,
     core,
 )
-from tulippin.jobs._attempts import add_attempt
+from tulippin.jobs._attempts import add_attempt, drop_attempt
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs._scoring import score_idle
 from tulippin.jobs.events import PaceAnswered
@@ -400,6 +400,37 @@
     assert filler.state is AttemptState.RUNNING
 
 
+def replace_filler_in_a_miss(state, worker, quiet_ms):
+    """Let a run end after 1.6 s of a miss, and start one after a time."""
+    first = make_attempt(worker, make_filler(), 'b')
+    pace_for(state, worker, 1200)
+    drop_attempt(first, Context(state))
+    for _ in range(quiet_ms // 200):
+        pace(state, worker)
+        state.now_ms += 200
+    return make_attempt(worker, make_filler(), 'c')
+
+
+def test_miss_is_not_timed_anew_with_each_run_beside_it():
+    state = make_state()
+    worker = state.workers['w0']
+    make_attempt(worker, make_service_request(), load=90.0)
+    set_pair(state, 'web', 'batch', 0.0)
+    filler = replace_filler_in_a_miss(state, worker, quiet_ms=200)
+    pace_for(state, worker, 0)
+    assert filler.target_pace_percent == 0
+
+
+def test_miss_without_runs_is_timed_anew():
+    state = make_state()
+    worker = state.workers['w0']
+    make_attempt(worker, make_service_request(), load=90.0)
+    set_pair(state, 'web', 'batch', 0.0)
+    filler = replace_filler_in_a_miss(state, worker, quiet_ms=2000)
+    pace_for(state, worker, 0)
+    assert filler.target_pace_percent == 100
+
+
 def test_pause_is_ordered_after_a_resumption_without_an_answer():
     state = make_state()
     worker = state.workers['w0']
