Pause at a tick only right after a reading has expired

A worker whose target was once missed by its own load kept that reading while opportunistic work went on there, so that any later miss paused all of it at once, also a short one that is tolerated, under the message of late reports.

Only a reading that expired in the last 2 s pauses runs at a tick; a pause for it has a message of its own. The test of the expiry checks the end, too.

--- a/src/tulippin/jobs/_own_misses.py
+++ b/src/tulippin/jobs/_own_misses.py
@@ -103,8 +103,8 @@
 
 
 def is_unexplained(worker: Worker, state: SchedulerState) -> bool:
-    """Whether the reading that explained a missed target is too old by now."""
-    has_expired = worker.own_miss_ratio > 0 and not is_own_miss(worker, state)
+    """Whether the reading that explained a missed target has just expired."""
+    has_expired = is_measuring(worker, state) and not is_own_miss(worker, state)
     return has_expired and worker.targets_missed_since_ms > 0
 
 
--- a/src/tulippin/jobs/_pacing.py
+++ b/src/tulippin/jobs/_pacing.py
@@ -116,10 +116,10 @@
     for worker in context.state.workers.values():
         if not worker.fillers:
             continue
-        if _feasibility.has_stale_tails(
-            worker, context.state
-        ) or _own_misses.is_unexplained(worker, context.state):
-            _pause_unreported(worker, context)
+        if _feasibility.has_stale_tails(worker, context.state):
+            _pause_all(worker, context, 'pause runs: no recent report')
+        elif _own_misses.is_unexplained(worker, context.state):
+            _pause_all(worker, context, 'pause runs: miss to be measured')
         elif context.state.config.features.budgets_harm:
             _enforce_limit(worker, context)
 
@@ -151,13 +151,13 @@
         send_if_changed(attempt, worker, context)
 
 
-def _pause_unreported(worker: Worker, context: Context) -> None:
+def _pause_all(worker: Worker, context: Context, message: str) -> None:
     fillers = _list_running(worker)
     if any(attempt.target_pace_percent for attempt in fillers):
         worker.pace_changed_ms = context.state.now_ms
         _interference.invalidate_slack(worker)
         context.log(
-            'pause runs: no recent report',
+            message,
             worker=worker.worker_id,
             answered_ago_ms=context.state.now_ms - worker.answered_ms,
             fillers=len(fillers),
--- a/tests/tulippin/jobs/test_own_misses.py
+++ b/tests/tulippin/jobs/test_own_misses.py
@@ -351,6 +351,9 @@
     assert not _own_misses.is_unexplained(worker, state)
     state.now_ms += 1
     assert _own_misses.is_unexplained(worker, state)
+    state.now_ms += 2000
+    assert not _own_misses.is_unexplained(worker, state)
+    state.now_ms -= 2000
     worker.targets_missed_since_ms = 0
     assert not _own_misses.is_unexplained(worker, state)
 
