--- a/src/tulippin/jobs/_own_misses.py
+++ b/src/tulippin/jobs/_own_misses.py
@@ -17,8 +17,8 @@
 MISS_RATIO: t.Final = 0.97
 # Time after the end of the last run until a tail shows nothing of it.
 _SETTLING_MS: t.Final = 1000
-# Time for which a tail that was measured without neighbours explains a miss. A
-# miss that neighbours have come to cause may last 4 s.
+# Validity of a measurement without neighbours. A miss that neighbours cause may
+# last 4 s.
 _VALID_MS: t.Final = 2000
 # Time until it has been measured again: a pause takes effect and settles, and
 # the next report is up to 0.4 s old.
