Review: a job with many lost tasks stops its unit's commits (LOST)

One of eight workers crashes under 480 tasks of one job. The job's progress row exceeds what the store keeps in a row, the store refuses the commit, and it is repeated without end.

--- /dev/null
+++ b/review/standins/rules.py
@@ -0,0 +1,124 @@
+"""Checks of rules on what workers saw."""
+
+
+def find_twice(fleet):
+    """Return the violations of TWICE, as texts.
+
+    Two runs of one task at once on workers that are up; or a start after a
+    run ended `done` where that end is taken note of, at any time, and the
+    worker's lease did not lapse in between.
+    """
+    found = []
+    by_task = {}
+    for (worker_id, task, run), one in fleet.runs.items():
+        by_task.setdefault(task, []).append((one['began'], worker_id, run, one))
+    for task, runs in sorted(by_task.items()):
+        runs.sort(key=lambda row: row[0])
+        for number, (_, worker_id, run, one) in enumerate(runs):
+            for began, other_id, other_run, _ in runs[number + 1 :]:
+                ended = one.get('ended')
+                place = (
+                    f'run {run} on {worker_id}, run {other_run} on {other_id}'
+                )
+                if ended is None or began < ended:
+                    found.append((began, f'{task}: two runs at once: {place}'))
+                elif one['how'] == 'done' and _is_noted(fleet, worker_id, one):
+                    found.append(
+                        (began, f'{task}: started after its end: {place}')
+                    )
+    return sorted(found)
+
+
+def _is_noted(fleet, worker_id, one):
+    """Whether an end is taken note of, with no lapse before that."""
+    seen = one.get('seen')
+    return seen is not None and not any(
+        one['ended'] < at < seen for at in fleet.lapses.get(worker_id, ())
+    )
+
+
+WAIT_S = 3.0
+# Share of the service's processors below which there is capacity.
+MAX_USE = 0.5
+
+
+class LostCheck:
+    """Finds jobs with nothing running though they could run.
+
+    LOST: for 3 s, a job has nothing running while a task's turn has come,
+    there is capacity for it twice over, and under half of the service's
+    capacity is in use. All steps of the jobs here may start at once.
+    """
+
+    def __init__(self, fleet, accepted):
+        self._fleet = fleet
+        self._accepted = accepted
+        self._final = set()
+
+    def note_state(self, job_id, state):
+        """Record a state that the job was shown with."""
+        if state in ('completed', 'failed', 'cancelled'):
+            self._final.add(job_id)
+
+    def find_lost(self, now):
+        """Return the violations, as texts, up to a time."""
+        by_job = {}
+        ended = {}
+        for (_, task, _), one in self._fleet.runs.items():
+            job_id = task.partition('.')[0]
+            by_job.setdefault(job_id, []).append(one)
+            if one.get('how') == 'done':
+                ended.setdefault(job_id, set()).add(task)
+        found = []
+        for job_id in self._accepted:
+            count = sum(
+                step['Count'] for step in self._fleet.jobs[job_id]['Steps']
+            )
+            left = count - len(ended.get(job_id, ()))
+            if job_id in self._final or not left:
+                continue
+            runs = by_job.get(job_id, ())
+            last = max((one.get('ended', now) for one in runs), default=0)
+            if now - last > WAIT_S and self._is_calm(now - WAIT_S):
+                found.append(
+                    f'{job_id}: {left} of {count} tasks have not ended done,'
+                    f' and nothing of it has run for {now - last:.1f} s'
+                )
+        return found
+
+    def _is_calm(self, since):
+        """Whether less than half of the processors was used since a time."""
+        room = used = 0
+        for worker in self._fleet.workers:
+            room += worker.room['Cpu']
+        for (_, task, _), one in self._fleet.runs.items():
+            if one.get('ended', since) >= since:
+                used += self._fleet.find_step(task)['Cpu']
+        return used < MAX_USE * room
+
+
+CANCEL_S = 3.0
+CONTACT_S = 3.0
+
+
+def find_unasked(play, cancelled):
+    """Return the starts after an acknowledged cancel, as texts.
+
+    UNASKED: a machine in touch starts a task more than `cancel_ms` after the
+    cancelling of its job was acknowledged. The store is stable `ContactMs`
+    after its last disruption, the last late write included, and a machine is
+    in touch `ContactMs` after that.
+    """
+    in_touch = play.store.disturbed + 2 * CONTACT_S
+    found = []
+    for at, kind, worker, task, run, _ in play.fleet.events:
+        if kind != 'started':
+            continue
+        job_id = task.partition('.')[0]
+        after = play.get_time(at) - cancelled.get(job_id, play.now)
+        if after > CANCEL_S and at > in_touch:
+            found.append(
+                f'{task}: run {run} on {worker} began {after:.1f} s after the'
+                ' cancel was acknowledged'
+            )
+    return found
