--- a/review/standins/play.py
+++ b/review/standins/play.py
@@ -185,6 +185,8 @@
 
     def record(self, text, at=None):
         """Write a line with its time into the record."""
+        if self._file.closed:
+            return
         at = self.now if at is None else at - self._began
         self._file.write(f'{at:9.3f} {text}\n')
         self._file.flush()
