Review: jobs in a unit that lost all workers never run again (LOST)

All workers of one zone of three are lost for good. Short tasks leave a unit only where it is evacuated, and a preferred rack is chosen as home also where it has no worker left.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -62,7 +62,7 @@
             if worker.worker_id == most:
                 await worker.crash(DOWN_S)
     await small
-    check = LostCheck(play.fleet, play.accepted)
+    check = LostCheck(play)
     ends = time.monotonic() + FINISH_S
     while time.monotonic() < ends:
         for job_id in play.accepted:
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,105 +1,83 @@
-"""Cancels jobs whose hand-in got no answer while the store does writes late."""
+"""Loses all workers of one zone of three for good."""
 
 import asyncio
 import json
 import pathlib
+import random
 import sys
+import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
 from standins.play import main  # noqa: E402
-from standins.rules import find_unasked  # noqa: E402
-
-JOBS = 40
-# The clients hand in their jobs in this time.
-HAND_IN_S = 1.5
-# The store does a share of the writes of this time late, without an answer.
-TROUBLE_S = 4.5
-LATE_SHARE = 0.35
-CANCEL_AFTER_S = 3.1
-STEPS = 6
-RUN_MS = 4000
-WATCH_S = 40.0
-
-
-class LateWrites:
-    """Chooses the late transactions: those that hand in one job of four.
-
-    All attempts for these jobs are late while the trouble lasts, as long as
-    they are no more than the share of all transactions that came until then.
-    """
-
-    def __init__(self, play, job_ids):
-        self._ends = play.now + TROUBLE_S
-        self._play = play
-        self._job_ids = job_ids
-        self.late_count = 0
-        self.count = 0
-
-    def __call__(self, data):
-        if self._play.now >= self._ends:
-            return False
-        self.count += 1
-        is_chosen = any(
-            one['table'] == 'homes'
-            and one['ver'] == 0
-            and one['Key'] in self._job_ids
-            for one in data.get('ExpectedRevision', ())
+from standins.rules import LostCheck  # noqa: E402
+
+ZONES = ('toledo-hall', 'erie-hall', 'duluth-hall')
+WORKERS = 48
+LOST_ZONE = 'duluth-hall'
+TRAFFIC_S = 20.0
+LOSS_AT_S = 8.0
+JOB_EVERY_S = 0.25
+# One job of this many names the rack where its data lies.
+NEAR_EVERY = 4
+# Time after the end of the traffic at which all jobs are asked for.
+FINISH_S = 14.0
+
+
+def make_job(source, rack):
+    run_ms = source.choice((640, 1700))
+    step = {'Count': 6, 'Cpu': 4600, 'MemMb': 9200, 'EstimatedMs': run_ms}
+    if rack:
+        step['Affinity'] = rack
+    return {'Spec': json.dumps({'run_ms': run_ms}), 'Steps': [step]}
+
+
+async def hand_in(play):
+    source = random.Random(1)
+    racks = ('r1-1', 'r2-1', 'r3-1', 'r1-2', 'r2-2', 'r3-2')
+    ends = play.now + TRAFFIC_S
+    tasks = []
+    while play.now < ends:
+        number = len(tasks)
+        near = (
+            number // NEAR_EVERY % len(racks)
+            if number % NEAR_EVERY == 0
+            else -1
         )
-        is_late = is_chosen and self.late_count + 1 <= LATE_SHARE * self.count
-        self.late_count += is_late
-        return is_late
-
-
-def make_job():
-    steps = []
-    for number in range(STEPS):
-        step = {'Count': 2, 'Cpu': 1000, 'MemMb': 256, 'EstimatedMs': RUN_MS}
-        if number:
-            step['AfterRevision'] = [number - 1]
-        steps.append(step)
-    return {'Spec': json.dumps({'run_ms': RUN_MS}), 'Steps': steps}
-
-
-async def use(play, job_id, cancelled):
-    """Hand a job in, and cancel it 3 s later, as its user has left."""
-    handing_in = asyncio.create_task(play.submit(job_id, make_job(), retries=0))
-    await asyncio.sleep(CANCEL_AFTER_S)
-    await handing_in
-    for _ in range(20):
-        status, _ = await play.call('DELETE', job_id)
-        if status in (200, 410):
-            cancelled[job_id] = play.now
-            return
-        await asyncio.sleep(0.3)
+        job = make_job(source, racks[near] if near >= 0 else '')
+        job_id = f'{0x7A5C0E0000000000 + number * 0x10000001:016x}'
+        tasks.append(asyncio.create_task(play.submit(job_id, job)))
+        await asyncio.sleep(JOB_EVERY_S)
+    await asyncio.gather(*tasks)
 
 
 async def case(play, has_trouble):
-    await play.open(instances=3, workers=4, cpu=64_000, memory_mb=256_000)
-    job_ids = [
-        f'{0x7A5C0E0000000000 + n * 0x10000001:016x}' for n in range(JOBS)
-    ]
-    late = None
+    await play.open(3, WORKERS, 64_000, 256_000, ZONES)
+    handing_in = asyncio.create_task(hand_in(play))
+    await asyncio.sleep(LOSS_AT_S)
     if has_trouble:
-        late = LateWrites(play, set(job_ids[::4]))
-        play.store.late = late
-        play.record(f'the store does writes late for {TROUBLE_S} s')
-    cancelled = {}
-    tasks = []
-    for job_id in job_ids:
-        tasks.append(asyncio.create_task(use(play, job_id, cancelled)))
-        await asyncio.sleep(HAND_IN_S / JOBS)
-    await asyncio.gather(*tasks)
-    await asyncio.sleep(WATCH_S)
-    for job_id in job_ids:
-        await play.get_state(job_id)
-    if late is not None:
-        play.record(f'{late.late_count} of {late.count} writes were late')
+        await asyncio.gather(
+            *(one.lose() for one in play.fleet.workers if one.zone == LOST_ZONE)
+        )
+    await handing_in
+    check = LostCheck(play)
+    ends = time.monotonic() + FINISH_S
+    while time.monotonic() < ends:
+        for job_id in play.accepted:
+            check.note_state(job_id, await play.get_state(job_id))
+        await asyncio.sleep(0.5)
+    left = await play.wait_completed(play.accepted, 10)
+    for job_id in play.accepted:
+        check.note_state(job_id, play.states[job_id][-1][1])
+    play.record(f'accepted {len(play.accepted)}, not completed: {left}')
     play.write_events()
-    found = find_unasked(play, cancelled)
+    found = check.find_lost(time.monotonic())
     for text in found:
-        play.record(f'UNASKED {text}')
-    play.record(f'UNASKED {len(found)} times')
+        rack = play.fleet.jobs[text.partition(':')[0]]['Steps'][0].get(
+            'Affinity'
+        )
+        play.record(f'LOST {text}; its data lies in {rack}')
+    play.record(f'LOST {len(found)} times')
     return 1 if found else 0
 
 
--- a/review/standins/play.py
+++ b/review/standins/play.py
@@ -26,6 +26,7 @@
 RESTART_S = 0.5
 CALL_S = 3.0
 RETRIES = 4
+RACK = 8
 
 
 # Below the ports that the system gives to clients.
@@ -179,6 +180,10 @@
         """Seconds since the play began."""
         return time.monotonic() - self._began
 
+    def get_accepted_at(self, job_id):
+        """Return when a job was accepted, by the steady clock."""
+        return self._began + self.accepted[job_id]
+
     def get_time(self, at):
         """Return a time of the steady clock as one of the play."""
         return at - self._began
@@ -191,12 +196,21 @@
         self._file.write(f'{at:9.3f} {text}\n')
         self._file.flush()
 
-    async def open(self, instances, workers, cpu, memory_mb):
-        """Start everything, and wait until all instances are in."""
+    async def open(self, instances, workers, cpu, memory_mb, zones=('hall',)):
+        """Start everything, and wait until all instances are in.
+
+        The workers are spread evenly over zones, eight in a rack.
+        """
         await self.store.server.start()
         self.store.write('op', 'config', self._make_config())
         for number in range(workers):
-            worker = self.fleet.add(cpu, memory_mb, 'r1')
+            place, within = divmod(number, workers // len(zones))
+            worker = self.fleet.add(
+                cpu,
+                memory_mb,
+                f'r{place + 1}-{within // RACK + 1}',
+                zones[place],
+            )
             await worker.server.start()
             self._spawn(worker.beat())
         for number in range(instances):
@@ -285,7 +299,7 @@
         layout = self.store.read('units', 'layout', 'layout')
         if layout is None:
             return None
-        unit = layout['racks'].get('r1', 0)
+        unit = layout['racks'].get('r1-1', 0)
         lease = self.store.read('units', f'u{unit}', 'lease')
         if lease is None or lease['released']:
             return None
--- a/review/standins/rules.py
+++ b/review/standins/rules.py
@@ -50,9 +50,10 @@
     capacity is in use. All steps of the jobs here may start at once.
     """
 
-    def __init__(self, fleet, accepted):
-        self._fleet = fleet
-        self._accepted = accepted
+    def __init__(self, play):
+        self._fleet = play.fleet
+        self._accepted = play.accepted
+        self._accepted_at = play.get_accepted_at
         self._final = set()
 
     def note_state(self, job_id, state):
@@ -78,11 +79,16 @@
             if job_id in self._final or not left:
                 continue
             runs = by_job.get(job_id, ())
-            last = max((one.get('ended', now) for one in runs), default=0)
+            last = max(
+                (one.get('ended', now) for one in runs),
+                default=self._accepted_at(job_id),
+            )
             if now - last > WAIT_S and self._is_calm(now - WAIT_S):
+                since = 'its last run' if runs else 'it was accepted'
                 found.append(
                     f'{job_id}: {left} of {count} tasks have not ended done,'
-                    f' and nothing of it has run for {now - last:.1f} s'
+                    f' and nothing of it has run since {since},'
+                    f' {now - last:.1f} s ago'
                 )
         return found
 
@@ -90,7 +96,7 @@
         """Whether less than half of the processors was used since a time."""
         room = used = 0
         for worker in self._fleet.workers:
-            room += worker.room['Cpu']
+            room += worker.room['Cpu'] if worker.is_up else 0
         for (_, task, _), one in self._fleet.runs.items():
             if one.get('ended', since) >= since:
                 used += self._fleet.find_step(task)['Cpu']
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -22,11 +22,12 @@
 
     ids = itertools.count(0x5A01)
 
-    def __init__(self, fleet, number, cpu, memory_mb, rack):
+    def __init__(self, fleet, number, cpu, memory_mb, rack, zone):
         self._fleet = fleet
         self._machine = f'm-{number:05x}'
         self.room = {'Cpu': cpu, 'MemMb': memory_mb, 'Gpus': 0}
         self._rack = rack
+        self.zone = zone
         self._offset_ms = 100_000 + 7919 * number
         self._sequence = 0
         self._tasks = set()
@@ -73,7 +74,7 @@
         return {
             'Service': self._fleet.service,
             'Address': self.server.address,
-            'Zone': 'hall',
+            'Zone': self.zone,
             'Version': 'v1',
             'Slots': 8,
             'State': 'ready',
@@ -87,16 +88,8 @@
 
     async def crash(self, down_s):
         """Lose all runs; a new life begins at the same address."""
-        ended = self.worker_id
         port = int(self.server.address.rpartition(':')[2])
-        self._fleet.note('crash', self, None, 0, f'{len(self._runs)} runs')
-        self._fleet.note_crash(ended)
-        self.is_up = False
-        self.server.stop()
-        for handle in self._tasks:
-            handle.cancel()
-        self._tasks.clear()
-        removed = asyncio.create_task(self._remove_entry(ended))
+        removed = asyncio.create_task(self.lose())
         await asyncio.sleep(down_s)
         self._begin_life()
         self.server = Server(self._handle)
@@ -104,9 +97,19 @@
         self._fleet.note('back', self, None, 0, '')
         await removed
 
-    async def _remove_entry(self, worker_id):
+    async def lose(self):
+        """Lose all runs, and leave the list after three heartbeats."""
+        ended = self.worker_id
+        self._fleet.note('crash', self, None, 0, f'{len(self._runs)} runs')
+        self._fleet.note_crash(ended)
+        self.is_up = False
+        self._runs = {}
+        self.server.stop()
+        for handle in self._tasks:
+            handle.cancel()
+        self._tasks.clear()
         await asyncio.sleep(ENTRY_BEATS * self._fleet.heartbeat_s)
-        self._fleet.store.write('servers', worker_id, None)
+        self._fleet.store.write('servers', ended, None)
 
     # -- calls ---------------------------------------------------------------
 
@@ -250,8 +253,8 @@
         self.jobs = {}
         self._record = record
 
-    def add(self, cpu, memory_mb, rack):
-        worker = Worker(self, len(self.workers), cpu, memory_mb, rack)
+    def add(self, cpu, memory_mb, rack, zone):
+        worker = Worker(self, len(self.workers), cpu, memory_mb, rack, zone)
         self.workers.append(worker)
         return worker
 
