--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,7 +13,7 @@
 from standins.rules import LostCheck  # noqa: E402
 
 WIDE_ID = '7a5c0e0000000001'
-WIDE_STEPS = 3
+WIDE_STEPS = 5
 WIDE_TASKS = 160
 WIDE_RUN_MS = 9000
 DOWN_S = 3.5
