--- a/review/1/case.py
+++ b/review/1/case.py
@@ -39,7 +39,7 @@
 
 
 async def case(play, has_trouble):
-    await play.open(instances=3, workers=8, cpu=64_000, memory_mb=256_000)
+    await play.open(3, 64_000, 256_000, {'toledo-hall': 8})
     small = asyncio.create_task(hand_in_small(play))
     await asyncio.sleep(1)
     wide = make_job(WIDE_STEPS, WIDE_TASKS, WIDE_RUN_MS, 100)
--- a/review/standins/play.py
+++ b/review/standins/play.py
@@ -70,7 +70,6 @@
         self.ready = f'127.0.0.1:{ready}'
         self.process = None
         self.is_in = False
-        self._down_s = RESTART_S
         self.output = play.folder / f'{self.name}.log'
         self._path = play.folder / f'{self.name}.conf'
         role = play.deploy['roles']['scheduler']
@@ -121,8 +120,7 @@
             self._play.record(f'{self.name} starts')
             code = await self.process.wait()
             self._play.record(f'{self.name} ends with {code}')
-            await asyncio.sleep(self._down_s)
-            self._down_s = RESTART_S
+            await asyncio.sleep(RESTART_S)
 
     async def watch(self):
         """Ask for readiness once a second, as the balancer does."""
@@ -139,9 +137,8 @@
                 self.is_in = missed == 0
             await asyncio.sleep(1)
 
-    def kill(self, down_s=RESTART_S):
-        """Send SIGKILL to the process, which stays down for a time."""
-        self._down_s = down_s
+    def kill(self):
+        """Send SIGKILL to the process."""
         self._play.record(f'{self.name} gets SIGKILL')
         self.process.send_signal(signal.SIGKILL)
 
@@ -196,21 +193,20 @@
         self._file.write(f'{at:9.3f} {text}\n')
         self._file.flush()
 
-    async def open(self, instances, workers, cpu, memory_mb, zones=('hall',)):
+    async def open(self, instances, cpu, memory_mb, zones):
         """Start everything, and wait until all instances are in.
 
-        The workers are spread evenly over zones, eight in a rack.
+        Each zone has a number of workers, eight in a rack.
         """
         await self.store.server.start()
         self.store.write('op', 'config', self._make_config())
-        for number in range(workers):
-            place, within = divmod(number, workers // len(zones))
-            worker = self.fleet.add(
-                cpu,
-                memory_mb,
-                f'r{place + 1}-{within // RACK + 1}',
-                zones[place],
-            )
+        places = [
+            (f'r{place}-{within // RACK + 1}', zone)
+            for place, (zone, count) in enumerate(zones.items(), 1)
+            for within in range(count)
+        ]
+        for rack, zone in places:
+            worker = self.fleet.add(cpu, memory_mb, rack, zone)
             await worker.server.start()
             self._spawn(worker.beat())
         for number in range(instances):
@@ -312,7 +308,9 @@
 
     def choose(self):
         """Return the next instance that the balancer would use."""
-        usable = [one for one in self.instances if one.is_in] or self.instances
+        usable = [one for one in self.instances if one.is_in]
+        if 2 * len(usable) < len(self.instances):
+            usable = self.instances
         self._turn += 1
         return usable[self._turn % len(usable)]
 
@@ -391,7 +389,7 @@
 
 def main(case):
     """Run a case; exit with 1 if the rule was broken, 0 if not, 2 otherwise."""
-    has_trouble = os.environ.get('TROUBLE', '1') != '0'
+    has_trouble = sys.argv[1] != '0'
     path = pathlib.Path(sys.argv[0]).resolve().parent / 'record.txt'
 
     async def play():
--- a/review/standins/rules.py
+++ b/review/standins/rules.py
@@ -83,7 +83,9 @@
                 (one.get('ended', now) for one in runs),
                 default=self._accepted_at(job_id),
             )
-            if now - last > WAIT_S and self._is_calm(now - WAIT_S):
+            if now - last > WAIT_S and self._has_room(
+                job_id, left, now - WAIT_S
+            ):
                 since = 'its last run' if runs else 'it was accepted'
                 found.append(
                     f'{job_id}: {left} of {count} tasks have not ended done,'
@@ -92,15 +94,38 @@
                 )
         return found
 
-    def _is_calm(self, since):
-        """Whether less than half of the processors was used since a time."""
-        room = used = 0
-        for worker in self._fleet.workers:
-            room += worker.room['Cpu'] if worker.is_up else 0
-        for (_, task, _), one in self._fleet.runs.items():
+    def _has_room(self, job_id, left, since):
+        """Whether there was capacity since a time, by the rule.
+
+        Under half of the service's processors and memory are in use, and all
+        tasks that are left would fit twice beside what runs.
+        """
+        steps = self._fleet.jobs[job_id]['Steps']
+        used = {}
+        for (worker_id, task, _), one in self._fleet.runs.items():
             if one.get('ended', since) >= since:
-                used += self._fleet.find_step(task)['Cpu']
-        return used < MAX_USE * room
+                step = self._fleet.find_step(task)
+                for name in ('Cpu', 'MemMb'):
+                    key = worker_id, name
+                    used[key] = used.get(key, 0) + step[name]
+        up = [worker for worker in self._fleet.workers if worker.is_up]
+        for name in ('Cpu', 'MemMb'):
+            room = sum(worker.room[name] for worker in up)
+            in_use = sum(used.get((one.worker_id, name), 0) for one in up)
+            if in_use >= MAX_USE * room:
+                return False
+        size = {
+            name: max(step[name] for step in steps) for name in ('Cpu', 'MemMb')
+        }
+        places = sum(
+            min(
+                (one.room[name] - used.get((one.worker_id, name), 0))
+                // size[name]
+                for name in ('Cpu', 'MemMb')
+            )
+            for one in up
+        )
+        return places >= 2 * left
 
 
 CANCEL_S = 3.0
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -21,6 +21,8 @@
 READS_PER_S = 2000
 MAX_QUEUE_S = 1.0
 LATE_S = (1.0, 6.0)
+# The tables that the system may not write.
+OTHERS = ('op', 'servers')
 
 
 class Rate:
@@ -124,6 +126,8 @@
             if self.refusals[fault] == 1:
                 self._record(f'store refuses a transaction with 400: {fault}')
             return 400, {'Error': fault}
+        if any(one['table'] in OTHERS for one in entries):
+            return 403, None
         part = entries[0]['part']
         now = time.monotonic()
         start = max(now, self._busy_until[part])
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -39,6 +39,7 @@
         self.is_up = True
         self._fence = 0
         self._runs = {}
+        self._work_s = {}
         self._over = {}
         self._ends = []
         self._number = 0
@@ -154,6 +155,7 @@
             return 409, self._tell(Reason='room')
         plan = json.loads(data['Spec'])
         self._runs[key] = step
+        self._work_s[key] = plan.get('run_ms', 0) / 1000
         self._fleet.note_start(self, *key)
         if not plan.get('lasts'):
             self._later(plan['run_ms'] / 1000, key, 'done')
@@ -207,13 +209,20 @@
             except TimeoutError:
                 pass
         running = [
-            [task, run, '', 50, step.get('Cpu', 0)]
+            [task, run, '', self._get_percent(task, run), step.get('Cpu', 0)]
             for (task, run), step in self._runs.items()
         ]
         return 200, self._tell(
             RunningCount=running, EndedAt=self._ends[:MAX_ENDS]
         )
 
+    def _get_percent(self, task, run):
+        began = self._fleet.runs[self.worker_id, task, run]['began']
+        work_s = self._work_s[task, run]
+        if not work_s:
+            return 100
+        return min(99, int(100 * (time.monotonic() - began) / work_s))
+
     # -- the lease -----------------------------------------------------------
 
     def _extend(self, deadline_ms):
