--- a/review/2/case.py
+++ b/review/2/case.py
@@ -15,18 +15,16 @@
 TASKS = 32
 SUBMIT_EVERY_S = 0.12
 # The tasks end in this time after the moment at which the owner is killed.
-FIRST_END_S = 0.3
-LAST_END_S = 2.6
+FIRST_END_S = 0.1
+LAST_END_S = 1.9
 KILL_AT_S = 16.0
-# How long the killed process stays down.
-DOWN_S = 3.5
-# Shortly before another instance can own the unit.
-LOOK_AFTER_S = 1.9
+# Before an instance can own the unit and have asked the workers.
+LOOK_AFTER_S = 1.2
 SETTLE_S = 30.0
 
 
 async def case(play, has_trouble):
-    await play.open(instances=3, workers=2, cpu=64_000, memory_mb=256_000)
+    await play.open(3, 64_000, 256_000, {'toledo-hall': 2})
     source = random.Random(1)
     began = play.now
     kill_at = began + KILL_AT_S
@@ -57,7 +55,7 @@
     if owner is None:
         raise CannotRun('nobody owns the unit')
     if has_trouble:
-        owner.kill(DOWN_S)
+        owner.kill()
     await asyncio.sleep(LOOK_AFTER_S)
     for worker in play.fleet.workers:
         play.record(
