--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""Loses all workers of one zone of three for good."""
+"""Loses all workers of one rack of eight for good."""
 
 import asyncio
 import json
@@ -12,8 +12,8 @@
 from standins.play import main  # noqa: E402
 from standins.rules import LostCheck  # noqa: E402
 
-ZONES = ('toledo-hall', 'erie-hall', 'duluth-hall')
-WORKERS = 48
+# Workers by zone, eight in a rack.
+ZONES = {'toledo-hall': 32, 'erie-hall': 24, 'duluth-hall': 8}
 LOST_ZONE = 'duluth-hall'
 TRAFFIC_S = 20.0
 LOSS_AT_S = 8.0
@@ -34,7 +34,7 @@
 
 async def hand_in(play):
     source = random.Random(1)
-    racks = ('r1-1', 'r2-1', 'r3-1', 'r1-2', 'r2-2', 'r3-2')
+    racks = ('r1-1', 'r2-1', 'r3-1', 'r1-2', 'r2-2', 'r3-1')
     ends = play.now + TRAFFIC_S
     tasks = []
     while play.now < ends:
@@ -52,7 +52,7 @@
 
 
 async def case(play, has_trouble):
-    await play.open(3, WORKERS, 64_000, 256_000, ZONES)
+    await play.open(3, 64_000, 256_000, ZONES)
     handing_in = asyncio.create_task(hand_in(play))
     await asyncio.sleep(LOSS_AT_S)
     if has_trouble:
