Log by which condition a worker refuses a slow start

A job that waits beside idle workers was logged with 'not_feasible', which stands for sixteen conditions, so that kept memory, idle processors and closed workers could not be told apart. The line 'job stalled' names the condition now. No decision changes: is_feasible, is_open and accepts_runs say whether a condition was found.

--- a/src/tulippin/jobs/_feasibility.py
+++ b/src/tulippin/jobs/_feasibility.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import typing as t
 
 from tulippin.jobs import (
@@ -28,7 +29,35 @@
 _MAX_ENTRY_AGE_MS: t.Final = 3000
 
 
+class Obstacle(enum.Enum):
+    """Why a worker can't take a task."""
+
+    NO_CAPACITY = 'no_capacity'
+    STALE_TAILS = 'stale_tails'
+    BUSY = 'busy'
+    KEPT_MEMORY = 'kept_memory'
+    UNLISTED = 'unlisted'
+    UNCONFIRMED = 'unconfirmed'
+    SILENT = 'silent'
+    LEAVING = 'leaving'
+    LIMITED_LEASE = 'limited_lease'
+    OUTDATED_ENTRY = 'outdated_entry'
+    PAUSED = 'paused'
+    OTHER_SERVICE = 'other_service'
+    LABEL = 'label'
+    TICKET = 'ticket'
+    WORKER_LIMIT = 'worker_limit'
+    PROBATION = 'probation'
+
+
 def is_feasible(
+    worker: Worker, job: Job, task: Task, step: Step, state: SchedulerState
+) -> bool:
+    """Whether a worker meets all hard conditions of a task and has capacity."""
+    return find_obstacle(worker, job, task, step, state) is None
+
+
+def find_obstacle(
     worker: Worker,
     job: Job,
     task: Task,
@@ -36,65 +65,82 @@
     state: SchedulerState,
     *,
     has_waited: bool = False,
-) -> bool:
-    """Whether a worker meets all hard conditions of a task and has capacity.
+) -> Obstacle | None:
+    """Return the first hard condition that a worker doesn't meet, or None.
 
     A task whose job ``has_waited`` may use the memory that is kept for urgent
     tasks if it is too large even for an empty worker otherwise: it could never
     start, and urgent tasks can preempt it.
     """
     if not worker.has_capacity(step.reserved):
-        return False
+        return Obstacle.NO_CAPACITY
     if step.opportunistic:
-        are_tails_known = not has_stale_tails(worker, state)
+        if has_stale_tails(worker, state):
+            return Obstacle.STALE_TAILS
+        if not _fits_idle_processors(worker, step):
+            return Obstacle.BUSY
         may_use_kept_memory = has_waited and _exceeds_empty_worker(worker, step)
-        if not (are_tails_known and _fits_idle_processors(worker, step)):
-            return False
         if lacks_memory(worker, step) and not may_use_kept_memory:
-            return False
-    return is_open(worker, job, task, step, state)
+            return Obstacle.KEPT_MEMORY
+    return find_closure(worker, job, task, step, state)
 
 
 def is_open(
     worker: Worker, job: Job, task: Task, step: Step, state: SchedulerState
 ) -> bool:
     """Whether a worker may run a task, apart from its free capacity."""
-    if not accepts_runs(worker, state):
-        return False
+    return find_closure(worker, job, task, step, state) is None
+
+
+def find_closure(
+    worker: Worker, job: Job, task: Task, step: Step, state: SchedulerState
+) -> Obstacle | None:
+    """Return why a worker may not run a task whatever its free capacity."""
+    refusal = find_run_refusal(worker, state)
+    if refusal is not None:
+        return refusal
     entry = worker.entry
     if entry.service != job.queue.service:
-        return False
+        return Obstacle.OTHER_SERVICE
     if step.required_label and step.required_label not in entry.labels:
-        return False
+        return Obstacle.LABEL
     if job.queue.advised and not _advice.get_ticket(worker, job, task, state):
-        return False
-    return _is_below_worker_limit(
-        worker, task, step
-    ) and _probation.may_start_beside(worker, task, state)
+        return Obstacle.TICKET
+    if not _is_below_worker_limit(worker, task, step):
+        return Obstacle.WORKER_LIMIT
+    may_start = _probation.may_start_beside(worker, task, state)
+    return None if may_start else Obstacle.PROBATION
 
 
 def accepts_runs(worker: Worker, state: SchedulerState) -> bool:
-    """Whether new runs may be started on a worker.
+    """Whether new runs may be started on a worker."""
+    return find_run_refusal(worker, state) is None
+
+
+def find_run_refusal(worker: Worker, state: SchedulerState) -> Obstacle | None:
+    """Return why no new run may be started on a worker, or None.
 
     It has to be listed, in the durable roster, reconciled and responding, and
     must not be draining, evacuated, quarantined or paused. A start order must
     not outlast the leases that may be granted there at present. After a restart
     its entry has to be a new one, as capacity, labels and service may differ.
     """
-    if not (worker.is_listed and worker.is_rostered and worker.is_reconciled):
-        return False
+    if not (worker.is_listed and worker.is_rostered):
+        return Obstacle.UNLISTED
+    if not worker.is_reconciled:
+        return Obstacle.UNCONFIRMED
     if worker.entry.capacity is None or not worker.is_entry_current:
-        return False
-    if worker.failed_count or worker.entry.draining:
-        return False
-    if _evacuation.is_closed(worker, state):
-        return False
+        return Obstacle.OUTDATED_ENTRY
+    if worker.failed_count:
+        return Obstacle.SILENT
+    if worker.entry.draining or _evacuation.is_closed(worker, state):
+        return Obstacle.LEAVING
     if not _worker_leases.may_get_starts(worker, state):
-        return False
+        return Obstacle.LIMITED_LEASE
     if not _is_capacity_confirmed(worker, state):
-        return False
+        return Obstacle.OUTDATED_ENTRY
     blocked_until_ms = max(worker.quarantined_until_ms, worker.paused_until_ms)
-    return blocked_until_ms <= state.now_ms
+    return Obstacle.PAUSED if blocked_until_ms > state.now_ms else None
 
 
 def _is_capacity_confirmed(worker: Worker, state: SchedulerState) -> bool:
--- a/src/tulippin/jobs/_slow_start.py
+++ b/src/tulippin/jobs/_slow_start.py
@@ -84,11 +84,10 @@
 
 
 class Refusal(enum.Enum):
-    """Why a worker takes no slow start of a task."""
+    """Why a worker takes no slow start, apart from hard conditions."""
 
     TARGET_MISSED = 'target_missed'
     SLOW_RUNS = 'slow_runs'
-    NOT_FEASIBLE = 'not_feasible'
 
 
 @attrs.frozen
@@ -201,16 +200,15 @@
 
 def find_refusal(
     worker: Worker, job: Job, task: Task, step: Step, state: SchedulerState
-) -> Refusal | None:
+) -> Refusal | _feasibility.Obstacle | None:
     """Return why a worker takes no slow start of a task, or None."""
     if _own_misses.is_closed(worker, state):
         return Refusal.TARGET_MISSED
     if _has_slow_runs(worker, state):
         return Refusal.SLOW_RUNS
-    is_feasible = _feasibility.is_feasible(
+    return _feasibility.find_obstacle(
         worker, job, task, step, state, has_waited=True
     )
-    return None if is_feasible else Refusal.NOT_FEASIBLE
 
 
 def _has_slow_runs(worker: Worker, state: SchedulerState) -> bool:
--- a/tests/tulippin/jobs/test_stall_diagnostics.py
+++ b/tests/tulippin/jobs/test_stall_diagnostics.py
@@ -1,6 +1,7 @@
 """The log tells what holds back the job that has waited longest."""
 
 import logbook
+import pytest
 
 import waiting_jobs
 from scheduler_fleet import JOB, LOW_PRIORITY_QUEUE, open_fleet
@@ -100,3 +101,48 @@
             'target_missed_ms': 1500,
         }
     ]
+
+
+def count_slow_start_refusals(capacity, **changes):
+    """Return by which condition a worker refuses a slow start, by the log."""
+    state = SchedulerState(SchedulerConfig('i', 'i:1'), now_ms=NOW_MS)
+    entry = WorkerEntry('w0', '', 'a', 'z', capacity)
+    worker = state.workers['w0'] = Worker(
+        entry, is_listed=True, is_rostered=True, is_reconciled=True
+    )
+    for name, value in changes.items():
+        setattr(worker, name, value)
+    step = Step(1, Resources(1000, 1000), image='batch', opportunistic=True)
+    job = Job(JOB, LOW_PRIORITY_QUEUE, JobRequest('', (step,)), 1)
+    job.worked_ms = NOW_MS - 2500
+    state.jobs[JOB] = job
+    task = Task(TaskKey(JOB, 0, 0, 0))
+    job.tasks = {task.key: task}
+    state.ready_opportunistic[JOB, 0, 0] = {task.key: task}
+    context = Context(state)
+    _stall_diagnostics.log_longest(context)
+    [effect] = context.effects
+    return effect.fields['slow_start']
+
+
+@pytest.mark.parametrize(
+    ('capacity', 'changes', 'reason'),
+    [
+        (Resources(10_000, 900), {}, 'no_capacity'),
+        (Resources(900, 64_000), {}, 'busy'),
+        (
+            Resources(10_000, 4000),
+            {'reserved': Resources(0, 1500)},
+            'kept_memory',
+        ),
+        (Resources(10_000, 64_000), {'failed_count': 1}, 'silent'),
+        (
+            Resources(10_000, 64_000),
+            {'quarantined_until_ms': NOW_MS + 1},
+            'paused',
+        ),
+        (Resources(10_000, 64_000), {'is_listed': False}, 'unlisted'),
+    ],
+)
+def test_refused_slow_start_is_logged_by_condition(capacity, changes, reason):
+    assert count_slow_start_refusals(capacity, **changes) == {reason: 1}
