Let jobs that have waited use the memory that is kept for urgent tasks

Cause: of a worker without reservations 65% of the memory is kept free for urgent tasks, whether or not any come. A slow start could use it only if its task exceeds what an empty worker allows, so that jobs whose tasks fit an empty worker waited until the run of another job ended there; with slow starts at 10% of their pace that takes minutes, and the next job in the order takes the place.

Change: a job that has waited may use that memory for one run. Workers where memory beyond the kept part is free go first. Urgent tasks preempt such runs, as before.

--- a/src/tulippin/jobs/_feasibility.py
+++ b/src/tulippin/jobs/_feasibility.py
@@ -69,8 +69,8 @@
     """Return the first hard condition that a worker doesn't meet, or None.
 
     A task whose job ``has_waited`` may use the memory that is kept for urgent
-    tasks if it is too large even for an empty worker otherwise: it could never
-    start, and urgent tasks can preempt it.
+    tasks: no such task may come for as long as it waits, and those that come
+    can preempt it.
     """
     if not worker.has_capacity(step.reserved):
         return Obstacle.NO_CAPACITY
@@ -79,8 +79,7 @@
             return Obstacle.STALE_TAILS
         if not _fits_idle_processors(worker, step):
             return Obstacle.BUSY
-        may_use_kept_memory = has_waited and _exceeds_empty_worker(worker, step)
-        if lacks_memory(worker, step) and not may_use_kept_memory:
+        if lacks_memory(worker, step) and not has_waited:
             return Obstacle.KEPT_MEMORY
     return find_closure(worker, job, task, step, state)
 
@@ -190,12 +189,6 @@
     return used <= worker.entry.capacity.cpu_millicores
 
 
-def _exceeds_empty_worker(worker: Worker, step: Step) -> bool:
-    """Whether a task exceeds the memory allowed to it on an empty worker."""
-    max_share = 1 - _BASE_MEMORY_SHARE - _MEMORY_SHARE_PER_FREE_CPU_SHARE
-    return step.size.memory_mb > worker.entry.capacity.memory_mb * max_share
-
-
 def lacks_memory(worker: Worker, step: Step) -> bool:
     """Whether a task would use memory that is kept for urgent tasks."""
     free = worker.free
--- a/src/tulippin/jobs/_slow_start.py
+++ b/src/tulippin/jobs/_slow_start.py
@@ -164,8 +164,9 @@
 ) -> SlowStart | None:
     """Return the worker that tolerates the highest pace of a task.
 
-    Workers where the task failed come last; among equals, the one with the
-    most idle processors goes first.
+    Workers where the task failed come last, and before them those whose memory
+    is kept for urgent tasks; among equals, the one with the most idle
+    processors goes first.
 
     Returns
     -------
@@ -175,12 +176,13 @@
         any case.
     """
     best: Worker | None = None
-    best_rank = (True, True, True, 0.0, 0.0)
+    best_rank = (True, True, True, True, 0.0, 0.0)
     for worker in state.workers.values():
         if find_refusal(worker, job, task, step, state) is not None:
             continue
         rank = (
             worker.worker_id in task.avoided,
+            _feasibility.lacks_memory(worker, step),
             worker.targets_missed_since_ms > 0,
             _count_slow_runs(worker) >= _MAX_SLOW_RUNS,
             -_compute_tolerated_percent(
@@ -194,7 +196,7 @@
     if best is None:
         return None
     min_pace = _get_min_pace(best, _count_slow_runs(best) + 1, state)
-    pace_percent = max(_get_pace(-best_rank[3]), min_pace)
+    pace_percent = max(_get_pace(-best_rank[4]), min_pace)
     return SlowStart(best, pace_percent) if pace_percent else None
 
 
