Start slow runs where the processors for their pace are idle

Cause: a slow start counts by its pace once it runs, 10% at the least, but started only where the processors for its full pace were idle. Tasks of half a worker and more found such a place only on an empty one.

Change: a slow start needs the idle processors of the slowest pace that is allowed, and takes the highest pace that both the slack and the idle processors allow. The pace of a run is raised only within the idle processors; before, nothing but the slack limited it. The next run on a worker counts what the one before it took.

--- a/src/tulippin/jobs/_feasibility.py
+++ b/src/tulippin/jobs/_feasibility.py
@@ -27,6 +27,7 @@
 # reduced capacity takes effect 3 s and a heartbeat later; its entry is written
 # up to a heartbeat after that, and read within a second.
 _MAX_ENTRY_AGE_MS: t.Final = 3000
+_PERCENT: t.Final = 100
 
 
 class Obstacle(enum.Enum):
@@ -65,19 +66,31 @@
     state: SchedulerState,
     *,
     has_waited: bool = False,
+    pace_percent: int = 100,
 ) -> Obstacle | None:
     """Return the first hard condition that a worker doesn't meet, or None.
 
-    A task whose job ``has_waited`` may use the memory that is kept for urgent
-    tasks: no such task may come for as long as it waits, and those that come
-    can preempt it.
+    Parameters
+    ----------
+    worker : Worker
+        The worker to check.
+    job, task, step : Job, Task, Step
+        The task to start.
+    state : SchedulerState
+        Holds the configuration and what is known of the worker.
+    has_waited : bool
+        Whether the task may use the memory that is kept for urgent tasks: no
+        such task may come for as long as it waits, and those that come can
+        preempt it.
+    pace_percent : int
+        The pace at which an opportunistic task would start.
     """
     if not worker.has_capacity(step.reserved):
         return Obstacle.NO_CAPACITY
     if step.opportunistic:
         if has_stale_tails(worker, state):
             return Obstacle.STALE_TAILS
-        if not _fits_idle_processors(worker, step):
+        if not _fits_idle_processors(worker, step, pace_percent):
             return Obstacle.BUSY
         if lacks_memory(worker, step) and not has_waited:
             return Obstacle.KEPT_MEMORY
@@ -183,9 +196,12 @@
     return sibling_count < step.max_per_worker
 
 
-def _fits_idle_processors(worker: Worker, step: Step) -> bool:
-    """Whether a worker has enough idle processors for a task."""
-    used = _interference.get_used(worker) + step.size.cpu_millicores
+def _fits_idle_processors(
+    worker: Worker, step: Step, pace_percent: int
+) -> bool:
+    """Whether a worker has enough idle processors for a task at a pace."""
+    wanted = step.size.cpu_millicores * pace_percent / _PERCENT
+    used = _interference.get_used(worker) + wanted
     return used <= worker.entry.capacity.cpu_millicores
 
 
--- a/src/tulippin/jobs/_interference.py
+++ b/src/tulippin/jobs/_interference.py
@@ -105,6 +105,11 @@
 def invalidate_slack(worker: Worker) -> None:
     """Invalidate a worker's cached slack and use."""
     worker.slack = None
+    invalidate_use(worker)
+
+
+def invalidate_use(worker: Worker) -> None:
+    """Invalidate a worker's cached use."""
     worker.used_millicores = None
 
 
--- a/src/tulippin/jobs/_pacing.py
+++ b/src/tulippin/jobs/_pacing.py
@@ -198,6 +198,8 @@
             wanted = _slow_start.adjust_pace(attempt, worker, ratio, state)
         if wanted < attempt.target_pace_percent or may_raise:
             attempt.target_pace_percent = wanted
+            # The next one may only use the processors that this one leaves.
+            _interference.invalidate_use(worker)
     _move_slowed(fillers, context)
     after = [attempt.target_pace_percent for attempt in fillers]
     if before == after:
--- a/src/tulippin/jobs/_slow_start.py
+++ b/src/tulippin/jobs/_slow_start.py
@@ -185,8 +185,11 @@
             _feasibility.lacks_memory(worker, step),
             worker.targets_missed_since_ms > 0,
             _count_slow_runs(worker) >= _MAX_SLOW_RUNS,
-            -_compute_tolerated_percent(
-                step, _count_slow_runs(worker) + 1, worker, state
+            -min(
+                _compute_tolerated_percent(
+                    step, _count_slow_runs(worker) + 1, worker, state
+                ),
+                _get_idle_percent(step, worker),
             ),
             -_interference.get_idle(worker),
         )
@@ -208,8 +211,15 @@
         return Refusal.TARGET_MISSED
     if _has_slow_runs(worker, state):
         return Refusal.SLOW_RUNS
+    min_pace = _get_min_pace(worker, _count_slow_runs(worker) + 1, state)
     return _feasibility.find_obstacle(
-        worker, job, task, step, state, has_waited=True
+        worker,
+        job,
+        task,
+        step,
+        state,
+        has_waited=True,
+        pace_percent=min_pace or _MIN_PACE_PERCENT,
     )
 
 
@@ -273,6 +283,12 @@
     )
 
 
+def _get_idle_percent(step: Step, worker: Worker) -> float:
+    """Return the pace for which the idle processors of a worker suffice."""
+    wanted = max(1, step.size.cpu_millicores)
+    return _PERCENT * _interference.get_idle(worker) / wanted
+
+
 def _get_pace(tolerated_percent: float) -> int:
     """Return the highest available pace that is tolerated, or 0."""
     return max(
@@ -305,8 +321,12 @@
             return 0
         # It would go on beside those that are counted.
         count += 1
+    idle_percent = _get_idle_percent(attempt.step, worker)
     tolerated = _get_pace(
-        _compute_tolerated_percent(attempt.step, count, worker, state)
+        min(
+            _compute_tolerated_percent(attempt.step, count, worker, state),
+            attempt.target_pace_percent + idle_percent,
+        )
     )
     min_pace = _get_min_pace(worker, count, state)
     if ratio > _TIGHT_RATIO:
