Give jobs without a run a turn ahead of the runs that others add

What callers saw: under overload accepted jobs have nothing running for up to 45 s, while other jobs start one run after the other.

Cause: opportunistic tasks are placed by priority and by what their job can still earn. Jobs that rank last got a place only once no other task was left to take it; a slow start was tried on what the ranked tasks had left over.

Change: at each scan for jobs that have had no run for long, two of the longest waiting are started ahead of the ranked tasks, at full pace and under the usual conditions. So each has a turn, and most places still go by rank.

--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -52,6 +52,11 @@
 _MAX_OVERDUE_STEPS: t.Final = 8
 # Interval between two scans for jobs that have had nothing running for long.
 _SLOW_START_INTERVAL_MS: t.Final = 200
+# Jobs without any run that are tried, and started, ahead of all others in such
+# a scan. More would leave little to jobs that can still be in time: ends free
+# about twice as many places when a unit is overloaded.
+_MAX_FIRST_TRIES: t.Final = 8
+_MAX_FIRST_STARTS: t.Final = 2
 # Minimum interval between two passes over the other tasks, except at a tick:
 # events come in bursts, and each would scan the same workers again.
 _PASS_INTERVAL_MS: t.Final = 15
@@ -138,9 +143,12 @@
         state = self.context.state
         if self.queue is state.ready:
             self._place_overdue()
+            self._place_ranked()
+            return
+        waiting = self._list_waiting()
+        self._place_longest_waiting(waiting)
         self._place_ranked()
-        if self.queue is state.ready_opportunistic:
-            self._place_slow_starts()
+        self._place_slow_starts(waiting)
 
     def _place_ranked(self) -> None:
         state = self.context.state
@@ -154,20 +162,47 @@
                 state.is_placing_due = True
                 return
 
-    def _place_slow_starts(self) -> None:
-        """Start a run at a low pace for jobs that have had none for long."""
+    def _list_waiting(self) -> list[tuple[Job, Task]]:
+        """Return tasks of jobs that have had no run for long, at intervals."""
         state = self.context.state
         if (
             state.now_ms - state.slow_starts_checked_ms
             < _SLOW_START_INTERVAL_MS
         ):
-            return
+            return []
         state.slow_starts_checked_ms = state.now_ms
-        waiting = _slow_start.list_waiting(state)
-        for job, task in _slow_start.select_round(waiting, state):
+        return _slow_start.list_waiting(state)
+
+    def _place_longest_waiting(self, waiting: list[tuple[Job, Task]]) -> None:
+        """Start a few jobs that have had no run for long ahead of others.
+
+        Under overload the ranked steps, of which some have several runs
+        already, take each place that becomes free.
+        """
+        state = self.context.state
+        started_count = 0
+        for job, task in waiting[:_MAX_FIRST_TRIES]:
             step = job.request.steps[task.key.step]
             if not _slow_start.has_claim(job, task, state):
-                # Another step of the job was started in this scan.
+                continue
+            worker = _worker_selection.choose(job, task, step, state)
+            if worker is None:
+                continue
+            self._start(job, step, task, worker)
+            started_count += 1
+            if started_count >= _MAX_FIRST_STARTS:
+                return
+
+    def _place_slow_starts(self, waiting: list[tuple[Job, Task]]) -> None:
+        """Start a run at a low pace for jobs that have had none for long."""
+        state = self.context.state
+        for job, task in _slow_start.select_round(waiting, state):
+            step = job.request.steps[task.key.step]
+            is_queued = task.key in self.queue.get(
+                _ready_queues.get_step_key(task.key), {}
+            )
+            if not (is_queued and _slow_start.has_claim(job, task, state)):
+                # The job was started in this pass.
                 continue
             choice = _slow_start.choose(job, task, step, state)
             if choice is not None:
--- a/tests/tulippin/jobs/test_scheduler_starving.py
+++ b/tests/tulippin/jobs/test_scheduler_starving.py
@@ -5,6 +5,7 @@
 import trio
 
 from scheduler_fleet import (
+    HIGH_PRIORITY_QUEUE,
     LOW_PRIORITY_QUEUE,
     make_request,
     make_step,
@@ -17,6 +18,10 @@
 WORKERS = 4
 # How long users accept a job without a run while most processors are idle.
 MAX_IDLE_S = 3.5
+# Time of a run, and the wait after which a job is due for the next place while
+# others arrive, with one run and half a second for polling.
+RUN_MS = 1000
+MAX_TURN_S = 2.5 + RUN_MS / 1000 + 0.5
 
 
 def expect_harm(fleet):
@@ -59,6 +64,31 @@
     run_virtual(run)
 
 
+# Guards against jobs without any run for as long as more urgent ones arrive.
+def test_less_urgent_job_gets_its_turn_under_overload(run_virtual):
+    async def run():
+        async with open_fleet(instances=1, workers=2) as fleet:
+            fleet.nursery.start_soon(submit_more_than_fits, fleet)
+            await trio.sleep(2)
+            step = make_step(2, 4000, opportunistic=True)
+            await fleet.submit(BATCH, make_request(step), LOW_PRIORITY_QUEUE)
+            with trio.fail_after(MAX_TURN_S):
+                while not fleet.count_starts(BATCH):
+                    await trio.sleep(0.05)
+            fleet.check()
+
+    run_virtual(run)
+
+
+async def submit_more_than_fits(fleet):
+    """Submit twice the work that two workers do."""
+    step = make_step(8, 4000, opportunistic=True)
+    for number in range(100, 200):
+        request = make_request(step, run_ms=RUN_MS)
+        await fleet.submit(f'{number:016x}', request, HIGH_PRIORITY_QUEUE)
+        await trio.sleep(0.5)
+
+
 def test_log_has_the_expected_harm_of_waiting_work(run_virtual):
     async def run():
         async with open_fleet(instances=1, workers=WORKERS) as fleet:
