--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -52,11 +52,8 @@
 _MAX_OVERDUE_STEPS: t.Final = 8
 # Interval between two scans for jobs that have had nothing running for long.
 _SLOW_START_INTERVAL_MS: t.Final = 200
-# Jobs without any run that are tried, and started, ahead of all others in such
-# a scan. More would leave little to jobs that can still be in time: ends free
-# about twice as many places when a unit is overloaded.
+# Jobs that are tried ahead of all others in such a scan, of which one is started.
 _MAX_FIRST_TRIES: t.Final = 8
-_MAX_FIRST_STARTS: t.Final = 2
 # Minimum interval between two passes over the other tasks, except at a tick:
 # events come in bursts, and each would scan the same workers again.
 _PASS_INTERVAL_MS: t.Final = 15
@@ -174,23 +171,19 @@
         return _slow_start.list_waiting(state)
 
     def _place_longest_waiting(self, waiting: list[tuple[Job, Task]]) -> None:
-        """Start a few jobs that have had no run for long ahead of others.
+        """Start one job that has had no run for long ahead of all others.
 
         Under overload the ranked steps, of which some have several runs
         already, take each place that becomes free.
         """
         state = self.context.state
-        started_count = 0
         for job, task in waiting[:_MAX_FIRST_TRIES]:
+            if not _slow_start.precedes_others(job, task, state):
+                return
             step = job.request.steps[task.key.step]
-            if not _slow_start.has_claim(job, task, state):
-                continue
             worker = _worker_selection.choose(job, task, step, state)
-            if worker is None:
-                continue
-            self._start(job, step, task, worker)
-            started_count += 1
-            if started_count >= _MAX_FIRST_STARTS:
+            if worker is not None:
+                self._start(job, step, task, worker)
                 return
 
     def _place_slow_starts(self, waiting: list[tuple[Job, Task]]) -> None:
--- a/src/tulippin/jobs/_slow_start.py
+++ b/src/tulippin/jobs/_slow_start.py
@@ -47,6 +47,9 @@
 # targets were missed for 8,022 s in 18 days, and without slow starts for
 # 6,423 s.
 _WAIT_MS: t.Final = 2500
+# Time without any run after which a job precedes those that rank higher. Until
+# then processors go to jobs that can still be in time.
+_MAX_WAIT_MS: t.Final = 6000
 # Time since the last arrival after which no new jobs are expected.
 _ARRIVAL_GAP_MS: t.Final = 2500
 # Available paces. Few, as each change is an order to the worker. At the slowest
@@ -150,6 +153,11 @@
     return _job_progress.get_idle_ms(job, task, state) > 0
 
 
+def precedes_others(job: Job, task: Task, state: SchedulerState) -> bool:
+    """Whether a job has waited so long that it is placed ahead of all others."""
+    return _job_progress.get_idle_ms(job, task, state) >= _MAX_WAIT_MS
+
+
 def _find_startable(
     job: Job, tasks: t.Iterable[Task], state: SchedulerState
 ) -> Task | None:
