--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -52,7 +52,7 @@
 _MAX_OVERDUE_STEPS: t.Final = 8
 # Interval between two scans for jobs that have had nothing running for long.
 _SLOW_START_INTERVAL_MS: t.Final = 200
-# Jobs that are tried ahead of all others in such a scan, of which one is started.
+# Jobs tried ahead of all others in such a scan, of which one is started.
 _MAX_FIRST_TRIES: t.Final = 8
 # Minimum interval between two passes over the other tasks, except at a tick:
 # events come in bursts, and each would scan the same workers again.
--- a/src/tulippin/jobs/_slow_start.py
+++ b/src/tulippin/jobs/_slow_start.py
@@ -154,7 +154,7 @@
 
 
 def precedes_others(job: Job, task: Task, state: SchedulerState) -> bool:
-    """Whether a job has waited so long that it is placed ahead of all others."""
+    """Whether a job has waited so long that it goes ahead of all others."""
     return _job_progress.get_idle_ms(job, task, state) >= _MAX_WAIT_MS
 
 
