Have slow starts give their memory to every task that reserves processors

What callers saw: nothing yet; found by reading what slow starts in kept memory change.

Cause: only tasks of the most urgent priority preempt others. A slow start in memory that is kept for urgent tasks runs at a tenth of its pace, and would hold that memory for minutes against tasks of all other priorities.

Evidence: test_slow_starts_give_their_memory_to_tasks_that_reserve_processors failed before for the less urgent queue, short and long-running: no start in 3.5 s.

Change: slow-started runs are stopped for any task that reserves processors and finds no capacity. Such tasks look for runs to stop once a second, and only on workers with slow starts, as many of them wait under overload.

--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -379,7 +379,7 @@
             if _worker_selection.awaits_proven_worker(job, task, step, state):
                 # It says nothing about other tasks, and others needn't stop.
                 return True
-            _preempting.preempt_if_urgent(job, task, self.context)
+            _preempting.preempt_for(job, task, self.context)
             self._make_room(job, step, task)
             if task.crashes:
                 # A suspected task has restrictions that others don't have.
--- a/src/tulippin/jobs/_preempting.py
+++ b/src/tulippin/jobs/_preempting.py
@@ -1,4 +1,4 @@
-"""Preempts less urgent runs to free capacity for urgent tasks."""
+"""Preempts runs to free capacity for tasks that reserve processors."""
 
 from __future__ import annotations
 
@@ -32,20 +32,25 @@
 # Assignments change slowly compared with the passes over ready tasks, and
 # scanning the runs of all workers took half of an overloaded owner's time.
 _RETRY_INTERVAL_MS: t.Final = 200
+# The same for a task for which only slow-started runs stop. Under overload many
+# such tasks wait.
+_SLOW_START_RETRY_MS: t.Final = 1000
 # Time without any run after which a job of no value may preempt others. At most
 # 3 s without a run are acceptable beside mostly idle processors.
 _WORTHLESS_PREEMPTS_AFTER_MS: t.Final = 2500
 
 
-def preempt_if_urgent(job: Job, task: Task, context: Context) -> None:
-    """Stop less urgent runs for a task of the most urgent priority.
+def preempt_for(job: Job, task: Task, context: Context) -> None:
+    """Stop runs that give way to a task that reserves processors.
 
-    Work of no value preempts others only once its job has had nothing running
-    for long, so that it is completed at some time.
+    Slow-started runs give way to all such tasks, as they use memory that is
+    kept for these; other runs only to more urgent tasks of the most urgent
+    priority. Work of no value preempts others only once its job has had nothing
+    running for long, so that it is completed at some time.
     """
     state = context.state
     step = job.request.steps[task.key.step]
-    if job.queue.priority != 0 or step.opportunistic:
+    if step.opportunistic:
         return
     step_key = _ready_queues.get_step_key(task.key)
     if _ranking.is_worthless(job, step_key, state):
@@ -66,12 +71,12 @@
     is_open: t.Callable[[Worker], bool],
     context: Context,
 ) -> int:
-    """Stop less urgent runs on the worker where that loses the least work.
+    """Stop runs on the worker where that loses the least work.
 
     Parameters
     ----------
     job, task : Job, Task
-        The urgent task that fits nowhere.
+        The task that fits nowhere.
     is_open : callable
         Returns whether a worker may run the task, apart from its capacity.
     context : Context
@@ -85,12 +90,16 @@
     state = context.state
     if state.now_ms < task.preempt_after_ms:
         return 0
-    task.preempt_after_ms = state.now_ms + _RETRY_INTERVAL_MS
+    is_urgent = job.queue.priority == 0
+    task.preempt_after_ms = state.now_ms + (
+        _RETRY_INTERVAL_MS if is_urgent else _SLOW_START_RETRY_MS
+    )
     step = job.request.steps[task.key.step]
     best: list[Attempt] = []
     best_cost = 0
     for worker in state.workers.values():
-        if not is_open(worker):
+        has_victims = is_urgent or _has_slow_starts(worker)
+        if not (has_victims and is_open(worker)):
             continue
         victims = _choose_victims(worker, step, job.queue.priority, state)
         cost = sum(_get_cost(attempt, state) for attempt in victims)
@@ -119,10 +128,15 @@
     return age_ms * attempt.step.size.cpu_millicores
 
 
+def _has_slow_starts(worker: Worker) -> bool:
+    return any(one.is_slow_start for one in worker.fillers.values())
+
+
 def _is_victim(attempt: Attempt, priority: int) -> bool:
     """Whether a task of a priority may preempt a run."""
+    is_less_urgent = priority == 0 and attempt.priority > priority
     return (
-        attempt.priority > priority
+        (attempt.is_slow_start or is_less_urgent)
         and attempt.state is AttemptState.RUNNING
         and not attempt.step.long_running
     )
--- a/tests/tulippin/jobs/test_slow_start_review.py
+++ b/tests/tulippin/jobs/test_slow_start_review.py
@@ -1,16 +1,27 @@
 """Waits and moves of slow starts beside work that is special."""
 
 import attrs
+import pytest
 import trio
 
 import waiting_jobs
-from scheduler_fleet import WALL_OFFSET_MS, make_request, make_step, open_fleet
-from tulippin.jobs.types import Schedule
+from scheduler_fleet import (
+    HIGH_PRIORITY_QUEUE,
+    LOW_PRIORITY_QUEUE,
+    WALL_OFFSET_MS,
+    make_request,
+    make_step,
+    open_fleet,
+)
+from tulippin.jobs.types import Schedule, Step
 from tulippin.platform.standin import get_now_ms
+from tulippin.types import Resources
 
 WORKERS = 6
 # The wait of a job, and a second for orders and reports.
 MAX_FIRST_WAIT_S = 3.5
+# Time in which slow starts fill the memory of all workers.
+SLOW_STARTS_S = 6
 
 
 async def prepare(fleet):
@@ -38,3 +49,35 @@
                     await trio.sleep(waiting_jobs.POLL_INTERVAL_S)
 
     run_virtual(run)
+
+
+@pytest.mark.parametrize('queue', [HIGH_PRIORITY_QUEUE, LOW_PRIORITY_QUEUE])
+@pytest.mark.parametrize('is_long_running', [False, True])
+def test_slow_starts_give_their_memory_to_tasks_that_reserve_processors(
+    run_virtual, monkeypatch, queue, is_long_running
+):
+    waiting_jobs.follow_load(monkeypatch, {}, 40.0)
+
+    async def run():
+        async with open_fleet(instances=1, workers=WORKERS) as fleet:
+            await prepare(fleet)
+            for number in range(10, 50):
+                request = waiting_jobs.make_batch(
+                    1, memory_mb=9000, run_ms=60_000
+                )
+                await waiting_jobs.submit(fleet, number, request)
+            await trio.sleep(SLOW_STARTS_S)
+            step = Step(
+                WORKERS,
+                Resources(4000, 40_000),
+                long_running=is_long_running,
+                max_per_worker=1,
+            )
+            request = make_request(step, lasts=is_long_running, run_ms=60_000)
+            await waiting_jobs.submit(fleet, 9, request, queue)
+            with trio.fail_after(MAX_FIRST_WAIT_S):
+                while fleet.count_starts(f'{9:016x}') < WORKERS:
+                    await trio.sleep(waiting_jobs.POLL_INTERVAL_S)
+            fleet.check()
+
+    run_virtual(run)
--- a/tests/tulippin/jobs/test_yielding.py
+++ b/tests/tulippin/jobs/test_yielding.py
@@ -194,7 +194,7 @@
     victim = add_run(state, 'victim', waited_ms=0, step=step)
     job, task = add_job(state, 'urgent', waited_ms, step, priority=0)
     task.ready_ms = task.opened_ms = state.now_ms - idle_ms
-    _preempting.preempt_if_urgent(job, task, Context(state))
+    _preempting.preempt_for(job, task, Context(state))
     assert (victim.state is AttemptState.STOPPING) is bool(count)
 
 
@@ -204,7 +204,7 @@
     useful = add_run(state, 'useful', waited_ms=0, step=step)
     lost = add_run(state, 'lost', step=step)
     job, task = add_job(state, 'urgent', 0, step, priority=0)
-    _preempting.preempt_if_urgent(job, task, Context(state))
+    _preempting.preempt_for(job, task, Context(state))
     assert lost.state is AttemptState.STOPPING
     assert useful.state is AttemptState.RUNNING
 
