--- a/src/tulippin/jobs/_preempting.py
+++ b/src/tulippin/jobs/_preempting.py
@@ -91,9 +91,8 @@
     if state.now_ms < task.preempt_after_ms:
         return 0
     is_urgent = job.queue.priority == 0
-    task.preempt_after_ms = state.now_ms + (
-        _RETRY_INTERVAL_MS if is_urgent else _SLOW_START_RETRY_MS
-    )
+    retry_ms = _RETRY_INTERVAL_MS if is_urgent else _SLOW_START_RETRY_MS
+    task.preempt_after_ms = state.now_ms + retry_ms
     step = job.request.steps[task.key.step]
     best: list[Attempt] = []
     best_cost = 0
