Let an overdue job go on at the slowest pace while other jobs arrive

Cause: while jobs arrive a slow start needs a worker whose tasks with targets tolerate some pace, and one on each worker. Where none does, the job waits for as long as others arrive, beside idle workers.

Evidence: test_job_that_no_worker_tolerates_makes_progress_while_others_arrive failed before: no progress in the 40 s of the test.

Change: a job that has had no run for 6 s may start at the slowest pace, up to three slow starts on a worker, and keeps that pace where its neighbours tolerate none. A missed target still pauses it. In the test no target is missed for 4 s.

--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -199,7 +199,7 @@
                 continue
             choice = _slow_start.choose(job, task, step, state)
             if choice is not None:
-                self._start(job, step, task, choice.worker, choice.pace_percent)
+                self._start(job, step, task, choice.worker, choice)
 
     def _place_overdue(self) -> None:
         """Start one overdue long-running task ahead of all others.
@@ -409,14 +409,15 @@
         step: Step,
         task: Task,
         worker: Worker,
-        pace_percent: int | None = None,
+        slow_start: _slow_start.SlowStart | None = None,
     ) -> None:
-        """Start a task; with ``pace_percent`` given, as a slow start."""
+        """Start a task, as a slow start if one is given."""
         task.run_count += 1
         attempt = _starting.add_run(job, step, task, worker, self.context)
-        if pace_percent is not None:
+        if slow_start is not None:
             attempt.is_slow_start = True
-            attempt.target_pace_percent = pace_percent
+            attempt.keeps_pace = slow_start.keeps_pace
+            attempt.target_pace_percent = slow_start.pace_percent
             _interference.invalidate_slack(worker)
         _starting.send(attempt, job, self.context)
         self.budget -= 1
--- a/src/tulippin/jobs/_slow_start.py
+++ b/src/tulippin/jobs/_slow_start.py
@@ -8,8 +8,10 @@
 is too high would persist.
 
 Therefore each job may have one run regardless. It starts on the worker that
-tolerates the highest pace, at the pace that the slack there allows, with a
-limit on such runs for each worker. A slow-started run yields: other tasks are
+tolerates the highest pace, at the pace that the slack and the idle processors
+there allow, with a limit on such runs for each worker. It may use memory that
+is kept for tasks that reserve processors, and gives it back to them
+(``_preempting``). A slow-started run yields: other tasks are
 placed as if it did not exist, it continues at the pace that they leave, and it
 pauses as soon as a target is missed that would be met without it
 (``_own_misses``). It is observed at a pace at which targets are met, which
@@ -79,6 +81,8 @@
 _MAX_TOTAL_RUNS: t.Final = 24
 # The same while jobs arrive; only where the slack tolerates some pace.
 _MAX_SLOW_RUNS_WITH_ARRIVALS: t.Final = 1
+# The same with those of jobs that precede others, whatever the slack.
+_MAX_OVERDUE_RUNS_WITH_ARRIVALS: t.Final = 3
 # Number of tasks compared with all workers in one round: those that have waited
 # longest, and some of the others in turn. Twelve tasks take about 1 ms with 33
 # workers.
@@ -95,10 +99,15 @@
 
 @attrs.frozen
 class SlowStart:
-    """The worker and the pace for the slow start of a task."""
+    """The worker and the pace for the slow start of a task.
+
+    ``keeps_pace`` says that the run goes on at the slowest pace even where the
+    slack tolerates none.
+    """
 
     worker: Worker
     pace_percent: int
+    keeps_pace: bool = False
 
 
 def list_waiting(state: SchedulerState) -> list[tuple[Job, Task]]:
@@ -180,9 +189,10 @@
     -------
     SlowStart, optional
         None if no worker is feasible, or if jobs arrive and no worker
-        tolerates any pace. Without arrivals the slowest pace is allowed in
-        any case.
+        tolerates any pace. Without arrivals, and for a job that precedes
+        others, the slowest pace is allowed in any case.
     """
+    keeps_pace = precedes_others(job, task, state)
     best: Worker | None = None
     best_rank = (True, True, True, True, 0.0, 0.0)
     for worker in state.workers.values():
@@ -206,9 +216,13 @@
             best_rank = rank
     if best is None:
         return None
-    min_pace = _get_min_pace(best, _count_slow_runs(best) + 1, state)
+    min_pace = _get_min_pace(
+        best, _count_slow_runs(best) + 1, state, keeps_pace=keeps_pace
+    )
     pace_percent = max(_get_pace(-best_rank[4]), min_pace)
-    return SlowStart(best, pace_percent) if pace_percent else None
+    if not pace_percent:
+        return None
+    return SlowStart(best, pace_percent, keeps_pace)
 
 
 def find_refusal(
@@ -217,7 +231,8 @@
     """Return why a worker takes no slow start of a task, or None."""
     if _own_misses.is_closed(worker, state):
         return Refusal.TARGET_MISSED
-    if _has_slow_runs(worker, state):
+    is_overdue = precedes_others(job, task, state)
+    if _has_slow_runs(worker, state, is_overdue=is_overdue):
         return Refusal.SLOW_RUNS
     min_pace = _get_min_pace(worker, _count_slow_runs(worker) + 1, state)
     return _feasibility.find_obstacle(
@@ -231,19 +246,29 @@
     )
 
 
-def _has_slow_runs(worker: Worker, state: SchedulerState) -> bool:
+def _has_slow_runs(
+    worker: Worker, state: SchedulerState, *, is_overdue: bool
+) -> bool:
     """Whether a worker has as many slow-started runs as it may have.
 
     Runs that pause hold no place once no jobs arrive, but their memory.
     """
     total = sum(one.is_slow_start for one in worker.fillers.values())
     if not _has_no_arrivals(state):
+        if is_overdue:
+            return total >= _MAX_OVERDUE_RUNS_WITH_ARRIVALS
         return total >= _MAX_SLOW_RUNS_WITH_ARRIVALS
     is_crowded = _count_slow_runs(worker) >= _MAX_CROWDED_RUNS
     return is_crowded or total >= _MAX_TOTAL_RUNS
 
 
-def _get_min_pace(worker: Worker, count: int, state: SchedulerState) -> int:
+def _get_min_pace(
+    worker: Worker,
+    count: int,
+    state: SchedulerState,
+    *,
+    keeps_pace: bool = False,
+) -> int:
     """Return the pace that is allowed even if the slack tolerates none.
 
     Parameters
@@ -254,8 +279,10 @@
         The number of slow-started runs that share it.
     state : SchedulerState
         Tells whether jobs arrive.
+    keeps_pace : bool
+        Whether some pace is allowed while they do.
     """
-    if not _has_no_arrivals(state):
+    if not (keeps_pace or _has_no_arrivals(state)):
         return 0
     missed_ago_ms = state.now_ms - worker.slow_miss_ms
     is_recent = worker.slow_miss_ms > 0 and missed_ago_ms < _RAISE_AFTER_MS
@@ -336,7 +363,9 @@
             attempt.target_pace_percent + idle_percent,
         )
     )
-    min_pace = _get_min_pace(worker, count, state)
+    min_pace = _get_min_pace(
+        worker, count, state, keeps_pace=attempt.keeps_pace
+    )
     if ratio > _TIGHT_RATIO:
         return max(tolerated, min_pace)
     return max(
--- a/tests/tulippin/jobs/test_slow_start_review.py
+++ b/tests/tulippin/jobs/test_slow_start_review.py
@@ -20,6 +20,10 @@
 WORKERS = 6
 # The wait of a job, and a second for orders and reports.
 MAX_FIRST_WAIT_S = 3.5
+# The wait after which a job precedes others, and a second as above.
+MAX_OVERDUE_WAIT_S = 7.0
+# How long users accept a target missed because of opportunistic tasks.
+MAX_HARM_S = 4.0
 # Time in which slow starts fill the memory of all workers.
 SLOW_STARTS_S = 6
 
@@ -81,3 +85,31 @@
             fleet.check()
 
     run_virtual(run)
+
+
+def test_job_that_no_worker_tolerates_makes_progress_while_others_arrive(
+    run_virtual, monkeypatch
+):
+    get_own_ms = waiting_jobs.follow_load(monkeypatch, {}, 44.0)
+
+    async def run():
+        async with open_fleet(instances=1, workers=WORKERS) as fleet:
+            await prepare(fleet)
+            fleet.nursery.start_soon(submit_harmless_jobs, fleet)
+            await waiting_jobs.submit(fleet, 10, waiting_jobs.make_batch(4))
+            watch = waiting_jobs.Watch(fleet, get_own_ms)
+            await watch.run(waiting_jobs.get_ids([10]), for_s=40)
+            assert max(watch.stalled_s.values()) < MAX_OVERDUE_WAIT_S
+            assert watch.harm_s < MAX_HARM_S
+            fleet.check()
+
+    run_virtual(run)
+
+
+async def submit_harmless_jobs(fleet):
+    for number in range(100, 200):
+        request = waiting_jobs.make_batch(
+            1, image='light', run_ms=300, added_ms=0.0
+        )
+        await waiting_jobs.submit(fleet, number, request)
+        await trio.sleep(0.5)
