Name the condition that closes a worker in all lines on waits

'work waits' and 'tasks wait for room' counted closed workers without saying why, by conditions that _wait_reasons walked a second time beside _feasibility. No decision changes.

--- a/src/tulippin/jobs/_feasibility.py
+++ b/src/tulippin/jobs/_feasibility.py
@@ -41,6 +41,7 @@
     UNCONFIRMED = 'unconfirmed'
     SILENT = 'silent'
     LEAVING = 'leaving'
+    EVACUATED = 'evacuated'
     LIMITED_LEASE = 'limited_lease'
     OUTDATED_ENTRY = 'outdated_entry'
     PAUSED = 'paused'
@@ -137,6 +138,8 @@
     not outlast the leases that may be granted there at present. After a restart
     its entry has to be a new one, as capacity, labels and service may differ.
     """
+    if _evacuation.is_closed(worker, state):
+        return Obstacle.EVACUATED
     if not (worker.is_listed and worker.is_rostered):
         return Obstacle.UNLISTED
     if not worker.is_reconciled:
@@ -145,7 +148,7 @@
         return Obstacle.OUTDATED_ENTRY
     if worker.failed_count:
         return Obstacle.SILENT
-    if worker.entry.draining or _evacuation.is_closed(worker, state):
+    if worker.entry.draining:
         return Obstacle.LEAVING
     if not _worker_leases.may_get_starts(worker, state):
         return Obstacle.LIMITED_LEASE
--- a/src/tulippin/jobs/_wait_reasons.py
+++ b/src/tulippin/jobs/_wait_reasons.py
@@ -4,12 +4,7 @@
 
 import collections
 
-from tulippin.jobs import (
-    _evacuation,
-    _feasibility,
-    _interference,
-    _scoring,
-)
+from tulippin.jobs import _feasibility, _scoring
 from tulippin.jobs.state import Job, SchedulerState, Task, Worker
 from tulippin.jobs.types import Step
 
@@ -28,16 +23,14 @@
     worker: Worker, job: Job, step: Step, task: Task, state: SchedulerState
 ) -> str:
     """Return why a worker refuses a task; `takes_it` if it does not."""
-    if _evacuation.is_closed(worker, state):
-        return 'evacuated'
-    if not _feasibility.is_open(worker, job, task, step, state):
-        return 'closed'
+    closure = _feasibility.find_closure(worker, job, task, step, state)
+    if closure is not None:
+        return closure.value
     if not step.opportunistic:
         return _get_missing_resource(worker, step)
-    if _interference.get_idle(worker) < step.size.cpu_millicores:
-        return 'busy'
-    if not _feasibility.is_feasible(worker, job, task, step, state):
-        return 'memory'
+    obstacle = _feasibility.find_obstacle(worker, job, task, step, state)
+    if obstacle is not None:
+        return obstacle.value
     if _scoring.score_idle(state.policy, worker, task, step, state) is None:
         serving = {one.step.image for one in worker.serving.values()}
         return f'harms_one_of_{len(serving)}'
