--- a/src/tulippin/jobs/_feasibility.py
+++ b/src/tulippin/jobs/_feasibility.py
@@ -144,7 +144,11 @@
         return Obstacle.UNLISTED
     if not worker.is_reconciled:
         return Obstacle.UNCONFIRMED
-    if worker.entry.capacity is None or not worker.is_entry_current:
+    if not (
+        worker.entry.capacity is not None
+        and worker.is_entry_current
+        and _is_capacity_confirmed(worker, state)
+    ):
         return Obstacle.OUTDATED_ENTRY
     if worker.failed_count:
         return Obstacle.SILENT
@@ -152,8 +156,6 @@
         return Obstacle.LEAVING
     if not _worker_leases.may_get_starts(worker, state):
         return Obstacle.LIMITED_LEASE
-    if not _is_capacity_confirmed(worker, state):
-        return Obstacle.OUTDATED_ENTRY
     blocked_until_ms = max(worker.quarantined_until_ms, worker.paused_until_ms)
     return Obstacle.PAUSED if blocked_until_ms > state.now_ms else None
 
