Let two overdue slow starts share a worker while jobs arrive

With one, the queue of overdue jobs grows in the test for as long as others arrive; with two it doesn't.

--- a/src/tulippin/jobs/_slow_start.py
+++ b/src/tulippin/jobs/_slow_start.py
@@ -82,7 +82,7 @@
 # The same while jobs arrive; only where the slack tolerates some pace.
 _MAX_SLOW_RUNS_WITH_ARRIVALS: t.Final = 1
 # The same with those of jobs that precede others, whatever the slack.
-_MAX_OVERDUE_RUNS_WITH_ARRIVALS: t.Final = 3
+_MAX_OVERDUE_RUNS_WITH_ARRIVALS: t.Final = 2
 # Number of tasks compared with all workers in one round: those that have waited
 # longest, and some of the others in turn. Twelve tasks take about 1 ms with 33
 # workers.
