Read the rest of a report before its missing runs count as ended

A worker lists 500 ends at once, and the next ones only once these are acknowledged. The owner took every report for a complete one: a run that was neither running nor among the ends was over without an outcome, and the worker counted as reconciled, so that tasks of older jobs waited no longer. The stand-in worker listed all of its ends, so no test met this.

The stand-in lists the earliest 500. The adapter says of a report with 500 ends that it may be cut (`WorkerReport.is_cut`). With a cut report a new owner does not regard the worker as reconciled, and no owner gives up a run, an orphaned run or a job of a lost run for it. Ends of a cut report are committed without delay, over as many commits as their jobs take, and the worker is called again without a pause, so that the next page follows as soon as the first is durable.

A worker that has once been reconciled stays so: it takes no orders of earlier owners any more, and each run of this one has an attempt. The wait of a new owner ends, as nothing is started on a worker that is not reconciled; its runs, and with them its ends, become fewer.

--- a/src/tulippin/jobs/_committing.py
+++ b/src/tulippin/jobs/_committing.py
@@ -260,7 +260,8 @@
     """Begin a commit if progress waits for one.
 
     A final state is committed at once, and so is progress whose ends keep an
-    urgent end from being read; other progress is committed after a delay.
+    urgent end, or the rest of a report, from being read; other progress is
+    committed after a delay.
     """
     state = context.state
     if state.is_committing or state.ownership.phase is not Phase.ACTIVE:
@@ -281,7 +282,6 @@
 
 def _commit(context: Context) -> None:
     state = context.state
-    state.is_early_commit_due = False
     chosen = sorted(
         state.dirty_jobs,
         key=lambda job_id: state.jobs[job_id].state not in FINAL_STATES,
@@ -294,6 +294,10 @@
         if record != job.durable:
             job.pending_progress = record
             writes.append(ProgressWrite(job_id, record, job.progress_version))
+    # Ends are acknowledged only once no progress is uncommitted.
+    state.is_early_commit_due = bool(state.dirty_jobs) and _is_rest_awaited(
+        state
+    )
     ends = {}
     if not state.dirty_jobs:
         ends = _collect_ends(state)
@@ -307,6 +311,14 @@
     )
 
 
+def _is_rest_awaited(state: SchedulerState) -> bool:
+    """Whether ends that were read keep the rest of a report from being read."""
+    return any(
+        worker.is_report_cut and worker.last_read_end_number > worker.last_seen
+        for worker in state.workers.values()
+    )
+
+
 def _collect_ends(state: SchedulerState) -> dict[Incarnation, int]:
     return {
         worker.incarnation: worker.last_read_end_number
--- a/src/tulippin/jobs/_report_schedule.py
+++ b/src/tulippin/jobs/_report_schedule.py
@@ -193,7 +193,9 @@
 
 def _is_state_unknown(worker: Worker, state: SchedulerState) -> bool:
     """Whether a worker has to be asked what it runs, or whom it obeys."""
-    if not worker.is_reconciled or worker.failed_count or worker.deferred_ends:
+    if not worker.is_reconciled or worker.failed_count:
+        return True
+    if worker.deferred_ends or worker.is_report_cut:
         return True
     return bool(state.suspects) or _ownership.is_unconfirmed(state)
 
--- a/src/tulippin/jobs/_reports.py
+++ b/src/tulippin/jobs/_reports.py
@@ -2,7 +2,9 @@
 
 A report answers a `HoldWorker` call. It lists the runs on the worker and the
 ends that the owner has not acknowledged yet; a run that is missing from it
-is resolved here.
+is resolved here. A report may be cut, so that the last of these ends are read
+only once the first ones are acknowledged: a run that is missing from it may
+have an outcome.
 """
 
 from __future__ import annotations
@@ -25,7 +27,12 @@
 from tulippin.jobs._record_validation import has_task
 from tulippin.jobs.events import WorkerAnswered
 from tulippin.jobs.state import Attempt, AttemptState, Job, Worker
-from tulippin.jobs.types import FINAL_STATES, RunningTask
+from tulippin.jobs.types import (
+    FINAL_STATES,
+    RunningTask,
+    TaskKey,
+    WorkerReport,
+)
 
 # Pause between two hold calls while ends that were read are not durable:
 # the call would return at once with the same ends.
@@ -61,24 +68,47 @@
     for row in event.report.running:
         present.add((row.key, row.run))
         _process_running(worker, row, context)
-    for run_id in worker.orphaned_runs.keys() - present:
-        del worker.orphaned_runs[run_id]
-    _unconfirmed_runs.note_answer(
-        worker, context, is_whole=not worker.deferred_ends
-    )
+    _unconfirmed_runs.note_answer(worker, context, is_whole=_is_whole(worker))
     if is_return and worker is known and worker.is_reconciled:
         _lost_starts.note_return(worker, context)
-    for attempt in list(worker.attempts.values()):
-        # A run with a deferred end is over; that end holds its outcome.
-        is_early = attempt.key in worker.deferred_ends
-        if not is_early and (attempt.key, attempt.run) not in present:
-            _resolve_missing_run(attempt, event, context)
+    if not worker.is_report_cut:
+        _resolve_missing_runs(worker, present, event, context)
     if worker is not known:
         _incarnations.extend_lapse_time(worker, state)
     if worker.last_read_end_number > worker.last_seen or worker.deferred_ends:
         worker.hold_after_ms = state.now_ms + _UNACKNOWLEDGED_PAUSE_MS
 
 
+def _note_cut(worker: Worker, report: WorkerReport, context: Context) -> None:
+    """Record whether a report may lack ends, and have the rest read soon.
+
+    The worker lists the rest once the ends of this report are acknowledged,
+    which takes a commit.
+    """
+    if report.is_cut:
+        context.state.count('cut_reports')
+        context.state.is_early_commit_due = True
+    if report.is_cut != worker.is_report_cut:
+        context.log(
+            'report is cut' if report.is_cut else 'report is whole again',
+            worker=worker.worker_id,
+            ends=len(report.ended),
+            is_reconciled=worker.is_reconciled,
+        )
+    worker.is_report_cut = report.is_cut
+
+
+def _is_whole(worker: Worker) -> bool:
+    """Whether all that earlier owners started on a worker is known.
+
+    It stays known: a worker that has answered this owner takes no more orders
+    of earlier ones, and what this owner starts has an attempt.
+    """
+    if worker.deferred_ends:
+        return False
+    return worker.is_reconciled or not worker.is_report_cut
+
+
 def _get_answered_ms(event: WorkerAnswered, context: Context) -> int:
     """Return the latest time at which the report is known to be current.
 
@@ -105,8 +135,10 @@
     """
     state = context.state
     is_new_owner = state.now_ms - state.ownership.taken_ms < _JOB_FEED_DELAY_MS
+    _note_cut(worker, event.report, context)
     worker.deferred_ends.clear()
-    worker.unread_job_ids.clear()
+    if not worker.is_report_cut:
+        worker.unread_job_ids.clear()
     read_count = 0
     for ended in event.report.ended:
         if ended.number <= worker.last_read_end_number:
@@ -274,6 +306,22 @@
     _attempts.order_stop(worker, row.key, row.run, context)
 
 
+def _resolve_missing_runs(
+    worker: Worker,
+    present: set[tuple[TaskKey, int]],
+    event: WorkerAnswered,
+    context: Context,
+) -> None:
+    """Resolve the runs that a whole report does not list as running."""
+    for run_id in worker.orphaned_runs.keys() - present:
+        del worker.orphaned_runs[run_id]
+    for attempt in list(worker.attempts.values()):
+        # A run with a deferred end is over; that end holds its outcome.
+        is_early = attempt.key in worker.deferred_ends
+        if not is_early and (attempt.key, attempt.run) not in present:
+            _resolve_missing_run(attempt, event, context)
+
+
 def _resolve_missing_run(
     attempt: Attempt, event: WorkerAnswered, context: Context
 ) -> None:
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -361,9 +361,10 @@
     when the incarnation that answers under the id started, or 0 until it is
     known; all other fields but the entry are about this incarnation.
     ``needs_ack`` says that it still reports ends that are durable, up to number
-    ``last_seen``. ``has_good_end`` says that this owner has read the end of a
-    run there that was done. The next call for a report is not sent before
-    ``report_after_ms``, and ``report_reason`` tells why it is sent then.
+    ``last_seen``, and ``is_report_cut`` that its last report may lack ends.
+    ``has_good_end`` says that this owner has read the end of a run there that
+    was done. The next call for a report is not sent before ``report_after_ms``,
+    and ``report_reason`` tells why it is sent then.
     No opportunistic run has worked there since ``quiet_since_ms``, or 0 if one
     may. ``own_miss_ratio`` is the worst tail without any, as a ratio to its
     target, or 0 if that was met, as measured at ``own_miss_ms``;
@@ -400,6 +401,7 @@
     paused_until_ms: int = 0
     unhealthy_since_ms: int = 0
     needs_ack: bool = False
+    is_report_cut: bool = False
     pace_changed_ms: int = 0
     targets_missed_since_ms: int = 0
     targets_met_since_ms: int = 0
@@ -620,8 +622,8 @@
     names may have orders of these owners; ``is_unlisted_lapse_certain`` says
     that none of these can extend their leases.
 
-    ``is_early_commit_due`` says that ends were read that keep an urgent end
-    from being read until they are durable.
+    ``is_early_commit_due`` says that ends were read that keep an urgent end,
+    or the rest of a report, from being read until they are durable.
 
     Advisory inputs are ignored until ``advisory_paused_until_ms`` after one of
     them raised an error. ``advisory_pause_ms`` is the length of the last such
--- a/src/tulippin/jobs/types.py
+++ b/src/tulippin/jobs/types.py
@@ -321,13 +321,15 @@
     """A worker's report of its runs, with the time by its steady clock.
 
     ``born_ms`` is the Unix time at which the worker's process started, or 0 if
-    it is unknown.
+    it is unknown. ``is_cut`` says that more ends may follow once the listed
+    ones are acknowledged; the runs are always listed in full.
     """
 
     clock_ms: int
     running: tuple[RunningTask, ...] = ()
     ended: tuple[EndedRun, ...] = ()
     born_ms: int = 0
+    is_cut: bool = False
 
 
 class OrderOutcome(enum.Enum):
--- a/src/tulippin/platform/standin_worker.py
+++ b/src/tulippin/platform/standin_worker.py
@@ -23,7 +23,11 @@
     TaskKey,
     WorkerReport,
 )
-from tulippin.platform.wire import CapacityBody, WorkerBody
+from tulippin.platform.wire import (
+    MAX_LISTED_ENDS,
+    CapacityBody,
+    WorkerBody,
+)
 
 _MS_PER_S: t.Final = 1000
 _LOAD_MILLICORES: t.Final = 1000.0
@@ -447,6 +451,11 @@
             )
             for (key, run), one in self.runs.items()
         )
+        listed = tuple(self.ended[:MAX_LISTED_ENDS])
         return WorkerReport(
-            self.clock_ms, running, tuple(self.ended), self.born_ms
+            self.clock_ms,
+            running,
+            listed,
+            self.born_ms,
+            is_cut=len(listed) >= MAX_LISTED_ENDS,
         )
--- a/src/tulippin/platform/wire.py
+++ b/src/tulippin/platform/wire.py
@@ -12,6 +12,9 @@
 _Count: t.TypeAlias = t.Annotated[int, msgspec.Meta(ge=-(2**62), lt=2**62)]
 EndedRow: t.TypeAlias = tuple[_Count, str, _Count, str, str]
 
+# A worker lists this many ends at once, those with the lowest numbers.
+MAX_LISTED_ENDS: t.Final = 500
+
 # Start of a worker's process in Unix milliseconds; 0 if it is not reported.
 _UnixTime: t.TypeAlias = t.Annotated[int, msgspec.Meta(ge=0, lt=2**62)]
 
--- a/src/tulippin/platform/workers.py
+++ b/src/tulippin/platform/workers.py
@@ -28,6 +28,7 @@
 from tulippin.logs import logger
 from tulippin.platform.wire import (
     ADDRESS_PATTERN,
+    MAX_LISTED_ENDS,
     EndedRow,
     HoldBody,
     PaceBody,
@@ -302,7 +303,8 @@
         ended = tuple(_decode_ended(row) for row in body.ended)
     except (TypeError, ValueError) as error:
         raise AnswerLostError(f'invalid report of a worker: {error}') from error
-    return WorkerReport(clock_ms, running, ended, body.born_ms)
+    is_cut = len(ended) >= MAX_LISTED_ENDS
+    return WorkerReport(clock_ms, running, ended, body.born_ms, is_cut)
 
 
 def _decode_running(row: RunningRow) -> RunningTask:
