Have the cancel of an unknown job refuse its late submit

What callers saw: a submit was answered 504, the cancel after it 410, and the job was then accepted and ran to its end (UNASKED). A job that lasts would have run for good.

Cause: the store may apply a write seconds after it left it unanswered. A submit requires that its job has no home row. A cancel that found none left nothing in the store, so that the submit's condition still held.

The job was started after its cancel had been answered, at the instance of the submit or another one, with a slow store, and with a cancel whose answer was lost; a submit still on its way to the store was accepted after its cancel.

Change: a cancel that finds no job writes a home row that is cancelled and was not accepted, and a cancel row in a unit, if there is no home row yet. If the submit came first, the cancel reads the job again and cancels it as usual. A later submit of the id is answered 503 if it had one attempt, as nothing of it was done; 504 if one of several is in doubt. The state of such a job is still 410. The unit's owner removes both rows after the retention time of finished jobs (180 s), longer than any late write; an owner that takes over meanwhile begins this time anew.

--- a/src/tulippin/jobs/_committing.py
+++ b/src/tulippin/jobs/_committing.py
@@ -465,6 +465,7 @@
         and job.job_id not in state.dirty_jobs
         and not any(task.attempts for task in job.tasks.values())
     ][:_MAX_REMOVALS_PER_CALL]
+    _remove_early_cancels(limit_ms, context)
     if not old or state.is_committing:
         return
     transferred = frozenset(
@@ -479,6 +480,23 @@
     )
 
 
+def _remove_early_cancels(limit_ms: int, context: Context) -> None:
+    """Remove old cancels of jobs that were not accepted.
+
+    No submit is left then that they have to refuse.
+    """
+    state = context.state
+    old = [
+        job_id
+        for job_id, read_ms in state.early_cancels_ms.items()
+        if read_ms < limit_ms and job_id not in state.jobs
+    ][:_MAX_REMOVALS_PER_CALL]
+    for job_id in old:
+        del state.early_cancels_ms[job_id]
+    if old:
+        context.emit(RemoveJobs(tuple(old), state.ownership.epoch_version))
+
+
 def _is_elsewhere(job: Job) -> bool:
     """Whether another unit is the home of a job."""
     return job.is_transferred or job.moved_to is not None
--- a/src/tulippin/jobs/_lifecycle.py
+++ b/src/tulippin/jobs/_lifecycle.py
@@ -56,12 +56,10 @@
     failed = []
     for row in rows:
         if row.value is None:
+            _forget_early_cancel(row, context.state)
             continue
         if row.key.endswith(CANCEL_SUFFIX):
-            # An unreadable row counts too: its key suffices, and an accepted
-            # cancellation is final. Reading it logs what is wrong.
-            read_record(row, CancelRecord)
-            cancelled.append(row.key.removesuffix(CANCEL_SUFFIX))
+            cancelled.append(_apply_cancel(row, context.state))
             continue
         if row.key.endswith(FAIL_SUFFIX):
             failed.append(row)
@@ -77,6 +75,25 @@
     return added
 
 
+def _forget_early_cancel(row: StoredRow, state: SchedulerState) -> None:
+    """Forget the cancel of a job that was not accepted if its row is gone."""
+    if row.key.endswith(CANCEL_SUFFIX):
+        state.early_cancels_ms.pop(row.key.removesuffix(CANCEL_SUFFIX), None)
+
+
+def _apply_cancel(row: StoredRow, state: SchedulerState) -> str:
+    """Return the id of the cancelled job; record it if it wasn't accepted.
+
+    An unreadable row counts too: its key suffices, and an accepted
+    cancellation is final. Reading it logs what is wrong.
+    """
+    job_id = row.key.removesuffix(CANCEL_SUFFIX)
+    record = read_record(row, CancelRecord)
+    if record is not None and not record.was_accepted:
+        state.early_cancels_ms.setdefault(job_id, state.now_ms)
+    return job_id
+
+
 def _apply_failure(row: StoredRow, state: SchedulerState) -> None:
     """Record that another unit abandoned a job."""
     job = state.jobs.get(row.key.removesuffix(FAIL_SUFFIX))
@@ -137,7 +154,8 @@
     """Yield the ids of jobs whose rows could not be read."""
     for row in rows:
         job_id = row.key.partition('/')[0]
-        if row.value is not None and job_id not in state.jobs:
+        is_known = job_id in state.jobs or job_id in state.early_cancels_ms
+        if row.value is not None and not is_known:
             yield job_id
 
 
--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -343,10 +343,9 @@
 def clear_unit(state: SchedulerState) -> None:
     """Clear the state that only the owner of the unit holds."""
     _clear_crashes(state)
-    state.jobs.clear()
+    _clear_jobs(state)
     state.workers.clear()
     _clear_ready(state)
-    state.unreadable_jobs.clear()
     state.unconfirmed_until_ms = 0
     state.is_unlisted_lapse_certain = False
     state.are_earlier_runs_confirmed = False
@@ -360,6 +359,12 @@
     _clear_commits(state)
 
 
+def _clear_jobs(state: SchedulerState) -> None:
+    state.jobs.clear()
+    state.unreadable_jobs.clear()
+    state.early_cancels_ms.clear()
+
+
 def _clear_observed(state: SchedulerState) -> None:
     state.tails.clear()
     state.swings = LoadCycleModel()
--- a/src/tulippin/jobs/intake.py
+++ b/src/tulippin/jobs/intake.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import typing as t
+import zlib
 
 import attrs
 import trio
@@ -19,7 +20,12 @@
 from tulippin.jobs import _admission_inputs
 from tulippin.jobs._bounded_writes import make_rejection, transact_in_time
 from tulippin.jobs._ownership import count_waiting
-from tulippin.jobs._rows import is_unreadable, read_record, read_row
+from tulippin.jobs._rows import (
+    get_version,
+    is_unreadable,
+    read_record,
+    read_row,
+)
 from tulippin.jobs._transactions import transact_with_retries
 from tulippin.jobs._write_bounds import CallRejectedError, Reason, find_reason
 from tulippin.jobs.ports import (
@@ -36,6 +42,7 @@
     CancelRecord,
     HomeRecord,
     JobRecord,
+    LayoutRecord,
     ProgressRecord,
     Unit,
     get_jobs_part,
@@ -178,11 +185,19 @@
             return await self._read_home(job_id)
         raise UnavailableError(f'not run: the home of {job_id} was not read')
 
-    def _get_part(self, job_id: str) -> str:
+    def _get_layout(self) -> LayoutRecord:
         layout = self.shell.layout
         if layout is None:
             raise UnavailableError('no layout is known yet')
-        return get_jobs_part(job_id, layout.job_parts)
+        return layout
+
+    def _get_part(self, job_id: str) -> str:
+        return get_jobs_part(job_id, self._get_layout().job_parts)
+
+    def _get_early_unit(self, job_id: str) -> int:
+        """Return the unit whose owner removes the cancel of an unknown job."""
+        numbers = self._get_layout().unit_numbers
+        return numbers[zlib.crc32(job_id.encode()) % len(numbers)]
 
     async def _read_progress(
         self, number: int, job_id: str
@@ -228,8 +243,8 @@
         result, attempts = await self._transact(transaction, remaining_ms)
         if result.is_done:
             self._cache_home(job_id, number)
-        elif _is_home_unreadable(result, job_id):
-            raise AnswerLostError(f'the home of {job_id} is unreadable')
+        else:
+            _check_existing_home(result, job_id, attempts)
         if attempts:
             self.shell.store_load.attempts[attempts] += 1
         self.shell.observe('tulippin_call_seconds', 'submit', began_ms)
@@ -312,7 +327,7 @@
             if progress is not None and progress.moved_to is None:
                 return progress.state
         home, _ = await self._read_home(job_id)
-        if home is None:
+        if home is None or not home.was_accepted:
             return None
         self._cache_home(job_id, home.unit)
         if home.unit != expected_unit:
@@ -327,17 +342,24 @@
         self._homes[job_id] = number
 
     async def cancel(self, job_id: str, queue: Queue, limit_ms: int) -> bool:
-        """Cancel a job; return whether there is such a job."""
+        """Cancel a job; return whether there is such a job.
+
+        An unknown job is cancelled too, as a submit of it may still be applied.
+        """
         began_ms = self.shell.clock()
         await self._require_layout(limit_ms)
         for _ in range(_MAX_CANCEL_ATTEMPTS):
             left_ms = limit_ms - (self.shell.clock() - began_ms)
             home, row = await self._read_home_in_time(job_id, left_ms)
-            if home is None or row is None:
-                return False
-            if home.is_cancelled:
-                return True
-            transaction = _make_cancel_transaction(job_id, queue, home, row)
+            if home is not None and home.is_cancelled:
+                return home.was_accepted
+            if home is None:
+                home = HomeRecord(
+                    self._get_early_unit(job_id), was_accepted=False
+                )
+            transaction = _make_cancel_transaction(
+                job_id, self._get_part(job_id), queue, home, get_version(row)
+            )
             remaining_ms = limit_ms - (self.shell.clock() - began_ms)
             result, attempts = await self._transact(transaction, remaining_ms)
             if result.is_done:
@@ -347,11 +369,12 @@
                     job=job_id,
                     queue=queue.name,
                     units=home.units,
+                    is_known=home.was_accepted,
                     version=result.version,
                     attempts=attempts,
                     took_ms=self.shell.clock() - began_ms,
                 )
-                return True
+                return home.was_accepted
         raise AnswerLostError('the units of a job keep changing; cancel again')
 
     def count_waiting(self, queue: Queue) -> int:
@@ -402,24 +425,40 @@
     return now_s + limit_s - min(_CONCLUDE_S, limit_s / 4)
 
 
-def _is_home_unreadable(result: TransactionResult, job_id: str) -> bool:
-    """Whether a submit failed at an invalid home row with the job's id."""
-    return any(
-        is_unreadable(row, read_record(row, HomeRecord))
-        for row in result.rows
-        if (row.table, row.key) == (HOMES_TABLE, job_id)
-    )
+def _check_existing_home(
+    result: TransactionResult, job_id: str, attempts: int
+) -> None:
+    """Raise an error unless the home row that a submit met is of its job."""
+    row = _find_home_row(result, job_id)
+    home = read_record(row, HomeRecord)
+    if is_unreadable(row, home):
+        raise AnswerLostError(f'the home of {job_id} is unreadable')
+    if home is None or home.was_accepted:
+        return
+    message = f'{job_id} was cancelled before it was accepted'
+    if attempts == 1:
+        raise UnavailableError(f'not run: {message}')
+    # An attempt without an answer may outlast this row.
+    raise AnswerLostError(message)
+
+
+def _find_home_row(result: TransactionResult, job_id: str) -> StoredRow | None:
+    """Return the home row with the job's id that a submit met, if any."""
+    for row in result.rows:
+        if (row.table, row.key) == (HOMES_TABLE, job_id):
+            return row
+    return None
 
 
 def _make_cancel_transaction(
-    job_id: str, queue: Queue, home: HomeRecord, row: StoredRow
+    job_id: str, part: str, queue: Queue, home: HomeRecord, version: int
 ) -> Transaction:
     """Return the transaction that cancels a job in all of its units."""
     cancelled = attrs.evolve(home, is_cancelled=True)
-    cancel_value = encode(CancelRecord(queue.name))
+    cancel_value = encode(CancelRecord(queue.name, home.was_accepted))
     return Transaction(
-        row.part,
-        (RowCondition(HOMES_TABLE, job_id, row.version),),
+        part,
+        (RowCondition(HOMES_TABLE, job_id, version),),
         (
             RowWrite(HOMES_TABLE, job_id, encode(cancelled)),
             *(
--- a/src/tulippin/jobs/records.py
+++ b/src/tulippin/jobs/records.py
@@ -279,6 +279,8 @@
     """The home unit of a job, and other units that run tasks of it.
 
     ``has_begun`` says that the job had begun before it moved to this unit.
+    ``was_accepted`` is False for the id of an unknown job that was cancelled:
+    its submit may still be applied, and this row makes that fail.
     """
 
     unit: int
@@ -286,6 +288,7 @@
     is_cancelled: bool = False
     is_failed: bool = False
     has_begun: bool = False
+    was_accepted: bool = True
 
     @property
     def units(self) -> tuple[int, ...]:
@@ -559,9 +562,14 @@
 
 @attrs.frozen
 class CancelRecord:
-    """Marks a job as cancelled by a caller."""
+    """Marks a job as cancelled by a caller.
+
+    ``was_accepted`` is False if the job was unknown then. The owner removes
+    this row and the one in the table of homes after the retention time.
+    """
 
     queue_name: str
+    was_accepted: bool = True
 
 
 @attrs.frozen
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -623,6 +623,9 @@
     ``is_early_commit_due`` says that ends were read that keep an urgent end
     from being read until they are durable.
 
+    ``early_cancels_ms`` tells when this owner first read of each job that was
+    cancelled before it was accepted.
+
     Advisory inputs are ignored until ``advisory_paused_until_ms`` after one of
     them raised an error. ``advisory_pause_ms`` is the length of the last such
     pause, and ``excluded_rows`` names row versions that are excluded for good.
@@ -650,6 +653,7 @@
     last_sweep_ms: int = 0
     scheduled: set[str] = attrs.field(factory=set)
     unreadable_jobs: set[str] = attrs.field(factory=set)
+    early_cancels_ms: dict[str, int] = attrs.field(factory=dict)
     suspects: set[TaskKey] = attrs.field(factory=set)
     unsent_starts: list[Attempt] = attrs.field(factory=list)
     lost_unconfirmed_workers: dict[str, bool] = attrs.field(factory=dict)
