Keep the run number of a gang that finds no place

What callers saw: nothing yet. A gang that waits beside room for some of its members counted a run with each try: 637 in 30 s on two idle workers, twice as many where one rack was tried first. At this rate its run numbers pass 65,536, and so reach those of the next epoch, after some 50 minutes; a worker that has seen such a run refuses those of the next owner.

Cause: members that found a worker kept their raised count when the reservation was dropped, and the next try began above the highest one.

Change: the counts are those of before the try, as none of its runs was sent.

--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -471,7 +471,7 @@
     Returns the new runs, empty if nothing was reserved.
     """
     state = context.state
-    run_count = max(task.run_count for task in tasks) + 1
+    run_counts = [task.run_count for task in tasks]
     checkpoint = max(task.checkpoint for task in tasks)
     added: list[Attempt] = []
     for task in tasks:
@@ -480,8 +480,11 @@
             for attempt in added:
                 _attempts.drop_attempt(attempt, context)
                 _ready_queues.add(job.tasks[attempt.key], step, state)
+            # No run was sent, so the next try may use the same run number.
+            for member, count in zip(tasks, run_counts, strict=True):
+                member.run_count = count
             return []
-        task.run_count = run_count
+        task.run_count = max(run_counts) + 1
         task.checkpoint = checkpoint
         added.append(_starting.add_run(job, step, task, worker, context))
     return added
--- a/tests/tulippin/jobs/test_scheduler_fleet.py
+++ b/tests/tulippin/jobs/test_scheduler_fleet.py
@@ -22,7 +22,7 @@
 )
 from tulippin.jobs._perform import perform
 from tulippin.jobs.effects import RemoveJobs
-from tulippin.jobs.state import AttemptState
+from tulippin.jobs.state import RUNS_PER_EPOCH, AttemptState
 from tulippin.jobs.types import JobState, RunOutcome, Schedule
 from tulippin.platform.standin import check_history
 from tulippin.platform.standin_store import StoreView
@@ -633,6 +633,28 @@
     run_virtual(run)
 
 
+@pytest.mark.parametrize('same_rack', [False, True])
+def test_gang_without_room_keeps_its_run_number(run_virtual, same_rack):
+    """Guards against run numbers that reach those of the next epoch."""
+
+    async def run():
+        async with open_fleet(workers=2) as fleet:
+            gang = make_step(4, 12_000, gang=True, same_rack=same_rack)
+            await submit(fleet, request=make_request(gang))
+            await trio.sleep(30)
+            assert not list(iter_started(fleet))
+            for name in ('w8', 'w9'):
+                fleet.platform.add_worker(name, labels=('a', 'r1'))
+            await fleet.wait_done(JOB)
+            epoch = fleet.instances[fleet.get_owner()].state.ownership.epoch
+            first_run = epoch.epoch * RUNS_PER_EPOCH + 1
+            runs = {event.run for event in iter_started(fleet)}
+            assert runs == {first_run}
+            fleet.check()
+
+    run_virtual(run)
+
+
 def test_gang_starts_in_same_rack(run_virtual):
     async def run():
         async with open_fleet(workers=0) as fleet:
