Send no job to a unit that has no worker for it

Cause: the unit of a preferred rack was returned before anything else was looked at, and for other jobs only the labels of a unit were compared, neither its services nor the size of its workers.

The choice is now limited to the units whose published workers could run all steps: workers of the service that accept tasks, with the label, large enough, and for a gang with capacity for all of it. A preferred rack decides among these. If no unit could run the job, it goes where it went before. Owners publish the largest worker of each service for this; a unit that doesn't report it is judged by its processors.

The stand-ins of choose_unit in five tests and slow_intake.py take the service as well; what they check is unchanged.

--- a/src/tulippin/jobs/_home_selection.py
+++ b/src/tulippin/jobs/_home_selection.py
@@ -118,6 +118,7 @@
     demands: RoutedDemand,
     now_ms: int,
     evacuated_units: t.Collection[int] = (),
+    service: str = '',
 ) -> int:
     """Return the number of the home unit for a new job.
 
@@ -135,13 +136,17 @@
         The time of the instance's clock.
     evacuated_units : collection of int, optional
         Units where no task may be started; chosen only if there is no other.
+    service : str, optional
+        The service whose workers run the job; empty if unknown.
     """
     open_units = {
         number: unit
         for number, unit in units.items()
         if number not in evacuated_units
     }
-    numbers = _get_candidates(request, open_units or units, layout, now_ms)
+    numbers = _get_candidates(
+        request, service, open_units or units, layout, now_ms
+    )
     for number in numbers:
         demands.refresh(number, units[number].lease_seen_ms)
     numbers = _filter_fitting(request, numbers, units, demands)
@@ -161,26 +166,34 @@
 
 def _get_candidates(
     request: JobRequest,
+    service: str,
     units: t.Mapping[int, UnitShell],
     layout: LayoutRecord,
     now_ms: int,
 ) -> list[int]:
     """Return the units to choose from.
 
-    A preferred rack decides alone. Otherwise these are the units that could
-    run all steps, limited to those with a live owner that has loaded its unit,
-    as far as there are any.
+    These are the units whose workers could run all steps, if there are any.
+    Among them the one of a preferred rack decides alone. Otherwise they are
+    limited to those with a live owner that has loaded its unit, as far as there
+    are any.
     """
     numbers = sorted(units)
+    rooms = {number: _get_capacity(units[number]) for number in numbers}
+    able = [
+        number
+        for number in numbers
+        if _unit_capacity.can_run_job(rooms[number], request, service)
+    ]
     for step in request.steps:
         rack_unit = layout.racks.get(step.preferred_rack)
-        if rack_unit in numbers:
+        if rack_unit in (able or numbers):
             return [rack_unit]
-    capable = [
+    capable = able or [
         number
         for number in numbers
         if all(
-            _unit_capacity.has_label(_get_capacity(units[number]), step)
+            _unit_capacity.has_label(rooms[number], step)
             for step in request.steps
         )
     ]
--- a/src/tulippin/jobs/_record_validation.py
+++ b/src/tulippin/jobs/_record_validation.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import functools
+import itertools
 import re
 import typing as t
 
@@ -320,6 +321,9 @@
         *room.service_millicores.values(),
         *room.places,
         *(room.short_places or ()),
+        *itertools.chain.from_iterable(
+            map(attrs.astuple, room.largest_workers.values())
+        ),
         *_iter_demand_figures(room),
     )
     if not all(0 <= value <= _MAX_UNIT_AMOUNT for value in amounts):
--- a/src/tulippin/jobs/_unit_capacity.py
+++ b/src/tulippin/jobs/_unit_capacity.py
@@ -14,7 +14,7 @@
 from tulippin.jobs._ready_queues import StepKey
 from tulippin.jobs.records import FIT_COUNT_SIZES, UnitCapacity
 from tulippin.jobs.state import SchedulerState, Task, Worker
-from tulippin.jobs.types import Step, TaskKey
+from tulippin.jobs.types import JobRequest, Step, TaskKey
 from tulippin.types import Resources
 
 # Share of the processors reserved by tasks with a latency target that is idle.
@@ -46,6 +46,7 @@
         tuple(_demand.list_records(state)),
         _sum_by_service(available),
         dict(state.queue_kinds),
+        _get_largest_by_service(available),
     )
 
 
@@ -112,6 +113,39 @@
     return not step.required_label or step.required_label in room.labels
 
 
+def can_run_job(room: UnitCapacity, request: JobRequest, service: str) -> bool:
+    """Whether workers of a unit could run all steps of a job if idle.
+
+    Parameters
+    ----------
+    room : UnitCapacity
+        What the unit has published.
+    request : JobRequest
+        What the job asks for.
+    service : str
+        The service whose workers run the job; empty if unknown.
+    """
+    return all(_can_run(room, step, service) for step in request.steps)
+
+
+def _can_run(room: UnitCapacity, step: Step, service: str) -> bool:
+    """Whether workers of a unit could run a step if they were idle.
+
+    Only a gang needs capacity for all of its tasks at the same time.
+    """
+    capacity_millicores = room.capacity_millicores
+    if service and room.service_millicores:
+        capacity_millicores = room.service_millicores.get(service, 0)
+    required_count = step.task_count if step.gang else 1
+    required = required_count * step.reserved.cpu_millicores
+    if capacity_millicores < max(1, required):
+        return False
+    largest = room.largest_workers.get(service)
+    if largest is not None and not largest.fits(step.reserved):
+        return False
+    return has_label(room, step)
+
+
 def _sum_opportunistic(worker: Worker) -> int:
     """Return the processors of the opportunistic runs on a worker."""
     return sum(
@@ -153,6 +187,17 @@
     return dict(millicores)
 
 
+def _get_largest_by_service(available: list[Worker]) -> dict[str, Resources]:
+    """Return the most of each resource that one worker has, by service."""
+    largest: dict[str, Resources] = {}
+    for one in available:
+        service, capacity = one.entry.service, one.entry.capacity
+        largest[service] = capacity.elementwise_max(
+            largest.get(service, Resources())
+        )
+    return largest
+
+
 def _list_serving_images(
     available: list[Worker], state: SchedulerState
 ) -> tuple[str, ...]:
--- a/src/tulippin/jobs/intake.py
+++ b/src/tulippin/jobs/intake.py
@@ -209,7 +209,7 @@
         await self._check_admission(job_id, queue, request)
         remaining_ms = limit_ms - (self.shell.clock() - began_ms)
         self._check_time(remaining_ms, part)
-        number = self.shell.choose_unit(request)
+        number = self.shell.choose_unit(request, queue.service)
         if number is None:
             raise UnavailableError('no unit is known yet')
         _admission_inputs.note_sent(self.shell, job_id, queue, request, number)
--- a/src/tulippin/jobs/records.py
+++ b/src/tulippin/jobs/records.py
@@ -186,6 +186,9 @@
         ``capacity_millicores`` by service.
     queue_kinds : dict of str to QueueKinds
         The kinds of tasks that have arrived in each queue.
+    largest_workers : dict of str to Resources
+        By service, the most of each resource that one of its workers has;
+        empty if not reported.
     """
 
     capacity_millicores: int = 0
@@ -201,6 +204,7 @@
     demands: tuple[DemandRecord, ...] = ()
     service_millicores: dict[str, int] = attrs.field(factory=dict)
     queue_kinds: dict[str, QueueKinds] = attrs.field(factory=dict)
+    largest_workers: dict[str, Resources] = attrs.field(factory=dict)
 
 
 class QueueBacklog(t.NamedTuple):
--- a/src/tulippin/jobs/shell.py
+++ b/src/tulippin/jobs/shell.py
@@ -216,8 +216,16 @@
                 return unit, job
         return None
 
-    def choose_unit(self, request: JobRequest) -> int | None:
-        """Return the home unit for a new job, or None without a layout."""
+    def choose_unit(self, request: JobRequest, service: str) -> int | None:
+        """Return the home unit for a new job, or None without a layout.
+
+        Parameters
+        ----------
+        request : JobRequest
+            What the job asks for.
+        service : str
+            The service whose workers run the job.
+        """
         if self.layout is None or not self.units:
             return None
         return _home_selection.choose_unit(
@@ -227,6 +235,7 @@
             self._demands,
             self.clock(),
             self.list_evacuated_units(),
+            service,
         )
 
     def list_evacuated_units(self) -> frozenset[int]:
--- a/tests/slow_intake.py
+++ b/tests/slow_intake.py
@@ -167,7 +167,7 @@
     def wall(self):
         return get_now_ms() + WALL_OFFSET_MS
 
-    def choose_unit(self, request):
+    def choose_unit(self, request, service):
         return 0
 
     def observe(self, *details):
--- a/tests/tulippin/jobs/test_home_selection.py
+++ b/tests/tulippin/jobs/test_home_selection.py
@@ -4,6 +4,7 @@
 import random
 
 import attrs
+import pytest
 from test_scheduler_decisions import make_job, make_service_request, make_state
 
 from tulippin.jobs import _home_selection, _ready_queues, _unit_capacity
@@ -53,7 +54,7 @@
     return JobRequest('', (step, later))
 
 
-def choose(units, request, draws):
+def choose(units, request, draws, **options):
     """Return how often each unit is chosen, with new lease rows each time."""
     source = random.Random(1)
     layout = LayoutRecord({f'r{number}': number for number in units})
@@ -61,7 +62,9 @@
     for _ in range(draws):
         demands = _home_selection.RoutedDemand(source)
         counts[
-            _home_selection.choose_unit(request, units, layout, demands, NOW_MS)
+            _home_selection.choose_unit(
+                request, units, layout, demands, NOW_MS, **options
+            )
         ] += 1
     return counts
 
@@ -208,3 +211,85 @@
     units[1].lease = LeaseRecord('s', 'o')
     for request in (make_request(9), make_opportunistic_request()):
         assert set(choose(units, request, 100)) == {0, 2}
+
+
+# -- units without a worker that could run a job -------------------------------
+
+
+def publish(unit, **fields):
+    unit.lease = attrs.evolve(
+        unit.lease, room=attrs.evolve(unit.lease.room, **fields)
+    )
+
+
+def test_job_leaves_the_unit_of_its_rack_that_has_no_worker_left():
+    """Guards against a job that is sent to a unit that lost all its workers."""
+    units = make_units(9, 9, 9)
+    request = make_request(4, preferred_rack='r1')
+    assert choose(units, request, 50) == {1: 50}
+    units[1].lease = LeaseRecord('s', 'o')
+    assert set(choose(units, request, 50)) == {0, 2}
+
+
+def test_second_preferred_rack_counts_if_the_first_has_no_worker_left():
+    units = make_units(9, 9, 9)
+    units[1].lease = LeaseRecord('s', 'o')
+    steps = (
+        Step(1, Resources(1000, 1000), preferred_rack='r1'),
+        Step(1, Resources(1000, 1000), preferred_rack='r2'),
+    )
+    assert choose(units, JobRequest('', steps), 50) == {2: 50}
+
+
+@pytest.mark.parametrize(
+    'fields',
+    [
+        {'service_millicores': {'other': CAPACITY}},
+        {'largest_workers': {'catalogue': Resources(4000, 64_000)}},
+        {'largest_workers': {'catalogue': Resources(16_000, 500)}},
+    ],
+    ids=['service', 'processors', 'memory'],
+)
+def test_job_goes_only_to_units_with_a_worker_that_could_run_it(fields):
+    units = make_units(9, 9, 9)
+    publish(units[1], **fields)
+    for request in (make_request(4), make_request(4, preferred_rack='r1')):
+        chosen = choose(units, request, 50, service='catalogue')
+        assert set(chosen) == {0, 2}
+
+
+def test_job_near_a_rack_goes_only_to_units_with_its_label():
+    units = make_units(9, 9, 9)
+    publish(units[0], labels=('gpu',))
+    request = make_request(4, preferred_rack='r1', required_label='gpu')
+    assert choose(units, request, 50) == {0: 50}
+
+
+def test_gang_goes_only_to_units_with_capacity_for_all_of_it():
+    units = make_units(9, 9, 9)
+    publish(units[1], capacity_millicores=20_000)
+    request = make_request(4, preferred_rack='r1', gang=True)
+    assert set(choose(units, request, 50)) == {0, 2}
+
+
+def test_job_that_no_unit_could_run_goes_to_the_unit_of_its_rack():
+    units = make_units(9, 9, 9)
+    for unit in units.values():
+        unit.lease = LeaseRecord('s', 'o')
+    assert choose(units, make_request(4, preferred_rack='r1'), 50) == {1: 50}
+    assert len(choose(units, make_request(4), 100)) == 3
+
+
+def test_published_capacity_names_the_largest_worker_of_each_service():
+    state = make_state(2)
+    worker = state.workers['w1']
+    worker.entry = attrs.evolve(
+        worker.entry,
+        service='batch',
+        capacity=attrs.evolve(worker.entry.capacity, memory_mb=1),
+    )
+    published = _unit_capacity.measure(state).largest_workers
+    assert published == {
+        one.entry.service: one.entry.capacity for one in state.workers.values()
+    }
+    assert len(published) == 2
--- a/tests/tulippin/jobs/test_invalid_capacities.py
+++ b/tests/tulippin/jobs/test_invalid_capacities.py
@@ -9,13 +9,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from scheduler_fleet import make_step
+from scheduler_fleet import make_request, make_step
 from tulippin.codec_json import encode
 from tulippin.jobs import _demand
 from tulippin.jobs._rebalancing import choose_units
 from tulippin.jobs._rows import read_record
 from tulippin.jobs._transfers import _accepts_transfers, _get_load
 from tulippin.jobs._unit_capacity import (
+    can_run_job,
     count_fitting,
     fits_in_unit,
     measure_load,
@@ -58,6 +59,9 @@
     st.dictionaries(
         st.just('q'), st.builds(QueueKinds, st.booleans(), st.booleans())
     ),
+    st.dictionaries(
+        st.just('catalogue'), st.builds(Resources, FIGURES, FIGURES, FIGURES)
+    ),
 )
 
 
@@ -78,6 +82,7 @@
         assert float(_get_load(record.room)) >= -MAX_MILLICORES
         count_fitting(record.room, 1000)
         fits_in_unit(record.room, make_step(), is_new=True)
+        can_run_job(record.room, make_request(), 'catalogue')
         count_fitting(record.room, 1000, is_short=True)
         _demand.estimate('catalogue', 9, 16_000, state)
         state.ownership.lease = LeaseRecord('s', 'i', room=record.room)
@@ -98,6 +103,7 @@
     'new': UnitCapacity(largest_new_millicores=-HUGE),
     'short places': UnitCapacity(short_places=(1, -1)),
     'service': UnitCapacity(service_millicores={'a': HUGE}),
+    'largest': UnitCapacity(largest_workers={'a': Resources(1, -1, 0)}),
     'demand': UnitCapacity(demands=(DemandRecord('a', 0, 1.0, 1e300),)),
     'variance': UnitCapacity(
         demands=(DemandRecord('a', 0, 1.0, 1.0, 1.0, -1.0),)
--- a/tests/tulippin/jobs/test_job_moves.py
+++ b/tests/tulippin/jobs/test_job_moves.py
@@ -44,7 +44,7 @@
             if domain == 'hall0'
         )
         for instance in fleet.instances.values():
-            instance.shell.choose_unit = lambda request: home
+            instance.shell.choose_unit = lambda request, service: home
         for domain in evacuated:
             fleet.platform.evacuate(domain)
         if evacuated:
--- a/tests/tulippin/jobs/test_scheduler_cancels.py
+++ b/tests/tulippin/jobs/test_scheduler_cancels.py
@@ -581,7 +581,7 @@
         await wait_until(lambda: '' not in get_owners(fleet).values(), 15)
         await trio.sleep(1)
         for instance in fleet.instances.values():
-            instance.shell.choose_unit = lambda request: 0
+            instance.shell.choose_unit = lambda request, service: 0
         step = make_step(60, 10 * CORE, long_running=True)
         await fleet.submit(request=make_request(step, lasts=True))
         yield fleet
--- a/tests/tulippin/jobs/test_scheduler_takeovers.py
+++ b/tests/tulippin/jobs/test_scheduler_takeovers.py
@@ -583,7 +583,7 @@
         async with open_fleet(6, 60, rack_size=12) as fleet:
             other = (await wait_all_owned(fleet))[-1]
             for instance in fleet.instances.values():
-                instance.shell.choose_unit = lambda request: 0
+                instance.shell.choose_unit = lambda request, service: 0
             first = get_owner_of(fleet, other)
             passing = call_faults.gates['*', '*', GUEST_SUFFIX] = trio.Event()
             lasting = make_step(60, 10_000, long_running=True)
--- a/tests/tulippin/jobs/test_scheduler_units.py
+++ b/tests/tulippin/jobs/test_scheduler_units.py
@@ -146,7 +146,7 @@
     Each worker fits one task of ten cores.
     """
     for instance in fleet.instances.values():
-        instance.shell.choose_unit = lambda request: 0
+        instance.shell.choose_unit = lambda request, service: 0
     await submit(fleet, f'{1:016x}', make_long_running(count))
 
 
--- a/tests/tulippin/platform/test_caller_deadlines.py
+++ b/tests/tulippin/platform/test_caller_deadlines.py
@@ -148,7 +148,7 @@
             app = make_app(fleet)
             shell = next(iter(fleet.instances.values())).shell
             shell.layout_known = trio.Event()
-            shell.choose_unit = lambda request: None
+            shell.choose_unit = lambda request, service: None
             answer = await call(app, 'POST', deadline)
             assert answer.status == 503
             assert answer.headers[b'retry-after'] == b'1'
