Move work out of a unit that lost the workers for it

Cause: a job of short tasks left its unit only at an evacuation or where its tasks were opportunistic, so that one in a unit without workers stayed there.

A waiting step is now stranded if no worker that was there within the last 2.5 s could run it, even if idle: of its service, with its label, large enough, enough of them for a gang. Every 200 ms up to ten jobs with such steps move, urgent ones first, to the least loaded unit that could run them, one with a place for them if there is one. The guards of evacuations hold for these moves too: no run may be left, nor a silent worker that may hold an end. Pauses of workers and an unreachable store strand nothing, and a new owner first awaits its workers. Long-running tasks without gangs were transferred already, which a test now shows.

An owner that takes over a unit without workers waits for their leases and for their entries to lapse, as before; its jobs then move as well.

--- a/src/tulippin/jobs/_job_moves.py
+++ b/src/tulippin/jobs/_job_moves.py
@@ -4,10 +4,11 @@
 as a whole, once none of them has a run left: the unit first makes durable that
 it will not start the job again, and only then writes it to its next home.
 
-Two loads call for it. If all workers of a unit are evacuated, nothing may be
-started there. And opportunistic tasks wait beside idle processors if their
-image disturbs what the unit's workers serve, while another unit serves images
-that tolerate it.
+Three cases call for it. If all workers of a unit are evacuated, nothing may be
+started there. If a unit has lost the workers that could run a job, it would
+wait until they are back. And opportunistic tasks wait beside idle processors if
+their image disturbs what the unit's workers serve, while another unit serves
+images that tolerate it.
 """
 
 from __future__ import annotations
@@ -19,7 +20,9 @@
 from tulippin.jobs import (
     _evacuation,
     _lifecycle,
+    _ownership,
     _ready_queues,
+    _stranded_work,
     _unconfirmed_runs,
     _unit_capacity,
 )
@@ -27,9 +30,10 @@
 from tulippin.jobs.effects import MoveJob
 from tulippin.jobs.records import JobRecord, MovedJobRecord, UnitCapacity
 from tulippin.jobs.state import RUNS_PER_EPOCH, Job, SchedulerState, Worker
-from tulippin.jobs.types import FINAL_STATES
+from tulippin.jobs.types import FINAL_STATES, Step
 
 _CHECK_INTERVAL_MS: t.Final = 100
+_STRANDED_INTERVAL_MS: t.Final = 200
 # Each takes a transaction of its own.
 _MAX_MOVES_PER_CHECK: t.Final = 10
 # Units publish their waiting demand only twice a second, so that moves to a
@@ -53,6 +57,7 @@
     if _evacuation.is_unit_closed(state):
         _leave_closed_unit(context)
     else:
+        _move_stranded_jobs(context)
         _move_late_jobs(context)
 
 
@@ -72,6 +77,30 @@
     )
 
 
+def _move_stranded_jobs(context: Context) -> None:
+    """Move jobs that wait for workers that the unit has lost, urgent first.
+
+    Workers don't count as lost while the store can't be reached: their entries
+    are out of date, and no move becomes durable.
+    """
+    state = context.state
+    is_due = state.now_ms - state.stranded_checked_ms >= _STRANDED_INTERVAL_MS
+    if not is_due:
+        return
+    state.stranded_checked_ms = state.now_ms
+    _stranded_work.note_workers(state)
+    if _ownership.is_unconfirmed(state):
+        return
+    jobs = _list_movable(_stranded_work.list_jobs(state), state)
+    jobs.sort(key=lambda job: job.queue.priority)
+    _move_some(
+        jobs,
+        lambda job: _choose_unit_with_place(job, state),
+        _MAX_MOVES_PER_CHECK,
+        context,
+    )
+
+
 def _move_late_jobs(context: Context) -> None:
     """Move late jobs of opportunistic tasks where less of them waits."""
     state = context.state
@@ -180,6 +209,35 @@
     return min(fitting)[1] if fitting else None
 
 
+def _choose_unit_with_place(job: Job, state: SchedulerState) -> int | None:
+    """Return the least loaded unit that can run a job, best one with a place.
+
+    Where no unit has a place, the job waits in one that will have.
+    """
+    fitting = [
+        (not _has_place(room, job), _get_load(room), number)
+        for number, room in state.unit_capacities.items()
+        if _accepts(number, room, job, state)
+    ]
+    return min(fitting)[-1] if fitting else None
+
+
+def _has_place(room: UnitCapacity, job: Job) -> bool:
+    """Whether each step of a job finds a place in a unit now."""
+    return all(_fits_now(room, step) for step in job.request.steps)
+
+
+def _fits_now(room: UnitCapacity, step: Step) -> bool:
+    """Whether a task of a step, or the whole gang, fits in a unit now."""
+    if step.opportunistic:
+        return _get_idle(room) > 0
+    wanted_count = step.task_count if step.gang else 1
+    fit_count = _unit_capacity.count_fitting(
+        room, step.size.cpu_millicores, is_short=not step.long_running
+    )
+    return fit_count >= wanted_count
+
+
 def _choose_less_waiting(
     job: Job,
     demand: t.Mapping[str, int],
@@ -219,9 +277,7 @@
     """Whether a job may move to a unit."""
     if number in state.closed_units or number in job.left_units:
         return False
-    return room.capacity_millicores > 0 and all(
-        _unit_capacity.has_label(room, step) for step in job.request.steps
-    )
+    return _unit_capacity.can_run_job(room, job.request, job.queue.service)
 
 
 def _get_load(room: UnitCapacity) -> float:
@@ -238,18 +294,9 @@
     for key in job.tasks:
         _ready_queues.remove(key, job.request.steps[key.step], state)
     _lifecycle.mark_dirty(job, state)
-    room = state.unit_capacities[unit]
-    demand = max(
-        step.task_count * step.size.cpu_millicores for step in job.request.steps
-    )
-    image = job.request.steps[0].image
-    waiting = dict(room.waiting_millicores)
-    waiting[image] = waiting.get(image, 0) + demand
     # Counts the job until the next row of the unit does.
-    state.unit_capacities[unit] = attrs.evolve(
-        room,
-        idle_millicores=room.idle_millicores + demand,
-        waiting_millicores=waiting,
+    state.unit_capacities[unit] = _unit_capacity.add_job(
+        state.unit_capacities[unit], job.request
     )
     state.count('jobs_moved')
     context.log(
--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -344,7 +344,7 @@
     """Clear the state that only the owner of the unit holds."""
     _clear_crashes(state)
     state.jobs.clear()
-    state.workers.clear()
+    _clear_workers(state)
     _clear_ready(state)
     state.unreadable_jobs.clear()
     state.unconfirmed_until_ms = 0
@@ -371,6 +371,12 @@
     state.cached_largest_new.clear()
 
 
+def _clear_workers(state: SchedulerState) -> None:
+    state.workers.clear()
+    state.seen_workers.clear()
+    state.workers_noted_since_ms = 0
+
+
 def _clear_ready(state: SchedulerState) -> None:
     state.ready.clear()
     state.ready_opportunistic.clear()
--- a/src/tulippin/jobs/_unit_capacity.py
+++ b/src/tulippin/jobs/_unit_capacity.py
@@ -10,6 +10,8 @@
 import itertools
 import typing as t
 
+import attrs
+
 from tulippin.jobs import _demand, _feasibility, _headroom
 from tulippin.jobs._ready_queues import StepKey
 from tulippin.jobs.records import FIT_COUNT_SIZES, UnitCapacity
@@ -146,6 +148,49 @@
     return has_label(room, step)
 
 
+def add_job(room: UnitCapacity, request: JobRequest) -> UnitCapacity:
+    """Return what a unit would publish once a job waits there."""
+    reserved = _get_largest_demand(request, is_idle=False)
+    idle = _get_largest_demand(request, is_idle=True)
+    waiting = dict(room.waiting_millicores)
+    if idle:
+        image = request.steps[0].image
+        waiting[image] = waiting.get(image, 0) + idle
+    short_places = room.short_places
+    if short_places is not None:
+        short_places = _subtract_demand(short_places, reserved)
+    return attrs.evolve(
+        room,
+        reserved_millicores=room.reserved_millicores + reserved,
+        idle_millicores=room.idle_millicores + idle,
+        waiting_millicores=waiting,
+        places=_subtract_demand(room.places, reserved),
+        short_places=short_places,
+    )
+
+
+def _get_largest_demand(request: JobRequest, *, is_idle: bool) -> int:
+    """Return the processors of the largest step, opportunistic or others."""
+    return max(
+        (
+            step.task_count * step.size.cpu_millicores
+            for step in request.steps
+            if step.opportunistic is is_idle
+        ),
+        default=0,
+    )
+
+
+def _subtract_demand(
+    places: tuple[int, ...], demand_millicores: int
+) -> tuple[int, ...]:
+    counts = (
+        count - demand_millicores // size
+        for size, count in zip(FIT_COUNT_SIZES, places, strict=False)
+    )
+    return tuple(itertools.takewhile(lambda count: count > 0, counts))
+
+
 def _sum_opportunistic(worker: Worker) -> int:
     """Return the processors of the opportunistic runs on a worker."""
     return sum(
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -620,6 +620,9 @@
     names may have orders of these owners; ``is_unlisted_lapse_certain`` says
     that none of these can extend their leases.
 
+    ``seen_workers`` holds the entries of the workers that may get tasks, with
+    when each was last there, noted since ``workers_noted_since_ms``.
+
     ``is_early_commit_due`` says that ends were read that keep an urgent end
     from being read until they are durable.
 
@@ -682,6 +685,9 @@
     unit_capacities: dict[int, UnitCapacity] = attrs.field(factory=dict)
     transfers_checked_ms: int = 0
     moves_checked_ms: int = 0
+    stranded_checked_ms: int = 0
+    seen_workers: dict[str, tuple[WorkerEntry, int]] = attrs.field(factory=dict)
+    workers_noted_since_ms: int = 0
     drain_checked_ms: int = 0
     obstacles_logged_ms: int = 0
     standbys_checked_ms: int = 0
--- a/tests/tulippin/jobs/test_job_moves.py
+++ b/tests/tulippin/jobs/test_job_moves.py
@@ -17,9 +17,11 @@
 from test_invalid_reports import JOB as REPORTED_JOB
 
 from scheduler_fleet import (
+    HIGH_PRIORITY_QUEUE,
     LIMIT_MS,
     LOW_PRIORITY_QUEUE,
     QUEUE,
+    make_long_running_request,
     make_request,
     make_step,
 )
@@ -374,3 +376,207 @@
             assert moved <= 12
 
     run_virtual(run)
+
+
+# -- units that lost their workers ---------------------------------------------
+
+# The leases of lost workers, their time on the list, and a move.
+MAX_STRANDED_S = 9
+MAX_TAKEOVER_S = 3
+
+
+async def lose_workers(fleet, domain='hall0', *, listed_s=3.0):
+    """Lose all workers of a domain for good; their entries lapse later."""
+    fleet.platform.restart_delay_ms = None
+    lost = [
+        worker
+        for worker in fleet.platform.workers.values()
+        if worker.failure_domain == domain
+    ]
+    for worker in lost:
+        worker.crash()
+    await trio.sleep(listed_s)
+    for worker in lost:
+        fleet.platform.remove(worker.worker_id)
+
+
+def count_moves(fleet):
+    return sum(
+        unit.state.counters.get('jobs_moved', 0)
+        for instance in fleet.instances.values()
+        for unit in instance.shell.units.values()
+    )
+
+
+@pytest.mark.parametrize(
+    'options',
+    [{}, {'opportunistic': True}, {'gang': True}],
+    ids=['short', 'opportunistic', 'gang'],
+)
+def test_job_goes_on_elsewhere_once_its_unit_lost_its_workers(
+    run_virtual, options
+):
+    """Guards against jobs that wait for good in a unit without workers."""
+
+    async def run():
+        async with open_homed() as fleet:
+            steps = make_step(4, **options), make_step(3, after=(0,), **options)
+            await fleet.submit(JOB, make_request(*steps, run_ms=2000))
+            await fleet.wait_running(4)
+            await lose_workers(fleet)
+            # Handed in after the loss.
+            later = f'{2:016x}'
+            await fleet.submit(later, make_request(*steps, run_ms=2000))
+            for job_id in (JOB, later):
+                await fleet.wait_done(job_id, limit_s=MAX_STRANDED_S)
+                assert sorted(count_done(fleet, job_id).values()) == [1] * 7
+            fleet.check()
+
+    run_virtual(run)
+
+
+def test_long_running_tasks_go_on_elsewhere_once_their_unit_lost_its_workers(
+    run_virtual,
+):
+    async def run():
+        async with open_homed() as fleet:
+            await fleet.submit(JOB, make_long_running_request(4))
+            await fleet.wait_running(4)
+            await lose_workers(fleet)
+            await fleet.wait_running(4, limit_s=MAX_STRANDED_S)
+            fleet.check()
+
+    run_virtual(run)
+
+
+def test_urgent_jobs_leave_a_unit_without_workers_first(run_virtual):
+    """Guards against urgent jobs that wait behind a long queue of others."""
+
+    async def run():
+        async with open_homed() as fleet:
+            await lose_workers(fleet, listed_s=0.0)
+            urgent = [f'{100 + number:016x}' for number in range(3)]
+            others = [f'{number:016x}' for number in range(60)]
+            for job_id in others:
+                await fleet.submit(job_id, queue=LOW_PRIORITY_QUEUE)
+            for job_id in urgent:
+                await fleet.submit(job_id, queue=HIGH_PRIORITY_QUEUE)
+            for job_id in (*urgent, *others):
+                await fleet.wait_done(job_id)
+            started = [
+                event.key.job_id
+                for event in fleet.platform.history
+                if event.kind == 'started'
+            ]
+            assert max(map(started.index, urgent)) < 30
+            fleet.check()
+
+    run_virtual(run)
+
+
+def test_job_stays_while_the_workers_of_its_unit_are_away_for_a_moment(
+    run_virtual,
+):
+    async def run():
+        async with open_homed() as fleet:
+            away = [
+                worker
+                for worker in fleet.platform.workers.values()
+                if worker.failure_domain == 'hall0'
+            ]
+            for worker in away:
+                worker.unreachable_clients = {'*'}
+            await submit_two_steps(fleet, run_ms=500)
+            await trio.sleep(1.5)
+            for worker in away:
+                worker.unreachable_clients = set()
+            await fleet.wait_done(JOB)
+            assert not count_moves(fleet)
+            fleet.check()
+
+    run_virtual(run)
+
+
+def test_work_comes_to_a_unit_again_once_it_has_workers(run_virtual):
+    async def run():
+        async with open_domains() as fleet:
+            rack = next(
+                label
+                for label in fleet.platform.workers['w0'].labels
+                if label.startswith('r')
+            )
+            request = make_request(make_step(preferred_rack=rack))
+
+            async def find_domain(number):
+                job_id = f'{number:016x}'
+                await fleet.submit(job_id, request)
+                await fleet.wait_done(job_id, limit_s=3)
+                (event,) = [
+                    event
+                    for event in fleet.platform.history
+                    if event.kind == 'started' and event.key.job_id == job_id
+                ]
+                worker = fleet.platform.workers[event.worker_id]
+                return worker.failure_domain
+
+            assert await find_domain(1) == 'hall0'
+            await lose_workers(fleet)
+            await trio.sleep(3)
+            assert await find_domain(2) != 'hall0'
+            for name, worker in list(fleet.platform.workers.items()):
+                if not worker.is_up:
+                    fleet.platform.restart(name)
+            await trio.sleep(6)
+            assert await find_domain(3) == 'hall0'
+            fleet.check()
+
+    run_virtual(run)
+
+
+def test_jobs_wait_for_lost_workers_no_longer_than_leases_after_a_takeover(
+    run_virtual,
+):
+    """Guards against owners that wait for workers that are lost for good."""
+
+    async def run():
+        async with open_homed() as fleet:
+            await submit_two_steps(fleet, run_ms=500)
+            await fleet.wait_running(4)
+            owners = {
+                name
+                for name, instance in fleet.instances.items()
+                for unit in instance.shell.units.values()
+                if unit.is_owner and JOB in unit.state.jobs
+            }
+            fleet.nursery.start_soon(lose_workers, fleet)
+            for name in owners:
+                fleet.kill(name)
+            await fleet.wait_done(JOB, limit_s=MAX_TAKEOVER_S + MAX_STRANDED_S)
+            assert sorted(count_done(fleet, JOB).values()) == [1] * 7
+            fleet.check()
+
+    run_virtual(run)
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_jobs_run_once_while_workers_and_owners_are_lost(run_virtual, seed):
+    async def run():
+        async with open_homed(instances=6) as fleet:
+            source = fleet.platform.store.source
+            source.seed(seed)
+            trouble = fleet.platform.store.trouble
+            trouble.lost_answer_share = 0.2
+            job_ids = await submit_many(fleet, 20, run_ms=800)
+            await trio.sleep(source.random())
+            fleet.nursery.start_soon(lose_workers, fleet)
+            for round_number in range(4):
+                await trio.sleep(2 * source.random())
+                name = source.choice(sorted(fleet.instances))
+                fleet.kill(name)
+                await fleet.start(f'n{round_number}')
+            trouble.lost_answer_share = 0.0
+            for job_id in job_ids:
+                await fleet.wait_done(job_id, limit_s=40)
+            fleet.check()
+
+    run_virtual(run, seed=seed)
