Move long-running gangs out of a unit that lost its workers

Callers saw a long-running gang without any run for good, once its unit had lost all its workers, beside units that were idle.

Cause: transfers, which move long-running tasks one by one, leave out gangs, and moves of whole jobs left out every job with a long-running step.

A job whose long-running steps are all gangs now moves as a whole, like one of short tasks, also out of an evacuated unit. Its next home keeps which tasks have run. A job with other long-running steps still doesn't move as a whole: its tasks may have been transferred already.

Evidence: the new test in test_job_moves.py, which also loses the owner of the gang's next home and cancels the job, failed before (TooSlowError: no four runs within 9 s) and passes now, with 494 tests of test_job_moves.py, test_stranded_work.py, test_evacuation.py, test_handover_model.py, test_scheduler_long_running.py, test_headroom_review.py, test_invalid_rows.py, test_invalid_unit_rows.py and test_records.py.

--- a/src/tulippin/jobs/_job_moves.py
+++ b/src/tulippin/jobs/_job_moves.py
@@ -161,11 +161,14 @@
 def _is_movable(job: Job, state: SchedulerState) -> bool:
     """Whether a job can leave the unit now.
 
-    Long-running tasks are transferred one by one instead.
+    Long-running tasks are transferred one by one instead, unless they belong to
+    a gang.
     """
     if job.is_transferred or job.is_cancelled or job.state in FINAL_STATES:
         return False
-    if job.awaits_confirmation or _lifecycle.has_long_running(job):
+    if job.awaits_confirmation or any(
+        step.long_running and not step.gang for step in job.request.steps
+    ):
         return False
     if any(
         _may_hold_unread_end(worker, job, state)
--- a/src/tulippin/jobs/_lifecycle.py
+++ b/src/tulippin/jobs/_lifecycle.py
@@ -267,6 +267,7 @@
     job.state = moved.progress.state
     job.has_begun = job.state is not JobState.PENDING
     _restore_tasks(job, moved.progress, context.state)
+    _restore_begun(job, moved.progress)
     for name, checkpoint in moved.checkpoints.items():
         task = get_task(job, parse_task_key(f'{job.job_id}.{name}'))
         task.checkpoint = checkpoint
--- a/tests/tulippin/jobs/test_job_moves.py
+++ b/tests/tulippin/jobs/test_job_moves.py
@@ -449,6 +449,37 @@
     run_virtual(run)
 
 
+def test_long_running_gang_goes_on_elsewhere_once_its_unit_lost_its_workers(
+    run_virtual,
+):
+    """Guards against gangs that wait for good in a unit without workers."""
+
+    async def run():
+        async with open_homed(instances=6) as fleet:
+            await fleet.submit(JOB, make_long_running_request(4, gang=True))
+            await fleet.wait_running(4)
+            await lose_workers(fleet)
+            await fleet.wait_running(4, limit_s=MAX_STRANDED_S)
+            (owner,) = (
+                name
+                for name, instance in fleet.instances.items()
+                for unit in instance.shell.units.values()
+                if unit.is_owner
+                and JOB in unit.state.jobs
+                and unit.state.jobs[JOB].moved_to is None
+            )
+            fleet.kill(owner)
+            await trio.sleep(20)
+            assert fleet.count_running() == 4
+            intake = next(iter(fleet.instances.values())).intake
+            assert await intake.cancel(JOB, QUEUE, LIMIT_MS)
+            await trio.sleep(2)
+            assert not fleet.count_running()
+            fleet.check()
+
+    run_virtual(run)
+
+
 def test_urgent_jobs_leave_a_unit_without_workers_first(run_virtual):
     """Guards against urgent jobs that wait behind a long queue of others."""
 
