--- a/src/tulippin/jobs/_unit_capacity.py
+++ b/src/tulippin/jobs/_unit_capacity.py
@@ -10,11 +10,13 @@
 import itertools
 import typing as t
 
+import attrs
+
 from tulippin.jobs import _demand, _feasibility, _headroom
 from tulippin.jobs._ready_queues import StepKey
 from tulippin.jobs.records import FIT_COUNT_SIZES, UnitCapacity
 from tulippin.jobs.state import SchedulerState, Task, Worker
-from tulippin.jobs.types import Step, TaskKey
+from tulippin.jobs.types import JobRequest, Step, TaskKey
 from tulippin.types import Resources
 
 # Share of the processors reserved by tasks with a latency target that is idle.
@@ -46,6 +48,7 @@
         tuple(_demand.list_records(state)),
         _sum_by_service(available),
         dict(state.queue_kinds),
+        _get_largest_by_service(available),
     )
 
 
@@ -112,6 +115,82 @@
     return not step.required_label or step.required_label in room.labels
 
 
+def can_run_job(room: UnitCapacity, request: JobRequest, service: str) -> bool:
+    """Whether workers of a unit could run all steps of a job if idle.
+
+    Parameters
+    ----------
+    room : UnitCapacity
+        What the unit has published.
+    request : JobRequest
+        What the job asks for.
+    service : str
+        The service whose workers run the job; empty if unknown.
+    """
+    return all(_can_run(room, step, service) for step in request.steps)
+
+
+def _can_run(room: UnitCapacity, step: Step, service: str) -> bool:
+    """Whether workers of a unit could run a step if they were idle.
+
+    Only a gang needs capacity for all of its tasks at the same time.
+    """
+    capacity_millicores = room.capacity_millicores
+    if service and room.service_millicores:
+        capacity_millicores = room.service_millicores.get(service, 0)
+    required_count = step.task_count if step.gang else 1
+    required = required_count * step.reserved.cpu_millicores
+    if capacity_millicores < max(1, required):
+        return False
+    largest = room.largest_workers.get(service)
+    if largest is not None and not largest.fits(step.reserved):
+        return False
+    return has_label(room, step)
+
+
+def add_job(room: UnitCapacity, request: JobRequest) -> UnitCapacity:
+    """Return what a unit would publish once a job waits there."""
+    reserved = _get_largest_demand(request, is_idle=False)
+    idle = _get_largest_demand(request, is_idle=True)
+    waiting = dict(room.waiting_millicores)
+    if idle:
+        image = request.steps[0].image
+        waiting[image] = waiting.get(image, 0) + idle
+    short_places = room.short_places
+    if short_places is not None:
+        short_places = _subtract_demand(short_places, reserved)
+    return attrs.evolve(
+        room,
+        reserved_millicores=room.reserved_millicores + reserved,
+        idle_millicores=room.idle_millicores + idle,
+        waiting_millicores=waiting,
+        places=_subtract_demand(room.places, reserved),
+        short_places=short_places,
+    )
+
+
+def _get_largest_demand(request: JobRequest, *, is_idle: bool) -> int:
+    """Return the processors of the largest step, opportunistic or others."""
+    return max(
+        (
+            step.task_count * step.size.cpu_millicores
+            for step in request.steps
+            if step.opportunistic is is_idle
+        ),
+        default=0,
+    )
+
+
+def _subtract_demand(
+    places: tuple[int, ...], demand_millicores: int
+) -> tuple[int, ...]:
+    counts = (
+        count - demand_millicores // size
+        for size, count in zip(FIT_COUNT_SIZES, places, strict=False)
+    )
+    return tuple(itertools.takewhile(lambda count: count > 0, counts))
+
+
 def _sum_opportunistic(worker: Worker) -> int:
     """Return the processors of the opportunistic runs on a worker."""
     return sum(
@@ -153,6 +232,17 @@
     return dict(millicores)
 
 
+def _get_largest_by_service(available: list[Worker]) -> dict[str, Resources]:
+    """Return the most of each resource that one worker has, by service."""
+    largest: dict[str, Resources] = {}
+    for one in available:
+        service, capacity = one.entry.service, one.entry.capacity
+        largest[service] = capacity.elementwise_max(
+            largest.get(service, Resources())
+        )
+    return largest
+
+
 def _list_serving_images(
     available: list[Worker], state: SchedulerState
 ) -> tuple[str, ...]:
