Have the stand-in store keep the limits of rows and transactions

The stand-in store took rows and transactions of any size, so no test met the platform's limits: 200 bytes a key, 65,536 bytes a value, 100 entries and 1 MB a transaction. A job whose progress outgrew its row passed all tests, and stopped its unit for good on a store that refuses it.

StandinStore now raises WriteRefusedError (a new error of the RowStore port) beyond a limit, before the transaction has any effect, and its HTTP server answers 400.

--- a/src/tulippin/jobs/ports.py
+++ b/src/tulippin/jobs/ports.py
@@ -18,6 +18,12 @@
 # Timeout of a call to the store, which answers in 4 to 9 ms, or in 300 ms when
 # it is slow.
 STORE_TIMEOUT_S: t.Final = 0.9
+# Limits of the store: of a row's key and value, and of a transaction's number
+# of conditions and writes and its encoded size.
+MAX_KEY_BYTES: t.Final = 200
+MAX_ROW_BYTES: t.Final = 65_536
+MAX_TRANSACTION_ENTRIES: t.Final = 100
+MAX_TRANSACTION_BYTES: t.Final = 1_000_000
 
 
 class HistoryLostError(UnavailableError):
@@ -44,6 +50,12 @@
     code = 'partition_behind'
 
 
+class WriteRefusedError(UnavailableError):
+    """The store refuses a transaction for its content; don't repeat it."""
+
+    code = 'write_refused'
+
+
 @attrs.frozen
 class StoredRow:
     """A row; its value is None if it was removed."""
@@ -133,7 +145,8 @@
         """Apply a transaction.
 
         Waits ``extra_wait_ms`` longer than usual for the answer. Raises
-        ``PartitionBehindError`` if the queue of its part is too long.
+        ``PartitionBehindError`` if the queue of its part is too long, and
+        ``WriteRefusedError`` if the transaction exceeds a limit of the store.
         """
 
 
--- a/src/tulippin/platform/standin_http.py
+++ b/src/tulippin/platform/standin_http.py
@@ -26,6 +26,7 @@
     StoredRow,
     Transaction,
     WorkerChangedError,
+    WriteRefusedError,
 )
 from tulippin.jobs.types import (
     EndedRun,
@@ -111,7 +112,10 @@
                 ),
             ),
         )
-        result = self.platform.store.apply(transaction)
+        try:
+            result = self.platform.store.apply(transaction)
+        except WriteRefusedError:
+            return Response(status_code=400)
         status = 200 if result.is_done else 412
         return _respond(_encode_rows(result.rows, result.version), status)
 
--- a/src/tulippin/platform/standin_store.py
+++ b/src/tulippin/platform/standin_store.py
@@ -10,13 +10,19 @@
 
 from tulippin.exceptions import AnswerLostError, UnavailableError
 from tulippin.jobs.ports import (
+    MAX_KEY_BYTES,
+    MAX_ROW_BYTES,
+    MAX_TRANSACTION_BYTES,
+    MAX_TRANSACTION_ENTRIES,
     HistoryLostError,
     PartitionBehindError,
     RowPage,
     StoredRow,
     Transaction,
     TransactionResult,
+    WriteRefusedError,
 )
+from tulippin.platform.store import encode_transaction
 
 _MS_PER_S: t.Final = 1000
 # The clock has nothing in common with those of the instances.
@@ -27,6 +33,30 @@
 _LATE_WRITE_RANGE_S: t.Final = (1.0, 6.0)
 
 
+def check_limits(transaction: Transaction) -> None:
+    """Raise ``WriteRefusedError`` if a transaction exceeds a limit."""
+    entries = (*transaction.conditions, *transaction.writes)
+    sizes = (
+        ('entries', len(entries), MAX_TRANSACTION_ENTRIES),
+        (
+            'bytes of a key',
+            max((len(entry.key.encode()) for entry in entries), default=0),
+            MAX_KEY_BYTES,
+        ),
+        (
+            'bytes of a value',
+            max(
+                (len(one.value or b'') for one in transaction.writes), default=0
+            ),
+            MAX_ROW_BYTES,
+        ),
+        ('bytes', len(encode_transaction(transaction)), MAX_TRANSACTION_BYTES),
+    )
+    for what, size, limit in sizes:
+        if size > limit:
+            raise WriteRefusedError(f'{size} {what}, the limit is {limit}')
+
+
 @attrs.define
 class StoreFaults:
     """Faults that are injected into the store.
@@ -112,7 +142,14 @@
         self._changed = trio.Event()
 
     def apply(self, transaction: Transaction) -> TransactionResult:
-        """Commit a transaction if its conditions hold."""
+        """Commit a transaction if its conditions hold.
+
+        Raises
+        ------
+        WriteRefusedError
+            If it exceeds a limit of the store.
+        """
+        check_limits(transaction)
         part = transaction.part
         current_rows = []
         is_met = True
@@ -233,6 +270,7 @@
     ) -> TransactionResult:
         """Commit a transaction; its answer may be lost."""
         await self._begin_request()
+        check_limits(transaction)
         if self._is_late():
             trio.lowlevel.spawn_system_task(self.store.apply_late, transaction)
             await trio.sleep(CALL_TIMEOUT_S + extra_wait_ms / _MS_PER_S)
--- a/src/tulippin/platform/store.py
+++ b/src/tulippin/platform/store.py
@@ -53,7 +53,8 @@
         return _INVALID_VALUE
 
 
-def _encode_transaction(transaction: Transaction) -> bytes:
+def encode_transaction(transaction: Transaction) -> bytes:
+    """Return the body of the request for a transaction."""
     part = transaction.part
     return msgspec.json.encode(
         TransactionBody(
@@ -169,7 +170,7 @@
         answer = await self._send(
             'POST',
             '/v1/rows-tx',
-            _encode_transaction(transaction),
+            encode_transaction(transaction),
             extra_wait_ms,
         )
         if answer.status == _CONDITION_FAILED:
