Never repeat a write that the store refuses for its content

Callers saw jobs stay pending or running for good, in a whole unit, after one job's progress had outgrown its row: the store answered 400, which counted as a lost answer, and the commit was repeated without end, while no other commit of the unit may begin. The roster, transfers and moves of jobs were repeated in the same way; a refused model or report kept an owner from releasing its unit, a refused lease from keeping it, and the removal of many jobs of one part had more than 100 entries.

Statuses 400, 413 and 422 of a transaction are WriteRefusedError now, which no retry repeats. A refused commit is halved until the refused job is alone; that job is failed with the store's reason, or withheld if its final state is refused too, and the others are committed. No end is acknowledged by a commit with a refusal. Commits and removals are split within the limits of a transaction. A refused roster is not sent again until it has changed, a lease is written without the unit's published figures, a release without its records, and a job whose transfer or move is refused is failed. Each refusal is logged with its reason and sizes.

--- a/src/tulippin/jobs/_bounded_writes.py
+++ b/src/tulippin/jobs/_bounded_writes.py
@@ -24,6 +24,7 @@
     RowStore,
     Transaction,
     TransactionResult,
+    WriteRefusedError,
 )
 from tulippin.logs import logger
 
@@ -61,6 +62,8 @@
         If the transaction was not applied and will not be.
     AnswerLostError
         If the transaction may have been applied, or may still be.
+    WriteRefusedError
+        If the store refuses the transaction for its content.
     """
     now_s = trio.current_time()
     write = _BoundedWrite(
@@ -93,6 +96,7 @@
     load: StoreLoad
     attempts: WriteAttempts
     result: TransactionResult | None = None
+    refusal: WriteRefusedError | None = None
     _changed: trio.Event = attrs.field(factory=trio.Event)
 
     def _get_response_time(self) -> ResponseTime:
@@ -102,7 +106,7 @@
 
     async def run(self, nursery: trio.Nursery) -> None:
         """Perform what is decided until there is a result or no use in more."""
-        while self.result is None:
+        while self.result is None and self.refusal is None:
             now_s = trio.current_time()
             response = self._get_response_time()
             decision = self.attempts.decide(now_s, response)
@@ -129,6 +133,8 @@
         extra_ms = max(0, int((limit_s - STORE_TIMEOUT_S) * _MS))
         try:
             result = await self.store.transact(self.transaction, extra_ms)
+        except WriteRefusedError as error:
+            self.refusal = error
         except UnavailableError as error:
             self._log_failure(error)
             self._note_failure(error, sent_s)
@@ -199,6 +205,8 @@
         """Return the result; raise an error if there is none."""
         if self.result is not None:
             return self.result
+        if self.refusal is not None:
+            raise self.refusal
         response = self._get_response_time()
         reason = self.attempts.get_reason(response)
         if reason is Reason.OUTCOME_UNKNOWN:
--- a/src/tulippin/jobs/_committing.py
+++ b/src/tulippin/jobs/_committing.py
@@ -33,6 +33,7 @@
     RemoveJobs,
 )
 from tulippin.jobs.events import (
+    JobRefused,
     JobsChanged,
     ModelKept,
     ProgressCommitted,
@@ -52,6 +53,8 @@
 _MAX_REMOVALS_PER_CALL: t.Final = 30
 # Interval between two checks for finished jobs to remove.
 _REMOVAL_INTERVAL_MS: t.Final = 2000
+# Time from a refused roster to the next one, which differs from it.
+_REFUSED_ROSTER_PAUSE_MS: t.Final = 2000
 
 
 @handle.register
@@ -345,7 +348,7 @@
     state = context.state
     if event.commit.epoch_version != state.ownership.epoch_version:
         return
-    state.is_committing = False
+    state.is_committing = event.is_partial
     if event.is_fenced:
         _ownership.step_down(context, 'a commit found another owner')
         return
@@ -359,9 +362,36 @@
             state.is_sending_due = True
             _transfers.send(job, context)
             _job_moves.send(job, context)
+    for job_id, reason in event.refusals.items():
+        _drop_refused(job_id, reason, context)
     _record_settled_ends(event.commit.ends, state)
 
 
+@handle.register
+def _handle_job_refused(event: JobRefused, context: Context) -> None:
+    if context.state.ownership.phase is Phase.ACTIVE:
+        _drop_refused(event.job_id, event.reason, context)
+
+
+def _drop_refused(job_id: str, reason: str, context: Context) -> None:
+    """Fail a job whose row the store refuses, or withhold it.
+
+    Its row takes little space once it has failed. If the store refuses that
+    too, nothing more is written for the job.
+    """
+    state = context.state
+    job = state.jobs.get(job_id)
+    if job is None:
+        return
+    job.pending_progress = None
+    state.count('jobs_refused')
+    if job.state in FINAL_STATES:
+        state.dirty_jobs.pop(job_id, None)
+        _lifecycle.withhold(job, context, f'the store refuses it: {reason}')
+        return
+    _giving_up.fail(job, f'the store refuses its state: {reason}', context)
+
+
 # -- the roster ---------------------------------------------------------------
 
 
@@ -376,6 +406,8 @@
     if state.is_roster_committing:
         return
     wanted = _make_roster(state)
+    if _is_roster_refused(wanted, state):
+        return
     durable = RosterRecord(
         state.roster,
         state.roster_births_ms,
@@ -395,6 +427,16 @@
     )
 
 
+def _is_roster_refused(wanted: RosterRecord, state: SchedulerState) -> bool:
+    """Whether a roster is the refused one, or follows it too soon."""
+    if state.refused_roster is None:
+        return False
+    waited_ms = state.now_ms - state.roster_refused_ms
+    return (
+        wanted == state.refused_roster or waited_ms < _REFUSED_ROSTER_PAUSE_MS
+    )
+
+
 def _make_roster(state: SchedulerState) -> RosterRecord:
     workers = [
         worker
@@ -433,6 +475,11 @@
         if state.ownership.phase is Phase.ACTIVE:
             _ownership.step_down(context, 'the roster has another owner')
         return
+    state.refused_roster = event.roster if event.is_refused else None
+    if event.is_refused:
+        state.count('rosters_refused')
+        state.roster_refused_ms = state.now_ms
+        return
     if not event.version:
         return
     state.roster = dict(event.roster.addresses)
--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -387,6 +387,7 @@
     state.roster_version = 0
     state.is_committing = False
     state.is_roster_committing = False
+    state.refused_roster = None
     state.is_model_committing = False
 
 
--- a/src/tulippin/jobs/_row_effects.py
+++ b/src/tulippin/jobs/_row_effects.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import functools
 import math
 import typing as t
@@ -19,6 +20,14 @@
 from tulippin.jobs import events as ev
 from tulippin.jobs._accounts import make_release_writes
 from tulippin.jobs._perform import perform
+from tulippin.jobs._refusals import (
+    chunk_writes,
+    encode_progress,
+    log_refusal,
+    make_progress_transaction,
+    split,
+    transact_reduced,
+)
 from tulippin.jobs._rows import (
     get_version,
     is_unreadable,
@@ -31,6 +40,7 @@
     RowWrite,
     Transaction,
     TransactionResult,
+    WriteRefusedError,
 )
 from tulippin.jobs.records import (
     CANCEL_SUFFIX,
@@ -99,8 +109,14 @@
     store_ms = 0
     is_in_doubt = False
     try:
-        result = await transact_with_retries(
-            shell.ports.store, transaction, _TAKE_LIMIT_S, shell.answer_times
+        result = await transact_reduced(
+            shell.ports.store,
+            (
+                transaction,
+                _replace_lease(transaction, _make_bare(effect.lease), shell),
+            ),
+            _TAKE_LIMIT_S,
+            shell.answer_times,
         )
     except UnavailableError as error:
         shell.record_store_result(error)
@@ -126,6 +142,33 @@
     return encode(attrs.evolve(lease, answer_ms=answer_ms))
 
 
+def _make_bare(lease: LeaseRecord) -> LeaseRecord:
+    """Return a lease without what owners publish of their units."""
+    return LeaseRecord(
+        lease.session_id,
+        lease.instance_id,
+        lease.renewal_count,
+        lease.released,
+        is_loading=lease.is_loading,
+    )
+
+
+def _replace_lease(
+    transaction: Transaction, lease: LeaseRecord, shell: UnitShell
+) -> Transaction:
+    """Return a transaction that writes another lease."""
+    value = _encode_lease(lease, shell)
+    return attrs.evolve(
+        transaction,
+        writes=tuple(
+            attrs.evolve(write, value=value)
+            if write.key == LEASE_KEY
+            else write
+            for write in transaction.writes
+        ),
+    )
+
+
 def _make_lease_transaction(
     lease: LeaseRecord, epoch_version: int, shell: UnitShell
 ) -> Transaction:
@@ -151,8 +194,14 @@
     is_done = False
     is_fenced = False
     try:
-        result = await transact_with_retries(
-            shell.ports.store, transaction, _RENEW_LIMIT_S, shell.answer_times
+        result = await transact_reduced(
+            shell.ports.store,
+            (
+                transaction,
+                _replace_lease(transaction, _make_bare(effect.lease), shell),
+            ),
+            _RENEW_LIMIT_S,
+            shell.answer_times,
         )
     except UnavailableError as error:
         shell.record_store_result(error)
@@ -199,16 +248,21 @@
         writes=(
             *transaction.writes,
             RowWrite(UNITS_TABLE, EPOCH_KEY, encode(effect.epoch)),
-            *record_writes,
         ),
     )
+    # Without its records, the next owner learns anew and waits for workers.
+    variants = (
+        attrs.evolve(transaction, writes=(*transaction.writes, *record_writes)),
+        transaction,
+        _replace_lease(transaction, _make_bare(effect.lease), shell),
+    )
     began_ms = shell.clock()
     result = None
     is_in_doubt = False
     try:
-        result = await transact_with_retries(
+        result = await transact_reduced(
             shell.ports.store,
-            transaction,
+            variants,
             _RELEASE_LIMIT_S,
             shell.answer_times,
         )
@@ -271,6 +325,8 @@
     )
     try:
         await shell.ports.store.transact(transaction)
+    except WriteRefusedError as error:
+        log_refusal(transaction, error, unit=shell.config.unit.number)
     except UnavailableError as error:
         # A newer model is written some seconds later.
         logger.info('model not persisted', reason=error.message)
@@ -283,31 +339,52 @@
 
 
 async def _run_commit(effect: fx.CommitProgress, shell: UnitShell) -> None:
+    """Write progress, in as many transactions as the store's limits require.
+
+    A refused transaction is halved until the refused job is alone in one.
+    """
     unit = shell.config.unit
-    table = unit.progress_table
-    transaction = Transaction(
-        unit.part,
-        (
-            RowCondition(UNITS_TABLE, EPOCH_KEY, effect.epoch_version),
-            *(
-                RowCondition(table, write.job_id, write.version)
-                for write in effect.writes
-            ),
-        ),
-        tuple(
-            RowWrite(table, write.job_id, encode(write.record))
-            for write in effect.writes
-        ),
-    )
-    # Retried until the unit is lost: no other commit starts before the result.
-    result = await transact_with_retries(
-        shell.ports.store, transaction, math.inf, shell.answer_times
-    )
-    shell.post(
-        ev.ProgressCommitted(
-            shell.clock(), effect, result.version, not result.is_done
+    epoch = RowCondition(UNITS_TABLE, EPOCH_KEY, effect.epoch_version)
+    batches = split(encode_progress(effect.writes))
+    refusals: dict[str, str] = {}
+    while batches:
+        batch = batches.popleft()
+        writes = tuple(row.write for row in batch)
+        transaction = make_progress_transaction(
+            batch, unit.part, unit.progress_table, epoch
         )
-    )
+        try:
+            # Retried until the unit is lost: no other commit starts before
+            # the result.
+            result = await transact_with_retries(
+                shell.ports.store, transaction, math.inf, shell.answer_times
+            )
+        except WriteRefusedError as error:
+            if len(batch) > 1:
+                middle = len(batch) // 2
+                batches.extendleft((batch[middle:], batch[:middle]))
+                continue
+            log_refusal(transaction, error, unit=unit.number)
+            refusals |= {write.job_id: error.message for write in writes}
+            result = TransactionResult(is_done=True)
+            writes = ()
+        is_last = not batches or not result.is_done
+        shell.post(
+            ev.ProgressCommitted(
+                shell.clock(),
+                attrs.evolve(
+                    effect,
+                    writes=writes,
+                    ends=effect.ends if is_last and not refusals else {},
+                ),
+                result.version,
+                not result.is_done,
+                not is_last,
+                refusals if is_last else {},
+            )
+        )
+        if not result.is_done:
+            return
 
 
 @perform.register(fx.CommitRoster)
@@ -325,9 +402,15 @@
         (RowWrite(UNITS_TABLE, ROSTER_KEY, encode(effect.roster)),),
     )
     # Retried until the unit is lost: no other commit starts before the result.
-    result = await transact_with_retries(
-        shell.ports.store, transaction, math.inf, shell.answer_times
-    )
+    is_refused = False
+    try:
+        result = await transact_with_retries(
+            shell.ports.store, transaction, math.inf, shell.answer_times
+        )
+    except WriteRefusedError as error:
+        log_refusal(transaction, error, unit=shell.config.unit.number)
+        result = TransactionResult(is_done=True)
+        is_refused = True
     shell.post(
         ev.RosterCommitted(
             shell.clock(),
@@ -335,6 +418,7 @@
             result.version,
             effect.epoch_version,
             not result.is_done,
+            is_refused,
         )
     )
 
@@ -361,8 +445,9 @@
         if job_id not in effect.transferred_ids:
             writes.append(RowWrite(HOMES_TABLE, job_id, None))
     transactions = [
-        Transaction(part, (), tuple(writes))
+        Transaction(part, (), chunk)
         for part, writes in removals.items()
+        for chunk in chunk_writes(writes)
     ]
     transactions.append(
         Transaction(
@@ -392,14 +477,23 @@
 
     A cancel reads in the home row which units to notify.
     """
-    await _write_until_done(
-        functools.partial(_make_pass, effect, shell),
-        shell,
-        'pass tasks',
-        job=effect.job_id,
-        to_unit=effect.unit,
-        tasks=len(effect.record.passes),
-    )
+    try:
+        await _write_until_done(
+            functools.partial(_make_pass, effect, shell),
+            shell,
+            'pass tasks',
+            job=effect.job_id,
+            to_unit=effect.unit,
+            tasks=len(effect.record.passes),
+        )
+    except WriteRefusedError as error:
+        _post_refusal(effect.job_id, error, shell)
+
+
+def _post_refusal(
+    job_id: str, error: WriteRefusedError, shell: UnitShell
+) -> None:
+    shell.post(ev.JobRefused(shell.clock(), job_id, error.message))
 
 
 async def _write_until_done(
@@ -410,7 +504,8 @@
 ) -> None:
     """Retry a transaction, built by ``make`` for each attempt, until done.
 
-    ``make`` returns None if nothing is left to write.
+    ``make`` returns None if nothing is left to write. Raises
+    ``WriteRefusedError`` if the store refuses the transaction.
     """
     while True:
         try:
@@ -423,6 +518,9 @@
                 _TRANSFER_LIMIT_S,
                 shell.answer_times,
             )
+        except WriteRefusedError as error:
+            log_refusal(transaction, error, write=what, **fields)
+            raise
         except UnavailableError as error:
             logger.warning(f'{what}: retry', reason=error.message, **fields)
             await trio.sleep(_TRANSFER_RETRY_PAUSE_S)
@@ -492,13 +590,16 @@
 
 async def _run_move(effect: fx.MoveJob, shell: UnitShell) -> None:
     """Write a job to its next home unit, and that unit to the home row."""
-    await _write_until_done(
-        functools.partial(_make_move, effect, shell),
-        shell,
-        'move job',
-        job=effect.job_id,
-        to_unit=effect.unit,
-    )
+    try:
+        await _write_until_done(
+            functools.partial(_make_move, effect, shell),
+            shell,
+            'move job',
+            job=effect.job_id,
+            to_unit=effect.unit,
+        )
+    except WriteRefusedError as error:
+        _post_refusal(effect.job_id, error, shell)
 
 
 async def _make_move(
@@ -550,12 +651,14 @@
 
 async def _run_fail(effect: fx.FailJob, shell: UnitShell) -> None:
     """Mark a job as failed in all units that hold tasks of it."""
-    await _write_until_done(
-        functools.partial(_make_failure_transaction, effect, shell),
-        shell,
-        'fail job',
-        job=effect.job_id,
-    )
+    # A refused write is logged; it leaves the job failed in this unit.
+    with contextlib.suppress(WriteRefusedError):
+        await _write_until_done(
+            functools.partial(_make_failure_transaction, effect, shell),
+            shell,
+            'fail job',
+            job=effect.job_id,
+        )
 
 
 async def _make_failure_transaction(
--- a/src/tulippin/jobs/_transactions.py
+++ b/src/tulippin/jobs/_transactions.py
@@ -13,6 +13,7 @@
     RowStore,
     Transaction,
     TransactionResult,
+    WriteRefusedError,
 )
 
 # Initial delay after a rejected attempt, about ten calls of the store. It is
@@ -101,6 +102,9 @@
         If the transaction was not applied and will not be.
     AnswerLostError
         If the transaction may have been applied, or may still be.
+    WriteRefusedError
+        If the store refuses the transaction for its content. The attempts
+        before it had the same content.
     """
     attempts = _TransactionAttempts(
         store, transaction, limit_s, times or AnswerTimes()
@@ -121,6 +125,7 @@
     times: AnswerTimes
     result: TransactionResult | None = None
     reason: UnavailableError | None = None
+    refusal: WriteRefusedError | None = None
     started_count: int = 0
     open_count: int = 0
     is_lost: bool = False
@@ -128,6 +133,11 @@
     backoff_s: float = _MIN_BACKOFF_S
     _changed: trio.Event = attrs.field(factory=trio.Event)
 
+    @property
+    def is_concluded(self) -> bool:
+        """Whether the outcome is known."""
+        return self.result is not None or self.refusal is not None
+
     async def run(self, nursery: trio.Nursery) -> None:
         """Start attempts until one has a known outcome or time runs out."""
         deadline_s = trio.current_time() + self.limit_s
@@ -137,7 +147,7 @@
                 self.open_count += 1
                 nursery.start_soon(self._run_attempt)
             await self._wait(self._get_wait_s())
-            if self.result is not None:
+            if self.is_concluded:
                 return
             if not self.open_count:
                 # All attempts were rejected or lost: backs off.
@@ -161,7 +171,7 @@
     async def _wait(self, wait_s: float) -> None:
         """Wait for a result, the end of all attempts, or the time limit."""
         with trio.move_on_after(wait_s):
-            while self.result is None and self.open_count:
+            while not self.is_concluded and self.open_count:
                 self._changed = trio.Event()
                 await self._changed.wait()
 
@@ -175,6 +185,8 @@
             self._note_time(began_s)
             self.is_lost = True
             self.reason = error
+        except WriteRefusedError as error:
+            self.refusal = error
         except UnavailableError as error:
             self.reason = error
             self.rejected_count += self.open_count > 1
@@ -200,6 +212,8 @@
         """Return the result, or raise the error of the last attempt."""
         if self.result is not None:
             return self.result
+        if self.refusal is not None:
+            raise self.refusal
         reason = self.reason or UnavailableError('the store is not reached')
         if self.is_lost:
             raise AnswerLostError(reason.message) from reason
--- a/src/tulippin/jobs/events.py
+++ b/src/tulippin/jobs/events.py
@@ -241,21 +241,46 @@
 
 @attrs.frozen
 class ProgressCommitted(JobEvent):
-    """A commit of progress is durable, or the unit has another owner."""
+    """A commit of progress is durable, or the unit has another owner.
+
+    Parameters
+    ----------
+    commit : CommitProgress
+        What was written. More of the commit follows if ``is_partial``.
+    version : int
+        The version of the rows written.
+    is_fenced : bool
+        Whether the unit has another owner.
+    is_partial : bool
+        Whether the commit goes on.
+    refusals : dict of str to str
+        Why the store refuses the progress of jobs, by job.
+    """
 
     commit: CommitProgress
     version: int
     is_fenced: bool = False
+    is_partial: bool = False
+    refusals: dict[str, str] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class JobRefused(JobEvent):
+    """The store refuses the row by which a job goes to another unit."""
+
+    job_id: str
+    reason: str
 
 
 @attrs.frozen
 class RosterCommitted(JobEvent):
-    """The roster is durable, or the unit has another owner."""
+    """The roster is durable or refused, or the unit has another owner."""
 
     roster: RosterRecord
     version: int
     epoch_version: int
     is_fenced: bool = False
+    is_refused: bool = False
 
 
 @attrs.frozen
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -24,6 +24,7 @@
     LeaseRecord,
     ProgressRecord,
     QueueKinds,
+    RosterRecord,
     RunTimeRecord,
     Unit,
     UnitCapacity,
@@ -672,6 +673,8 @@
     roster_bounds: LeaseBoundsRecord | None = None
     unlisted_until_ms: int = 0
     is_roster_committing: bool = False
+    refused_roster: RosterRecord | None = None
+    roster_refused_ms: int = 0
     ungranted_ids: set[str] = attrs.field(factory=set)
     lease_limits_ms: dict[str, int] = attrs.field(factory=dict)
     bounds_sent_ms: int = 0
--- a/src/tulippin/platform/store.py
+++ b/src/tulippin/platform/store.py
@@ -18,6 +18,7 @@
     StoredRow,
     Transaction,
     TransactionResult,
+    WriteRefusedError,
 )
 from tulippin.platform.wire import RowBody, RowsBody, TransactionBody
 
@@ -27,6 +28,8 @@
 # Statuses by which the store says that it changed nothing.
 _TOO_MANY_REQUESTS: t.Final = 429
 _NOT_AVAILABLE: t.Final = 503
+# Statuses by which it refuses a transaction for its content.
+_CONTENT_STATUSES: t.Final = frozenset((400, 413, 422))
 _REFUSAL: t.Final = 'the store refuses ({0})'
 _MAX_PAGE_ROWS: t.Final = 500
 # Replaces a value that is not base64; it is distinct from all valid values,
@@ -166,6 +169,11 @@
         TransactionResult
             Whether it was committed, the store's version, and the rows that
             its conditions met if it was not.
+
+        Raises
+        ------
+        WriteRefusedError
+            If the store refuses it for its content.
         """
         answer = await self._send(
             'POST',
@@ -177,6 +185,10 @@
             page = _decode_rows(answer)
             rows = tuple(decode_row(body) for body in page.rows)
             return TransactionResult(False, page.version, rows, page.now_ms)
+        if answer.status in _CONTENT_STATUSES:
+            raise WriteRefusedError(
+                f'the store answers {answer.status}: {answer.body[:200]!r}'
+            )
         page = _decode_rows(_require_ok(answer))
         return TransactionResult(True, page.version, store_ms=page.now_ms)
 
--- a/tests/tulippin/platform/test_store_rejections.py
+++ b/tests/tulippin/platform/test_store_rejections.py
@@ -6,7 +6,11 @@
 
 from tulippin._http_client import HttpAnswer
 from tulippin.exceptions import AnswerLostError, UnavailableError
-from tulippin.jobs.ports import PartitionBehindError, Transaction
+from tulippin.jobs.ports import (
+    PartitionBehindError,
+    Transaction,
+    WriteRefusedError,
+)
 from tulippin.platform.store import PlatformStore
 
 WRITE = Transaction('j0', (), ())
@@ -30,10 +34,15 @@
         (429, PartitionBehindError),
         (503, UnavailableError),
         (500, AnswerLostError),
+        (400, WriteRefusedError),
+        (413, WriteRefusedError),
     ],
 )
 def test_status_tells_whether_the_part_is_behind(status, kind):
-    """Only 429 does; a write with another status may have been executed."""
+    """Only 429 does; 400 and 413 refuse a write for its content.
+
+    A write with any other status may have been executed.
+    """
     store = PlatformStore('x:1', Client(status))
     with pytest.raises(UnavailableError) as caught:
         trio.run(store.transact, WRITE)
