Keep large progress rows within the limit in a packed form

A job of five steps of 160 tasks, most of them lost in one crash, had a crash record of some 220 bytes for each task in its one progress row, which grew past the 65,536 bytes that the store keeps; the commit was refused.

Values that would exceed a row are compressed JSON now, and progress is packed before: tasks with equal values share them, crashes share the description of the crashed incarnation, and consecutive occurrences with the same tasks done take one entry. Values that fit are written as before, so earlier versions read every row that they could have written, and the plain form is still read. If packed progress is still too large, what the next owner can do without is left out and logged: recent starts, crashes, avoided workers, places and begun tasks (which it then takes for unknown), failures. Rosters, models, leases, transferred and moved jobs are compressed likewise.

--- a/src/tulippin/jobs/_accounts.py
+++ b/src/tulippin/jobs/_accounts.py
@@ -15,6 +15,7 @@
 from tulippin.exceptions import UnavailableError
 from tulippin.jobs import effects as fx
 from tulippin.jobs._record_validation import find_fault, is_task_name
+from tulippin.jobs._row_codec import encode_row
 from tulippin.jobs._rows import read_record, read_row
 from tulippin.jobs.ports import RowWrite
 from tulippin.jobs.records import (
@@ -44,7 +45,9 @@
     """Return the writes of the model, and of the report if it fits a row."""
     writes = []
     if effect.model is not None:
-        writes.append(RowWrite(MODELS_TABLE, MODEL_KEY, encode(effect.model)))
+        writes.append(
+            RowWrite(MODELS_TABLE, MODEL_KEY, encode_row(effect.model))
+        )
     account = await _find_report(effect, shell)
     if account is None:
         return writes
--- a/src/tulippin/jobs/_refusals.py
+++ b/src/tulippin/jobs/_refusals.py
@@ -11,8 +11,8 @@
 
 import attrs
 
-from tulippin.codec_json import encode
 from tulippin.jobs import effects as fx
+from tulippin.jobs._row_codec import encode_row
 from tulippin.jobs._transactions import AnswerTimes, transact_with_retries
 from tulippin.jobs.ports import (
     MAX_TRANSACTION_BYTES,
@@ -92,7 +92,7 @@
 ) -> tuple[EncodedProgress, ...]:
     """Encode the progress of jobs."""
     return tuple(
-        EncodedProgress(write, encode(write.record)) for write in writes
+        EncodedProgress(write, encode_row(write.record)) for write in writes
     )
 
 
--- a/src/tulippin/jobs/_row_effects.py
+++ b/src/tulippin/jobs/_row_effects.py
@@ -28,6 +28,7 @@
     split,
     transact_reduced,
 )
+from tulippin.jobs._row_codec import encode_row
 from tulippin.jobs._rows import (
     get_version,
     is_unreadable,
@@ -139,7 +140,7 @@
 def _encode_lease(lease: LeaseRecord, shell: UnitShell) -> bytes:
     """Encode a lease, with the store's usual answer time added."""
     answer_ms = int(shell.answer_times.usual_s * _MS)
-    return encode(attrs.evolve(lease, answer_ms=answer_ms))
+    return encode_row(attrs.evolve(lease, answer_ms=answer_ms))
 
 
 def _make_bare(lease: LeaseRecord) -> LeaseRecord:
@@ -321,7 +322,7 @@
     transaction = Transaction(
         shell.config.unit.part,
         (RowCondition(UNITS_TABLE, EPOCH_KEY, effect.epoch_version),),
-        (RowWrite(MODELS_TABLE, MODEL_KEY, encode(effect.model)),),
+        (RowWrite(MODELS_TABLE, MODEL_KEY, encode_row(effect.model)),),
     )
     try:
         await shell.ports.store.transact(transaction)
@@ -399,7 +400,7 @@
             RowCondition(UNITS_TABLE, EPOCH_KEY, effect.epoch_version),
             RowCondition(UNITS_TABLE, ROSTER_KEY, effect.roster_version),
         ),
-        (RowWrite(UNITS_TABLE, ROSTER_KEY, encode(effect.roster)),),
+        (RowWrite(UNITS_TABLE, ROSTER_KEY, encode_row(effect.roster)),),
     )
     # Retried until the unit is lost: no other commit starts before the result.
     is_refused = False
@@ -578,7 +579,7 @@
         ),
         (
             RowWrite(HOMES_TABLE, effect.job_id, encode(home)),
-            RowWrite(table, key, encode(record)),
+            RowWrite(table, key, encode_row(record)),
         ),
     )
 
@@ -623,7 +624,7 @@
             RowWrite(
                 Unit(effect.unit).jobs_table,
                 effect.job_id,
-                encode(effect.record),
+                encode_row(effect.record),
             ),
         ),
     )
--- a/src/tulippin/jobs/_rows.py
+++ b/src/tulippin/jobs/_rows.py
@@ -5,9 +5,9 @@
 import typing as t
 
 from tulippin import failures
-from tulippin.codec_json import decode
 from tulippin.exceptions import InputError
 from tulippin.jobs._record_validation import drop_faults, find_fault
+from tulippin.jobs._row_codec import decode_row
 from tulippin.jobs.ports import RowStore, StoredRow
 from tulippin.logs import logger
 
@@ -24,7 +24,7 @@
     if row is None or row.value is None:
         return None
     try:
-        record = decode(row.value, kind)
+        record = decode_row(row.value, kind)
     except InputError as error:
         log_unreadable(row, error.message)
         return None
