Let suspected tasks of one job share workers if there are too many

If isolating all suspected tasks takes more than four rounds, those of one job that have one crash each share workers on probation, as many as make it four rounds. A further crash still shows which job caused it; tasks with two crashes stay alone.

The 80 tests of test_scheduler_crashes, test_crash_counting and test_restarted_workers pass.

--- a/src/tulippin/jobs/_probation.py
+++ b/src/tulippin/jobs/_probation.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 import typing as t
 
 from tulippin.jobs.state import Attempt, SchedulerState, Task, Worker
@@ -27,6 +28,10 @@
 # Limits the share of workers that are closed at one time, so that other work
 # goes on when many tasks are suspected.
 _MAX_CLOSED_SHARE: t.Final = 0.25
+# Rounds of probations, one run on each worker, within which all suspected tasks
+# can be isolated. If there are more, those of one job share workers: the next
+# crash still shows which job caused it.
+_MAX_ROUNDS: t.Final = 4
 # A worker that hasn't answered for this time isn't a candidate for suspected
 # tasks: a crashed worker without runs would look like the best one. While
 # there are suspected tasks, idle workers are synchronized too, once a second.
@@ -87,16 +92,42 @@
         return True
     if is_isolated and state.now_ms - worker.answered_ms > _MAX_ANSWER_AGE_MS:
         return False
-    for attempt in worker.probation_runs.values():
-        is_own_gang = attempt.step.gang and attempt.key[:3] == task.key[:3]
-        if is_own_gang or not is_on_probation(attempt, worker):
-            continue
-        if is_isolated or attempt.crash_count >= ISOLATING_CRASH_COUNT:
+    sibling_count = 0
+    for attempt in _list_on_probation(worker, task):
+        if _may_share(attempt, task):
+            sibling_count += 1
+        elif is_isolated or attempt.crash_count >= ISOLATING_CRASH_COUNT:
             return False
+    if is_isolated and sibling_count >= _get_group_size(state):
+        return False
     is_closing = is_isolated and len(task.crashes) >= ISOLATING_CRASH_COUNT
     return not is_closing or _may_close_more(task, state)
 
 
+def _list_on_probation(worker: Worker, task: Task) -> list[Attempt]:
+    """Return the runs on probation that aren't of a task's own gang."""
+    return [
+        attempt
+        for attempt in worker.probation_runs.values()
+        if not (attempt.step.gang and attempt.key[:3] == task.key[:3])
+        and is_on_probation(attempt, worker)
+    ]
+
+
+def _may_share(attempt: Attempt, task: Task) -> bool:
+    """Whether a run and a task of its job may be on probation together."""
+    return (
+        attempt.key.job_id == task.key.job_id
+        and max(attempt.crash_count, len(task.crashes)) < ISOLATING_CRASH_COUNT
+    )
+
+
+def _get_group_size(state: SchedulerState) -> int:
+    """Return how many suspected tasks of a job may share a worker."""
+    isolated_count = _MAX_ROUNDS * max(1, len(state.workers))
+    return max(1, math.ceil(len(state.suspects) / isolated_count))
+
+
 def _may_close_more(task: Task, state: SchedulerState) -> bool:
     """Whether one more worker may be closed for a suspected run."""
     closed_count = sum(
