Refuse jobs at the door that are too large for the store to keep

A caller of a job whose row or progress could not fit a row of the store got 504 until it gave up, or a job that would fail once its progress was refused.

JobIntake.submit now raises InputError (job_too_large, status 400) for a job whose row exceeds 65,536 bytes, also compressed, or which has more than 100,000 tasks; the message names the limit. A hand-in that the store refuses for its content gets 400 as well. Property tests draw jobs and histories and check each encoded row against the limit: what is done and transferred is always kept, and all of it for up to 2,000 tasks with a crash, a start, a failure and a place each.

--- a/src/tulippin/jobs/intake.py
+++ b/src/tulippin/jobs/intake.py
@@ -13,22 +13,26 @@
 from tulippin.codec_json import encode
 from tulippin.exceptions import (
     AnswerLostError,
+    InputError,
     OverloadedError,
     UnavailableError,
 )
 from tulippin.jobs import _admission_inputs
 from tulippin.jobs._bounded_writes import make_rejection, transact_in_time
 from tulippin.jobs._ownership import count_waiting
+from tulippin.jobs._row_codec import encode_row
 from tulippin.jobs._rows import is_unreadable, read_record, read_row
 from tulippin.jobs._transactions import transact_with_retries
 from tulippin.jobs._write_bounds import CallRejectedError, Reason, find_reason
 from tulippin.jobs.ports import (
+    MAX_ROW_BYTES,
     RowCondition,
     RowStore,
     RowWrite,
     StoredRow,
     Transaction,
     TransactionResult,
+    WriteRefusedError,
 )
 from tulippin.jobs.records import (
     CANCEL_SUFFIX,
@@ -66,6 +70,9 @@
 # off from the store would not learn the outcome of a write, while its caller
 # may reach another instance. It is not ready after the same time.
 _MAX_STORE_SILENCE_MS: t.Final = 2500
+# Tasks of a job whose progress fits a row of the store, whatever happens to
+# them.
+MAX_KEPT_TASKS: t.Final = 100_000
 # Time for the reply after a bounded write has been given up.
 _CONCLUDE_S: t.Final = 0.02
 
@@ -201,9 +208,11 @@
         """Accept a job, which is durable once this returns.
 
         A repeated id denotes the same job, whatever its request. Raises
-        ``OverloadedError`` if a new job would be completed too late.
+        ``OverloadedError`` if a new job would be completed too late, and
+        ``InputError`` if the store can't keep the job.
         """
         began_ms = self.shell.clock()
+        _check_task_count(request)
         await self._wait_for_layout(limit_ms)
         part = self._get_part(job_id)
         await self._check_admission(job_id, queue, request)
@@ -221,11 +230,14 @@
             (RowCondition(HOMES_TABLE, job_id, 0),),
             (
                 RowWrite(HOMES_TABLE, job_id, encode(home)),
-                RowWrite(Unit(number).jobs_table, job_id, encode(record)),
+                RowWrite(Unit(number).jobs_table, job_id, _encode_job(record)),
             ),
         )
         remaining_ms = limit_ms - (self.shell.clock() - began_ms)
-        result, attempts = await self._transact(transaction, remaining_ms)
+        try:
+            result, attempts = await self._transact(transaction, remaining_ms)
+        except WriteRefusedError as error:
+            raise _make_size_error(error.message) from error
         if result.is_done:
             self._cache_home(job_id, number)
         elif _is_home_unreadable(result, job_id):
@@ -411,6 +423,31 @@
     )
 
 
+def _check_task_count(request: JobRequest) -> None:
+    """Raise ``InputError`` if a job's progress may not fit a row."""
+    count = sum(step.task_count for step in request.steps)
+    if count > MAX_KEPT_TASKS:
+        raise _make_size_error(
+            f'it has {count} tasks, at most {MAX_KEPT_TASKS} are kept;'
+            ' submit several jobs'
+        )
+
+
+def _encode_job(record: JobRecord) -> bytes:
+    """Return the value of a new job's row, or raise ``InputError``."""
+    value = encode_row(record)
+    if len(value) > MAX_ROW_BYTES:
+        raise _make_size_error(
+            f'it takes {len(value)} bytes, at most {MAX_ROW_BYTES} are kept;'
+            ' give it fewer steps'
+        )
+    return value
+
+
+def _make_size_error(reason: str) -> InputError:
+    return InputError(f'the job is refused: {reason}', code='job_too_large')
+
+
 def _make_cancel_transaction(
     job_id: str, queue: Queue, home: HomeRecord, row: StoredRow
 ) -> Transaction:
--- a/tests/tulippin/jobs/test_row_codec.py
+++ b/tests/tulippin/jobs/test_row_codec.py
@@ -6,14 +6,22 @@
 import attrs
 import pytest
 import trio
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
 
 from scheduler_fleet import JOB, make_request, open_fleet
 from tulippin.codec_json import encode
 from tulippin.exceptions import InputError
 from tulippin.jobs._packed_progress import PackedProgress, pack, unpack
 from tulippin.jobs._row_codec import decode_row, encode_row
+from tulippin.jobs.intake import MAX_KEPT_TASKS, _encode_job
 from tulippin.jobs.ports import MAX_ROW_BYTES
-from tulippin.jobs.records import CrashRecord, GuestRecord, ProgressRecord
+from tulippin.jobs.records import (
+    CrashRecord,
+    GuestRecord,
+    JobRecord,
+    ProgressRecord,
+)
 from tulippin.jobs.types import JobRequest, JobState, Queue, Step
 from tulippin.types import Resources
 
@@ -204,3 +212,185 @@
             fleet.check()
 
     run_virtual(run)
+
+
+@attrs.frozen
+class History:
+    """Shares of a job's tasks to which something has happened."""
+
+    workers: int
+    crashed: float
+    crashes: int
+    started: float
+    failed: float
+    runs: int
+    passed: float
+    assigned: float
+    done: float
+
+
+shares = st.sampled_from([0.0, 0.01, 0.3, 1.0])
+histories = st.builds(
+    History,
+    st.integers(1, 200),
+    shares,
+    st.integers(1, 3),
+    shares,
+    shares,
+    st.integers(1, 4),
+    st.sampled_from([0.0, 0.01, 0.1]),
+    shares,
+    shares,
+)
+
+
+def make_history(sizes, occurrences, history, source):
+    """Return progress of a job of some steps after a history."""
+    last = occurrences - 1
+    names = [
+        f'{last}.{step}.{index}'
+        for step, size in enumerate(sizes)
+        for index in range(size)
+    ]
+    ids = [f'worker-{number}' for number in range(history.workers)]
+
+    def choose(share):
+        return [name for name in names if source.random() < share]
+
+    def draw_bits(size):
+        bits = sum(
+            1 << index
+            for index in range(size)
+            if source.random() < history.done
+        )
+        return f'{bits:x}'
+
+    done = {
+        f'{number}.{step}': f'{(1 << size) - 1:x}'
+        for number in range(last)
+        for step, size in enumerate(sizes)
+    }
+    for step, size in enumerate(sizes):
+        done[f'{last}.{step}'] = draw_bits(size)
+    failed = choose(history.failed)
+    return ProgressRecord(
+        JobState.RUNNING,
+        done,
+        {name: [RUN + run for run in range(history.runs)] for name in failed},
+        {
+            name: (source.randrange(9), 1, RUN + source.randrange(4))
+            for name in choose(history.passed)
+        },
+        {name: sorted(source.choices(ids, k=2)) for name in failed},
+        {
+            name: tuple(
+                make_crash(source, source.randrange(history.workers))
+                for _ in range(history.crashes)
+            )
+            for name in choose(history.crashed)
+        },
+        {
+            name: (RUN + source.randrange(4), source.choice(ids))
+            for name in choose(history.started)
+        },
+        places={
+            name: (source.choice(ids),) for name in choose(history.assigned)
+        },
+        begun={f'{last}.0': draw_bits(sizes[0])},
+    )
+
+
+@settings(max_examples=60)
+@given(
+    st.lists(st.integers(1, 2000), min_size=1, max_size=5),
+    st.sampled_from([1, 2, 500]),
+    histories,
+    st.integers(0, 2**32),
+)
+@example([20_000] * 5, 1, History(200, 1, 1, 1, 1, 2, 0.1, 1, 0.5), 0)
+def test_progress_after_any_history_is_kept_within_the_limit(
+    sizes, occurrences, history, seed
+):
+    assert sum(sizes) <= MAX_KEPT_TASKS
+    record = make_history(sizes, occurrences, history, random.Random(seed))
+    value = encode_row(record)
+    assert len(value) <= MAX_ROW_BYTES
+    kept = decode_row(value, ProgressRecord)
+    assert (kept.state, kept.done, kept.passed) == (
+        record.state,
+        record.done,
+        record.passed,
+    )
+    for field in attrs.fields(ProgressRecord):
+        part = getattr(kept, field.name)
+        assert part == getattr(record, field.name) or not part
+
+
+@settings(max_examples=30)
+@given(
+    st.lists(st.integers(1, 400), min_size=1, max_size=5),
+    st.integers(1, 50),
+    st.integers(0, 2**32),
+)
+def test_progress_of_up_to_two_thousand_tasks_is_kept_whole(
+    sizes, workers, seed
+):
+    """All tasks have a crash, a start, a failure and a place."""
+    history = History(workers, 1, 1, 1, 1, 2, 0.1, 1, 0.5)
+    record = make_history(sizes, 1, history, random.Random(seed))
+    value = encode_row(record)
+    assert len(value) <= MAX_ROW_BYTES
+    assert decode_row(value, ProgressRecord) == record
+
+
+def make_varied_request(count, seed):
+    """Return a job of steps whose images can hardly be compressed."""
+    source = random.Random(seed)
+    return JobRequest(
+        '',
+        tuple(
+            Step(1, Resources(10, 10), image=source.randbytes(16).hex())
+            for _ in range(count)
+        ),
+    )
+
+
+@pytest.mark.parametrize(
+    ('request_', 'limit'),
+    [
+        (
+            make_request(
+                *[Step(MAX_KEPT_TASKS // 2 + 1, Resources(10, 10))] * 2
+            ),
+            MAX_KEPT_TASKS,
+        ),
+        (make_varied_request(5000, 0), MAX_ROW_BYTES),
+    ],
+    ids=['tasks', 'bytes'],
+)
+def test_job_that_is_too_large_is_refused_at_the_door(
+    run_virtual, request_, limit
+):
+    async def run():
+        async with open_fleet(instances=1) as fleet:
+            with pytest.raises(InputError, match=f'at most {limit}') as caught:
+                await fleet.submit(request=request_)
+            assert caught.value.code == 'job_too_large'
+            assert not any(
+                key == JOB for _, _, key in fleet.platform.store.rows
+            )
+
+    run_virtual(run)
+
+
+@settings(max_examples=20)
+@given(st.integers(1, 6000), st.integers(0, 2**32))
+def test_job_is_kept_or_refused_at_the_door_by_its_size(count, seed):
+    record = JobRecord(QUEUE, make_varied_request(count, seed))
+    if len(encode_row(record)) > MAX_ROW_BYTES:
+        with pytest.raises(InputError, match=f'at most {MAX_ROW_BYTES}'):
+            _encode_job(record)
+        return
+    value = _encode_job(record)
+    assert len(value) <= MAX_ROW_BYTES
+    assert decode_row(value, JobRecord) == record
