Check in the soak of jobs that ready work has a run beside idle workers

The soak checked how jobs end, and not whether they run.

Change: once the faults are over, and 9 s after the last loss of a worker (a takeover, which outlasts the leases of 6 s), a job that isn't done and has nothing running for over 3 s, plus the polling of 0.1 s, while two of its tasks fit in idle processors and free memory and less than half of the processors works, is a violation. The time of a job begins anew while its crashes forbid all of its starts (`may_start`). `waiting_jobs.Watch` measures it; it knows now the size of each job's tasks and passes over workers that are down or draining. `--serving JOBS` adds served tasks with a target on all workers, some of which miss it by their own load, and opportunistic jobs of up to 15 GB a task during the last faults and again after them; no task crashes its worker there, as that goes on in the quiet period.

--- a/bench/soak_jobs.py
+++ b/bench/soak_jobs.py
@@ -26,6 +26,7 @@
     evacuates: bool,
     features: Features,
     loses_in_series: bool,
+    backlog_jobs: int,
 ) -> list[str]:
     trio_run._ALLOW_DETERMINISTIC_SCHEDULING = True
     trio_run._r = random.Random(seed)
@@ -37,6 +38,7 @@
         evacuates,
         features,
         loses_in_series,
+        backlog_jobs,
         clock=clock,
     )
 
@@ -65,6 +67,15 @@
         action='store_true',
         help='lose owners one after the other, and workers for good',
     )
+    parser.add_argument(
+        '--serving',
+        type=int,
+        nargs='?',
+        const=16,
+        default=0,
+        metavar='JOBS',
+        help='serve tasks with targets, and add twice so many jobs',
+    )
     options = parser.parse_args()
     features = (
         scheduler_soak.ALL_PARTS
@@ -80,6 +91,7 @@
             options.evacuate,
             features,
             options.lose_in_series,
+            options.serving,
         )
         if violations:
             failures += 1
--- a/tests/scheduler_soak.py
+++ b/tests/scheduler_soak.py
@@ -7,12 +7,15 @@
 """
 
 import collections
+import contextlib
 import random
 
 import attrs
 import msgspec
+import pytest
 import trio
 
+import waiting_jobs
 from scheduler_fleet import (
     LOW_PRIORITY_QUEUE,
     QUEUE,
@@ -22,9 +25,11 @@
     open_fleet,
 )
 from tulippin.exceptions import UnavailableError
+from tulippin.jobs import _crashes
 from tulippin.jobs.features import Features
-from tulippin.jobs.types import FINAL_STATES, JobState
-from tulippin.platform.standin import check_history
+from tulippin.jobs.types import FINAL_STATES, JobState, RunOutcome
+from tulippin.platform.standin import check_history, get_now_ms
+from tulippin.types import Resources
 
 TASK_MILLICORES = 2000
 LONG_RUN_MS = 60_000
@@ -40,6 +45,20 @@
 QUIET_S = 30
 # Maximum time for long-running tasks to run again after the last fault.
 RECOVERY_S = 15
+# Time after the last fault until work that may run has to run: a takeover, in
+# which the leases of lost workers end.
+SETTLING_S = 9
+POLL_INTERVAL_S = 0.1
+# How long users accept a job without a run beside idle workers.
+MAX_STALLED_S = 3 + POLL_INTERVAL_S
+# Opportunistic jobs beside served tasks, and the time for which they are
+# watched.
+BACKLOG_CPU = (500, 1000, 2000, 6000)
+BACKLOG_MEMORY_MB = (1000, 9000, 15_000)
+BACKLOG_RUN_MS = (1500, 4000)
+BACKLOG_S = 30
+# Tails of the served tasks without neighbours, of which some miss the target.
+OWN_TAILS_MS = (12.0, 12.0, 30.0, 48.0, 60.0)
 # Between the crash of a worker and its restart under its id.
 RESTARTS_MS = (0, 50, 300, 700, 2000)
 # Between the losses of two owners, and between the end of a process and its
@@ -72,6 +91,17 @@
 )
 
 
+@attrs.frozen
+class OwnTails:
+    """The tail of each worker without neighbours, also of later workers."""
+
+    seed: int
+
+    def get(self, worker_id, default):
+        source = random.Random(f'tail {self.seed} {worker_id}')
+        return source.choice(OWN_TAILS_MS)
+
+
 @attrs.define
 class Soak:
     """State of a scenario: fleet, random source and submitted jobs."""
@@ -82,6 +112,18 @@
     crashing: list = attrs.field(factory=list)
     long_running_jobs: dict = attrs.field(factory=dict)
     starts: int = 0
+    task_counts: dict = attrs.field(factory=dict)
+    backlog_jobs: int = 0
+    crashing_share: float = 1 / 6
+    backlog: list = attrs.field(factory=list)
+    watch: object = attrs.field(init=False)
+    faults_over_ms: int = 0
+
+    @watch.default
+    def _make_watch(self):
+        return waiting_jobs.Watch(
+            self.fleet, None, TASK_MILLICORES, counts_cpu=True
+        )
 
     async def submit(self, job_id, request, queue):
         while True:
@@ -94,12 +136,16 @@
             return
 
     async def submit_jobs(self):
-        """Submit a job every 0.3 s on average; one in six crashes workers."""
+        """Submit a job every 0.3 s on average.
+
+        One in six crashes workers, but for those beside served tasks: they
+        would go on with it in the quiet period.
+        """
         number = 0
         while trio.current_time() < FAULTS_S:
             number += 1
             queue = self.source.choice((QUEUE, LOW_PRIORITY_QUEUE))
-            if self.source.random() < 1 / 6:
+            if self.source.random() < self.crashing_share:
                 await self._submit_crashing(number, queue)
             else:
                 await self._submit_healthy(number, queue)
@@ -121,6 +167,7 @@
             self.long_running_jobs[job_id] = step.task_count
         else:
             self.healthy.append(job_id)
+            self.task_counts[job_id] = step.task_count
         await self.submit(job_id, request, queue)
 
     async def _submit_crashing(self, number, queue):
@@ -137,6 +184,114 @@
         self.crashing.append(job_id)
         await self.submit(job_id, request, queue)
 
+    async def serve(self):
+        """Run a task with a target on every worker."""
+        await waiting_jobs.serve(self.fleet, WORKER_COUNT)
+
+    async def submit_backlog(self, source, number_from):
+        """Submit jobs that exceed the memory beside served tasks."""
+        for number in range(number_from, number_from + self.backlog_jobs):
+            job_id = f'b{number:015x}'
+            cpu = source.choice(BACKLOG_CPU)
+            memory_mb = source.choice(BACKLOG_MEMORY_MB)
+            request = waiting_jobs.make_batch(
+                source.randrange(2, 9),
+                cpu=cpu,
+                memory_mb=memory_mb,
+                run_ms=source.choice(BACKLOG_RUN_MS),
+            )
+            self.watch.sizes[job_id] = Resources(cpu, memory_mb)
+            self.backlog.append(job_id)
+            self.task_counts[job_id] = request.steps[0].task_count
+            await self.submit(job_id, request, LOW_PRIORITY_QUEUE)
+            await trio.sleep(0.2 * source.random())
+
+    async def submit_early_backlog(self, source):
+        """Submit a backlog during the last faults."""
+        await trio.sleep(FAULTS_S - 2)
+        await self.submit_backlog(source, 0)
+
+    def note_stalls(self):
+        """Note the jobs without a run, except soon after a fault.
+
+        The last fault is the last loss of a worker: some jobs still crash
+        theirs when all others are over.
+        """
+        lost_ms = max(
+            (
+                event.at_ms
+                for event in self.fleet.platform.history
+                if event.kind == 'lost'
+            ),
+            default=0,
+        )
+        settled_ms = get_now_ms() - 1000 * SETTLING_S
+        is_calm = max(lost_ms, self.faults_over_ms) <= settled_ms
+        job_ids = {*self.healthy, *self.backlog} - self._list_over()
+        if is_calm:
+            self.watch.note(job_ids, excused=self._list_suspected(job_ids))
+        else:
+            self.watch.note(job_ids, excused=job_ids)
+
+    def _list_over(self):
+        """Return the jobs that have failed, or whose tasks are all done."""
+        done = {
+            event.key
+            for event in self.fleet.platform.history
+            if event.outcome is RunOutcome.DONE
+        }
+        counts = collections.Counter(key.job_id for key in done)
+        owner = self.fleet.instances.get(self.fleet.get_owner())
+        jobs = owner.state.jobs if owner else {}
+        failed = {
+            job_id
+            for job_id, job in jobs.items()
+            if job.state is JobState.FAILED
+        }
+        return failed | {
+            job_id
+            for job_id, count in counts.items()
+            if count == self.task_counts.get(job_id)
+        }
+
+    def _list_suspected(self, job_ids):
+        """Return the jobs whose crashes forbid each of their starts."""
+        owner = self.fleet.instances.get(self.fleet.get_owner())
+        jobs = owner.state.jobs if owner else {}
+        return {
+            job_id
+            for job_id in job_ids & jobs.keys()
+            if not any(
+                task.unresolved_start is None
+                and _crashes.may_start(jobs[job_id], task, owner.state)
+                for task in jobs[job_id].tasks.values()
+                if not task.is_done
+            )
+        }
+
+    def list_stalled(self):
+        """Return the jobs that had nothing running for too long."""
+        return [
+            f'{job_id} had nothing running for {lasted_s:.1f} s'
+            for job_id, lasted_s in sorted(self.watch.absent_s.items())
+            if lasted_s > MAX_STALLED_S
+        ]
+
+    async def watch_backlog(self, source):
+        """Submit another backlog; watch both after the faults."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._submit_late_backlog, source)
+            until_s = trio.current_time() + SETTLING_S + BACKLOG_S
+            while trio.current_time() < until_s:
+                self.note_stalls()
+                await trio.sleep(POLL_INTERVAL_S)
+
+    async def _submit_late_backlog(self, source):
+        await trio.sleep(SETTLING_S - 2)
+        await self.fleet.wait_owner()
+        waiting_jobs.expect_harm(self.fleet, 'heavy')
+        await self.submit_backlog(source, self.backlog_jobs)
+
     async def inject_faults(self):
         """Inject overlapping faults, one about every 1.2 s."""
         async with trio.open_nursery() as nursery:
@@ -336,7 +491,8 @@
             for job_id in ends:
                 while states.get(job_id) not in FINAL_STATES:
                     states[job_id] = await self._read_state(job_id)
-                    await trio.sleep(0.1)
+                    self.note_stalls()
+                    await trio.sleep(POLL_INTERVAL_S)
         for job_id in self.long_running_jobs:
             ends[job_id] = JobState.RUNNING
             states[job_id] = await self._read_state(job_id)
@@ -352,6 +508,13 @@
         violations.extend(
             f'{name} is away' for name in self._list_missing_tasks(states)
         )
+        for job_id in self.backlog:
+            state = await self._read_state(job_id)
+            if state is JobState.FAILED and not self._may_be_abandoned(
+                job_id, state
+            ):
+                violations.append(f'{job_id} is {state}')
+        violations.extend(self.list_stalled())
         violations.extend(self.fleet.platform.list_starts_in_evacuated())
         return violations + check_history(self.fleet.platform.history)
 
@@ -391,13 +554,17 @@
     are_domains_evacuated=False,
     features=NO_PARTS,
     loses_in_series=False,
+    backlog_jobs=0,
 ):
     """Run the scenario of a seed; return all violations.
 
     If `are_ids_kept`, workers restart under their ids, also at once. If
     `are_domains_evacuated`, the workers lie in two failure domains, which
     operators evacuate again and again. If `loses_in_series`, owners are lost
-    one after the other, beside workers that are lost for good.
+    one after the other, beside workers that are lost for good. With
+    `backlog_jobs` each worker serves a task with a target, some of which miss
+    it by their own load, and so many opportunistic jobs come during the last
+    faults and again after them.
     """
     rack_size = WORKER_COUNT // 2 if are_domains_evacuated else WORKER_COUNT
     source = random.Random(seed)
@@ -406,20 +573,32 @@
         msgspec.structs.replace(one, enforces_capacity=False)
         for one in body.services
     )
-    async with open_fleet(
-        instances=3,
-        workers=WORKER_COUNT,
-        rack_size=rack_size,
-        racks_per_domain=1,
-        features=features,
-    ) as fleet:
+    async with contextlib.AsyncExitStack() as stack:
+        fleet = await stack.enter_async_context(
+            open_fleet(
+                instances=3,
+                workers=WORKER_COUNT,
+                rack_size=rack_size,
+                racks_per_domain=1,
+                features=features,
+            )
+        )
         fleet.platform.configure(
             msgspec.structs.replace(body, services=services)
         )
         fleet.platform.restart_delay_ms = source.choice((1400, 2000, 6000))
         fleet.platform.store.source.seed(seed)
         soak = Soak(fleet, source)
+        serving_source = random.Random(f'serve {seed}')
+        if backlog_jobs:
+            soak.backlog_jobs = backlog_jobs
+            monkeypatch = stack.enter_context(pytest.MonkeyPatch.context())
+            waiting_jobs.follow_load(monkeypatch, OwnTails(seed))
+            soak.crashing_share = 0
+            await soak.serve()
         async with trio.open_nursery() as nursery:
+            if backlog_jobs:
+                nursery.start_soon(soak.submit_early_backlog, serving_source)
             nursery.start_soon(soak.submit_jobs)
             nursery.start_soon(soak.inject_faults)
             if are_ids_kept:
@@ -433,4 +612,7 @@
                 nursery.start_soon(
                     soak.evacuate_domains, random.Random(f'evacuate {seed}')
                 )
+        soak.faults_over_ms = get_now_ms()
+        if backlog_jobs:
+            await soak.watch_backlog(serving_source)
         return await soak.collect_violations()
--- a/tests/tulippin/jobs/test_scheduler_soak.py
+++ b/tests/tulippin/jobs/test_scheduler_soak.py
@@ -90,3 +90,21 @@
 @pytest.mark.parametrize('seed', RESTART_SEEDS)
 def test_workers_restart_under_their_ids_in_series(run_virtual, seed):
     assert run_virtual(scheduler_soak.play, seed, True, seed=seed) == []
+
+
+# The number of jobs that come during the last faults, and again after them.
+BACKLOG_JOBS = 16
+
+
+@pytest.mark.parametrize('loses_in_series', [False, True])
+@pytest.mark.parametrize('seed', [41000, 41010])
+def test_jobs_run_beside_served_tasks_once_faults_are_over(
+    run_virtual, seed, loses_in_series
+):
+    """Guards against reasons without an end that hold ready work back."""
+    play = functools.partial(
+        scheduler_soak.play,
+        loses_in_series=loses_in_series,
+        backlog_jobs=BACKLOG_JOBS,
+    )
+    assert run_virtual(play, seed, seed=seed) == []
--- a/tests/waiting_jobs.py
+++ b/tests/waiting_jobs.py
@@ -110,13 +110,17 @@
     while less than half of the processors work and the workers have memory for
     two of its tasks, ``absent_s`` that without any run. ``harm_s`` is the
     longest time for which tasks that work made a worker miss a target that it
-    meets without them. Tasks take ``cpu`` millicores and ``memory_mb``.
+    meets without them. Tasks take ``cpu`` millicores and ``memory_mb``, those
+    of the jobs in ``sizes`` as much as is given there. With ``counts_cpu`` the
+    two tasks need idle processors, too.
     """
 
     fleet: object
     get_own_ms: object
     cpu: int = 1000
     memory_mb: int = 1000
+    sizes: dict = attrs.field(factory=dict)
+    counts_cpu: bool = False
     stalled_s: dict = attrs.field(factory=dict)
     absent_s: dict = attrs.field(factory=dict)
     harm_s: float = 0.0
@@ -132,43 +136,85 @@
         return open_jobs
 
     def _poll(self, job_ids):
-        present = set()
-        working = set()
-        used = 0
         for worker in self.fleet.platform.workers.values():
             worker.tick()
             self._check_harm(worker)
+        return self.note(job_ids)
+
+    def note(self, job_ids, excused=()):
+        """Note which jobs have a run now, and return those that are done.
+
+        The time of excused jobs begins anew.
+        """
+        present = set()
+        working = set()
+        used = 0
+        workers = self._list_workers()
+        for worker in workers:
             for (key, _), run in worker.runs.items():
                 present.add(key.job_id)
-                used += self._get_use(run)
+                used += self._get_use(key, run)
                 if run.pace_percent and run.stops_at_ms is None:
                     working.add(key.job_id)
-        workers = self.fleet.platform.workers.values()
         is_busy = 2 * used >= sum(worker.room.cpu for worker in workers)
-        is_busy = is_busy or sum(map(self._count_places, workers)) < 2
+        places = self._count_places(workers, job_ids)
         done = {job_id for job_id in job_ids if self._is_done(job_id)}
         for job_id in job_ids - done:
+            is_over = (
+                is_busy
+                or places[self._get_size(job_id)] < 2
+                or job_id in excused
+            )
             self._note(
-                self.absent_s, job_id, is_over=is_busy or job_id in present
+                self.absent_s, job_id, is_over=is_over or job_id in present
             )
             self._note(
-                self.stalled_s, job_id, is_over=is_busy or job_id in working
+                self.stalled_s, job_id, is_over=is_over or job_id in working
             )
         return done
 
-    def _count_places(self, worker):
-        """Return how many tasks fit in the memory that no run holds."""
+    def _list_workers(self):
+        """Return the workers that may get runs."""
+        return [
+            worker
+            for worker in self.fleet.platform.workers.values()
+            if worker.is_up and not worker.is_draining
+        ]
+
+    def _get_size(self, job_id):
+        default = Resources(self.cpu, self.memory_mb)
+        return self.sizes.get(job_id, default)
+
+    def _count_places(self, workers, job_ids):
+        """Return for each size of the tasks how many more fit."""
+        free = [self._get_free(worker) for worker in workers]
+        return {
+            size: sum(self._count_fitting(size, *one) for one in free)
+            for size in {self._get_size(job_id) for job_id in job_ids}
+        }
+
+    def _get_free(self, worker):
+        """Return the idle millicores and the memory that no run holds."""
+        runs = worker.runs.items()
+        used = sum(self._get_use(key, run) for (key, _), run in runs)
         held_mb = sum(
-            1000 if run.plan.lasts else self.memory_mb
-            for run in worker.runs.values()
+            1000 if run.plan.lasts else self._get_size(key.job_id).memory_mb
+            for (key, _), run in runs
         )
-        return (worker.room.memory_mb - held_mb) // self.memory_mb
+        return worker.room.cpu - used, worker.room.memory_mb - held_mb
+
+    def _count_fitting(self, size, idle_cpu, free_mb):
+        count = free_mb // size.memory_mb
+        if self.counts_cpu:
+            count = min(count, idle_cpu // size.cpu_millicores)
+        return max(0, count)
 
-    def _get_use(self, run):
+    def _get_use(self, key, run):
         """Return the millicores that a run takes at its pace."""
         if run.plan.lasts:
             return SERVING_CPU
-        return self.cpu * run.pace_percent / 100
+        size = self._get_size(key.job_id)
+        return size.cpu_millicores * run.pace_percent / 100
 
     def _note(self, longest_s, job_id, *, is_over):
         lasted_s = self._measure((id(longest_s), job_id), is_over=is_over)
