Follow two changed calls in the model of handovers and in a test of cancels

The store's calls with a smaller second form are made in _refusals now, and the choice of a home unit takes the service.

--- a/tests/handover_model.py
+++ b/tests/handover_model.py
@@ -17,7 +17,13 @@
 
 from tulippin.codec_json import encode
 from tulippin.exceptions import AnswerLostError, UnavailableError
-from tulippin.jobs import _accounts, _row_effects, _transactions, _unit_feeds
+from tulippin.jobs import (
+    _accounts,
+    _refusals,
+    _row_effects,
+    _transactions,
+    _unit_feeds,
+)
 from tulippin.jobs import events as ev
 from tulippin.jobs._transactions import AnswerTimes
 from tulippin.jobs._unit_feeds import UnitFeeds
@@ -134,9 +140,8 @@
     """Make the feeds and effects call the model."""
     for module in (_unit_feeds, _row_effects, _accounts):
         monkeypatch.setattr(module, 'trio', TRIO)
-    monkeypatch.setattr(
-        _row_effects, 'transact_with_retries', transact_in_steps
-    )
+    for module in (_row_effects, _refusals):
+        monkeypatch.setattr(module, 'transact_with_retries', transact_in_steps)
 
 
 @attrs.define(eq=False)
--- a/tests/tulippin/jobs/test_early_cancels.py
+++ b/tests/tulippin/jobs/test_early_cancels.py
@@ -247,7 +247,7 @@
             await trio.sleep(8)
             for instance in fleet.instances.values():
                 assert number in instance.shell.units
-                instance.shell.choose_unit = lambda request: number
+                instance.shell.choose_unit = lambda request, service: number
             await submit_late(fleet)
             assert not await cancel(fleet, 'i1')
             await check_never_runs(fleet)
