Read signals until the instance has ended

What was seen: an instance ended with 1 at its planned stop (`KeyError: 'dictionary is empty'` in `watch`), where a SIGHUP came as it closed.

Cause: the receiver of signals was closed before its reader had ended. A signal that the reader had been woken for was raised again by the receiver, and the reader then found none.

Change: the nursery lies inside the receiver. A signal that is left is raised again with its earlier effect, as before: SIGHUP has none.

--- a/src/tulippin/scheduler_daemon.py
+++ b/src/tulippin/scheduler_daemon.py
@@ -377,15 +377,16 @@
 
 
 async def _run_with_signals(daemon: SchedulerDaemon) -> None:
-    async with trio.open_nursery() as nursery:
-        with trio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-        ) as signals:
+    with trio.open_signal_receiver(
+        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    ) as signals:
 
-            async def watch() -> None:
-                async for number in signals:
-                    daemon.handle_signal(number)
+        async def watch() -> None:
+            async for number in signals:
+                daemon.handle_signal(number)
 
+        # The receiver may only be closed after its reader has ended.
+        async with trio.open_nursery() as nursery:
             nursery.start_soon(watch)
             await daemon.run()
             nursery.cancel_scope.cancel()
