Read signals until the job daemon has ended

What was seen: nothing in use. The daemon of `tulippin.daemon` closed its receiver of signals before the reader had ended, as `tulippin.scheduler_daemon` did, so that a second SIGTERM at the end of a stop could end it with 1.

Change: the nursery lies inside the receiver.

Result: the case added to `test_signal_at_the_end_is_handled_once` failed before (KeyError) and passes, as do the tests of the daemon's exit and of its processes.

--- a/src/tulippin/daemon.py
+++ b/src/tulippin/daemon.py
@@ -211,15 +211,14 @@
 
 
 async def _run_with_signals(daemon: Daemon) -> None:
-    async with trio.open_nursery() as nursery:
-        with trio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT
-        ) as signals:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
 
-            async def watch() -> None:
-                async for _ in signals:
-                    daemon.stop()
+        async def watch() -> None:
+            async for _ in signals:
+                daemon.stop()
 
+        # The receiver may only be closed after its reader has ended.
+        async with trio.open_nursery() as nursery:
             nursery.start_soon(watch)
             await daemon.run()
             nursery.cancel_scope.cancel()
--- a/tests/tulippin/platform/test_daemon_signals.py
+++ b/tests/tulippin/platform/test_daemon_signals.py
@@ -8,7 +8,8 @@
 import trio
 import trio.testing
 
-from tulippin.scheduler_daemon import _run_with_signals
+from tulippin import daemon as job_daemon
+from tulippin import scheduler_daemon
 
 # Of two tasks that are woken at once, trio picks the first one at random.
 ATTEMPTS = 30
@@ -24,6 +25,9 @@
     def handle_signal(self, number):
         self.handled.append(number)
 
+    def stop(self):
+        self.handled.append(self.number)
+
     async def run(self):
         await trio.testing.wait_all_tasks_blocked()
         has_come = trio.Event()
@@ -43,11 +47,18 @@
         signal.signal(number, original)
 
 
-@pytest.mark.parametrize('number', [signal.SIGHUP, signal.SIGTERM])
-def test_signal_at_the_end_is_handled_once(number):
+@pytest.mark.parametrize(
+    ('module', 'number'),
+    [
+        (scheduler_daemon, signal.SIGHUP),
+        (scheduler_daemon, signal.SIGTERM),
+        (job_daemon, signal.SIGTERM),
+    ],
+)
+def test_signal_at_the_end_is_handled_once(module, number):
     """Guards against an instance that fails after its planned stop."""
     for _ in range(ATTEMPTS):
         daemon = EndingDaemon(number)
         with record_redelivered(number) as redelivered:
-            trio.run(_run_with_signals, daemon)
+            trio.run(module._run_with_signals, daemon)
         assert daemon.handled + redelivered == [number]
