Start no opportunistic run where all of them pause for a missed target

Cause: a miss is only known to be a worker's own once no opportunistic run has worked there for a second. Harmless tasks went on being placed there at full pace, each of which began that second anew, and slow starts were refused as target_missed for as long as such tasks came.

Evidence: test_target_missed_ends_beside_one_job_with_many_short_tasks failed before: 12.0 s of 15 without a run that works, all six workers refusing.

Change: a worker takes no opportunistic run once a miss has lasted 1.8 s, when those that are there pause, until the miss is over or is known to be its own.

--- a/src/tulippin/jobs/_feasibility.py
+++ b/src/tulippin/jobs/_feasibility.py
@@ -9,6 +9,7 @@
     _advice,
     _evacuation,
     _interference,
+    _own_misses,
     _probation,
     _worker_leases,
 )
@@ -37,6 +38,7 @@
     STALE_TAILS = 'stale_tails'
     BUSY = 'busy'
     KEPT_MEMORY = 'kept_memory'
+    TARGET_MISSED = 'target_missed'
     UNLISTED = 'unlisted'
     UNCONFIRMED = 'unconfirmed'
     SILENT = 'silent'
@@ -95,6 +97,8 @@
             return Obstacle.BUSY
         if lacks_memory(worker, step) and not has_waited:
             return Obstacle.KEPT_MEMORY
+        if _own_misses.pauses_runs(worker, state):
+            return Obstacle.TARGET_MISSED
     return find_closure(worker, job, task, step, state)
 
 
--- a/src/tulippin/jobs/_own_misses.py
+++ b/src/tulippin/jobs/_own_misses.py
@@ -15,6 +15,9 @@
 
 # Ratio of tail to target from which a target counts as missed.
 MISS_RATIO: t.Final = 0.97
+# Duration of a miss after which opportunistic runs pause. A miss may last 4 s;
+# a report is up to 1 s old, and a pace takes effect after 100 ms.
+PAUSE_DELAY_MS: t.Final = 1800
 # Time after the end of the last run until a tail shows nothing of it.
 _SETTLING_MS: t.Final = 1000
 # Validity of a measurement without neighbours. A miss that neighbours cause may
@@ -122,3 +125,12 @@
     """Whether a missed target closes a worker to slow starts."""
     is_missed = worker.targets_missed_since_ms > 0
     return is_missed and not is_own_miss(worker, state)
+
+
+def pauses_runs(worker: Worker, state: SchedulerState) -> bool:
+    """Whether a miss has lasted until all opportunistic runs pause for it.
+
+    A run that starts meanwhile would keep it from being measured.
+    """
+    lasted_ms = state.now_ms - worker.targets_missed_since_ms
+    return is_closed(worker, state) and lasted_ms >= PAUSE_DELAY_MS
--- a/src/tulippin/jobs/_pacing.py
+++ b/src/tulippin/jobs/_pacing.py
@@ -39,12 +39,6 @@
 # second, and a new pace takes effect after 100 ms.
 _RAISE_DELAY_MS: t.Final = 600
 _RESEND_INTERVAL_MS: t.Final = 400
-# Duration of a miss after which opportunistic runs pause. A miss may last
-# 4 s at most; a report is up to 1 s old and a pace takes effect after 100 ms.
-# Paces that keep every target by the model yield 0.754 of the possible value
-# over four days; pausing yields 0.783 after 1.5 s and 0.790 after 2.5 s, but
-# 2.5 s leave too little of the 4 s.
-_PAUSE_DELAY_MS: t.Final = 1800
 # A miss is over once all targets were met for this long, two readings at
 # least: a tail just above its target reads as below it now and then, and
 # with a miss that restarted each time, a target was missed for 4 s.
@@ -179,7 +173,7 @@
         worker.targets_missed_since_ms or state.now_ms
     )
     percent = _FULL_PERCENT
-    if missed_for_ms >= _PAUSE_DELAY_MS:
+    if missed_for_ms >= _own_misses.PAUSE_DELAY_MS:
         percent = _own_misses.get_pace_percent(worker, state)
     before = [attempt.target_pace_percent for attempt in fillers]
     may_raise = state.now_ms - worker.pace_changed_ms >= _RAISE_DELAY_MS
@@ -257,7 +251,9 @@
     now_ms = state.now_ms
     if ratio > _own_misses.MISS_RATIO:
         is_inherited = now_ms - state.ownership.taken_ms < _INHERITED_MISS_MS
-        since_ms = now_ms - _PAUSE_DELAY_MS if is_inherited else now_ms
+        since_ms = (
+            now_ms - _own_misses.PAUSE_DELAY_MS if is_inherited else now_ms
+        )
         if not worker.targets_missed_since_ms:
             worker.targets_missed_since_ms = since_ms
             _slow_start.note_miss(worker, state)
