Allow the slowest pace while jobs arrive

What callers saw: accepted jobs have nothing running for as long as other jobs arrive, beside idle workers.

Cause: while jobs arrive a slow start needed a worker whose tasks with targets tolerate some pace; the exception for jobs without a run for 6 s came late.

Evidence: test_missing_slack_ends_while_jobs_keep_arriving, six forms, failed before: no run in the 14.95 s that were watched, 6.0 s with the exception, in place of 3.5.

Change: the slowest pace is allowed whether jobs arrive or not, and two slow starts share a worker meanwhile, as one was too few for eight jobs on six workers. This takes the place of the exception (Attempt.keeps_pace).

--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -416,7 +416,6 @@
         attempt = _starting.add_run(job, step, task, worker, self.context)
         if slow_start is not None:
             attempt.is_slow_start = True
-            attempt.keeps_pace = slow_start.keeps_pace
             attempt.target_pace_percent = slow_start.pace_percent
             _interference.invalidate_slack(worker)
         _starting.send(attempt, job, self.context)
--- a/src/tulippin/jobs/_slow_start.py
+++ b/src/tulippin/jobs/_slow_start.py
@@ -79,10 +79,8 @@
 _MAX_CROWDED_RUNS: t.Final = 12
 # The same with those that pause.
 _MAX_TOTAL_RUNS: t.Final = 24
-# The same while jobs arrive; only where the slack tolerates some pace.
-_MAX_SLOW_RUNS_WITH_ARRIVALS: t.Final = 1
-# The same with those of jobs that precede others, whatever the slack.
-_MAX_OVERDUE_RUNS_WITH_ARRIVALS: t.Final = 2
+# The same while jobs arrive.
+_MAX_SLOW_RUNS_WITH_ARRIVALS: t.Final = 2
 # Number of tasks compared with all workers in one round: those that have waited
 # longest, and some of the others in turn. Twelve tasks take about 1 ms with 33
 # workers.
@@ -99,15 +97,10 @@
 
 @attrs.frozen
 class SlowStart:
-    """The worker and the pace for the slow start of a task.
-
-    ``keeps_pace`` says that the run goes on at the slowest pace even where the
-    slack tolerates none.
-    """
+    """The worker and the pace for the slow start of a task."""
 
     worker: Worker
     pace_percent: int
-    keeps_pace: bool = False
 
 
 def list_waiting(state: SchedulerState) -> list[tuple[Job, Task]]:
@@ -188,11 +181,8 @@
     Returns
     -------
     SlowStart, optional
-        None if no worker is feasible, or if jobs arrive and no worker
-        tolerates any pace. Without arrivals, and for a job that precedes
-        others, the slowest pace is allowed in any case.
+        None if no worker is feasible. The slowest pace is allowed in any case.
     """
-    keeps_pace = precedes_others(job, task, state)
     best: Worker | None = None
     best_rank = (True, True, True, True, 0.0, 0.0)
     for worker in state.workers.values():
@@ -216,13 +206,8 @@
             best_rank = rank
     if best is None:
         return None
-    min_pace = _get_min_pace(
-        best, _count_slow_runs(best) + 1, state, keeps_pace=keeps_pace
-    )
-    pace_percent = max(_get_pace(-best_rank[4]), min_pace)
-    if not pace_percent:
-        return None
-    return SlowStart(best, pace_percent, keeps_pace)
+    min_pace = _get_min_pace(best, _count_slow_runs(best) + 1, state)
+    return SlowStart(best, max(_get_pace(-best_rank[4]), min_pace))
 
 
 def find_refusal(
@@ -231,8 +216,7 @@
     """Return why a worker takes no slow start of a task, or None."""
     if _own_misses.is_closed(worker, state):
         return Refusal.TARGET_MISSED
-    is_overdue = precedes_others(job, task, state)
-    if _has_slow_runs(worker, state, is_overdue=is_overdue):
+    if _has_slow_runs(worker, state):
         return Refusal.SLOW_RUNS
     min_pace = _get_min_pace(worker, _count_slow_runs(worker) + 1, state)
     return _feasibility.find_obstacle(
@@ -242,33 +226,23 @@
         step,
         state,
         has_waited=True,
-        pace_percent=min_pace or _MIN_PACE_PERCENT,
+        pace_percent=min_pace,
     )
 
 
-def _has_slow_runs(
-    worker: Worker, state: SchedulerState, *, is_overdue: bool
-) -> bool:
+def _has_slow_runs(worker: Worker, state: SchedulerState) -> bool:
     """Whether a worker has as many slow-started runs as it may have.
 
     Runs that pause hold no place once no jobs arrive, but their memory.
     """
     total = sum(one.is_slow_start for one in worker.fillers.values())
     if not _has_no_arrivals(state):
-        if is_overdue:
-            return total >= _MAX_OVERDUE_RUNS_WITH_ARRIVALS
         return total >= _MAX_SLOW_RUNS_WITH_ARRIVALS
     is_crowded = _count_slow_runs(worker) >= _MAX_CROWDED_RUNS
     return is_crowded or total >= _MAX_TOTAL_RUNS
 
 
-def _get_min_pace(
-    worker: Worker,
-    count: int,
-    state: SchedulerState,
-    *,
-    keeps_pace: bool = False,
-) -> int:
+def _get_min_pace(worker: Worker, count: int, state: SchedulerState) -> int:
     """Return the pace that is allowed even if the slack tolerates none.
 
     Parameters
@@ -278,12 +252,8 @@
     count : int
         The number of slow-started runs that share it.
     state : SchedulerState
-        Tells whether jobs arrive.
-    keeps_pace : bool
-        Whether some pace is allowed while they do.
+        Holds the time.
     """
-    if not (keeps_pace or _has_no_arrivals(state)):
-        return 0
     missed_ago_ms = state.now_ms - worker.slow_miss_ms
     is_recent = worker.slow_miss_ms > 0 and missed_ago_ms < _RAISE_AFTER_MS
     if is_recent:
@@ -363,14 +333,10 @@
             attempt.target_pace_percent + idle_percent,
         )
     )
-    min_pace = _get_min_pace(
-        worker, count, state, keeps_pace=attempt.keeps_pace
-    )
+    min_pace = _get_min_pace(worker, count, state)
     if ratio > _TIGHT_RATIO:
         return max(tolerated, min_pace)
-    return max(
-        tolerated, attempt.target_pace_percent, min_pace or _MIN_PACE_PERCENT
-    )
+    return max(tolerated, attempt.target_pace_percent, min_pace)
 
 
 def can_start_elsewhere(attempt: Attempt, context: Context) -> bool:
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -139,9 +139,8 @@
     by the clock of its worker's incarnation; it is 0 if the start was sent by
     an earlier owner, or to an earlier incarnation. ``is_slow_start`` marks a
     run that was started although its worker could not take it at full pace; it
-    yields to all other runs; with ``keeps_pace`` it goes on at the slowest pace
-    where its neighbours tolerate none. ``sibling_load_factor`` is the ratio of
-    the task's load to the lowest load among the other tasks of its job,
+    yields to all other runs. ``sibling_load_factor`` is the ratio of the task's
+    load to the lowest load among the other tasks of its job,
     ``cycle_load_factor`` the ratio to the load that the job's load cycle
     predicts. ``crash_count`` is the number of workers that crashed under the
     task before. The run is on probation until the worker has survived
@@ -182,7 +181,6 @@
     cycle_load_factor: float = 1.0
     last_progress_ms: int = 0
     is_slow_start: bool = False
-    keeps_pace: bool = False
     crash_count: int = 0
     probation_ms: int = 0
     has_passed_probation: bool = False
