--- a/tests/tulippin/jobs/test_gate_ends.py
+++ b/tests/tulippin/jobs/test_gate_ends.py
@@ -5,7 +5,13 @@
 import trio
 
 import waiting_jobs
-from scheduler_fleet import JOB, LOW_PRIORITY_QUEUE, open_fleet
+from scheduler_fleet import (
+    JOB,
+    LOW_PRIORITY_QUEUE,
+    make_request,
+    make_step,
+    open_fleet,
+)
 from tulippin.jobs import (
     _advice,
     _crashes,
@@ -46,6 +52,8 @@
 MAX_STALLED_S = 3.5
 WATCHED_S = 15
 NUMBERS = range(10, 18)
+LIGHT = 1000
+OWN_MISS_MS = 60.0
 # Time in which the tails of the served tasks are learned.
 LEARNING_S = 10
 FEATURES = Features(gathers_reports=True)
@@ -66,6 +74,7 @@
         ) as fleet:
             await waiting_jobs.serve(fleet, WORKERS)
             waiting_jobs.expect_harm(fleet, 'heavy')
+            waiting_jobs.expect_harm(fleet, 'light', excess=0.0)
             watch = waiting_jobs.Watch(fleet, get_own_ms)
             async with trio.open_nursery() as nursery:
                 await disturb(fleet, tails_ms, nursery)
@@ -82,9 +91,50 @@
     return found
 
 
+def make_light(count=1):
+    """Return a job that disturbs nothing, with two tasks on a worker."""
+    step = make_step(count, opportunistic=True, image='light', max_per_worker=2)
+    return make_request(step, run_ms=400, tail_ms=0.0)
+
+
 # -- workers that are closed --------------------------------------------------
 
 
+def test_target_missed_ends_beside_one_job_with_many_short_tasks(
+    run_virtual, monkeypatch
+):
+    """Guards against starts that keep an own miss from being measured."""
+
+    async def disturb(fleet, _tails_ms, _nursery):
+        await waiting_jobs.submit(fleet, LIGHT, make_light(2000))
+        await trio.sleep(4)
+
+    stalled_s, _ = watch_waiting(run_virtual, monkeypatch, disturb, OWN_MISS_MS)
+    assert stalled_s < MAX_STALLED_S
+
+
+@pytest.mark.parametrize('interval_s', [0.3, 1.0, 2.0])
+@pytest.mark.parametrize('own_tail_ms', [40.0, OWN_MISS_MS])
+def test_missing_slack_ends_while_jobs_keep_arriving(
+    run_virtual, monkeypatch, own_tail_ms, interval_s
+):
+    """Guards against slow starts that wait until no more jobs come."""
+
+    async def submit_series(fleet):
+        number = LIGHT
+        while True:
+            await waiting_jobs.submit(fleet, number, make_light())
+            number += 1
+            await trio.sleep(interval_s)
+
+    async def disturb(fleet, _tails_ms, nursery):
+        nursery.start_soon(submit_series, fleet)
+        await trio.sleep(1)
+
+    stalled_s, _ = watch_waiting(run_virtual, monkeypatch, disturb, own_tail_ms)
+    assert stalled_s < MAX_STALLED_S
+
+
 @pytest.mark.parametrize('count', [1, 3, 5])
 def test_quarantine_that_each_report_renews_holds_no_job(
     run_virtual, monkeypatch, count
@@ -298,3 +348,18 @@
     assert _crashes._is_preceded_by_sibling(job, second, unit.state)
     first.is_done = True
     assert not _crashes._is_preceded_by_sibling(job, second, unit.state)
+
+
+def test_suspected_sibling_that_fits_no_worker_holds_no_task():
+    """Guards against a wait for a task that can't start for now."""
+    unit = Unit()
+    unit.add_worker()
+    large = Step(1, Resources(20_000, 1000), opportunistic=True, image='batch')
+    job = Job(JOB, LOW_PRIORITY_QUEUE, JobRequest('', (large, unit.step)), 1)
+    unit.state.jobs[JOB] = job
+    first, second = (Task(TaskKey(JOB, 0, step, 0)) for step in range(2))
+    job.tasks = {task.key: task for task in (first, second)}
+    first.crashes = make_crashes(2)
+    second.crashes = make_crashes(1)
+    unit.state.now_ms += 60_000
+    assert not _crashes._is_preceded_by_sibling(job, second, unit.state)
--- a/tests/tulippin/jobs/test_scheduler_soak.py
+++ b/tests/tulippin/jobs/test_scheduler_soak.py
@@ -96,8 +96,17 @@
 BACKLOG_JOBS = 16
 
 
-@pytest.mark.parametrize('loses_in_series', [False, True])
-@pytest.mark.parametrize('seed', [41000, 41010])
+@pytest.mark.parametrize(
+    ('seed', 'loses_in_series'),
+    [
+        (41000, False),
+        (41000, True),
+        (41010, False),
+        (41010, True),
+        (41013, False),
+        (41102, True),
+    ],
+)
 def test_jobs_run_beside_served_tasks_once_faults_are_over(
     run_virtual, seed, loses_in_series
 ):
@@ -108,3 +117,27 @@
         backlog_jobs=BACKLOG_JOBS,
     )
     assert run_virtual(play, seed, seed=seed) == []
+
+
+@pytest.mark.parametrize('seed', [42000, 42004, 42007])
+def test_jobs_run_beside_served_tasks_under_a_heavier_backlog(
+    run_virtual, seed
+):
+    """Guards against jobs held up while memory, but not all of it, is used."""
+    play = functools.partial(scheduler_soak.play, backlog_jobs=40)
+    assert run_virtual(play, seed, seed=seed) == []
+
+
+@pytest.mark.parametrize(
+    ('seed', 'are_ids_kept', 'loses_in_series'),
+    [(43005, True, False), (43004, False, True)],
+)
+def test_probation_of_others_holds_no_suspected_job(
+    run_virtual, seed, are_ids_kept, loses_in_series
+):
+    play = functools.partial(
+        scheduler_soak.play,
+        are_ids_kept=are_ids_kept,
+        loses_in_series=loses_in_series,
+    )
+    assert run_virtual(play, seed, seed=seed) == []
