Let the handover model list ends in pages, and hold late ends against starts

The model's workers listed all of their ends at once, and it judged a start only by ends that were acknowledged before it. So it could not show that a task is started again whose end is acknowledged later.

A world now has `max_listed_ends`, by default that of the wire, and an acknowledgement of an end as done fails if its task has been started since, unless the worker's lease has lapsed in between. Schedules are played with pages of one end. A planted fault, a report that hides its cut, is found.

--- a/tests/handover_model.py
+++ b/tests/handover_model.py
@@ -56,6 +56,7 @@
 )
 from tulippin.jobs.unit_shell import UnitShell
 from tulippin.platform.standin_store import StandinStore
+from tulippin.platform.wire import MAX_LISTED_ENDS
 from tulippin.types import Resources
 
 TICK_MS = 50
@@ -92,7 +93,7 @@
 
 
 class StartAfterEndError(Exception):
-    """A task is started after its end as done was acknowledged."""
+    """A task is started after an end as done that is or gets acknowledged."""
 
 
 VIOLATIONS = (TwoRunsError, StartAfterEndError)
@@ -295,6 +296,10 @@
     closed: dict = attrs.field(factory=dict)
     ended: list = attrs.field(factory=list)
     end_count: int = 0
+    # Ends up to this number don't count: the lease has lapsed since.
+    lapsed_number: int = 0
+    # Numbers of ends as done after which their task was started again.
+    restarted: set = attrs.field(factory=set)
 
     @property
     def clock_ms(self):
@@ -306,7 +311,25 @@
         self.token = token
         return True
 
+    def note_lapse(self):
+        if self.clock_ms > self.deadline_ms:
+            self.lapsed_number = self.end_count
+
+    def note_restart(self, key):
+        """Note that a task starts, perhaps after it has ended here as done."""
+        self.restarted.update(
+            ended.number
+            for ended in self.ended
+            if ended.key == key and ended.outcome is RunOutcome.DONE
+        )
+
+    def check_acknowledgement(self, ended):
+        """Check that no task was started between its end and this."""
+        if ended.number > self.lapsed_number and ended.number in self.restarted:
+            raise StartAfterEndError(ended.key.format())
+
     def extend(self, deadline_ms):
+        self.note_lapse()
         limit_ms = self.clock_ms + MAX_WORKER_LEASE_MS
         self.deadline_ms = max(self.deadline_ms, min(deadline_ms, limit_ms))
 
@@ -341,6 +364,7 @@
             raise FencedOrderError('fence')
         for ended in self.ended:
             if ended.number <= last_seen and ended.outcome is RunOutcome.DONE:
+                self.check_acknowledgement(ended)
                 self.world.acknowledged.add(ended.key)
         self.ended = [one for one in self.ended if one.number > last_seen]
         if deadline_ms is not None:
@@ -348,7 +372,10 @@
         running = tuple(
             RunningTask(key, run, '', 10, None) for key, run in self.runs
         )
-        return WorkerReport(self.clock_ms, running, tuple(self.ended))
+        limit = self.world.max_listed_ends
+        listed = tuple(self.ended[:limit])
+        is_cut = len(listed) >= limit
+        return WorkerReport(self.clock_ms, running, listed, is_cut=is_cut)
 
     def close(self, key, run):
         self.closed[key] = max(run, self.closed.get(key, 0))
@@ -360,6 +387,7 @@
         self.ended.append(EndedRun(self.end_count, *run_id, outcome, ''))
 
     def end_due(self):
+        self.note_lapse()
         for run_id, end_ms in list(self.runs.items()):
             if self.clock_ms > self.deadline_ms:
                 self.end(run_id, RunOutcome.LAPSED)
@@ -370,8 +398,15 @@
 class World:
     """Store, workers, instances and all calls that are not over."""
 
-    def __init__(self, instance_count=2, worker_count=2, unit_count=1):
+    def __init__(
+        self,
+        instance_count=2,
+        worker_count=2,
+        unit_count=1,
+        max_listed_ends=MAX_LISTED_ENDS,
+    ):
         self.unit_count = unit_count
+        self.max_listed_ends = max_listed_ends
         self.now_ms = START_MS
         self.store = StandinStore(clock=lambda: self.now_ms / MS_PER_S)
         self.calls = []
@@ -602,6 +637,8 @@
         if order.key in self.acknowledged:
             raise StartAfterEndError(order.key.format())
         for other in self.workers:
+            if other.is_up:
+                other.note_restart(order.key)
             for key, run in other.runs if other.is_up else ():
                 if key == order.key:
                     raise TwoRunsError(
--- a/tests/tulippin/jobs/test_handover_model.py
+++ b/tests/tulippin/jobs/test_handover_model.py
@@ -13,6 +13,8 @@
 import handover_model
 from handover_model import (
     LAPSE_MS,
+    ModelWorker,
+    StartAfterEndError,
     TwoRunsError,
     World,
     open_world,
@@ -60,6 +62,28 @@
     run_examples(check, 70)
 
 
+def test_owners_in_turn_start_no_task_twice_with_cut_reports():
+    def check(schedule):
+        play(schedule, max_listed_ends=1)
+
+    run_examples(check, 110)
+
+
+def test_no_task_is_started_again_whose_end_is_not_listed_yet():
+    crash_with_unlisted_end(open_world(max_listed_ends=1))
+
+
+def test_report_that_hides_its_cut_is_found(monkeypatch):
+    hold = ModelWorker.hold
+    monkeypatch.setattr(
+        ModelWorker,
+        'hold',
+        lambda *arguments: attrs.evolve(hold(*arguments), is_cut=False),
+    )
+    with pytest.raises(StartAfterEndError):
+        crash_with_unlisted_end(open_world(max_listed_ends=1))
+
+
 def test_owners_of_two_units_start_no_task_twice():
     def check(schedule):
         play(schedule, unit_count=2)
@@ -101,6 +125,23 @@
     world.run(HANDOVER_MS)
 
 
+def crash_with_unlisted_end(world):
+    """Let an owner crash while a worker lists one of its two ends.
+
+    Neither end completes a job, whose end would be committed at once.
+    """
+    world.submit(THREE_TASKS)
+    world.run()
+    for worker in world.workers:
+        world.blocked[worker.entry.worker_id] = 'before'
+    while any(worker.runs for worker in world.workers):
+        world.end_run(0)
+    world.crash_owner(0)
+    world.run(HANDOVER_MS)
+    world.blocked.clear()
+    world.run(WORKER_LAPSE_MS)
+
+
 def depose_unnoticed(world):
     """Let an owner without the store and its successor get the same job.
 
