Send reduced leases through the same transactions as before

The variants of a refused lease or release were sent by a module of their own, past the function that the model of handovers replaces to run without trio: eleven of its tests failed (AttributeError: 'RunContext' object has no attribute 'runner'). The function moves to _row_effects, beside its callers.

test_handover_model.py, test_refused_writes.py and test_scheduler_resolving.py pass (33).

--- a/src/tulippin/jobs/_refusals.py
+++ b/src/tulippin/jobs/_refusals.py
@@ -13,15 +13,12 @@
 
 from tulippin.jobs import effects as fx
 from tulippin.jobs._row_codec import encode_row
-from tulippin.jobs._transactions import AnswerTimes, transact_with_retries
 from tulippin.jobs.ports import (
     MAX_TRANSACTION_BYTES,
     MAX_TRANSACTION_ENTRIES,
     RowCondition,
-    RowStore,
     RowWrite,
     Transaction,
-    TransactionResult,
     WriteRefusedError,
 )
 from tulippin.logs import logger
@@ -66,27 +63,6 @@
     )
 
 
-async def transact_reduced(
-    store: RowStore,
-    variants: t.Sequence[Transaction],
-    limit_s: float,
-    times: AnswerTimes,
-) -> TransactionResult:
-    """Execute the first of some transactions that the store doesn't refuse.
-
-    Raises as ``transact_with_retries`` does; ``WriteRefusedError`` if the
-    store refuses all.
-    """
-    for transaction in variants[:-1]:
-        try:
-            return await transact_with_retries(
-                store, transaction, limit_s, times
-            )
-        except WriteRefusedError as error:
-            log_refusal(transaction, error)
-    return await transact_with_retries(store, variants[-1], limit_s, times)
-
-
 def encode_progress(
     writes: t.Iterable[fx.ProgressWrite],
 ) -> tuple[EncodedProgress, ...]:
--- a/src/tulippin/jobs/_row_effects.py
+++ b/src/tulippin/jobs/_row_effects.py
@@ -26,7 +26,6 @@
     log_refusal,
     make_progress_transaction,
     split,
-    transact_reduced,
 )
 from tulippin.jobs._row_codec import encode_row
 from tulippin.jobs._rows import (
@@ -110,14 +109,13 @@
     store_ms = 0
     is_in_doubt = False
     try:
-        result = await transact_reduced(
-            shell.ports.store,
+        result = await _transact_reduced(
             (
                 transaction,
                 _replace_lease(transaction, _make_bare(effect.lease), shell),
             ),
             _TAKE_LIMIT_S,
-            shell.answer_times,
+            shell,
         )
     except UnavailableError as error:
         shell.record_store_result(error)
@@ -170,6 +168,26 @@
     )
 
 
+async def _transact_reduced(
+    variants: t.Sequence[Transaction], limit_s: float, shell: UnitShell
+) -> TransactionResult:
+    """Execute the first of some transactions that the store doesn't refuse.
+
+    Raises as ``transact_with_retries`` does; ``WriteRefusedError`` if the
+    store refuses all.
+    """
+    for transaction in variants[:-1]:
+        try:
+            return await transact_with_retries(
+                shell.ports.store, transaction, limit_s, shell.answer_times
+            )
+        except WriteRefusedError as error:
+            log_refusal(transaction, error, unit=shell.config.unit.number)
+    return await transact_with_retries(
+        shell.ports.store, variants[-1], limit_s, shell.answer_times
+    )
+
+
 def _make_lease_transaction(
     lease: LeaseRecord, epoch_version: int, shell: UnitShell
 ) -> Transaction:
@@ -195,14 +213,13 @@
     is_done = False
     is_fenced = False
     try:
-        result = await transact_reduced(
-            shell.ports.store,
+        result = await _transact_reduced(
             (
                 transaction,
                 _replace_lease(transaction, _make_bare(effect.lease), shell),
             ),
             _RENEW_LIMIT_S,
-            shell.answer_times,
+            shell,
         )
     except UnavailableError as error:
         shell.record_store_result(error)
@@ -261,12 +278,7 @@
     result = None
     is_in_doubt = False
     try:
-        result = await transact_reduced(
-            shell.ports.store,
-            variants,
-            _RELEASE_LIMIT_S,
-            shell.answer_times,
-        )
+        result = await _transact_reduced(variants, _RELEASE_LIMIT_S, shell)
     except UnavailableError as error:
         reason = error.message
         is_in_doubt = isinstance(error, AnswerLostError)
