--- a/src/tulippin/jobs/_own_misses.py
+++ b/src/tulippin/jobs/_own_misses.py
@@ -130,7 +130,10 @@
 def pauses_runs(worker: Worker, state: SchedulerState) -> bool:
     """Whether a miss has lasted until all opportunistic runs pause for it.
 
-    A run that starts meanwhile would keep it from being measured.
+    A run that starts meanwhile would keep it from being measured. With a harm
+    budget only the runs that cause it pause.
     """
+    if state.config.features.budgets_harm:
+        return False
     lasted_ms = state.now_ms - worker.targets_missed_since_ms
     return is_closed(worker, state) and lasted_ms >= PAUSE_DELAY_MS
