--- a/tests/handover_model.py
+++ b/tests/handover_model.py
@@ -19,7 +19,6 @@
 from tulippin.exceptions import AnswerLostError, UnavailableError
 from tulippin.jobs import (
     _accounts,
-    _refusals,
     _row_effects,
     _transactions,
     _unit_feeds,
@@ -141,8 +140,9 @@
     """Make the feeds and effects call the model."""
     for module in (_unit_feeds, _row_effects, _accounts):
         monkeypatch.setattr(module, 'trio', TRIO)
-    for module in (_row_effects, _refusals):
-        monkeypatch.setattr(module, 'transact_with_retries', transact_in_steps)
+    monkeypatch.setattr(
+        _row_effects, 'transact_with_retries', transact_in_steps
+    )
 
 
 @attrs.define(eq=False)
