Commit the final state of a job of which an earlier record was refused

Cause: a refused commit was judged by the state of its job when the refusal came. A job that had ended meanwhile was withheld, its final state never made durable, and its ends acknowledged.

Change: the refused record decides. Only a job whose final state was refused is withheld.

--- a/src/tulippin/jobs/_committing.py
+++ b/src/tulippin/jobs/_committing.py
@@ -375,21 +375,26 @@
             _transfers.send(job, context)
             _job_moves.send(job, context)
     for job_id, reason in event.refusals.items():
-        _drop_refused(job_id, reason, context)
+        job = state.jobs.get(job_id)
+        record = job.pending_progress if job is not None else None
+        was_final = record is not None and record.state in FINAL_STATES
+        _drop_refused(job_id, reason, context, was_final=was_final)
     _record_settled_ends(event.commit.ends, state)
 
 
 @handle.register
 def _handle_job_refused(event: JobRefused, context: Context) -> None:
     if context.state.ownership.phase is Phase.ACTIVE:
-        _drop_refused(event.job_id, event.reason, context)
+        _drop_refused(event.job_id, event.reason, context, was_final=False)
 
 
-def _drop_refused(job_id: str, reason: str, context: Context) -> None:
+def _drop_refused(
+    job_id: str, reason: str, context: Context, *, was_final: bool
+) -> None:
     """Fail a job whose row the store refuses, or withhold it.
 
-    Its row takes little space once it has failed. If the store refuses that
-    too, nothing more is written for the job.
+    Its row takes little space once it is final. If the store refused that too,
+    as ``was_final`` says, nothing more is written for the job.
     """
     state = context.state
     job = state.jobs.get(job_id)
@@ -397,10 +402,14 @@
         return
     job.pending_progress = None
     state.count('jobs_refused')
-    if job.state in FINAL_STATES:
+    if was_final:
         state.dirty_jobs.pop(job_id, None)
         _lifecycle.withhold(job, context, f'the store refuses it: {reason}')
         return
+    if job.state in FINAL_STATES:
+        # It has ended since the refused record was made.
+        _lifecycle.mark_dirty(job, state)
+        return
     _giving_up.fail(job, f'the store refuses its state: {reason}', context)
 
 
--- a/tests/tulippin/jobs/test_refused_writes.py
+++ b/tests/tulippin/jobs/test_refused_writes.py
@@ -9,12 +9,14 @@
 import trio
 from test_job_moves import open_homed
 
-from scheduler_fleet import JOB, make_request, make_step, open_fleet
+from scheduler_fleet import JOB, QUEUE, make_request, make_step, open_fleet
 from tulippin.jobs._bounded_writes import transact_in_time
+from tulippin.jobs._dispatch import Context, handle
 from tulippin.jobs._row_effects import _run_commit, _run_remove
 from tulippin.jobs._transactions import AnswerTimes, transact_with_retries
 from tulippin.jobs._write_bounds import StoreLoad
 from tulippin.jobs.effects import CommitProgress, ProgressWrite, RemoveJobs
+from tulippin.jobs.events import ProgressCommitted
 from tulippin.jobs.layout import LayoutRecord
 from tulippin.jobs.ports import (
     MAX_ROW_BYTES,
@@ -31,7 +33,7 @@
     ProgressRecord,
     Unit,
 )
-from tulippin.jobs.state import SchedulerConfig
+from tulippin.jobs.state import Job, SchedulerConfig, SchedulerState
 from tulippin.jobs.types import Incarnation, JobState
 from tulippin.platform import standin_store
 from tulippin.platform.standin_store import StandinStore
@@ -305,3 +307,15 @@
 
     run_virtual(run)
     assert len(store.sent) == 2
+
+
+def test_final_state_is_committed_after_an_earlier_record_was_refused():
+    state = SchedulerState(SchedulerConfig('i', 'i:1'))
+    job = Job(JOB, QUEUE, make_request(), 1, state=JobState.COMPLETED)
+    job.pending_progress = ProgressRecord(JobState.RUNNING)
+    state.jobs[JOB] = job
+    commit = CommitProgress((), {}, state.ownership.epoch_version)
+    event = ProgressCommitted(1, commit, 1, refusals={JOB: 'too large'})
+    handle(event, Context(state))
+    assert JOB in state.dirty_jobs
+    assert not job.is_progress_unknown
