--- a/src/tulippin/jobs/_home_selection.py
+++ b/src/tulippin/jobs/_home_selection.py
@@ -183,7 +183,7 @@
     able = [
         number
         for number in numbers
-        if _unit_capacity.can_run_job(rooms[number], request, service)
+        if _unit_capacity.can_run_steps(rooms[number], request.steps, service)
     ]
     for step in request.steps:
         rack_unit = layout.racks.get(step.preferred_rack)
--- a/src/tulippin/jobs/_job_moves.py
+++ b/src/tulippin/jobs/_job_moves.py
@@ -227,7 +227,7 @@
 
 def _has_place(room: UnitCapacity, job: Job) -> bool:
     """Whether each step of a job finds a place in a unit now."""
-    return all(_fits_now(room, step) for step in job.request.steps)
+    return all(_fits_now(room, step) for step in _list_open_steps(job))
 
 
 def _fits_now(room: UnitCapacity, step: Step) -> bool:
@@ -280,7 +280,15 @@
     """Whether a job may move to a unit."""
     if number in state.closed_units or number in job.left_units:
         return False
-    return _unit_capacity.can_run_job(room, job.request, job.queue.service)
+    return _unit_capacity.can_run_steps(
+        room, _list_open_steps(job), job.queue.service
+    )
+
+
+def _list_open_steps(job: Job) -> list[Step]:
+    """Return the steps of a job with tasks that are not done."""
+    numbers = {number for (_, number), left in job.remaining.items() if left}
+    return [job.request.steps[number] for number in sorted(numbers)]
 
 
 def _get_load(room: UnitCapacity) -> float:
--- a/src/tulippin/jobs/_unit_capacity.py
+++ b/src/tulippin/jobs/_unit_capacity.py
@@ -115,19 +115,21 @@
     return not step.required_label or step.required_label in room.labels
 
 
-def can_run_job(room: UnitCapacity, request: JobRequest, service: str) -> bool:
+def can_run_steps(
+    room: UnitCapacity, steps: t.Iterable[Step], service: str
+) -> bool:
     """Whether workers of a unit could run all steps of a job if idle.
 
     Parameters
     ----------
     room : UnitCapacity
         What the unit has published.
-    request : JobRequest
+    steps : iterable of Step
         What the job asks for.
     service : str
         The service whose workers run the job; empty if unknown.
     """
-    return all(_can_run(room, step, service) for step in request.steps)
+    return all(_can_run(room, step, service) for step in steps)
 
 
 def _can_run(room: UnitCapacity, step: Step, service: str) -> bool:
--- a/tests/tulippin/jobs/test_invalid_capacities.py
+++ b/tests/tulippin/jobs/test_invalid_capacities.py
@@ -16,7 +16,7 @@
 from tulippin.jobs._rows import read_record
 from tulippin.jobs._transfers import _accepts_transfers, _get_load
 from tulippin.jobs._unit_capacity import (
-    can_run_job,
+    can_run_steps,
     count_fitting,
     fits_in_unit,
     measure_load,
@@ -82,7 +82,7 @@
         assert float(_get_load(record.room)) >= -MAX_MILLICORES
         count_fitting(record.room, 1000)
         fits_in_unit(record.room, make_step(), is_new=True)
-        can_run_job(record.room, make_request(), 'catalogue')
+        can_run_steps(record.room, make_request().steps, 'catalogue')
         count_fitting(record.room, 1000, is_short=True)
         _demand.estimate('catalogue', 9, 16_000, state)
         state.ownership.lease = LeaseRecord('s', 'i', room=record.room)
--- a/tests/tulippin/jobs/test_stranded_work.py
+++ b/tests/tulippin/jobs/test_stranded_work.py
@@ -4,7 +4,8 @@
 import pytest
 from test_scheduler_decisions import make_job, make_state
 
-from tulippin.jobs import _ready_queues, _stranded_work
+from tulippin.jobs import _job_moves, _ready_queues, _stranded_work
+from tulippin.jobs.records import UnitCapacity
 from tulippin.jobs.state import Task
 from tulippin.jobs.types import Step, TaskKey
 from tulippin.types import Resources
@@ -114,3 +115,19 @@
     step, is_expected
 ):
     assert is_stranded(make_waiting(step)) is is_expected
+
+
+def test_step_that_is_done_does_not_bind_a_stranded_job_to_a_unit():
+    state = make_state(0)
+    steps = (Step(1, SIZE, required_label='gpu'), Step(1, SIZE, after=(0,)))
+    job = make_job(state, 'a', state.now_ms, steps)
+    room = UnitCapacity(
+        capacity_millicores=64_000,
+        service_millicores={job.queue.service: 64_000},
+        largest_workers={job.queue.service: Resources(64_000, 256_000)},
+    )
+    state.unit_capacities[1] = room
+    job.remaining = {(0, 0): 1, (0, 1): 1}
+    assert _job_moves._choose_unit_with_place(job, state) is None
+    job.remaining = {(0, 0): 0, (0, 1): 1}
+    assert _job_moves._choose_unit_with_place(job, state) == 1
