Have slow starts give way to gangs, after a takeover and to runs at full pace

Cause: gangs never preempted; an adopted run was taken for a slow start only where the slack is negative; and the memory of slow starts counted against the part that other opportunistic tasks may use, though these should be placed as if slow starts did not exist.

Change: a gang that finds no place stops slow starts, and no other runs, for each member without a worker. Adopted opportunistic runs count as slow starts where kept memory is in use. What slow starts hold counts as free in the test of kept memory. A task that must leave headroom stops no run on workers where it would leave none.

--- a/src/tulippin/jobs/_feasibility.py
+++ b/src/tulippin/jobs/_feasibility.py
@@ -215,12 +215,28 @@
 
 
 def lacks_memory(worker: Worker, step: Step) -> bool:
-    """Whether a task would use memory that is kept for urgent tasks."""
+    """Whether a task would use memory that is kept for urgent tasks.
+
+    What slow-started runs hold counts as free, as they give it back.
+    """
+    yielding_mb = sum(
+        one.step.reserved.memory_mb
+        for one in worker.fillers.values()
+        if one.is_slow_start
+    )
+    return _is_kept(worker, step.reserved.memory_mb - yielding_mb)
+
+
+def uses_kept_memory(worker: Worker) -> bool:
+    """Whether the runs on a worker use memory that is kept for urgent tasks."""
+    return worker.entry.capacity is not None and _is_kept(worker, 0)
+
+
+def _is_kept(worker: Worker, wanted_mb: int) -> bool:
     free = worker.free
     capacity = worker.entry.capacity
-    memory_mb = free.memory_mb - step.reserved.memory_mb
     free_share = free.cpu_millicores / max(1, capacity.cpu_millicores)
     kept_share = (
         _BASE_MEMORY_SHARE + _MEMORY_SHARE_PER_FREE_CPU_SHARE * free_share
     )
-    return memory_mb < capacity.memory_mb * kept_share
+    return free.memory_mb - wanted_mb < capacity.memory_mb * kept_share
--- a/src/tulippin/jobs/_pacing.py
+++ b/src/tulippin/jobs/_pacing.py
@@ -84,16 +84,19 @@
 def _limit_adopted(
     worker: Worker, fillers: list[Attempt], context: Context
 ) -> None:
-    """Treat adopted runs as slow starts if they exceed the slack together.
+    """Treat adopted runs as slow starts if some of them were.
 
-    Which of them the last owner had started slowly is not known, and all of
-    them at full pace would miss targets for two seconds on most workers.
+    They were if they exceed the slack together, or use memory that is kept for
+    urgent tasks. Which of them the last owner had started slowly is not known.
+    All of them at full pace would miss targets for two seconds on most workers,
+    and none would give way.
     """
     adopted = [one for one in fillers if one.pace_percent is None]
     if not adopted:
         return
     slack = _interference.get_slack(worker, context.state)
-    if min(slack.values(), default=0.0) < 0:
+    exceeds_slack = min(slack.values(), default=0.0) < 0
+    if exceeds_slack or _feasibility.uses_kept_memory(worker):
         for attempt in adopted:
             attempt.is_slow_start = True
         _interference.invalidate_slack(worker)
--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -452,6 +452,9 @@
             _starting.send(attempt, job, context)
         if attempts:
             return len(attempts)
+    for task in tasks:
+        if _worker_selection.choose(job, task, step, context.state) is None:
+            _preempting.preempt_for(job, task, context)
     return 0
 
 
--- a/src/tulippin/jobs/_preempting.py
+++ b/src/tulippin/jobs/_preempting.py
@@ -7,6 +7,7 @@
 from tulippin.jobs import (
     _attempts,
     _feasibility,
+    _headroom,
     _job_progress,
     _ranking,
     _ready_queues,
@@ -44,9 +45,9 @@
     """Stop runs that give way to a task that reserves processors.
 
     Slow-started runs give way to all such tasks, as they use memory that is
-    kept for these; other runs only to more urgent tasks of the most urgent
-    priority. Work of no value preempts others only once its job has had nothing
-    running for long, so that it is completed at some time.
+    kept for these; other runs to tasks of the most urgent priority, and not to
+    gangs. Work of no value preempts others only once its job has had
+    nothing running for long, so that it is completed at some time.
     """
     state = context.state
     step = job.request.steps[task.key.step]
@@ -57,10 +58,16 @@
         idle_ms = _job_progress.get_idle_ms(job, task, state)
         if idle_ms < _WORTHLESS_PREEMPTS_AFTER_MS:
             return
+    if state.now_ms < task.preempt_after_ms:
+        return
+    headroom = _headroom.find_headroom(job, task, step, state)
     preempt(
         job,
         task,
-        lambda worker: _feasibility.is_open(worker, job, task, step, state),
+        lambda worker: (
+            _feasibility.is_open(worker, job, task, step, state)
+            and (headroom is None or headroom.admits(worker, step))
+        ),
         context,
     )
 
@@ -90,17 +97,17 @@
     state = context.state
     if state.now_ms < task.preempt_after_ms:
         return 0
-    is_urgent = job.queue.priority == 0
+    step = job.request.steps[task.key.step]
+    is_urgent = job.queue.priority == 0 and not step.gang
     retry_ms = _RETRY_INTERVAL_MS if is_urgent else _SLOW_START_RETRY_MS
     task.preempt_after_ms = state.now_ms + retry_ms
-    step = job.request.steps[task.key.step]
     best: list[Attempt] = []
     best_cost = 0
     for worker in state.workers.values():
         has_victims = is_urgent or _has_slow_starts(worker)
         if not (has_victims and is_open(worker)):
             continue
-        victims = _choose_victims(worker, step, job.queue.priority, state)
+        victims = _choose_victims(worker, step, state, is_urgent=is_urgent)
         cost = sum(_get_cost(attempt, state) for attempt in victims)
         if victims and (not best or cost < best_cost):
             best = victims
@@ -131,9 +138,9 @@
     return any(one.is_slow_start for one in worker.fillers.values())
 
 
-def _is_victim(attempt: Attempt, priority: int) -> bool:
-    """Whether a task of a priority may preempt a run."""
-    is_less_urgent = priority == 0 and attempt.priority > priority
+def _is_victim(attempt: Attempt, *, is_urgent: bool) -> bool:
+    """Whether a task may preempt a run; an urgent one has priority 0."""
+    is_less_urgent = is_urgent and attempt.priority > 0
     return (
         (attempt.is_slow_start or is_less_urgent)
         and attempt.state is AttemptState.RUNNING
@@ -142,14 +149,14 @@
 
 
 def _would_fit(
-    free: Resources, worker: Worker, step: Step, priority: int
+    free: Resources, worker: Worker, step: Step, *, is_urgent: bool
 ) -> bool:
     """Whether a task would fit if all possible victims were stopped."""
     wanted = step.reserved
     cpu_millicores = free.cpu_millicores
     memory_mb = free.memory_mb
     for attempt in worker.attempts.values():
-        if _is_victim(attempt, priority):
+        if _is_victim(attempt, is_urgent=is_urgent):
             cpu_millicores += attempt.step.reserved.cpu_millicores
             memory_mb += attempt.step.reserved.memory_mb
     return (
@@ -159,7 +166,7 @@
 
 
 def _choose_victims(
-    worker: Worker, step: Step, priority: int, state: SchedulerState
+    worker: Worker, step: Step, state: SchedulerState, *, is_urgent: bool
 ) -> list[Attempt]:
     """Return runs whose stop frees enough capacity; empty if none do.
 
@@ -172,12 +179,12 @@
     if free.fits(step.reserved):
         # Runs that are stopping free enough capacity.
         return []
-    if not _would_fit(free, worker, step, priority):
+    if not _would_fit(free, worker, step, is_urgent=is_urgent):
         return []
     candidates = [
         attempt
         for attempt in worker.attempts.values()
-        if _is_victim(attempt, priority)
+        if _is_victim(attempt, is_urgent=is_urgent)
     ]
     candidates.sort(
         key=lambda attempt: (
--- a/tests/tulippin/jobs/test_slow_start_paces.py
+++ b/tests/tulippin/jobs/test_slow_start_paces.py
@@ -4,8 +4,9 @@
 import pytest
 
 from scheduler_fleet import JOB, LOW_PRIORITY_QUEUE
-from tulippin.jobs import _slow_start
+from tulippin.jobs import _pacing, _slow_start
 from tulippin.jobs._attempts import add_attempt
+from tulippin.jobs._dispatch import Context
 from tulippin.jobs.state import (
     Attempt,
     AttemptState,
@@ -112,3 +113,15 @@
         )
         worker.used_millicores = None
     assert [one.target_pace_percent for one in slow] == [50, 20]
+
+
+@pytest.mark.parametrize(
+    ('memory_mb', 'is_slow_start'), [(20_000, False), (50_000, True)]
+)
+def test_adopted_run_in_kept_memory_gives_way(memory_mb, is_slow_start):
+    unit = Unit()
+    worker = unit.add_worker()
+    attempt = unit.run(make_fillers(1, 1000, memory_mb), worker, 1)
+    attempt.pace_percent = None
+    _pacing.adjust(worker, Context(unit.state))
+    assert attempt.is_slow_start is is_slow_start
--- a/tests/tulippin/jobs/test_slow_start_review.py
+++ b/tests/tulippin/jobs/test_slow_start_review.py
@@ -56,14 +56,17 @@
 
 
 @pytest.mark.parametrize('queue', [HIGH_PRIORITY_QUEUE, LOW_PRIORITY_QUEUE])
-@pytest.mark.parametrize('is_long_running', [False, True])
+@pytest.mark.parametrize(
+    'options', [{}, {'long_running': True}, {'gang': True}]
+)
+@pytest.mark.parametrize('is_owner_lost', [False, True])
 def test_slow_starts_give_their_memory_to_tasks_that_reserve_processors(
-    run_virtual, monkeypatch, queue, is_long_running
+    run_virtual, monkeypatch, queue, options, is_owner_lost
 ):
     waiting_jobs.follow_load(monkeypatch, {}, 40.0)
 
     async def run():
-        async with open_fleet(instances=1, workers=WORKERS) as fleet:
+        async with open_fleet(instances=2, workers=WORKERS) as fleet:
             await prepare(fleet)
             for number in range(10, 50):
                 request = waiting_jobs.make_batch(
@@ -71,13 +74,18 @@
                 )
                 await waiting_jobs.submit(fleet, number, request)
             await trio.sleep(SLOW_STARTS_S)
+            if is_owner_lost:
+                fleet.kill_owner()
+                await fleet.wait_owner()
+                await trio.sleep(SLOW_STARTS_S)
             step = Step(
                 WORKERS,
                 Resources(4000, 40_000),
-                long_running=is_long_running,
                 max_per_worker=1,
+                **options,
             )
-            request = make_request(step, lasts=is_long_running, run_ms=60_000)
+            lasts = step.long_running
+            request = make_request(step, lasts=lasts, run_ms=60_000)
             await waiting_jobs.submit(fleet, 9, request, queue)
             with trio.fail_after(MAX_FIRST_WAIT_S):
                 while fleet.count_starts(f'{9:016x}') < WORKERS:
@@ -113,3 +121,30 @@
         )
         await waiting_jobs.submit(fleet, number, request)
         await trio.sleep(0.5)
+
+
+def test_slow_starts_do_not_hold_back_runs_at_full_pace(
+    run_virtual, monkeypatch
+):
+    waiting_jobs.follow_load(monkeypatch, {}, 40.0)
+
+    async def run():
+        async with open_fleet(instances=1, workers=WORKERS) as fleet:
+            await prepare(fleet)
+            waiting_jobs.expect_harm(fleet, 'light', excess=0.0)
+            for number in range(10, 50):
+                request = waiting_jobs.make_batch(
+                    1, memory_mb=9000, run_ms=60_000
+                )
+                await waiting_jobs.submit(fleet, number, request)
+            await trio.sleep(SLOW_STARTS_S)
+            request = waiting_jobs.make_batch(
+                WORKERS, memory_mb=2000, image='light', added_ms=0.0
+            )
+            await waiting_jobs.submit(fleet, 9, request)
+            with trio.fail_after(1):
+                while fleet.count_starts(f'{9:016x}') < WORKERS:
+                    await trio.sleep(waiting_jobs.POLL_INTERVAL_S)
+            fleet.check()
+
+    run_virtual(run)
