Bound the starts under way, and have jobs take turns for them

Cause: each placement pass ordered up to 40 starts, whatever was under way, and a unit's owner sends some hundred a second. Orders waited for connections until they expired: of 59,888 starts 51,077 ended as "start refused: not_sent", each of which closed its worker for a second and came back into the queue. The pass served the jobs strictly by rank, so that the wide job took each start that was left.

Change: at most 48 orders are without an answer, 16 at one worker; an order that is older than 0.3 s is left out, as its worker hangs. A pass starts at most 20 tasks of a job, and jobs that it did not reach come first in the next one. No run is stopped for a task that only waits for such an answer. Gangs have a module of their own.

--- a/src/tulippin/jobs/_lost_starts.py
+++ b/src/tulippin/jobs/_lost_starts.py
@@ -16,7 +16,7 @@
 from tulippin.jobs.state import Job, LostStarts, SchedulerState, Worker
 
 
-def count(jobs: t.Iterable[Job], state: SchedulerState) -> None:
+def count_lost_starts(jobs: t.Iterable[Job], state: SchedulerState) -> None:
     """Count a possible lost start for jobs that may have crashed a worker.
 
     Parameters
--- a/src/tulippin/jobs/_placing.py
+++ b/src/tulippin/jobs/_placing.py
@@ -6,41 +6,40 @@
 
 from __future__ import annotations
 
+import collections
+import itertools
 import typing as t
 
 import attrs
 
 from tulippin.jobs import (
     _advice,
-    _attempts,
     _crashes,
+    _gangs,
     _headroom,
     _interference,
-    _lost_starts,
     _ownership,
     _preempting,
     _ranking,
     _ready_queues,
     _rebalancing,
     _slow_start,
+    _start_window,
     _starting,
     _unconfirmed_runs,
     _worker_selection,
     _yielding,
 )
 from tulippin.jobs._dispatch import Context
+from tulippin.jobs._lost_starts import count_lost_starts
 from tulippin.jobs.state import (
-    Attempt,
     Job,
-    SchedulerState,
     Task,
     Worker,
 )
 from tulippin.jobs.types import Step, TaskKey
 from tulippin.types import Resources
 
-# Limits the starts of one pass, so that answers are read in between.
-_MAX_STARTS_PER_PASS: t.Final = 40
 # Delay before long-running tasks are placed, so that tasks of one image are
 # placed together: jobs that existed before a restart arrive within 100 ms.
 _GATHER_DELAY_MS: t.Final = 150
@@ -76,7 +75,7 @@
     state = context.state
     if not (context.may_send_orders and _ownership.may_extend_leases(state)):
         return
-    _lost_starts.count(_unconfirmed_runs.end_worker_wait(context), state)
+    count_lost_starts(_unconfirmed_runs.end_worker_wait(context), state)
     if is_tick or state.is_sending_due:
         state.is_sending_due = False
         _starting.send_durable(context)
@@ -84,14 +83,25 @@
     if is_tick or (state.is_placing_due and not is_recent):
         state.is_placing_due = False
         state.placed_ms = state.now_ms
-        _PlacementPass(context, state.ready).run()
+        _place_queue(state.ready, context)
     is_due = (
         state.now_ms - state.opportunistic_placed_ms
         >= _ready_queues.OPPORTUNISTIC_PASS_INTERVAL_MS
     )
     if is_tick and is_due and state.ready_opportunistic:
         state.opportunistic_placed_ms = state.now_ms
-        _PlacementPass(context, state.ready_opportunistic).run()
+        _place_queue(state.ready_opportunistic, context)
+
+
+def _place_queue(
+    queue: dict[_ready_queues.StepKey, dict[TaskKey, Task]], context: Context
+) -> None:
+    """Run a pass over a queue, unless too many orders are under way."""
+    budget = _start_window.get_budget(context.state)
+    if budget:
+        _PlacementPass(context, queue, budget).run()
+    else:
+        context.state.is_placing_due = True
 
 
 class _Restriction(t.NamedTuple):
@@ -118,7 +128,11 @@
 
     context: Context
     queue: dict[_ready_queues.StepKey, dict[TaskKey, Task]]
-    budget: int = _MAX_STARTS_PER_PASS
+    budget: int = _start_window.MAX_STARTS_PER_PASS
+    # Starts of the pass, by job.
+    start_counts: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
     # Sizes of opportunistic tasks, by service and image, that no worker
     # accepts next to the tasks that it serves, with the restriction under
     # which they were rejected.
@@ -149,15 +163,20 @@
 
     def _place_ranked(self) -> None:
         state = self.context.state
-        for step_key in _ranking.sort_steps(self.queue, state):
+        ranked = _ranking.sort_steps(self.queue, state)
+        step_keys = _start_window.order_by_turn(ranked, state)
+        reached_count = 0
+        for step_key in step_keys:
+            if self.budget <= 0:
+                state.is_placing_due = True
+                break
+            reached_count += 1
             job = state.jobs[step_key[0]]
             if not _unconfirmed_runs.must_await_workers(
                 job, job.request.steps[step_key[2]]
             ):
                 self._place_step(job, step_key)
-            if self.budget <= 0:
-                state.is_placing_due = True
-                return
+        _start_window.note_pass(step_keys, reached_count, state)
 
     def _list_waiting(self) -> list[tuple[Job, Task]]:
         """Return tasks of jobs that have had no run for long, at intervals."""
@@ -257,23 +276,42 @@
             _advice.ask_if_due(job, step_key, self.context)
         if self._exceeds_rejected_size(job, step, step_key):
             return
-        state = self.context.state
-        tasks = [
-            task
-            for task in self.queue[step_key].values()
-            if _crashes.may_start(job, task, state)
-        ]
-        if step.long_running:
-            # Tasks that ran before don't have to leave headroom; try them
-            # first.
-            tasks.sort(key=lambda task: not _ready_queues.ran_before(job, task))
+        startable = self._iter_startable(job, step, step_key)
         if step.gang:
-            self.budget -= _place_gang(job, step, tasks, self.context)
+            self.budget -= _gangs.place(
+                job, step, list(startable), self.context
+            )
             return
-        for task in tasks[: self.budget]:
+        # Tasks leave the queue as they are started.
+        tries = itertools.islice(startable, _start_window.MAX_STARTS_PER_PASS)
+        for task in list(tries):
+            if not self._has_share(job):
+                self.context.state.is_placing_due = True
+                return
             if not self._place_task(job, step, task):
                 self._record_rejected_size(job, step, task)
-                break
+                return
+
+    def _iter_startable(
+        self, job: Job, step: Step, step_key: _ready_queues.StepKey
+    ) -> t.Iterator[Task]:
+        """Yield the waiting tasks of a step that may be started."""
+        tasks: t.Iterable[Task] = self.queue[step_key].values()
+        if step.long_running:
+            # Tasks that ran before don't have to leave headroom; try them
+            # first.
+            tasks = sorted(
+                tasks, key=lambda task: not _ready_queues.ran_before(job, task)
+            )
+        for task in tasks:
+            if _crashes.may_start(job, task, self.context.state):
+                yield task
+
+    def _has_share(self, job: Job) -> bool:
+        """Whether the pass may start another task of a job."""
+        started_count = self.start_counts[job.job_id]
+        is_below_share = started_count < _start_window.MAX_JOB_STARTS_PER_PASS
+        return is_below_share and self.budget > 0
 
     def _exceeds_rejected_size(
         self, job: Job, step: Step, step_key: _ready_queues.StepKey
@@ -376,6 +414,9 @@
         if not self._exceeds_free_capacity(job, step, task):
             worker = _worker_selection.choose(job, task, step, state)
         if worker is None:
+            if _start_window.awaits_answers(step, state):
+                state.is_placing_due = True
+                return False
             if _worker_selection.awaits_proven_worker(job, task, step, state):
                 # It says nothing about other tasks, and others needn't stop.
                 return True
@@ -420,6 +461,7 @@
             _interference.invalidate_slack(worker)
         _starting.send(attempt, job, self.context)
         self.budget -= 1
+        self.start_counts[job.job_id] += 1
 
 
 def _is_limited_by_size_only(step: Step, job: Job) -> bool:
@@ -431,63 +473,3 @@
     """Whether a step has no label, no per-worker limit and no advice."""
     is_free = not (step.required_label or step.max_per_worker)
     return is_free and not job.queue.advised
-
-
-def _place_gang(
-    job: Job, step: Step, tasks: list[Task], context: Context
-) -> int:
-    """Start all tasks of a gang under one run number, or none of them.
-
-    Returns
-    -------
-    int
-        The number of runs started.
-    """
-    if len(tasks) < step.task_count:
-        # Members of the previous run have not ended yet.
-        return 0
-    for labels in _iter_racks(step, context.state):
-        attempts = _reserve_gang(job, step, tasks, labels, context)
-        for attempt in attempts:
-            _starting.send(attempt, job, context)
-        if attempts:
-            return len(attempts)
-    for task in tasks:
-        if _worker_selection.choose(job, task, step, context.state) is None:
-            _preempting.preempt_for(job, task, context)
-    return 0
-
-
-def _iter_racks(step: Step, state: SchedulerState) -> t.Iterator[str]:
-    """Yield the racks to try, then an empty text for any rack."""
-    if step.same_rack:
-        racks = {worker.entry.rack for worker in state.workers.values()}
-        yield from sorted(racks - {''})
-    yield ''
-
-
-def _reserve_gang(
-    job: Job, step: Step, tasks: list[Task], rack: str, context: Context
-) -> list[Attempt]:
-    """Reserve a worker for each member, or none if one member fits nowhere.
-
-    Returns the new runs, empty if nothing was reserved.
-    """
-    state = context.state
-    run_counts = [task.run_count for task in tasks]
-    checkpoint = max(task.checkpoint for task in tasks)
-    added: list[Attempt] = []
-    for task in tasks:
-        worker = _worker_selection.choose(job, task, step, state, rack)
-        if worker is None:
-            for attempt in added:
-                _attempts.drop_attempt(attempt, context)
-                _ready_queues.add(job.tasks[attempt.key], step, state)
-            # No run was sent, so the next try may use the same run number.
-            for member, count in zip(tasks, run_counts, strict=True):
-                member.run_count = count
-            return []
-        task.run_count = max(run_counts) + 1
-        task.checkpoint = checkpoint
-        added.append(_starting.add_run(job, step, task, worker, context))
-    return added
--- a/src/tulippin/jobs/_starting.py
+++ b/src/tulippin/jobs/_starting.py
@@ -11,6 +11,7 @@
     _probation,
     _ranking,
     _ready_queues,
+    _start_window,
     _unconfirmed_runs,
     _worker_leases,
     _workers,
@@ -109,6 +110,7 @@
     )
     attempt.start_deadline_ms = _workers.get_clock_ms(worker, state) + valid_ms
     _worker_leases.extend_lapse_time(worker, valid_ms, state)
+    _start_window.note_sent(attempt, worker, state)
     state.count('starts')
     if state.config.features.orders_by_progress:
         _ranking.count_start(job, attempt, state)
--- a/src/tulippin/jobs/_worker_selection.py
+++ b/src/tulippin/jobs/_worker_selection.py
@@ -14,6 +14,7 @@
     _ranking,
     _ready_queues,
     _scoring,
+    _start_window,
 )
 from tulippin.jobs.state import Job, SchedulerState, Task, Worker
 from tulippin.jobs.types import Step
@@ -91,6 +92,7 @@
         worker
         for worker in state.workers.values()
         if not (rack and worker.entry.rack != rack)
+        and _start_window.is_open(worker)
         and _feasibility.is_feasible(worker, job, task, step, state)
     ]
     headroom = (
--- a/src/tulippin/jobs/_workers.py
+++ b/src/tulippin/jobs/_workers.py
@@ -17,6 +17,7 @@
     _ownership,
     _pacing,
     _report_schedule,
+    _start_window,
     _worker_leases,
 )
 from tulippin.jobs._dispatch import Context, handle
@@ -346,6 +347,7 @@
 @handle.register
 def _handle_start_answer(event: StartAnswered, context: Context) -> None:
     state = context.state
+    _start_window.note_answered(event, state)
     worker = state.workers.get(event.worker_id)
     if worker is None:
         return
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -361,6 +361,7 @@
     ``entry_read_ms`` is when the newest read of its entry began. ``born_ms`` is
     when the incarnation that answers under the id started, or 0 until it is
     known; all other fields but the entry are about this incarnation.
+    ``open_start_count`` is the number of start orders without an answer.
     ``needs_ack`` says that it still reports ends that are durable, up to number
     ``last_seen``, and ``is_report_cut`` that its last report may lack ends.
     ``has_good_end`` says that this owner has read the end of a run there that
@@ -377,6 +378,7 @@
     is_listed: bool = True
     clock_offset_ms: int | None = None
     is_hold_in_flight: bool = False
+    open_start_count: int = 0
     answered_ms: int = 0
     confirmed_ms: int = 0
     failed_count: int = 0
@@ -629,6 +631,10 @@
     ``is_early_commit_due`` says that ends were read that keep an urgent end,
     or the rest of a report, from being read until they are durable.
 
+    ``open_starts`` tells when each start order without an answer was sent, and
+    ``missed_passes`` counts by job how many placement passes in a row had no
+    starts left for it.
+
     ``early_cancels_ms`` tells when this owner first read of each job that was
     cancelled before it was accepted.
 
@@ -653,6 +659,8 @@
     )
     is_placing_due: bool = False
     is_sending_due: bool = False
+    open_starts: dict[tuple[TaskKey, int], int] = attrs.field(factory=dict)
+    missed_passes: dict[str, int] = attrs.field(factory=dict)
     placed_ms: int = 0
     opportunistic_placed_ms: int = 0
     waits_logged_ms: int = 0
