Handle reports and commits before answers to starts

What callers saw: beside a job of thousands of tasks the leases of healthy workers lapsed, and their runs were lost and started again.

Cause: a worker's lease is renewed when its last report has been handled. Reports waited behind all answers to starts and all other events, up to 1,807 of them and for 1.9 s ("events late"); the ends that they bring, and the commits by which ends become durable, waited as well.

Change: an inbox with three queues. Events of the unit's ownership come first, then those that keep the runs of workers and make ends durable, then all others.

--- a/src/tulippin/jobs/events.py
+++ b/src/tulippin/jobs/events.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import functools
 import typing as t
 
@@ -347,6 +348,31 @@
     return event.answer.outcome is OrderOutcome.FENCED
 
 
-def is_urgent(event: JobEvent) -> bool:
-    """Whether an event is handled before the events that wait."""
-    return isinstance(event, OWNERSHIP_EVENTS) or tells_of_successor(event)
+class Urgency(enum.IntEnum):
+    """Which of the events that wait is handled first."""
+
+    OWNERSHIP = 0
+    LEASES = 1
+    OTHER = 2
+
+
+@functools.singledispatch
+def get_urgency(event: JobEvent) -> Urgency:
+    """Return the urgency of an event.
+
+    Events by which an instance keeps or loses its unit come first, then those
+    by which the workers keep their runs and the ends of these become durable.
+    """
+    if isinstance(event, OWNERSHIP_EVENTS) or tells_of_successor(event):
+        return Urgency.OWNERSHIP
+    return Urgency.OTHER
+
+
+@get_urgency.register(WorkerAnswered)
+@get_urgency.register(WorkerSilent)
+@get_urgency.register(ProgressCommitted)
+@get_urgency.register(RosterCommitted)
+def _get_lease_urgency(event: JobEvent) -> Urgency:
+    if tells_of_successor(event):
+        return Urgency.OWNERSHIP
+    return Urgency.LEASES
--- a/src/tulippin/jobs/shell.py
+++ b/src/tulippin/jobs/shell.py
@@ -17,6 +17,7 @@
 from tulippin.exceptions import UnavailableError
 from tulippin.jobs import _home_selection, _read_schedule
 from tulippin.jobs import events as ev
+from tulippin.jobs._inbox import EventInbox
 from tulippin.jobs._transactions import AnswerTimes
 from tulippin.jobs._unit_feeds import FEED_RETRY_PAUSE_S
 from tulippin.jobs._unit_watch import UnitWatch
@@ -50,8 +51,6 @@
 
 Clock = t.Callable[[], int]
 
-_QueuedEvent: t.TypeAlias = tuple[UnitShell, ev.JobEvent]
-
 
 class SchedulerShell:
     """Runs one instance's scheduler; an asynchronous context manager.
@@ -99,8 +98,7 @@
         )
         self._policy: ev.PolicyChanged | None = None
         self._is_store_available = False
-        self._urgent: collections.deque[_QueuedEvent] = collections.deque()
-        self._inbox: collections.deque[_QueuedEvent] = collections.deque()
+        self._inbox = EventInbox()
         self._late_logged_ms = 0
         self._wake = trio.Event()
         self._has_unit = trio.Event()
@@ -167,10 +165,7 @@
         affected. The new shell gets no event for ``backoff_ms``, as one that
         fails at every event would otherwise use up the instance's processor.
         """
-        for inbox in (self._urgent, self._inbox):
-            kept = [entry for entry in inbox if entry[0] is not failed]
-            inbox.clear()
-            inbox.extend(kept)
+        self._inbox.drop(failed)
         self.units[unit.config.unit.number] = unit
         if backoff_ms:
             unit.is_backing_off = True
@@ -261,15 +256,15 @@
         """Queue an event for one unit.
 
         Events that ownership depends on go first, so that an overloaded owner
-        does not lose its unit, and decides nothing beside its successor.
+        does not lose its unit, and decides nothing beside its successor. Those
+        that the leases of workers depend on follow.
         """
-        inbox = self._urgent if ev.is_urgent(event) else self._inbox
-        inbox.append((unit, event))
+        self._inbox.put(unit, event)
         self._wake.set()
 
     async def _run(self) -> None:
         while True:
-            if not (self._urgent or self._inbox):
+            if not self._inbox:
                 self._wake = trio.Event()
                 await self._wake.wait()
             self._handle_slice()
@@ -277,19 +272,18 @@
 
     def _handle_slice(self) -> None:
         """Handle events for one slice of time."""
-        until_ms = self.clock() + _SLICE_MS
+        began_ms = self.clock()
+        used_ms = 0
         owned_count = sum(unit.is_claimed for unit in self.units.values())
-        while self._urgent or self._inbox:
-            inbox = self._urgent or self._inbox
-            unit, event = inbox.popleft()
+        while self._inbox and used_ms < _SLICE_MS:
+            unit, event = self._inbox.take(used_ms / _SLICE_MS)
             self._record_event_age(event)
             unit.state.other_unit_count = owned_count - unit.is_claimed
             unit.step(event)
             owned_count = unit.state.other_unit_count + unit.is_claimed
             if owned_count:
                 self._has_unit.set()
-            if self.clock() >= until_ms:
-                return
+            used_ms = self.clock() - began_ms
 
     def _record_event_age(self, event: ev.JobEvent) -> None:
         now_ms = self.clock()
@@ -303,7 +297,7 @@
             logger.warning(
                 'events late',
                 age_ms=self.event_age_ms,
-                waiting=len(self._inbox) + len(self._urgent),
+                waiting=len(self._inbox),
             )
 
     async def _tick(self) -> None:
@@ -315,7 +309,7 @@
                 await trio.sleep(_TICK_S)
             else:
                 await self._wait_for_standby_tick()
-            while self._urgent:
+            while self._inbox.has_ownership_events:
                 # The loop is behind: another tick would carry no information.
                 await trio.sleep(_TICK_S)
 
--- a/tests/handover_model.py
+++ b/tests/handover_model.py
@@ -24,6 +24,7 @@
     _unit_feeds,
 )
 from tulippin.jobs import events as ev
+from tulippin.jobs._inbox import EventInbox
 from tulippin.jobs._transactions import AnswerTimes
 from tulippin.jobs._unit_feeds import UnitFeeds
 from tulippin.jobs.ports import (
@@ -230,8 +231,7 @@
         )
         self.is_paused = False
         self.is_handling = False
-        self.urgent = []
-        self.inbox = []
+        self.inbox = EventInbox()
         self.seen_version = 0
         self.units = {}
         for unit in range(world.unit_count):
@@ -256,16 +256,15 @@
         return int(entry.rack)
 
     def post_to(self, unit, event):
-        inbox = self.urgent if ev.is_urgent(event) else self.inbox
-        inbox.append((unit, event))
+        self.inbox.put(unit, event)
         self.handle_events()
 
     def handle_events(self):
         if self.is_handling or self.is_paused:
             return
         self.is_handling = True
-        while self.urgent or self.inbox:
-            unit, event = (self.urgent or self.inbox).pop(0)
+        while self.inbox:
+            unit, event = self.inbox.take(used_share=0)
             unit.step(event)
         self.is_handling = False
 
