Let a job return to a unit that it has left

What callers would see: a job that had moved waited for good, also if only the unit that it had left had workers for it, as after a rack is lost and another one comes back.

Cause: the rows that a job leaves behind say that it has moved. A job that came back would have been taken for that one and sent on with old progress, so that moves excluded all earlier homes.

Change: rows of one store carry versions of one counter. A row of a job that is newer than what the unit knows of it brings it back, and progress that is older than its row is not applied. Earlier homes are chosen if no other unit can run the job. The removal of a moved job requires that its row is still the old one. A job is not shown as pending again while it moves.

--- a/src/tulippin/jobs/_committing.py
+++ b/src/tulippin/jobs/_committing.py
@@ -539,12 +539,22 @@
     transferred = frozenset(
         job_id for job_id in old if _is_elsewhere(state.jobs[job_id])
     )
+    moved_versions = {
+        job_id: state.jobs[job_id].row_version
+        for job_id in old
+        if state.jobs[job_id].moved_to is not None
+    }
     for job_id in old:
         del state.jobs[job_id]
         state.tails.pop(job_id, None)
         state.scheduled.discard(job_id)
     context.emit(
-        RemoveJobs(tuple(old), state.ownership.epoch_version, transferred)
+        RemoveJobs(
+            tuple(old),
+            state.ownership.epoch_version,
+            transferred,
+            moved_versions,
+        )
     )
 
 
--- a/src/tulippin/jobs/_job_moves.py
+++ b/src/tulippin/jobs/_job_moves.py
@@ -203,22 +203,31 @@
 
 
 def _choose_unit(job: Job, state: SchedulerState) -> int | None:
-    """Return the least loaded unit that can run a job, if there is one."""
+    """Return the least loaded unit that can run a job, if there is one.
+
+    A unit that the job has left is chosen only if there is no other.
+    """
     fitting = [
-        (_get_load(room), number)
+        (number in job.left_units, _get_load(room), number)
         for number, room in state.unit_capacities.items()
         if _accepts(number, room, job, state)
     ]
-    return min(fitting)[1] if fitting else None
+    return min(fitting)[-1] if fitting else None
 
 
 def _choose_unit_with_place(job: Job, state: SchedulerState) -> int | None:
     """Return the least loaded unit that can run a job, best one with a place.
 
-    Where no unit has a place, the job waits in one that will have.
+    Where no unit has a place, the job waits in one that will have. A unit that
+    the job has left is chosen only if there is no other.
     """
     fitting = [
-        (not _has_place(room, job), _get_load(room), number)
+        (
+            number in job.left_units,
+            not _has_place(room, job),
+            _get_load(room),
+            number,
+        )
         for number, room in state.unit_capacities.items()
         if _accepts(number, room, job, state)
     ]
@@ -258,6 +267,8 @@
     for number, room in state.unit_capacities.items():
         there = _sum_waiting(room.waiting_millicores, demand)
         is_less = _MIN_DEMAND_RATIO * there + asked <= own
+        if number in job.left_units:
+            continue
         idle = _get_idle(room)
         if is_less and idle >= asked and _accepts(number, room, job, state):
             found.append((there, -idle, number))
@@ -278,7 +289,7 @@
     number: int, room: UnitCapacity, job: Job, state: SchedulerState
 ) -> bool:
     """Whether a job may move to a unit."""
-    if number in state.closed_units or number in job.left_units:
+    if number in state.closed_units:
         return False
     return _unit_capacity.can_run_steps(
         room, _list_open_steps(job), job.queue.service
@@ -340,7 +351,7 @@
         MovedJobRecord(
             attrs.evolve(progress, moved_to=None, started={}),
             run_floor,
-            (*job.left_units, state.config.unit.number),
+            tuple(dict.fromkeys((*job.left_units, state.config.unit.number))),
             checkpoints,
         ),
     )
--- a/src/tulippin/jobs/_lifecycle.py
+++ b/src/tulippin/jobs/_lifecycle.py
@@ -144,14 +144,22 @@
     if row.key.endswith(GUEST_SUFFIX):
         return _apply_transferred_tasks(row, context)
     jobs = context.state.jobs
-    if row.key in jobs:
+    known = jobs.get(row.key)
+    if known is not None and not _has_returned(known, row):
         return None
     job = _make_job(row, context)
     if job is not None:
+        if known is not None:
+            job.progress_version = known.progress_version
         jobs[row.key] = job
     return job
 
 
+def _has_returned(job: Job, row: StoredRow) -> bool:
+    """Whether a row brings a job back to a unit that it left."""
+    return job.moved_to is not None and row.version > job.row_version
+
+
 def list_unreadable_jobs(
     rows: t.Iterable[StoredRow], state: SchedulerState
 ) -> t.Iterator[str]:
@@ -303,6 +311,9 @@
     if row.value is None:
         return
     job.progress_version = row.version
+    if row.version < job.row_version:
+        # The job has left the unit since, and come back.
+        return
     record = _read_progress(job, row)
     if record is None:
         withhold(job, context, 'its progress is unreadable')
--- a/src/tulippin/jobs/_row_effects.py
+++ b/src/tulippin/jobs/_row_effects.py
@@ -449,19 +449,22 @@
     """
     unit = shell.config.unit
     removals: dict[str, list[RowWrite]] = {}
+    transactions = []
     for job_id in effect.job_ids:
         part = get_jobs_part(job_id, shell.layout.job_parts)
-        writes = removals.setdefault(part, [])
-        for suffix in ('', CANCEL_SUFFIX, GUEST_SUFFIX, FAIL_SUFFIX):
-            key = f'{job_id}{suffix}'
-            writes.append(RowWrite(unit.jobs_table, key, None))
-        if job_id not in effect.transferred_ids:
-            writes.append(RowWrite(HOMES_TABLE, job_id, None))
-    transactions = [
+        writes = _make_removals(job_id, effect, unit)
+        if job_id in effect.moved_versions:
+            condition = RowCondition(
+                unit.jobs_table, job_id, effect.moved_versions[job_id]
+            )
+            transactions.append(Transaction(part, (condition,), writes))
+        else:
+            removals.setdefault(part, []).extend(writes)
+    transactions.extend(
         Transaction(part, (), chunk)
         for part, writes in removals.items()
         for chunk in chunk_writes(writes)
-    ]
+    )
     transactions.append(
         Transaction(
             unit.part,
@@ -480,6 +483,19 @@
         logger.warning('jobs not removed', reason=error.message)
 
 
+def _make_removals(
+    job_id: str, effect: fx.RemoveJobs, unit: Unit
+) -> tuple[RowWrite, ...]:
+    """Return the writes that remove the rows of a job, but its progress."""
+    writes = [
+        RowWrite(unit.jobs_table, f'{job_id}{suffix}', None)
+        for suffix in ('', CANCEL_SUFFIX, GUEST_SUFFIX, FAIL_SUFFIX)
+    ]
+    if job_id not in effect.transferred_ids:
+        writes.append(RowWrite(HOMES_TABLE, job_id, None))
+    return tuple(writes)
+
+
 @perform.register(fx.PassTasks)
 def _pass_tasks(effect: fx.PassTasks, shell: UnitShell) -> None:
     shell.start(_run_pass, effect, shell)
--- a/src/tulippin/jobs/effects.py
+++ b/src/tulippin/jobs/effects.py
@@ -157,11 +157,14 @@
     """Remove jobs that ended long ago from the store.
 
     ``transferred_ids`` are transferred jobs, whose home unit removes the rest.
+    ``moved_versions`` holds the versions of the rows of those that have moved
+    to another unit: a later one brings the job back.
     """
 
     job_ids: tuple[str, ...]
     epoch_version: int
     transferred_ids: frozenset[str] = frozenset()
+    moved_versions: dict[str, int] = attrs.field(factory=dict)
 
 
 @attrs.frozen
--- a/src/tulippin/jobs/intake.py
+++ b/src/tulippin/jobs/intake.py
@@ -344,9 +344,13 @@
         self._cache_home(job_id, home.unit)
         if home.unit != expected_unit:
             progress = await self._read_progress(home.unit, job_id)
-        if progress is not None:
+        if progress is not None and progress.moved_to is None:
             return progress.state
-        return JobState.RUNNING if home.has_begun else JobState.PENDING
+        # The job is moving, or has returned to a unit with old progress of it.
+        has_begun = home.has_begun or (
+            progress is not None and progress.state is not JobState.PENDING
+        )
+        return JobState.RUNNING if has_begun else JobState.PENDING
 
     def _cache_home(self, job_id: str, number: int) -> None:
         if len(self._homes) >= _MAX_CACHED_HOMES:
