Hold no suspected task for one that fits no worker

What callers would see: tasks that one crash made suspected wait for as long as no worker is large enough for a task of their job that crashed two.

Cause: the task with more crashes comes first, whether it can be started or not.

Change: it comes first while it runs or while a listed worker could run it if it were idle.

--- a/src/tulippin/jobs/_crashes.py
+++ b/src/tulippin/jobs/_crashes.py
@@ -37,6 +37,7 @@
 
 from tulippin.jobs import (
     _attempts,
+    _feasibility,
     _lifecycle,
     _probation,
     _unconfirmed_runs,
@@ -441,7 +442,7 @@
     """
     is_gang = job.request.steps[task.key.step].gang
     return any(
-        _precedes(other, task, state)
+        _precedes(other, task, job, state)
         for other in _list_isolated(job, state)
         if not (other is task or other.is_done)
         and not (is_gang and other.key[:3] == task.key[:3])
@@ -452,7 +453,17 @@
     """Whether a suspected task of a job holds back another one."""
     if _is_on_probation(other, state):
         return True
-    return _get_rank(other) > _get_rank(task)
+    is_likelier = _get_rank(other) > _get_rank(task)
+    return is_likelier and _may_find_worker(job, other, state)
+
+
+def _may_find_worker(job: Job, task: Task, state: SchedulerState) -> bool:
+    """Whether a task runs, or some worker could run it."""
+    step = job.request.steps[task.key.step]
+    return bool(task.attempts) or any(
+        _feasibility.fits_when_idle(worker, job, step)
+        for worker in state.workers.values()
+    )
 
 
 def _list_isolated(job: Job, state: SchedulerState) -> list[Task]:
--- a/src/tulippin/jobs/_feasibility.py
+++ b/src/tulippin/jobs/_feasibility.py
@@ -129,6 +129,16 @@
     return None if may_start else Obstacle.PROBATION
 
 
+def fits_when_idle(worker: Worker, job: Job, step: Step) -> bool:
+    """Whether a listed worker could run a task if it ran nothing else."""
+    entry = worker.entry
+    if not worker.is_listed or entry.capacity is None:
+        return False
+    has_label = not step.required_label or step.required_label in entry.labels
+    is_of_service = entry.service == job.queue.service
+    return is_of_service and has_label and entry.capacity.fits(step.size)
+
+
 def accepts_runs(worker: Worker, state: SchedulerState) -> bool:
     """Whether new runs may be started on a worker."""
     return find_run_refusal(worker, state) is None
