Refuse jobs that an owner can't serve beside others

A gang of 2,000 tasks was accepted, never worked, and took its owner with it.

Cause: the limit was that of a row, 100,000 tasks, and there was none for gangs, whose members wait for each other for a few seconds only.

Change: 20,000 tasks for a job and 200 for a gang; the error names the limit.

Rows are still checked up to 100,000 tasks, by a constant of the test, as MAX_KEPT_TASKS has become smaller.

--- a/src/tulippin/jobs/intake.py
+++ b/src/tulippin/jobs/intake.py
@@ -78,8 +78,12 @@
 # may reach another instance. It is not ready after the same time.
 _MAX_STORE_SILENCE_MS: t.Final = 2500
 # Tasks of a job whose progress fits a row of the store, whatever happens to
-# them.
-MAX_KEPT_TASKS: t.Final = 100_000
+# them, and beside which an owner serves other jobs: each takes it some ms and
+# 0.9 KB.
+MAX_KEPT_TASKS: t.Final = 20_000
+# Tasks of a gang that an owner can start while the first ones wait for the
+# others.
+MAX_GANG_TASKS: t.Final = 200
 # Time for the reply after a bounded write has been given up.
 _CONCLUDE_S: t.Final = 0.02
 
@@ -467,13 +471,21 @@
 
 
 def _check_task_count(request: JobRequest) -> None:
-    """Raise ``InputError`` if a job's progress may not fit a row."""
+    """Raise ``InputError`` if a job has more tasks than an owner serves."""
     count = sum(step.task_count for step in request.steps)
     if count > MAX_KEPT_TASKS:
         raise _make_size_error(
             f'it has {count} tasks, at most {MAX_KEPT_TASKS} are kept;'
             ' submit several jobs'
         )
+    largest = max(
+        (step.task_count for step in request.steps if step.gang), default=0
+    )
+    if largest > MAX_GANG_TASKS:
+        raise _make_size_error(
+            f'a gang of it has {largest} tasks, at most {MAX_GANG_TASKS} can'
+            ' be started together; use smaller gangs'
+        )
 
 
 def _encode_job(record: JobRecord) -> bytes:
--- a/tests/tulippin/jobs/test_row_codec.py
+++ b/tests/tulippin/jobs/test_row_codec.py
@@ -14,7 +14,11 @@
 from tulippin.exceptions import InputError
 from tulippin.jobs._packed_progress import PackedProgress, pack, unpack
 from tulippin.jobs._row_codec import decode_row, encode_row
-from tulippin.jobs.intake import MAX_KEPT_TASKS, _encode_job
+from tulippin.jobs.intake import (
+    MAX_GANG_TASKS,
+    MAX_KEPT_TASKS,
+    _encode_job,
+)
 from tulippin.jobs.ports import MAX_ROW_BYTES
 from tulippin.jobs.records import (
     CrashRecord,
@@ -300,6 +304,14 @@
     )
 
 
+# Tasks up to which rows are checked.
+MAX_ENCODED_TASKS = 100_000
+
+
+def test_rows_are_checked_for_all_jobs_that_are_accepted():
+    assert MAX_KEPT_TASKS <= MAX_ENCODED_TASKS
+
+
 @settings(max_examples=60)
 @given(
     st.lists(st.integers(1, 2000), min_size=1, max_size=5),
@@ -311,7 +323,7 @@
 def test_progress_after_any_history_is_kept_within_the_limit(
     sizes, occurrences, history, seed
 ):
-    assert sum(sizes) <= MAX_KEPT_TASKS
+    assert sum(sizes) <= MAX_ENCODED_TASKS
     record = make_history(sizes, occurrences, history, random.Random(seed))
     value = encode_row(record)
     assert len(value) <= MAX_ROW_BYTES
@@ -364,9 +376,15 @@
             ),
             MAX_KEPT_TASKS,
         ),
+        (
+            make_request(
+                Step(MAX_GANG_TASKS + 1, Resources(10, 10), gang=True)
+            ),
+            MAX_GANG_TASKS,
+        ),
         (make_varied_request(5000, 0), MAX_ROW_BYTES),
     ],
-    ids=['tasks', 'bytes'],
+    ids=['tasks', 'gang', 'bytes'],
 )
 def test_job_that_is_too_large_is_refused_at_the_door(
     run_virtual, request_, limit
