Move a job with more progress than a row holds

What callers would see: a sound job is shown as failed as it leaves a unit, for the size of its row.

Cause: the progress in a moved job's row is compressed but not reduced, and the job is failed where the store refuses the row.

Change: crashes, avoided workers, places, begun tasks and failures are left out, in this order, until the row fits, and logged, as in the row of progress.

--- a/src/tulippin/jobs/_row_codec.py
+++ b/src/tulippin/jobs/_row_codec.py
@@ -16,7 +16,7 @@
 from tulippin.exceptions import InputError
 from tulippin.jobs._packed_progress import PackedProgress, pack, unpack
 from tulippin.jobs.ports import MAX_ROW_BYTES
-from tulippin.jobs.records import ProgressRecord
+from tulippin.jobs.records import JobRecord, ProgressRecord
 from tulippin.logs import logger
 
 Record = t.TypeVar('Record')
@@ -36,13 +36,45 @@
 )
 
 
+# The same of the progress of a job that moves, in the plain form.
+_OPTIONAL_MOVED_PARTS: t.Final = (
+    ('crashes', {}),
+    ('avoided', {}),
+    ('places', None),
+    ('begun', None),
+    ('failures', {}),
+)
+
+
 @functools.singledispatch
 def encode_row(record: t.Any) -> bytes:
     """Return the value of the row of a record."""
+    return _compress_if_large(record)
+
+
+def _compress_if_large(record: t.Any) -> bytes:
     value = encode(record)
     return value if len(value) <= MAX_ROW_BYTES else zlib.compress(value)
 
 
+@encode_row.register
+def _encode_job(record: JobRecord) -> bytes:
+    """Return the value of a job's row, which holds its progress if it moves."""
+    value = _compress_if_large(record)
+    moved = record.moved
+    left_out = []
+    for name, absent in _OPTIONAL_MOVED_PARTS:
+        if moved is None or len(value) <= MAX_ROW_BYTES:
+            break
+        left_out.append(name)
+        progress = attrs.evolve(moved.progress, **{name: absent})
+        moved = attrs.evolve(moved, progress=progress)
+        value = _compress_if_large(attrs.evolve(record, moved=moved))
+    if left_out:
+        logger.warning('job moved in part', left_out=left_out, bytes=len(value))
+    return value
+
+
 @encode_row.register
 def _encode_progress(record: ProgressRecord) -> bytes:
     value = encode(record)
--- a/tests/tulippin/jobs/test_row_codec.py
+++ b/tests/tulippin/jobs/test_row_codec.py
@@ -24,6 +24,7 @@
     CrashRecord,
     GuestRecord,
     JobRecord,
+    MovedJobRecord,
     ProgressRecord,
 )
 from tulippin.jobs.types import JobRequest, JobState, Queue, Step
@@ -355,6 +356,25 @@
     assert decode_row(value, ProgressRecord) == record
 
 
+# Guards against jobs that are failed as they move, for the size of their row.
+@pytest.mark.parametrize('tasks', [500, MAX_KEPT_TASKS])
+def test_job_that_moves_with_much_progress_fits_a_row(tasks):
+    history = History(200, 1, 1, 0, 1, 2, 0, 0, 0.5)
+    progress = make_history([tasks], 1, history, random.Random(0))
+    record = JobRecord(
+        QUEUE,
+        make_request(Step(tasks, Resources(10, 10))),
+        moved=MovedJobRecord(progress, 0, (1,), {}),
+    )
+    value = encode_row(record)
+    assert len(value) <= MAX_ROW_BYTES
+    kept = decode_row(value, JobRecord).moved.progress
+    assert (kept.state, kept.done) == (progress.state, progress.done)
+    for field in attrs.fields(ProgressRecord):
+        part = getattr(kept, field.name)
+        assert part == getattr(progress, field.name) or not part
+
+
 def make_varied_request(count, seed):
     """Return a job of steps whose images can hardly be compressed."""
     source = random.Random(seed)
