--- a/tests/tulippin/jobs/test_scheduler_soak.py
+++ b/tests/tulippin/jobs/test_scheduler_soak.py
@@ -63,7 +63,12 @@
 #   after starts of its task
 # 87: tasks are started on a worker that is over its room and guards none
 # 9220: a task with two runs, as a worker that restarts holds a longer lease
-RESTART_SEEDS = (1, 2, 3, 4, 7, 8, 78, 87, 9220)
+# 78001, 78013, 78015: a healthy job is abandoned, as 78
+# 78016: a healthy job without a run beside idle workers
+RESTART_SEEDS = (
+    *(1, 2, 3, 4, 7, 8, 78, 87, 9220),
+    *(78001, 78013, 78015, 78016),
+)
 
 
 # 1008: runs of a worker that the soak replaced by another one of its id
@@ -81,7 +86,9 @@
     assert not [one for one in violations if 'concurrent runs' in one]
 
 
-@pytest.mark.parametrize('seed', [1, 2, 3, 4])
+# 77022: suspected jobs without a run beside idle workers
+# 77026: too many starts of a task that crashes its workers
+@pytest.mark.parametrize('seed', [1, 2, 3, 4, 77022, 77026])
 def test_owners_and_workers_are_lost_in_series(run_virtual, seed):
     play = functools.partial(scheduler_soak.play, loses_in_series=True)
     assert run_virtual(play, seed, seed=seed) == []
@@ -130,7 +137,7 @@
 
 @pytest.mark.parametrize(
     ('seed', 'are_ids_kept', 'loses_in_series'),
-    [(43005, True, False), (43004, False, True)],
+    [(43005, True, False), (77001, False, True), (81013, False, True)],
 )
 def test_probation_of_others_holds_no_suspected_job(
     run_virtual, seed, are_ids_kept, loses_in_series
@@ -141,3 +148,8 @@
         loses_in_series=loses_in_series,
     )
     assert run_virtual(play, seed, seed=seed) == []
+
+
+def test_suspected_job_runs_beside_those_on_probation(run_virtual):
+    play = functools.partial(scheduler_soak.play, loses_in_series=True)
+    assert run_virtual(play, 43004, seed=43004) == []
