Apply progress that is older than further transfers to its unit

What callers would see: tasks that are done run a second time, after an owner is lost in a unit to which tasks of one job were transferred more than once. Found by reading again; not in a landing.

Cause: progress that is older than its job's row counted as that of an earlier stay in the unit. The row of transferred tasks is written anew with each transfer.

Change: only a job whose row says that it has left this unit has such progress.

The test of transferred tasks failed before; the one of a returned job passed.

--- a/src/tulippin/jobs/_lifecycle.py
+++ b/src/tulippin/jobs/_lifecycle.py
@@ -311,8 +311,9 @@
     if row.value is None:
         return
     job.progress_version = row.version
-    if row.version < job.row_version:
-        # The job has left the unit since, and come back.
+    unit = context.state.config.unit.number
+    if unit in job.left_units and row.version < job.row_version:
+        # It is of the job's earlier stay in the unit.
         return
     record = _read_progress(job, row)
     if record is None:
--- a/src/tulippin/jobs/intake.py
+++ b/src/tulippin/jobs/intake.py
@@ -78,8 +78,7 @@
 # may reach another instance. It is not ready after the same time.
 _MAX_STORE_SILENCE_MS: t.Final = 2500
 # Tasks of a job whose progress fits a row of the store, whatever happens to
-# them, and beside which an owner serves other jobs: each takes it some ms and
-# 0.9 KB.
+# them, and beside which an owner serves other jobs.
 MAX_KEPT_TASKS: t.Final = 20_000
 # Tasks of a gang that an owner can start while the first ones wait for the
 # others.
--- a/tests/tulippin/jobs/test_job_moves.py
+++ b/tests/tulippin/jobs/test_job_moves.py
@@ -25,8 +25,13 @@
     make_request,
     make_step,
 )
-from tulippin.jobs import _job_moves, _row_effects
+from tulippin.codec_json import encode
+from tulippin.jobs import _job_moves, _lifecycle, _row_effects
+from tulippin.jobs._dispatch import Context
 from tulippin.jobs.effects import RemoveJobs
+from tulippin.jobs.ports import StoredRow
+from tulippin.jobs.records import ProgressRecord
+from tulippin.jobs.state import Job, SchedulerConfig, SchedulerState
 from tulippin.jobs.types import JobState, Step
 from tulippin.types import Resources
 
@@ -269,6 +274,24 @@
     run_virtual(run, seed=seed)
 
 
+# Guards against tasks that run again, as progress counts as that of an earlier
+# stay once further tasks have been transferred to the unit.
+@pytest.mark.parametrize(
+    ('options', 'is_applied'),
+    [({'is_transferred': True}, True), ({'left_units': (0, 1)}, False)],
+    ids=['transferred', 'returned'],
+)
+def test_only_progress_of_an_earlier_stay_is_not_applied(options, is_applied):
+    context = Context(SchedulerState(SchedulerConfig('i', 'i:1')))
+    request = make_request(make_step(2))
+    job = Job(JOB, QUEUE, request, 5, remaining={(0, 0): 2}, **options)
+    progress = ProgressRecord(JobState.RUNNING, {'0.0': '1'})
+    row = StoredRow('progress', 'u0', JOB, encode(progress), 3)
+    _lifecycle.restore(job, row, context)
+    assert job.remaining[0, 0] == 2 - is_applied
+    assert job.progress_version == 3
+
+
 # Guards against the removal of a job that comes back while its earlier rows
 # are removed.
 def test_job_that_returns_late_is_kept(run_virtual):
