Release the tasks of a finished job once its end is durable

What callers would see: owners over their memory, after large jobs that were completed one after the other.

Cause: a finished job was removed as a whole at the end of the retention time, in which only its state is asked for.

Change: once the final state is durable and no run of the job is left, its tasks are dropped. An owner that loads a finished job has never had them, so that all code takes such a job already: a late end changes nothing in a job that is over.

--- a/src/tulippin/jobs/_committing.py
+++ b/src/tulippin/jobs/_committing.py
@@ -519,20 +519,22 @@
 
 
 def _remove_finished_jobs(context: Context) -> None:
-    """Remove jobs that finished longer ago than the retention time."""
+    """Remove jobs that finished longer ago than the retention time.
+
+    Their tasks are removed as soon as their final state is durable. A later
+    end of one changes nothing, as for an owner that loads the finished job.
+    """
     state = context.state
     if state.now_ms - state.last_sweep_ms < _REMOVAL_INTERVAL_MS:
         return
     state.last_sweep_ms = state.now_ms
     limit_ms = state.now_ms - state.config.finished_retention_ms
-    old = [
-        job.job_id
-        for job in state.jobs.values()
-        if (job.state in FINAL_STATES or job.moved_to is not None)
-        and job.finished_ms < limit_ms
-        and job.job_id not in state.dirty_jobs
-        and not any(task.attempts for task in job.tasks.values())
-    ][:_MAX_REMOVALS_PER_CALL]
+    settled = [job for job in state.jobs.values() if _is_settled(job, state)]
+    for job in settled:
+        if job.state in FINAL_STATES and job.pending_progress is None:
+            job.tasks.clear()
+    old = [job.job_id for job in settled if job.finished_ms < limit_ms]
+    old = old[:_MAX_REMOVALS_PER_CALL]
     _remove_early_cancels(limit_ms, context)
     if not old or state.is_committing:
         return
@@ -558,6 +560,15 @@
     )
 
 
+def _is_settled(job: Job, state: SchedulerState) -> bool:
+    """Whether a job is over in this unit, with nothing to commit or to stop."""
+    return (
+        (job.state in FINAL_STATES or job.moved_to is not None)
+        and job.job_id not in state.dirty_jobs
+        and not any(task.attempts for task in job.tasks.values())
+    )
+
+
 def _remove_early_cancels(limit_ms: int, context: Context) -> None:
     """Remove old cancels of jobs that were not accepted.
 
