Count a crash without an answer in full beside four others

Cause: a job is given up once the crashes of a task weigh 5. Where other runs had just begun on each of its workers they weigh 1 each, and 0.5 if no answer to the order was seen: five starts, of which one was answered with the crash, weigh 4.5.

Change: beside four crashes that were seen, one that was not weighs 1. With four seen ones the task may have run five times.

Evidence: the new test of the fleet has 6 starts before, 5 now; one of five cases of the count fails before.

--- a/src/tulippin/jobs/_crashes.py
+++ b/src/tulippin/jobs/_crashes.py
@@ -17,10 +17,10 @@
 - The third crash abandons the job if during two of them nothing else had
   just begun on the worker, the fourth if that holds for one, and the fifth in
   any case. A crash counts in full only if the worker reported the run, or
-  answered after the order was sent. A limit of two would abandon a job whose
-  task ran beside a crashing one and whose next worker crashed by itself. Each
-  further start costs a worker with little on it; up to five starts are
-  acceptable.
+  answered after the order was sent, or beside four such crashes. A limit of
+  two would abandon a job whose task ran beside a crashing one and whose next
+  worker crashed by itself. Each further start costs a worker with little on
+  it; up to five starts are acceptable.
 
 Crashes are made durable before the task is started again, and the assigned
 worker before the order of a suspected task is sent, so that the next owner
@@ -58,9 +58,11 @@
 # A job is abandoned when the crashes of one task weigh this much. A crash
 # weighs 1, and 1 more if nothing else had just begun on the worker. It weighs
 # 0.5 less if no answer followed the order, as the worker may have crashed
-# before.
+# before, but not beside four crashes that an answer did follow: the task may
+# have been started five times.
 _ABANDON_WEIGHT: t.Final = 5
 _UNSEEN_CRASH_WEIGHT: t.Final = 0.5
+_MIN_SEEN_BESIDE_UNSEEN: t.Final = 4
 # Possibly lost starts count as at most this many crashes, and only in addition
 # to the minimum number of crashes that were seen.
 _MAX_LOST_STARTS: t.Final = 2
@@ -498,21 +500,18 @@
 
     Possibly lost starts count as well, as they cost workers too.
     """
-    weight = sum(_weigh(crash) for crash in crashes)
-    if _is_short(job, task) and _count_seen(crashes) >= _MIN_SEEN_CRASHES:
+    seen_count = sum(crash.is_seen for crash in crashes)
+    unseen_weight = _UNSEEN_CRASH_WEIGHT
+    if seen_count >= _MIN_SEEN_BESIDE_UNSEEN:
+        unseen_weight = 1
+    clear_count = sum(crash.is_clear for crash in crashes)
+    unseen_count = len(crashes) - seen_count
+    weight = seen_count + clear_count + unseen_weight * unseen_count
+    if _is_short(job, task) and seen_count >= _MIN_SEEN_CRASHES:
         weight += min(job.doubts, _MAX_LOST_STARTS)
     return weight >= _ABANDON_WEIGHT
 
 
-def _count_seen(crashes: t.Sequence[CrashRecord]) -> int:
-    return sum(crash.is_seen for crash in crashes)
-
-
-def _weigh(crash: CrashRecord) -> float:
-    weight = 1 if crash.is_seen else _UNSEEN_CRASH_WEIGHT
-    return weight + crash.is_clear
-
-
 # -- orders that wait for a commit --------------------------------------------
 
 
--- a/tests/tulippin/jobs/test_crash_counting.py
+++ b/tests/tulippin/jobs/test_crash_counting.py
@@ -7,10 +7,11 @@
 import pytest
 import trio
 
-from scheduler_fleet import make_request, make_step, open_fleet
+from scheduler_fleet import QUEUE, make_request, make_step, open_fleet
 from tulippin.jobs import _crashes, _probation
 from tulippin.jobs.records import CrashRecord
-from tulippin.jobs.types import JobState
+from tulippin.jobs.state import Job, Task
+from tulippin.jobs.types import JobState, TaskKey
 
 CRASHING = 'c' * 16
 LIMIT_S = 28
@@ -251,6 +252,52 @@
     assert run_virtual(run) <= MAX_STARTS
 
 
+def test_crash_without_an_answer_leads_to_no_sixth_start(
+    run_virtual, monkeypatch
+):
+    """Other recent runs on each worker keep all crashes ambiguous."""
+    is_seen = _crashes._is_seen
+    unseen = []
+
+    def lose_first_answer(attempt, worker):
+        if attempt.key.job_id != CRASHING or unseen:
+            return is_seen(attempt, worker)
+        unseen.append(attempt)
+        return False
+
+    async def run():
+        async with open_fleet(instances=1, workers=1) as fleet:
+            fleet.platform.restart_delay_ms = 2000
+            fleet.nursery.start_soon(submit_short_jobs, fleet)
+            await submit_crashing(fleet, 10)
+            await fleet.wait_state(CRASHING, JobState.FAILED, 60)
+            return fleet.count_starts(CRASHING)
+
+    monkeypatch.setattr(_crashes, '_is_seen', lose_first_answer)
+    assert run_virtual(run) == MAX_STARTS
+    assert unseen
+
+
+@pytest.mark.parametrize(
+    ('seen_count', 'unseen_count', 'is_reached'),
+    [(5, 0, True), (4, 1, True), (4, 0, False), (3, 2, False), (3, 4, True)],
+)
+def test_crashes_without_an_answer_count_in_full_beside_four_others(
+    seen_count, unseen_count, is_reached
+):
+    """Orders to workers that are down already abandon no healthy job."""
+    crashes = [
+        CrashRecord(f'w{number}', '', '', number, 0, 0, is_seen=is_seen)
+        for number, is_seen in enumerate(
+            [True] * seen_count + [False] * unseen_count
+        )
+    ]
+    job = Job(CRASHING, QUEUE, make_request(make_step()), 1)
+    task = Task(TaskKey(CRASHING, 0, 0, 0))
+    found = _crashes.is_crash_limit_reached(job, task, crashes)
+    assert found is is_reached
+
+
 async def run_without_store(fleet):
     """Return the number of starts, the lost one included, without a store."""
     await lose_start(fleet)
