Let no report overtake other events that are much older

What callers saw: cancelled tasks run on, and less is served in time, where one instance owns units of several hundred workers.

Cause: since reports of workers go before all other events, which have a third of the time. Each handled report leads to the next one, so that an owner near its limit spends its time on reports that it asks for the sooner.

Change: an event goes before reports that came 100 ms and more after it. Reports keep a head start of that time, and other events the share of time that they had.

Evidence: the new test of the order fails before.

--- a/src/tulippin/jobs/_inbox.py
+++ b/src/tulippin/jobs/_inbox.py
@@ -15,6 +15,10 @@
 # the others follows.
 _MAX_AHEAD_MS: t.Final = 10
 _LEASES_WEIGHT: t.Final = 2
+# Other events go first once they are older than those of leases by this. Each
+# handled report leads to the next one: with reports always first, an owner of
+# many workers reads cancels ever later.
+_HEAD_START_MS: t.Final = 100
 
 _USUAL_ORDER: t.Final = tuple(Urgency)
 _OTHERS_BEFORE_LEASES: t.Final = (
@@ -58,12 +62,22 @@
         """
         if not self._queues[Urgency.OTHER]:
             self._leases_ahead_ms = 0
-        is_ahead = self._leases_ahead_ms > _MAX_AHEAD_MS
+        is_ahead = (
+            self._leases_ahead_ms > _MAX_AHEAD_MS or self._are_others_older()
+        )
         for urgency in _OTHERS_BEFORE_LEASES if is_ahead else _USUAL_ORDER:
             if self._queues[urgency]:
                 return self._queues[urgency].popleft()
         raise IndexError('no event waits')
 
+    def _are_others_older(self) -> bool:
+        """Whether another event has waited longer than those of leases."""
+        others = self._queues[Urgency.OTHER]
+        leases = self._queues[Urgency.LEASES]
+        if not (others and leases):
+            return False
+        return others[0][1].at_ms + _HEAD_START_MS < leases[0][1].at_ms
+
     def note_handled(self, event: JobEvent, took_ms: int) -> None:
         """Record how long the handling of an event took."""
         urgency = get_urgency(event)
--- a/tests/tulippin/jobs/test_inbox.py
+++ b/tests/tulippin/jobs/test_inbox.py
@@ -44,6 +44,17 @@
     assert 0 < taken_ms[SILENT] <= 2 * taken_ms[STARTED] + 30
 
 
+# Guards against cancels that are read ever later by an owner of many workers,
+# as each handled report leads to the next one.
+def test_other_events_are_not_overtaken_by_much_later_reports(inbox):
+    cancel = ev.StartAnswered(1000, 'w', KEY, 1, STARTED.answer)
+    inbox.put('unit', cancel)
+    for at_ms in (990, 1090, 1200, 1300):
+        inbox.put('unit', ev.WorkerSilent(at_ms, 'w', ''))
+    taken_ms = [event.at_ms for event in take_all(inbox)]
+    assert taken_ms == [990, 1090, 1000, 1200, 1300]
+
+
 def test_leases_owe_no_time_once_nothing_else_waits(inbox):
     inbox.put('unit', SILENT)
     inbox.note_handled(SILENT, 500)
