Show that the first layout gives all units to the instances that see it first

One of 29 instances owns five of six units there, and uses 1.70 of its 2.15 cores while the mean uses 0.11.

The test has six equal instances of 2.15 cores and six units: two of them take three each.

--- a/tests/tulippin/jobs/test_scheduler_units.py
+++ b/tests/tulippin/jobs/test_scheduler_units.py
@@ -87,6 +87,18 @@
     run_virtual(run)
 
 
+def test_first_layout_leaves_no_instance_idle_beside_busy_owners(run_virtual):
+    async def run():
+        large = {'processor_share': 2.15}
+        async with open_fleet(6, workers=180, rack_size=30, **large) as fleet:
+            await trio.sleep(5)
+            counts = collections.Counter(get_owners(fleet).values())
+            assert sum(counts.values()) == 6
+            assert max(counts.values()) <= 2
+
+    run_virtual(run)
+
+
 def test_jobs_are_spread_over_the_units_and_complete(run_virtual):
     async def run():
         async with open_units() as fleet:
