Give up units of an instance whose loop is late

What callers would see: urgent jobs late by tenths of a second for as long as one instance owns many units.

Change: an owner of several units whose ticks come 10 ms late over five seconds gives up one of them, in turns and with the same back-off as before. The delay is measured anew with each change of its units, and a suspension counts as one late tick.

Evidence: the test fails before (three units stay on an instance with ticks 20 ms late, beside three that own nothing); with 9 ms all stay.

--- a/src/tulippin/jobs/_loop_load.py
+++ b/src/tulippin/jobs/_loop_load.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import typing as t
 
 import attrs
@@ -18,10 +19,16 @@
 _LATE_LOG_INTERVAL_MS: t.Final = 1000
 
 
+# A longer delay of a tick counts as this in the mean: after a suspension of the
+# process one tick is late by seconds, and the next ones are on time.
+_MAX_COUNTED_DELAY_MS: t.Final = 100
+
+
 @attrs.define
 class _Delays:
     """Delays of one kind, in milliseconds."""
 
+    max_counted_ms: float = math.inf
     count: int = 0
     sum_ms: int = 0
     max_ms: int = 0
@@ -29,7 +36,7 @@
     def add(self, delay_ms: int) -> None:
         """Count one delay."""
         self.count += 1
-        self.sum_ms += delay_ms
+        self.sum_ms += min(delay_ms, self.max_counted_ms)
         self.max_ms = max(self.max_ms, delay_ms)
 
     @property
@@ -38,6 +45,10 @@
         return round(self.sum_ms / max(1, self.count))
 
 
+def _make_tick_delays() -> _Delays:
+    return _Delays(_MAX_COUNTED_DELAY_MS)
+
+
 @attrs.frozen
 class LoopSummary:
     """Delays of an instance's loop in one interval.
@@ -73,15 +84,20 @@
         When the current interval began.
     event_age_ms : int
         How long the last event waited.
+    tick_delay_ms : int
+        By how much ticks came late in the last full interval, on average;
+        0 until an interval has passed with the present units.
     """
 
     began_ms: int
     event_age_ms: int = 0
+    tick_delay_ms: int = 0
+    _units: tuple[int, ...] = attrs.field(default=(), init=False)
     _late_logged_ms: int = attrs.field(default=0, init=False)
     _ages: dict[Urgency, _Delays] = attrs.field(
         factory=lambda: {urgency: _Delays() for urgency in Urgency}, init=False
     )
-    _ticks: _Delays = attrs.field(factory=_Delays, init=False)
+    _ticks: _Delays = attrs.field(factory=_make_tick_delays, init=False)
 
     def note_event(
         self, event: JobEvent, now_ms: int, waiting_count: int
@@ -114,11 +130,19 @@
         delay_ms = clock() - began_ms - round(wait_s * _MS)
         self._ticks.add(max(0, delay_ms))
 
-    def log_if_due(self, units: t.Sequence[int], now_ms: int) -> None:
-        """Log the delays at intervals, if this instance owns units."""
+    def note_units(self, units: t.Sequence[int], now_ms: int) -> None:
+        """Log the delays at intervals, if this instance owns units.
+
+        Delays measured with other units say nothing about the present ones.
+        """
+        if tuple(units) != self._units:
+            self._units = tuple(units)
+            self.tick_delay_ms = 0
+            self._begin(now_ms)
         if now_ms - self.began_ms < _SUMMARY_INTERVAL_MS:
             return
         summary = self.summarize(now_ms)
+        self.tick_delay_ms = summary.tick_delay_ms
         if units:
             logger.info('loop load', units=units, **attrs.asdict(summary))
 
@@ -137,7 +161,11 @@
             self._ticks.mean_ms,
             self._ticks.max_ms,
         )
+        self._begin(now_ms)
+        return summary
+
+    def _begin(self, now_ms: int) -> None:
+        """Begin an interval."""
         self.began_ms = now_ms
         self._ages = {urgency: _Delays() for urgency in Urgency}
-        self._ticks = _Delays()
-        return summary
+        self._ticks = _make_tick_delays()
--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -61,6 +61,9 @@
 # instances have a shorter takeover delay. Half a core can carry one unit.
 _MAX_UNITS_PER_CORE: t.Final = 2.5
 _SHED_INTERVAL_MS: t.Final = 3000
+# The same if its ticks come late by this. Every call waits for some ten turns
+# of the loop, so that each run ends a tenth of a second late by then.
+_MAX_TICK_DELAY_MS: t.Final = 10
 # Worker leases that are extended later than this after the last renewal may
 # outlast the wait of the next owner: 2 s and 6.5 s, less a lease of 4.5 s and
 # its slack.
@@ -516,10 +519,7 @@
         return False
     if ownership.release_reason:
         return False
-    if (
-        _get_units_per_core(state) <= _MAX_UNITS_PER_CORE
-        or ownership.must_confirm
-    ):
+    if not _is_overloaded(state) or ownership.must_confirm:
         return False
     # Staggered by unit number, so that units are released one at a time, and
     # with backoff, as a release doesn't help if all instances are overloaded.
@@ -530,6 +530,13 @@
     return state.now_ms - ownership.taken_ms > delay_ms
 
 
+def _is_overloaded(state: SchedulerState) -> bool:
+    """Whether the instance has more units than it should."""
+    if _get_units_per_core(state) > _MAX_UNITS_PER_CORE:
+        return True
+    return state.tick_delay_ms >= _MAX_TICK_DELAY_MS
+
+
 def _is_release_due(state: SchedulerState) -> bool:
     """Whether a release is wanted and may be attempted now.
 
--- a/src/tulippin/jobs/shell.py
+++ b/src/tulippin/jobs/shell.py
@@ -291,6 +291,7 @@
             unit, event = self._inbox.take()
             self.load.note_event(event, self.clock(), len(self._inbox))
             unit.state.other_unit_count = owned_count - unit.is_claimed
+            unit.state.tick_delay_ms = self.load.tick_delay_ms
             unit.step(event)
             owned_count = unit.state.other_unit_count + unit.is_claimed
             if owned_count:
@@ -303,8 +304,9 @@
             units = list(self.units.values())
             for unit in units:
                 unit.tick(self.wall())
-            self.load.log_if_due(self._list_claimed(), self.clock())
-            if self._list_claimed():
+            claimed = self._list_claimed()
+            self.load.note_units(claimed, self.clock())
+            if claimed:
                 await self.load.sleep(_TICK_S, self.clock)
             else:
                 await self._wait_for_standby_tick()
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -634,6 +634,9 @@
     ``isolated_tasks`` holds by job the tasks that crashed several workers, or
     None until the present event needs them.
 
+    ``other_unit_count`` and ``tick_delay_ms`` tell how many other units this
+    instance owns, and by how much its ticks come late.
+
     ``open_starts`` tells when each start order without an answer was sent, and
     ``missed_passes`` counts by job how many placement passes in a row had no
     starts left for it.
@@ -701,6 +704,7 @@
     bounds_sent_ms: int = 0
     store_clock: StoreClock = attrs.field(factory=StoreClock)
     other_unit_count: int = 0
+    tick_delay_ms: int = 0
     overload_release_count: int = 0
     is_stopping: bool = False
     unit_capacities: dict[int, UnitCapacity] = attrs.field(factory=dict)
--- a/tests/tulippin/jobs/test_loop_load.py
+++ b/tests/tulippin/jobs/test_loop_load.py
@@ -1,5 +1,7 @@
 """Delays of an instance's loop, and how they are logged."""
 
+import itertools
+
 import logbook
 import trio
 
@@ -7,6 +9,8 @@
 from tulippin.jobs import events
 from tulippin.jobs._loop_load import LoopLoad
 
+INTERVAL_MS = 5000
+
 
 def note_silence(load, now_ms, age_ms):
     event = events.WorkerSilent(now_ms - age_ms, 'w0', 'timeout')
@@ -17,6 +21,17 @@
     load.note_event(events.RoomsSeen(now_ms - age_ms, {}), now_ms, 0)
 
 
+def run_ticks(load, delays_ms):
+    """Wait for ticks that come late by the delays."""
+    clock = itertools.chain.from_iterable((0, one) for one in delays_ms)
+
+    async def tick():
+        for _ in delays_ms:
+            await load.sleep(0, lambda: next(clock))
+
+    trio.run(tick)
+
+
 def test_summary_tells_delays_by_urgency():
     load = LoopLoad(1000)
     for age_ms in (10, 20, 60):
@@ -31,18 +46,34 @@
 
 
 def test_summary_tells_by_how_much_ticks_come_late():
-    clock = iter((0, 50, 100, 166))
     load = LoopLoad(0)
-
-    async def tick():
-        for _ in range(2):
-            await load.sleep(0.05, lambda: next(clock))
-
-    trio.run(tick)
+    run_ticks(load, [0, 16])
     summary = load.summarize(5000)
     assert (summary.tick_delay_ms, summary.max_tick_delay_ms) == (8, 16)
 
 
+def test_delay_of_ticks_is_that_of_the_present_units():
+    load = LoopLoad(0)
+    run_ticks(load, [20] * 10)
+    now_ms = INTERVAL_MS
+    load.note_units([1, 2], now_ms)
+    assert load.tick_delay_ms == 0
+    run_ticks(load, [20] * 10)
+    now_ms += INTERVAL_MS
+    load.note_units([1, 2], now_ms)
+    assert load.tick_delay_ms == 20
+    load.note_units([1], now_ms)
+    assert load.tick_delay_ms == 0
+
+
+def test_suspended_process_counts_as_on_time():
+    load = LoopLoad(0)
+    load.note_units([1], 0)
+    run_ticks(load, [3500] + [1] * 99)
+    load.note_units([1], INTERVAL_MS)
+    assert load.tick_delay_ms == 2
+
+
 def test_next_interval_starts_from_zero():
     load = LoopLoad(0)
     note_rooms(load, 2000, 900)
--- a/tests/tulippin/jobs/test_scheduler_units.py
+++ b/tests/tulippin/jobs/test_scheduler_units.py
@@ -21,12 +21,15 @@
     _transfers,
     events,
 )
+from tulippin.jobs._loop_load import LoopLoad
 from tulippin.jobs.types import JobState
 from tulippin.jobs.unit_shell import UnitShell
 
 LIMIT_MS = 3000
 RACK = 12
 CORE = 1000
+# A late loop is known after this time with the same units.
+LATE_AFTER_MS = 2000
 
 
 @contextlib.asynccontextmanager
@@ -99,6 +102,57 @@
     run_virtual(run)
 
 
+def make_late(instance, monkeypatch, delay_ms):
+    """Have the ticks of an instance come late."""
+    original = LoopLoad.note_units
+
+    def note_units(load, units, now_ms):
+        original(load, units, now_ms)
+        if load is instance.shell.load and load.tick_delay_ms == 0:
+            is_measured = now_ms - load.began_ms >= LATE_AFTER_MS
+            load.tick_delay_ms = delay_ms if is_measured else 0
+
+    monkeypatch.setattr(LoopLoad, 'note_units', note_units)
+
+
+@contextlib.asynccontextmanager
+async def open_single_owner(others=3):
+    """Open a fleet in which the first instance owns all three units."""
+    options = {'processor_share': 2.15}
+    async with open_fleet(1, workers=90, rack_size=30, **options) as fleet:
+        with trio.fail_after(15):
+            while collections.Counter(get_owners(fleet).values())['i0'] < 3:
+                await trio.sleep(0.05)
+        for number in range(1, 1 + others):
+            await fleet.start(f'i{number}')
+        yield fleet
+
+
+def test_owner_with_a_late_loop_keeps_one_of_its_units(
+    run_virtual, monkeypatch
+):
+    async def run():
+        async with open_single_owner() as fleet:
+            make_late(fleet.instances['i0'], monkeypatch, delay_ms=20)
+            await trio.sleep(45)
+            counts = collections.Counter(get_owners(fleet).values())
+            assert counts['i0'] == 1
+            assert sum(counts.values()) == 3
+            assert None not in counts
+
+    run_virtual(run)
+
+
+def test_owner_on_time_keeps_its_units(run_virtual, monkeypatch):
+    async def run():
+        async with open_single_owner() as fleet:
+            make_late(fleet.instances['i0'], monkeypatch, delay_ms=9)
+            await trio.sleep(45)
+            assert set(get_owners(fleet).values()) == {'i0'}
+
+    run_virtual(run)
+
+
 def test_jobs_are_spread_over_the_units_and_complete(run_virtual):
     async def run():
         async with open_units() as fleet:
