Leave units of late loops to instances with more processors

Cause: who takes a unit after a loss is whoever read the last renewal first, up to a second before others, which outweighs the order by size. And an instance with a single unit never gave it up.

Change: a lease tells the processors of its owner. An owner whose loop is late for two intervals gives up its only unit too, if another owner would have fewer units per core with it, and names that load in the released lease. Instances that would have more wait up to 0.7 s longer.

The test of a small owner fails before, as it keeps its unit.

--- a/src/tulippin/jobs/_loop_load.py
+++ b/src/tulippin/jobs/_loop_load.py
@@ -85,14 +85,16 @@
     event_age_ms : int
         How long the last event waited.
     tick_delay_ms : int
-        By how much ticks came late in the last full interval, on average;
-        0 until an interval has passed with the present units.
+        By how much ticks came late on average, the lower figure of the last
+        two intervals with the present units; 0 before. The one in which a unit
+        is loaded tells little of the next ones.
     """
 
     began_ms: int
     event_age_ms: int = 0
     tick_delay_ms: int = 0
     _units: tuple[int, ...] = attrs.field(default=(), init=False)
+    _last_delay_ms: int = attrs.field(default=0, init=False)
     _late_logged_ms: int = attrs.field(default=0, init=False)
     _ages: dict[Urgency, _Delays] = attrs.field(
         factory=lambda: {urgency: _Delays() for urgency in Urgency}, init=False
@@ -138,11 +140,13 @@
         if tuple(units) != self._units:
             self._units = tuple(units)
             self.tick_delay_ms = 0
+            self._last_delay_ms = 0
             self._begin(now_ms)
         if now_ms - self.began_ms < _SUMMARY_INTERVAL_MS:
             return
         summary = self.summarize(now_ms)
-        self.tick_delay_ms = summary.tick_delay_ms
+        self.tick_delay_ms = min(self._last_delay_ms, summary.tick_delay_ms)
+        self._last_delay_ms = summary.tick_delay_ms
         if units:
             logger.info('loop load', units=units, **attrs.asdict(summary))
 
--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -21,6 +21,7 @@
     _unit_capacity,
 )
 from tulippin.jobs._dispatch import Context, handle
+from tulippin.jobs._rounding import round_figure
 from tulippin.jobs.effects import (
     ForgetUnit,
     LoadUnit,
@@ -72,9 +73,13 @@
 _MAX_BACKOFF_DOUBLINGS: t.Final = 6
 # The takeover delay of a released unit is this many times shorter.
 _RELEASED_DELAY_DIVISOR: t.Final = 4
-# The same delay for a unit that never had an owner. Instances read the first
-# layout up to 0.3 s apart; with less between two takeovers, the first ones to
-# read it would take all units.
+# Added for each unit per core above the load that a released lease names. The
+# instances that are to go first may read it 0.45 s later.
+_DELAY_ABOVE_LOAD_MS: t.Final = 500
+_MAX_DELAY_ABOVE_LOAD_MS: t.Final = 700
+# The takeover delay for each unit per core where a unit never had an owner.
+# Instances read the first layout up to 0.3 s apart; with less between two
+# takeovers, the first ones to read it would take all units.
 _FIRST_DELAY_PER_UNIT_PER_CORE_MS: t.Final = 600
 # A longer gap between two events means that the process was suspended: 20
 # ticks fall into this time.
@@ -82,6 +87,7 @@
 # Interval between two attempts to release the unit.
 _RELEASE_RETRY_MS: t.Final = 300
 _STOP_REASON: t.Final = 'the instance stops'
+_OVERLOAD_REASON: t.Final = 'too many units here'
 
 _OWNING_PHASES: t.Final = frozenset((Phase.LOADING, Phase.ACTIVE))
 # A stop waits for these to end: a unit that is taken after the stop would
@@ -179,6 +185,7 @@
     elif lease.released:
         why = 'released'
         wait_ms = _get_delay_ms(state, _RELEASED_DELAY_DIVISOR)
+        wait_ms += _get_delay_above_load_ms(lease, state)
     elif lease.instance_id == state.config.instance_id:
         # An instance runs one process at a time, so the earlier process run
         # that holds the lease has ended.
@@ -216,6 +223,15 @@
     return int(_get_jitter_share(state) * _TAKEOVER_JITTER_MS + load_delay_ms)
 
 
+def _get_delay_above_load_ms(lease: LeaseRecord, state: SchedulerState) -> int:
+    """Return how long less loaded instances go first for a released unit."""
+    if not lease.successor_load:
+        return 0
+    excess = _get_units_per_core(state) - lease.successor_load
+    delay_ms = max(0, int(_DELAY_ABOVE_LOAD_MS * excess))
+    return min(delay_ms, _MAX_DELAY_ABOVE_LOAD_MS)
+
+
 def _get_jitter_share(state: SchedulerState) -> float:
     """Return this instance's share of the jitter for its unit, from 0 to 1."""
     config = state.config
@@ -495,7 +511,7 @@
         return
     if _should_shed_unit(state):
         state.overload_release_count += 1
-        ownership.release_reason = 'too many units here'
+        ownership.release_reason = _OVERLOAD_REASON
     if ownership.phase not in _OWNING_PHASES or ownership.is_renewing:
         return
     renew_at_ms = ownership.renewed_ms + state.config.renew_every_ms
@@ -515,9 +531,7 @@
 def _should_shed_unit(state: SchedulerState) -> bool:
     """Whether an overloaded instance should release the unit to another."""
     ownership = state.ownership
-    if ownership.phase is not Phase.ACTIVE or not state.other_unit_count:
-        return False
-    if ownership.release_reason:
+    if ownership.phase is not Phase.ACTIVE or ownership.release_reason:
         return False
     if not _is_overloaded(state) or ownership.must_confirm:
         return False
@@ -531,10 +545,16 @@
 
 
 def _is_overloaded(state: SchedulerState) -> bool:
-    """Whether the instance has more units than it should."""
-    if _get_units_per_core(state) > _MAX_UNITS_PER_CORE:
-        return True
-    return state.tick_delay_ms >= _MAX_TICK_DELAY_MS
+    """Whether the instance has more units than it should.
+
+    An instance with a late loop keeps its only unit unless another owner would
+    have fewer units per core with it.
+    """
+    units_per_core = _get_units_per_core(state)
+    is_late = state.tick_delay_ms >= _MAX_TICK_DELAY_MS
+    if state.other_unit_count:
+        return is_late or units_per_core > _MAX_UNITS_PER_CORE
+    return is_late and state.lowest_other_load < units_per_core
 
 
 def _is_release_due(state: SchedulerState) -> bool:
@@ -602,6 +622,8 @@
         released,
         *published,
         backlogs=_backlog.measure(state) if is_loaded else None,
+        processor_share=round_figure(state.config.processor_share),
+        successor_load=round_figure(_get_successor_load(state)),
         task_count=(
             _task_limits.count_kept(state)
             if is_loaded
@@ -610,6 +632,18 @@
     )
 
 
+def _get_successor_load(state: SchedulerState) -> float:
+    """Return the units per core that a successor should not exceed, if any.
+
+    Instances without units are not known. One as large as this one is assumed
+    to have none.
+    """
+    if state.ownership.release_reason != _OVERLOAD_REASON:
+        return 0.0
+    own_load = _get_units_per_core(state) / (1 + state.other_unit_count)
+    return min(own_load, state.lowest_other_load)
+
+
 def _get_last_published(
     ownership: Ownership,
 ) -> tuple[dict[str, int], UnitCapacity, bool]:
--- a/src/tulippin/jobs/_record_validation.py
+++ b/src/tulippin/jobs/_record_validation.py
@@ -60,6 +60,8 @@
 _MAX_TARGET_MS: t.Final = 10**300
 # Far above what all jobs that fit into one unit ask for.
 _MAX_UNIT_AMOUNT: t.Final = 10**30
+# Above the cores of any instance, and above its units per core.
+_MAX_LOAD: t.Final = 10**6
 # Maximum mean run time for a millisecond of estimate: products with the longest
 # duration fit into a float.
 MAX_RUN_RATIO: t.Final = 10**6
@@ -290,6 +292,9 @@
     )
     if min(counts) < 0:
         return 'one of its counts is negative'
+    loads = (record.processor_share, record.successor_load)
+    if not all(0 <= load <= _MAX_LOAD for load in loads):
+        return 'its processors or the load of its successor are out of range'
     if not all(map(_is_valid_backlog, (record.backlogs or {}).values())):
         return 'its backlog is out of range'
     return _find_capacity_fault(record.room)
--- a/src/tulippin/jobs/_row_effects.py
+++ b/src/tulippin/jobs/_row_effects.py
@@ -150,6 +150,8 @@
         lease.released,
         is_loading=lease.is_loading,
         task_count=lease.task_count,
+        processor_share=lease.processor_share,
+        successor_load=lease.successor_load,
     )
 
 
--- a/src/tulippin/jobs/_unit_watch.py
+++ b/src/tulippin/jobs/_unit_watch.py
@@ -17,6 +17,7 @@
 from tulippin.exceptions import UnavailableError
 from tulippin.jobs import _read_schedule
 from tulippin.jobs import events as ev
+from tulippin.jobs._owner_loads import find_lowest_load
 from tulippin.jobs._rows import get_version, log_unreadable, read_record
 from tulippin.jobs._transactions import transact_with_retries
 from tulippin.jobs._unit_feeds import FEED_RETRY_PAUSE_S
@@ -91,9 +92,16 @@
             await trio.sleep(FEED_RETRY_PAUSE_S)
         else:
             self.shell.record_store_result()
+            self._update_owner_loads()
             self._post_capacities()
             await self._pause()
 
+    def _update_owner_loads(self) -> None:
+        shell = self.shell
+        shell.lowest_other_load = find_lowest_load(
+            shell.units.values(), shell.config.instance_id, shell.clock()
+        )
+
     def _post_capacities(self) -> None:
         """Post to each unit owned here the capacity of the other units."""
         units = self.shell.units
--- a/src/tulippin/jobs/records.py
+++ b/src/tulippin/jobs/records.py
@@ -246,6 +246,9 @@
     owner. ``backlogs`` holds the work of each queue with short tasks; it is
     None if the owner does not measure it or has not loaded its unit.
     ``task_count`` is the number of tasks that the owner keeps.
+    ``processor_share`` is the capacity of its instance in cores, 0 if unknown.
+    With a released unit, instances that would have more units per core than
+    ``successor_load`` leave it to others for a while; 0 means no limit.
     """
 
     session_id: str
@@ -258,6 +261,8 @@
     answer_ms: int = 0
     backlogs: dict[str, QueueBacklog] | None = None
     task_count: int = 0
+    processor_share: float = 0.0
+    successor_load: float = 0.0
 
 
 @attrs.frozen
--- a/src/tulippin/jobs/shell.py
+++ b/src/tulippin/jobs/shell.py
@@ -8,6 +8,7 @@
 
 import collections
 import functools
+import math
 import random
 import typing as t
 
@@ -90,6 +91,7 @@
         self.layout_known = trio.Event()
         self.store_answered_ms = 0
         self.load = LoopLoad(clock())
+        self.lowest_other_load = math.inf
         self.latencies = LatencyTable()
         self.read_counts: collections.Counter[str] = collections.Counter()
         self.answer_times = AnswerTimes()
@@ -292,6 +294,7 @@
             self.load.note_event(event, self.clock(), len(self._inbox))
             unit.state.other_unit_count = owned_count - unit.is_claimed
             unit.state.tick_delay_ms = self.load.tick_delay_ms
+            unit.state.lowest_other_load = self.lowest_other_load
             unit.step(event)
             owned_count = unit.state.other_unit_count + unit.is_claimed
             if owned_count:
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -8,6 +8,7 @@
 
 import collections
 import enum
+import math
 import typing as t
 
 import attrs
@@ -635,7 +636,9 @@
     None until the present event needs them.
 
     ``other_unit_count`` and ``tick_delay_ms`` tell how many other units this
-    instance owns, and by how much its ticks come late.
+    instance owns, and by how much its ticks come late. ``lowest_other_load`` is
+    how many units per core the least loaded other owner would have with one
+    more.
 
     ``open_starts`` tells when each start order without an answer was sent, and
     ``missed_passes`` counts by job how many placement passes in a row had no
@@ -705,6 +708,7 @@
     store_clock: StoreClock = attrs.field(factory=StoreClock)
     other_unit_count: int = 0
     tick_delay_ms: int = 0
+    lowest_other_load: float = math.inf
     overload_release_count: int = 0
     is_stopping: bool = False
     unit_capacities: dict[int, UnitCapacity] = attrs.field(factory=dict)
--- a/tests/tulippin/jobs/test_scheduler_units.py
+++ b/tests/tulippin/jobs/test_scheduler_units.py
@@ -30,6 +30,7 @@
 CORE = 1000
 # A late loop is known after this time with the same units.
 LATE_AFTER_MS = 2000
+START_INTERVAL_S = 0.17
 
 
 @contextlib.asynccontextmanager
@@ -143,6 +144,51 @@
     run_virtual(run)
 
 
+async def start_sized(fleet, names, processor_share):
+    """Start instances of a size, which read the leases at different times."""
+    fleet.options['processor_share'] = processor_share
+    for name in names:
+        await fleet.start(name)
+        await trio.sleep(START_INTERVAL_S)
+
+
+@contextlib.asynccontextmanager
+async def open_small_owner(other_share):
+    """Open a fleet with two units, of which a small instance owns one."""
+    small = {'processor_share': 0.52}
+    async with open_fleet(1, workers=60, rack_size=30, **small) as fleet:
+        await start_sized(fleet, ['other'], other_share)
+        with trio.fail_after(30):
+            while set(get_owners(fleet).values()) != {'i0', 'other'}:
+                await trio.sleep(0.05)
+        await start_sized(fleet, [f'small{n}' for n in range(8)], 0.52)
+        yield fleet
+
+
+def test_small_owner_with_a_late_loop_leaves_its_unit_to_a_large_one(
+    run_virtual, monkeypatch
+):
+    async def run():
+        async with open_small_owner(other_share=2.15) as fleet:
+            make_late(fleet.instances['i0'], monkeypatch, delay_ms=20)
+            await trio.sleep(25)
+            assert set(get_owners(fleet).values()) == {'other'}
+
+    run_virtual(run)
+
+
+def test_late_owner_keeps_its_only_unit_beside_equal_owners(
+    run_virtual, monkeypatch
+):
+    async def run():
+        async with open_small_owner(other_share=0.52) as fleet:
+            make_late(fleet.instances['i0'], monkeypatch, delay_ms=20)
+            await trio.sleep(25)
+            assert set(get_owners(fleet).values()) == {'i0', 'other'}
+
+    run_virtual(run)
+
+
 def test_owner_on_time_keeps_its_units(run_virtual, monkeypatch):
     async def run():
         async with open_single_owner() as fleet:
