Find late loops within 5 s, and release an only unit without a turn

What callers would see: after a loss of large owners, units stay for up to 18 s on instances that are too small for them, as the turn of a unit is by its number also where there is no other, and a late loop was known after 10 s only.

Change: intervals of 2.5 s; an only unit waits for no turn.

--- a/src/tulippin/jobs/_loop_load.py
+++ b/src/tulippin/jobs/_loop_load.py
@@ -13,7 +13,7 @@
 
 _MS: t.Final = 1000
 # Interval between two summaries.
-_SUMMARY_INTERVAL_MS: t.Final = 5000
+_SUMMARY_INTERVAL_MS: t.Final = 2500
 # Age of a handled event from which the instance counts as overloaded.
 _LATE_EVENT_AGE_MS: t.Final = 500
 _LATE_LOG_INTERVAL_MS: t.Final = 1000
--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -537,9 +537,10 @@
         return False
     # Staggered by unit number, so that units are released one at a time, and
     # with backoff, as a release doesn't help if all instances are overloaded.
-    delay_ms = _SHED_INTERVAL_MS * (
-        1 + state.config.unit.number % _SHED_TURN_COUNT
-    )
+    turn = 0
+    if state.other_unit_count:
+        turn = state.config.unit.number % _SHED_TURN_COUNT
+    delay_ms = _SHED_INTERVAL_MS * (1 + turn)
     delay_ms <<= min(state.overload_release_count, _MAX_BACKOFF_DOUBLINGS)
     return state.now_ms - ownership.taken_ms > delay_ms
 
--- a/tests/tulippin/jobs/test_loop_load.py
+++ b/tests/tulippin/jobs/test_loop_load.py
@@ -9,7 +9,7 @@
 from tulippin.jobs import events
 from tulippin.jobs._loop_load import LoopLoad
 
-INTERVAL_MS = 5000
+INTERVAL_MS = 2500
 
 
 def note_silence(load, now_ms, age_ms):
