Release units of a late loop one at a time

What callers would see: an owner of several units whose load grows long after it took them releases all of them at the same tick, as the turn of each has passed by then; jobs of all these units pause. Found by reading again, not landed.

Change: the delay of the loop is measured anew once a release is decided. The test failed before: three units left at once, 25 s after they were taken.

--- a/src/tulippin/jobs/_loop_load.py
+++ b/src/tulippin/jobs/_loop_load.py
@@ -17,8 +17,6 @@
 # Age of a handled event from which the instance counts as overloaded.
 _LATE_EVENT_AGE_MS: t.Final = 500
 _LATE_LOG_INTERVAL_MS: t.Final = 1000
-
-
 # A longer delay of a tick counts as this in the mean: after a suspension of the
 # process one tick is late by seconds, and the next ones are on time.
 _MAX_COUNTED_DELAY_MS: t.Final = 100
@@ -139,9 +137,7 @@
         """
         if tuple(units) != self._units:
             self._units = tuple(units)
-            self.tick_delay_ms = 0
-            self._last_delay_ms = 0
-            self._begin(now_ms)
+            self.restart(now_ms)
         if now_ms - self.began_ms < _SUMMARY_INTERVAL_MS:
             return
         summary = self.summarize(now_ms)
@@ -150,6 +146,12 @@
         if units:
             logger.info('loop load', units=units, **attrs.asdict(summary))
 
+    def restart(self, now_ms: int) -> None:
+        """Measure the delays anew, as the load of the loop has changed."""
+        self.tick_delay_ms = 0
+        self._last_delay_ms = 0
+        self._begin(now_ms)
+
     def summarize(self, now_ms: int) -> LoopSummary:
         """Return the delays of the current interval, and begin the next."""
         ages = {
--- a/src/tulippin/jobs/shell.py
+++ b/src/tulippin/jobs/shell.py
@@ -295,7 +295,12 @@
             unit.state.other_unit_count = owned_count - unit.is_claimed
             unit.state.tick_delay_ms = self.load.tick_delay_ms
             unit.state.lowest_other_load = self.lowest_other_load
+            release_count = unit.state.overload_release_count
             unit.step(event)
+            if unit.state.overload_release_count > release_count:
+                # The next unit is released only if the loop is late without
+                # this one.
+                self.load.restart(self.clock())
             owned_count = unit.state.other_unit_count + unit.is_claimed
             if owned_count:
                 self._has_unit.set()
--- a/tests/tulippin/jobs/test_scheduler_units.py
+++ b/tests/tulippin/jobs/test_scheduler_units.py
@@ -144,6 +144,23 @@
     run_virtual(run)
 
 
+def test_owner_that_turns_late_releases_its_units_one_at_a_time(
+    run_virtual, monkeypatch
+):
+    async def run():
+        async with open_single_owner() as fleet:
+            await trio.sleep(25)
+            make_late(fleet.instances['i0'], monkeypatch, delay_ms=20)
+            counts = []
+            for _ in range(40):
+                await trio.sleep(0.1)
+                owners = get_owners(fleet)
+                counts.append(sum(one == 'i0' for one in owners.values()))
+            assert min(counts) >= 2
+
+    run_virtual(run)
+
+
 async def start_sized(fleet, names, processor_share):
     """Start instances of a size, which read the leases at different times."""
     fleet.options['processor_share'] = processor_share
