Count only units that are owned as too many

Cause: while the store is away no lease can be renewed, so that each instance tries to take the units of all others. These tries stay in doubt until the store answers, and counted as units that the instance owns: five of them and its own are more than 2.5 a core.

Change: a late or overfull owner is found by the units that it holds; tries to take others count for the delay before further ones, as before.

Evidence: the new test fails before ('release unit' after an outage of 5 s) and passes now.

--- a/src/tulippin/jobs/_owner_loads.py
+++ b/src/tulippin/jobs/_owner_loads.py
@@ -1,4 +1,4 @@
-"""How many units other instances own for each of their cores."""
+"""How loaded this instance and the other owners of units are."""
 
 from __future__ import annotations
 
@@ -7,10 +7,15 @@
 import typing as t
 
 from tulippin.jobs.records import LeaseRecord
+from tulippin.jobs.state import InstanceLoad, Phase
+
+if t.TYPE_CHECKING:
+    from tulippin.jobs.unit_shell import UnitShell
 
 # An owner whose lease has not changed for this long may have failed: leases
 # are renewed every 0.5 s, and read every 0.45 s.
 _MAX_LEASE_AGE_MS: t.Final = 1300
+_HELD_PHASES: t.Final = frozenset((Phase.LOADING, Phase.ACTIVE))
 
 
 class LeasedUnit(t.Protocol):
@@ -62,3 +67,28 @@
         ),
         default=math.inf,
     )
+
+
+def measure_load(
+    others: t.Sequence[UnitShell],
+    tick_delay_ms: int,
+    lowest_other_load: float,
+) -> InstanceLoad:
+    """Return the load of an instance without one of its units.
+
+    Parameters
+    ----------
+    others : sequence of UnitShell
+        All units of the layout but that one.
+    tick_delay_ms : int
+        By how much the ticks of the instance come late.
+    lowest_other_load : float
+        The result of ``find_lowest_load``.
+    """
+    claimed = [one for one in others if one.is_claimed]
+    held_count = sum(
+        one.state.ownership.phase in _HELD_PHASES for one in claimed
+    )
+    return InstanceLoad(
+        len(claimed), held_count, tick_delay_ms, lowest_other_load
+    )
--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -209,15 +209,14 @@
     jitter_ms = max(
         _TAKEOVER_JITTER_MS / divisor, _TAKEOVER_JITTER_ANSWERS * answer_ms
     )
-    load_delay_ms = (
-        _DELAY_PER_UNIT_PER_CORE_MS * (_get_units_per_core(state) - 1) / divisor
-    )
+    units_per_core = _get_claimed_per_core(state)
+    load_delay_ms = _DELAY_PER_UNIT_PER_CORE_MS * (units_per_core - 1) / divisor
     return max(0, int(_get_jitter_share(state) * jitter_ms + load_delay_ms))
 
 
 def _get_first_delay_ms(state: SchedulerState) -> int:
     """Return how long the instance waits before it is a unit's first owner."""
-    load_delay_ms = _FIRST_DELAY_PER_UNIT_PER_CORE_MS * _get_units_per_core(
+    load_delay_ms = _FIRST_DELAY_PER_UNIT_PER_CORE_MS * _get_claimed_per_core(
         state
     )
     return int(_get_jitter_share(state) * _TAKEOVER_JITTER_MS + load_delay_ms)
@@ -227,7 +226,7 @@
     """Return how long less loaded instances go first for a released unit."""
     if not lease.successor_load:
         return 0
-    excess = _get_units_per_core(state) - lease.successor_load
+    excess = _get_claimed_per_core(state) - lease.successor_load
     delay_ms = max(0, int(_DELAY_ABOVE_LOAD_MS * excess))
     return min(delay_ms, _MAX_DELAY_ABOVE_LOAD_MS)
 
@@ -239,10 +238,15 @@
     return zlib.crc32(name.encode()) % _TAKEOVER_JITTER_MS / _TAKEOVER_JITTER_MS
 
 
-def _get_units_per_core(state: SchedulerState) -> float:
-    """Return the units per core of the instance, including this unit."""
+def _get_units_per_core(state: SchedulerState, other_count: int) -> float:
+    """Return the units per core of the instance, this one and others."""
     share = max(state.config.processor_share, _MIN_PROCESSOR_SHARE)
-    return (1 + state.other_unit_count) / share
+    return (1 + other_count) / share
+
+
+def _get_claimed_per_core(state: SchedulerState) -> float:
+    """Return the units per core with this one and all that are claimed."""
+    return _get_units_per_core(state, state.instance_load.claimed_count)
 
 
 def _begin_takeover(
@@ -538,7 +542,7 @@
     # Staggered by unit number, so that units are released one at a time, and
     # with backoff, as a release doesn't help if all instances are overloaded.
     turn = 0
-    if state.other_unit_count:
+    if state.instance_load.held_count:
         turn = state.config.unit.number % _SHED_TURN_COUNT
     delay_ms = _SHED_INTERVAL_MS * (1 + turn)
     delay_ms <<= min(state.overload_release_count, _MAX_BACKOFF_DOUBLINGS)
@@ -551,11 +555,12 @@
     An instance with a late loop keeps its only unit unless another owner would
     have fewer units per core with it.
     """
-    units_per_core = _get_units_per_core(state)
-    is_late = state.tick_delay_ms >= _MAX_TICK_DELAY_MS
-    if state.other_unit_count:
+    load = state.instance_load
+    units_per_core = _get_units_per_core(state, load.held_count)
+    is_late = load.tick_delay_ms >= _MAX_TICK_DELAY_MS
+    if load.held_count:
         return is_late or units_per_core > _MAX_UNITS_PER_CORE
-    return is_late and state.lowest_other_load < units_per_core
+    return is_late and load.lowest_other_load < units_per_core
 
 
 def _is_release_due(state: SchedulerState) -> bool:
@@ -641,8 +646,8 @@
     """
     if state.ownership.release_reason != _OVERLOAD_REASON:
         return 0.0
-    own_load = _get_units_per_core(state) / (1 + state.other_unit_count)
-    return min(own_load, state.lowest_other_load)
+    own_load = _get_units_per_core(state, 0)
+    return min(own_load, state.instance_load.lowest_other_load)
 
 
 def _get_last_published(
--- a/src/tulippin/jobs/shell.py
+++ b/src/tulippin/jobs/shell.py
@@ -25,6 +25,7 @@
 from tulippin.jobs import events as ev
 from tulippin.jobs._inbox import EventInbox
 from tulippin.jobs._loop_load import LoopLoad
+from tulippin.jobs._owner_loads import measure_load
 from tulippin.jobs._transactions import AnswerTimes
 from tulippin.jobs._unit_feeds import FEED_RETRY_PAUSE_S
 from tulippin.jobs._unit_watch import UnitWatch
@@ -53,6 +54,9 @@
 # lease takes some ten turns of the loop, which have to fit into its 0.5 s.
 _SLICE_MS: t.Final = 15
 
+# Events at which units are taken and released, by the load of the instance.
+_LOAD_EVENTS: t.Final = (ev.Ticked, ev.LeaseSeen)
+
 Clock = t.Callable[[], int]
 
 
@@ -288,21 +292,22 @@
         """Handle events for one slice of time."""
         began_ms = self.clock()
         used_ms = 0
-        owned_count = len(self._list_claimed())
         while self._inbox and used_ms < _SLICE_MS:
             unit, event = self._inbox.take()
             self.load.note_event(event, self.clock(), len(self._inbox))
-            unit.state.other_unit_count = owned_count - unit.is_claimed
-            unit.state.tick_delay_ms = self.load.tick_delay_ms
-            unit.state.lowest_other_load = self.lowest_other_load
+            if isinstance(event, _LOAD_EVENTS):
+                unit.state.instance_load = measure_load(
+                    [one for one in self.units.values() if one is not unit],
+                    self.load.tick_delay_ms,
+                    self.lowest_other_load,
+                )
             release_count = unit.state.overload_release_count
             unit.step(event)
             if unit.state.overload_release_count > release_count:
                 # The next unit is released only if the loop is late without
                 # this one.
                 self.load.restart(self.clock())
-            owned_count = unit.state.other_unit_count + unit.is_claimed
-            if owned_count:
+            if unit.is_claimed:
                 self._has_unit.set()
             before_ms, used_ms = used_ms, self.clock() - began_ms
             self._inbox.note_handled(event, used_ms - before_ms)
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -602,6 +602,29 @@
     expected: dict[str, float]
 
 
+@attrs.frozen
+class InstanceLoad:
+    """The load of an instance, as one of its units sees it.
+
+    Parameters
+    ----------
+    claimed_count, held_count : int
+        How many other units the instance owns, takes or releases, and how many
+        of them it owns and isn't releasing. While the store is away, all units
+        of other owners are being taken for a while.
+    tick_delay_ms : int
+        By how much its ticks come late.
+    lowest_other_load : float
+        How many units per core the least loaded other owner would have with
+        one more; infinite if unknown.
+    """
+
+    claimed_count: int = 0
+    held_count: int = 0
+    tick_delay_ms: int = 0
+    lowest_other_load: float = math.inf
+
+
 @attrs.define
 class SchedulerState:
     """Everything that the reducer reads and changes.
@@ -635,11 +658,6 @@
     ``isolated_tasks`` holds by job the tasks that crashed several workers, or
     None until the present event needs them.
 
-    ``other_unit_count`` and ``tick_delay_ms`` tell how many other units this
-    instance owns, and by how much its ticks come late. ``lowest_other_load`` is
-    how many units per core the least loaded other owner would have with one
-    more.
-
     ``open_starts`` tells when each start order without an answer was sent, and
     ``missed_passes`` counts by job how many placement passes in a row had no
     starts left for it.
@@ -706,9 +724,7 @@
     lease_limits_ms: dict[str, int] = attrs.field(factory=dict)
     bounds_sent_ms: int = 0
     store_clock: StoreClock = attrs.field(factory=StoreClock)
-    other_unit_count: int = 0
-    tick_delay_ms: int = 0
-    lowest_other_load: float = math.inf
+    instance_load: InstanceLoad = InstanceLoad()
     overload_release_count: int = 0
     is_stopping: bool = False
     unit_capacities: dict[int, UnitCapacity] = attrs.field(factory=dict)
--- a/tests/tulippin/jobs/test_scheduler_units.py
+++ b/tests/tulippin/jobs/test_scheduler_units.py
@@ -3,6 +3,7 @@
 import collections
 import contextlib
 
+import logbook
 import pytest
 import trio
 
@@ -206,6 +207,23 @@
     run_virtual(run)
 
 
+def test_takeovers_tried_in_an_outage_cost_no_owner_its_unit(run_virtual):
+    async def run():
+        async with open_fleet(3, workers=90, rack_size=30) as fleet:
+            await trio.sleep(10)
+            assert len(set(get_owners(fleet).values())) == 3
+            fleet.platform.store.trouble.silenced.add('*')
+            await trio.sleep(5)
+            fleet.platform.store.trouble.silenced.clear()
+            await trio.sleep(10)
+
+    with logbook.TestHandler() as handler:
+        run_virtual(run)
+    messages = [one.message for one in handler.records]
+    assert 'unit takeover failed' in messages
+    assert 'release unit' not in messages
+
+
 def test_owner_on_time_keeps_its_units(run_virtual, monkeypatch):
     async def run():
         async with open_single_owner() as fleet:
