Leave the first takeover of a single unit as it was

What callers would see: the first owner of a deployment with one unit comes 0.6 s later on a core of usual speed, 1.2 s on half a core, for nothing: one unit can't be shared. Found by the tests: plays of one owner took another course, one job waited 3.55 s of 3.5 s in it, and the model of handovers found no owner after 0.3 s.

Change: the longer delay holds only where there are other units.

--- a/src/tulippin/jobs/_owner_loads.py
+++ b/src/tulippin/jobs/_owner_loads.py
@@ -90,5 +90,9 @@
         one.state.ownership.phase in _HELD_PHASES for one in claimed
     )
     return InstanceLoad(
-        len(claimed), held_count, tick_delay_ms, lowest_other_load
+        len(others),
+        len(claimed),
+        held_count,
+        tick_delay_ms,
+        lowest_other_load,
     )
--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -215,7 +215,12 @@
 
 
 def _get_first_delay_ms(state: SchedulerState) -> int:
-    """Return how long the instance waits before it is a unit's first owner."""
+    """Return how long the instance waits before it is a unit's first owner.
+
+    A single unit can't be shared between instances.
+    """
+    if not state.instance_load.other_count:
+        return _get_delay_ms(state, _RELEASED_DELAY_DIVISOR)
     load_delay_ms = _FIRST_DELAY_PER_UNIT_PER_CORE_MS * _get_claimed_per_core(
         state
     )
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -608,10 +608,10 @@
 
     Parameters
     ----------
-    claimed_count, held_count : int
-        How many other units the instance owns, takes or releases, and how many
-        of them it owns and isn't releasing. While the store is away, all units
-        of other owners are being taken for a while.
+    other_count, claimed_count, held_count : int
+        How many other units there are, how many of them the instance owns,
+        takes or releases, and how many it owns and isn't releasing. While the
+        store is away, all units of other owners are being taken for a while.
     tick_delay_ms : int
         By how much its ticks come late.
     lowest_other_load : float
@@ -619,6 +619,7 @@
         one more; infinite if unknown.
     """
 
+    other_count: int = 0
     claimed_count: int = 0
     held_count: int = 0
     tick_delay_ms: int = 0
