Test units that change hands by late loops, with owners killed among them

Four seeds of five units on four instances, two of which are late at a time, and owners that are killed: all jobs complete, no task has two runs.

--- a/tests/tulippin/jobs/test_scheduler_units.py
+++ b/tests/tulippin/jobs/test_scheduler_units.py
@@ -2,6 +2,7 @@
 
 import collections
 import contextlib
+import random
 
 import logbook
 import pytest
@@ -35,9 +36,11 @@
 
 
 @contextlib.asynccontextmanager
-async def open_units(instances=6, workers=60, rack_size=RACK):
+async def open_units(instances=6, workers=60, rack_size=RACK, **options):
     """Open a fleet whose racks belong to several units."""
-    async with open_fleet(instances, workers, rack_size=rack_size) as fleet:
+    async with open_fleet(
+        instances, workers, rack_size=rack_size, **options
+    ) as fleet:
         with trio.fail_after(15):
             while (
                 len(get_owners(fleet)) < 2 or None in get_owners(fleet).values()
@@ -162,6 +165,48 @@
     run_virtual(run)
 
 
+@pytest.mark.parametrize('seed', range(4))
+def test_units_released_by_late_loops_run_no_task_twice(
+    run_virtual, monkeypatch, seed
+):
+    source = random.Random(seed)
+    late_loads = set()
+    original = LoopLoad.note_units
+
+    def note_units(load, units, now_ms):
+        original(load, units, now_ms)
+        is_measured = now_ms - load.began_ms >= LATE_AFTER_MS / 2
+        is_late = id(load) in late_loads and is_measured
+        load.tick_delay_ms = 30 if is_late else 0
+
+    async def run():
+        async with open_units(4, 150, 30, processor_share=2.15) as fleet:
+            monkeypatch.setattr(LoopLoad, 'note_units', note_units)
+            for number in range(30):
+                request = make_request(
+                    make_step(4), run_ms=source.randrange(500, 4000)
+                )
+                await submit(fleet, f'{number:016x}', request)
+                if number % 5 == 0:
+                    names = source.sample(sorted(fleet.instances), 2)
+                    late_loads.clear()
+                    for name in names:
+                        late_loads.add(id(fleet.instances[name].shell.load))
+                if number % 10 == 7:
+                    fleet.kill(names[0])
+                    await fleet.start(names[0])
+                await trio.sleep(source.random() * 2.5)
+            late_loads.clear()
+            for number in range(30):
+                await fleet.wait_done(f'{number:016x}', limit_s=60)
+            fleet.check()
+
+    with logbook.TestHandler() as handler:
+        run_virtual(run, seed=seed)
+    reasons = [one.kwargs.get('why') for one in handler.records]
+    assert 'too many units here' in reasons
+
+
 async def start_sized(fleet, names, processor_share):
     """Start instances of a size, which read the leases at different times."""
     fleet.options['processor_share'] = processor_share
