--- a/review/standins-2/standin2.py
+++ b/review/standins-2/standin2.py
@@ -12,7 +12,7 @@
 import pathlib
 import random
 import re
-import signal
+import shutil
 import socket
 import sys
 import tempfile
@@ -110,7 +110,8 @@
                 status, content = answer
                 writer.write(
                     f'HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n'
-                    f'Content-Length: {len(content)}\r\n\r\n'.encode() + content
+                    f'Content-Length: {len(content)}\r\n\r\n'.encode()
+                    + content
                 )
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, OSError):
@@ -197,7 +198,11 @@
             return await self._feed(fields)
         if path == '/v1/rows-parts':
             parts = sorted(
-                {part for table, part, _ in self.rows if table == fields['table']}
+                {
+                    part
+                    for table, part, _ in self.rows
+                    if table == fields['table']
+                }
             )
             return 200, dump({'parts': parts, 'ver': self.version})
         return 404, b'{}'
@@ -340,12 +345,20 @@
     """A machine whose worker has a new id after each crash."""
 
     def __init__(
-        self, bench, name, labels, cpu=16000, memory_mb=32768, service=None
+        self,
+        bench,
+        name,
+        labels,
+        cpu=16000,
+        memory_mb=32768,
+        service=None,
+        zone='z1',
     ):
         self.bench = bench
         self.name = name
         self.service = service or bench.service
         self.labels = labels
+        self.zone = zone
         self.capacity = {'Cpu': cpu, 'MemMb': memory_mb, 'Gpus': 0}
         self.life = 0
         self.server = Server(self.handle)
@@ -422,7 +435,7 @@
         entry = {
             'Service': self.service,
             'Address': f'127.0.0.1:{self.server.port}',
-            'Zone': 'z1',
+            'Zone': self.zone,
             'Version': 'v1',
             'Slots': 8,
             'State': self.state,
@@ -702,16 +715,23 @@
 
     def note_run(self, what, worker, task, run, extra=''):
         self.runs.append((now_ms(), what, worker, task, run, extra))
-        self.record.note(f'run {what}', worker=worker, task=task, run=run, x=extra)
+        self.record.note(
+            f'run {what}', worker=worker, task=task, run=run, x=extra
+        )
 
     async def start(
-        self, machine_labels, instance_count, services=(), **capacity
+        self, machine_labels, instance_count, services=(), zones=(), **capacity
     ):
         self.store.put_json('op', 'config', self.make_config(1))
         for number, labels in enumerate(machine_labels):
             service = services[number] if services else None
             machine = Machine(
-                self, f'm{number}', labels, service=service, **capacity
+                self,
+                f'm{number}',
+                labels,
+                service=service,
+                zone=zones[number] if zones else 'z1',
+                **capacity,
             )
             self.machines.append(machine)
             await machine.start()
@@ -806,7 +826,8 @@
                 f'{method} {path} HTTP/1.1\r\nHost: jobs.example\r\n'
                 f'Deadline-Ms: {int(limit_s * 1000)}\r\n'
                 'Content-Type: application/json\r\nConnection: close\r\n'
-                f'Content-Length: {len(content)}\r\n\r\n'.encode() + content
+                f'Content-Length: {len(content)}\r\n\r\n'.encode()
+                + content
             )
             head = await reader.readuntil(b'\r\n\r\n')
             status = int(head.split(b' ', 2)[1])
@@ -891,6 +912,8 @@
             verdict = 2
         finally:
             await bench.finish()
+            if not os.environ.get('KEEP_LOGS'):
+                shutil.rmtree(bench.folder, ignore_errors=True)
         bench.record.note('verdict', code=verdict)
         return verdict
 
