--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""A worker goes down and up by turns under a task that lasts."""
+"""Urgent jobs of two steps, beside jobs that last and ask for one label."""
 
 import asyncio
 import pathlib
@@ -10,53 +10,98 @@
 
 import standin2  # noqa: E402
 
-JOB = '00000000000000aa'
-CRASHES = 5
-# A crash of the pages lasts up to 4.5 s (`srv_crash`, `for_s`).
-DOWN_S = 2
-UP_S = 4
+# Workers by zone, eight a rack; those of the last zone are of another kind.
+ZONES = {'toledo-hall': 32, 'erie-hall': 24, 'duluth-hall': 8}
+LABELLED_ZONE = 'duluth-hall'
+# Sizes of the site: workers of 64 cores; urgent tasks of 14 cores at most;
+# tasks that last of 20 cores at most, 12 a job at most.
+WORKER_CPU = 64_000
+WORKER_MB = 250_000
+URGENT_CPU = 14_000
+LASTING_CPU = 17_000
+LASTING_JOBS = 3
+URGENT_JOBS = 12
+WAIT_S = 40
 
 
-async def play(bench):
-    # One of ten workers is of kind `b`, which the job asks for.
-    labels = [['a', f'r{number % 2}'] for number in range(9)] + [['b', 'r1']]
-    await bench.start(labels, 2)
-    if not await bench.wait_ready():
-        return 2
-    step = {
+def make_urgent():
+    first = {
         'Count': 1,
-        'Cpu': 2000,
-        'MemMb': 100,
-        'Requirements': 'b',
+        'Cpu': 500,
+        'MemMb': 1000,
+        'EstimatedMs': 6000,
+        'Affinity': f'{LABELLED_ZONE}-0',
+    }
+    second = {
+        'Count': 4,
+        'Cpu': URGENT_CPU,
+        'MemMb': 9000,
+        'EstimatedMs': 1000,
+        'AfterRevision': [0],
+    }
+    return {'Spec': '{"run_ms":6000}', 'Steps': [first, second]}
+
+
+def make_lasting():
+    step = {
+        'Count': 8,
+        'Cpu': LASTING_CPU,
+        'MemMb': 26_000,
         'LongRunning': True,
+        'Requirements': 'b',
+        'AntiAffinity': 1,
     }
-    body = {'Spec': '{"lasts":true}', 'Steps': [step]}
-    if not await bench.submit('batch', JOB, body):
-        return 2
-    await asyncio.sleep(8)
-    machine = bench.machines[-1]
-    if not machine.runs:
+    return {'Spec': '{"lasts":true}', 'Steps': [step]}
+
+
+async def play(bench):
+    labels, zones = [], []
+    for zone, count in ZONES.items():
+        kind = 'b' if zone == LABELLED_ZONE else 'a'
+        for number in range(count):
+            labels.append([kind, f'{zone}-{number // 8}'])
+            zones.append(zone)
+    await bench.start(
+        labels, 3, zones=zones, cpu=WORKER_CPU, memory_mb=WORKER_MB
+    )
+    if not await bench.wait_ready():
         return 2
-    for _ in range(CRASHES):
-        if standin2.has_trouble():
-            machine.crash()
-            await asyncio.sleep(DOWN_S)
-            await machine.start()
-        else:
-            await asyncio.sleep(DOWN_S)
-        await asyncio.sleep(UP_S)
-        await bench.state('batch', JOB)
-    # The worker stays up from here on, with nothing else to do.
-    began_s = time.monotonic()
-    states = set()
-    while time.monotonic() - began_s < 15:
-        for instance in bench.instances:
-            states.add(await bench.state('batch', JOB, instance))
-        await asyncio.sleep(1)
-    failed = sum(what == 'failed' for _, what, *_ in bench.runs)
-    print(f'states {states}, ends `failed` {failed}, runs now {len(machine.runs)}')
-    bench.record.note('result', states=states, ends_failed=failed)
-    return 1 if 'failed' in states and not failed else 0
+    await asyncio.sleep(3)
+    urgent = [f'000000000001{number:04x}' for number in range(URGENT_JOBS)]
+    for job_id in urgent:
+        if not await bench.submit('urgent', job_id, make_urgent()):
+            return 2
+    await asyncio.sleep(1)
+    if standin2.has_trouble():
+        for number in range(LASTING_JOBS):
+            job_id = f'000000000002{number:04x}'
+            if not await bench.submit('batch', job_id, make_lasting()):
+                return 2
+    await asyncio.sleep(WAIT_S)
+    # LOST: nothing running for 3 s; asked for 6 s.
+    idle = set(urgent)
+    ends_s = time.monotonic() + 6
+    while time.monotonic() < ends_s:
+        for machine in bench.machines:
+            idle -= {task.partition('.')[0] for task, _ in machine.runs}
+        await asyncio.sleep(0.05)
+    states = {job_id: await bench.state('urgent', job_id) for job_id in urgent}
+    lost = [one for one in sorted(idle) if states[one] != 'completed']
+    used = {zone: 0 for zone in ZONES}
+    for machine in bench.machines:
+        used[machine.zone] += sum(
+            bench.size_of(task)[0] for task, _ in machine.runs
+        )
+    shares = {
+        zone: round(used[zone] / (count * WORKER_CPU), 2)
+        for zone, count in ZONES.items()
+    }
+    print(
+        f'{len(lost)} of {URGENT_JOBS} urgent jobs wait with nothing running;'
+        f' processors in use by zone: {shares}'
+    )
+    bench.record.note('result', lost=lost, states=states, in_use=shares)
+    return 1 if lost else 0
 
 
 standin2.main(HERE, play)
