--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""A schedule whose times are all due is handed in beside ordinary work."""
+"""A queue moves to another service; the only worker of the old one leaves."""
 
 import asyncio
 import pathlib
@@ -10,66 +10,71 @@
 
 import standin2  # noqa: E402
 
-WATCHED_S = 60
-INTERVAL_MS = 10_000
-DAY = 8_640
-CHAIN = '00000000000000aa'
+WATCH = '00000000000000aa'
+SCHEDULE = '00000000000000bb'
+LATER = '00000000000000cc'
+# One of 16 workers leaves: a share of 0.0625 (`scale_in`: at most 0.065).
+WORKERS = 16
+# Bounds.DrainMs is 2,000; it serves on a little longer.
+SERVES_S = 4
 
 
 async def play(bench):
-    await bench.start([['a', f'r{number % 2}'] for number in range(6)], 3)
+    bench.services = ('pool-new',)
+    services = ['catalogue'] + ['pool-new'] * (WORKERS - 1)
+    labels = [['a', f'r{number % 2}'] for number in range(WORKERS)]
+    await bench.start(labels, 2, services)
     if not await bench.wait_ready():
         return 2
-    # Ordinary work: a chain of 60 short steps, one after the other.
-    step = {'Count': 1, 'Cpu': 500, 'MemMb': 100}
-    steps = [
-        {**step, 'AfterRevision': [number - 1]} if number else step
-        for number in range(60)
-    ]
-    chain = {'Spec': '{"run_ms":500}', 'Steps': steps}
-    if not await bench.submit('urgent', CHAIN, chain):
-        return 2
-    await asyncio.sleep(2)
-    count = DAY if standin2.has_trouble() else 10
+    step = {'Count': 2, 'Cpu': 1000, 'MemMb': 100}
+    watch = {'Spec': '{"lasts":true}', 'Steps': [{**step, 'LongRunning': True}]}
     schedule = {
-        'Spec': '{"run_ms":100}',
-        'Steps': [{'Count': 20, 'Cpu': 100, 'MemMb': 10}],
-        'StartAtMs': int(time.time() * 1000) - count * INTERVAL_MS,
-        'IntervalMs': INTERVAL_MS,
-        'RepeatCount': count,
+        'Spec': '{"run_ms":500}',
+        'Steps': [step],
+        'StartAtMs': int(time.time() * 1000) + 1000,
+        'IntervalMs': 4000,
+        'RepeatCount': 10,
+    }
+    for job_id, body in ((WATCH, watch), (SCHEDULE, schedule)):
+        if not await bench.submit('batch', job_id, body):
+            return 2
+    await asyncio.sleep(8)
+    if standin2.has_trouble():
+        config = bench.make_config(2, batch='pool-new', urgent='pool-new')
+        bench.store.put_json('op', 'config', config)
+        bench.record.note('configuration 2 acknowledged')
+    # Bounds.ConfigApplyMs is 2,000.
+    await asyncio.sleep(4)
+    later = {'Spec': '{"run_ms":500}', 'Steps': [step]}
+    if not await bench.submit('batch', LATER, later):
+        return 2
+    await asyncio.sleep(3)
+    if standin2.has_trouble():
+        await bench.machines[0].drain(SERVES_S)
+    else:
+        await asyncio.sleep(SERVES_S)
+    left_ms = standin2.now_ms()
+    # 6 s after its last run, then 3 s: RULES.md, LOST. Asked for twice as long.
+    await asyncio.sleep(18)
+    states = {
+        job_id: await bench.state('batch', job_id)
+        for job_id in (WATCH, SCHEDULE, LATER)
     }
-    await bench.submit('batch', '00000000000000bb', schedule)
-    began_ms = standin2.now_ms()
-    state = ''
-    while standin2.now_ms() - began_ms < WATCHED_S * 1000:
-        for instance in bench.instances:
-            state = await bench.state('urgent', CHAIN, instance, limit_s=2)
-            bench.record.note(
-                'instance',
-                name=instance.name,
-                ready=await bench.is_ready(instance),
-                memory_mb=instance.memory_mb(),
-            )
-        if state == 'completed':
-            break
-        await asyncio.sleep(1)
-    # The longest time in which the chain had nothing running.
-    idle_ms, last_ms, running = 0, began_ms, set()
-    for at_ms, what, worker, task, run, _ in bench.runs:
-        if not task.startswith(CHAIN):
-            continue
-        if what == 'started':
-            if not running and at_ms > began_ms:
-                idle_ms = max(idle_ms, at_ms - last_ms)
-            running.add((task, run))
-        elif what != 'noted':
-            running.discard((task, run))
-            last_ms = max(at_ms, began_ms)
-    if state != 'completed' and not running:
-        idle_ms = max(idle_ms, standin2.now_ms() - last_ms)
-    print(f'chain {state!r}, nothing running for up to {idle_ms} ms')
-    bench.record.note('result', state=state, idle_ms=idle_ms)
-    return 1 if idle_ms > 3000 else 0
+    since = [
+        task
+        for at_ms, what, _, task, *_ in bench.runs
+        if what == 'started' and at_ms > left_ms
+    ]
+    running = [task for one in bench.machines for task, _ in one.runs]
+    lost = [
+        job_id
+        for job_id in (WATCH, SCHEDULE)
+        if states[job_id] != 'completed'
+        and not any(task.startswith(job_id) for task in (*since, *running))
+    ]
+    print(f'states {states}; nothing running nor started for 18 s: {lost}')
+    bench.record.note('result', states=states, lost=lost)
+    return 1 if lost else 0
 
 
 standin2.main(HERE, play)
