--- a/review/standins-2/standin2.py
+++ b/review/standins-2/standin2.py
@@ -887,6 +887,8 @@
     async def finish(self):
         for task in self.tasks:
             task.cancel()
+        # One of them may be starting an instance.
+        await asyncio.gather(*self.tasks, return_exceptions=True)
         for instance in self.instances:
             await instance.end()
             instance.store_server.stop()
