Schedules take no memory for occurrences that aren't due or are complete

Cause: the owner keeps a count for each step of each occurrence as it reads a job, due or not, and the tasks and progress bits of complete ones until the job is over. Admission counts one occurrence. Each owner went over its memory, one after the other.

Change: counts begin with their occurrence; complete occurrences with only such before them are a number in memory and one range in the progress row, in a form that earlier versions read. Occurrences beside an unfinished one begin only within the limits of a job's and a unit's tasks, so that what admission counted bounds what is kept. A tick looks at the next occurrence only.

--- a/src/tulippin/jobs/_committing.py
+++ b/src/tulippin/jobs/_committing.py
@@ -18,6 +18,7 @@
     _job_moves,
     _lifecycle,
     _model_store,
+    _occurrences,
     _ownership,
     _reports,
     _transfers,
@@ -529,6 +530,9 @@
         return
     state.last_sweep_ms = state.now_ms
     limit_ms = state.now_ms - state.config.finished_retention_ms
+    for job_id in state.scheduled:
+        if job_id in state.jobs:
+            _occurrences.sweep(state.jobs[job_id])
     settled = [job for job in state.jobs.values() if _is_settled(job, state)]
     for job in settled:
         if job.state in FINAL_STATES and job.pending_progress is None:
--- a/src/tulippin/jobs/_forecasting.py
+++ b/src/tulippin/jobs/_forecasting.py
@@ -10,7 +10,7 @@
 
 import typing as t
 
-from tulippin.jobs import _run_times, job_values
+from tulippin.jobs import _occurrences, _run_times, job_values
 from tulippin.jobs.job_forecast import JobForecast, compute_chains_ms
 from tulippin.jobs.state import (
     Attempt,
@@ -110,7 +110,9 @@
         # Other tasks of a step that waits may run on for longer.
         left_ms.append(max(one.usual_ms, total_ms - worked_ms))
         upper_left_ms.append(max(one.upper_ms, total_ms - worked_ms))
-        if longest_ms and not job.remaining[occurrence, index]:
+        if longest_ms and not _occurrences.count_remaining(
+            job, occurrence, index
+        ):
             own_ms.append(longest_ms)
         else:
             own_ms.append(max(longest_ms, total_ms))
@@ -136,7 +138,7 @@
     for index, step in enumerate(job.request.steps):
         task_work = max(1, step.size.cpu_millicores) * times[index].usual_ms
         work += step.task_count * task_work
-        left += job.remaining.get((occurrence, index), 0) * task_work
+        left += _occurrences.count_remaining(job, occurrence, index) * task_work
     mean = _note_work(job, work, state)
     value = job_values.compute_value(job.work / mean if mean else 1.0)
     return value / max(1.0, left)
--- a/src/tulippin/jobs/_job_moves.py
+++ b/src/tulippin/jobs/_job_moves.py
@@ -20,6 +20,7 @@
 from tulippin.jobs import (
     _evacuation,
     _lifecycle,
+    _occurrences,
     _ownership,
     _ready_queues,
     _stranded_work,
@@ -298,8 +299,8 @@
 
 def _list_open_steps(job: Job) -> list[Step]:
     """Return the steps of a job with tasks that are not done."""
-    numbers = {number for (_, number), left in job.remaining.items() if left}
-    return [job.request.steps[number] for number in sorted(numbers)]
+    numbers = _occurrences.list_open_steps(job)
+    return [job.request.steps[number] for number in numbers]
 
 
 def _get_load(room: UnitCapacity) -> float:
--- a/src/tulippin/jobs/_lifecycle.py
+++ b/src/tulippin/jobs/_lifecycle.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from tulippin.jobs import _backlog, _demand, _ready_queues
+from tulippin.jobs import _backlog, _demand, _occurrences, _ready_queues
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs._event_sources import name_row
 from tulippin.jobs._record_validation import (
@@ -199,10 +199,11 @@
             first_seen_ms=state.now_ms,
             is_transferred=True,
         )
-        _count_tasks(job)
+        _begin_single(job)
         state.jobs[job_id] = job
     for name, number in record.passes.items():
         key = parse_task_key(f'{job_id}.{name}')
+        _occurrences.begin(job, key.occurrence)
         if number > job.passes.get(key, 0):
             job.passes[key] = number
             task = get_task(job, key)
@@ -212,11 +213,10 @@
     return job if is_new else None
 
 
-def _count_tasks(job: Job) -> None:
-    """Set the number of remaining tasks of each step to all its tasks."""
-    for occurrence in range(job.request.occurrence_count):
-        for number, step in enumerate(job.request.steps):
-            job.remaining[occurrence, number] = step.task_count
+def _begin_single(job: Job) -> None:
+    """Count the tasks of a job without a schedule."""
+    if job.request.occurrence_count == 1:
+        _occurrences.begin(job, 0)
 
 
 def is_assigned_here(job: Job, key: TaskKey) -> bool:
@@ -282,7 +282,7 @@
         arrived_ms=_get_arrival_ms(record, context.state),
         first_seen_ms=context.state.now_ms,
     )
-    _count_tasks(job)
+    _begin_single(job)
     if record.moved is not None:
         _restore_moved(job, record.moved, context)
     if record.request.schedule.count:
@@ -345,9 +345,11 @@
     job: Job, record: ProgressRecord, state: SchedulerState
 ) -> None:
     """Restore which tasks are done, have failed runs or crashed workers."""
+    _occurrences.restore(job, record.complete)
     for name, bits in record.done.items():
         occurrence, _, number = name.partition('.')
         _restore_done(job, int(occurrence), int(number), int(bits, _HEX_BASE))
+    _occurrences.forget_complete(job)
     for name, runs in record.failures.items():
         task = get_task(job, parse_task_key(f'{job.job_id}.{name}'))
         task.failed_runs = set(runs)
@@ -410,6 +412,7 @@
 
 
 def _restore_done(job: Job, occurrence: int, number: int, bits: int) -> None:
+    _occurrences.begin(job, occurrence)
     for index in range(job.request.steps[number].task_count):
         if bits >> index & 1:
             task = get_task(job, TaskKey(job.job_id, occurrence, number, index))
@@ -421,7 +424,11 @@
     """Return a task of a job; create it if it doesn't exist yet."""
     task = job.tasks.get(key)
     if task is None:
-        task = job.tasks[key] = Task(key, run_floor=job.run_floor)
+        task = job.tasks[key] = Task(
+            key,
+            is_done=_occurrences.is_complete(job, key.occurrence),
+            run_floor=job.run_floor,
+        )
     return task
 
 
@@ -431,13 +438,16 @@
 
 
 def _iter_valid_tasks(job: Job) -> t.Iterator[tuple[TaskKey, Task]]:
-    """Yield the tasks that belong to the steps of a job.
+    """Yield the tasks of a job's steps in occurrences that aren't complete.
 
     Workers may report runs of tasks that don't exist. A progress record with
     such a task would be rejected as a whole, and the job withheld.
     """
     task_counts = [step.task_count for step in job.request.steps]
-    occurrences = range(job.request.occurrence_count)
+    occurrences = range(
+        0 if job.request.occurrence_count == 1 else job.completed_count,
+        job.request.occurrence_count,
+    )
     numbers = range(len(task_counts))
     for key, task in job.tasks.items():
         _, occurrence, number, index = key
@@ -483,6 +493,7 @@
         begun=_format_bits(begun) if has_long_running(job) else None,
         doubts=job.doubts,
         moved_to=job.moved_to,
+        complete=_occurrences.list_complete(job),
     )
 
 
@@ -585,14 +596,45 @@
     if job.moved_to is not None:
         return
     _open_transferred(job, state)
-    if job.is_transferred:
+    if not _may_open_steps(job):
         return
-    for occurrence in range(job.request.occurrence_count):
-        if not _is_occurrence_due(job, occurrence, state):
-            return
-        for number in _iter_openable(job, occurrence):
-            job.opened_steps.add((occurrence, number))
-            _open_step(job, occurrence, number, state)
+    for occurrence in range(job.completed_count, job.begun_count):
+        _open_occurrence(job, occurrence, state)
+    _open_due_occurrences(job, _occurrences.OpeningBudget(state), state)
+
+
+def open_scheduled(state: SchedulerState) -> None:
+    """Open the occurrences of all jobs that have become due."""
+    budget = _occurrences.OpeningBudget(state)
+    for job_id in state.scheduled:
+        job = state.jobs.get(job_id)
+        if job is not None and _may_open_steps(job):
+            _open_due_occurrences(job, budget, state)
+
+
+def _may_open_steps(job: Job) -> bool:
+    """Whether tasks of a job's own steps may become ready in this unit."""
+    if job.state in FINAL_STATES or job.is_cancelled or job.is_progress_unknown:
+        return False
+    return job.moved_to is None and not job.is_transferred
+
+
+def _open_due_occurrences(
+    job: Job, budget: _occurrences.OpeningBudget, state: SchedulerState
+) -> None:
+    """Open the next occurrences of a job, as far as the limits allow."""
+    while _occurrences.is_next_due(job, state) and budget.take(job):
+        occurrence = job.begun_count
+        job.begun_count += 1
+        _occurrences.begin(job, occurrence)
+        _open_occurrence(job, occurrence, state)
+
+
+def _open_occurrence(job: Job, occurrence: int, state: SchedulerState) -> None:
+    """Make the tasks of an occurrence's steps ready that can be."""
+    for number in _occurrences.iter_openable(job, occurrence):
+        job.opened_steps.add((occurrence, number))
+        _open_step(job, occurrence, number, state)
 
 
 def _needs_start(job: Job, task: Task) -> bool:
@@ -610,25 +652,6 @@
             _ready_queues.add(task, job.request.steps[key.step], state)
 
 
-def _iter_openable(job: Job, occurrence: int) -> t.Iterator[int]:
-    """Yield the numbers of unopened steps whose dependencies are done."""
-    for number, step in enumerate(job.request.steps):
-        if (occurrence, number) in job.opened_steps:
-            continue
-        if not any(job.remaining[occurrence, other] for other in step.after):
-            yield number
-
-
-def _is_occurrence_due(
-    job: Job, occurrence: int, state: SchedulerState
-) -> bool:
-    schedule = job.request.schedule
-    if not schedule.count:
-        return True
-    due_ms = schedule.first_at_ms + occurrence * schedule.interval_ms
-    return state.now_ms + state.wall_offset_ms >= due_ms
-
-
 def _open_step(
     job: Job, occurrence: int, number: int, state: SchedulerState
 ) -> None:
@@ -661,12 +684,14 @@
     _ready_queues.remove(task.key, job.request.steps[task.key.step], state)
     step_key = (task.key.occurrence, task.key.step)
     _backlog.note_done(job, job.request.steps[task.key.step], state)
-    job.remaining[step_key] -= 1
+    _occurrences.note_done(job, task.key)
     mark_dirty(job, state)
-    if not any(job.remaining.values()):
+    if _occurrences.is_job_complete(job):
         finish(job, JobState.COMPLETED, context)
-    elif not job.remaining[step_key]:
-        open_steps(job, state)
+        return
+    is_step_done = not _occurrences.count_remaining(job, *step_key)
+    if is_step_done and _may_open_steps(job):
+        _open_occurrence(job, task.key.occurrence, state)
 
 
 def finish(job: Job, final: JobState, context: Context) -> None:
--- a/src/tulippin/jobs/_packed_progress.py
+++ b/src/tulippin/jobs/_packed_progress.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from tulippin.jobs.records import CrashRecord, ProgressRecord
+from tulippin.jobs.records import CrashRecord, ProgressRecord, StepRange
 from tulippin.jobs.types import JobState
 
 # Names are ``OCCURRENCE.STEP.INDEX``; the first two parts name a step.
@@ -24,16 +24,18 @@
 _Tasks = dict[str, tuple[int, ...]]
 # By the name of a step: distances, runs, ages and positions.
 _CrashColumns = dict[str, tuple[tuple[int, ...], ...]]
-# Step, first occurrence, number of occurrences, and the bits of each.
-_StepRange = tuple[int, int, int, str]
 
 
 @attrs.frozen
 class PackedProgress:
-    """A ``ProgressRecord`` whose tasks are grouped by equal values."""
+    """A ``ProgressRecord`` whose tasks are grouped by equal values.
+
+    The first ``complete_count`` entries of ``done`` are of occurrences that
+    are complete. Versions that don't know this field read them as any others.
+    """
 
     state: JobState
-    done: tuple[_StepRange, ...] = ()
+    done: tuple[StepRange, ...] = ()
     failures: tuple[tuple[tuple[int, ...], _Tasks], ...] = ()
     passed: tuple[tuple[tuple[int, int, int], _Tasks], ...] = ()
     avoided: tuple[tuple[tuple[str, ...], _Tasks], ...] = ()
@@ -41,16 +43,17 @@
     started: tuple[tuple[tuple[int, str], _Tasks], ...] = ()
     reason: str = ''
     places: tuple[tuple[tuple[str, ...], _Tasks], ...] | None = None
-    begun: tuple[_StepRange, ...] | None = None
+    begun: tuple[StepRange, ...] | None = None
     doubts: int = 0
     moved_to: int | None = None
+    complete_count: int = 0
 
 
 def pack(record: ProgressRecord) -> PackedProgress:
     """Return a progress record in less space."""
     return PackedProgress(
         record.state,
-        _pack_bits(record.done),
+        record.complete + _pack_bits(record.done),
         _pack_groups(_freeze(record.failures)),
         _pack_groups(record.passed),
         _pack_groups(_freeze(record.avoided)),
@@ -61,6 +64,7 @@
         None if record.begun is None else _pack_bits(record.begun),
         record.doubts,
         record.moved_to,
+        len(record.complete),
     )
 
 
@@ -74,7 +78,7 @@
     """
     return ProgressRecord(
         packed.state,
-        _unpack_bits(packed.done),
+        _unpack_bits(packed.done[packed.complete_count :]),
         {name: list(runs) for name, runs in _unpack_groups(packed.failures)},
         dict(_unpack_groups(packed.passed)),
         {name: list(ids) for name, ids in _unpack_groups(packed.avoided)},
@@ -85,6 +89,7 @@
         None if packed.begun is None else _unpack_bits(packed.begun),
         packed.doubts,
         packed.moved_to,
+        packed.done[: packed.complete_count],
     )
 
 
@@ -97,9 +102,9 @@
 # -- bits of steps ------------------------------------------------------------
 
 
-def _pack_bits(bits: t.Mapping[str, str]) -> tuple[_StepRange, ...]:
+def _pack_bits(bits: t.Mapping[str, str]) -> tuple[StepRange, ...]:
     """Join consecutive occurrences of a step that have the same bits."""
-    ranges: list[_StepRange] = []
+    ranges: list[StepRange] = []
     entries = sorted(
         (int(number), int(occurrence), bits[name])
         for name in bits
@@ -115,7 +120,7 @@
     return tuple(ranges)
 
 
-def _unpack_bits(ranges: t.Iterable[_StepRange]) -> dict[str, str]:
+def _unpack_bits(ranges: t.Iterable[StepRange]) -> dict[str, str]:
     ranges = tuple(ranges)
     if sum(max(0, count) for _, _, count, _ in ranges) > _MAX_STEPS:
         raise ValueError('too many steps')
--- a/src/tulippin/jobs/_record_validation.py
+++ b/src/tulippin/jobs/_record_validation.py
@@ -29,6 +29,7 @@
     ProgressRecord,
     QueueBacklog,
     RosterRecord,
+    StepRange,
     UnitCapacity,
     WorkerAccount,
 )
@@ -242,6 +243,9 @@
             return f'it names unknown step {name!r}'
         if int(bitmap, _HEX_BASE) >> request.steps[key.step].task_count:
             return f'it lists more tasks of step {name} than there are'
+    fault = _find_complete_fault(record.complete, request)
+    if fault:
+        return fault
     if any(min(passed) < 0 for passed in record.passed.values()):
         return 'the target unit of a transfer is negative'
     if record.doubts < 0:
@@ -261,6 +265,30 @@
     return _find_name_fault(names, request)
 
 
+def _find_complete_fault(
+    complete: t.Sequence[StepRange], request: JobRequest
+) -> str:
+    """Return a fault if the ranges don't list whole occurrences."""
+    if not complete:
+        return ''
+    count = complete[0][2]
+    if not 0 < count <= request.occurrence_count:
+        return f'it lists {count} occurrences as complete'
+    if tuple(complete) != make_complete_ranges(request, count):
+        return 'it lists parts of occurrences as complete'
+    return ''
+
+
+def make_complete_ranges(
+    request: JobRequest, count: int
+) -> tuple[StepRange, ...]:
+    """Return the ranges that list the first occurrences as complete."""
+    return tuple(
+        (number, 0, count, f'{(1 << step.task_count) - 1:x}')
+        for number, step in enumerate(request.steps)
+    )
+
+
 # -- units --------------------------------------------------------------------
 
 
--- a/src/tulippin/jobs/_row_codec.py
+++ b/src/tulippin/jobs/_row_codec.py
@@ -73,7 +73,8 @@
 @encode_row.register
 def _encode_progress(record: ProgressRecord) -> bytes:
     value = encode(record)
-    if len(value) <= MAX_ROW_BYTES:
+    # The packed form tells complete occurrences to earlier versions as well.
+    if len(value) <= MAX_ROW_BYTES and not record.complete:
         return value
     packed = pack(record)
     return _reduce(
--- a/src/tulippin/jobs/_worker_failures.py
+++ b/src/tulippin/jobs/_worker_failures.py
@@ -10,6 +10,7 @@
 
 import typing as t
 
+from tulippin.jobs import _occurrences
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs.state import SchedulerState, Worker
 from tulippin.jobs.types import EndedRun, RunOutcome
@@ -62,4 +63,4 @@
     job = state.jobs.get(job_id)
     if job is None or len(job.failed_on) < _FAULTY_JOB_WORKERS:
         return False
-    return not any(task.is_done for task in job.tasks.values())
+    return not _occurrences.has_done_task(job)
--- a/src/tulippin/jobs/core.py
+++ b/src/tulippin/jobs/core.py
@@ -101,9 +101,7 @@
     if context.may_send_orders:
         state.swings.choose_period(state.now_ms)
         _job_progress.note(state)
-    for job_id in state.scheduled:
-        if job_id in state.jobs:
-            _lifecycle.open_steps(state.jobs[job_id], state)
+    _lifecycle.open_scheduled(state)
 
 
 @handle.register
--- a/src/tulippin/jobs/records.py
+++ b/src/tulippin/jobs/records.py
@@ -79,6 +79,10 @@
     return f'j{zlib.crc32(job_id.encode()) % count}'
 
 
+# Step, first occurrence, number of occurrences, and the bits of each.
+StepRange: t.TypeAlias = tuple[int, int, int, str]
+
+
 @attrs.frozen
 class Unit:
     """A set of workers and the home of some jobs; owned by one instance."""
@@ -630,6 +634,9 @@
         worker that died while the unit changed its owner.
     moved_to : int, optional
         The unit that the job has moved to. This one starts none of its tasks.
+    complete : tuple of StepRange
+        The occurrences that are complete with all before them, a range for
+        each step. ``done`` holds the tasks of other ones.
     """
 
     state: JobState
@@ -644,3 +651,4 @@
     begun: dict[str, str] | None = None
     doubts: int = 0
     moved_to: int | None = None
+    complete: tuple[StepRange, ...] = ()
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -273,6 +273,9 @@
     saw completed. ``has_full_run`` says that a run other than a slow start was
     ordered. ``work`` is the work of one occurrence, in millicore-milliseconds,
     as first predicted.
+    The first ``completed_count`` occurrences are complete, and the first
+    ``begun_count`` have been opened. ``tasks``, ``remaining`` and
+    ``opened_steps`` hold those in between; see ``_occurrences``.
     """
 
     job_id: str
@@ -290,6 +293,8 @@
     tasks: dict[TaskKey, Task] = attrs.field(factory=dict)
     remaining: dict[tuple[int, int], int] = attrs.field(factory=dict)
     opened_steps: set[tuple[int, int]] = attrs.field(factory=set)
+    completed_count: int = 0
+    begun_count: int = 0
     progress_version: int = 0
     durable: ProgressRecord | None = None
     pending_progress: ProgressRecord | None = None
--- a/src/tulippin/jobs/views.py
+++ b/src/tulippin/jobs/views.py
@@ -31,6 +31,7 @@
         'queue': job.queue.name,
         'state': job.state.value,
         'cancelled': job.is_cancelled,
+        'completed_occurrences': job.completed_count,
         'remaining': {
             f'{occurrence}.{step}': count
             for (occurrence, step), count in job.remaining.items()
--- a/tests/simulated_unit.py
+++ b/tests/simulated_unit.py
@@ -10,7 +10,7 @@
 import trio
 
 from tulippin.codec_json import decode, encode
-from tulippin.jobs import _lifecycle, core
+from tulippin.jobs import _lifecycle, _occurrences, core
 from tulippin.jobs import effects as fx
 from tulippin.jobs import events as ev
 from tulippin.jobs._accounts import make_release_writes
@@ -81,15 +81,20 @@
 
 
 def count_left(job):
-    """Return the number of remaining tasks of each step."""
+    """Return the number of remaining tasks of each step, by those done."""
     left = {
         (occurrence, number): step.task_count
         for occurrence in range(job.request.occurrence_count)
         for number, step in enumerate(job.request.steps)
     }
     for task in job.tasks.values():
-        if task.is_done:
+        if task.is_done and not _occurrences.is_complete(
+            job, task.key.occurrence
+        ):
             left[task.key.occurrence, task.key.step] -= 1
+    for occurrence, number in left:
+        if _occurrences.is_complete(job, occurrence):
+            left[occurrence, number] = 0
     return left
 
 
@@ -461,4 +466,8 @@
             if durable.state in FINAL_STATES or job.state in FINAL_STATES:
                 continue
             assert _lifecycle.make_progress(job) == durable
-            assert job.remaining == count_left(job)
+            left = count_left(job)
+            assert left == {
+                key: _occurrences.count_remaining(job, *key) for key in left
+            }
+            assert {key: left[key] for key in job.remaining} == job.remaining
