Jobs count among the tasks that a unit keeps

What callers would see: an owner that has accepted some ten thousand small jobs goes over its memory, and each next one with it. Found on the path of the schedules.

Cause: admission counts the tasks of jobs, not the jobs, which take 2.6 KB each.

Evidence: filled up to what is accepted, the reducer's process takes 716 MB with jobs of one task, 330 MB with four and 219 MB with a hundred (300 MB are there).

Change: an unfinished job counts as three tasks by itself.

--- a/src/tulippin/jobs/_task_limits.py
+++ b/src/tulippin/jobs/_task_limits.py
@@ -32,6 +32,8 @@
 # large jobs at the same time may exceed the other one together.
 SMALL_JOB_TASKS: t.Final = 100
 _MAX_UNIT_TASKS_FOR_SMALL: t.Final = 150_000
+# An owner keeps as much for a job itself as for this many of its tasks.
+_TASKS_PER_JOB: t.Final = 3
 # A job may bring at most this part of the tasks that a unit can still take, so
 # that large jobs leave the rest to smaller ones.
 _MAX_SHARE: t.Final = 1 / 4
@@ -67,9 +69,12 @@
 
 
 def count_kept(state: SchedulerState) -> int:
-    """Return the number of tasks that an owner keeps, or is going to."""
+    """Return the number of tasks that an owner keeps, or is going to.
+
+    Each unfinished job counts as some tasks by itself.
+    """
     return sum(
-        _count_kept_of_job(job)
+        _TASKS_PER_JOB + _count_kept_of_job(job)
         for job in state.jobs.values()
         if job.state not in FINAL_STATES
     )
--- a/tests/tulippin/jobs/test_task_limits.py
+++ b/tests/tulippin/jobs/test_task_limits.py
@@ -1,25 +1,35 @@
 """Jobs in sum bring no unit more tasks than its owner can keep."""
 
+import tracemalloc
+
 import attrs
 import pytest
 import trio
 
-from scheduler_fleet import make_request, make_step, open_fleet
+from scheduler_fleet import QUEUE, make_request, make_step, open_fleet
+from tulippin.codec_json import encode
 from tulippin.exceptions import OverloadedError
-from tulippin.jobs import _task_limits
+from tulippin.jobs import _task_limits, core
+from tulippin.jobs import events as ev
 from tulippin.jobs._task_limits import (
     MAX_JOB_TASKS,
     MAX_UNIT_TASKS,
     SentTasks,
+    count_kept,
     has_room,
     make_rejection,
 )
-from tulippin.jobs.records import LeaseRecord, Unit
-from tulippin.jobs.state import SchedulerConfig
+from tulippin.jobs.ports import StoredRow
+from tulippin.jobs.records import JobRecord, LeaseRecord, Unit
+from tulippin.jobs.state import Phase, SchedulerConfig
 
 SMALL = make_request(make_step(4, cpu=100))
 LARGEST = make_request(make_step(MAX_JOB_TASKS, cpu=100))
 LEASE_S = 1.5
+# Small jobs are accepted up to this sum.
+MAX_KEPT_TASKS = 150_000
+# Memory of the smallest instance, less what a process takes without jobs.
+MAX_STATE_BYTES = 240_000_000
 # Limits of a unit and of the largest job, in the proportion of the real ones.
 UNIT_TASKS = 500
 JOB_TASKS = 100
@@ -29,6 +39,13 @@
     return f'{0x7A5C << 48 | number * 0x10000001:016x}'
 
 
+def make_state():
+    """Return the state of an active owner of an empty unit."""
+    state = core.make_state(SchedulerConfig('i', 'i:1'))
+    state.ownership.phase = Phase.ACTIVE
+    return state
+
+
 @pytest.fixture
 def small_limits(monkeypatch):
     monkeypatch.setattr(_task_limits, 'MAX_UNIT_TASKS', UNIT_TASKS)
@@ -151,3 +168,23 @@
     lease: LeaseRecord
     lease_seen_ms: int = 0
     is_owner: bool = False
+
+
+# Guards against small jobs that take their owner over its memory.
+@pytest.mark.parametrize('size', [1, 4, 100])
+def test_accepted_jobs_of_any_size_fit_an_owner(size):
+    request = make_request(make_step(size, cpu=100))
+    value = encode(JobRecord(QUEUE, request))
+    state = make_state()
+    rows = tuple(
+        StoredRow('jobs', 'j0', f'{number:016x}', value, 2)
+        for number in range(2000 // size)
+    )
+    tracemalloc.start()
+    try:
+        core.reduce(state, ev.JobsChanged(state.now_ms, rows))
+        used_bytes, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    used_share = count_kept(state) / MAX_KEPT_TASKS
+    assert used_bytes / used_share <= MAX_STATE_BYTES
