Jobs leave a unit that has no place for them

Cause: a home is chosen by room once. Later only opportunistic jobs, and those that no worker of the unit could run even if idle, left it.

Change: a job whose reserving tasks have waited for 1 s, with no run left, moves to a unit with a place for each waiting step; longer after each move, without a limit on their number. `move job` tells why.

--- a/src/tulippin/jobs/_job_moves.py
+++ b/src/tulippin/jobs/_job_moves.py
@@ -4,11 +4,12 @@
 as a whole, once none of them has a run left: the unit first makes durable that
 it will not start the job again, and only then writes it to its next home.
 
-Three cases call for it. If all workers of a unit are evacuated, nothing may be
+Four cases call for it. If all workers of a unit are evacuated, nothing may be
 started there. If a unit has lost the workers that could run a job, it would
-wait until they are back. And opportunistic tasks wait beside idle processors if
-their image disturbs what the unit's workers serve, while another unit serves
-images that tolerate it.
+wait until they are back. If long-running work has filled a unit, tasks that
+reserve processors wait there for good, also beside a unit that is idle. And
+opportunistic tasks wait beside idle processors if their image disturbs what the
+unit's workers serve, while another unit serves images that tolerate it.
 """
 
 from __future__ import annotations
@@ -42,8 +43,13 @@
 _MAX_LATE_MOVES_PER_CHECK: t.Final = 2
 # A waiting task has been refused by all workers of its unit after this time.
 _LATE_AFTER_MS: t.Final = 1000
-# The units that a job may leave because it waits there.
+# The units that an opportunistic job may leave because it waits there.
 _MAX_LATE_MOVES: t.Final = 2
+# A job that has moved without finding a place waits up to this many times longer
+# before it moves again.
+_MAX_LATE_FACTOR: t.Final = 3
+# Waiting jobs that are looked at in one check.
+_MAX_WAITING_PER_CHECK: t.Final = 50
 # A job moves if its images have this many times less waiting demand elsewhere.
 _MIN_DEMAND_RATIO: t.Final = 2
 
@@ -74,6 +80,7 @@
         _list_movable(job_ids, state),
         lambda job: _choose_unit(job, state),
         _MAX_MOVES_PER_CHECK,
+        'the unit is evacuated',
         context,
     )
 
@@ -98,8 +105,71 @@
         jobs,
         lambda job: _choose_unit_with_place(job, state),
         _MAX_MOVES_PER_CHECK,
+        'no worker here could run it',
         context,
     )
+    _move_jobs_without_place(context)
+
+
+def _move_jobs_without_place(context: Context) -> None:
+    """Move jobs whose tasks find no place here but have one elsewhere."""
+    state = context.state
+    if not any(room.short_places for room in state.unit_capacities.values()):
+        return
+    waiting = _list_without_place(state)
+    jobs = sorted(
+        (state.jobs[job_id] for job_id in waiting),
+        key=lambda job: (job.queue.priority, job.arrived_ms, job.job_id),
+    )
+    _move_some(
+        (
+            job
+            for job in jobs[:_MAX_WAITING_PER_CHECK]
+            if _is_movable(job, state)
+        ),
+        lambda job: _choose_place(job, waiting[job.job_id], state),
+        _MAX_LATE_MOVES_PER_CHECK,
+        'it finds no place here',
+        context,
+    )
+
+
+def _list_without_place(state: SchedulerState) -> dict[str, list[Step]]:
+    """Return by job the steps with tasks that have waited for a place.
+
+    Steps that are long-running are transferred task by task, unless they belong
+    to a gang.
+    """
+    found: dict[str, list[Step]] = {}
+    for step_key, tasks in state.ready.items():
+        job = state.jobs[step_key[0]]
+        step = job.request.steps[step_key[2]]
+        factor = min(1 + len(job.left_units), _MAX_LATE_FACTOR)
+        waited_ms = state.now_ms - next(iter(tasks.values())).ready_ms
+        if waited_ms >= factor * _LATE_AFTER_MS:
+            found.setdefault(job.job_id, []).append(step)
+    return found
+
+
+def _choose_place(
+    job: Job, waiting: t.Sequence[Step], state: SchedulerState
+) -> int | None:
+    """Return the unit with a place for all waiting steps of a job, or None.
+
+    A unit that the job has left is chosen only if there is no other.
+    """
+    fitting = [
+        (
+            number in job.left_units,
+            not all(room.largest_free.fits(step.reserved) for step in waiting),
+            _get_load(room),
+            number,
+        )
+        for number, room in state.unit_capacities.items()
+        if _accepts(number, room, job, state)
+        and all(_fits_now(room, step) for step in waiting)
+    ]
+    return min(fitting)[-1] if fitting else None
 
 
 def _move_late_jobs(context: Context) -> None:
@@ -113,6 +183,7 @@
         _list_movable(late, state),
         lambda job: _choose_less_waiting(job, late[job.job_id], waiting, state),
         _MAX_LATE_MOVES_PER_CHECK,
+        'less of its demand waits there',
         context,
     )
 
@@ -121,6 +192,7 @@
     jobs: t.Iterable[Job],
     choose: t.Callable[[Job], int | None],
     budget: int,
+    why: str,
     context: Context,
 ) -> None:
     """Move the first jobs that a unit is found for, up to a number of them."""
@@ -128,7 +200,7 @@
         unit = choose(job)
         if unit is None:
             continue
-        _move(job, unit, context)
+        _move(job, unit, why, context)
         budget -= 1
         if not budget:
             return
@@ -309,7 +381,7 @@
     return demand / room.capacity_millicores
 
 
-def _move(job: Job, unit: int, context: Context) -> None:
+def _move(job: Job, unit: int, why: str, context: Context) -> None:
     """Give a job up for another unit, which gets it once that is durable."""
     state = context.state
     job.moved_to = unit
@@ -326,6 +398,7 @@
         'move job',
         job=job.job_id,
         to_unit=unit,
+        why=why,
         age_ms=state.now_ms - job.arrived_ms,
         remaining=sum(job.remaining.values()),
     )
--- a/tests/tulippin/jobs/test_job_moves.py
+++ b/tests/tulippin/jobs/test_job_moves.py
@@ -15,6 +15,7 @@
     read_report,
 )
 from test_invalid_reports import JOB as REPORTED_JOB
+from test_scheduler_decisions import make_job, make_state
 
 from scheduler_fleet import (
     HIGH_PRIORITY_QUEUE,
@@ -26,13 +27,18 @@
     make_step,
 )
 from tulippin.codec_json import encode
-from tulippin.jobs import _job_moves, _lifecycle, _row_effects
+from tulippin.jobs import (
+    _job_moves,
+    _lifecycle,
+    _ready_queues,
+    _row_effects,
+)
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs.effects import RemoveJobs
 from tulippin.jobs.ports import StoredRow
 from tulippin.jobs.records import ProgressRecord
-from tulippin.jobs.state import Job, SchedulerConfig, SchedulerState
-from tulippin.jobs.types import JobState, Step
+from tulippin.jobs.state import Job, SchedulerConfig, SchedulerState, Task
+from tulippin.jobs.types import JobState, Step, TaskKey
 from tulippin.types import Resources
 
 JOB = f'{1:016x}'
@@ -764,3 +770,107 @@
             fleet.check()
 
     run_virtual(run, seed=seed)
+
+
+# -- jobs without a place ------------------------------------------------------
+
+LASTING_JOB = f'{2:016x}'
+WORKERS_OF_A_UNIT = 24
+
+
+async def fill_home(fleet):
+    """Have a long-running gang take most of each worker of the home unit."""
+    step = make_step(
+        WORKERS_OF_A_UNIT,
+        cpu=12_000,
+        long_running=True,
+        gang=True,
+        max_per_worker=1,
+    )
+    request = make_request(step, lasts=True)
+    await fleet.submit(LASTING_JOB, request, LOW_PRIORITY_QUEUE)
+    await fleet.wait_running(WORKERS_OF_A_UNIT)
+
+
+LARGE_STEPS = {
+    'first step': (make_step(3, cpu=8000),),
+    'second step': (make_step(4), make_step(3, cpu=8000, after=(0,))),
+    'gang': (make_step(3, cpu=8000, gang=True),),
+}
+
+
+# Guards against jobs that wait for good in a unit that long-running work has
+# filled, beside idle units.
+@pytest.mark.parametrize('name', sorted(LARGE_STEPS))
+@pytest.mark.parametrize('queue', [HIGH_PRIORITY_QUEUE, LOW_PRIORITY_QUEUE])
+def test_job_leaves_a_unit_without_a_place_for_it(run_virtual, name, queue):
+    async def run():
+        async with open_homed(count=2) as fleet:
+            await fill_home(fleet)
+            request = make_request(*LARGE_STEPS[name], run_ms=300)
+            await fleet.submit(JOB, request, queue)
+            await fleet.wait_done(JOB, limit_s=5)
+            assert set(count_done(fleet, JOB).values()) == {1}
+            fleet.check()
+
+    run_virtual(run)
+
+
+def test_job_stays_where_no_unit_has_a_place_for_it(run_virtual):
+    async def run():
+        async with open_homed(count=2) as fleet:
+            await fill_home(fleet)
+            request = make_request(make_step(2, cpu=20_000), run_ms=300)
+            await fleet.submit(JOB, request)
+            await trio.sleep(5)
+            assert not count_moves(fleet)
+
+    run_virtual(run)
+
+
+@pytest.mark.parametrize(
+    ('left_units', 'waited_ms', 'is_listed'),
+    [
+        ((), 900, False),
+        ((), 1000, True),
+        ((1,), 1900, False),
+        ((1,), 2000, True),
+        ((1, 2, 3, 4), 3000, True),
+    ],
+)
+def test_job_that_has_moved_waits_longer_before_the_next_move(
+    left_units, waited_ms, is_listed
+):
+    state = make_state()
+    step = Step(1, Resources(20_000, 1000))
+    job = make_job(state, JOB, state.now_ms, (step,))
+    job.left_units = left_units
+    _ready_queues.add(Task(TaskKey(JOB, 0, 0, 0)), step, state)
+    state.now_ms += waited_ms
+    assert (JOB in _job_moves._list_without_place(state)) is is_listed
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_jobs_without_a_place_run_once_while_owners_are_lost(run_virtual, seed):
+    async def run():
+        async with open_homed(count=2, instances=6) as fleet:
+            source = fleet.platform.store.source
+            source.seed(seed)
+            fleet.platform.store.trouble.lost_answer_share = 0.2
+            await fill_home(fleet)
+            job_ids = [f'{number:016x}' for number in range(10, 30)]
+            request = make_request(
+                make_step(2), make_step(2, cpu=8000, after=(0,)), run_ms=400
+            )
+            for job_id in job_ids:
+                await fleet.submit(job_id, request)
+            for round_number in range(3):
+                await trio.sleep(1.5 * source.random())
+                fleet.kill(source.choice(sorted(fleet.instances)))
+                await fleet.start(f'n{round_number}')
+            fleet.platform.store.trouble.lost_answer_share = 0.0
+            for job_id in job_ids:
+                await fleet.wait_done(job_id, limit_s=40)
+            fleet.check()
+
+    run_virtual(run, seed=seed)
