--- a/tests/tulippin/jobs/test_row_codec.py
+++ b/tests/tulippin/jobs/test_row_codec.py
@@ -97,6 +97,7 @@
         {'0.0': '1'},
         2,
         3,
+        ((0, 0, 40, 'ff'), (1, 0, 40, '1')),
     )
     assert all(
         getattr(record, field.name) != field.default
