Jobs follow their queue to the service in force

Cause: a job runs on the service that its row holds from its acceptance; the configuration in force is never asked for it.

The fleet test of a queue that moves fails on the code before, with and without a takeover: nothing of the job runs.

Change: the queue in a row tells the version of its configuration. A job follows a newer one that its owner knows, and falls back to the accepted service where no worker present could run it on the new one. An older configuration changes nothing, so that a job never runs by one that was replaced before it was accepted.

--- a/src/tulippin/jobs/_committing.py
+++ b/src/tulippin/jobs/_committing.py
@@ -21,6 +21,7 @@
     _occurrences,
     _ownership,
     _reports,
+    _routing,
     _transfers,
     _unconfirmed_runs,
     _worker_leases,
@@ -232,6 +233,7 @@
     elif job.is_given_up:
         _giving_up.fail(job, job.reason, context)
     elif job.state not in FINAL_STATES:
+        _routing.route(job, context)
         _lifecycle.open_steps(job, context.state)
         if _lifecycle.has_long_running(job) or job.left_units:
             # The next owner then knows which of the tasks have never run, and
--- a/src/tulippin/jobs/_job_moves.py
+++ b/src/tulippin/jobs/_job_moves.py
@@ -45,8 +45,7 @@
 _LATE_AFTER_MS: t.Final = 1000
 # The units that an opportunistic job may leave because it waits there.
 _MAX_LATE_MOVES: t.Final = 2
-# A job that has moved without finding a place waits up to this many times longer
-# before it moves again.
+# A job that has moved waits up to this many times longer before it moves again.
 _MAX_LATE_FACTOR: t.Final = 3
 # Waiting jobs that are looked at in one check.
 _MAX_WAITING_PER_CHECK: t.Final = 50
@@ -419,7 +418,7 @@
     # than all run numbers of this unit.
     run_floor = job.run_floor + (context.fencing_token + 1) * RUNS_PER_EPOCH
     record = JobRecord(
-        job.queue,
+        job.accepted_queue,
         job.request,
         job.arrived_ms + state.wall_offset_ms,
         MovedJobRecord(
--- a/src/tulippin/jobs/_ownership.py
+++ b/src/tulippin/jobs/_ownership.py
@@ -432,6 +432,7 @@
     state.ready.clear()
     state.ready_opportunistic.clear()
     state.scheduled.clear()
+    state.rerouted.clear()
 
 
 def _clear_commits(state: SchedulerState) -> None:
--- a/src/tulippin/jobs/_stranded_work.py
+++ b/src/tulippin/jobs/_stranded_work.py
@@ -11,7 +11,7 @@
 import attrs
 
 from tulippin.jobs import _evacuation
-from tulippin.jobs.state import Job, SchedulerState, Worker
+from tulippin.jobs.state import SchedulerState, Worker
 from tulippin.jobs.types import Step, WorkerEntry
 from tulippin.types import Resources
 
@@ -53,13 +53,17 @@
         for worker_id, (entry, seen_ms) in state.seen_workers.items()
         if seen_ms > limit_ms
     }
-    for worker in state.workers.values():
-        if _is_present(worker, state):
-            seen[worker.worker_id] = worker.entry, state.now_ms
+    for worker in list_present(state):
+        seen[worker.worker_id] = worker.entry, state.now_ms
     state.seen_workers = seen
     state.workers_noted_since_ms = state.workers_noted_since_ms or state.now_ms
 
 
+def list_present(state: SchedulerState) -> list[Worker]:
+    """Return the workers that are listed and answer, and may get tasks."""
+    return [one for one in state.workers.values() if _is_present(one, state)]
+
+
 def _is_present(worker: Worker, state: SchedulerState) -> bool:
     """Whether a worker is listed and answers, and may get tasks at all.
 
@@ -83,7 +87,7 @@
     for queue in (state.ready, state.ready_opportunistic):
         for job_id, _, number in queue:
             job = state.jobs[job_id]
-            need = _get_need(job, job.request.steps[number])
+            need = _get_need(job.queue.service, job.request.steps[number])
             if need not in are_stranded:
                 are_stranded[need] = not _is_met(need, entries)
             if are_stranded[need]:
@@ -91,8 +95,15 @@
     return found
 
 
-def _get_need(job: Job, step: Step) -> _Need:
-    service, label, size = job.queue.service, step.required_label, step.reserved
+def could_run(
+    step: Step, service: str, entries: t.Iterable[WorkerEntry]
+) -> bool:
+    """Whether workers of a service could run a step if they were idle."""
+    return _is_met(_get_need(service, step), entries)
+
+
+def _get_need(service: str, step: Step) -> _Need:
+    label, size = step.required_label, step.reserved
     if step.gang:
         return _Need(service, label, size, step.task_count, step.max_per_worker)
     return _Need(service, label, size)
--- a/src/tulippin/jobs/_transfers.py
+++ b/src/tulippin/jobs/_transfers.py
@@ -251,7 +251,7 @@
         by_unit.setdefault(unit, {})[name] = number, run_floor
     for unit, tasks in by_unit.items():
         record = GuestRecord(
-            job.queue,
+            job.accepted_queue,
             job.request,
             {name: number for name, (number, _) in tasks.items()},
             {name: run for name, (_, run) in tasks.items()},
--- a/src/tulippin/jobs/core.py
+++ b/src/tulippin/jobs/core.py
@@ -17,6 +17,7 @@
     _periodic_work,
     _placing,
     _reports,
+    _routing,
     _worker_health,
     _workers,
 )
@@ -102,6 +103,7 @@
         state.swings.choose_period(state.now_ms)
         _job_progress.note(state)
     _lifecycle.open_scheduled(state)
+    _routing.tick(context)
 
 
 @handle.register
@@ -125,3 +127,4 @@
     if current is not None and event.configuration.version <= current.version:
         return
     state.configuration = event.configuration
+    _routing.route_all(context)
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -276,6 +276,8 @@
     The first ``completed_count`` occurrences are complete, and the first
     ``begun_count`` have been opened. ``tasks``, ``remaining`` and
     ``opened_steps`` hold those in between; see ``_occurrences``.
+    ``accepted_queue`` is the queue as it was when the job was accepted, and
+    ``queue`` the same with the service that runs the job now; see ``_routing``.
     """
 
     job_id: str
@@ -295,6 +297,7 @@
     opened_steps: set[tuple[int, int]] = attrs.field(factory=set)
     completed_count: int = 0
     begun_count: int = 0
+    accepted_queue: Queue = attrs.field()
     progress_version: int = 0
     durable: ProgressRecord | None = None
     pending_progress: ProgressRecord | None = None
@@ -326,6 +329,10 @@
     )
     advice_after_ms: dict[tuple[str, int, int], int] = attrs.field(factory=dict)
 
+    @accepted_queue.default
+    def _get_queue(self) -> Queue:
+        return self.queue
+
 
 @attrs.define
 class LostStarts:
@@ -668,6 +675,9 @@
     ``missed_passes`` counts by job how many placement passes in a row had no
     starts left for it.
 
+    ``rerouted`` holds the jobs whose queue the configuration in force sends to
+    another service than the one that they were accepted for.
+
     ``early_cancels_ms`` tells when this owner first read of each job that was
     cancelled before it was accepted.
 
@@ -699,6 +709,8 @@
     waits_logged_ms: int = 0
     last_sweep_ms: int = 0
     scheduled: set[str] = attrs.field(factory=set)
+    rerouted: set[str] = attrs.field(factory=set)
+    routes_checked_ms: int = 0
     unreadable_jobs: set[str] = attrs.field(factory=set)
     early_cancels_ms: dict[str, int] = attrs.field(factory=dict)
     suspects: set[TaskKey] = attrs.field(factory=set)
--- a/src/tulippin/jobs/types.py
+++ b/src/tulippin/jobs/types.py
@@ -185,6 +185,8 @@
         A constant that the objective adds to this.
     advised : bool
         Whether a start needs a ticket for its step and worker.
+    configuration_version : int
+        The version of the configuration that it is of, 0 if unknown.
     """
 
     name: str
@@ -196,6 +198,7 @@
     stretch: float = 1.0
     target_latency_ms: int = 0
     advised: bool = False
+    configuration_version: int = attrs.field(default=0, eq=False)
 
 
 @attrs.frozen
--- a/src/tulippin/platform/feeds.py
+++ b/src/tulippin/platform/feeds.py
@@ -59,7 +59,7 @@
     return Resources(body.cpu, body.memory_mb, body.gpus)
 
 
-def _decode_queue(body: RouteBody) -> Queue:
+def _decode_queue(body: RouteBody, version: int) -> Queue:
     return Queue(
         name=body.name,
         host=body.host,
@@ -70,6 +70,7 @@
         stretch=body.stretch,
         target_latency_ms=int(min(body.target_ms, MAX_DURATION_MS)),
         advised=body.advice is not None,
+        configuration_version=version,
     )
 
 
@@ -84,7 +85,9 @@
     body = _config_decoder.decode(value)
     return Configuration(
         version=body.version,
-        queues=tuple(_decode_queue(route) for route in body.routes),
+        queues=tuple(
+            _decode_queue(route, body.version) for route in body.routes
+        ),
         services=tuple(
             Service(service.name, service.enforces_capacity, service.spare)
             for service in body.services
