Long-running tasks are passed only to units with workers of their service

What callers would see: a long-running task that finds no room is passed to a unit whose free workers are all of another service, and waits there.

Cause: a unit was chosen by its largest free worker and its labels.

Change: units publish their processors by service already; one without any of the task's service is left out, also for rebalancing, draining and the log of waits.

--- a/src/tulippin/jobs/_draining.py
+++ b/src/tulippin/jobs/_draining.py
@@ -142,4 +142,7 @@
     """Whether another worker, here or in another unit, has capacity."""
     if _scoring.has_other_worker(attempt, context):
         return True
-    return _transfers.has_unit_for(attempt.step, context.state)
+    found = _attempts.find_task(attempt.key, context)
+    return found is not None and _transfers.has_unit_for(
+        attempt.step, found[0].queue.service, context.state
+    )
--- a/src/tulippin/jobs/_rebalancing.py
+++ b/src/tulippin/jobs/_rebalancing.py
@@ -185,7 +185,10 @@
         for number, deficit in deficits.items()
         if deficit >= _MIN_STEP_PART * size
         and _unit_capacity.fits_in_unit(
-            state.unit_capacities[number], step, is_new=True
+            state.unit_capacities[number],
+            step,
+            state.jobs[step_key[0]].queue.service,
+            is_new=True,
         )
     ]
     serving_units = [
--- a/src/tulippin/jobs/_transfers.py
+++ b/src/tulippin/jobs/_transfers.py
@@ -128,7 +128,13 @@
     state = context.state
     ran_before = _ready_queues.ran_before(job, task)
     is_late = _is_late(job, task, state)
-    unit = _choose_unit(step, state, is_late=is_late, is_new=not ran_before)
+    unit = _choose_unit(
+        step,
+        job.queue.service,
+        state,
+        is_late=is_late,
+        is_new=not ran_before,
+    )
     if unit is None:
         return False
     _transfer(job, step, task, unit, context)
@@ -206,13 +212,14 @@
     return passed.transfer_number if passed else 0
 
 
-def has_unit_for(step: Step, state: SchedulerState) -> bool:
+def has_unit_for(step: Step, service: str, state: SchedulerState) -> bool:
     """Whether another unit has capacity for a step's task now."""
-    return _choose_unit(step, state) is not None
+    return _choose_unit(step, service, state) is not None
 
 
 def _choose_unit(
     step: Step,
+    service: str,
     state: SchedulerState,
     *,
     is_late: bool = False,
@@ -226,7 +233,7 @@
     fitting = [
         (_get_load(room), number)
         for number, room in state.unit_capacities.items()
-        if _unit_capacity.fits_in_unit(room, step, is_new=is_new)
+        if _unit_capacity.fits_in_unit(room, step, service, is_new=is_new)
         and (is_late or _accepts_transfers(room))
     ]
     return min(fitting)[1] if fitting else None
--- a/src/tulippin/jobs/_unit_capacity.py
+++ b/src/tulippin/jobs/_unit_capacity.py
@@ -98,12 +98,17 @@
     return 0
 
 
-def fits_in_unit(room: UnitCapacity, step: Step, *, is_new: bool) -> bool:
+def fits_in_unit(
+    room: UnitCapacity, step: Step, service: str, *, is_new: bool
+) -> bool:
     """Whether the largest free capacity of a unit fits a step's task.
 
-    A new long-running task also has to leave the unit its headroom; else it
-    would be transferred again and again.
+    The unit has to have workers of the task's service. A new long-running task
+    also has to leave the unit its headroom; else it would be transferred again
+    and again.
     """
+    if room.service_millicores and service not in room.service_millicores:
+        return False
     largest_new = room.largest_new_millicores if is_new else None
     if largest_new is not None and step.reserved.cpu_millicores > largest_new:
         return False
--- a/src/tulippin/jobs/_wait_diagnostics.py
+++ b/src/tulippin/jobs/_wait_diagnostics.py
@@ -135,7 +135,7 @@
         refused=_wait_reasons.count(job, step, task, state),
         waiting_millicores=sum(map(_get_size, waiting)),
         by_lateness=_count_by_lateness(waiting, state),
-        units_with_place=_count_units_with_capacity(step, state),
+        units_with_place=_count_units_with_capacity(job, step, state),
     )
 
 
@@ -154,10 +154,12 @@
     return dict(counts)
 
 
-def _count_units_with_capacity(step: Step, state: SchedulerState) -> int:
+def _count_units_with_capacity(
+    job: Job, step: Step, state: SchedulerState
+) -> int:
     """Return how many other units report a worker that fits a task."""
     return sum(
-        _unit_capacity.fits_in_unit(room, step, is_new=False)
+        _unit_capacity.fits_in_unit(room, step, job.queue.service, is_new=False)
         for room in state.unit_capacities.values()
     )
 
--- a/tests/tulippin/jobs/test_headroom.py
+++ b/tests/tulippin/jobs/test_headroom.py
@@ -260,12 +260,12 @@
     make_attempt(state.workers['w0'], make_service_request(cpu=6000))
     room = _unit_capacity.measure(state)
     step = make_service_request(cpu=3000)
-    assert _unit_capacity.fits_in_unit(room, step, is_new=True) is not bool(
-        cores
-    )
-    assert _unit_capacity.fits_in_unit(room, step, is_new=False)
     assert _unit_capacity.fits_in_unit(
-        room, make_service_request(cpu=1000), is_new=True
+        room, step, 's', is_new=True
+    ) is not bool(cores)
+    assert _unit_capacity.fits_in_unit(room, step, 's', is_new=False)
+    assert _unit_capacity.fits_in_unit(
+        room, make_service_request(cpu=1000), 's', is_new=True
     )
 
 
@@ -273,7 +273,7 @@
     """Lease rows of owners of an earlier version lack the figure."""
     room = UnitCapacity(10_000, 0, largest_free=Resources(5000, 1000))
     step = make_service_request(cpu=3000)
-    assert _unit_capacity.fits_in_unit(room, step, is_new=True)
+    assert _unit_capacity.fits_in_unit(room, step, 's', is_new=True)
 
 
 # Guards against urgent short jobs that find no worker under full load. Short
--- a/tests/tulippin/jobs/test_invalid_capacities.py
+++ b/tests/tulippin/jobs/test_invalid_capacities.py
@@ -81,7 +81,7 @@
         _accepts_transfers(record.room)
         assert float(_get_load(record.room)) >= -MAX_MILLICORES
         count_fitting(record.room, 1000)
-        fits_in_unit(record.room, make_step(), is_new=True)
+        fits_in_unit(record.room, make_step(), 's', is_new=True)
         can_run_steps(record.room, make_request().steps, 'catalogue')
         count_fitting(record.room, 1000, is_short=True)
         _demand.estimate('catalogue', 9, 16_000, state)
