A late move does not replace the progress of a job that has come back

What callers would see: tasks of a job start again after they ended as done and that end was acknowledged (TWICE).

Cause: the write of a move is repeated until it is done, with the progress of its time, as long as the job's home is the unit that it left. If the next owner has written the move meanwhile, and the job has come back, the home is that unit again.

Evidence: test_late_move_does_not_replace_further_progress; by the code before, the late write is made, on the version of the home that has further progress.

Change: the write is conditional on the job's row in the unit that it leaves; a newer one than the owner had read tells of a return.

--- a/src/tulippin/jobs/_job_moves.py
+++ b/src/tulippin/jobs/_job_moves.py
@@ -428,4 +428,6 @@
             checkpoints,
         ),
     )
-    context.emit(MoveJob(job.job_id, progress.moved_to, record))
+    context.emit(
+        MoveJob(job.job_id, progress.moved_to, record, job.row_version)
+    )
--- a/src/tulippin/jobs/_row_effects.py
+++ b/src/tulippin/jobs/_row_effects.py
@@ -639,17 +639,26 @@
 ) -> Transaction | None:
     """Build the transaction that moves a job.
 
-    Returns None if the job has moved already, or is cancelled.
+    Returns None if the job has moved already, or is cancelled. A job that has
+    come back since has another row here, and further progress.
     """
     part = get_jobs_part(effect.job_id, shell.layout.job_parts)
     home, version = await _read_open_home(effect.job_id, shell)
     if home is None or home.unit != shell.config.unit.number:
         return None
+    own_table = shell.config.unit.jobs_table
+    own_row = await read_row(shell.ports.store, own_table, part, effect.job_id)
+    own_version = get_version(own_row)
+    if own_version > effect.row_version:
+        return None
     has_begun = effect.record.moved.progress.state is not JobState.PENDING
     moved = attrs.evolve(home, unit=effect.unit, has_begun=has_begun)
     return Transaction(
         part,
-        (RowCondition(HOMES_TABLE, effect.job_id, version),),
+        (
+            RowCondition(HOMES_TABLE, effect.job_id, version),
+            RowCondition(own_table, effect.job_id, own_version),
+        ),
         (
             RowWrite(HOMES_TABLE, effect.job_id, encode(moved)),
             RowWrite(
--- a/src/tulippin/jobs/effects.py
+++ b/src/tulippin/jobs/effects.py
@@ -128,11 +128,15 @@
 
 @attrs.frozen
 class MoveJob(JobEffect):
-    """Make another unit the home of a job; this one no longer starts it."""
+    """Make another unit the home of a job; this one no longer starts it.
+
+    ``row_version`` is the version of the row that brought the job here.
+    """
 
     job_id: str
     unit: int
     record: JobRecord
+    row_version: int
 
 
 @attrs.frozen
--- a/tests/tulippin/jobs/test_job_moves.py
+++ b/tests/tulippin/jobs/test_job_moves.py
@@ -2,6 +2,7 @@
 
 import collections
 import contextlib
+import functools
 
 import pytest
 import trio
@@ -425,6 +426,37 @@
     run_virtual(run)
 
 
+# Guards against tasks that run again after they were done in another unit, as
+# an owner that was cut off writes its move once the job has come back.
+def test_late_move_does_not_replace_further_progress(run_virtual, monkeypatch):
+    make_move = _row_effects._make_move
+    late = []
+
+    async def make_first_twice(effect, shell):
+        if not late:
+            late.append(functools.partial(make_move, effect, shell))
+        return await make_move(effect, shell)
+
+    monkeypatch.setattr(_row_effects, '_make_move', make_first_twice)
+
+    async def run():
+        async with open_homed('hall0', count=2) as fleet:
+            await submit_chain(fleet)
+            await trio.sleep(1)
+            evacuate_in_turn(fleet, 'hall0', 'hall1')
+            with trio.fail_after(10):
+                while count_moves(fleet) < 2:
+                    await trio.sleep(0.05)
+            await trio.sleep(0.5)
+            assert count_done(fleet, JOB)
+            assert await late[0]() is None
+            await fleet.wait_done(JOB)
+            assert sorted(count_done(fleet, JOB).values()) == [1] * 8
+            fleet.check()
+
+    run_virtual(run)
+
+
 def test_run_of_a_moved_job_is_stopped():
     """Guards against a second run beside the one in the job's next home."""
     state = make_owner()
