Model of handovers: jobs move both ways between two units

Only the first unit was ever evacuated, so that no job came back. Each of both may be closed now, and both know of the other's places.

--- a/tests/handover_model.py
+++ b/tests/handover_model.py
@@ -422,7 +422,7 @@
         self.stop_count = 0
         self.trace = []
         self.instances = []
-        self.evacuated = False
+        self.evacuated = None
         # Which calls `settle` passes over, and whether it carries them out.
         self.blocked = {}
         for unit, _ in itertools.product(
@@ -693,7 +693,7 @@
         fresh = Instance(self, number, ended.session + 1)
         self.instances[number] = fresh
         fresh.watch()
-        if self.evacuated:
+        if self.evacuated is not None:
             self.tell_evacuation(fresh)
 
     def settle(self):
@@ -820,20 +820,27 @@
         self.list_changes.append((worker.entry.worker_id, entry))
 
     def evacuate(self, number):
-        """Close the first of two units, so that its jobs move."""
+        """Close one of two units, so that its jobs move, or open it again.
+
+        The next one to be closed may be the other one: jobs come back.
+        """
         if self.unit_count > 1:
-            self.evacuated = not self.evacuated
+            closed = number % 2 if self.evacuated is None else None
+            self.evacuated = closed
             for instance in self.instances:
                 self.tell_evacuation(instance)
 
     def tell_evacuation(self, instance):
-        domains = frozenset(('hall0',)) if self.evacuated else frozenset()
-        closed = frozenset((0,)) if self.evacuated else frozenset()
-        rooms = {1: UnitCapacity(4000, 1000, largest_free=SMALL, places=(4,))}
+        closed = frozenset()
+        if self.evacuated is not None:
+            closed = frozenset((self.evacuated,))
+        domains = frozenset(f'hall{number}' for number in closed)
+        room = UnitCapacity(
+            4000, 1000, largest_free=SMALL, places=(4,), short_places=(4,)
+        )
         for number, unit in instance.units.items():
             unit.post(ev.EvacuationsChanged(self.now_ms, domains, closed))
-            if number == 0:
-                unit.post(ev.RoomsSeen(self.now_ms, rooms))
+            unit.post(ev.RoomsSeen(self.now_ms, {1 - number: room}))
 
     def lose_history(self, number):
         self.store.dropped_version = self.store.version
@@ -918,7 +925,7 @@
     'crash_worker',
     'toggle_entry',
     'lose_history',
-    'evacuate',
+    *('evacuate',) * 3,
 )
 
 
