Jobs with a long-running step leave a unit that can't serve their other steps

Cause: no job with a long-running step outside a gang moved, whatever it waited for; only tasks of that step are passed on, and these are not ready before the short ones are done.

Three of the new tests fail on the code before, two of them for time.

Change: such a job moves as others do if something of it waits that can't be passed on alone, and none of its tasks is in another unit or came from one.

--- a/src/tulippin/jobs/_job_moves.py
+++ b/src/tulippin/jobs/_job_moves.py
@@ -233,14 +233,14 @@
 def _is_movable(job: Job, state: SchedulerState) -> bool:
     """Whether a job can leave the unit now.
 
-    Long-running tasks are transferred one by one instead, unless they belong to
-    a gang.
+    A job with long-running tasks in other units stays, as these name this unit
+    as its home.
     """
     if job.is_transferred or job.is_cancelled or job.state in FINAL_STATES:
         return False
-    if job.awaits_confirmation or any(
-        step.long_running and not step.gang for step in job.request.steps
-    ):
+    if job.awaits_confirmation or job.passed or job.passes:
+        return False
+    if not _has_waiting_step(job, state):
         return False
     if any(
         _may_hold_unread_end(worker, job, state)
@@ -253,6 +253,21 @@
     )
 
 
+def _has_waiting_step(job: Job, state: SchedulerState) -> bool:
+    """Whether tasks of a job wait that can't be transferred one by one."""
+    occurrences = range(job.completed_count, max(1, job.begun_count))
+    step_keys = (
+        (job.job_id, occurrence, number)
+        for number, step in enumerate(job.request.steps)
+        if step.gang or not step.long_running
+        for occurrence in occurrences
+    )
+    return any(
+        step_key in state.ready or step_key in state.ready_opportunistic
+        for step_key in step_keys
+    )
+
+
 def _may_hold_unread_end(
     worker: Worker, job: Job, state: SchedulerState
 ) -> bool:
--- a/tests/tulippin/jobs/test_job_moves.py
+++ b/tests/tulippin/jobs/test_job_moves.py
@@ -38,7 +38,13 @@
 from tulippin.jobs.effects import RemoveJobs
 from tulippin.jobs.ports import StoredRow
 from tulippin.jobs.records import ProgressRecord
-from tulippin.jobs.state import Job, SchedulerConfig, SchedulerState, Task
+from tulippin.jobs.state import (
+    Job,
+    SchedulerConfig,
+    SchedulerState,
+    Task,
+    TransferredTask,
+)
 from tulippin.jobs.types import JobState, Step, TaskKey
 from tulippin.types import Resources
 
@@ -906,3 +912,70 @@
             fleet.check()
 
     run_virtual(run, seed=seed)
+
+
+# -- jobs with long-running steps ----------------------------------------------
+
+
+def make_mixed_request(size=8000):
+    """Return a job whose long-running task follows short ones."""
+    return make_request(
+        make_step(2, cpu=size),
+        make_step(1, cpu=500, long_running=True, after=(0,)),
+        run_ms=300,
+    )
+
+
+# Guards against jobs whose short step waits for good in a unit, as a step of
+# them is long-running.
+def test_job_with_a_long_running_step_leaves_a_full_unit(run_virtual):
+    async def run():
+        async with open_homed(count=2) as fleet:
+            await fill_home(fleet)
+            await fleet.submit(JOB, make_mixed_request())
+            with trio.fail_after(5):
+                while len(count_done(fleet, JOB)) < 2:
+                    await trio.sleep(0.05)
+            assert count_moves(fleet) == 1
+            fleet.check()
+
+    run_virtual(run)
+
+
+def test_job_with_a_long_running_step_leaves_an_evacuated_unit(run_virtual):
+    async def run():
+        async with open_homed('hall0', count=2) as fleet:
+            await fleet.submit(JOB, make_mixed_request(1000))
+            with trio.fail_after(5):
+                while len(count_done(fleet, JOB)) < 2:
+                    await trio.sleep(0.05)
+            fleet.check()
+
+    run_virtual(run)
+
+
+@pytest.mark.parametrize(
+    ('changes', 'is_expected'),
+    [
+        ({}, True),
+        ({'passed': {TaskKey(JOB, 0, 1, 0): TransferredTask(1, 1, 0)}}, False),
+        ({'passes': {TaskKey(JOB, 0, 1, 0): 2}}, False),
+    ],
+    ids=['all here', 'passed on', 'received'],
+)
+def test_job_with_tasks_in_other_units_stays(changes, is_expected):
+    state = make_state()
+    steps = make_mixed_request().steps
+    job = make_job(state, JOB, state.now_ms, steps)
+    for name, value in changes.items():
+        setattr(job, name, value)
+    _ready_queues.add(Task(TaskKey(JOB, 0, 0, 0)), steps[0], state)
+    assert _job_moves._is_movable(job, state) is is_expected
+
+
+def test_job_of_which_only_long_running_tasks_wait_stays():
+    state = make_state()
+    steps = make_mixed_request().steps
+    job = make_job(state, JOB, state.now_ms, steps)
+    _ready_queues.add(Task(TaskKey(JOB, 0, 1, 0)), steps[1], state)
+    assert not _job_moves._is_movable(job, state)
