Waiting jobs are looked at by place first, and long-running tasks left out

The check for jobs without a place looked at the 50 oldest urgent jobs, also those that can't move, and at long-running tasks, which are transferred one by one: both could keep others from being looked at (read). A unit with a place is looked for first now, so that the costly check is made only where there is one. Tests of moves pass.

--- a/src/tulippin/jobs/_job_moves.py
+++ b/src/tulippin/jobs/_job_moves.py
@@ -47,8 +47,6 @@
 _MAX_LATE_MOVES: t.Final = 2
 # A job that has moved waits up to this many times longer before it moves again.
 _MAX_LATE_FACTOR: t.Final = 3
-# Waiting jobs that are looked at in one check.
-_MAX_WAITING_PER_CHECK: t.Final = 50
 # A job moves if its images have this many times less waiting demand elsewhere.
 _MIN_DEMAND_RATIO: t.Final = 2
 
@@ -121,11 +119,7 @@
         key=lambda job: (job.queue.priority, job.arrived_ms, job.job_id),
     )
     _move_some(
-        (
-            job
-            for job in jobs[:_MAX_WAITING_PER_CHECK]
-            if _is_movable(job, state)
-        ),
+        jobs,
         lambda job: _choose_place(job, waiting[job.job_id], state),
         _MAX_LATE_MOVES_PER_CHECK,
         'it finds no place here',
@@ -143,6 +137,8 @@
     for step_key, tasks in state.ready.items():
         job = state.jobs[step_key[0]]
         step = job.request.steps[step_key[2]]
+        if step.long_running and not step.gang:
+            continue
         factor = min(1 + len(job.left_units), _MAX_LATE_FACTOR)
         waited_ms = state.now_ms - next(iter(tasks.values())).ready_ms
         if waited_ms >= factor * _LATE_AFTER_MS:
@@ -155,7 +151,8 @@
 ) -> int | None:
     """Return the unit with a place for all waiting steps of a job, or None.
 
-    A unit that the job has left is chosen only if there is no other.
+    A unit that the job has left is chosen only if there is no other. Whether
+    the job can move is checked last, as it takes a look at each worker.
     """
     fitting = [
         (
@@ -168,7 +165,9 @@
         if _accepts(number, room, job, state)
         and all(_fits_now(room, step) for step in waiting)
     ]
-    return min(fitting)[-1] if fitting else None
+    if not fitting or not _is_movable(job, state):
+        return None
+    return min(fitting)[-1]
 
 
 def _move_late_jobs(context: Context) -> None:
--- a/src/tulippin/jobs/_occurrences.py
+++ b/src/tulippin/jobs/_occurrences.py
@@ -75,15 +75,8 @@
     while not is_job_complete(job) and _is_done(job, job.completed_count):
         occurrence = job.completed_count
         job.completed_count += 1
-        for number, step in enumerate(job.request.steps):
-            step_key = (occurrence, number)
-            if job.request.occurrence_count > 1:
-                job.remaining.pop(step_key, None)
-                job.opened_steps.discard(step_key)
-                job.longest_runs_ms.pop(step_key, None)
-                _forget_advice(job, step_key)
-                for index in range(step.task_count):
-                    _forget_task(job, TaskKey(job.job_id, *step_key, index))
+        if job.request.occurrence_count > 1:
+            _forget(job, occurrence)
     job.begun_count = max(job.begun_count, job.completed_count)
 
 
@@ -94,6 +87,17 @@
     )
 
 
+def _forget(job: Job, occurrence: int) -> None:
+    for number, step in enumerate(job.request.steps):
+        step_key = (occurrence, number)
+        job.remaining.pop(step_key, None)
+        job.opened_steps.discard(step_key)
+        job.longest_runs_ms.pop(step_key, None)
+        _forget_advice(job, step_key)
+        for index in range(step.task_count):
+            _forget_task(job, TaskKey(job.job_id, *step_key, index))
+
+
 def _forget_advice(job: Job, step_key: tuple[int, int]) -> None:
     full_key = (job.job_id, *step_key)
     for by_step in (job.tickets, job.advised_workers, job.advice_after_ms):
--- a/src/tulippin/jobs/_routing.py
+++ b/src/tulippin/jobs/_routing.py
@@ -14,7 +14,7 @@
 from tulippin.jobs import _occurrences, _stranded_work
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs.state import Job, SchedulerState, Worker
-from tulippin.jobs.types import FINAL_STATES, Queue
+from tulippin.jobs.types import FINAL_STATES
 
 _CHECK_INTERVAL_MS: t.Final = 200
 
@@ -64,12 +64,10 @@
     current = state.configuration
     if current is None or current.version <= accepted.configuration_version:
         return accepted.service
-    found = next((one for one in current.queues if _is_same(one, job)), None)
-    return accepted.service if found is None else found.service
-
-
-def _is_same(queue: Queue, job: Job) -> bool:
-    return queue.name == job.accepted_queue.name
+    services = (
+        queue.service for queue in current.queues if queue.name == accepted.name
+    )
+    return next(services, accepted.service)
 
 
 def _route_moved(
