An error of a connection ends that connection alone

What callers saw: one connection of a client ended an instance for all of them (`instance failed`, exit code 1), on the address for callers, readiness checks or operators alike.

Cause: an error in the protocol of a connection, for example h11's when a response follows a switch to WebSocket, leaves its task. hypercorn's listener runs all connections in one nursery, below that of the daemon. ErrorMiddleware guards the application only.

Change: HttpServer accepts connections itself, through a subclass of hypercorn's connection that logs such an error as `connection failed` and closes this connection. hypercorn has no setting or hook for it.

Why it works: every listener of both daemons goes through this class, whatever the input is.

--- a/src/tulippin/_http_server.py
+++ b/src/tulippin/_http_server.py
@@ -9,9 +9,11 @@
 import typing as t
 
 import trio
+from hypercorn.app_wrappers import ASGIWrapper
 from hypercorn.config import Config as HypercornConfig
-from hypercorn.trio import serve
+from hypercorn.trio.worker_context import WorkerContext
 
+from tulippin._http_connection import Connection
 from tulippin._http_guard import ErrorMiddleware
 from tulippin.exceptions import UnavailableError
 
@@ -46,7 +48,7 @@
         key: str = '',
         authority: str = '',
     ) -> None:
-        self._app = ErrorMiddleware(app)
+        self._app = ASGIWrapper(ErrorMiddleware(app))
         self._address = address
         self._config = HypercornConfig()
         self._config.accesslog = None
@@ -83,7 +85,7 @@
         return self
 
     def __exit__(self, *details: object) -> None:
-        """Close the socket, unless ``serve`` has passed it to hypercorn."""
+        """Close the socket, unless ``serve`` owns it."""
         if self._socket is not None:
             self._socket.close()
 
@@ -102,19 +104,41 @@
         self, task_status: t.Any = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Serve until ``shut_down`` is called and all requests are complete."""
-        # hypercorn owns the socket from here on and closes it.
-        descriptor = self._socket.detach()
-        self._config.bind = [f'fd://{descriptor}']
-        await serve(
-            self._app,
-            self._config,
-            shutdown_trigger=functools.partial(
-                self._wait_for_shutdown, descriptor
-            ),
-            task_status=task_status,
+        # The listener owns the socket from here on and closes it.
+        owned = socket.socket(fileno=self._socket.detach())
+        listener = self._make_listener(owned)
+        context = WorkerContext(None)
+        handle = functools.partial(
+            _handle_connection, self._app, self._config, context
         )
+        async with trio.open_nursery() as connections:
+            try:
+                async with trio.open_nursery() as accepting:
+                    accepting.start_soon(
+                        functools.partial(
+                            trio.serve_listeners,
+                            handle,
+                            [listener],
+                            handler_nursery=connections,
+                        )
+                    )
+                    task_status.started()
+                    await self._wait_for_shutdown(owned.fileno())
+                    accepting.cancel_scope.cancel()
+            finally:
+                await context.terminated.set()
+                connections.cancel_scope.deadline = (
+                    trio.current_time() + self._config.graceful_timeout
+                )
         self.stopped.set()
 
+    def _make_listener(self, owned: socket.socket) -> t.Any:
+        listener = trio.SocketListener(trio.socket.from_stdlib_socket(owned))
+        context = self._config.create_ssl_context()
+        if context is None:
+            return listener
+        return trio.SSLListener(listener, context, https_compatible=True)
+
     async def _wait_for_shutdown(self, descriptor: int) -> None:
         """Wait until the listener is to be closed.
 
@@ -130,3 +154,12 @@
             if quiet_rounds > _READ_ROUNDS:
                 break
             await trio.lowlevel.checkpoint()
+
+
+async def _handle_connection(
+    app: ASGIWrapper,
+    config: HypercornConfig,
+    context: WorkerContext,
+    stream: t.Any,
+) -> None:
+    await Connection(app, config, context, {}, stream).run()
--- /dev/null
+++ b/tests/tulippin/test_http_connection.py
@@ -0,0 +1,145 @@
+"""Connections of clients that break the protocol, on a server of its own."""
+
+import contextlib
+import random
+
+import logbook
+import pytest
+import trio
+from hypercorn.events import RawData
+from hypercorn.protocol.h11 import H11Protocol
+
+from tulippin._http_client import HttpClient
+from tulippin._http_server import HttpServer
+
+REQUEST = b'POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody'
+CHUNKED = (
+    b'POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n'
+    b'4\r\nbody\r\n0\r\nX-Trailer: x\r\n\r\n'
+)
+UPGRADE = (
+    b'GET /x HTTP/1.1\r\nHost: a\r\nUpgrade: websocket\r\n'
+    b'Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n'
+    b'Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n\x81\x05hello'
+)
+H2C = (
+    b'GET /x HTTP/1.1\r\nHost: a\r\nUpgrade: h2c\r\n'
+    b'Connection: Upgrade, HTTP2-Settings\r\nHTTP2-Settings: AAMAAABk\r\n\r\n'
+)
+HTTP2 = (
+    b'PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\4\0\0\0\0\0'
+    b'\0\0\5\2\0\0\0\0\1\0\0\0\0\x10\0\0\4\0\0\0\0\0\1body'
+)
+SEEDS = (REQUEST, CHUNKED, UPGRADE, H2C, HTTP2)
+MUTATIONS_PER_SEED = 150
+
+
+async def echo(scope, receive, send):
+    if scope['type'] != 'http':
+        raise NotImplementedError(scope['type'])
+    body = b''
+    is_whole = False
+    while not is_whole:
+        message = await receive()
+        body += message.get('body', b'')
+        is_whole = not message.get('more_body', False)
+    headers = [(b'content-length', str(len(body)).encode())]
+    start = {'type': 'http.response.start', 'status': 200, 'headers': headers}
+    await send(start)
+    await send({'type': 'http.response.body', 'body': body})
+
+
+@contextlib.asynccontextmanager
+async def serve(app=echo):
+    handler = logbook.TestHandler()
+    with handler.applicationbound(), HttpServer(app, '127.0.0.1:0') as server:
+        async with trio.open_nursery() as nursery:
+            await nursery.start(server.serve)
+            yield server, handler
+            nursery.cancel_scope.cancel()
+
+
+async def check_serving(server):
+    """Check that an ordinary request is answered."""
+    async with HttpClient(5) as client:
+        response = await client.send(
+            'POST', f'http://127.0.0.1:{server.port}/x', b'ordinary'
+        )
+    assert (response.status, response.body) == (200, b'ordinary')
+
+
+@pytest.mark.plants_errors
+async def test_error_of_a_connection_ends_that_connection_alone(monkeypatch):
+    """Guards against an error that ends the process for all clients."""
+    handle = H11Protocol.handle
+
+    async def fail(self, event):
+        if isinstance(event, RawData) and event.data.startswith(b'FAIL'):
+            raise ZeroDivisionError('planted')
+        await handle(self, event)
+
+    monkeypatch.setattr(H11Protocol, 'handle', fail)
+    async with serve() as (server, handler):
+        other = await trio.open_tcp_stream('127.0.0.1', server.port)
+        stream = await trio.open_tcp_stream('127.0.0.1', server.port)
+        await stream.send_all(b'FAIL')
+        with trio.fail_after(5):
+            assert await stream.receive_some() == b''
+        await other.send_all(REQUEST)
+        with trio.fail_after(5):
+            assert (await other.receive_some()).startswith(b'HTTP/1.1 200')
+        await check_serving(server)
+    (record,) = [
+        one for one in handler.records if one.message == 'connection failed'
+    ]
+    assert record.kwargs['cause'] == "ZeroDivisionError('planted')"
+
+
+def mutate(source, choices):
+    """Return a request with bytes that are changed, doubled or left out."""
+    changed = bytearray(source)
+    for _ in range(choices.randint(1, 4)):
+        place = choices.randrange(len(changed))
+        length = choices.randint(1, 12)
+        match choices.randrange(4):
+            case 0:
+                changed[place] = choices.randrange(256)
+            case 1:
+                del changed[place : place + length]
+            case 2:
+                changed[place:place] = changed[place : place + length] * 3
+            case _:
+                changed[place:place] = choices.randbytes(length)
+        if not changed:
+            break
+    return bytes(changed)
+
+
+async def send_and_leave(port, sent, choices):
+    """Send bytes whole or in two pieces; then leave in one of three ways."""
+    with contextlib.suppress(OSError, trio.BrokenResourceError):
+        stream = await trio.open_tcp_stream('127.0.0.1', port)
+        async with stream:
+            cut = choices.randint(0, len(sent))
+            await stream.send_all(sent[:cut])
+            await trio.sleep(choices.choice((0, 0.001)))
+            await stream.send_all(sent[cut:])
+            leaving = choices.randrange(3)
+            if leaving == 0:
+                await stream.send_eof()
+            if leaving != 2:
+                with trio.move_on_after(0.02):
+                    await stream.receive_some()
+
+
+@pytest.mark.plants_errors
+@pytest.mark.parametrize('seed', range(5))
+async def test_mutated_requests_leave_the_server_running(seed):
+    """Guards against inputs of one client that end the listener."""
+    choices = random.Random(seed)
+    async with serve() as (server, _):
+        for source in SEEDS:
+            for _ in range(MUTATIONS_PER_SEED // len(SEEDS)):
+                sent = mutate(source, choices)
+                await send_and_leave(server.port, sent, choices)
+        await check_serving(server)
