Clients leave descriptors to the instance

Cause: connections are accepted as long as there are descriptors, and all of them are one pool.

Above it, the connection gives way whose client has sent or taken nothing for the longest time; a complete request that is being handled never does, and an incomplete one gets 503 with Retry-After, which is true as it has not run. Accepting goes on. Counted by reason, one log line a second.

Why it works: the limit holds over all listeners before the kernel's does.

The listeners of a scheduler instance move to a module of their own.

--- /dev/null
+++ b/src/tulippin/_client_connections.py
@@ -0,0 +1,126 @@
+"""Which connections of clients give way when a process reaches its limits.
+
+All listeners of a process share one table, as they share its memory and its
+descriptors. It decides without a network; the connections carry that out.
+"""
+
+from __future__ import annotations
+
+import collections
+import enum
+import typing as t
+
+import attrs
+import trio
+
+from tulippin.client_limits import ClientLimits
+from tulippin.logs import logger
+
+_SWEEP_INTERVAL_S: t.Final = 1.0
+
+
+class Phase(enum.Enum):
+    """What a connection is doing."""
+
+    # No request has begun.
+    IDLE = 'idle'
+    # A request has begun and is not complete.
+    RECEIVING = 'receiving'
+    # A complete request is being handled.
+    SERVING = 'serving'
+    # The client has not taken the whole response.
+    SENDING = 'sending'
+
+
+class Closing(enum.Enum):
+    """Why a connection was closed although its client kept it open."""
+
+    TOO_MANY = 'too_many_connections'
+    REFUSED = 'request_refused'
+
+
+@attrs.define(eq=False)
+class ClientConnection:
+    """Connection of a client, as the table sees it.
+
+    Parameters
+    ----------
+    close : callable
+        Closes the connection.
+    """
+
+    close: t.Callable[[], None]
+    phase: Phase = Phase.IDLE
+    is_closing: bool = False
+
+    @property
+    def may_give_way(self) -> bool:
+        """Whether it may be closed: no complete request is being handled."""
+        return self.phase is not Phase.SERVING and not self.is_closing
+
+
+class ConnectionTable:
+    """Open connections of the clients of a process.
+
+    Parameters
+    ----------
+    limits : ClientLimits
+        Limits on all connections together.
+    """
+
+    def __init__(self, limits: ClientLimits) -> None:
+        self._limits = limits
+        self._max_connections = limits.count_usable_connections()
+        self.closings: collections.Counter[Closing] = collections.Counter()
+        # The connection without progress for the longest time comes first.
+        self._connections: collections.OrderedDict[ClientConnection, None]
+        self._connections = collections.OrderedDict()
+        self._logged: collections.Counter[Closing] = collections.Counter()
+
+    def __len__(self) -> int:
+        """Return the number of open connections."""
+        return len(self._connections)
+
+    def add(self, connection: ClientConnection) -> None:
+        """Add a connection; one gives way where there are too many."""
+        self._connections[connection] = None
+        if len(self._connections) <= self._max_connections:
+            return
+        for other in self._connections:
+            if other.may_give_way:
+                self._close(other, Closing.TOO_MANY)
+                return
+
+    def remove(self, connection: ClientConnection) -> None:
+        """Remove a connection that is closed."""
+        self._connections.pop(connection)
+
+    def note_progress(self, connection: ClientConnection) -> None:
+        """Note that a client has sent or taken something."""
+        self._connections.move_to_end(connection)
+
+    def note_refusal(self) -> None:
+        """Count a request that was refused with its connection."""
+        self.closings[Closing.REFUSED] += 1
+
+    def _close(self, connection: ClientConnection, reason: Closing) -> None:
+        connection.is_closing = True
+        self.closings[reason] += 1
+        connection.close()
+
+    async def watch(self) -> None:
+        """Sweep the table forever."""
+        while True:
+            await trio.sleep(_SWEEP_INTERVAL_S)
+            self.sweep()
+
+    def sweep(self) -> None:
+        """Log the connections that were closed since the last sweep."""
+        closed = self.closings - self._logged
+        if closed:
+            self._logged = self.closings.copy()
+            logger.warning(
+                'connections closed',
+                reasons={reason.value: closed[reason] for reason in closed},
+                open=len(self._connections),
+            )
--- a/src/tulippin/_http1_protocol.py
+++ b/src/tulippin/_http1_protocol.py
@@ -9,25 +9,76 @@
 import typing as t
 
 import h11
-from hypercorn.events import Closed, Updated
-from hypercorn.protocol.events import Body, EndBody, Request
+from hypercorn.events import Closed, Event, RawData, Updated
+from hypercorn.protocol.events import Body, EndBody, Request, Response
 from hypercorn.protocol.events import Event as StreamEvent
 from hypercorn.protocol.h11 import STREAM_ID, H11Protocol
 from hypercorn.protocol.http_stream import HTTPStream
 
+from tulippin._client_connections import (
+    ClientConnection,
+    ConnectionTable,
+    Phase,
+)
+
 _VERSIONS: t.Final = frozenset((b'1.0', b'1.1'))
 _BAD_VERSION: t.Final = 505
 
 
 class Http1Protocol(H11Protocol):
-    """Protocol of a connection that ignores requests to switch it."""
+    """Protocol of a connection that ignores requests to switch it.
+
+    Parameters
+    ----------
+    *args
+        As those of hypercorn's protocol.
+    table : ConnectionTable
+        Decides which connections give way.
+    connection : ClientConnection
+        What the table knows about this connection.
+    """
+
+    def __init__(
+        self,
+        *args: t.Any,
+        table: ConnectionTable,
+        connection: ClientConnection,
+    ) -> None:
+        super().__init__(*args)
+        self._table = table
+        self._client = connection
+        self._is_abandoned = False
 
-    _is_refused = False
+    @property
+    def may_refuse(self) -> bool:
+        """Whether a request has begun whose response has not."""
+        is_silent = self.connection.our_state in {h11.IDLE, h11.SEND_RESPONSE}
+        return is_silent and self._client.phase is Phase.RECEIVING
+
+    def abandon(self) -> None:
+        """Drop what the application may still respond."""
+        self._is_abandoned = True
+
+    async def handle(self, event: Event) -> None:
+        """Handle what was received, or the end of the connection."""
+        has_data = isinstance(event, RawData) and event.data
+        if has_data and self._client.phase is Phase.IDLE:
+            self._client.phase = Phase.RECEIVING
+        await super().handle(event)
 
     async def stream_send(self, event: StreamEvent) -> None:
         """Send a part of a response, unless the request was refused."""
-        if not self._is_refused:
-            await super().stream_send(event)
+        if self._is_abandoned:
+            return
+        if isinstance(event, Response):
+            self._client.phase = Phase.SENDING
+        await super().stream_send(event)
+
+    async def _maybe_recycle(self) -> None:
+        """Begin with the next request, which may have been received."""
+        left_bytes = len(self.connection.trailing_data[0])
+        self._client.phase = Phase.RECEIVING if left_bytes else Phase.IDLE
+        await super()._maybe_recycle()
 
     async def _handle_events(self) -> None:
         """Handle what was received, up to the first incomplete part."""
@@ -56,6 +107,8 @@
             await self.stream.handle(Body(STREAM_ID, event.data))
             return True
         if isinstance(event, h11.EndOfMessage):
+            if self._client.phase is Phase.RECEIVING:
+                self._client.phase = Phase.SERVING
             await self.stream.handle(EndBody(STREAM_ID))
             return True
         return False
@@ -64,6 +117,7 @@
         if request.http_version not in _VERSIONS:
             await self._refuse(_BAD_VERSION)
             return False
+        self._client.phase = Phase.RECEIVING
         await self.send(Updated(idle=False))
         self.stream = HTTPStream(
             self.app,
@@ -97,7 +151,8 @@
 
     async def _refuse(self, status: int) -> None:
         """Refuse a request, if no response has begun, and close."""
+        self._table.note_refusal()
         if self.connection.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
             await self._send_error_response(status)
-        self._is_refused = True
+        self.abandon()
         await self.send(Closed())
--- a/src/tulippin/_http_connection.py
+++ b/src/tulippin/_http_connection.py
@@ -5,13 +5,21 @@
 import typing as t
 
 import trio
+from hypercorn.events import Closed, RawData
 from hypercorn.trio.task_group import TaskGroup
 from hypercorn.trio.tcp_server import TCPServer
 from hypercorn.utils import parse_socket_addr
 
 from tulippin import failures
+from tulippin._client_connections import ClientConnection, ConnectionTable
 from tulippin._http1_protocol import Http1Protocol
 
+_RECEIVE_BYTES: t.Final = 65_536
+_REFUSAL_TIMEOUT_S: t.Final = 0.1
+_REFUSAL: t.Final = (
+    b'HTTP/1.1 503 Service Unavailable\r\n'
+    b'retry-after: 1\r\ncontent-length: 0\r\nconnection: close\r\n\r\n'
+)
 _CONNECTION_ERRORS: t.Final = (
     OSError,
     trio.BrokenResourceError,
@@ -25,10 +33,32 @@
 
     An error in its protocol would otherwise reach the nursery of the listener
     and end the process.
+
+    Parameters
+    ----------
+    app, config, context, stream
+        As those of hypercorn.
+    table : ConnectionTable
+        Decides whether the connection has to give way.
     """
 
+    def __init__(
+        self,
+        app: t.Any,
+        config: t.Any,
+        context: t.Any,
+        stream: t.Any,
+        table: ConnectionTable,
+    ) -> None:
+        super().__init__(app, config, context, {}, stream)
+        self._table = table
+        self._scope = trio.CancelScope()
+        self._client = ClientConnection(self._give_way)
+        self.protocol = None
+
     async def run(self) -> None:
         """Serve the connection until it is closed."""
+        self._table.add(self._client)
         try:
             await self._serve()
         except BaseExceptionGroup as group:
@@ -38,17 +68,50 @@
                 raise rest from None
         except Exception as error:
             _report(error)
+        finally:
+            self._table.remove(self._client)
+
+    def _give_way(self) -> None:
+        """Close the connection; an incomplete request has had no effect."""
+        if self.protocol is not None:
+            self.protocol.abandon()
+        self._scope.cancel()
 
     async def _serve(self) -> None:
         try:
-            is_encrypted = await self._shake_hands()
-            async with TaskGroup() as task_group:
-                self._task_group = task_group
-                self.protocol = self._make_protocol(task_group, is_encrypted)
-                await self.idle_task.restart(task_group, self._idle_timeout)
-                await self._read_data()
+            with self._scope:
+                await self._serve_requests()
+            if self._client.is_closing:
+                await self._refuse()
         finally:
-            await self._close()
+            await trio.aclose_forcefully(self.stream)
+
+    async def _serve_requests(self) -> None:
+        is_encrypted = await self._shake_hands()
+        async with TaskGroup() as task_group:
+            self._task_group = task_group
+            self.protocol = self._make_protocol(task_group, is_encrypted)
+            await self.idle_task.restart(task_group, self._idle_timeout)
+            await self._read_data()
+        await self._close()
+
+    async def _refuse(self) -> None:
+        """Tell the client that its incomplete request was not run."""
+        if self.protocol is None or not self.protocol.may_refuse:
+            return
+        with trio.move_on_after(_REFUSAL_TIMEOUT_S):
+            await self.stream.send_all(_REFUSAL)
+
+    async def _read_data(self) -> None:
+        received: t.Any = None
+        while received != b'':
+            try:
+                received = await self.stream.receive_some(_RECEIVE_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                break
+            self._table.note_progress(self._client)
+            await self.protocol.handle(RawData(bytes(received)))
+        await self.protocol.handle(Closed())
 
     async def _shake_hands(self) -> bool:
         """Begin TLS; return whether the connection uses it."""
@@ -75,6 +138,8 @@
             parse_socket_addr(family, stream.socket.getpeername()),
             parse_socket_addr(family, stream.socket.getsockname()),
             self.protocol_send,
+            table=self._table,
+            connection=self._client,
         )
 
 
--- a/src/tulippin/_http_server.py
+++ b/src/tulippin/_http_server.py
@@ -13,8 +13,10 @@
 from hypercorn.config import Config as HypercornConfig
 from hypercorn.trio.worker_context import WorkerContext
 
+from tulippin._client_connections import ConnectionTable
 from tulippin._http_connection import Connection
 from tulippin._http_guard import ErrorMiddleware
+from tulippin.client_limits import ClientLimits
 from tulippin.exceptions import UnavailableError
 
 _BACKLOG_CONNECTIONS: t.Final = 512
@@ -38,6 +40,9 @@
         which ``port`` holds after the socket is bound.
     certificate, key, authority : str
         PEM files. With an authority, clients must present a certificate.
+    table : ConnectionTable, optional
+        Connections of the process. Whoever gives it runs its ``watch``; a
+        server without one has a table of its own.
     """
 
     def __init__(
@@ -47,9 +52,15 @@
         certificate: str = '',
         key: str = '',
         authority: str = '',
+        *,
+        table: ConnectionTable | None = None,
     ) -> None:
         self._app = ASGIWrapper(ErrorMiddleware(app))
         self._address = address
+        self._has_own_table = table is None
+        if table is None:
+            table = ConnectionTable(ClientLimits())
+        self._table = table
         self._config = HypercornConfig()
         self._config.accesslog = None
         self._config.errorlog = None
@@ -109,23 +120,17 @@
         owned = socket.socket(fileno=self._socket.detach())
         listener = self._make_listener(owned)
         context = WorkerContext(None)
-        handle = functools.partial(
-            _handle_connection, self._app, self._config, context
-        )
+        handle = functools.partial(self._handle_connection, context)
         async with trio.open_nursery() as connections:
+            accept = functools.partial(
+                trio.serve_listeners,
+                handle,
+                [listener],
+                handler_nursery=connections,
+                task_status=task_status,
+            )
             try:
-                async with trio.open_nursery() as accepting:
-                    accepting.start_soon(
-                        functools.partial(
-                            trio.serve_listeners,
-                            handle,
-                            [listener],
-                            handler_nursery=connections,
-                        )
-                    )
-                    task_status.started()
-                    await self._wait_for_shutdown(owned.fileno())
-                    accepting.cancel_scope.cancel()
+                await self._accept_until_shutdown(accept, owned.fileno())
             finally:
                 await context.terminated.set()
                 connections.cancel_scope.deadline = (
@@ -133,6 +138,28 @@
                 )
         self.stopped.set()
 
+    async def _accept_until_shutdown(
+        self, accept: t.Callable[[], t.Awaitable[t.Any]], descriptor: int
+    ) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(accept)
+            if self._has_own_table:
+                nursery.start_soon(self._table.watch)
+            await self._wait_for_shutdown(descriptor)
+            nursery.cancel_scope.cancel()
+
+    async def _handle_connection(
+        self, context: WorkerContext, stream: t.Any
+    ) -> None:
+        connection = Connection(
+            self._app,
+            self._config,
+            context,
+            stream,
+            self._table,
+        )
+        await connection.run()
+
     def _make_listener(self, owned: socket.socket) -> t.Any:
         listener = trio.SocketListener(trio.socket.from_stdlib_socket(owned))
         context = self._config.create_ssl_context()
@@ -155,12 +182,3 @@
             if quiet_rounds > _READ_ROUNDS:
                 break
             await trio.lowlevel.checkpoint()
-
-
-async def _handle_connection(
-    app: ASGIWrapper,
-    config: HypercornConfig,
-    context: WorkerContext,
-    stream: t.Any,
-) -> None:
-    await Connection(app, config, context, {}, stream).run()
--- a/src/tulippin/scheduler_daemon.py
+++ b/src/tulippin/scheduler_daemon.py
@@ -16,9 +16,9 @@
 import trio
 
 from tulippin import failures
+from tulippin._client_connections import ConnectionTable
 from tulippin._http_client import HttpClient
-from tulippin._http_server import HttpServer
-from tulippin._lazy_app import LazyApp
+from tulippin._scheduler_listeners import Listeners
 from tulippin.clocks import read_clock_ms, read_wall_ms
 from tulippin.exceptions import InputError, TulippinError
 from tulippin.jobs import (
@@ -121,6 +121,7 @@
         self._recorder: ProcessRecorder | None = None
         self._stopping = trio.Event()
         self._has_seen_units = False
+        self._connections = ConnectionTable(settings.client_limits)
 
     def stop(self) -> None:
         """Begin a planned stop."""
@@ -198,8 +199,11 @@
             nursery = await stack.enter_async_context(trio.open_nursery())
             self._start_tasks(nursery, recorder)
             app = CallersApp(JobIntake(shell), self.get_unready)
-            servers = self._make_servers(stack, app)
-            await _serve_all(nursery, servers)
+            listeners = Listeners(self.settings, shell, self._connections)
+            stack.enter_context(listeners)
+            self.ports = await listeners.serve(
+                nursery, app, self._make_operators
+            )
             await _start_shell(shell, recorder, stack)
             follow = functools.partial(
                 follow_bundles, shell, self.settings.operators
@@ -208,7 +212,7 @@
             task_status.started()
             logger.info('started', session=shell.config.session_id)
             await self._stopping.wait()
-            await self._shut_down(app, servers)
+            await self._shut_down(app, listeners)
             nursery.cancel_scope.cancel()
 
     def _start_tasks(
@@ -216,24 +220,9 @@
     ) -> None:
         nursery.start_soon(keep_running, 'log', self._flush)
         nursery.start_soon(keep_running, 'settings', self._watch_settings)
+        nursery.start_soon(keep_running, 'connections', self._connections.watch)
         nursery.start_soon(recorder.begin)
 
-    def _make_servers(
-        self, stack: contextlib.AsyncExitStack, app: CallersApp
-    ) -> list[HttpServer]:
-        """Bind the listeners for callers, readiness checks and operators."""
-        settings = self.settings
-        operators = LazyApp(self._make_operators)
-        servers = {
-            'callers': HttpServer(app, settings.callers),
-            'readiness': HttpServer(app, settings.readiness),
-            'internal': HttpServer(operators, settings.operators_address),
-        }
-        for name, server in servers.items():
-            stack.enter_context(server)
-            self.ports[name] = server.port
-        return list(servers.values())
-
     def _make_operators(self) -> t.Any:
         module = importlib.import_module('tulippin.scheduler_operators')
         api = module.SchedulerOperatorsApi(
@@ -241,6 +230,7 @@
             self._recorder,
             self.settings.operators,
             self.get_unready,
+            self._connections,
         )
         return api.make_app()
 
@@ -295,9 +285,7 @@
         with trio.move_on_after(max(grace_s / 2, grace_s - _CLOSE_LISTENERS_S)):
             await shell.leave()
 
-    async def _shut_down(
-        self, app: CallersApp, servers: list[HttpServer]
-    ) -> None:
+    async def _shut_down(self, app: CallersApp, listeners: Listeners) -> None:
         """Release the units, go on serving requests, then close.
 
         Requests are served until the load balancer has noticed the stop.
@@ -315,11 +303,11 @@
                 nursery.start_soon(
                     trio.sleep, min(_BALANCER_NOTICE_S, grace_s / 2)
                 )
-            await _close_all(servers, grace_s)
+            await listeners.close(grace_s)
         # A separate limit: where the event loop was delayed, the answers have
         # time that begins when they can be sent.
         with trio.move_on_after(_LAST_REQUESTS_S - _EXIT_S) as scope:
-            await _close_all(servers, grace_s)
+            await listeners.close(grace_s)
         logger.info('stopped', has_unanswered=scope.cancelled_caught)
         self._lines.flush()
 
@@ -343,21 +331,6 @@
             await trio.sleep(_FLUSH_INTERVAL_S)
 
 
-async def _serve_all(
-    nursery: trio.Nursery, servers: t.Iterable[HttpServer]
-) -> None:
-    for server in servers:
-        await nursery.start(server.serve)
-
-
-async def _close_all(servers: t.Iterable[HttpServer], limit_s: float) -> None:
-    """Close the listeners, and wait until all requests are answered."""
-    for server in servers:
-        server.shut_down(limit_s)
-    for server in servers:
-        await server.stopped.wait()
-
-
 async def _start_shell(
     shell: SchedulerShell,
     recorder: ProcessRecorder,
--- a/src/tulippin/scheduler_operators.py
+++ b/src/tulippin/scheduler_operators.py
@@ -20,6 +20,7 @@
 
 from tulippin import failures
 from tulippin._bundle_routes import BundleRoutes
+from tulippin._client_connections import Closing, ConnectionTable
 from tulippin._http_app import make_app, make_health_routes, make_json
 from tulippin.bundle_store import BundleStore
 from tulippin.exceptions import NotFoundError
@@ -44,10 +45,14 @@
     """Collects the metrics of an instance at each scrape."""
 
     def __init__(
-        self, shell: SchedulerShell, recorder: ProcessRecorder
+        self,
+        shell: SchedulerShell,
+        recorder: ProcessRecorder,
+        connections: ConnectionTable,
     ) -> None:
         self._shell = shell
         self._recorder = recorder
+        self._connections = connections
         self.registry = CollectorRegistry()
         self.registry.register(self)
 
@@ -69,10 +74,12 @@
         yield _make_failure_counter()
         yield from _iter_admission_metrics(self._shell.admission)
         yield from _iter_call_counters(self._shell.store_load)
+        yield _make_closing_counter(self._connections)
         yield from _iter_gauges(
             {
                 'tulippin_event_age_ms': self._shell.load.event_age_ms,
                 'tulippin_failed_starts': self._recorder.failed_starts,
+                'tulippin_client_connections': len(self._connections),
                 'tulippin_store_response_ms': _get_response_ms(
                     self._shell.store_load
                 ),
@@ -108,6 +115,18 @@
     return metric
 
 
+def _make_closing_counter(connections: ConnectionTable) -> Metric:
+    """Return how many connections were closed to their clients, by reason."""
+    metric = CounterMetricFamily(
+        'tulippin_connections_closed',
+        'Connections that had to give way, or whose request was refused',
+        labels=['reason'],
+    )
+    for reason in Closing:
+        metric.add_metric([reason.value], connections.closings[reason])
+    return metric
+
+
 def _make_event_counter(states: t.Iterable[SchedulerState]) -> Metric:
     counters = CounterMetricFamily(
         'tulippin_events', 'Things counted, by name', labels=['name']
@@ -214,6 +233,8 @@
         Operators' public keys.
     get_unready : callable
         Returns why the instance is not ready, or an empty string.
+    connections : ConnectionTable
+        Connections of the instance's clients.
     """
 
     def __init__(
@@ -222,11 +243,12 @@
         recorder: ProcessRecorder,
         keys: t.Mapping[str, str],
         get_unready: t.Callable[[], str],
+        connections: ConnectionTable,
     ) -> None:
         self._shell = shell
         self._get_unready_reason = get_unready
         self._recorder = recorder
-        self._metrics = SchedulerMetrics(shell, recorder)
+        self._metrics = SchedulerMetrics(shell, recorder, connections)
         self._bundles = BundleStore(RowTable(shell.ports.store), keys)
 
     def _iter_states(self) -> t.Iterator[SchedulerState]:
--- a/src/tulippin/scheduler_settings.py
+++ b/src/tulippin/scheduler_settings.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from tulippin.client_limits import ClientLimits, read_client_limits
 from tulippin.exceptions import Finding, InputError
 from tulippin.ini import (
     SectionReader,
@@ -31,6 +32,7 @@
         'operators',
         'log',
         'scheduling',
+        'clients',
     )
 )
 # Above any real instance; values derived from these settings stay finite.
@@ -72,6 +74,8 @@
         Processing capacity of the instance, in cores of standard speed.
     features : Features
         Optional parts of the scheduler.
+    client_limits : ClientLimits
+        Limits on the connections of all clients together.
     """
 
     instance_id: str
@@ -90,6 +94,7 @@
     log_level: str = 'info'
     processor_share: float = 1.0
     features: Features = Features()
+    client_limits: ClientLimits = ClientLimits()
 
     @property
     def operators_address(self) -> str:
@@ -186,6 +191,7 @@
             * instance.get_float('core_speed', 1.0, 0.01, _MAX_CORE_SPEED)
         ),
         features=_read_features(readers['scheduling']),
+        client_limits=read_client_limits(readers['clients']),
     )
 
 
--- a/tests/tulippin/jobs/test_admission_failures.py
+++ b/tests/tulippin/jobs/test_admission_failures.py
@@ -15,6 +15,8 @@
     make_step,
     open_fleet,
 )
+from tulippin._client_connections import ConnectionTable
+from tulippin.client_limits import ClientLimits
 from tulippin.exceptions import OverloadedError, UnavailableError
 from tulippin.jobs import _admission_inputs
 from tulippin.jobs.features import Features
@@ -133,6 +135,7 @@
             metrics = SchedulerMetrics(
                 next(iter(fleet.instances.values())).shell,
                 types.SimpleNamespace(failed_starts=0),
+                ConnectionTable(ClientLimits()),
             ).render()
             assert b'tulippin_jobs_rejected_total{queue="p"}' in metrics
             return job_id
--- a/tests/tulippin/platform/test_odd_worker_entries.py
+++ b/tests/tulippin/platform/test_odd_worker_entries.py
@@ -14,6 +14,8 @@
     make_step,
     open_fleet,
 )
+from tulippin._client_connections import ConnectionTable
+from tulippin.client_limits import ClientLimits
 from tulippin.jobs import views
 from tulippin.logs import encode_line
 from tulippin.scheduler_operators import SchedulerMetrics, make_json
@@ -118,7 +120,8 @@
     """Render what operators see of each instance."""
     for instance in fleet.instances.values():
         recorder = types.SimpleNamespace(failed_starts=0)
-        SchedulerMetrics(instance.shell, recorder).render()
+        connections = ConnectionTable(ClientLimits())
+        SchedulerMetrics(instance.shell, recorder, connections).render()
         for unit in instance.shell.units.values():
             state = unit.state
             make_json(views.show_unit(state))
--- a/tests/tulippin/test_scheduler_operators.py
+++ b/tests/tulippin/test_scheduler_operators.py
@@ -2,6 +2,8 @@
 
 import types
 
+from tulippin._client_connections import ConnectionTable
+from tulippin.client_limits import ClientLimits
 from tulippin.jobs.shell import SchedulerShell
 from tulippin.jobs.state import SchedulerConfig
 from tulippin.scheduler_operators import SchedulerMetrics
@@ -13,7 +15,11 @@
         SchedulerConfig('i', 'i:1'), None, clock=lambda: 0, wall=lambda: 0
     )
     shell.read_counts.update({'units': 3, 'settings': 1})
-    metrics = SchedulerMetrics(shell, types.SimpleNamespace(failed_starts=0))
+    metrics = SchedulerMetrics(
+        shell,
+        types.SimpleNamespace(failed_starts=0),
+        ConnectionTable(ClientLimits()),
+    )
 
     async def render():
         return metrics.render().decode().splitlines()
