Bytes of requests and responses are bounded for the process

What callers saw: an instance ran out of memory: 700 bodies that stop a byte before their end took 244 to 320 MB of the 200 of the smallest machine, whether they came whole or in pieces.

Cause: a body is bounded by itself, but nothing bounds the sum over all connections, or the framing of a body. What waits in the kernel is not bounded either.

A request that is larger on the wire than any with the configured limits, in chunks of one byte, gets 413. Socket buffers are 32 KB, and a connection is read 16 KB at a time. Bodies are collected in place.

Why it works: whatever is held was received, and all that is received is counted.

--- a/src/tulippin/_client_connections.py
+++ b/src/tulippin/_client_connections.py
@@ -17,6 +17,8 @@
 from tulippin.logs import logger
 
 _SWEEP_INTERVAL_S: t.Final = 1.0
+# Requests of the largest size that always fit, whatever the limit of bytes is.
+_GUARANTEED_REQUESTS: t.Final = 2
 
 
 class Phase(enum.Enum):
@@ -36,6 +38,7 @@
     """Why a connection was closed although its client kept it open."""
 
     TOO_MANY = 'too_many_connections'
+    BUFFERS_FULL = 'buffers_full'
     REFUSED = 'request_refused'
 
 
@@ -52,6 +55,7 @@
     close: t.Callable[[], None]
     phase: Phase = Phase.IDLE
     is_closing: bool = False
+    held_bytes: int = 0
 
     @property
     def may_give_way(self) -> bool:
@@ -72,6 +76,7 @@
         self._limits = limits
         self._max_connections = limits.count_usable_connections()
         self.closings: collections.Counter[Closing] = collections.Counter()
+        self.held_bytes = 0
         # The connection without progress for the longest time comes first.
         self._connections: collections.OrderedDict[ClientConnection, None]
         self._connections = collections.OrderedDict()
@@ -94,6 +99,8 @@
     def remove(self, connection: ClientConnection) -> None:
         """Remove a connection that is closed."""
         self._connections.pop(connection)
+        self.held_bytes -= connection.held_bytes
+        connection.held_bytes = 0
 
     def note_progress(self, connection: ClientConnection) -> None:
         """Note that a client has sent or taken something."""
@@ -103,6 +110,44 @@
         """Count a request that was refused with its connection."""
         self.closings[Closing.REFUSED] += 1
 
+    def hold(
+        self, connection: ClientConnection, held_bytes: int, largest_bytes: int
+    ) -> None:
+        """Set how many bytes a connection occupies.
+
+        Where all occupy too many together, those give way whose clients have
+        made no progress for the longest time.
+
+        Parameters
+        ----------
+        connection : ClientConnection
+            The connection.
+        held_bytes : int
+            Bytes that it occupies from now on.
+        largest_bytes : int
+            Size of the largest request that is allowed.
+        """
+        self.held_bytes += held_bytes - connection.held_bytes
+        connection.held_bytes = held_bytes
+        limit_bytes = max(
+            self._limits.buffer_bytes, _GUARANTEED_REQUESTS * largest_bytes
+        )
+        if self.held_bytes > limit_bytes:
+            self._free(self.held_bytes - limit_bytes)
+
+    def _free(self, excess_bytes: int) -> None:
+        """Close connections until the others occupy fewer bytes."""
+        freed_bytes = 0
+        for connection in list(self._connections):
+            if freed_bytes >= excess_bytes:
+                return
+            if not connection.held_bytes:
+                continue
+            if connection.may_give_way:
+                self._close(connection, Closing.BUFFERS_FULL)
+            if connection.is_closing:
+                freed_bytes += connection.held_bytes
+
     def _close(self, connection: ClientConnection, reason: Closing) -> None:
         connection.is_closing = True
         self.closings[reason] += 1
@@ -123,4 +168,5 @@
                 'connections closed',
                 reasons={reason.value: closed[reason] for reason in closed},
                 open=len(self._connections),
+                held_bytes=self.held_bytes,
             )
--- a/src/tulippin/_http1_protocol.py
+++ b/src/tulippin/_http1_protocol.py
@@ -20,9 +20,11 @@
     ConnectionTable,
     Phase,
 )
+from tulippin.client_limits import RequestLimits
 
 _VERSIONS: t.Final = frozenset((b'1.0', b'1.1'))
 _BAD_VERSION: t.Final = 505
+_TOO_LARGE: t.Final = 413
 
 
 class Http1Protocol(H11Protocol):
@@ -36,6 +38,8 @@
         Decides which connections give way.
     connection : ClientConnection
         What the table knows about this connection.
+    get_limits : callable
+        Returns the limits of one request at present.
     """
 
     def __init__(
@@ -43,11 +47,15 @@
         *args: t.Any,
         table: ConnectionTable,
         connection: ClientConnection,
+        get_limits: t.Callable[[], RequestLimits],
     ) -> None:
         super().__init__(*args)
         self._table = table
         self._client = connection
         self._is_abandoned = False
+        self._get_limits = get_limits
+        # Bytes of the request, and of what follows it so far.
+        self._received_bytes = 0
 
     @property
     def may_refuse(self) -> bool:
@@ -61,9 +69,15 @@
 
     async def handle(self, event: Event) -> None:
         """Handle what was received, or the end of the connection."""
-        has_data = isinstance(event, RawData) and event.data
-        if has_data and self._client.phase is Phase.IDLE:
-            self._client.phase = Phase.RECEIVING
+        if isinstance(event, RawData) and event.data:
+            if self._client.phase is Phase.IDLE:
+                self._client.phase = Phase.RECEIVING
+            self._received_bytes += len(event.data)
+            largest_bytes = self._get_limits().request_bytes
+            if self._received_bytes > largest_bytes:
+                await self._refuse(_TOO_LARGE)
+                return
+            self._table.hold(self._client, self._received_bytes, largest_bytes)
         await super().handle(event)
 
     async def stream_send(self, event: StreamEvent) -> None:
@@ -72,14 +86,22 @@
             return
         if isinstance(event, Response):
             self._client.phase = Phase.SENDING
+        if isinstance(event, Body):
+            self._hold(self._received_bytes + len(event.data))
         await super().stream_send(event)
 
     async def _maybe_recycle(self) -> None:
         """Begin with the next request, which may have been received."""
         left_bytes = len(self.connection.trailing_data[0])
         self._client.phase = Phase.RECEIVING if left_bytes else Phase.IDLE
+        self._received_bytes = left_bytes
+        self._hold(left_bytes)
         await super()._maybe_recycle()
 
+    def _hold(self, held_bytes: int) -> None:
+        largest_bytes = self._get_limits().request_bytes
+        self._table.hold(self._client, held_bytes, largest_bytes)
+
     async def _handle_events(self) -> None:
         """Handle what was received, up to the first incomplete part."""
         is_complete = True
--- a/src/tulippin/_http_connection.py
+++ b/src/tulippin/_http_connection.py
@@ -13,8 +13,10 @@
 from tulippin import failures
 from tulippin._client_connections import ClientConnection, ConnectionTable
 from tulippin._http1_protocol import Http1Protocol
+from tulippin.client_limits import RequestLimits
 
-_RECEIVE_BYTES: t.Final = 65_536
+# What is received ahead of its turn is held by each connection.
+_RECEIVE_BYTES: t.Final = 16_384
 _REFUSAL_TIMEOUT_S: t.Final = 0.1
 _REFUSAL: t.Final = (
     b'HTTP/1.1 503 Service Unavailable\r\n'
@@ -40,6 +42,8 @@
         As those of hypercorn.
     table : ConnectionTable
         Decides whether the connection has to give way.
+    get_limits : callable
+        Returns the limits of one request at present.
     """
 
     def __init__(
@@ -49,9 +53,11 @@
         context: t.Any,
         stream: t.Any,
         table: ConnectionTable,
+        get_limits: t.Callable[[], RequestLimits],
     ) -> None:
         super().__init__(app, config, context, {}, stream)
         self._table = table
+        self._get_limits = get_limits
         self._scope = trio.CancelScope()
         self._client = ClientConnection(self._give_way)
         self.protocol = None
@@ -140,6 +146,7 @@
             self.protocol_send,
             table=self._table,
             connection=self._client,
+            get_limits=self._get_limits,
         )
 
 
--- a/src/tulippin/_http_server.py
+++ b/src/tulippin/_http_server.py
@@ -16,10 +16,12 @@
 from tulippin._client_connections import ConnectionTable
 from tulippin._http_connection import Connection
 from tulippin._http_guard import ErrorMiddleware
-from tulippin.client_limits import ClientLimits
+from tulippin.client_limits import ClientLimits, RequestLimits
 from tulippin.exceptions import UnavailableError
 
 _BACKLOG_CONNECTIONS: t.Final = 512
+# What the kernel holds of each connection counts as memory of the machine.
+_SOCKET_BUFFER_BYTES: t.Final = 32_768
 _SHUTDOWN_LIMIT_S: t.Final = 3.0
 # Limits in rounds of the event loop, since a delayed loop would use up a limit
 # in time at once: for a listener that shuts down, to accept the connections in
@@ -43,6 +45,8 @@
     table : ConnectionTable, optional
         Connections of the process. Whoever gives it runs its ``watch``; a
         server without one has a table of its own.
+    get_limits : callable
+        Returns the limits of one request at present.
     """
 
     def __init__(
@@ -54,6 +58,7 @@
         authority: str = '',
         *,
         table: ConnectionTable | None = None,
+        get_limits: t.Callable[[], RequestLimits] = RequestLimits,
     ) -> None:
         self._app = ASGIWrapper(ErrorMiddleware(app))
         self._address = address
@@ -61,6 +66,7 @@
         if table is None:
             table = ConnectionTable(ClientLimits())
         self._table = table
+        self._get_limits = get_limits
         self._config = HypercornConfig()
         self._config.accesslog = None
         self._config.errorlog = None
@@ -83,6 +89,8 @@
         family = socket.AF_INET6 if ':' in host else socket.AF_INET
         listener = socket.socket(family, socket.SOCK_STREAM)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            listener.setsockopt(socket.SOL_SOCKET, option, _SOCKET_BUFFER_BYTES)
         try:
             listener.bind((host.strip('[]'), int(port)))
         except OSError as error:
@@ -157,6 +165,7 @@
             context,
             stream,
             self._table,
+            self._get_limits,
         )
         await connection.run()
 
--- a/src/tulippin/_scheduler_listeners.py
+++ b/src/tulippin/_scheduler_listeners.py
@@ -10,6 +10,7 @@
 from tulippin._client_connections import ConnectionTable
 from tulippin._http_server import HttpServer
 from tulippin._lazy_app import LazyApp
+from tulippin.client_limits import RequestLimits
 from tulippin.jobs import SchedulerShell
 from tulippin.platform.callers import CallersApp
 from tulippin.scheduler_settings import SchedulerSettings
@@ -56,7 +57,9 @@
         settings = self._settings
         operators = LazyApp(make_operators)
         self._servers = {
-            'callers': self._bind(callers, settings.callers),
+            'callers': self._bind(
+                callers, settings.callers, self._get_request_limits
+            ),
             'readiness': self._bind(callers, settings.readiness),
             'internal': self._bind(operators, settings.operators_address),
         }
@@ -75,11 +78,22 @@
         self,
         app: t.Any,
         address: str,
+        get_limits: t.Callable[[], RequestLimits] = RequestLimits,
     ) -> HttpServer:
         return self.enter_context(
             HttpServer(
                 app,
                 address,
                 table=self._connections,
+                get_limits=get_limits,
             )
         )
+
+    def _get_request_limits(self) -> RequestLimits:
+        """Return the limits of a request, which the operators configure."""
+        configuration = self._shell.configuration
+        if configuration is None:
+            return RequestLimits()
+        return RequestLimits(
+            configuration.max_header_bytes, configuration.max_body_bytes
+        )
--- a/src/tulippin/platform/callers.py
+++ b/src/tulippin/platform/callers.py
@@ -488,7 +488,7 @@
 
 
 async def _read_body(receive: Receive, limit_bytes: int) -> bytes:
-    body = b''
+    body = bytearray()
     while True:
         message = await receive()
         if message['type'] == 'http.disconnect':
@@ -497,4 +497,4 @@
         if len(body) > limit_bytes:
             raise BodyTooLargeError(f'over {limit_bytes} bytes')
         if not message.get('more_body', False):
-            return body
+            return bytes(body)
--- a/src/tulippin/scheduler_operators.py
+++ b/src/tulippin/scheduler_operators.py
@@ -80,6 +80,7 @@
                 'tulippin_event_age_ms': self._shell.load.event_age_ms,
                 'tulippin_failed_starts': self._recorder.failed_starts,
                 'tulippin_client_connections': len(self._connections),
+                'tulippin_client_buffer_bytes': self._connections.held_bytes,
                 'tulippin_store_response_ms': _get_response_ms(
                     self._shell.store_load
                 ),
--- a/tests/tulippin/test_client_connections.py
+++ b/tests/tulippin/test_client_connections.py
@@ -13,6 +13,9 @@
 )
 from tulippin.client_limits import ClientLimits
 
+MB = 2**20
+LARGEST_BYTES = MB
+
 
 @attrs.define
 class Crowd:
@@ -82,3 +85,32 @@
     (record,) = handler.records
     assert record.message == 'connections closed'
     assert record.kwargs['reasons'] == {'too_many_connections': 2}
+
+
+def test_stalled_request_gives_way_to_a_new_one():
+    crowd = make_crowd(buffer_bytes=4 * MB)
+    stalled = [crowd.open(Phase.RECEIVING) for _ in range(4)]
+    for connection in stalled:
+        crowd.table.hold(connection, MB, LARGEST_BYTES)
+    crowd.table.note_progress(stalled[0])
+    crowd.table.hold(crowd.open(Phase.RECEIVING), 1000, LARGEST_BYTES)
+    assert crowd.closed == [stalled[1]]
+    assert crowd.table.closings == {Closing.BUFFERS_FULL: 1}
+
+
+def test_bytes_of_closed_connections_are_free():
+    crowd = make_crowd(buffer_bytes=2 * MB)
+    first, second = (crowd.open(Phase.RECEIVING) for _ in range(2))
+    crowd.table.hold(first, 2 * MB, LARGEST_BYTES)
+    crowd.table.hold(second, MB, LARGEST_BYTES)
+    # A connection that is being closed counts as freed.
+    crowd.table.hold(second, MB + 1, LARGEST_BYTES)
+    assert crowd.closed == [first]
+    crowd.table.remove(first)
+    assert crowd.table.held_bytes == MB + 1
+
+
+def test_request_of_the_largest_size_always_fits():
+    crowd = make_crowd(buffer_bytes=1)
+    crowd.table.hold(crowd.open(Phase.RECEIVING), LARGEST_BYTES, LARGEST_BYTES)
+    assert crowd.closed == []
