Connections without progress are closed, and sending can be cancelled

What callers saw: clients that stop in the middle of a request kept their connection for up to an hour (`Deadline-Ms`), those that take no answer for good; with large answers unread, a planned stop did not end within 30 s.

Cause: hypercorn reads without a limit in time, and sends shielded from cancelling. Nothing looks whether a client makes progress.

Answers are sent in parts of 16 KB, each of which is progress, and sending can be cancelled.

Why it works: nothing that a client does not take can hold a task beyond the limit of a stop.

--- a/src/tulippin/_client_connections.py
+++ b/src/tulippin/_client_connections.py
@@ -39,6 +39,7 @@
 
     TOO_MANY = 'too_many_connections'
     BUFFERS_FULL = 'buffers_full'
+    NO_PROGRESS = 'no_progress'
     REFUSED = 'request_refused'
 
 
@@ -56,6 +57,8 @@
     phase: Phase = Phase.IDLE
     is_closing: bool = False
     held_bytes: int = 0
+    # Sweeps since the client last sent or took anything.
+    quiet_sweeps: int = 0
 
     @property
     def may_give_way(self) -> bool:
@@ -104,6 +107,7 @@
 
     def note_progress(self, connection: ClientConnection) -> None:
         """Note that a client has sent or taken something."""
+        connection.quiet_sweeps = 0
         self._connections.move_to_end(connection)
 
     def note_refusal(self) -> None:
@@ -160,7 +164,14 @@
             self.sweep()
 
     def sweep(self) -> None:
-        """Log the connections that were closed since the last sweep."""
+        """Close connections without progress, and log what was closed.
+
+        Sweeps are counted instead of time: that for which the process was
+        suspended is not the clients' fault.
+        """
+        for connection in list(self._connections):
+            if connection.phase in {Phase.RECEIVING, Phase.SENDING}:
+                self._count_quiet(connection)
         closed = self.closings - self._logged
         if closed:
             self._logged = self.closings.copy()
@@ -170,3 +181,9 @@
                 open=len(self._connections),
                 held_bytes=self.held_bytes,
             )
+
+    def _count_quiet(self, connection: ClientConnection) -> None:
+        connection.quiet_sweeps += 1
+        is_stalled = connection.quiet_sweeps > self._limits.stall_s
+        if is_stalled and connection.may_give_way:
+            self._close(connection, Closing.NO_PROGRESS)
--- a/src/tulippin/_http_connection.py
+++ b/src/tulippin/_http_connection.py
@@ -5,7 +5,7 @@
 import typing as t
 
 import trio
-from hypercorn.events import Closed, RawData
+from hypercorn.events import Closed, Event, RawData
 from hypercorn.trio.task_group import TaskGroup
 from hypercorn.trio.tcp_server import TCPServer
 from hypercorn.utils import parse_socket_addr
@@ -17,6 +17,8 @@
 
 # What is received ahead of its turn is held by each connection.
 _RECEIVE_BYTES: t.Final = 16_384
+# A client makes progress with each part of a response that it takes.
+_SEND_BYTES: t.Final = 16_384
 _REFUSAL_TIMEOUT_S: t.Final = 0.1
 _REFUSAL: t.Final = (
     b'HTTP/1.1 503 Service Unavailable\r\n'
@@ -119,6 +121,27 @@
             await self.protocol.handle(RawData(bytes(received)))
         await self.protocol.handle(Closed())
 
+    async def protocol_send(self, event: Event) -> None:
+        """Handle an event of the protocol; responses are sent in parts.
+
+        In contrast to hypercorn's, sending can be cancelled, as a client that
+        doesn't read would otherwise hold up the end of the process.
+        """
+        if not isinstance(event, RawData):
+            await super().protocol_send(event)
+        elif event.data:
+            async with self.send_lock:
+                await self._send_parts(memoryview(event.data))
+
+    async def _send_parts(self, content: memoryview) -> None:
+        for start in range(0, len(content), _SEND_BYTES):
+            try:
+                await self.stream.send_all(content[start : start + _SEND_BYTES])
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                await self.protocol.handle(Closed())
+                return
+            self._table.note_progress(self._client)
+
     async def _shake_hands(self) -> bool:
         """Begin TLS; return whether the connection uses it."""
         if not isinstance(self.stream, trio.SSLStream):
--- a/src/tulippin/client_limits.py
+++ b/src/tulippin/client_limits.py
@@ -15,6 +15,7 @@
 _DESCRIPTOR_SHARE: t.Final = 1 / 2
 _MAX_CONNECTIONS: t.Final = 1_000_000
 _MAX_BUFFER_MB: t.Final = 65_536
+_MAX_STALL_S: t.Final = 86_400
 
 
 # Bytes of a request line.
@@ -59,10 +60,14 @@
     buffer_bytes : int
         Maximum number of bytes of incomplete requests, of requests being
         handled, and of responses that were not taken.
+    stall_s : int
+        Seconds after which a connection is closed whose client neither sends
+        the rest of its request nor takes its response.
     """
 
     connections: int = 2000
     buffer_bytes: int = 24 * _BYTES_PER_MB
+    stall_s: int = 30
 
     def count_usable_connections(self) -> int:
         """Return the limit of connections within this process's descriptors."""
@@ -82,4 +87,5 @@
         ),
         buffer_bytes=_BYTES_PER_MB
         * reader.get_int('buffer_mb', default_mb, 1, _MAX_BUFFER_MB),
+        stall_s=reader.get_int('stall_s', default.stall_s, 1, _MAX_STALL_S),
     )
--- a/tests/tulippin/test_client_connections.py
+++ b/tests/tulippin/test_client_connections.py
@@ -114,3 +114,21 @@
     crowd = make_crowd(buffer_bytes=1)
     crowd.table.hold(crowd.open(Phase.RECEIVING), LARGEST_BYTES, LARGEST_BYTES)
     assert crowd.closed == []
+
+
+def test_stalled_connection_is_closed_after_its_time():
+    crowd = make_crowd(stall_s=3)
+    receiving = crowd.open(Phase.RECEIVING)
+    sending = crowd.open(Phase.SENDING)
+    idle, served = crowd.open(), crowd.open(Phase.SERVING)
+    for _ in range(3):
+        crowd.table.sweep()
+    assert crowd.closed == []
+    crowd.table.note_progress(sending)
+    crowd.table.sweep()
+    assert crowd.closed == [receiving]
+    for _ in range(10):
+        crowd.table.sweep()
+    assert crowd.closed == [receiving, sending]
+    assert not idle.is_closing
+    assert not served.is_closing
--- a/tests/tulippin/test_http_connection.py
+++ b/tests/tulippin/test_http_connection.py
@@ -9,8 +9,10 @@
 from hypercorn.events import RawData
 from hypercorn.protocol.h11 import H11Protocol
 
+from tulippin._client_connections import ConnectionTable
 from tulippin._http_client import HttpClient
 from tulippin._http_server import HttpServer
+from tulippin.client_limits import ClientLimits
 
 REQUEST = b'POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody'
 CHUNKED = (
@@ -32,6 +34,7 @@
 )
 SEEDS = (REQUEST, CHUNKED, UPGRADE, H2C, HTTP2)
 MUTATIONS_PER_SEED = 150
+DEFAULT_LIMITS = ClientLimits()
 
 
 async def echo(scope, receive, send):
@@ -50,11 +53,14 @@
 
 
 @contextlib.asynccontextmanager
-async def serve(app=echo):
+async def serve(app=echo, limits=DEFAULT_LIMITS):
     handler = logbook.TestHandler()
-    with handler.applicationbound(), HttpServer(app, '127.0.0.1:0') as server:
+    table = ConnectionTable(limits)
+    server = HttpServer(app, '127.0.0.1:0', table=table)
+    with handler.applicationbound(), server:
         async with trio.open_nursery() as nursery:
             await nursery.start(server.serve)
+            nursery.start_soon(table.watch)
             yield server, handler
             nursery.cancel_scope.cancel()
 
@@ -142,3 +148,57 @@
                 sent = mutate(source, choices)
                 await send_and_leave(server.port, sent, choices)
         await check_serving(server)
+
+
+async def respond_at_length(scope, receive, send):
+    if scope['type'] != 'http':
+        raise NotImplementedError(scope['type'])
+    content = b'x' * 10_000_000
+    headers = [(b'content-length', str(len(content)).encode())]
+    start = {'type': 'http.response.start', 'status': 200, 'headers': headers}
+    await send(start)
+    await send({'type': 'http.response.body', 'body': content})
+
+
+async def test_stalled_request_is_refused_as_not_run():
+    """Guards against connections that stay open with half a request."""
+    async with serve(limits=ClientLimits(stall_s=1)) as (server, _):
+        stream = await trio.open_tcp_stream('127.0.0.1', server.port)
+        await stream.send_all(REQUEST[:-1])
+        with trio.fail_after(10):
+            answer = await stream.receive_some()
+            assert await stream.receive_some() == b''
+    assert answer.startswith(b'HTTP/1.1 503')
+    assert b'retry-after: 1' in answer
+
+
+async def test_slow_request_is_served():
+    """A client that makes progress is not closed."""
+    async with serve(limits=ClientLimits(stall_s=1)) as (server, _):
+        stream = await trio.open_tcp_stream('127.0.0.1', server.port)
+        for start in range(0, len(REQUEST), 8):
+            await stream.send_all(REQUEST[start : start + 8])
+            await trio.sleep(0.4)
+        with trio.fail_after(5):
+            assert (await stream.receive_some()).startswith(b'HTTP/1.1 200')
+
+
+async def test_response_that_is_not_taken_is_given_up():
+    limits = ClientLimits(stall_s=1)
+    async with serve(respond_at_length, limits) as (server, _):
+        stream = await trio.open_tcp_stream('127.0.0.1', server.port)
+        await stream.send_all(REQUEST)
+        with trio.fail_after(10):
+            while len(server._table):
+                await trio.sleep(0.05)
+
+
+async def test_response_that_is_not_taken_does_not_hold_up_the_end():
+    """Guards against a process that has to be killed at its stop."""
+    async with serve(respond_at_length) as (server, _):
+        stream = await trio.open_tcp_stream('127.0.0.1', server.port)
+        await stream.send_all(REQUEST)
+        await trio.sleep(0.1)
+        server.shut_down(0.1)
+        with trio.fail_after(5):
+            await server.stopped.wait()
