An application that answers early leaves no connection behind

What callers saw: a connection whose body was refused before it was read stayed open for good, with a task and up to 700 KB of the body, after its answer.

Cause: hypercorn passes the parts of a body through a queue of ten messages. When the application has answered and reads no more, both the reader of the connection and the message that ends the request wait for room in the queue.

Change: the queue is closed with the application or the request, whichever ends first; what still waits for it goes on.

Why it works: a closed queue makes nobody wait.

--- a/src/tulippin/_http_connection.py
+++ b/src/tulippin/_http_connection.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import functools
 import typing as t
 
 import trio
@@ -96,7 +98,7 @@
 
     async def _serve_requests(self) -> None:
         is_encrypted = await self._shake_hands()
-        async with TaskGroup() as task_group:
+        async with _AppTasks() as task_group:
             self._task_group = task_group
             self.protocol = self._make_protocol(task_group, is_encrypted)
             await self.idle_task.restart(task_group, self._idle_timeout)
@@ -173,6 +175,61 @@
         )
 
 
+class _AppTasks(TaskGroup):
+    """Task group whose applications may end before they got their request.
+
+    Those of hypercorn leave the connection waiting, and open, where more parts
+    of the request come than its queue takes.
+    """
+
+    async def spawn_app(
+        self, app: t.Any, config: t.Any, scope: t.Any, send: t.Any
+    ) -> t.Any:
+        """Start an application; return the function that passes it messages."""
+        sender, receiver = trio.open_memory_channel[t.Any](
+            config.max_app_queue_size
+        )
+        self._nursery.start_soon(_run_app, app, scope, receiver, send)
+        return functools.partial(_put, sender)
+
+
+async def _run_app(
+    app: t.Any,
+    scope: t.Any,
+    receiver: trio.MemoryReceiveChannel[t.Any],
+    send: t.Any,
+) -> None:
+    receive = functools.partial(_receive, receiver)
+    try:
+        await app(
+            scope, receive, send, trio.to_thread.run_sync, trio.from_thread.run
+        )
+    finally:
+        receiver.close()
+        await send(None)
+
+
+async def _put(
+    sender: trio.MemorySendChannel[t.Any], message: dict[str, t.Any]
+) -> None:
+    """Pass a message to an application, unless it has ended."""
+    if message['type'] == 'http.disconnect':
+        sender.close()
+        return
+    ended = (trio.BrokenResourceError, trio.ClosedResourceError)
+    with contextlib.suppress(*ended):
+        await sender.send(message)
+
+
+async def _receive(
+    receiver: trio.MemoryReceiveChannel[t.Any],
+) -> dict[str, t.Any]:
+    try:
+        return await receiver.receive()
+    except trio.EndOfChannel:
+        return {'type': 'http.disconnect'}
+
+
 def _report(error: BaseException | None) -> None:
     """Log an error, unless the client has merely broken the connection."""
     if isinstance(error, BaseExceptionGroup):
--- a/tests/tulippin/test_http_connection.py
+++ b/tests/tulippin/test_http_connection.py
@@ -202,3 +202,31 @@
         server.shut_down(0.1)
         with trio.fail_after(5):
             await server.stopped.wait()
+
+
+async def refuse_early(scope, receive, send):
+    if scope['type'] != 'http':
+        raise NotImplementedError(scope['type'])
+    await receive()
+    # The queue of messages fills up meanwhile.
+    await trio.sleep(0.1)
+    headers = [(b'content-length', b'0')]
+    start = {'type': 'http.response.start', 'status': 413, 'headers': headers}
+    await send(start)
+    await send({'type': 'http.response.body', 'body': b''})
+
+
+async def test_application_that_ends_early_leaves_no_connection():
+    """Guards against connections that stay open with the rest of a body."""
+    head = CHUNKED.partition(b'4\r\n')[0]
+    async with serve(refuse_early) as (server, _):
+        stream = await trio.open_tcp_stream('127.0.0.1', server.port)
+        await stream.send_all(head)
+        with contextlib.suppress(trio.BrokenResourceError):
+            for _ in range(400):
+                with trio.move_on_after(0.2):
+                    await stream.send_all(b'3e8\r\n%b\r\n' % (b'x' * 1000))
+                await trio.sleep(0.001)
+        with trio.fail_after(3):
+            while len(server._table):
+                await trio.sleep(0.05)
