Requests of many parts take turns, and legal headers may come in pieces

What callers saw: while clients sent bodies in chunks of one byte, ordinary calls were broken off or not answered within 15 s. Headers of 20,000 bytes (up to 65,536 are legal) broke the connection if they came in pieces.

Cause: each chunk was an event for the application with a task switch of its own, and all that a connection had received was parsed at once, for each of the crowd's connections before any other task ran again. hypercorn limits incomplete headers to 16 KB, whatever the operators' limit is.

Change: the parts of a body that were received are passed on together. After 32 parts a request waits for its turn before each 256 further ones; one request has the turn at a time. The limit of incomplete headers follows the configuration's.

Why it works: however many clients send chunks, the other tasks run between any two turns.

--- a/src/tulippin/_client_connections.py
+++ b/src/tulippin/_client_connections.py
@@ -84,6 +84,9 @@
         self._connections: collections.OrderedDict[ClientConnection, None]
         self._connections = collections.OrderedDict()
         self._logged: collections.Counter[Closing] = collections.Counter()
+        # Held while a part of a request of many parts is parsed, so that all
+        # other tasks of the process run in between.
+        self.parsing_turn = trio.Lock()
 
     def __len__(self) -> int:
         """Return the number of open connections."""
--- a/src/tulippin/_http1_protocol.py
+++ b/src/tulippin/_http1_protocol.py
@@ -25,6 +25,10 @@
 _VERSIONS: t.Final = frozenset((b'1.0', b'1.1'))
 _BAD_VERSION: t.Final = 505
 _TOO_LARGE: t.Final = 413
+# Parts of a request, such as chunks of its body, that are parsed at once; and
+# those of a request of many parts, which waits for its turn each time.
+_PARTS_AT_ONCE: t.Final = 32
+_PARTS_IN_TURN: t.Final = 256
 
 
 class Http1Protocol(H11Protocol):
@@ -56,6 +60,10 @@
         self._get_limits = get_limits
         # Bytes of the request, and of what follows it so far.
         self._received_bytes = 0
+        # A raised limit holds for new connections.
+        self.connection = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=get_limits().head_bytes
+        )
 
     @property
     def may_refuse(self) -> bool:
@@ -109,12 +117,38 @@
             if self.connection.they_are_waiting_for_100_continue:
                 await self._send_continue()
             try:
-                event = self.connection.next_event()
+                body, event = await self._parse()
             except h11.RemoteProtocolError as error:
                 await self._refuse(error.error_status_hint)
                 return
+            if body and self.stream is not None:
+                await self.stream.handle(Body(STREAM_ID, body))
             is_complete = await self._handle_event(event)
 
+    async def _parse(self) -> tuple[bytes, t.Any]:
+        """Return what there is of the body, and the next other event.
+
+        Raises
+        ------
+        h11.RemoteProtocolError
+            If the request is invalid.
+        """
+        body = bytearray()
+        event = self._parse_parts(body, _PARTS_AT_ONCE)
+        while event is None:
+            async with self._table.parsing_turn:
+                event = self._parse_parts(body, _PARTS_IN_TURN)
+        return bytes(body), event
+
+    def _parse_parts(self, body: bytearray, limit: int) -> t.Any:
+        """Extend the body; return the next other event, None at the limit."""
+        for _ in range(limit):
+            event = self.connection.next_event()
+            if not isinstance(event, h11.Data):
+                return event
+            body += event.data
+        return None
+
     async def _handle_event(self, event: t.Any) -> bool:
         """Handle a part of a request; return whether more may follow."""
         if isinstance(event, h11.Request):
@@ -125,9 +159,6 @@
             return True
         if self.stream is None:
             return False
-        if isinstance(event, h11.Data):
-            await self.stream.handle(Body(STREAM_ID, event.data))
-            return True
         if isinstance(event, h11.EndOfMessage):
             if self._client.phase is Phase.RECEIVING:
                 self._client.phase = Phase.SERVING
--- a/tests/tulippin/test_http_connection.py
+++ b/tests/tulippin/test_http_connection.py
@@ -230,3 +230,44 @@
         with trio.fail_after(3):
             while len(server._table):
                 await trio.sleep(0.05)
+
+
+@pytest.mark.parametrize('piece_bytes', [1000, 100_000])
+async def test_headers_of_the_largest_size_are_accepted(piece_bytes):
+    """Guards against legal headers that are refused if they come in pieces."""
+    padding = b'X-Padding: ' + b'x' * 65_000
+    sent = REQUEST.replace(b'Host: a', b'Host: a\r\n' + padding)
+    async with serve() as (server, _):
+        stream = await trio.open_tcp_stream('127.0.0.1', server.port)
+        for start in range(0, len(sent), piece_bytes):
+            await stream.send_all(sent[start : start + piece_bytes])
+            await trio.sleep(0.001)
+        with trio.fail_after(5):
+            assert (await stream.receive_some()).startswith(b'HTTP/1.1 200')
+
+
+async def test_other_tasks_run_while_many_chunks_are_parsed():
+    """Guards against a process that does nothing but parse for one client."""
+    head = CHUNKED.partition(b'4\r\n')[0]
+    # They are received at once, as a crowd's requests would be.
+    chunks = b'1\r\nx\r\n' * 2700
+    turns = 0
+
+    async def count_turns():
+        nonlocal turns
+        while True:
+            await trio.lowlevel.checkpoint()
+            turns += 1
+
+    async with serve() as (server, _), trio.open_nursery() as nursery:
+        stream = await trio.open_tcp_stream('127.0.0.1', server.port)
+        await stream.send_all(head)
+        await trio.sleep(0.05)
+        async with server._table.parsing_turn:
+            nursery.start_soon(count_turns)
+            await stream.send_all(chunks + b'0\r\n\r\n')
+            await trio.sleep(0.1)
+            assert turns > 0
+        with trio.fail_after(5):
+            assert (await stream.receive_some()).startswith(b'HTTP/1.1 200')
+        nursery.cancel_scope.cancel()
