Decoded bodies are bounded, and unfinished requests are answered as not run

What callers saw: nothing yet; found while the bytes of all requests were bounded. A request that ran out of time before its body was complete got 504, "may have been done", though nothing had run.

Cause: a job of 21,800 steps, 262,144 bytes, takes 5.4 MB once decoded and 9.4 MB meanwhile (measured). All bodies that the limit of bytes lets in could wait for a slow store at the same time.

What runs out of time before it was handled gets 503 and Retry-After. The listener of tulippind follows its `max_body_bytes`.

--- a/src/tulippin/daemon.py
+++ b/src/tulippin/daemon.py
@@ -15,6 +15,7 @@
 from tulippin import failures
 from tulippin._http_client import HttpClient
 from tulippin._http_server import HttpServer
+from tulippin.client_limits import RequestLimits
 from tulippin.clocks import read_clock_ms, read_wall_ms
 from tulippin.exceptions import InputError, TulippinError
 from tulippin.http_callers import CallersApi
@@ -161,8 +162,13 @@
         operators = OperatorsApi(
             shell, callers, ShellMetrics(shell), self.get_unready
         )
+        limits = RequestLimits(body_bytes=self.settings.limits.max_body_bytes)
         callers_server = stack.enter_context(
-            HttpServer(callers.make_app(), self.settings.listen.callers)
+            HttpServer(
+                callers.make_app(),
+                self.settings.listen.callers,
+                get_limits=lambda: limits,
+            )
         )
         operators_server = stack.enter_context(
             HttpServer(
--- a/src/tulippin/platform/callers.py
+++ b/src/tulippin/platform/callers.py
@@ -13,6 +13,7 @@
 import trio
 
 from tulippin import failures
+from tulippin._body_budget import BodyBudget
 from tulippin._http_guard import INTERNAL_MESSAGE
 from tulippin.exceptions import (
     AnswerLostError,
@@ -252,6 +253,7 @@
         self.is_closing = False
         self._ends_s = math.inf
         self._request_scopes: set[trio.CancelScope] = set()
+        self._bodies = BodyBudget()
 
     def close_by(self, ends_s: float) -> None:
         """Answer all requests by a time of trio's clock, and close connections.
@@ -335,19 +337,27 @@
                 'not run: too little time is left', Reason.TOO_LITTLE_TIME
             )
             return self._reply_unavailable(error, call)
+        has_begun = False
         try:
             with self._limit_time(limit_ms):
                 _check_headers(scope, configuration.max_header_bytes)
                 body = await _read_body(receive, configuration.max_body_bytes)
-                return await self._dispatch(
-                    scope['method'], job_id, queue, body, limit_ms
-                )
+                async with self._bodies.admit(len(body)):
+                    has_begun = True
+                    left_s = call.deadline_s - trio.current_time()
+                    return await self._dispatch(
+                        scope['method'],
+                        job_id,
+                        queue,
+                        body,
+                        int(left_s * _MS_PER_S),
+                    )
         except InputError as error:
             return _reply_invalid(job_id, error)
         except UnavailableError as error:
             return self._reply_unavailable(error, call)
         except trio.TooSlowError:
-            return self._reply_unavailable(AnswerLostError('out of time'), call)
+            return self._reply_unavailable(_make_late_error(has_begun), call)
 
     @functools.singledispatchmethod
     def _reply_unavailable(self, error: UnavailableError, call: _Call) -> Reply:
@@ -442,6 +452,15 @@
         return Reply(200, StateBody(_STATE_NAMES[state]))
 
 
+def _make_late_error(has_begun: bool) -> UnavailableError:
+    """Return the error for a request that ran out of time."""
+    if has_begun:
+        return AnswerLostError('out of time')
+    return CallRejectedError(
+        'not run: the request was not complete in time', Reason.TOO_LITTLE_TIME
+    )
+
+
 def _reply_invalid(job_id: str, error: InputError) -> Reply:
     """Log an invalid request and return its reply."""
     status = _INPUT_ERROR_STATUSES.get(type(error), _BAD_REQUEST)
