The test of a crashed stand-in worker expects its own planted error

Cause, traced: the stand-in loses an answer by raising AnswerLostError, which the server reports. The test passed only because its servers were cancelled while the response to this error was still being sent, before it was raised again.

Change: the test takes the report of this one error and of no other, and as strictly refuses any else, by its type and number, after the servers have ended.

--- a/tests/tulippin/test_process_soak.py
+++ b/tests/tulippin/test_process_soak.py
@@ -18,6 +18,7 @@
 
 import process_soak
 from tulippin._http_client import HttpClient
+from tulippin.exceptions import AnswerLostError
 from tulippin.jobs.ports import StartOrder
 from tulippin.jobs.types import OrderOutcome, TaskKey
 from tulippin.platform.standin_http import StandinServers
@@ -39,7 +40,7 @@
     assert counts['accepted'] > 0
 
 
-async def test_crashed_standin_worker_carries_out_no_order():
+async def test_crashed_standin_worker_carries_out_no_order(contained_failures):
     """Guards against runs of a worker that has ended, which never end."""
     async with StandinServers(1) as servers:
         worker = servers.platform.workers['w0']
@@ -52,6 +53,12 @@
         await agents.forget('w0')
         assert answer.outcome is not OrderOutcome.STARTED
         assert servers.platform.history == []
+    # The stand-in loses the answer by an error, which is reported unless the
+    # servers end before.
+    errors = [one.error for one in contained_failures]
+    assert all(isinstance(error, AnswerLostError) for error in errors)
+    assert len(errors) <= 1
+    contained_failures.clear()
 
 
 def split_address(address):
