--- a/tests/client_crowds.py
+++ b/tests/client_crowds.py
@@ -16,7 +16,7 @@
 import trio
 
 from instance_processes import BESIDE, LIMIT_S, open_instance
-from process_soak import PRINT_PORTS
+from process_soak import PRINT_PORTS, SETTINGS
 from scheduler_fleet import make_config_body
 from tulippin._http_client import HttpClient
 from tulippin.platform.standin_http import StandinServers
@@ -29,25 +29,8 @@
 # its own connections to the store and to workers need some.
 DESCRIPTOR_LIMIT = 1200
 RESERVED_DESCRIPTORS = 200
-GRACE_S = 3
 # Interval at which memory is read while a crowd sends.
 SAMPLE_INTERVAL_S = 0.05
-SETTINGS = """
-[instance]
-id = edge-1
-failure_domain = hall
-[listen]
-callers = 127.0.0.1:0
-readiness = 127.0.0.1:0
-internal_ip = 127.0.0.1
-internal_ports = 0,0
-[store]
-address = {store}
-[workers]
-lease_limit_ms = 6000
-[stop]
-grace_s = 3
-"""
 LIMIT_DESCRIPTORS = f"""
 import resource
 resource.setrlimit(
@@ -189,7 +172,9 @@
     async with StandinServers() as servers, HttpClient(15) as client:
         servers.platform.configure(make_config_body())
         path = tmp_path / 'instance.ini'
-        path.write_text(SETTINGS.format(store=servers.store_address))
+        path.write_text(
+            SETTINGS.format(name='edge-1', store=servers.store_address)
+        )
         process = await open_instance(
             'scheduler_daemon', LIMIT_DESCRIPTORS + PRINT_PORTS + BESIDE, path
         )
--- a/tests/tulippin/test_client_connections.py
+++ b/tests/tulippin/test_client_connections.py
@@ -1,7 +1,5 @@
 """Which connections give way; without a network."""
 
-import resource
-
 import attrs
 import logbook
 
@@ -68,13 +66,6 @@
     assert crowd.closed == [first, second]
 
 
-def test_clients_leave_half_of_the_descriptors():
-    soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    limits = ClientLimits(connections=10 * soft_limit)
-    assert limits.count_usable_connections() == soft_limit // 2
-    assert ClientLimits(connections=1).count_usable_connections() == 1
-
-
 def test_closings_are_logged_once_together():
     crowd = make_crowd(connections=1)
     for _ in range(3):
