Stand-in: calls to workers go over connections

In virtual time each call reached whoever was at a worker's address. Real calls go over connections that end with the process that accepted them; one that is being opened while a worker is down is accepted by its next incarnation. The fleet of the tests now uses the scheduler's own client of workers over such connections, which fail as real ones do: a silent machine gives no answer, one that is up again resets, and a process that ends closes its connections.

--- a/src/tulippin/platform/standin.py
+++ b/src/tulippin/platform/standin.py
@@ -14,16 +14,10 @@
 import msgspec
 import trio
 
-from tulippin.exceptions import AnswerLostError, UnavailableError
-from tulippin.jobs.ports import Advice, StartOrder
-from tulippin.jobs.types import (
-    OrderAnswer,
-    OrderOutcome,
-    RunOutcome,
-    TaskKey,
-    WorkerReport,
-)
-from tulippin.platform.standin_store import CALL_TIMEOUT_S, StandinStore
+from tulippin.jobs.ports import Advice
+from tulippin.jobs.types import RunOutcome, TaskKey
+from tulippin.platform.standin_connections import StandinClient
+from tulippin.platform.standin_store import StandinStore
 from tulippin.platform.standin_worker import (
     RunEvent,
     StandinWorker,
@@ -31,6 +25,7 @@
     get_now_ms,
 )
 from tulippin.platform.wire import ConfigBody
+from tulippin.platform.workers import PlatformWorkers
 
 __all__ = (
     'EVACUATION_MS',
@@ -260,93 +255,33 @@
         return StandinAgents(self, client)
 
 
-@attrs.frozen
-class StandinAgents:
-    """The workers as seen by one client; implements ``WorkerAgents``."""
+class StandinAgents(PlatformWorkers):
+    """The workers as seen by one client, over connections in virtual time.
+
+    Parameters
+    ----------
+    platform : StandinPlatform
+        The platform of the workers.
+    client : str
+        The name of the client.
+    """
 
-    platform: StandinPlatform
-    client: str
-    # The process that sent the last report, by worker id.
-    _reporting: dict[str, StandinWorker] = attrs.field(factory=dict)
+    def __init__(self, platform: StandinPlatform, client: str) -> None:
+        super().__init__(lambda: StandinClient(self._reach, self._is_in_reach))
+        self.platform = platform
+        self.client = client
 
-    async def _reach(self, address: str) -> StandinWorker:
-        """Return the reachable worker at an address, or time out."""
+    async def _reach(self, address: str) -> StandinWorker | None:
+        """Return the worker that accepts connections at an address."""
         await trio.sleep(_WORKER_LATENCY_S)
         for worker in self.platform.workers.values():
-            is_cut = worker.unreachable_clients & {self.client, '*'}
-            if worker.address == address and worker.is_up and not is_cut:
+            if worker.address == address and self._is_in_reach(worker):
                 return worker
-        await trio.sleep(CALL_TIMEOUT_S)
-        raise AnswerLostError(f'{address} does not answer')
-
-    async def forget(self, worker_id: str) -> None:
-        """Do nothing: no connections are kept."""
-
-    async def start(self, order: StartOrder) -> OrderAnswer:
-        """Start a run; a late start is carried out without an answer."""
-        try:
-            worker = await self._reach(order.address)
-        except UnavailableError:
-            return OrderAnswer(OrderOutcome.UNKNOWN)
-        if worker.start_order_delay_s:
-            await trio.sleep(CALL_TIMEOUT_S)
-            trio.lowlevel.spawn_system_task(_start_late, worker, order)
-            return OrderAnswer(OrderOutcome.UNKNOWN)
-        return worker.handle_start_order(order)
-
-    async def stop(
-        self,
-        worker_id: str,
-        address: str,
-        key: TaskKey,
-        run: int,
-        fencing_token: int,
-    ) -> OrderAnswer:
-        """Stop a run."""
-        try:
-            worker = await self._reach(address)
-        except UnavailableError:
-            return OrderAnswer(OrderOutcome.UNKNOWN)
-        return worker.handle_stop_order(worker_id, key, run, fencing_token)
-
-    async def pace(
-        self,
-        worker_id: str,
-        address: str,
-        key: TaskKey,
-        run: int,
-        percent: int,
-        fencing_token: int,
-    ) -> OrderAnswer:
-        """Set a run's pace."""
-        try:
-            worker = await self._reach(address)
-        except UnavailableError:
-            return OrderAnswer(OrderOutcome.UNKNOWN)
-        if (key, run) in worker.runs:
-            worker.runs[key, run].set_pace(percent)
-        return OrderAnswer(OrderOutcome.STARTED, worker.clock_ms)
-
-    async def hold(
-        self,
-        worker_id: str,
-        address: str,
-        fencing_token: int,
-        last_seen: int,
-        deadline_ms: int | None,
-        wait_ms: int,
-    ) -> WorkerReport:
-        """Extend a lease and return the worker's report."""
-        worker = await self._reach(address)
-        if self._reporting.get(worker_id) is not worker:
-            last_seen = 0
-        self._reporting[worker_id] = worker
-        report = await worker.handle_hold(
-            worker_id, fencing_token, last_seen, deadline_ms, wait_ms
-        )
-        if not worker.is_up or worker.unreachable_clients & {self.client, '*'}:
-            raise AnswerLostError(f'{address} stopped answering')
-        return report
+        return None
+
+    def _is_in_reach(self, worker: StandinWorker) -> bool:
+        is_cut = worker.unreachable_clients & {self.client, '*'}
+        return worker.is_up and not is_cut
 
 
 @attrs.define
@@ -368,13 +303,6 @@
         return Advice(tickets, self.valid_ms)
 
 
-async def _start_late(worker: StandinWorker, order: StartOrder) -> None:
-    """Carry out a start order after the worker's delay."""
-    await trio.sleep(worker.start_order_delay_s)
-    if worker.is_up:
-        worker.handle_start_order(order)
-
-
 def check_history(
     history: t.Iterable[RunEvent],
     duplicated_jobs: t.Container[str] = (),
--- a/src/tulippin/platform/standin_http.py
+++ b/src/tulippin/platform/standin_http.py
@@ -18,43 +18,19 @@
 from tulippin._http_server import HttpServer
 from tulippin.exceptions import AnswerLostError, UnavailableError
 from tulippin.jobs.ports import (
-    FencedOrderError,
     HistoryLostError,
     RowCondition,
     RowWrite,
-    StartOrder,
     StoredRow,
     Transaction,
-    WorkerChangedError,
     WriteRefusedError,
 )
-from tulippin.jobs.types import (
-    EndedRun,
-    OrderAnswer,
-    OrderOutcome,
-    RunningTask,
-    parse_task_key,
-)
+from tulippin.platform import standin_agent
 from tulippin.platform.standin import StandinPlatform, StandinWorker
-from tulippin.platform.wire import (
-    HoldBody,
-    PaceBody,
-    RowBody,
-    RowsBody,
-    StartBody,
-    StopBody,
-    TransactionBody,
-    WorkerAnswerBody,
-)
+from tulippin.platform.wire import RowBody, RowsBody, TransactionBody
 
 _ANY_ADDRESS: t.Final = '127.0.0.1:0'
 _LISTEN_RETRY_S: t.Final = 0.01
-_REASONS_BY_OUTCOME: t.Final = {
-    OrderOutcome.FENCED: 'fence',
-    OrderOutcome.SUPERSEDED: 'old',
-    OrderOutcome.TOO_LATE: 'late',
-    OrderOutcome.NO_ROOM: 'room',
-}
 
 
 def _respond(body: msgspec.Struct, status: int = 200) -> Response:
@@ -154,105 +130,21 @@
         """Return the ASGI application."""
         return Starlette(
             routes=[
-                Route('/v1/run-start', self._start, methods=['POST']),
-                Route('/v1/run-stop', self._stop, methods=['POST']),
-                Route('/v1/pace', self._pace, methods=['POST']),
-                Route('/v1/hold', self._hold, methods=['POST']),
+                Route('/v1/{call}', self._answer, methods=['POST']),
             ]
         )
 
-    def _get_running(self) -> StandinWorker:
-        """Return the worker, or raise ``AnswerLostError`` if it crashed."""
+    async def _answer(self, request: Request) -> Response:
+        body = await request.body()
         if not self.worker.is_up:
             raise AnswerLostError(f'{self.worker.address} has crashed')
-        return self.worker
-
-    async def _start(self, request: Request) -> Response:
-        body = msgspec.json.decode(await request.body(), type=StartBody)
-        order = StartOrder(
+        answer = await standin_agent.answer_call(
+            self.worker,
+            request.url.path,
             request.headers['Expected-Instance'],
-            self.worker.address,
-            parse_task_key(body.task),
-            body.run,
-            body.spec,
-            body.deadline_ms,
-            body.fencing_token,
-            body.checkpoint,
-            body.ticket,
-        )
-        return _respond_to_order(self._get_running().handle_start_order(order))
-
-    async def _stop(self, request: Request) -> Response:
-        body = msgspec.json.decode(await request.body(), type=StopBody)
-        answer = self._get_running().handle_stop_order(
-            request.headers['Expected-Instance'],
-            parse_task_key(body.task),
-            body.run,
-            body.fencing_token,
-        )
-        return _respond_to_order(answer)
-
-    async def _pace(self, request: Request) -> Response:
-        body = msgspec.json.decode(await request.body(), type=PaceBody)
-        worker = self._get_running()
-        run = worker.runs.get((parse_task_key(body.task), body.run))
-        if run is not None:
-            run.set_pace(body.percent)
-        return _respond(WorkerAnswerBody(worker.clock_ms))
-
-    async def _hold(self, request: Request) -> Response:
-        body = msgspec.json.decode(await request.body(), type=HoldBody)
-        try:
-            report = await self.worker.handle_hold(
-                request.headers['Expected-Instance'],
-                body.fencing_token,
-                body.last_seen,
-                body.deadline_ms,
-                body.wait_ms,
-            )
-        except WorkerChangedError:
-            return Response(status_code=421)
-        except FencedOrderError:
-            fenced = WorkerAnswerBody(self.worker.clock_ms, 'fence')
-            return _respond(fenced, 409)
-        return _respond(
-            WorkerAnswerBody(
-                report.clock_ms,
-                '',
-                tuple(_encode_running_task(one) for one in report.running),
-                tuple(_encode_ended_run(one) for one in report.ended),
-                report.born_ms,
-            )
+            body,
         )
-
-
-def _encode_running_task(one: RunningTask) -> tuple[t.Any, ...]:
-    return (
-        one.key.format(),
-        one.run,
-        one.checkpoint,
-        one.progress_percent,
-        one.load,
-    )
-
-
-def _encode_ended_run(one: EndedRun) -> tuple[int, str, int, str, str]:
-    return (
-        one.number,
-        one.key.format(),
-        one.run,
-        one.outcome.value,
-        one.checkpoint,
-    )
-
-
-def _respond_to_order(answer: OrderAnswer) -> Response:
-    if answer.outcome is OrderOutcome.OTHER_INCARNATION:
-        return Response(status_code=421)
-    if answer.outcome is OrderOutcome.STARTED:
-        return _respond(WorkerAnswerBody(answer.clock_ms))
-    reason = _REASONS_BY_OUTCOME.get(answer.outcome, '')
-    return _respond(WorkerAnswerBody(answer.clock_ms, reason), 409)
+        return Response(answer.body, answer.status)
 
 
 class StandinServers:
--- a/src/tulippin/platform/standin_worker.py
+++ b/src/tulippin/platform/standin_worker.py
@@ -191,6 +191,7 @@
     failure_domain: str = 'hall'
     clock_offset_ms: int = 5000
     is_up: bool = True
+    are_connections_closed: bool = False
     crashed_ms: int | None = None
     is_entry_removed: bool = False
     is_restarted: bool = False
@@ -320,8 +321,14 @@
         taken = sum(run.plan.cpu_millicores for run in self.runs.values())
         return taken > max([self.room.cpu, *earlier])
 
-    def crash(self) -> None:
-        """Stop working; all runs are lost."""
+    def crash(self, *, is_silent: bool = True) -> None:
+        """Stop working; all runs are lost.
+
+        A silent crash is that of a machine, which closes no connection.
+        """
+        self.are_connections_closed = not is_silent
+        if not is_silent:
+            self._changed.set()
         for key, run in list(self.runs):
             self._record_event('ended', key, run, RunOutcome.LAPSED)
             self._record_event('lost', key, run)
