--- a/src/tulippin/jobs/_attempts.py
+++ b/src/tulippin/jobs/_attempts.py
@@ -106,6 +106,7 @@
         worker=attempt.worker_id,
         why=why,
         age_ms=context.state.now_ms - attempt.sent_ms,
+        **_describe_lease(attempt, context.state),
     )
     found = find_task(attempt.key, context)
     if found is None:
@@ -121,6 +122,17 @@
             stop_task(member, context, 'a member did not start')
 
 
+def _describe_lease(attempt: Attempt, state: SchedulerState) -> dict[str, int]:
+    """Return the incarnation and the rest of its lease, for the log."""
+    worker = state.workers.get(attempt.worker_id)
+    if worker is None:
+        return {}
+    return {
+        'born_ms': worker.born_ms,
+        'lease_ms': worker.lease_expiry_ms - state.now_ms,
+    }
+
+
 def avoid(attempt: Attempt, context: Context) -> None:
     """Prefer other workers for the next run of the task."""
     found = find_task(attempt.key, context)
--- a/src/tulippin/jobs/_workers.py
+++ b/src/tulippin/jobs/_workers.py
@@ -308,7 +308,11 @@
     if worker.failed_count == 1:
         state.count('workers_silent')
         context.log(
-            'worker silent', worker=worker.worker_id, reason=event.reason
+            'worker silent',
+            worker=worker.worker_id,
+            reason=event.reason,
+            born_ms=worker.born_ms,
+            lease_ms=worker.lease_expiry_ms - state.now_ms,
         )
         _crashes.note_silence(worker, context)
 
