Orders go over connections to the incarnation that they are meant for

Callers saw one task with two runs at once. A worker that starts again under its id takes orders that were meant for its earlier incarnation. Their deadlines are by the earlier clock, far ahead of the new one, so that its lease lasts up to the longest that it grants (6 or 10 s), where the owner counts 1.8 s for a start and 4.5 s for a hold. If the worker is then cut off, its runs go on after the owner has started their tasks elsewhere.

A connection ends with the process that accepted it, so it tells incarnations apart where the header can't. Orders now go only over connections on which the expected incarnation has reported: a new connection is asked for a report first, which grants nothing. Another incarnation gets no order (RESTARTED, proved not run), and the owner asks for its report at once. Hold calls extend a lease and acknowledge ends likewise. Where reports bear no start, a clock that has fallen back tells incarnations apart.

Two tests of crashes open a connection first, as they need an order without an answer; one waits for the second crash in place of a fixed time, as the third one may come sooner. One cleared a private field that has another name.

--- a/src/tulippin/jobs/_starting.py
+++ b/src/tulippin/jobs/_starting.py
@@ -141,6 +141,7 @@
                 context.fencing_token,
                 task.checkpoint if attempt.step.checkpointing else '',
                 _advice.get_ticket(worker, job, task, state),
+                _workers.get_incarnation(worker, state),
             ),
             state.now_ms + valid_ms,
         )
--- a/src/tulippin/jobs/_worker_effects.py
+++ b/src/tulippin/jobs/_worker_effects.py
@@ -41,6 +41,7 @@
             effect.last_seen,
             effect.deadline_ms,
             effect.wait_ms,
+            effect.incarnation,
         )
     except FencedOrderError as error:
         shell.post(
--- a/src/tulippin/jobs/_workers.py
+++ b/src/tulippin/jobs/_workers.py
@@ -28,8 +28,12 @@
     WorkersChanged,
     WorkerSilent,
 )
-from tulippin.jobs.state import AttemptState, SchedulerState, Worker
-from tulippin.jobs.types import OrderOutcome, WorkerEntry
+from tulippin.jobs.state import Attempt, AttemptState, SchedulerState, Worker
+from tulippin.jobs.types import (
+    ExpectedIncarnation,
+    OrderOutcome,
+    WorkerEntry,
+)
 
 # Pause between two calls to a worker that does not answer.
 _SILENT_RETRY_PAUSE_MS: t.Final = 250
@@ -184,6 +188,15 @@
     return state.now_ms + (worker.clock_offset_ms or 0)
 
 
+def get_incarnation(
+    worker: Worker, state: SchedulerState
+) -> ExpectedIncarnation:
+    """Return the incarnation of a worker that calls are meant for now."""
+    if worker.clock_offset_ms is None:
+        return ExpectedIncarnation(worker.born_ms)
+    return ExpectedIncarnation(worker.born_ms, get_clock_ms(worker, state))
+
+
 def schedule_report(worker: Worker, context: Context) -> None:
     """Decide when a worker is asked for its next report after this one.
 
@@ -240,6 +253,7 @@
             _take_acknowledgement(worker),
             deadline_ms,
             _choose_wait_ms(worker, state),
+            get_incarnation(worker, state),
         )
     )
     _count_call(worker, state)
@@ -380,21 +394,9 @@
         return
     state.count(f'starts_{outcome.value}')
     if outcome is OrderOutcome.UNKNOWN:
-        attempt.state = AttemptState.DOUBTFUL
-        _report_schedule.end_pause(
-            worker, _report_schedule.CallReason.OPEN_ORDER
-        )
-        context.log(
-            'start unanswered',
-            task=event.key.format(),
-            run=event.run,
-            worker=event.worker_id,
-        )
+        _note_unanswered(attempt, worker, context)
         return
-    if outcome is OrderOutcome.NO_ROOM:
-        worker.paused_until_ms = state.now_ms + _NO_CAPACITY_PAUSE_MS
-    elif outcome is not OrderOutcome.OTHER_INCARNATION:
-        worker.paused_until_ms = state.now_ms + _REFUSED_START_PAUSE_MS
+    _pause_starts(worker, outcome, state)
     _attempts.drop_lost_attempt(
         attempt, context, f'start refused: {outcome.value}'
     )
@@ -402,6 +404,41 @@
         _end_incarnation(worker, context)
 
 
+def _note_unanswered(
+    attempt: Attempt, worker: Worker, context: Context
+) -> None:
+    """Have the worker's next report tell whether a run has started."""
+    attempt.state = AttemptState.DOUBTFUL
+    _report_schedule.end_pause(worker, _report_schedule.CallReason.OPEN_ORDER)
+    context.log(
+        'start unanswered',
+        task=attempt.key.format(),
+        run=attempt.run,
+        worker=worker.worker_id,
+    )
+
+
+def _pause_starts(
+    worker: Worker, outcome: OrderOutcome, state: SchedulerState
+) -> None:
+    """Pause new starts on a worker that one didn't reach, or that refused it.
+
+    The next report of a worker that has restarted ends what is known of its
+    earlier incarnation.
+    """
+    if outcome is OrderOutcome.OTHER_INCARNATION:
+        return
+    pause_ms = _REFUSED_START_PAUSE_MS
+    if outcome is OrderOutcome.NO_ROOM:
+        pause_ms = _NO_CAPACITY_PAUSE_MS
+    worker.paused_until_ms = state.now_ms + pause_ms
+    if outcome is OrderOutcome.RESTARTED:
+        worker.hold_after_ms = 0
+        _report_schedule.end_pause(
+            worker, _report_schedule.CallReason.OPEN_ORDER
+        )
+
+
 @handle.register
 def _handle_stop_answer(event: StopAnswered, context: Context) -> None:
     state = context.state
--- a/src/tulippin/jobs/effects.py
+++ b/src/tulippin/jobs/effects.py
@@ -17,7 +17,12 @@
     ProgressRecord,
     RosterRecord,
 )
-from tulippin.jobs.types import Incarnation, TaskKey
+from tulippin.jobs.types import (
+    ANY_INCARNATION,
+    ExpectedIncarnation,
+    Incarnation,
+    TaskKey,
+)
 
 
 @attrs.frozen
@@ -181,6 +186,7 @@
     last_seen: int
     deadline_ms: int | None
     wait_ms: int
+    incarnation: ExpectedIncarnation = ANY_INCARNATION
 
 
 @attrs.frozen
--- a/src/tulippin/jobs/ports.py
+++ b/src/tulippin/jobs/ports.py
@@ -8,7 +8,9 @@
 
 from tulippin.exceptions import UnavailableError
 from tulippin.jobs.types import (
+    ANY_INCARNATION,
     Configuration,
+    ExpectedIncarnation,
     OrderAnswer,
     TaskKey,
     WorkerEntry,
@@ -38,6 +40,12 @@
     code = 'worker_changed'
 
 
+class WorkerRestartedError(UnavailableError):
+    """A later incarnation answers under the worker's id."""
+
+    code = 'worker_restarted'
+
+
 class FencedOrderError(UnavailableError):
     """The worker has received a newer owner's fencing token."""
 
@@ -193,7 +201,9 @@
 class StartOrder:
     """An order to start a run.
 
-    ``deadline_ms`` is by the worker's clock; the worker refuses a later start.
+    ``deadline_ms`` is by the clock of the expected incarnation, which refuses a
+    later start. No other one gets the order: by its clock, the deadline might
+    be far ahead and extend its lease.
     """
 
     worker_id: str
@@ -205,6 +215,7 @@
     fencing_token: int
     checkpoint: str = ''
     ticket: str = ''
+    incarnation: ExpectedIncarnation = ANY_INCARNATION
 
 
 @attrs.frozen
@@ -259,12 +270,12 @@
         last_seen: int,
         deadline_ms: int | None,
         wait_ms: int,
+        incarnation: ExpectedIncarnation = ANY_INCARNATION,
     ) -> WorkerReport:
         """Extend the worker's lease and return its report.
 
-        Ends up to ``last_seen`` are acknowledged only if the call is sure to
-        reach the process that sent the last report. Those that are not are
-        reported again.
+        The lease is extended, and ends up to ``last_seen`` are acknowledged,
+        only for the expected incarnation. Another one just reports.
 
         Raises ``FencedOrderError``, ``WorkerChangedError`` or
         ``UnavailableError``.
--- a/src/tulippin/jobs/types.py
+++ b/src/tulippin/jobs/types.py
@@ -21,6 +21,8 @@
     CANCELLED = 'cancelled'
 
 
+# Above what a worker's clock may lag behind between two reports.
+_CLOCK_TOLERANCE_MS: t.Final = 200
 FINAL_STATES: t.Final = frozenset(
     (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
 )
@@ -270,6 +272,48 @@
     born_ms: int
 
 
+@attrs.frozen
+class ExpectedIncarnation:
+    """What an owner knows of the incarnation that a call is meant for.
+
+    Parameters
+    ----------
+    born_ms : int
+        Its start as Unix time, or 0 if it is unknown.
+    clock_ms : int, optional
+        A lower bound of its steady clock; None if it is unknown.
+    """
+
+    born_ms: int = 0
+    clock_ms: int | None = None
+
+    @property
+    def is_known(self) -> bool:
+        """Whether other incarnations can be told from it."""
+        return bool(self.born_ms) or self.clock_ms is not None
+
+    def has_reported(self, born_ms: int, clock_ms: int) -> bool:
+        """Whether a report is from this incarnation, as far as can be told.
+
+        Parameters
+        ----------
+        born_ms : int
+            The start that the report names, or 0 if it names none.
+        clock_ms : int
+            The steady clock of the report.
+        """
+        if self.born_ms and born_ms:
+            return self.born_ms == born_ms
+        # The clock of a later incarnation begins anew.
+        return (
+            self.clock_ms is None
+            or clock_ms + _CLOCK_TOLERANCE_MS >= self.clock_ms
+        )
+
+
+ANY_INCARNATION: t.Final = ExpectedIncarnation()
+
+
 @attrs.frozen
 class WorkerEntry:
     """A worker's entry in the platform's list.
@@ -345,7 +389,8 @@
 
     ``STARTED`` means that the order was carried out. An order with ``UNKNOWN``
     outcome may have been carried out, or may be seconds later. Every other
-    outcome guarantees that it had and will have no effect.
+    outcome guarantees that it had and will have no effect. ``RESTARTED`` means
+    that it was not sent, as a later incarnation answers under the worker's id.
     """
 
     STARTED = 'started'
@@ -358,6 +403,7 @@
     OTHER_INCARNATION = 'other_life'
     REJECTED = 'rejected'
     NOT_SENT = 'not_sent'
+    RESTARTED = 'restarted'
     UNKNOWN = 'unknown'
 
 
--- a/src/tulippin/platform/workers.py
+++ b/src/tulippin/platform/workers.py
@@ -2,10 +2,8 @@
 
 from __future__ import annotations
 
-import re
 import typing as t
 
-import attrs
 import msgspec
 
 from tulippin._http_client import HttpAnswer, HttpClient
@@ -14,9 +12,12 @@
     FencedOrderError,
     StartOrder,
     WorkerChangedError,
+    WorkerRestartedError,
 )
 from tulippin.jobs.types import (
+    ANY_INCARNATION,
     EndedRun,
+    ExpectedIncarnation,
     OrderAnswer,
     OrderOutcome,
     RunningTask,
@@ -27,7 +28,6 @@
 )
 from tulippin.logs import logger
 from tulippin.platform.wire import (
-    ADDRESS_PATTERN,
     MAX_LISTED_ENDS,
     EndedRow,
     HoldBody,
@@ -37,15 +37,20 @@
     StopBody,
     WorkerAnswerBody,
 )
+from tulippin.platform.worker_connections import (
+    CONFLICT,
+    FENCED_REASON,
+    OK,
+    OTHER_INCARNATION_STATUS,
+    WorkerConnections,
+    check_report,
+    decode_answer,
+)
 
-_OK: t.Final = 200
 _BAD_REQUEST: t.Final = 400
-_CONFLICT: t.Final = 409
-_OTHER_INCARNATION_STATUS: t.Final = 421
 _UNHEALTHY_STATUSES: t.Final = frozenset((429, 503))
-_FENCED_REASON: t.Final = 'fence'
 _OUTCOMES_BY_REASON: t.Final = {
-    _FENCED_REASON: OrderOutcome.FENCED,
+    FENCED_REASON: OrderOutcome.FENCED,
     'old': OrderOutcome.SUPERSEDED,
     'late': OrderOutcome.TOO_LATE,
     'room': OrderOutcome.NO_ROOM,
@@ -62,27 +67,18 @@
 _MIN_LOAD: t.Final = 1e-3
 _MAX_LOGGED_LOAD_CHARS: t.Final = 40
 _FULL_PERCENT: t.Final = 100
-_INCARNATION_HEADER: t.Final = 'Expected-Instance'
-_ADDRESS_REGEX: t.Final = re.compile(ADDRESS_PATTERN)
-
-_answer_decoder = msgspec.json.Decoder(WorkerAnswerBody)
-
-
-@attrs.frozen
-class _WorkerClients:
-    """Connection pools of one worker."""
-
-    orders: HttpClient
-    holds: HttpClient
+_OUTCOMES_BY_ERROR: t.Final = {
+    UnavailableError: OrderOutcome.NOT_SENT,
+    AnswerLostError: OrderOutcome.UNKNOWN,
+    FencedOrderError: OrderOutcome.FENCED,
+    WorkerChangedError: OrderOutcome.OTHER_INCARNATION,
+    WorkerRestartedError: OrderOutcome.RESTARTED,
+}
 
 
 class PlatformWorkers:
     """Implementation of the ``WorkerAgents`` port over HTTP.
 
-    Each worker has two connection pools of its own: one for orders, and one for
-    hold calls. An open connection of the latter leads to the incarnation that
-    sent the last report.
-
     Parameters
     ----------
     make_client : callable
@@ -91,17 +87,16 @@
 
     def __init__(self, make_client: t.Callable[[], HttpClient]) -> None:
         self._make_client = make_client
-        self._clients: dict[str, _WorkerClients] = {}
+        self._connections: dict[str, WorkerConnections] = {}
         # Workers whose last report had an invalid load.
         self._invalid_load_workers: set[str] = set()
 
     async def forget(self, worker_id: str) -> None:
         """Close the connections to a worker that was removed."""
         self._invalid_load_workers.discard(worker_id)
-        clients = self._clients.pop(worker_id, None)
-        if clients is not None:
-            await clients.orders.close()
-            await clients.holds.close()
+        connections = self._connections.pop(worker_id, None)
+        if connections is not None:
+            await connections.close()
 
     async def start(self, order: StartOrder) -> OrderAnswer:
         """Send an order to start a run; return its outcome."""
@@ -115,7 +110,11 @@
             order.ticket,
         )
         return await self._send_order(
-            order.worker_id, order.address, '/v1/run-start', body
+            order.worker_id,
+            order.address,
+            '/v1/run-start',
+            body,
+            order.incarnation,
         )
 
     async def stop(
@@ -151,33 +150,24 @@
         last_seen: int,
         deadline_ms: int | None,
         wait_ms: int,
+        incarnation: ExpectedIncarnation = ANY_INCARNATION,
     ) -> WorkerReport:
         """Extend the worker's lease and return its report.
 
-        Ends are acknowledged only to the process that sent the last report.
-
         Raises
         ------
         WorkerChangedError
-            If another incarnation of the worker's agent is at the address.
+            If another worker's agent is at the address.
         FencedOrderError
             If the worker has received a higher fencing token.
         UnavailableError
             If the worker doesn't return a valid report.
         """
         body = HoldBody(fencing_token, last_seen, deadline_ms, wait_ms)
-        answer = await self._send_hold(worker_id, address, body)
-        if answer.status == _OTHER_INCARNATION_STATUS:
-            raise WorkerChangedError(
-                f'{address} has another incarnation of the worker'
-            )
-        decoded = _decode(answer)
-        if answer.status == _CONFLICT and decoded.reason == _FENCED_REASON:
-            raise FencedOrderError(f'{worker_id} has a newer owner')
-        if answer.status != _OK or decoded.clock_ms is None:
-            raise UnavailableError(
-                f'{worker_id} returned status {answer.status}'
-            )
+        answer = await self._get_connections(worker_id).send_hold(
+            address, body, incarnation
+        )
+        decoded = check_report(worker_id, answer)
         report = _decode_report(decoded.clock_ms, decoded)
         self._log_invalid_load(worker_id, _find_invalid_load(decoded))
         return report
@@ -190,105 +180,44 @@
             self._invalid_load_workers.add(worker_id)
             logger.warning('load unusable', worker=worker_id, load=load)
 
-    async def _send_hold(
-        self, worker_id: str, address: str, body: HoldBody
-    ) -> HttpAnswer:
-        """Send a hold call, with its acknowledgement if possible.
-
-        A new connection may lead to a later incarnation, where an
-        acknowledgement would drop ends that nobody has read.
-        """
-        client = self._get_clients(worker_id).holds
-        if body.last_seen:
-            try:
-                return await _post(
-                    client,
-                    (worker_id, address, '/v1/hold'),
-                    body,
-                    body.wait_ms,
-                    may_connect=False,
-                )
-            except AnswerLostError:
-                raise
-            except UnavailableError as error:
-                logger.debug(
-                    'ends not acknowledged yet',
-                    worker=worker_id,
-                    reason=error.message,
-                )
-                body = msgspec.structs.replace(body, last_seen=0)
-        return await _post(
-            client, (worker_id, address, '/v1/hold'), body, body.wait_ms
-        )
-
     async def _send_order(
-        self, worker_id: str, address: str, path: str, body: msgspec.Struct
+        self,
+        worker_id: str,
+        address: str,
+        path: str,
+        body: msgspec.Struct,
+        incarnation: ExpectedIncarnation = ANY_INCARNATION,
     ) -> OrderAnswer:
         """Send an order; return whether it was carried out, if known."""
+        connections = self._get_connections(worker_id)
         try:
-            answer = await _post(
-                self._get_clients(worker_id).orders,
-                (worker_id, address, path),
-                body,
+            answer = await connections.send_order(
+                address, path, body, incarnation
             )
-        except AnswerLostError:
-            return OrderAnswer(OrderOutcome.UNKNOWN)
-        except UnavailableError:
-            return OrderAnswer(OrderOutcome.NOT_SENT)
+        except UnavailableError as error:
+            return OrderAnswer(_OUTCOMES_BY_ERROR[type(error)])
         return _decode_order_answer(answer)
 
-    def _get_clients(self, worker_id: str) -> _WorkerClients:
-        clients = self._clients.get(worker_id)
-        if clients is None:
-            clients = _WorkerClients(self._make_client(), self._make_client())
-            self._clients[worker_id] = clients
-        return clients
-
-
-async def _post(
-    client: HttpClient,
-    target: tuple[str, str, str],
-    body: msgspec.Struct,
-    wait_ms: int = 0,
-    **options: bool,
-) -> HttpAnswer:
-    """Send a call to a worker, given by its id, address and path."""
-    worker_id, address, path = target
-    if not _ADDRESS_REGEX.match(address):
-        raise UnavailableError(f'{worker_id} has no valid address')
-    return await client.send(
-        'POST',
-        f'http://{address}{path}',
-        msgspec.json.encode(body),
-        {_INCARNATION_HEADER: worker_id},
-        extra_wait_ms=wait_ms,
-        **options,
-    )
-
-
-def _decode(answer: HttpAnswer) -> WorkerAnswerBody:
-    if not answer.body:
-        return WorkerAnswerBody()
-    try:
-        return _answer_decoder.decode(answer.body)
-    except (msgspec.DecodeError, ValueError, RecursionError) as error:
-        raise AnswerLostError(
-            f'invalid response from a worker: {error}'
-        ) from error
+    def _get_connections(self, worker_id: str) -> WorkerConnections:
+        connections = self._connections.get(worker_id)
+        if connections is None:
+            connections = WorkerConnections(worker_id, self._make_client)
+            self._connections[worker_id] = connections
+        return connections
 
 
 def _decode_order_answer(answer: HttpAnswer) -> OrderAnswer:
-    if answer.status == _OTHER_INCARNATION_STATUS:
+    if answer.status == OTHER_INCARNATION_STATUS:
         return OrderAnswer(OrderOutcome.OTHER_INCARNATION)
     if answer.status in _UNHEALTHY_STATUSES:
         return OrderAnswer(OrderOutcome.UNHEALTHY)
     try:
-        decoded = _decode(answer)
+        decoded = decode_answer(answer)
     except AnswerLostError:
         return OrderAnswer(OrderOutcome.UNKNOWN)
-    if answer.status == _OK:
+    if answer.status == OK:
         return OrderAnswer(OrderOutcome.STARTED, decoded.clock_ms)
-    if answer.status == _CONFLICT:
+    if answer.status == CONFLICT:
         outcome = _OUTCOMES_BY_REASON.get(decoded.reason, OrderOutcome.REJECTED)
         return OrderAnswer(outcome, decoded.clock_ms)
     if answer.status == _BAD_REQUEST:
--- a/tests/tulippin/jobs/test_crash_counting.py
+++ b/tests/tulippin/jobs/test_crash_counting.py
@@ -13,6 +13,7 @@
 from tulippin.jobs.state import Job, Task
 from tulippin.jobs.types import JobState, TaskKey
 
+SOUND = 'a' * 16
 CRASHING = 'c' * 16
 LIMIT_S = 28
 MAX_STARTS = 5
@@ -35,6 +36,12 @@
     return list_crashes(fleet)
 
 
+async def open_connections(fleet):
+    """Run a task on the only worker, which opens a connection for orders."""
+    await fleet.submit(SOUND, make_request())
+    await fleet.wait_done(SOUND)
+
+
 async def submit_crashing(fleet, after_ms, **options):
     request = make_request(
         make_step(), crashes_after_ms=after_ms, run_ms=60_000, **options
@@ -53,7 +60,7 @@
 
     async def run():
         async with open_fleet(workers=1) as fleet:
-            await trio.sleep(1)
+            await open_connections(fleet)
             (worker,) = fleet.platform.workers.values()
             worker.start_order_delay_s = 2
             if not lives_for_s:
@@ -142,7 +149,7 @@
     async def run():
         async with open_fleet(workers=1) as fleet:
             fleet.platform.restart_delay_ms = 2000
-            await trio.sleep(1)
+            await open_connections(fleet)
             (worker,) = fleet.platform.workers.values()
             worker.crash()
             await submit_crashing(fleet, 3000)
--- a/tests/tulippin/jobs/test_invalid_reports.py
+++ b/tests/tulippin/jobs/test_invalid_reports.py
@@ -81,7 +81,7 @@
     )
     workers = workers or PlatformWorkers(lambda: client)
     workers._make_client = lambda: client
-    workers._clients.clear()
+    workers._connections.clear()
     return trio.run(workers.hold, 'w0', '10.0.0.1:80', 1, 0, None, 0)
 
 
--- a/tests/tulippin/jobs/test_scheduler_crashes.py
+++ b/tests/tulippin/jobs/test_scheduler_crashes.py
@@ -377,6 +377,16 @@
     run_virtual(run)
 
 
+async def wait_shown_crashes(owner, count):
+    """Return the job as it is shown once so many crashes are."""
+    with trio.fail_after(3):
+        while True:
+            shown = show_job(owner.jobs[CRASHING])
+            if len(shown['crashes']['0.0.0']) == count:
+                return shown
+            await trio.sleep(0.01)
+
+
 def test_abandoned_job_shows_reason(run_virtual):
     async def run():
         async with open_fleet(workers=6) as fleet:
@@ -385,10 +395,8 @@
             with trio.fail_after(ABANDON_LIMIT_S):
                 while count_crashes(fleet) < 2:
                     await trio.sleep(0.05)
-            await trio.sleep(3)
             owner = fleet.instances[fleet.get_owner()].state
-            shown = show_job(owner.jobs[CRASHING])
-            assert len(shown['crashes']['0.0.0']) == 2
+            shown = await wait_shown_crashes(owner, 2)
             assert shown['reason'] == ''
             await check_abandoned(fleet)
             shown = show_job(owner.jobs[CRASHING])
