Each connection keeps which incarnation it leads to

What a process has reported is now kept with the connection: an order goes out on the connection on which the question was answered, or on one confirmed before, and nothing awaits in between.

A worker that closes its connections gets no lease but is heard. A start for an incarnation that the owner knows to have ended doesn't pause the next one; one that meets a later incarnation counts as silence of the known one, so that the worker is asked for its report and gets no starts before.

--- a/src/tulippin/_http_client.py
+++ b/src/tulippin/_http_client.py
@@ -8,7 +8,7 @@
 import httpcore
 import trio
 
-from tulippin._http_connections import ConnectionPool
+from tulippin._http_connections import ConnectionPool, PeerCheck
 from tulippin.clocks import read_suspended_ms
 from tulippin.exceptions import AnswerLostError, UnavailableError
 
@@ -130,8 +130,7 @@
         body: bytes = b'',
         headers: t.Mapping[str, str] | None = None,
         extra_wait_ms: int = 0,
-        *,
-        may_connect: bool = True,
+        check: PeerCheck | None = None,
     ) -> HttpAnswer:
         """Send a request once, without retries, and return the response.
 
@@ -145,9 +144,9 @@
             Headers beside ``Content-Type``.
         extra_wait_ms : int
             Added to the read timeout, for servers that hold a request open.
-        may_connect : bool
-            Whether a connection may be opened. If not, the request reaches
-            only a process that has answered an earlier one.
+        check : PeerCheck, optional
+            Decides which process may get the request, by what it answers to a
+            first question on its connection. Its errors are raised as they are.
 
         Raises
         ------
@@ -173,7 +172,7 @@
                 header_fields,
                 body,
                 timeouts,
-                may_connect=may_connect,
+                check,
             )
         except _NOT_SENT_ERRORS as error:
             raise UnavailableError(f'{url} does not answer') from error
--- a/src/tulippin/_http_connections.py
+++ b/src/tulippin/_http_connections.py
@@ -13,12 +13,38 @@
 import ssl
 import typing as t
 
+import attrs
 import httpcore
 import trio
 
 _EMPTY: t.Final = b''
 
 
+class PeerCheck(t.Protocol):
+    """Finds out which process has accepted a connection.
+
+    ``path`` and ``question`` are of the request that asks it, which is the
+    first one of a connection that needs to be known.
+    """
+
+    path: str
+    question: bytes
+
+    def confirm(self, status: int, body: bytes) -> t.Any:
+        """Return who gave an answer to the question; raise to send nothing."""
+
+    def accepts(self, peer: t.Any) -> bool:
+        """Whether the request may go to a process that was confirmed."""
+
+
+@attrs.define
+class _Connection:
+    """A connection; ``peer`` is the process that it leads to, if known."""
+
+    http: httpcore.AsyncHTTPConnection
+    peer: t.Any = None
+
+
 class ConnectionPool:
     """Keep-alive connections by origin; the last one used is reused first.
 
@@ -34,8 +60,7 @@
         self._limiter = trio.CapacityLimiter(connections)
         self._keepalive_s = keepalive_s
         self._backend = CoalescingBackend()
-        self._idle: dict[str, collections.deque[httpcore.AsyncHTTPConnection]]
-        self._idle = {}
+        self._idle: dict[str, collections.deque[_Connection]] = {}
         self._is_closed = False
 
     async def request(
@@ -45,16 +70,18 @@
         headers: list[tuple[bytes, bytes]],
         content: bytes,
         timeouts: dict[str, float],
-        *,
-        may_connect: bool = True,
+        check: PeerCheck | None = None,
     ) -> httpcore.Response:
         """Send a request and read the whole response.
 
+        With a check, the request goes only over a connection to a process that
+        the check accepts. The errors of the check are raised as they are.
+
         Raises
         ------
         httpcore.ConnectError
-            If no connection could be opened, or none is open and the request
-            may not open one. The request was not sent.
+            If no connection could be opened, or its process did not answer the
+            question of the check. The request was not sent.
         httpcore.PoolTimeout
             If no connection became free in time. The request was not sent.
         httpcore.NetworkError, httpcore.ProtocolError
@@ -64,13 +91,13 @@
         """
         target = httpcore.URL(url)
         await self._acquire_slot(timeouts['pool'])
+        connection = await self._get_connection(target.origin, check)
         try:
-            connection = await self._get_connection(target.origin, may_connect)
-        except httpcore.ConnectError:
-            self._limiter.release()
-            raise
-        try:
-            return await connection.request(
+            if check is not None and connection.peer is None:
+                connection.peer = await _ask(
+                    connection.http, target, headers, timeouts, check
+                )
+            return await connection.http.request(
                 method,
                 target,
                 headers=headers,
@@ -86,7 +113,7 @@
         self._is_closed = True
         for idle in self._idle.values():
             while idle:
-                await _close(idle.pop())
+                await _close(idle.pop().http)
 
     async def _acquire_slot(self, timeout_s: float) -> None:
         with contextlib.suppress(trio.WouldBlock):
@@ -99,38 +126,81 @@
             raise httpcore.PoolTimeout('no connection is free') from error
 
     async def _get_connection(
-        self, origin: httpcore.Origin, may_connect: bool
-    ) -> httpcore.AsyncHTTPConnection:
-        """Return an idle connection that is still usable, or a new one."""
+        self, origin: httpcore.Origin, check: PeerCheck | None
+    ) -> _Connection:
+        """Return an idle connection that is still usable, or a new one.
+
+        One to a process that the check doesn't accept is closed.
+        """
         idle = self._idle.get(str(origin), ())
         while idle:
             connection = idle.pop()
-            if not connection.has_expired():
+            is_accepted = (
+                check is None
+                or connection.peer is None
+                or check.accepts(connection.peer)
+            )
+            if is_accepted and not connection.http.has_expired():
                 return connection
-            await _close(connection)
-        if not may_connect:
-            raise httpcore.ConnectError('no connection is open')
-        return httpcore.AsyncHTTPConnection(
-            origin,
-            keepalive_expiry=self._keepalive_s,
-            network_backend=self._backend,
+            await _close(connection.http)
+        return _Connection(
+            httpcore.AsyncHTTPConnection(
+                origin,
+                keepalive_expiry=self._keepalive_s,
+                network_backend=self._backend,
+            )
         )
 
     async def _return_connection(
         self,
-        connection: httpcore.AsyncHTTPConnection,
+        connection: _Connection,
         origin: httpcore.Origin,
     ) -> None:
         # httpcore reports a connection that failed to open as both idle and
         # closed.
-        is_reusable = connection.is_idle() and not connection.is_closed()
+        http = connection.http
+        is_reusable = http.is_idle() and not http.is_closed()
         if self._is_closed or not is_reusable:
-            await _close(connection)
+            await _close(http)
             return
         idle = self._idle.setdefault(str(origin), collections.deque())
         idle.append(connection)
-        if idle[0].has_expired():
-            await _close(idle.popleft())
+        if idle[0].http.has_expired():
+            await _close(idle.popleft().http)
+
+
+async def _ask(
+    connection: httpcore.AsyncHTTPConnection,
+    target: httpcore.URL,
+    headers: list[tuple[bytes, bytes]],
+    timeouts: dict[str, float],
+    check: PeerCheck,
+) -> t.Any:
+    """Ask who has accepted a connection, before it takes a request."""
+    url = httpcore.URL(
+        scheme=target.scheme,
+        host=target.host,
+        port=target.port,
+        target=check.path,
+    )
+    try:
+        response = await connection.request(
+            b'POST',
+            url,
+            headers=headers,
+            content=check.question,
+            extensions={'timeout': timeouts},
+        )
+    except (
+        httpcore.TimeoutException,
+        httpcore.NetworkError,
+        httpcore.ProtocolError,
+    ) as error:
+        raise httpcore.ConnectError(f'no first answer: {error!r}') from error
+    peer = check.confirm(response.status, response.content)
+    if connection.is_closed():
+        raise httpcore.ConnectError('the server closes each connection')
+    return peer
 
 
 async def _close(connection: httpcore.AsyncHTTPConnection) -> None:
--- a/src/tulippin/jobs/_incarnations.py
+++ b/src/tulippin/jobs/_incarnations.py
@@ -22,24 +22,50 @@
     SchedulerState,
     Worker,
 )
-from tulippin.jobs.types import WorkerReport
+from tulippin.jobs.types import ExpectedIncarnation, WorkerReport
 
 
-def identify(worker: Worker, report: WorkerReport, context: Context) -> Worker:
+def identify(
+    worker: Worker, report: WorkerReport, sent_ms: int, context: Context
+) -> Worker:
     """Return the state of the incarnation that sent a report.
 
+    Parameters
+    ----------
+    worker : Worker
+        The worker as it is known.
+    report : WorkerReport
+        Its report.
+    sent_ms : int
+        When the report was asked for.
+    context : Context
+        Collects effects and log lines.
+
     Hold calls to a worker follow each other, so a start time that differs from
     the last one is that of a later incarnation, also if it is earlier: the time
     of day of a worker may be set back.
     """
-    if not report.born_ms or report.born_ms == worker.born_ms:
-        return worker
-    if not worker.born_ms:
-        worker.born_ms = report.born_ms
+    expected = get_expected(worker, sent_ms, context.state)
+    if expected.has_reported(report.born_ms, report.clock_ms):
+        worker.born_ms = worker.born_ms or report.born_ms
         return worker
     return _begin_next(worker, report, context)
 
 
+def get_expected(
+    worker: Worker, at_ms: int, state: SchedulerState
+) -> ExpectedIncarnation:
+    """Return the incarnation that a call of a certain time is meant for.
+
+    Its clock may have been slower since its last report.
+    """
+    if worker.clock_offset_ms is None:
+        return ExpectedIncarnation(worker.born_ms)
+    passed_ms = (at_ms - worker.answered_ms) / state.config.clock_drift_ratio
+    clock_ms = worker.answered_ms + worker.clock_offset_ms + int(passed_ms)
+    return ExpectedIncarnation(worker.born_ms, clock_ms)
+
+
 def _begin_next(
     worker: Worker, report: WorkerReport, context: Context
 ) -> Worker:
--- a/src/tulippin/jobs/_reports.py
+++ b/src/tulippin/jobs/_reports.py
@@ -51,7 +51,7 @@
         return
     known = worker
     is_return = bool(known.born_ms) and not known.is_reconciled
-    worker = _incarnations.identify(known, event.report, context)
+    worker = _incarnations.identify(known, event.report, event.sent_ms, context)
     worker.is_hold_in_flight = False
     read_delay_ms = _report_schedule.get_read_delay_ms(
         worker, event.sent_ms, state
--- a/src/tulippin/jobs/_starting.py
+++ b/src/tulippin/jobs/_starting.py
@@ -7,6 +7,7 @@
     _attempts,
     _crashes,
     _evacuation,
+    _incarnations,
     _lifecycle,
     _probation,
     _ranking,
@@ -141,7 +142,7 @@
                 context.fencing_token,
                 task.checkpoint if attempt.step.checkpointing else '',
                 _advice.get_ticket(worker, job, task, state),
-                _workers.get_incarnation(worker, state),
+                _incarnations.get_expected(worker, state.now_ms, state),
             ),
             state.now_ms + valid_ms,
         )
--- a/src/tulippin/jobs/_workers.py
+++ b/src/tulippin/jobs/_workers.py
@@ -12,6 +12,7 @@
 from tulippin.jobs import (
     _attempts,
     _crashes,
+    _incarnations,
     _interference,
     _lost_starts,
     _ownership,
@@ -29,11 +30,7 @@
     WorkerSilent,
 )
 from tulippin.jobs.state import Attempt, AttemptState, SchedulerState, Worker
-from tulippin.jobs.types import (
-    ExpectedIncarnation,
-    OrderOutcome,
-    WorkerEntry,
-)
+from tulippin.jobs.types import OrderOutcome, WorkerEntry
 
 # Pause between two calls to a worker that does not answer.
 _SILENT_RETRY_PAUSE_MS: t.Final = 250
@@ -188,15 +185,6 @@
     return state.now_ms + (worker.clock_offset_ms or 0)
 
 
-def get_incarnation(
-    worker: Worker, state: SchedulerState
-) -> ExpectedIncarnation:
-    """Return the incarnation of a worker that calls are meant for now."""
-    if worker.clock_offset_ms is None:
-        return ExpectedIncarnation(worker.born_ms)
-    return ExpectedIncarnation(worker.born_ms, get_clock_ms(worker, state))
-
-
 def schedule_report(worker: Worker, context: Context) -> None:
     """Decide when a worker is asked for its next report after this one.
 
@@ -253,7 +241,7 @@
             _take_acknowledgement(worker),
             deadline_ms,
             _choose_wait_ms(worker, state),
-            get_incarnation(worker, state),
+            _incarnations.get_expected(worker, state.now_ms, state),
         )
     )
     _count_call(worker, state)
@@ -317,14 +305,20 @@
     if event.is_replaced:
         _end_incarnation(worker, context)
         return
-    worker.failed_count += 1
     worker.hold_after_ms = state.now_ms + _SILENT_RETRY_PAUSE_MS
+    _note_failure(worker, event.reason, context)
+
+
+def _note_failure(worker: Worker, reason: str, context: Context) -> None:
+    """Count a call that the known incarnation of a worker didn't answer."""
+    state = context.state
+    worker.failed_count += 1
     if worker.failed_count == 1:
         state.count('workers_silent')
         context.log(
             'worker silent',
             worker=worker.worker_id,
-            reason=event.reason,
+            reason=reason,
             born_ms=worker.born_ms,
             lease_ms=worker.lease_expiry_ms - state.now_ms,
         )
@@ -396,7 +390,17 @@
     if outcome is OrderOutcome.UNKNOWN:
         _note_unanswered(attempt, worker, context)
         return
-    _pause_starts(worker, outcome, state)
+    _end_refused(attempt, worker, outcome, context)
+
+
+def _end_refused(
+    attempt: Attempt, worker: Worker, outcome: OrderOutcome, context: Context
+) -> None:
+    """End a run whose start was refused, or was not sent."""
+    if outcome is OrderOutcome.RESTARTED:
+        _note_restart(attempt, worker, context)
+    else:
+        _pause_starts(worker, outcome, context.state)
     _attempts.drop_lost_attempt(
         attempt, context, f'start refused: {outcome.value}'
     )
@@ -421,22 +425,25 @@
 def _pause_starts(
     worker: Worker, outcome: OrderOutcome, state: SchedulerState
 ) -> None:
-    """Pause new starts on a worker that one didn't reach, or that refused it.
-
-    The next report of a worker that has restarted ends what is known of its
-    earlier incarnation.
-    """
+    """Pause new starts on a worker that refused one or wasn't reached."""
     if outcome is OrderOutcome.OTHER_INCARNATION:
         return
     pause_ms = _REFUSED_START_PAUSE_MS
     if outcome is OrderOutcome.NO_ROOM:
         pause_ms = _NO_CAPACITY_PAUSE_MS
     worker.paused_until_ms = state.now_ms + pause_ms
-    if outcome is OrderOutcome.RESTARTED:
-        worker.hold_after_ms = 0
-        _report_schedule.end_pause(
-            worker, _report_schedule.CallReason.OPEN_ORDER
-        )
+
+
+def _note_restart(attempt: Attempt, worker: Worker, context: Context) -> None:
+    """Have a worker report at once that has restarted, unless that is known.
+
+    The deadline of a start for an earlier incarnation is forgotten.
+    """
+    if not attempt.start_deadline_ms:
+        return
+    worker.hold_after_ms = 0
+    _report_schedule.end_pause(worker, _report_schedule.CallReason.OPEN_ORDER)
+    _note_failure(worker, 'another incarnation answers', context)
 
 
 @handle.register
--- a/src/tulippin/platform/standin_connections.py
+++ b/src/tulippin/platform/standin_connections.py
@@ -13,6 +13,7 @@
 import trio
 
 from tulippin._http_client import HttpAnswer
+from tulippin._http_connections import PeerCheck
 from tulippin.exceptions import AnswerLostError, UnavailableError
 from tulippin.platform import standin_agent
 from tulippin.platform.standin_store import CALL_TIMEOUT_S
@@ -26,11 +27,15 @@
 _WORKER_HEADER: t.Final = 'Expected-Instance'
 
 
-@attrs.frozen
+@attrs.define
 class _Connection:
-    """An open connection to the process that accepted it."""
+    """An open connection to the process that accepted it.
+
+    ``peer`` is what a check has found out about the process.
+    """
 
     worker: StandinWorker
+    peer: t.Any = None
     idle_since_s: float = attrs.field(factory=trio.current_time)
 
     @property
@@ -72,29 +77,49 @@
         body: bytes = b'',
         headers: t.Mapping[str, str] | None = None,
         extra_wait_ms: int = 0,
-        *,
-        may_connect: bool = True,
+        check: PeerCheck | None = None,
     ) -> HttpAnswer:
         """Send a call; see ``HttpClient.send``."""
         address, slash, path = url.removeprefix(_SCHEME).partition('/')
-        worker = self._take_idle()
-        if worker is not None:
-            await self._check_open(worker, address)
-        elif may_connect:
-            worker = await self._open(address)
-        else:
-            raise UnavailableError('no connection is open')
+        worker_id = (headers or {})[_WORKER_HEADER]
+        connection = self._take_idle(address, check)
+        if connection is None:
+            connection = _Connection(await self._open(address))
+        if check is not None and connection.peer is None:
+            connection.peer = await self._ask(connection, worker_id, check)
+        await self._check_open(connection.worker, address)
         answer = await self._call(
-            worker, slash + path, (headers or {})[_WORKER_HEADER], body
+            connection.worker, slash + path, worker_id, body
         )
-        self._idle.append(_Connection(worker))
+        connection.idle_since_s = trio.current_time()
+        self._idle.append(connection)
         return answer
 
-    def _take_idle(self) -> StandinWorker | None:
+    async def _ask(
+        self, connection: _Connection, worker_id: str, check: PeerCheck
+    ) -> t.Any:
+        try:
+            answer = await self._call(
+                connection.worker, check.path, worker_id, check.question
+            )
+        except AnswerLostError as error:
+            raise UnavailableError(error.message) from error
+        return check.confirm(answer.status, answer.body)
+
+    def _take_idle(
+        self, address: str, check: PeerCheck | None
+    ) -> _Connection | None:
         while self._idle:
             connection = self._idle.pop()
-            if not connection.is_closed:
-                return connection.worker
+            if connection.worker.address != address:
+                continue
+            is_accepted = (
+                check is None
+                or connection.peer is None
+                or check.accepts(connection.peer)
+            )
+            if is_accepted and not connection.is_closed:
+                return connection
         return None
 
     async def _check_open(self, worker: StandinWorker, address: str) -> None:
--- a/src/tulippin/platform/worker_connections.py
+++ b/src/tulippin/platform/worker_connections.py
@@ -1,4 +1,4 @@
-"""Connections to a worker, and the incarnation that they lead to.
+"""Connections to a worker, and the incarnations that they lead to.
 
 A worker that starts again under its id takes calls that were meant for its
 earlier incarnation, and no header tells them apart. A connection does: it ends
@@ -35,18 +35,15 @@
 FENCED_REASON: t.Final = 'fence'
 _HOLD_PATH: t.Final = '/v1/hold'
 _INCARNATION_HEADER: t.Final = 'Expected-Instance'
-# Other orders may take a connection that was opened for this one.
-_MAX_OPENINGS: t.Final = 3
 _MS_PER_S: t.Final = 1000
 # Above the drift of a worker's clock.
 _MAX_CLOCK_RATIO: t.Final = 1.02
-
 _ADDRESS_REGEX: t.Final = re.compile(ADDRESS_PATTERN)
 
 _answer_decoder = msgspec.json.Decoder(WorkerAnswerBody)
 
 
-def decode_answer(answer: HttpAnswer) -> WorkerAnswerBody:
+def decode_answer(body: bytes) -> WorkerAnswerBody:
     """Decode the body of a worker's answer.
 
     Raises
@@ -54,17 +51,17 @@
     AnswerLostError
         If the body is not an answer of a worker.
     """
-    if not answer.body:
+    if not body:
         return WorkerAnswerBody()
     try:
-        return _answer_decoder.decode(answer.body)
+        return _answer_decoder.decode(body)
     except (msgspec.DecodeError, ValueError, RecursionError) as error:
         raise AnswerLostError(
             f'invalid response from a worker: {error}'
         ) from error
 
 
-def check_report(worker_id: str, answer: HttpAnswer) -> WorkerAnswerBody:
+def decode_report(worker_id: str, status: int, body: bytes) -> WorkerAnswerBody:
     """Decode the answer to a hold call.
 
     Raises
@@ -76,31 +73,70 @@
     UnavailableError
         If the answer is no report.
     """
-    if answer.status == OTHER_INCARNATION_STATUS:
+    if status == OTHER_INCARNATION_STATUS:
         raise WorkerChangedError(f'another worker is at that of {worker_id}')
-    decoded = decode_answer(answer)
-    if answer.status == CONFLICT and decoded.reason == FENCED_REASON:
+    decoded = decode_answer(body)
+    if status == CONFLICT and decoded.reason == FENCED_REASON:
         raise FencedOrderError(f'{worker_id} has a newer owner')
-    if answer.status != OK or decoded.clock_ms is None:
-        raise UnavailableError(f'{worker_id} returned status {answer.status}')
+    if status != OK or decoded.clock_ms is None:
+        raise UnavailableError(f'{worker_id} returned status {status}')
     return decoded
 
 
 @attrs.frozen
 class _Sighting:
-    """A report, and when it was received."""
+    """The report of a process, and when it was received."""
 
     born_ms: int
     clock_ms: int
     received_s: float = attrs.field(factory=trio.current_time)
 
     def is_of(self, incarnation: ExpectedIncarnation) -> bool:
-        """Whether the report is from an incarnation, as far as can be told."""
+        """Whether the process is an incarnation, as far as can be told."""
         passed_ms = (trio.current_time() - self.received_s) * _MS_PER_S
         clock_ms = self.clock_ms + int(passed_ms * _MAX_CLOCK_RATIO)
         return incarnation.has_reported(self.born_ms, clock_ms)
 
 
+@attrs.define
+class _IncarnationCheck:
+    """Lets a call pass to the expected incarnation of a worker alone.
+
+    The question is a hold call that extends no lease. ``answer`` is the last
+    one that a process has given to it.
+    """
+
+    worker_id: str
+    incarnation: ExpectedIncarnation
+    question: bytes
+    path: str = _HOLD_PATH
+    answer: HttpAnswer | None = None
+
+    def confirm(self, status: int, body: bytes) -> _Sighting:
+        """Return who has reported.
+
+        Raises
+        ------
+        WorkerRestartedError
+            If it is another incarnation.
+        UnavailableError
+            If the answer is no report.
+        """
+        try:
+            report = decode_report(self.worker_id, status, body)
+        except AnswerLostError as error:
+            raise UnavailableError(error.message) from error
+        self.answer = HttpAnswer(status, {}, body)
+        sighting = _Sighting(report.born_ms, report.clock_ms)
+        if not sighting.is_of(self.incarnation):
+            raise WorkerRestartedError(f'{self.worker_id} has restarted')
+        return sighting
+
+    def accepts(self, peer: _Sighting) -> bool:
+        """Whether a process that has reported is the expected incarnation."""
+        return peer.is_of(self.incarnation)
+
+
 class WorkerConnections:
     """Connections to one worker: one pool for orders, and one for hold calls.
 
@@ -116,11 +152,8 @@
         self, worker_id: str, make_client: t.Callable[[], HttpClient]
     ) -> None:
         self._worker_id = worker_id
-        self._make_client = make_client
         self._orders = make_client()
         self._holds = make_client()
-        # The last report over a connection for orders.
-        self._sighting: _Sighting | None = None
 
     async def close(self) -> None:
         """Close all connections."""
@@ -134,7 +167,7 @@
         body: msgspec.Struct,
         incarnation: ExpectedIncarnation,
     ) -> HttpAnswer:
-        """Send an order over a connection to the expected incarnation.
+        """Send an order to the expected incarnation.
 
         Raises
         ------
@@ -147,78 +180,48 @@
         UnavailableError
             If the order was not sent.
         """
-        if self._sighting is not None and not self._sighting.is_of(incarnation):
-            await self._drop_orders()
-        for _ in range(_MAX_OPENINGS):
-            try:
-                return await self._post(
-                    self._orders, address, path, body, may_connect=False
-                )
-            except AnswerLostError:
-                raise
-            except UnavailableError:
-                await self._open(address, body.fencing_token, incarnation)
-        raise UnavailableError(f'{address} keeps no connection')
-
-    async def _open(
-        self,
-        address: str,
-        fencing_token: int,
-        incarnation: ExpectedIncarnation,
-    ) -> None:
-        """Open a connection for orders; a report tells where it leads."""
-        question = HoldBody(fencing_token)
-        try:
-            answer = await self._post(
-                self._orders, address, _HOLD_PATH, question
-            )
-            report = check_report(self._worker_id, answer)
-        except AnswerLostError as error:
-            raise UnavailableError(error.message) from error
-        sighting = _Sighting(report.born_ms, report.clock_ms)
-        if not sighting.is_of(incarnation):
-            await self._drop_orders()
-            raise WorkerRestartedError(f'{self._worker_id} has restarted')
-        self._sighting = sighting
-
-    async def _drop_orders(self) -> None:
-        """Close the connections for orders, which lead elsewhere."""
-        dropped, self._orders = self._orders, self._make_client()
-        self._sighting = None
-        await dropped.close()
+        if not incarnation.is_known:
+            return await self._post(self._orders, address, path, body)
+        check = self._make_check(incarnation, body.fencing_token)
+        return await self._post(self._orders, address, path, body, check=check)
 
     async def send_hold(
         self, address: str, body: HoldBody, incarnation: ExpectedIncarnation
     ) -> HttpAnswer:
-        """Send a hold call, with its lease and its acknowledgement if possible.
+        """Send a hold call; only the expected incarnation gets it in full.
 
-        The report of another incarnation is returned without either. Without
-        start times, ends are acknowledged only over a connection on which they
-        were reported.
+        Another one is just asked for its report, which is returned. So is a
+        worker that keeps no connection open.
         """
+        question = HoldBody(body.fencing_token)
+        if not incarnation.is_known:
+            body = msgspec.structs.replace(question, wait_ms=body.wait_ms)
         if not body.last_seen and body.deadline_ms is None:
-            return await self._post_hold(address, body)
+            return await self._post(
+                self._holds, address, _HOLD_PATH, body, body.wait_ms
+            )
+        check = self._make_check(incarnation, body.fencing_token)
         try:
-            return await self._post_hold(address, body, may_connect=False)
+            return await self._post(
+                self._holds,
+                address,
+                _HOLD_PATH,
+                body,
+                body.wait_ms,
+                check=check,
+            )
         except AnswerLostError:
             raise
         except UnavailableError:
-            question = HoldBody(body.fencing_token)
-            answer = await self._post_hold(address, question)
-        report = check_report(self._worker_id, answer)
-        is_expected = incarnation.has_reported(report.born_ms, report.clock_ms)
-        if not (incarnation.is_known and is_expected):
-            return answer
-        if not report.born_ms:
-            body = msgspec.structs.replace(body, last_seen=0)
-        return await self._post_hold(address, body, may_connect=False)
-
-    async def _post_hold(
-        self, address: str, body: HoldBody, **options: bool
-    ) -> HttpAnswer:
-        return await self._post(
-            self._holds, address, _HOLD_PATH, body, body.wait_ms, **options
-        )
+            if check.answer is None:
+                raise
+            return check.answer
+
+    def _make_check(
+        self, incarnation: ExpectedIncarnation, fencing_token: int
+    ) -> _IncarnationCheck:
+        question = msgspec.json.encode(HoldBody(fencing_token))
+        return _IncarnationCheck(self._worker_id, incarnation, question)
 
     async def _post(
         self,
@@ -227,7 +230,7 @@
         path: str,
         body: msgspec.Struct,
         wait_ms: int = 0,
-        **options: bool,
+        **options: t.Any,
     ) -> HttpAnswer:
         if not _ADDRESS_REGEX.match(address):
             raise UnavailableError(f'{self._worker_id} has no valid address')
--- a/src/tulippin/platform/workers.py
+++ b/src/tulippin/platform/workers.py
@@ -43,8 +43,8 @@
     OK,
     OTHER_INCARNATION_STATUS,
     WorkerConnections,
-    check_report,
     decode_answer,
+    decode_report,
 )
 
 _BAD_REQUEST: t.Final = 400
@@ -167,7 +167,7 @@
         answer = await self._get_connections(worker_id).send_hold(
             address, body, incarnation
         )
-        decoded = check_report(worker_id, answer)
+        decoded = decode_report(worker_id, answer.status, answer.body)
         report = _decode_report(decoded.clock_ms, decoded)
         self._log_invalid_load(worker_id, _find_invalid_load(decoded))
         return report
@@ -212,7 +212,7 @@
     if answer.status in _UNHEALTHY_STATUSES:
         return OrderAnswer(OrderOutcome.UNHEALTHY)
     try:
-        decoded = decode_answer(answer)
+        decoded = decode_answer(answer.body)
     except AnswerLostError:
         return OrderAnswer(OrderOutcome.UNKNOWN)
     if answer.status == OK:
--- a/tests/restart_soak.py
+++ b/tests/restart_soak.py
@@ -76,7 +76,7 @@
         if not worker.is_up:
             return
         if self.source.random() < 0.3:
-            # Orders that are on their way are carried out after the restart.
+            # Starts get no answer, and are carried out if it is still up.
             worker.start_order_delay_s = self.source.choice(LATE_START_S)
             await trio.sleep(0.2)
         if not worker.is_up:
--- a/tests/tulippin/jobs/test_restarted_workers.py
+++ b/tests/tulippin/jobs/test_restarted_workers.py
@@ -5,7 +5,7 @@
 import trio
 
 from scheduler_fleet import JOB, QUEUE, make_request, make_step, open_fleet
-from tulippin.jobs import _crashes, _unconfirmed_runs, core
+from tulippin.jobs import _crashes, _incarnations, _unconfirmed_runs, core
 from tulippin.jobs import effects as fx
 from tulippin.jobs import events as ev
 from tulippin.jobs._attempts import add_attempt
@@ -24,6 +24,7 @@
 )
 from tulippin.jobs.types import (
     EndedRun,
+    ExpectedIncarnation,
     Incarnation,
     JobRequest,
     JobState,
@@ -470,3 +471,71 @@
     row = RunningTask(KEY, 1, '', 10, None)
     reduce_report(state, LATER_BORN_MS, running=(row,))
     assert state.workers['w0'].probation_runs == {(KEY, 1): attempt}
+
+
+# -- which incarnation answers ------------------------------------------------
+
+
+def get_expected(state, passed_ms):
+    worker = state.workers['w0']
+    return _incarnations.get_expected(worker, NOW_MS + passed_ms, state)
+
+
+def test_slow_clock_is_not_taken_for_a_restart():
+    """Guards against refused starts on workers without start times."""
+    state = make_owner()
+    state.workers['w0'].born_ms = 0
+    slow_ms = NOW_MS + int(30_000 * 0.98)
+    assert get_expected(state, 30_000).has_reported(0, slow_ms)
+
+
+def test_clock_that_fell_back_is_another_incarnation():
+    """Guards against ends that are acknowledged before they are read."""
+    state = make_owner()
+    state.workers['w0'].born_ms = 0
+    assert 6 in report(state, 0, make_ends(1, 6))
+    event = ev.WorkerAnswered(
+        state.now_ms + 100,
+        'w0',
+        state.now_ms + 90,
+        WorkerReport(500, (), make_ends(1, 2)),
+    )
+    core.reduce(state, event)
+    assert state.workers['w0'].last_read_end_number == 2
+
+
+def test_start_time_decides_whatever_the_clock_says():
+    state = make_owner()
+    expected = get_expected(state, 0)
+    assert not expected.has_reported(LATER_BORN_MS, NOW_MS + 5000)
+    assert expected.has_reported(BORN_MS, NOW_MS - 5000)
+
+
+def test_start_that_met_another_incarnation_has_it_report_at_once():
+    """Its task is started elsewhere, and the order has had no effect."""
+    state = make_owner()
+    add_run(state, AttemptState.STARTING)
+    worker = state.workers['w0']
+    worker.hold_after_ms = worker.report_after_ms = NOW_MS + 5000
+    effects = answer_start(state, OrderOutcome.RESTARTED)
+    assert not worker.attempts
+    assert not accepts_runs(worker, state)
+    effects += core.reduce(state, ev.Ticked(NOW_MS + 50, BORN_MS))
+    (hold,) = list_orders(effects, fx.HoldWorker)
+    assert hold.incarnation.born_ms == BORN_MS
+
+
+def test_start_for_an_earlier_incarnation_does_not_pause_the_known_one():
+    state = make_owner()
+    add_run(state, AttemptState.STARTING)
+    reduce_report(state, LATER_BORN_MS)
+    answer_start(state, OrderOutcome.RESTARTED)
+    worker = state.workers['w0']
+    assert not worker.attempts
+    assert worker.paused_until_ms == 0
+
+
+def test_start_order_names_the_incarnation_that_it_is_meant_for():
+    state = make_owner()
+    order = get_expected(state, 0)
+    assert order == ExpectedIncarnation(BORN_MS, NOW_MS)
