Test of restarted workers that get syncs by their earlier clock

The older daemon's workers were suspected of the fault of the job scheduler's: a worker that starts again under its id takes an order whose deadline is by its earlier clock, so that its lease outlasts what the owner counts.

They don't: a sync names the incarnation that its starts are for, and another one refuses them. Renewals extend only runs that are there, and a run on the next incarnation begins by a sync of a later sequence or epoch, after which those before are refused. No test showed it: the stand-in worker went on with its clock after a restart. It begins a new one now, in the soak too, and a test delivers a sync that was meant for the earlier incarnation.

The product is unchanged, as there is no fault to mend.

--- a/src/tulippin/_fake_worker.py
+++ b/src/tulippin/_fake_worker.py
@@ -110,13 +110,14 @@
         return int(trio.current_time() * _MS_PER_S) + self.clock_offset_ms
 
     def restart(self, incarnation: str) -> None:
-        """Start a new incarnation of the agent, without any runs."""
+        """Start a new incarnation, without any runs and by a new clock."""
         self.advance()
         self._end_all(RunState.LAPSED)
         self.runs.clear()
         self.alive = True
         self.leaving = False
         self.incarnation = incarnation
+        self.clock_offset_ms -= self.clock_ms
         self.epoch = self.sequence = self.busy_slots = 0
         self.usage_history.clear()
 
--- a/tests/tulippin/test_workers.py
+++ b/tests/tulippin/test_workers.py
@@ -4,9 +4,16 @@
 
 from tulippin import effects as fx
 from tulippin import events as ev
+from tulippin.exceptions import UnavailableError
 from tulippin.messages import TaskOffered, TasksCancelled
 from tulippin.records import TaskRef
-from tulippin.testing import PEER, SESSION, SingleInstance, make_worker
+from tulippin.testing import (
+    PEER,
+    SESSION,
+    FakeWorker,
+    SingleInstance,
+    make_worker,
+)
 from tulippin.types import (
     Holder,
     JobSpec,
@@ -77,6 +84,45 @@
     assert sync.incarnation == 'one'
 
 
+def deliver(instance, sync, worker):
+    report = worker.sync(sync)
+    instance.feed(
+        ev.WorkerSynced, 'worker-0', sync.epoch, sync.sequence, report
+    )
+    return report
+
+
+async def test_restarted_worker_keeps_no_lease_by_its_earlier_clock(
+    instance, autojump_clock
+):
+    """Guards against runs that outlast the lease that their owner counts."""
+    worker = FakeWorker(
+        make_worker(), lambda *_, **__: None, clock_offset_ms=10**6
+    )
+    instance.tick(2000)
+    deliver(instance, instance.take_sync(), worker)
+    submit(instance)
+    early = instance.take_sync()
+    assert early.start
+    worker.restart('two')
+    assert early.lease_until_ms > worker.clock_ms + 10**5
+    assert deliver(instance, early, worker).runs == ()
+
+    instance.commit_all()
+    instance.tick(5000)
+    instance.commit_all()
+    instance.tick()
+    deliver(instance, instance.take_sync(), worker)
+    cell_worker = instance.state.cells[CELL].workers['worker-0']
+    assert len(worker.runs) == 2
+    assert {attempt for _, attempt in worker.runs} == {2}
+    with pytest.raises(UnavailableError):
+        worker.sync(early)
+    for run in worker.runs.values():
+        left_ms = run.lease_until_ms - worker.clock_ms
+        assert 0 < left_ms <= cell_worker.lapse_ms - instance.now_ms
+
+
 def test_lease_is_counted_from_the_workers_last_report(instance):
     submit(instance)
     cell = instance.state.cells[CELL]
