Test of reloads while starting waits for the stop handler

test_reload_of_a_starting_instance_does_not_end_it failed at times, ended by SIGTERM: it sent that signal 2 s after the reload, where the start had not reached its handler yet. Until then a stop ends the process at once, which is right: it has opened no listener, written no row and owns nothing, and test_stop_of_a_process_without_its_handlers_is_no_violation expects it.

The test now waits for the handler, within the limit of 10 s that it had, and for 2 s more as before. It also fails as soon as the process has ended.

--- a/tests/tulippin/test_process_soak.py
+++ b/tests/tulippin/test_process_soak.py
@@ -122,6 +122,10 @@
             while not process_soak.survives_reload(process):
                 await trio.sleep(0.005)
             process.send_signal(signal.SIGHUP)
+            while not process_soak.handles_signal(process, signal.SIGTERM):
+                assert process.poll() is None
+                await trio.sleep(0.005)
+            # An early stop must not hide an end by the reload.
             await trio.sleep(2)
             process.send_signal(signal.SIGTERM)
             assert await process.wait() == 0
