A refusal isn't lost with the rest of the request unread

Callers whose request was refused before its whole body had come (413 for its size, 400, 505, or an answer of the application) saw a reset connection in place of the answer: they send on, and the connection was closed with bytes unread, which resets it. An outcome that is known became an unknown one.

A connection whose request is answered while more of it may come now sends its end, and reads and drops what still comes: for 2 s at most, up to the bytes of another request of the largest size, until the client closes. It stays among the counted connections, and is the first one to give way. With TLS, which has no half close, it is closed after that.

The short 503 to a connection that gives way may still be lost by a reset: its bytes have to be free at once.

--- a/src/tulippin/_client_connections.py
+++ b/src/tulippin/_client_connections.py
@@ -114,6 +114,10 @@
         connection.quiet_sweeps = 0
         self._connections.move_to_end(connection)
 
+    def let_give_way_first(self, connection: ClientConnection) -> None:
+        """Let a connection whose request is answered give way to others."""
+        self._connections.move_to_end(connection, last=False)
+
     def note_refusal(self) -> None:
         """Count a request that was refused with its connection."""
         self.closings[Closing.REFUSED] += 1
--- a/src/tulippin/_http1_protocol.py
+++ b/src/tulippin/_http1_protocol.py
@@ -74,6 +74,11 @@
         is_silent = self.connection.our_state in {h11.IDLE, h11.SEND_RESPONSE}
         return is_silent and self._client.phase is Phase.RECEIVING
 
+    @property
+    def may_receive_more(self) -> bool:
+        """Whether the client may still be sending the present request."""
+        return self.connection.their_state in {h11.SEND_BODY, h11.ERROR}
+
     def abandon(self) -> None:
         """Drop what the application may still respond."""
         self._is_abandoned = True
--- a/src/tulippin/_http_connection.py
+++ b/src/tulippin/_http_connection.py
@@ -22,10 +22,17 @@
 # A client makes progress with each part of a response that it takes.
 _SEND_BYTES: t.Final = 16_384
 _REFUSAL_TIMEOUT_S: t.Final = 0.1
+# How long the rest of a request is read that has been answered before.
+_DISCARD_TIMEOUT_S: t.Final = 2.0
 _REFUSAL: t.Final = (
     b'HTTP/1.1 503 Service Unavailable\r\n'
     b'retry-after: 1\r\ncontent-length: 0\r\nconnection: close\r\n\r\n'
 )
+_STREAM_ERRORS: t.Final = (
+    trio.BrokenResourceError,
+    trio.BusyResourceError,
+    trio.ClosedResourceError,
+)
 _CONNECTION_ERRORS: t.Final = (
     OSError,
     trio.BrokenResourceError,
@@ -63,6 +70,8 @@
         self._table = table
         self._get_limits = get_limits
         self._scope = trio.CancelScope()
+        self._reading = trio.CancelScope()
+        self._is_discarding = False
         self._client = ClientConnection(self._give_way)
         self.protocol = None
 
@@ -113,15 +122,47 @@
             await self.stream.send_all(_REFUSAL)
 
     async def _read_data(self) -> None:
+        with self._reading:
+            await self._read_requests()
+            if self._is_discarding:
+                await self._discard()
+        if self._is_discarding:
+            await self._close()
+        await self.protocol.handle(Closed())
+
+    async def _read_requests(self) -> None:
         received: t.Any = None
-        while received != b'':
+        while received != b'' and not self._is_discarding:
             try:
                 received = await self.stream.receive_some(_RECEIVE_BYTES)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
-                break
-            self._table.note_progress(self._client)
-            await self.protocol.handle(RawData(bytes(received)))
-        await self.protocol.handle(Closed())
+                return
+            if not self._is_discarding:
+                self._table.note_progress(self._client)
+                await self.protocol.handle(RawData(bytes(received)))
+
+    async def _begin_discarding(self) -> None:
+        """Send nothing more, and read what the client still sends.
+
+        Closing the connection with bytes unread would reset it, and the client
+        might lose the response.
+        """
+        self._is_discarding = True
+        self._reading.deadline = trio.current_time() + _DISCARD_TIMEOUT_S
+        self._table.let_give_way_first(self._client)
+        if isinstance(self.stream, trio.SocketStream):
+            with contextlib.suppress(OSError, *_STREAM_ERRORS):
+                await self.stream.send_eof()
+
+    async def _discard(self) -> None:
+        left_bytes = self._get_limits().request_bytes
+        received: t.Any = None
+        while received != b'' and left_bytes > 0:
+            try:
+                received = await self.stream.receive_some(_RECEIVE_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                return
+            left_bytes -= len(received)
 
     async def protocol_send(self, event: Event) -> None:
         """Handle an event of the protocol; responses are sent in parts.
@@ -129,7 +170,10 @@
         In contrast to hypercorn's, sending can be cancelled, as a client that
         doesn't read would otherwise hold up the end of the process.
         """
-        if not isinstance(event, RawData):
+        if isinstance(event, Closed) and self.protocol.may_receive_more:
+            await self._begin_discarding()
+            await self.protocol.handle(Closed())
+        elif not isinstance(event, RawData):
             await super().protocol_send(event)
         elif event.data:
             async with self.send_lock:
--- a/tests/tulippin/test_client_connections.py
+++ b/tests/tulippin/test_client_connections.py
@@ -42,6 +42,16 @@
     assert crowd.table.closings == {Closing.TOO_MANY: 1}
 
 
+def test_answered_request_gives_way_before_others():
+    """Guards against refused clients that crowd out ordinary ones."""
+    crowd = make_crowd(connections=2)
+    crowd.open(Phase.RECEIVING)
+    refused = crowd.open(Phase.SENDING)
+    crowd.table.let_give_way_first(refused)
+    crowd.open()
+    assert crowd.closed == [refused]
+
+
 def test_complete_request_does_not_give_way():
     """Guards against accepted work whose caller gets no answer."""
     crowd = make_crowd(connections=2)
--- a/tests/tulippin/test_http_connection.py
+++ b/tests/tulippin/test_http_connection.py
@@ -12,7 +12,7 @@
 from tulippin._client_connections import ConnectionTable
 from tulippin._http_client import HttpClient
 from tulippin._http_server import HttpServer
-from tulippin.client_limits import ClientLimits
+from tulippin.client_limits import ClientLimits, RequestLimits
 
 REQUEST = b'POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody'
 CHUNKED = (
@@ -35,6 +35,7 @@
 SEEDS = (REQUEST, CHUNKED, UPGRADE, H2C, HTTP2)
 MUTATIONS_PER_SEED = 150
 DEFAULT_LIMITS = ClientLimits()
+SMALL_REQUESTS = RequestLimits(1000, 10_000)
 
 
 async def echo(scope, receive, send):
@@ -53,10 +54,13 @@
 
 
 @contextlib.asynccontextmanager
-async def serve(app=echo, limits=DEFAULT_LIMITS):
+async def serve(app=echo, limits=DEFAULT_LIMITS, request_limits=None):
     handler = logbook.TestHandler()
     table = ConnectionTable(limits)
-    server = HttpServer(app, '127.0.0.1:0', table=table)
+    request_limits = request_limits or RequestLimits()
+    server = HttpServer(
+        app, '127.0.0.1:0', table=table, get_limits=lambda: request_limits
+    )
     with handler.applicationbound(), server:
         async with trio.open_nursery() as nursery:
             await nursery.start(server.serve)
@@ -232,6 +236,101 @@
                 await trio.sleep(0.05)
 
 
+async def refuse_at_once(scope, receive, send):
+    if scope['type'] != 'http':
+        raise NotImplementedError(scope['type'])
+    headers = [(b'content-length', b'0')]
+    start = {'type': 'http.response.start', 'status': 413, 'headers': headers}
+    await send(start)
+    await send({'type': 'http.response.body', 'body': b''})
+
+
+def make_head(body_bytes):
+    return b'POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n' % (
+        body_bytes
+    )
+
+
+async def send_in_pieces(stream, content):
+    for start in range(0, len(content), 1000):
+        await stream.send_all(content[start : start + 1000])
+        await trio.sleep(0.001)
+
+
+@pytest.mark.parametrize(
+    ('app', 'body_bytes', 'sent_first', 'status'),
+    [
+        (refuse_at_once, 100_000, b'', 413),
+        (echo, SMALL_REQUESTS.request_bytes + 20_000, b'', 413),
+        (echo, 80_000, CHUNKED.partition(b'4\r\n')[0] + b'no length', 400),
+        (echo, 80_000, b'GET /x HTTP/2.0\r\nHost: a\r\n\r\n', 505),
+    ],
+    ids=['by the application', 'for its size', 'as invalid', 'for its version'],
+)
+async def test_refusal_reaches_a_client_that_sends_its_body_first(
+    app, body_bytes, sent_first, status
+):
+    """Guards against refusals that are lost as the connection is reset."""
+    body = b'\r\n' + b'x' * (body_bytes - 2)
+    async with serve(app, request_limits=SMALL_REQUESTS) as (server, _):
+        stream = await trio.open_tcp_stream('127.0.0.1', server.port)
+        with trio.fail_after(5):
+            await stream.send_all(sent_first or make_head(body_bytes))
+            await send_in_pieces(stream, body)
+            answer = await stream.receive_some()
+            assert await stream.receive_some() == b''
+    assert answer.startswith(b'HTTP/1.1 %d' % status)
+
+
+async def test_refused_client_that_sends_without_end_is_closed():
+    """Guards against refused connections that stay open."""
+    async with (
+        serve(refuse_at_once) as (server, _),
+        trio.open_nursery() as nursery,
+    ):
+        stream = await trio.open_tcp_stream('127.0.0.1', server.port)
+        await stream.send_all(make_head(10**9))
+        nursery.start_soon(send_until_closed, stream, 0.05)
+        with trio.fail_after(5):
+            assert (await stream.receive_some()).startswith(b'HTTP/1.1 413')
+            while len(server._table):
+                await trio.sleep(0.05)
+
+
+async def send_until_closed(stream, pause_s):
+    """Return how many bytes were taken until the connection was reset."""
+    sent_bytes = 0
+    with contextlib.suppress(trio.BrokenResourceError):
+        while True:
+            await stream.send_all(b'x' * 10_000)
+            sent_bytes += 10_000
+            await trio.sleep(pause_s)
+    return sent_bytes
+
+
+async def test_refused_client_sends_no_more_than_another_request():
+    """Guards against a process that is busy with bodies that it refused."""
+    # What the buffers of both ends may hold.
+    kernel_bytes = 8 * 2**20
+    async with serve(refuse_at_once) as (server, _):
+        stream = await trio.open_tcp_stream('127.0.0.1', server.port)
+        await stream.send_all(make_head(10**9))
+        with trio.fail_after(5):
+            sent_bytes = await send_until_closed(stream, 0)
+        assert sent_bytes < RequestLimits().request_bytes + kernel_bytes
+
+
+async def test_refused_client_that_waits_is_closed():
+    async with serve(refuse_at_once) as (server, _):
+        stream = await trio.open_tcp_stream('127.0.0.1', server.port)
+        await stream.send_all(make_head(1000))
+        with trio.fail_after(5):
+            assert (await stream.receive_some()).startswith(b'HTTP/1.1 413')
+            assert await stream.receive_some() == b''
+            while len(server._table):
+                await trio.sleep(0.05)
+
+
 @pytest.mark.parametrize('piece_bytes', [1000, 100_000])
 async def test_headers_of_the_largest_size_are_accepted(piece_bytes):
     """Guards against legal headers that are refused if they come in pieces."""
--- a/tests/tulippin/test_tls.py
+++ b/tests/tulippin/test_tls.py
@@ -4,6 +4,7 @@
 import trio
 
 from tests_certificates import make_certificate, to_pem
+from tulippin._http_server import HttpServer
 from tulippin.client import ApiClient, make_tls_context
 from tulippin.exceptions import UnavailableError
 
@@ -70,3 +71,40 @@
                 for peer in daemon.shell.state.peers.values()
             )
         )
+
+
+async def refuse(scope, receive, send):
+    if scope['type'] != 'http':
+        raise NotImplementedError(scope['type'])
+    headers = [(b'content-length', b'0')]
+    start = {'type': 'http.response.start', 'status': 413, 'headers': headers}
+    await send(start)
+    await send({'type': 'http.response.body', 'body': b''})
+
+
+async def test_refusal_reaches_a_tls_client_that_sends_its_body_first(
+    directory,
+):
+    """Guards against refusals that are lost as the connection is reset."""
+    server = HttpServer(
+        refuse,
+        '127.0.0.1:0',
+        f'{directory}/server.pem',
+        f'{directory}/server.key',
+    )
+    context = make_tls_context(f'{directory}/authority.pem', '', '')
+    with server, trio.fail_after(10):
+        async with trio.open_nursery() as nursery:
+            await nursery.start(server.serve)
+            stream = await trio.open_ssl_over_tcp_stream(
+                '127.0.0.1', server.port, ssl_context=context
+            )
+            await stream.send_all(
+                b'POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n'
+            )
+            for _ in range(100):
+                await stream.send_all(b'x' * 1000)
+                await trio.sleep(0.001)
+            answer = await stream.receive_some()
+            nursery.cancel_scope.cancel()
+    assert answer.startswith(b'HTTP/1.1 413')
