--- a/tests/handover_model.py
+++ b/tests/handover_model.py
@@ -88,6 +88,8 @@
     JobRequest('', (Step(1, SMALL, opportunistic=True, image='batch'),)),
 )
 # Calls that may be carried out after their caller has given up.
+# Position of the wait among the arguments of a hold call.
+WAIT_ARGUMENT = 5
 LASTING_KINDS = frozenset(('transact', 'start', 'stop', 'hold'))
 
 
@@ -164,7 +166,7 @@
         if self.kind == 'transact':
             return CALL_TIMEOUT_MS + int(min(self.arguments[1], 99) * 1000)
         if self.kind == 'hold':
-            return CALL_TIMEOUT_MS + self.arguments[-1]
+            return CALL_TIMEOUT_MS + self.arguments[WAIT_ARGUMENT]
         return CALL_TIMEOUT_MS
 
 
@@ -363,7 +365,7 @@
             self.runs[key, run] = min(self.runs[key, run], end_ms)
         return OrderOutcome.STARTED
 
-    def hold(self, worker_id, address, token, last_seen, deadline_ms, wait_ms):
+    def hold(self, worker_id, address, token, last_seen, deadline_ms, *_):
         if not self.accept(token):
             raise FencedOrderError('fence')
         for ended in self.ended:
@@ -489,7 +491,7 @@
             case 'hold':
                 worker = self.find_worker(*call.arguments[:2])
                 has_ends = worker is not None and worker.ended
-                return has_ends or waited_ms >= call.arguments[-1]
+                return has_ends or waited_ms >= call.arguments[WAIT_ARGUMENT]
         return True
 
     def drop_calls(self, is_dropped):
