Soak of real processes: restarted workers are cut off

Callers saw one task with two runs, by workers that started again under their ids and were cut off soon after. Only virtual time covered it.

The stand-in's servers can leave a worker's calls without an answer while its runs go on (cut_off), and restart a worker behind connections that stay silent (restart_silently); a connection leads to the incarnation that it was opened to. The soak of processes restarts workers, at times amid starts, and cuts them off in series, beside long tasks, leases of 10 s and its other faults (--cut-in-series).

--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -28,6 +28,11 @@
         action='store_true',
         help='kill each owner as it takes the unit, beside lost workers',
     )
+    parser.add_argument(
+        '--cut-in-series',
+        action='store_true',
+        help='restart workers, and cut them off soon after',
+    )
     options = parser.parse_args()
     failures = 0
     for seed in range(options.seed, options.seed + options.runs):
@@ -41,6 +46,7 @@
             options.workers,
             options.faults_s,
             options.lose_in_series,
+            options.cut_in_series,
         )
         took_s = time.monotonic() - began
         failures += bool(violations)
--- a/src/tulippin/platform/standin_http.py
+++ b/src/tulippin/platform/standin_http.py
@@ -31,6 +31,7 @@
 
 _ANY_ADDRESS: t.Final = '127.0.0.1:0'
 _LISTEN_RETRY_S: t.Final = 0.01
+_ALL_CLIENTS: t.Final = '*'
 
 
 def _respond(body: msgspec.Struct, status: int = 200) -> Response:
@@ -122,9 +123,16 @@
 
 @attrs.frozen
 class WorkerApi:
-    """HTTP API of one worker's agent."""
+    """HTTP API of one worker's agent.
 
-    worker: StandinWorker
+    A connection leads to the incarnation that was up when it was opened. Calls
+    to one that is out of reach get no answer.
+    """
+
+    platform: StandinPlatform
+    worker_id: str
+    # By the addresses of clients, which differ between connections.
+    _acceptors: dict[tuple[str, int], StandinWorker] = attrs.field(factory=dict)
 
     def make_app(self) -> Starlette:
         """Return the ASGI application."""
@@ -136,16 +144,45 @@
 
     async def _answer(self, request: Request) -> Response:
         body = await request.body()
-        if not self.worker.is_up:
-            raise AnswerLostError(f'{self.worker.address} has crashed')
+        worker = await self._find_acceptor(tuple(request.client))
+        if _is_cut_off(worker):
+            return await _wait_for_disconnect(request)
+        if not worker.is_up:
+            raise AnswerLostError(f'{worker.address} has crashed')
         answer = await standin_agent.answer_call(
-            self.worker,
+            worker,
             request.url.path,
             request.headers['Expected-Instance'],
             body,
         )
+        if _is_cut_off(worker):
+            return await _wait_for_disconnect(request)
         return Response(answer.body, answer.status)
 
+    async def _find_acceptor(self, client: tuple[str, int]) -> StandinWorker:
+        """Return the incarnation that a client's connection leads to.
+
+        The next one accepts connections that are opened while a worker is down
+        and tells nobody of it.
+        """
+        while client not in self._acceptors:
+            worker = self.platform.workers[self.worker_id]
+            if worker.is_up or not _is_cut_off(worker):
+                self._acceptors[client] = worker
+            else:
+                await trio.sleep(_LISTEN_RETRY_S)
+        return self._acceptors[client]
+
+
+def _is_cut_off(worker: StandinWorker) -> bool:
+    return _ALL_CLIENTS in worker.unreachable_clients
+
+
+async def _wait_for_disconnect(request: Request) -> Response:
+    """Leave a call without an answer until its client gives up."""
+    await request.receive()
+    return Response()
+
 
 class StandinServers:
     """Serves the store and workers on loopback; an async context manager.
@@ -199,6 +236,30 @@
             await trio.sleep(down_s)
             await self._serve_worker(self.platform.restart(worker_id))
 
+    async def restart_silently(self, worker_id: str, down_s: float) -> None:
+        """Crash a worker's machine, and start it again.
+
+        Nothing breaks its connections, which stay without an answer.
+        """
+        async with self._restarts[worker_id]:
+            worker = self.platform.workers[worker_id]
+            worker.unreachable_clients.add(_ALL_CLIENTS)
+            worker.crash()
+            await trio.sleep(down_s)
+            self.platform.restart(worker_id)
+
+    async def cut_off(self, worker_id: str, lasting_s: float) -> None:
+        """Leave all calls to a worker without an answer for some time.
+
+        Its connections stay open and its runs go on until its lease lapses. If
+        it starts again meanwhile, it is in reach.
+        """
+        worker = self.platform.workers[worker_id]
+        worker.unreachable_clients.add(_ALL_CLIENTS)
+        await trio.sleep(lasting_s)
+        if worker.is_up:
+            worker.unreachable_clients.discard(_ALL_CLIENTS)
+
     def _reserve_address(self) -> str:
         """Return an address that stays reserved while nothing serves there.
 
@@ -211,7 +272,7 @@
 
     async def _serve_worker(self, worker: StandinWorker) -> None:
         scope = self._worker_scopes[worker.worker_id] = trio.CancelScope()
-        app = WorkerApi(worker).make_app()
+        app = WorkerApi(self.platform, worker.worker_id).make_app()
         # A process that is being started holds a copy of the worker's earlier
         # listener until it runs its program.
         while True:
--- a/tests/process_soak.py
+++ b/tests/process_soak.py
@@ -2,7 +2,8 @@
 
 A seed determines the faults: instances are stopped, killed, suspended and told
 to reload their settings, the configuration changes, and workers restart under
-their ids, in series that overlap. Clients keep using their connections until
+their ids, in series that overlap. Workers that are back may be cut off soon
+after, while long tasks run there. Clients keep using their connections until
 these break. A period without faults follows. Then each accepted job must be
 completed, and the history of the workers must show no violation.
 """
@@ -68,6 +69,23 @@
 OWNER_STOPS = 3
 # Longer than any lease of a worker.
 LOST_WORKER_S = 8
+# Between the crash of a worker and its restart, from then until it is cut off
+# unless it is started a run before, and between two such losses.
+CUT_DOWN_S = (0.0, 0.05, 0.2)
+CUT_AFTER_S = (0.1, 0.5, 1.0, 1.5)
+CUT_GAPS_S = (0.3, 1.0, 2.5)
+# The longest lease that workers grant, by default and where they are cut off.
+LEASE_LIMIT_MS = 6000
+CUT_LEASE_LIMIT_MS = 10_000
+# Longer than any of these leases.
+CUT_S = 11
+# Clients of long tasks beside workers that are cut off.
+LONG_CLIENTS = 4
+FIRST_LONG_CLIENT = 1000
+# Shortest and longest duration of such a task, which outlasts a usual lease.
+LONG_RUN_MS = (5500, 10_000)
+# Wide jobs open several connections to a worker at once.
+LONG_TASK_COUNTS = (1, 8, 40)
 CLIENT_TIMEOUT_S = 4
 # A planned stop may cut a request up to this time after it was sent.
 LOSS_SLACK_S = 0.2
@@ -103,6 +121,7 @@
     violations: list = attrs.field(factory=list)
     counts: collections.Counter = attrs.field(factory=collections.Counter)
     config_version: int = 1
+    lease_limit_ms: int = LEASE_LIMIT_MS
     # By session id. A later process of the same name has another session.
     sessions: dict = attrs.field(factory=dict)
     # When the faults by chance begin.
@@ -112,12 +131,26 @@
     def are_faults_due(self):
         return trio.current_time() < self.started_s + self.faults_s
 
+    def lengthen_leases(self):
+        """Have workers grant longer leases than owners usually ask for."""
+        self.lease_limit_ms = CUT_LEASE_LIMIT_MS
+        for worker in self.servers.platform.workers.values():
+            worker.lease_limit_ms = CUT_LEASE_LIMIT_MS
+
+    def start_cuts(self, clients, seed):
+        """Cut restarted workers off, and submit jobs of long tasks."""
+        clients.start_soon(self.cut_once_started, random.Random(f'cut {seed}'))
+        for number in range(LONG_CLIENTS):
+            clients.start_soon(
+                self.run_client, FIRST_LONG_CLIENT + number, self.make_long_job
+            )
+
     # -- processes ------------------------------------------------------------
 
     async def start(self, name):
         path = self.folder / f'{name}.ini'
         address = self.servers.store_address
-        path.write_text(SETTINGS.format(name=name, store=address))
+        path.write_text(make_settings(name, address, self.lease_limit_ms))
         process = await open_instance(
             'scheduler_daemon', PRINT_PORTS + BESIDE, path
         )
@@ -281,6 +314,49 @@
                     await self._kill_owner()
                     await trio.sleep(source.choice((0.05, 0.5, 1.5)))
 
+    async def cut_once_started(self, source):
+        """Cut restarted workers off in series while the faults last."""
+        while self.started_s == math.inf:
+            await trio.sleep(0.01)
+        async with trio.open_nursery() as nursery:
+            while self.are_faults_due:
+                await trio.sleep(source.choice(CUT_GAPS_S))
+                names = sorted(self.servers.platform.workers)
+                nursery.start_soon(
+                    self._restart_and_cut, source.choice(names), source
+                )
+
+    async def _restart_and_cut(self, worker_id, source):
+        """Restart a worker, also one that is cut off, and cut it off again."""
+        workers = self.servers.platform.workers
+        if not workers[worker_id].is_up:
+            return
+        if source.random() < 0.6:
+            await self._wait_for_start(workers[worker_id])
+        restart = source.choice(
+            (
+                self.servers.restart_worker,
+                self.servers.restart_silently,
+                self.servers.restart_silently,
+            )
+        )
+        await restart(worker_id, source.choice(CUT_DOWN_S))
+        worker = workers[worker_id]
+        with trio.move_on_after(source.choice(CUT_AFTER_S)):
+            # The first start may come before the owner's first question.
+            while not worker.runs:
+                await trio.sleep(0.002)
+        if worker.is_up and not worker.unreachable_clients:
+            self.counts['cut off'] += 1
+            await self.servers.cut_off(worker_id, CUT_S)
+
+    async def _wait_for_start(self, worker):
+        """Wait for a start on a worker, as others are under way then."""
+        count = worker.started_count
+        with trio.move_on_after(1):
+            while worker.started_count == count:
+                await trio.sleep(0.001)
+
     async def _kill_owner(self):
         with trio.move_on_after(TAKEOVER_S):
             while not (owner := self.find_owner()):
@@ -385,28 +461,43 @@
 
     # -- clients --------------------------------------------------------------
 
-    async def run_client(self, number):
+    async def run_client(self, number, make_job=None):
         """Submit jobs, each on the connection that the last one used."""
+        make_job = make_job or self.make_job
         serial = 0
         async with contextlib.AsyncExitStack() as stack:
             connection = None
             while self.are_faults_due:
                 serial += 1
                 job_id = f'{number:08x}{serial:08x}'
-                connection = await self._submit(job_id, connection, stack)
+                connection = await self._submit(
+                    job_id, make_job(), connection, stack
+                )
                 self.accepted.append(job_id)
                 await trio.sleep(0.3 * self.source.random())
 
-    async def _submit(self, job_id, connection, stack):
-        """Submit a job until it is accepted; return the connection used."""
+    def make_job(self):
+        """Return a job of short tasks in two steps."""
         count = self.source.randrange(1, 4)
-        body = {
+        return {
             'Spec': json.dumps({'run_ms': self.source.randrange(50, 900)}),
             'Steps': [
                 {'Count': count, 'Cpu': 1000, 'MemMb': 100},
                 {'Count': 1, 'Cpu': 500, 'MemMb': 100, 'AfterRevision': [0]},
             ],
         }
+
+    def make_long_job(self):
+        """Return a job whose tasks run for longer than a start's lease."""
+        run_ms = self.source.randrange(*LONG_RUN_MS)
+        count = self.source.choice(LONG_TASK_COUNTS)
+        return {
+            'Spec': json.dumps({'run_ms': run_ms}),
+            'Steps': [{'Count': count, 'Cpu': 100, 'MemMb': 10}],
+        }
+
+    async def _submit(self, job_id, body, connection, stack):
+        """Submit a job until it is accepted; return the connection used."""
         while True:
             if connection is None:
                 connection = await self._connect(stack)
@@ -495,6 +586,13 @@
                 instance.process.kill()
 
 
+def make_settings(name, store, lease_limit_ms):
+    """Return the text of an instance's settings."""
+    return SETTINGS.format(name=name, store=store).replace(
+        'lease_limit_ms = 6000', f'lease_limit_ms = {lease_limit_ms}'
+    )
+
+
 def survives_reload(process):
     """Return whether a process ignores or handles SIGHUP.
 
@@ -540,11 +638,13 @@
     workers=4,
     faults_s=10.0,
     loses_in_series=False,
+    cuts_in_series=False,
 ):
     """Run the scenario of a seed; return its violations and its counts.
 
     If `loses_in_series`, each owner is killed as it has taken the unit, beside
-    workers that are away for longer than their leases.
+    workers that are away for longer than their leases. If `cuts_in_series`,
+    workers restart and are cut off soon after, while long tasks run.
     """
     async with (
         StandinServers(workers) as servers,
@@ -559,6 +659,8 @@
             folder,
             faults_s,
         )
+        if cuts_in_series:
+            soak.lengthen_leases()
         nursery.start_soon(soak.watch_owners)
         try:
             for number in range(instances):
@@ -571,6 +673,8 @@
                             soak.lose_once_started,
                             random.Random(f'lose {seed}'),
                         )
+                    if cuts_in_series:
+                        soak.start_cuts(clients, seed)
                     for number in range(2 * instances):
                         clients.start_soon(soak.run_client, number)
             if scope.cancelled_caught:
--- a/tests/tulippin/test_process_soak.py
+++ b/tests/tulippin/test_process_soak.py
@@ -3,6 +3,7 @@
 ``bench/soak_processes.py`` plays any number of them.
 """
 
+import contextlib
 import math
 import pathlib
 import random
@@ -40,6 +41,64 @@
     assert counts['accepted'] > 0
 
 
+async def test_restarted_workers_that_are_cut_off_run_no_task_twice(tmp_path):
+    violations, counts = await process_soak.play(
+        1, tmp_path, instances=2, faults_s=3, cuts_in_series=True
+    )
+    assert violations == []
+    assert counts['accepted'] > 0
+    assert counts['cut off'] > 0
+
+
+def make_start(worker, index=0):
+    key = TaskKey('a', 0, 0, index)
+    spec = '{"run_ms": 60000}'
+    deadline_ms = worker.clock_ms + 5000
+    return StartOrder('w0', worker.address, key, 1, spec, deadline_ms, 1)
+
+
+@contextlib.asynccontextmanager
+async def open_silent(function, *arguments):
+    """Run a fault beside a client that has a connection and a run."""
+    async with StandinServers(1) as servers, trio.open_nursery() as nursery:
+        worker = servers.platform.workers['w0']
+        agents = PlatformWorkers(lambda: HttpClient(0.5))
+        answer = await agents.start(make_start(worker))
+        assert answer.outcome is OrderOutcome.STARTED
+        nursery.start_soon(getattr(servers, function), 'w0', *arguments)
+        await trio.testing.wait_all_tasks_blocked()
+        yield servers, agents, worker
+        await agents.forget('w0')
+
+
+async def test_standin_worker_that_is_cut_off_is_silent_and_runs_on():
+    async with open_silent('cut_off', 1.2) as (_, agents, worker):
+        began_s = trio.current_time()
+        answer = await agents.start(make_start(worker, 1))
+        assert answer.outcome is OrderOutcome.UNKNOWN
+        assert trio.current_time() - began_s > 0.4
+        assert len(worker.runs) == 1
+        with trio.fail_after(10):
+            while worker.unreachable_clients:
+                await trio.sleep(0.01)
+        answer = await agents.start(make_start(worker, 2))
+        assert answer.outcome is OrderOutcome.STARTED
+        assert len(worker.runs) == 2
+
+
+async def test_standin_worker_restarts_silently_behind_its_connections():
+    async with open_silent('restart_silently', 0.05) as (servers, agents, _):
+        with trio.fail_after(10):
+            while not servers.platform.workers['w0'].is_up:
+                await trio.sleep(0.01)
+        worker = servers.platform.workers['w0']
+        answer = await agents.start(make_start(worker, 1))
+        assert answer.outcome is OrderOutcome.UNKNOWN
+        assert worker.runs == {}
+        answer = await agents.start(make_start(worker, 1))
+        assert answer.outcome is OrderOutcome.STARTED
+
+
 async def test_crashed_standin_worker_carries_out_no_order(contained_failures):
     """Guards against runs of a worker that has ended, which never end."""
     async with StandinServers(1) as servers:
