Hold calls reach no incarnation that an open connection hides

Callers of the worker agents could extend the lease of a restarted worker, and acknowledge its ends, with a hold meant for its earlier incarnation, if another hold had opened the connection before.

Cause: a hold with a lease went over any open connection, and only a new one was asked for a report. Now connections whose last report is of another incarnation are closed first, as those for orders are.

--- a/src/tulippin/platform/worker_connections.py
+++ b/src/tulippin/platform/worker_connections.py
@@ -22,7 +22,7 @@
     WorkerChangedError,
     WorkerRestartedError,
 )
-from tulippin.jobs.types import ExpectedIncarnation
+from tulippin.jobs.types import ExpectedIncarnation, WorkerReport
 from tulippin.platform.wire import (
     ADDRESS_PATTERN,
     HoldBody,
@@ -119,8 +119,9 @@
         self._make_client = make_client
         self._orders = make_client()
         self._holds = make_client()
-        # The last report over a connection for orders.
+        # The last report over a connection for orders, and for hold calls.
         self._sighting: _Sighting | None = None
+        self._held: _Sighting | None = None
 
     async def close(self) -> None:
         """Close all connections."""
@@ -198,6 +199,8 @@
         """
         if not body.last_seen and body.deadline_ms is None:
             return await self._post_hold(address, body)
+        if self._held is not None and not self._held.is_of(incarnation):
+            await self._drop_holds()
         try:
             return await self._post_hold(address, body, may_connect=False)
         except AnswerLostError:
@@ -213,6 +216,16 @@
             body = msgspec.structs.replace(body, last_seen=0)
         return await self._post_hold(address, body, may_connect=False)
 
+    def note_report(self, report: WorkerReport) -> None:
+        """Note the report that a hold call returned."""
+        self._held = _Sighting(report.born_ms, report.clock_ms)
+
+    async def _drop_holds(self) -> None:
+        """Close the connections for hold calls, which lead elsewhere."""
+        dropped, self._holds = self._holds, self._make_client()
+        self._held = None
+        await dropped.close()
+
     async def _post_hold(
         self, address: str, body: HoldBody, **options: bool
     ) -> HttpAnswer:
--- a/src/tulippin/platform/workers.py
+++ b/src/tulippin/platform/workers.py
@@ -164,11 +164,11 @@
             If the worker doesn't return a valid report.
         """
         body = HoldBody(fencing_token, last_seen, deadline_ms, wait_ms)
-        answer = await self._get_connections(worker_id).send_hold(
-            address, body, incarnation
-        )
+        connections = self._get_connections(worker_id)
+        answer = await connections.send_hold(address, body, incarnation)
         decoded = check_report(worker_id, answer)
         report = _decode_report(decoded.clock_ms, decoded)
+        connections.note_report(report)
         self._log_invalid_load(worker_id, _find_invalid_load(decoded))
         return report
 
