--- a/src/tulippin/_http_connections.py
+++ b/src/tulippin/_http_connections.py
@@ -24,11 +24,13 @@
     """Finds out which process has accepted a connection.
 
     ``path`` and ``question`` are of the request that asks it, which is the
-    first one of a connection that needs to be known.
+    first one of a connection that needs to be known. If it may not be asked,
+    the request goes only over connections to processes that are known.
     """
 
     path: str
     question: bytes
+    may_ask: bool
 
     def confirm(self, status: int, body: bytes) -> t.Any:
         """Return who gave an answer to the question; raise to send nothing."""
@@ -177,6 +179,8 @@
     check: PeerCheck,
 ) -> t.Any:
     """Ask who has accepted a connection, before it takes a request."""
+    if not check.may_ask:
+        raise httpcore.ConnectError('no connection to a known process is open')
     url = httpcore.URL(
         scheme=target.scheme,
         host=target.host,
--- a/src/tulippin/platform/standin_connections.py
+++ b/src/tulippin/platform/standin_connections.py
@@ -98,6 +98,8 @@
     async def _ask(
         self, connection: _Connection, worker_id: str, check: PeerCheck
     ) -> t.Any:
+        if not check.may_ask:
+            raise UnavailableError('no connection to a known process is open')
         try:
             answer = await self._call(
                 connection.worker, check.path, worker_id, check.question
--- a/src/tulippin/platform/worker_connections.py
+++ b/src/tulippin/platform/worker_connections.py
@@ -109,6 +109,7 @@
     worker_id: str
     incarnation: ExpectedIncarnation
     question: bytes
+    may_ask: bool = True
     path: str = _HOLD_PATH
     answer: HttpAnswer | None = None
 
@@ -191,7 +192,8 @@
         """Send a hold call; only the expected incarnation gets it in full.
 
         Another one is just asked for its report, which is returned. So is a
-        worker that keeps no connection open.
+        worker that keeps no connection open. Without start times, ends are
+        acknowledged only over a connection on which there was a report before.
         """
         question = HoldBody(body.fencing_token)
         if not incarnation.is_known:
@@ -200,7 +202,26 @@
             return await self._post(
                 self._holds, address, _HOLD_PATH, body, body.wait_ms
             )
-        check = self._make_check(incarnation, body.fencing_token)
+        if incarnation.born_ms or not body.last_seen:
+            return await self._hold_checked(address, body, incarnation)
+        try:
+            return await self._hold_checked(
+                address, body, incarnation, may_ask=False
+            )
+        except AnswerLostError:
+            raise
+        except UnavailableError:
+            return await self._hold_checked(address, question, incarnation)
+
+    async def _hold_checked(
+        self,
+        address: str,
+        body: HoldBody,
+        incarnation: ExpectedIncarnation,
+        **options: bool,
+    ) -> HttpAnswer:
+        """Send a hold call, or return the report that rules it out."""
+        check = self._make_check(incarnation, body.fencing_token, **options)
         try:
             return await self._post(
                 self._holds,
@@ -218,10 +239,15 @@
             return check.answer
 
     def _make_check(
-        self, incarnation: ExpectedIncarnation, fencing_token: int
+        self,
+        incarnation: ExpectedIncarnation,
+        fencing_token: int,
+        **options: bool,
     ) -> _IncarnationCheck:
         question = msgspec.json.encode(HoldBody(fencing_token))
-        return _IncarnationCheck(self._worker_id, incarnation, question)
+        return _IncarnationCheck(
+            self._worker_id, incarnation, question, **options
+        )
 
     async def _post(
         self,
