Starts that never ran count as no crash of their workers

Callers saw healthy jobs FAILED beside workers that restart under their ids. An order that was refused or not sent stayed counted as a crash if its worker had gone silent meanwhile. A start that waited to be durable stayed on its silent worker, in the stored progress and in the release report, so that the next owner counted a crash of a run that was never ordered.

The new tests of refused and of unsent starts failed before; that of the release report was run only with the change.

A refusal now withdraws the crash under its run. Unsent starts on a silent worker are released at once, and their removal is stored; the release report leaves them out.

--- a/src/tulippin/jobs/_attempts.py
+++ b/src/tulippin/jobs/_attempts.py
@@ -122,6 +122,18 @@
             stop_task(member, context, 'a member did not start')
 
 
+def drop_unsent_attempt(attempt: Attempt, context: Context, why: str) -> None:
+    """Remove a run that wasn't ordered, and make its task ready.
+
+    Its start may be stored already, and would count as a crash for the next
+    owner.
+    """
+    drop_lost_attempt(attempt, context, why)
+    job = context.state.jobs.get(attempt.key.job_id)
+    if job is not None:
+        _lifecycle.mark_dirty(job, context.state)
+
+
 def _describe_lease(attempt: Attempt, state: SchedulerState) -> dict[str, int]:
     """Return the incarnation and the rest of its lease, for the log."""
     worker = state.workers.get(attempt.worker_id)
--- a/src/tulippin/jobs/_crashes.py
+++ b/src/tulippin/jobs/_crashes.py
@@ -53,7 +53,7 @@
     Task,
     Worker,
 )
-from tulippin.jobs.types import FINAL_STATES, Incarnation
+from tulippin.jobs.types import FINAL_STATES, Incarnation, TaskKey
 
 # A job is abandoned when the crashes of one task weigh this much. A crash
 # weighs 1, and 1 more if nothing else had just begun on the worker. It weighs
@@ -234,14 +234,19 @@
     _remove_crashes(worker.incarnation, context)
 
 
-def withdraw(attempt: Attempt, worker: Worker, context: Context) -> None:
-    """Remove a crash under a run that the next incarnation reports."""
-    found = _attempts.find_task(attempt.key, context)
-    if found is None:
+def withdraw(key: TaskKey, run: int, context: Context) -> None:
+    """Remove the crash under a run that turned out not to have been there.
+
+    The next incarnation reports it, or its start was refused or not sent.
+    """
+    job = context.state.jobs.get(key.job_id)
+    task = job.tasks.get(key) if job is not None else None
+    if job is None or task is None:
         return
-    job, task = found
-    if task.crashes.pop(worker.incarnation, None) is not None:
-        _lifecycle.mark_dirty(job, context.state)
+    for crash in task.list_crashes():
+        if crash.run == run:
+            del task.crashes[crash.incarnation]
+            _lifecycle.mark_dirty(job, context.state)
 
 
 def _remove_crashes(incarnation: Incarnation, context: Context) -> None:
--- a/src/tulippin/jobs/_incarnations.py
+++ b/src/tulippin/jobs/_incarnations.py
@@ -94,13 +94,9 @@
         last_read_end_number=worker.last_read_end_number,
         runs=len(worker.attempts),
     )
-    present = {(row.key, row.run) for row in report.running}
-    present.update((ended.key, ended.run) for ended in report.ended)
     attempts = dict(worker.attempts)
     following.probation_runs = dict(worker.probation_runs)
-    for run_id in present & attempts.keys():
-        worker.probation_runs.pop(run_id, None)
-        _crashes.withdraw(worker.attempts.pop(run_id), worker, context)
+    _take_present_runs(worker, report, context)
     _crashes.note_worker_crash(worker, context)
     _lost_starts.note_loss(worker, context.state)
     for attempt in attempts.values():
@@ -112,6 +108,18 @@
     return following
 
 
+def _take_present_runs(
+    worker: Worker, report: WorkerReport, context: Context
+) -> None:
+    """Take the runs that the next incarnation reports off the ended one."""
+    present = {(row.key, row.run) for row in report.running}
+    present.update((ended.key, ended.run) for ended in report.ended)
+    for run_id in present & worker.attempts.keys():
+        worker.attempts.pop(run_id)
+        worker.probation_runs.pop(run_id, None)
+        _crashes.withdraw(*run_id, context)
+
+
 def _forget_orders(attempt: Attempt, context: Context) -> None:
     """Forget which orders of a run its worker has confirmed.
 
@@ -121,7 +129,7 @@
     """
     attempt.pace_percent = None
     if not attempt.is_ordered:
-        _attempts.drop_lost_attempt(attempt, context, 'its worker restarted')
+        _attempts.drop_unsent_attempt(attempt, context, 'its worker restarted')
     elif attempt.state is not AttemptState.RUNNING:
         attempt.start_deadline_ms = 0
         attempt.is_stop_confirmed = False
--- a/src/tulippin/jobs/_starting.py
+++ b/src/tulippin/jobs/_starting.py
@@ -96,7 +96,7 @@
     for attempt in list(state.unsent_starts):
         worker = state.workers.get(attempt.worker_id)
         if worker is not None and _evacuation.is_closed(worker, state):
-            _attempts.drop_lost_attempt(
+            _attempts.drop_unsent_attempt(
                 attempt, context, 'its failure domain is evacuated'
             )
 
--- a/src/tulippin/jobs/_unconfirmed_runs.py
+++ b/src/tulippin/jobs/_unconfirmed_runs.py
@@ -436,7 +436,12 @@
         return WorkerAccount(lasting_ms, None, is_silent)
     # An end that isn't durable yet is known only to the worker. Without its
     # task in the report, a task that is done would be started again.
-    keys = {attempt.key for attempt in worker.attempts.values()}
+    keys = {
+        attempt.key
+        for attempt in worker.attempts.values()
+        # No order follows, and the next owner would count a crash.
+        if attempt.is_ordered
+    }
     keys.update(worker.uncommitted_ends.values())
     keys.update(worker.deferred_ends)
     keys.update(key for key, _ in worker.orphaned_runs)
--- a/src/tulippin/jobs/_workers.py
+++ b/src/tulippin/jobs/_workers.py
@@ -323,6 +323,16 @@
             lease_ms=worker.lease_expiry_ms - state.now_ms,
         )
         _crashes.note_silence(worker, context)
+        _drop_unsent_runs(worker, context)
+
+
+def _drop_unsent_runs(worker: Worker, context: Context) -> None:
+    """Release the runs that a silent worker wasn't ordered to start."""
+    for attempt in list(worker.attempts.values()):
+        if not attempt.is_ordered:
+            _attempts.drop_unsent_attempt(
+                attempt, context, 'its worker is silent'
+            )
 
 
 def _end_incarnation(worker: Worker, context: Context) -> None:
@@ -367,6 +377,9 @@
     if outcome is OrderOutcome.FENCED:
         _ownership.step_down(context, f'{event.worker_id} has a newer owner')
         return
+    if outcome.is_without_effect:
+        # Its worker may have been taken for crashed meanwhile.
+        _crashes.withdraw(event.key, event.run, context)
     attempt = worker.attempts.get((event.key, event.run))
     if not context.may_send_orders:
         context.log(
@@ -380,11 +393,7 @@
     if attempt is None or attempt.state is not AttemptState.STARTING:
         return
     if outcome is OrderOutcome.STARTED:
-        attempt.state = AttemptState.RUNNING
-        attempt.seen_ms = state.now_ms
-        attempt.last_progress_ms = state.now_ms
-        _attempts.note_running(attempt, context)
-        _pacing.send_if_changed(attempt, worker, context)
+        _note_started(attempt, worker, context)
         return
     state.count(f'starts_{outcome.value}')
     if outcome is OrderOutcome.UNKNOWN:
@@ -408,6 +417,14 @@
         _end_incarnation(worker, context)
 
 
+def _note_started(attempt: Attempt, worker: Worker, context: Context) -> None:
+    attempt.state = AttemptState.RUNNING
+    attempt.seen_ms = context.state.now_ms
+    attempt.last_progress_ms = context.state.now_ms
+    _attempts.note_running(attempt, context)
+    _pacing.send_if_changed(attempt, worker, context)
+
+
 def _note_unanswered(
     attempt: Attempt, worker: Worker, context: Context
 ) -> None:
--- a/src/tulippin/jobs/types.py
+++ b/src/tulippin/jobs/types.py
@@ -406,6 +406,11 @@
     RESTARTED = 'restarted'
     UNKNOWN = 'unknown'
 
+    @property
+    def is_without_effect(self) -> bool:
+        """Whether the order is known to have no effect."""
+        return self not in {OrderOutcome.STARTED, OrderOutcome.UNKNOWN}
+
 
 @attrs.frozen
 class OrderAnswer:
--- a/tests/tulippin/jobs/test_restarted_workers.py
+++ b/tests/tulippin/jobs/test_restarted_workers.py
@@ -422,6 +422,110 @@
     assert crash.born_ms == BORN_MS
 
 
+def silence(state):
+    core.reduce(state, ev.WorkerSilent(state.now_ms, 'w0', 'timed out'))
+
+
+# Without FENCED, after which the owner steps down.
+REFUSALS = [
+    OrderOutcome.SUPERSEDED,
+    OrderOutcome.TOO_LATE,
+    OrderOutcome.NO_ROOM,
+    OrderOutcome.NO_TICKET,
+    OrderOutcome.UNHEALTHY,
+    OrderOutcome.OTHER_INCARNATION,
+    OrderOutcome.REJECTED,
+    OrderOutcome.NOT_SENT,
+    OrderOutcome.RESTARTED,
+]
+
+
+@pytest.mark.parametrize('outcome', REFUSALS)
+def test_start_that_was_refused_is_no_crash(outcome):
+    """Guards against a sound job that is given up for runs that never were."""
+    state = make_owner()
+    add_run(state, AttemptState.STARTING)
+    silence(state)
+    task = state.jobs[JOB].tasks[KEY]
+    assert len(task.crashes) == 1
+    answer_start(state, outcome)
+    assert not task.crashes
+
+
+def test_start_that_was_refused_after_a_report_of_the_restart_is_no_crash():
+    state = make_owner()
+    add_run(state, AttemptState.STARTING)
+    reduce_report(state, LATER_BORN_MS)
+    task = state.jobs[JOB].tasks[KEY]
+    (crash,) = task.list_crashes()
+    assert crash.is_sure
+    answer_start(state, OrderOutcome.RESTARTED)
+    assert not task.crashes
+
+
+def test_start_that_was_refused_after_it_was_stopped_is_no_crash():
+    state = make_owner()
+    attempt = add_run(state, AttemptState.STARTING)
+    silence(state)
+    attempt.state = AttemptState.STOPPING
+    answer_start(state, OrderOutcome.NOT_SENT)
+    assert not state.jobs[JOB].tasks[KEY].crashes
+
+
+def test_refused_start_leaves_the_crashes_of_other_runs():
+    state = make_owner()
+    add_run(state, AttemptState.STARTING)
+    task = state.jobs[JOB].tasks[KEY]
+    crash = CrashRecord('w1', 'b:80', '', 7, 0, NOW_MS, born_ms=BORN_MS)
+    task.crashes[crash.incarnation] = crash
+    silence(state)
+    answer_start(state, OrderOutcome.RESTARTED)
+    assert task.list_crashes() == (crash,)
+
+
+@pytest.mark.parametrize('is_restart_seen', [False, True])
+def test_unanswered_start_on_a_lost_worker_stays_a_crash(is_restart_seen):
+    state = make_owner()
+    add_run(state, AttemptState.STARTING)
+    silence(state)
+    if is_restart_seen:
+        reduce_report(state, LATER_BORN_MS)
+    answer_start(state, OrderOutcome.UNKNOWN)
+    assert len(state.jobs[JOB].tasks[KEY].crashes) == 1
+
+
+def test_unsent_start_on_a_silent_worker_is_withdrawn():
+    """Guards against a crash that the next owner counts without a run."""
+    state = make_owner()
+    attempt = add_run(state, AttemptState.STARTING)
+    attempt.is_ordered = False
+    job = state.jobs[JOB]
+    silence(state)
+    task = job.tasks[KEY]
+    assert not task.attempts
+    assert not task.crashes
+    # The stored start has to go too.
+    assert JOB in state.dirty_jobs
+
+
+@pytest.mark.parametrize('is_ordered', [True, False])
+def test_release_report_names_just_the_starts_that_were_ordered(is_ordered):
+    """Guards against a crash that the next owner counts without a run."""
+    state = make_owner()
+    attempt = add_run(state, AttemptState.STARTING)
+    attempt.is_ordered = is_ordered
+    account = _unconfirmed_runs.make_account(Context(state))
+    expected = (KEY.format(),) if is_ordered else ()
+    assert account.workers['w0'].tasks == expected
+
+
+def test_ordered_start_on_a_silent_worker_is_kept():
+    state = make_owner()
+    attempt = add_run(state, AttemptState.STARTING)
+    silence(state)
+    assert state.jobs[JOB].tasks[KEY].attempts == {1: attempt}
+
+
 def test_restarted_worker_needs_new_tickets():
     """Guards against starts that it refuses until old tickets expire."""
     state = make_owner()
