--- a/src/tulippin/jobs/_workers.py
+++ b/src/tulippin/jobs/_workers.py
@@ -406,13 +406,13 @@
     attempt: Attempt, worker: Worker, outcome: OrderOutcome, context: Context
 ) -> None:
     """End a run whose start was refused, or was not sent."""
+    _attempts.drop_lost_attempt(
+        attempt, context, f'start refused: {outcome.value}'
+    )
     if outcome is OrderOutcome.RESTARTED:
         _note_restart(attempt, worker, context)
     else:
         _pause_starts(worker, outcome, context.state)
-    _attempts.drop_lost_attempt(
-        attempt, context, f'start refused: {outcome.value}'
-    )
     if outcome is OrderOutcome.OTHER_INCARNATION:
         _end_incarnation(worker, context)
 
--- a/tests/tulippin/jobs/test_restarted_workers.py
+++ b/tests/tulippin/jobs/test_restarted_workers.py
@@ -623,6 +623,7 @@
     worker.hold_after_ms = worker.report_after_ms = NOW_MS + 5000
     effects = answer_start(state, OrderOutcome.RESTARTED)
     assert not worker.attempts
+    assert not state.jobs[JOB].tasks[KEY].crashes
     assert not accepts_runs(worker, state)
     effects += core.reduce(state, ev.Ticked(NOW_MS + 50, BORN_MS))
     (hold,) = list_orders(effects, fx.HoldWorker)
