--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,8 @@
 	$(BIN)/python bench/soak_jobs.py --seed $(SEED) --runs $(RUNS) --evacuate
 	$(BIN)/python bench/soak_jobs.py --seed $(SEED) --runs $(RUNS) --all-parts
 	$(BIN)/python bench/soak_jobs.py --seed $(SEED) --runs $(RUNS) --lose-in-series
+	$(BIN)/python bench/soak_restarts.py --seed $(SEED) --runs $(RUNS)
+	$(BIN)/python bench/soak_restarts.py --seed $(SEED) --runs $(RUNS) --owners stop --owners kill
 	$(BIN)/python bench/soak_processes.py --seed $(SEED) --runs $(RUNS)
 	$(BIN)/python bench/soak_processes.py --seed $(SEED) --runs $(RUNS) --lose-in-series
 
