Calls to workers: names in one place, and no question encoded in vain

No change of behaviour. Each start and hold call encoded the question for a new connection, which few of them ask: it is encoded when it is asked. Paths and the header of calls to workers stood in up to three modules and are in the wire module now; the drift of clocks was written twice; the pool and the stand-in's connections decide by one function which open connection a request may take. The errors of a closed connection are one tuple, where three places listed them.

--- a/src/tulippin/_http_connection.py
+++ b/src/tulippin/_http_connection.py
@@ -28,17 +28,8 @@
     b'HTTP/1.1 503 Service Unavailable\r\n'
     b'retry-after: 1\r\ncontent-length: 0\r\nconnection: close\r\n\r\n'
 )
-_STREAM_ERRORS: t.Final = (
-    trio.BrokenResourceError,
-    trio.BusyResourceError,
-    trio.ClosedResourceError,
-)
-_CONNECTION_ERRORS: t.Final = (
-    OSError,
-    trio.BrokenResourceError,
-    trio.ClosedResourceError,
-    trio.TooSlowError,
-)
+_CLOSED_ERRORS: t.Final = (trio.BrokenResourceError, trio.ClosedResourceError)
+_CONNECTION_ERRORS: t.Final = (OSError, trio.TooSlowError, *_CLOSED_ERRORS)
 
 
 class Connection(TCPServer):
@@ -135,7 +126,7 @@
         while received != b'' and not self._is_discarding:
             try:
                 received = await self.stream.receive_some(_RECEIVE_BYTES)
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
+            except _CLOSED_ERRORS:
                 return
             if not self._is_discarding:
                 self._table.note_progress(self._client)
@@ -151,7 +142,9 @@
         self._reading.deadline = trio.current_time() + _DISCARD_TIMEOUT_S
         self._table.let_give_way_first(self._client)
         if isinstance(self.stream, trio.SocketStream):
-            with contextlib.suppress(OSError, *_STREAM_ERRORS):
+            with contextlib.suppress(
+                OSError, trio.BusyResourceError, *_CLOSED_ERRORS
+            ):
                 await self.stream.send_eof()
 
     async def _discard(self) -> None:
@@ -160,7 +153,7 @@
         while received != b'' and left_bytes > 0:
             try:
                 received = await self.stream.receive_some(_RECEIVE_BYTES)
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
+            except _CLOSED_ERRORS:
                 return
             left_bytes -= len(received)
 
@@ -183,7 +176,7 @@
         for start in range(0, len(content), _SEND_BYTES):
             try:
                 await self.stream.send_all(content[start : start + _SEND_BYTES])
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
+            except _CLOSED_ERRORS:
                 await self.protocol.handle(Closed())
                 return
             self._table.note_progress(self._client)
--- a/src/tulippin/_http_connections.py
+++ b/src/tulippin/_http_connections.py
@@ -39,6 +39,14 @@
         """Whether the request may go to a process that was confirmed."""
 
 
+def may_take(check: PeerCheck | None, peer: t.Any) -> bool:
+    """Whether an open connection to a peer may be taken for a request.
+
+    One whose peer is not known, None, may be: it is asked first.
+    """
+    return check is None or peer is None or check.accepts(peer)
+
+
 @attrs.define
 class _Connection:
     """A connection; ``peer`` is the process that it leads to, if known."""
@@ -137,12 +145,8 @@
         idle = self._idle.get(str(origin), ())
         while idle:
             connection = idle.pop()
-            is_accepted = (
-                check is None
-                or connection.peer is None
-                or check.accepts(connection.peer)
-            )
-            if is_accepted and not connection.http.has_expired():
+            is_usable = may_take(check, connection.peer)
+            if is_usable and not connection.http.has_expired():
                 return connection
             await _close(connection.http)
         return _Connection(
--- a/src/tulippin/jobs/state.py
+++ b/src/tulippin/jobs/state.py
@@ -33,6 +33,7 @@
 from tulippin.jobs.run_ratios import RunRatios
 from tulippin.jobs.store_clock import StoreClock
 from tulippin.jobs.types import (
+    CLOCK_DRIFT_RATIO,
     Configuration,
     Incarnation,
     JobRequest,
@@ -95,7 +96,7 @@
     worker_lease_ms: int = 4500
     worker_lease_limit_ms: int = 6000
     start_valid_ms: int = 1800
-    clock_drift_ratio: float = 1.02
+    clock_drift_ratio: float = CLOCK_DRIFT_RATIO
     finished_retention_ms: int = 180_000
     processor_share: float = 1.0
     is_without_advice: bool = False
--- a/src/tulippin/jobs/types.py
+++ b/src/tulippin/jobs/types.py
@@ -21,8 +21,6 @@
     CANCELLED = 'cancelled'
 
 
-# Above what a worker's clock may lag behind between two reports.
-_CLOCK_TOLERANCE_MS: t.Final = 200
 FINAL_STATES: t.Final = frozenset(
     (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
 )
@@ -272,6 +270,12 @@
     born_ms: int
 
 
+# A worker's clock may run slower than others by this ratio.
+CLOCK_DRIFT_RATIO: t.Final = 1.02
+# Slack of a comparison of clocks, beside their drift.
+_CLOCK_TOLERANCE_MS: t.Final = 200
+
+
 @attrs.frozen
 class ExpectedIncarnation:
     """What an owner knows of the incarnation that a call is meant for.
@@ -289,11 +293,11 @@
 
     @property
     def is_known(self) -> bool:
-        """Whether other incarnations can be told from it."""
+        """Whether it can be distinguished from other incarnations."""
         return bool(self.born_ms) or self.clock_ms is not None
 
     def has_reported(self, born_ms: int, clock_ms: int) -> bool:
-        """Whether a report is from this incarnation, as far as can be told.
+        """Whether a report is from this incarnation, by start time or clock.
 
         Parameters
         ----------
--- a/src/tulippin/platform/standin_agent.py
+++ b/src/tulippin/platform/standin_agent.py
@@ -24,6 +24,10 @@
 )
 from tulippin.platform.standin_worker import StandinWorker
 from tulippin.platform.wire import (
+    HOLD_PATH,
+    PACE_PATH,
+    START_PATH,
+    STOP_PATH,
     HoldBody,
     PaceBody,
     StartBody,
@@ -31,10 +35,6 @@
     WorkerAnswerBody,
 )
 
-START_PATH: t.Final = '/v1/run-start'
-STOP_PATH: t.Final = '/v1/run-stop'
-PACE_PATH: t.Final = '/v1/pace'
-HOLD_PATH: t.Final = '/v1/hold'
 _OK: t.Final = 200
 _CONFLICT: t.Final = 409
 _OTHER_INCARNATION: t.Final = HttpAnswer(421, {}, b'')
--- a/src/tulippin/platform/standin_connections.py
+++ b/src/tulippin/platform/standin_connections.py
@@ -13,18 +13,18 @@
 import trio
 
 from tulippin._http_client import HttpAnswer
-from tulippin._http_connections import PeerCheck
+from tulippin._http_connections import PeerCheck, may_take
 from tulippin.exceptions import AnswerLostError, UnavailableError
 from tulippin.platform import standin_agent
 from tulippin.platform.standin_store import CALL_TIMEOUT_S
 from tulippin.platform.standin_worker import StandinWorker
+from tulippin.platform.wire import START_PATH, WORKER_HEADER
 
 _LATENCY_S: t.Final = 0.001
 # An opening packet that nobody accepted is sent again after this time.
 _OPENING_RETRY_S: t.Final = 0.2
 _KEEPALIVE_S: t.Final = 12.0
 _SCHEME: t.Final = 'http://'
-_WORKER_HEADER: t.Final = 'Expected-Instance'
 
 
 @attrs.define
@@ -81,7 +81,7 @@
     ) -> HttpAnswer:
         """Send a call; see ``HttpClient.send``."""
         address, slash, path = url.removeprefix(_SCHEME).partition('/')
-        worker_id = (headers or {})[_WORKER_HEADER]
+        worker_id = (headers or {})[WORKER_HEADER]
         connection = self._take_idle(address, check)
         if connection is None:
             connection = _Connection(await self._open(address))
@@ -115,12 +115,8 @@
             connection = self._idle.pop()
             if connection.worker.address != address:
                 continue
-            is_accepted = (
-                check is None
-                or connection.peer is None
-                or check.accepts(connection.peer)
-            )
-            if is_accepted and not connection.is_closed:
+            is_usable = may_take(check, connection.peer)
+            if is_usable and not connection.is_closed:
                 return connection
         return None
 
@@ -154,7 +150,7 @@
     async def _call(
         self, worker: StandinWorker, path: str, worker_id: str, body: bytes
     ) -> HttpAnswer:
-        if path == standin_agent.START_PATH and worker.start_order_delay_s:
+        if path == START_PATH and worker.start_order_delay_s:
             order = standin_agent.decode_start(worker, worker_id, body)
             trio.lowlevel.spawn_system_task(_start_late, worker, order)
             await self._time_out(worker.address)
--- a/src/tulippin/platform/standin_http.py
+++ b/src/tulippin/platform/standin_http.py
@@ -27,7 +27,12 @@
 )
 from tulippin.platform import standin_agent
 from tulippin.platform.standin import StandinPlatform, StandinWorker
-from tulippin.platform.wire import RowBody, RowsBody, TransactionBody
+from tulippin.platform.wire import (
+    WORKER_HEADER,
+    RowBody,
+    RowsBody,
+    TransactionBody,
+)
 
 _ANY_ADDRESS: t.Final = '127.0.0.1:0'
 _LISTEN_RETRY_S: t.Final = 0.01
@@ -152,7 +157,7 @@
         answer = await standin_agent.answer_call(
             worker,
             request.url.path,
-            request.headers['Expected-Instance'],
+            request.headers[WORKER_HEADER],
             body,
         )
         if _is_cut_off(worker):
--- a/src/tulippin/platform/wire.py
+++ b/src/tulippin/platform/wire.py
@@ -12,6 +12,13 @@
 _Count: t.TypeAlias = t.Annotated[int, msgspec.Meta(ge=-(2**62), lt=2**62)]
 EndedRow: t.TypeAlias = tuple[_Count, str, _Count, str, str]
 
+# Paths of the calls to workers, and the header with the expected worker's id.
+START_PATH: t.Final = '/v1/run-start'
+STOP_PATH: t.Final = '/v1/run-stop'
+PACE_PATH: t.Final = '/v1/pace'
+HOLD_PATH: t.Final = '/v1/hold'
+WORKER_HEADER: t.Final = 'Expected-Instance'
+
 # A worker lists this many ends at once, those with the lowest numbers.
 MAX_LISTED_ENDS: t.Final = 500
 
--- a/src/tulippin/platform/worker_connections.py
+++ b/src/tulippin/platform/worker_connections.py
@@ -22,9 +22,11 @@
     WorkerChangedError,
     WorkerRestartedError,
 )
-from tulippin.jobs.types import ExpectedIncarnation
+from tulippin.jobs.types import CLOCK_DRIFT_RATIO, ExpectedIncarnation
 from tulippin.platform.wire import (
     ADDRESS_PATTERN,
+    HOLD_PATH,
+    WORKER_HEADER,
     HoldBody,
     WorkerAnswerBody,
 )
@@ -33,11 +35,7 @@
 CONFLICT: t.Final = 409
 OTHER_INCARNATION_STATUS: t.Final = 421
 FENCED_REASON: t.Final = 'fence'
-_HOLD_PATH: t.Final = '/v1/hold'
-_INCARNATION_HEADER: t.Final = 'Expected-Instance'
 _MS_PER_S: t.Final = 1000
-# Above the drift of a worker's clock.
-_MAX_CLOCK_RATIO: t.Final = 1.02
 _ADDRESS_REGEX: t.Final = re.compile(ADDRESS_PATTERN)
 
 _answer_decoder = msgspec.json.Decoder(WorkerAnswerBody)
@@ -92,9 +90,9 @@
     received_s: float = attrs.field(factory=trio.current_time)
 
     def is_of(self, incarnation: ExpectedIncarnation) -> bool:
-        """Whether the process is an incarnation, as far as can be told."""
+        """Whether the process is an incarnation, by start time or clock."""
         passed_ms = (trio.current_time() - self.received_s) * _MS_PER_S
-        clock_ms = self.clock_ms + int(passed_ms * _MAX_CLOCK_RATIO)
+        clock_ms = self.clock_ms + int(passed_ms * CLOCK_DRIFT_RATIO)
         return incarnation.has_reported(self.born_ms, clock_ms)
 
 
@@ -108,11 +106,16 @@
 
     worker_id: str
     incarnation: ExpectedIncarnation
-    question: bytes
+    fencing_token: int
     may_ask: bool = True
-    path: str = _HOLD_PATH
+    path: str = HOLD_PATH
     answer: HttpAnswer | None = None
 
+    @property
+    def question(self) -> bytes:
+        """The encoded hold call that asks for a report."""
+        return msgspec.json.encode(HoldBody(self.fencing_token))
+
     def confirm(self, status: int, body: bytes) -> _Sighting:
         """Return who has reported.
 
@@ -183,7 +186,9 @@
         """
         if not incarnation.is_known:
             return await self._post(self._orders, address, path, body)
-        check = self._make_check(incarnation, body.fencing_token)
+        check = _IncarnationCheck(
+            self._worker_id, incarnation, body.fencing_token
+        )
         return await self._post(self._orders, address, path, body, check=check)
 
     async def send_hold(
@@ -200,7 +205,7 @@
             body = msgspec.structs.replace(question, wait_ms=body.wait_ms)
         if not body.last_seen and body.deadline_ms is None:
             return await self._post(
-                self._holds, address, _HOLD_PATH, body, body.wait_ms
+                self._holds, address, HOLD_PATH, body, body.wait_ms
             )
         if incarnation.born_ms or not body.last_seen:
             return await self._hold_checked(address, body, incarnation)
@@ -221,12 +226,14 @@
         **options: bool,
     ) -> HttpAnswer:
         """Send a hold call, or return the report that rules it out."""
-        check = self._make_check(incarnation, body.fencing_token, **options)
+        check = _IncarnationCheck(
+            self._worker_id, incarnation, body.fencing_token, **options
+        )
         try:
             return await self._post(
                 self._holds,
                 address,
-                _HOLD_PATH,
+                HOLD_PATH,
                 body,
                 body.wait_ms,
                 check=check,
@@ -238,17 +245,6 @@
                 raise
             return check.answer
 
-    def _make_check(
-        self,
-        incarnation: ExpectedIncarnation,
-        fencing_token: int,
-        **options: bool,
-    ) -> _IncarnationCheck:
-        question = msgspec.json.encode(HoldBody(fencing_token))
-        return _IncarnationCheck(
-            self._worker_id, incarnation, question, **options
-        )
-
     async def _post(
         self,
         client: HttpClient,
@@ -264,7 +260,7 @@
             'POST',
             f'http://{address}{path}',
             msgspec.json.encode(body),
-            {_INCARNATION_HEADER: self._worker_id},
+            {WORKER_HEADER: self._worker_id},
             extra_wait_ms=wait_ms,
             **options,
         )
--- a/src/tulippin/platform/workers.py
+++ b/src/tulippin/platform/workers.py
@@ -29,6 +29,9 @@
 from tulippin.logs import logger
 from tulippin.platform.wire import (
     MAX_LISTED_ENDS,
+    PACE_PATH,
+    START_PATH,
+    STOP_PATH,
     EndedRow,
     HoldBody,
     PaceBody,
@@ -112,7 +115,7 @@
         return await self._send_order(
             order.worker_id,
             order.address,
-            '/v1/run-start',
+            START_PATH,
             body,
             order.incarnation,
         )
@@ -127,7 +130,7 @@
     ) -> OrderAnswer:
         """Stop a run; the worker rejects a later start of the same run."""
         body = StopBody(key.format(), run, fencing_token)
-        return await self._send_order(worker_id, address, '/v1/run-stop', body)
+        return await self._send_order(worker_id, address, STOP_PATH, body)
 
     async def pace(
         self,
@@ -140,7 +143,7 @@
     ) -> OrderAnswer:
         """Limit a run to a share of its speed."""
         body = PaceBody(key.format(), run, percent, fencing_token)
-        return await self._send_order(worker_id, address, '/v1/pace', body)
+        return await self._send_order(worker_id, address, PACE_PATH, body)
 
     async def hold(
         self,
