Owner: one description of a lease, and one branch for each refusal

No change of behaviour: the log fields of start run, run over and worker silent come from one function; a refused start has one branch for each outcome, where another incarnation was looked at twice; the withdrawal of a crash has one check. The summary of identify stands before its parameters.

--- a/src/tulippin/jobs/_attempts.py
+++ b/src/tulippin/jobs/_attempts.py
@@ -15,6 +15,7 @@
     _report_schedule,
     _run_times,
     _worker_failures,
+    _worker_leases,
 )
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs._record_validation import has_task
@@ -106,7 +107,9 @@
         worker=attempt.worker_id,
         why=why,
         age_ms=context.state.now_ms - attempt.sent_ms,
-        **_describe_lease(attempt, context.state),
+        **_worker_leases.describe(
+            context.state.workers.get(attempt.worker_id), context.state
+        ),
     )
     found = find_task(attempt.key, context)
     if found is None:
@@ -134,17 +137,6 @@
         _lifecycle.mark_dirty(job, context.state)
 
 
-def _describe_lease(attempt: Attempt, state: SchedulerState) -> dict[str, int]:
-    """Return the incarnation and the rest of its lease, for the log."""
-    worker = state.workers.get(attempt.worker_id)
-    if worker is None:
-        return {}
-    return {
-        'born_ms': worker.born_ms,
-        'lease_ms': worker.lease_expiry_ms - state.now_ms,
-    }
-
-
 def avoid(attempt: Attempt, context: Context) -> None:
     """Prefer other workers for the next run of the task."""
     found = find_task(attempt.key, context)
--- a/src/tulippin/jobs/_crashes.py
+++ b/src/tulippin/jobs/_crashes.py
@@ -240,9 +240,9 @@
     The next incarnation reports it, or its start was refused or not sent.
     """
     job = context.state.jobs.get(key.job_id)
-    task = job.tasks.get(key) if job is not None else None
-    if job is None or task is None:
+    if job is None or key not in job.tasks:
         return
+    task = job.tasks[key]
     for crash in task.list_crashes():
         if crash.run == run:
             del task.crashes[crash.incarnation]
--- a/src/tulippin/jobs/_incarnations.py
+++ b/src/tulippin/jobs/_incarnations.py
@@ -30,6 +30,10 @@
 ) -> Worker:
     """Return the state of the incarnation that sent a report.
 
+    Hold calls to a worker follow each other, so a start time that differs from
+    the last one is that of a later incarnation, also if it is earlier: the time
+    of day of a worker may be set back.
+
     Parameters
     ----------
     worker : Worker
@@ -40,10 +44,6 @@
         When the report was asked for.
     context : Context
         Collects effects and log lines.
-
-    Hold calls to a worker follow each other, so a start time that differs from
-    the last one is that of a later incarnation, also if it is earlier: the time
-    of day of a worker may be set back.
     """
     expected = get_expected(worker, sent_ms, context.state)
     if expected.has_reported(report.born_ms, report.clock_ms):
--- a/src/tulippin/jobs/_starting.py
+++ b/src/tulippin/jobs/_starting.py
@@ -123,10 +123,9 @@
         waited_ms=state.now_ms - job.arrived_ms,
         reserved_millicores=worker.reserved.cpu_millicores,
         list_age_ms=state.now_ms - worker.answered_ms,
-        born_ms=worker.born_ms,
-        lease_ms=worker.lease_expiry_ms - state.now_ms,
         pace_percent=attempt.target_pace_percent,
         crashes=len(task.crashes),
+        **_worker_leases.describe(worker, state),
         **_ranking.describe(job, task, state, attempt),
         **_unconfirmed_runs.describe_clearance(job, task, state),
     )
--- a/src/tulippin/jobs/_worker_leases.py
+++ b/src/tulippin/jobs/_worker_leases.py
@@ -68,6 +68,16 @@
     return int(lasting_ms * state.config.clock_drift_ratio) + _LAPSE_SLACK_MS
 
 
+def describe(worker: Worker | None, state: SchedulerState) -> dict[str, int]:
+    """Return a worker's incarnation and the rest of its lease, for the log."""
+    if worker is None:
+        return {}
+    return {
+        'born_ms': worker.born_ms,
+        'lease_ms': worker.lease_expiry_ms - state.now_ms,
+    }
+
+
 def get_max_inherited_ms(state: SchedulerState) -> int:
     """Return how long orders of another owner may last, at most."""
     config = state.config
--- a/src/tulippin/jobs/_workers.py
+++ b/src/tulippin/jobs/_workers.py
@@ -319,8 +319,7 @@
             'worker silent',
             worker=worker.worker_id,
             reason=reason,
-            born_ms=worker.born_ms,
-            lease_ms=worker.lease_expiry_ms - state.now_ms,
+            **_worker_leases.describe(worker, state),
         )
         _crashes.note_silence(worker, context)
         _drop_unsent_runs(worker, context)
@@ -411,10 +410,10 @@
     )
     if outcome is OrderOutcome.RESTARTED:
         _note_restart(attempt, worker, context)
+    elif outcome is OrderOutcome.OTHER_INCARNATION:
+        _end_incarnation(worker, context)
     else:
         _pause_starts(worker, outcome, context.state)
-    if outcome is OrderOutcome.OTHER_INCARNATION:
-        _end_incarnation(worker, context)
 
 
 def _note_started(attempt: Attempt, worker: Worker, context: Context) -> None:
@@ -443,8 +442,6 @@
     worker: Worker, outcome: OrderOutcome, state: SchedulerState
 ) -> None:
     """Pause new starts on a worker that refused one or wasn't reached."""
-    if outcome is OrderOutcome.OTHER_INCARNATION:
-        return
     pause_ms = _REFUSED_START_PAUSE_MS
     if outcome is OrderOutcome.NO_ROOM:
         pause_ms = _NO_CAPACITY_PAUSE_MS
