Tests: seeded runs, refusals and settings in one place

A comment of the model of handovers had come to stand above another constant, and the soak of restarts claimed a fault that it doesn't have.

--- a/tests/client_crowds.py
+++ b/tests/client_crowds.py
@@ -16,7 +16,7 @@
 import trio
 
 from instance_processes import BESIDE, LIMIT_S, open_instance
-from process_soak import PRINT_PORTS, SETTINGS
+from process_soak import PRINT_PORTS, make_settings
 from scheduler_fleet import make_config_body
 from tulippin._http_client import HttpClient
 from tulippin.platform.standin_http import StandinServers
@@ -172,9 +172,7 @@
     async with StandinServers() as servers, HttpClient(15) as client:
         servers.platform.configure(make_config_body())
         path = tmp_path / 'instance.ini'
-        path.write_text(
-            SETTINGS.format(name='edge-1', store=servers.store_address)
-        )
+        path.write_text(make_settings('edge-1', servers.store_address))
         process = await open_instance(
             'scheduler_daemon', LIMIT_DESCRIPTORS + PRINT_PORTS + BESIDE, path
         )
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,15 +1,11 @@
 """Fixtures of all tests: virtual time and a check for contained errors."""
 
-import random
-
 import attrs
 import pytest
-import trio
-import trio._core._run as trio_run
-import trio.testing
 from hypothesis import settings
 
 import known_red
+import seeded_runs
 from tulippin import failures
 from tulippin.jobs._dispatch import Context
 from tulippin.jobs.effects import TellFailure
@@ -78,11 +74,4 @@
 @pytest.fixture
 def run_virtual():
     """Return a function that runs a coroutine function in virtual time."""
-
-    def run(function, *arguments, seed=1):
-        trio_run._ALLOW_DETERMINISTIC_SCHEDULING = True
-        trio_run._r = random.Random(seed)
-        clock = trio.testing.MockClock(autojump_threshold=0)
-        return trio.run(function, *arguments, clock=clock)
-
-    return run
+    return seeded_runs.run_virtual
--- a/tests/handover_model.py
+++ b/tests/handover_model.py
@@ -87,9 +87,9 @@
     JobRequest('', (Step(3, SMALL), Step(1, SMALL, after=(0,)))),
     JobRequest('', (Step(1, SMALL, opportunistic=True, image='batch'),)),
 )
-# Calls that may be carried out after their caller has given up.
 # Position of the wait among the arguments of a hold call.
 WAIT_ARGUMENT = 5
+# Calls that may be carried out after their caller has given up.
 LASTING_KINDS = frozenset(('transact', 'start', 'stop', 'hold'))
 
 
--- a/tests/process_soak.py
+++ b/tests/process_soak.py
@@ -41,7 +41,7 @@
 [store]
 address = {store}
 [workers]
-lease_limit_ms = 6000
+lease_limit_ms = {lease_limit_ms}
 [stop]
 grace_s = 3
 """
@@ -586,10 +586,10 @@
                 instance.process.kill()
 
 
-def make_settings(name, store, lease_limit_ms):
+def make_settings(name, store, lease_limit_ms=LEASE_LIMIT_MS):
     """Return the text of an instance's settings."""
-    return SETTINGS.format(name=name, store=store).replace(
-        'lease_limit_ms = 6000', f'lease_limit_ms = {lease_limit_ms}'
+    return SETTINGS.format(
+        name=name, store=store, lease_limit_ms=lease_limit_ms
     )
 
 
--- a/tests/restart_soak.py
+++ b/tests/restart_soak.py
@@ -2,8 +2,8 @@
 
 Short and long tasks arrive without a pause. Workers crash, are back under their
 ids after a moment, and are out of reach of all instances soon after, while
-their runs go on until the lease lapses. Owners stop, are killed, or lose their
-successor's sight of a worker meanwhile. No task may have two runs.
+their runs go on until the lease lapses. Owners may stop or be killed meanwhile.
+No task may have two runs, and no lease may last longer than its owner assumes.
 """
 
 import contextlib
--- a/tests/tulippin/platform/test_worker_connections.py
+++ b/tests/tulippin/platform/test_worker_connections.py
@@ -395,7 +395,7 @@
 
 @attrs.define
 class BareAgent:
-    """An agent on bare sockets that ends connections as it is told.
+    """An agent on bare sockets, whose connections end in a chosen way.
 
     Parameters
     ----------
--- a/tests/tulippin/test_http_connection.py
+++ b/tests/tulippin/test_http_connection.py
@@ -9,6 +9,7 @@
 from hypercorn.events import RawData
 from hypercorn.protocol.h11 import H11Protocol
 
+from refusing_app import refuse_at_once
 from tulippin._client_connections import ConnectionTable
 from tulippin._http_client import HttpClient
 from tulippin._http_server import HttpServer
@@ -236,15 +237,6 @@
                 await trio.sleep(0.05)
 
 
-async def refuse_at_once(scope, receive, send):
-    if scope['type'] != 'http':
-        raise NotImplementedError(scope['type'])
-    headers = [(b'content-length', b'0')]
-    start = {'type': 'http.response.start', 'status': 413, 'headers': headers}
-    await send(start)
-    await send({'type': 'http.response.body', 'body': b''})
-
-
 def make_head(body_bytes):
     return b'POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n' % (
         body_bytes
--- a/tests/tulippin/test_tls.py
+++ b/tests/tulippin/test_tls.py
@@ -3,6 +3,7 @@
 import pytest
 import trio
 
+from refusing_app import refuse_at_once
 from tests_certificates import make_certificate, to_pem
 from tulippin._http_server import HttpServer
 from tulippin.client import ApiClient, make_tls_context
@@ -73,21 +74,12 @@
         )
 
 
-async def refuse(scope, receive, send):
-    if scope['type'] != 'http':
-        raise NotImplementedError(scope['type'])
-    headers = [(b'content-length', b'0')]
-    start = {'type': 'http.response.start', 'status': 413, 'headers': headers}
-    await send(start)
-    await send({'type': 'http.response.body', 'body': b''})
-
-
 async def test_refusal_reaches_a_tls_client_that_sends_its_body_first(
     directory,
 ):
     """Guards against refusals that are lost as the connection is reset."""
     server = HttpServer(
-        refuse,
+        refuse_at_once,
         '127.0.0.1:0',
         f'{directory}/server.pem',
         f'{directory}/server.key',
