--- a/tests/tulippin/test_client_limits.py
+++ b/tests/tulippin/test_client_limits.py
@@ -2,7 +2,7 @@
 
 import resource
 
-from process_soak import SETTINGS
+from process_soak import make_settings
 from tulippin.client_limits import ClientLimits
 from tulippin.scheduler_settings import parse_scheduler_settings
 
@@ -15,7 +15,7 @@
 
 
 def test_limits_are_read_from_the_settings():
-    text = SETTINGS.format(name='edge-1', store='127.0.0.1:1')
+    text = make_settings('edge-1', '127.0.0.1:1')
     section = '[clients]\nconnections = 7\nbuffer_mb = 3\nstall_s = 2\n'
     settings = parse_scheduler_settings(text + section)
     assert settings.client_limits == ClientLimits(7, 3 * 2**20, 2)
--- a/tests/tulippin/test_process_soak.py
+++ b/tests/tulippin/test_process_soak.py
@@ -170,9 +170,7 @@
 async def test_reload_of_a_starting_instance_does_not_end_it(tmp_path):
     async with StandinServers(1) as servers:
         path = tmp_path / 'instance.ini'
-        path.write_text(
-            process_soak.SETTINGS.format(name='i', store=servers.store_address)
-        )
+        path.write_text(process_soak.make_settings('i', servers.store_address))
         process = await trio.lowlevel.open_process(
             [sys.executable, str(START_SCRIPT), str(path)],
             stdout=subprocess.DEVNULL,
