Stand-in: calls to workers may be forwarded over restarts

Something between a worker and its owner may keep connections while the worker starts again, so that its next incarnation gets calls of the earlier one. The soak of restarts can play it (--forwarded).

--- a/bench/soak_restarts.py
+++ b/bench/soak_restarts.py
@@ -5,6 +5,7 @@
 """
 
 import argparse
+import functools
 import pathlib
 import sys
 
@@ -24,8 +25,16 @@
         default=[],
         help='how owners end meanwhile; may be given twice',
     )
+    parser.add_argument(
+        '--forwarded',
+        action='store_true',
+        help='connections to workers outlast their restarts',
+    )
     options = parser.parse_args()
-    return play_seeds(options, restart_soak.play, tuple(options.owners))
+    play = functools.partial(
+        restart_soak.play, are_calls_forwarded=options.forwarded
+    )
+    return play_seeds(options, play, tuple(options.owners))
 
 
 if __name__ == '__main__':
--- a/src/tulippin/platform/standin.py
+++ b/src/tulippin/platform/standin.py
@@ -76,7 +76,8 @@
 
     A crashed worker restarts after ``restart_delay_ms``, unless that is None,
     as another incarnation at the same address: under its old id if
-    ``are_ids_kept``, otherwise under a new one.
+    ``are_ids_kept``, otherwise under a new one. With ``are_calls_forwarded``,
+    connections to workers outlast the incarnations that accepted them.
     """
 
     store: StandinStore = attrs.field(factory=StandinStore)
@@ -86,6 +87,7 @@
     evacuations: list[Evacuation] = attrs.field(factory=list)
     restart_delay_ms: int | None = None
     are_ids_kept: bool = False
+    are_calls_forwarded: bool = False
     incarnation_count: int = 0
 
     def add_worker(self, worker_id: str, **options: t.Any) -> StandinWorker:
@@ -267,7 +269,11 @@
     """
 
     def __init__(self, platform: StandinPlatform, client: str) -> None:
-        super().__init__(lambda: StandinClient(self._reach, self._is_in_reach))
+        super().__init__(
+            lambda: StandinClient(
+                self._reach, self._is_in_reach, self._find_process
+            )
+        )
         self.platform = platform
         self.client = client
 
@@ -279,6 +285,12 @@
                 return worker
         return None
 
+    def _find_process(self, worker: StandinWorker) -> StandinWorker:
+        """Return the process that gets the calls of a connection."""
+        if self.platform.are_calls_forwarded:
+            return self.platform.workers.get(worker.worker_id, worker)
+        return worker
+
     def _is_in_reach(self, worker: StandinWorker) -> bool:
         is_cut = worker.unreachable_clients & {self.client, '*'}
         return worker.is_up and not is_cut
--- a/src/tulippin/platform/standin_connections.py
+++ b/src/tulippin/platform/standin_connections.py
@@ -1,7 +1,8 @@
 """Connections to stand-in workers in virtual time.
 
-A connection leads to the process that accepted it, and ends with it. One that
-is being opened while a worker is down is accepted by its next incarnation.
+A connection leads to the process that accepted it, and ends with it, unless an
+agent on the way forwards its calls. One that is being opened while a worker is
+down is accepted by its next incarnation.
 """
 
 from __future__ import annotations
@@ -55,15 +56,20 @@
         reach, after the delay of the network; None if there is none.
     is_in_reach : callable
         Whether a process is up and in reach of the client.
+    find_process : callable
+        Returns the process that gets the calls of a connection which another
+        one has accepted; the same one, unless calls are forwarded.
     """
 
     def __init__(
         self,
         find_worker: t.Callable[[str], t.Awaitable[StandinWorker | None]],
         is_in_reach: t.Callable[[StandinWorker], bool],
+        find_process: t.Callable[[StandinWorker], StandinWorker],
     ) -> None:
         self._find_worker = find_worker
         self._is_in_reach = is_in_reach
+        self._find_process = find_process
         self._idle: collections.deque[_Connection] = collections.deque()
 
     async def close(self) -> None:
@@ -87,7 +93,7 @@
             connection = _Connection(await self._open(address))
         if check is not None and connection.peer is None:
             connection.peer = await self._ask(connection, worker_id, check)
-        await self._check_open(connection.worker, address)
+        await self._check_open(connection, address)
         answer = await self._call(
             connection.worker, slash + path, worker_id, body
         )
@@ -120,12 +126,13 @@
                 return connection
         return None
 
-    async def _check_open(self, worker: StandinWorker, address: str) -> None:
+    async def _check_open(self, connection: _Connection, address: str) -> None:
         """Fail if the process of a connection has ended or is out of reach.
 
         Nothing tells of the end of a process until its machine is up again.
         """
         await trio.sleep(_LATENCY_S)
+        worker = connection.worker = self._find_process(connection.worker)
         if self._is_in_reach(worker):
             return
         if not worker.is_up and await self._find_worker(address) is not None:
--- a/tests/restart_soak.py
+++ b/tests/restart_soak.py
@@ -132,16 +132,18 @@
         self.fleet.kill(owner)
 
 
-async def play(seed, owner_faults=()):
+async def play(seed, owner_faults=(), *, are_calls_forwarded=False):
     """Run the scenario of a seed; return the violations of guarantees.
 
     ``owner_faults`` are the ways in which owners end: 'stop' and 'kill'.
+    Connections to workers outlast their restarts if calls are forwarded.
     """
     source = random.Random(f'restart {seed}')
     limit_ms = source.choice(LEASE_LIMITS_MS)
     async with open_fleet(
         instances=2, workers=0, worker_lease_limit_ms=limit_ms
     ) as fleet:
+        fleet.platform.are_calls_forwarded = are_calls_forwarded
         for number in range(WORKER_COUNT):
             fleet.platform.add_worker(f'w{number}', lease_limit_ms=limit_ms)
         soak = RestartSoak(fleet, source, owner_faults)
--- a/tests/tulippin/platform/test_standin_connections.py
+++ b/tests/tulippin/platform/test_standin_connections.py
@@ -48,6 +48,20 @@
     run_virtual(run)
 
 
+def test_forwarded_connection_reaches_the_next_incarnation(
+    run_virtual, platform
+):
+    async def run():
+        platform.are_calls_forwarded = True
+        agents = platform.get_agents('i0')
+        await agents.hold(*HOLD)
+        platform.workers['w0'].crash()
+        worker = platform.restart('w0')
+        assert (await agents.hold(*HOLD)).born_ms == worker.born_ms
+
+    run_virtual(run)
+
+
 def test_connection_opened_while_a_worker_is_down_reaches_the_next_one(
     run_virtual, platform
 ):
