A start that the next incarnation answers counts the longest lease

What callers may see: one task with two runs, after its worker was back under its id and was cut off at once (TWICE).

Cause: the owner took any answer to a start for that of the incarnation it knew. Where a connection outlasts a restart, the next incarnation takes the order. The deadline in it is by the earlier clock, so that the lease there is cut only to the longest one, while the owner counted 1.8 s, also where the start was refused.

Change: an answer with a clock that has begun anew is from the next incarnation. The longest lease is counted from it, the worker is asked for its report at once and without a deadline, and the run is doubtful until that report.

That connections outlast restarts on the users' machines is not known.

--- a/src/tulippin/jobs/_incarnations.py
+++ b/src/tulippin/jobs/_incarnations.py
@@ -22,7 +22,11 @@
     SchedulerState,
     Worker,
 )
-from tulippin.jobs.types import ExpectedIncarnation, WorkerReport
+from tulippin.jobs.types import (
+    ExpectedIncarnation,
+    OrderAnswer,
+    WorkerReport,
+)
 
 
 def identify(
@@ -66,6 +70,31 @@
     return ExpectedIncarnation(worker.born_ms, clock_ms)
 
 
+def has_answered(
+    worker: Worker, answer: OrderAnswer, sent_ms: int, state: SchedulerState
+) -> bool:
+    """Whether the known incarnation of a worker has answered an order.
+
+    An order can reach the next one on a connection that outlasts a restart.
+    The clock of that one has begun anew.
+
+    Parameters
+    ----------
+    worker : Worker
+        The worker as it is known.
+    answer : OrderAnswer
+        Its answer; without a clock it tells nothing.
+    sent_ms : int
+        When the order was sent.
+    state : SchedulerState
+        The state of the unit.
+    """
+    if answer.clock_ms is None:
+        return True
+    expected = get_expected(worker, sent_ms, state)
+    return expected.has_reported(0, answer.clock_ms)
+
+
 def _begin_next(
     worker: Worker, report: WorkerReport, context: Context
 ) -> Worker:
--- a/src/tulippin/jobs/_workers.py
+++ b/src/tulippin/jobs/_workers.py
@@ -389,7 +389,13 @@
             outcome=outcome.value,
             is_known=attempt is not None,
         )
-    if attempt is None or attempt.state is not AttemptState.STARTING:
+    if attempt is None:
+        return
+    if not _incarnations.has_answered(
+        worker, event.answer, attempt.sent_ms, state
+    ):
+        outcome = _note_next_incarnation(attempt, worker, outcome, context)
+    if attempt.state is not AttemptState.STARTING:
         return
     if outcome is OrderOutcome.STARTED:
         _note_started(attempt, worker, context)
@@ -401,6 +407,25 @@
     _end_refused(attempt, worker, outcome, context)
 
 
+def _note_next_incarnation(
+    attempt: Attempt, worker: Worker, outcome: OrderOutcome, context: Context
+) -> OrderOutcome:
+    """Note that the next incarnation of a worker has answered a start order.
+
+    It has taken the deadline of the order, also if it refused the start.
+
+    Returns
+    -------
+    OrderOutcome
+        What the order came to for the known incarnation.
+    """
+    _incarnations.extend_lapse_time(worker, context.state)
+    if outcome is not OrderOutcome.STARTED:
+        return OrderOutcome.RESTARTED
+    _note_restart(attempt, worker, context)
+    return OrderOutcome.UNKNOWN
+
+
 def _end_refused(
     attempt: Attempt, worker: Worker, outcome: OrderOutcome, context: Context
 ) -> None:
--- a/tests/tulippin/jobs/test_restart_soak.py
+++ b/tests/tulippin/jobs/test_restart_soak.py
@@ -3,6 +3,8 @@
 ``bench/soak_restarts.py`` plays any number of such scenarios.
 """
 
+import functools
+
 import pytest
 
 import restart_soak
@@ -22,3 +24,12 @@
 ):
     found = run_virtual(restart_soak.play, seed, owner_faults, seed=seed)
     assert found == []
+
+
+@pytest.mark.parametrize('seed', [21, 23])
+def test_start_answered_by_the_next_incarnation_extends_its_lease(
+    run_virtual, seed
+):
+    """Guards against a second run while a forwarded start goes on."""
+    play = functools.partial(restart_soak.play, are_calls_forwarded=True)
+    assert run_virtual(play, seed, seed=seed) == []
--- a/tests/tulippin/jobs/test_restarted_workers.py
+++ b/tests/tulippin/jobs/test_restarted_workers.py
@@ -123,8 +123,8 @@
     ]
 
 
-def answer_start(state, outcome):
-    answer = OrderAnswer(outcome, state.now_ms)
+def answer_start(state, outcome, clock_ms=None):
+    answer = OrderAnswer(outcome, clock_ms or state.now_ms)
     return core.reduce(
         state, ev.StartAnswered(state.now_ms, 'w0', KEY, 1, answer)
     )
@@ -280,6 +280,44 @@
     assert lasting_ms >= state.config.worker_lease_limit_ms
 
 
+@pytest.mark.parametrize(
+    'outcome', [OrderOutcome.STARTED, OrderOutcome.NO_ROOM]
+)
+def test_start_answered_by_a_later_clock_counts_the_longest_lease(outcome):
+    """Guards against two runs: the next incarnation has taken the deadline."""
+    state = make_owner()
+    add_run(state, AttemptState.STARTING)
+    effects = answer_start(state, outcome, clock_ms=150)
+    worker = state.workers['w0']
+    lasting_ms = worker.lease_expiry_ms - state.now_ms
+    assert lasting_ms >= state.config.worker_lease_limit_ms
+    effects += core.reduce(state, ev.Ticked(state.now_ms + 10, BORN_MS))
+    holds = list_orders(effects, fx.HoldWorker)
+    assert [one.deadline_ms for one in holds] == [None]
+    is_doubtful = outcome is OrderOutcome.STARTED
+    assert bool(worker.attempts) == is_doubtful
+
+
+def test_run_of_a_start_that_the_next_incarnation_answered_is_kept():
+    state = make_owner()
+    attempt = add_run(state, AttemptState.STARTING)
+    answer_start(state, OrderOutcome.STARTED, clock_ms=150)
+    row = RunningTask(KEY, 1, '', 10, None)
+    effects = reduce_report(state, LATER_BORN_MS, running=(row,))
+    assert state.workers['w0'].attempts == {(KEY, 1): attempt}
+    assert not list_orders(effects, (fx.StartRun, fx.StopRun))
+
+
+def test_start_answered_by_a_slow_clock_is_no_restart():
+    """A worker's clock may be 2% slow, and tells the time before the answer."""
+    state = make_owner()
+    attempt = add_run(state, AttemptState.STARTING)
+    state.workers['w0'].answered_ms = NOW_MS - 3000
+    answer_start(state, OrderOutcome.STARTED, clock_ms=NOW_MS - 110)
+    assert attempt.state is AttemptState.RUNNING
+    assert not state.workers['w0'].failed_count
+
+
 def test_idle_worker_may_hold_the_longest_lease_after_a_restart():
     """A run that starts there later goes on for as long as the lease."""
     state = make_owner()
