Log of starts that the next incarnation answers

It tells the clock of the answer beside the known one, so that a connection that outlasts a restart can be told from one that ends with its process.

--- a/src/tulippin/jobs/_workers.py
+++ b/src/tulippin/jobs/_workers.py
@@ -30,7 +30,7 @@
     WorkerSilent,
 )
 from tulippin.jobs.state import Attempt, AttemptState, SchedulerState, Worker
-from tulippin.jobs.types import OrderOutcome, WorkerEntry
+from tulippin.jobs.types import OrderAnswer, OrderOutcome, WorkerEntry
 
 # Pause between two calls to a worker that does not answer.
 _SILENT_RETRY_PAUSE_MS: t.Final = 250
@@ -394,7 +394,7 @@
     if not _incarnations.has_answered(
         worker, event.answer, attempt.sent_ms, state
     ):
-        outcome = _note_next_incarnation(attempt, worker, outcome, context)
+        outcome = _note_next_incarnation(attempt, worker, event.answer, context)
     if attempt.state is not AttemptState.STARTING:
         return
     if outcome is OrderOutcome.STARTED:
@@ -408,7 +408,7 @@
 
 
 def _note_next_incarnation(
-    attempt: Attempt, worker: Worker, outcome: OrderOutcome, context: Context
+    attempt: Attempt, worker: Worker, answer: OrderAnswer, context: Context
 ) -> OrderOutcome:
     """Note that the next incarnation of a worker has answered a start order.
 
@@ -420,7 +420,17 @@
         What the order came to for the known incarnation.
     """
     _incarnations.extend_lapse_time(worker, context.state)
-    if outcome is not OrderOutcome.STARTED:
+    context.log(
+        'start answered by the next incarnation',
+        task=attempt.key.format(),
+        run=attempt.run,
+        worker=worker.worker_id,
+        outcome=answer.outcome.value,
+        clock_ms=answer.clock_ms,
+        expected_ms=get_clock_ms(worker, context.state),
+        **_worker_leases.describe(worker, context.state),
+    )
+    if answer.outcome is not OrderOutcome.STARTED:
         return OrderOutcome.RESTARTED
     _note_restart(attempt, worker, context)
     return OrderOutcome.UNKNOWN
