--- a/tests/tulippin/jobs/test_restart_soak.py
+++ b/tests/tulippin/jobs/test_restart_soak.py
@@ -26,10 +26,18 @@
     assert found == []
 
 
+play_forwarded = functools.partial(restart_soak.play, are_calls_forwarded=True)
+
+
 @pytest.mark.parametrize('seed', [21, 23])
 def test_start_answered_by_the_next_incarnation_extends_its_lease(
     run_virtual, seed
 ):
     """Guards against a second run while a forwarded start goes on."""
-    play = functools.partial(restart_soak.play, are_calls_forwarded=True)
-    assert run_virtual(play, seed, seed=seed) == []
+    assert run_virtual(play_forwarded, seed, seed=seed) == []
+
+
+@pytest.mark.parametrize('seed', [9311, 9327])
+def test_forwarded_acknowledgement_drops_no_unread_end(run_virtual, seed):
+    """Guards against a second start of tasks whose ends nobody has read."""
+    assert run_virtual(play_forwarded, seed, seed=seed) == []
