Tests of misbehaving clients: ordinary calls open connections of their own

In three of these runs the ordinary call went over a kept connection that the instance closes after 5 s without a request, just as it was sent. In one the readiness check got 503, as the store's answers had waited for more than 2.5 s.

Neither is what the tests are about, and both rest on the speed of the machine.

--- a/tests/client_crowds.py
+++ b/tests/client_crowds.py
@@ -68,8 +68,7 @@
     """Instance in a process, and the most memory that it was seen to use."""
 
     process: trio.Process
-    client: HttpClient
-    ports: dict
+    ports: dict = attrs.field(factory=dict)
     peak_bytes: int = 0
     output: bytes = b''
 
@@ -90,13 +89,17 @@
             self.peak_bytes = max(self.peak_bytes, used_bytes + queued_bytes)
 
     async def call(self, method, path, body=None, port='callers'):
-        """Send an ordinary request, and return its response."""
-        return await self.client.send(
-            method,
-            f'http://127.0.0.1:{self.ports[port]}{path}',
-            b'' if body is None else json.dumps(body).encode(),
-            {'Host': 'host', 'Deadline-Ms': '10000'},
-        )
+        """Send an ordinary request, and return its response.
+
+        Its connection is new: one that is kept may be closed as it is sent.
+        """
+        async with HttpClient(15) as client:
+            return await client.send(
+                method,
+                f'http://127.0.0.1:{self.ports[port]}{path}',
+                b'' if body is None else json.dumps(body).encode(),
+                {'Host': 'host', 'Deadline-Ms': '10000'},
+            )
 
     async def wait_ready(self):
         """Wait until the instance says that it is ready."""
@@ -169,14 +172,14 @@
 @contextlib.asynccontextmanager
 async def run_crowded(tmp_path):
     """Run an instance beside a stand-in of the platform, and watch it."""
-    async with StandinServers() as servers, HttpClient(15) as client:
+    async with StandinServers() as servers:
         servers.platform.configure(make_config_body())
         path = tmp_path / 'instance.ini'
         path.write_text(make_settings('edge-1', servers.store_address))
         process = await open_instance(
             'scheduler_daemon', LIMIT_DESCRIPTORS + PRINT_PORTS + BESIDE, path
         )
-        instance = CrowdedInstance(process, client, {})
+        instance = CrowdedInstance(process)
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(_read_output, instance)
