--- a/tests/tulippin/platform/test_misbehaving_clients.py
+++ b/tests/tulippin/platform/test_misbehaving_clients.py
@@ -62,7 +62,8 @@
 async def check_instance(instance):
     """Check the bounds while the crowd is still connected."""
     assert instance.is_alive, instance.output[-2000:]
-    await instance.wait_ready()
+    ready = await instance.call('GET', '/v1/ready', port='readiness')
+    assert ready.status == 200
     accepted = await instance.call('POST', '/q/00112233445566ff', SMALL_JOB)
     assert accepted.status == 200
     answer = await instance.call('GET', '/q/00112233445566ff')
